--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,1 @@
+//! Client of the state hosts: finds the leader of a group and resends idempotent commands.
--- /dev/null
+++ b/src/emulator/mod.rs
@@ -0,0 +1,1 @@
+//! Model engine emulator: continuous batching, prefix cache, resumption and cancellation.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! Shell of the entry role: HTTP for callers and operators.
--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,176 @@
+//! Numbered log events. `docs/events.md` is their catalogue.
+//!
+//! Numbers are stable: an event that is no longer logged leaves its number unused. Ranges:
+//! 1xx process and supervisor, 2xx links, 3xx replicas and storage, 4xx configuration,
+//! 5xx jobs, 6xx agents and endpoints, 7xx entries.
+
+use slog::Level;
+
+/// Kind of log event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Stable number, logged under the key `event`.
+    pub number: u16,
+    /// Severity.
+    pub level: Level,
+    /// Message of the log line.
+    pub text: &'static str,
+}
+
+macro_rules! catalogue {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $level:ident, $text:literal;)+) => {
+        $($(#[doc = $doc])+ pub const $name: Event =
+            Event { number: $number, level: Level::$level, text: $text };)+
+
+        /// Every event with the explanation of its catalogue entry, in order of number.
+        pub const ALL: &[(Event, &str)] = &[$(($name, concat!($($doc),+)),)+];
+    };
+}
+
+catalogue! {
+    /// The process has started with the named roles.
+    STARTED = 100, Info, "process started";
+    /// A stop was requested; running requests are finished first.
+    STOPPING = 101, Info, "graceful stop started";
+    /// The process has finished its requests and ends.
+    STOPPED = 102, Info, "process stopped";
+    /// A supervised task ended with an error and is restarted.
+    TASK_RESTARTED = 103, Warning, "task failed and is restarted";
+    /// A supervised task failed too often; the process ends.
+    TASK_GAVE_UP = 104, Critical, "task failed too often";
+    /// A listener accepts connections.
+    LISTENING = 105, Info, "listening";
+    /// A connection to a peer was established.
+    LINK_UP = 200, Info, "connection established";
+    /// A connection was closed or went silent; the next use dials from a new socket.
+    LINK_LOST = 201, Warning, "connection lost";
+    /// A peer could not be reached.
+    DIAL_FAILED = 202, Warning, "dial failed";
+    /// A peer was rejected, for example because of its certificate.
+    PEER_REJECTED = 203, Warning, "peer rejected";
+    /// A peer sent a frame that does not follow the protocol.
+    BAD_FRAME = 204, Warning, "frame rejected";
+    /// A replica changed its role or learned of a new leader.
+    ROLE_CHANGED = 300, Info, "replica role changed";
+    /// A replica group was formed from blank hosts.
+    GROUP_FORMED = 301, Info, "replica group formed";
+    /// A change of the members of a replica group was proposed or committed.
+    MEMBERS_CHANGED = 302, Info, "replica group members changed";
+    /// A snapshot was taken and the log was truncated.
+    SNAPSHOT_TAKEN = 303, Info, "snapshot taken";
+    /// A snapshot from the leader was installed.
+    SNAPSHOT_INSTALLED = 304, Info, "snapshot installed";
+    /// The data folder was opened; the log was replayed.
+    FOLDER_OPENED = 305, Info, "data folder opened";
+    /// The disk is full; new work is refused, accepted work is kept.
+    DISK_FULL = 306, Error, "disk is full";
+    /// A write or sync failed; the process ends because the state of the file is not known.
+    STORAGE_FAILED = 307, Critical, "storage failed";
+    /// A lost replica was replaced and redundancy is complete again.
+    REPAIR_COMPLETE = 308, Info, "repair complete";
+    /// A configuration change was committed.
+    CHANGE_ACCEPTED = 400, Info, "configuration change accepted";
+    /// A configuration change was refused; nothing was changed.
+    CHANGE_REFUSED = 401, Info, "configuration change refused";
+    /// The configuration could not be confirmed within the freshness limit; new work is refused.
+    CONFIG_STALE = 402, Warning, "configuration freshness not confirmed";
+    /// The configuration is confirmed to be current again.
+    CONFIG_FRESH = 403, Info, "configuration freshness confirmed";
+    /// The watch of the configuration was interrupted and is resumed.
+    WATCH_LOST = 404, Warning, "configuration watch interrupted";
+    /// A job was accepted.
+    JOB_ACCEPTED = 500, Info, "job accepted";
+    /// A job was cancelled.
+    JOB_CANCELLED = 501, Info, "job cancelled";
+    /// Every item of a job has a result.
+    JOB_FINISHED = 502, Info, "job finished";
+    /// The lease of items expired because their agent did not renew it.
+    LEASE_LOST = 503, Warning, "item lease expired";
+    /// An item ended with an error result.
+    ITEM_FAILED = 504, Info, "item failed";
+    /// An endpoint announced itself.
+    ENDPOINT_JOINED = 600, Info, "endpoint joined";
+    /// An endpoint stopped announcing itself or withdrew.
+    ENDPOINT_LEFT = 601, Info, "endpoint left";
+    /// An agent registered with the state hosts.
+    AGENT_REGISTERED = 602, Info, "agent registered";
+    /// The lease of an agent expired.
+    AGENT_EXPIRED = 603, Warning, "agent lease expired";
+    /// A drain took effect at the agent.
+    DRAIN_STARTED = 604, Info, "drain in effect";
+    /// A drained endpoint serves again.
+    DRAIN_ENDED = 605, Info, "drain ended";
+    /// A call to an endpoint failed.
+    ENDPOINT_FAILED = 606, Warning, "endpoint call failed";
+    /// An order was carried out or refused by an endpoint.
+    ORDER_DONE = 607, Info, "order finished";
+    /// A request was refused.
+    REFUSED = 700, Debug, "request refused";
+    /// An attempt failed and the request is retried elsewhere.
+    RETRIED = 701, Info, "request retried";
+    /// A broken stream was resumed at another agent.
+    RESUMED = 702, Info, "stream resumed elsewhere";
+    /// A caller or operator presented no valid key.
+    UNAUTHORIZED = 703, Info, "caller not authorized";
+}
+
+/// Logs an event with its number: `event!(log, events::STARTED; "roles" => roles)`.
+#[macro_export]
+macro_rules! event {
+    ($log:expr, $event:expr $(; $($pairs:tt)*)?) => {{
+        let event: $crate::events::Event = $event;
+        match event.level {
+            slog::Level::Critical =>
+                slog::crit!($log, "{}", event.text; "event" => event.number, $($($pairs)*)?),
+            slog::Level::Error =>
+                slog::error!($log, "{}", event.text; "event" => event.number, $($($pairs)*)?),
+            slog::Level::Warning =>
+                slog::warn!($log, "{}", event.text; "event" => event.number, $($($pairs)*)?),
+            slog::Level::Info =>
+                slog::info!($log, "{}", event.text; "event" => event.number, $($($pairs)*)?),
+            _ => slog::debug!($log, "{}", event.text; "event" => event.number, $($($pairs)*)?),
+        }
+    }};
+}
+
+/// Format of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// Text for people.
+    #[default]
+    Human,
+    /// One JSON object per line.
+    Json,
+}
+
+/// Creates the root logger, which writes to standard error.
+///
+/// The guard flushes pending lines when it is dropped.
+pub fn logger(format: Format, level: Level) -> (slog::Logger, slog_async::AsyncGuard) {
+    use slog::Drain as _;
+    let (drain, guard) = match format {
+        Format::Human => {
+            let plain = slog_term::PlainDecorator::new(std::io::stderr());
+            let drain = slog_term::FullFormat::new(plain).build().fuse();
+            slog_async::Async::new(drain).chan_size(4096).build_with_guard()
+        }
+        Format::Json => {
+            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            slog_async::Async::new(drain).chan_size(4096).build_with_guard()
+        }
+    };
+    let drain = slog::LevelFilter::new(drain, level).fuse();
+    (slog::Logger::root(drain, slog::o!()), guard)
+}
+
+/// Renders the catalogue page from [`ALL`].
+pub fn catalogue() -> String {
+    let mut page =
+        String::from("# Log events\n\n| number | level | message | meaning |\n|---|---|---|---|\n");
+    for (event, meaning) in ALL {
+        let level = event.level.as_str().to_lowercase();
+        page += &format!("| {} | {level} | {} |{meaning} |\n", event.number, event.text);
+    }
+    page
+}
--- /dev/null
+++ b/src/gate/mod.rs
@@ -0,0 +1,1 @@
+//! Admission at one endpoint: online before batch.
--- /dev/null
+++ b/src/jobs/mod.rs
@@ -0,0 +1,1 @@
+//! State machine of the job groups: jobs, items, results and claims.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,28 @@
+//! Serving system for online and batch inference of many workspaces on one fleet of model servers.
+//!
+//! `docs/design.md` describes the roles, the modules and who owns which state.
+
+pub mod agent;
+pub mod catalog;
+pub mod client;
+pub mod cmd;
+pub mod emulator;
+pub mod entry;
+pub mod errors;
+pub mod events;
+pub mod gate;
+pub mod jobs;
+pub mod lifecycle;
+pub mod link;
+pub mod metrics;
+pub mod replica;
+pub mod router;
+pub mod settings;
+pub mod sorted;
+pub mod state;
+pub mod storage;
+pub mod supervisor;
+pub mod template;
+pub mod timer;
+pub mod tls;
+pub mod wire;
--- /dev/null
+++ b/src/lifecycle.rs
@@ -0,0 +1,1 @@
+//! Life cycles of agents and entries as typestates.
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,1 @@
+//! Connections between processes: quinn with mutual TLS, heartbeats and reconnection.
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,121 @@
+//! Metrics by OpenTelemetry, exposed in the Prometheus text format.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider as _;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder as _;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Instruments of one process. Clones share them.
+#[derive(Clone)]
+pub struct Metrics {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    registry: prometheus::Registry,
+    // Keeps the exporter alive.
+    _provider: SdkMeterProvider,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    requests: Counter<u64>,
+    items: Counter<u64>,
+    preemptions: Counter<u64>,
+    faults: Counter<u64>,
+    latency: Histogram<f64>,
+    level: Gauge<u64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
+
+impl Metrics {
+    /// Creates the instruments and their registry.
+    pub fn new() -> Metrics {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("a fresh registry accepts the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("basilfield");
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let inner = Inner {
+            refusals: counter("refusals", "Refused requests by reason and run state"),
+            retries: counter("retries", "Retried requests by reason"),
+            requests: counter("requests", "Requests by kind and outcome"),
+            items: counter("items", "Batch items by outcome"),
+            preemptions: counter("preemptions", "Batch streams preempted for online requests"),
+            faults: counter("faults", "Faults by step"),
+            latency: meter
+                .f64_histogram("latency_seconds")
+                .with_description("Latency by step")
+                .build(),
+            level: meter.u64_gauge("level").with_description("Current levels by name").build(),
+            registry,
+            _provider: provider.clone(),
+        };
+        Metrics { inner: Arc::new(inner) }
+    }
+
+    /// Counts a refusal. `run` is `no` or `unknown`.
+    pub fn refusal(&self, reason: &'static str, run: &'static str) {
+        self.inner.refusals.add(1, &[KeyValue::new("reason", reason), KeyValue::new("run", run)]);
+    }
+
+    /// Counts a retry.
+    pub fn retry(&self, reason: &'static str) {
+        self.inner.retries.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a finished request.
+    pub fn request(&self, kind: &'static str, outcome: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)];
+        self.inner.requests.add(1, &labels);
+    }
+
+    /// Counts a batch item.
+    pub fn item(&self, outcome: &'static str) {
+        self.inner.items.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a preempted batch stream.
+    pub fn preemption(&self) {
+        self.inner.preemptions.add(1, &[]);
+    }
+
+    /// Counts a fault.
+    pub fn fault(&self, step: &'static str) {
+        self.inner.faults.add(1, &[KeyValue::new("step", step)]);
+    }
+
+    /// Records the latency of a step.
+    pub fn latency(&self, step: &'static str, elapsed: Duration) {
+        self.inner.latency.record(elapsed.as_secs_f64(), &[KeyValue::new("step", step)]);
+    }
+
+    /// Records a current level, for example a queue length.
+    pub fn level(&self, name: &'static str, value: u64) {
+        self.inner.level.record(value, &[KeyValue::new("name", name)]);
+    }
+
+    /// Renders every instrument in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut out = Vec::new();
+        let families = self.inner.registry.gather();
+        if prometheus::TextEncoder::new().encode(&families, &mut out).is_err() {
+            return String::new();
+        }
+        String::from_utf8(out).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/replica/mod.rs
@@ -0,0 +1,1 @@
+//! One replica of one replicated log.
--- /dev/null
+++ b/src/router/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of the endpoint for a request, and retries.
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings files: parsing and validation.
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,1 @@
+//! Shell of the state role: drives the replicas and their state machines.
--- /dev/null
+++ b/src/storage/mod.rs
@@ -0,0 +1,1 @@
+//! Data folder of one replica group.
--- /dev/null
+++ b/src/supervisor.rs
@@ -0,0 +1,152 @@
+//! Supervisor tree: restarts failed tasks and stops them in an orderly way.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task;
+use tokio::time;
+
+/// Failures of one task within [`WINDOW`] after which its supervisor gives up.
+const MAX_RESTARTS: usize = 5;
+/// Period over which failures are counted.
+const WINDOW: Duration = Duration::from_secs(30);
+/// Delay before a restart, so that a task that fails at once does not spin.
+const RESTART_DELAY: Duration = Duration::from_millis(200);
+
+/// Signal that asks tasks to stop. Clones observe the same signal.
+#[derive(Clone)]
+pub struct Stop {
+    receiver: watch::Receiver<bool>,
+}
+
+impl Stop {
+    /// Whether a stop was requested.
+    pub fn requested(&self) -> bool {
+        *self.receiver.borrow()
+    }
+
+    /// Waits until a stop is requested.
+    pub async fn wait(&mut self) {
+        // An error means that the supervisor is gone, which is a stop as well.
+        let _ = self.receiver.wait_for(|stop| *stop).await;
+    }
+}
+
+/// Node of the supervisor tree: owns tasks and child supervisors.
+pub struct Supervisor {
+    name: Arc<str>,
+    log: slog::Logger,
+    stop: watch::Sender<bool>,
+    tasks: task::JoinSet<Result<(), errors::Error>>,
+}
+
+impl Supervisor {
+    /// Creates a supervisor without tasks.
+    pub fn new(name: &str, log: &slog::Logger) -> Supervisor {
+        let log = log.new(slog::o!("part" => name.to_string()));
+        let (stop, _) = watch::channel(false);
+        Supervisor { name: name.into(), log, stop, tasks: task::JoinSet::new() }
+    }
+
+    /// Logger of this node, for its tasks.
+    pub fn log(&self) -> &slog::Logger {
+        &self.log
+    }
+
+    /// Signal for the tasks of this node.
+    pub fn stop(&self) -> Stop {
+        Stop { receiver: self.stop.subscribe() }
+    }
+
+    /// Handle that requests a stop from outside, for example on a signal.
+    pub fn stopper(&self) -> watch::Sender<bool> {
+        self.stop.clone()
+    }
+
+    /// Starts a task that is restarted when it fails.
+    ///
+    /// `start` is called for each run. A run that returns `Ok` is not restarted.
+    pub fn spawn<F, R>(&mut self, name: &'static str, start: F)
+    where
+        F: Fn(Stop) -> R + Send + 'static,
+        R: Future<Output = Result<(), errors::Error>> + Send + 'static,
+    {
+        let (log, stop) = (self.log.clone(), self.stop());
+        self.tasks.spawn(keep_running(name, log, stop, start));
+    }
+
+    /// Adds a child supervisor. Its failure is a failure of this node.
+    pub fn adopt(&mut self, child: Supervisor) {
+        let mut stop = self.stop();
+        self.tasks.spawn(async move {
+            let stopper = child.stopper();
+            let forward = tokio::spawn(async move {
+                stop.wait().await;
+                stopper.send_replace(true);
+            });
+            let result = Box::pin(child.run()).await;
+            forward.abort();
+            result
+        });
+    }
+
+    /// Runs until every task has ended. The first failure stops the others and is returned.
+    pub async fn run(mut self) -> Result<(), errors::Error> {
+        let mut result = Ok(());
+        while let Some(joined) = self.tasks.join_next().await {
+            let ended = joined.unwrap_or_else(|e| Err(errors::Error::io("join", &*self.name, e)));
+            if let Err(error) = ended {
+                self.stop.send_replace(true);
+                result = result.and(Err(error));
+            }
+        }
+        result
+    }
+}
+
+async fn keep_running<F, R>(
+    name: &'static str,
+    log: slog::Logger,
+    stop: Stop,
+    start: F,
+) -> Result<(), errors::Error>
+where
+    F: Fn(Stop) -> R,
+    R: Future<Output = Result<(), errors::Error>> + Send + 'static,
+{
+    let mut failures: Vec<time::Instant> = Vec::new();
+    loop {
+        // A separate task turns a panic into an error of this run.
+        let run = task::spawn(start(stop.clone()));
+        let abort = AbortOnDrop(run.abort_handle());
+        let error = match run.await {
+            Ok(Ok(())) => return Ok(()),
+            Ok(Err(error)) => error,
+            Err(panic) => errors::Error::io("run", name, panic),
+        };
+        drop(abort);
+        failures.retain(|at| at.elapsed() < WINDOW);
+        failures.push(time::Instant::now());
+        if stop.requested() {
+            return Err(error);
+        }
+        if failures.len() > MAX_RESTARTS {
+            event!(log, events::TASK_GAVE_UP; "task" => name, "error" => %error);
+            return Err(error);
+        }
+        event!(log, events::TASK_RESTARTED; "task" => name, "error" => %error);
+        time::sleep(RESTART_DELAY).await;
+    }
+}
+
+struct AbortOnDrop(task::AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/src/template.rs
@@ -0,0 +1,1 @@
+//! Templates that operators fill in, with parameter types and ranges.
--- /dev/null
+++ b/src/tls.rs
@@ -0,0 +1,1 @@
+//! Fleet certificate authority and per-process keys.
