Add the replicated table of a job group

The state hosts, the entry and the agent need the interface of the job groups to build on, so the deterministic state machine lands first: submission in chunks under an idempotency key, seal with a check of the custom ids, cancel, completion by compare-and-set, bounded failed attempts, claims and retention, all by group time. A job is named by a hash of workspace and key, so a resent submission finds it and its group follows from the name alone.

Expire carries the retention, because a value read from each host's settings would let replicas diverge. Jobs and claims are kept in trees and not in sorted vectors since their hashes arrive in random order.

--- /dev/null
+++ b/src/jobs/claims.rs
@@ -0,0 +1,129 @@
+//! Claims: at-most-once execution of non-idempotent calls with a caller's key.
+
+use crate::jobs::id::Id;
+use crate::jobs::message::ClaimOutcome;
+use crate::jobs::message::ClaimStatus;
+use crate::jobs::message::Refusal;
+use crate::jobs::message::Reply;
+use crate::jobs::retention::Shelf;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Claim on the execution of one call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Claim {
+    digest: u64,
+    attempt: u64,
+    agent: Arc<str>,
+    outcome: Option<ClaimOutcome>,
+    /// Attempts that were withdrawn. A late duplicate of their claim must not pass.
+    withdrawn: Vec<u64>,
+    /// Group time in milliseconds of the last change.
+    changed: u64,
+}
+
+/// Claims of a group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claims {
+    // A tree, because hashes arrive in random order and a sorted vector would move half of its
+    // content for each of them.
+    claims: BTreeMap<Id, Claim>,
+    shelf: Shelf,
+}
+
+impl Claims {
+    /// Gives the claim to `attempt` if no other attempt holds it.
+    pub fn claim(&mut self, id: Id, new: ClaimStatus, clock: u64) -> Reply {
+        if let Some(refusal) = self.shelf.gone(id) {
+            return Reply::Refused(refusal);
+        }
+        let Some(claim) = self.claims.get_mut(&id) else {
+            self.insert(id, new, clock);
+            return Reply::Claimed;
+        };
+        if claim.digest != new.digest {
+            return Reply::Refused(Refusal::Conflict { digest: claim.digest });
+        }
+        if claim.withdrawn.contains(&new.attempt) {
+            return Reply::Withdrawn;
+        }
+        match &claim.outcome {
+            Some(ClaimOutcome::NeverRan) => {
+                claim.attempt = new.attempt;
+                claim.agent = new.agent;
+                claim.outcome = None;
+                claim.changed = clock;
+                self.shelf.push(clock, id);
+                Reply::Claimed
+            }
+            Some(outcome) => Reply::Settled { outcome: outcome.clone() },
+            None if claim.attempt == new.attempt => Reply::Claimed,
+            None => Reply::Held { attempt: claim.attempt, agent: claim.agent.clone() },
+        }
+    }
+
+    fn insert(&mut self, id: Id, new: ClaimStatus, clock: u64) {
+        let claim = Claim {
+            digest: new.digest,
+            attempt: new.attempt,
+            agent: new.agent,
+            outcome: None,
+            withdrawn: Vec::new(),
+            changed: clock,
+        };
+        self.claims.insert(id, claim);
+        self.shelf.push(clock, id);
+    }
+
+    /// Records the outcome of the attempt that holds the claim. The first outcome is final.
+    pub fn settle(&mut self, id: Id, attempt: u64, outcome: ClaimOutcome, clock: u64) -> Reply {
+        let Some(claim) = self.claims.get_mut(&id) else {
+            return Reply::Refused(self.shelf.gone(id).unwrap_or(Refusal::NotFound));
+        };
+        if claim.withdrawn.contains(&attempt) {
+            return Reply::Settled { outcome: ClaimOutcome::NeverRan };
+        }
+        if claim.attempt != attempt {
+            return Reply::Held { attempt: claim.attempt, agent: claim.agent.clone() };
+        }
+        if let Some(first) = &claim.outcome {
+            return Reply::Settled { outcome: first.clone() };
+        }
+        if outcome == ClaimOutcome::NeverRan {
+            claim.withdrawn.push(attempt);
+        }
+        claim.outcome = Some(outcome.clone());
+        claim.changed = clock;
+        self.shelf.push(clock, id);
+        Reply::Settled { outcome }
+    }
+
+    /// State of a claim.
+    pub fn status(&self, id: Id) -> Result<ClaimStatus, Refusal> {
+        let claim = self.claims.get(&id);
+        let claim = claim.ok_or_else(|| self.shelf.gone(id).unwrap_or(Refusal::NotFound))?;
+        Ok(ClaimStatus {
+            digest: claim.digest,
+            attempt: claim.attempt,
+            agent: claim.agent.clone(),
+            outcome: claim.outcome.clone(),
+        })
+    }
+
+    /// Removes up to `limit` claims that last changed a retention ago. Returns the number and
+    /// whether more are due.
+    pub fn expire(&mut self, retention: u64, clock: u64, limit: u32) -> (u32, bool) {
+        let due = self.shelf.due(retention, clock, limit);
+        let mut count = 0;
+        for (changed, id) in due.entries {
+            if self.claims.get(&id).is_some_and(|c| c.changed == changed) {
+                self.claims.remove(&id);
+                self.shelf.bury(clock, id);
+                count += 1;
+            }
+        }
+        (count, due.more)
+    }
+}
--- /dev/null
+++ b/src/jobs/items.rs
@@ -0,0 +1,244 @@
+//! Items of one job, and the store of their bodies.
+
+use crate::jobs::id::Id;
+use crate::jobs::message::AttemptCause;
+use crate::jobs::message::NewItem;
+use crate::jobs::message::Outcome;
+use crate::sorted::SortedMap;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Failed attempts after which an item ends with an error result.
+pub const MAX_ATTEMPTS: u32 = 5;
+
+/// Backoff after the first transient failure, in milliseconds; it doubles with each further one.
+pub const BACKOFF_FIRST: u64 = 1_000;
+
+/// Longest backoff in milliseconds.
+pub const BACKOFF_LONGEST: u64 = 60_000;
+
+/// Failed attempts of an item that has no result yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Retry {
+    /// Grants that failed, each counted once.
+    pub failed: Vec<u64>,
+    /// Group time in milliseconds before which the item is not granted.
+    pub until: u64,
+    /// Whether a worker was lost with the item, so that it is granted alone.
+    pub alone: bool,
+}
+
+/// What a failed attempt leads to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Counted {
+    /// The attempt was counted before.
+    Again(u32),
+    /// The item will be tried again.
+    Retry(Retry),
+    /// The item has no attempt left; the caller stores the error result.
+    Exhausted(u32),
+}
+
+const QUEUED: u8 = 0;
+const DONE: u8 = 1;
+const FAILED: u8 = 2;
+
+/// States of the items of one job: one byte per item.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Items {
+    states: Vec<u8>,
+    retries: SortedMap<u32, Retry>,
+    done: u32,
+    failed: u32,
+}
+
+impl Items {
+    /// Adds items without a result.
+    pub fn extend(&mut self, count: usize) {
+        self.states.resize(self.states.len() + count, QUEUED);
+    }
+
+    /// Frees memory that was reserved for further items.
+    pub fn seal(&mut self) {
+        self.states.shrink_to_fit();
+    }
+
+    /// Number of items.
+    pub fn len(&self) -> u32 {
+        self.states.len() as u32
+    }
+
+    /// Whether there is no item.
+    pub fn is_empty(&self) -> bool {
+        self.states.is_empty()
+    }
+
+    /// Items with an answer.
+    pub fn done(&self) -> u32 {
+        self.done
+    }
+
+    /// Items with an error result.
+    pub fn failed(&self) -> u32 {
+        self.failed
+    }
+
+    /// Items without a result.
+    pub fn queued(&self) -> u32 {
+        self.len() - self.done - self.failed
+    }
+
+    /// Outcome of an item; `None` while it has no result or if there is no such item.
+    pub fn outcome(&self, item: u32) -> Option<Outcome> {
+        match self.states.get(item as usize) {
+            Some(&DONE) => Some(Outcome::Done),
+            Some(&FAILED) => Some(Outcome::Failed),
+            _ => None,
+        }
+    }
+
+    /// Records the outcome of an existing item that has none.
+    pub fn end(&mut self, item: u32, outcome: Outcome) {
+        let state = match outcome {
+            Outcome::Done => DONE,
+            Outcome::Failed => FAILED,
+        };
+        self.states[item as usize] = state;
+        match outcome {
+            Outcome::Done => self.done += 1,
+            Outcome::Failed => self.failed += 1,
+        }
+        self.retries.remove(&item);
+    }
+
+    /// Counts a failed attempt of an item without a result.
+    pub fn count(&mut self, item: u32, attempt: u64, cause: AttemptCause, clock: u64) -> Counted {
+        let fresh = || Retry { failed: Vec::new(), until: 0, alone: false };
+        let retry = self.retries.entry_or(item, fresh);
+        if retry.failed.contains(&attempt) {
+            return Counted::Again(retry.failed.len() as u32);
+        }
+        retry.failed.push(attempt);
+        let attempts = retry.failed.len() as u32;
+        if attempts >= MAX_ATTEMPTS {
+            return Counted::Exhausted(attempts);
+        }
+        match cause {
+            AttemptCause::WorkerLost => {
+                retry.alone = true;
+                retry.until = clock;
+            }
+            AttemptCause::Transient => retry.until = clock.saturating_add(backoff(attempts)),
+        }
+        Counted::Retry(retry.clone())
+    }
+
+    /// Failed attempts of the items that have no result yet.
+    pub fn retries(&self) -> impl Iterator<Item = (u32, &Retry)> {
+        self.retries.iter().map(|(item, retry)| (*item, retry))
+    }
+
+    /// Forgets the failed attempts of a job that stopped.
+    pub fn stop(&mut self) {
+        self.retries = SortedMap::new();
+    }
+
+    /// Bit set of the items without a result: item `i` is bit `i % 64` of word `i / 64`.
+    pub fn open(&self) -> Vec<u64> {
+        let word = |states: &[u8]| {
+            states.iter().rev().fold(0, |word, s| word << 1 | u64::from(*s == QUEUED))
+        };
+        self.states.chunks(64).map(word).collect()
+    }
+}
+
+/// Backoff after the given number of failed attempts, in milliseconds.
+fn backoff(attempts: u32) -> u64 {
+    let doubled = 1u64.checked_shl(attempts.saturating_sub(1)).unwrap_or(u64::MAX);
+    BACKOFF_FIRST.saturating_mul(doubled).min(BACKOFF_LONGEST)
+}
+
+/// Store of custom ids, request bodies and result bodies, which make up nearly all of the state.
+///
+/// It is part of the replicated state: equal calls lead to equal content on every replica.
+pub trait Bodies: Send {
+    /// Adds items after those that the job already has.
+    fn extend(&mut self, job: Id, items: &[NewItem]);
+    /// Custom id of an item.
+    fn custom(&self, job: Id, item: u32) -> Option<Arc<str>>;
+    /// Request body of an item of a job that has not ended.
+    fn input(&self, job: Id, item: u32) -> Option<Bytes>;
+    /// Stores the result body of an item.
+    fn put(&mut self, job: Id, item: u32, body: &[u8]);
+    /// Result body of an item.
+    fn result(&self, job: Id, item: u32) -> Option<Bytes>;
+    /// Drops the request bodies of a job that has ended.
+    fn end(&mut self, job: Id);
+    /// Drops everything of a job.
+    fn remove(&mut self, job: Id);
+    /// Whole content for a snapshot.
+    fn export(&self) -> Vec<u8>;
+    /// Replaces the content by an exported one.
+    fn import(&mut self, data: &[u8]) -> Result<(), postcard::Error>;
+}
+
+/// Bodies in memory.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Memory {
+    jobs: BTreeMap<Id, JobBodies>,
+}
+
+/// Bodies of one job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct JobBodies {
+    customs: Vec<Arc<str>>,
+    inputs: Vec<Bytes>,
+    results: SortedMap<u32, Bytes>,
+}
+
+impl Bodies for Memory {
+    fn extend(&mut self, job: Id, items: &[NewItem]) {
+        let bodies = self.jobs.entry(job).or_default();
+        bodies.customs.extend(items.iter().map(|i| i.custom.clone()));
+        bodies.inputs.extend(items.iter().map(|i| i.body.clone()));
+    }
+
+    fn custom(&self, job: Id, item: u32) -> Option<Arc<str>> {
+        self.jobs.get(&job)?.customs.get(item as usize).cloned()
+    }
+
+    fn input(&self, job: Id, item: u32) -> Option<Bytes> {
+        self.jobs.get(&job)?.inputs.get(item as usize).cloned()
+    }
+
+    fn put(&mut self, job: Id, item: u32, body: &[u8]) {
+        let bodies = self.jobs.entry(job).or_default();
+        bodies.results.insert(item, Bytes::copy_from_slice(body));
+    }
+
+    fn result(&self, job: Id, item: u32) -> Option<Bytes> {
+        self.jobs.get(&job)?.results.get(&item).cloned()
+    }
+
+    fn end(&mut self, job: Id) {
+        if let Some(bodies) = self.jobs.get_mut(&job) {
+            bodies.inputs = Vec::new();
+        }
+    }
+
+    fn remove(&mut self, job: Id) {
+        self.jobs.remove(&job);
+    }
+
+    fn export(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("bodies encode")
+    }
+
+    fn import(&mut self, data: &[u8]) -> Result<(), postcard::Error> {
+        *self = postcard::from_bytes(data)?;
+        Ok(())
+    }
+}
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -1,1 +1,34 @@
-//! State machine of the job groups: jobs, items, results and claims.
+//! State machine of the job groups: jobs, items, results and claims; granting of items.
+//!
+//! [`Table`] is the replicated state, identical on every replica of a group. `leases::Leases`
+//! lives only in the memory of the group's leader and decides which agent runs which item.
+
+pub mod claims;
+pub mod id;
+pub mod items;
+pub mod message;
+pub mod retention;
+pub mod table;
+
+pub use id::Id;
+pub use message::Answer;
+pub use message::Command;
+pub use message::Query;
+pub use message::Refusal;
+pub use message::Reply;
+pub use message::Stamped;
+pub use table::Table;
+
+/// Group that owns the jobs and claims of `key` in `workspace`, in `1..=groups`.
+///
+/// `groups` of 0 is treated as 1.
+pub fn group_of(workspace: &str, key: &str, groups: u16) -> u16 {
+    Id::of(workspace, key).group(groups)
+}
+
+/// Group that owns the job named `job`, or `None` if `job` is not the name of a job.
+///
+/// The name contains the hash that [`group_of`] uses, so both agree.
+pub fn group_of_job(job: &str, groups: u16) -> Option<u16> {
+    Id::parse(job).map(|id| id.group(groups))
+}
--- /dev/null
+++ b/src/jobs/retention.rs
@@ -0,0 +1,84 @@
+//! Retention of results and claims by group time.
+
+use crate::jobs::id::Id;
+use crate::jobs::message::Refusal;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+/// Default retention in milliseconds: 7 days.
+pub const DEFAULT_RETENTION: u64 = 7 * 24 * 3_600_000;
+
+/// Shortest retention in milliseconds: one day, the longest time for which clients resend.
+pub const MIN_RETENTION: u64 = 24 * 3_600_000;
+
+/// Order in which records fall due for removal, and a memory of the removed ones.
+///
+/// A removed identity is remembered for as long again as the retention, so that a reader is told
+/// that the record is gone and a very late resend does not run again.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shelf {
+    /// Time of a change and the changed record, ascending. A record that changed again has a
+    /// later entry, and its earlier ones are skipped.
+    changes: VecDeque<(u64, Id)>,
+    buried: VecDeque<(u64, Id)>,
+    gone: BTreeSet<Id>,
+    /// Retention in milliseconds that was used last.
+    retention: u64,
+}
+
+/// Entries that are due for removal.
+pub struct Due {
+    /// Time of the change and record.
+    pub entries: Vec<(u64, Id)>,
+    /// Whether more entries are due.
+    pub more: bool,
+}
+
+impl Shelf {
+    /// Notes that a record changed at `clock`.
+    pub fn push(&mut self, clock: u64, id: Id) {
+        self.changes.push_back((clock, id));
+    }
+
+    /// Takes up to `limit` entries whose retention has passed, and forgets removed records whose
+    /// second retention has passed.
+    pub fn due(&mut self, retention: u64, clock: u64, limit: u32) -> Due {
+        let retention = retention.max(MIN_RETENTION);
+        self.retention = retention;
+        let passed = |entry: Option<&(u64, Id)>| {
+            entry.is_some_and(|(at, _)| at.saturating_add(retention) <= clock)
+        };
+        for _ in 0..limit {
+            if !passed(self.buried.front()) {
+                break;
+            }
+            if let Some((_, id)) = self.buried.pop_front() {
+                self.gone.remove(&id);
+            }
+        }
+        let mut entries = Vec::new();
+        while entries.len() < limit as usize && passed(self.changes.front()) {
+            entries.extend(self.changes.pop_front());
+        }
+        let more = passed(self.changes.front()) || passed(self.buried.front());
+        Due { entries, more }
+    }
+
+    /// Notes that a record was removed at `clock`.
+    pub fn bury(&mut self, clock: u64, id: Id) {
+        self.buried.push_back((clock, id));
+        self.gone.insert(id);
+    }
+
+    /// Refusal for a reader of a removed record.
+    pub fn gone(&self, id: Id) -> Option<Refusal> {
+        if !self.gone.contains(&id) {
+            return None;
+        }
+        let hours = self.retention / 3_600_000;
+        let reason = format!("removed after its retention of {hours} hours");
+        Some(Refusal::Gone { reason: reason.into() })
+    }
+}
--- /dev/null
+++ b/src/jobs/table.rs
@@ -0,0 +1,606 @@
+//! Replicated state of a job group.
+//!
+//! Every replica applies the same commands in the same order and holds the same state; nothing
+//! here depends on a clock, on randomness or on the settings of a host.
+
+use crate::jobs::claims::Claims;
+use crate::jobs::id::Id;
+use crate::jobs::items;
+use crate::jobs::items::Bodies;
+use crate::jobs::items::Items;
+use crate::jobs::message::*;
+use crate::jobs::retention::Shelf;
+use crate::sorted::SortedMap;
+use crate::wire;
+use bytes::Bytes;
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Largest number of items of a job.
+pub const MAX_ITEMS: u32 = 1_000_000;
+
+/// Largest number of records that one `Expire` removes, so that it does not delay other commands.
+const EXPIRE_BATCH: u32 = 256;
+
+/// Largest number of records on a page of an answer.
+const PAGE_RECORDS: u32 = 10_000;
+
+/// Size in bytes after which a page of results ends. With one further body it still fits into a
+/// frame ([`wire::MAX_FRAME`]).
+const PAGE_BYTES: usize = 4 << 20;
+
+/// A snapshot that does not decode.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("snapshot of a job group does not decode: {_0}")]
+pub struct RestoreError(Arc<str>);
+
+impl std::error::Error for RestoreError {}
+
+/// Job record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Job {
+    workspace: Arc<str>,
+    key: Arc<str>,
+    model: Arc<str>,
+    digest: u64,
+    /// Log index of the `Open`; orders the jobs of a workspace.
+    number: u64,
+    opened: u64,
+    due: u64,
+    changed: u64,
+    total: u32,
+    next: u32,
+    dropped: u32,
+    state: JobState,
+    cancel: Option<Arc<str>>,
+    items: Items,
+}
+
+/// Replicated state without the bodies.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct State {
+    clock: u64,
+    // A tree, because hashes arrive in random order and a sorted vector would move half of its
+    // content for each of them.
+    jobs: BTreeMap<Id, Box<Job>>,
+    /// Jobs of each workspace by number.
+    workspaces: BTreeMap<Arc<str>, SortedMap<u64, Id>>,
+    shelf: Shelf,
+    claims: Claims,
+}
+
+/// Job with items that can run, for the granting of items.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenJob {
+    /// Name of the job.
+    pub job: Arc<str>,
+    /// Workspace that owns the job.
+    pub workspace: Arc<str>,
+    /// Model that the items ask for.
+    pub model: Arc<str>,
+    /// Milliseconds until the job is due; negative if that time has passed.
+    pub slack: i64,
+    /// Bit set of the items without a result: item `i` is bit `i % 64` of word `i / 64`.
+    pub open: Vec<u64>,
+    /// Items among them that had failed attempts.
+    pub delayed: Vec<Delay>,
+}
+
+/// How an item with failed attempts is granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Delay {
+    /// Position of the item.
+    pub item: u32,
+    /// Milliseconds before it may be granted.
+    pub wait: u64,
+    /// Whether it is granted alone.
+    pub alone: bool,
+}
+
+/// Change of the items that can run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A job was accepted.
+    Accepted(OpenJob),
+    /// An item has a result.
+    Ended {
+        /// Name of the job.
+        job: Arc<str>,
+        /// Position of the item.
+        item: u32,
+        /// Grant whose result was stored; `None` if the item ran out of attempts.
+        attempt: Option<u64>,
+    },
+    /// A failed attempt was counted; the item can run again.
+    Delayed {
+        /// Name of the job.
+        job: Arc<str>,
+        /// When and how the item is granted.
+        delay: Delay,
+    },
+    /// The job was cancelled.
+    Cancelled {
+        /// Name of the job.
+        job: Arc<str>,
+    },
+}
+
+/// State machine of a job group.
+pub struct Table {
+    state: State,
+    bodies: Box<dyn Bodies>,
+    /// Changes since the last [`Table::take_changes`]; `None` while nobody observes.
+    changes: Option<Vec<Change>>,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Table::new(Box::new(items::Memory::default()))
+    }
+}
+
+impl Table {
+    /// Returns an empty table that keeps bodies in `bodies`.
+    pub fn new(bodies: Box<dyn Bodies>) -> Table {
+        Table { state: State::default(), bodies, changes: None }
+    }
+
+    /// Highest applied group time in milliseconds.
+    pub fn clock(&self) -> u64 {
+        self.state.clock
+    }
+
+    /// Applies the log entry `index`: an encoded [`Stamped`], answered by an encoded [`Reply`].
+    pub fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        let reply = match postcard::from_bytes::<Stamped>(command) {
+            Ok(stamped) => self.execute(index, stamped),
+            Err(_) => Reply::Refused(Refusal::Undecodable),
+        };
+        postcard::to_stdvec(&reply).expect("replies encode")
+    }
+
+    /// Encodes the whole state.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let parts = (&self.state, Bytes::from(self.bodies.export()));
+        postcard::to_stdvec(&parts).expect("state encodes")
+    }
+
+    /// Replaces the state by that of a snapshot. On an error the table is unchanged.
+    pub fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
+        let error = |e: postcard::Error| RestoreError(e.to_string().into());
+        let (mut state, bodies): (State, Bytes) = postcard::from_bytes(data).map_err(error)?;
+        state.share_names();
+        self.bodies.import(&bodies).map_err(error)?;
+        self.state = state;
+        self.changes = None;
+        Ok(())
+    }
+
+    /// Starts to record changes and returns the jobs with items that can run, as the leader needs
+    /// them when it is elected.
+    pub fn observe(&mut self) -> Vec<OpenJob> {
+        self.changes = Some(Vec::new());
+        let accepted = self.state.jobs.iter().filter(|(_, job)| job.state == JobState::Accepted);
+        accepted.map(|(id, job)| self.state.open_job(*id, job)).collect()
+    }
+
+    /// Stops recording changes.
+    pub fn ignore(&mut self) {
+        self.changes = None;
+    }
+
+    /// Takes the changes since the last call, in log order.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        self.changes.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    /// Completes a lease to a grant, or returns `None` if the item no longer runs.
+    pub fn grant(&self, lease: &wire::Lease) -> Option<wire::Grant> {
+        let (id, job) = self.state.find(&lease.job).ok()?;
+        let runs = job.state == JobState::Accepted && job.items.outcome(lease.item).is_none();
+        let body = if runs { self.bodies.input(id, lease.item) } else { None };
+        Some(wire::Grant {
+            lease: lease.clone(),
+            workspace: job.workspace.clone(),
+            model: job.model.clone(),
+            body: body?,
+        })
+    }
+
+    fn execute(&mut self, index: u64, stamped: Stamped) -> Reply {
+        self.state.clock = self.state.clock.max(stamped.clock);
+        let result = match stamped.command {
+            Command::Open { .. } => self.open(index, stamped.command),
+            Command::Chunk { job, seq, items } => self.chunk(&job, seq, &items),
+            Command::Seal { job } => self.seal(&job),
+            Command::Cancel { job, id } => self.cancel(&job, id),
+            Command::Complete { job, item, attempt, outcome } => {
+                self.complete(&job, item, attempt, outcome)
+            }
+            Command::Attempt { job, item, attempt, cause } => {
+                self.attempt(&job, item, attempt, cause)
+            }
+            Command::Claim { workspace, key, digest, attempt, agent } => {
+                let new = ClaimStatus { digest, attempt, agent, outcome: None };
+                Ok(self.state.claims.claim(Id::of(&workspace, &key), new, self.state.clock))
+            }
+            Command::Settle { workspace, key, attempt, outcome } => {
+                let id = Id::of(&workspace, &key);
+                Ok(self.state.claims.settle(id, attempt, outcome, self.state.clock))
+            }
+            Command::Expire { retention } => Ok(self.expire(retention)),
+        };
+        result.unwrap_or_else(Reply::Refused)
+    }
+
+    fn open(&mut self, index: u64, command: Command) -> Result<Reply, Refusal> {
+        let Command::Open { workspace, key, digest, model, due, total } = command else {
+            return Err(Refusal::Undecodable);
+        };
+        if total == 0 || total > MAX_ITEMS {
+            let text = format!("a job has 1 to {MAX_ITEMS} items, not {total}");
+            return Err(Refusal::Invalid(text.into()));
+        }
+        let id = Id::of(&workspace, &key);
+        if let Some(job) = self.state.jobs.get(&id) {
+            if job.digest != digest || job.total != total || job.model != model {
+                return Err(Refusal::Conflict { digest: job.digest });
+            }
+            return Ok(Reply::Opened { job: id.name(), state: job.state, next: job.next });
+        }
+        if let Some(refusal) = self.state.shelf.gone(id) {
+            return Err(refusal);
+        }
+        let clock = self.state.clock;
+        let job = Job {
+            workspace,
+            key,
+            model,
+            digest,
+            number: index,
+            opened: clock,
+            due: clock.saturating_add(due),
+            changed: clock,
+            total,
+            next: 0,
+            dropped: 0,
+            state: JobState::Uploading,
+            cancel: None,
+            items: Items::default(),
+        };
+        self.state.insert(id, job);
+        Ok(Reply::Opened { job: id.name(), state: JobState::Uploading, next: 0 })
+    }
+
+    fn chunk(&mut self, job: &str, seq: u32, items: &[NewItem]) -> Result<Reply, Refusal> {
+        let (id, job) = self.state.find_mut(job)?;
+        if let Some(cancel) = &job.cancel {
+            return Err(Refusal::Cancelled { id: cancel.clone() });
+        }
+        if job.state != JobState::Uploading || seq != job.next {
+            return Ok(Reply::Next { next: job.next });
+        }
+        let have = job.items.len() as usize + items.len();
+        if items.is_empty() || have > job.total as usize {
+            let text = format!("chunk {seq} has {} items; job total {}", items.len(), job.total);
+            return Err(Refusal::Invalid(text.into()));
+        }
+        job.items.extend(items.len());
+        job.next += 1;
+        let next = job.next;
+        self.bodies.extend(id, items);
+        Ok(Reply::Next { next })
+    }
+
+    fn seal(&mut self, name: &str) -> Result<Reply, Refusal> {
+        let (id, job) = self.state.find(name)?;
+        if let Some(cancel) = &job.cancel {
+            return Err(Refusal::Cancelled { id: cancel.clone() });
+        }
+        let total = job.total;
+        if job.state != JobState::Uploading {
+            return Ok(Reply::Sealed { total });
+        }
+        let have = job.items.len();
+        if have < total {
+            return Err(Refusal::Incomplete { have, total, next: job.next });
+        }
+        if let Some(duplicate) = self.duplicate(id, total) {
+            return Err(duplicate);
+        }
+        let clock = self.state.clock;
+        let (_, job) = self.state.find_mut(name)?;
+        job.state = JobState::Accepted;
+        job.changed = clock;
+        job.items.seal();
+        if self.changes.is_some() {
+            let (_, job) = self.state.find(name)?;
+            let open = self.state.open_job(id, job);
+            self.record(Change::Accepted(open));
+        }
+        Ok(Reply::Sealed { total })
+    }
+
+    /// First custom id that two items share, in order of the second use.
+    fn duplicate(&self, id: Id, total: u32) -> Option<Refusal> {
+        let custom = |item| self.bodies.custom(id, item).unwrap_or_default();
+        let mut order: Vec<(Arc<str>, u32)> = (0..total).map(|item| (custom(item), item)).collect();
+        order.sort_unstable();
+        let pairs = order.windows(2).filter(|pair| pair[0].0 == pair[1].0);
+        let pair = pairs.min_by_key(|pair| pair[1].1)?;
+        let custom = pair[0].0.clone();
+        Some(Refusal::Duplicate { custom, first: pair[0].1 + 1, second: pair[1].1 + 1 })
+    }
+
+    fn cancel(&mut self, name: &str, cancel: Arc<str>) -> Result<Reply, Refusal> {
+        let (id, job) = self.state.find(name)?;
+        if let Some(first) = &job.cancel {
+            return Ok(Reply::Cancelled { id: first.clone() });
+        }
+        if job.state == JobState::Finished {
+            return Err(Refusal::Finished);
+        }
+        let (_, job) = self.state.find_mut(name)?;
+        job.cancel = Some(cancel.clone());
+        self.close(id, JobState::Cancelled);
+        self.record(Change::Cancelled { job: name.into() });
+        Ok(Reply::Cancelled { id: cancel })
+    }
+
+    /// Job that may store a result for `item`, or the answer if it may not.
+    fn running(&mut self, job: &str, item: u32) -> Result<Result<Id, Reply>, Refusal> {
+        let (id, job) = self.state.find_mut(job)?;
+        let reason = match job.state {
+            JobState::Uploading => return Err(Refusal::NotAccepted),
+            _ if item >= job.items.len() => return Err(Refusal::NotFound),
+            JobState::Cancelled => DropReason::Cancelled,
+            JobState::Finished => DropReason::Ended,
+            JobState::Accepted if job.items.outcome(item).is_some() => DropReason::Ended,
+            JobState::Accepted => return Ok(Ok(id)),
+        };
+        job.dropped = job.dropped.saturating_add(1);
+        Ok(Err(Reply::Dropped { reason }))
+    }
+
+    fn complete(
+        &mut self,
+        job: &str,
+        item: u32,
+        attempt: u64,
+        outcome: ItemOutcome,
+    ) -> Result<Reply, Refusal> {
+        let id = match self.running(job, item)? {
+            Ok(id) => id,
+            Err(reply) => return Ok(reply),
+        };
+        match outcome {
+            ItemOutcome::Done(body) => self.end(id, item, Some(attempt), Outcome::Done, &body),
+            ItemOutcome::Failed(body) => self.end(id, item, Some(attempt), Outcome::Failed, &body),
+        }
+        Ok(Reply::Completed)
+    }
+
+    fn attempt(
+        &mut self,
+        name: &str,
+        item: u32,
+        attempt: u64,
+        cause: AttemptCause,
+    ) -> Result<Reply, Refusal> {
+        let id = match self.running(name, item)? {
+            Ok(id) => id,
+            Err(reply) => return Ok(reply),
+        };
+        let clock = self.state.clock;
+        let (_, job) = self.state.find_mut(name)?;
+        match job.items.count(item, attempt, cause, clock) {
+            items::Counted::Again(attempts) => Ok(Reply::Counted { attempts, ended: false }),
+            items::Counted::Retry(retry) => {
+                let wait = retry.until.saturating_sub(clock);
+                let delay = Delay { item, wait, alone: retry.alone };
+                self.record(Change::Delayed { job: name.into(), delay });
+                Ok(Reply::Counted { attempts: retry.failed.len() as u32, ended: false })
+            }
+            items::Counted::Exhausted(attempts) => {
+                let body = exhausted(attempts, cause);
+                self.end(id, item, None, Outcome::Failed, body.as_bytes());
+                Ok(Reply::Counted { attempts, ended: true })
+            }
+        }
+    }
+
+    fn end(&mut self, id: Id, item: u32, attempt: Option<u64>, outcome: Outcome, body: &[u8]) {
+        self.bodies.put(id, item, body);
+        let Some(job) = self.state.jobs.get_mut(&id) else { return };
+        job.items.end(item, outcome);
+        let finished = job.items.queued() == 0;
+        if finished {
+            self.close(id, JobState::Finished);
+        }
+        self.record(Change::Ended { job: id.name(), item, attempt });
+    }
+
+    /// Moves a job to a state that it does not leave.
+    fn close(&mut self, id: Id, state: JobState) {
+        let clock = self.state.clock;
+        let Some(job) = self.state.jobs.get_mut(&id) else { return };
+        job.state = state;
+        job.changed = clock;
+        job.items.stop();
+        self.state.shelf.push(clock, id);
+        self.bodies.end(id);
+    }
+
+    fn expire(&mut self, retention: u64) -> Reply {
+        let clock = self.state.clock;
+        let due = self.state.shelf.due(retention, clock, EXPIRE_BATCH);
+        let mut jobs = 0;
+        for (changed, id) in due.entries {
+            let job = self.state.jobs.get(&id);
+            // An accepted job stays until it has ended, however long that takes.
+            if job.is_some_and(|j| j.changed == changed && j.state != JobState::Accepted) {
+                self.state.remove(id);
+                self.state.shelf.bury(clock, id);
+                self.bodies.remove(id);
+                jobs += 1;
+            }
+        }
+        let (claims, more) = self.state.claims.expire(retention, clock, EXPIRE_BATCH);
+        Reply::Expired { jobs, claims, more: more || due.more }
+    }
+
+    fn record(&mut self, change: Change) {
+        if let Some(changes) = &mut self.changes {
+            changes.push(change);
+        }
+    }
+
+    /// Answers a query from the applied state.
+    pub fn query(&self, query: &Query) -> Answer {
+        let answer = match query {
+            Query::Job { job } => self.state.find(job).map(|(id, j)| Answer::Job(j.status(id))),
+            Query::Jobs { workspace, after, limit } => {
+                self.list(workspace, after.as_deref(), *limit)
+            }
+            Query::Results { job, from, limit } => self.results(job, *from, *limit),
+            Query::Claim { workspace, key } => {
+                self.state.claims.status(Id::of(workspace, key)).map(Answer::Claim)
+            }
+        };
+        answer.unwrap_or_else(Answer::Refused)
+    }
+
+    fn list(&self, workspace: &str, after: Option<&str>, limit: u32) -> Result<Answer, Refusal> {
+        let before = match after {
+            Some(job) => self.state.find(job)?.1.number,
+            None => u64::MAX,
+        };
+        let limit = limit.clamp(1, PAGE_RECORDS) as usize;
+        let mut jobs = Vec::new();
+        let mut more = false;
+        let numbers = self.state.workspaces.get(workspace);
+        let older = numbers.into_iter().flat_map(|map| map.iter().rev());
+        for (_, id) in older.skip_while(|(number, _)| **number >= before) {
+            if jobs.len() == limit {
+                more = true;
+                break;
+            }
+            jobs.extend(self.state.jobs.get(id).map(|job| job.status(*id)));
+        }
+        Ok(Answer::Jobs { jobs, more })
+    }
+
+    fn results(&self, job: &str, from: u32, limit: u32) -> Result<Answer, Refusal> {
+        let (id, job) = self.state.find(job)?;
+        let limit = limit.clamp(1, PAGE_RECORDS) as usize;
+        let mut items = Vec::new();
+        let mut size = 0;
+        let mut next = None;
+        for item in from..job.items.len() {
+            let Some(outcome) = job.items.outcome(item) else { continue };
+            if items.len() == limit || size >= PAGE_BYTES {
+                next = Some(item);
+                break;
+            }
+            let custom = self.bodies.custom(id, item).unwrap_or_default();
+            let body = self.bodies.result(id, item).unwrap_or_default();
+            size += body.len() + custom.len();
+            items.push(ItemResult { item, custom, outcome, body });
+        }
+        Ok(Answer::Results { state: job.state, items, next })
+    }
+}
+
+/// Error result of an item without an attempt left.
+fn exhausted(attempts: u32, cause: AttemptCause) -> String {
+    let last = match cause {
+        AttemptCause::WorkerLost => "the worker was lost while the item ran",
+        AttemptCause::Transient => "the endpoint failed",
+    };
+    let message = format!("gave up after {attempts} failed attempts; the last one: {last}");
+    serde_json::json!({"error": {"code": "attempts_exhausted", "message": message}}).to_string()
+}
+
+impl Job {
+    fn status(&self, id: Id) -> Status {
+        Status {
+            job: id.name(),
+            workspace: self.workspace.clone(),
+            key: self.key.clone(),
+            model: self.model.clone(),
+            state: self.state,
+            total: self.total,
+            queued: self.items.queued(),
+            done: self.items.done(),
+            failed: self.items.failed(),
+            dropped: self.dropped,
+            opened: self.opened,
+            due: self.due,
+            changed: self.changed,
+            cancel: self.cancel.clone(),
+        }
+    }
+}
+
+impl State {
+    fn find(&self, name: &str) -> Result<(Id, &Job), Refusal> {
+        let id = Id::parse(name).ok_or(Refusal::NotFound)?;
+        let gone = || self.shelf.gone(id).unwrap_or(Refusal::NotFound);
+        self.jobs.get(&id).map(|job| (id, &**job)).ok_or_else(gone)
+    }
+
+    fn find_mut(&mut self, name: &str) -> Result<(Id, &mut Job), Refusal> {
+        let id = Id::parse(name).ok_or(Refusal::NotFound)?;
+        let gone = || self.shelf.gone(id).unwrap_or(Refusal::NotFound);
+        self.jobs.get_mut(&id).map(|job| (id, &mut **job)).ok_or_else(gone)
+    }
+
+    fn insert(&mut self, id: Id, mut job: Job) {
+        if let Some((name, _)) = self.workspaces.get_key_value(&job.workspace) {
+            job.workspace = name.clone();
+        }
+        let numbers = self.workspaces.entry(job.workspace.clone()).or_default();
+        numbers.insert(job.number, id);
+        self.shelf.push(job.opened, id);
+        self.jobs.insert(id, Box::new(job));
+    }
+
+    fn remove(&mut self, id: Id) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        let Some(numbers) = self.workspaces.get_mut(&job.workspace) else { return };
+        numbers.remove(&job.number);
+        if numbers.is_empty() {
+            self.workspaces.remove(&job.workspace);
+        }
+    }
+
+    /// Lets all jobs of a workspace share one name again after decoding.
+    fn share_names(&mut self) {
+        for (name, numbers) in &self.workspaces {
+            for id in numbers.values() {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.workspace = name.clone();
+                }
+            }
+        }
+    }
+
+    fn open_job(&self, id: Id, job: &Job) -> OpenJob {
+        let delay = |(item, retry): (u32, &items::Retry)| Delay {
+            item,
+            wait: retry.until.saturating_sub(self.clock),
+            alone: retry.alone,
+        };
+        OpenJob {
+            job: id.name(),
+            workspace: job.workspace.clone(),
+            model: job.model.clone(),
+            slack: job.due as i64 - self.clock as i64,
+            open: job.items.open(),
+            delayed: job.items.retries().map(delay).collect(),
+        }
+    }
+}
