Move the job records out of the table and name the failed grant in changes

A change that reports a counted attempt now names the grant that failed, and is also reported when that grant was counted before. The granting of items needs both: without the id, a late report about an earlier grant would end the present lease of the item, and without the repetition an item whose lease was taken over after its attempt had been counted would be held back for good.

--- a/src/jobs/items.rs
+++ b/src/jobs/items.rs
@@ -34,9 +34,7 @@
 /// What a failed attempt leads to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Counted {
-    /// The attempt was counted before.
-    Again(u32),
-    /// The item will be tried again.
+    /// The item will be tried again. Also the answer for an attempt that was counted before.
     Retry(Retry),
     /// The item has no attempt left; the caller stores the error result.
     Exhausted(u32),
@@ -119,7 +117,7 @@
         let fresh = || Retry { failed: Vec::new(), until: 0, alone: false };
         let retry = self.retries.entry_or(item, fresh);
         if retry.failed.contains(&attempt) {
-            return Counted::Again(retry.failed.len() as u32);
+            return Counted::Retry(retry.clone());
         }
         retry.failed.push(attempt);
         let attempts = retry.failed.len() as u32;
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 pub mod items;
 pub mod message;
 pub mod retention;
+mod state;
 pub mod table;
 
 pub use id::Id;
--- /dev/null
+++ b/src/jobs/state.rs
@@ -0,0 +1,153 @@
+//! Records of the table: jobs and the indexes over them.
+
+use crate::jobs::claims::Claims;
+use crate::jobs::id::Id;
+use crate::jobs::items::Items;
+use crate::jobs::items::Retry;
+use crate::jobs::message::JobState;
+use crate::jobs::message::Refusal;
+use crate::jobs::message::Status;
+use crate::jobs::retention::Shelf;
+use crate::jobs::table::Delay;
+use crate::jobs::table::OpenJob;
+use crate::sorted::SortedMap;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Job record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// Workspace that owns the job.
+    pub workspace: Arc<str>,
+    /// Idempotency key of the submission.
+    pub key: Arc<str>,
+    /// Model that the items ask for.
+    pub model: Arc<str>,
+    /// Digest of the content that the submission announced.
+    pub digest: u64,
+    /// Log index of the `Open`; orders the jobs of a workspace.
+    pub number: u64,
+    /// Group time of the `Open`, in milliseconds.
+    pub opened: u64,
+    /// Group time at which the job is due, in milliseconds.
+    pub due: u64,
+    /// Group time of the last change of state, in milliseconds.
+    pub changed: u64,
+    /// Announced number of items.
+    pub total: u32,
+    /// Next expected chunk.
+    pub next: u32,
+    /// Results and failed attempts that came too late.
+    pub dropped: u32,
+    /// State of the job.
+    pub state: JobState,
+    /// Id of the cancellation.
+    pub cancel: Option<Arc<str>>,
+    /// Uploaded items.
+    pub items: Items,
+}
+
+/// Replicated state without the bodies.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// Highest applied group time in milliseconds.
+    pub clock: u64,
+    /// Jobs by identity. A tree, because hashes arrive in random order and a sorted vector would move half of its
+    /// content for each of them.
+    pub jobs: BTreeMap<Id, Box<Job>>,
+    /// Jobs of each workspace by number.
+    pub workspaces: BTreeMap<Arc<str>, SortedMap<u64, Id>>,
+    /// Order of the jobs' removal.
+    pub shelf: Shelf,
+    /// Claims of non-idempotent calls.
+    pub claims: Claims,
+}
+
+impl Job {
+    /// Status for a reader.
+    pub fn status(&self, id: Id) -> Status {
+        Status {
+            job: id.name(),
+            workspace: self.workspace.clone(),
+            key: self.key.clone(),
+            model: self.model.clone(),
+            state: self.state,
+            total: self.total,
+            queued: self.items.queued(),
+            done: self.items.done(),
+            failed: self.items.failed(),
+            dropped: self.dropped,
+            opened: self.opened,
+            due: self.due,
+            changed: self.changed,
+            cancel: self.cancel.clone(),
+        }
+    }
+}
+
+impl State {
+    /// Looks up a job by name.
+    pub fn find(&self, name: &str) -> Result<(Id, &Job), Refusal> {
+        let id = Id::parse(name).ok_or(Refusal::NotFound)?;
+        let gone = || self.shelf.gone(id).unwrap_or(Refusal::NotFound);
+        self.jobs.get(&id).map(|job| (id, &**job)).ok_or_else(gone)
+    }
+
+    /// Looks up a job by name for modification.
+    pub fn find_mut(&mut self, name: &str) -> Result<(Id, &mut Job), Refusal> {
+        let id = Id::parse(name).ok_or(Refusal::NotFound)?;
+        let gone = || self.shelf.gone(id).unwrap_or(Refusal::NotFound);
+        self.jobs.get_mut(&id).map(|job| (id, &mut **job)).ok_or_else(gone)
+    }
+
+    /// Adds a new job to the records and indexes.
+    pub fn insert(&mut self, id: Id, mut job: Job) {
+        if let Some((name, _)) = self.workspaces.get_key_value(&job.workspace) {
+            job.workspace = name.clone();
+        }
+        let numbers = self.workspaces.entry(job.workspace.clone()).or_default();
+        numbers.insert(job.number, id);
+        self.shelf.push(job.opened, id);
+        self.jobs.insert(id, Box::new(job));
+    }
+
+    /// Removes a job from the records and indexes.
+    pub fn remove(&mut self, id: Id) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        let Some(numbers) = self.workspaces.get_mut(&job.workspace) else { return };
+        numbers.remove(&job.number);
+        if numbers.is_empty() {
+            self.workspaces.remove(&job.workspace);
+        }
+    }
+
+    /// Lets all jobs of a workspace share one name again after decoding.
+    pub fn share_names(&mut self) {
+        for (name, numbers) in &self.workspaces {
+            for id in numbers.values() {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.workspace = name.clone();
+                }
+            }
+        }
+    }
+
+    /// Describes an accepted job for the granting of its items.
+    pub fn open_job(&self, id: Id, job: &Job) -> OpenJob {
+        let delay = |(item, retry): (u32, &Retry)| Delay {
+            item,
+            wait: retry.until.saturating_sub(self.clock),
+            alone: retry.alone,
+        };
+        OpenJob {
+            job: id.name(),
+            workspace: job.workspace.clone(),
+            model: job.model.clone(),
+            slack: job.due as i64 - self.clock as i64,
+            open: job.items.open(),
+            delayed: job.items.retries().map(delay).collect(),
+        }
+    }
+}
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -3,20 +3,16 @@
 //! Every replica applies the same commands in the same order and holds the same state; nothing
 //! here depends on a clock, on randomness or on the settings of a host.
 
-use crate::jobs::claims::Claims;
 use crate::jobs::id::Id;
 use crate::jobs::items;
 use crate::jobs::items::Bodies;
 use crate::jobs::items::Items;
 use crate::jobs::message::*;
-use crate::jobs::retention::Shelf;
-use crate::sorted::SortedMap;
+use crate::jobs::state::Job;
+use crate::jobs::state::State;
 use crate::wire;
 use bytes::Bytes;
 use derive_more::Display;
-use serde::Deserialize;
-use serde::Serialize;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// Largest number of items of a job.
@@ -39,39 +35,6 @@
 
 impl std::error::Error for RestoreError {}
 
-/// Job record.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Job {
-    workspace: Arc<str>,
-    key: Arc<str>,
-    model: Arc<str>,
-    digest: u64,
-    /// Log index of the `Open`; orders the jobs of a workspace.
-    number: u64,
-    opened: u64,
-    due: u64,
-    changed: u64,
-    total: u32,
-    next: u32,
-    dropped: u32,
-    state: JobState,
-    cancel: Option<Arc<str>>,
-    items: Items,
-}
-
-/// Replicated state without the bodies.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct State {
-    clock: u64,
-    // A tree, because hashes arrive in random order and a sorted vector would move half of its
-    // content for each of them.
-    jobs: BTreeMap<Id, Box<Job>>,
-    /// Jobs of each workspace by number.
-    workspaces: BTreeMap<Arc<str>, SortedMap<u64, Id>>,
-    shelf: Shelf,
-    claims: Claims,
-}
-
 /// Job with items that can run, for the granting of items.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenJob {
@@ -118,6 +81,8 @@
     Delayed {
         /// Name of the job.
         job: Arc<str>,
+        /// Grant that failed.
+        attempt: u64,
         /// When and how the item is granted.
         delay: Delay,
     },
@@ -397,11 +362,12 @@
         let clock = self.state.clock;
         let (_, job) = self.state.find_mut(name)?;
         match job.items.count(item, attempt, cause, clock) {
-            items::Counted::Again(attempts) => Ok(Reply::Counted { attempts, ended: false }),
             items::Counted::Retry(retry) => {
                 let wait = retry.until.saturating_sub(clock);
                 let delay = Delay { item, wait, alone: retry.alone };
-                self.record(Change::Delayed { job: name.into(), delay });
+                // Also for a grant that was counted before: the leader may have adopted it again
+                // since, and keeps the item back until it is told that it can run.
+                self.record(Change::Delayed { job: name.into(), attempt, delay });
                 Ok(Reply::Counted { attempts: retry.failed.len() as u32, ended: false })
             }
             items::Counted::Exhausted(attempts) => {
@@ -523,84 +489,3 @@
     let message = format!("gave up after {attempts} failed attempts; the last one: {last}");
     serde_json::json!({"error": {"code": "attempts_exhausted", "message": message}}).to_string()
 }
-
-impl Job {
-    fn status(&self, id: Id) -> Status {
-        Status {
-            job: id.name(),
-            workspace: self.workspace.clone(),
-            key: self.key.clone(),
-            model: self.model.clone(),
-            state: self.state,
-            total: self.total,
-            queued: self.items.queued(),
-            done: self.items.done(),
-            failed: self.items.failed(),
-            dropped: self.dropped,
-            opened: self.opened,
-            due: self.due,
-            changed: self.changed,
-            cancel: self.cancel.clone(),
-        }
-    }
-}
-
-impl State {
-    fn find(&self, name: &str) -> Result<(Id, &Job), Refusal> {
-        let id = Id::parse(name).ok_or(Refusal::NotFound)?;
-        let gone = || self.shelf.gone(id).unwrap_or(Refusal::NotFound);
-        self.jobs.get(&id).map(|job| (id, &**job)).ok_or_else(gone)
-    }
-
-    fn find_mut(&mut self, name: &str) -> Result<(Id, &mut Job), Refusal> {
-        let id = Id::parse(name).ok_or(Refusal::NotFound)?;
-        let gone = || self.shelf.gone(id).unwrap_or(Refusal::NotFound);
-        self.jobs.get_mut(&id).map(|job| (id, &mut **job)).ok_or_else(gone)
-    }
-
-    fn insert(&mut self, id: Id, mut job: Job) {
-        if let Some((name, _)) = self.workspaces.get_key_value(&job.workspace) {
-            job.workspace = name.clone();
-        }
-        let numbers = self.workspaces.entry(job.workspace.clone()).or_default();
-        numbers.insert(job.number, id);
-        self.shelf.push(job.opened, id);
-        self.jobs.insert(id, Box::new(job));
-    }
-
-    fn remove(&mut self, id: Id) {
-        let Some(job) = self.jobs.remove(&id) else { return };
-        let Some(numbers) = self.workspaces.get_mut(&job.workspace) else { return };
-        numbers.remove(&job.number);
-        if numbers.is_empty() {
-            self.workspaces.remove(&job.workspace);
-        }
-    }
-
-    /// Lets all jobs of a workspace share one name again after decoding.
-    fn share_names(&mut self) {
-        for (name, numbers) in &self.workspaces {
-            for id in numbers.values() {
-                if let Some(job) = self.jobs.get_mut(id) {
-                    job.workspace = name.clone();
-                }
-            }
-        }
-    }
-
-    fn open_job(&self, id: Id, job: &Job) -> OpenJob {
-        let delay = |(item, retry): (u32, &items::Retry)| Delay {
-            item,
-            wait: retry.until.saturating_sub(self.clock),
-            alone: retry.alone,
-        };
-        OpenJob {
-            job: id.name(),
-            workspace: job.workspace.clone(),
-            model: job.model.clone(),
-            slack: job.due as i64 - self.clock as i64,
-            open: job.items.open(),
-            delayed: job.items.retries().map(delay).collect(),
-        }
-    }
-}
