Add item leases and the order in which jobs are served

The leader of a job group has to answer pulls at once without looking through 33,000 jobs or their items.

--- a/src/jobs/message.rs
+++ b/src/jobs/message.rs
@@ -364,7 +364,7 @@
     /// Number of items.
     pub total: u32,
     /// Uploaded items without a result, running ones included. The leader's
-    /// `leases::Leases` knows how many of them run.
+    /// [`crate::jobs::leases::Leases`] knows how many of them run.
     pub queued: u32,
     /// Items with an answer.
     pub done: u32,
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -1,11 +1,13 @@
 //! State machine of the job groups: jobs, items, results and claims; granting of items.
 //!
-//! [`Table`] is the replicated state, identical on every replica of a group. `leases::Leases`
+//! [`Table`] is the replicated state, identical on every replica of a group. [`leases::Leases`]
 //! lives only in the memory of the group's leader and decides which agent runs which item.
 
 pub mod claims;
+pub mod fairness;
 pub mod id;
 pub mod items;
+pub mod leases;
 pub mod message;
 pub mod retention;
 mod state;
--- a/src/jobs/state.rs
+++ b/src/jobs/state.rs
@@ -54,8 +54,8 @@
 pub struct State {
     /// Highest applied group time in milliseconds.
     pub clock: u64,
-    /// Jobs by identity. A tree, because hashes arrive in random order and a sorted vector would move half of its
-    /// content for each of them.
+    /// Jobs by identity. A tree, because hashes arrive in random order and a sorted vector would
+    /// move half of its content for each of them.
     pub jobs: BTreeMap<Id, Box<Job>>,
     /// Jobs of each workspace by number.
     pub workspaces: BTreeMap<Arc<str>, SortedMap<u64, Id>>,
