Name the last failed grant when an item runs out of attempts

A scenario in which an agent reports its fifth transient failure showed that the agent is then told to stop the grant that it has just reported as failed. The cause: the change for an item without attempts left named no grant, so the leases took the present lease for that of another run which goes on for nothing.

The message was harmless, since the agent had already ended the item, but an agent must be able to trust that a stop concerns something it still runs. The change now names the grant whose failure was counted last, and a stop follows only if another grant is live.

--- a/src/jobs/leases/mod.rs
+++ b/src/jobs/leases/mod.rs
@@ -242,7 +242,7 @@
         }
     }
 
-    fn ended(&mut self, name: &str, item: u32, attempt: Option<u64>, out: &mut Vec<Output>) {
+    fn ended(&mut self, name: &str, item: u32, attempt: u64, out: &mut Vec<Output>) {
         let Some((number, _)) = self.find(name) else { return };
         let Some(job) = self.jobs.get_mut(&number) else { return };
         job.withhold(item);
@@ -250,7 +250,7 @@
         let finished = job.open.is_empty();
         if let Some((agent, lease)) = self.end_lease(number, item) {
             // The result came from an earlier grant: the present one runs for nothing.
-            if attempt != Some(lease.attempt) {
+            if attempt != lease.attempt {
                 out.push(Output::Stop { agent, items: vec![lease] });
             }
         }
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -74,8 +74,8 @@
         job: Arc<str>,
         /// Position of the item.
         item: u32,
-        /// Grant whose result was stored; `None` if the item ran out of attempts.
-        attempt: Option<u64>,
+        /// Grant whose result was stored, or whose failure was the last one allowed.
+        attempt: u64,
     },
     /// A failed attempt was counted; the item can run again.
     Delayed {
@@ -342,8 +342,8 @@
             Err(reply) => return Ok(reply),
         };
         match outcome {
-            ItemOutcome::Done(body) => self.end(id, item, Some(attempt), Outcome::Done, &body),
-            ItemOutcome::Failed(body) => self.end(id, item, Some(attempt), Outcome::Failed, &body),
+            ItemOutcome::Done(body) => self.end(id, item, attempt, Outcome::Done, &body),
+            ItemOutcome::Failed(body) => self.end(id, item, attempt, Outcome::Failed, &body),
         }
         Ok(Reply::Completed)
     }
@@ -372,13 +372,13 @@
             }
             items::Counted::Exhausted(attempts) => {
                 let body = exhausted(attempts, cause);
-                self.end(id, item, None, Outcome::Failed, body.as_bytes());
+                self.end(id, item, attempt, Outcome::Failed, body.as_bytes());
                 Ok(Reply::Counted { attempts, ended: true })
             }
         }
     }
 
-    fn end(&mut self, id: Id, item: u32, attempt: Option<u64>, outcome: Outcome, body: &[u8]) {
+    fn end(&mut self, id: Id, item: u32, attempt: u64, outcome: Outcome, body: &[u8]) {
         self.bodies.put(id, item, body);
         let Some(job) = self.state.jobs.get_mut(&id) else { return };
         job.items.end(item, outcome);
