--- /dev/null
+++ b/tests/jobgroup/mod.rs
@@ -0,0 +1,398 @@
+//! A job group under script control: the tables of a leader and a follower, the leader's leases,
+//! agents, and manual time. Jobs are written `workspace/key`.
+
+use basilfield::jobs::Command;
+use basilfield::jobs::Id;
+use basilfield::jobs::Query;
+use basilfield::jobs::Reply;
+use basilfield::jobs::Stamped;
+use basilfield::jobs::Table;
+use basilfield::jobs::leases;
+use basilfield::jobs::leases::Input;
+use basilfield::jobs::leases::Leases;
+use basilfield::jobs::leases::Output;
+use basilfield::jobs::message::AttemptCause;
+use basilfield::jobs::message::ClaimOutcome;
+use basilfield::jobs::message::ItemOutcome;
+use basilfield::jobs::message::NewItem;
+use basilfield::wire::Lease;
+use goldenscript::ArgumentConsumer;
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Items that an agent runs.
+#[derive(Default)]
+struct Agent {
+    held: Vec<Lease>,
+    /// Whether it renews its leases while time passes.
+    renews: bool,
+}
+
+/// Group of one leader and one follower.
+pub struct Group {
+    leader: Table,
+    follower: Table,
+    leases: Leases,
+    now: Duration,
+    /// Group clock at the last election, and the time of that election.
+    epoch: (u64, Duration),
+    index: u64,
+    token: u64,
+    agents: BTreeMap<Arc<str>, Agent>,
+    /// Readable names of jobs and numbers of grants, in order of appearance.
+    names: Vec<(String, String)>,
+    attempts: Vec<u64>,
+}
+
+impl Group {
+    pub fn new() -> Group {
+        let mut group = Group {
+            leader: Table::default(),
+            follower: Table::default(),
+            leases: Leases::new(leases::Config::default()),
+            now: Duration::ZERO,
+            epoch: (0, Duration::ZERO),
+            index: 0,
+            token: 0,
+            agents: BTreeMap::new(),
+            names: Vec::new(),
+            attempts: Vec::new(),
+        };
+        let jobs = group.leader.observe();
+        group.step(Input::Elected { agents: Vec::new(), jobs });
+        group
+    }
+
+    fn job(&mut self, path: &str) -> Arc<str> {
+        let (workspace, key) = path.split_once('/').expect("workspace/key");
+        let name = Id::of(workspace, key).name();
+        if !self.names.iter().any(|(hex, _)| **hex == *name) {
+            self.names.push((name.to_string(), path.to_string()));
+        }
+        name
+    }
+
+    fn lease(&mut self, lease: &Lease) -> String {
+        let known = self.attempts.iter().position(|a| *a == lease.attempt);
+        let number = known.unwrap_or_else(|| {
+            self.attempts.push(lease.attempt);
+            self.attempts.len() - 1
+        });
+        let name = self.names.iter().find(|(hex, _)| **hex == *lease.job);
+        format!("{}:{}#{}", name.map_or("?", |n| &n.1), lease.item, number + 1)
+    }
+
+    fn leases(&mut self, items: &[Lease]) -> String {
+        if items.is_empty() {
+            return "nothing".into();
+        }
+        items.iter().map(|l| self.lease(l)).collect::<Vec<_>>().join(" ")
+    }
+
+    /// Commits a command and returns the reply.
+    pub fn propose(&mut self, command: Command) -> (Reply, String) {
+        let elapsed = self.now - self.epoch.1;
+        let clock = self.epoch.0 + elapsed.as_millis() as u64;
+        let data = Stamped { clock, command }.encode();
+        self.index += 1;
+        let reply = self.leader.apply(self.index, &data);
+        assert_eq!(reply, self.follower.apply(self.index, &data), "replicas answer alike");
+        let mut text = String::new();
+        for change in self.leader.take_changes() {
+            text += &self.step(Input::Change(change));
+        }
+        (Reply::decode(&reply).expect("reply decodes"), text)
+    }
+
+    /// Feeds the leases and carries out their outputs.
+    fn step(&mut self, input: Input) -> String {
+        let mut text = String::new();
+        for output in self.leases.step(self.now, input) {
+            match output {
+                Output::Grant { agent, items, .. } => {
+                    text += &format!("grant {agent}: {}\n", self.leases(&items));
+                    for lease in &items {
+                        assert!(self.leader.grant(lease).is_some(), "granted items can run");
+                    }
+                    self.agents.entry(agent).or_default().held.extend(items);
+                }
+                Output::Stop { agent, items } => {
+                    text += &format!("stop {agent}: {}\n", self.leases(&items));
+                    let held = &mut self.agents.entry(agent).or_default().held;
+                    held.retain(|lease| !items.contains(lease));
+                }
+                Output::Lost { agent, items } => {
+                    text += &format!("lost {agent}: {}\n", self.leases(&items));
+                    for Lease { job, item, attempt } in items {
+                        let cause = AttemptCause::WorkerLost;
+                        let command = Command::Attempt { job, item, attempt, cause };
+                        let (reply, more) = self.propose(command);
+                        text += &format!("  {reply:?}\n{more}");
+                    }
+                }
+            }
+        }
+        text
+    }
+
+    /// Passes time in steps of 100 ms; renewing agents renew once a second.
+    fn pass(&mut self, millis: u64) -> String {
+        let mut text = String::new();
+        for _ in 0..millis / 100 {
+            self.now += Duration::from_millis(100);
+            text += &self.step(Input::Tick);
+            if self.now.subsec_millis() == 0 {
+                let renewing: Vec<_> =
+                    self.agents.iter().filter(|(_, a)| a.renews).map(|(n, _)| n.clone()).collect();
+                for agent in renewing {
+                    text += &self.renew(agent);
+                }
+            }
+        }
+        text
+    }
+
+    fn renew(&mut self, agent: Arc<str>) -> String {
+        let record = self.agents.entry(agent.clone()).or_default();
+        record.renews = true;
+        let held = record.held.clone();
+        self.step(Input::Renew { agent, held })
+    }
+
+    /// The follower takes over; the leader's memory is gone and it follows from a snapshot.
+    fn failover(&mut self, agents: Vec<Arc<str>>) -> String {
+        let snapshot = self.leader.snapshot();
+        assert_eq!(snapshot, self.follower.snapshot(), "replicas hold the same state");
+        std::mem::swap(&mut self.leader, &mut self.follower);
+        self.follower = Table::default();
+        self.follower.restore(&snapshot).expect("snapshot restores");
+        assert_eq!(snapshot, self.follower.snapshot(), "a restored table is complete");
+        self.epoch = (self.leader.clock(), self.now);
+        self.leases = Leases::new(leases::Config { seed: self.index, ..Default::default() });
+        let jobs = self.leader.observe();
+        self.step(Input::Elected { agents, jobs })
+    }
+
+    fn pull(&mut self, agent: Arc<str>, free: u32, wait: u64, model: Arc<str>) -> String {
+        self.token += 1;
+        let models = vec![model];
+        let wait = Duration::from_millis(wait);
+        self.step(Input::Pull { token: self.token, agent, free, models, wait })
+    }
+
+    /// Grants held by the agent for the named items (`job/item`); all of them without names.
+    fn held(
+        &mut self,
+        agent: &str,
+        names: &mut ArgumentConsumer<'_>,
+    ) -> Result<Vec<Lease>, Box<dyn Error>> {
+        let mut leases = Vec::new();
+        while let Some(name) = names.next_pos() {
+            let (job, item) = name.rsplit_once('/').ok_or("job/item expected")?;
+            let (job, item) = (self.job(job), item.parse::<u32>()?);
+            let held = self.agents.get(agent).into_iter().flat_map(|a| &a.held);
+            let mut held = held.filter(|l| l.job == job && l.item == item);
+            leases.push(held.next().ok_or("not held")?.clone());
+        }
+        if leases.is_empty() {
+            leases = self.agents.get(agent).map(|a| a.held.clone()).unwrap_or_default();
+        }
+        Ok(leases)
+    }
+
+    /// Lets an agent end items it holds.
+    fn complete(&mut self, agent: &str, lease: Lease, body: &str, ok: bool) -> String {
+        let shown = self.lease(&lease);
+        if let Some(agent) = self.agents.get_mut(agent) {
+            agent.held.retain(|l| *l != lease);
+        }
+        let body = body.to_string().into();
+        let outcome = if ok { ItemOutcome::Done(body) } else { ItemOutcome::Failed(body) };
+        let Lease { job, item, attempt } = lease;
+        let (reply, more) = self.propose(Command::Complete { job, item, attempt, outcome });
+        format!("{shown} {reply:?}\n{more}")
+    }
+
+    /// Serves items to one agent, for a number of grants or until a job is finished, and counts
+    /// the items of every job.
+    fn serve(&mut self, agent: Arc<str>, free: u32, grants: u32, until: &str) -> String {
+        let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+        let query = Query::Job { job: self.job(until) };
+        for _ in 0..grants {
+            if format!("{:?}", self.leader.query(&query)).contains("state: Finished") {
+                break;
+            }
+            self.pull(agent.clone(), free, 0, "m".into());
+            let held = self.agents.get(&agent).map(|a| a.held.clone()).unwrap_or_default();
+            assert!(!held.is_empty(), "an open job has items to grant");
+            for lease in held {
+                let name = self.lease(&lease);
+                *counts.entry(name.split(':').next().unwrap_or("").into()).or_default() += 1;
+                self.complete(&agent, lease, "x", true);
+            }
+        }
+        format!("{counts:?}\n")
+    }
+
+    fn upload(&mut self, path: &str, total: u32, due: u64) {
+        let job = self.job(path);
+        self.open(path, 1, total, due);
+        let items: Vec<u32> = (0..total).collect();
+        for (seq, chunk) in items.chunks(10_000).enumerate() {
+            let item =
+                |i: &u32| NewItem { custom: i.to_string().into(), body: i.to_string().into() };
+            let items = chunk.iter().map(item).collect();
+            self.propose(Command::Chunk { job: job.clone(), seq: seq as u32, items });
+        }
+        self.propose(Command::Seal { job });
+    }
+
+    fn open(&mut self, path: &str, digest: u64, total: u32, due: u64) -> (Reply, String) {
+        let (workspace, key) = path.split_once('/').expect("workspace/key");
+        let model = "m".into();
+        let (workspace, key) = (workspace.into(), key.into());
+        self.propose(Command::Open { workspace, key, digest, model, due, total })
+    }
+
+    fn readable(&self, text: String) -> String {
+        self.names.iter().fold(text, |text, (hex, name)| text.replace(hex, name))
+    }
+}
+
+impl goldenscript::Runner for Group {
+    type Command = goldenscript::Command;
+
+    fn run(
+        &mut self,
+        command: &goldenscript::Command,
+        _: &goldenscript::Context,
+    ) -> Result<String, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let digest = args.take_key("digest").unwrap_or("1").parse()?;
+        let due = args.take_key("due").unwrap_or("86400000").parse()?;
+        let lost = args.take_key("reply") == Some("lost");
+        let id = args.take_key("id").unwrap_or("c1").into();
+        let free = args.take_key("free").unwrap_or("1").parse()?;
+        let wait = args.take_key("wait").unwrap_or("0").parse()?;
+        let body = args.take_key("body").unwrap_or("answer");
+        let attempt = args.take_key("attempt").unwrap_or("0").parse()?;
+        let by: Arc<str> = args.take_key("agent").unwrap_or("a1").into();
+        let mut next = || args.next_pos().ok_or("argument missing");
+        let path = if command.name == "serve" { "" } else { next()? };
+        let text = match command.name.as_str() {
+            "open" => {
+                self.job(path);
+                let total = next()?.parse()?;
+                self.reply(|group| group.open(path, digest, total, due))
+            }
+            "chunk" => {
+                let job = self.job(path);
+                let seq = next()?.parse()?;
+                let mut items = Vec::new();
+                while let Some(custom) = args.next_pos() {
+                    items.push(NewItem { custom: custom.into(), body: custom.to_string().into() });
+                }
+                self.reply(|group| group.propose(Command::Chunk { job, seq, items }))
+            }
+            "upload" => {
+                self.upload(path, next()?.parse()?, due);
+                String::new()
+            }
+            "seal" => {
+                let job = self.job(path);
+                self.reply(|group| group.propose(Command::Seal { job }))
+            }
+            "cancel" => {
+                let job = self.job(path);
+                self.reply(|group| group.propose(Command::Cancel { job, id }))
+            }
+            "claim" => {
+                let (workspace, key) = path.split_once('/').ok_or("workspace/key")?;
+                let (workspace, key) = (workspace.into(), key.into());
+                let claim = Command::Claim { workspace, key, digest, attempt, agent: by };
+                self.reply(|group| group.propose(claim))
+            }
+            "settle" => {
+                let (workspace, key) = path.split_once('/').ok_or("workspace/key")?;
+                let (workspace, key) = (workspace.into(), key.into());
+                let outcome = match next()? {
+                    "never-ran" => ClaimOutcome::NeverRan,
+                    "unknown" => ClaimOutcome::Unknown,
+                    answer => ClaimOutcome::Done(answer.to_string().into()),
+                };
+                let settle = Command::Settle { workspace, key, attempt, outcome };
+                self.reply(|group| group.propose(settle))
+            }
+            "expire" => {
+                let retention = path.parse()?;
+                self.reply(|group| group.propose(Command::Expire { retention }))
+            }
+            "pull" => self.pull(path.into(), free, wait, "m".into()),
+            "renew" => self.renew(path.into()),
+            "complete" | "fail" => {
+                let ok = command.name == "complete";
+                let held = self.held(path, &mut args)?;
+                held.into_iter().map(|lease| self.complete(path, lease, body, ok)).collect()
+            }
+            "transient" => {
+                let mut text = String::new();
+                for Lease { job, item, attempt } in self.held(path, &mut args)? {
+                    let cause = AttemptCause::Transient;
+                    let command = Command::Attempt { job, item, attempt, cause };
+                    text += &self.reply(|group| group.propose(command));
+                    let held = &mut self.agents.entry(path.into()).or_default().held;
+                    held.retain(|lease| lease.attempt != attempt);
+                }
+                text
+            }
+            "release" => {
+                let items = self.held(path, &mut args)?;
+                self.agents.entry(path.into()).or_default().held.retain(|l| !items.contains(l));
+                self.step(Input::Released { agent: path.into(), items })
+            }
+            "silence" => {
+                self.agents.entry(path.into()).or_default().renews = false;
+                String::new()
+            }
+            "crash" => {
+                self.agents.remove(path);
+                String::new()
+            }
+            "pass" => self.pass(path.parse()?),
+            "failover" => self.failover(path.split('/').map(Into::into).collect()),
+            "serve" => {
+                let grants = args.take_key("grants").unwrap_or("10000").parse()?;
+                let until = args.take_key("until").unwrap_or("no/job");
+                self.serve(by, free, grants, until)
+            }
+            "weight" => {
+                let weights = [(path.into(), next()?.parse()?)];
+                self.step(Input::Weights(weights.into_iter().collect()))
+            }
+            "status" => {
+                let query = Query::Job { job: self.job(path) };
+                format!("{:?}\n", self.leader.query(&query))
+            }
+            "results" => {
+                let query = Query::Results { job: self.job(path), from: 0, limit: 100 };
+                format!("{:?}\n", self.leader.query(&query)).replace("ItemResult", "\n  ")
+            }
+            "jobs" => {
+                let query = Query::Jobs { workspace: path.into(), after: None, limit: 100 };
+                format!("{:?}\n", self.leader.query(&query)).replace("Status", "\n  ")
+            }
+            name => return Err(format!("unknown command {name}").into()),
+        };
+        args.reject_next()?;
+        Ok(if lost { "reply lost\n".into() } else { self.readable(text) })
+    }
+}
+
+impl Group {
+    fn reply(&mut self, run: impl FnOnce(&mut Group) -> (Reply, String)) -> String {
+        let (reply, more) = run(self);
+        format!("{reply:?}\n{more}")
+    }
+}
