Keep urgent jobs from starving others of their workspace

The scenario for starvation found that a 10-item job waited for all 20,000 items of an overdue job of its own workspace, and that a new job could wait behind 306 items of another one although their shares are equal. The share was enforced only between workspaces: a workspace that is served for its urgent job has a high pass, so the choice by share never reached its other jobs. And a job that became ready started at the highest pass served so far, which urgent jobs drive far ahead of the others.

Now every fourth item of a workspace is also chosen by share among its jobs, and a job starts at the lowest pass of the ready ones. In the same script the 10-item job is finished after 50 items of the large one instead of 20,000, and the new job after 10 items of the other one instead of 306.

--- a/src/jobs/fairness.rs
+++ b/src/jobs/fairness.rs
@@ -3,7 +3,7 @@
 //!
 //! Shares follow stride scheduling: every served item advances the pass of its workspace by a
 //! stride that is inverse to its weight, and the lowest pass is served next. A job that becomes
-//! ready starts at the pass of the last served one, so it neither waits behind the past of the
+//! ready starts at the lowest pass of the ready ones, so it neither waits behind the past of the
 //! others nor catches up on time in which it had nothing to run. Choosing and charging take
 //! logarithmic time in the number of workspaces and jobs.
 
@@ -20,8 +20,9 @@
 /// a second earlier run ahead of a 10-item one as a whole.
 pub const THRESHOLDS: [i64; LEVELS - 1] = [15 * 60_000, 2 * 3_600_000, 12 * 3_600_000];
 
-/// Every this many items, one is chosen by share alone, so that urgent jobs that cannot be
-/// finished in time do not stop all others.
+/// Every this many items, the workspace is chosen by share alone, and every this many items of a
+/// workspace, the job is. Urgent jobs that cannot be finished in time then stop neither the other
+/// workspaces nor the other jobs of their own workspace.
 pub const SHARE_EVERY: u32 = 4;
 
 /// Stride of a workspace with weight 1. Weights up to this value keep their proportions.
@@ -38,6 +39,11 @@
     Some(slack - below + 1)
 }
 
+/// Whether the next item after `served` ones is chosen by share alone.
+fn by_share(served: u32) -> bool {
+    served % SHARE_EVERY == SHARE_EVERY - 1
+}
+
 /// Place of a job in the order.
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -62,15 +68,28 @@
 #[derive(Debug, Default)]
 struct Space {
     pass: u64,
-    /// Pass of the job that was served last.
+    /// Highest pass at which a job was served.
     floor: u64,
     levels: [BTreeSet<(u64, u32)>; LEVELS],
+    served: u32,
 }
 
 impl Space {
     fn is_idle(&self) -> bool {
         self.levels.iter().all(BTreeSet::is_empty)
     }
+
+    /// Job of this workspace that is served next.
+    fn pick(&self) -> Option<u32> {
+        let urgent = self.levels.iter().find_map(|level| level.first().copied());
+        let (_, job) = if by_share(self.served) { self.lowest() } else { urgent }?;
+        Some(job)
+    }
+
+    /// Ready job with the lowest pass, whatever its level.
+    fn lowest(&self) -> Option<(u64, u32)> {
+        self.levels.iter().filter_map(|level| level.first()).min().copied()
+    }
 }
 
 /// Ready jobs of one model.
@@ -79,7 +98,7 @@
     spaces: SortedMap<Arc<str>, Space>,
     // Trees, because passes change with every served item and a sorted vector would move.
     levels: [BTreeSet<(u64, Arc<str>)>; LEVELS],
-    /// Pass of the workspace that was served last.
+    /// Highest pass at which a workspace was served.
     floor: u64,
     served: u32,
     /// Number of workspaces at which the idle ones are dropped.
@@ -94,29 +113,31 @@
 
     /// Job that is served next.
     pub fn pick(&self) -> Option<u32> {
-        let by_share = self.served % SHARE_EVERY == SHARE_EVERY - 1;
-        let level = if by_share { self.lowest_pass()? } else { self.urgency()? };
-        let (_, workspace) = self.levels[level].first()?;
-        let space = self.spaces.get(workspace)?;
-        space.levels[level].first().map(|(_, job)| *job)
+        let level = self.urgency()?;
+        let urgent = self.levels[level].first();
+        let (_, workspace) = if by_share(self.served) { self.lowest() } else { urgent }?;
+        self.spaces.get(workspace)?.pick()
+    }
+
+    /// Workspace with the lowest pass that has a ready job, whatever its level.
+    fn lowest(&self) -> Option<&(u64, Arc<str>)> {
+        self.levels.iter().filter_map(|level| level.first()).min()
     }
 
-    /// Level that contains the workspace with the lowest pass.
-    fn lowest_pass(&self) -> Option<usize> {
-        let firsts = self.levels.iter().enumerate();
-        let firsts = firsts.filter_map(|(level, set)| Some((set.first()?.0, level)));
-        firsts.min().map(|(_, level)| level)
+    /// Pass at which a workspace starts.
+    fn start(&self) -> u64 {
+        self.lowest().map_or(self.floor, |(pass, _)| *pass)
     }
 
     /// Adds a job that has become ready.
     pub fn enter(&mut self, place: &mut Place) {
         self.drop_idle();
-        let floor = self.floor;
+        let start = self.start();
         let space = self.spaces.entry_or(place.workspace.clone(), Space::default);
         if space.is_idle() {
-            space.pass = space.pass.max(floor);
+            space.pass = space.pass.max(start);
         }
-        place.pass = place.pass.max(space.floor);
+        place.pass = place.pass.max(space.lowest().map_or(space.floor, |(pass, _)| pass));
         space.levels[place.level].insert((place.pass, place.job));
         self.levels[place.level].insert((space.pass, place.workspace.clone()));
     }
@@ -135,6 +156,7 @@
         self.served = self.served.wrapping_add(1);
         let Some(space) = self.spaces.get_mut(&place.workspace) else { return };
         space.levels[place.level].remove(&(place.pass, place.job));
+        space.served = space.served.wrapping_add(1);
         space.floor = space.floor.max(place.pass);
         place.pass += 1;
         space.levels[place.level].insert((place.pass, place.job));
@@ -150,14 +172,14 @@
     }
 
     /// Forgets idle workspaces whose pass no longer matters, once their number has doubled. A
-    /// pass ahead of the floor is kept: otherwise a workspace with one ready item at a time would
+    /// pass ahead of the others is kept: otherwise a workspace with one ready item at a time would
     /// start anew with each of them and be served first every time.
     fn drop_idle(&mut self) {
         if self.spaces.len() < self.purge.max(64) {
             return;
         }
-        let floor = self.floor;
-        self.spaces.retain(|_, space| !space.is_idle() || space.pass > floor);
+        let start = self.start();
+        self.spaces.retain(|_, space| !space.is_idle() || space.pass > start);
         self.purge = self.spaces.len() * 2;
     }
 }
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -45,6 +45,12 @@
     run("duplicate_custom_ids");
 }
 
+/// Guards against a small job that waits until a large one is finished.
+#[test]
+fn starvation() {
+    run("starvation");
+}
+
 /// Guards against a non-idempotent call that runs twice because its entry was lost.
 #[test]
 fn claim_of_lost_entry() {
