Add state machine of group 0

Entries, agents and state hosts all need the commands, replies and accessors of the catalog before they can be built. The catalog holds documents, history, used ids, agents, drains and the last order of each endpoint. Ids of changes, operations and refusals are kept in separate ledgers: a single one was ruled out because a client that repeats an invalid command could push out the ids of accepted changes, and their resends would then be applied twice. An earlier refusal is remembered too, so the same id always gets the same answer.

--- /dev/null
+++ b/src/catalog/config.rs
@@ -0,0 +1,341 @@
+//! Configuration in force: documents, their digest and the checks of a change.
+
+use crate::catalog::command::Change;
+use crate::catalog::command::Problem;
+use crate::catalog::documents::Body;
+use crate::catalog::documents::Document;
+use crate::catalog::documents::FLEET_POLICY;
+use crate::catalog::documents::Kind;
+use crate::catalog::documents::Name;
+use crate::catalog::documents::Policy;
+use crate::catalog::documents::Service;
+use crate::catalog::documents::Stored;
+use crate::catalog::documents::Workspace;
+use crate::catalog::fields;
+use crate::catalog::history::Changed;
+use crate::catalog::history::History;
+use crate::catalog::similar;
+use crate::sorted::SortedMap;
+use serde::Deserialize;
+use serde::Serialize;
+use std::sync::Arc;
+use xxhash_rust::xxh3;
+
+/// Largest number of documents in one change. Bounds the time of one `apply` and the memory of
+/// the history; larger imports are sent in several changes.
+pub const CHANGE_LIMIT: usize = 500;
+
+/// Documents in one answer to a list query.
+pub const LIST_LIMIT: usize = 1_000;
+
+/// Digits of a key hash that are shown in messages.
+const SHOWN_DIGITS: usize = 8;
+
+/// Documents of the configuration by name.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Config {
+    documents: SortedMap<Name, Stored>,
+    revision: u64,
+    /// Sum of the hashes of all documents, so that a change costs no pass over the others.
+    #[serde(skip)]
+    digest: u64,
+    /// Workspace of each caller key.
+    #[serde(skip)]
+    keys: SortedMap<Arc<str>, Arc<str>>,
+}
+
+impl Config {
+    /// Log index of the last change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Digest of all documents.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Number of documents.
+    pub fn len(&self) -> usize {
+        self.documents.len()
+    }
+
+    /// Whether there is no document.
+    pub fn is_empty(&self) -> bool {
+        self.documents.is_empty()
+    }
+
+    /// Returns a document.
+    pub fn get(&self, name: &Name) -> Option<&Stored> {
+        self.documents.get(name)
+    }
+
+    /// Documents of one kind in order of name.
+    pub fn kind(&self, kind: Kind) -> impl Iterator<Item = &Stored> {
+        let rest = self.documents.iter().skip_while(move |(n, _)| n.kind < kind);
+        rest.take_while(move |(n, _)| n.kind == kind).map(|(_, s)| s)
+    }
+
+    /// Documents after `after`, at most [`LIST_LIMIT`].
+    pub fn list(&self, kind: Option<Kind>, after: Option<&Name>, limit: u32) -> Vec<Stored> {
+        let first = kind.map(|k| Name::new(k, ""));
+        let from = after.max(first.as_ref());
+        let rest: Box<dyn Iterator<Item = (&Name, &Stored)>> = match from {
+            Some(from) => Box::new(self.documents.range_from(from)),
+            None => Box::new(self.documents.iter()),
+        };
+        rest.filter(|(n, _)| after != Some(*n))
+            .take_while(|(n, _)| kind.is_none_or(|k| k == n.kind))
+            .take(LIST_LIMIT.min(limit as usize))
+            .map(|(_, s)| s.clone())
+            .collect()
+    }
+
+    /// Returns a workspace.
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        match self.body(Kind::Workspace, name)? {
+            Body::Workspace(workspace) => Some(workspace),
+            _ => None,
+        }
+    }
+
+    /// Workspace that owns the caller key with this hash.
+    pub fn workspace_by_key(&self, hash: &str) -> Option<&Workspace> {
+        self.workspace(self.keys.get(hash)?)
+    }
+
+    /// Policy of a model: its own, else that of the fleet.
+    pub fn policy(&self, model: &str) -> Option<&Policy> {
+        let own = self.body(Kind::Policy, model);
+        match own.or_else(|| self.body(Kind::Policy, FLEET_POLICY))? {
+            Body::Policy(policy) => Some(policy),
+            _ => None,
+        }
+    }
+
+    /// Returns a plain service.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        match self.body(Kind::Service, name)? {
+            Body::Service(service) => Some(service),
+            _ => None,
+        }
+    }
+
+    fn body(&self, kind: Kind, name: &str) -> Option<&Body> {
+        self.documents.get(&Name::new(kind, name)).map(|s| &s.document.body)
+    }
+
+    /// Explains why a document does not exist.
+    pub fn missing(&self, name: &Name, history: &History) -> Problem {
+        Problem::NoDocument {
+            name: name.clone(),
+            last: history.withdrawal(name),
+            similar: self.similar(name.kind, &name.name),
+        }
+    }
+
+    fn similar(&self, kind: Kind, name: &str) -> Vec<Arc<str>> {
+        let from = Name::new(kind, "");
+        let known = self.documents.range_from(&from).take_while(|(n, _)| n.kind == kind);
+        similar::names(name, known.map(|(n, _)| &*n.name))
+    }
+
+    /// Checks a change against the documents in force and reports every problem.
+    pub fn check(&self, changes: &[Change], history: &History) -> Result<(), Vec<Problem>> {
+        if changes.is_empty() {
+            return Err(vec![Problem::Empty]);
+        }
+        if changes.len() > CHANGE_LIMIT {
+            let (count, limit) = (changes.len() as u64, CHANGE_LIMIT as u64);
+            return Err(vec![Problem::TooMany { count, limit }]);
+        }
+        let mut problems = Vec::new();
+        let after = After::new(self, changes, &mut problems);
+        for change in changes {
+            match change {
+                Change::Put { name, document } => after.check_put(name, document, &mut problems),
+                Change::Withdraw { name } => after.check_withdraw(name, history, &mut problems),
+            }
+        }
+        if problems.is_empty() { Ok(()) } else { Err(problems) }
+    }
+
+    /// Puts a checked change in force; returns what it changed, which is nothing if every
+    /// document already had the same content.
+    pub fn commit(&mut self, revision: u64, changes: Vec<Change>) -> Vec<Changed> {
+        let mut changed = Vec::new();
+        for change in changes {
+            let (name, document) = match change {
+                Change::Put { name, document } => (name, Some(Arc::new(document))),
+                Change::Withdraw { name } => (name, None),
+            };
+            let old = self.documents.get(&name);
+            if old.map(|s| &s.document) == document.as_ref() {
+                continue;
+            }
+            changed.push(Changed { name, before: old.map(|s| s.revision), document });
+        }
+        if changed.is_empty() {
+            return changed;
+        }
+        self.revision = revision;
+        // A key may move between two workspaces of one change: all old ones go first.
+        for change in &changed {
+            self.take_out(&change.name);
+        }
+        for change in &changed {
+            if let Some(document) = &change.document {
+                self.put_in(&change.name, document, revision);
+            }
+        }
+        changed
+    }
+
+    fn take_out(&mut self, name: &Name) {
+        let Some(old) = self.documents.get(name) else { return };
+        self.digest = self.digest.wrapping_sub(document_hash(&old.document));
+        if let Body::Workspace(workspace) = &old.document.body {
+            for key in &workspace.keys {
+                self.keys.remove(key);
+            }
+        }
+        self.documents.remove(name);
+    }
+
+    fn put_in(&mut self, name: &Name, document: &Arc<Document>, revision: u64) {
+        self.digest = self.digest.wrapping_add(document_hash(document));
+        if let Body::Workspace(workspace) = &document.body {
+            for key in &workspace.keys {
+                self.keys.insert(key.clone(), workspace.name.clone());
+            }
+        }
+        self.documents.insert(name.clone(), Stored { document: document.clone(), revision });
+    }
+
+    /// Recomputes what a snapshot does not contain and shares documents with the history.
+    pub fn rebuild(&mut self, history: &History) {
+        let mut keys = Vec::new();
+        self.digest = 0;
+        for (name, stored) in self.documents.iter_mut() {
+            if let Some(document) = history.document(stored.revision, name) {
+                stored.document = document.clone();
+            }
+            self.digest = self.digest.wrapping_add(document_hash(&stored.document));
+            if let Body::Workspace(workspace) = &stored.document.body {
+                keys.extend(workspace.keys.iter().map(|k| (k.clone(), workspace.name.clone())));
+            }
+        }
+        keys.sort_unstable();
+        self.keys = keys.into_iter().collect();
+    }
+}
+
+/// Hash of one document; its body contains the name.
+fn document_hash(document: &Document) -> u64 {
+    xxh3::xxh3_64(&crate::catalog::encode(document))
+}
+
+/// Configuration as it would be after a change.
+struct After<'a> {
+    base: &'a Config,
+    changes: SortedMap<&'a Name, Option<&'a Document>>,
+}
+
+impl<'a> After<'a> {
+    fn new(base: &'a Config, changes: &'a [Change], problems: &mut Vec<Problem>) -> After<'a> {
+        let mut after = After { base, changes: SortedMap::new() };
+        for change in changes {
+            let document = match change {
+                Change::Put { document, .. } => Some(document),
+                Change::Withdraw { .. } => None,
+            };
+            if after.changes.insert(change.name(), document).is_some() {
+                problems.push(Problem::Twice { name: change.name().clone() });
+            }
+        }
+        after
+    }
+
+    fn contains(&self, name: &Name) -> bool {
+        match self.changes.get(name) {
+            Some(document) => document.is_some(),
+            None => self.base.documents.contains(name),
+        }
+    }
+
+    fn check_put(&self, name: &Name, document: &Document, problems: &mut Vec<Problem>) {
+        if *name != document.name() {
+            let document = document.name();
+            problems.push(Problem::Mismatch { name: name.clone(), document });
+        }
+        fields::check(document, problems);
+        if let Some(workspace) = document.workspace()
+            && !self.contains(&Name::new(Kind::Workspace, workspace.clone()))
+        {
+            problems.push(Problem::NoWorkspace {
+                name: name.clone(),
+                workspace: workspace.clone(),
+                similar: self.base.similar(Kind::Workspace, workspace),
+            });
+        }
+        if let Body::Workspace(workspace) = &document.body {
+            for key in &workspace.keys {
+                self.check_key(name, key, problems);
+            }
+        }
+    }
+
+    fn check_key(&self, name: &Name, key: &Arc<str>, problems: &mut Vec<Problem>) {
+        let Some(owner) = self.key_owner(name, key) else { return };
+        problems.push(Problem::KeyTaken {
+            name: name.clone(),
+            hash: key.get(..SHOWN_DIGITS).unwrap_or(key).into(),
+            owner,
+        });
+    }
+
+    /// Workspace other than `name` that has the key after the change.
+    fn key_owner(&self, name: &Name, key: &Arc<str>) -> Option<Arc<str>> {
+        let changed = self.changes.iter().find(|(n, d)| {
+            let body = d.map(|d| &d.body);
+            **n != name && matches!(body, Some(Body::Workspace(w)) if w.keys.contains(key))
+        });
+        if let Some((other, _)) = changed {
+            return Some(other.name.clone());
+        }
+        let owner = self.base.keys.get(key)?;
+        let replaced = self.changes.contains(&Name::new(Kind::Workspace, owner.clone()));
+        (!replaced).then(|| owner.clone())
+    }
+
+    fn check_withdraw(&self, name: &Name, history: &History, problems: &mut Vec<Problem>) {
+        if !self.base.documents.contains(name) {
+            problems.push(self.base.missing(name, history));
+            return;
+        }
+        if name.kind != Kind::Workspace {
+            return;
+        }
+        let users = self.users(&name.name);
+        if !users.is_empty() {
+            problems.push(Problem::InUse { name: name.clone(), users });
+        }
+    }
+
+    /// Documents that refer to the workspace after the change.
+    fn users(&self, workspace: &Arc<str>) -> Vec<Name> {
+        let kept = [Kind::Assistant, Kind::BatchPlan]
+            .into_iter()
+            .flat_map(|k| self.base.kind(k))
+            .map(|s| (s.document.name(), &*s.document))
+            .filter(|(n, _)| !self.changes.contains(n));
+        let put = self.changes.iter().filter_map(|(n, d)| d.map(|d| ((*n).clone(), d)));
+        let mut users: Vec<Name> = kept
+            .chain(put)
+            .filter(|(_, d)| d.workspace() == Some(workspace))
+            .map(|(n, _)| n)
+            .collect();
+        users.sort_unstable();
+        users
+    }
+}
--- /dev/null
+++ b/src/catalog/history.rs
@@ -0,0 +1,218 @@
+//! History of changes and operations, and the ids that were used.
+
+use crate::catalog::command::Author;
+use crate::catalog::command::Reply;
+use crate::catalog::documents::Document;
+use crate::catalog::documents::Name;
+use crate::catalog::orders::Order;
+use crate::sorted::SortedMap;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// Configuration changes that are kept with their content.
+pub const CHANGES: usize = 1_000;
+
+/// Drains, resumes and orders that are kept.
+pub const OPERATIONS: usize = 1_000;
+
+/// What a change or operation did.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Who did it; the revision is the log index.
+    pub by: Author,
+    /// What was done.
+    pub action: Action,
+}
+
+/// Action of a [`Record`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Documents were changed.
+    Changed(Vec<Changed>),
+    /// An endpoint was drained.
+    Drained {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+    },
+    /// The drain of an endpoint was ended.
+    Resumed {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+    },
+    /// An endpoint was given an order.
+    Ordered {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+        /// The order.
+        order: Order,
+    },
+}
+
+/// Change of one document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Changed {
+    /// Name of the document.
+    pub name: Name,
+    /// Revision of the document that was replaced, if there was one.
+    pub before: Option<u64>,
+    /// New document; `None` if it was withdrawn.
+    pub document: Option<Arc<Document>>,
+}
+
+/// Latest changes and operations, oldest first.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct History {
+    changes: VecDeque<Record>,
+    operations: VecDeque<Record>,
+}
+
+impl History {
+    /// Records a change that was put in force.
+    pub fn change(&mut self, by: &Author, changed: Vec<Changed>) {
+        let action = Action::Changed(changed);
+        push(&mut self.changes, Record { by: by.clone(), action }, CHANGES);
+    }
+
+    /// Records an operation if it was accepted.
+    pub fn operation(&mut self, by: &Author, reply: &Reply, action: impl FnOnce() -> Action) {
+        if let Reply::Accepted { .. } = reply {
+            push(&mut self.operations, Record { by: by.clone(), action: action() }, OPERATIONS);
+        }
+    }
+
+    /// Changes before a revision, latest first.
+    pub fn changes(&self, before: Option<u64>, limit: u32) -> Vec<Record> {
+        page(&self.changes, before, limit)
+    }
+
+    /// Operations before a log index, latest first.
+    pub fn operations(&self, before: Option<u64>, limit: u32) -> Vec<Record> {
+        page(&self.operations, before, limit)
+    }
+
+    /// Record of a log index.
+    pub fn record(&self, revision: u64) -> Option<&Record> {
+        find(&self.changes, revision).or_else(|| find(&self.operations, revision))
+    }
+
+    /// Author of the change at a revision.
+    pub fn author(&self, revision: u64) -> Option<Author> {
+        find(&self.changes, revision).map(|r| r.by.clone())
+    }
+
+    /// Document that a revision put under a name.
+    pub fn document(&self, revision: u64, name: &Name) -> Option<&Arc<Document>> {
+        let Action::Changed(changed) = &find(&self.changes, revision)?.action else { return None };
+        changed.iter().find(|c| c.name == *name)?.document.as_ref()
+    }
+
+    /// First change after the expected revision, if there is one. If that change has left the
+    /// history, the oldest one that is kept.
+    pub fn winner(&self, expected: u64, current: u64) -> Option<Author> {
+        if expected >= current {
+            return None;
+        }
+        let at = self.changes.partition_point(|r| r.by.revision <= expected);
+        self.changes.get(at).map(|r| r.by.clone())
+    }
+
+    /// Author of the latest withdrawal of a document.
+    pub fn withdrawal(&self, name: &Name) -> Option<Author> {
+        let withdraws = |record: &&Record| match &record.action {
+            Action::Changed(changed) => {
+                changed.iter().any(|c| c.name == *name && c.document.is_none())
+            }
+            _ => false,
+        };
+        self.changes.iter().rev().find(withdraws).map(|r| r.by.clone())
+    }
+}
+
+fn push(records: &mut VecDeque<Record>, record: Record, limit: usize) {
+    if records.len() == limit {
+        records.pop_front();
+    }
+    records.push_back(record);
+}
+
+fn find(records: &VecDeque<Record>, revision: u64) -> Option<&Record> {
+    let at = records.binary_search_by_key(&revision, |r| r.by.revision).ok()?;
+    records.get(at)
+}
+
+fn page(records: &VecDeque<Record>, before: Option<u64>, limit: u32) -> Vec<Record> {
+    let end = match before {
+        Some(before) => records.partition_point(|r| r.by.revision < before),
+        None => records.len(),
+    };
+    records.range(..end).rev().take(limit as usize).cloned().collect()
+}
+
+/// Id that was used by a command, and the answer that it got.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Used {
+    /// Id, operator and log index of the command.
+    pub by: Author,
+    /// xxh3 of the encoded command.
+    pub digest: u64,
+    /// Answer; `None` for a plain acceptance, which needs no further memory.
+    reply: Option<Box<Reply>>,
+}
+
+impl Used {
+    /// Answer that the command got.
+    pub fn answer(&self) -> Reply {
+        match &self.reply {
+            Some(reply) => (**reply).clone(),
+            None => Reply::Accepted { revision: self.by.revision, undoes: None },
+        }
+    }
+}
+
+/// Latest ids of one class of commands.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Ledger {
+    limit: usize,
+    used: VecDeque<Used>,
+    /// Log index of each id.
+    #[serde(skip)]
+    ids: SortedMap<Arc<str>, u64>,
+}
+
+impl Ledger {
+    /// Returns an empty ledger for `limit` ids.
+    pub fn new(limit: usize) -> Ledger {
+        Ledger { limit, used: VecDeque::new(), ids: SortedMap::new() }
+    }
+
+    /// Returns what is known of an id.
+    pub fn get(&self, id: &str) -> Option<&Used> {
+        let index = self.ids.get(id)?;
+        let at = self.used.binary_search_by_key(index, |u| u.by.revision).ok()?;
+        self.used.get(at)
+    }
+
+    /// Records the answer to an id that was not used before; forgets the oldest id if full.
+    pub fn record(&mut self, by: &Author, digest: u64, reply: &Reply) {
+        if self.used.len() == self.limit
+            && let Some(oldest) = self.used.pop_front()
+        {
+            self.ids.remove(&oldest.by.id);
+        }
+        let plain = Reply::Accepted { revision: by.revision, undoes: None };
+        let reply = (*reply != plain).then(|| Box::new(reply.clone()));
+        self.ids.insert(by.id.clone(), by.revision);
+        self.used.push_back(Used { by: by.clone(), digest, reply });
+    }
+
+    /// Recomputes what a snapshot does not contain.
+    pub fn rebuild(&mut self) {
+        let mut ids: Vec<(Arc<str>, u64)> =
+            self.used.iter().map(|u| (u.by.id.clone(), u.by.revision)).collect();
+        ids.sort_unstable();
+        self.ids = ids.into_iter().collect();
+    }
+}
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,1 +1,363 @@
 //! State machine of group 0: configuration, history, agents and orders.
+//!
+//! [`Catalog::apply`] is deterministic: equal commands at equal indexes give equal states and
+//! replies on every replica and at every node that follows the log. Enum variants are encoded by
+//! position, so new ones are only ever appended.
+
+pub mod agents;
+pub mod command;
+pub mod config;
+pub mod documents;
+pub mod fields;
+pub mod history;
+pub mod orders;
+pub mod similar;
+
+pub use agents::AgentRecord;
+pub use agents::Endpoint;
+pub use agents::EndpointKind;
+pub use agents::LeaveReason;
+pub use command::Answer;
+pub use command::Author;
+pub use command::Change;
+pub use command::Command;
+pub use command::Conflict;
+pub use command::Note;
+pub use command::Problem;
+pub use command::Query;
+pub use command::Reply;
+pub use documents::Body;
+pub use documents::Document;
+pub use documents::Kind;
+pub use documents::Name;
+pub use documents::Parameter;
+pub use orders::Order;
+pub use orders::OrderKind;
+pub use orders::OrderOutcome;
+
+use derive_more::Display;
+use history::Ledger;
+use history::Record;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::sync::Arc;
+use xxhash_rust::xxh3;
+
+/// Version of the snapshot encoding.
+const SNAPSHOT_VERSION: u16 = 1;
+
+/// Change ids that are remembered: 30 days at 720 changes a day. A resend within that time is
+/// recognised even if the content of the change has left the history.
+pub const CHANGE_IDS: usize = 21_600;
+
+/// Ids of drains, resumes and orders that are remembered.
+pub const OPERATION_IDS: usize = 10_000;
+
+/// Ids of refused commands that are remembered. They are kept apart so that a client that
+/// repeats an invalid command cannot push out the ids of accepted ones.
+pub const REFUSED_IDS: usize = 1_000;
+
+/// Snapshot that could not be restored.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("catalog snapshot is not readable: {cause}")]
+pub struct RestoreError {
+    /// Reason.
+    pub cause: Arc<str>,
+}
+
+impl std::error::Error for RestoreError {}
+
+/// Encodes a command, reply, query or answer.
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_stdvec(value).expect("postcard encodes every type of the catalog")
+}
+
+/// Decodes a command, reply, query or answer; trailing bytes are an error.
+pub fn decode<T: DeserializeOwned>(data: &[u8]) -> Result<T, postcard::Error> {
+    match postcard::take_from_bytes(data)? {
+        (value, []) => Ok(value),
+        _ => Err(postcard::Error::DeserializeBadEncoding),
+    }
+}
+
+/// State of group 0.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Catalog {
+    applied: u64,
+    config: config::Config,
+    history: history::History,
+    changes: Ledger,
+    operations: Ledger,
+    refusals: Ledger,
+    fleet: agents::Fleet,
+    orders: orders::Orders,
+}
+
+impl Default for Catalog {
+    fn default() -> Self {
+        Catalog {
+            applied: 0,
+            config: config::Config::default(),
+            history: history::History::default(),
+            changes: Ledger::new(CHANGE_IDS),
+            operations: Ledger::new(OPERATION_IDS),
+            refusals: Ledger::new(REFUSED_IDS),
+            fleet: agents::Fleet::default(),
+            orders: orders::Orders::default(),
+        }
+    }
+}
+
+impl Catalog {
+    /// Returns the empty state.
+    pub fn new() -> Catalog {
+        Catalog::default()
+    }
+
+    /// Applies the command at log `index` and returns the encoded [`Reply`].
+    ///
+    /// An entry without a command (empty bytes) and a command that does not decode change
+    /// nothing but the applied index. An index that is already applied is not applied again.
+    pub fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        encode(&self.run(index, command))
+    }
+
+    fn run(&mut self, index: u64, data: &[u8]) -> Reply {
+        if index <= self.applied {
+            return Reply::Malformed;
+        }
+        self.applied = index;
+        match decode(data) {
+            Ok(command) => self.dispatch(index, xxh3::xxh3_64(data), command),
+            Err(_) => Reply::Malformed,
+        }
+    }
+
+    fn dispatch(&mut self, index: u64, digest: u64, command: Command) -> Reply {
+        let Some((id, operator)) = command.origin() else {
+            return self.dispatch_internal(index, command);
+        };
+        let by = Author { id: id.clone(), operator: operator.clone(), revision: index };
+        if let Some(reply) = self.remembered(&by.id, digest) {
+            return reply;
+        }
+        let (ledger, reply) = match command {
+            Command::Change { expected, changes, .. } => (
+                &mut self.changes,
+                change(&mut self.config, &mut self.history, &by, expected, changes),
+            ),
+            Command::Drain { target, .. } => {
+                let reply = self.fleet.drain(&target, &by);
+                self.history
+                    .operation(&by, &reply, || history::Action::Drained { endpoint: target });
+                (&mut self.operations, reply)
+            }
+            Command::Resume { target, .. } => {
+                let reply = self.fleet.resume(&target, &by);
+                self.history
+                    .operation(&by, &reply, || history::Action::Resumed { endpoint: target });
+                (&mut self.operations, reply)
+            }
+            Command::Order { endpoint, order, .. } => {
+                let reply = self.orders.give(&self.fleet, &endpoint, &order, &by);
+                let action = || history::Action::Ordered { endpoint, order };
+                self.history.operation(&by, &reply, action);
+                (&mut self.operations, reply)
+            }
+            _ => return Reply::Malformed,
+        };
+        let ledger = if reply.is_refusal() { &mut self.refusals } else { ledger };
+        ledger.record(&by, digest, &reply);
+        reply
+    }
+
+    fn dispatch_internal(&mut self, index: u64, command: Command) -> Reply {
+        match command {
+            Command::Join { agent } => {
+                let reply = self.fleet.join(index, agent);
+                self.orders.lose_absent(&self.fleet);
+                reply
+            }
+            Command::Leave { agent, reason } => {
+                let reply = self.fleet.leave(index, &agent, reason);
+                self.orders.lose_absent(&self.fleet);
+                reply
+            }
+            Command::OrderDone { number, outcome } => self.orders.done(index, number, outcome),
+            _ => Reply::Malformed,
+        }
+    }
+
+    /// Answer to an id that was used before: the same one for the same content, else a conflict.
+    fn remembered(&self, id: &str, digest: u64) -> Option<Reply> {
+        let ledgers = [&self.changes, &self.operations, &self.refusals];
+        let used = ledgers.iter().find_map(|l| l.get(id))?;
+        if used.digest == digest {
+            return Some(used.answer());
+        }
+        let conflict = Conflict::Reused { first: used.by.clone() };
+        Some(Reply::Conflict { conflict, revision: self.config.revision() })
+    }
+
+    /// Encodes the whole state.
+    pub fn snapshot(&self) -> Vec<u8> {
+        encode(&(SNAPSHOT_VERSION, self))
+    }
+
+    /// Replaces the state by a snapshot; on an error the state is unchanged.
+    pub fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
+        let fail = |cause: String| RestoreError { cause: cause.into() };
+        let (version, _) =
+            postcard::take_from_bytes::<u16>(data).map_err(|e| fail(e.to_string()))?;
+        if version != SNAPSHOT_VERSION {
+            return Err(fail(format!("version {version}, known is {SNAPSHOT_VERSION}")));
+        }
+        let (_, mut state) = decode::<(u16, Catalog)>(data).map_err(|e| fail(e.to_string()))?;
+        state.config.rebuild(&state.history);
+        state.changes.rebuild();
+        state.operations.rebuild();
+        state.refusals.rebuild();
+        state.fleet.rebuild();
+        *self = state;
+        Ok(())
+    }
+
+    /// Log index of the last applied entry; the position of a watch.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Revision of the configuration: log index of its last change, 0 before the first.
+    pub fn revision(&self) -> u64 {
+        self.config.revision()
+    }
+
+    /// Digest of the configuration in force; equal for equal documents.
+    pub fn digest(&self) -> u64 {
+        self.config.digest()
+    }
+
+    /// Documents of the configuration.
+    pub fn config(&self) -> &config::Config {
+        &self.config
+    }
+
+    /// Changes and operations, with their authors.
+    pub fn history(&self) -> &history::History {
+        &self.history
+    }
+
+    /// Agents, endpoints and drains.
+    pub fn fleet(&self) -> &agents::Fleet {
+        &self.fleet
+    }
+
+    /// Last order of every endpoint.
+    pub fn orders(&self) -> &orders::Orders {
+        &self.orders
+    }
+
+    /// Workspace that owns the caller key with this lowercase hexadecimal sha256 hash.
+    pub fn workspace_by_key(&self, hash: &str) -> Option<&documents::Workspace> {
+        self.config.workspace_by_key(hash)
+    }
+
+    /// Registered agents in order of name.
+    pub fn agents(&self) -> impl Iterator<Item = &AgentRecord> {
+        self.fleet.agents()
+    }
+
+    /// Engines that serve the model and are not draining, with their agents.
+    pub fn candidates(&self, model: &str) -> impl Iterator<Item = (&AgentRecord, &Endpoint)> {
+        self.fleet.candidates(model)
+    }
+
+    /// Endpoints that provide the service and are not draining, with their agents.
+    pub fn services(&self, service: &str) -> impl Iterator<Item = (&AgentRecord, &Endpoint)> {
+        self.fleet.services(service)
+    }
+
+    /// Whether an operator has drained the endpoint.
+    pub fn is_draining(&self, endpoint: &str) -> bool {
+        self.fleet.is_draining(endpoint)
+    }
+
+    /// Answers a query from the current state.
+    pub fn query(&self, query: &Query) -> Answer {
+        match query {
+            Query::Summary => Answer::Summary(self.summary()),
+            Query::Show { name } => match self.config.get(name) {
+                Some(stored) => Answer::Document {
+                    stored: stored.clone(),
+                    author: self.history.author(stored.revision),
+                },
+                None => Answer::Missing { problem: self.config.missing(name, &self.history) },
+            },
+            Query::List { kind, after, limit } => {
+                Answer::Documents(self.config.list(*kind, after.as_ref(), *limit))
+            }
+            Query::Changes { before, limit } => {
+                Answer::Records(self.history.changes(*before, *limit))
+            }
+            Query::Operations { before, limit } => {
+                Answer::Records(self.history.operations(*before, *limit))
+            }
+            Query::Change { id } => Answer::Change(self.change_by_id(id)),
+            Query::Agents => Answer::Agents(self.agents().cloned().collect()),
+            Query::Drains => Answer::Drains(self.fleet.drains().cloned().collect()),
+            Query::Orders => Answer::Orders(self.orders.iter().cloned().collect()),
+            Query::Departures => Answer::Departures(self.fleet.departures().cloned().collect()),
+        }
+    }
+
+    fn change_by_id(&self, id: &str) -> Option<command::Known> {
+        let ledgers = [&self.changes, &self.operations, &self.refusals];
+        let used = ledgers.iter().find_map(|l| l.get(id))?;
+        let record: Option<Record> = self.history.record(used.by.revision).cloned();
+        Some(command::Known { by: used.by.clone(), reply: used.answer(), record })
+    }
+
+    fn summary(&self) -> command::Summary {
+        command::Summary {
+            applied: self.applied,
+            revision: self.revision(),
+            digest: self.digest(),
+            documents: self.config.len() as u64,
+            agents: self.agents().count() as u64,
+            endpoints: self.fleet.endpoints().count() as u64,
+            draining: self.fleet.drains().filter(|d| d.draining).count() as u64,
+        }
+    }
+}
+
+/// Validates a change and puts it in force.
+fn change(
+    config: &mut config::Config,
+    history: &mut history::History,
+    by: &Author,
+    expected: Option<u64>,
+    changes: Vec<Change>,
+) -> Reply {
+    let revision = config.revision();
+    if let Some(expected) = expected {
+        if expected > revision {
+            return Reply::refused(Problem::FutureRevision { expected, revision });
+        }
+        if let Some(winner) = history.winner(expected, revision) {
+            let conflict = Conflict::Raced { expected, winner };
+            return Reply::Conflict { conflict, revision };
+        }
+    }
+    match config.check(&changes, history) {
+        Err(problems) => Reply::Refused { problems },
+        Ok(()) => {
+            let changed = config.commit(by.revision, changes);
+            if changed.is_empty() {
+                return Reply::Unchanged { revision, note: Note::SameContent };
+            }
+            history.change(by, changed);
+            Reply::Accepted { revision: by.revision, undoes: None }
+        }
+    }
+}
--- /dev/null
+++ b/src/catalog/orders.rs
@@ -0,0 +1,182 @@
+//! Orders to endpoints. The number of an order is its log index.
+
+use crate::catalog::agents::EndpointKind;
+use crate::catalog::agents::Fleet;
+use crate::catalog::command::Author;
+use crate::catalog::command::Note;
+use crate::catalog::command::Problem;
+use crate::catalog::command::Reply;
+use crate::catalog::fields;
+use crate::sorted::SortedMap;
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// Orders that are kept of endpoints that are not registered.
+pub const ABSENT: usize = 1_000;
+
+/// Longest time limit of an order in milliseconds. An agent waits for it after a restart.
+pub const LIMIT: u64 = 3_600_000;
+
+/// What an endpoint shall do.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display("{kind} of {model}")]
+pub struct Order {
+    /// Kind of order.
+    pub kind: OrderKind,
+    /// Model that it concerns.
+    pub model: Arc<str>,
+    /// Time limit in milliseconds; the order has no effect later than that after it was issued.
+    pub limit: u64,
+}
+
+/// Kind of order.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderKind {
+    /// Load the model in place of the current one.
+    #[display("load")]
+    Load,
+    /// Load a version of the model.
+    #[display("version {version}")]
+    Version {
+        /// Version.
+        version: Arc<str>,
+    },
+    /// Load an adapter on top of the model.
+    #[display("adapter {adapter}")]
+    Adapter {
+        /// Name of the adapter.
+        adapter: Arc<str>,
+    },
+}
+
+/// Outcome of an order.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderOutcome {
+    /// It was carried out.
+    #[display("done")]
+    Done,
+    /// The endpoint failed to carry it out.
+    #[display("failed: {cause}")]
+    Failed {
+        /// Reason.
+        cause: Arc<str>,
+    },
+    /// The endpoint refused it because it knows a later number.
+    #[display("refused as old")]
+    Old,
+    /// No outcome within the time limit.
+    #[display("timed out")]
+    TimedOut,
+    /// The endpoint left before it reported; a later report replaces this outcome.
+    #[display("endpoint lost")]
+    Lost,
+}
+
+/// Last order of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderRecord {
+    /// Name of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Who gave it; the revision is the number of the order.
+    pub by: Author,
+    /// The order.
+    pub order: Order,
+    /// Outcome; `None` while it is carried out.
+    pub outcome: Option<OrderOutcome>,
+}
+
+/// Last order of every endpoint.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Orders {
+    last: SortedMap<Arc<str>, OrderRecord>,
+}
+
+impl Orders {
+    /// Gives an endpoint an order, unless it still carries out the previous one.
+    pub fn give(
+        &mut self,
+        fleet: &Fleet,
+        endpoint: &Arc<str>,
+        order: &Order,
+        by: &Author,
+    ) -> Reply {
+        let mut problems = Vec::new();
+        let mut check = fields::Check::new(endpoint, &mut problems);
+        check.model("model", &order.model);
+        let range = format!("1 to {LIMIT} ms");
+        check.that((1..=LIMIT).contains(&order.limit), "limit", order.limit, &range);
+        match fleet.endpoint(endpoint) {
+            None => problems.push(fleet.unknown(endpoint)),
+            Some((_, e)) if e.kind != EndpointKind::Engine => {
+                problems.push(Problem::NotEngine { endpoint: endpoint.clone() });
+            }
+            Some(_) => {}
+        }
+        if let Some(OrderRecord { by, outcome: None, .. }) = self.last.get(endpoint) {
+            problems.push(Problem::OrderPending { endpoint: endpoint.clone(), by: by.clone() });
+        }
+        if !problems.is_empty() {
+            return Reply::Refused { problems };
+        }
+        let record = OrderRecord {
+            endpoint: endpoint.clone(),
+            by: by.clone(),
+            order: order.clone(),
+            outcome: None,
+        };
+        self.last.insert(endpoint.clone(), record);
+        Reply::Accepted { revision: by.revision, undoes: None }
+    }
+
+    /// Records the outcome of an order.
+    pub fn done(&mut self, index: u64, number: u64, outcome: OrderOutcome) -> Reply {
+        let record = self.last.iter_mut().map(|(_, r)| r).find(|r| r.by.revision == number);
+        let Some(record) = record else {
+            return Reply::refused(Problem::OldOrder { number });
+        };
+        match &record.outcome {
+            None | Some(OrderOutcome::Lost) => {
+                record.outcome = Some(outcome);
+                Reply::Accepted { revision: index, undoes: None }
+            }
+            Some(known) if *known == outcome => {
+                Reply::Unchanged { revision: number, note: Note::Reported }
+            }
+            Some(known) => {
+                Reply::refused(Problem::OrderFinished { number, outcome: known.clone() })
+            }
+        }
+    }
+
+    /// Marks the orders of endpoints that are no longer registered as lost, so that they do not
+    /// block later ones, and forgets the oldest of too many.
+    pub fn lose_absent(&mut self, fleet: &Fleet) {
+        let mut absent = Vec::new();
+        for (endpoint, record) in self.last.iter_mut() {
+            if fleet.endpoint(endpoint).is_some() {
+                continue;
+            }
+            record.outcome.get_or_insert(OrderOutcome::Lost);
+            absent.push((record.by.revision, endpoint.clone()));
+        }
+        absent.sort_unstable();
+        let surplus = absent.len().saturating_sub(ABSENT);
+        for (_, endpoint) in absent.into_iter().take(surplus) {
+            self.last.remove(&endpoint);
+        }
+    }
+
+    /// Last order of an endpoint.
+    pub fn get(&self, endpoint: &str) -> Option<&OrderRecord> {
+        self.last.get(endpoint)
+    }
+
+    /// Last orders in order of endpoint.
+    pub fn iter(&self) -> impl Iterator<Item = &OrderRecord> {
+        self.last.values()
+    }
+}
