--- a/src/link.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Connections between processes: quinn with mutual TLS, heartbeats and reconnection.
--- /dev/null
+++ b/src/link/dialer.rs
@@ -0,0 +1,290 @@
+//! Dialling end of a link.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::link;
+use crate::tls;
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use rand::Rng as _;
+use std::net::Ipv4Addr;
+use std::net::Ipv6Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use tokio::sync::Mutex;
+use tokio::time;
+
+/// Keeps one connection to one peer. Clones share the connection; dropping the last one closes
+/// it and ends its streams.
+#[derive(Clone)]
+pub struct Dialer {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    name: Arc<str>,
+    addr: SocketAddr,
+    client: quinn::ClientConfig,
+    settings: link::Settings,
+    log: slog::Logger,
+    current: ArcSwapOption<Current>,
+    generation: AtomicU64,
+    // Held while dialling, so that concurrent calls share one dial.
+    dialling: Mutex<Failures>,
+}
+
+struct Current {
+    connection: quinn::Connection,
+    generation: u64,
+}
+
+impl Drop for Current {
+    fn drop(&mut self) {
+        self.connection.close(link::CLOSED.into(), b"closed");
+    }
+}
+
+/// Failed dials since the last success.
+#[derive(Default)]
+struct Failures {
+    count: u32,
+    // No dial before this time; the error answers the calls until then.
+    pause: Option<(time::Instant, errors::Error)>,
+}
+
+impl Dialer {
+    /// Creates a dialler for the process `name` at `addr`. Does not connect yet.
+    pub fn new(
+        identity: &tls::Identity,
+        name: impl Into<Arc<str>>,
+        addr: SocketAddr,
+        settings: link::Settings,
+        log: &slog::Logger,
+    ) -> Dialer {
+        let name = name.into();
+        let mut client = quinn::ClientConfig::new(identity.client());
+        client.transport_config(Arc::new(settings.transport()));
+        let log = log.new(slog::o!("peer" => name.to_string(), "address" => addr.to_string()));
+        Dialer {
+            inner: Arc::new(Inner {
+                name,
+                addr,
+                client,
+                settings,
+                log,
+                current: ArcSwapOption::empty(),
+                generation: AtomicU64::new(0),
+                dialling: Mutex::default(),
+            }),
+        }
+    }
+
+    /// Name of the peer.
+    pub fn name(&self) -> &Arc<str> {
+        &self.inner.name
+    }
+
+    /// Address of the peer.
+    pub fn addr(&self) -> SocketAddr {
+        self.inner.addr
+    }
+
+    /// Number of the current connection, or of the last one; 0 before the first connection.
+    pub fn generation(&self) -> u64 {
+        self.inner.generation.load(Ordering::Acquire)
+    }
+
+    /// Opens a bidirectional stream on the current connection, dialling if there is none.
+    ///
+    /// Takes no lock of its own while the connection is healthy. The peer learns of the stream
+    /// with its first frame.
+    ///
+    /// # Errors
+    /// `Timeout` if the dial or the peer's stream limit takes too long, `Refused` if the peer
+    /// rejects this process or is closing, `Lost` otherwise. During the pause after a failed dial
+    /// the error of that dial is returned at once, so that callers can turn to another peer.
+    pub async fn open(&self) -> Result<link::Stream, errors::Error> {
+        let (stream, _) = self.open_numbered().await?;
+        Ok(stream)
+    }
+
+    /// Like [`Dialer::open`], also returns the number of the connection that carries the stream.
+    pub async fn open_numbered(&self) -> Result<(link::Stream, u64), errors::Error> {
+        let mut current = self.current().await?;
+        loop {
+            let opened = self.limited(current.connection.open_bi()).await?;
+            match opened {
+                Ok((send, receive)) => {
+                    let sender = link::Sender::new(send, self.inner.name.clone(), None);
+                    let receiver = link::Receiver::new(receive, self.inner.name.clone(), None);
+                    return Ok((link::Stream::new(sender, receiver), current.generation));
+                }
+                Err(_) => current = self.replace(current.generation).await?,
+            }
+        }
+    }
+
+    /// Opens a unidirectional stream. Otherwise like [`Dialer::open`].
+    pub async fn open_uni(&self) -> Result<link::Sender, errors::Error> {
+        let mut current = self.current().await?;
+        loop {
+            match self.limited(current.connection.open_uni()).await? {
+                Ok(send) => return Ok(link::Sender::new(send, self.inner.name.clone(), None)),
+                Err(_) => current = self.replace(current.generation).await?,
+            }
+        }
+    }
+
+    /// Drops the connection with this number, for example because requests on it go unanswered.
+    /// Its streams end with an error. Does nothing if a newer connection has replaced it.
+    pub fn reset(&self, generation: u64) {
+        let current = self.inner.current.load_full();
+        if let Some(current) = current.filter(|c| c.generation == generation) {
+            current.connection.close(link::CLOSED.into(), b"reset");
+        }
+    }
+
+    /// Payload bytes that the current connection has sent and received in UDP datagrams.
+    pub fn traffic(&self) -> (u64, u64) {
+        let current = self.inner.current.load();
+        current.as_ref().map_or((0, 0), |c| {
+            let stats = c.connection.stats();
+            (stats.udp_tx.bytes, stats.udp_rx.bytes)
+        })
+    }
+
+    async fn limited<T>(&self, opening: impl Future<Output = T>) -> Result<T, errors::Error> {
+        let limit = self.inner.settings.open;
+        time::timeout(limit, opening).await.map_err(|_| self.timeout("open stream", limit))
+    }
+
+    async fn current(&self) -> Result<Arc<Current>, errors::Error> {
+        match self.inner.current.load_full() {
+            Some(current) => Ok(current),
+            None => self.replace(0).await,
+        }
+    }
+
+    /// Returns a connection with a higher number than `old`, dialling if there is none yet.
+    async fn replace(&self, old: u64) -> Result<Arc<Current>, errors::Error> {
+        let mut failures = self.inner.dialling.lock().await;
+        if let Some(current) = self.inner.current.load_full().filter(|c| c.generation > old) {
+            return Ok(current);
+        }
+        if let Some((until, error)) = &failures.pause
+            && time::Instant::now() < *until
+        {
+            return Err(error.clone());
+        }
+        match self.dial().await {
+            Ok(connection) => {
+                *failures = Failures::default();
+                Ok(self.install(connection))
+            }
+            Err(error) => {
+                let delay = self.inner.delay(failures.count);
+                failures.count = failures.count.saturating_add(1);
+                failures.pause = Some((time::Instant::now() + delay, error.clone()));
+                event!(self.inner.log, events::DIAL_FAILED;
+                    "error" => %error, "pause_ms" => delay.as_millis() as u64);
+                Err(error)
+            }
+        }
+    }
+
+    /// Dials from a new socket: a reused source port would hit the same lost flow entry of a
+    /// device on the path.
+    async fn dial(&self) -> Result<quinn::Connection, errors::Error> {
+        let inner = &self.inner;
+        let local: SocketAddr = if inner.addr.is_ipv4() {
+            (Ipv4Addr::UNSPECIFIED, 0).into()
+        } else {
+            (Ipv6Addr::UNSPECIFIED, 0).into()
+        };
+        let endpoint = quinn::Endpoint::client(local)
+            .map_err(|e| errors::Error::io("bind socket", local.to_string(), e))?;
+        let connecting = endpoint
+            .connect_with(inner.client.clone(), inner.addr, &inner.name)
+            .map_err(|e| errors::Error::invalid("dial", &*inner.name, e))?;
+        let confirmed = async {
+            let connection = connecting.await?;
+            // In TLS 1.3 the dialling end finishes before its own certificate is verified; the
+            // first stream of the peer confirms that it was accepted.
+            connection.accept_uni().await?;
+            Ok(connection)
+        };
+        time::timeout(inner.settings.dial, confirmed)
+            .await
+            .map_err(|_| self.timeout("dial", inner.settings.dial))?
+            .map_err(|e| link::connection_error("dial", &inner.name, &e))
+    }
+
+    fn install(&self, connection: quinn::Connection) -> Arc<Current> {
+        let inner = &self.inner;
+        let generation = inner.generation.load(Ordering::Acquire) + 1;
+        let current = Arc::new(Current { connection, generation });
+        inner.generation.store(generation, Ordering::Release);
+        inner.current.store(Some(current.clone()));
+        event!(inner.log, events::LINK_UP; "generation" => generation);
+        tokio::spawn(watch(
+            current.connection.clone(),
+            generation,
+            inner.settings.clone(),
+            inner.log.clone(),
+        ));
+        current
+    }
+
+    fn timeout(&self, step: &'static str, limit: time::Duration) -> errors::Error {
+        let millis = limit.as_millis() as u64;
+        errors::Error::new(step, self.inner.name.clone(), errors::Cause::Timeout(millis))
+    }
+}
+
+impl Inner {
+    /// Delay after a failed dial: doubles with each failure up to a bound, of which a random half
+    /// is taken off so that many diallers do not return at the same moment.
+    fn delay(&self, failures: u32) -> time::Duration {
+        let factor = 1u32.checked_shl(failures).unwrap_or(u32::MAX);
+        let full = self.settings.backoff.saturating_mul(factor).min(self.settings.backoff_max);
+        full.mul_f64(rand::rng().random_range(0.5..=1.0))
+    }
+}
+
+/// Sends heartbeats and closes the connection once the peer stops acknowledging them.
+///
+/// Acknowledgements are what counts: quinn's own idle timeout is also reset by data of a peer
+/// that no longer receives anything from here.
+async fn watch(
+    connection: quinn::Connection,
+    generation: u64,
+    settings: link::Settings,
+    log: slog::Logger,
+) {
+    // Checking twice per heartbeat bounds the detection by the silence plus half a heartbeat.
+    let mut ticks = time::interval(settings.heartbeat / 2);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut acknowledged = (0, time::Instant::now());
+    for tick in 0u64.. {
+        tokio::select! {
+            reason = connection.closed() => {
+                event!(log, events::LINK_LOST; "generation" => generation, "error" => %reason);
+                return;
+            }
+            _ = ticks.tick() => {}
+        }
+        let count = connection.stats().frame_rx.acks;
+        if count != acknowledged.0 {
+            acknowledged = (count, time::Instant::now());
+        } else if acknowledged.1.elapsed() >= settings.silence {
+            connection.close(link::SILENT.into(), b"silent");
+        }
+        if tick.is_multiple_of(2) {
+            // Fails only if the connection is closed, which the next round reports.
+            let _ = connection.send_datagram(Bytes::from_static(&[0]));
+        }
+    }
+}
--- /dev/null
+++ b/src/link/listener.rs
@@ -0,0 +1,267 @@
+//! Accepting end of a link.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::link;
+use crate::link::stream;
+use crate::tls;
+use rustls::pki_types::CertificateDer;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Mutex;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time;
+
+/// Handshakes that may run at once; further dials are refused.
+const HANDSHAKES: usize = 256;
+/// Accepted connections that wait for [`Listener::accept`].
+const BACKLOG: usize = 64;
+
+/// Accepts connections. Dropping it closes them; [`Listener::close`] lets their streams finish.
+pub struct Listener {
+    endpoint: quinn::Endpoint,
+    addr: SocketAddr,
+    peers: Mutex<mpsc::Receiver<Peer>>,
+    // Each stream in use holds a receiver; the value is true once the listener is closing.
+    closing: watch::Sender<bool>,
+    streams: watch::Sender<()>,
+}
+
+/// Accepted connection of an authenticated process. Clones share the connection.
+#[derive(Clone)]
+pub struct Peer {
+    connection: quinn::Connection,
+    name: Arc<str>,
+    closing: watch::Receiver<bool>,
+    streams: watch::Sender<()>,
+    log: slog::Logger,
+}
+
+/// Stream that a peer has opened.
+pub enum Incoming {
+    /// Bidirectional stream.
+    Stream(link::Stream),
+    /// Unidirectional stream.
+    Receiver(link::Receiver),
+}
+
+impl Listener {
+    /// Listens on the UDP address `addr`. Port 0 selects a free port.
+    pub fn bind(
+        addr: SocketAddr,
+        identity: &tls::Identity,
+        settings: link::Settings,
+        log: &slog::Logger,
+    ) -> Result<Listener, errors::Error> {
+        let failed = |e: std::io::Error| errors::Error::io("listen", addr.to_string(), e);
+        let mut config = quinn::ServerConfig::with_crypto(identity.server());
+        config.transport_config(Arc::new(settings.transport()));
+        let endpoint = quinn::Endpoint::server(config, addr).map_err(failed)?;
+        let addr = endpoint.local_addr().map_err(failed)?;
+        let (sender, peers) = mpsc::channel(BACKLOG);
+        let (closing, _) = watch::channel(false);
+        let (streams, _) = watch::channel(());
+        event!(log, events::LISTENING; "address" => %addr, "protocol" => "link");
+        let acceptor = Acceptor {
+            endpoint: endpoint.clone(),
+            limit: settings.dial,
+            closing: closing.subscribe(),
+            streams: streams.clone(),
+            log: log.clone(),
+        };
+        tokio::spawn(acceptor.run(sender));
+        Ok(Listener { endpoint, addr, peers: Mutex::new(peers), closing, streams })
+    }
+
+    /// Address that the listener is bound to.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Waits for the next authenticated connection; `None` once the listener is closing.
+    pub async fn accept(&self) -> Option<Peer> {
+        let mut closing = self.closing.subscribe();
+        let mut peers = self.peers.lock().await;
+        tokio::select! {
+            biased;
+            _ = closing.wait_for(|closing| *closing) => None,
+            peer = peers.recv() => peer,
+        }
+    }
+
+    /// Stops accepting connections and streams, waits until the streams in use have finished and
+    /// been received, but at most `limit`, then closes every connection.
+    ///
+    /// Returns whether every stream has finished. Streams that a peer opens meanwhile are refused
+    /// as not processed.
+    pub async fn close(&self, limit: Duration) -> bool {
+        self.closing.send_replace(true);
+        let finished = time::timeout(limit, self.streams.closed()).await.is_ok();
+        self.endpoint.close(link::CLOSED.into(), b"closed");
+        // Sends the close frames; the peers need not confirm them.
+        let _ = time::timeout(CLOSE_GRACE, self.endpoint.wait_idle()).await;
+        finished
+    }
+}
+
+/// Time for the close frames to be sent.
+const CLOSE_GRACE: Duration = Duration::from_millis(500);
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.endpoint.close(link::CLOSED.into(), b"closed");
+    }
+}
+
+struct Acceptor {
+    endpoint: quinn::Endpoint,
+    limit: Duration,
+    closing: watch::Receiver<bool>,
+    streams: watch::Sender<()>,
+    log: slog::Logger,
+}
+
+impl Acceptor {
+    async fn run(self, peers: mpsc::Sender<Peer>) {
+        let handshakes = Arc::new(Semaphore::new(HANDSHAKES));
+        while let Some(incoming) = self.endpoint.accept().await {
+            let permit = handshakes.clone().try_acquire_owned();
+            let (Ok(permit), false) = (permit, *self.closing.borrow()) else {
+                incoming.refuse();
+                continue;
+            };
+            let (peers, handshake) = (peers.clone(), self.handshake(incoming));
+            tokio::spawn(async move {
+                let peer = handshake.await;
+                drop(permit);
+                if let Some(peer) = peer {
+                    // Fails only if the listener is gone, which closes the connection as well.
+                    let _ = peers.send(peer).await;
+                }
+            });
+        }
+    }
+
+    fn handshake(&self, incoming: quinn::Incoming) -> impl Future<Output = Option<Peer>> + 'static {
+        let addr = incoming.remote_address();
+        let log = self.log.new(slog::o!("address" => addr.to_string()));
+        let (limit, closing, streams) = (self.limit, self.closing.clone(), self.streams.clone());
+        async move {
+            let accepted = match incoming.accept() {
+                Ok(connecting) => time::timeout(limit, connecting).await,
+                Err(error) => Ok(Err(error)),
+            };
+            let named = match accepted {
+                Ok(Ok(connection)) => welcome(&connection).await.map(|name| (connection, name)),
+                Ok(Err(error)) => Err(error.to_string()),
+                Err(_) => Err("handshake timed out".to_string()),
+            };
+            match named {
+                Ok((connection, name)) => {
+                    let log = log.new(slog::o!("peer" => name.to_string()));
+                    event!(log, events::LINK_UP);
+                    tokio::spawn(refuse_when_closing(connection.clone(), closing.clone()));
+                    Some(Peer { connection, name, closing, streams, log })
+                }
+                Err(error) => {
+                    event!(log, events::PEER_REJECTED; "error" => error);
+                    None
+                }
+            }
+        }
+    }
+}
+
+/// Refuses the streams that arrive after the listener began to close.
+async fn refuse_when_closing(connection: quinn::Connection, mut closing: watch::Receiver<bool>) {
+    tokio::select! {
+        _ = connection.closed() => return,
+        _ = closing.wait_for(|closing| *closing) => {}
+    }
+    loop {
+        tokio::select! {
+            stream = connection.accept_bi() => {
+                let Ok((mut send, mut receive)) = stream else { return };
+                // Both fail only if the peer has already given up the stream.
+                let _ = send.reset(link::REFUSED.into());
+                let _ = receive.stop(link::REFUSED.into());
+            }
+            stream = connection.accept_uni() => {
+                let Ok(mut receive) = stream else { return };
+                let _ = receive.stop(link::REFUSED.into());
+            }
+        }
+    }
+}
+
+/// Reads the name of an accepted peer and confirms to it that it was accepted.
+async fn welcome(connection: &quinn::Connection) -> Result<Arc<str>, String> {
+    let name = peer_name(connection)?;
+    let mut confirmation = connection.open_uni().await.map_err(|e| e.to_string())?;
+    confirmation.write_all(&[0]).await.map_err(|e| e.to_string())?;
+    confirmation.finish().map_err(|e| e.to_string())?;
+    Ok(name)
+}
+
+fn peer_name(connection: &quinn::Connection) -> Result<Arc<str>, String> {
+    let identity = connection.peer_identity().ok_or("no certificate")?;
+    let chain =
+        identity.downcast::<Vec<CertificateDer<'static>>>().map_err(|_| "unknown certificate")?;
+    let leaf = chain.first().ok_or("no certificate")?;
+    tls::facts(leaf).map(|facts| facts.name).map_err(|e| e.to_string())
+}
+
+impl Peer {
+    /// Name of the process from its certificate.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Address of the process.
+    pub fn addr(&self) -> SocketAddr {
+        self.connection.remote_address()
+    }
+
+    /// Waits for the next stream; `None` once the connection has ended or the listener is
+    /// closing. Streams that were accepted before can still be used to their end.
+    pub async fn accept(&self) -> Option<Incoming> {
+        let mut closing = self.closing.clone();
+        // Taken before the stream is accepted, so that a close that begins at the same moment
+        // waits for the stream.
+        let guard: stream::Guard = Some(Arc::new(self.streams.subscribe()));
+        let accepted = tokio::select! {
+            biased;
+            _ = closing.wait_for(|closing| *closing) => return None,
+            stream = self.connection.accept_bi() => stream.map(|(send, receive)| {
+                let sender = link::Sender::new(send, self.name.clone(), guard.clone());
+                let receiver = link::Receiver::new(receive, self.name.clone(), guard);
+                Incoming::Stream(link::Stream::new(sender, receiver))
+            }),
+            stream = self.connection.accept_uni() => stream.map(|receive| {
+                Incoming::Receiver(link::Receiver::new(receive, self.name.clone(), guard))
+            }),
+        };
+        match accepted {
+            Ok(incoming) => Some(incoming),
+            Err(reason) => {
+                event!(self.log, events::LINK_LOST; "error" => %reason);
+                None
+            }
+        }
+    }
+
+    /// Waits until the connection has ended.
+    pub async fn closed(&self) {
+        // The reason is logged where the streams are accepted.
+        let _ = self.connection.closed().await;
+    }
+
+    /// Closes the connection at once; its streams end with an error at both ends.
+    pub fn close(&self) {
+        self.connection.close(link::CLOSED.into(), b"closed");
+    }
+}
--- /dev/null
+++ b/src/link/mod.rs
@@ -0,0 +1,126 @@
+//! Connections between processes: quinn with mutual TLS, heartbeats and reconnection.
+//!
+//! A [`Dialer`] keeps one connection to one peer and opens streams on it. A [`Listener`] accepts
+//! connections as [`Peer`]s, named by their certificates. Frames are values encoded with postcard,
+//! each preceded by its length as a big-endian `u32`, at most [`crate::wire::MAX_FRAME`] bytes.
+
+mod dialer;
+mod listener;
+mod stream;
+
+pub use dialer::Dialer;
+pub use listener::Incoming;
+pub use listener::Listener;
+pub use listener::Peer;
+pub use stream::Receiver;
+pub use stream::Sender;
+pub use stream::Stream;
+
+use crate::errors;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Code with which a cancelled stream is reset.
+const CANCELLED: u32 = 1;
+/// Code with which a stream is reset that was never handed to the application.
+const REFUSED: u32 = 2;
+/// Code with which a connection is closed in an orderly way.
+const CLOSED: u32 = 3;
+/// Code with which a connection is closed that the dialling end considers silent.
+const SILENT: u32 = 4;
+
+/// Time limits and sizes of links. The defaults fit hosts about 1 ms apart.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Interval between heartbeats of the dialling end.
+    pub heartbeat: Duration,
+    /// Silence after which a connection is closed.
+    pub silence: Duration,
+    /// Longest time that establishing a connection may take.
+    pub dial: Duration,
+    /// Longest time that [`Dialer::open`] waits for the peer to allow one more stream.
+    pub open: Duration,
+    /// Delay after the first failed dial; doubled by each further failure.
+    pub backoff: Duration,
+    /// Largest delay between failed dials.
+    pub backoff_max: Duration,
+    /// Bidirectional streams that one peer may have open at once.
+    pub streams: u32,
+    /// Unidirectional streams that one peer may have open at once.
+    pub uni_streams: u32,
+    /// Bytes that one stream may buffer before its reader takes them.
+    pub window: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            heartbeat: Duration::from_millis(500),
+            silence: Duration::from_millis(1500),
+            dial: Duration::from_secs(1),
+            open: Duration::from_secs(1),
+            backoff: Duration::from_millis(50),
+            backoff_max: Duration::from_secs(1),
+            streams: 1024,
+            uni_streams: 64,
+            window: 256 << 10,
+        }
+    }
+}
+
+impl Settings {
+    fn transport(&self) -> quinn::TransportConfig {
+        let mut config = quinn::TransportConfig::default();
+        // A limit that does not fit the encoding is far above any sensible setting.
+        let idle = quinn::IdleTimeout::try_from(self.silence).ok();
+        config
+            .max_idle_timeout(idle)
+            .max_concurrent_bidi_streams(self.streams.into())
+            .max_concurrent_uni_streams(self.uni_streams.into())
+            .stream_receive_window(self.window.into())
+            // quinn's default of 333 ms makes one lost handshake packet cost the whole dial
+            // timeout.
+            .initial_rtt(Duration::from_millis(50))
+            // Heartbeats are datagrams that nobody reads; quinn drops the oldest ones.
+            .datagram_receive_buffer_size(Some(HEARTBEAT_BUFFER));
+        config
+    }
+}
+
+/// Bytes of unread heartbeats that an end keeps. Also the limit for one datagram.
+const HEARTBEAT_BUFFER: usize = 64;
+
+/// Transport error codes that carry a TLS alert, for example a rejected certificate; RFC 9001
+/// section 4.8.
+const TLS_ALERTS: std::ops::Range<u64> = 0x100..0x200;
+
+/// Turns the end of a connection into an error of `step` with `peer`.
+fn connection_error(
+    step: &'static str,
+    peer: &Arc<str>,
+    error: &quinn::ConnectionError,
+) -> errors::Error {
+    let cause = match error {
+        quinn::ConnectionError::ApplicationClosed(close)
+            if close.error_code == CLOSED.into() || close.error_code == REFUSED.into() =>
+        {
+            errors::Cause::Refused("the peer is closing".into())
+        }
+        quinn::ConnectionError::ConnectionClosed(close)
+            if close.error_code == quinn::TransportErrorCode::CONNECTION_REFUSED =>
+        {
+            errors::Cause::Refused("the peer accepts no connections".into())
+        }
+        quinn::ConnectionError::ConnectionClosed(close)
+            if TLS_ALERTS.contains(&u64::from(close.error_code)) =>
+        {
+            errors::Cause::Refused(close.to_string().into())
+        }
+        quinn::ConnectionError::TransportError(e) => errors::Cause::Refused(e.to_string().into()),
+        quinn::ConnectionError::LocallyClosed => {
+            errors::Cause::Lost("the connection was silent or reset".into())
+        }
+        other => errors::Cause::Lost(other.to_string().into()),
+    };
+    errors::Error::new(step, peer.clone(), cause)
+}
