Add templates with typed parameters and ranges

Operators are often seasonal staff who sometimes get a setting wrong, so a document is made from a template that knows type, range, unit and default of every parameter. All problems of all documents are reported at once with the permitted values and the nearest known name; stopping at the first one was ruled out because each correction would cost another round. Durations are given in the unit that the template names and are stored in milliseconds. The document records the parameters as they were given, without defaults, so a later reader sees what the operator chose.

--- /dev/null
+++ b/src/template/fill.rs
@@ -0,0 +1,307 @@
+//! Documents from templates and parameters.
+
+use crate::catalog;
+use crate::catalog::documents;
+use crate::catalog::fields;
+use crate::catalog::similar;
+use crate::template;
+use crate::template::Cause;
+use crate::template::Field;
+use crate::template::Given;
+use crate::template::Parameters;
+use crate::template::Problem;
+use crate::template::Template;
+use crate::template::Type;
+use documents::Body;
+use documents::Kind;
+use std::sync::Arc;
+
+/// Accepted value of a parameter.
+enum Value {
+    Text(Arc<str>),
+    Number(u32),
+    /// Milliseconds.
+    Time(u64),
+    List(Vec<Arc<str>>),
+}
+
+/// Makes a document from a template, or reports every problem of the parameters.
+pub fn fill(
+    template: &Template,
+    parameters: &Parameters,
+) -> Result<catalog::Document, Vec<Problem>> {
+    let mut problems = unknown(template, parameters);
+    let mut values = Vec::new();
+    for field in &template.fields {
+        match resolve(template, field, parameters) {
+            Ok(value) => values.push((&*field.name, value)),
+            Err(problem) => problems.push(problem),
+        }
+    }
+    if problems.is_empty() {
+        let body = Values(values).body(template.kind);
+        return Ok(catalog::Document {
+            template: template.name.clone(),
+            parameters: recorded(parameters),
+            body,
+        });
+    }
+    let document = parameters.find("name").map(|name| name.to_string().into());
+    for problem in &mut problems {
+        problem.document = document.clone();
+    }
+    Err(problems)
+}
+
+/// Problems with the names of the parameters.
+fn unknown(template: &Template, parameters: &Parameters) -> Vec<Problem> {
+    let names = || template.fields.iter().map(|f| &*f.name);
+    let mut problems = Vec::new();
+    for (at, (name, value)) in parameters.given.iter().enumerate() {
+        let value = Some(value.to_string().into());
+        if !names().any(|n| *n == **name) {
+            let nearest = similar::names(name, names()).into_iter().next();
+            let permitted = names().collect::<Vec<_>>().join(", ").into();
+            let problem = Problem::new(template, name, Cause::Unknown { nearest });
+            problems.push(Problem { value, permitted, ..problem });
+        } else if parameters.given[..at].iter().any(|(n, _)| n == name) {
+            let problem = Problem::new(template, name, Cause::Twice);
+            problems.push(Problem { value, permitted: "one value".into(), ..problem });
+        }
+    }
+    problems
+}
+
+fn resolve(template: &Template, field: &Field, parameters: &Parameters) -> Result<Value, Problem> {
+    let given = parameters.find(&field.name).or(field.default.as_ref());
+    let result = match given {
+        Some(given) => accept(field, given),
+        None => Err(Cause::Missing),
+    };
+    result.map_err(|cause| Problem {
+        value: given.map(|g| g.to_string().into()),
+        permitted: field.permitted().into(),
+        ..Problem::new(template, &field.name, cause)
+    })
+}
+
+fn accept(field: &Field, given: &Given) -> Result<Value, Cause> {
+    if field.kind.is_list() {
+        return accept_list(field, given);
+    }
+    let text: Arc<str> = match given {
+        Given::Text(text) => text.clone(),
+        Given::Integer(number) => number.to_string().into(),
+        Given::List(_) | Given::Other(_) => return Err(Cause::WrongType),
+    };
+    let valid = match &field.kind {
+        Type::Integer { min, max } => return number(&text, *min, *max).map(Value::Number),
+        Type::Duration { min, max } => {
+            let number = number(&text, *min, *max)?;
+            return Ok(Value::Time(u64::from(number) * milliseconds(&field.unit)));
+        }
+        Type::Name => fields::is_name(&text),
+        Type::Model => fields::is_model(&text),
+        Type::Text { max } => text.len() <= *max,
+        Type::Choice { choices } => choices.contains(&text),
+        Type::Hashes { .. } | Type::Paths { .. } => false,
+    };
+    if valid { Ok(Value::Text(text)) } else { Err(Cause::OutOfRange) }
+}
+
+/// Reads a whole number. A number that no type can hold is out of range, not of a wrong type.
+fn number(text: &str, min: u32, max: u32) -> Result<u32, Cause> {
+    let digits = text.strip_prefix('-').unwrap_or(text);
+    if digits.is_empty() || !digits.chars().all(|c| c.is_ascii_digit()) {
+        return Err(Cause::WrongType);
+    }
+    let number: u32 = text.parse().map_err(|_| Cause::OutOfRange)?;
+    if (min..=max).contains(&number) { Ok(number) } else { Err(Cause::OutOfRange) }
+}
+
+/// Milliseconds of a unit of time.
+fn milliseconds(unit: &str) -> u64 {
+    match unit {
+        "min" => 60_000,
+        "s" => 1_000,
+        _ => 1,
+    }
+}
+
+fn accept_list(field: &Field, given: &Given) -> Result<Value, Cause> {
+    let items: Vec<Arc<str>> = match given {
+        Given::List(items) => items.clone(),
+        Given::Text(text) if text.is_empty() => Vec::new(),
+        Given::Text(text) => text.split(',').map(|i| i.trim().into()).collect(),
+        Given::Integer(_) | Given::Other(_) => return Err(Cause::WrongType),
+    };
+    let distinct = items.iter().enumerate().all(|(at, item)| !items[..at].contains(item));
+    let valid = match &field.kind {
+        Type::Hashes { max } => {
+            (1..=*max).contains(&items.len()) && items.iter().all(|i| fields::is_hash(i))
+        }
+        Type::Paths { max } => items.len() <= *max && items.iter().all(|i| i.starts_with('/')),
+        _ => false,
+    };
+    if valid && distinct { Ok(Value::List(items)) } else { Err(Cause::OutOfRange) }
+}
+
+fn recorded(parameters: &Parameters) -> Vec<catalog::Parameter> {
+    let mut recorded: Vec<catalog::Parameter> = parameters
+        .given
+        .iter()
+        .map(|(name, value)| catalog::Parameter {
+            name: name.clone(),
+            value: value.to_string().into(),
+        })
+        .collect();
+    recorded.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    recorded
+}
+
+/// Accepted values by parameter.
+struct Values<'a>(Vec<(&'a str, Value)>);
+
+impl Values<'_> {
+    fn body(&self, kind: Kind) -> Body {
+        match kind {
+            Kind::Workspace => Body::Workspace(documents::Workspace {
+                name: self.text("name"),
+                keys: self.list("keys"),
+                rate: self.number("rate"),
+                concurrency: self.number("concurrency"),
+                share: self.number("share"),
+            }),
+            Kind::Assistant => Body::Assistant(documents::Assistant {
+                name: self.text("name"),
+                workspace: self.text("workspace"),
+                model: self.text("model"),
+                prompt: self.text("prompt"),
+                tokens: self.number("tokens"),
+                deadline: self.time("deadline"),
+            }),
+            Kind::BatchPlan => Body::BatchPlan(documents::BatchPlan {
+                name: self.text("name"),
+                workspace: self.text("workspace"),
+                model: self.text("model"),
+                due: self.time("due"),
+                tokens: self.number("tokens"),
+            }),
+            Kind::Policy => Body::Policy(documents::Policy {
+                name: self.text("name"),
+                trade: match &*self.text("trade") {
+                    "throughput" => documents::Trade::Throughput,
+                    _ => documents::Trade::Tail,
+                },
+                floor: self.number("floor"),
+                target: self.time("target"),
+            }),
+            Kind::Service => Body::Service(documents::Service {
+                name: self.text("name"),
+                paths: self.list("paths"),
+            }),
+        }
+    }
+
+    /// Returns the value of a parameter that every template of the kind has.
+    fn get(&self, name: &str) -> &Value {
+        let found = self.0.iter().find(|(n, _)| *n == name);
+        &found.expect("the template has every parameter of its kind").1
+    }
+
+    fn text(&self, name: &str) -> Arc<str> {
+        match self.get(name) {
+            Value::Text(text) => text.clone(),
+            _ => unreachable!("{name} is a text in every template"),
+        }
+    }
+
+    fn number(&self, name: &str) -> u32 {
+        match self.get(name) {
+            Value::Number(number) => *number,
+            _ => unreachable!("{name} is a number in every template"),
+        }
+    }
+
+    fn time(&self, name: &str) -> u64 {
+        match self.get(name) {
+            Value::Time(time) => *time,
+            _ => unreachable!("{name} is a duration in every template"),
+        }
+    }
+
+    fn list(&self, name: &str) -> Vec<Arc<str>> {
+        match self.get(name) {
+            Value::List(items) => items.clone(),
+            _ => unreachable!("{name} is a list in every template"),
+        }
+    }
+}
+
+/// Makes the documents of a TOML file, or reports every problem of all of them.
+///
+/// Documents are in order of template name, then of the file. Tables have the name of the
+/// template, either once (`[policy]`) or repeated (`[[workspace]]`).
+pub fn read(text: &str) -> Result<Vec<catalog::Document>, Vec<Problem>> {
+    let file: toml::Table = match text.parse() {
+        Ok(file) => file,
+        Err(error) => {
+            return Err(vec![file_problem("syntax", Cause::Syntax(syntax(text, &error)))]);
+        }
+    };
+    let mut documents = Vec::new();
+    let mut problems = Vec::new();
+    for (name, value) in file {
+        let Some(template) = template::get(&name) else {
+            let nearest = similar::names(&name, template::all().iter().map(|t| &*t.name));
+            let nearest = nearest.into_iter().next();
+            problems.push(file_problem(&name, Cause::NoTemplate { nearest }));
+            continue;
+        };
+        let tables = match value {
+            toml::Value::Array(tables) => tables,
+            single => vec![single],
+        };
+        for table in tables {
+            match fill_table(template, table) {
+                Ok(document) => documents.push(document),
+                Err(found) => problems.extend(found),
+            }
+        }
+    }
+    if problems.is_empty() { Ok(documents) } else { Err(problems) }
+}
+
+fn fill_table(template: &Template, value: toml::Value) -> Result<catalog::Document, Vec<Problem>> {
+    match value {
+        toml::Value::Table(table) => {
+            let given = table.into_iter().map(|(name, value)| (name.into(), value.into()));
+            fill(template, &given.collect())
+        }
+        other => Err(vec![Problem {
+            value: Some(other.to_string().into()),
+            permitted: "a table of parameters".into(),
+            ..Problem::new(template, &template.name, Cause::WrongType)
+        }]),
+    }
+}
+
+/// Problem that concerns a file as a whole.
+fn file_problem(field: &str, cause: Cause) -> Problem {
+    let names: Vec<&str> = template::all().iter().map(|t| &*t.name).collect();
+    Problem {
+        template: "file".into(),
+        document: None,
+        field: field.into(),
+        value: None,
+        permitted: format!("tables named {}", names.join(", ")).into(),
+        cause,
+    }
+}
+
+/// Message with the line number, without the excerpt of the file that TOML errors have.
+fn syntax(text: &str, error: &toml::de::Error) -> Arc<str> {
+    let end = error.span().map_or(0, |s| s.start).min(text.len());
+    let line = text.as_bytes()[..end].iter().filter(|b| **b == b'\n').count() + 1;
+    format!("line {line}: {}", error.message().replace('\n', ", ")).into()
+}
--- /dev/null
+++ b/src/template/parameters.rs
@@ -0,0 +1,82 @@
+//! Parameters as an operator gave them.
+
+use crate::template::Cause;
+use crate::template::Problem;
+use crate::template::Template;
+use derive_more::Display;
+use serde::Deserialize;
+use std::sync::Arc;
+
+/// Value of a parameter as it was given.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Deserialize)]
+#[serde(untagged)]
+pub enum Given {
+    /// Number of a TOML file.
+    Integer(i64),
+    /// Text of a TOML file, or the value of a pair.
+    Text(Arc<str>),
+    /// List of a TOML file.
+    #[display("{}", _0.join(","))]
+    List(Vec<Arc<str>>),
+    /// TOML value of a type that no parameter has.
+    #[serde(skip)]
+    #[display("{_0}")]
+    Other(Arc<str>),
+}
+
+impl From<toml::Value> for Given {
+    fn from(value: toml::Value) -> Given {
+        let text = value.to_string();
+        value.try_into().unwrap_or(Given::Other(text.into()))
+    }
+}
+
+/// Parameters in the order in which they were given.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Parameters {
+    pub(crate) given: Vec<(Arc<str>, Given)>,
+}
+
+impl Parameters {
+    /// Reads `name=value` pairs; white space around the name is ignored.
+    pub fn from_pairs<S: AsRef<str>>(
+        template: &Template,
+        pairs: impl IntoIterator<Item = S>,
+    ) -> Result<Parameters, Vec<Problem>> {
+        let mut parameters = Parameters::default();
+        let mut problems = Vec::new();
+        for pair in pairs {
+            match pair.as_ref().split_once('=') {
+                Some((name, value)) => parameters.push(name.trim(), Given::Text(value.into())),
+                None => problems.push(Problem {
+                    permitted: "name=value".into(),
+                    ..Problem::new(template, pair.as_ref(), Cause::NotPair)
+                }),
+            }
+        }
+        if problems.is_empty() { Ok(parameters) } else { Err(problems) }
+    }
+
+    /// Adds a parameter.
+    pub fn push(&mut self, name: &str, value: Given) {
+        self.given.push((name.into(), value));
+    }
+
+    /// Returns these parameters with those of `other` in place of equally named ones.
+    pub fn overridden(mut self, other: Parameters) -> Parameters {
+        self.given.retain(|(name, _)| other.find(name).is_none());
+        self.given.extend(other.given);
+        self
+    }
+
+    /// Returns the first value that was given under a name.
+    pub fn find(&self, name: &str) -> Option<&Given> {
+        self.given.iter().find(|(n, _)| **n == *name).map(|(_, v)| v)
+    }
+}
+
+impl FromIterator<(Arc<str>, Given)> for Parameters {
+    fn from_iter<I: IntoIterator<Item = (Arc<str>, Given)>>(iter: I) -> Self {
+        Parameters { given: iter.into_iter().collect() }
+    }
+}
--- /dev/null
+++ b/src/template/problem.rs
@@ -0,0 +1,95 @@
+//! Problems of parameters, in the words of the operator's file.
+
+use crate::template::Template;
+use derive_more::Display;
+use std::sync::Arc;
+
+/// What is wrong with a parameter.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("{template}{}: {field}{}{cause}; permitted: {permitted}", named(document), shown(value))]
+pub struct Problem {
+    /// Template.
+    pub template: Arc<str>,
+    /// Name of the document, if it was given.
+    pub document: Option<Arc<str>>,
+    /// Parameter.
+    pub field: Arc<str>,
+    /// Rejected value; `None` if the parameter was not given.
+    pub value: Option<Arc<str>>,
+    /// Permitted values, or names for an unknown parameter.
+    pub permitted: Arc<str>,
+    /// What is wrong.
+    pub cause: Cause,
+}
+
+impl std::error::Error for Problem {}
+
+/// Longest value that is repeated in a message, in characters.
+const SHOWN: usize = 80;
+
+fn named(document: &Option<Arc<str>>) -> String {
+    document.as_ref().map(|d| format!(" {d}")).unwrap_or_default()
+}
+
+fn shown(value: &Option<Arc<str>>) -> String {
+    match value {
+        Some(value) if value.chars().count() > SHOWN => {
+            format!(" = {}.. ", value.chars().take(SHOWN).collect::<String>())
+        }
+        Some(value) => format!(" = {value} "),
+        None => " ".into(),
+    }
+}
+
+impl Problem {
+    /// Problem without a value.
+    pub(crate) fn new(template: &Template, field: &str, cause: Cause) -> Problem {
+        Problem {
+            template: template.name.clone(),
+            document: None,
+            field: field.into(),
+            value: None,
+            permitted: "".into(),
+            cause,
+        }
+    }
+}
+
+/// Cause of a [`Problem`].
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Cause {
+    /// The template has no such parameter.
+    #[display("is not a parameter of the template{}", meant(nearest))]
+    Unknown {
+        /// Nearest known name.
+        nearest: Option<Arc<str>>,
+    },
+    /// There is no such template.
+    #[display("is not a template{}", meant(nearest))]
+    NoTemplate {
+        /// Nearest known name.
+        nearest: Option<Arc<str>>,
+    },
+    /// The parameter is required.
+    #[display("is missing and has no default")]
+    Missing,
+    /// The value has the wrong type.
+    #[display("has the wrong type")]
+    WrongType,
+    /// The value is outside the permitted range.
+    #[display("is out of range")]
+    OutOfRange,
+    /// The parameter is given twice.
+    #[display("is given twice")]
+    Twice,
+    /// The argument is not a pair.
+    #[display("is not a pair")]
+    NotPair,
+    /// The file is not valid TOML.
+    #[display("is not valid: {_0}")]
+    Syntax(Arc<str>),
+}
+
+fn meant(nearest: &Option<Arc<str>>) -> String {
+    nearest.as_ref().map(|n| format!(", perhaps {n} is meant")).unwrap_or_default()
+}
