Add gate: admission control at one endpoint

Engines admit in arrival order and know no priority, so that online requests would wait behind batch items in the engine's queue. The gate starts a stream only for a free slot, keeps a queue that is fair between workspaces and then by deadline, preempts the youngest batch streams, and lets batch use what is free within a cap that follows online inter-token latency.

--- /dev/null
+++ b/src/gate/schedule.rs
@@ -0,0 +1,463 @@
+//! The gate: assigns slots to waiting requests.
+
+use crate::gate;
+use crate::gate::Class;
+use crate::gate::Input;
+use crate::gate::Output;
+use crate::gate::cap;
+use crate::gate::ended;
+use crate::gate::preempt;
+use crate::gate::queue;
+use crate::gate::service;
+use crate::sorted;
+use crate::wire;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Ended ids that are remembered.
+const ENDED: usize = 4096;
+/// Time for which ended ids are remembered.
+const KEEP: Duration = Duration::from_secs(120);
+/// A cancellation that is not confirmed within this time is taken as done: the shell closes the
+/// connection of the stream, and the engine drops it with its next step.
+const UNCONFIRMED: Duration = Duration::from_secs(5);
+/// A stream that was silent for this long after a token, or beyond its deadline, has ended and its
+/// end was not reported.
+const SILENT: Duration = Duration::from_secs(30);
+/// A stream without any token is given up after this time even if its deadline is later.
+const NO_TOKEN: Duration = Duration::from_secs(600);
+/// A batch item that could not start within this time goes back to its job, because another
+/// endpoint may be idle.
+const BATCH_WAIT: Duration = Duration::from_secs(10);
+/// Requests that were accepted before a drain may still start within this time.
+const DRAIN_GRACE: Duration = Duration::from_secs(1);
+/// Retry time of a refusal because of a drain; the endpoint may be back or replaced by then.
+const DRAIN_RETRY: Duration = Duration::from_secs(1);
+
+/// Batch item that waits for a slot.
+#[derive(Clone, Debug)]
+struct Item {
+    waiting: queue::Waiting,
+    class: Class,
+    since: Duration,
+    preempted: u32,
+}
+
+/// Admission control at one endpoint.
+#[derive(Debug)]
+pub struct Gate {
+    config: gate::Config,
+    slots: u32,
+    online: queue::Queue,
+    batch: VecDeque<Item>,
+    running: sorted::SortedMap<u64, preempt::Running>,
+    ended: ended::Ended,
+    cap: cap::Cap,
+    service: service::Service,
+    draining: Option<Duration>,
+    idle: bool,
+    pulled: u32,
+}
+
+impl Gate {
+    /// Returns a gate without work.
+    pub fn new(config: gate::Config) -> Gate {
+        Gate {
+            slots: config.slots,
+            online: queue::Queue::default(),
+            batch: VecDeque::new(),
+            running: sorted::SortedMap::new(),
+            ended: ended::Ended::new(ENDED, KEEP),
+            cap: cap::Cap::new(config.target, config.slots),
+            service: service::Service::default(),
+            draining: None,
+            idle: false,
+            pulled: 0,
+            config,
+        }
+    }
+
+    /// Handles one input.
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        match input {
+            Input::Submit { id, class, workspace, deadline } => {
+                let waiting = queue::Waiting { id, workspace, deadline: now + deadline };
+                self.submit(now, class, waiting, &mut out);
+            }
+            Input::Withdraw { id } => self.withdraw(now, id, &mut out),
+            Input::Token { id, count } => {
+                if !self.token(now, id, count) {
+                    return out;
+                }
+            }
+            Input::Done { id, ok } => self.done(now, id, ok),
+            Input::Cancelled { id } => self.cancelled(now, id),
+            Input::Slots(slots) => self.slots = slots,
+            Input::Drain => self.drain(now, &mut out),
+            Input::Resume => self.draining = None,
+            Input::Tick => self.tick(now, &mut out),
+        }
+        self.schedule(now, &mut out);
+        out
+    }
+
+    /// Present load.
+    pub fn load(&self) -> gate::Load {
+        let online = self.running.values().filter(|r| r.class == Class::Online).count() as u32;
+        let batch = self.running.len() as u32 - online;
+        gate::Load { queued: self.online.len() as u32, online, batch }
+    }
+
+    /// Present cap on batch streams.
+    pub fn cap(&self) -> u32 {
+        self.cap.value().clamp(self.floor(), self.slots)
+    }
+
+    fn submit(
+        &mut self,
+        now: Duration,
+        class: Class,
+        waiting: queue::Waiting,
+        out: &mut Vec<Output>,
+    ) {
+        let id = waiting.id;
+        if self.is_live(id) {
+            return;
+        }
+        let preempted = match self.ended.get(id) {
+            None => 0,
+            Some(ended::End::Preempted(count)) => count,
+            Some(ended::End::Withdrawn) => {
+                out.push(Output::Refuse {
+                    id,
+                    reason: wire::Reason::Withdrawn,
+                    retry: Duration::ZERO,
+                });
+                return;
+            }
+            Some(ended::End::Finished | ended::End::Refused) => return,
+        };
+        if self.draining.is_some() {
+            return self.refuse(now, id, wire::Reason::Draining, DRAIN_RETRY, out);
+        }
+        if class == Class::Batch || !self.config.policy {
+            self.submit_batch(now, Item { waiting, class, since: now, preempted }, out);
+        } else {
+            self.submit_online(now, waiting, out);
+        }
+    }
+
+    fn submit_batch(&mut self, now: Duration, item: Item, out: &mut Vec<Output>) {
+        if self.batch.len() >= self.config.queue {
+            let retry = self.service.retry(self.service.wait(self.batch.len(), self.slots));
+            return self.refuse(now, item.waiting.id, wire::Reason::QueueFull, retry, out);
+        }
+        self.ended.remove(item.waiting.id);
+        // A resumed item goes first: its tokens are held in memory until it ends.
+        if item.preempted > 0 { self.batch.push_front(item) } else { self.batch.push_back(item) }
+    }
+
+    fn submit_online(&mut self, now: Duration, waiting: queue::Waiting, out: &mut Vec<Output>) {
+        let ahead = self.online.ahead(&waiting.workspace, waiting.deadline);
+        let wait = self.wait(ahead);
+        let ready = now + wait + self.service.first();
+        if ready > waiting.deadline {
+            let retry = self.service.retry(ready - waiting.deadline);
+            return self.refuse(now, waiting.id, wire::Reason::Deadline, retry, out);
+        }
+        if self.online.len() >= self.config.queue {
+            let half = self.service.wait(self.config.queue.div_ceil(2), self.slots);
+            let retry = self.service.retry(half);
+            let Some(shed) = self.online.shed(&waiting.workspace) else {
+                return self.refuse(now, waiting.id, wire::Reason::QueueFull, retry, out);
+            };
+            self.refuse(now, shed.id, wire::Reason::QueueFull, retry, out);
+        }
+        self.online.push(waiting);
+    }
+
+    /// Expected time until a request with `ahead` others before it gets a slot.
+    fn wait(&self, ahead: usize) -> Duration {
+        let batch = self.running.values().filter(|r| r.is_batch()).count() as u32;
+        let yielding = batch.saturating_sub(self.floor());
+        let stopping = self.running.values().filter(|r| r.stop.is_some()).count() as u32;
+        let open = self.free() + yielding + stopping;
+        let excess = (ahead + 1).saturating_sub(open as usize);
+        self.service.wait(excess, self.slots.saturating_sub(self.floor()))
+    }
+
+    fn withdraw(&mut self, now: Duration, id: u64, out: &mut Vec<Output>) {
+        let ran = if let Some(running) = self.running.get_mut(&id) {
+            // A preempted stream that is withdrawn must not be submitted again.
+            running.stop = Some((now, preempt::Stop::Withdrawn));
+            true
+        } else {
+            let item = self.batch.iter().position(|i| i.waiting.id == id);
+            let resumed =
+                item.and_then(|at| self.batch.remove(at)).is_some_and(|i| i.preempted > 0);
+            self.online.remove(id);
+            let before = self.ended.get(id);
+            let ended = matches!(before, Some(ended::End::Finished | ended::End::Preempted(_)));
+            let end = if resumed || ended { ended::End::Finished } else { ended::End::Withdrawn };
+            self.ended.insert(now, id, end);
+            resumed || ended
+        };
+        out.push(Output::Withdrawn { id, ran });
+    }
+
+    /// Returns whether this was the first token of a stream.
+    fn token(&mut self, now: Duration, id: u64, count: u32) -> bool {
+        let Some(running) = self.running.get_mut(&id) else { return false };
+        let last = running.token.replace(now);
+        if running.class == Class::Online && count > 0 {
+            match last {
+                Some(last) => self.cap.observe(now.saturating_sub(last), count),
+                None => self.service.started(now.saturating_sub(running.started)),
+            }
+        }
+        last.is_none()
+    }
+
+    fn done(&mut self, now: Duration, id: u64, ok: bool) {
+        let Some(running) = self.release(id) else { return };
+        if ok && running.class == Class::Online {
+            self.service.finished(now.saturating_sub(running.started));
+        }
+        self.ended.insert(now, id, ended::End::Finished);
+    }
+
+    fn cancelled(&mut self, now: Duration, id: u64) {
+        let Some(running) = self.release(id) else { return };
+        let end = match running.stop {
+            Some((_, preempt::Stop::Preempted)) => ended::End::Preempted(running.preempted),
+            _ => ended::End::Finished,
+        };
+        self.ended.insert(now, id, end);
+    }
+
+    fn drain(&mut self, now: Duration, out: &mut Vec<Output>) {
+        if self.draining.is_none() {
+            self.draining = Some(now);
+            self.idle = false;
+        }
+        for item in std::mem::take(&mut self.batch) {
+            self.refuse(now, item.waiting.id, wire::Reason::Draining, DRAIN_RETRY, out);
+        }
+    }
+
+    fn tick(&mut self, now: Duration, out: &mut Vec<Output>) {
+        self.ended.expire(now);
+        for late in self.online.expire(now) {
+            let retry = self.service.retry(self.wait(self.online.len()));
+            self.refuse(now, late.id, wire::Reason::Deadline, retry, out);
+        }
+        if self.draining.is_some_and(|since| now >= since + DRAIN_GRACE) {
+            for waiting in self.online.drain() {
+                self.refuse(now, waiting.id, wire::Reason::Draining, DRAIN_RETRY, out);
+            }
+        }
+        self.expire_batch(now, out);
+        self.give_up(now, out);
+        let online = self.running.values().any(|r| r.class == Class::Online);
+        let batch = self.running.values().filter(|r| r.is_batch()).count() as u32;
+        self.cap.update(now, online, batch, self.floor(), self.slots);
+    }
+
+    fn expire_batch(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let late = |item: &Item| now >= item.waiting.deadline || now >= item.since + BATCH_WAIT;
+        let (expired, kept) = std::mem::take(&mut self.batch).into_iter().partition(late);
+        self.batch = kept;
+        let expired: VecDeque<Item> = expired;
+        for item in expired {
+            let retry = self.service.retry(self.service.wait(self.online.len(), self.slots));
+            self.refuse(now, item.waiting.id, wire::Reason::Deadline, retry, out);
+        }
+    }
+
+    /// Frees the slots of streams whose end was not reported.
+    fn give_up(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let lost: Vec<u64> =
+            self.running.iter().filter(|(_, r)| is_lost(now, r)).map(|(id, _)| *id).collect();
+        for id in lost {
+            let stopping = self.running.get(&id).is_some_and(|r| r.stop.is_some());
+            self.cancelled(now, id);
+            if !stopping {
+                out.push(Output::Withdrawn { id, ran: true });
+            }
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        now: Duration,
+        id: u64,
+        reason: wire::Reason,
+        retry: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        self.ended.insert(now, id, ended::End::Refused);
+        out.push(Output::Refuse { id, reason, retry });
+    }
+
+    fn release(&mut self, id: u64) -> Option<preempt::Running> {
+        let running = self.running.remove(&id)?;
+        if running.class == Class::Online {
+            self.online.release(&running.workspace);
+        }
+        Some(running)
+    }
+
+    fn is_live(&self, id: u64) -> bool {
+        self.running.contains(&id)
+            || self.batch.iter().any(|item| item.waiting.id == id)
+            || self.online.contains(id)
+    }
+
+    fn free(&self) -> u32 {
+        self.slots.saturating_sub(self.running.len() as u32)
+    }
+
+    fn floor(&self) -> u32 {
+        (self.slots * self.config.floor).div_ceil(100).min(self.slots)
+    }
+
+    fn headroom(&self) -> u32 {
+        (self.slots * self.config.headroom).div_ceil(100)
+    }
+
+    fn bounds(&self) -> preempt::Bounds {
+        preempt::Bounds { floor: self.floor(), preemptions: self.config.preemptions }
+    }
+
+    fn batch_running(&self) -> u32 {
+        self.running.values().filter(|r| r.is_batch()).count() as u32
+    }
+
+    fn schedule(&mut self, now: Duration, out: &mut Vec<Output>) {
+        if self.config.policy {
+            self.start_batch(now, self.floor(), 0, out);
+            self.start_online(now, out);
+            self.preempt(now, out);
+            if self.online.is_empty() {
+                self.start_batch(now, self.cap(), self.headroom(), out);
+            }
+        } else {
+            self.start_batch(now, self.slots, 0, out);
+        }
+        self.pull(out);
+        self.report_idle(out);
+    }
+
+    fn start_online(&mut self, now: Duration, out: &mut Vec<Output>) {
+        while self.free() > 0 {
+            let Some(next) = self.online.pop() else { return };
+            if next.deadline <= now {
+                self.online.release(&next.workspace);
+                let retry = self.service.retry(self.wait(self.online.len()));
+                self.refuse(now, next.id, wire::Reason::Deadline, retry, out);
+                continue;
+            }
+            self.start(now, Class::Online, next, 0, out);
+        }
+    }
+
+    /// Starts batch items while fewer than `limit` run and more than `spare` slots are free.
+    fn start_batch(&mut self, now: Duration, limit: u32, spare: u32, out: &mut Vec<Output>) {
+        while self.free() > spare && self.batch_running() < limit {
+            let Some(at) = self.startable() else { return };
+            let Some(item) = self.batch.remove(at) else { return };
+            if item.class == Class::Online {
+                self.online.count(&item.waiting.workspace);
+            }
+            self.start(now, item.class, item.waiting, item.preempted, out);
+        }
+    }
+
+    /// Position of the first batch item that may start: protected items fit in the floor only.
+    fn startable(&self) -> Option<usize> {
+        let bounds = self.bounds();
+        let full = bounds.protected(&self.running) >= bounds.floor;
+        self.batch.iter().position(|item| !full || !bounds.protects(item.preempted))
+    }
+
+    fn start(
+        &mut self,
+        now: Duration,
+        class: Class,
+        waiting: queue::Waiting,
+        preempted: u32,
+        out: &mut Vec<Output>,
+    ) {
+        let queue::Waiting { id, workspace, deadline } = waiting;
+        let running = preempt::Running {
+            class,
+            workspace,
+            started: now,
+            deadline,
+            token: None,
+            preempted,
+            stop: None,
+        };
+        self.running.insert(id, running);
+        out.push(Output::Start { id });
+    }
+
+    /// Cancels batch streams for waiting online requests and for the cap.
+    fn preempt(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let stopping = self.running.values().filter(|r| r.stop.is_some()).count();
+        let excess = self.running.len().saturating_sub(self.slots as usize);
+        let wanted = (self.online.len() + excess).saturating_sub(stopping);
+        let victims = self.bounds().victims(&self.running, wanted, 0);
+        for id in victims {
+            self.stop(now, id, out);
+        }
+    }
+
+    fn stop(&mut self, now: Duration, id: u64, out: &mut Vec<Output>) {
+        let Some(running) = self.running.get_mut(&id) else { return };
+        running.stop = Some((now, preempt::Stop::Preempted));
+        running.preempted += 1;
+        out.push(Output::Preempt { id });
+    }
+
+    /// Reports the number of items that could start, if it has changed.
+    fn pull(&mut self, out: &mut Vec<Output>) {
+        let count = if self.draining.is_some() { 0 } else { self.wanted() };
+        if count != self.pulled {
+            self.pulled = count;
+            out.push(Output::Pull { count });
+        }
+    }
+
+    fn wanted(&self) -> u32 {
+        let held = self.batch_running() + self.batch.len() as u32;
+        if !self.config.policy {
+            return self.free().saturating_sub(self.batch.len() as u32);
+        }
+        // The floor starts with the next free slot even while online requests wait.
+        let floor = if self.slots > 0 { self.floor().saturating_sub(held) } else { 0 };
+        if !self.online.is_empty() {
+            return floor;
+        }
+        let open = self.free().saturating_sub(self.headroom() + self.batch.len() as u32);
+        floor.max(open.min(self.cap().saturating_sub(held)))
+    }
+
+    fn report_idle(&mut self, out: &mut Vec<Output>) {
+        let empty = self.running.is_empty() && self.online.is_empty() && self.batch.is_empty();
+        if self.draining.is_some() && empty && !self.idle {
+            self.idle = true;
+            out.push(Output::Idle);
+        }
+    }
+}
+
+fn is_lost(now: Duration, running: &preempt::Running) -> bool {
+    if let Some((since, _)) = running.stop {
+        return now >= since + UNCONFIRMED;
+    }
+    let silent = now.saturating_sub(running.token.unwrap_or(running.started));
+    let expected = running.token.is_some() || now >= running.deadline || silent >= NO_TOKEN;
+    silent >= SILENT && expected
+}
