Add router: subset, choice, ejection, retry budget and limits

An entry that knew every endpoint would need memory and time in proportion to the fleet, 340 nodes by 1,100 servers. The router keeps a rendezvous-hashed subset for each model, mostly in its own failure domain with a quarter reserved for others, and chooses among these only.

A query carries the deadline, which the early refusal needs.

--- /dev/null
+++ b/src/router/limits.rs
@@ -0,0 +1,131 @@
+//! Rate and concurrency limits of workspaces at one entry.
+
+use crate::router;
+use crate::sorted;
+use crate::wire;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Retry time of a refusal by the concurrency limit.
+const CONCURRENCY_RETRY: Duration = Duration::from_secs(1);
+/// Number of workspaces beyond which those without state are forgotten.
+const SWEEP: usize = 1024;
+
+/// Limit of one workspace.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// Requests per second.
+    pub rate: f64,
+    /// Requests that may arrive at once.
+    pub burst: f64,
+    /// Requests that may run at once.
+    pub concurrent: u32,
+}
+
+impl Default for Limit {
+    fn default() -> Limit {
+        Limit { rate: 100.0, burst: 200.0, concurrent: 256 }
+    }
+}
+
+#[derive(Debug)]
+struct Usage {
+    tokens: f64,
+    updated: Duration,
+    running: u32,
+}
+
+/// Limits of all workspaces.
+#[derive(Debug, Default)]
+pub struct Limits {
+    default: Limit,
+    limits: sorted::SortedMap<Arc<str>, Limit>,
+    usage: sorted::SortedMap<Arc<str>, Usage>,
+    sweep: usize,
+}
+
+impl Limits {
+    /// Returns limits with `default` for every workspace without an own one.
+    pub fn new(default: Limit) -> Limits {
+        Limits { default, sweep: SWEEP, ..Limits::default() }
+    }
+
+    /// Replaces the limits of workspaces; present usage is kept.
+    pub fn update(&mut self, default: Limit, limits: sorted::SortedMap<Arc<str>, Limit>) {
+        self.default = default;
+        self.limits = limits;
+    }
+
+    /// Admits a request and counts it as running, or refuses it.
+    pub fn admit(&mut self, now: Duration, workspace: &str) -> Result<(), router::Refusal> {
+        self.forget_unused(now);
+        let limit = self.limit(workspace);
+        let new = || Usage { tokens: limit.burst, updated: now, running: 0 };
+        let usage = match self.usage.get_mut(workspace) {
+            Some(usage) => usage,
+            None => self.usage.entry_or(workspace.into(), new),
+        };
+        usage.refill(now, limit);
+        if usage.running >= limit.concurrent {
+            let reason = wire::Reason::ConcurrencyLimit;
+            return Err(router::Refusal { reason, retry: CONCURRENCY_RETRY });
+        }
+        if usage.tokens < 1.0 {
+            let reason = wire::Reason::RateLimit;
+            return Err(router::Refusal { reason, retry: usage.next(limit) });
+        }
+        usage.tokens -= 1.0;
+        usage.running += 1;
+        Ok(())
+    }
+
+    /// Records the end of an admitted request.
+    pub fn release(&mut self, workspace: &str) {
+        if let Some(usage) = self.usage.get_mut(workspace) {
+            usage.running = usage.running.saturating_sub(1);
+        }
+    }
+
+    /// Number of workspaces whose usage is held.
+    pub fn len(&self) -> usize {
+        self.usage.len()
+    }
+
+    /// Whether no usage is held.
+    pub fn is_empty(&self) -> bool {
+        self.usage.is_empty()
+    }
+
+    fn limit(&self, workspace: &str) -> Limit {
+        self.limits.get(workspace).copied().unwrap_or(self.default)
+    }
+
+    /// Forgets workspaces whose usage equals that of a new one.
+    fn forget_unused(&mut self, now: Duration) {
+        if self.usage.len() < self.sweep {
+            return;
+        }
+        let (limits, default) = (&self.limits, self.default);
+        self.usage.retain(|name, usage| {
+            let limit = limits.get(name).copied().unwrap_or(default);
+            usage.refill(now, limit);
+            usage.running > 0 || usage.tokens < limit.burst
+        });
+        // The next sweep waits for as many new workspaces, so that its cost per request is constant.
+        self.sweep = SWEEP.max(2 * self.usage.len());
+    }
+}
+
+impl Usage {
+    fn refill(&mut self, now: Duration, limit: Limit) {
+        let passed = now.saturating_sub(self.updated).as_secs_f64();
+        self.tokens = (self.tokens + passed * limit.rate).min(limit.burst);
+        self.updated = self.updated.max(now);
+    }
+
+    fn next(&self, limit: Limit) -> Duration {
+        let seconds = (1.0 - self.tokens) / limit.rate;
+        // A rate of zero never refills; the caller may ask again after an hour.
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX).min(Duration::from_secs(3600))
+    }
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -1,1 +1,319 @@
 //! Choice of the endpoint for a request, and retries.
+//!
+//! An entry uses a deterministic subset of the fleet for each model, so that the memory of a
+//! router and the time of a choice do not grow with the fleet.
+
+use crate::wire;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub mod budget;
+pub mod ejection;
+pub mod limits;
+pub mod pick;
+pub mod subset;
+
+/// Settings of a router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Endpoints in the subset of a model.
+    pub subset: usize,
+    /// Failures in a row after which an endpoint is ejected.
+    pub failures: u32,
+    /// Largest percentage of a model's subset that may be ejected; at least one endpoint may be,
+    /// and at least one always remains.
+    pub ejected: u32,
+    /// Time without any sign of life from an endpoint with requests in flight after which it is
+    /// ejected.
+    pub stall: Duration,
+    /// Retries per request.
+    pub retries: f64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config { subset: 24, failures: 3, ejected: 34, stall: Duration::from_secs(1), retries: 0.1 }
+    }
+}
+
+/// Endpoint that may be chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Name of its agent.
+    pub agent: Arc<str>,
+    /// Failure domain of its host.
+    pub domain: Arc<str>,
+    /// Region of its host.
+    pub region: Arc<str>,
+    /// Models and services that it offers.
+    pub models: Vec<Arc<str>>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// What a request needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Query {
+    /// Model or service.
+    pub model: Arc<str>,
+    /// Hash of the start of the prompt; 0 if there is none.
+    pub prefix: u64,
+    /// Time left until the deadline.
+    pub deadline: Duration,
+    /// Agents that were tried before; empty for a first attempt.
+    pub tried: Vec<Arc<str>>,
+}
+
+/// Chosen endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// Name of the agent.
+    pub agent: Arc<str>,
+    /// Whether the request also tests an ejected endpoint.
+    pub probe: bool,
+}
+
+/// Refusal of a request that was not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Reason.
+    pub reason: wire::Reason,
+    /// When to come back.
+    pub retry: Duration,
+}
+
+/// What an entry observed at an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Observation {
+    /// A request was sent; reported right after the choice.
+    Started,
+    /// Something of an answer arrived.
+    Progress,
+    /// A request ended and its answer is complete.
+    Finished,
+    /// A request was refused and has not run.
+    Refused {
+        /// Reason.
+        reason: wire::Reason,
+        /// When to come back.
+        retry: Duration,
+    },
+    /// A request ended because its caller gave up; says nothing about the endpoint.
+    Abandoned,
+    /// A request failed, timed out or broke off.
+    Failed,
+    /// Load report.
+    Load {
+        /// Online requests that wait.
+        queued: u32,
+        /// Online requests that run.
+        running: u32,
+    },
+}
+
+/// Router of one entry.
+#[derive(Debug)]
+pub struct Router {
+    config: Config,
+    place: subset::Place,
+    rng: ChaCha8Rng,
+    budget: budget::Budget,
+    /// Union of the subsets of all models, by name.
+    endpoints: Vec<pick::Endpoint>,
+}
+
+/// Retry time when no endpoint offers the model.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+
+impl Router {
+    /// Returns a router without endpoints.
+    pub fn new(config: Config, entry: Arc<str>, domain: Arc<str>, seed: u64) -> Router {
+        Router {
+            budget: budget::Budget::new(config.retries),
+            place: subset::Place { entry, domain, region: None },
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            endpoints: Vec::new(),
+            config,
+        }
+    }
+
+    /// Replaces the candidates. What is known about endpoints that stay in the subset is kept.
+    pub fn update(&mut self, candidates: Vec<Candidate>) {
+        let own = candidates.iter().find(|c| c.domain == self.place.domain);
+        self.place.region = own.map(|c| c.region.clone()).or(self.place.region.take());
+        let mut models: Vec<&Arc<str>> = candidates.iter().flat_map(|c| &c.models).collect();
+        models.sort_unstable();
+        models.dedup();
+        let mut old = std::mem::take(&mut self.endpoints);
+        for model in models {
+            for chosen in subset::choose(&self.place, &candidates, model, self.config.subset) {
+                let at = self.place_of(chosen, &mut old);
+                self.endpoints[at].models.push(model.clone());
+            }
+        }
+    }
+
+    /// Position of an endpoint in the new subset, moved from the old one if it was there.
+    fn place_of(&mut self, chosen: &Candidate, old: &mut Vec<pick::Endpoint>) -> usize {
+        match self.endpoints.binary_search_by(|e| e.agent.cmp(&chosen.agent)) {
+            Ok(at) => at,
+            Err(at) => {
+                let tier = self.place.tier(chosen);
+                let known = old.binary_search_by(|e| e.agent.cmp(&chosen.agent));
+                let mut endpoint = match known {
+                    Ok(known) => old.remove(known),
+                    Err(_) => pick::Endpoint::new(chosen.agent.clone(), tier),
+                };
+                endpoint.models.clear();
+                endpoint.slots = chosen.slots;
+                endpoint.tier = tier;
+                self.endpoints.insert(at, endpoint);
+                at
+            }
+        }
+    }
+
+    /// Chooses an endpoint for a request.
+    pub fn pick(&mut self, now: Duration, query: &Query) -> Result<Pick, Refusal> {
+        if query.tried.is_empty() {
+            self.budget.deposit();
+        }
+        self.eject_silent(now, &query.model);
+        let open = self.open(query);
+        if open.is_empty() {
+            let reason = wire::Reason::NoEndpoint;
+            return Err(Refusal { reason, retry: NO_ENDPOINT_RETRY });
+        }
+        if let Some(at) = self.probe(now, query, &open) {
+            return Ok(self.chosen(at, true));
+        }
+        let healthy = self.retain(&open, |e| !e.record.is_out());
+        let usable = if healthy.is_empty() { open } else { healthy };
+        let ready = self.retain(&usable, |e| e.busy <= now);
+        if ready.is_empty() {
+            return self.least_busy(now, query, &usable);
+        }
+        let affine = Some(query.prefix).filter(|prefix| *prefix != 0);
+        let affine = affine.and_then(|p| pick::affine(now, p, &self.endpoints, &ready));
+        let at = affine
+            .or_else(|| pick::two_choices(now, &mut self.rng, &self.endpoints, &ready))
+            .unwrap_or(ready[0]);
+        Ok(self.chosen(at, false))
+    }
+
+    /// Records what was observed at an endpoint. Unknown endpoints are ignored.
+    pub fn observe(&mut self, now: Duration, agent: &str, event: Observation) {
+        let Ok(at) = self.endpoints.binary_search_by(|e| (*e.agent).cmp(agent)) else { return };
+        let endpoint = &mut self.endpoints[at];
+        if !matches!(event, Observation::Started | Observation::Failed | Observation::Abandoned) {
+            endpoint.progress = now;
+        }
+        match event {
+            Observation::Started => endpoint.started(now),
+            Observation::Progress => {}
+            Observation::Finished => {
+                endpoint.ended();
+                endpoint.record.succeeded();
+            }
+            Observation::Refused { retry, .. } => {
+                endpoint.ended();
+                endpoint.record.inconclusive();
+                endpoint.busy = now + retry;
+            }
+            Observation::Abandoned => {
+                endpoint.ended();
+                endpoint.record.inconclusive();
+            }
+            Observation::Failed => {
+                endpoint.ended();
+                if endpoint.record.failed(self.config.failures) {
+                    self.eject(now, at);
+                }
+            }
+            Observation::Load { queued, running } => endpoint.reported(now, queued + running),
+        }
+    }
+
+    /// Takes a retry from the budget.
+    pub fn retry(&mut self, now: Duration) -> bool {
+        self.budget.take(now)
+    }
+
+    /// Names of the endpoints in use.
+    pub fn subset(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.endpoints.iter().map(|e| &e.agent)
+    }
+
+    /// Names of the endpoints that are ejected or being probed.
+    pub fn ejected(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.endpoints.iter().filter(|e| e.record.is_out()).map(|e| &e.agent)
+    }
+
+    fn open(&self, query: &Query) -> Vec<usize> {
+        let serves = |e: &pick::Endpoint| e.models.contains(&query.model);
+        let tried = |e: &pick::Endpoint| query.tried.contains(&e.agent);
+        let all = self.endpoints.iter().enumerate();
+        all.filter(|(_, e)| serves(e) && !tried(e)).map(|(at, _)| at).collect()
+    }
+
+    fn retain(&self, among: &[usize], keep: impl Fn(&pick::Endpoint) -> bool) -> Vec<usize> {
+        among.iter().copied().filter(|at| keep(&self.endpoints[*at])).collect()
+    }
+
+    fn chosen(&self, at: usize, probe: bool) -> Pick {
+        Pick { agent: self.endpoints[at].agent.clone(), probe }
+    }
+
+    /// Ejected endpoint that is due for a probe. Retries are not used as probes, so that a request
+    /// meets at most one doubtful endpoint.
+    fn probe(&self, now: Duration, query: &Query, open: &[usize]) -> Option<usize> {
+        if !query.tried.is_empty() || open.len() < 2 {
+            return None;
+        }
+        open.iter().copied().find(|at| {
+            let endpoint = &self.endpoints[*at];
+            endpoint.busy <= now && endpoint.record.wants_probe(now)
+        })
+    }
+
+    /// Every usable endpoint has refused: waits for the first one if the deadline allows.
+    fn least_busy(&self, now: Duration, query: &Query, usable: &[usize]) -> Result<Pick, Refusal> {
+        let first = usable.iter().copied().min_by_key(|at| self.endpoints[*at].busy);
+        let at = first.unwrap_or(usable[0]);
+        let retry = self.endpoints[at].busy.saturating_sub(now);
+        if retry >= query.deadline {
+            return Err(Refusal { reason: wire::Reason::Deadline, retry });
+        }
+        Ok(self.chosen(at, false))
+    }
+
+    fn eject_silent(&mut self, now: Duration, model: &Arc<str>) {
+        for at in 0..self.endpoints.len() {
+            let endpoint = &self.endpoints[at];
+            let silent = endpoint.is_silent(now, self.config.stall);
+            let probing = matches!(endpoint.record.health, ejection::Health::Probing { .. });
+            let new = !endpoint.record.is_out() || probing;
+            if silent && new && endpoint.models.contains(model) {
+                self.eject(now, at);
+            }
+        }
+    }
+
+    /// Ejects an endpoint, unless too many endpoints of one of its models are out already.
+    fn eject(&mut self, now: Duration, at: usize) {
+        let already = self.endpoints[at].record.is_out();
+        if already || self.endpoints[at].models.iter().all(|model| self.may_eject(model)) {
+            self.endpoints[at].record.eject(now);
+        }
+    }
+
+    fn may_eject(&self, model: &Arc<str>) -> bool {
+        let serving = self.endpoints.iter().filter(|e| e.models.contains(model));
+        let (all, out) =
+            serving.fold((0, 0), |(all, out), e| (all + 1, out + usize::from(e.record.is_out())));
+        let share = (all * self.config.ejected as usize / 100).max(1);
+        out < share.min(all - 1)
+    }
+}
--- /dev/null
+++ b/src/router/pick.rs
@@ -0,0 +1,185 @@
+//! Endpoints of a subset and the choice between them.
+
+use crate::router::ejection;
+use crate::router::subset;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for which a load report is used.
+const REPORT: Duration = Duration::from_secs(5);
+/// Load that makes an endpoint of another failure domain equal to one of the own domain.
+const DOMAIN_COST: f64 = 0.05;
+/// Load that makes an endpoint of another region equal to one of the own domain.
+const REGION_COST: f64 = 1.0;
+/// Factor of the mean load up to which prefix affinity holds.
+const AFFINITY_BOUND: f64 = 1.25;
+
+/// Load report of an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    at: Duration,
+    requests: u32,
+    /// Change of the own requests since the report.
+    since: i64,
+}
+
+/// Endpoint of the subset.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Name of the agent.
+    pub agent: Arc<str>,
+    /// Models that it serves.
+    pub models: Vec<Arc<str>>,
+    /// Streams that it runs at once.
+    pub slots: u32,
+    /// Distance to the entry.
+    pub tier: subset::Tier,
+    /// Own requests in flight.
+    pub flying: u32,
+    /// Health.
+    pub record: ejection::Record,
+    /// Until when it refuses requests.
+    pub busy: Duration,
+    /// Latest sign of life while requests are in flight.
+    pub progress: Duration,
+    report: Option<Report>,
+}
+
+impl Endpoint {
+    /// Returns an endpoint without known load.
+    pub fn new(agent: Arc<str>, tier: subset::Tier) -> Endpoint {
+        Endpoint {
+            agent,
+            models: Vec::new(),
+            slots: 1,
+            tier,
+            flying: 0,
+            record: ejection::Record::default(),
+            busy: Duration::ZERO,
+            progress: Duration::ZERO,
+            report: None,
+        }
+    }
+
+    /// Counts a request that is sent.
+    pub fn started(&mut self, now: Duration) {
+        // A probe is judged by its own time: older requests may still hang.
+        if self.flying == 0 || self.record.is_out() {
+            self.progress = now;
+        }
+        self.flying += 1;
+        if let Some(report) = &mut self.report {
+            report.since += 1;
+        }
+        self.record.started(now);
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&mut self) {
+        self.flying = self.flying.saturating_sub(1);
+        if let Some(report) = &mut self.report {
+            report.since -= 1;
+        }
+    }
+
+    /// Stores a load report.
+    pub fn reported(&mut self, now: Duration, requests: u32) {
+        self.report = Some(Report { at: now, requests, since: 0 });
+    }
+
+    /// Whether requests are in flight and nothing has been heard for longer than `stall`.
+    pub fn is_silent(&self, now: Duration, stall: Duration) -> bool {
+        self.flying > 0 && now.saturating_sub(self.progress) > stall
+    }
+
+    /// Requests per slot: the larger of the own requests and the report, brought up to date.
+    pub fn load(&self, now: Duration) -> f64 {
+        let report = self.report.filter(|r| now.saturating_sub(r.at) < REPORT);
+        let reported = report.map_or(0, |r| (i64::from(r.requests) + r.since).max(0));
+        reported.max(i64::from(self.flying)) as f64 / f64::from(self.slots.max(1))
+    }
+
+    fn cost(&self, now: Duration) -> f64 {
+        let distance = match self.tier {
+            subset::Tier::Domain => 0.0,
+            subset::Tier::Region => DOMAIN_COST,
+            subset::Tier::Far => REGION_COST,
+        };
+        self.load(now) + distance
+    }
+}
+
+/// Chooses the less loaded of two random endpoints.
+///
+/// Endpoints of other regions take part only if none is near or a near choice has no free slot.
+pub fn two_choices(
+    now: Duration,
+    rng: &mut ChaCha8Rng,
+    endpoints: &[Endpoint],
+    eligible: &[usize],
+) -> Option<usize> {
+    let is_near = |at: &&usize| endpoints[**at].tier != subset::Tier::Far;
+    let near: Vec<usize> = eligible.iter().filter(is_near).copied().collect();
+    let chosen = draw(now, rng, endpoints, &near);
+    let full = chosen.is_none_or(|at| endpoints[at].load(now) >= 1.0);
+    let far = if full { draw(now, rng, endpoints, eligible) } else { None };
+    cheaper(now, endpoints, chosen, far)
+}
+
+/// Chooses the endpoint that holds the cached prefix, unless its load is well above the mean.
+pub fn affine(
+    now: Duration,
+    prefix: u64,
+    endpoints: &[Endpoint],
+    eligible: &[usize],
+) -> Option<usize> {
+    let near = eligible.iter().map(|at| endpoints[*at].tier).min()?.max(subset::Tier::Region);
+    let local = eligible.iter().filter(|at| endpoints[**at].tier <= near);
+    let mut ranked: Vec<(u64, usize)> =
+        local.map(|at| (weight(prefix, &endpoints[*at]), *at)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let total: f64 = ranked.iter().map(|(_, at)| endpoints[*at].load(now)).sum();
+    // One request more than the mean is always allowed, so that affinity works at low load.
+    let mean = total / ranked.len() as f64;
+    let within = |at: usize| {
+        let slot = 1.0 / f64::from(endpoints[at].slots.max(1));
+        endpoints[at].load(now) <= mean * AFFINITY_BOUND + slot && endpoints[at].load(now) < 1.0
+    };
+    // After two overloaded endpoints the prefix is hot, and load decides.
+    ranked.iter().take(2).map(|(_, at)| *at).find(|at| within(*at))
+}
+
+fn weight(prefix: u64, endpoint: &Endpoint) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.agent.as_bytes(), prefix)
+}
+
+fn draw(
+    now: Duration,
+    rng: &mut ChaCha8Rng,
+    endpoints: &[Endpoint],
+    among: &[usize],
+) -> Option<usize> {
+    if among.is_empty() {
+        return None;
+    }
+    let first = among[rng.random_range(0..among.len())];
+    let second = among[rng.random_range(0..among.len())];
+    cheaper(now, endpoints, Some(first), Some(second))
+}
+
+fn cheaper(
+    now: Duration,
+    endpoints: &[Endpoint],
+    a: Option<usize>,
+    b: Option<usize>,
+) -> Option<usize> {
+    match (a, b) {
+        (Some(a), Some(b)) => {
+            let keep = endpoints[a].cost(now) <= endpoints[b].cost(now);
+            Some(if keep { a } else { b })
+        }
+        (a, b) => a.or(b),
+    }
+}
--- /dev/null
+++ b/src/router/subset.rs
@@ -0,0 +1,75 @@
+//! Deterministic subset of the endpoints that one entry uses.
+//!
+//! Rendezvous hashing gives every pair of entry and agent a fixed weight. A joining or leaving
+//! agent therefore changes at most one place per part of a subset, and the subsets of different
+//! entries are spread evenly.
+
+use crate::router;
+use std::cmp::Reverse;
+use std::sync::Arc;
+use xxhash_rust::xxh3;
+
+/// One part in this many of a subset is reserved for other failure domains, so that the loss of
+/// the entry's own domain leaves it with endpoints.
+const RESERVE: usize = 4;
+
+/// Distance between an entry and an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Tier {
+    /// Same failure domain.
+    Domain,
+    /// Same region.
+    Region,
+    /// Another region.
+    Far,
+}
+
+/// Place of an entry.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Name of the entry.
+    pub entry: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Its region, taken from the candidates of its failure domain.
+    pub region: Option<Arc<str>>,
+}
+
+impl Place {
+    /// Distance of a candidate.
+    pub fn tier(&self, candidate: &router::Candidate) -> Tier {
+        if candidate.domain == self.domain {
+            Tier::Domain
+        } else if self.region.as_ref() == Some(&candidate.region) {
+            Tier::Region
+        } else {
+            Tier::Far
+        }
+    }
+}
+
+/// Weight of a pair of names.
+pub fn weight(name: &str, agent: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(agent.as_bytes(), xxh3::xxh3_64(name.as_bytes()))
+}
+
+/// Chooses up to `size` of the candidates that serve `model`, nearest first.
+pub fn choose<'a>(
+    place: &Place,
+    candidates: &'a [router::Candidate],
+    model: &str,
+    size: usize,
+) -> Vec<&'a router::Candidate> {
+    let serving = candidates.iter().filter(|c| c.models.iter().any(|m| **m == *model));
+    let mut ranked: Vec<_> = serving
+        .map(|c| ((place.tier(c), Reverse(weight(&place.entry, &c.agent)), c.agent.clone()), c))
+        .collect();
+    ranked.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+    let own = ranked.partition_point(|(key, _)| key.0 == Tier::Domain);
+    let others = ranked.len() - own;
+    let reserved = (size / RESERVE).min(others);
+    let taken = own.min(size - reserved);
+    let own = ranked[..taken].iter();
+    let others = ranked[ranked.len() - others..].iter();
+    own.chain(others).take(size).map(|(_, candidate)| *candidate).collect()
+}
