Test links against silent, frozen and closing peers

The link needs proof that requests never hang on a lost flow. A small UDP relay in the test drops established flows, in both directions or only from the peer, while new source ports work. Further tests cover a frozen peer, shared dials, ascending connection numbers, the stream limit, graceful close, cancelled streams and idle traffic.

--- a/tests/link.rs
+++ b/tests/link.rs
@@ -7,9 +7,12 @@
 use bytes::Bytes;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
+use tokio::net::UdpSocket;
 use tokio::time;
 
 const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -145,3 +148,271 @@
     // The stream is still usable, since nothing was sent.
     stream.send(&0u64).await.unwrap();
 }
+
+/// What a relay does with the datagrams of a flow.
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Pass,
+    DropBoth,
+    DropToServer,
+    DropToClient,
+}
+
+/// UDP relay in place of a device on the path that keeps state for each flow.
+struct Relay {
+    addr: SocketAddr,
+    flows: Arc<Mutex<Vec<Flow>>>,
+    // Fate of flows that are established later.
+    later: Arc<Mutex<Fate>>,
+}
+
+struct Flow {
+    client: SocketAddr,
+    upstream: Arc<UdpSocket>,
+    fate: Arc<Mutex<Fate>>,
+}
+
+impl Relay {
+    async fn start(server: SocketAddr) -> Relay {
+        let socket = Arc::new(UdpSocket::bind(LOCAL).await.unwrap());
+        let addr = socket.local_addr().unwrap();
+        let relay = Relay { addr, flows: Arc::default(), later: Arc::new(Mutex::new(Fate::Pass)) };
+        let (flows, later) = (relay.flows.clone(), relay.later.clone());
+        tokio::spawn(async move {
+            let mut buffer = vec![0; 65536];
+            while let Ok((size, client)) = socket.recv_from(&mut buffer).await {
+                let known = flows.lock().unwrap().iter().position(|f| f.client == client);
+                let at = match known {
+                    Some(at) => at,
+                    None => {
+                        let fate = Arc::new(Mutex::new(*later.lock().unwrap()));
+                        let upstream = Arc::new(UdpSocket::bind(LOCAL).await.unwrap());
+                        upstream.connect(server).await.unwrap();
+                        tokio::spawn(backward(
+                            socket.clone(),
+                            client,
+                            upstream.clone(),
+                            fate.clone(),
+                        ));
+                        flows.lock().unwrap().push(Flow { client, upstream, fate });
+                        flows.lock().unwrap().len() - 1
+                    }
+                };
+                let (upstream, fate) = {
+                    let flow = &flows.lock().unwrap()[at];
+                    (flow.upstream.clone(), *flow.fate.lock().unwrap())
+                };
+                if !matches!(fate, Fate::DropBoth | Fate::DropToServer) {
+                    let _ = upstream.send(&buffer[..size]).await;
+                }
+            }
+        });
+        relay
+    }
+
+    fn set(&self, fate: Fate) {
+        for flow in self.flows.lock().unwrap().iter() {
+            *flow.fate.lock().unwrap() = fate;
+        }
+    }
+
+    fn sources(&self) -> usize {
+        self.flows.lock().unwrap().len()
+    }
+}
+
+async fn backward(
+    socket: Arc<UdpSocket>,
+    client: SocketAddr,
+    upstream: Arc<UdpSocket>,
+    fate: Arc<Mutex<Fate>>,
+) {
+    let mut buffer = vec![0; 65536];
+    while let Ok(size) = upstream.recv(&mut buffer).await {
+        let fate = *fate.lock().unwrap();
+        if !matches!(fate, Fate::DropBoth | Fate::DropToClient) {
+            let _ = socket.send_to(&buffer[..size], client).await;
+        }
+    }
+}
+
+/// Silences the established flow in the given direction and expects the pending call to fail
+/// within 2 s and the next one to succeed on a new connection from a new source port.
+async fn silence(fate: Fate) {
+    let ca = tls::Authority::create().unwrap();
+    let echo = Echo::start(&ca, link::Settings::default());
+    let relay = Relay::start(echo.listener.addr()).await;
+    let dialer = dialer(&ca, relay.addr);
+    let body = Bytes::from_static(b"body");
+    // Sends frames in both directions until the connection is lost.
+    let mut stream = dialer.open().await.unwrap();
+    stream.send(&0u64).await.unwrap();
+    stream.send(&body).await.unwrap();
+    stream.recv::<Bytes>().await.unwrap();
+    let (mut sender, mut receiver) = stream.split();
+    let sending = tokio::spawn(async move {
+        while sender.send(&Bytes::from_static(b"more")).await.is_ok() {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    time::sleep(Duration::from_millis(700)).await;
+    let started = Instant::now();
+    relay.set(fate);
+    let error = loop {
+        if let Err(error) = receiver.recv::<Bytes>().await {
+            break error;
+        }
+    };
+    let elapsed = started.elapsed();
+    println!("lost after {elapsed:?}: {error}");
+    assert!(elapsed < Duration::from_secs(2), "{elapsed:?}");
+    assert_eq!(call(&dialer, 0, &body).await.unwrap(), body);
+    assert_eq!((dialer.generation(), relay.sources()), (2, 2));
+    sending.await.unwrap();
+}
+
+/// Guards against requests that hang on a connection whose flow entry was lost on the path.
+#[tokio::test]
+async fn silent_flow_is_replaced() {
+    silence(Fate::DropBoth).await;
+}
+
+/// Guards against detection by sent data only.
+#[tokio::test]
+async fn flow_that_is_silent_from_the_peer_is_replaced() {
+    silence(Fate::DropToClient).await;
+}
+
+/// Guards against calls that hang while the peer is frozen, and against a dial for each of them.
+#[tokio::test]
+async fn frozen_peer_gives_errors_within_a_bound() {
+    let ca = tls::Authority::create().unwrap();
+    let echo = Echo::start(&ca, link::Settings::default());
+    let relay = Relay::start(echo.listener.addr()).await;
+    let dialer = dialer(&ca, relay.addr);
+    let body = Bytes::from_static(b"body");
+    call(&dialer, 0, &body).await.unwrap();
+    relay.set(Fate::DropBoth);
+    *relay.later.lock().unwrap() = Fate::DropBoth;
+    let started = Instant::now();
+    assert!(call(&dialer, 0, &body).await.is_err());
+    assert!(started.elapsed() < Duration::from_secs(2));
+    let started = Instant::now();
+    let calls = futures_util::future::join_all((0..50).map(|_| call(&dialer, 0, &body))).await;
+    assert!(calls.iter().all(Result::is_err));
+    assert!(started.elapsed() < Duration::from_millis(1500), "{:?}", started.elapsed());
+    assert_eq!(relay.sources(), 2, "fifty calls share one dial");
+    *relay.later.lock().unwrap() = Fate::Pass;
+    time::sleep(Duration::from_millis(100)).await;
+    call(&dialer, 0, &body).await.unwrap();
+}
+
+/// Guards against a connection for each call, and connection numbers that repeat.
+#[tokio::test]
+async fn concurrent_calls_share_one_connection() {
+    let ca = tls::Authority::create().unwrap();
+    let echo = Echo::start(&ca, link::Settings::default());
+    let dialer = dialer(&ca, echo.listener.addr());
+    assert_eq!(dialer.generation(), 0);
+    for generation in 1..=3 {
+        let bodies: Vec<Bytes> = (0..100u8).map(|n| Bytes::from(vec![n; 10])).collect();
+        let calls = bodies.iter().map(|body| call(&dialer, 5, body));
+        let answers = futures_util::future::try_join_all(calls).await.unwrap();
+        assert_eq!(answers, bodies);
+        assert_eq!(echo.peers.load(Ordering::Relaxed), generation);
+        assert_eq!(dialer.generation(), generation);
+        dialer.reset(generation - 1);
+        call(&dialer, 0, &bodies[0]).await.unwrap();
+        assert_eq!(dialer.generation(), generation, "an old number resets nothing");
+        dialer.reset(generation);
+    }
+}
+
+/// Guards against calls that wait forever for a peer that allows no further stream.
+#[tokio::test]
+async fn stream_limit_is_an_error() {
+    let ca = tls::Authority::create().unwrap();
+    let few = link::Settings { streams: 2, ..link::Settings::default() };
+    let echo = Echo::start(&ca, few);
+    let dialer = dialer(&ca, echo.listener.addr());
+    let mut held = Vec::new();
+    for _ in 0..2 {
+        let mut stream = dialer.open().await.unwrap();
+        stream.send(&0u64).await.unwrap();
+        held.push(stream);
+    }
+    let error = dialer.open().await.err().unwrap();
+    assert_eq!(error.cause, errors::Cause::Timeout(1000));
+    drop(held);
+    call(&dialer, 0, &Bytes::new()).await.unwrap();
+    assert_eq!(dialer.generation(), 1);
+}
+
+/// Guards against answers that a planned stop cuts off, and work that it still takes.
+#[tokio::test]
+async fn graceful_close_finishes_running_streams() {
+    let ca = tls::Authority::create().unwrap();
+    let echo = Echo::start(&ca, link::Settings::default());
+    let dialer = dialer(&ca, echo.listener.addr());
+    let body = Bytes::from(vec![7; 1 << 20]);
+    let running: Vec<_> = (0..20)
+        .map(|n| {
+            let (dialer, body) = (dialer.clone(), body.clone());
+            tokio::spawn(async move { call(&dialer, 20 * n, &body).await })
+        })
+        .collect();
+    time::sleep(Duration::from_millis(200)).await;
+    let listener = echo.listener.clone();
+    let closing = tokio::spawn(async move { listener.close(Duration::from_secs(5)).await });
+    time::sleep(Duration::from_millis(50)).await;
+    let error = call(&dialer, 0, &body).await.err().unwrap();
+    assert!(matches!(error.cause, errors::Cause::Refused(_)), "{error}");
+    for call in running {
+        assert_eq!(call.await.unwrap().unwrap(), body);
+    }
+    assert!(closing.await.unwrap(), "every stream finished");
+    let error = call(&dialer, 0, &body).await.err().unwrap();
+    assert!(!matches!(error.cause, errors::Cause::Invalid(_)), "{error}");
+}
+
+/// Guards against a handler that goes on after its caller has left.
+#[tokio::test]
+async fn dropped_stream_is_noticed_by_the_peer() {
+    let ca = tls::Authority::create().unwrap();
+    let identity = ca.identity("server").unwrap();
+    let settings = link::Settings::default();
+    let listener = link::Listener::bind(LOCAL, &identity, settings, &log()).unwrap();
+    let dialer = dialer(&ca, listener.addr());
+    let mut stream = dialer.open().await.unwrap();
+    stream.send(&1u64).await.unwrap();
+    stream.finish();
+    let peer = listener.accept().await.unwrap();
+    let Some(link::Incoming::Stream(mut answer)) = peer.accept().await else { panic!() };
+    assert_eq!(answer.recv::<u64>().await.unwrap(), Some(1));
+    assert!(time::timeout(Duration::from_millis(100), answer.closed()).await.is_err());
+    drop(stream);
+    time::timeout(Duration::from_millis(500), answer.closed()).await.unwrap();
+    assert!(answer.send(&1u64).await.is_err());
+    // The other way round: an answer that was dropped is an error, not an end.
+    let mut stream = dialer.open().await.unwrap();
+    stream.send(&1u64).await.unwrap();
+    drop(peer.accept().await.unwrap());
+    assert!(stream.recv::<u64>().await.is_err());
+}
+
+/// Guards against heartbeats that use up the control traffic of an idle node, 8 KB/s.
+#[tokio::test]
+async fn idle_connection_is_quiet() {
+    let ca = tls::Authority::create().unwrap();
+    let echo = Echo::start(&ca, link::Settings::default());
+    let dialer = dialer(&ca, echo.listener.addr());
+    call(&dialer, 0, &Bytes::new()).await.unwrap();
+    time::sleep(Duration::from_millis(500)).await;
+    let before = dialer.traffic();
+    time::sleep(Duration::from_secs(4)).await;
+    let after = dialer.traffic();
+    let rate = (after.0 + after.1 - before.0 - before.1) / 4;
+    println!("idle connection: {rate} B/s of UDP payload");
+    assert!(rate < 400, "{rate} B/s");
+    assert_eq!(dialer.generation(), 1);
+}
