--- /dev/null
+++ b/tests/network/mod.rs
@@ -0,0 +1,472 @@
+//! Replicas of one group on a seeded network with manual time and in-memory disks.
+//!
+//! The network checks on the way that a term has one leader, that no committed entry is lost or
+//! changed, and that a confirmed read sees everything acknowledged before it was asked.
+
+// Each test binary uses a part of this helper.
+#![allow(dead_code)]
+
+use basilfield::replica;
+use basilfield::replica::Envelope;
+use basilfield::replica::Input;
+use basilfield::replica::Machine as _;
+use basilfield::replica::Output;
+use basilfield::replica::Replica;
+use bytes::Bytes;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Time between ticks, and unit of message delays.
+pub const TICK: Duration = Duration::from_millis(10);
+const HEARTBEAT: Duration = Duration::from_millis(50);
+const ELECTION: Duration = Duration::from_millis(300);
+
+/// State machine that remembers every command.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ledger {
+    pub commands: Vec<(u64, Vec<u8>)>,
+}
+
+impl replica::Machine for Ledger {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        self.commands.push((index, command.to_vec()));
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.commands).expect("encodable")
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
+        self.commands = postcard::from_bytes(data)
+            .map_err(|e| replica::RestoreError { cause: e.to_string().into() })?;
+        Ok(())
+    }
+}
+
+/// Host with one replica.
+pub struct Host {
+    pub name: String,
+    pub id: u64,
+    pub disk: replica::Restored,
+    /// Absent while the process is down.
+    pub replica: Option<Replica>,
+    pub frozen: bool,
+    pub ledger: Ledger,
+    pub applied: u64,
+    /// Outputs of the running batch.
+    batch: Vec<Output>,
+    /// Messages that arrived while the process was frozen.
+    backlog: Vec<Envelope>,
+}
+
+/// Probabilities of faults per message, in percent.
+#[derive(Clone, Copy, Default)]
+pub struct Faults {
+    pub loss: u32,
+    pub duplicate: u32,
+    /// Longest delay in ticks; messages with different delays are reordered.
+    pub delay: u32,
+}
+
+/// Outcome of requests at a shell.
+#[derive(Default)]
+pub struct Requests {
+    next: u64,
+    /// Appended commands by token: host, index and term.
+    accepted: BTreeMap<u64, (usize, u64, u64)>,
+    pub committed: BTreeSet<u64>,
+    pub refused: BTreeMap<u64, replica::Refusal>,
+    /// Acknowledged index at the time of each open read.
+    reads: BTreeMap<u64, u64>,
+    pub readable: BTreeSet<u64>,
+}
+
+/// Hosts, the messages between them and what was observed.
+pub struct Network {
+    pub now: Duration,
+    pub hosts: Vec<Host>,
+    pub faults: Faults,
+    /// Pairs of hosts between which messages are dropped.
+    pub cut: BTreeSet<(usize, usize)>,
+    pub requests: Requests,
+    /// Committed entries as first applied by any replica.
+    pub history: BTreeMap<u64, replica::Entry>,
+    pub leaders: BTreeMap<u64, u64>,
+    /// Snapshot after this many applied entries; 0 for never.
+    pub compaction: u64,
+    /// Snapshots installed from a leader.
+    pub installed: u32,
+    queue: Vec<(Duration, u64, Envelope)>,
+    sent: u64,
+    rng: ChaCha8Rng,
+    next_id: u64,
+}
+
+impl Network {
+    pub fn new(count: usize, seed: u64) -> Network {
+        let mut network = Network {
+            now: Duration::ZERO,
+            hosts: Vec::new(),
+            faults: Faults { loss: 0, duplicate: 0, delay: 1 },
+            cut: BTreeSet::new(),
+            requests: Requests::default(),
+            history: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            compaction: 0,
+            installed: 0,
+            queue: Vec::new(),
+            sent: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            next_id: 1,
+        };
+        for at in 0..count {
+            let name = format!("h{}", at + 1);
+            let (id, disk) = (0, replica::Restored::default());
+            let (replica, ledger) = (None, Ledger::default());
+            let (batch, backlog) = (Vec::new(), Vec::new());
+            let frozen = false;
+            network.hosts.push(Host {
+                name,
+                id,
+                disk,
+                replica,
+                frozen,
+                ledger,
+                applied: 0,
+                batch,
+                backlog,
+            });
+            network.wipe(at);
+            network.start(at);
+        }
+        network
+    }
+
+    /// Membership of all hosts as voters.
+    pub fn membership(&self) -> replica::Membership {
+        let voters = self.hosts.iter().map(|h| (h.id, h.name.as_str().into()));
+        replica::Membership::of_voters(voters)
+    }
+
+    /// Forms a group of all hosts on the first one, and waits for a leader.
+    pub fn form(&mut self) -> usize {
+        let members = self.membership();
+        self.input(0, Input::Form(members));
+        self.flush(0);
+        self.await_leader()
+    }
+
+    /// Replaces the disk of a stopped host by an empty one.
+    pub fn wipe(&mut self, at: usize) {
+        assert!(self.hosts[at].replica.is_none(), "the host is stopped");
+        self.hosts[at].disk = replica::Restored::default();
+        self.hosts[at].id = self.next_id;
+        self.next_id += 1;
+    }
+
+    /// Starts the process of a host from its disk.
+    pub fn start(&mut self, at: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[at];
+        if host.replica.is_some() {
+            return;
+        }
+        let config = replica::Config {
+            group: 1,
+            id: host.id,
+            heartbeat: HEARTBEAT,
+            election: ELECTION,
+            seed: host.id,
+        };
+        host.ledger = Ledger::default();
+        host.applied = 0;
+        if let Some(snapshot) = &host.disk.snapshot {
+            host.ledger.restore(&snapshot.data).expect("own snapshot");
+            host.applied = snapshot.index;
+        }
+        host.replica = Some(Replica::new(config, host.disk.clone(), now));
+        host.frozen = false;
+    }
+
+    /// Kills the process of a host. Of the running batch, the first `kept` outputs were carried
+    /// out; messages are sent only after the whole batch is synced, so they are lost.
+    pub fn kill(&mut self, at: usize, kept: usize) {
+        let host = &mut self.hosts[at];
+        for output in std::mem::take(&mut host.batch).into_iter().take(kept) {
+            save(&mut host.disk, &output);
+        }
+        host.replica = None;
+        host.backlog.clear();
+    }
+
+    /// Cuts or restores every link of a host.
+    pub fn isolate(&mut self, at: usize, cut: bool) {
+        for other in (0..self.hosts.len()).filter(|other| *other != at) {
+            for pair in [(at, other), (other, at)] {
+                match cut {
+                    true => self.cut.insert(pair),
+                    false => self.cut.remove(&pair),
+                };
+            }
+        }
+    }
+
+    /// Feeds an input; its outputs join the running batch.
+    pub fn input(&mut self, at: usize, input: Input) {
+        let host = &mut self.hosts[at];
+        if let Some(replica) = &mut host.replica {
+            host.batch.extend(replica.step(self.now, input));
+        }
+    }
+
+    /// Ends the running batch: saves, syncs, then carries out the rest in order.
+    pub fn flush(&mut self, at: usize) {
+        while !self.hosts[at].batch.is_empty() {
+            let batch = std::mem::take(&mut self.hosts[at].batch);
+            let mut written = false;
+            for output in &batch {
+                written |= save(&mut self.hosts[at].disk, output);
+            }
+            for output in batch {
+                self.carry_out(at, output);
+            }
+            if written {
+                let index = self.hosts[at].disk.entries.last().map_or(0, |e| e.index);
+                self.input(at, Input::Synced { index });
+            }
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, output: Output) {
+        match output {
+            Output::Persist { .. } | Output::Store(_) => {}
+            Output::Restore(snapshot) => self.install(at, &snapshot),
+            Output::Send(envelope) => self.send(envelope),
+            Output::Accepted { token, index, term } => {
+                self.requests.accepted.insert(token, (at, index, term));
+            }
+            Output::Refused { token, reason } => {
+                self.requests.refused.insert(token, reason);
+                self.requests.reads.remove(&token);
+            }
+            Output::Apply(entries) => entries.into_iter().for_each(|e| self.apply(at, e)),
+            Output::Readable { token, index } => self.check_read(token, index),
+            Output::Role { role: replica::Role::Leader, term, .. } => {
+                let id = self.hosts[at].id;
+                let first = *self.leaders.entry(term).or_insert(id);
+                assert_eq!(first, id, "one leader in term {term}");
+            }
+            Output::Role { .. } => {}
+        }
+    }
+
+    fn install(&mut self, at: usize, snapshot: &replica::Snapshot) {
+        let host = &mut self.hosts[at];
+        host.ledger.restore(&snapshot.data).expect("leader's snapshot");
+        host.applied = snapshot.index;
+        self.installed += 1;
+        self.check_ledger(at);
+    }
+
+    fn apply(&mut self, at: usize, entry: replica::Entry) {
+        let host = &mut self.hosts[at];
+        assert_eq!(entry.index, host.applied + 1, "entries are applied in order on {}", host.name);
+        host.applied = entry.index;
+        if let replica::Payload::Command(command) = &entry.payload {
+            host.ledger.apply(entry.index, command);
+        }
+        let first = self.history.entry(entry.index).or_insert_with(|| entry.clone());
+        assert_eq!(*first, entry, "committed entry {} changed on {}", entry.index, host.name);
+        let done =
+            |(_, (_, i, t)): &(&u64, &(usize, u64, u64))| (*i, *t) == (entry.index, entry.term);
+        let tokens = self.requests.accepted.iter().filter(done).map(|(token, _)| *token);
+        self.requests.committed.extend(tokens.collect::<Vec<_>>());
+        if self.compaction > 0 && entry.index.is_multiple_of(self.compaction) {
+            let data = self.hosts[at].ledger.snapshot().into();
+            self.input(at, Input::Snapshot { index: entry.index, data });
+        }
+    }
+
+    fn check_read(&mut self, token: u64, index: u64) {
+        if let Some(acknowledged) = self.requests.reads.remove(&token) {
+            assert!(index >= acknowledged, "read at {index} misses {acknowledged}");
+            self.requests.readable.insert(token);
+        }
+    }
+
+    /// Checks the state machine of a host against the history.
+    pub fn check_ledger(&self, at: usize) {
+        let host = &self.hosts[at];
+        let expected: Vec<(u64, Vec<u8>)> = self
+            .history
+            .range(..=host.applied)
+            .filter_map(|(index, e)| match &e.payload {
+                replica::Payload::Command(command) => Some((*index, command.to_vec())),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(host.ledger.commands, expected, "state machine of {}", host.name);
+    }
+
+    fn send(&mut self, envelope: Envelope) {
+        let copies = match self.rng.random_range(0..100) {
+            n if n < self.faults.loss => 0,
+            n if n < self.faults.loss + self.faults.duplicate => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let due = self.now + TICK * self.rng.random_range(1..=self.faults.delay.max(1));
+            self.sent += 1;
+            self.queue.push((due, self.sent, envelope.clone()));
+        }
+    }
+
+    fn position(&self, id: u64) -> Option<usize> {
+        self.hosts.iter().position(|h| h.id == id)
+    }
+
+    /// Delivers what is due and ticks every running host, each as one batch.
+    pub fn tick(&mut self) {
+        self.tick_without_flush();
+        for at in 0..self.hosts.len() {
+            self.flush(at);
+        }
+    }
+
+    /// As [`Network::tick`], but leaves the batches running so that a host can be killed in one.
+    pub fn tick_without_flush(&mut self) {
+        self.now += TICK;
+        let now = self.now;
+        let (mut due, rest) =
+            std::mem::take(&mut self.queue).into_iter().partition::<Vec<_>, _>(|m| m.0 <= now);
+        self.queue = rest;
+        due.sort_by_key(|(due, number, _)| (*due, *number));
+        for (_, _, envelope) in due {
+            self.deliver(envelope);
+        }
+        for at in 0..self.hosts.len() {
+            if !self.hosts[at].frozen {
+                self.input(at, Input::Tick);
+                for envelope in std::mem::take(&mut self.hosts[at].backlog) {
+                    self.input(at, Input::Message(envelope));
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, envelope: Envelope) {
+        let (from, to) = (self.position(envelope.from), self.position(envelope.to));
+        // Messages of a replica whose disk was lost can still be under way.
+        let from = from.unwrap_or(usize::MAX);
+        let Some(to) = to.filter(|to| !self.cut.contains(&(from, *to))) else { return };
+        match self.hosts[to].frozen {
+            true => self.hosts[to].backlog.push(envelope),
+            false => self.input(to, Input::Message(envelope)),
+        }
+    }
+
+    pub fn run(&mut self, ticks: u32) {
+        for _ in 0..ticks {
+            self.tick();
+        }
+    }
+
+    /// Host that leads the highest term, if it runs.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |h: &&Host| {
+            h.replica.as_ref().is_some_and(|r| r.role() == replica::Role::Leader) && !h.frozen
+        };
+        let leader =
+            self.hosts.iter().filter(leads).max_by_key(|h| h.replica.as_ref().map(|r| r.term()));
+        leader.and_then(|h| self.position(h.id))
+    }
+
+    /// Runs until a leader has committed an entry of its term.
+    pub fn await_leader(&mut self) -> usize {
+        for _ in 0..500 {
+            self.tick();
+            if let Some(at) = self.leader()
+                && self.hosts[at].replica.as_ref().is_some_and(|r| r.settled())
+            {
+                return at;
+            }
+        }
+        panic!("no leader within 5 s");
+    }
+
+    /// Proposes a command at a host and returns the token.
+    pub fn propose(&mut self, at: usize, command: impl Into<Bytes>) -> u64 {
+        self.requests.next += 1;
+        let token = self.requests.next;
+        self.input(at, Input::Propose { token, command: command.into() });
+        token
+    }
+
+    /// Proposes a command at the leader and waits until it is committed.
+    pub fn commit(&mut self, command: impl Into<Bytes>) {
+        let at = self.await_leader();
+        let token = self.propose(at, command);
+        for _ in 0..300 {
+            self.tick();
+            if self.requests.committed.contains(&token) {
+                return;
+            }
+        }
+        panic!("command not committed within 3 s");
+    }
+
+    /// Asks for a read index at a host and returns the token.
+    pub fn read(&mut self, at: usize) -> u64 {
+        self.requests.next += 1;
+        let token = self.requests.next;
+        let acknowledged = self.history.keys().next_back().copied().unwrap_or(0);
+        self.requests.reads.insert(token, acknowledged);
+        self.input(at, Input::Read { token });
+        token
+    }
+
+    /// Asks for a membership change at a host and returns the token.
+    pub fn change(&mut self, at: usize, change: replica::MemberChange) -> u64 {
+        self.requests.next += 1;
+        let token = self.requests.next;
+        self.input(at, Input::Change { token, change });
+        token
+    }
+
+    /// Checks that every host has applied the whole history.
+    pub fn check_converged(&self) {
+        let last = self.history.keys().next_back().copied().unwrap_or(0);
+        for (at, host) in self.hosts.iter().enumerate() {
+            assert_eq!(host.applied, last, "{} has applied everything", host.name);
+            self.check_ledger(at);
+        }
+    }
+}
+
+/// Carries out an output on the disk. Returns whether it wrote anything.
+fn save(disk: &mut replica::Restored, output: &Output) -> bool {
+    match output {
+        Output::Persist { hard, entries } => {
+            disk.hard = hard.unwrap_or(disk.hard);
+            if let Some(first) = entries.first() {
+                disk.entries.retain(|e| e.index < first.index);
+                disk.entries.extend(entries.iter().cloned());
+            }
+        }
+        Output::Store(snapshot) => {
+            disk.entries.retain(|e| e.index > snapshot.index);
+            disk.snapshot = Some(snapshot.clone());
+        }
+        Output::Restore(snapshot) => {
+            disk.entries.clear();
+            disk.snapshot = Some(snapshot.clone());
+        }
+        _ => return false,
+    }
+    true
+}
