--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -1,1 +1,144 @@
 //! Data folder of one replica group.
+//!
+//! | file | content |
+//! |---|---|
+//! | `lock` | locked while a process has the folder open |
+//! | `identity` | group and replica id |
+//! | `NNNNNNNN.log` | segment of the log, see [`segment`] |
+//! | `spare` | space reserved for the next segment |
+//! | `snapshot` | last snapshot and the number of the first segment that is still needed |
+//! | `*.tmp` | unfinished file of an earlier process, removed on open |
+
+mod folder;
+pub mod segment;
+mod snapshot;
+
+pub use folder::Folder;
+pub use folder::Options;
+
+use crate::errors;
+use derive_more::Display;
+use rustix::io::Errno;
+use std::fs::File;
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+
+/// Failure of a data folder.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// The disk or the configured capacity is full. Nothing was written; what was appended before
+    /// stays pending, and the operation can be repeated once there is space.
+    #[display("{file}: no space left")]
+    Full {
+        /// Path of the file.
+        file: Arc<str>,
+    },
+    /// A file holds something that was not written like this.
+    #[display("{file}: damaged at offset {offset}: {cause}")]
+    Damaged {
+        /// Path of the file.
+        file: Arc<str>,
+        /// Position of the damage in bytes.
+        offset: u64,
+        /// What is wrong.
+        cause: Arc<str>,
+    },
+    /// Another process has the folder open.
+    #[display("{file}: used by another process")]
+    Locked {
+        /// Path of the lock file.
+        file: Arc<str>,
+    },
+    /// The folder belongs to another group.
+    #[display("{file}: belongs to group {found}, not {expected}")]
+    Group {
+        /// Path of the identity file.
+        file: Arc<str>,
+        /// Group that was asked for.
+        expected: u16,
+        /// Group in the file.
+        found: u16,
+    },
+    /// An operation of the file system failed. After a failed write or sync, the content of the
+    /// file is unknown; the folder refuses further use and the process ends.
+    #[display("{step} {file}: {cause}")]
+    Io {
+        /// Operation that failed.
+        step: &'static str,
+        /// Path of the file.
+        file: Arc<str>,
+        /// Reason given by the operating system.
+        cause: Arc<str>,
+    },
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    fn damaged(path: &Path, offset: u64, cause: impl ToString) -> Error {
+        Error::Damaged { file: name(path), offset, cause: cause.to_string().into() }
+    }
+
+    /// Whether space has to be freed before the operation is repeated.
+    pub fn is_full(&self) -> bool {
+        matches!(self, Error::Full { .. })
+    }
+}
+
+impl From<Error> for errors::Error {
+    fn from(error: Error) -> errors::Error {
+        let file = match &error {
+            Error::Full { file } | Error::Damaged { file, .. } | Error::Locked { file } => file,
+            Error::Group { file, .. } | Error::Io { file, .. } => file,
+        };
+        errors::Error::io("use data folder", file.clone(), &error)
+    }
+}
+
+fn name(path: &Path) -> Arc<str> {
+    path.to_string_lossy().into()
+}
+
+/// Adds step and file to the error of an operation.
+trait Step<T> {
+    fn step(self, step: &'static str, path: &Path) -> Result<T, Error>;
+}
+
+impl<T> Step<T> for io::Result<T> {
+    fn step(self, step: &'static str, path: &Path) -> Result<T, Error> {
+        self.map_err(|e| {
+            let full = [Errno::NOSPC, Errno::DQUOT];
+            let file = name(path);
+            match Errno::from_io_error(&e) {
+                Some(errno) if full.contains(&errno) => Error::Full { file },
+                _ => Error::Io { step, file, cause: e.to_string().into() },
+            }
+        })
+    }
+}
+
+/// Makes creations, renames and removals in a folder durable.
+fn sync_dir(path: &Path) -> Result<(), Error> {
+    File::open(path).and_then(|dir| dir.sync_all()).step("sync folder", path)
+}
+
+/// Writes a file so that it either appears complete under its name or not at all.
+fn write_atomic(path: &Path, content: &[u8]) -> Result<(), Error> {
+    let temp = path.with_extension("tmp");
+    let written = write_synced(&temp, content);
+    if written.is_err() {
+        // Frees the space; a leftover would be removed on the next open anyway.
+        let _ = std::fs::remove_file(&temp);
+    }
+    written?;
+    std::fs::rename(&temp, path).step("rename", path)?;
+    sync_dir(path.parent().unwrap_or(path))
+}
+
+fn write_synced(path: &Path, content: &[u8]) -> Result<(), Error> {
+    use std::io::Write as _;
+    let mut file = File::create(path).step("create", path)?;
+    file.write_all(content).step("write", path)?;
+    file.sync_all().step("sync", path)
+}
