Add formation and repair of replica groups

A blank host has to choose between waiting, forming a group and joining one, and a leader has to replace the replica of a host that lost its disk. Both decide from probe answers without I/O. Only the first host by name forms a group; forming on every host was ruled out because answers taken at different times can name different replica ids. A repair keeps no state that a new leader would need: each step follows from the committed membership, so it continues where the last one stopped.

--- /dev/null
+++ b/src/replica/formation.rs
@@ -0,0 +1,87 @@
+//! Decides whether a host waits, forms a new group or joins an existing one.
+//!
+//! A group is formed only when every listed host answers and is blank, so the loss of most disks
+//! stops a group visibly instead of replacing it by an empty one. Only the first listed host in
+//! order of name forms the group; the others learn of it from the log. The vote of a blank
+//! replica counts, because its id is part of the membership that the first host collected.
+
+use crate::replica::Membership;
+use derive_more::Display;
+use std::sync::Arc;
+
+/// What a host says of its replica when it is probed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Name of the host.
+    pub host: Arc<str>,
+    /// Replica id of its data folder.
+    pub id: u64,
+    /// Whether its log holds no entry and no snapshot.
+    pub blank: bool,
+}
+
+/// What a host does next about its membership.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The replica has data and takes part already.
+    Resume,
+    /// Another host has data: wait until the leader adds this replica as a learner.
+    Join,
+    /// Feed [`crate::replica::Input::Form`].
+    Form(Membership),
+    /// Probe again later.
+    Wait(Cause),
+}
+
+/// Why no group is formed yet.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Cause {
+    /// The settings do not list this host.
+    #[display("this host is not listed")]
+    Unlisted,
+    /// A listed host did not answer.
+    #[display("no answer from {_0}")]
+    Missing(Arc<str>),
+    /// Two hosts use copies of one data folder.
+    #[display("{_0} and {_1} have the same replica id")]
+    Copied(Arc<str>, Arc<str>),
+    /// The group is formed by another host.
+    #[display("{_0} forms the group")]
+    Other(Arc<str>),
+}
+
+/// Decides for the host `own` from the answers of the listed hosts, including its own.
+///
+/// The answers were obtained after the own data folder was opened: older ones may be from before
+/// a group that this host formed under an id that it has lost since.
+pub fn decide(own: &str, hosts: &[Arc<str>], answers: &[Answer]) -> Decision {
+    let find = |host: &str| answers.iter().find(|a| &*a.host == host);
+    let Some(first) = hosts.iter().min().filter(|_| hosts.iter().any(|h| &**h == own)) else {
+        return Decision::Wait(Cause::Unlisted);
+    };
+    if find(own).is_some_and(|a| !a.blank) {
+        return Decision::Resume;
+    }
+    if answers.iter().any(|a| !a.blank && hosts.contains(&a.host)) {
+        return Decision::Join;
+    }
+    if let Some(missing) = hosts.iter().find(|h| find(h).is_none()) {
+        return Decision::Wait(Cause::Missing(missing.clone()));
+    }
+    let listed: Vec<&Answer> = hosts.iter().filter_map(|h| find(h)).collect();
+    if let Some((a, b)) = copied(&listed) {
+        return Decision::Wait(Cause::Copied(a, b));
+    }
+    if &**first != own {
+        return Decision::Wait(Cause::Other(first.clone()));
+    }
+    Decision::Form(Membership::of_voters(listed.iter().map(|a| (a.id, a.host.clone()))))
+}
+
+fn copied(answers: &[&Answer]) -> Option<(Arc<str>, Arc<str>)> {
+    let mut sorted = answers.to_vec();
+    sorted.sort_by_key(|a| a.id);
+    let pair =
+        sorted.windows(2).find(|pair| pair[0].id == pair[1].id && pair[0].host != pair[1].host);
+    pair.map(|pair| (pair[0].host.clone(), pair[1].host.clone()))
+}
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -13,9 +13,11 @@
 //!   step. The first step emits `Apply` for the entries that are known to be committed.
 
 mod election;
+pub mod formation;
 mod log;
 mod membership;
 mod read;
+pub mod repair;
 mod replicate;
 mod transfer;
 mod types;
--- /dev/null
+++ b/src/replica/repair.rs
@@ -0,0 +1,137 @@
+//! Replaces the replica of a host that lost its disk, one committed step at a time.
+//!
+//! The host is back under a new replica id. The new replica is added as a learner, and once its
+//! synced log has reached the commit index, the lost one is removed and the new one is promoted.
+//! Promoting first would give four voters of which one is dead, so that three live ones would be
+//! needed. Every step follows from the committed membership, so a new leader continues where the
+//! last one stopped.
+
+use crate::replica::Member;
+use crate::replica::MemberChange;
+use crate::replica::MemberRole;
+use crate::replica::Membership;
+use crate::replica::Replica;
+use crate::replica::Role;
+use crate::replica::formation::Answer;
+use derive_more::Display;
+use std::sync::Arc;
+
+/// What the shell of a leader does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing: this replica does not lead, or redundancy is complete.
+    Idle,
+    /// Redundancy is incomplete; look again later.
+    Wait(Cause),
+    /// Feed [`crate::replica::Input::Change`].
+    Change(MemberChange),
+    /// A repair has just become complete; reported once.
+    Complete,
+}
+
+/// What a repair waits for.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Cause {
+    /// The last change is not committed.
+    #[display("the last membership change is not committed")]
+    Pending,
+    /// The learner on a host has not reached the commit index.
+    #[display("the replica on {_0} catches up")]
+    Behind(Arc<str>),
+    /// A listed host does not answer and its voter is not live.
+    #[display("no answer from {_0}")]
+    Missing(Arc<str>),
+    /// A host is back with the data folder of a removed replica, for example from a backup. It
+    /// takes part again only with an empty data folder.
+    #[display("the replica on {_0} was removed earlier; its data folder must be emptied")]
+    Retired(Arc<str>),
+}
+
+/// Repair of one group, kept on every host and effective on the leader.
+#[derive(Debug, Default)]
+pub struct Repair {
+    /// Whether redundancy was found incomplete since it was last reported complete.
+    active: bool,
+}
+
+impl Repair {
+    /// Decides from recent probe answers of the listed hosts.
+    pub fn step(&mut self, replica: &Replica, hosts: &[Arc<str>], answers: &[Answer]) -> Step {
+        if replica.role() != Role::Leader {
+            self.active = false;
+            return Step::Idle;
+        }
+        if !replica.settled() {
+            return Step::Wait(Cause::Pending);
+        }
+        let view = View { replica, members: replica.members(), hosts, answers };
+        let Some(step) = view.next() else {
+            return match std::mem::take(&mut self.active) {
+                true => Step::Complete,
+                false => Step::Idle,
+            };
+        };
+        // A silent host alone does not make a repair: it may return with its disk.
+        if !matches!(step, Step::Wait(Cause::Missing(_))) {
+            self.active = true;
+        }
+        step
+    }
+}
+
+struct View<'a> {
+    replica: &'a Replica,
+    members: &'a Membership,
+    hosts: &'a [Arc<str>],
+    answers: &'a [Answer],
+}
+
+impl View<'_> {
+    fn next(&self) -> Option<Step> {
+        let learners = || self.members.members.iter().filter(|m| m.role == MemberRole::Learner);
+        let lost = learners().find(|m| self.answer(&m.host).is_some_and(|a| a.id != m.id));
+        if let Some(lost) = lost {
+            return Some(Step::Change(MemberChange::Remove(lost.id)));
+        }
+        if let Some(ready) = learners().find(|m| self.replica.caught_up(m.id)) {
+            return Some(Step::Change(self.replace(ready)));
+        }
+        let behind = learners().map(|m| Step::Wait(Cause::Behind(m.host.clone())));
+        let steps: Vec<Step> =
+            behind.chain(self.hosts.iter().filter_map(|h| self.check(h))).collect();
+        // A host that can be repaired is not held up by one that cannot.
+        let change = steps.iter().find(|s| matches!(s, Step::Change(_)));
+        change.or(steps.first()).cloned()
+    }
+
+    fn answer(&self, host: &str) -> Option<&Answer> {
+        self.answers.iter().find(|a| &*a.host == host)
+    }
+
+    /// Next step for a learner that has caught up.
+    fn replace(&self, learner: &Member) -> MemberChange {
+        let lost =
+            self.members.members.iter().find(|m| m.host == learner.host && m.id != learner.id);
+        match lost {
+            Some(lost) => MemberChange::Remove(lost.id),
+            None => MemberChange::Promote(learner.id),
+        }
+    }
+
+    /// Step for a listed host whose replica is missing from the membership or from the network.
+    fn check(&self, host: &Arc<str>) -> Option<Step> {
+        let Some(answer) = self.answer(host) else {
+            let live = self.replica.live();
+            let held = self.members.members.iter().any(|m| m.host == *host && live.contains(&m.id));
+            return (!held).then(|| Step::Wait(Cause::Missing(host.clone())));
+        };
+        if self.members.get(answer.id).is_some() {
+            return None;
+        }
+        if self.members.is_retired(answer.id) {
+            return Some(Step::Wait(Cause::Retired(host.clone())));
+        }
+        let member = Member { id: answer.id, host: host.clone(), role: MemberRole::Learner };
+        Some(Step::Change(MemberChange::AddLearner(member)))
+    }
+}
--- a/tests/network/mod.rs
+++ b/tests/network/mod.rs
@@ -12,16 +12,21 @@
 use basilfield::replica::Machine as _;
 use basilfield::replica::Output;
 use basilfield::replica::Replica;
+use basilfield::replica::formation;
+use basilfield::replica::repair;
 use bytes::Bytes;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time between ticks, and unit of message delays.
 pub const TICK: Duration = Duration::from_millis(10);
+/// Interval of probes between managed hosts.
+const PROBE: Duration = Duration::from_millis(100);
 const HEARTBEAT: Duration = Duration::from_millis(50);
 const ELECTION: Duration = Duration::from_millis(300);
 
@@ -58,6 +63,7 @@
     pub frozen: bool,
     pub ledger: Ledger,
     pub applied: u64,
+    repair: repair::Repair,
     /// Outputs of the running batch.
     batch: Vec<Output>,
     /// Messages that arrived while the process was frozen.
@@ -99,6 +105,10 @@
     pub leaders: BTreeMap<u64, u64>,
     /// Snapshot after this many applied entries; 0 for never.
     pub compaction: u64,
+    /// Whether hosts form a group and repair it by themselves.
+    pub managed: bool,
+    /// Repairs that leaders reported complete.
+    pub repaired: u32,
     /// Snapshots installed from a leader.
     pub installed: u32,
     queue: Vec<(Duration, u64, Envelope)>,
@@ -118,6 +128,8 @@
             history: BTreeMap::new(),
             leaders: BTreeMap::new(),
             compaction: 0,
+            managed: false,
+            repaired: 0,
             installed: 0,
             queue: Vec::new(),
             sent: 0,
@@ -125,21 +137,17 @@
             next_id: 1,
         };
         for at in 0..count {
-            let name = format!("h{}", at + 1);
-            let (id, disk) = (0, replica::Restored::default());
-            let (replica, ledger) = (None, Ledger::default());
-            let (batch, backlog) = (Vec::new(), Vec::new());
-            let frozen = false;
             network.hosts.push(Host {
-                name,
-                id,
-                disk,
-                replica,
-                frozen,
-                ledger,
+                name: format!("h{}", at + 1),
+                id: 0,
+                disk: replica::Restored::default(),
+                replica: None,
+                frozen: false,
+                ledger: Ledger::default(),
                 applied: 0,
-                batch,
-                backlog,
+                repair: repair::Repair::default(),
+                batch: Vec::new(),
+                backlog: Vec::new(),
             });
             network.wipe(at);
             network.start(at);
@@ -355,6 +363,9 @@
                 for envelope in std::mem::take(&mut self.hosts[at].backlog) {
                     self.input(at, Input::Message(envelope));
                 }
+                if self.managed && self.now.as_millis().is_multiple_of(PROBE.as_millis()) {
+                    self.manage(at);
+                }
             }
         }
     }
@@ -376,6 +387,40 @@
         }
     }
 
+    /// Probe answers that a host gets now, including its own.
+    fn probe(&self, at: usize) -> Vec<formation::Answer> {
+        let reached = |other: &usize| {
+            let there = !self.cut.contains(&(at, *other)) && !self.cut.contains(&(*other, at));
+            there && !self.hosts[*other].frozen
+        };
+        let answers = (0..self.hosts.len()).filter(reached).filter_map(|other| {
+            let host = &self.hosts[other];
+            let replica = host.replica.as_ref()?;
+            let (host, id, blank) = (host.name.as_str().into(), host.id, replica.blank());
+            Some(formation::Answer { host, id, blank })
+        });
+        answers.collect()
+    }
+
+    /// Lets a host form, join or repair its group.
+    fn manage(&mut self, at: usize) {
+        let answers = self.probe(at);
+        let names: Vec<Arc<str>> = self.hosts.iter().map(|h| h.name.as_str().into()).collect();
+        let host = &mut self.hosts[at];
+        let Some(replica) = &host.replica else { return };
+        if let formation::Decision::Form(members) = formation::decide(&host.name, &names, &answers)
+        {
+            return self.input(at, Input::Form(members));
+        }
+        match host.repair.step(replica, &names, &answers) {
+            repair::Step::Change(change) => {
+                self.change(at, change);
+            }
+            repair::Step::Complete => self.repaired += 1,
+            repair::Step::Idle | repair::Step::Wait(_) => {}
+        }
+    }
+
     /// Host that leads the highest term, if it runs.
     pub fn leader(&self) -> Option<usize> {
         let leads = |h: &&Host| {
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -2,7 +2,12 @@
 
 mod network;
 
+use basilfield::replica;
+use basilfield::replica::MemberChange;
 use basilfield::replica::Role;
+use basilfield::replica::formation;
+use basilfield::replica::formation::Cause;
+use basilfield::replica::formation::Decision;
 use network::Network;
 
 /// Guards against a single member that waits for others.
@@ -81,3 +86,55 @@
     net.run(100);
     assert!(net.requests.refused.contains_key(&read));
 }
+
+/// Guards against a group that is formed without some host, twice, or over existing data.
+#[test]
+fn formation_needs_every_host_blank() {
+    let hosts: Vec<std::sync::Arc<str>> = vec!["b".into(), "a".into(), "c".into()];
+    let answer = |host: &str, id, blank| formation::Answer { host: host.into(), id, blank };
+    let blank = [answer("a", 1, true), answer("b", 2, true), answer("c", 3, true)];
+    let members = replica::Membership::of_voters(blank.iter().map(|a| (a.id, a.host.clone())));
+    let decide = |own: &str, answers: &[formation::Answer]| formation::decide(own, &hosts, answers);
+    assert_eq!(decide("a", &blank), Decision::Form(members));
+    assert_eq!(decide("b", &blank), Decision::Wait(Cause::Other("a".into())));
+    assert_eq!(decide("a", &blank[..2]), Decision::Wait(Cause::Missing("c".into())));
+    assert_eq!(decide("d", &blank), Decision::Wait(Cause::Unlisted));
+    let copied = [answer("a", 1, true), answer("b", 2, true), answer("c", 1, true)];
+    assert_eq!(decide("a", &copied), Decision::Wait(Cause::Copied("a".into(), "c".into())));
+    let data = [answer("a", 1, true), answer("c", 3, false)];
+    assert_eq!(decide("a", &data), Decision::Join);
+    assert_eq!(decide("c", &data), Decision::Resume);
+}
+
+/// Guards against a repair that stops halfway, and against the return of a removed replica.
+#[test]
+fn lost_disk_is_repaired() {
+    let mut net = Network::new(3, 1);
+    net.managed = true;
+    net.await_leader();
+    for n in 0..20 {
+        net.commit(format!("{n}"));
+    }
+    let leader = net.await_leader();
+    let lost = (leader + 1) % 3;
+    let (old, disk) = (net.hosts[lost].id, net.hosts[lost].disk.clone());
+    net.kill(lost, 0);
+    net.wipe(lost);
+    net.start(lost);
+    net.run(100);
+    assert_eq!(net.repaired, 1);
+    let members = net.hosts[leader].replica.as_ref().map(|r| r.members().clone()).expect("runs");
+    assert_eq!(members.voters().count(), 3);
+    assert!(members.is_retired(old) && members.is_voter(net.hosts[lost].id));
+    net.check_converged();
+    net.kill(lost, 0);
+    (net.hosts[lost].id, net.hosts[lost].disk) = (old, disk);
+    net.start(lost);
+    net.run(300);
+    let leader = net.await_leader();
+    let again = replica::Member { id: old, host: "x".into(), role: replica::MemberRole::Learner };
+    let refused = net.change(leader, MemberChange::AddLearner(again));
+    net.run(1);
+    let reason = replica::Refusal::Change(replica::ChangeRefusal::Retired);
+    assert_eq!(net.requests.refused.get(&refused), Some(&reason));
+}
