Make catalog messages name the earlier command in brackets

"Withdrawn by w3 by kofi" reads as if the id were a person, because the author was inserted into the sentence. A drain of an endpoint whose host is away said that the endpoint "is not known" although it had been drained before and merely is not registered at the moment. Keeping the author as part of the sentence was ruled out, because the same text serves changes, drains and orders. Messages now put the id, operator and revision of the earlier command in brackets, and say that the endpoint is not registered.

--- a/src/catalog/command.rs
+++ b/src/catalog/command.rs
@@ -194,7 +194,7 @@
     #[display("the configuration already has this content")]
     SameContent,
     /// The endpoint is already draining.
-    #[display("the endpoint is already draining since {by}")]
+    #[display("the endpoint is already draining ({by})")]
     Draining {
         /// Drain that is in effect.
         by: Author,
@@ -224,7 +224,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum Conflict {
     /// Another change was made after the expected revision.
-    #[display("revision {expected} was expected, but {winner} came first")]
+    #[display("revision {expected} was expected, but another change came first ({winner})")]
     Raced {
         /// Revision that the change expected.
         expected: u64,
@@ -232,7 +232,7 @@
         winner: Author,
     },
     /// The id was already used by a command with other content.
-    #[display("the id was already used with other content: {first}; use a new id")]
+    #[display("the id was already used with other content ({first}); use a new id")]
     Reused {
         /// First command under that id.
         first: Author,
@@ -327,7 +327,7 @@
         similar: Vec<Arc<str>>,
     },
     /// No registered endpoint has this name.
-    #[display("endpoint {endpoint} is not known{}", similar::hint(similar))]
+    #[display("endpoint {endpoint} is not registered{}", similar::hint(similar))]
     NoEndpoint {
         /// Requested name.
         endpoint: Arc<str>,
@@ -351,7 +351,7 @@
         agent: Arc<str>,
     },
     /// The endpoint still carries out an order.
-    #[display("endpoint {endpoint} still carries out order {by}")]
+    #[display("endpoint {endpoint} still carries out an order ({by})")]
     OrderPending {
         /// Name of the endpoint.
         endpoint: Arc<str>,
@@ -497,13 +497,16 @@
 }
 
 fn undone(undoes: &Option<Author>) -> String {
-    undoes.as_ref().map(|by| format!("; this undoes {by}")).unwrap_or_default()
+    undoes
+        .as_ref()
+        .map(|by| format!("; this undoes an earlier operation ({by})"))
+        .unwrap_or_default()
 }
 
 fn resumed(last: &Option<Author>) -> String {
-    last.as_ref().map(|by| format!("; it was resumed by {by}")).unwrap_or_default()
+    last.as_ref().map(|by| format!("; it was resumed ({by})")).unwrap_or_default()
 }
 
 fn withdrawn(last: &Option<Author>) -> String {
-    last.as_ref().map(|by| format!("; it was withdrawn by {by}")).unwrap_or_default()
+    last.as_ref().map(|by| format!("; it was withdrawn ({by})")).unwrap_or_default()
 }
