Add scenarios of the catalog and tests of damaged input

Eight scripts cover equal expected revisions, lost answers, reused ids, a restart after 500 and 700 changes, contradictory drains, mistaken references, joins and leaves, and orders. Every restart compares the digest and the whole encoded state, as a digest of the documents alone would not show lost ids or drains.

--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -1,4 +1,6 @@
-//! State machine of group 0.
+//! State machine of group 0: scenarios under `tests/scenarios/catalog/`, and replay.
+
+mod catalog_script;
 
 use basilfield::catalog;
 use catalog::Catalog;
@@ -28,36 +30,114 @@
     catalog::decode(&catalog.apply(index, command)).expect("reply decodes")
 }
 
-/// Guards against a resent change that is applied again after its answer was lost.
+fn scenario(name: &str) {
+    let path = format!("tests/scenarios/catalog/{name}");
+    let mut script = catalog_script::Script::default();
+    goldenscript::run(&mut script, path).expect("golden file matches");
+}
+
+/// Guards against two operators who both believe that their change is in force.
+#[test]
+fn equal_revisions() {
+    scenario("equal_revisions");
+}
+
+/// Guards against a change that is applied twice, or answered differently, when it is resent.
+#[test]
+fn resend_after_lost_answer() {
+    scenario("resend_after_lost_answer");
+}
+
+/// Guards against one change id that stands for two contents.
+#[test]
+fn reused_change_id() {
+    scenario("reused_change_id");
+}
+
+/// Guards against a configuration that differs after a restart, or ids that a restart forgets.
+#[test]
+fn restart_after_500_changes() {
+    scenario("restart_after_500_changes");
+}
+
+/// Guards against drains whose answer does not say who did what, or that are lost on a restart.
+#[test]
+fn contradictory_drains() {
+    scenario("contradictory_drains");
+}
+
+/// Guards against documents that refer to nothing, and against messages that do not say why.
 #[test]
-fn resent_change_is_applied_once() {
+fn mistaken_changes() {
+    scenario("mistaken_changes");
+}
+
+/// Guards against an agent that is removed by the expiry of a lease it has renewed by joining.
+#[test]
+fn agents_join_and_leave() {
+    scenario("agents_join_and_leave");
+}
+
+/// Guards against a second order while one runs, and against outcomes of old orders.
+#[test]
+fn orders_one_at_a_time() {
+    scenario("orders_one_at_a_time");
+}
+
+/// Guards against damaged input that changes the state or stops the process.
+#[test]
+fn damaged_input_changes_nothing() {
     let mut catalog = Catalog::new();
-    let first = put("c1", Some(0), workspace("counter", 1));
-    let second = put("c2", Some(1), workspace("counter", 2));
+    let command = put("c1", None, workspace("counter", 1));
+    apply(&mut catalog, 1, &command);
+    let before = catalog.digest();
+    for end in 0..command.len() {
+        let index = 2 + end as u64;
+        assert_eq!(apply(&mut catalog, index, &command[..end]), Reply::Malformed);
+        assert_eq!(catalog.applied(), index);
+    }
+    let longer = [&command[..], &[0]].concat();
+    assert_eq!(apply(&mut catalog, 1_000, &longer), Reply::Malformed);
+    assert_eq!(
+        apply(&mut catalog, 1_000, &put("c2", None, workspace("desk", 2))),
+        Reply::Malformed
+    );
+    assert_eq!((catalog.digest(), catalog.revision()), (before, 1));
+    let snapshot = catalog.snapshot();
+    for end in 0..snapshot.len() {
+        catalog.restore(&snapshot[..end]).expect_err("part of a snapshot");
+    }
+    let other_version = [&[99], &snapshot[1..]].concat();
+    catalog.restore(&other_version).expect_err("unknown version");
+    assert_eq!(catalog.snapshot(), snapshot);
+}
+
+/// Guards against a resend that is applied again because its change has left the history.
+#[test]
+fn ids_outlive_the_history() {
+    let mut catalog = Catalog::new();
+    let first = put("first", None, workspace("counter", 1));
     let accepted = apply(&mut catalog, 1, &first);
-    assert_eq!(accepted, Reply::Accepted { revision: 1, undoes: None });
-    apply(&mut catalog, 2, &second);
-    assert_eq!(apply(&mut catalog, 3, &first), accepted);
-    assert_eq!(catalog.revision(), 2);
-    assert!(catalog.workspace_by_key(&format!("{:064x}", 2)).is_some());
-    assert!(catalog.workspace_by_key(&format!("{:064x}", 1)).is_none());
+    for index in 2..=3_000 {
+        let change = put(&format!("c{index}"), None, workspace("counter", index as u32));
+        apply(&mut catalog, index, &change);
+    }
+    assert_eq!(catalog.history().changes(None, u32::MAX).len(), catalog::history::CHANGES);
+    assert!(catalog.history().record(1).is_none(), "the change itself is forgotten");
+    let before = catalog.digest();
+    assert_eq!(apply(&mut catalog, 4_000, &first), accepted);
+    assert_eq!((catalog.digest(), catalog.revision()), (before, 3_000));
 }
 
-/// Guards against state that a snapshot loses or that is derived differently after a restore.
+/// Guards against refusals that push out the ids of accepted changes.
 #[test]
-fn snapshot_restores_equal_state() {
+fn refusals_do_not_displace_accepted_ids() {
     let mut catalog = Catalog::new();
-    for round in 1..=50 {
-        let same = put(&format!("c{round}"), None, workspace("counter", 1));
-        apply(&mut catalog, 2 * round, &same);
-        let desk = workspace(&format!("desk-{round}"), 100 + round as u32);
-        apply(&mut catalog, 2 * round + 1, &put(&format!("d{round}"), None, desk));
+    let first = put("first", None, workspace("counter", 1));
+    let accepted = apply(&mut catalog, 1, &first);
+    for index in 2..=30_000 {
+        let refused = put(&format!("r{index}"), None, workspace("not a name", 2));
+        assert!(apply(&mut catalog, index, &refused).is_refusal());
     }
-    assert_eq!(catalog.config().len(), 51);
-    let mut restored = Catalog::new();
-    restored.restore(&catalog.snapshot()).expect("snapshot is readable");
-    assert_eq!(restored.digest(), catalog.digest());
-    assert_eq!(restored.snapshot(), catalog.snapshot());
-    let resend = put("c1", None, workspace("counter", 1));
-    assert_eq!(apply(&mut restored, 200, &resend), apply(&mut catalog, 200, &resend));
+    assert_eq!(apply(&mut catalog, 40_000, &first), accepted);
 }
