Add life cycles of agents and entries as typestates

A shell could admit a request while its node is stopping, or leave while a request runs, if the phase were a plain enum that any code may set. Joining, serving, draining and left are now types; each transition consumes the node, and only valid ones exist: a stopped node has no way back to serving, and only an agent can rejoin after its lease expired. The number of running requests moves along, so leaving is possible only at zero. A drain by an operator was ruled out as a part of this, because it concerns a single endpoint, can be resumed, and is recorded in the catalog.

--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -1,1 +1,214 @@
 //! Life cycles of agents and entries as typestates.
+//!
+//! A node is joining, then serving, then draining, then left; each transition consumes the node,
+//! and only valid ones exist. Requests are counted, so that a node leaves only after its last
+//! request has ended. The drain of a single endpoint by an operator is not part of this: it is
+//! recorded in the catalog and carried out by the endpoint's gate.
+
+use derive_more::Display;
+use derive_more::From;
+use std::marker::PhantomData;
+use std::sync::Arc;
+
+/// Role of a node that is an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Agent;
+
+/// Role of a node that is an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry;
+
+/// The node is not ready for requests yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Joining;
+
+/// The node admits requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Serving {
+    revision: u64,
+}
+
+/// The node finishes its requests and admits no new ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Draining;
+
+/// The node has no request and admits none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Left;
+
+/// Phase of a node, for status reports.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Not ready for requests.
+    #[display("joining")]
+    Joining,
+    /// Admits requests.
+    #[display("serving")]
+    Serving,
+    /// Finishes its requests.
+    #[display("draining")]
+    Draining,
+    /// Has ended.
+    #[display("left")]
+    Left,
+}
+
+/// Agent or entry in one state of its life.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Node<R, S> {
+    name: Arc<str>,
+    running: u64,
+    state: S,
+    role: PhantomData<R>,
+}
+
+impl<R, S> Node<R, S> {
+    /// Name of the node.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Requests that were admitted and have not ended.
+    pub fn running(&self) -> u64 {
+        self.running
+    }
+
+    /// Records the end of a request.
+    pub fn end(&mut self) {
+        debug_assert!(self.running > 0, "a request ends once");
+        self.running = self.running.saturating_sub(1);
+    }
+
+    fn enter<T>(self, state: T) -> Node<R, T> {
+        Node { name: self.name, running: self.running, state, role: PhantomData }
+    }
+}
+
+impl<R> Node<R, Joining> {
+    /// Node that has just started.
+    pub fn new(name: Arc<str>) -> Self {
+        Node { name, running: 0, state: Joining, role: PhantomData }
+    }
+
+    /// Ends a node before it served; requests from before a rejoin are finished first.
+    pub fn stop(self) -> Node<R, Draining> {
+        self.enter(Draining)
+    }
+}
+
+impl Node<Agent, Joining> {
+    /// The join was committed at this log index.
+    pub fn registered(self, joined: u64) -> Node<Agent, Serving> {
+        self.enter(Serving { revision: joined })
+    }
+}
+
+impl Node<Entry, Joining> {
+    /// A confirmed read has shown that the configuration of this revision is current.
+    pub fn confirmed(self, revision: u64) -> Node<Entry, Serving> {
+        self.enter(Serving { revision })
+    }
+}
+
+impl<R> Node<R, Serving> {
+    /// Log index of the join, or revision of the confirmed configuration, at which it served.
+    pub fn since(&self) -> u64 {
+        self.state.revision
+    }
+
+    /// Records an admitted request.
+    pub fn admit(&mut self) {
+        self.running += 1;
+    }
+
+    /// Starts a graceful shutdown. A process that was told to stop does not serve again.
+    pub fn stop(self) -> Node<R, Draining> {
+        self.enter(Draining)
+    }
+}
+
+impl Node<Agent, Serving> {
+    /// The catalog no longer has the agent: its lease expired, and it joins again. Running
+    /// requests go on.
+    pub fn rejoin(self) -> Node<Agent, Joining> {
+        self.enter(Joining)
+    }
+}
+
+impl<R> Node<R, Draining> {
+    /// Leaves if no request is running; returns the node unchanged otherwise.
+    pub fn leave(self) -> Result<Node<R, Left>, Node<R, Draining>> {
+        if self.running > 0 { Err(self) } else { Ok(self.enter(Left)) }
+    }
+}
+
+/// Node in whichever state it is, for the shell that owns it.
+#[derive(Clone, Debug, From, PartialEq, Eq)]
+pub enum Life<R> {
+    /// See [`Joining`].
+    Joining(Node<R, Joining>),
+    /// See [`Serving`].
+    Serving(Node<R, Serving>),
+    /// See [`Draining`].
+    Draining(Node<R, Draining>),
+    /// See [`Left`].
+    Left(Node<R, Left>),
+}
+
+impl<R> Life<R> {
+    /// Phase of the node.
+    pub fn phase(&self) -> Phase {
+        match self {
+            Life::Joining(_) => Phase::Joining,
+            Life::Serving(_) => Phase::Serving,
+            Life::Draining(_) => Phase::Draining,
+            Life::Left(_) => Phase::Left,
+        }
+    }
+
+    /// Admits a request if the node is serving.
+    pub fn admit(&mut self) -> Result<(), Phase> {
+        match self {
+            Life::Serving(node) => {
+                node.admit();
+                Ok(())
+            }
+            _ => Err(self.phase()),
+        }
+    }
+
+    /// Records the end of a request; a draining node leaves with its last one.
+    pub fn end(self) -> Life<R> {
+        match self {
+            Life::Joining(mut node) => {
+                node.end();
+                node.into()
+            }
+            Life::Serving(mut node) => {
+                node.end();
+                node.into()
+            }
+            Life::Draining(mut node) => {
+                node.end();
+                settled(node)
+            }
+            Life::Left(node) => node.into(),
+        }
+    }
+
+    /// Starts a graceful shutdown; a repeated stop changes nothing.
+    pub fn stop(self) -> Life<R> {
+        match self {
+            Life::Joining(node) => settled(node.stop()),
+            Life::Serving(node) => settled(node.stop()),
+            other => other,
+        }
+    }
+}
+
+fn settled<R>(node: Node<R, Draining>) -> Life<R> {
+    match node.leave() {
+        Ok(left) => left.into(),
+        Err(node) => node.into(),
+    }
+}
