Add enforcer of order numbers at the agent

Some engines ignore fencing numbers, so an order that arrives late could undo a later one, and an agent that restarts does not know what its previous process had issued. The enforcer is the single place through which orders reach the endpoints of an agent: it refuses numbers below the highest one, runs one order at a time for each endpoint, lets an order time out, and repeats a report that the catalog has not received. After a restart it waits until the last order on record can no longer take effect, but only for endpoints that ignore numbers.

--- a/src/catalog/orders.rs
+++ b/src/catalog/orders.rs
@@ -1,5 +1,9 @@
 //! Orders to endpoints. The number of an order is its log index.
 
+pub mod enforcer;
+
+pub use enforcer::Enforcer;
+
 use crate::catalog::agents::EndpointKind;
 use crate::catalog::agents::Fleet;
 use crate::catalog::command::Author;
@@ -87,6 +91,15 @@
     pub order: Order,
     /// Outcome; `None` while it is carried out.
     pub outcome: Option<OrderOutcome>,
+    /// Milliseconds after which neither this order nor a lost one before it can take effect.
+    pub wait: u64,
+}
+
+impl OrderRecord {
+    /// Whether it is certain that the order no longer takes effect.
+    pub fn is_settled(&self) -> bool {
+        !matches!(self.outcome, None | Some(OrderOutcome::Lost))
+    }
 }
 
 /// Last order of every endpoint.
@@ -122,11 +135,13 @@
         if !problems.is_empty() {
             return Reply::Refused { problems };
         }
+        let unsettled = self.last.get(endpoint).filter(|r| !r.is_settled());
         let record = OrderRecord {
             endpoint: endpoint.clone(),
             by: by.clone(),
             order: order.clone(),
             outcome: None,
+            wait: unsettled.map_or(0, |r| r.wait).max(order.limit),
         };
         self.last.insert(endpoint.clone(), record);
         Reply::Accepted { revision: by.revision, undoes: None }
--- /dev/null
+++ b/src/catalog/orders/enforcer.rs
@@ -0,0 +1,227 @@
+//! Carries out the orders for the endpoints of one agent, one at a time for each endpoint.
+//!
+//! Some engines refuse an order with an old number, others ignore the number. For the latter,
+//! the agent is the only path to the endpoint, so it can refuse old numbers itself. It does not
+//! know what its previous process had issued, and waits after a restart until the last order on
+//! record can no longer take effect. Engines that check numbers need no such wait.
+
+use crate::catalog::orders::Order;
+use crate::catalog::orders::OrderOutcome;
+use crate::catalog::orders::OrderRecord;
+use crate::sorted::SortedMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// An endpoint announced itself.
+    Joined {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+        /// Whether it refuses old numbers itself.
+        fencing: bool,
+        /// Last order in the agent's catalog. The agent must have confirmed its catalog to be
+        /// current after it started, and take `Ordered` inputs from the same copy.
+        last: Option<OrderRecord>,
+    },
+    /// An endpoint no longer announces itself.
+    Gone {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+    },
+    /// The catalog shows an order, for the first time or again.
+    Ordered(OrderRecord),
+    /// The endpoint answered an order.
+    Answered {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+        /// Number of the order.
+        number: u64,
+        /// Outcome. A lost connection is no outcome; the order then times out.
+        outcome: OrderOutcome,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What the shell has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send the order to the endpoint.
+    Issue {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+        /// Number of the order.
+        number: u64,
+        /// The order.
+        order: Order,
+    },
+    /// Propose the outcome to the catalog.
+    Report {
+        /// Number of the order.
+        number: u64,
+        /// Outcome.
+        outcome: OrderOutcome,
+    },
+    /// The order is older than one that the endpoint already had; it is not carried out.
+    Refused {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+        /// Number of the order.
+        number: u64,
+        /// Latest number.
+        latest: u64,
+    },
+}
+
+/// Orders of the endpoints of one agent.
+#[derive(Clone, Debug)]
+pub struct Enforcer {
+    started: Duration,
+    slots: SortedMap<Arc<str>, Slot>,
+}
+
+/// State of one endpoint. It is kept while the endpoint is absent, because an order that was
+/// issued before may still take effect.
+#[derive(Clone, Debug, Default)]
+struct Slot {
+    present: bool,
+    /// Highest number that was seen.
+    latest: u64,
+    /// Nothing is issued before this time.
+    quiet: Duration,
+    running: Option<Running>,
+    next: Option<(u64, Order)>,
+    /// Last outcome, reported again if the catalog has not received it.
+    finished: Option<(u64, OrderOutcome)>,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    number: u64,
+    until: Duration,
+}
+
+impl Enforcer {
+    /// Enforcer of an agent process that started at `now`.
+    pub fn new(now: Duration) -> Enforcer {
+        Enforcer { started: now, slots: SortedMap::new() }
+    }
+
+    /// Handles one input.
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        match input {
+            Input::Joined { endpoint, fencing, last } => self.join(endpoint, fencing, last),
+            Input::Gone { endpoint } => {
+                if let Some(slot) = self.slots.get_mut(&endpoint) {
+                    slot.present = false;
+                }
+            }
+            Input::Ordered(record) => self.ordered(record, &mut outputs),
+            Input::Answered { endpoint, number, outcome } => {
+                if let Some(slot) = self.slots.get_mut(&endpoint) {
+                    slot.answered(number, outcome, &mut outputs);
+                }
+            }
+            Input::Tick => {}
+        }
+        for (endpoint, slot) in self.slots.iter_mut() {
+            slot.advance(now, endpoint, &mut outputs);
+        }
+        outputs
+    }
+
+    /// Time at which an order that waits can be issued, or a running one times out.
+    pub fn next_due(&self) -> Option<Duration> {
+        let due = |slot: &Slot| match (&slot.running, &slot.next) {
+            (Some(running), _) => Some(running.until),
+            (None, Some(_)) if slot.present => Some(slot.quiet),
+            (None, _) => None,
+        };
+        self.slots.values().filter_map(due).min()
+    }
+
+    fn join(&mut self, endpoint: Arc<str>, fencing: bool, last: Option<OrderRecord>) {
+        let known = self.slots.contains(&endpoint);
+        let started = self.started;
+        let slot = self.slots.entry_or(endpoint, Slot::default);
+        slot.present = true;
+        if known {
+            return;
+        }
+        let Some(last) = last else { return };
+        slot.latest = last.by.revision;
+        if !fencing && !last.is_settled() {
+            slot.quiet = started + Duration::from_millis(last.wait);
+        }
+        if last.outcome.is_none() {
+            slot.next = Some((last.by.revision, last.order));
+        }
+    }
+
+    fn ordered(&mut self, record: OrderRecord, outputs: &mut Vec<Output>) {
+        // The order of an endpoint that has not announced itself since the agent started comes
+        // with the first announcement.
+        let Some(slot) = self.slots.get_mut(&record.endpoint) else { return };
+        let number = record.by.revision;
+        if number < slot.latest {
+            let (endpoint, latest) = (record.endpoint, slot.latest);
+            outputs.push(Output::Refused { endpoint, number, latest });
+            return;
+        }
+        if record.outcome.is_some() {
+            slot.withdraw(number);
+            return;
+        }
+        if number > slot.latest {
+            slot.latest = number;
+            slot.next = Some((number, record.order));
+            return;
+        }
+        if let Some((finished, outcome)) = &slot.finished
+            && *finished == number
+        {
+            outputs.push(Output::Report { number, outcome: outcome.clone() });
+        }
+    }
+}
+
+impl Slot {
+    fn answered(&mut self, number: u64, outcome: OrderOutcome, outputs: &mut Vec<Output>) {
+        if self.running.as_ref().is_some_and(|r| r.number == number) {
+            self.finish(number, outcome, outputs);
+        }
+    }
+
+    fn finish(&mut self, number: u64, outcome: OrderOutcome, outputs: &mut Vec<Output>) {
+        self.running = None;
+        self.finished = Some((number, outcome.clone()));
+        outputs.push(Output::Report { number, outcome });
+    }
+
+    /// Drops a waiting order that got an outcome in the catalog, such as `Lost`.
+    fn withdraw(&mut self, number: u64) {
+        self.latest = self.latest.max(number);
+        if self.next.as_ref().is_some_and(|(n, _)| *n <= number) {
+            self.next = None;
+        }
+    }
+
+    fn advance(&mut self, now: Duration, endpoint: &Arc<str>, outputs: &mut Vec<Output>) {
+        if let Some(running) = &self.running {
+            if now < running.until {
+                return;
+            }
+            let number = running.number;
+            self.finish(number, OrderOutcome::TimedOut, outputs);
+        }
+        if !self.present || now < self.quiet {
+            return;
+        }
+        let Some((number, order)) = self.next.take() else { return };
+        self.running = Some(Running { number, until: now + Duration::from_millis(order.limit) });
+        outputs.push(Output::Issue { endpoint: endpoint.clone(), number, order });
+    }
+}
--- a/tests/catalog_script/mod.rs
+++ b/tests/catalog_script/mod.rs
@@ -24,7 +24,14 @@
 }
 
 impl Script {
-    fn commit(&mut self, command: &Command) -> String {
+    /// Catalog in its current state.
+    #[allow(dead_code, reason = "not used by every test binary")]
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Applies a command at the next log index and returns the reply as text.
+    pub fn commit(&mut self, command: &Command) -> String {
         let data = catalog::encode(command);
         self.log.push(data.clone());
         let reply = self.catalog.apply(self.log.len() as u64, &data);
