Add placement of models by demand

Which model an endpoint serves has to follow the demand of the models, but a load takes the weight store and the endpoint away from callers, so moves must be rare. Raising the hold time was ruled out because it delays a lasting shift by the same time. Every listed model keeps a minimum of endpoints, since a model that nobody serves shows no demand. All loads, also those that operators order, share the rate of the weight store.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -11,6 +11,7 @@
 pub mod fields;
 pub mod history;
 pub mod orders;
+pub mod placement;
 pub mod similar;
 
 pub use agents::AgentRecord;
--- /dev/null
+++ b/src/catalog/placement.rs
@@ -0,0 +1,263 @@
+//! Decides which model an endpoint should load, by demand and without thrashing.
+//!
+//! The pressure of a model is its demand divided by the slots of its endpoints. The model with the
+//! highest pressure gets an endpoint of another one if that one's pressure afterwards is lower
+//! by the factor `gain`. The opposite move would need the same inequality the other way round,
+//! so under steady demand a move is never undone. The residence time bounds moves under changing
+//! demand, and all loads share the rate of the weight store.
+
+use crate::sorted::SortedMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Settings of the placement.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Shortest time that an endpoint keeps a model, from the start of its load.
+    pub residence: Duration,
+    /// Time constant of the average of the demand. With a hold time of 30 s in its place, a
+    /// demand that alternated every minute moved nearly every endpoint once per residence time.
+    pub smoothing: Duration,
+    /// Pressure above which a model is short of slots.
+    pub pressure: f64,
+    /// Factor by which the pressure of the receiving model must exceed that of the giving one.
+    pub gain: f64,
+    /// Endpoints that every model keeps.
+    pub minimum: u32,
+    /// Rate of the weight store in bytes per second.
+    pub rate: u64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config {
+            residence: Duration::from_secs(600),
+            smoothing: Duration::from_secs(120),
+            pressure: 0.8,
+            gain: 1.5,
+            minimum: 1,
+            rate: 1 << 30,
+        }
+    }
+}
+
+/// Demand of a model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// Name of the model.
+    pub model: Arc<str>,
+    /// Requests that run or wait.
+    pub requests: f64,
+    /// Size of the weights in bytes.
+    pub size: u64,
+}
+
+/// Engine as the catalog shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Engine {
+    /// Name of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Model that it serves.
+    pub model: Option<Arc<str>>,
+    /// Model that an unfinished order loads, whether it is committed or only proposed.
+    pub loading: Option<Arc<str>>,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether an operator has drained it; it is then left alone.
+    pub draining: bool,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// Current demand of every model; models that are not listed get no endpoint.
+    Demand(Vec<Demand>),
+    /// Current engines.
+    Engines(Vec<Engine>),
+    /// Time has passed.
+    Tick,
+}
+
+/// What the shell has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Order an endpoint to load a model.
+    Load {
+        /// Name of the endpoint.
+        endpoint: Arc<str>,
+        /// Model to load.
+        model: Arc<str>,
+        /// Time in which the weight store delivers the weights, in milliseconds.
+        transfer: u64,
+    },
+}
+
+/// Placement of models on the engines of the fleet.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    config: Config,
+    /// Averaged demand by model, and the time of the last report.
+    demand: SortedMap<Arc<str>, Demand>,
+    reported: Duration,
+    engines: SortedMap<Arc<str>, Placed>,
+    /// The weight store is busy with earlier loads until this time.
+    store: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Placed {
+    engine: Engine,
+    /// When the engine was first seen with its model, or began to load it.
+    since: Duration,
+}
+
+impl Placed {
+    /// Model that the engine serves or will serve.
+    fn model(&self) -> Option<&Arc<str>> {
+        self.engine.loading.as_ref().or(self.engine.model.as_ref())
+    }
+}
+
+impl Placement {
+    /// Placement that knows nothing yet. After a change of leader every engine counts as newly
+    /// placed, so nothing moves for one residence time.
+    pub fn new(config: Config) -> Placement {
+        Placement {
+            config,
+            demand: SortedMap::new(),
+            reported: Duration::ZERO,
+            engines: SortedMap::new(),
+            store: Duration::ZERO,
+        }
+    }
+
+    /// Handles one input.
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        match input {
+            Input::Demand(demand) => {
+                self.average(now, demand);
+                Vec::new()
+            }
+            Input::Engines(engines) => {
+                self.observe(now, engines);
+                Vec::new()
+            }
+            Input::Tick => self.decide(now).into_iter().collect(),
+        }
+    }
+
+    /// Exponential moving average; a model that is listed for the first time starts with its
+    /// current demand.
+    fn average(&mut self, now: Duration, demand: Vec<Demand>) {
+        let elapsed = now.saturating_sub(self.reported).as_secs_f64();
+        let constant = self.config.smoothing.as_secs_f64().max(f64::MIN_POSITIVE);
+        let keep = (-elapsed / constant).exp();
+        let before = std::mem::take(&mut self.demand);
+        for mut current in demand {
+            if let Some(average) = before.get(&current.model) {
+                current.requests += keep * (average.requests - current.requests);
+            }
+            self.demand.insert(current.model.clone(), current);
+        }
+        self.reported = now;
+    }
+
+    fn observe(&mut self, now: Duration, engines: Vec<Engine>) {
+        let mut known = std::mem::take(&mut self.engines);
+        for engine in engines {
+            let before = known.remove(&engine.endpoint);
+            let placed = Placed { engine, since: now };
+            let same = before.as_ref().filter(|b| b.model() == placed.model());
+            let since = same.map_or(now, |b| b.since);
+            if let Some(model) = &placed.engine.loading
+                && before.is_none_or(|b| b.engine.loading.as_ref() != Some(model))
+            {
+                self.reserve(now, &model.clone());
+            }
+            self.engines.insert(placed.engine.endpoint.clone(), Placed { since, ..placed });
+        }
+    }
+
+    /// Time that the weight store needs for a model.
+    fn transfer(&self, model: &str) -> Duration {
+        let size = self.demand.get(model).map_or(0, |d| d.size);
+        Duration::from_secs_f64(size as f64 / self.config.rate.max(1) as f64)
+    }
+
+    fn reserve(&mut self, now: Duration, model: &str) {
+        self.store = self.store.max(now) + self.transfer(model);
+    }
+
+    fn decide(&mut self, now: Duration) -> Option<Output> {
+        if now < self.store {
+            return None;
+        }
+        let model = self.shortest()?;
+        let endpoint = self.donor(now, &model)?;
+        let transfer = self.transfer(&model).as_millis() as u64;
+        self.reserve(now, &model);
+        if let Some(placed) = self.engines.get_mut(&endpoint) {
+            placed.engine.loading = Some(model.clone());
+            placed.since = now;
+        }
+        Some(Output::Load { endpoint, model, transfer })
+    }
+
+    /// Model with the highest pressure, if it is short of slots.
+    fn shortest(&self) -> Option<Arc<str>> {
+        let pressures = self.demand.values().map(|d| (self.pressure(d, 0), &d.model));
+        let (pressure, model) = pressures.max_by(|a, b| a.0.total_cmp(&b.0))?;
+        (pressure > self.config.pressure).then(|| model.clone())
+    }
+
+    /// Demand per slot if the model had `fewer` slots than now. Infinite below the minimum of
+    /// endpoints: requests for a model that nobody serves are refused and show no demand.
+    fn pressure(&self, demand: &Demand, fewer: u32) -> f64 {
+        if (self.serving(&demand.model).count() as u64) < u64::from(self.config.minimum) {
+            return f64::INFINITY;
+        }
+        let slots = self.slots(&demand.model).saturating_sub(u64::from(fewer));
+        if demand.requests <= 0.0 {
+            return 0.0;
+        }
+        if slots == 0 { f64::INFINITY } else { demand.requests / slots as f64 }
+    }
+
+    fn serving<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a Placed> {
+        let serves = move |p: &&Placed| p.model().is_some_and(|m| **m == *model);
+        self.engines.values().filter(serves).filter(|p| !p.engine.draining)
+    }
+
+    fn slots(&self, model: &str) -> u64 {
+        self.serving(model).map(|p| u64::from(p.engine.slots)).sum()
+    }
+
+    /// Engine that is given to the model: one without model, else the one whose current model
+    /// has the lowest pressure without it.
+    fn donor(&self, now: Duration, model: &Arc<str>) -> Option<Arc<str>> {
+        let wanted = self.demand.get(model)?;
+        let pressure = self.pressure(wanted, 0);
+        self.engines
+            .values()
+            .filter(|p| !p.engine.draining && p.engine.loading.is_none())
+            .filter(|p| p.engine.model.as_ref() != Some(model))
+            .filter_map(|p| Some((self.cost(now, p)?, p)))
+            .filter(|(cost, _)| cost * self.config.gain < pressure)
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, p)| p.engine.endpoint.clone())
+    }
+
+    /// Pressure that the engine's model would have without it; `None` if it must not be taken.
+    fn cost(&self, now: Duration, placed: &Placed) -> Option<f64> {
+        let Some(model) = &placed.engine.model else { return Some(0.0) };
+        if now.saturating_sub(placed.since) < self.config.residence {
+            return None;
+        }
+        // A model that is not listed is no longer in use.
+        let Some(demand) = self.demand.get(model) else { return Some(0.0) };
+        if self.serving(model).count() as u64 <= u64::from(self.config.minimum) {
+            return None;
+        }
+        Some(self.pressure(demand, placed.engine.slots))
+    }
+}
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,151 @@
+//! Placement of models on engines under steady and changing demand.
+
+use basilfield::catalog::placement;
+use placement::Config;
+use placement::Demand;
+use placement::Engine;
+use placement::Input;
+use placement::Output;
+use placement::Placement;
+use std::sync::Arc;
+use std::time::Duration;
+
+const MODELS: [&str; 3] = ["dispatch-llm", "needle-llm", "route-llm"];
+
+/// Size of the weights in bytes.
+const SIZE: u64 = 16 << 30;
+
+/// Slots of an engine.
+const SLOTS: u32 = 8;
+
+/// Time that the weight store needs for a model under the default rate.
+const TRANSFER: Duration = Duration::from_secs(16);
+
+/// When the demand changes in the test of steady demand.
+const START: Duration = Duration::from_secs(43_200);
+
+/// Fleet whose loads take as long as the weight store needs.
+struct Fleet {
+    placement: Placement,
+    now: Duration,
+    engines: Vec<Engine>,
+    loads: Vec<(Duration, usize, Arc<str>)>,
+}
+
+impl Fleet {
+    fn new(config: Config, models: &[Option<&str>]) -> Fleet {
+        let engine = |(at, model): (usize, &Option<&str>)| Engine {
+            endpoint: format!("e{at}").into(),
+            model: model.map(Arc::from),
+            loading: None,
+            slots: SLOTS,
+            draining: false,
+        };
+        let engines = models.iter().enumerate().map(engine).collect();
+        let placement = Placement::new(config);
+        Fleet { placement, now: Duration::ZERO, engines, loads: Vec::new() }
+    }
+
+    /// Runs for a number of seconds; demand is in requests for each of [`MODELS`].
+    fn run(&mut self, seconds: u64, demand: impl Fn(u64) -> [f64; 3]) {
+        for _ in 0..seconds {
+            self.now += Duration::from_secs(1);
+            for (start, at, model) in &self.loads {
+                if *start + TRANSFER == self.now {
+                    self.engines[*at].model = Some(model.clone());
+                    self.engines[*at].loading = None;
+                }
+            }
+            let requests = demand(self.now.as_secs());
+            let each = MODELS.into_iter().zip(requests);
+            let demand = each
+                .map(|(m, requests)| Demand { model: m.into(), requests, size: SIZE })
+                .collect();
+            self.placement.step(self.now, Input::Demand(demand));
+            self.placement.step(self.now, Input::Engines(self.engines.clone()));
+            for output in self.placement.step(self.now, Input::Tick) {
+                let Output::Load { endpoint, model, transfer } = output;
+                assert_eq!(u128::from(transfer), TRANSFER.as_millis());
+                let at = self.engines.iter().position(|e| e.endpoint == endpoint).expect("known");
+                self.engines[at].loading = Some(model.clone());
+                self.loads.push((self.now, at, model));
+            }
+        }
+    }
+
+    fn counts(&self) -> [usize; 3] {
+        MODELS.map(|m| self.engines.iter().filter(|e| e.model.as_deref() == Some(m)).count())
+    }
+}
+
+fn nine() -> Vec<Option<&'static str>> {
+    (0..9).map(|at| Some(MODELS[at % 3])).collect()
+}
+
+/// Guards against endpoints that go on moving although the demand is steady, and against a lasting
+/// change of the demand that is not followed.
+#[test]
+fn steady_demand_settles() {
+    let mut fleet = Fleet::new(Config::default(), &nine());
+    fleet.run(7_200, |_| [40.0, 20.0, 1.0]);
+    assert_eq!(fleet.counts(), [5, 3, 1]);
+    let settled = fleet.loads.len();
+    fleet.run(36_000, |_| [40.0, 20.0, 1.0]);
+    assert_eq!((settled, fleet.loads.len()), (2, 2));
+    fleet.run(1_800, |_| [1.0, 20.0, 40.0]);
+    assert_eq!(fleet.counts(), [1, 3, 5]);
+    let (first, last) = (fleet.loads[2].0, fleet.loads.last().expect("followed").0);
+    println!("shift followed by loads after {:?} to {:?}", first - START, last - START);
+    assert_eq!(fleet.loads.len(), 6, "four endpoints change their model");
+}
+
+/// Guards against thrashing when the demand alternates faster than loads pay off. The same
+/// placement without hysteresis, average and residence time shows what they prevent.
+#[test]
+fn alternating_demand_does_not_thrash() {
+    let swing = |second: u64| {
+        if (second / 60).is_multiple_of(2) { [45.0, 10.0, 5.0] } else { [10.0, 45.0, 5.0] }
+    };
+    let mut fleet = Fleet::new(Config::default(), &nine());
+    fleet.run(7_200, swing);
+    let zero = Duration::ZERO;
+    let eager = Config { residence: zero, smoothing: zero, gain: 1.0, ..Config::default() };
+    let mut baseline = Fleet::new(eager, &nine());
+    baseline.run(7_200, swing);
+    let loads = (fleet.loads.len(), baseline.loads.len());
+    println!("loads in two hours with and without hysteresis: {loads:?}");
+    assert!(loads.0 * 10 <= loads.1, "{loads:?}");
+    let residence = Config::default().residence;
+    for (at, (start, engine, _)) in fleet.loads.iter().enumerate() {
+        let earlier = fleet.loads[..at].iter().rev().find(|(_, e, _)| e == engine);
+        assert!(earlier.is_none_or(|(before, _, _)| *start - *before >= residence));
+    }
+}
+
+/// Guards against loads that together exceed the rate of the weight store, also when an operator
+/// gives orders of their own, and against models that nobody serves.
+#[test]
+fn loads_share_the_rate_of_the_weight_store() {
+    let mut fleet = Fleet::new(Config::default(), &[None; 9]);
+    fleet.engines[8].loading = Some(MODELS[0].into());
+    fleet.loads.push((Duration::from_secs(1), 8, MODELS[0].into()));
+    fleet.run(600, |_| [0.0, 30.0, 0.0]);
+    assert!(fleet.loads.windows(2).all(|w| w[1].0 - w[0].0 >= TRANSFER), "{:?}", fleet.loads);
+    assert_eq!(fleet.counts(), [1, 5, 1], "every model has an endpoint, idle ones serve demand");
+}
+
+/// Guards against a placement that takes the last endpoint of a model, one that an operator
+/// has drained, or one that has just been placed when the leader changed.
+#[test]
+fn some_endpoints_are_left_alone() {
+    let mut fleet = Fleet::new(Config::default(), &[Some(MODELS[0]), Some(MODELS[1]), None]);
+    fleet.engines[2].draining = true;
+    fleet.run(3_600, |_| [100.0, 0.0, 0.0]);
+    assert_eq!(fleet.loads.len(), 0);
+    let mut fleet = Fleet::new(Config::default(), &nine());
+    let last = Config::default().residence.as_secs() - 1;
+    fleet.run(last, |_| [100.0, 1.0, 1.0]);
+    assert_eq!(fleet.loads.len(), 0, "a new leader moves nothing for one residence time");
+    fleet.run(2, |_| [100.0, 1.0, 1.0]);
+    assert_eq!(fleet.loads.len(), 1);
+}
