Add engine and service emulators

Tests and measurements need engines whose whole answer can be checked. Answers depend on model, prompt and token position only.

Random text was ruled out, because a lost or repeated token would go unnoticed; some syllables exceed ASCII so that a split within a character shows. A resumption with text of another answer gets status 400 for the same reason.

During a stop the engine announces zero slots, refuses new requests, finishes its streams and only then withdraws.

--- /dev/null
+++ b/src/emulator/api.rs
@@ -0,0 +1,287 @@
+//! OpenAI-compatible requests and answers.
+//!
+//! One streamed event carries one token. `created` is always 0, so that answers are reproducible.
+//! `usage.completion_tokens` counts the tokens of the whole answer, including resumed ones.
+
+use crate::emulator::batch::Event;
+use crate::emulator::text;
+use axum::body::Body;
+use axum::body::Bytes;
+use axum::http::HeaderValue;
+use axum::http::header;
+use axum::response::Response;
+use futures_util::stream;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+use std::io;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// Tokens of an answer whose request sets no limit.
+const MAX_TOKENS: u32 = 16;
+
+/// Kind of completion, which determines the shape of the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Shape {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+/// Body of a completion request.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct Request {
+    pub(super) model: Arc<str>,
+    messages: Vec<Message>,
+    prompt: Option<String>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    pub(super) stream: bool,
+    stream_options: StreamOptions,
+    pub(super) resume: Option<Resume>,
+    pub(super) user: Option<String>,
+    n: Option<u32>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Message {
+    role: String,
+    content: Content,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<Part>),
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+struct Part {
+    text: String,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+struct StreamOptions {
+    include_usage: bool,
+}
+
+/// Continues an answer after the tokens generated so far.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct Resume {
+    pub(super) text: String,
+    pub(super) tokens: u32,
+}
+
+impl Request {
+    /// Parses a request and checks what does not depend on the engine's state.
+    pub(super) fn parse(shape: Shape, body: &[u8]) -> Result<Request, String> {
+        let request: Request = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        if request.n.is_some_and(|n| n != 1) {
+            return Err("n other than 1 is not supported".to_string());
+        }
+        match shape {
+            Shape::Chat if request.messages.is_empty() => Err("messages is missing".to_string()),
+            Shape::Text if request.prompt.is_none() => Err("prompt is missing".to_string()),
+            Shape::Chat | Shape::Text => request.check_resume(shape),
+        }
+    }
+
+    /// The prompt as one text.
+    pub(super) fn prompt(&self, shape: Shape) -> String {
+        if shape == Shape::Text {
+            return self.prompt.clone().unwrap_or_default();
+        }
+        let contents: Vec<String> = self.messages.iter().map(|m| m.content.text()).collect();
+        let pairs = self.messages.iter().zip(&contents);
+        text::chat_prompt(pairs.map(|(message, content)| (&*message.role, &**content)))
+    }
+
+    /// Tokens of the whole answer.
+    pub(super) fn tokens(&self) -> u32 {
+        self.max_completion_tokens.or(self.max_tokens).unwrap_or(MAX_TOKENS)
+    }
+
+    /// Refuses a resumption whose text this engine would not have generated, so that a caller
+    /// that mixes up answers is noticed.
+    fn check_resume(self, shape: Shape) -> Result<Request, String> {
+        let Some(resume) = &self.resume else { return Ok(self) };
+        if resume.tokens > self.tokens() {
+            return Err("resume.tokens exceeds the length of the answer".to_string());
+        }
+        let expected = text::answer(&self.model, &self.prompt(shape), resume.tokens);
+        if resume.text != expected {
+            return Err("resume.text is not the start of this answer".to_string());
+        }
+        Ok(self)
+    }
+}
+
+impl Content {
+    fn text(&self) -> String {
+        match self {
+            Content::Text(text) => text.clone(),
+            Content::Parts(parts) => parts.iter().map(|part| &*part.text).collect(),
+        }
+    }
+}
+
+/// Answer that is being generated.
+pub(super) struct Answer {
+    pub(super) id: String,
+    pub(super) shape: Shape,
+    pub(super) model: Arc<str>,
+    pub(super) prompt_tokens: u32,
+    pub(super) completion_tokens: u32,
+    pub(super) events: mpsc::UnboundedReceiver<Event>,
+    include_usage: bool,
+    cached: u32,
+}
+
+impl Answer {
+    /// Creates the answer to `request`.
+    pub(super) fn new(
+        id: String,
+        shape: Shape,
+        request: &Request,
+        prompt_tokens: u32,
+        events: mpsc::UnboundedReceiver<Event>,
+    ) -> Answer {
+        Answer {
+            id,
+            shape,
+            model: request.model.clone(),
+            prompt_tokens,
+            completion_tokens: request.tokens(),
+            events,
+            include_usage: request.stream_options.include_usage,
+            cached: 0,
+        }
+    }
+
+    /// Sends the answer as one JSON object once it is complete.
+    pub(super) async fn whole(mut self) -> Response {
+        let mut content = String::new();
+        loop {
+            match self.events.recv().await {
+                Some(Event::Started { cached }) => self.cached = cached,
+                Some(Event::Token(token)) => content += &token,
+                Some(Event::End) => break,
+                Some(Event::Broken) | None => {
+                    return respond("application/json", Body::from_stream(broken()));
+                }
+            }
+        }
+        let (object, choice) = match self.shape {
+            Shape::Chat => {
+                let message = json!({"role": "assistant", "content": content});
+                ("chat.completion", choice("message", &message, true))
+            }
+            Shape::Text => ("text_completion", choice("text", &json!(content), true)),
+        };
+        let mut body = self.object(object, vec![choice]);
+        body["usage"] = self.usage();
+        respond("application/json", Body::from(body.to_string()))
+    }
+
+    /// Sends the answer as server-sent events.
+    pub(super) fn streamed(self) -> Response {
+        let events = stream::unfold(Some(self), |answer| async {
+            let mut answer = answer?;
+            match answer.events.recv().await {
+                Some(Event::End) => Some((Ok(answer.last()), None)),
+                Some(Event::Broken) | None => Some((Err(cut_off()), None)),
+                Some(event) => Some((Ok(answer.part(&event)), Some(answer))),
+            }
+        });
+        respond("text/event-stream", Body::from_stream(events))
+    }
+
+    fn part(&mut self, event: &Event) -> Bytes {
+        let data = match (event, self.shape) {
+            (Event::Started { cached }, Shape::Chat) => {
+                self.cached = *cached;
+                let delta = json!({"role": "assistant", "content": ""});
+                self.chunk(vec![choice("delta", &delta, false)])
+            }
+            (Event::Started { cached }, Shape::Text) => {
+                self.cached = *cached;
+                return Bytes::from_static(b": started\n\n");
+            }
+            (Event::Token(token), Shape::Chat) => {
+                self.chunk(vec![choice("delta", &json!({"content": token}), false)])
+            }
+            (Event::Token(token), Shape::Text) => {
+                self.chunk(vec![choice("text", &json!(token), false)])
+            }
+            (Event::End | Event::Broken, _) => return Bytes::new(),
+        };
+        sse(&data.to_string())
+    }
+
+    fn last(&self) -> Bytes {
+        let choice = match self.shape {
+            Shape::Chat => choice("delta", &json!({}), true),
+            Shape::Text => choice("text", &json!(""), true),
+        };
+        let mut out = sse(&self.chunk(vec![choice]).to_string()).to_vec();
+        if self.include_usage {
+            let mut chunk = self.chunk(Vec::new());
+            chunk["usage"] = self.usage();
+            out.extend_from_slice(&sse(&chunk.to_string()));
+        }
+        out.extend_from_slice(&sse("[DONE]"));
+        out.into()
+    }
+
+    fn chunk(&self, choices: Vec<Value>) -> Value {
+        match self.shape {
+            Shape::Chat => self.object("chat.completion.chunk", choices),
+            Shape::Text => self.object("text_completion", choices),
+        }
+    }
+
+    fn object(&self, object: &str, choices: Vec<Value>) -> Value {
+        json!({
+            "id": self.id, "object": object, "created": 0, "model": self.model, "choices": choices,
+        })
+    }
+
+    fn usage(&self) -> Value {
+        json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.completion_tokens,
+            "total_tokens": self.prompt_tokens.saturating_add(self.completion_tokens),
+            "prompt_tokens_details": {"cached_tokens": self.cached},
+        })
+    }
+}
+
+/// Choice with `content` under the key `name`. The answers always have the requested length.
+fn choice(name: &str, content: &Value, last: bool) -> Value {
+    let reason = if last { json!("length") } else { Value::Null };
+    json!({"index": 0, name: content, "finish_reason": reason})
+}
+
+fn sse(data: &str) -> Bytes {
+    format!("data: {data}\n\n").into()
+}
+
+fn respond(content: &'static str, body: Body) -> Response {
+    let mut response = Response::new(body);
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content));
+    response
+}
+
+fn broken() -> impl stream::Stream<Item = Result<Bytes, io::Error>> {
+    stream::iter([Ok(Bytes::from_static(b"{")), Err(cut_off())])
+}
+
+fn cut_off() -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionAborted, "simulated break of the connection")
+}
--- /dev/null
+++ b/src/emulator/engine.rs
@@ -0,0 +1,370 @@
+//! The emulated engine: HTTP interface, step loop and control.
+
+use crate::emulator;
+use crate::emulator::api;
+use crate::emulator::batch;
+use crate::emulator::host;
+use crate::emulator::orders;
+use crate::emulator::text;
+use crate::errors;
+use axum::Json;
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::DefaultBodyLimit;
+use axum::extract::RawQuery;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::HeaderValue;
+use axum::http::StatusCode;
+use axum::http::header;
+use axum::response::IntoResponse as _;
+use axum::response::Response;
+use axum::routing;
+use serde::Serialize;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task;
+use tokio::time;
+
+/// Largest request body in bytes.
+const MAX_BODY: usize = 16 << 20;
+/// Interval at which a frozen engine checks whether it may go on.
+const THAW: Duration = Duration::from_millis(10);
+
+/// Running emulated engine. Dropping it ends it at once.
+pub struct Engine {
+    host: host::Host,
+    shared: Arc<Shared>,
+    tasks: [task::JoinHandle<()>; 2],
+    log: slog::Logger,
+}
+
+struct Shared {
+    settings: emulator::Settings,
+    intake: host::Intake,
+    control: Mutex<Control>,
+    batch: Mutex<batch::Batch>,
+    submitted: Notify,
+    load: Mutex<Load>,
+    stopping: Mutex<Option<watch::Receiver<bool>>>,
+}
+
+struct Control {
+    models: Vec<Arc<str>>,
+    orders: orders::Orders,
+}
+
+/// Load report, as old as the settings' lag.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+struct Load {
+    running: usize,
+    waiting: usize,
+    slots: u32,
+    cached_blocks: usize,
+}
+
+/// Counters of an engine since its start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Stats {
+    /// Completion requests that arrived, including refused ones.
+    pub requests: u64,
+    /// Requests answered by a simulated failure.
+    pub failed: u64,
+    /// Streams that got a slot.
+    pub started: u64,
+    /// Streams that were sent completely.
+    pub finished: u64,
+    /// Streams whose caller left before the end.
+    pub cancelled: u64,
+    /// Streams that broke off by a simulated fault.
+    pub broken: u64,
+    /// Generated tokens.
+    pub tokens: u64,
+    /// Steps.
+    pub steps: u64,
+    /// Prompt tokens that were cached.
+    pub cached: u64,
+    /// Streams that hold a slot now.
+    pub running: usize,
+    /// Streams that wait now.
+    pub waiting: usize,
+    /// Numbers of executed orders in the order of execution.
+    pub orders: Vec<u64>,
+    /// Requests by key: header `x-request-key`, query parameter `key` or body field `user`.
+    pub keys: std::collections::BTreeMap<Arc<str>, u64>,
+}
+
+impl Engine {
+    /// Starts the engine.
+    pub async fn start(
+        settings: emulator::Settings,
+        log: &slog::Logger,
+    ) -> Result<Engine, errors::Error> {
+        let shared = Arc::new(Shared {
+            intake: host::Intake::new(settings.faults.clone()),
+            control: Mutex::new(Control {
+                models: settings.models.clone(),
+                orders: orders::Orders::new(settings.fencing),
+            }),
+            batch: Mutex::new(batch::Batch::new(&settings)),
+            submitted: Notify::new(),
+            load: Mutex::new(Load { slots: settings.slots, ..Load::default() }),
+            stopping: Mutex::new(None),
+            settings,
+        });
+        let announced = shared.clone();
+        let announcement = move |address| host::Announcement {
+            name: announced.settings.name.clone(),
+            kind: "engine",
+            address,
+            models: host::lock(&announced.control).models.clone(),
+            slots: announced.settings.slots,
+            fencing: announced.settings.fencing,
+        };
+        let (address, agent) = (shared.settings.address, shared.settings.agent);
+        let router = router(shared.clone());
+        let host = host::Host::start(address, agent, router, announcement, log).await?;
+        *host::lock(&shared.stopping) = Some(host.stopping());
+        let tasks = [tokio::spawn(run(shared.clone())), tokio::spawn(report(shared.clone()))];
+        Ok(Engine { host, shared, tasks, log: log.clone() })
+    }
+
+    /// Address that the engine listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.host.addr
+    }
+
+    /// Counters since the start.
+    pub fn stats(&self) -> Stats {
+        self.shared.stats()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: emulator::Faults) {
+        self.shared.intake.set_faults(faults);
+    }
+
+    /// Refuses new requests, finishes the running ones, but for at most `limit`, and withdraws from
+    /// the agent. Returns whether every request has finished.
+    pub async fn stop(mut self, limit: Duration) -> bool {
+        let finished = self.host.stop(limit).await;
+        if let Some(agent) = self.shared.settings.agent {
+            host::withdraw(agent, &self.shared.settings.name, &self.log).await;
+        }
+        finished
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(task::JoinHandle::abort);
+    }
+}
+
+impl Shared {
+    fn stopping(&self) -> bool {
+        host::lock(&self.stopping).as_ref().is_some_and(|stop| *stop.borrow())
+    }
+
+    fn stats(&self) -> Stats {
+        let (requests, failed, keys) = self.intake.counts();
+        let orders = host::lock(&self.control).orders.done.clone();
+        let batch = host::lock(&self.batch);
+        Stats {
+            requests,
+            failed,
+            started: batch.counts.started,
+            finished: batch.counts.finished,
+            cancelled: batch.counts.cancelled,
+            broken: batch.counts.broken,
+            tokens: batch.counts.tokens,
+            steps: batch.counts.steps,
+            cached: batch.counts.cached,
+            running: batch.running(),
+            waiting: batch.waiting(),
+            orders,
+            keys: keys.iter().map(|(key, count)| (key.clone(), *count)).collect(),
+        }
+    }
+}
+
+fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", routing::post(chat))
+        .route("/v1/completions", routing::post(completions))
+        .route("/v1/models", routing::get(models))
+        .route("/load", routing::get(load))
+        .route("/orders", routing::post(execute_order))
+        .route("/stats", routing::get(stats))
+        .route("/faults", routing::post(set_faults))
+        .layer(DefaultBodyLimit::max(MAX_BODY))
+        .with_state(shared)
+}
+
+/// Runs steps while there are streams.
+async fn run(shared: Arc<Shared>) {
+    let mut due = time::Instant::now();
+    loop {
+        if shared.intake.frozen() {
+            time::sleep(THAW).await;
+            due = time::Instant::now();
+            continue;
+        }
+        let step = host::lock(&shared.batch).begin_step();
+        let Some(step) = step else {
+            shared.submitted.notified().await;
+            due = time::Instant::now();
+            continue;
+        };
+        // Counting from the last due time keeps the rate, since timers are late by up to 1 ms. A
+        // step that is late by more than a step is not caught up.
+        due = (due + step).max(time::Instant::now());
+        time::sleep_until(due).await;
+        host::lock(&shared.batch).end_step();
+    }
+}
+
+/// Renews the load report at intervals, so that it lags.
+async fn report(shared: Arc<Shared>) {
+    let mut ticks = time::interval(shared.settings.lag.max(Duration::from_millis(1)));
+    loop {
+        ticks.tick().await;
+        let load = {
+            let batch = host::lock(&shared.batch);
+            Load {
+                running: batch.running(),
+                waiting: batch.waiting(),
+                slots: shared.settings.slots,
+                cached_blocks: batch.cached(),
+            }
+        };
+        *host::lock(&shared.load) = load;
+    }
+}
+
+async fn chat(
+    State(shared): State<Arc<Shared>>,
+    RawQuery(query): RawQuery,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    complete(&shared, api::Shape::Chat, query.as_deref(), &headers, &body).await
+}
+
+async fn completions(
+    State(shared): State<Arc<Shared>>,
+    RawQuery(query): RawQuery,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    complete(&shared, api::Shape::Text, query.as_deref(), &headers, &body).await
+}
+
+async fn complete(
+    shared: &Shared,
+    shape: api::Shape,
+    query: Option<&str>,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Response {
+    if shared.stopping() {
+        return unavailable();
+    }
+    let request = match api::Request::parse(shape, body) {
+        Ok(request) => request,
+        Err(message) => return host::problem(StatusCode::BAD_REQUEST, &message),
+    };
+    if !host::lock(&shared.control).models.contains(&request.model) {
+        return host::problem(StatusCode::NOT_FOUND, "the model is not loaded");
+    }
+    let prompt = request.prompt(shape);
+    let key = host::request_key(headers, query).or_else(|| request.user.clone());
+    let disturbance = match shared.intake.admit(key.as_deref(), &prompt) {
+        Ok(disturbance) => disturbance,
+        Err(status) => return host::problem(status, "simulated failure"),
+    };
+    let answer = submit(shared, shape, &request, &prompt, disturbance);
+    if request.stream { answer.streamed() } else { answer.whole().await }
+}
+
+fn submit(
+    shared: &Shared,
+    shape: api::Shape,
+    request: &api::Request,
+    prompt: &str,
+    disturbance: host::Disturbance,
+) -> api::Answer {
+    let (sender, events) = mpsc::unbounded_channel();
+    let start = request.resume.as_ref().map_or(0, |resume| resume.tokens);
+    let prompt_tokens = text::prompt_tokens(prompt);
+    let job = batch::Job {
+        seed: text::seed(&request.model, prompt),
+        blocks: text::blocks(&request.model, prompt),
+        prefill: prompt_tokens.saturating_add(start),
+        position: start,
+        end: request.tokens(),
+        stall: disturbance.stall.map(|count| start.saturating_add(count)),
+        breaks: disturbance.breaks.map(|count| start.saturating_add(count)),
+        events: sender,
+    };
+    host::lock(&shared.batch).submit(job);
+    shared.submitted.notify_one();
+    let id = format!("cmpl-{}-{}", shared.settings.name, shared.intake.requests());
+    api::Answer::new(id, shape, request, prompt_tokens, events)
+}
+
+fn unavailable() -> Response {
+    let mut response = host::problem(StatusCode::SERVICE_UNAVAILABLE, "the engine is stopping");
+    response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+    response
+}
+
+async fn models(State(shared): State<Arc<Shared>>) -> Response {
+    let models = host::lock(&shared.control).models.clone();
+    let data: Vec<_> = models
+        .iter()
+        .map(|id| json!({"id": id, "object": "model", "created": 0, "owned_by": "emulator"}))
+        .collect();
+    Json(json!({"object": "list", "data": data})).into_response()
+}
+
+async fn load(State(shared): State<Arc<Shared>>) -> Response {
+    Json(*host::lock(&shared.load)).into_response()
+}
+
+async fn execute_order(
+    State(shared): State<Arc<Shared>>,
+    Json(order): Json<orders::Order>,
+) -> Response {
+    let number = order.number;
+    let outcome = {
+        let control = &mut *host::lock(&shared.control);
+        control.orders.execute(order, &mut control.models)
+    };
+    match outcome {
+        orders::Outcome::Done => Json(json!({"number": number})).into_response(),
+        orders::Outcome::Old { last } => {
+            let message = format!("order {number} is older than order {last}");
+            host::problem(StatusCode::CONFLICT, &message)
+        }
+        orders::Outcome::Invalid(message) => host::problem(StatusCode::BAD_REQUEST, message),
+    }
+}
+
+async fn stats(State(shared): State<Arc<Shared>>) -> Response {
+    Json(shared.stats()).into_response()
+}
+
+async fn set_faults(
+    State(shared): State<Arc<Shared>>,
+    Json(faults): Json<emulator::Faults>,
+) -> StatusCode {
+    shared.intake.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
--- /dev/null
+++ b/src/emulator/host.rs
@@ -0,0 +1,291 @@
+//! What engines and services share: the HTTP server, announcements to the agent and faults.
+
+use crate::emulator;
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::sorted::SortedMap;
+use axum::Router;
+use axum::body::Body;
+use axum::http::HeaderMap;
+use axum::http::Method;
+use axum::http::Request;
+use axum::http::StatusCode;
+use axum::http::header;
+use axum::serve::ListenerExt as _;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task;
+use tokio::time;
+
+/// Interval between announcements.
+const ANNOUNCE: Duration = Duration::from_secs(1);
+/// Longest time that the agent may take to answer an announcement.
+const ANSWER: Duration = Duration::from_millis(900);
+/// Request header that names a request in the counters.
+const KEY: &str = "x-request-key";
+
+/// Announcement to the agent.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Announcement {
+    pub(super) name: Arc<str>,
+    pub(super) kind: &'static str,
+    pub(super) address: SocketAddr,
+    pub(super) models: Vec<Arc<str>>,
+    pub(super) slots: u32,
+    pub(super) fencing: bool,
+}
+
+/// HTTP server of an emulator with its announcements.
+pub(super) struct Host {
+    pub(super) addr: SocketAddr,
+    stopping: watch::Sender<bool>,
+    server: task::JoinHandle<()>,
+    announcer: Option<task::JoinHandle<()>>,
+}
+
+impl Host {
+    /// Serves `router` and announces to `agent` what `announcement` returns for the bound address.
+    ///
+    /// An announcement during the stop carries no slots, so that no new work is sent.
+    pub(super) async fn start(
+        address: SocketAddr,
+        agent: Option<SocketAddr>,
+        router: Router,
+        announcement: impl Fn(SocketAddr) -> Announcement + Send + 'static,
+        log: &slog::Logger,
+    ) -> Result<Host, errors::Error> {
+        let failed = |e: std::io::Error| errors::Error::io("listen", address.to_string(), e);
+        let listener = tokio::net::TcpListener::bind(address).await.map_err(failed)?;
+        let addr = listener.local_addr().map_err(failed)?;
+        event!(log, events::LISTENING; "address" => %addr, "protocol" => "http");
+        let (stopping, stop) = watch::channel(false);
+        let mut stopped = stop.clone();
+        let listener = listener.tap_io(|stream| {
+            // Tokens are small writes that must not wait for acknowledgements. Fails only if the
+            // connection is already gone.
+            let _ = stream.set_nodelay(true);
+        });
+        let server = tokio::spawn(async move {
+            let signal = async move {
+                // An error means that the emulator was dropped.
+                let _ = stopped.wait_for(|stop| *stop).await;
+            };
+            // Errors of the accept loop are retried by axum; it returns only on the signal.
+            let _ = axum::serve(listener, router).with_graceful_shutdown(signal).await;
+        });
+        let announcer = agent.map(|agent| {
+            let log = log.clone();
+            tokio::spawn(announce(agent, move || announcement(addr), stop, log))
+        });
+        Ok(Host { addr, stopping, server, announcer })
+    }
+
+    /// Whether a stop has begun, as a signal.
+    pub(super) fn stopping(&self) -> watch::Receiver<bool> {
+        self.stopping.subscribe()
+    }
+
+    /// Stops gracefully: running requests finish, but for at most `limit`; then the endpoint is
+    /// withdrawn. Returns whether every request has finished.
+    pub(super) async fn stop(&mut self, limit: Duration) -> bool {
+        self.stopping.send_replace(true);
+        let finished = time::timeout(limit, &mut self.server).await.is_ok();
+        if let Some(announcer) = self.announcer.take() {
+            announcer.abort();
+            // Waits for the end of the task; the abort is its expected outcome.
+            let _ = announcer.await;
+        }
+        finished
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.server.abort();
+        if let Some(announcer) = &self.announcer {
+            announcer.abort();
+        }
+    }
+}
+
+/// Removes the endpoint from its agent.
+pub(super) async fn withdraw(agent: SocketAddr, name: &str, log: &slog::Logger) {
+    let client = client();
+    if let Err(error) = call(&client, Method::DELETE, agent, &format!("/announce/{name}"), "").await
+    {
+        event!(log, events::DIAL_FAILED; "error" => %error);
+    }
+}
+
+async fn announce(
+    agent: SocketAddr,
+    announcement: impl Fn() -> Announcement,
+    stop: watch::Receiver<bool>,
+    log: slog::Logger,
+) {
+    let client = client();
+    let mut ticks = time::interval(ANNOUNCE);
+    let mut stopping = stop.clone();
+    let mut known = true;
+    loop {
+        let running = !*stop.borrow();
+        tokio::select! {
+            _ = ticks.tick() => {}
+            _ = stopping.wait_for(|stop| *stop), if running => {}
+        }
+        let mut announcement = announcement();
+        if *stop.borrow() {
+            announcement.slots = 0;
+        }
+        let body = serde_json::to_string(&announcement).unwrap_or_default();
+        match call(&client, Method::POST, agent, "/announce", &body).await {
+            Ok(()) => known = true,
+            Err(error) => {
+                if known {
+                    event!(log, events::DIAL_FAILED; "error" => %error);
+                }
+                known = false;
+            }
+        }
+    }
+}
+
+type HttpClient = Client<HttpConnector, String>;
+
+fn client() -> HttpClient {
+    Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http()
+}
+
+async fn call(
+    client: &HttpClient,
+    method: Method,
+    agent: SocketAddr,
+    path: &str,
+    body: &str,
+) -> Result<(), errors::Error> {
+    let peer = agent.to_string();
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{agent}{path}"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(body.to_string())
+        .map_err(|e| errors::Error::invalid("announce", &*peer, e))?;
+    let response = time::timeout(ANSWER, client.request(request))
+        .await
+        .map_err(|_| {
+            let cause = errors::Cause::Timeout(ANSWER.as_millis() as u64);
+            errors::Error::new("announce", &*peer, cause)
+        })?
+        .map_err(|e| errors::Error::lost("announce", &*peer, e))?;
+    if response.status().is_success() {
+        return Ok(());
+    }
+    let cause = errors::Cause::Refused(response.status().to_string().into());
+    Err(errors::Error::new("announce", &*peer, cause))
+}
+
+/// Fault injection and counters of requests.
+pub(super) struct Intake {
+    faults: Mutex<emulator::Faults>,
+    seen: Mutex<Seen>,
+}
+
+#[derive(Default)]
+struct Seen {
+    requests: u64,
+    failed: u64,
+    keys: SortedMap<Arc<str>, u64>,
+}
+
+/// Tokens after which an admitted request stalls or breaks off.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Disturbance {
+    pub(super) stall: Option<u32>,
+    pub(super) breaks: Option<u32>,
+}
+
+impl Intake {
+    /// Creates an intake with the given faults.
+    pub(super) fn new(faults: emulator::Faults) -> Intake {
+        Intake { faults: Mutex::new(faults), seen: Mutex::default() }
+    }
+
+    /// Replaces the faults.
+    pub(super) fn set_faults(&self, faults: emulator::Faults) {
+        *lock(&self.faults) = faults;
+    }
+
+    /// Whether the emulator is frozen.
+    pub(super) fn frozen(&self) -> bool {
+        lock(&self.faults).frozen
+    }
+
+    /// Counts a request and decides its faults; status 500 if it shall fail.
+    pub(super) fn admit(&self, key: Option<&str>, text: &str) -> Result<Disturbance, StatusCode> {
+        let mut seen = lock(&self.seen);
+        seen.requests += 1;
+        if let Some(key) = key {
+            *seen.keys.entry_or(key.into(), || 0) += 1;
+        }
+        let mut faults = lock(&self.faults);
+        let numbered = faults.fail_every > 0 && seen.requests.is_multiple_of(faults.fail_every);
+        let marked = faults.fail_marker.as_ref().is_some_and(|marker| text.contains(&**marker));
+        if numbered || marked {
+            seen.failed += 1;
+            return Err(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+        if faults.stall_after.is_none() && faults.break_after.is_none() {
+            return Ok(Disturbance::default());
+        }
+        match &mut faults.limit {
+            Some(0) => return Ok(Disturbance::default()),
+            Some(limit) => *limit -= 1,
+            None => {}
+        }
+        Ok(Disturbance { stall: faults.stall_after, breaks: faults.break_after })
+    }
+
+    /// Number of requests so far.
+    pub(super) fn requests(&self) -> u64 {
+        lock(&self.seen).requests
+    }
+
+    /// Number of requests, of those answered by status 500, and requests by key.
+    pub(super) fn counts(&self) -> (u64, u64, SortedMap<Arc<str>, u64>) {
+        let seen = lock(&self.seen);
+        (seen.requests, seen.failed, seen.keys.clone())
+    }
+}
+
+/// Key of a request: the header, or else the query parameter `key`, since an agent passes on path
+/// and query but no headers.
+pub(super) fn request_key(headers: &HeaderMap, query: Option<&str>) -> Option<String> {
+    let header = headers.get(KEY).and_then(|value| value.to_str().ok());
+    let parameter = || query?.split('&').find_map(|part| part.strip_prefix("key="));
+    header.or_else(parameter).map(str::to_string)
+}
+
+/// Answer with a JSON error object.
+pub(super) fn problem(status: StatusCode, message: &str) -> axum::response::Response {
+    let body = serde_json::json!({"error": {"message": message, "code": status.as_u16()}});
+    let mut response = axum::response::Response::new(Body::from(body.to_string()));
+    *response.status_mut() = status;
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+/// Locks a mutex whose data stays consistent even if a holder panicked.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/emulator/service.rs
@@ -0,0 +1,155 @@
+//! Emulator of a plain service: echoes bodies and counts calls by key.
+
+use crate::emulator;
+use crate::emulator::host;
+use crate::errors;
+use crate::sorted::SortedMap;
+use axum::Json;
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::RawQuery;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::StatusCode;
+use axum::http::header;
+use axum::response::IntoResponse as _;
+use axum::response::Response;
+use axum::routing;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Settings of an emulated service.
+#[derive(Clone, Debug)]
+pub struct ServiceSettings {
+    /// Address to listen on. Port 0 selects a free port.
+    pub address: SocketAddr,
+    /// Address of the agent to which the service announces itself.
+    pub agent: Option<SocketAddr>,
+    /// Name of the endpoint.
+    pub name: Arc<str>,
+    /// Calls that the service takes at once, as announced.
+    pub slots: u32,
+    /// Time that each call takes.
+    pub delay: Duration,
+    /// Faults from the start. Stalls and breaks do not apply to services.
+    pub faults: emulator::Faults,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> ServiceSettings {
+        ServiceSettings {
+            address: (Ipv4Addr::LOCALHOST, 0).into(),
+            agent: None,
+            name: "service".into(),
+            slots: 32,
+            delay: Duration::ZERO,
+            faults: emulator::Faults::default(),
+        }
+    }
+}
+
+/// Running emulated service. Dropping it ends it at once.
+pub struct Service {
+    host: host::Host,
+    shared: Arc<Shared>,
+    log: slog::Logger,
+}
+
+struct Shared {
+    settings: ServiceSettings,
+    intake: host::Intake,
+}
+
+impl Service {
+    /// Starts the service.
+    pub async fn start(
+        settings: ServiceSettings,
+        log: &slog::Logger,
+    ) -> Result<Service, errors::Error> {
+        let intake = host::Intake::new(settings.faults.clone());
+        let shared = Arc::new(Shared { settings, intake });
+        let router = Router::new()
+            .route("/stats", routing::get(stats))
+            .route("/faults", routing::post(set_faults))
+            .fallback(call)
+            .with_state(shared.clone());
+        let settings = shared.settings.clone();
+        let announcement = move |address| host::Announcement {
+            name: settings.name.clone(),
+            kind: "service",
+            address,
+            models: Vec::new(),
+            slots: settings.slots,
+            fencing: false,
+        };
+        let (address, agent) = (shared.settings.address, shared.settings.agent);
+        let host = host::Host::start(address, agent, router, announcement, log).await?;
+        Ok(Service { host, shared, log: log.clone() })
+    }
+
+    /// Address that the service listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.host.addr
+    }
+
+    /// Calls by key.
+    pub fn keys(&self) -> SortedMap<Arc<str>, u64> {
+        self.shared.intake.counts().2
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: emulator::Faults) {
+        self.shared.intake.set_faults(faults);
+    }
+
+    /// Finishes running calls, but for at most `limit`, and withdraws from the agent. Returns
+    /// whether every call has finished.
+    pub async fn stop(mut self, limit: Duration) -> bool {
+        let finished = self.host.stop(limit).await;
+        if let Some(agent) = self.shared.settings.agent {
+            host::withdraw(agent, &self.shared.settings.name, &self.log).await;
+        }
+        finished
+    }
+}
+
+async fn call(
+    State(shared): State<Arc<Shared>>,
+    RawQuery(query): RawQuery,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let key = host::request_key(&headers, query.as_deref());
+    let admitted = shared.intake.admit(key.as_deref(), &String::from_utf8_lossy(&body));
+    if let Err(status) = admitted {
+        return host::problem(status, "simulated failure");
+    }
+    if !shared.settings.delay.is_zero() {
+        tokio::time::sleep(shared.settings.delay).await;
+    }
+    while shared.intake.frozen() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let mut response = Response::new(body.into());
+    if let Some(content) = headers.get(header::CONTENT_TYPE) {
+        response.headers_mut().insert(header::CONTENT_TYPE, content.clone());
+    }
+    response
+}
+
+async fn stats(State(shared): State<Arc<Shared>>) -> Response {
+    let (requests, failed, keys) = shared.intake.counts();
+    let keys: serde_json::Map<String, serde_json::Value> =
+        keys.iter().map(|(key, count)| (key.to_string(), (*count).into())).collect();
+    Json(serde_json::json!({"requests": requests, "failed": failed, "keys": keys})).into_response()
+}
+
+async fn set_faults(
+    State(shared): State<Arc<Shared>>,
+    Json(faults): Json<emulator::Faults>,
+) -> StatusCode {
+    shared.intake.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
