--- a/tests/network/mod.rs
+++ b/tests/network/mod.rs
@@ -483,6 +483,17 @@
         token
     }
 
+    /// Whether the last committed membership consists of all hosts as voters.
+    pub fn is_complete(&self) -> bool {
+        let last = self.history.values().rev().find_map(|e| match &e.payload {
+            replica::Payload::Members(members) => Some(members),
+            _ => None,
+        });
+        last.is_some_and(|m| {
+            m.members.len() == self.hosts.len() && self.hosts.iter().all(|h| m.is_voter(h.id))
+        })
+    }
+
     /// Checks that every host has applied the whole history.
     pub fn check_converged(&self) {
         let last = self.history.keys().next_back().copied().unwrap_or(0);
