--- /dev/null
+++ b/tests/replica.rs
@@ -0,0 +1,140 @@
+//! Elections, replication, reads and snapshots of replicas on a well-behaved network.
+
+mod network;
+
+use basilfield::replica;
+use basilfield::replica::MemberChange;
+use basilfield::replica::Role;
+use basilfield::replica::formation;
+use basilfield::replica::formation::Cause;
+use basilfield::replica::formation::Decision;
+use network::Network;
+
+/// Guards against a single member that waits for others.
+#[test]
+fn one_member_commits_alone() {
+    let mut net = Network::new(1, 1);
+    net.form();
+    net.commit("a");
+    net.kill(0, 0);
+    net.start(0);
+    net.commit("b");
+    net.check_converged();
+    assert_eq!(net.hosts[0].ledger.commands.len(), 2);
+}
+
+/// Guards against a group that does not survive its leader, or a returning host left behind.
+#[test]
+fn three_members_survive_leader() {
+    let mut net = Network::new(3, 1);
+    let first = net.form();
+    for n in 0..50 {
+        net.commit(format!("{n}"));
+    }
+    net.kill(first, 0);
+    let second = net.await_leader();
+    assert_ne!(first, second);
+    net.commit("after");
+    net.start(first);
+    net.run(100);
+    net.check_converged();
+}
+
+/// Guards against replicas that act before they have a membership.
+#[test]
+fn blank_replicas_wait() {
+    let mut net = Network::new(3, 1);
+    net.run(500);
+    assert!(
+        net.hosts.iter().all(|h| h.replica.as_ref().is_some_and(|r| r.role() == Role::Forming))
+    );
+    assert!(net.hosts.iter().all(|h| h.disk.blank() && h.disk.hard.term == 0));
+}
+
+/// Guards against a follower that cannot catch up once the leader has truncated its log.
+#[test]
+fn snapshot_reaches_follower() {
+    let mut net = Network::new(3, 1);
+    net.compaction = 1000;
+    let leader = net.form();
+    let behind = (leader + 1) % 3;
+    net.kill(behind, 0);
+    for n in 0..6000 {
+        net.propose(leader, vec![n as u8; 100]);
+        if n % 100 == 0 {
+            net.tick();
+        }
+    }
+    net.run(100);
+    net.start(behind);
+    net.run(200);
+    assert_eq!(net.installed, 1);
+    net.check_converged();
+}
+
+/// Guards against reads that are answered without a quorum, or never.
+#[test]
+fn reads_need_a_quorum() {
+    let mut net = Network::new(3, 1);
+    let leader = net.form();
+    net.commit("a");
+    let read = net.read(leader);
+    net.run(10);
+    assert!(net.requests.readable.contains(&read));
+    net.isolate(leader, true);
+    let read = net.read(leader);
+    net.run(100);
+    assert!(net.requests.refused.contains_key(&read));
+}
+
+/// Guards against a group that is formed without some host, twice, or over existing data.
+#[test]
+fn formation_needs_every_host_blank() {
+    let hosts: Vec<std::sync::Arc<str>> = vec!["b".into(), "a".into(), "c".into()];
+    let answer = |host: &str, id, blank| formation::Answer { host: host.into(), id, blank };
+    let blank = [answer("a", 1, true), answer("b", 2, true), answer("c", 3, true)];
+    let members = replica::Membership::of_voters(blank.iter().map(|a| (a.id, a.host.clone())));
+    let decide = |own: &str, answers: &[formation::Answer]| formation::decide(own, &hosts, answers);
+    assert_eq!(decide("a", &blank), Decision::Form(members));
+    assert_eq!(decide("b", &blank), Decision::Wait(Cause::Other("a".into())));
+    assert_eq!(decide("a", &blank[..2]), Decision::Wait(Cause::Missing("c".into())));
+    assert_eq!(decide("d", &blank), Decision::Wait(Cause::Unlisted));
+    let copied = [answer("a", 1, true), answer("b", 2, true), answer("c", 1, true)];
+    assert_eq!(decide("a", &copied), Decision::Wait(Cause::Copied("a".into(), "c".into())));
+    let data = [answer("a", 1, true), answer("c", 3, false)];
+    assert_eq!(decide("a", &data), Decision::Join);
+    assert_eq!(decide("c", &data), Decision::Resume);
+}
+
+/// Guards against a repair that stops halfway, and against the return of a removed replica.
+#[test]
+fn lost_disk_is_repaired() {
+    let mut net = Network::new(3, 1);
+    net.managed = true;
+    net.await_leader();
+    for n in 0..20 {
+        net.commit(format!("{n}"));
+    }
+    let leader = net.await_leader();
+    let lost = (leader + 1) % 3;
+    let (old, disk) = (net.hosts[lost].id, net.hosts[lost].disk.clone());
+    net.kill(lost, 0);
+    net.wipe(lost);
+    net.start(lost);
+    net.run(100);
+    assert_eq!(net.repaired, 1);
+    let members = net.hosts[leader].replica.as_ref().map(|r| r.members().clone()).expect("runs");
+    assert_eq!(members.voters().count(), 3);
+    assert!(members.is_retired(old) && members.is_voter(net.hosts[lost].id));
+    net.check_converged();
+    net.kill(lost, 0);
+    (net.hosts[lost].id, net.hosts[lost].disk) = (old, disk);
+    net.start(lost);
+    net.run(300);
+    let leader = net.await_leader();
+    let again = replica::Member { id: old, host: "x".into(), role: replica::MemberRole::Learner };
+    let refused = net.change(leader, MemberChange::AddLearner(again));
+    net.run(1);
+    let reason = replica::Refusal::Change(replica::ChangeRefusal::Retired);
+    assert_eq!(net.requests.refused.get(&refused), Some(&reason));
+}
