Implement replica::Machine for the table of a job group

The trait has arrived with the replica module, so the three inherent methods of the same signatures move into its implementation and the table's own error of a restore gives way to replica::RestoreError. Keeping both forms was ruled out: a shell could then call the inherent method where it means the trait.

--- a/src/jobs/message.rs
+++ b/src/jobs/message.rs
@@ -240,7 +240,7 @@
 }
 
 impl Reply {
-    /// Decodes a reply of [`crate::jobs::Table::apply`].
+    /// Decodes a reply of [`crate::jobs::Table`].
     pub fn decode(data: &[u8]) -> Result<Reply, postcard::Error> {
         postcard::from_bytes(data)
     }
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -10,9 +10,10 @@
 use crate::jobs::message::*;
 use crate::jobs::state::Job;
 use crate::jobs::state::State;
+use crate::replica::Machine;
+use crate::replica::RestoreError;
 use crate::wire;
 use bytes::Bytes;
-use derive_more::Display;
 use std::sync::Arc;
 
 /// Largest number of items of a job.
@@ -28,13 +29,6 @@
 /// frame ([`wire::MAX_FRAME`]).
 const PAGE_BYTES: usize = 4 << 20;
 
-/// A snapshot that does not decode.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[display("snapshot of a job group does not decode: {_0}")]
-pub struct RestoreError(Arc<str>);
-
-impl std::error::Error for RestoreError {}
-
 /// Job with items that can run, for the granting of items.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenJob {
@@ -118,32 +112,6 @@
         self.state.clock
     }
 
-    /// Applies the log entry `index`: an encoded [`Stamped`], answered by an encoded [`Reply`].
-    pub fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
-        let reply = match postcard::from_bytes::<Stamped>(command) {
-            Ok(stamped) => self.execute(index, stamped),
-            Err(_) => Reply::Refused(Refusal::Undecodable),
-        };
-        postcard::to_stdvec(&reply).expect("replies encode")
-    }
-
-    /// Encodes the whole state.
-    pub fn snapshot(&self) -> Vec<u8> {
-        let parts = (&self.state, Bytes::from(self.bodies.export()));
-        postcard::to_stdvec(&parts).expect("state encodes")
-    }
-
-    /// Replaces the state by that of a snapshot. On an error the table is unchanged.
-    pub fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
-        let error = |e: postcard::Error| RestoreError(e.to_string().into());
-        let (mut state, bodies): (State, Bytes) = postcard::from_bytes(data).map_err(error)?;
-        state.share_names();
-        self.bodies.import(&bodies).map_err(error)?;
-        self.state = state;
-        self.changes = None;
-        Ok(())
-    }
-
     /// Starts to record changes and returns the jobs with items that can run, as the leader needs
     /// them when it is elected.
     pub fn observe(&mut self) -> Vec<OpenJob> {
@@ -480,6 +448,34 @@
     }
 }
 
+impl Machine for Table {
+    /// Applies the log entry `index`: an encoded [`Stamped`], answered by an encoded [`Reply`].
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        let reply = match postcard::from_bytes::<Stamped>(command) {
+            Ok(stamped) => self.execute(index, stamped),
+            Err(_) => Reply::Refused(Refusal::Undecodable),
+        };
+        postcard::to_stdvec(&reply).expect("replies encode")
+    }
+
+    /// Encodes the whole state.
+    fn snapshot(&self) -> Vec<u8> {
+        let parts = (&self.state, Bytes::from(self.bodies.export()));
+        postcard::to_stdvec(&parts).expect("state encodes")
+    }
+
+    /// Replaces the state by that of a snapshot. On an error the table is unchanged.
+    fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
+        let error = |e: postcard::Error| RestoreError { cause: e.to_string().into() };
+        let (mut state, bodies): (State, Bytes) = postcard::from_bytes(data).map_err(error)?;
+        state.share_names();
+        self.bodies.import(&bodies).map_err(error)?;
+        self.state = state;
+        self.changes = None;
+        Ok(())
+    }
+}
+
 /// Error result of an item without an attempt left.
 fn exhausted(attempts: u32, cause: AttemptCause) -> String {
     let last = match cause {
