--- /dev/null
+++ b/tests/job_table.rs
@@ -0,0 +1,265 @@
+//! The replicated table of a job group under random command sequences.
+
+use basilfield::jobs::Answer;
+use basilfield::jobs::Command;
+use basilfield::jobs::Id;
+use basilfield::jobs::Query;
+use basilfield::jobs::Reply;
+use basilfield::jobs::Stamped;
+use basilfield::jobs::Table;
+use basilfield::jobs::group_of;
+use basilfield::jobs::group_of_job;
+use basilfield::jobs::message::AttemptCause;
+use basilfield::jobs::message::ClaimOutcome;
+use basilfield::jobs::message::ItemOutcome;
+use basilfield::jobs::message::JobState;
+use basilfield::jobs::message::NewItem;
+use basilfield::replica::Machine as _;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const DAY: u64 = 86_400_000;
+
+fn text() -> impl Strategy<Value = Arc<str>> {
+    prop::sample::select(vec!["a", "b"]).prop_map(Arc::from)
+}
+
+fn job() -> impl Strategy<Value = Arc<str>> {
+    (text(), text()).prop_map(|(workspace, key)| Id::of(&workspace, &key).name())
+}
+
+fn outcome() -> impl Strategy<Value = ItemOutcome> {
+    (any::<bool>(), any::<u8>()).prop_map(|(done, byte)| match done {
+        true => ItemOutcome::Done(vec![byte].into()),
+        false => ItemOutcome::Failed(vec![byte].into()),
+    })
+}
+
+fn settled() -> impl Strategy<Value = ClaimOutcome> {
+    prop_oneof![
+        Just(ClaimOutcome::NeverRan),
+        Just(ClaimOutcome::Unknown),
+        any::<u8>().prop_map(|byte| ClaimOutcome::Done(vec![byte].into())),
+    ]
+}
+
+fn command() -> impl Strategy<Value = Command> {
+    let item = 0..4u32;
+    let attempt = 0..8u64;
+    let custom = prop::sample::select(vec!["p", "q", "r", "s", "t"]);
+    let new = custom.prop_map(|c| NewItem { custom: c.into(), body: c.as_bytes().into() });
+    let cause = any::<bool>().prop_map(|lost| match lost {
+        true => AttemptCause::WorkerLost,
+        false => AttemptCause::Transient,
+    });
+    prop_oneof![
+        4 => (text(), text(), 0..9u64, 0..3u32).prop_map(|(workspace, key, other, more)| {
+            let digest = u64::from(other == 0);
+            let total = 2 + more / 2;
+            Command::Open { workspace, key, digest, model: "m".into(), due: 1000, total }
+        }),
+        6 => (job(), 0..3u32, prop::collection::vec(new, 0..3))
+            .prop_map(|(job, seq, items)| Command::Chunk { job, seq, items }),
+        4 => job().prop_map(|job| Command::Seal { job }),
+        1 => (job(), text()).prop_map(|(job, id)| Command::Cancel { job, id }),
+        8 => (job(), item.clone(), attempt.clone(), outcome())
+            .prop_map(|(job, item, attempt, outcome)| {
+                Command::Complete { job, item, attempt, outcome }
+            }),
+        8 => (job(), item, attempt.clone(), cause)
+            .prop_map(|(job, item, attempt, cause)| Command::Attempt { job, item, attempt, cause }),
+        4 => (text(), text(), attempt.clone()).prop_map(|(workspace, key, attempt)| {
+            Command::Claim { workspace, key, digest: 1, attempt, agent: "x".into() }
+        }),
+        2 => (text(), text(), attempt, settled())
+            .prop_map(|(workspace, key, attempt, outcome)| {
+                Command::Settle { workspace, key, attempt, outcome }
+            }),
+        1 => Just(Command::Expire { retention: DAY }),
+    ]
+}
+
+/// Log entries: mostly commands with stamps that may go back, now and then garbage.
+fn log() -> impl Strategy<Value = Vec<Vec<u8>>> {
+    let clock = prop_oneof![9 => 0..1000u64, 1 => 0..4 * DAY];
+    let entry = (clock, command(), prop::collection::vec(any::<u8>(), 0..20), 0..20u8);
+    let entry = entry.prop_map(|(clock, command, garbage, pick)| match pick {
+        0 => garbage,
+        _ => Stamped { clock, command }.encode(),
+    });
+    let random = prop::collection::vec(entry, 0..120);
+    // Random uploads seldom get as far as a seal, so half of the logs start with accepted jobs.
+    (any::<bool>(), random).prop_map(|(accepted, random)| {
+        let start = if accepted { [upload("a"), upload("b")].concat() } else { Vec::new() };
+        [start, random].concat()
+    })
+}
+
+/// Upload of a job with two items.
+fn upload(key: &str) -> Vec<Vec<u8>> {
+    let job = Id::of("a", key).name();
+    let (workspace, key) = ("a".into(), key.into());
+    let open = Command::Open { workspace, key, digest: 0, model: "m".into(), due: 9, total: 2 };
+    let item = |custom: &str| NewItem { custom: custom.into(), body: "x".into() };
+    let chunk = Command::Chunk { job: job.clone(), seq: 0, items: vec![item("p"), item("q")] };
+    let commands = [open, chunk, Command::Seal { job }];
+    commands.into_iter().map(|command| Stamped { clock: 0, command }.encode()).collect()
+}
+
+fn names() -> Vec<Arc<str>> {
+    let pairs = [("a", "a"), ("a", "b"), ("b", "a"), ("b", "b")];
+    pairs.iter().map(|(workspace, key)| Id::of(workspace, key).name()).collect()
+}
+
+/// Answers to one query of every kind.
+fn answers(table: &Table) -> Vec<Answer> {
+    let mut queries = Vec::new();
+    for job in names() {
+        queries.push(Query::Job { job: job.clone() });
+        queries.push(Query::Results { job, from: 1, limit: 1 });
+    }
+    for workspace in ["a", "b"] {
+        let workspace: Arc<str> = workspace.into();
+        queries.push(Query::Jobs { workspace: workspace.clone(), after: None, limit: 1 });
+        queries.push(Query::Claim { workspace, key: "a".into() });
+    }
+    queries.iter().map(|query| table.query(query)).collect()
+}
+
+/// Results of a job by item; empty if it is gone.
+fn results(table: &Table, job: &Arc<str>) -> BTreeMap<u32, String> {
+    match table.query(&Query::Results { job: job.clone(), from: 0, limit: 100 }) {
+        Answer::Results { items, .. } => {
+            items.iter().map(|r| (r.item, format!("{:?} {:?}", r.outcome, r.body))).collect()
+        }
+        _ => BTreeMap::new(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..Default::default() })]
+
+    /// Guards against replicas that diverge, or state that a snapshot leaves out.
+    #[test]
+    fn replay_from_any_snapshot(log in log(), cut in any::<prop::sample::Index>()) {
+        let cut = cut.index(log.len() + 1);
+        let (mut first, mut second) = (Table::default(), Table::default());
+        // The content that a restore replaces must not shine through.
+        second.apply(1, &log.last().cloned().unwrap_or_default());
+        for (index, entry) in log.iter().enumerate().take(cut) {
+            first.apply(index as u64 + 1, entry);
+        }
+        second.restore(&first.snapshot()).unwrap();
+        for (index, entry) in log.iter().enumerate().skip(cut) {
+            let index = index as u64 + 1;
+            prop_assert_eq!(first.apply(index, entry), second.apply(index, entry));
+        }
+        prop_assert_eq!(first.snapshot(), second.snapshot());
+        prop_assert_eq!(answers(&first), answers(&second));
+    }
+
+    /// Guards against a result that changes or disappears, a result after a cancel, an item
+    /// without a countable end, and a call that is dispatched under two live claims.
+    #[test]
+    fn results_and_claims_are_final(log in log()) {
+        let mut table = Table::default();
+        let mut holder = BTreeMap::new();
+        for (index, entry) in log.iter().enumerate() {
+            let before: Vec<_> = names().iter().map(|job| results(&table, job)).collect();
+            let cancelled: Vec<_> = names().iter().map(|job| state(&table, job)).collect();
+            let reply = Reply::decode(&table.apply(index as u64 + 1, entry)).unwrap();
+            for ((job, old), was) in names().iter().zip(before).zip(cancelled) {
+                let new = results(&table, job);
+                let Some(now) = state(&table, job) else { continue };
+                prop_assert!(old.iter().all(|(item, result)| new.get(item) == Some(result)));
+                prop_assert!(was != Some(JobState::Cancelled) || new.len() == old.len());
+                let Answer::Job(status) = table.query(&Query::Job { job: job.clone() }) else {
+                    continue;
+                };
+                prop_assert_eq!((status.done + status.failed) as usize, new.len());
+                let ended = status.queued == 0 && status.done + status.failed == status.total;
+                prop_assert_eq!(now == JobState::Finished, ended);
+            }
+            track_claim(&mut holder, entry, &reply)?;
+        }
+    }
+}
+
+fn state(table: &Table, job: &Arc<str>) -> Option<JobState> {
+    match table.query(&Query::Job { job: job.clone() }) {
+        Answer::Job(status) => Some(status.state),
+        _ => None,
+    }
+}
+
+/// Follows who may dispatch a claimed call. Only "never ran" and removal free it, and a withdrawn
+/// attempt never gets it again.
+fn track_claim(
+    holder: &mut BTreeMap<String, (u64, Vec<u64>)>,
+    entry: &[u8],
+    reply: &Reply,
+) -> Result<(), TestCaseError> {
+    // The first number of each pair is the holding attempt plus 1, or 0.
+    let Ok(stamped) = postcard::from_bytes::<Stamped>(entry) else { return Ok(()) };
+    match (stamped.command, reply) {
+        (Command::Claim { workspace, key, attempt, .. }, Reply::Claimed) => {
+            let (current, withdrawn) = holder.entry(format!("{workspace}/{key}")).or_default();
+            let passes = *current == 0 || *current == attempt + 1;
+            prop_assert!(passes && !withdrawn.contains(&attempt), "claimed twice: {attempt}");
+            *current = attempt + 1;
+        }
+        (Command::Settle { workspace, key, attempt, .. }, Reply::Settled { outcome }) => {
+            let (current, withdrawn) = holder.entry(format!("{workspace}/{key}")).or_default();
+            if *outcome == ClaimOutcome::NeverRan && *current == attempt + 1 {
+                *current = 0;
+                withdrawn.push(attempt);
+            }
+        }
+        (Command::Expire { .. }, Reply::Expired { claims: 1.., .. }) => holder.clear(),
+        _ => {}
+    }
+    Ok(())
+}
+
+/// Guards against a job that is looked for in another group than the one that owns it.
+#[test]
+fn groups_agree() {
+    for number in 0..1000 {
+        let key = format!("key {number}");
+        let group = group_of("needle", &key, 7);
+        assert!((1..=7).contains(&group));
+        assert_eq!(group_of_job(&Id::of("needle", &key).name(), 7), Some(group));
+    }
+    assert_eq!(group_of("needle", "key", 0), 1);
+    assert_eq!(group_of_job("not a job", 7), None);
+    assert_eq!(group_of_job(&"A".repeat(32), 7), None);
+}
+
+/// Guards against a page of results that skips or repeats items.
+#[test]
+fn pages_are_complete() {
+    let mut table = Table::default();
+    let job = Id::of("w", "k").name();
+    let (workspace, key) = ("w".into(), "k".into());
+    let open = Command::Open { workspace, key, digest: 1, model: "m".into(), due: 0, total: 9 };
+    let item = |n: u32| NewItem { custom: n.to_string().into(), body: "".into() };
+    let chunk = Command::Chunk { job: job.clone(), seq: 0, items: (0..9).map(item).collect() };
+    let mut commands = vec![open, chunk, Command::Seal { job: job.clone() }];
+    for item in [8, 0, 3, 4, 7] {
+        let outcome = ItemOutcome::Done(item.to_string().into());
+        commands.push(Command::Complete { job: job.clone(), item, attempt: 1, outcome });
+    }
+    for (index, command) in commands.into_iter().enumerate() {
+        table.apply(index as u64 + 1, &Stamped { clock: 0, command }.encode());
+    }
+    let (mut from, mut seen) = (Some(0), Vec::new());
+    while let Some(first) = from {
+        let query = Query::Results { job: job.clone(), from: first, limit: 2 };
+        let Answer::Results { items, next, .. } = table.query(&query) else { panic!() };
+        seen.extend(items.iter().map(|r| (r.item, r.body.clone())));
+        from = next;
+    }
+    let expected = [0u32, 3, 4, 7, 8].map(|n| (n, n.to_string().into()));
+    assert_eq!(seen, expected);
+}
