--- /dev/null
+++ b/tests/models/claims.rs
@@ -0,0 +1,195 @@
+//! Small specification of claims: entries that claim one call, agents that run attempts, and a
+//! log whose proposals and replies may be lost, late or repeated, as a change of leader causes.
+
+use crate::leases::Spec;
+
+const ENTRIES: usize = 3;
+
+/// Deliberate faults of the claim specification.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimFault {
+    None,
+    /// An entry dispatches before its claim is committed.
+    DispatchFirst,
+    /// A held claim passes on without a withdrawal.
+    NoWithdrawal,
+    /// An agent answers "never ran" and does not remember it.
+    NoTombstone,
+    /// A settlement is applied whatever attempt holds the claim.
+    SettleAny,
+}
+
+/// What an entry does. Entry `n` uses attempt `n`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    Idle,
+    Claiming,
+    Claimed,
+    Dispatched,
+    Withdrawing(usize),
+    Settling(usize),
+    /// Crashed, or has its answer.
+    Over,
+}
+
+/// Attempt at its agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Run {
+    Absent,
+    Ran,
+    Withdrawn,
+}
+
+/// Committed state of the claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Claim {
+    Free,
+    Held(usize),
+    NeverRan,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ClaimState {
+    claim: Claim,
+    withdrawn: [bool; ENTRIES],
+    phases: [Phase; ENTRIES],
+    runs: [Run; ENTRIES],
+    runs_total: u8,
+    /// Proposed claims, which may be committed any number of times.
+    claims: [bool; ENTRIES],
+    /// Proposed "never ran" settlements of attempts, likewise.
+    settles: [bool; ENTRIES],
+    /// Dispatches under way.
+    dispatches: [bool; ENTRIES],
+}
+
+/// Claims of one call.
+pub struct ClaimSpec {
+    pub fault: ClaimFault,
+}
+
+impl ClaimSpec {
+    fn entry_steps(&self, state: &ClaimState, entry: usize) -> Vec<(String, ClaimState)> {
+        let mut steps = Vec::new();
+        let mut step = |text: &str, change: &dyn Fn(&mut ClaimState)| {
+            let mut next = state.clone();
+            change(&mut next);
+            steps.push((format!("entry {entry}{text}"), next));
+        };
+        match state.phases[entry] {
+            Phase::Idle => step(" proposes its claim", &|next| {
+                next.phases[entry] = Phase::Claiming;
+                next.claims[entry] = true;
+                next.dispatches[entry] = self.fault == ClaimFault::DispatchFirst;
+            }),
+            Phase::Claimed => step(" dispatches", &|next| {
+                next.phases[entry] = Phase::Dispatched;
+                next.dispatches[entry] = true;
+            }),
+            Phase::Withdrawing(attempt) => step(" withdraws the held attempt", &|next| {
+                if next.runs[attempt] == Run::Ran {
+                    next.phases[entry] = Phase::Over;
+                    return;
+                }
+                if self.fault != ClaimFault::NoTombstone {
+                    next.runs[attempt] = Run::Withdrawn;
+                }
+                next.phases[entry] = Phase::Settling(attempt);
+                next.settles[attempt] = true;
+            }),
+            _ => {}
+        }
+        if !matches!(state.phases[entry], Phase::Idle | Phase::Over) {
+            step(" is lost", &|next| next.phases[entry] = Phase::Over);
+        }
+        if state.dispatches[entry] {
+            step("'s dispatch arrives", &|next| {
+                next.dispatches[entry] = false;
+                if next.runs[entry] == Run::Absent {
+                    next.runs[entry] = Run::Ran;
+                    next.runs_total += 1;
+                }
+            });
+        }
+        steps
+    }
+
+    /// Commits a claim and returns what its entry is told.
+    fn apply_claim(&self, state: &mut ClaimState, entry: usize) -> Phase {
+        if state.withdrawn[entry] {
+            return Phase::Over;
+        }
+        match state.claim {
+            Claim::Held(holder) if holder != entry && self.fault != ClaimFault::NoWithdrawal => {
+                Phase::Withdrawing(holder)
+            }
+            _ => {
+                state.claim = Claim::Held(entry);
+                Phase::Claimed
+            }
+        }
+    }
+
+    fn apply_settle(&self, state: &mut ClaimState, attempt: usize) {
+        let holds = state.claim == Claim::Held(attempt);
+        if holds || self.fault == ClaimFault::SettleAny {
+            state.claim = Claim::NeverRan;
+            state.withdrawn[attempt] = true;
+        }
+    }
+
+    fn log_steps(&self, state: &ClaimState, entry: usize) -> Vec<(String, ClaimState)> {
+        let mut steps = Vec::new();
+        if state.claims[entry] {
+            let mut next = state.clone();
+            let told = self.apply_claim(&mut next, entry);
+            steps.push((format!("claim {entry} is committed, the reply is lost"), next.clone()));
+            if state.phases[entry] == Phase::Claiming {
+                next.phases[entry] = told;
+                steps.push((format!("claim {entry} is committed"), next));
+            }
+        }
+        if state.settles[entry] {
+            let mut next = state.clone();
+            self.apply_settle(&mut next, entry);
+            steps.push((format!("settlement of {entry} is committed"), next.clone()));
+            for waiting in 0..ENTRIES {
+                if state.phases[waiting] == Phase::Settling(entry) {
+                    let mut next = next.clone();
+                    next.phases[waiting] = Phase::Claiming;
+                    next.claims[waiting] = true;
+                    steps.push((format!("entry {waiting} learns of settlement {entry}"), next));
+                }
+            }
+        }
+        steps
+    }
+}
+
+impl Spec for ClaimSpec {
+    type State = ClaimState;
+
+    fn start(&self) -> ClaimState {
+        ClaimState {
+            claim: Claim::Free,
+            withdrawn: [false; ENTRIES],
+            phases: [Phase::Idle; ENTRIES],
+            runs: [Run::Absent; ENTRIES],
+            runs_total: 0,
+            claims: [false; ENTRIES],
+            settles: [false; ENTRIES],
+            dispatches: [false; ENTRIES],
+        }
+    }
+
+    fn steps(&self, state: &ClaimState) -> Vec<(String, ClaimState)> {
+        let entries = 0..ENTRIES;
+        entries
+            .flat_map(|n| [self.entry_steps(state, n), self.log_steps(state, n)].concat())
+            .collect()
+    }
+
+    fn violation(&self, state: &ClaimState) -> Option<&'static str> {
+        (state.runs_total > 1).then_some("at most one dispatch per claim")
+    }
+}
