Measure the time of a grant and of a result

The leases must choose the next item without looking through jobs or items, which only a run at the target's number of jobs can show. The example now times 1,000 pulls of 16 items and the storing of every result, next to the bytes.

--- a/examples/jobsize.rs
+++ b/examples/jobsize.rs
@@ -3,7 +3,8 @@
 //! `cargo run --release --example jobsize` prints, for several sizes, the bytes per queued and per
 //! finished item of the table, of the store of bodies (beyond the bytes of the custom ids and
 //! bodies themselves) and of the leases. An item has a custom id of 8 to 12 bytes, a request of
-//! 100 bytes and a result of 100 bytes; one in a hundred had a failed attempt.
+//! 100 bytes and a result of 100 bytes; one in a hundred had a failed attempt. The last columns
+//! are the microseconds that the leases take to grant one item, and the table to store a result.
 
 use basilfield::jobs::Command;
 use basilfield::jobs::Id;
@@ -14,6 +15,7 @@
 use basilfield::jobs::leases::Config;
 use basilfield::jobs::leases::Input;
 use basilfield::jobs::leases::Leases;
+use basilfield::jobs::leases::Output;
 use basilfield::jobs::message::AttemptCause;
 use basilfield::jobs::message::ItemOutcome;
 use basilfield::jobs::message::NewItem;
@@ -26,6 +28,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 /// Jobs and items per job of each run.
 const SIZES: [(u32, u32); 4] = [(1, 97_000), (10, 97_000), (40, 97_000), (33_000, 10)];
@@ -151,8 +154,38 @@
     }
 }
 
-/// Bytes of the table when queued and when finished, and of the leases.
-fn measure(jobs: u32, items: u32, bodies: Box<dyn Bodies>) -> [usize; 3] {
+/// Bytes of the table when queued and when finished, and of the leases; microseconds of one grant
+/// and of one result.
+struct Measured {
+    queued: usize,
+    finished: usize,
+    leases: usize,
+    grant: f64,
+    result: f64,
+}
+
+/// Microseconds of each of `count` steps since `start`.
+fn micros(start: Instant, count: u32) -> f64 {
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(count)
+}
+
+/// Grants items to one agent, 16 at a time, and returns the microseconds of one.
+fn grant(leases: &mut Leases) -> f64 {
+    let start = Instant::now();
+    let mut count = 0;
+    for token in 0..1_000 {
+        let models = vec!["needle-llm".into()];
+        let wait = Duration::ZERO;
+        let pull = Input::Pull { token, agent: "agent".into(), free: 16, models, wait };
+        for output in leases.step(Duration::from_secs(2), pull) {
+            let Output::Grant { items, .. } = output else { continue };
+            count += items.len() as u32;
+        }
+    }
+    micros(start, count)
+}
+
+fn measure(jobs: u32, items: u32, bodies: Box<dyn Bodies>) -> Measured {
     let empty = live();
     let mut run = Run { table: Table::new(bodies), index: 0, jobs, items };
     run.submit();
@@ -162,32 +195,37 @@
     let mut leases = Leases::new(Config::default());
     leases.step(Duration::ZERO, Input::Elected { agents: Vec::new(), jobs: open });
     let granting = live() - before;
+    let grant = grant(&mut leases);
     drop(leases);
     run.table.ignore();
+    let start = Instant::now();
     run.finish();
-    [queued, live() - empty, granting]
+    let result = micros(start, jobs * items);
+    Measured { queued, finished: live() - empty, leases: granting, grant, result }
 }
 
 fn main() {
-    println!(
-        "jobs   items/job  table queued  table finished  bodies queued  bodies finished  leases"
-    );
+    println!("                  table          bodies          leases");
+    println!("jobs   items/job  queued  ended  queued   ended          grant us  result us");
     for (jobs, items) in SIZES {
         let total = f64::from(jobs) * f64::from(items);
-        let [queued, finished, leases] = measure(jobs, items, Box::new(NoBodies));
-        let [all_queued, all_finished, _] = measure(jobs, items, Box::new(Memory::default()));
+        let table = measure(jobs, items, Box::new(NoBodies));
+        let all = measure(jobs, items, Box::new(Memory::default()));
         let run = Run { table: Table::default(), index: 0, jobs, items };
-        let bodies_queued = all_queued.saturating_sub(queued + run.content(false));
+        let queued = all.queued.saturating_sub(table.queued + run.content(false));
+        // The requests of a finished job are dropped.
         let kept = run.content(true) - jobs as usize * items as usize * BODY;
-        let bodies_finished = all_finished.saturating_sub(finished + kept);
+        let finished = all.finished.saturating_sub(table.finished + kept);
         let each = |bytes: usize| bytes as f64 / total;
         println!(
-            "{jobs:<6} {items:<10} {:<13.2} {:<15.2} {:<14.2} {:<16.2} {:.2}",
+            "{jobs:<6} {items:<10} {:<7.2} {:<6.2} {:<8.2} {:<8.2} {:<5.2} {:<9.2} {:.2}",
+            each(table.queued),
+            each(table.finished),
             each(queued),
             each(finished),
-            each(bodies_queued),
-            each(bodies_finished),
-            each(leases),
+            each(table.leases),
+            table.grant,
+            all.result,
         );
     }
 }
