--- /dev/null
+++ b/src/agent/endpoint.rs
@@ -0,0 +1,378 @@
+//! One endpoint of this host: its gate, and the slots that running work occupies.
+
+use crate::gate;
+use crate::metrics;
+use crate::sorted;
+use crate::timer;
+use crate::wire;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+/// What an endpoint said of itself.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Name, unique on the host.
+    pub name: Arc<str>,
+    /// Whether it is an engine or a plain service.
+    pub kind: Kind,
+    /// TCP address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Models that an engine serves now.
+    #[serde(default)]
+    pub models: Vec<Arc<str>>,
+    /// Streams that it runs at once.
+    pub slots: u32,
+    /// Whether it refuses orders with an old fencing number.
+    #[serde(default)]
+    pub fencing: bool,
+}
+
+/// Kind of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// Model engine.
+    Engine,
+    /// Plain service.
+    Service,
+}
+
+/// One endpoint and its gate. Clones share it.
+#[derive(Clone)]
+pub struct Endpoint {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    name: Arc<str>,
+    timer: timer::Timer,
+    metrics: metrics::Metrics,
+    state: Mutex<State>,
+    /// Woken when the gate asks for batch items.
+    pull: Arc<Notify>,
+    /// Woken whenever work ends.
+    idle: Notify,
+}
+
+struct State {
+    about: Announcement,
+    gate: gate::Gate,
+    draining: bool,
+    next: u64,
+    /// Batch items that the gate can start now.
+    wanted: u32,
+    waiting: sorted::SortedMap<u64, oneshot::Sender<Result<(), Refused>>>,
+    running: sorted::SortedMap<u64, Arc<Preemption>>,
+}
+
+/// Refusal by the gate. The work was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Reason.
+    pub reason: wire::Reason,
+    /// When to come back.
+    pub retry: Duration,
+}
+
+/// Signal that asks running work to give up its slot.
+#[derive(Debug, Default)]
+pub struct Preemption {
+    notify: Notify,
+}
+
+/// Work that waits for a slot. Dropping it withdraws the work.
+pub struct Ticket {
+    endpoint: Endpoint,
+    id: u64,
+    started: oneshot::Receiver<Result<(), Refused>>,
+    preemption: Arc<Preemption>,
+    settled: bool,
+}
+
+/// Slot that running work occupies. Dropping it frees the slot.
+pub struct Slot {
+    endpoint: Endpoint,
+    id: u64,
+    preemption: Arc<Preemption>,
+    outcome: Outcome,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Done(bool),
+    Preempted,
+}
+
+/// Load of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Work that waits for a slot.
+    pub queued: u32,
+    /// Work that runs.
+    pub running: u32,
+}
+
+impl Endpoint {
+    /// Creates the endpoint with an idle gate. `pull` is woken when it wants batch items.
+    pub fn new(
+        about: Announcement,
+        config: gate::Config,
+        timer: &timer::Timer,
+        metrics: &metrics::Metrics,
+        pull: Arc<Notify>,
+    ) -> Endpoint {
+        let name = about.name.clone();
+        let state = State {
+            about,
+            gate: gate::Gate::new(config),
+            draining: false,
+            next: 1,
+            wanted: 0,
+            waiting: sorted::SortedMap::new(),
+            running: sorted::SortedMap::new(),
+        };
+        let inner = Inner {
+            name,
+            timer: timer.clone(),
+            metrics: metrics.clone(),
+            state: Mutex::new(state),
+            pull,
+            idle: Notify::new(),
+        };
+        Endpoint { inner: Arc::new(inner) }
+    }
+
+    /// Name of the endpoint.
+    pub fn name(&self) -> &Arc<str> {
+        &self.inner.name
+    }
+
+    /// What the endpoint said of itself last.
+    pub fn about(&self) -> Announcement {
+        self.lock().about.clone()
+    }
+
+    /// Takes over a newer announcement.
+    pub fn update(&self, about: Announcement) {
+        let mut state = self.lock();
+        if state.about.slots != about.slots {
+            self.step(&mut state, gate::Input::Slots(about.slots));
+        }
+        state.about = about;
+    }
+
+    /// Submits work to the gate.
+    pub fn submit(&self, class: gate::Class, workspace: Arc<str>, deadline: Duration) -> Ticket {
+        let mut state = self.lock();
+        let id = state.next;
+        state.next += 1;
+        drop(state);
+        self.submit_as(id, class, workspace, deadline)
+    }
+
+    /// Submits work under a given id. Preempted work keeps its id, so that the gate can bound its
+    /// preemptions.
+    fn submit_as(
+        &self,
+        id: u64,
+        class: gate::Class,
+        workspace: Arc<str>,
+        deadline: Duration,
+    ) -> Ticket {
+        let (sender, started) = oneshot::channel();
+        let preemption = Arc::new(Preemption::default());
+        let mut state = self.lock();
+        state.waiting.insert(id, sender);
+        state.running.insert(id, preemption.clone());
+        self.step(&mut state, gate::Input::Submit { id, class, workspace, deadline });
+        drop(state);
+        Ticket { endpoint: self.clone(), id, started, preemption, settled: false }
+    }
+
+    /// Feeds the passage of time to the gate.
+    pub fn tick(&self) {
+        let mut state = self.lock();
+        self.step(&mut state, gate::Input::Tick);
+    }
+
+    /// Takes no new work from now on.
+    pub fn drain(&self) {
+        self.set_draining(true);
+    }
+
+    /// Begins or ends a drain. Returns whether that changed anything.
+    pub fn set_draining(&self, draining: bool) -> bool {
+        let mut state = self.lock();
+        if state.draining == draining {
+            return false;
+        }
+        state.draining = draining;
+        let input = if draining { gate::Input::Drain } else { gate::Input::Resume };
+        self.step(&mut state, input);
+        true
+    }
+
+    /// Sets the batch floor in percent of the slots, and the target time between tokens.
+    pub fn set_policy(&self, floor: u32, target: Duration) {
+        self.lock().gate.configure(floor, target);
+    }
+
+    /// Number of batch items that the gate can start now.
+    pub fn wanted(&self) -> u32 {
+        self.lock().wanted
+    }
+
+    /// Current load.
+    pub fn load(&self) -> Load {
+        let state = self.lock();
+        let queued = u32::try_from(state.waiting.len()).unwrap_or(u32::MAX);
+        let all = u32::try_from(state.running.len()).unwrap_or(u32::MAX);
+        Load { queued, running: all.saturating_sub(queued) }
+    }
+
+    /// Waits until no work runs or waits.
+    pub async fn idle(&self) {
+        loop {
+            let notified = self.inner.idle.notified();
+            if self.lock().running.is_empty() {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.inner.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn step(&self, state: &mut State, input: gate::Input) {
+        let outputs = state.gate.step(self.inner.timer.now(), input);
+        for output in outputs {
+            self.execute(state, output);
+        }
+    }
+
+    fn execute(&self, state: &mut State, output: gate::Output) {
+        match output {
+            gate::Output::Start { id } => {
+                if let Some(sender) = state.waiting.remove(&id) {
+                    // A receiver that is gone withdraws by its ticket.
+                    let _ = sender.send(Ok(()));
+                }
+            }
+            gate::Output::Refuse { id, reason, retry } => {
+                state.running.remove(&id);
+                if let Some(sender) = state.waiting.remove(&id) {
+                    let _ = sender.send(Err(Refused { reason, retry }));
+                }
+            }
+            gate::Output::Preempt { id } => {
+                if let Some(preemption) = state.running.get(&id) {
+                    self.inner.metrics.preemption();
+                    preemption.notify.notify_one();
+                }
+            }
+            // The stream is silent: the work is asked to stop and then frees its slot.
+            gate::Output::Withdrawn { id, ran: true } => {
+                if let Some(preemption) = state.running.get(&id) {
+                    preemption.notify.notify_one();
+                }
+            }
+            gate::Output::Withdrawn { id, ran: false } => {
+                state.waiting.remove(&id);
+                state.running.remove(&id);
+            }
+            gate::Output::Pull { count } => {
+                state.wanted = count;
+                self.inner.pull.notify_one();
+            }
+            gate::Output::Idle => {}
+        }
+    }
+
+    fn end(&self, id: u64, input: gate::Input) {
+        let mut state = self.lock();
+        state.waiting.remove(&id);
+        state.running.remove(&id);
+        self.step(&mut state, input);
+        drop(state);
+        self.inner.idle.notify_waiters();
+    }
+}
+
+impl Ticket {
+    /// Waits for a slot or a refusal.
+    pub async fn started(mut self) -> Result<Slot, Refused> {
+        let result = (&mut self.started).await;
+        self.settled = true;
+        match result {
+            Ok(Ok(())) => Ok(Slot {
+                endpoint: self.endpoint.clone(),
+                id: self.id,
+                preemption: self.preemption.clone(),
+                outcome: Outcome::Done(false),
+            }),
+            Ok(Err(refused)) => Err(refused),
+            // The gate withdrew the work.
+            Err(_) => Err(Refused { reason: wire::Reason::Withdrawn, retry: Duration::ZERO }),
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        // The slot may have been granted just now; it is then freed as not used.
+        let granted = matches!(self.started.try_recv(), Ok(Ok(())));
+        let id = self.id;
+        let input = match granted {
+            true => gate::Input::Done { id, ok: false },
+            false => gate::Input::Withdraw { id },
+        };
+        self.endpoint.end(id, input);
+    }
+}
+
+impl Slot {
+    /// Reports generated tokens.
+    pub fn token(&self, count: u32) {
+        let mut state = self.endpoint.lock();
+        self.endpoint.step(&mut state, gate::Input::Token { id: self.id, count });
+    }
+
+    /// Waits until the gate asks for the slot back.
+    pub async fn preempted(&self) {
+        self.preemption.notify.notified().await;
+    }
+
+    /// Frees the slot after the work has finished.
+    pub fn finish(mut self, ok: bool) {
+        self.outcome = Outcome::Done(ok);
+    }
+
+    /// Frees the slot after a preemption and submits the rest of the work again.
+    pub fn give_up(mut self, workspace: Arc<str>, deadline: Duration) -> Ticket {
+        self.outcome = Outcome::Preempted;
+        let (endpoint, id) = (self.endpoint.clone(), self.id);
+        drop(self);
+        endpoint.submit_as(id, gate::Class::Batch, workspace, deadline)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let id = self.id;
+        let input = match self.outcome {
+            Outcome::Done(ok) => gate::Input::Done { id, ok },
+            Outcome::Preempted => gate::Input::Cancelled { id },
+        };
+        self.endpoint.end(id, input);
+    }
+}
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,1 +1,381 @@
 //! Shell of the agent role: the only way to the endpoints of its host.
+
+pub mod batch;
+pub mod endpoint;
+pub mod registry;
+pub mod serve;
+pub mod upstream;
+
+use crate::catalog;
+use crate::client;
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::follow;
+use crate::gate;
+use crate::link;
+use crate::metrics;
+use crate::running;
+use crate::settings;
+use crate::supervisor;
+use crate::timer;
+use crate::tls;
+use crate::wire;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::net;
+use tokio::time;
+
+/// Interval of the heartbeats to the leader of group 0.
+const BEAT_EVERY: Duration = Duration::from_secs(1);
+/// Longest wait for the answer to a heartbeat or a registration.
+const BEAT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause before a failed registration is tried again.
+const JOIN_PAUSE: Duration = Duration::from_millis(300);
+
+/// State that the parts of the agent share.
+#[derive(Clone)]
+pub struct Agent {
+    /// Name of the agent.
+    pub name: Arc<str>,
+    domain: Arc<str>,
+    region: Arc<str>,
+    address: SocketAddr,
+    /// Client of the state hosts.
+    pub client: client::Client,
+    /// Local copy of the configuration.
+    pub follower: follow::Follower,
+    /// Endpoints of this host.
+    pub registry: registry::Registry,
+    /// HTTP client for endpoints.
+    pub upstream: upstream::Upstream,
+    /// Items that this agent holds.
+    pub held: batch::Held,
+    /// Work that a graceful stop waits for.
+    pub running: running::Running,
+    /// Longest silence of an endpoint.
+    pub stall: Duration,
+    /// Timer service.
+    pub timer: timer::Timer,
+    /// Instruments.
+    pub metrics: metrics::Metrics,
+    /// Logger.
+    pub log: slog::Logger,
+    identity: tls::Identity,
+    attempts: Arc<Mutex<gate::attempts::Attempts<()>>>,
+}
+
+/// What a role needs from its process.
+#[derive(Clone)]
+pub struct Context {
+    /// What every process must know.
+    pub process: settings::Process,
+    /// The state hosts.
+    pub fleet: settings::Fleet,
+    /// Certificates of the process.
+    pub identity: tls::Identity,
+    /// Timer service.
+    pub timer: timer::Timer,
+    /// Instruments.
+    pub metrics: metrics::Metrics,
+    /// Logger.
+    pub log: slog::Logger,
+}
+
+impl Agent {
+    /// Begins an attempt: refuses repeated ids and superseded connections.
+    fn begin_attempt(&self, attempt: &wire::Attempt) -> Result<(), endpoint::Refused> {
+        let begun = self.lock().admit(attempt.id, &attempt.entry, attempt.connection);
+        begun.map_err(|denial| {
+            let reason = match denial {
+                gate::attempts::Denial::Superseded => wire::Reason::Superseded,
+                gate::attempts::Denial::Withdrawn => wire::Reason::Withdrawn,
+                gate::attempts::Denial::Duplicate => wire::Reason::Conflict,
+            };
+            endpoint::Refused { reason, retry: Duration::ZERO }
+        })
+    }
+
+    /// Marks an attempt as running. Returns false if it was withdrawn before.
+    fn start_attempt(&self, attempt: &wire::Attempt) -> bool {
+        self.lock().start(attempt.id)
+    }
+
+    fn attempt_ended(&self, id: u64) {
+        let now = self.timer.now();
+        let mut attempts = self.lock();
+        // Refused if it never started, finished otherwise.
+        attempts.refuse(now, id);
+        attempts.finish(now, id, ());
+    }
+
+    /// Notes that the entry has the whole answer.
+    fn attempt_received(&self, id: u64) {
+        self.lock().settle(id);
+    }
+
+    /// Notes a new connection of an entry.
+    fn greet(&self, entry: &Arc<str>, connection: u64) {
+        self.lock().connect(entry, connection);
+    }
+
+    /// Withdraws an attempt.
+    fn withdraw(&self, withdraw: &gate::attempts::Withdraw) -> wire::Withdrawal {
+        let now = self.timer.now();
+        self.lock().withdraw(now, withdraw)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, gate::attempts::Attempts<()>> {
+        self.attempts.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Whether operators drain the endpoint.
+    pub fn is_draining(&self, endpoint: &str) -> bool {
+        let name = endpoint_name(&self.name, endpoint);
+        self.follower.read(|c| c.is_draining(&name))
+    }
+
+    /// Chooses the least loaded endpoint of this host that serves the target.
+    fn choose(&self, target: &wire::Target) -> Option<endpoint::Endpoint> {
+        let serves = |about: &endpoint::Announcement| match target {
+            wire::Target::Model(model) => {
+                about.kind == endpoint::Kind::Engine && about.models.contains(model)
+            }
+            wire::Target::Service(name) => {
+                about.kind == endpoint::Kind::Service && about.name == *name
+            }
+        };
+        let endpoints = self.registry.endpoints();
+        let fitting = endpoints.into_iter().filter(|e| serves(&e.about()));
+        fitting.min_by_key(|e| {
+            let load = e.load();
+            (self.is_draining(e.name()), load.queued, load.running)
+        })
+    }
+
+    fn record(&self) -> catalog::AgentRecord {
+        let endpoints = self.registry.endpoints();
+        let record = |e: &endpoint::Endpoint| {
+            let about = e.about();
+            let (kind, models) = match about.kind {
+                endpoint::Kind::Engine => (catalog::EndpointKind::Engine, about.models),
+                // A plain service provides what its name says.
+                endpoint::Kind::Service => {
+                    (catalog::EndpointKind::Service, vec![about.name.clone()])
+                }
+            };
+            catalog::Endpoint {
+                name: endpoint_name(&self.name, &about.name),
+                kind,
+                address: about.address.to_string().into(),
+                models,
+                slots: about.slots,
+                fencing: about.fencing,
+            }
+        };
+        catalog::AgentRecord {
+            name: self.name.clone(),
+            address: self.address.to_string().into(),
+            domain: self.domain.clone(),
+            region: self.region.clone(),
+            endpoints: endpoints.iter().map(record).collect(),
+        }
+    }
+}
+
+/// Name of an endpoint in the fleet: the agent's name, a dot and its name on the host. Neither
+/// name can contain a dot.
+pub fn endpoint_name(agent: &str, endpoint: &str) -> Arc<str> {
+    format!("{agent}.{endpoint}").into()
+}
+
+/// Binds the listeners and adds the tasks of the agent to a supervisor.
+pub async fn start(
+    context: &Context,
+    settings: &settings::Agent,
+) -> Result<supervisor::Supervisor, errors::Error> {
+    let mut tree = supervisor::Supervisor::new("agent", &context.log);
+    let log = tree.log().clone();
+    let listener = Arc::new(link::Listener::bind(
+        settings.listen,
+        &context.identity,
+        link::Settings::default(),
+        &log,
+    )?);
+    let announce = net::TcpListener::bind(settings.announce)
+        .await
+        .map_err(|e| errors::Error::io("bind", settings.announce.to_string(), e))?;
+    event!(log, events::LISTENING; "links" => %settings.listen, "announce" => %settings.announce);
+    let agent = Agent {
+        name: context.process.name.clone(),
+        domain: context.process.domain.clone(),
+        region: context.process.region.clone(),
+        address: settings.advertise.unwrap_or(settings.listen),
+        client: client::Client::new(&context.identity, &context.fleet, &log),
+        follower: follow::Follower::new(&context.timer, &log),
+        registry: registry::Registry::new(settings, &context.timer, &context.metrics, &log),
+        upstream: upstream::Upstream::new(),
+        held: batch::Held::default(),
+        running: running::Running::default(),
+        stall: Duration::from_millis(settings.stall),
+        timer: context.timer.clone(),
+        metrics: context.metrics.clone(),
+        log: log.clone(),
+        identity: context.identity.clone(),
+        attempts: Arc::new(Mutex::new(gate::attempts::Attempts::new(
+            gate::attempts::Bounds::default(),
+        ))),
+    };
+    spawn_tasks(&mut tree, &agent, listener, Arc::new(announce));
+    Ok(tree)
+}
+
+fn spawn_tasks(
+    tree: &mut supervisor::Supervisor,
+    agent: &Agent,
+    listener: Arc<link::Listener>,
+    announce: Arc<net::TcpListener>,
+) {
+    // Following and announcing end last: running work needs them during a graceful stop.
+    let a = agent.clone();
+    tree.spawn("watch", move |stop| {
+        a.follower.clone().watch(a.client.clone(), a.running.until_idle(stop))
+    });
+    let a = agent.clone();
+    tree.spawn("announcements", move |stop| {
+        a.registry.clone().run_listener(announce.clone(), a.running.until_idle(stop))
+    });
+    let a = agent.clone();
+    tree.spawn("gates", move |stop| a.registry.clone().run_clock(a.running.until_idle(stop)));
+    let a = agent.clone();
+    tree.spawn("attempts", move |stop| {
+        serve::run(a.clone(), listener.clone(), a.running.until_idle(stop))
+    });
+    let a = agent.clone();
+    tree.spawn("register", move |stop| register(a.clone(), stop));
+    let a = agent.clone();
+    tree.spawn("beat", move |stop| beat(a.clone(), a.running.until_idle(stop)));
+    let a = agent.clone();
+    tree.spawn("apply", move |stop| apply_config(a.clone(), stop));
+    for group in 1..=agent.client.groups() {
+        let a = agent.clone();
+        tree.spawn("pull", move |stop| batch::run_pull(a.clone(), group, stop));
+        let a = agent.clone();
+        tree.spawn("renew", move |stop| batch::run_renew(a.clone(), group, stop));
+    }
+}
+
+/// Commits the agent's record whenever its endpoints change; commits its leave at a stop.
+async fn register(agent: Agent, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let mut changes = agent.registry.changes();
+    loop {
+        changes.borrow_and_update();
+        let record = agent.record();
+        let known = agent.follower.read(|c| c.fleet().agent(&agent.name) == Some(&record));
+        if !known {
+            let command = catalog::Command::Join { agent: record };
+            let proposed = agent.client.propose(0, catalog::encode(&command), BEAT_TIMEOUT).await;
+            match proposed {
+                Ok(applied) => {
+                    report_join(&agent, &applied);
+                    // The record must be seen here before it is compared again.
+                    let reached = agent.follower.reach(applied.index);
+                    let _ = time::timeout(BEAT_TIMEOUT, reached).await;
+                }
+                Err(_) => time::sleep(JOIN_PAUSE).await,
+            }
+        }
+        let mut applied = agent.follower.applied();
+        applied.borrow_and_update();
+        tokio::select! {
+            _ = changes.changed() => {}
+            // Another commit may have removed the record, for example after a lost lease.
+            _ = applied.changed() => {}
+            () = stop.wait() => return leave(&agent).await,
+        }
+    }
+}
+
+fn report_join(agent: &Agent, applied: &client::Applied) {
+    match catalog::decode::<catalog::Reply>(&applied.reply) {
+        Ok(reply) if reply.is_refusal() => {
+            event!(agent.log, events::AGENT_REFUSED; "reply" => %reply);
+        }
+        _ => event!(agent.log, events::AGENT_REGISTERED; "index" => applied.index),
+    }
+}
+
+async fn leave(agent: &Agent) -> Result<(), errors::Error> {
+    // New attempts are refused here at once, whatever entries still believe.
+    for endpoint in agent.registry.endpoints() {
+        endpoint.drain();
+    }
+    let command = catalog::Command::Leave {
+        agent: agent.name.clone(),
+        reason: catalog::LeaveReason::Stopped,
+    };
+    // If this fails, the lease of the agent ends by itself.
+    let _ = agent.client.propose(0, catalog::encode(&command), BEAT_TIMEOUT).await;
+    Ok(())
+}
+
+async fn beat(agent: Agent, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let mut ticks = agent.timer.subscribe(BEAT_EVERY);
+    loop {
+        tokio::select! {
+            _ = ticks.next() => {}
+            () = stop.wait() => return Ok(()),
+        }
+        let (revision, digest) = agent.follower.read(|c| (c.revision(), c.digest()));
+        let beat = wire::Beat {
+            node: agent.name.clone(),
+            role: "agent".into(),
+            domain: agent.domain.clone(),
+            revision,
+            digest,
+            expiry: agent.identity.expires_in(),
+        };
+        let _ = agent.client.call(0, &wire::Request::Beat(beat), BEAT_TIMEOUT).await;
+    }
+}
+
+/// Puts drains and the policy of the configuration into force at the gates.
+async fn apply_config(agent: Agent, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let mut applied = agent.follower.applied();
+    let mut changes = agent.registry.changes();
+    loop {
+        for endpoint in agent.registry.endpoints() {
+            apply_to(&agent, &endpoint, &stop);
+        }
+        tokio::select! {
+            _ = applied.changed() => {}
+            _ = changes.changed() => {}
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
+fn apply_to(agent: &Agent, endpoint: &endpoint::Endpoint, stop: &supervisor::Stop) {
+    // A stopping agent takes no new work, whatever the configuration says.
+    let draining = stop.requested() || agent.is_draining(endpoint.name());
+    if endpoint.set_draining(draining) {
+        let event = if draining { events::DRAIN_STARTED } else { events::DRAIN_ENDED };
+        event!(agent.log, event; "endpoint" => &**endpoint.name());
+    }
+    let about = endpoint.about();
+    let model = about.models.first().map(|m| &**m).unwrap_or_default();
+    let policy = agent.follower.read(|c| c.config().policy(model).cloned());
+    if let Some(policy) = policy {
+        endpoint.set_policy(policy.floor, Duration::from_millis(policy.target));
+    }
+}
+
+/// A second handle of a bound listener, so that a restarted task can serve it again.
+pub fn share_listener(listener: &net::TcpListener) -> Result<net::TcpListener, errors::Error> {
+    use std::os::fd::AsFd as _;
+    let io = |e: std::io::Error| errors::Error::io("share listener", "tcp", e);
+    let handle = listener.as_fd().try_clone_to_owned().map_err(io)?;
+    net::TcpListener::from_std(handle.into()).map_err(io)
+}
--- /dev/null
+++ b/src/agent/registry.rs
@@ -0,0 +1,233 @@
+//! Endpoints of this host, as they announce themselves over HTTP.
+
+use crate::agent::endpoint;
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::gate;
+use crate::metrics;
+use crate::settings;
+use crate::sorted;
+use crate::supervisor;
+use crate::timer;
+use axum::Json;
+use axum::extract;
+use axum::http;
+use axum::response::IntoResponse as _;
+use axum::response::Response;
+use axum::routing;
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::net;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+/// Interval at which endpoints announce themselves.
+pub const ANNOUNCE_EVERY: Duration = Duration::from_secs(1);
+/// Silence after which an endpoint counts as gone: three missed announcements.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(3_500);
+/// Interval of the gates' clock.
+const GATE_TICK: Duration = Duration::from_millis(20);
+/// Largest announcement in bytes.
+const MAX_ANNOUNCEMENT: usize = 64 << 10;
+/// Most endpoints of one host.
+const MAX_ENDPOINTS: usize = 64;
+
+/// Endpoints of this host. Clones share them.
+#[derive(Clone)]
+pub struct Registry {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    endpoints: Mutex<sorted::SortedMap<Arc<str>, Member>>,
+    /// Number of changes, as a signal.
+    changes: watch::Sender<u64>,
+    pull: Arc<Notify>,
+    queue: usize,
+    timer: timer::Timer,
+    metrics: metrics::Metrics,
+    log: slog::Logger,
+}
+
+struct Member {
+    endpoint: endpoint::Endpoint,
+    seen: Duration,
+}
+
+impl Registry {
+    /// Creates an empty registry.
+    pub fn new(
+        settings: &settings::Agent,
+        timer: &timer::Timer,
+        metrics: &metrics::Metrics,
+        log: &slog::Logger,
+    ) -> Registry {
+        let inner = Inner {
+            endpoints: Mutex::new(sorted::SortedMap::new()),
+            changes: watch::Sender::new(0),
+            pull: Arc::new(Notify::new()),
+            queue: settings.queue,
+            timer: timer.clone(),
+            metrics: metrics.clone(),
+            log: log.clone(),
+        };
+        Registry { inner: Arc::new(inner) }
+    }
+
+    /// Signal that is woken when a gate asks for batch items.
+    pub fn pull(&self) -> Arc<Notify> {
+        self.inner.pull.clone()
+    }
+
+    /// Signal of changes to the set of endpoints or to what they announce.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.inner.changes.subscribe()
+    }
+
+    /// Every endpoint, sorted by name.
+    pub fn endpoints(&self) -> Vec<endpoint::Endpoint> {
+        self.lock().values().map(|m| m.endpoint.clone()).collect()
+    }
+
+    /// The endpoint with the given name.
+    pub fn get(&self, name: &str) -> Option<endpoint::Endpoint> {
+        self.lock().get(name).map(|m| m.endpoint.clone())
+    }
+
+    /// Takes over an announcement.
+    pub fn announce(&self, about: endpoint::Announcement) -> Result<(), errors::Error> {
+        check(&about)?;
+        let now = self.inner.timer.now();
+        let mut endpoints = self.lock();
+        if let Some(member) = endpoints.get_mut(&about.name) {
+            member.seen = now;
+            let changed = member.endpoint.about() != about;
+            if changed {
+                member.endpoint.update(about);
+                drop(endpoints);
+                self.changed();
+            }
+            return Ok(());
+        }
+        if endpoints.len() >= MAX_ENDPOINTS {
+            let cause = format!("more than {MAX_ENDPOINTS} endpoints on one host");
+            return Err(errors::Error::invalid("announce", about.name, cause));
+        }
+        event!(self.inner.log, events::ENDPOINT_JOINED; "endpoint" => &*about.name);
+        let config =
+            gate::Config { slots: about.slots, queue: self.inner.queue, ..gate::Config::default() };
+        let name = about.name.clone();
+        let endpoint = endpoint::Endpoint::new(
+            about,
+            config,
+            &self.inner.timer,
+            &self.inner.metrics,
+            self.pull(),
+        );
+        endpoints.insert(name, Member { endpoint, seen: now });
+        drop(endpoints);
+        self.changed();
+        Ok(())
+    }
+
+    /// Removes an endpoint. Returns whether it was known.
+    pub fn remove(&self, name: &str, cause: &'static str) -> bool {
+        let Some(member) = self.lock().remove(name) else { return false };
+        event!(self.inner.log, events::ENDPOINT_LEFT; "endpoint" => name, "cause" => cause);
+        // Work that waits is refused; work that runs ends by its own connection.
+        member.endpoint.drain();
+        self.changed();
+        true
+    }
+
+    fn expire(&self) {
+        let now = self.inner.timer.now();
+        let late = |m: &Member| now.saturating_sub(m.seen) > ANNOUNCE_LIMIT;
+        let gone: Vec<Arc<str>> =
+            self.lock().iter().filter(|(_, m)| late(m)).map(|(k, _)| k.clone()).collect();
+        for name in gone {
+            self.remove(&name, "silent");
+        }
+    }
+
+    fn changed(&self) {
+        self.inner.changes.send_modify(|n| *n += 1);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, sorted::SortedMap<Arc<str>, Member>> {
+        self.inner.endpoints.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Drives the gates' clock and removes silent endpoints until a stop is requested.
+    pub async fn run_clock(self, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+        let mut ticks = self.inner.timer.subscribe(GATE_TICK);
+        let mut sweep = self.inner.timer.subscribe(ANNOUNCE_EVERY);
+        loop {
+            tokio::select! {
+                _ = ticks.next() => {
+                    for endpoint in self.endpoints() {
+                        endpoint.tick();
+                    }
+                }
+                _ = sweep.next() => self.expire(),
+                () = stop.wait() => return Ok(()),
+            }
+        }
+    }
+
+    /// Serves announcements until a stop is requested.
+    pub async fn run_listener(
+        self,
+        listener: Arc<net::TcpListener>,
+        mut stop: supervisor::Stop,
+    ) -> Result<(), errors::Error> {
+        let app = axum::Router::new()
+            .route("/announce", routing::post(announce))
+            .route("/announce/{name}", routing::delete(withdraw))
+            .layer(extract::DefaultBodyLimit::max(MAX_ANNOUNCEMENT))
+            .with_state(self);
+        let listener = crate::agent::share_listener(&listener)?;
+        axum::serve(listener, app)
+            .with_graceful_shutdown(async move { stop.wait().await })
+            .await
+            .map_err(|e| errors::Error::io("serve announcements", "endpoints", e))
+    }
+}
+
+fn check(about: &endpoint::Announcement) -> Result<(), errors::Error> {
+    let refuse = |cause: &str| Err(errors::Error::invalid("announce", about.name.clone(), cause));
+    if !settings::valid_name(&about.name) {
+        return refuse("name must have 1 to 63 of a-z, 0-9, '-'");
+    }
+    if about.slots == 0 || about.slots > 4_096 {
+        return refuse("slots must be from 1 to 4096");
+    }
+    if about.kind == endpoint::Kind::Engine && about.models.is_empty() {
+        return refuse("an engine must announce at least one model");
+    }
+    Ok(())
+}
+
+async fn announce(
+    extract::State(registry): extract::State<Registry>,
+    Json(about): Json<endpoint::Announcement>,
+) -> Response {
+    match registry.announce(about) {
+        Ok(()) => Json(json!({ "ok": true })).into_response(),
+        Err(error) => {
+            let body = Json(json!({ "error": error.to_string() }));
+            (http::StatusCode::BAD_REQUEST, body).into_response()
+        }
+    }
+}
+
+async fn withdraw(
+    extract::State(registry): extract::State<Registry>,
+    extract::Path(name): extract::Path<String>,
+) -> Response {
+    let known = registry.remove(&name, "withdrawn");
+    Json(json!({ "ok": true, "known": known })).into_response()
+}
--- /dev/null
+++ b/src/agent/upstream.rs
@@ -0,0 +1,202 @@
+//! HTTP calls to the endpoints of this host.
+
+use crate::errors;
+use bytes::Bytes;
+use futures_util::StreamExt as _;
+use http_body_util::BodyExt as _;
+use hyper::header;
+use hyper_util::client::legacy;
+use hyper_util::rt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time;
+
+/// Longest wait for a TCP connection to an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle time after which a pooled connection is closed. A connection that idles for long may
+/// have lost its state on the path.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest answer that is not streamed, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// HTTP client for endpoints. Clones share the connection pool.
+#[derive(Clone)]
+pub struct Upstream {
+    client: legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<Bytes>>,
+}
+
+/// Call to an endpoint.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// HTTP method.
+    pub method: Arc<str>,
+    /// Path and query.
+    pub path: Arc<str>,
+    /// Content type of the body.
+    pub content: Arc<str>,
+    /// Request body.
+    pub body: Bytes,
+    /// Longest silence of the endpoint before the call is given up.
+    pub stall: Duration,
+    /// Longest wait for the answer to begin.
+    pub first: Duration,
+}
+
+/// Answer whose body has not been read yet.
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content: Arc<str>,
+    body: hyper::body::Incoming,
+    peer: Arc<str>,
+    stall: Duration,
+}
+
+impl Default for Upstream {
+    fn default() -> Self {
+        Upstream::new()
+    }
+}
+
+impl Upstream {
+    /// Creates a client with an empty pool.
+    pub fn new() -> Upstream {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = legacy::Client::builder(rt::TokioExecutor::new())
+            .pool_timer(rt::TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            // A request that may not be repeated must reach the endpoint at most once.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Upstream { client }
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    ///
+    /// Dropping the future or the answer closes the connection, which cancels the call.
+    pub async fn send(&self, call: &Call) -> Result<Answer, errors::Error> {
+        let peer: Arc<str> = call.address.to_string().into();
+        let request = hyper::Request::builder()
+            .method(&*call.method)
+            .uri(format!("http://{}{}", call.address, call.path))
+            .header(header::CONTENT_TYPE, &*call.content)
+            .body(http_body_util::Full::new(call.body.clone()))
+            .map_err(|e| errors::Error::invalid("build request", peer.clone(), e))?;
+        let answer = match time::timeout(call.first, self.client.request(request)).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(e)) if e.is_connect() => {
+                return Err(errors::Error::lost("connect", peer, describe(&e)));
+            }
+            Ok(Err(e)) => return Err(errors::Error::lost("send request", peer, describe(&e))),
+            Err(_) => {
+                let limit = u64::try_from(call.first.as_millis()).unwrap_or(u64::MAX);
+                return Err(errors::Error::new(
+                    "await answer",
+                    peer,
+                    errors::Cause::Timeout(limit),
+                ));
+            }
+        };
+        let content = answer
+            .headers()
+            .get(header::CONTENT_TYPE)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or("application/octet-stream")
+            .into();
+        let status = answer.status().as_u16();
+        Ok(Answer { status, content, body: answer.into_body(), peer, stall: call.stall })
+    }
+}
+
+impl Answer {
+    /// Reads the next part of the body; `None` at its end.
+    ///
+    /// A body that ends before its announced length or last chunk is an error.
+    pub async fn part(&mut self) -> Result<Option<Bytes>, errors::Error> {
+        loop {
+            let frame = match time::timeout(self.stall, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(e))) => {
+                    return Err(errors::Error::lost("read body", self.peer.clone(), e));
+                }
+                Ok(None) => return Ok(None),
+                Err(_) => {
+                    let limit = u64::try_from(self.stall.as_millis()).unwrap_or(u64::MAX);
+                    let cause = errors::Cause::Timeout(limit);
+                    return Err(errors::Error::new("read body", self.peer.clone(), cause));
+                }
+            };
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// Reads the whole body.
+    pub async fn whole(&mut self) -> Result<Bytes, errors::Error> {
+        let mut all = Vec::new();
+        while let Some(part) = self.part().await? {
+            if all.len() + part.len() > MAX_ANSWER {
+                let peer = self.peer.clone();
+                return Err(errors::Error::protocol("read body", peer, "answer is too long"));
+            }
+            all.extend_from_slice(&part);
+        }
+        Ok(all.into())
+    }
+
+    /// Turns the body into a stream of server-sent events.
+    pub fn events(self) -> Events {
+        let peer = self.peer.clone();
+        let parts = futures_util::stream::unfold(Some(self), |state| async move {
+            let mut answer = state?;
+            match answer.part().await {
+                Ok(Some(part)) => Some((Ok(part), Some(answer))),
+                Ok(None) => None,
+                Err(error) => Some((Err(error), None)),
+            }
+        });
+        Events { stream: sse_stream::SseByteStream::new(parts.boxed()), peer }
+    }
+}
+
+/// Server-sent events of an answer.
+pub struct Events {
+    stream: sse_stream::SseByteStream<
+        futures_util::stream::BoxStream<'static, Result<Bytes, errors::Error>>,
+    >,
+    peer: Arc<str>,
+}
+
+impl Events {
+    /// Waits for the data of the next event; `None` at the end of the body.
+    pub async fn next(&mut self) -> Result<Option<String>, errors::Error> {
+        loop {
+            match self.stream.next().await {
+                Some(Ok(event)) => {
+                    if let Some(data) = event.data {
+                        return Ok(Some(data));
+                    }
+                }
+                Some(Err(e)) => {
+                    return Err(errors::Error::lost("read event", self.peer.clone(), e));
+                }
+                None => return Ok(None),
+            }
+        }
+    }
+}
+
+fn describe(error: &legacy::Error) -> String {
+    use std::error::Error as _;
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,110 @@
+//! HTTP client of the commands for callers and operators.
+
+use crate::errors;
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::header;
+use hyper_util::client::legacy;
+use hyper_util::rt;
+use serde_json::Value;
+use std::time::Duration;
+use tokio::time;
+
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Address of an entry unless the variable BASILFIELD_URL or an option names another.
+pub fn default_url() -> String {
+    std::env::var("BASILFIELD_URL").unwrap_or_else(|_| "http://127.0.0.1:8080".into())
+}
+
+/// Key in the variable BASILFIELD_KEY.
+pub fn default_key() -> String {
+    std::env::var("BASILFIELD_KEY").unwrap_or_default()
+}
+
+/// Client of one entry.
+pub struct Client {
+    url: String,
+    key: String,
+    client: legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<Bytes>>,
+}
+
+/// Answer of an entry.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of the header that names the next page.
+    pub next: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body as JSON; a string if it is not JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body)
+            .unwrap_or_else(|_| Value::from(String::from_utf8_lossy(&self.body)))
+    }
+
+    /// Whether the request succeeded.
+    pub fn is_ok(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+impl Client {
+    /// Creates a client. Nothing is sent yet.
+    pub fn new(url: &str, key: &str) -> Client {
+        let client = legacy::Client::builder(rt::TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build_http();
+        Client { url: url.trim_end_matches('/').to_string(), key: key.to_string(), client }
+    }
+
+    /// Sends a request.
+    pub async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, errors::Error> {
+        let request = hyper::Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.url))
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .body(http_body_util::Full::new(body.into()))
+            .map_err(|e| errors::Error::invalid("build request", &*self.url, e))?;
+        let sent = time::timeout(TIMEOUT, self.client.request(request)).await;
+        let timeout = || {
+            let limit = u64::try_from(TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+            errors::Error::new("await answer", &*self.url, errors::Cause::Timeout(limit))
+        };
+        let answer = match sent {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(e)) => return Err(errors::Error::lost("send request", &*self.url, e)),
+            Err(_) => return Err(timeout()),
+        };
+        let status = answer.status().as_u16();
+        let next = answer.headers().get(crate::entry::batches::NEXT_HEADER);
+        let next = next.and_then(|v| v.to_str().ok()).unwrap_or_default().to_string();
+        let body = time::timeout(TIMEOUT, answer.into_body().collect())
+            .await
+            .map_err(|_| timeout())?
+            .map_err(|e| errors::Error::lost("read answer", &*self.url, e))?
+            .to_bytes();
+        Ok(Answer { status, next, body })
+    }
+
+    /// Sends a JSON body.
+    pub async fn post(&self, path: &str, body: &Value) -> Result<Answer, errors::Error> {
+        self.send("POST", path, body.to_string()).await
+    }
+
+    /// Fetches a path.
+    pub async fn get(&self, path: &str) -> Result<Answer, errors::Error> {
+        self.send("GET", path, Bytes::new()).await
+    }
+}
--- a/src/catalog/agents.rs
+++ b/src/catalog/agents.rs
@@ -255,6 +255,11 @@
         self.agents.values().map(|r| &r.record)
     }
 
+    /// Record of a registered agent.
+    pub fn agent(&self, agent: &str) -> Option<&AgentRecord> {
+        self.agents.get(agent).map(|r| &r.record)
+    }
+
     /// Log index of the last join of a registered agent.
     pub fn joined(&self, agent: &str) -> Option<u64> {
         self.agents.get(agent).map(|r| r.joined)
--- /dev/null
+++ b/src/cmd/dev.rs
@@ -0,0 +1,183 @@
+//! `basilfield dev`: runs every role and an engine emulator in one process.
+//!
+//! No settings file is needed. The data folder is temporary unless `--folder` names one. The
+//! command creates a workspace with an assistant and a batch plan and prints how to use them.
+
+use crate::api;
+use crate::cmd;
+use crate::emulator;
+use crate::entry::auth;
+use crate::errors;
+use crate::events;
+use crate::process;
+use crate::settings;
+use crate::tls;
+use serde_json::json;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time;
+
+/// Name of the only process.
+const NAME: &str = "dev";
+/// Key of the operator.
+const OPERATOR_KEY: &str = "dev-operator";
+/// Key of the workspace.
+const CALLER_KEY: &str = "dev-caller";
+/// Model of the engine emulator.
+const MODEL: &str = "dev-llm";
+/// Longest wait until the roles are ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// Run every role and an engine emulator in one process.
+#[derive(argh::FromArgs, Clone, Debug)]
+#[argh(subcommand, name = "dev")]
+pub struct Dev {
+    /// address of the HTTP listener
+    #[argh(option, default = "SocketAddr::from((Ipv4Addr::LOCALHOST, 8080))")]
+    pub listen: SocketAddr,
+    /// data folder; a temporary one if absent
+    #[argh(option)]
+    pub folder: Option<PathBuf>,
+    /// log debug events
+    #[argh(switch)]
+    pub verbose: bool,
+}
+
+/// Runs the command.
+pub fn run(args: &Dev) -> ExitCode {
+    let level = if args.verbose { slog::Level::Debug } else { slog::Level::Warning };
+    let (log, guard) = events::logger(events::Format::Human, level);
+    let temporary = std::env::temp_dir().join(format!("basilfield-dev-{}", std::process::id()));
+    let folder = args.folder.clone().unwrap_or_else(|| temporary.clone());
+    let result = cmd::block_on(serve(args, folder, &log));
+    drop(guard);
+    if args.folder.is_none() {
+        // Nothing depends on it any more; the system removes what is left behind.
+        let _ = std::fs::remove_dir_all(&temporary);
+    }
+    match result {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(error)) => cmd::fail(error),
+        Err(error) => cmd::fail(error),
+    }
+}
+
+async fn serve(args: &Dev, folder: PathBuf, log: &slog::Logger) -> Result<(), errors::Error> {
+    let identity = tls::Authority::create()?.identity(NAME)?;
+    let settings = settings(args, folder)?;
+    let announce = settings.agent.as_ref().map(|a| a.announce);
+    let tree = process::start(&settings, identity, log).await?;
+    let engine = emulator::Settings {
+        name: "engine".into(),
+        models: vec![MODEL.into()],
+        agent: announce,
+        ..emulator::Settings::default()
+    };
+    let _engine = emulator::Engine::start(engine, log).await?;
+    let running = process::run(tree, log);
+    tokio::pin!(running);
+    tokio::select! {
+        result = &mut running => return result,
+        result = set_up(args.listen) => result?,
+    }
+    running.await
+}
+
+fn settings(args: &Dev, folder: PathBuf) -> Result<settings::Settings, errors::Error> {
+    let (links, agent_links) = (free_udp()?, free_udp()?);
+    let announce = free_tcp()?;
+    let name: Arc<str> = NAME.into();
+    let process = settings::Process {
+        name: name.clone(),
+        domain: "local".into(),
+        region: "local".into(),
+        log: events::Format::Human,
+        verbose: args.verbose,
+        metrics: None,
+    };
+    let operator = settings::Operator {
+        name: "developer".into(),
+        key: auth::hash_key(OPERATOR_KEY).into(),
+        role: settings::OperatorRole::Operator,
+    };
+    Ok(settings::Settings {
+        process,
+        // The identity is made in memory.
+        tls: settings::Tls { ca: "".into(), cert: "".into(), key: "".into() },
+        fleet: settings::Fleet { groups: 1, hosts: vec![settings::Host { name, address: links }] },
+        entry: Some(settings::Entry::local(args.listen, vec![operator])),
+        state: Some(settings::State::local(links, folder)),
+        agent: Some(settings::Agent::local(agent_links, announce)),
+    })
+}
+
+fn free_udp() -> Result<SocketAddr, errors::Error> {
+    let bound = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|s| s.local_addr());
+    bound.map_err(|e| errors::Error::io("find free port", "127.0.0.1", e))
+}
+
+fn free_tcp() -> Result<SocketAddr, errors::Error> {
+    let bound = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|s| s.local_addr());
+    bound.map_err(|e| errors::Error::io("find free port", "127.0.0.1", e))
+}
+
+/// Creates the workspace once the roles are ready, and prints how to use it.
+async fn set_up(listen: SocketAddr) -> Result<(), errors::Error> {
+    let url = format!("http://{listen}");
+    let client = api::Client::new(&url, OPERATOR_KEY);
+    let deadline = time::Instant::now() + READY_LIMIT;
+    while !ready(&client).await {
+        if time::Instant::now() > deadline {
+            return Err(errors::Error::lost("await readiness", url, "not ready in time"));
+        }
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    let hash = auth::hash_key(CALLER_KEY);
+    let model = format!("model={MODEL}");
+    let fill = json!([
+        { "template": "workspace", "parameters": ["name=dev", format!("keys={hash}")] },
+        { "template": "assistant", "parameters": ["name=helper", "workspace=dev", model] },
+        { "template": "batch-plan", "parameters": ["name=nightly", "workspace=dev", model] },
+    ]);
+    // The same id after a restart with the same folder changes nothing.
+    let body = json!({ "id": "dev-set-up", "expected": null, "fill": fill });
+    let answer = client.post("/admin/apply", &body).await?;
+    if !answer.is_ok() {
+        let text = answer.json().to_string();
+        return Err(errors::Error::invalid("create workspace", url, text));
+    }
+    print_help(&url);
+    Ok(())
+}
+
+/// Whether the configuration is confirmed and an endpoint has joined.
+async fn ready(client: &api::Client) -> bool {
+    let Ok(answer) = client.get("/readyz").await else { return false };
+    if !answer.is_ok() {
+        return false;
+    }
+    let Ok(status) = client.get("/admin/status").await else { return false };
+    let status = status.json();
+    let agents = status["agents"].as_array().cloned().unwrap_or_default();
+    agents.iter().any(|a| a["endpoints"].as_array().is_some_and(|e| !e.is_empty()))
+}
+
+fn print_help(url: &str) {
+    println!("basilfield is ready at {url}");
+    println!("  operator key  {OPERATOR_KEY}");
+    println!("  caller key    {CALLER_KEY}  (workspace dev)");
+    println!("Try:");
+    println!(
+        "  curl -N {url}/v1/chat/completions -H 'Authorization: Bearer {CALLER_KEY}' \\\n    \
+         -d '{{\"model\":\"helper\",\"stream\":true,\"messages\":\
+         [{{\"role\":\"user\",\"content\":\"Which thread for a badge?\"}}]}}'"
+    );
+    println!("  basilfield submit --url {url} --key {CALLER_KEY} --model nightly --wait FILE");
+    println!("  basilfield status --url {url} --key {OPERATOR_KEY}");
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,9 +1,171 @@
 //! Commands of the `basilfield` binary, one module per command.
+//!
+//! Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
 
+pub mod apply;
+pub mod cancel;
+pub mod check;
+pub mod dev;
+pub mod drain;
+pub mod history;
+pub mod jobs;
+pub mod keygen;
+pub mod results;
+pub mod resume;
+pub mod serve;
+pub mod status;
+pub mod submit;
+pub mod template;
+pub mod withdraw;
+
+use crate::api;
+use serde_json::Value;
+use std::future::Future;
 use std::process::ExitCode;
 
+/// Exit code of a request that was refused or failed.
+pub const FAILED: u8 = 1;
+/// Exit code of wrong usage.
+pub const USAGE: u8 = 2;
+
+/// Serves online and batch inference of many workspaces on one fleet.
+#[derive(argh::FromArgs, Debug)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(argh::FromArgs, Debug)]
+#[argh(subcommand)]
+enum Command {
+    Apply(apply::Apply),
+    Cancel(cancel::Cancel),
+    Check(check::Check),
+    Dev(dev::Dev),
+    Drain(drain::Drain),
+    History(history::History),
+    Jobs(jobs::Jobs),
+    Keygen(keygen::Keygen),
+    Resume(resume::Resume),
+    Results(results::Results),
+    Serve(serve::Serve),
+    Status(status::Status),
+    Submit(submit::Submit),
+    Template(template::Template),
+    Withdraw(withdraw::Withdraw),
+}
+
 /// Parses the command line, runs the command and returns its exit code.
 pub fn run() -> ExitCode {
-    println!("basilfield {}", env!("CARGO_PKG_VERSION"));
-    ExitCode::SUCCESS
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let Some((_, rest)) = words.split_first() else { return ExitCode::from(USAGE) };
+    if rest == ["--version"] {
+        println!("basilfield {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let args = match <Args as argh::FromArgs>::from_args(&["basilfield"], rest) {
+        Ok(args) => args,
+        Err(exit) => return explain_usage(&exit),
+    };
+    match args.command {
+        Command::Apply(args) => apply::run(&args),
+        Command::Cancel(args) => cancel::run(&args),
+        Command::Check(args) => check::run(&args),
+        Command::Dev(args) => dev::run(&args),
+        Command::Drain(args) => drain::run(&args),
+        Command::History(args) => history::run(&args),
+        Command::Jobs(args) => jobs::run(&args),
+        Command::Keygen(args) => keygen::run(&args),
+        Command::Resume(args) => resume::run(&args),
+        Command::Results(args) => results::run(&args),
+        Command::Serve(args) => serve::run(&args),
+        Command::Status(args) => status::run(&args),
+        Command::Submit(args) => submit::run(&args),
+        Command::Template(args) => template::run(&args),
+        Command::Withdraw(args) => withdraw::run(&args),
+    }
+}
+
+fn explain_usage(exit: &argh::EarlyExit) -> ExitCode {
+    match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}", exit.output);
+            eprintln!("Run basilfield --help for more information.");
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+/// Runs a future on a tokio runtime of its own.
+pub fn block_on<T>(future: impl Future<Output = T>) -> Result<T, std::io::Error> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    Ok(runtime.block_on(future))
+}
+
+/// Prints an error and returns the exit code of a failure.
+pub fn fail(error: impl std::fmt::Display) -> ExitCode {
+    eprintln!("basilfield: {error}");
+    ExitCode::from(FAILED)
+}
+
+/// Sends one request and prints its answer: as JSON, or as `show` puts it.
+pub fn request(
+    target: (&str, &str),
+    method: &str,
+    path: &str,
+    body: &Value,
+    json: bool,
+    show: impl FnOnce(&Value),
+) -> ExitCode {
+    let client = api::Client::new(target.0, target.1);
+    let body = if body.is_null() { String::new() } else { body.to_string() };
+    match block_on(client.send(method, path, body)) {
+        Ok(Ok(answer)) => report(&answer, json, show),
+        Ok(Err(error)) => fail(error),
+        Err(error) => fail(error),
+    }
+}
+
+/// Prints an answer and returns the exit code for it.
+pub fn report(answer: &api::Answer, json: bool, show: impl FnOnce(&Value)) -> ExitCode {
+    let value = answer.json();
+    if json {
+        println!("{value}");
+    } else if answer.is_ok() {
+        show(&value);
+    } else {
+        explain(answer.status, &value);
+    }
+    if answer.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(FAILED) }
+}
+
+/// Prints why a request was refused.
+fn explain(status: u16, value: &Value) {
+    let error = &value["error"];
+    let message = error["message"].as_str().or(value["message"].as_str());
+    match message {
+        Some(message) => eprintln!("basilfield: refused ({status}): {message}"),
+        None => eprintln!("basilfield: refused ({status}): {value}"),
+    }
+    for problem in value["problems"].as_array().into_iter().flatten() {
+        eprintln!("  {}", problem.as_str().unwrap_or_default());
+    }
+    if let Some(run) = error["run"].as_str() {
+        eprintln!("  run: {run}");
+    }
+}
+
+/// Prints the message of an answer.
+pub fn show_message(value: &Value) {
+    println!("{}", value["message"].as_str().unwrap_or("done"));
+}
+
+/// Random id for an operation that the operator did not name.
+pub fn random_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
 }
--- /dev/null
+++ b/src/cmd/results.rs
@@ -0,0 +1,68 @@
+//! `basilfield results JOB`: writes the results of a job as JSON lines.
+//!
+//! Items appear in the order of the submission. Items that are not finished yet are left out.
+
+use crate::api;
+use crate::cmd;
+use std::io::Write as _;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Write the results of a job as JSON lines.
+#[derive(argh::FromArgs, Clone, Debug)]
+#[argh(subcommand, name = "results")]
+pub struct Results {
+    /// name of the job
+    #[argh(positional)]
+    pub job: String,
+    /// file to write; standard output if absent
+    #[argh(option)]
+    pub output: Option<PathBuf>,
+    /// address of an entry
+    #[argh(option, default = "api::default_url()")]
+    pub url: String,
+    /// key; the variable BASILFIELD_KEY if absent
+    #[argh(option, default = "api::default_key()")]
+    pub key: String,
+    /// print the answer as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Runs the command.
+pub fn run(args: &Results) -> ExitCode {
+    let mut output: Box<dyn std::io::Write> = match &args.output {
+        None => Box::new(std::io::stdout()),
+        Some(path) => match std::fs::File::create(path) {
+            Ok(file) => Box::new(file),
+            Err(e) => return cmd::fail(format!("cannot write {}: {e}", path.display())),
+        },
+    };
+    match cmd::block_on(fetch(args, &mut output)) {
+        Ok(code) => code,
+        Err(e) => cmd::fail(e),
+    }
+}
+
+async fn fetch(args: &Results, output: &mut Box<dyn std::io::Write>) -> ExitCode {
+    let client = api::Client::new(&args.url, &args.key);
+    let mut from = "0".to_string();
+    while !from.is_empty() {
+        let path = format!("/v1/jobs/{}/results?from={from}", args.job);
+        let answer = match client.get(&path).await {
+            Ok(answer) => answer,
+            Err(error) => return cmd::fail(error),
+        };
+        if !answer.is_ok() {
+            return cmd::report(&answer, args.json, |_| {});
+        }
+        if let Err(e) = output.write_all(&answer.body) {
+            return cmd::fail(format!("cannot write results: {e}"));
+        }
+        from = answer.next;
+    }
+    match output.flush() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => cmd::fail(format!("cannot write results: {e}")),
+    }
+}
--- /dev/null
+++ b/src/cmd/resume.rs
@@ -0,0 +1,34 @@
+//! `basilfield resume ENDPOINT`: puts a drained endpoint back into service.
+
+use crate::api;
+use crate::cmd;
+use serde_json::json;
+use std::process::ExitCode;
+
+/// Put a drained endpoint back into service.
+#[derive(argh::FromArgs, Clone, Debug)]
+#[argh(subcommand, name = "resume")]
+pub struct Resume {
+    /// endpoint, as AGENT.NAME
+    #[argh(positional)]
+    pub endpoint: String,
+    /// id of the operation; the same id is carried out once
+    #[argh(option, default = "cmd::random_id()")]
+    pub id: String,
+    /// address of an entry
+    #[argh(option, default = "api::default_url()")]
+    pub url: String,
+    /// key; the variable BASILFIELD_KEY if absent
+    #[argh(option, default = "api::default_key()")]
+    pub key: String,
+    /// print the answer as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Runs the command.
+pub fn run(args: &Resume) -> ExitCode {
+    let body = json!({ "id": args.id, "target": args.endpoint });
+    let target = (&*args.url, &*args.key);
+    cmd::request(target, "POST", "/admin/resume", &body, args.json, cmd::show_message)
+}
--- /dev/null
+++ b/src/cmd/submit.rs
@@ -0,0 +1,172 @@
+//! `basilfield submit FILE`: submits a batch job of JSON lines and optionally waits for it.
+//!
+//! The key of the job is the digest of its content unless `--key` names another, so submitting
+//! the same file again finds the same job. An interrupted upload continues where it stopped.
+
+use crate::api;
+use crate::cmd;
+use crate::entry::batches;
+use serde_json::Value;
+use serde_json::json;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::time;
+use xxhash_rust::xxh3;
+
+/// Largest chunk in bytes.
+const CHUNK_BYTES: usize = 1 << 20;
+/// Interval at which a waiting command looks at the job.
+const POLL: Duration = Duration::from_millis(300);
+
+/// Submit a batch job of JSON lines.
+#[derive(argh::FromArgs, Clone, Debug)]
+#[argh(subcommand, name = "submit")]
+pub struct Submit {
+    /// file with one request per line, in the shape of the OpenAI batch API
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// batch plan of the workspace, or a model
+    #[argh(option)]
+    pub model: String,
+    /// key of the job; a new key runs the same content again
+    #[argh(option)]
+    pub job_key: Option<String>,
+    /// time in seconds within which the job is due
+    #[argh(option)]
+    pub due: Option<u64>,
+    /// wait until the job has finished
+    #[argh(switch)]
+    pub wait: bool,
+    /// address of an entry
+    #[argh(option, default = "api::default_url()")]
+    pub url: String,
+    /// key; the variable BASILFIELD_KEY if absent
+    #[argh(option, default = "api::default_key()")]
+    pub key: String,
+    /// print the answer as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Runs the command.
+pub fn run(args: &Submit) -> ExitCode {
+    let text = match std::fs::read_to_string(&args.file) {
+        Ok(text) => text,
+        Err(e) => return cmd::fail(format!("cannot read {}: {e}", args.file.display())),
+    };
+    match cmd::block_on(submit(args, &text)) {
+        Ok(Ok(code)) => code,
+        Ok(Err(Stop::Refused(answer))) => cmd::report(&answer, args.json, |_| {}),
+        Ok(Err(Stop::Failed(error))) => cmd::fail(error),
+        Err(error) => cmd::fail(error),
+    }
+}
+
+/// Why a submission ended early.
+enum Stop {
+    Refused(api::Answer),
+    Failed(crate::errors::Error),
+}
+
+impl From<crate::errors::Error> for Stop {
+    fn from(error: crate::errors::Error) -> Stop {
+        Stop::Failed(error)
+    }
+}
+
+fn accepted(answer: api::Answer) -> Result<Value, Stop> {
+    if answer.is_ok() { Ok(answer.json()) } else { Err(Stop::Refused(answer)) }
+}
+
+async fn submit(args: &Submit, text: &str) -> Result<ExitCode, Stop> {
+    let client = api::Client::new(&args.url, &args.key);
+    let lines: Vec<&str> = text.lines().filter(|l| !l.trim().is_empty()).collect();
+    let digest = format!("{:016x}", xxh3::xxh3_64(text.as_bytes()));
+    let open = json!({
+        "key": args.job_key.as_ref().unwrap_or(&digest), "digest": digest, "model": args.model,
+        "due": args.due.map(|d| d * 1_000), "total": lines.len(),
+    });
+    let opened = accepted(client.post("/v1/jobs", &open).await?)?;
+    let job = opened["job"].as_str().unwrap_or_default().to_string();
+    if opened["state"] == "uploading" {
+        upload(&client, &job, &lines, &opened).await?;
+        accepted(client.post(&format!("/v1/jobs/{job}/seal"), &Value::Null).await?)?;
+    }
+    if !args.wait {
+        match args.json {
+            true => println!("{}", json!({ "job": job })),
+            false => println!("{job}"),
+        }
+        return Ok(ExitCode::SUCCESS);
+    }
+    let status = wait(&client, &job, lines.len()).await?;
+    match args.json {
+        true => println!("{status}"),
+        false => println!(
+            "{job}  {}  {} done, {} failed",
+            status["state"].as_str().unwrap_or_default(),
+            status["done"],
+            status["failed"]
+        ),
+    }
+    Ok(if status["state"] == "finished" { ExitCode::SUCCESS } else { ExitCode::from(cmd::FAILED) })
+}
+
+/// Splits the lines into chunks; the split depends on the content only, so that an interrupted
+/// upload finds the same chunks again.
+fn chunks<'a>(lines: &[&'a str]) -> Vec<Vec<&'a str>> {
+    let mut chunks: Vec<Vec<&str>> = vec![Vec::new()];
+    let mut size = 0;
+    for line in lines {
+        let full = chunks.last().is_some_and(|c| c.len() >= batches::CHUNK_ITEMS);
+        if full || size + line.len() > CHUNK_BYTES {
+            chunks.push(Vec::new());
+            size = 0;
+        }
+        size += line.len();
+        if let Some(chunk) = chunks.last_mut() {
+            chunk.push(line);
+        }
+    }
+    chunks
+}
+
+async fn upload(
+    client: &api::Client,
+    job: &str,
+    lines: &[&str],
+    opened: &Value,
+) -> Result<(), Stop> {
+    let first = usize::try_from(opened["next"].as_u64().unwrap_or_default()).unwrap_or(0);
+    let progress = bar(lines.len(), "uploading");
+    for (seq, chunk) in chunks(lines).iter().enumerate() {
+        if seq >= first {
+            let path = format!("/v1/jobs/{job}/items?seq={seq}");
+            accepted(client.send("POST", &path, chunk.join("\n")).await?)?;
+        }
+        progress.inc(chunk.len() as u64);
+    }
+    progress.finish_and_clear();
+    Ok(())
+}
+
+async fn wait(client: &api::Client, job: &str, total: usize) -> Result<Value, Stop> {
+    let progress = bar(total, "running");
+    loop {
+        let status = accepted(client.get(&format!("/v1/jobs/{job}")).await?)?;
+        let ended = status["done"].as_u64().unwrap_or(0) + status["failed"].as_u64().unwrap_or(0);
+        progress.set_position(ended);
+        if status["state"] != "accepted" {
+            progress.finish_and_clear();
+            return Ok(status);
+        }
+        time::sleep(POLL).await;
+    }
+}
+
+fn bar(total: usize, message: &'static str) -> indicatif::ProgressBar {
+    let style = indicatif::ProgressStyle::with_template("{msg} {wide_bar} {pos}/{len} {eta}")
+        .unwrap_or_else(|_| indicatif::ProgressStyle::default_bar());
+    indicatif::ProgressBar::new(total as u64).with_style(style).with_message(message)
+}
--- /dev/null
+++ b/src/completion.rs
@@ -0,0 +1,106 @@
+//! Completion assembled from a stream, so that it can be resumed at another time or place.
+
+use crate::agent::upstream;
+use crate::errors;
+use bytes::Bytes;
+use serde_json::Value;
+use serde_json::json;
+
+/// Data of the event that ends a stream of the OpenAI-compatible API.
+pub const LAST_EVENT: &str = "[DONE]";
+
+/// Text generated so far, and what is needed to build the final answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Progress {
+    /// Generated text.
+    pub text: String,
+    /// Number of generated tokens.
+    pub tokens: u32,
+    finish: Option<String>,
+    usage: Option<Value>,
+    id: Option<String>,
+}
+
+/// Why a request body cannot be run.
+#[derive(Clone, Debug, derive_more::Display, PartialEq, Eq)]
+#[display("{_0}")]
+pub struct BadBody(pub String);
+
+impl Progress {
+    /// Builds the engine's request: the given body, streamed, resumed from what exists.
+    pub fn request(&self, body: &[u8]) -> Result<Bytes, BadBody> {
+        let mut value: Value = serde_json::from_slice(body)
+            .map_err(|e| BadBody(format!("body is not valid JSON: {e}")))?;
+        let Some(fields) = value.as_object_mut() else {
+            return Err(BadBody("body is not a JSON object".into()));
+        };
+        fields.insert("stream".into(), true.into());
+        fields.insert("stream_options".into(), json!({ "include_usage": true }));
+        if self.tokens > 0 {
+            let resume = json!({ "text": self.text, "tokens": self.tokens });
+            fields.insert("resume".into(), resume);
+        }
+        Ok(value.to_string().into())
+    }
+
+    /// Takes over one event of the stream. Returns the number of new tokens.
+    pub fn event(&mut self, data: &str) -> Result<u32, errors::Error> {
+        let value: Value = serde_json::from_str(data)
+            .map_err(|e| errors::Error::protocol("read event", "engine", e))?;
+        if let Some(error) = value.get("error").filter(|e| !e.is_null()) {
+            return Err(errors::Error::protocol("read event", "engine", error));
+        }
+        if self.id.is_none() {
+            self.id = value["id"].as_str().map(str::to_string);
+        }
+        if let Some(usage) = value.get("usage").filter(|u| !u.is_null()) {
+            self.usage = Some(usage.clone());
+        }
+        let choice = &value["choices"][0];
+        if let Some(reason) = choice["finish_reason"].as_str() {
+            self.finish = Some(reason.to_string());
+        }
+        let delta = choice["delta"]["content"].as_str().or(choice["text"].as_str());
+        match delta {
+            Some(text) if !text.is_empty() => {
+                self.text.push_str(text);
+                self.tokens += 1;
+                Ok(1)
+            }
+            _ => Ok(0),
+        }
+    }
+
+    /// Builds the answer that is not streamed. `chat` tells the two shapes apart.
+    pub fn answer(&self, model: &str, chat: bool) -> Value {
+        let choice = match chat {
+            true => json!({ "index": 0, "finish_reason": self.finish,
+                "message": { "role": "assistant", "content": self.text } }),
+            false => json!({ "index": 0, "finish_reason": self.finish, "text": self.text }),
+        };
+        let object = if chat { "chat.completion" } else { "text_completion" };
+        json!({
+            "id": self.id, "object": object, "model": model, "choices": [choice],
+            "usage": self.usage.clone().unwrap_or_else(|| json!({
+                "completion_tokens": self.tokens })),
+        })
+    }
+}
+
+/// Reads the stream until its end or an error; what was read stays in `progress`.
+pub async fn read(
+    events: &mut upstream::Events,
+    progress: &mut Progress,
+    mut on_token: impl FnMut(u32),
+) -> Result<(), errors::Error> {
+    while let Some(data) = events.next().await? {
+        if data == LAST_EVENT {
+            return Ok(());
+        }
+        let count = progress.event(&data)?;
+        if count > 0 {
+            on_token(count);
+        }
+    }
+    Err(errors::Error::lost("read event", "engine", "stream ended without its last event"))
+}
--- /dev/null
+++ b/src/entry/admin.rs
@@ -0,0 +1,434 @@
+//! JSON API for operators: configuration, drains, orders and status.
+
+use crate::catalog;
+use crate::entry;
+use crate::entry::auth;
+use crate::entry::refusal;
+use crate::event;
+use crate::events;
+use crate::settings;
+use crate::template;
+use crate::wire;
+use axum::Json;
+use axum::extract;
+use axum::http;
+use axum::response::IntoResponse as _;
+use axum::response::Response;
+use axum::routing;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for the state hosts.
+const STATE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Records in one page.
+const PAGE: u32 = 100;
+
+/// Routes of the operator API.
+pub fn routes() -> axum::Router<entry::Entry> {
+    axum::Router::new()
+        .route("/admin/status", routing::get(status))
+        .route("/admin/templates", routing::get(templates))
+        .route("/admin/templates/{name}", routing::get(show_template))
+        .route("/admin/apply", routing::post(apply))
+        .route("/admin/withdraw", routing::post(withdraw))
+        .route("/admin/documents", routing::get(documents))
+        .route("/admin/documents/{kind}/{name}", routing::get(document))
+        .route("/admin/history", routing::get(history))
+        .route("/admin/drain", routing::post(drain))
+        .route("/admin/resume", routing::post(resume))
+        .route("/admin/orders", routing::get(orders).post(order))
+}
+
+/// Body of `POST /admin/apply`: one change made of filled templates.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Apply {
+    /// Id of the change. The same id with the same content is applied once.
+    pub id: Arc<str>,
+    /// Revision that the operator has seen; none if the change does not depend on one.
+    pub expected: Option<u64>,
+    /// Templates to fill in.
+    #[serde(default)]
+    pub fill: Vec<Fill>,
+    /// Text of a parameter file in TOML, with one table per document.
+    #[serde(default)]
+    pub file: String,
+}
+
+/// Template with its parameters.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fill {
+    /// Name of the template.
+    pub template: Arc<str>,
+    /// Parameters as `NAME=VALUE`.
+    pub parameters: Vec<String>,
+}
+
+/// Body of `POST /admin/withdraw`.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Withdraw {
+    /// Id of the change.
+    pub id: Arc<str>,
+    /// Revision that the operator has seen.
+    pub expected: Option<u64>,
+    /// Documents to withdraw, as `kind/name`.
+    pub names: Vec<String>,
+}
+
+/// Body of `POST /admin/drain` and `POST /admin/resume`.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Id of the operation.
+    pub id: Arc<str>,
+    /// Name of the endpoint.
+    pub target: Arc<str>,
+}
+
+/// Body of `POST /admin/orders`.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct GiveOrder {
+    /// Id of the operation.
+    pub id: Arc<str>,
+    /// Name of the endpoint.
+    pub endpoint: Arc<str>,
+    /// The order.
+    pub order: catalog::orders::Order,
+}
+
+#[derive(Debug, Deserialize)]
+struct Listing {
+    kind: Option<catalog::Kind>,
+    limit: Option<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Before {
+    before: Option<u64>,
+    limit: Option<u32>,
+    #[serde(default)]
+    operations: bool,
+}
+
+/// Finds the operator of a request and checks what the operator may do.
+fn authorize(
+    entry: &entry::Entry,
+    headers: &http::HeaderMap,
+    needed: settings::OperatorRole,
+) -> Result<Arc<str>, Response> {
+    let Some(operator) = auth::operator(&entry.operators, headers) else {
+        event!(entry.log, events::UNAUTHORIZED; "kind" => "operator");
+        entry.metrics.refusal("unauthorized", "no");
+        return Err(refusal::rejected(
+            http::StatusCode::UNAUTHORIZED,
+            "unauthorized",
+            "no operator has this key; send it as `Authorization: Bearer KEY`",
+        ));
+    };
+    if needed == settings::OperatorRole::Operator && operator.role != needed {
+        let message = format!("{} may read only; this needs the role operator", operator.name);
+        return Err(refusal::rejected(http::StatusCode::FORBIDDEN, "forbidden", message));
+    }
+    Ok(operator.name.clone())
+}
+
+async fn templates(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+) -> Response {
+    if let Err(response) = authorize(&entry, &headers, settings::OperatorRole::ReadOnly) {
+        return response;
+    }
+    let templates: Vec<Value> =
+        template::all().iter().map(|t| json!({ "name": &*t.name, "help": &*t.help })).collect();
+    Json(json!({ "templates": templates })).into_response()
+}
+
+async fn show_template(
+    extract::State(entry): extract::State<entry::Entry>,
+    extract::Path(name): extract::Path<String>,
+    headers: http::HeaderMap,
+) -> Response {
+    if let Err(response) = authorize(&entry, &headers, settings::OperatorRole::ReadOnly) {
+        return response;
+    }
+    match template::get(&name) {
+        Some(template) => {
+            Json(json!({ "name": name, "text": template.describe() })).into_response()
+        }
+        None => {
+            let message = unknown_template(&name);
+            refusal::rejected(http::StatusCode::NOT_FOUND, "not_found", message)
+        }
+    }
+}
+
+async fn apply(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+    Json(apply): Json<Apply>,
+) -> Response {
+    let operator = match authorize(&entry, &headers, settings::OperatorRole::Operator) {
+        Ok(operator) => operator,
+        Err(response) => return response,
+    };
+    let (documents, problems) = fill_all(&apply);
+    let changes = documents.into_iter().map(catalog::Change::put).collect();
+    if !problems.is_empty() {
+        event!(entry.log, events::CHANGE_REFUSED; "id" => &*apply.id, "operator" => &*operator);
+        let body = json!({
+            "outcome": "refused", "problems": problems,
+            "message": "the parameters are not valid; nothing was changed",
+        });
+        return (http::StatusCode::BAD_REQUEST, Json(body)).into_response();
+    }
+    let (id, expected) = (apply.id, apply.expected);
+    change(&entry, catalog::Command::Change { id, expected, operator, changes }).await
+}
+
+/// Fills in every template of a change. Returns the documents and every problem.
+fn fill_all(apply: &Apply) -> (Vec<catalog::Document>, Vec<String>) {
+    let mut documents = Vec::new();
+    let mut problems = Vec::new();
+    let text = |found: Vec<template::Problem>| found.into_iter().map(|p| p.to_string());
+    if !apply.file.is_empty() {
+        match template::read(&apply.file) {
+            Ok(read) => documents.extend(read),
+            Err(found) => problems.extend(text(found)),
+        }
+    }
+    for fill in &apply.fill {
+        let Some(template) = template::get(&fill.template) else {
+            problems.push(unknown_template(&fill.template));
+            continue;
+        };
+        let filled = template::Parameters::from_pairs(template, &fill.parameters)
+            .and_then(|parameters| template::fill(template, &parameters));
+        match filled {
+            Ok(document) => documents.push(document),
+            Err(found) => problems.extend(text(found)),
+        }
+    }
+    (documents, problems)
+}
+
+/// Explains that no template has the name.
+pub fn unknown_template(name: &str) -> String {
+    let names: Vec<&str> = template::all().iter().map(|t| &*t.name).collect();
+    format!("no template is called {name:?}; the templates are {}", names.join(", "))
+}
+
+async fn withdraw(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+    Json(withdraw): Json<Withdraw>,
+) -> Response {
+    let operator = match authorize(&entry, &headers, settings::OperatorRole::Operator) {
+        Ok(operator) => operator,
+        Err(response) => return response,
+    };
+    let mut changes = Vec::new();
+    for text in &withdraw.names {
+        match text.parse() {
+            Ok(name) => changes.push(catalog::Change::Withdraw { name }),
+            Err(error) => return refusal::invalid(error),
+        }
+    }
+    let (id, expected) = (withdraw.id, withdraw.expected);
+    change(&entry, catalog::Command::Change { id, expected, operator, changes }).await
+}
+
+async fn drain(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+    Json(target): Json<Target>,
+) -> Response {
+    match authorize(&entry, &headers, settings::OperatorRole::Operator) {
+        Ok(operator) => {
+            let Target { id, target } = target;
+            change(&entry, catalog::Command::Drain { id, target, operator }).await
+        }
+        Err(response) => response,
+    }
+}
+
+async fn resume(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+    Json(target): Json<Target>,
+) -> Response {
+    match authorize(&entry, &headers, settings::OperatorRole::Operator) {
+        Ok(operator) => {
+            let Target { id, target } = target;
+            change(&entry, catalog::Command::Resume { id, target, operator }).await
+        }
+        Err(response) => response,
+    }
+}
+
+async fn order(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+    Json(order): Json<GiveOrder>,
+) -> Response {
+    match authorize(&entry, &headers, settings::OperatorRole::Operator) {
+        Ok(operator) => {
+            let GiveOrder { id, endpoint, order } = order;
+            change(&entry, catalog::Command::Order { id, endpoint, order, operator }).await
+        }
+        Err(response) => response,
+    }
+}
+
+/// Commits a command and explains its outcome.
+async fn change(entry: &entry::Entry, command: catalog::Command) -> Response {
+    let applied = entry.client.propose(0, catalog::encode(&command), STATE_TIMEOUT).await;
+    let applied = match applied {
+        Ok(applied) => applied,
+        Err(e) => {
+            let refusal = refusal::from_state(&e);
+            entry.refused(&refusal);
+            return refusal.into_response();
+        }
+    };
+    let Ok(reply) = catalog::decode::<catalog::Reply>(&applied.reply) else {
+        return undecodable();
+    };
+    let (status, outcome) = match &reply {
+        catalog::Reply::Accepted { .. } => (http::StatusCode::OK, "accepted"),
+        catalog::Reply::Unchanged { .. } => (http::StatusCode::OK, "unchanged"),
+        catalog::Reply::Conflict { .. } => (http::StatusCode::CONFLICT, "conflict"),
+        catalog::Reply::Refused { .. } => (http::StatusCode::BAD_REQUEST, "refused"),
+        catalog::Reply::Malformed => (http::StatusCode::BAD_REQUEST, "malformed"),
+    };
+    let event = match reply.is_refusal() {
+        true => events::CHANGE_REFUSED,
+        false => events::CHANGE_ACCEPTED,
+    };
+    event!(entry.log, event; "outcome" => outcome, "reply" => %reply);
+    let body = json!({ "outcome": outcome, "message": reply.to_string(), "reply": reply });
+    (status, Json(body)).into_response()
+}
+
+async fn ask(entry: &entry::Entry, query: &catalog::Query) -> Result<catalog::Answer, Response> {
+    let answer = entry.client.query(0, catalog::encode(query), STATE_TIMEOUT).await;
+    let answer = answer.map_err(|e| refusal::from_state(&e).into_response())?;
+    catalog::decode(&answer).map_err(|_| undecodable())
+}
+
+fn undecodable() -> Response {
+    let message = "the state host's reply does not decode; are all processes of one version?";
+    refusal::rejected(http::StatusCode::BAD_GATEWAY, "undecodable", message)
+}
+
+/// Authorizes a reader and passes the answer to a query on.
+async fn read(entry: &entry::Entry, headers: &http::HeaderMap, query: catalog::Query) -> Response {
+    if let Err(response) = authorize(entry, headers, settings::OperatorRole::ReadOnly) {
+        return response;
+    }
+    match ask(entry, &query).await {
+        Ok(catalog::Answer::Missing { problem }) => {
+            refusal::rejected(http::StatusCode::NOT_FOUND, "not_found", problem)
+        }
+        Ok(answer) => Json(answer).into_response(),
+        Err(response) => response,
+    }
+}
+
+async fn documents(
+    extract::State(entry): extract::State<entry::Entry>,
+    extract::Query(listing): extract::Query<Listing>,
+    headers: http::HeaderMap,
+) -> Response {
+    let limit = listing.limit.unwrap_or(PAGE);
+    let query = catalog::Query::List { kind: listing.kind, after: None, limit };
+    read(&entry, &headers, query).await
+}
+
+async fn document(
+    extract::State(entry): extract::State<entry::Entry>,
+    extract::Path((kind, name)): extract::Path<(String, String)>,
+    headers: http::HeaderMap,
+) -> Response {
+    match format!("{kind}/{name}").parse() {
+        Ok(name) => read(&entry, &headers, catalog::Query::Show { name }).await,
+        Err(error) => refusal::invalid(error),
+    }
+}
+
+async fn history(
+    extract::State(entry): extract::State<entry::Entry>,
+    extract::Query(page): extract::Query<Before>,
+    headers: http::HeaderMap,
+) -> Response {
+    let (before, limit) = (page.before, page.limit.unwrap_or(PAGE));
+    let query = match page.operations {
+        true => catalog::Query::Operations { before, limit },
+        false => catalog::Query::Changes { before, limit },
+    };
+    read(&entry, &headers, query).await
+}
+
+async fn orders(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+) -> Response {
+    read(&entry, &headers, catalog::Query::Orders).await
+}
+
+/// Configuration in force, nodes that are behind, agents, drains and replicas.
+async fn status(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+) -> Response {
+    if let Err(response) = authorize(&entry, &headers, settings::OperatorRole::ReadOnly) {
+        return response;
+    }
+    let summary = match ask(&entry, &catalog::Query::Summary).await {
+        Ok(catalog::Answer::Summary(summary)) => Some(summary),
+        // The rest is shown even without a quorum.
+        _ => None,
+    };
+    let agents = match ask(&entry, &catalog::Query::Agents).await {
+        Ok(catalog::Answer::Agents(agents)) => agents,
+        _ => Vec::new(),
+    };
+    let drains = match ask(&entry, &catalog::Query::Drains).await {
+        Ok(catalog::Answer::Drains(drains)) => drains,
+        _ => Vec::new(),
+    };
+    let beats = entry.client.call(0, &wire::Request::Nodes, STATE_TIMEOUT).await;
+    let nodes = match beats {
+        Ok(wire::Reply::Nodes(nodes)) => nodes,
+        _ => Vec::new(),
+    };
+    let behind: Vec<&str> = match &summary {
+        Some(s) => nodes
+            .iter()
+            .filter(|n| (n.beat.revision, n.beat.digest) != (s.revision, s.digest))
+            .map(|n| &*n.beat.node)
+            .collect(),
+        None => Vec::new(),
+    };
+    let mut hosts = Vec::new();
+    for host in entry.client.hosts() {
+        let groups = match entry.client.ask(&host, &wire::Request::Status).await {
+            Ok(wire::Reply::Groups(groups)) => json!(groups),
+            Ok(_) => Value::Null,
+            Err(error) => json!(error.to_string()),
+        };
+        hosts.push(json!({ "host": &*host, "groups": groups }));
+    }
+    Json(json!({
+        "configuration": summary, "behind": behind, "nodes": nodes, "agents": agents,
+        "drains": drains, "state": hosts,
+    }))
+    .into_response()
+}
--- /dev/null
+++ b/src/entry/attempt.rs
@@ -0,0 +1,533 @@
+//! Attempts of one request at agents: choice, retry, withdrawal and resumption.
+
+use crate::completion;
+use crate::entry;
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::link;
+use crate::router;
+use crate::wire;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time;
+use xxhash_rust::xxh3;
+
+/// Longest wait for the answer to a withdrawal on one connection.
+const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(800);
+/// Connections on which a withdrawal is tried before the agent counts as lost.
+const WITHDRAW_TRIES: u32 = 2;
+/// Time beyond the deadline for which an agent may still refuse by itself.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
+/// Most attempts for one request.
+const MAX_ATTEMPTS: usize = 4;
+/// Largest answer that is not streamed, in bytes.
+const MAX_ANSWER: usize = 32 << 20;
+/// Parts of a streamed answer that may wait for a slow caller.
+const STREAM_BUFFER: usize = 64;
+/// Retry hint when an agent was lost, in milliseconds.
+const LOST_RETRY: u64 = 1_000;
+
+/// Request of a caller, ready to be sent to an agent.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Workspace of the caller.
+    pub workspace: Arc<str>,
+    /// What the request is directed to.
+    pub target: wire::Target,
+    /// HTTP method.
+    pub method: Arc<str>,
+    /// Path and query at the endpoint.
+    pub path: Arc<str>,
+    /// Content type of the body.
+    pub content: Arc<str>,
+    /// Request body.
+    pub body: Bytes,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Whether the request may be run more than once.
+    pub idempotent: bool,
+    /// Time by which the answer must begin.
+    pub deadline: time::Instant,
+    /// Hash of the prompt's beginning, for prefix affinity.
+    pub prefix: u64,
+    /// Id of the first attempt, if it was claimed before dispatch.
+    pub claimed: Option<u64>,
+}
+
+/// Final refusal or failure of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Reason.
+    pub reason: wire::Reason,
+    /// Whether the request was run.
+    pub run: wire::Run,
+    /// When to come back.
+    pub retry: Duration,
+}
+
+impl Refusal {
+    /// Refusal of a request that was not run.
+    pub fn not_run(reason: wire::Reason, retry: Duration) -> Refusal {
+        Refusal { reason, run: wire::Run::No, retry }
+    }
+}
+
+/// Answer to a request.
+pub enum Answer {
+    /// Whole answer.
+    Whole {
+        /// HTTP status.
+        status: u16,
+        /// Content type.
+        content: Arc<str>,
+        /// Body.
+        body: Bytes,
+    },
+    /// Streamed answer; each part is one or more whole events.
+    Stream {
+        /// Content type.
+        content: Arc<str>,
+        /// Parts of the body. An answer that breaks off ends with an error.
+        parts: mpsc::Receiver<Result<Bytes, Refusal>>,
+    },
+}
+
+/// Why one attempt did not succeed.
+enum Failure {
+    /// It was refused or withdrawn, and has not run.
+    NotRun { reason: wire::Reason, retry: Duration },
+    /// It may have run.
+    Unknown { reason: wire::Reason },
+}
+
+/// Answer that has begun.
+struct Begun {
+    stream: link::Stream,
+    status: u16,
+    content: Arc<str>,
+    next: u32,
+    digest: xxh3::Xxh3,
+    stall: Duration,
+}
+
+/// Runs a request: tries agents until one answers or nothing more may be tried.
+pub async fn run(entry: &entry::Entry, call: Call) -> Result<Answer, Refusal> {
+    let mut tries = Tries::new(entry, call);
+    let (agent, begun) = tries.begin(None).await?;
+    if begun.is_events() {
+        let (sender, parts) = mpsc::channel(STREAM_BUFFER);
+        let content = begun.content.clone();
+        let running = entry.running.enter();
+        tokio::spawn(async move {
+            forward(tries, agent, begun, sender).await;
+            drop(running);
+        });
+        return Ok(Answer::Stream { content, parts });
+    }
+    whole(tries, agent, begun).await
+}
+
+/// Reads an answer that is not streamed; nothing of it is passed on before its end is verified.
+async fn whole(mut tries: Tries, mut agent: Arc<str>, mut begun: Begun) -> Result<Answer, Refusal> {
+    loop {
+        let (status, content) = (begun.status, begun.content.clone());
+        match begun.rest().await {
+            Ok(body) => {
+                tries.succeeded(&agent);
+                begun.received();
+                return Ok(Answer::Whole { status, content, body });
+            }
+            Err(reason) => {
+                tries.failed(&agent, &Failure::Unknown { reason });
+                (agent, begun) = tries.begin(None).await?;
+            }
+        }
+    }
+}
+
+/// Passes a streamed answer on and resumes it elsewhere when it breaks off.
+async fn forward(
+    mut tries: Tries,
+    mut agent: Arc<str>,
+    mut begun: Begun,
+    sender: mpsc::Sender<Result<Bytes, Refusal>>,
+) {
+    let mut progress = completion::Progress::default();
+    loop {
+        let reason = match begun.pass(&sender, &mut progress).await {
+            Passed::Complete => {
+                tries.succeeded(&agent);
+                begun.received();
+                return;
+            }
+            // Dropping the stream cancels the attempt at the agent.
+            Passed::CallerGone => {
+                tries.entry.observe(&agent, router::Observation::Abandoned);
+                return;
+            }
+            Passed::Broken(reason) => reason,
+        };
+        tries.failed(&agent, &Failure::Unknown { reason });
+        match tries.begin(Some(&progress)).await {
+            Ok(next) => {
+                event!(tries.entry.log, events::RESUMED; "from" => &*agent, "to" => &*next.0);
+                (agent, begun) = next;
+            }
+            Err(refusal) => {
+                let _ = sender.send(Err(refusal)).await;
+                return;
+            }
+        }
+    }
+}
+
+/// Attempts made for one request.
+struct Tries {
+    entry: entry::Entry,
+    call: Call,
+    tried: Vec<Arc<str>>,
+    /// Whether some attempt may have run.
+    run: wire::Run,
+    last: Option<Failure>,
+}
+
+impl Tries {
+    fn new(entry: &entry::Entry, call: Call) -> Tries {
+        let entry = entry.clone();
+        Tries { entry, call, tried: Vec::new(), run: wire::Run::No, last: None }
+    }
+
+    /// Makes attempts until an answer begins.
+    async fn begin(
+        &mut self,
+        resume: Option<&completion::Progress>,
+    ) -> Result<(Arc<str>, Begun), Refusal> {
+        loop {
+            self.may_try()?;
+            let agent = self.pick()?;
+            self.tried.push(agent.clone());
+            match self.attempt(&agent, resume).await {
+                Ok(begun) if begun.status >= 500 && self.call.idempotent => {
+                    let reason = wire::Reason::EndpointFailed;
+                    self.failed(&agent, &Failure::Unknown { reason });
+                }
+                Ok(begun) => return Ok((agent, begun)),
+                Err(failure) => self.failed(&agent, &failure),
+            }
+        }
+    }
+
+    /// Checks whether a further attempt is permitted.
+    fn may_try(&self) -> Result<(), Refusal> {
+        let Some(last) = &self.last else { return Ok(()) };
+        let (reason, retry) = match last {
+            Failure::NotRun { reason, retry } => (*reason, *retry),
+            Failure::Unknown { reason } => (*reason, Duration::from_millis(LOST_RETRY)),
+        };
+        let refusal = |reason| Refusal { reason, run: self.run, retry };
+        if self.run == wire::Run::Unknown && !self.call.idempotent {
+            return Err(refusal(reason));
+        }
+        if self.tried.len() >= MAX_ATTEMPTS || time::Instant::now() >= self.call.deadline {
+            return Err(refusal(reason));
+        }
+        if !self.entry.retry_permitted() {
+            self.entry.metrics.retry("budget_spent");
+            return Err(refusal(wire::Reason::RetryBudget));
+        }
+        self.entry.metrics.retry(reason.label());
+        event!(self.entry.log, events::RETRIED; "reason" => %reason);
+        Ok(())
+    }
+
+    fn pick(&self) -> Result<Arc<str>, Refusal> {
+        let query = router::Query {
+            model: entry::routed_name(&self.call.target),
+            prefix: self.call.prefix,
+            tried: self.tried.clone(),
+            deadline: self.call.deadline.saturating_duration_since(time::Instant::now()),
+        };
+        match self.entry.pick(&query) {
+            Ok(agent) => Ok(agent),
+            // With every agent tried, the last failure says more than "no endpoint".
+            Err(refused) => {
+                let (reason, retry) = match &self.last {
+                    Some(Failure::NotRun { reason, retry }) => (*reason, *retry),
+                    Some(Failure::Unknown { reason }) => (*reason, refused.retry),
+                    None => (refused.reason, refused.retry),
+                };
+                Err(Refusal { reason, run: self.run, retry })
+            }
+        }
+    }
+
+    fn failed(&mut self, agent: &str, failure: &Failure) {
+        let event = match failure {
+            Failure::NotRun { reason, retry } => {
+                router::Observation::Refused { reason: *reason, retry: *retry }
+            }
+            Failure::Unknown { .. } => router::Observation::Failed,
+        };
+        self.entry.observe(agent, event);
+        self.last = Some(match failure {
+            Failure::NotRun { reason, retry } => Failure::NotRun { reason: *reason, retry: *retry },
+            Failure::Unknown { reason } => {
+                self.run = wire::Run::Unknown;
+                Failure::Unknown { reason: *reason }
+            }
+        });
+    }
+
+    fn succeeded(&self, agent: &str) {
+        self.entry.observe(agent, router::Observation::Finished);
+    }
+
+    /// Makes one attempt at one agent, up to the head of its answer.
+    async fn attempt(
+        &mut self,
+        agent: &str,
+        resume: Option<&completion::Progress>,
+    ) -> Result<Begun, Failure> {
+        let lost = |reason| Failure::NotRun { reason, retry: Duration::from_millis(LOST_RETRY) };
+        let body = match resume {
+            Some(progress) => {
+                progress.request(&self.call.body).map_err(|_| lost(wire::Reason::Invalid))?
+            }
+            None => self.call.body.clone(),
+        };
+        let Some(agent_link) = self.entry.dialer(agent) else {
+            return Err(lost(wire::Reason::AgentLost));
+        };
+        self.entry.observe(agent, router::Observation::Started);
+        let opened = agent_link.open(&self.entry.incarnation).await;
+        let Ok((mut stream, connection)) = opened else {
+            return Err(lost(wire::Reason::AgentLost));
+        };
+        let left = self.call.deadline.saturating_duration_since(time::Instant::now());
+        // A claimed id is used for the first attempt only: later ones have ids of their own.
+        let id = self.call.claimed.take().unwrap_or_else(rand::random);
+        let attempt = wire::Attempt {
+            id,
+            entry: self.entry.incarnation.clone(),
+            connection,
+            revision: self.entry.follower.read(|c| c.revision()),
+            workspace: self.call.workspace.clone(),
+            deadline: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            target: self.call.target.clone(),
+            method: self.call.method.clone(),
+            path: self.call.path.clone(),
+            content: self.call.content.clone(),
+            body,
+            stream: self.call.stream,
+        };
+        let begun = self.exchange(agent, &mut stream, attempt, left).await;
+        match begun {
+            Ok((status, content)) => Ok(Begun {
+                stream,
+                status,
+                content,
+                next: 0,
+                digest: xxh3::Xxh3::new(),
+                stall: self.entry.stall,
+            }),
+            Err(Step::Refused(failure)) => Err(failure),
+            // Silence before admission was seen: ask whether it ran.
+            Err(Step::Silent(reason)) => {
+                drop(stream);
+                Err(self.withdraw(agent, &agent_link, connection, id, reason).await)
+            }
+            Err(Step::Broken(reason)) => Err(Failure::Unknown { reason }),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        agent: &str,
+        stream: &mut link::Stream,
+        attempt: wire::Attempt,
+        left: Duration,
+    ) -> Result<(u16, Arc<str>), Step> {
+        let request = wire::Request::Attempt(attempt);
+        stream.send(&request).await.map_err(|_| Step::Silent(wire::Reason::AgentLost))?;
+        match time::timeout(left + DEADLINE_MARGIN, stream.recv::<wire::Reply>()).await {
+            Ok(Ok(Some(wire::Reply::Admitted { queued, running }))) => {
+                self.entry.observe(agent, router::Observation::Load { queued, running });
+            }
+            Ok(Ok(Some(wire::Reply::Refused { reason, retry }))) => {
+                let retry = Duration::from_millis(retry);
+                return Err(Step::Refused(Failure::NotRun { reason, retry }));
+            }
+            Ok(Ok(_)) | Ok(Err(_)) => return Err(Step::Silent(wire::Reason::AgentLost)),
+            Err(_) => return Err(Step::Silent(wire::Reason::Deadline)),
+        }
+        let limit = left.max(self.entry.stall) + DEADLINE_MARGIN;
+        match time::timeout(limit, stream.recv::<wire::Reply>()).await {
+            Ok(Ok(Some(wire::Reply::Head { status, content }))) => Ok((status, content)),
+            Ok(Ok(Some(wire::Reply::Broken { reason }))) => Err(Step::Broken(reason)),
+            Ok(_) => Err(Step::Broken(wire::Reason::AgentLost)),
+            Err(_) => Err(Step::Broken(wire::Reason::Stalled)),
+        }
+    }
+
+    /// Asks the agent on a fresh connection to withdraw an attempt.
+    async fn withdraw(
+        &self,
+        agent: &str,
+        agent_link: &entry::AgentLink,
+        sent: u64,
+        id: u64,
+        reason: wire::Reason,
+    ) -> Failure {
+        // The old connection may be silent for good although both ends believe in it.
+        agent_link.dialer.reset(sent);
+        for _ in 0..WITHDRAW_TRIES {
+            let asked = self.ask_withdrawal(agent_link, sent, id);
+            let asked = time::timeout(WITHDRAW_TIMEOUT, asked).await;
+            match asked {
+                Ok(Ok(wire::Withdrawal::NeverRan)) => {
+                    let retry = Duration::from_millis(LOST_RETRY);
+                    return Failure::NotRun { reason, retry };
+                }
+                Ok(Ok(wire::Withdrawal::Running | wire::Withdrawal::Finished)) => {
+                    return Failure::Unknown { reason };
+                }
+                Ok(Err(_)) | Err(_) => {
+                    self.entry.metrics.fault("withdraw");
+                    agent_link.dialer.reset(agent_link.dialer.generation());
+                }
+            }
+        }
+        event!(self.entry.log, events::LINK_LOST; "agent" => agent, "step" => "withdraw");
+        Failure::Unknown { reason: wire::Reason::AgentLost }
+    }
+
+    async fn ask_withdrawal(
+        &self,
+        agent_link: &entry::AgentLink,
+        sent: u64,
+        id: u64,
+    ) -> Result<wire::Withdrawal, errors::Error> {
+        let (mut stream, connection) = agent_link.dialer.open_numbered().await?;
+        let entry = self.entry.incarnation.clone();
+        stream.send(&wire::Request::Withdraw { attempt: id, entry, connection, sent }).await?;
+        match stream.recv::<wire::Reply>().await? {
+            Some(wire::Reply::Withdrawal(withdrawal)) => Ok(withdrawal),
+            _ => Err(errors::Error::protocol("withdraw", "agent", "unexpected reply")),
+        }
+    }
+}
+
+/// Why an exchange did not reach the head of an answer.
+enum Step {
+    /// The agent refused.
+    Refused(Failure),
+    /// Nothing was heard; the attempt may or may not have been admitted.
+    Silent(wire::Reason),
+    /// It broke off after admission.
+    Broken(wire::Reason),
+}
+
+/// How the passing on of a streamed answer ended.
+enum Passed {
+    /// The end was verified and passed on.
+    Complete,
+    /// The caller closed its connection.
+    CallerGone,
+    /// The answer broke off.
+    Broken(wire::Reason),
+}
+
+impl Begun {
+    fn is_events(&self) -> bool {
+        self.status == 200 && self.content.starts_with("text/event-stream")
+    }
+
+    /// Next verified part; `None` at a valid end.
+    async fn part(&mut self) -> Result<Option<Bytes>, wire::Reason> {
+        match time::timeout(self.stall, self.stream.recv::<wire::Reply>()).await {
+            Ok(Ok(Some(wire::Reply::Chunk { seq, data }))) if seq == self.next => {
+                self.next += 1;
+                self.digest.update(&data);
+                Ok(Some(data))
+            }
+            Ok(Ok(Some(wire::Reply::End { count, digest })))
+                if count == self.next && digest == self.digest.digest() =>
+            {
+                Ok(None)
+            }
+            Ok(Ok(Some(wire::Reply::Broken { reason }))) => Err(reason),
+            Ok(_) => Err(wire::Reason::AgentLost),
+            Err(_) => Err(wire::Reason::Stalled),
+        }
+    }
+
+    /// Tells the agent that the whole answer has arrived, so that it may forget the attempt.
+    fn received(mut self) {
+        tokio::spawn(async move {
+            // A lost note only makes later withdrawals on this connection less certain.
+            let _ = self.stream.send(&wire::Request::Received).await;
+            self.stream.finish();
+        });
+    }
+
+    async fn rest(&mut self) -> Result<Bytes, wire::Reason> {
+        let mut all = Vec::new();
+        while let Some(part) = self.part().await? {
+            if all.len() + part.len() > MAX_ANSWER {
+                return Err(wire::Reason::Invalid);
+            }
+            all.extend_from_slice(&part);
+        }
+        Ok(all.into())
+    }
+
+    async fn pass(
+        &mut self,
+        sender: &mpsc::Sender<Result<Bytes, Refusal>>,
+        progress: &mut completion::Progress,
+    ) -> Passed {
+        // The last event tells the caller that the answer is whole, so it waits for the end.
+        let mut last: Option<Bytes> = None;
+        loop {
+            match self.part().await {
+                Ok(Some(part)) => {
+                    if is_last(&part) {
+                        last = Some(part);
+                        continue;
+                    }
+                    note(progress, &part);
+                    if sender.send(Ok(part)).await.is_err() {
+                        return Passed::CallerGone;
+                    }
+                }
+                Ok(None) => match last {
+                    Some(part) => {
+                        let _ = sender.send(Ok(part)).await;
+                        return Passed::Complete;
+                    }
+                    None => return Passed::Broken(wire::Reason::EndpointFailed),
+                },
+                Err(reason) => return Passed::Broken(reason),
+            }
+        }
+    }
+}
+
+/// Data of the single event in a part.
+fn event_data(part: &[u8]) -> Option<&str> {
+    std::str::from_utf8(part).ok()?.strip_prefix("data: ").map(str::trim_end)
+}
+
+fn is_last(part: &[u8]) -> bool {
+    event_data(part) == Some(completion::LAST_EVENT)
+}
+
+fn note(progress: &mut completion::Progress, part: &[u8]) {
+    if let Some(data) = event_data(part) {
+        // An event that is not understood is passed on all the same.
+        let _ = progress.event(data);
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,1 +1,419 @@
 //! Shell of the entry role: HTTP for callers and operators.
+
+pub mod admin;
+pub mod attempt;
+pub mod auth;
+pub mod batches;
+pub mod claims;
+pub mod online;
+pub mod refusal;
+
+use crate::agent;
+use crate::catalog;
+use crate::client;
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::follow;
+use crate::link;
+use crate::metrics;
+use crate::router;
+use crate::running;
+use crate::settings;
+use crate::sorted;
+use crate::supervisor;
+use crate::timer;
+use crate::tls;
+use crate::wire;
+use axum::extract;
+use axum::http;
+use axum::routing;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net;
+use tokio::time;
+
+/// Interval of the heartbeats to the leader of group 0.
+const BEAT_EVERY: Duration = Duration::from_secs(1);
+/// Longest wait for the answer to a heartbeat.
+const BEAT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait until an agent has noted a new connection.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Limit of workspaces without one of their own. Every workspace has one in its document, so this
+/// applies only between the withdrawal of a document and the end of its last request.
+const DEFAULT_LIMIT: router::limits::Limit =
+    router::limits::Limit { rate: 10.0, burst: 10.0, concurrent: 10 };
+/// Retry hint while the configuration cannot be confirmed.
+const STALE_RETRY: Duration = Duration::from_secs(2);
+
+/// State that the parts of the entry share.
+#[derive(Clone)]
+pub struct Entry {
+    inner: Arc<Inner>,
+}
+
+/// Fields of [`Entry`].
+pub struct Inner {
+    /// Name of the entry.
+    pub name: Arc<str>,
+    /// Name of this run of the entry. Connection numbers start anew with each run.
+    pub incarnation: Arc<str>,
+    domain: Arc<str>,
+    /// Client of the state hosts.
+    pub client: client::Client,
+    /// Local copy of the configuration.
+    pub follower: follow::Follower,
+    /// Work that a graceful stop waits for.
+    pub running: running::Running,
+    /// Longest silence of a streamed answer.
+    pub stall: Duration,
+    /// Longest time without confirmation of the configuration.
+    pub freshness: Duration,
+    /// Operators.
+    pub operators: Vec<settings::Operator>,
+    /// Instruments.
+    pub metrics: metrics::Metrics,
+    /// Logger.
+    pub log: slog::Logger,
+    timer: timer::Timer,
+    identity: tls::Identity,
+    router: Mutex<router::Router>,
+    limits: Mutex<router::limits::Limits>,
+    dialers: Mutex<sorted::SortedMap<Arc<str>, AgentLink>>,
+    stopping: AtomicBool,
+}
+
+/// Connection to one agent. Clones share it.
+#[derive(Clone)]
+pub struct AgentLink {
+    /// Dialler of the agent.
+    pub dialer: link::Dialer,
+    /// Number of the last connection that was announced to the agent.
+    greeted: Arc<AtomicU64>,
+}
+
+impl AgentLink {
+    /// Opens a stream and returns it with the number of its connection.
+    ///
+    /// A new connection is announced first, so that an attempt that is lost on it can be
+    /// withdrawn with certainty.
+    pub async fn open(&self, entry: &Arc<str>) -> Result<(link::Stream, u64), errors::Error> {
+        let (stream, connection) = self.dialer.open_numbered().await?;
+        if self.greeted.load(Ordering::Acquire) >= connection {
+            return Ok((stream, connection));
+        }
+        let hello = wire::Request::Hello { entry: entry.clone(), connection };
+        let greeted = time::timeout(HELLO_TIMEOUT, greet(stream, &hello)).await;
+        let error = match greeted {
+            Ok(Ok(())) => {
+                self.greeted.fetch_max(connection, Ordering::AcqRel);
+                let opened = self.dialer.open_numbered().await?;
+                return Ok(opened);
+            }
+            Ok(Err(error)) => error,
+            Err(_) => errors::Error::lost("greet", self.dialer.name().clone(), "no answer"),
+        };
+        self.dialer.reset(connection);
+        Err(error)
+    }
+}
+
+async fn greet(mut stream: link::Stream, hello: &wire::Request) -> Result<(), errors::Error> {
+    stream.send(hello).await?;
+    match stream.recv::<wire::Reply>().await? {
+        Some(wire::Reply::Greeted) => Ok(()),
+        _ => Err(errors::Error::protocol("greet", "agent", "unexpected reply")),
+    }
+}
+
+/// Name under which the router knows a target. Services and models do not share names.
+pub fn routed_name(target: &wire::Target) -> Arc<str> {
+    match target {
+        wire::Target::Model(model) => model.clone(),
+        wire::Target::Service(service) => format!("service:{service}").into(),
+    }
+}
+
+/// Agents with an endpoint that is not draining, and their addresses.
+fn candidates(catalog: &catalog::Catalog) -> Vec<(router::Candidate, Arc<str>)> {
+    let candidate = |agent: &catalog::AgentRecord| {
+        let serving: Vec<&catalog::Endpoint> =
+            agent.endpoints.iter().filter(|e| !catalog.is_draining(&e.name)).collect();
+        let name = |e: &catalog::Endpoint, m: &Arc<str>| match e.kind {
+            catalog::EndpointKind::Engine => m.clone(),
+            catalog::EndpointKind::Service => routed_name(&wire::Target::Service(m.clone())),
+        };
+        let mut models: Vec<Arc<str>> =
+            serving.iter().flat_map(|e| e.models.iter().map(|m| name(e, m))).collect();
+        models.sort();
+        models.dedup();
+        let candidate = router::Candidate {
+            agent: agent.name.clone(),
+            domain: agent.domain.clone(),
+            region: agent.region.clone(),
+            models,
+            slots: serving.iter().map(|e| e.slots).sum(),
+        };
+        (candidate, agent.address.clone())
+    };
+    catalog.agents().map(candidate).collect()
+}
+
+/// Limits of the workspaces.
+fn limits(catalog: &catalog::Catalog) -> sorted::SortedMap<Arc<str>, router::limits::Limit> {
+    let workspaces = catalog.config().kind(catalog::Kind::Workspace);
+    let limit = |stored: &catalog::documents::Stored| match &stored.document.body {
+        catalog::Body::Workspace(w) => {
+            let rate = f64::from(w.rate);
+            let concurrent = w.concurrency;
+            // A second's worth of requests may come at once.
+            Some((w.name.clone(), router::limits::Limit { rate, burst: rate, concurrent }))
+        }
+        _ => None,
+    };
+    workspaces.filter_map(limit).collect()
+}
+
+impl std::ops::Deref for Entry {
+    type Target = Inner;
+
+    fn deref(&self) -> &Inner {
+        &self.inner
+    }
+}
+
+/// Admission of a workspace's request under its limits. Dropping it ends the request.
+pub struct Admission {
+    entry: Entry,
+    workspace: Arc<str>,
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        lock(&self.entry.limits).release(&self.workspace);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Entry {
+    /// Connection to an agent; `None` if the agent has left.
+    pub fn dialer(&self, agent: &str) -> Option<AgentLink> {
+        if let Some(dialer) = lock(&self.dialers).get(agent) {
+            return Some(dialer.clone());
+        }
+        let address = self.follower.read(|c| c.fleet().agent(agent).map(|a| a.address.clone()))?;
+        let address = address.parse().ok()?;
+        let settings = link::Settings::default();
+        let dialer = link::Dialer::new(&self.identity, agent, address, settings, &self.log);
+        let agent_link = AgentLink { dialer, greeted: Arc::new(AtomicU64::new(0)) };
+        lock(&self.dialers).insert(agent.into(), agent_link.clone());
+        Some(agent_link)
+    }
+
+    /// Chooses an agent for an attempt.
+    pub fn pick(&self, query: &router::Query) -> Result<Arc<str>, attempt::Refusal> {
+        let picked = lock(&self.router).pick(self.timer.now(), query);
+        match picked {
+            Ok(pick) => Ok(pick.agent),
+            Err(refused) => Err(attempt::Refusal::not_run(refused.reason, refused.retry)),
+        }
+    }
+
+    /// Tells the router how an attempt goes.
+    pub fn observe(&self, agent: &str, event: router::Observation) {
+        lock(&self.router).observe(self.timer.now(), agent, event);
+    }
+
+    /// Takes a retry from the budget.
+    pub fn retry_permitted(&self) -> bool {
+        lock(&self.router).retry(self.timer.now())
+    }
+
+    /// Refuses new work while the process stops or the configuration is not known to be current.
+    pub fn check_ready(&self) -> Result<(), attempt::Refusal> {
+        if self.follower.age().is_none_or(|age| age > self.freshness) {
+            return Err(attempt::Refusal::not_run(wire::Reason::StaleConfig, STALE_RETRY));
+        }
+        Ok(())
+    }
+
+    /// Admits a request under the limits of its workspace.
+    pub fn admit(&self, workspace: &Arc<str>) -> Result<Admission, attempt::Refusal> {
+        let admitted = lock(&self.limits).admit(self.timer.now(), workspace);
+        match admitted {
+            Ok(()) => Ok(Admission { entry: self.clone(), workspace: workspace.clone() }),
+            Err(refused) => Err(attempt::Refusal::not_run(refused.reason, refused.retry)),
+        }
+    }
+
+    /// Counts and logs a refusal.
+    pub fn refused(&self, refusal: &attempt::Refusal) {
+        let run = if refusal.run == wire::Run::No { "no" } else { "unknown" };
+        self.metrics.refusal(refusal.reason.label(), run);
+        event!(self.log, events::REFUSED; "reason" => %refusal.reason, "run" => run);
+    }
+
+    /// Takes the agents and limits of the configuration over.
+    fn apply_config(&self) {
+        let (agents, limits) = self.follower.read(|c| (candidates(c), limits(c)));
+        let known = |name: &Arc<str>, agent_link: &AgentLink| {
+            let address = agent_link.dialer.addr().to_string();
+            agents.iter().any(|a| a.0.agent == *name && *a.1 == *address)
+        };
+        lock(&self.dialers).retain(|name, agent_link| known(name, agent_link));
+        lock(&self.router).update(agents.into_iter().map(|a| a.0).collect());
+        lock(&self.limits).update(DEFAULT_LIMIT, limits);
+    }
+}
+
+/// Binds the listener and adds the tasks of the entry to a supervisor.
+pub async fn start(
+    context: &agent::Context,
+    settings: &settings::Entry,
+) -> Result<supervisor::Supervisor, errors::Error> {
+    let mut tree = supervisor::Supervisor::new("entry", &context.log);
+    let log = tree.log().clone();
+    let listener = net::TcpListener::bind(settings.listen)
+        .await
+        .map_err(|e| errors::Error::io("bind", settings.listen.to_string(), e))?;
+    event!(log, events::LISTENING; "http" => %settings.listen);
+    let (name, domain) = (context.process.name.clone(), context.process.domain.clone());
+    let config = router::Config { subset: settings.subset, ..router::Config::default() };
+    let inner = Inner {
+        router: Mutex::new(router::Router::new(
+            config,
+            name.clone(),
+            domain.clone(),
+            rand::random(),
+        )),
+        limits: Mutex::new(router::limits::Limits::new(DEFAULT_LIMIT)),
+        client: client::Client::new(&context.identity, &context.fleet, &log),
+        follower: follow::Follower::new(&context.timer, &log),
+        running: running::Running::default(),
+        stall: Duration::from_millis(settings.stall),
+        freshness: Duration::from_millis(settings.freshness),
+        operators: settings.operators.clone(),
+        metrics: context.metrics.clone(),
+        timer: context.timer.clone(),
+        identity: context.identity.clone(),
+        dialers: Mutex::new(sorted::SortedMap::new()),
+        stopping: AtomicBool::new(false),
+        incarnation: format!("{name}.{:08x}", rand::random::<u32>()).into(),
+        name,
+        domain,
+        log,
+    };
+    let entry = Entry { inner: Arc::new(inner) };
+    spawn_tasks(&mut tree, &entry, settings, Arc::new(listener));
+    Ok(tree)
+}
+
+fn spawn_tasks(
+    tree: &mut supervisor::Supervisor,
+    entry: &Entry,
+    settings: &settings::Entry,
+    listener: Arc<net::TcpListener>,
+) {
+    let e = entry.clone();
+    tree.spawn("watch", move |stop| {
+        e.follower.clone().watch(e.client.clone(), e.running.until_idle(stop))
+    });
+    let e = entry.clone();
+    tree.spawn("confirm", move |stop| {
+        let stop = e.running.until_idle(stop);
+        e.follower.clone().confirm(e.client.clone(), e.freshness, stop)
+    });
+    let e = entry.clone();
+    tree.spawn("apply", move |stop| follow_config(e.clone(), e.running.until_idle(stop)));
+    let e = entry.clone();
+    tree.spawn("beat", move |stop| beat(e.clone(), stop));
+    let (e, settings) = (entry.clone(), settings.clone());
+    tree.spawn("http", move |stop| serve(e.clone(), settings.clone(), listener.clone(), stop));
+}
+
+async fn follow_config(entry: Entry, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let mut applied = entry.follower.applied();
+    loop {
+        applied.borrow_and_update();
+        entry.apply_config();
+        tokio::select! {
+            _ = applied.changed() => {}
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
+async fn beat(entry: Entry, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let mut ticks = entry.timer.subscribe(BEAT_EVERY);
+    loop {
+        tokio::select! {
+            _ = ticks.next() => {}
+            () = stop.wait() => return Ok(()),
+        }
+        let (revision, digest) = entry.follower.read(|c| (c.revision(), c.digest()));
+        let beat = wire::Beat {
+            node: entry.name.clone(),
+            role: "entry".into(),
+            domain: entry.domain.clone(),
+            revision,
+            digest,
+            expiry: entry.identity.expires_in(),
+        };
+        let _ = entry.client.call(0, &wire::Request::Beat(beat), BEAT_TIMEOUT).await;
+    }
+}
+
+async fn serve(
+    entry: Entry,
+    settings: settings::Entry,
+    listener: Arc<net::TcpListener>,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    let app = axum::Router::new()
+        .route("/v1/chat/completions", routing::post(online::chat))
+        .route("/v1/completions", routing::post(online::completions))
+        .route("/v1/models", routing::get(online::models))
+        .route("/services/{service}/{*path}", routing::any(online::service))
+        .merge(batches::routes())
+        .merge(admin::routes())
+        .layer(tower::limit::GlobalConcurrencyLimitLayer::new(settings.concurrency))
+        .layer(extract::DefaultBodyLimit::max(settings.body))
+        // Health checks answer even when the concurrency limit is reached.
+        .route("/healthz", routing::get(|| async { "ok" }))
+        .route("/readyz", routing::get(ready))
+        .with_state(entry.clone());
+    let listener = agent::share_listener(&listener)?;
+    let turnaway = Duration::from_millis(settings.turnaway);
+    let closing = {
+        let entry = entry.clone();
+        async move {
+            stop.wait().await;
+            entry.stopping.store(true, Ordering::Relaxed);
+            // The balancer still sends requests until it has seen the readiness check fail.
+            time::sleep(turnaway).await;
+        }
+    };
+    axum::serve(listener, app)
+        .with_graceful_shutdown(closing)
+        .await
+        .map_err(|e| errors::Error::io("serve http", "callers", e))?;
+    entry.running.idle().await;
+    Ok(())
+}
+
+async fn ready(extract::State(entry): extract::State<Entry>) -> (http::StatusCode, &'static str) {
+    if entry.stopping.load(Ordering::Relaxed) {
+        return (http::StatusCode::SERVICE_UNAVAILABLE, "stopping");
+    }
+    match entry.check_ready() {
+        Ok(()) => (http::StatusCode::OK, "ready"),
+        Err(_) => (http::StatusCode::SERVICE_UNAVAILABLE, "configuration not confirmed"),
+    }
+}
--- /dev/null
+++ b/src/entry/online.rs
@@ -0,0 +1,331 @@
+//! Online requests of callers: completions, models and plain services.
+
+use crate::catalog;
+use crate::entry;
+use crate::entry::attempt;
+use crate::entry::auth;
+use crate::entry::refusal;
+use crate::event;
+use crate::events;
+use crate::wire;
+use axum::Json;
+use axum::body;
+use axum::extract;
+use axum::http;
+use axum::http::header;
+use axum::response::IntoResponse as _;
+use axum::response::Response;
+use bytes::Bytes;
+use futures_util::StreamExt as _;
+use serde_json::Value;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time;
+use xxhash_rust::xxh3;
+
+/// Header by which a caller marks a request that must not be run twice.
+const IDEMPOTENT_HEADER: &str = "basilfield-idempotent";
+/// Header by which a caller sets the time in milliseconds within which the answer must begin.
+const DEADLINE_HEADER: &str = "basilfield-deadline-ms";
+/// Deadline of requests for which neither the caller nor the assistant sets one.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Longest deadline that a caller may set.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
+/// Leading bytes of a prompt that decide on prefix affinity.
+const PREFIX_LENGTH: usize = 512;
+/// Buffered parts of a streamed answer.
+const STREAM_BUFFER: usize = 16;
+
+/// `POST /v1/chat/completions`.
+pub async fn chat(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+    body: Bytes,
+) -> Response {
+    complete(entry, headers, body, "/v1/chat/completions").await
+}
+
+/// `POST /v1/completions`.
+pub async fn completions(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+    body: Bytes,
+) -> Response {
+    complete(entry, headers, body, "/v1/completions").await
+}
+
+/// `GET /v1/models`: assistants of the workspace and the models behind them.
+pub async fn models(
+    extract::State(entry): extract::State<entry::Entry>,
+    headers: http::HeaderMap,
+) -> Response {
+    let workspace = match authenticate(&entry, &headers) {
+        Ok(workspace) => workspace,
+        Err(response) => return response,
+    };
+    let names = entry.follower.read(|c| names(c, &workspace.name));
+    let list: Vec<Value> =
+        names.iter().map(|n| json!({ "id": n, "object": "model", "owned_by": "fleet" })).collect();
+    Json(json!({ "object": "list", "data": list })).into_response()
+}
+
+/// `ANY /services/SERVICE/PATH`: a call to a plain service.
+pub async fn service(
+    extract::State(entry): extract::State<entry::Entry>,
+    extract::Path((service, path)): extract::Path<(String, String)>,
+    request: extract::Request,
+) -> Response {
+    let (parts, body) = request.into_parts();
+    let workspace = match authenticate(&entry, &parts.headers) {
+        Ok(workspace) => workspace,
+        Err(response) => return response,
+    };
+    let Ok(body) = body::to_bytes(body, wire::MAX_FRAME / 2).await else {
+        return refusal::invalid("the body is too long or was cut off");
+    };
+    let deadline = match deadline(&parts.headers, None) {
+        Ok(deadline) => deadline,
+        Err(response) => return response,
+    };
+    let path = format!("/{path}");
+    let repeatable = entry.follower.read(|c| may_repeat(c, &service, &path));
+    let idempotent = repeatable && !marked(&parts.headers);
+    let query = parts.uri.query().map(|q| format!("?{q}")).unwrap_or_default();
+    let content = content_type(&parts.headers);
+    let call = attempt::Call {
+        workspace: workspace.name.clone(),
+        target: wire::Target::Service(service.into()),
+        method: parts.method.as_str().into(),
+        path: format!("{path}{query}").into(),
+        content,
+        body,
+        stream: false,
+        idempotent,
+        deadline,
+        prefix: 0,
+        claimed: None,
+    };
+    run(entry, workspace, &parts.headers, call).await
+}
+
+async fn complete(
+    entry: entry::Entry,
+    headers: http::HeaderMap,
+    body: Bytes,
+    path: &'static str,
+) -> Response {
+    let workspace = match authenticate(&entry, &headers) {
+        Ok(workspace) => workspace,
+        Err(response) => return response,
+    };
+    let mut value: Value = match serde_json::from_slice(&body) {
+        Ok(value) => value,
+        Err(e) => return refusal::invalid(format!("the body is not valid JSON: {e}")),
+    };
+    let Some(name) = value["model"].as_str().map(str::to_string) else {
+        return refusal::invalid("the field `model` is missing");
+    };
+    let assistant = entry.follower.read(|c| assistant(c, &workspace.name, &name));
+    let mut model: Arc<str> = name.into();
+    let mut limit = None;
+    if let Some(assistant) = &assistant {
+        model = assistant.model.clone();
+        limit = Some(Duration::from_millis(assistant.deadline));
+        apply_assistant(&mut value, assistant);
+    }
+    let deadline = match deadline(&headers, limit) {
+        Ok(deadline) => deadline,
+        Err(response) => return response,
+    };
+    let text = value.to_string();
+    let call = attempt::Call {
+        workspace: workspace.name.clone(),
+        target: wire::Target::Model(model),
+        method: "POST".into(),
+        path: path.into(),
+        content: "application/json".into(),
+        stream: value["stream"].as_bool().unwrap_or(false),
+        idempotent: !marked(&headers),
+        deadline,
+        prefix: prefix(&value),
+        body: text.into(),
+        claimed: None,
+    };
+    run(entry, workspace, &headers, call).await
+}
+
+/// Assistants of the workspace and the models behind them.
+fn names(catalog: &catalog::Catalog, workspace: &str) -> Vec<Arc<str>> {
+    let assistants = catalog.config().kind(catalog::Kind::Assistant);
+    let own = assistants.filter_map(|stored| match &stored.document.body {
+        catalog::Body::Assistant(a) if *a.workspace == *workspace => Some(a),
+        _ => None,
+    });
+    let mut names: Vec<Arc<str>> = own.flat_map(|a| [a.name.clone(), a.model.clone()]).collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
+fn assistant(
+    catalog: &catalog::Catalog,
+    workspace: &str,
+    name: &str,
+) -> Option<catalog::documents::Assistant> {
+    let stored = catalog.config().get(&catalog::Name::new(catalog::Kind::Assistant, name))?;
+    match &stored.document.body {
+        catalog::Body::Assistant(a) if *a.workspace == *workspace => Some(a.clone()),
+        _ => None,
+    }
+}
+
+/// Whether a call of a service may be run more than once. A service without a document is not
+/// known well enough to repeat its calls.
+fn may_repeat(catalog: &catalog::Catalog, service: &str, path: &str) -> bool {
+    catalog
+        .config()
+        .service(service)
+        .is_some_and(|s| !s.paths.iter().any(|p| path.starts_with(&**p)))
+}
+
+/// Puts the parameters of an assistant into a request.
+fn apply_assistant(value: &mut Value, assistant: &catalog::documents::Assistant) {
+    value["model"] = Value::from(&*assistant.model);
+    let asked = value["max_tokens"].as_u64().unwrap_or(u64::from(assistant.tokens));
+    value["max_tokens"] = asked.min(u64::from(assistant.tokens)).into();
+    if assistant.prompt.is_empty() {
+        return;
+    }
+    if let Some(messages) = value["messages"].as_array_mut() {
+        messages.insert(0, json!({ "role": "system", "content": &*assistant.prompt }));
+    }
+}
+
+/// Hash of the beginning of the prompt, so that equal beginnings meet the same prefix cache.
+fn prefix(value: &Value) -> u64 {
+    let prompt = match value["messages"].as_array() {
+        Some(messages) => messages.iter().map(|m| m["content"].to_string()).collect(),
+        None => value["prompt"].to_string(),
+    };
+    let bytes = prompt.as_bytes();
+    xxh3::xxh3_64(&bytes[..bytes.len().min(PREFIX_LENGTH)])
+}
+
+async fn run(
+    entry: entry::Entry,
+    workspace: Arc<catalog::documents::Workspace>,
+    headers: &http::HeaderMap,
+    call: attempt::Call,
+) -> Response {
+    if let Err(refusal) = entry.check_ready() {
+        return refused(&entry, refusal);
+    }
+    let admission = match entry.admit(&workspace.name) {
+        Ok(admission) => admission,
+        Err(refusal) => return refused(&entry, refusal),
+    };
+    let running = entry.running.enter();
+    let started = time::Instant::now();
+    let key = headers.get("idempotency-key").and_then(|v| v.to_str().ok());
+    let answered = match (call.idempotent, key) {
+        (false, Some(key)) => entry::claims::run(&entry, key, call).await,
+        _ => attempt::run(&entry, call).await,
+    };
+    entry.metrics.latency("first", started.elapsed());
+    match answered {
+        Ok(attempt::Answer::Whole { status, content, body }) => {
+            entry.metrics.request("online", "whole");
+            drop((admission, running));
+            let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::OK);
+            (status, [(header::CONTENT_TYPE, content.to_string())], body).into_response()
+        }
+        Ok(attempt::Answer::Stream { content, parts }) => {
+            entry.metrics.request("online", "stream");
+            let parts = finish_stream(entry, parts, (admission, running));
+            ([(header::CONTENT_TYPE, content.to_string())], parts).into_response()
+        }
+        Err(refusal) => refused(&entry, refusal),
+    }
+}
+
+/// Body of a streamed answer. A refusal becomes an error event without the last event, so that
+/// a cut-off answer is never taken for a whole one.
+fn finish_stream<H: Send + 'static>(
+    entry: entry::Entry,
+    mut parts: mpsc::Receiver<Result<Bytes, attempt::Refusal>>,
+    held: H,
+) -> body::Body {
+    let (sender, receiver) =
+        mpsc::channel::<Result<Bytes, std::convert::Infallible>>(STREAM_BUFFER);
+    tokio::spawn(async move {
+        while let Some(part) = parts.recv().await {
+            let data = match part {
+                Ok(data) => data,
+                Err(refusal) => {
+                    entry.refused(&refusal);
+                    Bytes::from(format!("event: error\ndata: {}\n\n", refusal::body(&refusal)))
+                }
+            };
+            if sender.send(Ok(data)).await.is_err() {
+                break;
+            }
+        }
+        drop(held);
+    });
+    let stream = futures_util::stream::unfold(receiver, |mut receiver| async move {
+        receiver.recv().await.map(|part| (part, receiver))
+    });
+    body::Body::from_stream(stream.boxed())
+}
+
+fn refused(entry: &entry::Entry, refusal: attempt::Refusal) -> Response {
+    entry.refused(&refusal);
+    entry.metrics.request("online", "refused");
+    refusal.into_response()
+}
+
+/// Finds the workspace of the caller's key.
+pub fn authenticate(
+    entry: &entry::Entry,
+    headers: &http::HeaderMap,
+) -> Result<Arc<catalog::documents::Workspace>, Response> {
+    let workspace = entry.follower.read(|c| auth::workspace(c, headers).cloned().map(Arc::new));
+    workspace.ok_or_else(|| {
+        event!(entry.log, events::UNAUTHORIZED; "kind" => "caller");
+        entry.metrics.refusal("unauthorized", "no");
+        // A key that was added just now is unknown while the local copy is behind.
+        match entry.check_ready() {
+            Ok(()) => refusal::rejected(
+                http::StatusCode::UNAUTHORIZED,
+                "unauthorized",
+                "no workspace has this key; send it as `Authorization: Bearer KEY`",
+            ),
+            Err(refusal) => refusal.into_response(),
+        }
+    })
+}
+
+fn marked(headers: &http::HeaderMap) -> bool {
+    headers.get(IDEMPOTENT_HEADER).is_some_and(|v| v == "no")
+}
+
+fn content_type(headers: &http::HeaderMap) -> Arc<str> {
+    let value = headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    value.unwrap_or("application/octet-stream").into()
+}
+
+fn deadline(headers: &http::HeaderMap, limit: Option<Duration>) -> Result<time::Instant, Response> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(time::Instant::now() + limit.unwrap_or(DEFAULT_DEADLINE));
+    };
+    let asked = value.to_str().ok().and_then(|v| v.parse().ok()).map(Duration::from_millis);
+    match asked {
+        Some(asked) if asked <= MAX_DEADLINE => Ok(time::Instant::now() + asked),
+        _ => Err(refusal::invalid(format!(
+            "{DEADLINE_HEADER} must be a number of milliseconds up to {}",
+            MAX_DEADLINE.as_millis()
+        ))),
+    }
+}
--- a/src/events.rs
+++ b/src/events.rs
@@ -104,6 +104,8 @@
     ENDPOINT_FAILED = 606, Warning, "endpoint call failed";
     /// An order was carried out or refused by an endpoint.
     ORDER_DONE = 607, Info, "order finished";
+    /// The state hosts refused the record of an agent, for example because of an endpoint's name.
+    AGENT_REFUSED = 608, Error, "agent registration refused";
     /// A request was refused.
     REFUSED = 700, Debug, "request refused";
     /// An attempt failed and the request is retried elsewhere.
--- a/src/gate/cap.rs
+++ b/src/gate/cap.rs
@@ -28,6 +28,11 @@
         Cap { target, value, since: Duration::ZERO, sum: Duration::ZERO, count: 0 }
     }
 
+    /// Replaces the target; the present cap is kept.
+    pub fn set_target(&mut self, target: Duration) {
+        self.target = target;
+    }
+
     /// Largest number of batch streams at present.
     pub fn value(&self) -> u32 {
         self.value as u32
--- a/src/gate/schedule.rs
+++ b/src/gate/schedule.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Replaces the policy: percent of the slots that batch keeps under load, and the target time
+    /// between online tokens.
+    pub fn configure(&mut self, floor: u32, target: Duration) {
+        self.config.floor = floor;
+        self.config.target = target;
+        self.cap.set_target(target);
+    }
+
     /// Handles one input.
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -22,6 +22,17 @@
 pub use message::Stamped;
 pub use table::Table;
 
+/// Encodes a command, query or stored value.
+pub fn encode<T: serde::Serialize + ?Sized>(value: &T) -> Vec<u8> {
+    // Types of this module have no value that postcard cannot encode.
+    postcard::to_stdvec(value).expect("value encodes")
+}
+
+/// Decodes what [`encode`] made.
+pub fn decode<T: serde::de::DeserializeOwned>(data: &[u8]) -> Result<T, postcard::Error> {
+    postcard::from_bytes(data)
+}
+
 /// Group that owns the jobs and claims of `key` in `workspace`, in `1..=groups`.
 ///
 /// `groups` of 0 is treated as 1.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,20 +3,25 @@
 //! `docs/design.md` describes the roles, the modules and who owns which state.
 
 pub mod agent;
+pub mod api;
 pub mod catalog;
 pub mod client;
 pub mod cmd;
+pub mod completion;
 pub mod emulator;
 pub mod entry;
 pub mod errors;
 pub mod events;
+pub mod follow;
 pub mod gate;
 pub mod jobs;
 pub mod lifecycle;
 pub mod link;
 pub mod metrics;
+pub mod process;
 pub mod replica;
 pub mod router;
+pub mod running;
 pub mod settings;
 pub mod sorted;
 pub mod state;
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,120 @@
+//! One process: its roles under one supervisor tree, signals and the metrics listener.
+
+use crate::agent;
+use crate::entry;
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::metrics;
+use crate::settings;
+use crate::state;
+use crate::supervisor;
+use crate::timer;
+use crate::tls;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net;
+use tokio::signal::unix;
+use tokio::sync::watch;
+
+/// Loads the certificates that the settings name.
+pub fn identity(settings: &settings::Tls) -> Result<tls::Identity, errors::Error> {
+    tls::Identity::load(&settings.ca, &settings.cert, &settings.key)
+}
+
+/// Starts the roles of a process and returns their supervisor.
+pub async fn start(
+    settings: &settings::Settings,
+    identity: tls::Identity,
+    log: &slog::Logger,
+) -> Result<supervisor::Supervisor, errors::Error> {
+    let mut tree = supervisor::Supervisor::new("process", log);
+    let context = agent::Context {
+        process: settings.process.clone(),
+        fleet: settings.fleet.clone(),
+        identity,
+        timer: timer::Timer::start(),
+        metrics: metrics::Metrics::new(),
+        log: log.clone(),
+    };
+    // Started in the order in which they depend on each other. A role that fails to start drops
+    // the tree, which ends the others.
+    if let Some(state) = &settings.state {
+        tree.adopt(state::start(&context, state).await?);
+    }
+    if let Some(agent) = &settings.agent {
+        tree.adopt(agent::start(&context, agent).await?);
+    }
+    if let Some(entry) = &settings.entry {
+        tree.adopt(entry::start(&context, entry).await?);
+    }
+    if let Some(address) = settings.process.metrics {
+        spawn_metrics(&mut tree, address, context.metrics.clone()).await?;
+    }
+    event!(log, events::STARTED; "name" => &*settings.process.name,
+        "domain" => &*settings.process.domain, "roles" => roles(settings));
+    Ok(tree)
+}
+
+fn roles(settings: &settings::Settings) -> String {
+    let roles = [
+        ("state", settings.state.is_some()),
+        ("agent", settings.agent.is_some()),
+        ("entry", settings.entry.is_some()),
+    ];
+    let names: Vec<&str> = roles.iter().filter(|(_, on)| *on).map(|(name, _)| *name).collect();
+    names.join(",")
+}
+
+async fn spawn_metrics(
+    tree: &mut supervisor::Supervisor,
+    address: SocketAddr,
+    metrics: metrics::Metrics,
+) -> Result<(), errors::Error> {
+    let listener = net::TcpListener::bind(address)
+        .await
+        .map_err(|e| errors::Error::io("bind", address.to_string(), e))?;
+    let listener = Arc::new(listener);
+    tree.spawn("metrics", move |stop| serve_metrics(listener.clone(), metrics.clone(), stop));
+    Ok(())
+}
+
+async fn serve_metrics(
+    listener: Arc<net::TcpListener>,
+    metrics: metrics::Metrics,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    let render = move || {
+        let metrics = metrics.clone();
+        async move { metrics.render() }
+    };
+    let app = axum::Router::new().route("/metrics", axum::routing::get(render));
+    axum::serve(agent::share_listener(&listener)?, app)
+        .with_graceful_shutdown(async move { stop.wait().await })
+        .await
+        .map_err(|e| errors::Error::io("serve metrics", "scraper", e))
+}
+
+/// Runs the tree until it ends; SIGTERM and SIGINT start a graceful stop.
+pub async fn run(tree: supervisor::Supervisor, log: &slog::Logger) -> Result<(), errors::Error> {
+    let stopper = tree.stopper();
+    let signals = tokio::spawn(stop_on_signal(stopper, log.clone()));
+    let result = tree.run().await;
+    signals.abort();
+    event!(log, events::STOPPED);
+    result
+}
+
+async fn stop_on_signal(stopper: watch::Sender<bool>, log: slog::Logger) {
+    let (Ok(mut term), Ok(mut interrupt)) =
+        (unix::signal(unix::SignalKind::terminate()), unix::signal(unix::SignalKind::interrupt()))
+    else {
+        return;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    event!(log, events::STOPPING);
+    stopper.send_replace(true);
+}
--- /dev/null
+++ b/src/running.rs
@@ -0,0 +1,67 @@
+//! Work in progress that a graceful stop waits for.
+
+use crate::supervisor;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// Counter of work in progress. Clones share it.
+#[derive(Clone)]
+pub struct Running {
+    count: Arc<watch::Sender<usize>>,
+}
+
+/// One piece of work in progress. Dropping it ends the work.
+pub struct Entered {
+    count: Arc<watch::Sender<usize>>,
+}
+
+impl Default for Running {
+    fn default() -> Self {
+        Running { count: Arc::new(watch::Sender::new(0)) }
+    }
+}
+
+impl Running {
+    /// Begins a piece of work.
+    pub fn enter(&self) -> Entered {
+        self.count.send_modify(|n| *n += 1);
+        Entered { count: self.count.clone() }
+    }
+
+    /// Work in progress.
+    pub fn count(&self) -> usize {
+        *self.count.borrow()
+    }
+
+    /// Waits until no work is in progress.
+    pub async fn idle(&self) {
+        let mut count = self.count.subscribe();
+        // The sender lives as long as `self`.
+        let _ = count.wait_for(|n| *n == 0).await;
+    }
+
+    /// Stop signal that follows `stop` but waits for the work in progress.
+    ///
+    /// Parts that running work depends on use it, so that they end last.
+    pub fn until_idle(&self, mut stop: supervisor::Stop) -> supervisor::Stop {
+        let (sender, delayed) = supervisor::Stop::channel();
+        let running = self.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.wait() => {
+                    running.idle().await;
+                    sender.send_replace(true);
+                }
+                // Nobody listens any more.
+                () = sender.closed() => {}
+            }
+        });
+        delayed
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.count.send_modify(|n| *n -= 1);
+    }
+}
--- /dev/null
+++ b/src/state/group.rs
@@ -0,0 +1,705 @@
+//! Shell of one replica: a thread that drives the replica, its data folder and its service.
+//!
+//! The thread takes every waiting call, steps the replica for each, writes and syncs the
+//! entries once for all of them, and only then sends messages and answers.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::replica;
+use crate::sorted;
+use crate::state::mesh;
+use crate::state::service;
+use crate::storage;
+use crate::timer;
+use crate::wire;
+use bytes::Bytes;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::time::Duration;
+use tokio::sync::mpsc as channel;
+
+/// Interval of the replica's clock.
+const TICK: Duration = Duration::from_millis(10);
+/// Interval of the service's clock.
+const SERVICE_TICK: Duration = Duration::from_millis(50);
+/// Calls that one batch takes at most, which bounds the delay of its answers.
+const BATCH: usize = 512;
+/// Calls that may wait for the thread. More are refused as not run.
+const CALLS: usize = 8_192;
+/// Committed commands that are kept for watchers that resume.
+const RECENT: usize = 4_096;
+/// Updates that may wait for a slow watcher before its watch ends.
+pub const WATCH_BUFFER: usize = 1_024;
+/// Time for which the answer of a host to a probe is used. A host without a complete replica is
+/// probed, and probes, twice a second.
+const PROBE_KEEP: Duration = Duration::from_secs(3);
+/// Interval at which watchers are shown that their watch is alive.
+const WATCH_ALIVE: Duration = Duration::from_secs(1);
+
+/// Request to the thread of a group.
+pub enum Call {
+    /// Message of another replica.
+    Envelope(replica::Envelope),
+    /// Commit a command.
+    Propose {
+        /// Encoded command.
+        command: Bytes,
+        /// Receiver of the answer.
+        done: service::Done,
+    },
+    /// Answer a query after confirming leadership with a quorum.
+    Query {
+        /// Encoded query.
+        query: Bytes,
+        /// Receiver of the answer.
+        done: service::Done,
+    },
+    /// Return a read index that a quorum has confirmed.
+    Confirm {
+        /// Receiver of the answer.
+        done: service::Done,
+    },
+    /// Follow the log.
+    Watch {
+        /// Last index that the watcher has applied.
+        after: u64,
+        /// Receiver of the updates.
+        sender: channel::Sender<wire::Reply>,
+    },
+    /// Request that only the leader's service answers.
+    Serve {
+        /// The request.
+        request: wire::Request,
+        /// Receiver of the answer.
+        done: service::Done,
+    },
+    /// A replica of another host introduces itself.
+    Probe {
+        /// Host name of the sender.
+        host: Arc<str>,
+        /// Replica id of the sender.
+        id: u64,
+        /// Whether the sender has no data.
+        blank: bool,
+        /// Receiver of the answer.
+        done: service::Done,
+    },
+    /// Answers of the listed hosts to probes, for the formation of a blank replica.
+    Probed(Vec<replica::formation::Answer>),
+    /// Describe the replica.
+    Status {
+        /// Receiver of the state.
+        done: tokio::sync::oneshot::Sender<wire::Group>,
+    },
+}
+
+/// Handle of a group's thread. Clones share it.
+#[derive(Clone)]
+pub struct Handle {
+    calls: mpsc::SyncSender<Call>,
+    /// Replica id of this host.
+    pub id: u64,
+}
+
+impl Handle {
+    /// Queues a call. A call that does not fit is dropped, which its sender sees as refused.
+    pub fn call(&self, call: Call) -> bool {
+        self.calls.try_send(call).is_ok()
+    }
+}
+
+/// What a group's thread needs.
+pub struct Parts {
+    /// Replica group.
+    pub group: u16,
+    /// Name of this host.
+    pub host: Arc<str>,
+    /// Names of all state hosts.
+    pub hosts: Vec<Arc<str>>,
+    /// Data folder of the group.
+    pub folder: storage::Folder,
+    /// Replica id of this host.
+    pub id: u64,
+    /// What storage has read back.
+    pub restored: replica::Restored,
+    /// State machine and soft state.
+    pub service: Box<dyn service::Service>,
+    /// Messages to other hosts.
+    pub mesh: mesh::Mesh,
+    /// Timer service.
+    pub timer: timer::Timer,
+    /// Interval of the leader's heartbeats.
+    pub heartbeat: Duration,
+    /// Election timeout.
+    pub election: Duration,
+    /// Log entries after which a snapshot is taken.
+    pub snapshot: u64,
+    /// Logger.
+    pub log: slog::Logger,
+}
+
+/// What is done once a proposal or read has passed the replica.
+enum Pending {
+    Propose(service::Done),
+    /// Proposal of the service itself.
+    Internal,
+    Query(Bytes, service::Done),
+    Confirm(service::Done),
+}
+
+struct Waiting {
+    index: u64,
+    term: u64,
+    pending: Pending,
+}
+
+struct Probed {
+    answer: replica::formation::Answer,
+    at: Duration,
+}
+
+/// Creates the handle and the receiver of its calls.
+pub fn channel(id: u64) -> (Handle, mpsc::Receiver<Call>) {
+    let (calls, receiver) = mpsc::sync_channel(CALLS);
+    (Handle { calls, id }, receiver)
+}
+
+/// Thread of one group.
+pub struct Group {
+    parts: Parts,
+    replica: replica::Replica,
+    calls: mpsc::Receiver<Call>,
+    next_token: u64,
+    tokens: sorted::SortedMap<u64, Pending>,
+    /// Accepted proposals in order of their index.
+    waiting: VecDeque<Waiting>,
+    /// Confirmed reads that wait for their index to be applied.
+    reads: Vec<(u64, Pending)>,
+    watchers: Vec<channel::Sender<wire::Reply>>,
+    recent: VecDeque<(u64, Bytes)>,
+    applied: u64,
+    snapshot_at: u64,
+    role: replica::Role,
+    repair: replica::repair::Repair,
+    /// Last answer of each other host to a probe, and when it came.
+    probed: sorted::SortedMap<Arc<str>, Probed>,
+    outputs: Vec<replica::Output>,
+    disk_full: bool,
+    ticked: Duration,
+    serviced: Duration,
+    shown_alive: Duration,
+}
+
+impl Group {
+    /// Restores the state machine and the replica from what storage has read back.
+    pub fn new(mut parts: Parts, calls: mpsc::Receiver<Call>) -> Result<Group, errors::Error> {
+        let now = parts.timer.now();
+        let restored = std::mem::take(&mut parts.restored);
+        let mut applied = 0;
+        if let Some(snapshot) = &restored.snapshot {
+            let machine = parts.service.machine();
+            machine
+                .restore(&snapshot.data)
+                .map_err(|e| errors::Error::invalid("restore snapshot", &*parts.host, e))?;
+            applied = snapshot.index;
+        }
+        let config = replica::Config {
+            group: parts.group,
+            id: parts.id,
+            heartbeat: parts.heartbeat,
+            election: parts.election,
+            seed: rand::random(),
+        };
+        let replica = replica::Replica::new(config, restored, now);
+        Ok(Group {
+            role: replica.role(),
+            repair: replica::repair::Repair::default(),
+            probed: sorted::SortedMap::new(),
+            replica,
+            calls,
+            next_token: 1,
+            tokens: sorted::SortedMap::new(),
+            waiting: VecDeque::new(),
+            reads: Vec::new(),
+            watchers: Vec::new(),
+            recent: VecDeque::new(),
+            applied,
+            snapshot_at: applied,
+            outputs: Vec::new(),
+            disk_full: false,
+            ticked: now,
+            serviced: now,
+            shown_alive: now,
+            parts,
+        })
+    }
+
+    /// Runs until every handle is dropped or storage fails.
+    pub fn run(mut self) -> Result<(), errors::Error> {
+        loop {
+            match self.calls.recv_timeout(TICK) {
+                Ok(call) => self.call(call),
+                Err(mpsc::RecvTimeoutError::Timeout) => {}
+                Err(mpsc::RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+            for _ in 1..BATCH {
+                match self.calls.try_recv() {
+                    Ok(call) => self.call(call),
+                    Err(_) => break,
+                }
+            }
+            self.tick();
+            self.flush()?;
+            self.take_snapshot()?;
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.parts.timer.now()
+    }
+
+    fn step(&mut self, input: replica::Input) {
+        let outputs = self.replica.step(self.parts.timer.now(), input);
+        self.outputs.extend(outputs);
+    }
+
+    fn leads(&self) -> bool {
+        self.role == replica::Role::Leader
+    }
+
+    fn call(&mut self, call: Call) {
+        match call {
+            Call::Envelope(envelope) => self.step(replica::Input::Message(envelope)),
+            Call::Propose { command, done } => self.propose(command, done),
+            Call::Query { query, done } => self.read(Pending::Query(query, done)),
+            Call::Confirm { done } => self.read(Pending::Confirm(done)),
+            Call::Watch { after, sender } => self.watch(after, sender),
+            Call::Serve { request, done } if self.leads() => {
+                let now = self.now();
+                self.parts.service.serve(now, request, done);
+            }
+            Call::Serve { done, .. } => self.redirect(done),
+            Call::Probe { host, id, blank, done } => self.probe(&host, id, blank, done),
+            Call::Probed(answers) => self.form(answers),
+            Call::Status { done } => {
+                // The asker may have given up.
+                let _ = done.send(self.status());
+            }
+        }
+    }
+
+    fn token(&mut self, pending: Pending) -> u64 {
+        let token = self.next_token;
+        self.next_token += 1;
+        self.tokens.insert(token, pending);
+        token
+    }
+
+    fn propose(&mut self, command: Bytes, done: service::Done) {
+        if !self.leads() {
+            return self.redirect(done);
+        }
+        if self.disk_full || !self.parts.folder.has_room() {
+            return service::refuse(done, wire::Reason::DiskFull);
+        }
+        let now = self.now();
+        match self.parts.service.prepare(now, command) {
+            Ok(command) => {
+                let token = self.token(Pending::Propose(done));
+                self.step(replica::Input::Propose { token, command });
+            }
+            Err(reason) => service::refuse(done, reason),
+        }
+    }
+
+    fn propose_internal(&mut self, command: Bytes) {
+        let now = self.now();
+        if let Ok(command) = self.parts.service.prepare(now, command) {
+            let token = self.token(Pending::Internal);
+            self.step(replica::Input::Propose { token, command });
+        }
+    }
+
+    fn read(&mut self, pending: Pending) {
+        let token = self.token(pending);
+        self.step(replica::Input::Read { token });
+    }
+
+    /// Tells the requester which host leads.
+    fn redirect(&self, done: service::Done) {
+        let leader = self.replica.leader().and_then(|id| self.host_of(id));
+        let reason = wire::Reason::NoQuorum;
+        service::answer(done, wire::Reply::NotDone { reason, leader, run: wire::Run::No });
+    }
+
+    fn host_of(&self, id: u64) -> Option<Arc<str>> {
+        self.replica.members().get(id).map(|m| m.host.clone())
+    }
+
+    fn watch(&mut self, after: u64, sender: channel::Sender<wire::Reply>) {
+        let oldest = self.recent.front().map_or(self.applied + 1, |(index, _)| *index);
+        let mut backlog = Vec::new();
+        if after > self.applied {
+            // This replica is behind the watcher. It goes on from `after` once it has caught up,
+            // which another replica may have done already.
+            return;
+        }
+        if after + 1 < oldest {
+            let data = self.parts.service.machine().snapshot().into();
+            backlog.push(wire::Reply::Full { index: self.applied, data });
+        } else {
+            let missed = self.recent.iter().filter(|(index, _)| *index > after);
+            backlog.extend(missed.map(|(index, command)| update(*index, command)));
+        }
+        if backlog.into_iter().all(|frame| sender.try_send(frame).is_ok()) {
+            self.watchers.push(sender);
+        }
+    }
+
+    fn probe(&mut self, host: &Arc<str>, id: u64, blank: bool, done: service::Done) {
+        let answer = replica::formation::Answer { host: host.clone(), id, blank };
+        self.note_probes(vec![answer]);
+        let reply = wire::Reply::Replica {
+            id: self.parts.id,
+            blank: self.replica.blank(),
+            leads: self.leads(),
+        };
+        service::answer(done, reply);
+    }
+
+    fn note_probes(&mut self, answers: Vec<replica::formation::Answer>) {
+        let at = self.now();
+        for answer in answers {
+            self.probed.insert(answer.host.clone(), Probed { answer, at });
+        }
+    }
+
+    /// What is known of the replicas of every host, including this one.
+    fn answers(&self) -> Vec<replica::formation::Answer> {
+        let now = self.now();
+        let recent = |p: &&Probed| now.saturating_sub(p.at) <= PROBE_KEEP;
+        let others = self.probed.values().filter(recent).map(|p| p.answer.clone());
+        let own = replica::formation::Answer {
+            host: self.parts.host.clone(),
+            id: self.parts.id,
+            blank: self.replica.blank(),
+        };
+        others.chain([own]).collect()
+    }
+
+    fn form(&mut self, answers: Vec<replica::formation::Answer>) {
+        self.note_probes(answers);
+        if !self.replica.blank() {
+            return;
+        }
+        let answers = self.answers();
+        let decision = replica::formation::decide(&self.parts.host, &self.parts.hosts, &answers);
+        if let replica::formation::Decision::Form(members) = decision {
+            event!(self.parts.log, events::GROUP_FORMED; "group" => self.parts.group,
+                "members" => members.members.len());
+            self.step(replica::Input::Form(members));
+        }
+    }
+
+    /// Replaces the replica of a host that lost its disk, one committed change at a time.
+    fn repair(&mut self) {
+        let answers = self.answers();
+        match self.repair.step(&self.replica, &self.parts.hosts, &answers) {
+            replica::repair::Step::Change(change) => {
+                event!(self.parts.log, events::MEMBERS_CHANGED; "group" => self.parts.group,
+                    "change" => ?change);
+                let token = self.token(Pending::Internal);
+                self.step(replica::Input::Change { token, change });
+            }
+            replica::repair::Step::Complete => {
+                event!(self.parts.log, events::REPAIR_COMPLETE; "group" => self.parts.group);
+            }
+            replica::repair::Step::Idle | replica::repair::Step::Wait(_) => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        if now - self.ticked >= TICK {
+            self.ticked = now;
+            self.step(replica::Input::Tick);
+        }
+        if now - self.serviced >= SERVICE_TICK && self.leads() {
+            self.serviced = now;
+            for command in self.parts.service.tick(now) {
+                self.propose_internal(command);
+            }
+            self.repair();
+        }
+        if now - self.shown_alive >= WATCH_ALIVE {
+            self.shown_alive = now;
+            let index = self.applied;
+            self.watchers.retain(|w| w.try_send(wire::Reply::Confirmed { index }).is_ok());
+        }
+    }
+
+    /// Makes the outputs of a batch durable, then carries them out.
+    fn flush(&mut self) -> Result<(), errors::Error> {
+        while !self.outputs.is_empty() {
+            let outputs = std::mem::take(&mut self.outputs);
+            if self.store(&outputs)? {
+                let index = self.replica.last();
+                self.step(replica::Input::Synced { index });
+            }
+            for output in outputs {
+                self.carry_out(output);
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes and syncs what must be durable. Returns whether entries were synced.
+    fn store(&mut self, outputs: &[replica::Output]) -> Result<bool, errors::Error> {
+        let mut written = false;
+        for output in outputs {
+            match output {
+                replica::Output::Persist { hard, entries } => {
+                    self.check(|folder| folder.append(hard.as_ref(), entries))?;
+                    written = true;
+                }
+                replica::Output::Store(snapshot) => {
+                    self.check(|folder| folder.store(snapshot))?;
+                }
+                replica::Output::Restore(snapshot) => {
+                    self.check(|folder| folder.install(snapshot))?;
+                    self.restore(snapshot)?;
+                }
+                _ => {}
+            }
+        }
+        if written {
+            self.check(|folder| folder.sync())?;
+        }
+        Ok(written)
+    }
+
+    /// Runs a storage operation. While the disk is full it is repeated, since the replica's
+    /// state and the folder must not diverge; any other failure ends the thread.
+    fn check(
+        &mut self,
+        mut run: impl FnMut(&mut storage::Folder) -> Result<(), storage::Error>,
+    ) -> Result<(), errors::Error> {
+        loop {
+            match run(&mut self.parts.folder) {
+                Ok(()) => {
+                    self.disk_full = false;
+                    return Ok(());
+                }
+                Err(storage::Error::Full { .. }) => {
+                    if !self.disk_full {
+                        event!(self.parts.log, events::DISK_FULL);
+                    }
+                    self.disk_full = true;
+                    self.refuse_waiting();
+                    std::thread::sleep(SERVICE_TICK);
+                }
+                Err(error) => {
+                    event!(self.parts.log, events::STORAGE_FAILED; "error" => %error);
+                    return Err(errors::Error::io("store", &*self.parts.host, error));
+                }
+            }
+        }
+    }
+
+    /// Answers new calls while the disk is full.
+    fn refuse_waiting(&mut self) {
+        while let Ok(call) = self.calls.try_recv() {
+            match call {
+                Call::Propose { done, .. }
+                | Call::Query { done, .. }
+                | Call::Confirm { done }
+                | Call::Serve { done, .. } => service::refuse(done, wire::Reason::DiskFull),
+                _ => {}
+            }
+        }
+    }
+
+    fn restore(&mut self, snapshot: &replica::Snapshot) -> Result<(), errors::Error> {
+        self.parts
+            .service
+            .machine()
+            .restore(&snapshot.data)
+            .map_err(|e| errors::Error::protocol("restore snapshot", "leader", e))?;
+        event!(self.parts.log, events::SNAPSHOT_INSTALLED; "index" => snapshot.index);
+        self.applied = snapshot.index;
+        self.snapshot_at = snapshot.index;
+        self.recent.clear();
+        // Watchers resume at their own position.
+        self.watchers.clear();
+        Ok(())
+    }
+
+    fn carry_out(&mut self, output: replica::Output) {
+        match output {
+            replica::Output::Persist { .. }
+            | replica::Output::Store(_)
+            | replica::Output::Restore(_) => {}
+            replica::Output::Send(envelope) => {
+                let host = self.host_of(envelope.to);
+                if let Some(host) = host {
+                    self.parts.mesh.send(&host, envelope);
+                }
+            }
+            replica::Output::Accepted { token, index, term } => {
+                if let Some(pending) = self.tokens.remove(&token) {
+                    self.waiting.push_back(Waiting { index, term, pending });
+                }
+            }
+            replica::Output::Refused { token, reason } => self.refused(token, reason),
+            replica::Output::Apply(entries) => self.apply(entries),
+            replica::Output::Readable { token, index } => {
+                if let Some(pending) = self.tokens.remove(&token) {
+                    self.reads.push((index, pending));
+                }
+                self.answer_reads();
+            }
+            replica::Output::Role { role, term, leader } => self.role(role, term, leader),
+        }
+    }
+
+    fn refused(&mut self, token: u64, reason: replica::Refusal) {
+        let Some(pending) = self.tokens.remove(&token) else { return };
+        match pending {
+            Pending::Internal => {}
+            Pending::Propose(done) | Pending::Query(_, done) | Pending::Confirm(done) => {
+                match reason {
+                    replica::Refusal::TooLarge => service::refuse(done, wire::Reason::Invalid),
+                    replica::Refusal::Busy => service::refuse(done, wire::Reason::QueueFull),
+                    _ => self.redirect(done),
+                }
+            }
+        }
+    }
+
+    fn role(&mut self, role: replica::Role, term: u64, leader: Option<u64>) {
+        let led = self.leads();
+        self.role = role;
+        let host = leader.and_then(|id| self.host_of(id));
+        event!(self.parts.log, events::ROLE_CHANGED; "group" => self.parts.group,
+            "role" => %role, "term" => term, "leader" => host.as_deref().unwrap_or("none"));
+        if led != self.leads() {
+            let (now, leads) = (self.now(), self.leads());
+            self.parts.service.lead(now, leads);
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<replica::Entry>) {
+        for entry in entries {
+            let command = match &entry.payload {
+                replica::Payload::Command(command) => command.clone(),
+                replica::Payload::Noop | replica::Payload::Members(_) => Bytes::new(),
+            };
+            let reply = match command.is_empty() {
+                true => Vec::new(),
+                false => self.parts.service.machine().apply(entry.index, &command),
+            };
+            self.applied = entry.index;
+            self.show(entry.index, command);
+            self.answer_proposals(&entry, reply);
+        }
+        let now = self.now();
+        self.parts.service.applied(now);
+        self.answer_reads();
+    }
+
+    /// Sends an applied entry to the watchers and keeps it for those that resume.
+    fn show(&mut self, index: u64, command: Bytes) {
+        if self.parts.group != 0 {
+            return;
+        }
+        self.watchers.retain(|w| w.try_send(update(index, &command)).is_ok());
+        self.recent.push_back((index, command));
+        if self.recent.len() > RECENT {
+            self.recent.pop_front();
+        }
+    }
+
+    fn answer_proposals(&mut self, entry: &replica::Entry, reply: Vec<u8>) {
+        while self.waiting.front().is_some_and(|w| w.index < entry.index) {
+            // Covered by a snapshot; what became of it is not known here.
+            let Some(missed) = self.waiting.pop_front() else { return };
+            self.not_done(missed.pending, wire::Run::Unknown);
+        }
+        if self.waiting.front().is_none_or(|w| w.index != entry.index) {
+            return;
+        }
+        let Some(waiting) = self.waiting.pop_front() else { return };
+        if waiting.term != entry.term {
+            // Another leader's entry took this index, so the proposal is not in the log.
+            return self.not_done(waiting.pending, wire::Run::No);
+        }
+        if let Pending::Propose(done) = waiting.pending {
+            let reply = wire::Reply::Applied { index: entry.index, reply: reply.into() };
+            service::answer(done, reply);
+        }
+    }
+
+    fn not_done(&self, pending: Pending, run: wire::Run) {
+        if let Pending::Propose(done) = pending {
+            let leader = self.replica.leader().and_then(|id| self.host_of(id));
+            let reason = wire::Reason::NoQuorum;
+            service::answer(done, wire::Reply::NotDone { reason, leader, run });
+        }
+    }
+
+    fn answer_reads(&mut self) {
+        let applied = self.applied;
+        let (ready, rest) =
+            std::mem::take(&mut self.reads).into_iter().partition(|(index, _)| *index <= applied);
+        self.reads = rest;
+        let ready: Vec<(u64, Pending)> = ready;
+        for (index, pending) in ready {
+            match pending {
+                Pending::Query(query, done) => {
+                    let answer = self.parts.service.query(&query).into();
+                    service::answer(done, wire::Reply::Answer(answer));
+                }
+                Pending::Confirm(done) => {
+                    service::answer(done, wire::Reply::Confirmed { index });
+                }
+                Pending::Propose(_) | Pending::Internal => {}
+            }
+        }
+    }
+
+    fn take_snapshot(&mut self) -> Result<(), errors::Error> {
+        if self.applied < self.snapshot_at + self.parts.snapshot {
+            return Ok(());
+        }
+        let data = self.parts.service.machine().snapshot().into();
+        self.snapshot_at = self.applied;
+        event!(self.parts.log, events::SNAPSHOT_TAKEN; "group" => self.parts.group,
+            "index" => self.applied);
+        self.step(replica::Input::Snapshot { index: self.applied, data });
+        self.flush()
+    }
+
+    fn status(&self) -> wire::Group {
+        let members = self.replica.members();
+        let voters = members.voters().count();
+        let live = if self.leads() { self.replica.live().len() } else { 0 };
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        wire::Group {
+            group: self.parts.group,
+            id: self.parts.id,
+            role: self.role.to_string().into(),
+            term: self.replica.term(),
+            leader: self.replica.leader().and_then(|id| self.host_of(id)),
+            commit: self.replica.commit(),
+            voters: count(voters),
+            live: count(live),
+            learners: count(members.members.len() - voters),
+        }
+    }
+}
+
+fn update(index: u64, command: &Bytes) -> wire::Reply {
+    wire::Reply::Update { index, command: command.clone() }
+}
--- /dev/null
+++ b/src/state/mesh.rs
@@ -0,0 +1,76 @@
+//! Replica messages between the state hosts.
+
+use crate::link;
+use crate::replica;
+use crate::settings;
+use crate::sorted;
+use crate::tls;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time;
+
+/// Messages that may wait for one host. Replicas tolerate the loss of what exceeds it.
+const QUEUE: usize = 1_024;
+/// Longest time that a message may take to leave. A peer that takes no data is treated as lost.
+const SEND_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause after a failed connection.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Outgoing messages to the other state hosts. Clones share the connections.
+#[derive(Clone)]
+pub struct Mesh {
+    senders: Arc<sorted::SortedMap<Arc<str>, mpsc::Sender<replica::Envelope>>>,
+}
+
+impl Mesh {
+    /// Starts one sending task for each other state host.
+    pub fn start(
+        identity: &tls::Identity,
+        fleet: &settings::Fleet,
+        own: &str,
+        log: &slog::Logger,
+    ) -> Mesh {
+        let others = fleet.hosts.iter().filter(|h| &*h.name != own);
+        let start = |host: &settings::Host| {
+            let (sender, receiver) = mpsc::channel(QUEUE);
+            let settings = link::Settings::default();
+            let dialer =
+                link::Dialer::new(identity, host.name.clone(), host.address, settings, log);
+            tokio::spawn(run(dialer, receiver));
+            (host.name.clone(), sender)
+        };
+        Mesh { senders: Arc::new(others.map(start).collect()) }
+    }
+
+    /// Queues a message for a host. It is dropped if the queue is full or the host unknown.
+    pub fn send(&self, host: &str, envelope: replica::Envelope) {
+        if let Some(sender) = self.senders.get(host) {
+            let _ = sender.try_send(envelope);
+        }
+    }
+}
+
+/// Sends messages in order over one long-lived stream, which is opened anew after a failure.
+async fn run(dialer: link::Dialer, mut receiver: mpsc::Receiver<replica::Envelope>) {
+    let mut stream: Option<link::Sender> = None;
+    while let Some(envelope) = receiver.recv().await {
+        if stream.is_none() {
+            match dialer.open_uni().await {
+                Ok(opened) => stream = Some(opened),
+                Err(_) => {
+                    // What has waited meanwhile is old; the replicas send what is still needed.
+                    time::sleep(PAUSE).await;
+                    while receiver.try_recv().is_ok() {}
+                    continue;
+                }
+            }
+        }
+        if let Some(open) = &mut stream {
+            let sent = time::timeout(SEND_TIMEOUT, open.send(&envelope)).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                stream = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/state/service.rs
@@ -0,0 +1,45 @@
+//! What a replica group does besides keeping its log.
+
+use crate::replica;
+use crate::wire;
+use bytes::Bytes;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Receiver of the answer to a request.
+pub type Done = oneshot::Sender<wire::Reply>;
+
+/// State machine of a group together with the leader's soft state around it.
+pub trait Service: Send {
+    /// The replicated state machine.
+    fn machine(&mut self) -> &mut dyn replica::Machine;
+
+    /// Answers a query from the applied state.
+    fn query(&self, query: &[u8]) -> Vec<u8>;
+
+    /// Prepares a command for the log, for example by stamping it with the group's clock.
+    fn prepare(&mut self, now: Duration, command: Bytes) -> Result<Bytes, wire::Reason>;
+
+    /// Leadership was gained or lost.
+    fn lead(&mut self, now: Duration, leads: bool);
+
+    /// Entries were applied. Called on every replica.
+    fn applied(&mut self, now: Duration);
+
+    /// Time has passed on the leader. Returns commands to propose.
+    fn tick(&mut self, now: Duration) -> Vec<Bytes>;
+
+    /// Serves a request that only the leader answers.
+    fn serve(&mut self, now: Duration, request: wire::Request, done: Done);
+}
+
+/// Answers `NotDone` for a request that was not run.
+pub fn refuse(done: Done, reason: wire::Reason) {
+    answer(done, wire::Reply::NotDone { reason, leader: None, run: wire::Run::No });
+}
+
+/// Answers a request whose sender may be gone.
+pub fn answer(done: Done, reply: wire::Reply) {
+    // The requester has given up; its connection is closed.
+    let _ = done.send(reply);
+}
--- /dev/null
+++ b/src/state/work.rs
@@ -0,0 +1,212 @@
+//! A job group: jobs and claims, and the leases of items at its leader.
+
+use crate::event;
+use crate::events;
+use crate::jobs;
+use crate::jobs::leases;
+use crate::replica;
+use crate::sorted;
+use crate::state::service;
+use crate::wire;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Milliseconds of a day.
+const DAY: u64 = 86_400_000;
+/// Interval at which what is older than the retention is removed.
+const EXPIRE_EVERY: Duration = Duration::from_secs(60);
+
+/// Service of a job group.
+pub struct Work {
+    table: jobs::Table,
+    leases: leases::Leases,
+    /// Pulls that wait for items, by token.
+    pulls: sorted::SortedMap<u64, service::Done>,
+    token: u64,
+    /// Items that agents must stop, told with the next renewal.
+    stops: sorted::SortedMap<Arc<str>, Vec<wire::Lease>>,
+    /// Commands to propose for lost leases.
+    commands: Vec<Bytes>,
+    /// Group time and own time at the election, while this replica leads.
+    leads: Option<Clock>,
+    retention: u64,
+    expired: Duration,
+    log: slog::Logger,
+}
+
+#[derive(Clone, Copy)]
+struct Clock {
+    group: u64,
+    own: Duration,
+}
+
+impl Clock {
+    /// Group time now: the highest applied time at the election plus the time since then.
+    fn at(self, now: Duration) -> u64 {
+        let elapsed = now.saturating_sub(self.own).as_millis();
+        self.group + u64::try_from(elapsed).unwrap_or(u64::MAX / 2)
+    }
+}
+
+impl Work {
+    /// Creates the service with an empty table. `retention` is in days.
+    pub fn new(retention: u32, log: &slog::Logger) -> Work {
+        let config = leases::Config { seed: rand::random(), ..leases::Config::default() };
+        Work {
+            table: jobs::Table::new(Box::new(jobs::items::Memory::default())),
+            leases: leases::Leases::new(config),
+            pulls: sorted::SortedMap::new(),
+            token: 0,
+            stops: sorted::SortedMap::new(),
+            commands: Vec::new(),
+            leads: None,
+            retention: u64::from(retention) * DAY,
+            expired: Duration::ZERO,
+            log: log.clone(),
+        }
+    }
+
+    fn step(&mut self, now: Duration, input: leases::Input) {
+        for output in self.leases.step(now, input) {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: leases::Output) {
+        match output {
+            leases::Output::Grant { token, items, .. } => {
+                let grants = items.iter().filter_map(|l| self.table.grant(l)).collect();
+                if let Some(done) = self.pulls.remove(&token) {
+                    service::answer(done, wire::Reply::Granted(grants));
+                }
+            }
+            leases::Output::Stop { agent, items } => {
+                self.stops.entry_or(agent, Vec::new).extend(items);
+            }
+            leases::Output::Lost { agent, items } => {
+                event!(self.log, events::LEASE_LOST; "agent" => &*agent, "items" => items.len());
+                self.commands.extend(items.into_iter().map(lost));
+            }
+        }
+    }
+
+    fn pull(&mut self, now: Duration, pull: Pull, done: service::Done) {
+        self.forget_abandoned(now);
+        self.token += 1;
+        let token = self.token;
+        self.pulls.insert(token, done);
+        let Pull { agent, free, models, wait } = pull;
+        self.step(now, leases::Input::Pull { token, agent, free, models, wait });
+    }
+
+    /// Ends the pulls of agents that are gone, so that no item is granted to them.
+    fn forget_abandoned(&mut self, now: Duration) {
+        let gone: Vec<u64> =
+            self.pulls.iter().filter(|(_, done)| done.is_closed()).map(|(t, _)| *t).collect();
+        for token in gone {
+            self.pulls.remove(&token);
+            self.step(now, leases::Input::Abandoned { token });
+        }
+    }
+
+    fn renewed(&mut self, agent: &str) -> wire::Reply {
+        let stop = self.stops.remove(agent).unwrap_or_default();
+        wire::Reply::Renewed { stop }
+    }
+}
+
+struct Pull {
+    agent: Arc<str>,
+    free: u32,
+    models: Vec<Arc<str>>,
+    wait: Duration,
+}
+
+fn lost(lease: wire::Lease) -> Bytes {
+    let command = jobs::Command::Attempt {
+        job: lease.job,
+        item: lease.item,
+        attempt: lease.attempt,
+        cause: jobs::message::AttemptCause::WorkerLost,
+    };
+    jobs::encode(&command).into()
+}
+
+impl service::Service for Work {
+    fn machine(&mut self) -> &mut dyn replica::Machine {
+        &mut self.table
+    }
+
+    fn query(&self, query: &[u8]) -> Vec<u8> {
+        match jobs::decode(query) {
+            Ok(query) => jobs::encode(&self.table.query(&query)),
+            // An empty answer does not decode, which the asker reports.
+            Err(_) => Vec::new(),
+        }
+    }
+
+    fn prepare(&mut self, now: Duration, command: Bytes) -> Result<Bytes, wire::Reason> {
+        let Some(clock) = self.leads else { return Err(wire::Reason::NoQuorum) };
+        let command = jobs::decode(&command).map_err(|_| wire::Reason::Invalid)?;
+        Ok(jobs::Stamped { clock: clock.at(now), command }.encode().into())
+    }
+
+    fn lead(&mut self, now: Duration, leads: bool) {
+        if leads {
+            self.leads = Some(Clock { group: self.table.clock(), own: now });
+            let jobs = self.table.observe();
+            // Agents are not known to this group, so the whole lease time is waited for.
+            let agents = vec![UNKNOWN_AGENT.into()];
+            self.step(now, leases::Input::Elected { agents, jobs });
+        } else {
+            self.leads = None;
+            self.table.ignore();
+            self.step(now, leases::Input::Deposed);
+            self.pulls.clear();
+            self.stops.clear();
+            self.commands.clear();
+        }
+    }
+
+    fn applied(&mut self, now: Duration) {
+        if self.leads.is_none() {
+            return;
+        }
+        for change in self.table.take_changes() {
+            self.step(now, leases::Input::Change(change));
+        }
+    }
+
+    fn tick(&mut self, now: Duration) -> Vec<Bytes> {
+        self.forget_abandoned(now);
+        self.step(now, leases::Input::Tick);
+        if now.saturating_sub(self.expired) >= EXPIRE_EVERY {
+            self.expired = now;
+            let command = jobs::Command::Expire { retention: self.retention };
+            self.commands.push(jobs::encode(&command).into());
+        }
+        std::mem::take(&mut self.commands)
+    }
+
+    fn serve(&mut self, now: Duration, request: wire::Request, done: service::Done) {
+        match request {
+            wire::Request::Pull { agent, free, models, wait, .. } => {
+                let wait = Duration::from_millis(wait);
+                self.pull(now, Pull { agent, free, models, wait }, done);
+            }
+            wire::Request::Hold { agent, held, .. } => {
+                self.step(now, leases::Input::Renew { agent: agent.clone(), held });
+                service::answer(done, self.renewed(&agent));
+            }
+            wire::Request::Release { agent, leases: items, .. } => {
+                self.step(now, leases::Input::Released { agent: agent.clone(), items });
+                service::answer(done, self.renewed(&agent));
+            }
+            _ => service::refuse(done, wire::Reason::Invalid),
+        }
+    }
+}
+
+/// Stands for the agents that a new leader does not know of.
+const UNKNOWN_AGENT: &str = "";
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -24,6 +24,12 @@
 }
 
 impl Stop {
+    /// Creates a signal and the sender that raises it.
+    pub fn channel() -> (watch::Sender<bool>, Stop) {
+        let (sender, receiver) = watch::channel(false);
+        (sender, Stop { receiver })
+    }
+
     /// Whether a stop was requested.
     pub fn requested(&self) -> bool {
         *self.receiver.borrow()
@@ -79,6 +85,16 @@
         self.tasks.spawn(keep_running(name, log, stop, start));
     }
 
+    /// Starts a task that must not be restarted, since its failure leaves state in doubt.
+    ///
+    /// Its failure stops the whole tree.
+    pub fn spawn_once(
+        &mut self,
+        run: impl Future<Output = Result<(), errors::Error>> + Send + 'static,
+    ) {
+        self.tasks.spawn(run);
+    }
+
     /// Adds a child supervisor. Its failure is a failure of this node.
     pub fn adopt(&mut self, child: Supervisor) {
         let mut stop = self.stop();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -124,7 +124,7 @@
 pub struct Attempt {
     /// Random id, unique in the fleet.
     pub id: u64,
-    /// Name of the entry that sends the attempt.
+    /// Name of the running entry process that sends the attempt; a restarted entry has another.
     pub entry: Arc<str>,
     /// Number of the entry's connection to this agent; a higher one replaces the lower ones.
     pub connection: u64,
@@ -162,7 +162,18 @@
         entry: Arc<str>,
         /// Number of the entry's connection.
         connection: u64,
+        /// Number of the connection on which the attempt was sent.
+        sent: u64,
     },
+    /// Entry to agent, first on each connection: numbers it. Answered by `Greeted`.
+    Hello {
+        /// Name of the entry.
+        entry: Arc<str>,
+        /// Number of the entry's connection.
+        connection: u64,
+    },
+    /// Entry to agent, after the end of an answer: the entry has all of it.
+    Received,
     /// Any process to a state host: commit a command. Answered by `Applied` or `NotDone`.
     Propose {
         /// Replica group.
@@ -215,13 +226,30 @@
         /// Items that the agent runs.
         held: Vec<Lease>,
     },
-    /// State host to state host: who are you in this group? Answered by `Replica`.
+    /// Agent to the leader of a job group: give up leases. Answered by `Renewed` or `NotDone`.
+    Release {
+        /// Replica group.
+        group: u16,
+        /// Name of the agent.
+        agent: Arc<str>,
+        /// Leases that end.
+        leases: Vec<Lease>,
+    },
+    /// State host to state host: introduces a replica. Answered by `Replica`.
     Probe {
         /// Replica group.
         group: u16,
+        /// Host name of the sender.
+        host: Arc<str>,
+        /// Replica id of the sender.
+        id: u64,
+        /// Whether the sender has no data.
+        blank: bool,
     },
     /// Operator to a state host: state of its replicas. Answered by `Groups`.
     Status,
+    /// Operator to the leader of group 0: heartbeats of the nodes. Answered by `Nodes`.
+    Nodes,
 }
 
 /// Heartbeat of a node.
@@ -241,6 +269,15 @@
     pub expiry: u64,
 }
 
+/// Node as the leader of group 0 sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Node {
+    /// Last heartbeat.
+    pub beat: Beat,
+    /// Time since that heartbeat, in milliseconds.
+    pub age: u64,
+}
+
 /// Lease of one item.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Lease {
@@ -342,6 +379,8 @@
         /// Reason.
         reason: Reason,
     },
+    /// Answer to `Hello`.
+    Greeted,
     /// Answer to a withdrawal.
     Withdrawal(Withdrawal),
     /// The command was applied.
@@ -406,4 +445,6 @@
     },
     /// State of the replicas of a host.
     Groups(Vec<Group>),
+    /// Heartbeats of the nodes.
+    Nodes(Vec<Node>),
 }
