Add memory test of the catalog at target scale

Every entry and agent holds a copy of the catalog within its 32 MB. A counting allocator was ruled out because it needs unsafe code, which the lints deny, so the test reads the resident size and is a binary of its own.

--- /dev/null
+++ b/tests/catalog_memory.rs
@@ -0,0 +1,64 @@
+//! Memory of a catalog of the target scale. A binary of its own, so that no other test allocates.
+
+use basilfield::catalog;
+use basilfield::template;
+use std::fs;
+
+/// Workspaces of the target scale.
+const WORKSPACES: u32 = 8_800;
+
+/// Bound in KiB.
+const BOUND: u64 = 16 << 10;
+
+/// Resident memory of this process in KiB.
+fn resident() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").expect("status is readable");
+    let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("status has VmRSS");
+    line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("VmRSS is a number")
+}
+
+fn put(number: u32, round: u32) -> Vec<u8> {
+    let given = [
+        ("name", format!("workspace-{number}")),
+        ("keys", format!("{:064x}", u64::from(round) << 32 | u64::from(number))),
+        ("rate", "40".into()),
+        ("concurrency", "32".into()),
+    ];
+    let parameters: template::Parameters =
+        given.into_iter().map(|(n, v)| (n.into(), template::Given::Text(v.into()))).collect();
+    let template = template::get("workspace").expect("template is shipped");
+    let document = template::fill(template, &parameters).expect("parameters are valid");
+    catalog::encode(&catalog::Command::Change {
+        id: format!("change-{round}-{number}-0123456789abcdef").into(),
+        expected: None,
+        operator: "abena.mensah".into(),
+        changes: vec![catalog::Change::put(document)],
+    })
+}
+
+/// Guards against a catalog that does not fit beside the other state of a small node: a node has
+/// 32 MB. All remembered ids and the whole history are in use, and the state is then restored
+/// from a snapshot, as on a node that starts.
+#[test]
+fn target_scale_fits_in_memory() {
+    let start = resident();
+    let mut state = catalog::Catalog::new();
+    let mut index = 0;
+    for round in 0..3 {
+        for number in 0..WORKSPACES {
+            index += 1;
+            state.apply(index, &put(number, round));
+        }
+    }
+    assert_eq!(state.config().len(), WORKSPACES as usize);
+    let applied = resident() - start;
+    let snapshot = state.snapshot();
+    let before = resident();
+    let mut restored = catalog::Catalog::new();
+    restored.restore(&snapshot).expect("snapshot is readable");
+    let copy = resident() - before;
+    println!("applied {applied} KiB, restored {copy} KiB, snapshot {} KiB", snapshot.len() >> 10);
+    assert!(applied < BOUND, "{applied} KiB after {index} changes");
+    assert!(copy < BOUND, "{copy} KiB restored");
+    assert_eq!(restored.digest(), state.digest());
+}
