Implement the replicated state machine trait for the catalog

The trait is now implemented by delegation, and the own restore error is replaced by the one of `replica`, which has the same field. Moving the methods into the trait was ruled out: entries and agents apply the log to their copy without being replicas, and would have to import the trait for that.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -36,13 +36,12 @@
 pub use orders::OrderKind;
 pub use orders::OrderOutcome;
 
-use derive_more::Display;
+use crate::replica;
 use history::Ledger;
 use history::Record;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::sync::Arc;
 use xxhash_rust::xxh3;
 
 /// Version of the snapshot encoding.
@@ -59,16 +58,6 @@
 /// repeats an invalid command cannot push out the ids of accepted ones.
 pub const REFUSED_IDS: usize = 1_000;
 
-/// Snapshot that could not be restored.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[display("catalog snapshot is not readable: {cause}")]
-pub struct RestoreError {
-    /// Reason.
-    pub cause: Arc<str>,
-}
-
-impl std::error::Error for RestoreError {}
-
 /// Encodes a command, reply, query or answer.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     postcard::to_stdvec(value).expect("postcard encodes every type of the catalog")
@@ -207,8 +196,8 @@
     }
 
     /// Replaces the state by a snapshot; on an error the state is unchanged.
-    pub fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
-        let fail = |cause: String| RestoreError { cause: cause.into() };
+    pub fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
+        let fail = |cause: String| replica::RestoreError { cause: cause.into() };
         let (version, _) =
             postcard::take_from_bytes::<u16>(data).map_err(|e| fail(e.to_string()))?;
         if version != SNAPSHOT_VERSION {
@@ -332,6 +321,20 @@
     }
 }
 
+impl replica::Machine for Catalog {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        Catalog::apply(self, index, command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        Catalog::snapshot(self)
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
+        Catalog::restore(self, data)
+    }
+}
+
 /// Validates a change and puts it in force.
 fn change(
     config: &mut config::Config,
