Let the batch cap count all streams and pace batch starts

The first policy capped batch streams by the mean online gap. Batch gave way only after latency had been measured, and items at the bound on preemptions, which could run within the floor only, filled the batch queue and were lost. Now the cap counts online and batch together, follows the share of gaps above the target, and preempts when exceeded by two. Age counts from the first start; items at the bound are displaced last. A batch prompt starts only while no other stream waits for its first token, and some slots stay free.

Ruled out: longer pauses after preemptions, more headroom, no floor; see docs/experiments.md.

--- a/src/gate/cap.rs
+++ b/src/gate/cap.rs
@@ -1,76 +1,94 @@
-//! Cap on running batch streams, which follows online inter-token latency.
+//! Cap on running streams up to which batch may fill an engine. It follows online inter-token
+//! latency.
+//!
+//! The cap counts online and batch streams together, so that batch gives way as soon as online
+//! streams start, before any latency has been measured. Only the size of the cap depends on
+//! measured latency.
 
 use std::time::Duration;
 
-/// Length of one measurement window.
-const WINDOW: Duration = Duration::from_millis(100);
-/// Slots by which the cap rises after a window within the target.
-const INCREASE: f64 = 1.0;
+/// Length of one measurement window. An engine makes about 25 steps in it, which is the least
+/// number that shows whether one step in twenty was slow.
+const WINDOW: Duration = Duration::from_millis(500);
+/// Streams by which the cap rises after a window within the target.
+const INCREASE: f64 = 0.5;
+/// Streams by which the cap rises in a window without online streams.
+const IDLE_INCREASE: f64 = 2.0;
 /// Factor by which the cap falls after a window above the target.
-const DECREASE: f64 = 0.75;
-/// Fewest gaps in a window for a verdict.
-const SAMPLES: u32 = 4;
+const DECREASE: f64 = 0.95;
+/// Share of the online tokens that may take longer than the target.
+const TOLERANCE: f64 = 0.05;
+/// Fewest tokens in a window for a verdict.
+const SAMPLES: u32 = 20;
 
-/// Additive increase, multiplicative decrease of the number of batch streams.
+/// Streams at one endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    /// Running online streams.
+    pub online: u32,
+    /// Running batch streams.
+    pub batch: u32,
+    /// Batch streams that always may run.
+    pub floor: u32,
+    /// Slots of the engine.
+    pub slots: u32,
+}
+
+/// Additive increase, multiplicative decrease of the number of streams.
 #[derive(Debug)]
 pub struct Cap {
     target: Duration,
     value: f64,
     since: Duration,
-    sum: Duration,
+    slow: u32,
     count: u32,
 }
 
 impl Cap {
-    /// Returns a cap of `slots` that keeps the mean gap between online tokens below `target`.
+    /// Returns a cap of `slots` that keeps the 95th percentile of online inter-token latency
+    /// below `target`.
     pub fn new(target: Duration, slots: u32) -> Cap {
-        let value = f64::from(slots);
-        Cap { target, value, since: Duration::ZERO, sum: Duration::ZERO, count: 0 }
+        Cap { target, value: f64::from(slots), since: Duration::ZERO, slow: 0, count: 0 }
     }
 
-    /// Largest number of batch streams at present.
+    /// Number of streams up to which batch may fill the engine.
     pub fn value(&self) -> u32 {
-        self.value as u32
+        self.value.round() as u32
     }
 
     /// Records `count` online tokens that took `taken` in total.
     pub fn observe(&mut self, taken: Duration, count: u32) {
-        self.sum += taken;
         self.count += count;
+        if taken > self.target * count {
+            self.slow += count;
+        }
     }
 
-    /// Closes the window if it is over. The cap stays between `floor` and `slots`.
-    ///
-    /// Without online streams there is no latency to protect, and the cap is lifted.
-    pub fn update(&mut self, now: Duration, online: bool, batch: u32, floor: u32, slots: u32) {
-        if !online {
-            self.value = f64::from(slots);
-            self.restart(now);
-            return;
-        }
-        if now < self.since + WINDOW {
-            return;
+    /// Closes the window if it is over, and adjusts the cap.
+    pub fn update(&mut self, now: Duration, usage: Usage) {
+        if now >= self.since + WINDOW {
+            self.adjust(usage);
+            self.since = now;
+            self.slow = 0;
+            self.count = 0;
         }
-        if self.count >= SAMPLES {
-            self.adjust(batch);
-        }
-        self.value = self.value.clamp(f64::from(floor.min(slots)), f64::from(slots));
-        self.restart(now);
+        self.value = self.value.clamp(0.0, f64::from(usage.slots));
     }
 
-    fn adjust(&mut self, batch: u32) {
-        let mean = self.sum / self.count;
-        if mean > self.target {
-            // Starts from the present use, so that an unused allowance does not delay the effect.
-            self.value = self.value.min(f64::from(batch)) * DECREASE;
-        } else {
+    fn adjust(&mut self, usage: Usage) {
+        let total = f64::from(usage.online + usage.batch);
+        if usage.online == 0 {
+            self.value += IDLE_INCREASE;
+        } else if self.count < SAMPLES {
+            // Too few tokens for a verdict.
+        } else if f64::from(self.slow) > TOLERANCE * f64::from(self.count) {
+            // Without batch above its floor the latency is due to online load alone.
+            if usage.batch > usage.floor {
+                self.value = self.value.min(total) * DECREASE;
+            }
+        } else if total + 1.0 >= self.value {
+            // A cap that was not reached has not proved that more streams are within the target.
             self.value += INCREASE;
         }
     }
-
-    fn restart(&mut self, now: Duration) {
-        self.since = now;
-        self.sum = Duration::ZERO;
-        self.count = 0;
-    }
 }
--- a/src/gate/ended.rs
+++ b/src/gate/ended.rs
@@ -13,8 +13,13 @@
     Refused,
     /// Withdrawn before it ran, possibly before it arrived.
     Withdrawn,
-    /// Preempted this many times; the same id may be submitted again.
-    Preempted(u32),
+    /// Preempted; the same id may be submitted again.
+    Preempted {
+        /// Preemptions so far.
+        count: u32,
+        /// When it was started for the first time.
+        first: Duration,
+    },
 }
 
 /// Ids that have left the gate, bounded in count and time.
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -40,7 +40,7 @@
     pub queue: usize,
     /// Preemptions of an item after which it is no longer preempted.
     pub preemptions: u32,
-    /// Mean time between online tokens above which batch gives way.
+    /// Time between online tokens, as 95th percentile, above which batch gives way.
     pub target: Duration,
     /// Whether online has priority. Without it the gate starts everything in arrival order,
     /// which is the baseline of measurements.
@@ -51,8 +51,8 @@
     fn default() -> Config {
         Config {
             slots: 32,
-            floor: 4,
-            headroom: 0,
+            floor: 3,
+            headroom: 6,
             queue: 256,
             preemptions: 3,
             target: Duration::from_millis(38),
@@ -61,6 +61,37 @@
     }
 }
 
+/// What a fleet gives more weight to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trade {
+    /// Little degradation of online tail latency.
+    Tail,
+    /// Batch throughput.
+    Throughput,
+}
+
+impl Trade {
+    /// Name in settings.
+    pub fn name(self) -> &'static str {
+        match self {
+            Trade::Tail => "tail",
+            Trade::Throughput => "throughput",
+        }
+    }
+}
+
+impl Config {
+    /// Settings for a trade. The targets suit an engine whose step takes 10 ms and 0.35 ms more
+    /// for each stream; `docs/experiments.md` shows how they were found.
+    pub fn for_trade(trade: Trade) -> Config {
+        let target = match trade {
+            Trade::Tail => Duration::from_millis(21),
+            Trade::Throughput => Duration::from_millis(24),
+        };
+        Config { target, ..Config::default() }
+    }
+}
+
 /// Class of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
--- a/src/gate/preempt.rs
+++ b/src/gate/preempt.rs
@@ -2,6 +2,7 @@
 
 use crate::gate;
 use crate::sorted;
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,8 +22,10 @@
     pub class: gate::Class,
     /// Workspace of the caller.
     pub workspace: Arc<str>,
-    /// When it was started.
+    /// When it was started, most recently.
     pub started: Duration,
+    /// When it was started for the first time.
+    pub first: Duration,
     /// Deadline of the request.
     pub deadline: Duration,
     /// Time of the latest token.
@@ -50,35 +53,19 @@
 }
 
 impl Bounds {
-    /// Whether an item with so many preemptions may no longer be preempted.
+    /// Ids of up to `wanted` batch streams to cancel, such that at least the floor goes on.
     ///
-    /// Protected items run within the floor only; otherwise they would block online requests.
-    /// Without a floor no item is protected.
-    pub fn protects(&self, preempted: u32) -> bool {
-        self.floor > 0 && preempted >= self.preemptions
-    }
-
-    /// Number of running protected items.
-    pub fn protected(&self, running: &sorted::SortedMap<u64, Running>) -> u32 {
-        running.values().filter(|r| r.is_batch() && self.protects(r.preempted)).count() as u32
-    }
-
-    /// Ids of up to `wanted` batch streams to cancel, youngest first, such that at least `keep`
-    /// batch streams, and never fewer than the floor, go on.
-    pub fn victims(
-        &self,
-        running: &sorted::SortedMap<u64, Running>,
-        wanted: usize,
-        keep: u32,
-    ) -> Vec<u64> {
-        let batch = running.values().filter(|r| r.is_batch()).count();
-        let spare = batch.saturating_sub(keep.max(self.floor) as usize);
-        let mut open: Vec<(Duration, u64)> = running
-            .iter()
-            .filter(|(_, r)| r.is_batch() && !self.protects(r.preempted))
-            .map(|(id, r)| (r.started, *id))
-            .collect();
-        open.sort_unstable_by(|a, b| b.cmp(a));
-        open.into_iter().take(wanted.min(spare)).map(|(_, id)| id).collect()
+    /// The youngest go first. Age counts from the first start: counted from the latest start, a
+    /// resumed stream would be the youngest again and be preempted over and over. Streams that
+    /// reached the bound on preemptions are chosen last, so that they are displaced only while
+    /// more of them run than the floor holds. Exempting them altogether would let them block
+    /// online requests.
+    pub fn victims(&self, running: &sorted::SortedMap<u64, Running>, wanted: usize) -> Vec<u64> {
+        let batch = running.iter().filter(|(_, r)| r.is_batch());
+        let mut batch: Vec<(bool, Reverse<Duration>, u64)> =
+            batch.map(|(id, r)| (r.preempted >= self.preemptions, Reverse(r.first), *id)).collect();
+        batch.sort_unstable();
+        let spare = batch.len().saturating_sub(self.floor as usize);
+        batch.into_iter().take(wanted.min(spare)).map(|(_, _, id)| id).collect()
     }
 }
--- a/src/gate/schedule.rs
+++ b/src/gate/schedule.rs
@@ -14,6 +14,18 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+/// Time after a preemption during which batch starts within the floor only. Without it, a slot that
+/// becomes free in a burst is filled with batch and emptied by the next arrival.
+const HOLD: Duration = Duration::from_millis(50);
+/// Batch streams above the limit that are tolerated before the youngest are preempted. Without
+/// this tolerance every arriving online request preempts one.
+const SLACK: u32 = 2;
+/// Streams without a token beside which no further batch stream is started while online streams
+/// run: each new prompt delays the next token of every stream.
+const PREFILLS: u32 = 1;
+/// Time after which a stream without a token no longer holds back batch streams. Endpoints that
+/// report no tokens are thus still filled.
+const PREFILL: Duration = Duration::from_millis(50);
 /// Ended ids that are remembered.
 const ENDED: usize = 4096;
 /// Time for which ended ids are remembered.
@@ -29,6 +41,8 @@
 /// A batch item that could not start within this time goes back to its job, because another
 /// endpoint may be idle.
 const BATCH_WAIT: Duration = Duration::from_secs(10);
+/// The same for an item that was preempted: its tokens would be lost.
+const RESUMED_WAIT: Duration = Duration::from_secs(60);
 /// Requests that were accepted before a drain may still start within this time.
 const DRAIN_GRACE: Duration = Duration::from_secs(1);
 /// Retry time of a refusal because of a drain; the endpoint may be back or replaced by then.
@@ -41,6 +55,8 @@
     class: Class,
     since: Duration,
     preempted: u32,
+    /// When it was started for the first time, if it was preempted.
+    first: Option<Duration>,
 }
 
 /// Admission control at one endpoint.
@@ -57,6 +73,8 @@
     draining: Option<Duration>,
     idle: bool,
     pulled: u32,
+    /// Until when batch starts within the floor only.
+    hold: Duration,
 }
 
 impl Gate {
@@ -73,6 +91,7 @@
             draining: None,
             idle: false,
             pulled: 0,
+            hold: Duration::ZERO,
             config,
         }
     }
@@ -104,14 +123,16 @@
 
     /// Present load.
     pub fn load(&self) -> gate::Load {
-        let online = self.running.values().filter(|r| r.class == Class::Online).count() as u32;
+        let online = self.online_running();
         let batch = self.running.len() as u32 - online;
         gate::Load { queued: self.online.len() as u32, online, batch }
     }
 
-    /// Present cap on batch streams.
-    pub fn cap(&self) -> u32 {
-        self.cap.value().clamp(self.floor(), self.slots)
+    /// Number of batch streams that may run at present.
+    pub fn limit(&self) -> u32 {
+        let online = self.online_running();
+        let limit = self.cap.value().min(self.slots).saturating_sub(online);
+        limit.max(self.floor())
     }
 
     fn submit(
@@ -125,9 +146,9 @@
         if self.is_live(id) {
             return;
         }
-        let preempted = match self.ended.get(id) {
-            None => 0,
-            Some(ended::End::Preempted(count)) => count,
+        let (preempted, first) = match self.ended.get(id) {
+            None => (0, None),
+            Some(ended::End::Preempted { count, first }) => (count, Some(first)),
             Some(ended::End::Withdrawn) => {
                 out.push(Output::Refuse {
                     id,
@@ -142,7 +163,7 @@
             return self.refuse(now, id, wire::Reason::Draining, DRAIN_RETRY, out);
         }
         if class == Class::Batch || !self.config.policy {
-            self.submit_batch(now, Item { waiting, class, since: now, preempted }, out);
+            self.submit_batch(now, Item { waiting, class, since: now, preempted, first }, out);
         } else {
             self.submit_online(now, waiting, out);
         }
@@ -154,8 +175,10 @@
             return self.refuse(now, item.waiting.id, wire::Reason::QueueFull, retry, out);
         }
         self.ended.remove(item.waiting.id);
-        // A resumed item goes first: its tokens are held in memory until it ends.
-        if item.preempted > 0 { self.batch.push_front(item) } else { self.batch.push_back(item) }
+        // Resumed items go first, the oldest before the others: their tokens are held in memory.
+        let age = |item: &Item| item.first.unwrap_or(Duration::MAX);
+        let at = self.batch.partition_point(|other| age(other) <= age(&item));
+        self.batch.insert(at, item);
     }
 
     fn submit_online(&mut self, now: Duration, waiting: queue::Waiting, out: &mut Vec<Output>) {
@@ -198,7 +221,7 @@
                 item.and_then(|at| self.batch.remove(at)).is_some_and(|i| i.preempted > 0);
             self.online.remove(id);
             let before = self.ended.get(id);
-            let ended = matches!(before, Some(ended::End::Finished | ended::End::Preempted(_)));
+            let ended = matches!(before, Some(ended::End::Finished | ended::End::Preempted { .. }));
             let end = if resumed || ended { ended::End::Finished } else { ended::End::Withdrawn };
             self.ended.insert(now, id, end);
             resumed || ended
@@ -230,7 +253,9 @@
     fn cancelled(&mut self, now: Duration, id: u64) {
         let Some(running) = self.release(id) else { return };
         let end = match running.stop {
-            Some((_, preempt::Stop::Preempted)) => ended::End::Preempted(running.preempted),
+            Some((_, preempt::Stop::Preempted)) => {
+                ended::End::Preempted { count: running.preempted, first: running.first }
+            }
             _ => ended::End::Finished,
         };
         self.ended.insert(now, id, end);
@@ -259,13 +284,13 @@
         }
         self.expire_batch(now, out);
         self.give_up(now, out);
-        let online = self.running.values().any(|r| r.class == Class::Online);
-        let batch = self.running.values().filter(|r| r.is_batch()).count() as u32;
-        self.cap.update(now, online, batch, self.floor(), self.slots);
+        let (online, batch) = (self.online_running(), self.batch_running());
+        let usage = cap::Usage { online, batch, floor: self.floor(), slots: self.slots };
+        self.cap.update(now, usage);
     }
 
     fn expire_batch(&mut self, now: Duration, out: &mut Vec<Output>) {
-        let late = |item: &Item| now >= item.waiting.deadline || now >= item.since + BATCH_WAIT;
+        let late = |item: &Item| now >= item.waiting.deadline || now >= item.since + patience(item);
         let (expired, kept) = std::mem::take(&mut self.batch).into_iter().partition(late);
         self.batch = kept;
         let expired: VecDeque<Item> = expired;
@@ -330,6 +355,11 @@
         preempt::Bounds { floor: self.floor(), preemptions: self.config.preemptions }
     }
 
+    fn online_running(&self) -> u32 {
+        self.running.values().filter(|r| r.class == Class::Online).count() as u32
+    }
+
+    /// Batch streams, without those that are being cancelled.
     fn batch_running(&self) -> u32 {
         self.running.values().filter(|r| r.is_batch()).count() as u32
     }
@@ -339,13 +369,13 @@
             self.start_batch(now, self.floor(), 0, out);
             self.start_online(now, out);
             self.preempt(now, out);
-            if self.online.is_empty() {
-                self.start_batch(now, self.cap(), self.headroom(), out);
+            if self.online.is_empty() && now >= self.hold {
+                self.start_batch(now, self.limit(), self.headroom(), out);
             }
         } else {
             self.start_batch(now, self.slots, 0, out);
         }
-        self.pull(out);
+        self.pull(now, out);
         self.report_idle(out);
     }
 
@@ -358,45 +388,44 @@
                 self.refuse(now, next.id, wire::Reason::Deadline, retry, out);
                 continue;
             }
-            self.start(now, Class::Online, next, 0, out);
+            let item =
+                Item { waiting: next, class: Class::Online, since: now, preempted: 0, first: None };
+            self.start(now, item, out);
         }
     }
 
     /// Starts batch items while fewer than `limit` run and more than `spare` slots are free.
     fn start_batch(&mut self, now: Duration, limit: u32, spare: u32, out: &mut Vec<Output>) {
-        while self.free() > spare && self.batch_running() < limit {
-            let Some(at) = self.startable() else { return };
-            let Some(item) = self.batch.remove(at) else { return };
+        while self.free() > spare && self.batch_running() < limit && self.may_prefill(now) {
+            let Some(item) = self.batch.pop_front() else { return };
             if item.class == Class::Online {
                 self.online.count(&item.waiting.workspace);
             }
-            self.start(now, item.class, item.waiting, item.preempted, out);
+            self.start(now, item, out);
         }
     }
 
-    /// Position of the first batch item that may start: protected items fit in the floor only.
-    fn startable(&self) -> Option<usize> {
-        let bounds = self.bounds();
-        let full = bounds.protected(&self.running) >= bounds.floor;
-        self.batch.iter().position(|item| !full || !bounds.protects(item.preempted))
+    /// Whether another batch prompt may be processed: each one delays the next online tokens.
+    fn may_prefill(&self, now: Duration) -> bool {
+        if !self.config.policy || self.running.values().all(|r| r.class == Class::Batch) {
+            return true;
+        }
+        let fresh = |r: &&preempt::Running| {
+            r.stop.is_none() && r.token.is_none() && now < r.started + PREFILL
+        };
+        (self.running.values().filter(fresh).count() as u32) < PREFILLS
     }
 
-    fn start(
-        &mut self,
-        now: Duration,
-        class: Class,
-        waiting: queue::Waiting,
-        preempted: u32,
-        out: &mut Vec<Output>,
-    ) {
-        let queue::Waiting { id, workspace, deadline } = waiting;
+    fn start(&mut self, now: Duration, item: Item, out: &mut Vec<Output>) {
+        let queue::Waiting { id, workspace, deadline } = item.waiting;
         let running = preempt::Running {
-            class,
+            class: item.class,
             workspace,
             started: now,
+            first: item.first.unwrap_or(now),
             deadline,
             token: None,
-            preempted,
+            preempted: item.preempted,
             stop: None,
         };
         self.running.insert(id, running);
@@ -408,7 +437,14 @@
         let stopping = self.running.values().filter(|r| r.stop.is_some()).count();
         let excess = self.running.len().saturating_sub(self.slots as usize);
         let wanted = (self.online.len() + excess).saturating_sub(stopping);
-        let victims = self.bounds().victims(&self.running, wanted, 0);
+        let mut victims = self.bounds().victims(&self.running, wanted);
+        if victims.is_empty() {
+            let over = self.batch_running().saturating_sub(self.limit() + SLACK);
+            victims = self.bounds().victims(&self.running, over as usize);
+        }
+        if !victims.is_empty() {
+            self.hold = now + HOLD;
+        }
         for id in victims {
             self.stop(now, id, out);
         }
@@ -422,26 +458,26 @@
     }
 
     /// Reports the number of items that could start, if it has changed.
-    fn pull(&mut self, out: &mut Vec<Output>) {
-        let count = if self.draining.is_some() { 0 } else { self.wanted() };
+    fn pull(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let count = if self.draining.is_some() { 0 } else { self.wanted(now) };
         if count != self.pulled {
             self.pulled = count;
             out.push(Output::Pull { count });
         }
     }
 
-    fn wanted(&self) -> u32 {
+    fn wanted(&self, now: Duration) -> u32 {
         let held = self.batch_running() + self.batch.len() as u32;
         if !self.config.policy {
             return self.free().saturating_sub(self.batch.len() as u32);
         }
         // The floor starts with the next free slot even while online requests wait.
         let floor = if self.slots > 0 { self.floor().saturating_sub(held) } else { 0 };
-        if !self.online.is_empty() {
+        if !self.online.is_empty() || now < self.hold {
             return floor;
         }
         let open = self.free().saturating_sub(self.headroom() + self.batch.len() as u32);
-        floor.max(open.min(self.cap().saturating_sub(held)))
+        floor.max(open.min(self.limit().saturating_sub(held)))
     }
 
     fn report_idle(&mut self, out: &mut Vec<Output>) {
@@ -461,3 +497,7 @@
     let expected = running.token.is_some() || now >= running.deadline || silent >= NO_TOKEN;
     silent >= SILENT && expected
 }
+
+fn patience(item: &Item) -> Duration {
+    if item.preempted > 0 { RESUMED_WAIT } else { BATCH_WAIT }
+}
