Add policy experiment with figures of every variant

The policy was to be tuned against the targets without processes, since the shells are still being written and processes share one noisy machine. The example runs the real gate and router in simulated time against a small model of an engine, with online alone, both without the policy and both with it, at 9 and 18 endpoints and two loads.

Ruled out: a separate model of the gate, which would prove nothing about the code.

--- /dev/null
+++ b/examples/policy/main.rs
@@ -0,0 +1,118 @@
+//! Measures the policy of the gate without processes: the real gate and router against a model of
+//! an engine, with bursty online arrivals and a deep batch backlog.
+//!
+//! Three arms see the same online arrivals: online alone, both without the policy, and both with
+//! it. `docs/experiments.md` lists the figures of every tried variant.
+
+use argh::FromArgs;
+use basilfield::gate;
+use std::time::Duration;
+
+mod engine;
+mod fleet;
+
+/// Compare online latency and batch throughput with and without the policy.
+#[derive(FromArgs)]
+struct Args {
+    /// seed of arrivals and lengths
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// simulated seconds
+    #[argh(option, default = "120")]
+    seconds: u64,
+    /// online load: `busy`, `light` or `both`
+    #[argh(option, default = "String::from(\"both\")")]
+    load: String,
+    /// percent of the slots that batch keeps under load
+    #[argh(option)]
+    floor: Option<u32>,
+    /// percent of the slots that batch leaves free
+    #[argh(option)]
+    headroom: Option<u32>,
+    /// target of the time between online tokens, in microseconds
+    #[argh(option)]
+    target: Option<u64>,
+    /// confirm cancellations only at the end of the engine's step
+    #[argh(switch)]
+    slow: bool,
+}
+
+/// Online load: requests per second and endpoint, calm and in a burst.
+const LOADS: [(&str, [f64; 2]); 2] = [("busy", [8.0, 22.0]), ("light", [4.0, 10.0])];
+
+fn main() {
+    let args: Args = argh::from_env();
+    println!(
+        "load  endpoints arm         first p50/p95/p99 ms     gap p50/p95/p99 ms   ratios    wait \
+         p99 ms  batch items/s  of idle  preempted  recomputed  lost  refused"
+    );
+    for (name, rates) in LOADS {
+        if args.load == name || args.load == "both" {
+            for endpoints in [9, 18] {
+                compare(&args, name, rates, endpoints);
+            }
+        }
+    }
+}
+
+fn compare(args: &Args, load: &str, rates: [f64; 2], endpoints: usize) {
+    let plan = fleet::Plan {
+        endpoints,
+        length: Duration::from_secs(args.seconds),
+        rates,
+        batch: true,
+        gate: gate::Config::default(),
+        slow: args.slow,
+        seed: args.seed,
+    };
+    let alone = fleet::run(fleet::Plan { batch: false, ..plan.clone() });
+    let baseline = gate::Config { policy: false, ..plan.gate.clone() };
+    let full =
+        fleet::run(fleet::Plan { rates: [0.0, 0.0], gate: baseline.clone(), ..plan.clone() });
+    let idle = full.batch.saturating_sub(alone.online) as f64;
+    let print = |arm: &str, figures: &fleet::Figures| {
+        print(args, &format!("{load:5} {endpoints:9} {arm:12}"), figures, &alone, idle);
+    };
+    print("online alone", &alone);
+    print("no policy", &fleet::run(fleet::Plan { gate: baseline, ..plan.clone() }));
+    for trade in [gate::Trade::Tail, gate::Trade::Throughput] {
+        let gate = adjust(args, trade);
+        print(trade.name(), &fleet::run(fleet::Plan { gate, ..plan.clone() }));
+    }
+    print("batch alone", &full);
+}
+
+fn adjust(args: &Args, trade: gate::Trade) -> gate::Config {
+    let mut config = gate::Config::for_trade(trade);
+    config.floor = args.floor.unwrap_or(config.floor);
+    config.headroom = args.headroom.unwrap_or(config.headroom);
+    if let Some(target) = args.target {
+        config.target = Duration::from_micros(target);
+    }
+    config
+}
+
+fn print(args: &Args, label: &str, run: &fleet::Figures, alone: &fleet::Figures, idle: f64) {
+    let ms = |histogram: &hdrhistogram::Histogram<u64>, q: f64| {
+        histogram.value_at_quantile(q) as f64 / 1000.0
+    };
+    let three = |histogram: &hdrhistogram::Histogram<u64>| {
+        let [a, b, c] = [0.5, 0.95, 0.99].map(|q| ms(histogram, q));
+        format!("{a:6.1} {b:7.1} {c:7.1}")
+    };
+    let first = ms(&run.first, 0.99) / ms(&alone.first, 0.99);
+    let gap = ms(&run.gap, 0.95) / ms(&alone.gap, 0.95);
+    let seconds = (Duration::from_secs(args.seconds) - fleet::WARMUP).as_secs_f64();
+    println!(
+        "{label}  {}  {}  {first:4.2} {gap:4.2}  {:8.1}  {:13.1}  {:6.1}%  {:9}  {:10}  {:4}  {:7}",
+        three(&run.first),
+        three(&run.gap),
+        ms(&run.wait, 0.99),
+        run.items as f64 / seconds,
+        100.0 * run.batch as f64 / idle,
+        run.preemptions,
+        run.recomputed,
+        run.lost,
+        run.refused,
+    );
+}
