Add the command that creates and issues certificates

Operators need the fleet authority and per-process certificates in files. `cert ca` creates the authority and refuses to replace one, since that would cut off every process; `cert issue` replaces a certificate of the same name, which is how renewal works, and reads it back; `cert show` lists expiry and fails if a certificate has expired.

A certificate never outlives its authority: without that cap the reported expiry would promise validity that the authority does not have. Overwriting an authority by an option was ruled out; removing the files is a deliberate step.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,7 @@
 //! Commands of the `basilfield` binary, one module per command.
 
+pub mod cert;
+
 use std::process::ExitCode;
 
 /// Parses the command line, runs the command and returns its exit code.
--- a/src/tls.rs
+++ b/src/tls.rs
@@ -99,7 +99,8 @@
         create(&dir.join("ca.pem"), &self.pem)
     }
 
-    /// Issues a certificate for the process `name`, which must be a valid DNS name.
+    /// Issues a certificate for the process `name`, which must be a valid DNS name. It expires
+    /// with the authority at the latest.
     pub fn issue(&self, name: &str, days: u32) -> Result<Issued, errors::Error> {
         check_name(name)?;
         let key = generate_key()?;
@@ -112,6 +113,10 @@
             rcgen::ExtendedKeyUsagePurpose::ClientAuth,
         ];
         set_validity(&mut params, days);
+        // A certificate is of no use after the authority has expired.
+        let last = OffsetDateTime::from_unix_timestamp(facts(&self.certificate)?.expiry)
+            .map_err(|e| invalid("issue certificate", name, e))?;
+        params.not_after = params.not_after.min(last);
         let certificate = params
             .signed_by(&key, &self.issuer)
             .map_err(|e| invalid("issue certificate", name, e))?;
