--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod apply;
 pub mod cancel;
+pub mod cert;
 pub mod check;
 pub mod dev;
 pub mod drain;
@@ -40,6 +41,7 @@
 enum Command {
     Apply(apply::Apply),
     Cancel(cancel::Cancel),
+    Cert(cert::Cert),
     Check(check::Check),
     Dev(dev::Dev),
     Drain(drain::Drain),
@@ -71,6 +73,7 @@
     match args.command {
         Command::Apply(args) => apply::run(&args),
         Command::Cancel(args) => cancel::run(&args),
+        Command::Cert(args) => cert::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Dev(args) => dev::run(&args),
         Command::Drain(args) => drain::run(&args),
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,7 +1,6 @@
 //! Shell of the state role: drives the replicas and their state machines.
 
 pub mod group;
-mod machines;
 pub mod mesh;
 pub mod nodes;
 pub mod service;
