Test commit of unsynced and of earlier-term entries

Two trial changes to the replica had passed all tests: counting the leader's unsynced entries, and committing entries of an earlier term by counting copies. Both need a sequence that random faults rarely produce. Two scripted tests produce it: two proposals of which one is synced in a group of one, and an entry that fills a message of its own so that the leader is lost between its copy and the next entry.

--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -3,7 +3,9 @@
 mod network;
 
 use basilfield::replica;
+use basilfield::replica::Input;
 use basilfield::replica::MemberChange;
+use basilfield::replica::Output;
 use basilfield::replica::Role;
 use basilfield::replica::formation;
 use basilfield::replica::formation::Cause;
@@ -138,3 +140,63 @@
     let reason = replica::Refusal::Change(replica::ChangeRefusal::Retired);
     assert_eq!(net.requests.refused.get(&refused), Some(&reason));
 }
+
+/// Guards against an acknowledgement before the sync when no other member delays it.
+#[test]
+fn one_member_waits_for_its_own_sync() {
+    let mut net = Network::new(1, 1);
+    net.form();
+    let replica = net.hosts[0].replica.as_mut().expect("runs");
+    let synced = replica.last() + 1;
+    for token in 1..=2 {
+        let outputs = replica.step(net.now, Input::Propose { token, command: "a".into() });
+        assert!(!outputs.iter().any(|o| matches!(o, Output::Apply(_))), "{outputs:?}");
+    }
+    let outputs = replica.step(net.now, Input::Synced { index: synced });
+    assert!(outputs.iter().any(|o| matches!(o, Output::Apply(_))), "{outputs:?}");
+    assert_eq!((replica.commit(), replica.last()), (synced, synced + 1));
+}
+
+/// Guards against the commit of an entry of an earlier term by counting its copies: a replica
+/// with a later term can still replace it (figure 8 of the Raft paper).
+#[test]
+fn copies_of_an_earlier_term_are_not_committed() {
+    let mut net = Network::new(3, 1);
+    let first = net.form();
+    net.run(20);
+    // An entry that fills a message of its own, on its leader only.
+    net.isolate(first, true);
+    net.propose(first, vec![1; 2 << 20]);
+    net.flush(first);
+    let large = net.hosts[first].disk.entries.clone();
+    net.kill(first, 0);
+    // Another leader, whose first entry reaches nobody.
+    let second = loop {
+        net.tick();
+        if let Some(at) = net.leader() {
+            break at;
+        }
+    };
+    net.isolate(second, true);
+    net.tick();
+    net.kill(second, 0);
+    // The first leader copies its entry to the third host, and is lost before it sends more.
+    let third = 3 - first - second;
+    net.isolate(first, false);
+    net.isolate(second, false);
+    net.start(first);
+    while net.hosts[third].disk.entries != large {
+        net.tick();
+    }
+    net.run(1);
+    net.kill(first, 0);
+    net.isolate(first, true);
+    // The second leader holds the later term and replaces the entry.
+    net.start(second);
+    assert_eq!(net.await_leader(), second);
+    net.isolate(first, false);
+    net.start(first);
+    net.run(100);
+    net.check_converged();
+    assert!(net.hosts[first].ledger.commands.is_empty());
+}
