Test recovery of the data folder

A folder must open after any crash and refuse anything that a crash cannot explain. A real full disk and a failing sync are not tested: neither can be produced here without a hook in the code.

--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -106,3 +106,152 @@
     let other = Folder::open(dir.path(), 2).map(|_| ());
     assert!(matches!(other, Err(storage::Error::Group { found: 1, .. })), "{other:?}");
 }
+
+/// Copies a folder and changes its last segment.
+fn damaged(from: &Path, change: impl Fn(&mut Vec<u8>)) -> tempfile::TempDir {
+    let copy = tempfile::tempdir().expect("folder");
+    for file in fs::read_dir(from).expect("list") {
+        let file = file.expect("entry");
+        fs::copy(file.path(), copy.path().join(file.file_name())).expect("copy");
+    }
+    let last = segments(copy.path()).pop().expect("segment");
+    let mut bytes = fs::read(&last).expect("read");
+    change(&mut bytes);
+    fs::write(&last, bytes).expect("write");
+    copy
+}
+
+/// Folder with entries 1 to 3 in one segment, and the offsets of the last two frames.
+fn three_entries() -> (tempfile::TempDir, usize, usize) {
+    let dir = tempfile::tempdir().expect("folder");
+    let (mut folder, ..) = open(dir.path());
+    let mut sizes = Vec::new();
+    for index in 1..=3 {
+        sizes.push(fs::read(&segments(dir.path())[0]).expect("read").len());
+        append(&mut folder, index..=index, 1);
+    }
+    (dir, sizes[1], sizes[2])
+}
+
+/// Guards against a torn write that keeps the folder from opening, or that loses more than itself.
+#[test]
+fn torn_tail_is_dropped_at_every_byte() {
+    let (dir, _, start) = three_entries();
+    let end = fs::read(&segments(dir.path())[0]).expect("read").len();
+    for cut in start..end {
+        for zeros in [0, 1, 40] {
+            let copy = damaged(dir.path(), |bytes| {
+                bytes.truncate(cut);
+                // Some file systems extend the file before they write its content.
+                bytes.extend(std::iter::repeat_n(0, zeros.min(end - cut - 1)));
+            });
+            let (mut folder, _, restored) = open(copy.path());
+            assert_eq!(indexes(&restored), [1, 2], "cut at {cut}");
+            append(&mut folder, 3..=4, 2);
+            drop(folder);
+            assert_eq!(indexes(&open(copy.path()).2), [1, 2, 3, 4], "cut at {cut}");
+        }
+    }
+}
+
+/// Guards against damage that is taken for a torn tail, which would drop acknowledged entries.
+#[test]
+fn damage_in_the_middle_is_refused() {
+    let (dir, start, end) = three_entries();
+    let name = segments(dir.path())[0].file_name().map(|n| n.to_string_lossy().into_owned());
+    for at in start..end {
+        for flip in [0x01, 0x80, 0xff] {
+            let copy = damaged(dir.path(), |bytes| bytes[at] ^= flip);
+            match Folder::open(copy.path(), 1).map(|_| ()) {
+                Err(storage::Error::Damaged { file, offset, .. }) => {
+                    assert_eq!(offset, start as u64, "flip at {at}");
+                    assert!(file.ends_with(name.as_deref().unwrap_or("?")));
+                }
+                other => panic!("flip {flip:#x} at {at}: {other:?}"),
+            }
+        }
+    }
+}
+
+/// Guards against a new identity for old data, and against missing files that go unnoticed.
+#[test]
+fn missing_files_are_refused() {
+    let dir = tempfile::tempdir().expect("folder");
+    let (mut folder, ..) = open(dir.path());
+    append(&mut folder, 1..=100, 1);
+    drop(folder);
+    let removed = [segments(dir.path())[0].clone(), segments(dir.path())[1].clone()];
+    for path in removed.into_iter().chain([dir.path().join("identity")]) {
+        let content = fs::read(&path).expect("read");
+        fs::remove_file(&path).expect("remove");
+        let opened = Folder::open(dir.path(), 1).map(|_| ());
+        assert!(matches!(opened, Err(storage::Error::Damaged { .. })), "{path:?}: {opened:?}");
+        fs::write(&path, content).expect("restore");
+    }
+    assert_eq!(indexes(&open(dir.path()).2).len(), 100);
+}
+
+/// Guards against a crash around the rename of a snapshot: before it, the old state holds; after
+/// it, segments that were not removed yet must not come back.
+#[test]
+fn snapshot_is_atomic() {
+    let dir = tempfile::tempdir().expect("folder");
+    let (mut folder, ..) = open(dir.path());
+    append(&mut folder, 1..=100, 1);
+    let before: Vec<_> =
+        segments(dir.path()).into_iter().map(|p| (p.clone(), fs::read(p).expect("read"))).collect();
+    folder.install(&snapshot(50)).expect("install");
+    drop(folder);
+    let written = fs::read(dir.path().join("snapshot")).expect("read");
+    for (path, content) in &before {
+        fs::write(path, content).expect("write");
+    }
+    // Crash after the rename.
+    let after = damaged(dir.path(), |_| {});
+    assert_eq!(indexes(&open(after.path()).2), Vec::<u64>::new());
+    assert_eq!(segments(after.path()).len(), 1);
+    // Crash before the rename, with any part of the temporary file written.
+    fs::remove_file(dir.path().join("snapshot")).expect("remove");
+    for part in [0, 1, written.len() / 2, written.len()] {
+        fs::write(dir.path().join("snapshot.tmp"), &written[..part]).expect("write");
+        let (_folder, _, restored) = open(dir.path());
+        assert_eq!((restored.snapshot, restored.entries.len()), (None, 100));
+    }
+    // Damage of the file itself.
+    fs::write(dir.path().join("snapshot"), &written[..written.len() - 1]).expect("write");
+    let opened = Folder::open(dir.path(), 1).map(|_| ());
+    assert!(matches!(opened, Err(storage::Error::Damaged { offset: 0, .. })), "{opened:?}");
+}
+
+/// Guards against a full disk that loses accepted entries, takes the reserve for new work, or
+/// stays full after a snapshot has freed space.
+#[test]
+fn full_folder_keeps_what_was_accepted() {
+    let dir = tempfile::tempdir().expect("folder");
+    let options = Options { segment: 4 << 10, capacity: 20 << 10 };
+    let (mut folder, ..) = Folder::open_with(dir.path(), 1, options).expect("open");
+    let mut index = 0;
+    while folder.has_room() {
+        index += 1;
+        append(&mut folder, index..=index, 1);
+    }
+    // The reserve takes at least half a segment of accepted work.
+    append(&mut folder, index + 1..=index + 16, 1);
+    index += 16;
+    let full = loop {
+        index += 1;
+        folder.append(None, &[entry(index, 1, 100)]).expect("append");
+        if let Err(error) = folder.sync() {
+            break error;
+        }
+    };
+    assert!(full.is_full(), "{full}");
+    assert!(folder.sync().is_err_and(|e| e.is_full()));
+    let copy = damaged(dir.path(), |_| {});
+    assert_eq!(indexes(&open(copy.path()).2), (1..index).collect::<Vec<_>>());
+    folder.store(&snapshot(index - 20)).expect("store");
+    assert!(folder.has_room());
+    folder.sync().expect("the pending entry is written");
+    drop(folder);
+    assert_eq!(indexes(&open(dir.path()).2), (index - 19..=index).collect::<Vec<_>>());
+}
