Test the whole path as separate processes and stop roles in order

Cause: in one process the state role closed its listener while agents still reported results, because every role got the stop at once. Roles now end one after the other, entry first, state last (Supervisor::adopt_chain).

Ruled out: a longer close limit, which only hides the order.

tests/serve.rs starts 1 state host, 2 entries, 2 agents and 2 engines as processes, checks whole and streamed answers against the emulator's deterministic text, stops an entry during a stream, and reads one result for each of 60 items; a second test kills and restarts the only state host.

--- a/src/process.rs
+++ b/src/process.rs
@@ -39,15 +39,18 @@
     };
     // Started in the order in which they depend on each other. A role that fails to start drops
     // the tree, which ends the others.
+    let mut children = Vec::new();
     if let Some(state) = &settings.state {
-        tree.adopt(state::start(&context, state).await?);
+        children.push(state::start(&context, state).await?);
     }
     if let Some(agent) = &settings.agent {
-        tree.adopt(agent::start(&context, agent).await?);
+        children.push(agent::start(&context, agent).await?);
     }
     if let Some(entry) = &settings.entry {
-        tree.adopt(entry::start(&context, entry).await?);
+        children.push(entry::start(&context, entry).await?);
     }
+    // At a stop the entry finishes its requests while agent and state still serve it.
+    tree.adopt_chain(children);
     if let Some(address) = settings.process.metrics {
         spawn_metrics(&mut tree, address, context.metrics.clone()).await?;
     }
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -95,9 +95,21 @@
         self.tasks.spawn(run);
     }
 
-    /// Adds a child supervisor. Its failure is a failure of this node.
-    pub fn adopt(&mut self, child: Supervisor) {
+    /// Adds child supervisors, each of which depends on those before it.
+    ///
+    /// At a stop they end one after the other, the last one first. The failure of a child is a
+    /// failure of this node.
+    pub fn adopt_chain(&mut self, children: Vec<Supervisor>) {
         let mut stop = self.stop();
+        for child in children.into_iter().rev() {
+            let (ended, next) = Stop::channel();
+            self.adopt(child, stop, ended);
+            stop = next;
+        }
+    }
+
+    /// Adds a child that stops on `stop` and raises `ended` once it has ended.
+    fn adopt(&mut self, child: Supervisor, mut stop: Stop, ended: watch::Sender<bool>) {
         self.tasks.spawn(async move {
             let stopper = child.stopper();
             let forward = tokio::spawn(async move {
@@ -106,6 +118,7 @@
             });
             let result = Box::pin(child.run()).await;
             forward.abort();
+            ended.send_replace(true);
             result
         });
     }
--- /dev/null
+++ b/tests/serve.rs
@@ -0,0 +1,113 @@
+//! The whole path as separate processes.
+
+mod workdir;
+
+use serde_json::Value;
+use serde_json::json;
+use std::process::Stdio;
+use std::time::Duration;
+use workdir::Fleet;
+use workdir::run;
+
+fn chat(content: &str, tokens: u32, stream: bool) -> Value {
+    json!({ "model": "advisor", "max_tokens": tokens, "stream": stream,
+        "messages": [{ "role": "user", "content": content }] })
+}
+
+/// Answer that the emulator gives, which is a function of model and prompt. Assistants without a
+/// prompt of their own send the caller's messages unchanged.
+fn expected(content: &str, tokens: u32) -> String {
+    let prompt = basilfield::emulator::text::chat_prompt([("user", content)]);
+    basilfield::emulator::text::answer(workdir::MODEL, &prompt, tokens)
+}
+
+fn streamed_text(body: &str) -> (String, bool) {
+    let mut text = String::new();
+    let mut done = false;
+    for line in body.lines().filter_map(|l| l.strip_prefix("data: ")) {
+        match line {
+            "[DONE]" => done = true,
+            line => {
+                let event: Value = serde_json::from_str(line).expect("event is JSON");
+                text += event["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
+            }
+        }
+    }
+    (text, done)
+}
+
+/// Guards against a broken path between the processes: online answers whole and streamed through
+/// either entry, a batch job with one result per item, and a stop that cuts nothing off.
+#[test]
+fn online_and_batch_through_separate_processes() {
+    let mut fleet = Fleet::start(workdir::Size { states: 1, entries: 2, agents: 2 });
+    fleet.create_workspace();
+    for entry in 0..2 {
+        let client = fleet.client(entry, workdir::CALLER_KEY);
+        let whole = run(client.post("/v1/chat/completions", &chat("thread", 12, false)));
+        let whole = whole.expect("answer").json();
+        assert_eq!(whole["choices"][0]["message"]["content"], expected("thread", 12), "{whole}");
+        let stream = run(client.post("/v1/chat/completions", &chat("underlay", 12, true)));
+        let stream = stream.expect("answer");
+        let body = String::from_utf8(stream.body.to_vec()).expect("text");
+        assert_eq!(streamed_text(&body), (expected("underlay", 12), true), "{body}");
+    }
+
+    let file = fleet.job_file(60, 24);
+    let file = file.to_str().expect("path");
+    let submit = ["submit", file, "--model", "badges", "--wait", "--json"];
+    let mut submit = fleet.command(1, workdir::CALLER_KEY, &submit);
+    let submitted = submit.stdout(Stdio::piped()).spawn().expect("command starts");
+
+    // The stop begins while answers are streaming through the entry and the agent.
+    std::thread::sleep(Duration::from_millis(300));
+    let client = fleet.client(0, workdir::CALLER_KEY);
+    let streaming = std::thread::spawn(move || {
+        run(client.post("/v1/chat/completions", &chat("border", 80, true)))
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(fleet.stop("entry-0"), "entry stops gracefully: {}", fleet.log("entry-0"));
+    let stream = streaming.join().expect("thread").expect("answer");
+    let body = String::from_utf8(stream.body.to_vec()).expect("text");
+    assert_eq!(streamed_text(&body), (expected("border", 80), true));
+
+    let output = submitted.wait_with_output().expect("command ends");
+    let job: Value = serde_json::from_slice(&output.stdout).expect("job is JSON");
+    assert_eq!((&job["done"], &job["failed"]), (&json!(60), &json!(0)), "{job}");
+    let name = job["job"].as_str().expect("name").to_string();
+    let results = fleet.command(1, workdir::CALLER_KEY, &["results", &name]).output();
+    let lines = String::from_utf8(results.expect("command runs").stdout).expect("text");
+    let customs: Vec<Value> = lines
+        .lines()
+        .map(|l| serde_json::from_str::<Value>(l).expect("result is JSON")["custom_id"].clone())
+        .collect();
+    let all: Vec<Value> = (0..60).map(|at| json!(format!("item-{at}"))).collect();
+    assert_eq!(customs, all);
+
+    for name in ["agent-0", "agent-1", "entry-1", "state-0"] {
+        assert!(fleet.stop(name), "{name} stops gracefully: {}", fleet.log(name));
+    }
+}
+
+/// Guards against state that lives in memory only: configuration and results survive a restart
+/// of the only state host.
+#[test]
+fn configuration_and_results_survive_a_restart() {
+    let mut fleet = Fleet::start(workdir::Size { states: 1, entries: 1, agents: 1 });
+    fleet.create_workspace();
+    let file = fleet.job_file(5, 4);
+    let words = ["submit", file.to_str().expect("path"), "--model", "badges", "--wait", "--json"];
+    let output = fleet.command(0, workdir::CALLER_KEY, &words).output().expect("command runs");
+    let job: Value = serde_json::from_slice(&output.stdout).expect("job is JSON");
+    fleet.kill("state-0");
+    fleet.start_state(0);
+    let path = format!("/v1/jobs/{}", job["job"].as_str().expect("name"));
+    let client = fleet.client(0, workdir::CALLER_KEY);
+    fleet.until("job is readable again", || {
+        run(client.get(&path)).is_ok_and(|a| a.is_ok() && a.json()["done"] == 5)
+    });
+    // The same file is the same job.
+    let output = fleet.command(0, workdir::CALLER_KEY, &words).output().expect("command runs");
+    let again: Value = serde_json::from_slice(&output.stdout).expect("job is JSON");
+    assert_eq!(again["job"], job["job"]);
+}
--- /dev/null
+++ b/tests/workdir/mod.rs
@@ -0,0 +1,357 @@
+//! Work directory of a test: settings, certificates, and the processes of a small fleet.
+
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use basilfield::api;
+use basilfield::entry::auth;
+use basilfield::tls;
+use serde_json::Value;
+use serde_json::json;
+use std::fmt::Write as _;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+pub const OPERATOR_KEY: &str = "test-operator";
+pub const READER_KEY: &str = "test-reader";
+pub const CALLER_KEY: &str = "test-caller";
+pub const MODEL: &str = "needle-llm";
+/// Longest wait for a condition. Far above what is expected, since the machine may be busy.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Processes of a fleet on the loopback interface, each with a settings file of its own.
+pub struct Fleet {
+    dir: tempfile::TempDir,
+    authority: tls::Authority,
+    states: Vec<(String, SocketAddr)>,
+    entries: Vec<SocketAddr>,
+    announces: Vec<SocketAddr>,
+    processes: Vec<(String, Child)>,
+}
+
+/// Size of a fleet.
+#[derive(Clone, Copy)]
+pub struct Size {
+    pub states: usize,
+    pub entries: usize,
+    pub agents: usize,
+}
+
+impl Fleet {
+    /// Starts the processes and waits until every entry is ready and every engine has joined.
+    pub fn start(size: Size) -> Fleet {
+        let mut fleet = Fleet::prepare(size.states);
+        for at in 0..size.states {
+            fleet.start_state(at);
+        }
+        for at in 0..size.agents {
+            fleet.start_agent(at);
+        }
+        for at in 0..size.entries {
+            fleet.start_entry(at);
+        }
+        for at in 0..size.agents {
+            fleet.start_engine(at, &[]);
+        }
+        for at in 0..size.entries {
+            fleet.await_endpoints(at, size.agents);
+        }
+        fleet
+    }
+
+    /// Makes directory and certificates without starting a process.
+    pub fn prepare(states: usize) -> Fleet {
+        let dir = tempfile::tempdir().expect("temporary directory");
+        let authority = tls::Authority::create().expect("authority");
+        let states = (0..states).map(|at| (format!("state-{at}"), free_udp())).collect();
+        Fleet {
+            dir,
+            authority,
+            states,
+            entries: Vec::new(),
+            announces: Vec::new(),
+            processes: Vec::new(),
+        }
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(name)
+    }
+
+    /// Common part of a settings file; also issues the certificate.
+    fn settings(&self, name: &str) -> String {
+        let dir = self.path(&format!("{name}-tls"));
+        if !dir.exists() {
+            std::fs::create_dir(&dir).expect("directory for keys");
+            let issued = self.authority.issue(name, 1).expect("certificate");
+            issued.save(&dir).expect("certificate files");
+        }
+        let mut text = format!(
+            "[process]\nname = \"{name}\"\ndomain = \"osu-hall\"\nregion = \"accra\"\n\
+             log = \"json\"\n\n[tls]\nca = {:?}\ncert = {:?}\nkey = {:?}\n\n[fleet]\ngroups = 1\n",
+            dir.join("ca.pem"),
+            dir.join(format!("{name}.pem")),
+            dir.join(format!("{name}.key")),
+        );
+        for (host, address) in &self.states {
+            writeln!(text, "[[fleet.hosts]]\nname = \"{host}\"\naddress = \"{address}\"")
+                .expect("string");
+        }
+        text
+    }
+
+    fn serve(&mut self, name: &str, settings: &str) {
+        let path = self.path(&format!("{name}.toml"));
+        std::fs::write(&path, settings).expect("settings file");
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.path(&format!("{name}.log")))
+            .expect("log file");
+        let child = Command::new(binary())
+            .args(["serve", "--settings"])
+            .arg(&path)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("process starts");
+        self.processes.push((name.to_string(), child));
+    }
+
+    pub fn start_state(&mut self, at: usize) {
+        let (name, address) = self.states[at].clone();
+        let mut text = self.settings(&name);
+        let folder = self.path(&format!("{name}-data"));
+        write!(text, "\n[state]\nlisten = \"{address}\"\nfolder = {folder:?}\n").expect("string");
+        self.serve(&name, &text);
+    }
+
+    pub fn start_entry(&mut self, at: usize) {
+        if self.entries.len() <= at {
+            self.entries.push(free_tcp());
+        }
+        let name = format!("entry-{at}");
+        let mut text = self.settings(&name);
+        let (operator, reader) = (auth::hash_key(OPERATOR_KEY), auth::hash_key(READER_KEY));
+        write!(
+            text,
+            "\n[entry]\nlisten = \"{}\"\nturnaway = 300\n\
+             [[entry.operators]]\nname = \"ama\"\nrole = \"operator\"\nkey = \"{operator}\"\n\
+             [[entry.operators]]\nname = \"kofi\"\nrole = \"read-only\"\nkey = \"{reader}\"\n",
+            self.entries[at]
+        )
+        .expect("string");
+        self.serve(&name, &text);
+    }
+
+    pub fn start_agent(&mut self, at: usize) {
+        if self.announces.len() <= at {
+            self.announces.push(free_tcp());
+        }
+        let name = format!("agent-{at}");
+        let mut text = self.settings(&name);
+        write!(
+            text,
+            "\n[agent]\nlisten = \"{}\"\nannounce = \"{}\"\n",
+            free_udp(),
+            self.announces[at]
+        )
+        .expect("string");
+        self.serve(&name, &text);
+    }
+
+    pub fn start_engine(&mut self, at: usize, options: &[&str]) {
+        let child = Command::new(example("engine"))
+            .args(["--agent", &self.announces[at].to_string(), "--model", MODEL])
+            .args(options)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("engine starts");
+        self.processes.push((format!("engine-{at}"), child));
+    }
+
+    fn position(&self, name: &str) -> usize {
+        self.processes.iter().position(|(n, _)| n == name).expect("process is known")
+    }
+
+    /// Sends a signal by name to one process.
+    pub fn signal(&self, name: &str, signal: rustix::process::Signal) {
+        let child = &self.processes[self.position(name)].1;
+        let pid = rustix::process::Pid::from_child(child);
+        rustix::process::kill_process(pid, signal).expect("signal is sent");
+    }
+
+    /// Ends a process at once, as a lost host does.
+    pub fn kill(&mut self, name: &str) {
+        let at = self.position(name);
+        let (_, mut child) = self.processes.remove(at);
+        child.kill().expect("process is killed");
+        child.wait().expect("process ends");
+    }
+
+    /// Asks a process to stop gracefully and waits for its end. Returns whether it succeeded.
+    pub fn stop(&mut self, name: &str) -> bool {
+        self.signal(name, rustix::process::Signal::TERM);
+        let at = self.position(name);
+        let (_, mut child) = self.processes.remove(at);
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            match child.try_wait().expect("process is a child") {
+                Some(status) => return status.success(),
+                None if Instant::now() > deadline => {
+                    child.kill().expect("process is killed");
+                    return false;
+                }
+                None => std::thread::sleep(Duration::from_millis(20)),
+            }
+        }
+    }
+
+    /// Resident memory of a process in bytes.
+    pub fn memory(&self, name: &str) -> u64 {
+        let pid = self.processes[self.position(name)].1.id();
+        let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).expect("statm");
+        let pages: u64 = text.split(' ').nth(1).and_then(|p| p.parse().ok()).expect("resident");
+        pages * 4096
+    }
+
+    /// Processor time of a process.
+    pub fn processor(&self, name: &str) -> Duration {
+        let pid = self.processes[self.position(name)].1.id();
+        let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).expect("stat");
+        let fields: Vec<&str> = text.rsplit(')').next().expect("name").split_whitespace().collect();
+        let ticks: u64 =
+            fields[11].parse::<u64>().expect("user") + fields[12].parse::<u64>().expect("system");
+        // The kernel reports hundredths of a second.
+        Duration::from_millis(ticks * 10)
+    }
+
+    pub fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.path(&format!("{name}.log"))).unwrap_or_default()
+    }
+
+    pub fn url(&self, entry: usize) -> String {
+        format!("http://{}", self.entries[entry])
+    }
+
+    pub fn client(&self, entry: usize, key: &str) -> api::Client {
+        api::Client::new(&self.url(entry), key)
+    }
+
+    pub fn status(&self, entry: usize) -> Value {
+        let client = self.client(entry, READER_KEY);
+        match run(client.get("/admin/status")) {
+            Ok(answer) => answer.json(),
+            Err(_) => Value::Null,
+        }
+    }
+
+    /// Waits until an entry is ready and routes to `count` endpoints.
+    pub fn await_endpoints(&self, entry: usize, count: usize) {
+        self.until("endpoints have joined", || {
+            let client = self.client(entry, READER_KEY);
+            let ready = run(client.get("/readyz")).is_ok_and(|a| a.is_ok());
+            let status = if ready { self.status(entry) } else { Value::Null };
+            let agents = status["agents"].as_array().cloned().unwrap_or_default();
+            let joined: usize =
+                agents.iter().map(|a| a["endpoints"].as_array().map_or(0, Vec::len)).sum();
+            joined == count
+        });
+    }
+
+    /// Waits for a condition and fails with every log if it does not come.
+    pub fn until(&self, what: &str, mut condition: impl FnMut() -> bool) {
+        let deadline = Instant::now() + PATIENCE;
+        while !condition() {
+            if Instant::now() > deadline {
+                for (name, _) in &self.processes {
+                    eprintln!("--- {name}\n{}", self.log(name));
+                }
+                panic!("not reached: {what}");
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Creates the workspace of the tests with its assistant and batch plan.
+    pub fn create_workspace(&self) {
+        let hash = auth::hash_key(CALLER_KEY);
+        let fill = json!([
+            { "template": "workspace", "parameters":
+                ["name=tailors", format!("keys={hash}"), "rate=10000", "concurrency=10000"] },
+            { "template": "assistant", "parameters":
+                ["name=advisor", "workspace=tailors", format!("model={MODEL}")] },
+            { "template": "batch-plan", "parameters":
+                ["name=badges", "workspace=tailors", format!("model={MODEL}")] },
+        ]);
+        let body = json!({ "id": "create", "expected": null, "fill": fill });
+        let answer = run(self.client(0, OPERATOR_KEY).post("/admin/apply", &body)).expect("answer");
+        assert!(answer.is_ok(), "{}", answer.json());
+        for entry in 0..self.entries.len() {
+            self.until("workspace is in force", || {
+                run(self.client(entry, CALLER_KEY).get("/v1/models")).is_ok_and(|a| a.is_ok())
+            });
+        }
+    }
+
+    /// Writes a job file with `count` items of `tokens` tokens.
+    pub fn job_file(&self, count: usize, tokens: u32) -> PathBuf {
+        let path = self.path("job.jsonl");
+        let line = |at: usize| {
+            json!({ "custom_id": format!("item-{at}"), "url": "/v1/chat/completions",
+                "body": { "max_tokens": tokens, "messages":
+                    [{ "role": "user", "content": format!("badge {at}") }] } })
+        };
+        let lines: Vec<String> = (0..count).map(|at| line(at).to_string()).collect();
+        std::fs::write(&path, lines.join("\n")).expect("job file");
+        path
+    }
+
+    /// Starts a command of the binary for the caller.
+    pub fn command(&self, entry: usize, key: &str, words: &[&str]) -> Command {
+        let mut command = Command::new(binary());
+        command.args(words).args(["--url", &self.url(entry), "--key", key]);
+        command
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for (_, child) in &mut self.processes {
+            // Processes that have ended already cannot be killed.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Runs a future on a runtime of its own.
+pub fn run<T>(future: impl Future<Output = T>) -> T {
+    basilfield::cmd::block_on(future).expect("runtime")
+}
+
+pub fn binary() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_basilfield"))
+}
+
+/// Path of an example, which `cargo test` builds beside the binary.
+pub fn example(name: &str) -> PathBuf {
+    binary().parent().expect("target directory").join("examples").join(name)
+}
+
+pub fn free_udp() -> SocketAddr {
+    let socket = std::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("port");
+    socket.local_addr().expect("address")
+}
+
+pub fn free_tcp() -> SocketAddr {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("port");
+    listener.local_addr().expect("address")
+}
