Share repeated texts in the catalog

Decoding allocates every text separately, so 8,800 workspaces held the template name, the parameter names, the operator and their own name thousands of times, and the catalog took 13,772 KiB of the 16 MiB that it may use. Keeping fewer ids was ruled out, as it shortens the time in which a resend is recognised.

--- a/src/catalog/config.rs
+++ b/src/catalog/config.rs
@@ -14,6 +14,7 @@
 use crate::catalog::fields;
 use crate::catalog::history::Changed;
 use crate::catalog::history::History;
+use crate::catalog::pool::Pool;
 use crate::catalog::similar;
 use crate::sorted::SortedMap;
 use serde::Deserialize;
@@ -34,6 +35,7 @@
 /// Documents of the configuration by name.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Config {
+    #[serde(deserialize_with = "decode_shared")]
     documents: SortedMap<Name, Stored>,
     revision: u64,
     /// Sum of the hashes of all documents, so that a change costs no pass over the others.
@@ -162,11 +164,14 @@
 
     /// Puts a checked change in force; returns what it changed, which is nothing if every
     /// document already had the same content.
-    pub fn commit(&mut self, revision: u64, changes: Vec<Change>) -> Vec<Changed> {
+    pub fn commit(&mut self, revision: u64, changes: Vec<Change>, pool: &mut Pool) -> Vec<Changed> {
         let mut changed = Vec::new();
         for change in changes {
             let (name, document) = match change {
-                Change::Put { name, document } => (name, Some(Arc::new(document))),
+                Change::Put { mut document, .. } => {
+                    document.share(pool);
+                    (document.name(), Some(Arc::new(document)))
+                }
                 Change::Withdraw { name } => (name, None),
             };
             let old = self.documents.get(&name);
@@ -230,6 +235,41 @@
     }
 }
 
+/// Decodes documents and shares their repeated texts one by one. Sharing them only after all were
+/// decoded would not reduce the peak of the memory.
+fn decode_shared<'de, D>(deserializer: D) -> Result<SortedMap<Name, Stored>, D::Error>
+where
+    D: serde::Deserializer<'de>,
+{
+    deserializer.deserialize_seq(Documents)
+}
+
+struct Documents;
+
+impl<'de> serde::de::Visitor<'de> for Documents {
+    type Value = SortedMap<Name, Stored>;
+
+    fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a sequence of documents")
+    }
+
+    fn visit_seq<A>(self, mut pairs: A) -> Result<Self::Value, A::Error>
+    where
+        A: serde::de::SeqAccess<'de>,
+    {
+        let mut pool = Pool::default();
+        let mut documents = SortedMap::new();
+        while let Some((name, mut stored)) = pairs.next_element::<(Name, Stored)>()? {
+            if let Some(document) = Arc::get_mut(&mut stored.document) {
+                document.share(&mut pool);
+            }
+            let own = stored.document.name();
+            documents.insert(if own == name { own } else { name }, stored);
+        }
+        Ok(documents)
+    }
+}
+
 /// Hash of one document; its body contains the name.
 fn document_hash(document: &Document) -> u64 {
     xxh3::xxh3_64(&crate::catalog::encode(document))
--- a/src/catalog/documents.rs
+++ b/src/catalog/documents.rs
@@ -1,5 +1,6 @@
 //! Documents of the configuration.
 
+use crate::catalog::pool::Pool;
 use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
@@ -108,6 +109,18 @@
         }
     }
 
+    /// Shares the texts that repeat in this document and in others.
+    pub(crate) fn share(&mut self, pool: &mut Pool) {
+        let own = self.name().name;
+        pool.share(&mut self.template);
+        for parameter in &mut self.parameters {
+            pool.share(&mut parameter.name);
+            if parameter.value == own {
+                parameter.value = own.clone();
+            }
+        }
+    }
+
     /// Workspace that the document refers to.
     pub fn workspace(&self) -> Option<&Arc<str>> {
         match &self.body {
--- a/src/catalog/history.rs
+++ b/src/catalog/history.rs
@@ -5,6 +5,7 @@
 use crate::catalog::documents::Document;
 use crate::catalog::documents::Name;
 use crate::catalog::orders::Order;
+use crate::catalog::pool::Pool;
 use crate::sorted::SortedMap;
 use serde::Deserialize;
 use serde::Serialize;
@@ -76,13 +77,26 @@
         push(&mut self.changes, Record { by: by.clone(), action }, CHANGES);
     }
 
-    /// Records an operation if it was accepted.
-    pub fn operation(&mut self, by: &Author, reply: &Reply, action: impl FnOnce() -> Action) {
-        if let Reply::Accepted { .. } = reply {
-            push(&mut self.operations, Record { by: by.clone(), action: action() }, OPERATIONS);
+    /// Shares repeated texts after a restore.
+    pub fn rebuild(&mut self, pool: &mut Pool) {
+        for record in self.changes.iter_mut().chain(&mut self.operations) {
+            pool.share(&mut record.by.operator);
+            let Action::Changed(changed) = &mut record.action else { continue };
+            for change in changed {
+                let Some(document) = change.document.as_mut().and_then(Arc::get_mut) else {
+                    continue;
+                };
+                document.share(pool);
+                change.name = document.name();
+            }
         }
     }
 
+    /// Records an operation that was accepted.
+    pub fn operation(&mut self, by: &Author, action: Action) {
+        push(&mut self.operations, Record { by: by.clone(), action }, OPERATIONS);
+    }
+
     /// Changes before a revision, latest first.
     pub fn changes(&self, before: Option<u64>, limit: u32) -> Vec<Record> {
         page(&self.changes, before, limit)
@@ -208,8 +222,11 @@
         self.used.push_back(Used { by: by.clone(), digest, reply });
     }
 
-    /// Recomputes what a snapshot does not contain.
-    pub fn rebuild(&mut self) {
+    /// Recomputes what a snapshot does not contain and shares repeated texts.
+    pub fn rebuild(&mut self, pool: &mut Pool) {
+        for used in &mut self.used {
+            pool.share(&mut used.by.operator);
+        }
         let mut ids: Vec<(Arc<str>, u64)> =
             self.used.iter().map(|u| (u.by.id.clone(), u.by.revision)).collect();
         ids.sort_unstable();
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -12,6 +12,7 @@
 pub mod history;
 pub mod orders;
 pub mod placement;
+mod pool;
 pub mod similar;
 
 pub use agents::AgentRecord;
@@ -82,6 +83,8 @@
     refusals: Ledger,
     fleet: agents::Fleet,
     orders: orders::Orders,
+    #[serde(skip)]
+    pool: pool::Pool,
 }
 
 impl Default for Catalog {
@@ -95,6 +98,7 @@
             refusals: Ledger::new(REFUSED_IDS),
             fleet: agents::Fleet::default(),
             orders: orders::Orders::default(),
+            pool: pool::Pool::default(),
         }
     }
 }
@@ -126,43 +130,52 @@
 
     fn dispatch(&mut self, index: u64, digest: u64, command: Command) -> Reply {
         let Some((id, operator)) = command.origin() else {
-            return self.dispatch_internal(index, command);
+            return self.execute_internal(index, command);
         };
-        let by = Author { id: id.clone(), operator: operator.clone(), revision: index };
+        let mut by = Author { id: id.clone(), operator: operator.clone(), revision: index };
+        self.pool.share(&mut by.operator);
         if let Some(reply) = self.remembered(&by.id, digest) {
             return reply;
         }
-        let (ledger, reply) = match command {
-            Command::Change { expected, changes, .. } => (
-                &mut self.changes,
-                change(&mut self.config, &mut self.history, &by, expected, changes),
-            ),
+        let configures = matches!(command, Command::Change { .. });
+        let reply = self.execute(&by, command);
+        let ledger = match (reply.is_refusal(), configures) {
+            (true, _) => &mut self.refusals,
+            (false, true) => &mut self.changes,
+            (false, false) => &mut self.operations,
+        };
+        ledger.record(&by, digest, &reply);
+        reply
+    }
+
+    /// Carries out a command of an operator under an id that was not used before.
+    fn execute(&mut self, by: &Author, command: Command) -> Reply {
+        let (reply, action) = match command {
+            Command::Change { expected, changes, .. } => {
+                return self.change(by, expected, changes);
+            }
             Command::Drain { target, .. } => {
-                let reply = self.fleet.drain(&target, &by);
-                self.history
-                    .operation(&by, &reply, || history::Action::Drained { endpoint: target });
-                (&mut self.operations, reply)
+                (self.fleet.drain(&target, by), history::Action::Drained { endpoint: target })
             }
             Command::Resume { target, .. } => {
-                let reply = self.fleet.resume(&target, &by);
-                self.history
-                    .operation(&by, &reply, || history::Action::Resumed { endpoint: target });
-                (&mut self.operations, reply)
+                (self.fleet.resume(&target, by), history::Action::Resumed { endpoint: target })
             }
             Command::Order { endpoint, order, .. } => {
-                let reply = self.orders.give(&self.fleet, &endpoint, &order, &by);
-                let action = || history::Action::Ordered { endpoint, order };
-                self.history.operation(&by, &reply, action);
-                (&mut self.operations, reply)
+                let reply = self.orders.give(&self.fleet, &endpoint, &order, by);
+                (reply, history::Action::Ordered { endpoint, order })
+            }
+            Command::Join { .. } | Command::Leave { .. } | Command::OrderDone { .. } => {
+                return Reply::Malformed;
             }
-            _ => return Reply::Malformed,
         };
-        let ledger = if reply.is_refusal() { &mut self.refusals } else { ledger };
-        ledger.record(&by, digest, &reply);
+        if let Reply::Accepted { .. } = reply {
+            self.history.operation(by, action);
+        }
         reply
     }
 
-    fn dispatch_internal(&mut self, index: u64, command: Command) -> Reply {
+    /// Carries out a command of a component, which needs no id because it can be repeated.
+    fn execute_internal(&mut self, index: u64, command: Command) -> Reply {
         match command {
             Command::Join { agent } => {
                 let reply = self.fleet.join(index, agent);
@@ -179,6 +192,29 @@
         }
     }
 
+    /// Validates a change and puts it in force.
+    fn change(&mut self, by: &Author, expected: Option<u64>, changes: Vec<Change>) -> Reply {
+        let revision = self.config.revision();
+        if let Some(expected) = expected {
+            if expected > revision {
+                return Reply::refused(Problem::FutureRevision { expected, revision });
+            }
+            if let Some(winner) = self.history.winner(expected, revision) {
+                let conflict = Conflict::Raced { expected, winner };
+                return Reply::Conflict { conflict, revision };
+            }
+        }
+        if let Err(problems) = self.config.check(&changes, &self.history) {
+            return Reply::Refused { problems };
+        }
+        let changed = self.config.commit(by.revision, changes, &mut self.pool);
+        if changed.is_empty() {
+            return Reply::Unchanged { revision, note: Note::SameContent };
+        }
+        self.history.change(by, changed);
+        Reply::Accepted { revision: by.revision, undoes: None }
+    }
+
     /// Answer to an id that was used before: the same one for the same content, else a conflict.
     fn remembered(&self, id: &str, digest: u64) -> Option<Reply> {
         let ledgers = [&self.changes, &self.operations, &self.refusals];
@@ -204,10 +240,11 @@
             return Err(fail(format!("version {version}, known is {SNAPSHOT_VERSION}")));
         }
         let (_, mut state) = decode::<(u16, Catalog)>(data).map_err(|e| fail(e.to_string()))?;
+        state.history.rebuild(&mut state.pool);
         state.config.rebuild(&state.history);
-        state.changes.rebuild();
-        state.operations.rebuild();
-        state.refusals.rebuild();
+        for ledger in [&mut state.changes, &mut state.operations, &mut state.refusals] {
+            ledger.rebuild(&mut state.pool);
+        }
         state.fleet.rebuild();
         *self = state;
         Ok(())
@@ -334,34 +371,3 @@
         Catalog::restore(self, data)
     }
 }
-
-/// Validates a change and puts it in force.
-fn change(
-    config: &mut config::Config,
-    history: &mut history::History,
-    by: &Author,
-    expected: Option<u64>,
-    changes: Vec<Change>,
-) -> Reply {
-    let revision = config.revision();
-    if let Some(expected) = expected {
-        if expected > revision {
-            return Reply::refused(Problem::FutureRevision { expected, revision });
-        }
-        if let Some(winner) = history.winner(expected, revision) {
-            let conflict = Conflict::Raced { expected, winner };
-            return Reply::Conflict { conflict, revision };
-        }
-    }
-    match config.check(&changes, history) {
-        Err(problems) => Reply::Refused { problems },
-        Ok(()) => {
-            let changed = config.commit(by.revision, changes);
-            if changed.is_empty() {
-                return Reply::Unchanged { revision, note: Note::SameContent };
-            }
-            history.change(by, changed);
-            Reply::Accepted { revision: by.revision, undoes: None }
-        }
-    }
-}
