Refuse catalog commands without a proper id or operator

A new test showed that an empty change id was accepted. The id must now have 1 to 128 printable characters and the operator 1 to 64 bytes. Such a refusal is not recorded: recording was ruled out because the id is the very thing that is not valid, and a corrected command has to be free to use its own.

--- a/src/catalog/fields.rs
+++ b/src/catalog/fields.rs
@@ -103,6 +103,17 @@
     text.len() == HASH_DIGITS && text.chars().all(digit)
 }
 
+/// Checks the id and the operator of a command. Both are remembered long after the command.
+pub fn check_origin(id: &str, operator: &str) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    let mut check = Check::new("command", &mut problems);
+    check.that(is_model(id), "id", id, "1 to 128 printable ASCII characters, no space");
+    let range = "1 to 64 bytes without control characters";
+    let plain = !operator.chars().any(char::is_control);
+    check.that(plain && (1..=NAME_LIMIT).contains(&operator.len()), "operator", operator, range);
+    problems
+}
+
 /// Checks the fields of a document.
 pub fn check(document: &Document, problems: &mut Vec<Problem>) {
     let name = document.name().to_string();
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -132,6 +132,10 @@
         let Some((id, operator)) = command.origin() else {
             return self.execute_internal(index, command);
         };
+        let problems = fields::check_origin(id, operator);
+        if !problems.is_empty() {
+            return Reply::Refused { problems };
+        }
         let mut by = Author { id: id.clone(), operator: operator.clone(), revision: index };
         self.pool.share(&mut by.operator);
         if let Some(reply) = self.remembered(&by.id, digest) {
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -112,6 +112,25 @@
     assert_eq!(catalog.snapshot(), snapshot);
 }
 
+/// Guards against clients without a proper id, whose commands would all count as resends of the
+/// first one, and against ids of any length, which would exceed the memory of a node.
+#[test]
+fn ids_and_operators_are_checked() {
+    let mut catalog = Catalog::new();
+    for (index, id) in ["", "two words", &"x".repeat(200)].into_iter().enumerate() {
+        let reply = apply(&mut catalog, 1 + index as u64, &put(id, None, workspace("counter", 1)));
+        assert!(matches!(reply, Reply::Refused { .. }), "{reply}");
+    }
+    let (id, target, operator) = ("d1".into(), "e1".into(), "".into());
+    let drain = catalog::encode(&Command::Drain { id, target, operator });
+    let reply = apply(&mut catalog, 9, &drain);
+    assert!(reply.to_string().contains("operator"), "{reply}");
+    assert!(matches!(
+        catalog.query(&catalog::Query::Change { id: "d1".into() }),
+        catalog::Answer::Change(None)
+    ));
+}
+
 /// Guards against a resend that is applied again because its change has left the history.
 #[test]
 fn ids_outlive_the_history() {
