--- a/src/gate/preempt.rs
+++ b/src/gate/preempt.rs
@@ -62,10 +62,11 @@
     /// online requests.
     pub fn victims(&self, running: &sorted::SortedMap<u64, Running>, wanted: usize) -> Vec<u64> {
         let batch = running.iter().filter(|(_, r)| r.is_batch());
-        let mut batch: Vec<(bool, Reverse<Duration>, u64)> =
-            batch.map(|(id, r)| (r.preempted >= self.preemptions, Reverse(r.first), *id)).collect();
+        let mut batch: Vec<(bool, Reverse<(Duration, u64)>)> = batch
+            .map(|(id, r)| (r.preempted >= self.preemptions, Reverse((r.first, *id))))
+            .collect();
         batch.sort_unstable();
         let spare = batch.len().saturating_sub(self.floor as usize);
-        batch.into_iter().take(wanted.min(spare)).map(|(_, _, id)| id).collect()
+        batch.into_iter().take(wanted.min(spare)).map(|(_, Reverse((_, id)))| id).collect()
     }
 }
--- /dev/null
+++ b/tests/gate.rs
@@ -0,0 +1,129 @@
+//! Gate and attempt table: scenarios under `tests/scenarios/gate/`.
+
+mod gate_script;
+
+use basilfield::gate;
+use gate::Class;
+use gate::Input;
+use gate::Output;
+use std::time::Duration;
+
+fn scenario(name: &str) {
+    let path = format!("tests/scenarios/gate/{name}");
+    goldenscript::run(&mut gate_script::Script::new(), path).expect("golden file matches");
+}
+
+/// Guards against online requests that wait for batch items.
+#[test]
+fn online_never_waits_behind_batch() {
+    scenario("online_never_waits_behind_batch");
+}
+
+/// Guards against a check that passes without the policy.
+#[test]
+fn baseline_blocks_online() {
+    scenario("baseline_blocks_online");
+}
+
+/// Guards against preemption of more, or of older items than needed.
+#[test]
+fn burst_preempts_youngest() {
+    scenario("burst_preempts_youngest");
+}
+
+/// Guards against batch that stands still under load, and items that are always preempted.
+#[test]
+fn floor_and_preemption_bound() {
+    scenario("floor_and_preemption_bound");
+}
+
+/// Guards against a burst of one workspace that delays the others.
+#[test]
+fn workspace_burst() {
+    scenario("workspace_burst");
+}
+
+/// Guards against requests that wait although their deadline is lost.
+#[test]
+fn deadline_refusal() {
+    scenario("deadline_refusal");
+}
+
+/// Guards against work that starts at, or is cut off from, an endpoint that is leaving.
+#[test]
+fn drain() {
+    scenario("drain");
+}
+
+/// Guards against a withdrawn request that runs, and a wrong answer to a withdrawal.
+#[test]
+fn withdraw() {
+    scenario("withdraw");
+}
+
+/// Guards against an id that runs twice.
+#[test]
+fn duplicate() {
+    scenario("duplicate");
+}
+
+/// Guards against more streams than slots, and online streams that are cut off.
+#[test]
+fn slots_change() {
+    scenario("slots_change");
+}
+
+/// Guards against slots that are lost with the report of a stream's end.
+#[test]
+fn lost_done() {
+    scenario("lost_done");
+}
+
+/// Guards against attempts that are admitted after they were reported as not run.
+#[test]
+fn newer_connection() {
+    scenario("newer_connection");
+}
+
+/// Guards against wrong answers to withdrawals and attempts that are admitted twice.
+#[test]
+fn attempt_states() {
+    scenario("attempt_states");
+}
+
+/// Guards against `NeverRan` for attempts that ran but are forgotten.
+#[test]
+fn attempts_forgotten() {
+    scenario("attempts_forgotten");
+}
+
+/// Whether an online request that meets an engine full of batch starts as soon as the shell has
+/// cancelled what the gate preempts.
+fn starts_at_once(config: gate::Config) -> bool {
+    let mut gate = gate::Gate::new(config.clone());
+    let now = Duration::from_secs(1);
+    let deadline = Duration::from_secs(60);
+    gate.step(now, Input::Tick);
+    for id in 0..u64::from(config.slots) {
+        let workspace = "jobs".into();
+        gate.step(now, Input::Submit { id, class: Class::Batch, workspace, deadline });
+    }
+    let online = Input::Submit { id: 99, class: Class::Online, workspace: "a".into(), deadline };
+    let mut outputs = gate.step(now, online);
+    let preempted = outputs.clone().into_iter().filter_map(|output| match output {
+        Output::Preempt { id } => Some(id),
+        _ => None,
+    });
+    for id in preempted {
+        outputs.extend(gate.step(now, Input::Cancelled { id }));
+    }
+    outputs.contains(&Output::Start { id: 99 })
+}
+
+/// Guards against head-of-line blocking; the baseline shows that the check can fail.
+#[test]
+fn head_of_line() {
+    let policy = gate::Config { headroom: 0, ..gate::Config::default() };
+    assert!(starts_at_once(policy.clone()));
+    assert!(!starts_at_once(gate::Config { policy: false, ..policy }));
+}
