--- a/tests/gate_props.rs
+++ b/tests/gate_props.rs
@@ -234,7 +234,7 @@
             self.states.insert(id, State::Waiting { online, resumed });
         }
         let class = if online { Class::Online } else { Class::Batch };
-        let workspace = if id % 3 == 0 { "kuiseb" } else { "needle" }.into();
+        let workspace = if id.is_multiple_of(3) { "kuiseb" } else { "needle" }.into();
         // A withdrawal may come before the request, which then gets a refusal.
         if state == Some(State::Final) && self.barred.contains(&id) {
             self.states.insert(id, State::Waiting { online, resumed: false });
