--- a/src/router/budget.rs
+++ b/src/router/budget.rs
@@ -2,23 +2,28 @@
 
 use std::time::Duration;
 
-/// Retries that may be saved up.
-const BURST: f64 = 20.0;
-/// Retries per second that are allowed without any traffic, so that a quiet entry can retry.
-const IDLE_RATE: f64 = 1.0;
+/// Thousandths of a retry.
+const UNIT: u64 = 1000;
+/// Retries that may be saved up, in thousandths.
+const BURST: u64 = 20 * UNIT;
 
-/// Budget from which each retry takes one unit.
+/// Budget from which each retry takes one.
 #[derive(Debug)]
 pub struct Budget {
-    share: f64,
-    units: f64,
+    /// Thousandths of a retry that a request adds.
+    share: u64,
+    units: u64,
     updated: Duration,
 }
 
 impl Budget {
-    /// Returns a full budget to which every request adds `share` units.
+    /// Returns a full budget to which every request adds `share` retries.
     pub fn new(share: f64) -> Budget {
-        Budget { share, units: BURST, updated: Duration::ZERO }
+        Budget {
+            share: (share * UNIT as f64).round() as u64,
+            units: BURST,
+            updated: Duration::ZERO,
+        }
     }
 
     /// Counts a first attempt.
@@ -27,14 +32,16 @@
     }
 
     /// Takes one retry, if the budget allows it.
+    ///
+    /// One retry per second is allowed without any traffic, so that a quiet entry can retry.
     pub fn take(&mut self, now: Duration) -> bool {
-        let idle = now.saturating_sub(self.updated).as_secs_f64() * IDLE_RATE;
+        let idle = now.saturating_sub(self.updated).as_millis() as u64;
         self.updated = self.updated.max(now);
-        self.units = (self.units + idle).min(BURST);
-        if self.units < 1.0 {
-            return false;
+        self.units = self.units.saturating_add(idle).min(BURST);
+        let granted = self.units >= UNIT;
+        if granted {
+            self.units -= UNIT;
         }
-        self.units -= 1.0;
-        true
+        granted
     }
 }
--- a/src/router/pick.rs
+++ b/src/router/pick.rs
@@ -164,8 +164,10 @@
     if among.is_empty() {
         return None;
     }
-    let first = among[rng.random_range(0..among.len())];
-    let second = among[rng.random_range(0..among.len())];
+    let first = rng.random_range(0..among.len());
+    // The second choice differs from the first, so that one loaded endpoint of a few is avoided.
+    let step = if among.len() > 1 { rng.random_range(1..among.len()) } else { 0 };
+    let (first, second) = (among[first], among[(first + step) % among.len()]);
     cheaper(now, endpoints, Some(first), Some(second))
 }
 
