Bound connections that the application does not accept

A connection that finished its handshake gave its permit back before the application accepted it, so a listener whose application hangs collected connections without limit. The permit is now held until the connection is handed over; 256 may wait, further dials are refused.

New tests send raw lengths over the limit, cut frames and foreign bytes to the receiving end, and measure calls at the target rate of 800/s with 2 kB bodies.

--- a/src/link/listener.rs
+++ b/src/link/listener.rs
@@ -16,7 +16,8 @@
 use tokio::sync::watch;
 use tokio::time;
 
-/// Handshakes that may run at once; further dials are refused.
+/// Connections that may be in the handshake or wait for the application; further dials are
+/// refused.
 const HANDSHAKES: usize = 256;
 /// Accepted connections that wait for [`Listener::accept`].
 const BACKLOG: usize = 64;
@@ -97,7 +98,8 @@
     /// been received, but at most `limit`, then closes every connection.
     ///
     /// Returns whether every stream has finished. Streams that a peer opens meanwhile are refused
-    /// as not processed.
+    /// as not processed. A stream is in use until the application drops it, so long-lived ones
+    /// must be dropped for the close to finish before the limit.
     pub async fn close(&self, limit: Duration) -> bool {
         self.closing.send_replace(true);
         let finished = time::timeout(limit, self.streams.closed()).await.is_ok();
@@ -136,12 +138,13 @@
             };
             let (peers, handshake) = (peers.clone(), self.handshake(incoming));
             tokio::spawn(async move {
-                let peer = handshake.await;
-                drop(permit);
-                if let Some(peer) = peer {
+                if let Some(peer) = handshake.await {
                     // Fails only if the listener is gone, which closes the connection as well.
                     let _ = peers.send(peer).await;
                 }
+                // Held until here, so that an application that does not accept bounds the number
+                // of connections that wait for it.
+                drop(permit);
             });
         }
     }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -54,7 +54,9 @@
 async fn echo(mut stream: link::Stream) -> Result<(), errors::Error> {
     let delay: u64 = stream.recv().await?.unwrap_or(0);
     while let Some(frame) = stream.recv::<Bytes>().await? {
-        time::sleep(Duration::from_millis(delay)).await;
+        if delay > 0 {
+            time::sleep(Duration::from_millis(delay)).await;
+        }
         stream.send(&frame).await?;
     }
     stream.finish();
@@ -149,6 +151,50 @@
     stream.send(&0u64).await.unwrap();
 }
 
+/// Guards against a peer that makes a process allocate more than the limit for one frame.
+#[tokio::test]
+async fn announced_length_over_the_limit_is_refused() {
+    let ca = tls::Authority::create().unwrap();
+    let identity = ca.identity("server").unwrap();
+    let settings = link::Settings::default();
+    let listener = link::Listener::bind(LOCAL, &identity, settings, &log()).unwrap();
+    let connection = raw_connection(&ca, listener.addr()).await;
+    let peer = listener.accept().await.unwrap();
+    let too_long = u32::try_from(wire::MAX_FRAME + 1).unwrap().to_be_bytes();
+    let cut = [0, 0, 0, 9, 1];
+    let foreign = [0, 0, 0, 1, 200];
+    for bytes in [&too_long[..], &cut[..], &foreign[..]] {
+        let mut stream = connection.open_uni().await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        stream.finish().unwrap();
+        let Some(link::Incoming::Receiver(mut receiver)) = peer.accept().await else { panic!() };
+        let error = receiver.recv::<wire::Request>().await.err().unwrap();
+        assert!(matches!(error.cause, errors::Cause::Protocol(_)), "{error}");
+    }
+}
+
+/// Connection without the framing of `link`.
+async fn raw_connection(ca: &tls::Authority, addr: SocketAddr) -> quinn::Connection {
+    let issued = ca.issue("client", 1).unwrap();
+    let mut roots = rustls::RootCertStore::empty();
+    let root = rustls_pemfile::certs(&mut issued.authority.as_bytes()).next().unwrap().unwrap();
+    roots.add(root).unwrap();
+    let leaf = rustls_pemfile::certs(&mut issued.certificate.as_bytes()).next().unwrap().unwrap();
+    let key = rustls_pemfile::private_key(&mut issued.key.as_bytes()).unwrap().unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .unwrap()
+        .with_root_certificates(roots)
+        .with_client_auth_cert(vec![leaf], key)
+        .unwrap();
+    config.alpn_protocols = vec![tls::ALPN.to_vec()];
+    let crypto = quinn::crypto::rustls::QuicClientConfig::try_from(config).unwrap();
+    let endpoint = quinn::Endpoint::client(LOCAL).unwrap();
+    let config = quinn::ClientConfig::new(Arc::new(crypto));
+    endpoint.connect_with(config, addr, "server").unwrap().await.unwrap()
+}
+
 /// What a relay does with the datagrams of a flow.
 #[derive(Clone, Copy, PartialEq)]
 enum Fate {
@@ -422,3 +468,45 @@
     assert!(rate < 400, "{rate} B/s");
     assert_eq!(dialer.generation(), 1);
 }
+
+/// Guards against an `open` that blocks or serializes calls at the target rate of 800 requests/s.
+/// The bound is wide, since debug builds and busy machines are slow; the line printed is the
+/// measurement.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn calls_at_the_target_rate_stay_fast() {
+    let ca = tls::Authority::create().unwrap();
+    let echo = Echo::start(&ca, link::Settings::default());
+    let dialer = dialer(&ca, echo.listener.addr());
+    let body = Bytes::from(vec![1; 2000]);
+    call(&dialer, 0, &body).await.unwrap();
+    let mut ticks = time::interval(Duration::from_millis(5));
+    let mut calls = Vec::new();
+    for _ in 0..400 {
+        ticks.tick().await;
+        for _ in 0..4 {
+            let (dialer, body) = (dialer.clone(), body.clone());
+            calls.push(tokio::spawn(async move {
+                let started = Instant::now();
+                let stream = dialer.open().await.unwrap();
+                let opened = started.elapsed();
+                drop(stream);
+                let started = Instant::now();
+                call(&dialer, 0, &body).await.unwrap();
+                (opened, started.elapsed())
+            }));
+        }
+    }
+    let (mut opened, mut called) = (Vec::new(), Vec::new());
+    for call in calls {
+        let (open, whole) = call.await.unwrap();
+        opened.push(open);
+        called.push(whole);
+    }
+    opened.sort();
+    called.sort();
+    let at = |times: &[Duration], percent: usize| times[times.len() * percent / 100];
+    println!("open p50 {:?} p99 {:?}", at(&opened, 50), at(&opened, 99));
+    println!("call p50 {:?} p99 {:?}", at(&called, 50), at(&called, 99));
+    assert_eq!(dialer.generation(), 1);
+    assert!(at(&called, 99) < Duration::from_millis(50), "{:?}", at(&called, 99));
+}
