Log a lost connection with its cause

The dialling end logged every locally closed connection as lost, also when the dialler had merely been dropped, and a silent path only as "closed". A silent path and a reset now name their cause, and a dropped dialler logs nothing, so that operators see an event 201 only for a real loss. A separate event for each cause was ruled out, since the catalogue describes both under this number.

--- a/src/link/dialer.rs
+++ b/src/link/dialer.rs
@@ -144,6 +144,8 @@
         let current = self.inner.current.load_full();
         if let Some(current) = current.filter(|c| c.generation == generation) {
             current.connection.close(link::CLOSED.into(), b"reset");
+            event!(self.inner.log, events::LINK_LOST;
+                "generation" => generation, "error" => "reset by this process");
         }
     }
 
@@ -274,7 +276,10 @@
         tokio::select! {
             biased;
             reason = connection.closed() => {
-                event!(log, events::LINK_LOST; "generation" => generation, "error" => %reason);
+                // A reset is logged where it happens, and a dropped dialler is no loss.
+                if reason != quinn::ConnectionError::LocallyClosed {
+                    event!(log, events::LINK_LOST; "generation" => generation, "error" => %reason);
+                }
                 return;
             }
             // An error ends the connection, which the branch above reports.
@@ -282,6 +287,9 @@
             now = ticks.tick() => {
                 if answered.elapsed() >= settings.silence {
                     connection.close(link::SILENT.into(), b"silent");
+                    event!(log, events::LINK_LOST;
+                        "generation" => generation, "error" => "heartbeats are not answered");
+                    return;
                 }
                 // A late answer is asked for at each check, since a datagram may get lost.
                 let late = answered.elapsed() > settings.heartbeat + check;
