Let both ends of a link close a silent connection openly

The relay test for a flow that is silent only from the peer failed once: the accepting end still held the connection 2.2 s after the loss. Cause: quinn's idle timeout of 1.5 s at the dialling end sometimes ran out just before the heartbeat check. It closes without a word, so the accepting end, which until then had received probes, started its own 1.5 s.

Lengthening the timeout at one end was ruled out, since QUIC uses the smaller of both. The accepting end now also closes by heartbeats, after 1.5 s without one, and the idle timeout of both ends becomes a backstop of 2 s. Whoever notices first tells the other.

--- a/src/link/listener.rs
+++ b/src/link/listener.rs
@@ -70,6 +70,7 @@
         let acceptor = Acceptor {
             endpoint: endpoint.clone(),
             limit: settings.dial,
+            silence: settings.silence,
             closing: closing.subscribe(),
             streams: streams.clone(),
             log: log.clone(),
@@ -122,6 +123,7 @@
 struct Acceptor {
     endpoint: quinn::Endpoint,
     limit: Duration,
+    silence: Duration,
     closing: watch::Receiver<bool>,
     streams: watch::Sender<()>,
     log: slog::Logger,
@@ -152,7 +154,8 @@
     fn handshake(&self, incoming: quinn::Incoming) -> impl Future<Output = Option<Peer>> + 'static {
         let addr = incoming.remote_address();
         let log = self.log.new(slog::o!("address" => addr.to_string()));
-        let (limit, closing, streams) = (self.limit, self.closing.clone(), self.streams.clone());
+        let (limit, silence) = (self.limit, self.silence);
+        let (closing, streams) = (self.closing.clone(), self.streams.clone());
         async move {
             let accepted = match incoming.accept() {
                 Ok(connecting) => time::timeout(limit, connecting).await,
@@ -167,7 +170,7 @@
                 Ok((connection, name)) => {
                     let log = log.new(slog::o!("peer" => name.to_string()));
                     event!(log, events::LINK_UP);
-                    tokio::spawn(answer_heartbeats(connection.clone()));
+                    tokio::spawn(answer_heartbeats(connection.clone(), silence));
                     tokio::spawn(refuse_when_closing(connection.clone(), closing.clone()));
                     Some(Peer { connection, name, closing, streams, log })
                 }
@@ -180,11 +183,17 @@
     }
 }
 
-/// Sends each heartbeat back until the connection ends.
-async fn answer_heartbeats(connection: quinn::Connection) {
-    while let Ok(heartbeat) = connection.read_datagram().await {
-        // Fails only if the connection is closed.
-        let _ = connection.send_datagram(heartbeat);
+/// Sends each heartbeat back, and closes the connection if they cease.
+async fn answer_heartbeats(connection: quinn::Connection, silence: Duration) {
+    loop {
+        match time::timeout(silence, connection.read_datagram()).await {
+            Ok(Ok(heartbeat)) => {
+                // Fails only if the connection is closed, which the next round notices.
+                let _ = connection.send_datagram(heartbeat);
+            }
+            Ok(Err(_)) => return,
+            Err(_) => connection.close(link::SILENT.into(), b"silent"),
+        }
     }
 }
 
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -71,8 +71,10 @@
 impl Settings {
     fn transport(&self) -> quinn::TransportConfig {
         let mut config = quinn::TransportConfig::default();
-        // A limit that does not fit the encoding is far above any sensible setting.
-        let idle = quinn::IdleTimeout::try_from(self.silence).ok();
+        // Both ends close a silent connection by their heartbeats and say so to the other end.
+        // quinn's idle timeout, which says nothing, only covers a stalled heartbeat task. A limit
+        // that does not fit the encoding is far above any sensible setting.
+        let idle = quinn::IdleTimeout::try_from(self.silence + self.heartbeat).ok();
         config
             .max_idle_timeout(idle)
             .max_concurrent_bidi_streams(self.streams.into())
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -26,28 +26,31 @@
 struct Echo {
     listener: Arc<link::Listener>,
     peers: Arc<AtomicU64>,
+    ended: Arc<AtomicU64>,
 }
 
 impl Echo {
     fn start(ca: &tls::Authority, settings: link::Settings) -> Echo {
         let identity = ca.identity("server").unwrap();
         let listener = Arc::new(link::Listener::bind(LOCAL, &identity, settings, &log()).unwrap());
-        let peers = Arc::new(AtomicU64::new(0));
-        let (accepting, count) = (listener.clone(), peers.clone());
+        let (peers, ended) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+        let (accepting, count, ends) = (listener.clone(), peers.clone(), ended.clone());
         tokio::spawn(async move {
             while let Some(peer) = accepting.accept().await {
                 count.fetch_add(1, Ordering::Relaxed);
                 assert_eq!(&**peer.name(), "client");
+                let ends = ends.clone();
                 tokio::spawn(async move {
                     while let Some(incoming) = peer.accept().await {
                         if let link::Incoming::Stream(stream) = incoming {
                             tokio::spawn(echo(stream));
                         }
                     }
+                    ends.fetch_add(1, Ordering::Relaxed);
                 });
             }
         });
-        Echo { listener, peers }
+        Echo { listener, peers, ended }
     }
 }
 
@@ -315,6 +318,8 @@
     assert_eq!(call(&dialer, 0, &body).await.unwrap(), body);
     assert_eq!((dialer.generation(), relay.sources()), (2, 2));
     sending.await.unwrap();
+    time::sleep_until((started + Duration::from_millis(2200)).into()).await;
+    assert_eq!(echo.ended.load(Ordering::Relaxed), 1, "the accepting end notices as well");
 }
 
 /// Guards against requests that hang on a connection whose flow entry was lost on the path.
