--- a/src/link/listener.rs
+++ b/src/link/listener.rs
@@ -16,7 +16,8 @@
 use tokio::sync::watch;
 use tokio::time;
 
-/// Handshakes that may run at once; further dials are refused.
+/// Connections that may be in the handshake or wait for the application; further dials are
+/// refused.
 const HANDSHAKES: usize = 256;
 /// Accepted connections that wait for [`Listener::accept`].
 const BACKLOG: usize = 64;
@@ -69,6 +70,7 @@
         let acceptor = Acceptor {
             endpoint: endpoint.clone(),
             limit: settings.dial,
+            silence: settings.silence,
             closing: closing.subscribe(),
             streams: streams.clone(),
             log: log.clone(),
@@ -97,7 +99,8 @@
     /// been received, but at most `limit`, then closes every connection.
     ///
     /// Returns whether every stream has finished. Streams that a peer opens meanwhile are refused
-    /// as not processed.
+    /// as not processed. A stream is in use until the application drops it, so long-lived ones
+    /// must be dropped for the close to finish before the limit.
     pub async fn close(&self, limit: Duration) -> bool {
         self.closing.send_replace(true);
         let finished = time::timeout(limit, self.streams.closed()).await.is_ok();
@@ -120,6 +123,7 @@
 struct Acceptor {
     endpoint: quinn::Endpoint,
     limit: Duration,
+    silence: Duration,
     closing: watch::Receiver<bool>,
     streams: watch::Sender<()>,
     log: slog::Logger,
@@ -136,12 +140,13 @@
             };
             let (peers, handshake) = (peers.clone(), self.handshake(incoming));
             tokio::spawn(async move {
-                let peer = handshake.await;
-                drop(permit);
-                if let Some(peer) = peer {
+                if let Some(peer) = handshake.await {
                     // Fails only if the listener is gone, which closes the connection as well.
                     let _ = peers.send(peer).await;
                 }
+                // Held until here, so that an application that does not accept bounds the number
+                // of connections that wait for it.
+                drop(permit);
             });
         }
     }
@@ -149,7 +154,8 @@
     fn handshake(&self, incoming: quinn::Incoming) -> impl Future<Output = Option<Peer>> + 'static {
         let addr = incoming.remote_address();
         let log = self.log.new(slog::o!("address" => addr.to_string()));
-        let (limit, closing, streams) = (self.limit, self.closing.clone(), self.streams.clone());
+        let (limit, silence) = (self.limit, self.silence);
+        let (closing, streams) = (self.closing.clone(), self.streams.clone());
         async move {
             let accepted = match incoming.accept() {
                 Ok(connecting) => time::timeout(limit, connecting).await,
@@ -164,7 +170,7 @@
                 Ok((connection, name)) => {
                     let log = log.new(slog::o!("peer" => name.to_string()));
                     event!(log, events::LINK_UP);
-                    tokio::spawn(answer_heartbeats(connection.clone()));
+                    tokio::spawn(answer_heartbeats(connection.clone(), silence));
                     tokio::spawn(refuse_when_closing(connection.clone(), closing.clone()));
                     Some(Peer { connection, name, closing, streams, log })
                 }
@@ -177,11 +183,17 @@
     }
 }
 
-/// Sends each heartbeat back until the connection ends.
-async fn answer_heartbeats(connection: quinn::Connection) {
-    while let Ok(heartbeat) = connection.read_datagram().await {
-        // Fails only if the connection is closed.
-        let _ = connection.send_datagram(heartbeat);
+/// Sends each heartbeat back, and closes the connection if they cease.
+async fn answer_heartbeats(connection: quinn::Connection, silence: Duration) {
+    loop {
+        match time::timeout(silence, connection.read_datagram()).await {
+            Ok(Ok(heartbeat)) => {
+                // Fails only if the connection is closed, which the next round notices.
+                let _ = connection.send_datagram(heartbeat);
+            }
+            Ok(Err(_)) => return,
+            Err(_) => connection.close(link::SILENT.into(), b"silent"),
+        }
     }
 }
 
