Form and repair groups of three state processes

Cause: a blank replica has no membership, so it could not address its answer to the host that formed the group; the first host stayed a candidate for ever. Hosts are now also found by the replica id in their probes.

Ruled out: a fault of the election itself (the same module forms groups in its own tests), and lost links (all connections were established within 0.2 s).

Before: all three tests of tests/cluster.rs failed after 30 s without a leader. After: killed leader during a job, a second host lost right after a repair, and a frozen leader that returns pass together in 7.34 s.

--- a/src/state/group.rs
+++ b/src/state/group.rs
@@ -335,7 +335,10 @@
     }
 
     fn host_of(&self, id: u64) -> Option<Arc<str>> {
-        self.replica.members().get(id).map(|m| m.host.clone())
+        let member = self.replica.members().get(id).map(|m| m.host.clone());
+        // A blank replica has no membership yet and knows the others from their probes only.
+        let probed = || self.probed.values().find(|p| p.answer.id == id);
+        member.or_else(|| probed().map(|p| p.answer.host.clone()))
     }
 
     fn watch(&mut self, after: u64, sender: channel::Sender<wire::Reply>) {
