Name the author of documents that have left the history

`show` has to explain who set a document, but the author was looked up in the 1,000 changes of the history, so a document that was not touched for longer had none; the extended test of 3,000 changes showed it. Storing the author with every document was ruled out because it would need about 80 bytes for each of 8,800 workspaces for the same answer in nearly all cases.

--- a/src/catalog/command.rs
+++ b/src/catalog/command.rs
@@ -438,7 +438,7 @@
     Document {
         /// Document and the revision of its last change.
         stored: documents::Stored,
-        /// Author of that change, if it is still in the history.
+        /// Author of that change, if its id is still remembered.
         author: Option<Author>,
     },
     /// The document of a [`Query::Show`] does not exist.
--- a/src/catalog/history.rs
+++ b/src/catalog/history.rs
@@ -112,11 +112,6 @@
         find(&self.changes, revision).or_else(|| find(&self.operations, revision))
     }
 
-    /// Author of the change at a revision.
-    pub fn author(&self, revision: u64) -> Option<Author> {
-        find(&self.changes, revision).map(|r| r.by.clone())
-    }
-
     /// Document that a revision put under a name.
     pub fn document(&self, revision: u64, name: &Name) -> Option<&Arc<Document>> {
         let Action::Changed(changed) = &find(&self.changes, revision)?.action else { return None };
@@ -204,8 +199,12 @@
 
     /// Returns what is known of an id.
     pub fn get(&self, id: &str) -> Option<&Used> {
-        let index = self.ids.get(id)?;
-        let at = self.used.binary_search_by_key(index, |u| u.by.revision).ok()?;
+        self.at(*self.ids.get(id)?)
+    }
+
+    /// Returns the command of a log index.
+    pub fn at(&self, index: u64) -> Option<&Used> {
+        let at = self.used.binary_search_by_key(&index, |u| u.by.revision).ok()?;
         self.used.get(at)
     }
 
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -321,7 +321,7 @@
             Query::Show { name } => match self.config.get(name) {
                 Some(stored) => Answer::Document {
                     stored: stored.clone(),
-                    author: self.history.author(stored.revision),
+                    author: self.changes.at(stored.revision).map(|used| used.by.clone()),
                 },
                 None => Answer::Missing { problem: self.config.missing(name, &self.history) },
             },
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -131,18 +131,23 @@
     ));
 }
 
-/// Guards against a resend that is applied again because its change has left the history.
+/// Guards against a resend that is applied again, or a document whose author is not known, because
+/// the change has left the history.
 #[test]
 fn ids_outlive_the_history() {
     let mut catalog = Catalog::new();
     let first = put("first", None, workspace("counter", 1));
     let accepted = apply(&mut catalog, 1, &first);
-    for index in 2..=3_000 {
+    apply(&mut catalog, 2, &put("old", None, workspace("archive", 4_000)));
+    for index in 3..=3_000 {
         let change = put(&format!("c{index}"), None, workspace("counter", index as u32));
         apply(&mut catalog, index, &change);
     }
     assert_eq!(catalog.history().changes(None, u32::MAX).len(), catalog::history::CHANGES);
     assert!(catalog.history().record(1).is_none(), "the change itself is forgotten");
+    let show = catalog::Query::Show { name: "workspace/archive".parse().unwrap() };
+    let catalog::Answer::Document { author, .. } = catalog.query(&show) else { panic!("exists") };
+    assert_eq!(author.map(|by| by.id.to_string()).as_deref(), Some("old"), "author is known");
     let before = catalog.digest();
     assert_eq!(apply(&mut catalog, 4_000, &first), accepted);
     assert_eq!((catalog.digest(), catalog.revision()), (before, 3_000));
