Bound commands and list answers of the catalog by size

A list answer was bounded by 1,000 documents, but a document may have 64 KiB, so an answer could have four times the 16 MiB of a frame and would never arrive; a page of changes had no bound by size at all. Operator commands are now refused above 1 MiB, and list answers end after 4 MiB and continue by position. A lower bound of the count was ruled out, since small documents would then need 88 queries for 8,800 workspaces. The new test lists 600 documents of 30 kB in pages below half a frame and finds each once; a command of 1,204,315 bytes is refused with both figures.

--- a/src/catalog/command.rs
+++ b/src/catalog/command.rs
@@ -254,6 +254,14 @@
         /// Largest number.
         limit: u64,
     },
+    /// The command is too long.
+    #[display("the command has {size} bytes; at most {limit} are permitted")]
+    TooLarge {
+        /// Size in bytes.
+        size: u64,
+        /// Largest size.
+        limit: u64,
+    },
     /// The expected revision does not exist yet.
     #[display("revision {expected} was expected, but the current one is {revision}")]
     FutureRevision {
--- a/src/catalog/config.rs
+++ b/src/catalog/config.rs
@@ -1,5 +1,6 @@
 //! Configuration in force: documents, their digest and the checks of a change.
 
+use crate::catalog;
 use crate::catalog::command::Change;
 use crate::catalog::command::Problem;
 use crate::catalog::documents::Body;
@@ -26,9 +27,6 @@
 /// the history; larger imports are sent in several changes.
 pub const CHANGE_LIMIT: usize = 500;
 
-/// Documents in one answer to a list query.
-pub const LIST_LIMIT: usize = 1_000;
-
 /// Digits of a key hash that are shown in messages.
 const SHOWN_DIGITS: usize = 8;
 
@@ -78,7 +76,7 @@
         rest.take_while(move |(n, _)| n.kind == kind).map(|(_, s)| s)
     }
 
-    /// Documents after `after`, at most [`LIST_LIMIT`].
+    /// Documents after `after`, up to `limit` and to [`catalog::PAGE_LIMIT`].
     pub fn list(&self, kind: Option<Kind>, after: Option<&Name>, limit: u32) -> Vec<Stored> {
         let first = kind.map(|k| Name::new(k, ""));
         let from = after.max(first.as_ref());
@@ -86,11 +84,11 @@
             Some(from) => Box::new(self.documents.range_from(from)),
             None => Box::new(self.documents.iter()),
         };
-        rest.filter(|(n, _)| after != Some(*n))
+        let documents = rest
+            .filter(|(n, _)| after != Some(*n))
             .take_while(|(n, _)| kind.is_none_or(|k| k == n.kind))
-            .take(LIST_LIMIT.min(limit as usize))
-            .map(|(_, s)| s.clone())
-            .collect()
+            .map(|(_, s)| s.clone());
+        catalog::page(documents, limit)
     }
 
     /// Returns a workspace.
@@ -272,7 +270,7 @@
 
 /// Hash of one document; its body contains the name.
 fn document_hash(document: &Document) -> u64 {
-    xxh3::xxh3_64(&crate::catalog::encode(document))
+    xxh3::xxh3_64(&catalog::encode(document))
 }
 
 /// Configuration as it would be after a change.
--- a/src/catalog/history.rs
+++ b/src/catalog/history.rs
@@ -1,5 +1,6 @@
 //! History of changes and operations, and the ids that were used.
 
+use crate::catalog;
 use crate::catalog::command::Author;
 use crate::catalog::command::Reply;
 use crate::catalog::documents::Document;
@@ -157,7 +158,7 @@
         Some(before) => records.partition_point(|r| r.by.revision < before),
         None => records.len(),
     };
-    records.range(..end).rev().take(limit as usize).cloned().collect()
+    catalog::page(records.range(..end).rev().cloned(), limit)
 }
 
 /// Id that was used by a command, and the answer that it got.
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -59,6 +59,24 @@
 /// repeats an invalid command cannot push out the ids of accepted ones.
 pub const REFUSED_IDS: usize = 1_000;
 
+/// Largest encoded command of an operator in bytes. Together with [`PAGE_LIMIT`] it keeps every
+/// answer below [`crate::wire::MAX_FRAME`].
+pub const COMMAND_LIMIT: usize = 1 << 20;
+
+/// Encoded size in bytes after which a list answer ends; the rest is asked for by position.
+pub const PAGE_LIMIT: usize = 4 << 20;
+
+/// Takes items up to a count and up to [`PAGE_LIMIT`]; the first one is always taken.
+fn page<T: Serialize>(items: impl Iterator<Item = T>, limit: u32) -> Vec<T> {
+    let mut size = 0;
+    let fits = |item: &T| {
+        let first = size == 0;
+        size += encode(item).len();
+        first || size <= PAGE_LIMIT
+    };
+    items.take(limit as usize).take_while(fits).collect()
+}
+
 /// Encodes a command, reply, query or answer.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     postcard::to_stdvec(value).expect("postcard encodes every type of the catalog")
@@ -122,7 +140,11 @@
             return Reply::Malformed;
         }
         self.applied = index;
-        match decode(data) {
+        match decode::<Command>(data) {
+            Ok(command) if data.len() > COMMAND_LIMIT && command.origin().is_some() => {
+                let (size, limit) = (data.len() as u64, COMMAND_LIMIT as u64);
+                Reply::refused(Problem::TooLarge { size, limit })
+            }
             Ok(command) => self.dispatch(index, xxh3::xxh3_64(data), command),
             Err(_) => Reply::Malformed,
         }
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -153,6 +153,44 @@
     assert_eq!((catalog.digest(), catalog.revision()), (before, 3_000));
 }
 
+/// Guards against commands and answers that do not fit in a frame between processes.
+#[test]
+fn answers_fit_in_a_frame() {
+    let mut catalog = Catalog::new();
+    let document = |number: u32| {
+        let mut document = workspace(&format!("w{number}"), number);
+        let value = "x".repeat(30_000).into();
+        document.parameters = vec![catalog::Parameter { name: "note".into(), value }];
+        document
+    };
+    let change = |id: String, from: u32, count: u32| {
+        let changes = (from..from + count).map(|n| Change::put(document(n))).collect();
+        let (id, operator) = (id.into(), "abena".into());
+        catalog::encode(&Command::Change { id, expected: None, operator, changes })
+    };
+    let reply = apply(&mut catalog, 1, &change("large".into(), 0, 40));
+    insta::assert_snapshot!(reply, @"refused: the command has 1204315 bytes; at most 1048576 are permitted");
+    for round in 0..20 {
+        let reply =
+            apply(&mut catalog, 2 + u64::from(round), &change(format!("c{round}"), 30 * round, 30));
+        assert!(matches!(reply, Reply::Accepted { .. }), "{reply}");
+    }
+    let mut after = None;
+    let mut count = 0;
+    loop {
+        let query = catalog::Query::List { kind: None, after, limit: u32::MAX };
+        let answer = catalog.query(&query);
+        assert!(catalog::encode(&answer).len() < basilfield::wire::MAX_FRAME / 2);
+        let catalog::Answer::Documents(page) = answer else { panic!("documents") };
+        let Some(last) = page.last() else { break };
+        after = Some(last.document.name());
+        count += page.len();
+    }
+    assert_eq!(count, 600, "pages contain every document once");
+    let history = catalog.query(&catalog::Query::Changes { before: None, limit: u32::MAX });
+    assert!(catalog::encode(&history).len() < basilfield::wire::MAX_FRAME / 2);
+}
+
 /// Guards against refusals that push out the ids of accepted changes.
 #[test]
 fn refusals_do_not_displace_accepted_ids() {
