Learn how long an endpoint is usually silent

A service whose answers take longer than the stall time of 1 s and arrive in one piece gives no sign of life before. The router took it for frozen and ejected it with every slow answer, up to the ejection cap. It now allows twice the longest usual silence, which decays with each sign of life, and probes an endpoint at once if it answers after all.

Ruled out: a longer stall time for all, which would delay the detection of a frozen engine; a setting per endpoint, which operators would have to know. The frozen endpoint of the scenario is still ejected after 1 s.

--- a/src/router/ejection.rs
+++ b/src/router/ejection.rs
@@ -32,11 +32,12 @@
     pub health: Health,
     failures: u32,
     ejections: u32,
+    silent: bool,
 }
 
 impl Default for Record {
     fn default() -> Record {
-        Record { health: Health::Healthy, failures: 0, ejections: 0 }
+        Record { health: Health::Healthy, failures: 0, ejections: 0, silent: false }
     }
 }
 
@@ -92,8 +93,16 @@
         self.failures >= limit || matches!(self.health, Health::Probing { .. })
     }
 
-    /// Ejects the endpoint.
-    pub fn eject(&mut self, now: Duration) {
+    /// Notes a sign of life: an endpoint that was ejected for silence is probed at once.
+    pub fn alive(&mut self) {
+        if self.silent && matches!(self.health, Health::Ejected(_)) {
+            self.health = Health::Probing { busy: false, passed: 0 };
+        }
+    }
+
+    /// Ejects the endpoint, after failures or because it is silent.
+    pub fn eject(&mut self, now: Duration, silent: bool) {
+        self.silent = silent;
         let time = FIRST.saturating_mul(1 << self.ejections.min(8)).min(LONGEST);
         self.health = Health::Ejected(now + time);
         self.ejections += 1;
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -208,7 +208,7 @@
         let Ok(at) = self.endpoints.binary_search_by(|e| (*e.agent).cmp(agent)) else { return };
         let endpoint = &mut self.endpoints[at];
         if !matches!(event, Observation::Started | Observation::Failed | Observation::Abandoned) {
-            endpoint.progress = now;
+            endpoint.alive(now);
         }
         match event {
             Observation::Started => endpoint.started(now),
@@ -229,7 +229,7 @@
             Observation::Failed => {
                 endpoint.ended();
                 if endpoint.record.failed(self.config.failures) {
-                    self.eject(now, at);
+                    self.eject(now, at, false);
                 }
             }
             Observation::Load { queued, running } => endpoint.reported(now, queued + running),
@@ -296,16 +296,16 @@
             let probing = matches!(endpoint.record.health, ejection::Health::Probing { .. });
             let new = !endpoint.record.is_out() || probing;
             if silent && new && endpoint.models.contains(model) {
-                self.eject(now, at);
+                self.eject(now, at, true);
             }
         }
     }
 
     /// Ejects an endpoint, unless too many endpoints of one of its models are out already.
-    fn eject(&mut self, now: Duration, at: usize) {
+    fn eject(&mut self, now: Duration, at: usize, silent: bool) {
         let already = self.endpoints[at].record.is_out();
         if already || self.endpoints[at].models.iter().all(|model| self.may_eject(model)) {
-            self.endpoints[at].record.eject(now);
+            self.endpoints[at].record.eject(now, silent);
         }
     }
 
--- a/src/router/pick.rs
+++ b/src/router/pick.rs
@@ -13,6 +13,10 @@
 const DOMAIN_COST: f64 = 0.05;
 /// Load that makes an endpoint of another region equal to one of the own domain.
 const REGION_COST: f64 = 1.0;
+/// Factor by which the usual time between signs of life decays with each sign.
+const QUIET_DECAY: f64 = 0.99;
+/// Upper bound of that time, so that one long pause does not hide later ones.
+const LONGEST_QUIET: Duration = Duration::from_secs(10);
 /// Factor of the mean load up to which prefix affinity holds.
 const AFFINITY_BOUND: f64 = 1.25;
 
@@ -44,6 +48,8 @@
     pub busy: Duration,
     /// Latest sign of life while requests are in flight.
     pub progress: Duration,
+    /// Longest usual time between signs of life; decays with each of them.
+    quiet: Duration,
     report: Option<Report>,
 }
 
@@ -59,6 +65,7 @@
             record: ejection::Record::default(),
             busy: Duration::ZERO,
             progress: Duration::ZERO,
+            quiet: Duration::ZERO,
             report: None,
         }
     }
@@ -89,9 +96,22 @@
         self.report = Some(Report { at: now, requests, since: 0 });
     }
 
+    /// Notes a sign of life.
+    pub fn alive(&mut self, now: Duration) {
+        if self.flying > 0 {
+            let gap = now.saturating_sub(self.progress).min(LONGEST_QUIET);
+            self.quiet = gap.max(self.quiet.mul_f64(QUIET_DECAY));
+        }
+        self.progress = now;
+        self.record.alive();
+    }
+
     /// Whether requests are in flight and nothing has been heard for longer than `stall`.
+    ///
+    /// An endpoint whose answers take longer is given twice the time that they usually take.
+    /// Without that, services with slow answers would be ejected again and again.
     pub fn is_silent(&self, now: Duration, stall: Duration) -> bool {
-        self.flying > 0 && now.saturating_sub(self.progress) > stall
+        self.flying > 0 && now.saturating_sub(self.progress) > stall.max(self.quiet * 2)
     }
 
     /// Requests per slot: the larger of the own requests and the report, brought up to date.
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -32,6 +32,12 @@
     scenario("frozen_endpoint");
 }
 
+/// Guards against the repeated ejection of endpoints whose answers take long.
+#[test]
+fn slow_service() {
+    scenario("slow_service");
+}
+
 /// Guards against load that piles up at one endpoint, and prefix affinity that causes it.
 #[test]
 fn load_and_affinity() {
