Keep batch from holding every slot of a small endpoint

Percentages were rounded up. With one slot and the default floor of 3 percent, batch kept the only slot, so that online requests waited behind batch items, and a headroom of 6 percent left no slot that batch could ever use. Both are now rounded to the nearest slot, and the floor never covers all of them. A queue bound of 0 refused requests even when slots were free; the least bound is 1. A changed number of slots now resets the learned cap, which had otherwise fallen to 0 while an engine restarted and recovered by 4 streams a second.

Ruled out: a rejected setting, since an endpoint's slots are announced later than the setting is accepted. The new scenario shows one and two slots; with 32 slots floor and headroom are 1 and 2 as before.

--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -32,11 +32,13 @@
 pub struct Config {
     /// Streams that the engine runs at once.
     pub slots: u32,
-    /// Percent of the slots that batch keeps under load, rounded up.
+    /// Percent of the slots that batch keeps under load, rounded to whole slots. An engine with
+    /// few slots may have none; batch then waits while online needs every slot.
     pub floor: u32,
-    /// Percent of the slots that batch leaves free for arriving online requests, rounded up.
+    /// Percent of the slots that batch leaves free for arriving online requests, rounded to whole
+    /// slots.
     pub headroom: u32,
-    /// Longest online queue; also the longest batch queue.
+    /// Longest online queue, at least 1; also the longest batch queue.
     pub queue: usize,
     /// Preemptions of an item after which it is no longer preempted.
     pub preemptions: u32,
--- a/src/gate/schedule.rs
+++ b/src/gate/schedule.rs
@@ -112,7 +112,7 @@
             }
             Input::Done { id, ok } => self.done(now, id, ok),
             Input::Cancelled { id } => self.cancelled(now, id),
-            Input::Slots(slots) => self.slots = slots,
+            Input::Slots(slots) => self.resize(slots),
             Input::Drain => self.drain(now, &mut out),
             Input::Resume => self.draining = None,
             Input::Tick => self.tick(now, &mut out),
@@ -170,7 +170,7 @@
     }
 
     fn submit_batch(&mut self, now: Duration, item: Item, out: &mut Vec<Output>) {
-        if self.batch.len() >= self.config.queue {
+        if self.batch.len() >= self.config.queue.max(1) {
             let retry = self.service.retry(self.service.wait(self.batch.len(), self.slots));
             return self.refuse(now, item.waiting.id, wire::Reason::QueueFull, retry, out);
         }
@@ -189,7 +189,7 @@
             let retry = self.service.retry(ready - waiting.deadline);
             return self.refuse(now, waiting.id, wire::Reason::Deadline, retry, out);
         }
-        if self.online.len() >= self.config.queue {
+        if self.online.len() >= self.config.queue.max(1) {
             let half = self.service.wait(self.config.queue.div_ceil(2), self.slots);
             let retry = self.service.retry(half);
             let Some(shed) = self.online.shed(&waiting.workspace) else {
@@ -343,12 +343,25 @@
         self.slots.saturating_sub(self.running.len() as u32)
     }
 
+    fn resize(&mut self, slots: u32) {
+        if slots != self.slots {
+            // The engine was restarted or changed: the learned cap does not apply to it.
+            self.cap = cap::Cap::new(self.config.target, slots);
+        }
+        self.slots = slots;
+    }
+
+    /// Slots that batch keeps; never all of them, since online would then wait behind batch.
     fn floor(&self) -> u32 {
-        (self.slots * self.config.floor).div_ceil(100).min(self.slots)
+        self.percent(self.config.floor).min(self.slots.saturating_sub(1))
     }
 
     fn headroom(&self) -> u32 {
-        (self.slots * self.config.headroom).div_ceil(100)
+        self.percent(self.config.headroom)
+    }
+
+    fn percent(&self, share: u32) -> u32 {
+        (self.slots * share + 50) / 100
     }
 
     fn bounds(&self) -> preempt::Bounds {
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -37,6 +37,12 @@
     scenario("floor_and_preemption_bound");
 }
 
+/// Guards against percentages of few slots that round to none or all of them.
+#[test]
+fn one_slot() {
+    scenario("one_slot");
+}
+
 /// Guards against a burst of one workspace that delays the others.
 #[test]
 fn workspace_burst() {
