Survive extreme values in gate and router

Slots come from announcements, deadlines from callers, and retry times and loads from replies of other processes. A deadline of the longest duration or a load of the largest number overflowed an addition, which ends the process in builds with checks and wraps in others. Additions now saturate, and slots are bounded at 65,536.

Ruled out: validation by the callers of these modules alone, since one forgotten check would stop every stream of an agent.

--- a/src/gate/cap.rs
+++ b/src/gate/cap.rs
@@ -58,9 +58,9 @@
 
     /// Records `count` online tokens that took `taken` in total.
     pub fn observe(&mut self, taken: Duration, count: u32) {
-        self.count += count;
-        if taken > self.target * count {
-            self.slow += count;
+        self.count = self.count.saturating_add(count);
+        if taken > self.target.saturating_mul(count) {
+            self.slow = self.slow.saturating_add(count);
         }
     }
 
--- a/src/gate/schedule.rs
+++ b/src/gate/schedule.rs
@@ -26,6 +26,8 @@
 /// Time after which a stream without a token no longer holds back batch streams. Endpoints that
 /// report no tokens are thus still filled.
 const PREFILL: Duration = Duration::from_millis(50);
+/// More slots than any engine has. Bounds what a mistaken announcement can cause.
+const MAX_SLOTS: u32 = 1 << 16;
 /// Ended ids that are remembered.
 const ENDED: usize = 4096;
 /// Time for which ended ids are remembered.
@@ -81,7 +83,7 @@
     /// Returns a gate without work.
     pub fn new(config: gate::Config) -> Gate {
         Gate {
-            slots: config.slots,
+            slots: config.slots.min(MAX_SLOTS),
             online: queue::Queue::default(),
             batch: VecDeque::new(),
             running: sorted::SortedMap::new(),
@@ -101,7 +103,8 @@
         let mut out = Vec::new();
         match input {
             Input::Submit { id, class, workspace, deadline } => {
-                let waiting = queue::Waiting { id, workspace, deadline: now + deadline };
+                let waiting =
+                    queue::Waiting { id, workspace, deadline: now.saturating_add(deadline) };
                 self.submit(now, class, waiting, &mut out);
             }
             Input::Withdraw { id } => self.withdraw(now, id, &mut out),
@@ -344,11 +347,11 @@
     }
 
     fn resize(&mut self, slots: u32) {
-        if slots != self.slots {
+        if slots.min(MAX_SLOTS) != self.slots {
             // The engine was restarted or changed: the learned cap does not apply to it.
             self.cap = cap::Cap::new(self.config.target, slots);
         }
-        self.slots = slots;
+        self.slots = slots.min(MAX_SLOTS);
     }
 
     /// Slots that batch keeps; never all of them, since online would then wait behind batch.
@@ -361,7 +364,7 @@
     }
 
     fn percent(&self, share: u32) -> u32 {
-        (self.slots * share + 50) / 100
+        ((u64::from(self.slots) * u64::from(share) + 50) / 100).min(u64::from(self.slots)) as u32
     }
 
     fn bounds(&self) -> preempt::Bounds {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -220,7 +220,7 @@
             Observation::Refused { retry, .. } => {
                 endpoint.ended();
                 endpoint.record.inconclusive();
-                endpoint.busy = now + retry;
+                endpoint.busy = now.saturating_add(retry);
             }
             Observation::Abandoned => {
                 endpoint.ended();
@@ -232,7 +232,9 @@
                     self.eject(now, at, false);
                 }
             }
-            Observation::Load { queued, running } => endpoint.reported(now, queued + running),
+            Observation::Load { queued, running } => {
+                endpoint.reported(now, queued.saturating_add(running))
+            }
         }
     }
 
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -133,3 +133,20 @@
     assert!(starts_at_once(policy.clone()));
     assert!(!starts_at_once(gate::Config { policy: false, ..policy }));
 }
+
+/// Guards against a stop of the process by extreme values from an endpoint or a caller.
+#[test]
+fn extreme_values() {
+    let config = gate::Config { floor: u32::MAX, headroom: u32::MAX, ..gate::Config::default() };
+    let mut gate = gate::Gate::new(gate::Config { queue: 0, ..config });
+    let now = Duration::from_secs(1);
+    let workspace = "a".into();
+    let submit = Input::Submit { id: 1, class: Class::Online, workspace, deadline: Duration::MAX };
+    let mut outputs = gate.step(now, Input::Slots(u32::MAX));
+    outputs.extend(gate.step(now, submit));
+    assert!(outputs.contains(&Output::Start { id: 1 }), "{outputs:?}");
+    for _ in 0..2 {
+        gate.step(now, Input::Token { id: 1, count: u32::MAX });
+    }
+    gate.step(now * 60, Input::Tick);
+}
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -56,6 +56,26 @@
     scenario("workspace_limits");
 }
 
+/// Guards against a stop of the process by extreme values in a reply.
+#[test]
+fn extreme_values() {
+    let mut router = router_script::router(router::Config::default(), "e1");
+    router.update(fleet());
+    let query = router::Query {
+        model: "m0".into(),
+        prefix: u64::MAX,
+        deadline: Duration::MAX,
+        tried: Vec::new(),
+    };
+    let now = Duration::from_secs(1);
+    let agent = router.pick(now, &query).expect("an endpoint serves m0").agent;
+    let load = router::Observation::Load { queued: u32::MAX, running: u32::MAX };
+    router.observe(now, &agent, load);
+    let reason = basilfield::wire::Reason::QueueFull;
+    router.observe(now, &agent, router::Observation::Refused { reason, retry: Duration::MAX });
+    assert_ne!(router.pick(now, &query).expect("others serve m0").agent, agent);
+}
+
 /// Fleet of the target scale: 1,100 agents in 3 regions with 7 failure domains.
 fn fleet() -> Vec<router::Candidate> {
     (0..1100)
