Move waiting batch items into their own module

Ruled out: splitting off the starts and preemptions, which share the whole state of the gate and would only move methods.

--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 pub mod attempts;
+pub mod backlog;
 pub mod cap;
 pub mod ended;
 pub mod preempt;
--- a/src/gate/schedule.rs
+++ b/src/gate/schedule.rs
@@ -4,6 +4,7 @@
 use crate::gate::Class;
 use crate::gate::Input;
 use crate::gate::Output;
+use crate::gate::backlog;
 use crate::gate::cap;
 use crate::gate::ended;
 use crate::gate::preempt;
@@ -11,7 +12,6 @@
 use crate::gate::service;
 use crate::sorted;
 use crate::wire;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Time after a preemption during which batch starts within the floor only. Without it, a slot that
@@ -40,34 +40,18 @@
 const SILENT: Duration = Duration::from_secs(30);
 /// A stream without any token is given up after this time even if its deadline is later.
 const NO_TOKEN: Duration = Duration::from_secs(600);
-/// A batch item that could not start within this time goes back to its job, because another
-/// endpoint may be idle.
-const BATCH_WAIT: Duration = Duration::from_secs(10);
-/// The same for an item that was preempted: its tokens would be lost.
-const RESUMED_WAIT: Duration = Duration::from_secs(60);
 /// Requests that were accepted before a drain may still start within this time.
 const DRAIN_GRACE: Duration = Duration::from_secs(1);
 /// Retry time of a refusal because of a drain; the endpoint may be back or replaced by then.
 const DRAIN_RETRY: Duration = Duration::from_secs(1);
 
-/// Batch item that waits for a slot.
-#[derive(Clone, Debug)]
-struct Item {
-    waiting: queue::Waiting,
-    class: Class,
-    since: Duration,
-    preempted: u32,
-    /// When it was started for the first time, if it was preempted.
-    first: Option<Duration>,
-}
-
 /// Admission control at one endpoint.
 #[derive(Debug)]
 pub struct Gate {
     config: gate::Config,
     slots: u32,
     online: queue::Queue,
-    batch: VecDeque<Item>,
+    batch: backlog::Backlog,
     running: sorted::SortedMap<u64, preempt::Running>,
     ended: ended::Ended,
     cap: cap::Cap,
@@ -85,7 +69,7 @@
         Gate {
             slots: config.slots.min(MAX_SLOTS),
             online: queue::Queue::default(),
-            batch: VecDeque::new(),
+            batch: backlog::Backlog::default(),
             running: sorted::SortedMap::new(),
             ended: ended::Ended::new(ENDED, KEEP),
             cap: cap::Cap::new(config.target, config.slots),
@@ -166,22 +150,23 @@
             return self.refuse(now, id, wire::Reason::Draining, DRAIN_RETRY, out);
         }
         if class == Class::Batch || !self.config.policy {
-            self.submit_batch(now, Item { waiting, class, since: now, preempted, first }, out);
+            self.submit_batch(
+                now,
+                backlog::Item { waiting, class, since: now, preempted, first },
+                out,
+            );
         } else {
             self.submit_online(now, waiting, out);
         }
     }
 
-    fn submit_batch(&mut self, now: Duration, item: Item, out: &mut Vec<Output>) {
+    fn submit_batch(&mut self, now: Duration, item: backlog::Item, out: &mut Vec<Output>) {
         if self.batch.len() >= self.config.queue.max(1) {
             let retry = self.service.retry(self.service.wait(self.batch.len(), self.slots));
             return self.refuse(now, item.waiting.id, wire::Reason::QueueFull, retry, out);
         }
         self.ended.remove(item.waiting.id);
-        // Resumed items go first, the oldest before the others: their tokens are held in memory.
-        let age = |item: &Item| item.first.unwrap_or(Duration::MAX);
-        let at = self.batch.partition_point(|other| age(other) <= age(&item));
-        self.batch.insert(at, item);
+        self.batch.push(item);
     }
 
     fn submit_online(&mut self, now: Duration, waiting: queue::Waiting, out: &mut Vec<Output>) {
@@ -219,9 +204,7 @@
             running.stop = Some((now, preempt::Stop::Withdrawn));
             true
         } else {
-            let item = self.batch.iter().position(|i| i.waiting.id == id);
-            let resumed =
-                item.and_then(|at| self.batch.remove(at)).is_some_and(|i| i.preempted > 0);
+            let resumed = self.batch.remove(id).is_some_and(|item| item.preempted > 0);
             self.online.remove(id);
             let before = self.ended.get(id);
             let ended = matches!(before, Some(ended::End::Finished | ended::End::Preempted { .. }));
@@ -269,7 +252,7 @@
             self.draining = Some(now);
             self.idle = false;
         }
-        for item in std::mem::take(&mut self.batch) {
+        for item in self.batch.drain() {
             self.refuse(now, item.waiting.id, wire::Reason::Draining, DRAIN_RETRY, out);
         }
     }
@@ -293,11 +276,7 @@
     }
 
     fn expire_batch(&mut self, now: Duration, out: &mut Vec<Output>) {
-        let late = |item: &Item| now >= item.waiting.deadline || now >= item.since + patience(item);
-        let (expired, kept) = std::mem::take(&mut self.batch).into_iter().partition(late);
-        self.batch = kept;
-        let expired: VecDeque<Item> = expired;
-        for item in expired {
+        for item in self.batch.expire(now) {
             let retry = self.service.retry(self.service.wait(self.online.len(), self.slots));
             self.refuse(now, item.waiting.id, wire::Reason::Deadline, retry, out);
         }
@@ -337,9 +316,7 @@
     }
 
     fn is_live(&self, id: u64) -> bool {
-        self.running.contains(&id)
-            || self.batch.iter().any(|item| item.waiting.id == id)
-            || self.online.contains(id)
+        self.running.contains(&id) || self.batch.contains(id) || self.online.contains(id)
     }
 
     fn free(&self) -> u32 {
@@ -404,8 +381,13 @@
                 self.refuse(now, next.id, wire::Reason::Deadline, retry, out);
                 continue;
             }
-            let item =
-                Item { waiting: next, class: Class::Online, since: now, preempted: 0, first: None };
+            let item = backlog::Item {
+                waiting: next,
+                class: Class::Online,
+                since: now,
+                preempted: 0,
+                first: None,
+            };
             self.start(now, item, out);
         }
     }
@@ -413,7 +395,7 @@
     /// Starts batch items while fewer than `limit` run and more than `spare` slots are free.
     fn start_batch(&mut self, now: Duration, limit: u32, spare: u32, out: &mut Vec<Output>) {
         while self.free() > spare && self.batch_running() < limit && self.may_prefill(now) {
-            let Some(item) = self.batch.pop_front() else { return };
+            let Some(item) = self.batch.pop() else { return };
             if item.class == Class::Online {
                 self.online.count(&item.waiting.workspace);
             }
@@ -432,7 +414,7 @@
         (self.running.values().filter(fresh).count() as u32) < PREFILLS
     }
 
-    fn start(&mut self, now: Duration, item: Item, out: &mut Vec<Output>) {
+    fn start(&mut self, now: Duration, item: backlog::Item, out: &mut Vec<Output>) {
         let queue::Waiting { id, workspace, deadline } = item.waiting;
         let running = preempt::Running {
             class: item.class,
@@ -513,7 +495,3 @@
     let expected = running.token.is_some() || now >= running.deadline || silent >= NO_TOKEN;
     silent >= SILENT && expected
 }
-
-fn patience(item: &Item) -> Duration {
-    if item.preempted > 0 { RESUMED_WAIT } else { BATCH_WAIT }
-}
