--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,1 +1,377 @@
 //! State machine of group 0: configuration, history, agents and orders.
+//!
+//! [`Catalog::apply`] is deterministic: equal commands at equal indexes give equal states and
+//! replies on every replica and at every node that follows the log. Enum variants are encoded by
+//! position, so new ones are only ever appended.
+
+pub mod agents;
+pub mod command;
+pub mod config;
+pub mod documents;
+pub mod fields;
+pub mod history;
+pub mod orders;
+pub mod placement;
+mod pool;
+pub mod similar;
+
+pub use agents::AgentRecord;
+pub use agents::Endpoint;
+pub use agents::EndpointKind;
+pub use agents::LeaveReason;
+pub use command::Answer;
+pub use command::Author;
+pub use command::Change;
+pub use command::Command;
+pub use command::Conflict;
+pub use command::Note;
+pub use command::Problem;
+pub use command::Query;
+pub use command::Reply;
+pub use documents::Body;
+pub use documents::Document;
+pub use documents::Kind;
+pub use documents::Name;
+pub use documents::Parameter;
+pub use orders::Order;
+pub use orders::OrderKind;
+pub use orders::OrderOutcome;
+
+use crate::replica;
+use history::Ledger;
+use history::Record;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use xxhash_rust::xxh3;
+
+/// Version of the snapshot encoding.
+const SNAPSHOT_VERSION: u16 = 1;
+
+/// Change ids that are remembered: 30 days at 720 changes a day. A resend within that time is
+/// recognised even if the content of the change has left the history.
+pub const CHANGE_IDS: usize = 21_600;
+
+/// Ids of drains, resumes and orders that are remembered.
+pub const OPERATION_IDS: usize = 10_000;
+
+/// Ids of refused commands that are remembered. They are kept apart so that a client that
+/// repeats an invalid command cannot push out the ids of accepted ones.
+pub const REFUSED_IDS: usize = 1_000;
+
+/// Encodes a command, reply, query or answer.
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_stdvec(value).expect("postcard encodes every type of the catalog")
+}
+
+/// Decodes a command, reply, query or answer; trailing bytes are an error.
+pub fn decode<T: DeserializeOwned>(data: &[u8]) -> Result<T, postcard::Error> {
+    match postcard::take_from_bytes(data)? {
+        (value, []) => Ok(value),
+        _ => Err(postcard::Error::DeserializeBadEncoding),
+    }
+}
+
+/// State of group 0.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Catalog {
+    applied: u64,
+    config: config::Config,
+    history: history::History,
+    changes: Ledger,
+    operations: Ledger,
+    refusals: Ledger,
+    fleet: agents::Fleet,
+    orders: orders::Orders,
+    #[serde(skip)]
+    pool: pool::Pool,
+}
+
+impl Default for Catalog {
+    fn default() -> Self {
+        Catalog {
+            applied: 0,
+            config: config::Config::default(),
+            history: history::History::default(),
+            changes: Ledger::new(CHANGE_IDS),
+            operations: Ledger::new(OPERATION_IDS),
+            refusals: Ledger::new(REFUSED_IDS),
+            fleet: agents::Fleet::default(),
+            orders: orders::Orders::default(),
+            pool: pool::Pool::default(),
+        }
+    }
+}
+
+impl Catalog {
+    /// Returns the empty state.
+    pub fn new() -> Catalog {
+        Catalog::default()
+    }
+
+    /// Applies the command at log `index` and returns the encoded [`Reply`].
+    ///
+    /// An entry without a command (empty bytes) and a command that does not decode change
+    /// nothing but the applied index. An index that is already applied is not applied again.
+    pub fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        encode(&self.run(index, command))
+    }
+
+    fn run(&mut self, index: u64, data: &[u8]) -> Reply {
+        if index <= self.applied {
+            return Reply::Malformed;
+        }
+        self.applied = index;
+        match decode(data) {
+            Ok(command) => self.dispatch(index, xxh3::xxh3_64(data), command),
+            Err(_) => Reply::Malformed,
+        }
+    }
+
+    fn dispatch(&mut self, index: u64, digest: u64, command: Command) -> Reply {
+        let Some((id, operator)) = command.origin() else {
+            return self.execute_internal(index, command);
+        };
+        let problems = fields::check_origin(id, operator);
+        if !problems.is_empty() {
+            return Reply::Refused { problems };
+        }
+        let mut by = Author { id: id.clone(), operator: operator.clone(), revision: index };
+        self.pool.share(&mut by.operator);
+        if let Some(reply) = self.remembered(&by.id, digest) {
+            return reply;
+        }
+        let configures = matches!(command, Command::Change { .. });
+        let reply = self.execute(&by, command);
+        let ledger = match (reply.is_refusal(), configures) {
+            (true, _) => &mut self.refusals,
+            (false, true) => &mut self.changes,
+            (false, false) => &mut self.operations,
+        };
+        ledger.record(&by, digest, &reply);
+        reply
+    }
+
+    /// Carries out a command of an operator under an id that was not used before.
+    fn execute(&mut self, by: &Author, command: Command) -> Reply {
+        let (reply, action) = match command {
+            Command::Change { expected, changes, .. } => {
+                return self.change(by, expected, changes);
+            }
+            Command::Drain { target, .. } => {
+                (self.fleet.drain(&target, by), history::Action::Drained { endpoint: target })
+            }
+            Command::Resume { target, .. } => {
+                (self.fleet.resume(&target, by), history::Action::Resumed { endpoint: target })
+            }
+            Command::Order { endpoint, order, .. } => {
+                let reply = self.orders.give(&self.fleet, &endpoint, &order, by);
+                (reply, history::Action::Ordered { endpoint, order })
+            }
+            Command::Join { .. } | Command::Leave { .. } | Command::OrderDone { .. } => {
+                return Reply::Malformed;
+            }
+        };
+        if let Reply::Accepted { .. } = reply {
+            self.history.operation(by, action);
+        }
+        reply
+    }
+
+    /// Carries out a command of a component, which needs no id because it can be repeated.
+    fn execute_internal(&mut self, index: u64, command: Command) -> Reply {
+        match command {
+            Command::Join { agent } => {
+                let reply = self.fleet.join(index, agent);
+                self.orders.lose_absent(&self.fleet);
+                reply
+            }
+            Command::Leave { agent, reason } => {
+                let reply = self.fleet.leave(index, &agent, reason);
+                self.orders.lose_absent(&self.fleet);
+                reply
+            }
+            Command::OrderDone { number, outcome } => self.orders.done(index, number, outcome),
+            _ => Reply::Malformed,
+        }
+    }
+
+    /// Validates a change and puts it in force.
+    fn change(&mut self, by: &Author, expected: Option<u64>, changes: Vec<Change>) -> Reply {
+        let revision = self.config.revision();
+        if let Some(expected) = expected {
+            if expected > revision {
+                return Reply::refused(Problem::FutureRevision { expected, revision });
+            }
+            if let Some(winner) = self.history.winner(expected, revision) {
+                let conflict = Conflict::Raced { expected, winner };
+                return Reply::Conflict { conflict, revision };
+            }
+        }
+        if let Err(problems) = self.config.check(&changes, &self.history) {
+            return Reply::Refused { problems };
+        }
+        let changed = self.config.commit(by.revision, changes, &mut self.pool);
+        if changed.is_empty() {
+            return Reply::Unchanged { revision, note: Note::SameContent };
+        }
+        self.history.change(by, changed);
+        Reply::Accepted { revision: by.revision, undoes: None }
+    }
+
+    /// Answer to an id that was used before: the same one for the same content, else a conflict.
+    fn remembered(&self, id: &str, digest: u64) -> Option<Reply> {
+        let ledgers = [&self.changes, &self.operations, &self.refusals];
+        let used = ledgers.iter().find_map(|l| l.get(id))?;
+        if used.digest == digest {
+            return Some(used.answer());
+        }
+        let conflict = Conflict::Reused { first: used.by.clone() };
+        Some(Reply::Conflict { conflict, revision: self.config.revision() })
+    }
+
+    /// Encodes the whole state.
+    pub fn snapshot(&self) -> Vec<u8> {
+        encode(&(SNAPSHOT_VERSION, self))
+    }
+
+    /// Replaces the state by a snapshot; on an error the state is unchanged.
+    pub fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
+        let fail = |cause: String| replica::RestoreError { cause: cause.into() };
+        let (version, _) =
+            postcard::take_from_bytes::<u16>(data).map_err(|e| fail(e.to_string()))?;
+        if version != SNAPSHOT_VERSION {
+            return Err(fail(format!("version {version}, known is {SNAPSHOT_VERSION}")));
+        }
+        let (_, mut state) = decode::<(u16, Catalog)>(data).map_err(|e| fail(e.to_string()))?;
+        state.history.rebuild(&mut state.pool);
+        state.config.rebuild(&state.history);
+        for ledger in [&mut state.changes, &mut state.operations, &mut state.refusals] {
+            ledger.rebuild(&mut state.pool);
+        }
+        state.fleet.rebuild();
+        *self = state;
+        Ok(())
+    }
+
+    /// Log index of the last applied entry; the position of a watch.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Revision of the configuration: log index of its last change, 0 before the first.
+    pub fn revision(&self) -> u64 {
+        self.config.revision()
+    }
+
+    /// Digest of the configuration in force; equal for equal documents.
+    pub fn digest(&self) -> u64 {
+        self.config.digest()
+    }
+
+    /// Documents of the configuration.
+    pub fn config(&self) -> &config::Config {
+        &self.config
+    }
+
+    /// Changes and operations, with their authors.
+    pub fn history(&self) -> &history::History {
+        &self.history
+    }
+
+    /// Agents, endpoints and drains.
+    pub fn fleet(&self) -> &agents::Fleet {
+        &self.fleet
+    }
+
+    /// Last order of every endpoint.
+    pub fn orders(&self) -> &orders::Orders {
+        &self.orders
+    }
+
+    /// Workspace that owns the caller key with this lowercase hexadecimal sha256 hash.
+    pub fn workspace_by_key(&self, hash: &str) -> Option<&documents::Workspace> {
+        self.config.workspace_by_key(hash)
+    }
+
+    /// Registered agents in order of name.
+    pub fn agents(&self) -> impl Iterator<Item = &AgentRecord> {
+        self.fleet.agents()
+    }
+
+    /// Engines that serve the model and are not draining, with their agents.
+    pub fn candidates(&self, model: &str) -> impl Iterator<Item = (&AgentRecord, &Endpoint)> {
+        self.fleet.candidates(model)
+    }
+
+    /// Endpoints that provide the service and are not draining, with their agents.
+    pub fn services(&self, service: &str) -> impl Iterator<Item = (&AgentRecord, &Endpoint)> {
+        self.fleet.services(service)
+    }
+
+    /// Whether an operator has drained the endpoint.
+    pub fn is_draining(&self, endpoint: &str) -> bool {
+        self.fleet.is_draining(endpoint)
+    }
+
+    /// Answers a query from the current state.
+    pub fn query(&self, query: &Query) -> Answer {
+        match query {
+            Query::Summary => Answer::Summary(self.summary()),
+            Query::Show { name } => match self.config.get(name) {
+                Some(stored) => Answer::Document {
+                    stored: stored.clone(),
+                    author: self.history.author(stored.revision),
+                },
+                None => Answer::Missing { problem: self.config.missing(name, &self.history) },
+            },
+            Query::List { kind, after, limit } => {
+                Answer::Documents(self.config.list(*kind, after.as_ref(), *limit))
+            }
+            Query::Changes { before, limit } => {
+                Answer::Records(self.history.changes(*before, *limit))
+            }
+            Query::Operations { before, limit } => {
+                Answer::Records(self.history.operations(*before, *limit))
+            }
+            Query::Change { id } => Answer::Change(self.change_by_id(id)),
+            Query::Agents => Answer::Agents(self.agents().cloned().collect()),
+            Query::Drains => Answer::Drains(self.fleet.drains().cloned().collect()),
+            Query::Orders => Answer::Orders(self.orders.iter().cloned().collect()),
+            Query::Departures => Answer::Departures(self.fleet.departures().cloned().collect()),
+        }
+    }
+
+    fn change_by_id(&self, id: &str) -> Option<command::Known> {
+        let ledgers = [&self.changes, &self.operations, &self.refusals];
+        let used = ledgers.iter().find_map(|l| l.get(id))?;
+        let record: Option<Record> = self.history.record(used.by.revision).cloned();
+        Some(command::Known { by: used.by.clone(), reply: used.answer(), record })
+    }
+
+    fn summary(&self) -> command::Summary {
+        command::Summary {
+            applied: self.applied,
+            revision: self.revision(),
+            digest: self.digest(),
+            documents: self.config.len() as u64,
+            agents: self.agents().count() as u64,
+            endpoints: self.fleet.endpoints().count() as u64,
+            draining: self.fleet.drains().filter(|d| d.draining).count() as u64,
+        }
+    }
+}
+
+impl replica::Machine for Catalog {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        Catalog::apply(self, index, command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        Catalog::snapshot(self)
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
+        Catalog::restore(self, data)
+    }
+}
--- /dev/null
+++ b/tests/catalog.rs
@@ -0,0 +1,162 @@
+//! State machine of group 0: scenarios under `tests/scenarios/catalog/`, and replay.
+
+mod catalog_script;
+
+use basilfield::catalog;
+use catalog::Catalog;
+use catalog::Change;
+use catalog::Command;
+use catalog::Document;
+use catalog::Reply;
+use catalog::documents;
+
+fn workspace(name: &str, key: u32) -> Document {
+    let body = catalog::Body::Workspace(documents::Workspace {
+        name: name.into(),
+        keys: vec![format!("{key:064x}").into()],
+        rate: 20,
+        concurrency: 8,
+        share: 1,
+    });
+    Document { template: "workspace".into(), parameters: Vec::new(), body }
+}
+
+fn put(id: &str, expected: Option<u64>, document: Document) -> Vec<u8> {
+    let changes = vec![Change::put(document)];
+    catalog::encode(&Command::Change { id: id.into(), expected, operator: "abena".into(), changes })
+}
+
+fn apply(catalog: &mut Catalog, index: u64, command: &[u8]) -> Reply {
+    catalog::decode(&catalog.apply(index, command)).expect("reply decodes")
+}
+
+fn scenario(name: &str) {
+    let path = format!("tests/scenarios/catalog/{name}");
+    let mut script = catalog_script::Script::default();
+    goldenscript::run(&mut script, path).expect("golden file matches");
+}
+
+/// Guards against two operators who both believe that their change is in force.
+#[test]
+fn equal_revisions() {
+    scenario("equal_revisions");
+}
+
+/// Guards against a change that is applied twice, or answered differently, when it is resent.
+#[test]
+fn resend_after_lost_answer() {
+    scenario("resend_after_lost_answer");
+}
+
+/// Guards against one change id that stands for two contents.
+#[test]
+fn reused_change_id() {
+    scenario("reused_change_id");
+}
+
+/// Guards against a configuration that differs after a restart, or ids that a restart forgets.
+#[test]
+fn restart_after_500_changes() {
+    scenario("restart_after_500_changes");
+}
+
+/// Guards against drains whose answer does not say who did what, or that are lost on a restart.
+#[test]
+fn contradictory_drains() {
+    scenario("contradictory_drains");
+}
+
+/// Guards against documents that refer to nothing, and against messages that do not say why.
+#[test]
+fn mistaken_changes() {
+    scenario("mistaken_changes");
+}
+
+/// Guards against an agent that is removed by the expiry of a lease it has renewed by joining.
+#[test]
+fn agents_join_and_leave() {
+    scenario("agents_join_and_leave");
+}
+
+/// Guards against a second order while one runs, and against outcomes of old orders.
+#[test]
+fn orders_one_at_a_time() {
+    scenario("orders_one_at_a_time");
+}
+
+/// Guards against damaged input that changes the state or stops the process.
+#[test]
+fn damaged_input_changes_nothing() {
+    let mut catalog = Catalog::new();
+    let command = put("c1", None, workspace("counter", 1));
+    apply(&mut catalog, 1, &command);
+    let before = catalog.digest();
+    for end in 0..command.len() {
+        let index = 2 + end as u64;
+        assert_eq!(apply(&mut catalog, index, &command[..end]), Reply::Malformed);
+        assert_eq!(catalog.applied(), index);
+    }
+    let longer = [&command[..], &[0]].concat();
+    assert_eq!(apply(&mut catalog, 1_000, &longer), Reply::Malformed);
+    assert_eq!(
+        apply(&mut catalog, 1_000, &put("c2", None, workspace("desk", 2))),
+        Reply::Malformed
+    );
+    assert_eq!((catalog.digest(), catalog.revision()), (before, 1));
+    let snapshot = catalog.snapshot();
+    for end in 0..snapshot.len() {
+        catalog.restore(&snapshot[..end]).expect_err("part of a snapshot");
+    }
+    let other_version = [&[99], &snapshot[1..]].concat();
+    catalog.restore(&other_version).expect_err("unknown version");
+    assert_eq!(catalog.snapshot(), snapshot);
+}
+
+/// Guards against clients without a proper id, whose commands would all count as resends of the
+/// first one, and against ids of any length, which would exceed the memory of a node.
+#[test]
+fn ids_and_operators_are_checked() {
+    let mut catalog = Catalog::new();
+    for (index, id) in ["", "two words", &"x".repeat(200)].into_iter().enumerate() {
+        let reply = apply(&mut catalog, 1 + index as u64, &put(id, None, workspace("counter", 1)));
+        assert!(matches!(reply, Reply::Refused { .. }), "{reply}");
+    }
+    let (id, target, operator) = ("d1".into(), "e1".into(), "".into());
+    let drain = catalog::encode(&Command::Drain { id, target, operator });
+    let reply = apply(&mut catalog, 9, &drain);
+    assert!(reply.to_string().contains("operator"), "{reply}");
+    assert!(matches!(
+        catalog.query(&catalog::Query::Change { id: "d1".into() }),
+        catalog::Answer::Change(None)
+    ));
+}
+
+/// Guards against a resend that is applied again because its change has left the history.
+#[test]
+fn ids_outlive_the_history() {
+    let mut catalog = Catalog::new();
+    let first = put("first", None, workspace("counter", 1));
+    let accepted = apply(&mut catalog, 1, &first);
+    for index in 2..=3_000 {
+        let change = put(&format!("c{index}"), None, workspace("counter", index as u32));
+        apply(&mut catalog, index, &change);
+    }
+    assert_eq!(catalog.history().changes(None, u32::MAX).len(), catalog::history::CHANGES);
+    assert!(catalog.history().record(1).is_none(), "the change itself is forgotten");
+    let before = catalog.digest();
+    assert_eq!(apply(&mut catalog, 4_000, &first), accepted);
+    assert_eq!((catalog.digest(), catalog.revision()), (before, 3_000));
+}
+
+/// Guards against refusals that push out the ids of accepted changes.
+#[test]
+fn refusals_do_not_displace_accepted_ids() {
+    let mut catalog = Catalog::new();
+    let first = put("first", None, workspace("counter", 1));
+    let accepted = apply(&mut catalog, 1, &first);
+    for index in 2..=30_000 {
+        let refused = put(&format!("r{index}"), None, workspace("not a name", 2));
+        assert!(apply(&mut catalog, index, &refused).is_refusal());
+    }
+    assert_eq!(apply(&mut catalog, 40_000, &first), accepted);
+}
