--- a/src/catalog/command.rs
+++ b/src/catalog/command.rs
@@ -254,6 +254,14 @@
         /// Largest number.
         limit: u64,
     },
+    /// The command is too long.
+    #[display("the command has {size} bytes; at most {limit} are permitted")]
+    TooLarge {
+        /// Size in bytes.
+        size: u64,
+        /// Largest size.
+        limit: u64,
+    },
     /// The expected revision does not exist yet.
     #[display("revision {expected} was expected, but the current one is {revision}")]
     FutureRevision {
@@ -438,7 +446,7 @@
     Document {
         /// Document and the revision of its last change.
         stored: documents::Stored,
-        /// Author of that change, if it is still in the history.
+        /// Author of that change, if its id is still remembered.
         author: Option<Author>,
     },
     /// The document of a [`Query::Show`] does not exist.
--- a/src/catalog/config.rs
+++ b/src/catalog/config.rs
@@ -1,5 +1,6 @@
 //! Configuration in force: documents, their digest and the checks of a change.
 
+use crate::catalog;
 use crate::catalog::command::Change;
 use crate::catalog::command::Problem;
 use crate::catalog::documents::Body;
@@ -14,6 +15,7 @@
 use crate::catalog::fields;
 use crate::catalog::history::Changed;
 use crate::catalog::history::History;
+use crate::catalog::pool::Pool;
 use crate::catalog::similar;
 use crate::sorted::SortedMap;
 use serde::Deserialize;
@@ -25,15 +27,13 @@
 /// the history; larger imports are sent in several changes.
 pub const CHANGE_LIMIT: usize = 500;
 
-/// Documents in one answer to a list query.
-pub const LIST_LIMIT: usize = 1_000;
-
 /// Digits of a key hash that are shown in messages.
 const SHOWN_DIGITS: usize = 8;
 
 /// Documents of the configuration by name.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Config {
+    #[serde(deserialize_with = "decode_shared")]
     documents: SortedMap<Name, Stored>,
     revision: u64,
     /// Sum of the hashes of all documents, so that a change costs no pass over the others.
@@ -76,7 +76,7 @@
         rest.take_while(move |(n, _)| n.kind == kind).map(|(_, s)| s)
     }
 
-    /// Documents after `after`, at most [`LIST_LIMIT`].
+    /// Documents after `after`, up to `limit` and to [`catalog::PAGE_LIMIT`].
     pub fn list(&self, kind: Option<Kind>, after: Option<&Name>, limit: u32) -> Vec<Stored> {
         let first = kind.map(|k| Name::new(k, ""));
         let from = after.max(first.as_ref());
@@ -84,11 +84,11 @@
             Some(from) => Box::new(self.documents.range_from(from)),
             None => Box::new(self.documents.iter()),
         };
-        rest.filter(|(n, _)| after != Some(*n))
+        let documents = rest
+            .filter(|(n, _)| after != Some(*n))
             .take_while(|(n, _)| kind.is_none_or(|k| k == n.kind))
-            .take(LIST_LIMIT.min(limit as usize))
-            .map(|(_, s)| s.clone())
-            .collect()
+            .map(|(_, s)| s.clone());
+        catalog::page(documents, limit)
     }
 
     /// Returns a workspace.
@@ -162,11 +162,14 @@
 
     /// Puts a checked change in force; returns what it changed, which is nothing if every
     /// document already had the same content.
-    pub fn commit(&mut self, revision: u64, changes: Vec<Change>) -> Vec<Changed> {
+    pub fn commit(&mut self, revision: u64, changes: Vec<Change>, pool: &mut Pool) -> Vec<Changed> {
         let mut changed = Vec::new();
         for change in changes {
             let (name, document) = match change {
-                Change::Put { name, document } => (name, Some(Arc::new(document))),
+                Change::Put { mut document, .. } => {
+                    document.share(pool);
+                    (document.name(), Some(Arc::new(document)))
+                }
                 Change::Withdraw { name } => (name, None),
             };
             let old = self.documents.get(&name);
@@ -230,9 +233,44 @@
     }
 }
 
+/// Decodes documents and shares their repeated texts one by one. Sharing them only after all were
+/// decoded would not reduce the peak of the memory.
+fn decode_shared<'de, D>(deserializer: D) -> Result<SortedMap<Name, Stored>, D::Error>
+where
+    D: serde::Deserializer<'de>,
+{
+    deserializer.deserialize_seq(Documents)
+}
+
+struct Documents;
+
+impl<'de> serde::de::Visitor<'de> for Documents {
+    type Value = SortedMap<Name, Stored>;
+
+    fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a sequence of documents")
+    }
+
+    fn visit_seq<A>(self, mut pairs: A) -> Result<Self::Value, A::Error>
+    where
+        A: serde::de::SeqAccess<'de>,
+    {
+        let mut pool = Pool::default();
+        let mut documents = SortedMap::new();
+        while let Some((name, mut stored)) = pairs.next_element::<(Name, Stored)>()? {
+            if let Some(document) = Arc::get_mut(&mut stored.document) {
+                document.share(&mut pool);
+            }
+            let own = stored.document.name();
+            documents.insert(if own == name { own } else { name }, stored);
+        }
+        Ok(documents)
+    }
+}
+
 /// Hash of one document; its body contains the name.
 fn document_hash(document: &Document) -> u64 {
-    xxh3::xxh3_64(&crate::catalog::encode(document))
+    xxh3::xxh3_64(&catalog::encode(document))
 }
 
 /// Configuration as it would be after a change.
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 pub mod attempts;
+pub mod backlog;
 pub mod cap;
 pub mod ended;
 pub mod preempt;
@@ -32,15 +33,17 @@
 pub struct Config {
     /// Streams that the engine runs at once.
     pub slots: u32,
-    /// Percent of the slots that batch keeps under load, rounded up.
+    /// Percent of the slots that batch keeps under load, rounded to whole slots. An engine with
+    /// few slots may have none; batch then waits while online needs every slot.
     pub floor: u32,
-    /// Percent of the slots that batch leaves free for arriving online requests, rounded up.
+    /// Percent of the slots that batch leaves free for arriving online requests, rounded to whole
+    /// slots.
     pub headroom: u32,
-    /// Longest online queue; also the longest batch queue.
+    /// Longest online queue, at least 1; also the longest batch queue.
     pub queue: usize,
     /// Preemptions of an item after which it is no longer preempted.
     pub preemptions: u32,
-    /// Mean time between online tokens above which batch gives way.
+    /// Time between online tokens, as 95th percentile, above which batch gives way.
     pub target: Duration,
     /// Whether online has priority. Without it the gate starts everything in arrival order,
     /// which is the baseline of measurements.
@@ -51,8 +54,8 @@
     fn default() -> Config {
         Config {
             slots: 32,
-            floor: 4,
-            headroom: 0,
+            floor: 3,
+            headroom: 6,
             queue: 256,
             preemptions: 3,
             target: Duration::from_millis(38),
@@ -61,6 +64,37 @@
     }
 }
 
+/// What a fleet gives more weight to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trade {
+    /// Little degradation of online tail latency.
+    Tail,
+    /// Batch throughput.
+    Throughput,
+}
+
+impl Trade {
+    /// Name in settings.
+    pub fn name(self) -> &'static str {
+        match self {
+            Trade::Tail => "tail",
+            Trade::Throughput => "throughput",
+        }
+    }
+}
+
+impl Config {
+    /// Settings for a trade. The targets suit an engine whose step takes 10 ms and 0.35 ms more
+    /// for each stream; `docs/experiments.md` shows how they were found.
+    pub fn for_trade(trade: Trade) -> Config {
+        let target = match trade {
+            Trade::Tail => Duration::from_millis(21),
+            Trade::Throughput => Duration::from_millis(24),
+        };
+        Config { target, ..Config::default() }
+    }
+}
+
 /// Class of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
