Handle items that end while they are preempted in the experiment

With cancellations confirmed at the end of a step, the experiment stopped at 18 endpoints: a stream had produced its last token in the step in which the gate preempted it, and its resumption looked up a request that was gone. The fault was in the example's shell; the gate already ignores the late confirmation, which a scenario now shows.

--- a/examples/policy/fleet.rs
+++ b/examples/policy/fleet.rs
@@ -339,6 +339,10 @@
     }
 
     fn confirm(&mut self, now: Duration, at: usize, id: u64) {
+        // The stream may have produced its last token before it was cancelled.
+        if !self.requests.contains_key(&id) {
+            return;
+        }
         self.step(now, at, gate::Input::Cancelled { id });
         self.push(now, Event::Resume { at, id });
     }
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -31,6 +31,12 @@
     scenario("burst_preempts_youngest");
 }
 
+/// Guards against an item that runs again although it ended while it was being preempted.
+#[test]
+fn preempted_item_finishes() {
+    scenario("preempted_item_finishes");
+}
+
 /// Guards against batch that stands still under load, and items that are always preempted.
 #[test]
 fn floor_and_preemption_bound() {
