Withdraw an emulated endpoint before it finishes its requests

During a graceful stop the emulator announced zero slots until its streams had ended and withdrew last. The agent rejects an announcement without slots, so it went on to send work, which the engine refused, until three announcements were missed.

Announcing a full set of slots to the end was ruled out: new work would keep the engine from finishing. The endpoint now withdraws first, takes requests for another 100 ms, since the agent may have sent them just before, and then finishes. One task announces and withdraws in sequence, so no announcement can follow the withdrawal.

The test for the stop is replaced: it asserts that the withdrawal comes once and last, while the stream runs, that late work is answered, and that the stream is complete.

--- a/examples/engine.rs
+++ b/examples/engine.rs
@@ -1,7 +1,7 @@
 //! Runs the engine or service emulator as a process.
 //!
 //! Prints one line with the bound address, announces itself to the agent and, on SIGTERM or
-//! SIGINT, finishes its requests and withdraws.
+//! SIGINT, withdraws and finishes its requests.
 
 use argh::FromArgs;
 use basilfield::emulator;
--- a/src/emulator/engine.rs
+++ b/src/emulator/engine.rs
@@ -42,7 +42,6 @@
     host: host::Host,
     shared: Arc<Shared>,
     tasks: [task::JoinHandle<()>; 2],
-    log: slog::Logger,
 }
 
 struct Shared {
@@ -132,7 +131,7 @@
         let host = host::Host::start(address, agent, router, announcement, log).await?;
         *host::lock(&shared.stopping) = Some(host.stopping());
         let tasks = [tokio::spawn(run(shared.clone())), tokio::spawn(report(shared.clone()))];
-        Ok(Engine { host, shared, tasks, log: log.clone() })
+        Ok(Engine { host, shared, tasks })
     }
 
     /// Address that the engine listens on.
@@ -150,14 +149,10 @@
         self.shared.intake.set_faults(faults);
     }
 
-    /// Refuses new requests, finishes the running ones, but for at most `limit`, and withdraws from
-    /// the agent. Returns whether every request has finished.
+    /// Withdraws from the agent, then refuses new requests and finishes the running ones, but for
+    /// at most `limit`. Returns whether every request has finished.
     pub async fn stop(mut self, limit: Duration) -> bool {
-        let finished = self.host.stop(limit).await;
-        if let Some(agent) = self.shared.settings.agent {
-            host::withdraw(agent, &self.shared.settings.name, &self.log).await;
-        }
-        finished
+        self.host.stop(limit).await
     }
 }
 
--- a/src/emulator/host.rs
+++ b/src/emulator/host.rs
@@ -31,6 +31,8 @@
 const ANNOUNCE: Duration = Duration::from_secs(1);
 /// Longest time that the agent may take to answer an announcement.
 const ANSWER: Duration = Duration::from_millis(900);
+/// Time after the withdrawal in which requests still arrive that the agent sent before it.
+const GRACE: Duration = Duration::from_millis(100);
 /// Request header that names a request in the counters.
 const KEY: &str = "x-request-key";
 
@@ -48,6 +50,7 @@
 /// HTTP server of an emulator with its announcements.
 pub(super) struct Host {
     pub(super) addr: SocketAddr,
+    leaving: watch::Sender<bool>,
     stopping: watch::Sender<bool>,
     server: task::JoinHandle<()>,
     announcer: Option<task::JoinHandle<()>>,
@@ -55,8 +58,6 @@
 
 impl Host {
     /// Serves `router` and announces to `agent` what `announcement` returns for the bound address.
-    ///
-    /// An announcement during the stop carries no slots, so that no new work is sent.
     pub(super) async fn start(
         address: SocketAddr,
         agent: Option<SocketAddr>,
@@ -68,8 +69,8 @@
         let listener = tokio::net::TcpListener::bind(address).await.map_err(failed)?;
         let addr = listener.local_addr().map_err(failed)?;
         event!(log, events::LISTENING; "address" => %addr, "protocol" => "http");
-        let (stopping, stop) = watch::channel(false);
-        let mut stopped = stop.clone();
+        let (stopping, mut stopped) = watch::channel(false);
+        let (leaving, leave) = watch::channel(false);
         let listener = listener.tap_io(|stream| {
             // Tokens are small writes that must not wait for acknowledgements. Fails only if the
             // connection is already gone.
@@ -85,9 +86,9 @@
         });
         let announcer = agent.map(|agent| {
             let log = log.clone();
-            tokio::spawn(announce(agent, move || announcement(addr), stop, log))
+            tokio::spawn(announce(agent, move || announcement(addr), leave, log))
         });
-        Ok(Host { addr, stopping, server, announcer })
+        Ok(Host { addr, leaving, stopping, server, announcer })
     }
 
     /// Whether a stop has begun, as a signal.
@@ -95,17 +96,18 @@
         self.stopping.subscribe()
     }
 
-    /// Stops gracefully: running requests finish, but for at most `limit`; then the endpoint is
-    /// withdrawn. Returns whether every request has finished.
+    /// Stops gracefully: withdraws from the agent, so that no new work arrives, then refuses new
+    /// requests and finishes the running ones, but for at most `limit`. Returns whether every
+    /// request has finished.
     pub(super) async fn stop(&mut self, limit: Duration) -> bool {
-        self.stopping.send_replace(true);
-        let finished = time::timeout(limit, &mut self.server).await.is_ok();
+        self.leaving.send_replace(true);
         if let Some(announcer) = self.announcer.take() {
-            announcer.abort();
-            // Waits for the end of the task; the abort is its expected outcome.
+            // Fails only if the task panicked; the agent then notices the silence.
             let _ = announcer.await;
+            time::sleep(GRACE).await;
         }
-        finished
+        self.stopping.send_replace(true);
+        time::timeout(limit, &mut self.server).await.is_ok()
     }
 }
 
@@ -118,45 +120,36 @@
     }
 }
 
-/// Removes the endpoint from its agent.
-pub(super) async fn withdraw(agent: SocketAddr, name: &str, log: &slog::Logger) {
-    let client = client();
-    if let Err(error) = call(&client, Method::DELETE, agent, &format!("/announce/{name}"), "").await
-    {
-        event!(log, events::DIAL_FAILED; "error" => %error);
-    }
-}
-
+/// Announces the endpoint every second and withdraws it once it is leaving.
+///
+/// One task does both in sequence, so that no announcement follows the withdrawal.
 async fn announce(
     agent: SocketAddr,
     announcement: impl Fn() -> Announcement,
-    stop: watch::Receiver<bool>,
+    mut leaving: watch::Receiver<bool>,
     log: slog::Logger,
 ) {
     let client = client();
     let mut ticks = time::interval(ANNOUNCE);
-    let mut stopping = stop.clone();
     let mut known = true;
     loop {
-        let running = !*stop.borrow();
         tokio::select! {
+            // An error means that the emulator was dropped.
+            _ = leaving.wait_for(|leaving| *leaving) => break,
             _ = ticks.tick() => {}
-            _ = stopping.wait_for(|stop| *stop), if running => {}
-        }
-        let mut announcement = announcement();
-        if *stop.borrow() {
-            announcement.slots = 0;
         }
-        let body = serde_json::to_string(&announcement).unwrap_or_default();
-        match call(&client, Method::POST, agent, "/announce", &body).await {
-            Ok(()) => known = true,
-            Err(error) => {
-                if known {
-                    event!(log, events::DIAL_FAILED; "error" => %error);
-                }
-                known = false;
-            }
+        let body = serde_json::to_string(&announcement()).unwrap_or_default();
+        let announced = call(&client, Method::POST, agent, "/announce", &body).await;
+        if let Err(error) = &announced
+            && known
+        {
+            event!(log, events::DIAL_FAILED; "error" => %error);
         }
+        known = announced.is_ok();
+    }
+    let path = format!("/announce/{}", announcement().name);
+    if let Err(error) = call(&client, Method::DELETE, agent, &path, "").await {
+        event!(log, events::DIAL_FAILED; "error" => %error);
     }
 }
 
--- a/src/emulator/service.rs
+++ b/src/emulator/service.rs
@@ -54,7 +54,6 @@
 pub struct Service {
     host: host::Host,
     shared: Arc<Shared>,
-    log: slog::Logger,
 }
 
 struct Shared {
@@ -86,7 +85,7 @@
         };
         let (address, agent) = (shared.settings.address, shared.settings.agent);
         let host = host::Host::start(address, agent, router, announcement, log).await?;
-        Ok(Service { host, shared, log: log.clone() })
+        Ok(Service { host, shared })
     }
 
     /// Address that the service listens on.
@@ -104,14 +103,10 @@
         self.shared.intake.set_faults(faults);
     }
 
-    /// Finishes running calls, but for at most `limit`, and withdraws from the agent. Returns
-    /// whether every call has finished.
+    /// Withdraws from the agent, then refuses new calls and finishes the running ones, but for at
+    /// most `limit`. Returns whether every call has finished.
     pub async fn stop(mut self, limit: Duration) -> bool {
-        let finished = self.host.stop(limit).await;
-        if let Some(agent) = self.shared.settings.agent {
-            host::withdraw(agent, &self.shared.settings.name, &self.log).await;
-        }
-        finished
+        self.host.stop(limit).await
     }
 }
 
--- a/tests/emulator.rs
+++ b/tests/emulator.rs
@@ -338,26 +338,33 @@
     (addr, seen)
 }
 
-/// Guards against an engine that leaves before its streams end, or takes new ones meanwhile.
+/// Guards against a planned stop during which new work arrives or streams are cut off.
 #[tokio::test]
-async fn stop_finishes_streams_and_then_withdraws() {
+async fn stop_withdraws_and_then_finishes_streams() {
     let (agent, seen) = agent().await;
     let name = "engine-1".into();
     let engine = engine(emulator::Settings { agent: Some(agent), name, ..fast() }).await;
     let addr = engine.addr();
-    let running = post(addr, "/v1/completions", &streamed("r", 300)).await;
+    let running = post(addr, "/v1/completions", &streamed("r", 800)).await;
     time::sleep(Duration::from_millis(50)).await;
     let stopping = tokio::spawn(engine.stop(Duration::from_secs(5)));
-    time::sleep(Duration::from_millis(100)).await;
-    let last = seen.lock().unwrap().last().cloned().unwrap();
-    assert_eq!((&last["name"], &last["slots"]), (&json!("engine-1"), &json!(0)));
-    assert_eq!(read_stream(running).await, (text::answer(MODEL, "r", 300), 300, true));
+    time::sleep(Duration::from_millis(20)).await;
+    // Work that the agent sent just before the withdrawal is still taken.
+    let late = post(addr, "/v1/completions", &completion("late", 1)).await;
+    assert_eq!(read_json(late).await["choices"][0]["text"], text::answer(MODEL, "late", 1));
+    time::sleep(Duration::from_millis(400)).await;
+    let withdrawn = json!({"withdrawn": "engine-1"});
+    assert_eq!(seen.lock().unwrap().last(), Some(&withdrawn));
+    let uri = format!("http://{addr}/v1/models").parse().unwrap();
+    assert!(client().get(uri).await.is_err(), "no new connection is accepted");
+    assert!(!stopping.is_finished(), "the stream still runs");
+    assert_eq!(read_stream(running).await, (text::answer(MODEL, "r", 800), 800, true));
     assert!(stopping.await.unwrap());
-    let seen = seen.lock().unwrap();
     let first = json!({"name": "engine-1", "kind": "engine", "address": addr.to_string(),
         "models": [MODEL], "slots": 32, "fencing": true});
-    assert_eq!(seen.first(), Some(&first));
-    assert_eq!(seen.last(), Some(&json!({"withdrawn": "engine-1"})));
+    let seen = seen.lock().unwrap();
+    assert_eq!((seen.first(), seen.last()), (Some(&first), Some(&withdrawn)));
+    assert_eq!(seen.iter().filter(|record| **record == withdrawn).count(), 1);
 }
 
 /// Guards against a service whose count of calls is not exact, on which at-most-once tests rely.
