Measure a small fleet of processes; shorten elections

Two waits added up: the election timeout of 1 s, drawn up to twice as long, and the client's wait of 1.5 s for the dead host.

Election timeout 700 ms with heartbeats of 70 ms, wait for one host 1 s. The load of an endpoint as reported to entries no longer counts batch, which gives way.

--- /dev/null
+++ b/examples/measure/state.rs
@@ -0,0 +1,232 @@
+//! Measurements of the state hosts.
+
+use crate::workdir;
+use basilfield::client;
+use basilfield::jobs;
+use futures_util::StreamExt as _;
+use serde_json::Value;
+use serde_json::json;
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+use workdir::Fleet;
+use workdir::run;
+
+/// Longest wait for one command.
+const LIMIT: Duration = Duration::from_secs(20);
+/// Length of the body of an item and of a result, in bytes.
+const BODY: usize = 300;
+
+fn size_of(path: &Path) -> u64 {
+    let entries = std::fs::read_dir(path).map(|e| e.flatten().collect()).unwrap_or_default();
+    let entries: Vec<std::fs::DirEntry> = entries;
+    let size = |e: &std::fs::DirEntry| match e.metadata() {
+        Ok(m) if m.is_dir() => size_of(&e.path()),
+        Ok(m) => m.len(),
+        Err(_) => 0,
+    };
+    entries.iter().map(size).sum()
+}
+
+/// Submits a job straight to the state hosts.
+async fn submit(client: &client::Client, key: &str, items: u32) -> String {
+    let open = jobs::Command::Open {
+        workspace: "tailors".into(),
+        key: key.into(),
+        digest: 1,
+        // A model that no endpoint serves, so that nothing but this program completes items.
+        model: "measured".into(),
+        due: 3_600_000,
+        total: items,
+    };
+    let job = jobs::group_of("tailors", key, 1);
+    assert_eq!(job, 1, "one job group");
+    let reply = propose(client, &open).await;
+    let jobs::Reply::Opened { job, .. } = reply else { panic!("not opened: {reply:?}") };
+    let all: Vec<u32> = (0..items).collect();
+    for (seq, chunk) in (0..).zip(all.chunks(1_000)) {
+        let item = |at: &u32| jobs::message::NewItem {
+            custom: format!("item-{at}").into(),
+            body: vec![b'x'; BODY].into(),
+        };
+        let items = chunk.iter().map(item).collect();
+        propose(client, &jobs::Command::Chunk { job: job.clone(), seq, items }).await;
+    }
+    propose(client, &jobs::Command::Seal { job: job.clone() }).await;
+    job.to_string()
+}
+
+async fn propose(client: &client::Client, command: &jobs::Command) -> jobs::Reply {
+    let applied = client.propose(1, jobs::encode(command), LIMIT).await.expect("commits");
+    jobs::Reply::decode(&applied.reply).expect("reply decodes")
+}
+
+async fn complete(client: &client::Client, job: &str, item: u32) -> Duration {
+    let command = jobs::Command::Complete {
+        job: job.into(),
+        item,
+        attempt: 1,
+        outcome: jobs::message::ItemOutcome::Done(vec![b'y'; BODY].into()),
+    };
+    let started = Instant::now();
+    let reply = propose(client, &command).await;
+    assert_eq!(reply, jobs::Reply::Completed);
+    started.elapsed()
+}
+
+async fn complete_all(client: &client::Client, job: &str, items: u32, flight: usize) {
+    let started = Instant::now();
+    let mut times: Vec<Duration> = futures_util::stream::iter(0..items)
+        .map(|item| complete(client, job, item))
+        .buffer_unordered(flight)
+        .collect()
+        .await;
+    let elapsed = started.elapsed();
+    times.sort();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+    println!(
+        "{items} completions with {flight} in flight in {elapsed:.2?}: {:.0}/s, p50 {:.1?}, p99 {:.1?}",
+        f64::from(items) / elapsed.as_secs_f64(),
+        at(0.5),
+        at(0.99)
+    );
+}
+
+/// Committed item completions per second.
+pub fn commits(args: &crate::Commits) {
+    let fleet = Fleet::start(workdir::Size { states: 3, entries: 1, agents: 0 });
+    let client = fleet.state_client("measure");
+    let hosts = ["state-0", "state-1", "state-2"];
+    let memory = || hosts.map(|h| fleet.memory(h) / 1024);
+    let disk = || hosts.map(|h| size_of(&fleet.path(&format!("{h}-data"))) / 1024);
+    let cpu = || hosts.map(|h| fleet.processor(h));
+    println!("before: memory {:?} KiB, disk {:?} KiB", memory(), disk());
+    run(async {
+        let job = submit(&client, "measure", args.items).await;
+        println!("queued: memory {:?} KiB, disk {:?} KiB", memory(), disk());
+        let before = cpu();
+        complete_all(&client, &job, args.items, args.flight).await;
+        let used: Vec<f64> = cpu()
+            .iter()
+            .zip(before)
+            .map(|(after, before)| (*after - before).as_secs_f64() * 1e6 / f64::from(args.items))
+            .collect();
+        println!("processor time per commit: {used:.0?} us");
+    });
+    println!("finished: memory {:?} KiB, disk {:?} KiB", memory(), disk());
+}
+
+fn apply(client: &basilfield::api::Client, id: &str, name: &str) -> bool {
+    let hash = basilfield::entry::auth::hash_key(name);
+    let fill = json!([{ "template": "workspace", "parameters":
+        [format!("name={name}"), format!("keys={hash}")] }]);
+    let body = json!({ "id": id, "expected": null, "fill": fill });
+    run(client.post("/admin/apply", &body)).is_ok_and(|a| a.is_ok())
+}
+
+fn leader(status: &Value, group: u64) -> Option<String> {
+    let hosts = status["state"].as_array()?;
+    let leads = |host: &&Value| {
+        let groups = host["groups"].as_array();
+        groups.is_some_and(|g| {
+            g.iter().any(|g| g["group"] == group && g["role"] == "leader" && g["live"] == 3)
+        })
+    };
+    hosts.iter().find(leads).and_then(|h| h["host"].as_str()).map(str::to_string)
+}
+
+/// Time from kill -9 of the leader of group 0 until the next change is accepted.
+pub fn failover(args: &crate::Failover) {
+    let mut fleet = Fleet::start(workdir::Size { states: 3, entries: 1, agents: 0 });
+    let mut times = Vec::new();
+    for round in 0..args.rounds {
+        let mut found = None;
+        fleet.until("group 0 is complete", || {
+            found = leader(&fleet.status(0), 0);
+            found.is_some()
+        });
+        let host = found.expect("leader");
+        fleet.kill(&host);
+        let started = Instant::now();
+        let client = fleet.client(0, workdir::OPERATOR_KEY);
+        while !apply(&client, &format!("round-{round}"), &format!("w{round}")) {
+            assert!(started.elapsed() < workdir::PATIENCE, "no leader");
+        }
+        times.push(started.elapsed());
+        let at = host.trim_start_matches("state-").parse().expect("number of the host");
+        fleet.start_state(at);
+    }
+    times.sort();
+    println!("until a change is accepted after kill -9 of the leader: {times:.2?}");
+}
+
+/// Time from the acceptance of a change until it is in force at every entry.
+pub fn force(args: &crate::Force) {
+    let fleet = Fleet::start(workdir::Size { states: 3, entries: args.entries, agents: 0 });
+    let operator = fleet.client(0, workdir::OPERATOR_KEY);
+    let mut times = Vec::new();
+    run(async {
+        for change in 0..args.changes {
+            let name = format!("w{change}");
+            let hash = basilfield::entry::auth::hash_key(&name);
+            let fill = json!([{ "template": "workspace", "parameters":
+                [format!("name={name}"), format!("keys={hash}")] }]);
+            let body = json!({ "id": name, "expected": null, "fill": fill });
+            let answer = operator.post("/admin/apply", &body).await.expect("answer");
+            assert!(answer.is_ok(), "{}", answer.json());
+            let accepted = Instant::now();
+            // The caller's key works at an entry from the moment the change is in force there.
+            let entries = (0..args.entries).map(|at| in_force(fleet.client(at, &name)));
+            futures_util::future::join_all(entries).await;
+            times.push(accepted.elapsed());
+        }
+    });
+    times.sort();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+    println!(
+        "{} changes at {} entries: in force everywhere p50 {:.1?}, p99 {:.1?}, most {:.1?}",
+        args.changes,
+        args.entries,
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+}
+
+async fn in_force(client: basilfield::api::Client) {
+    while !client.get("/v1/models").await.is_ok_and(|a| a.is_ok()) {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Time until a killed state host serves again.
+pub fn restart(args: &crate::Restart) {
+    let mut fleet = Fleet::start(workdir::Size { states: 1, entries: 1, agents: 0 });
+    let operator = fleet.client(0, workdir::OPERATOR_KEY);
+    for change in 0..args.changes {
+        assert!(apply(&operator, &format!("c{change}"), &format!("w{}", change % 100)));
+    }
+    let client = fleet.state_client("measure");
+    let job = run(async {
+        let job = submit(&client, "measure", args.items).await;
+        complete_all(&client, &job, args.items / 2, 512).await;
+        job
+    });
+    let disk = size_of(&fleet.path("state-0-data")) / 1024;
+    fleet.kill("state-0");
+    let started = Instant::now();
+    fleet.start_state(0);
+    let client = fleet.state_client("again");
+    let query = jobs::encode(&jobs::Query::Job { job: job.as_str().into() });
+    run(async {
+        while client.query(1, query.clone(), Duration::from_secs(1)).await.is_err() {
+            assert!(started.elapsed() < workdir::PATIENCE, "state host does not serve");
+        }
+    });
+    println!(
+        "{} items, {} changes, {disk} KiB on disk: serves again after {:.2?}",
+        args.items,
+        args.changes,
+        started.elapsed()
+    );
+}
--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -111,9 +111,10 @@
 /// Load of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
-    /// Work that waits for a slot.
+    /// Online requests that wait for a slot.
     pub queued: u32,
-    /// Work that runs.
+    /// Online requests that run. Batch is left out, because it gives way: an endpoint that is
+    /// filled with batch must not look full to entries.
     pub running: u32,
 }
 
@@ -230,9 +231,8 @@
     /// Current load.
     pub fn load(&self) -> Load {
         let state = self.lock();
-        let queued = u32::try_from(state.waiting.len()).unwrap_or(u32::MAX);
-        let all = u32::try_from(state.running.len()).unwrap_or(u32::MAX);
-        Load { queued, running: all.saturating_sub(queued) }
+        let load = state.gate.load();
+        Load { queued: load.queued, running: load.online }
     }
 
     /// Waits until no work runs or waits.
--- a/src/client.rs
+++ b/src/client.rs
@@ -13,7 +13,7 @@
 use tokio::time;
 
 /// Longest wait for one state host before the next one is tried.
-const TRY_TIMEOUT: Duration = Duration::from_millis(1_500);
+const TRY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause before the hosts are tried again when none of them leads.
 const PAUSE: Duration = Duration::from_millis(40);
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -256,11 +256,11 @@
 }
 
 fn default_heartbeat() -> u64 {
-    100
+    70
 }
 
 fn default_election() -> u64 {
-    1_000
+    700
 }
 
 fn default_snapshot() -> u64 {
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -3,7 +3,9 @@
 #![allow(dead_code)] // Each test file uses a part of it.
 
 use basilfield::api;
+use basilfield::client;
 use basilfield::entry::auth;
+use basilfield::settings;
 use basilfield::tls;
 use serde_json::Value;
 use serde_json::json;
@@ -33,6 +35,7 @@
     entries: Vec<SocketAddr>,
     announces: Vec<SocketAddr>,
     processes: Vec<(String, Child)>,
+    engines: Vec<SocketAddr>,
 }
 
 /// Size of a fleet.
@@ -77,6 +80,7 @@
             entries: Vec::new(),
             announces: Vec::new(),
             processes: Vec::new(),
+            engines: Vec::new(),
         }
     }
 
@@ -167,7 +171,10 @@
     }
 
     pub fn start_engine(&mut self, at: usize, options: &[&str]) {
+        let address = free_tcp();
+        self.engines.push(address);
         let child = Command::new(example("engine"))
+            .args(["--address", &address.to_string()])
             .args(["--agent", &self.announces[at].to_string(), "--model", MODEL])
             .args(options)
             .stdout(Stdio::null())
@@ -237,6 +244,28 @@
         std::fs::read_to_string(self.path(&format!("{name}.log"))).unwrap_or_default()
     }
 
+    /// Address of an engine, for direct calls.
+    pub fn engine(&self, at: usize) -> SocketAddr {
+        self.engines[at]
+    }
+
+    /// Address of an entry's HTTP listener.
+    pub fn entry(&self, at: usize) -> SocketAddr {
+        self.entries[at]
+    }
+
+    /// Client of the state hosts under a name of its own.
+    pub fn state_client(&self, name: &str) -> client::Client {
+        let identity = self.authority.identity(name).expect("identity");
+        let host = |(name, address): &(String, SocketAddr)| settings::Host {
+            name: name.as_str().into(),
+            address: *address,
+        };
+        let fleet = settings::Fleet { groups: 1, hosts: self.states.iter().map(host).collect() };
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        client::Client::new(&identity, &fleet, &log)
+    }
+
     pub fn url(&self, entry: usize) -> String {
         format!("http://{}", self.entries[entry])
     }
@@ -337,13 +366,19 @@
     basilfield::cmd::block_on(future).expect("runtime")
 }
 
-pub fn binary() -> &'static Path {
-    Path::new(env!("CARGO_BIN_EXE_basilfield"))
+/// Directory of the built binary. Tests are in its folder `deps`, examples in `examples`.
+fn built() -> PathBuf {
+    let own = std::env::current_exe().expect("path of this program");
+    own.parent().and_then(Path::parent).expect("target directory").to_path_buf()
+}
+
+pub fn binary() -> PathBuf {
+    built().join("basilfield")
 }
 
 /// Path of an example, which `cargo test` builds beside the binary.
 pub fn example(name: &str) -> PathBuf {
-    binary().parent().expect("target directory").join("examples").join(name)
+    built().join("examples").join(name)
 }
 
 pub fn free_udp() -> SocketAddr {
