Report lost leases until their failed attempt is committed

The shell was meant to repeat the proposal, but it has no way to know which changes are still to come.

The leases now keep what they reported and report it again every lease time until the change arrives, which is safe because an attempt is counted once under its id. A report about an earlier grant no longer replaces the one that is due.

--- a/src/jobs/leases/message.rs
+++ b/src/jobs/leases/message.rs
@@ -97,8 +97,9 @@
         /// Items without a valid lease.
         items: Vec<Lease>,
     },
-    /// Leases expired. The shell proposes an `Attempt` with the cause `WorkerLost` for each, and
-    /// again until its change is applied; the items are not granted before that.
+    /// Leases expired. The shell proposes an `Attempt` with the cause `WorkerLost` for each. The
+    /// items are not granted before its change is applied, and this output is repeated every
+    /// lease time until then, since a proposal can be refused or lost.
     Lost {
         /// Name of the agent.
         agent: Arc<str>,
--- a/src/jobs/leases/mod.rs
+++ b/src/jobs/leases/mod.rs
@@ -6,6 +6,7 @@
 
 mod message;
 pub mod ready;
+mod records;
 
 pub use message::Config;
 pub use message::Input;
@@ -24,46 +25,16 @@
 use rand_chacha::ChaCha8Rng;
 use ready::ReadyJob;
 use ready::Wait;
+use records::Agent;
+use records::Grace;
+use records::Live;
+use records::Lost;
+use records::Waiting;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Lease of one item at an agent.
-#[derive(Debug)]
-struct Live {
-    attempt: u64,
-    expires: Duration,
-    /// Whether the item is granted alone when it is returned.
-    alone: bool,
-}
-
-/// Leases of one agent.
-#[derive(Debug, Default)]
-struct Agent {
-    /// Leases by number of the job and item.
-    held: SortedMap<(u32, u32), Live>,
-    /// No lease expires before this time.
-    earliest: Duration,
-}
-
-/// Pull that waits for items.
-#[derive(Debug)]
-struct Waiting {
-    token: u64,
-    agent: Arc<str>,
-    free: u32,
-    models: Vec<Arc<str>>,
-    until: Duration,
-}
-
-/// Time after an election in which agents announce what they hold.
-#[derive(Debug)]
-struct Grace {
-    until: Duration,
-    missing: BTreeSet<Arc<str>>,
-}
-
 /// Item leases of a job group.
 pub struct Leases {
     config: Config,
@@ -77,6 +48,9 @@
     models: SortedMap<Arc<str>, Shares>,
     weights: SortedMap<Arc<str>, u32>,
     agents: SortedMap<Arc<str>, Agent>,
+    /// Leases that expired and whose failed attempt is not committed yet, by number of the job
+    /// and item.
+    lost: SortedMap<(u32, u32), Lost>,
     pulls: Vec<Waiting>,
     /// Ends of backoffs: time, job, item.
     backoffs: BTreeSet<(Duration, u32, u32)>,
@@ -100,6 +74,7 @@
             models: SortedMap::new(),
             weights: SortedMap::new(),
             agents: SortedMap::new(),
+            lost: SortedMap::new(),
             pulls: Vec::new(),
             backoffs: BTreeSet::new(),
             urgencies: BTreeSet::new(),
@@ -140,6 +115,7 @@
         self.names = BTreeMap::new();
         self.models = SortedMap::new();
         self.agents = SortedMap::new();
+        self.lost = SortedMap::new();
         self.pulls = Vec::new();
         self.backoffs = BTreeSet::new();
         self.urgencies = BTreeSet::new();
@@ -248,6 +224,7 @@
         job.withhold(item);
         job.open.remove(item);
         let finished = job.open.is_empty();
+        self.lost.remove(&(number, item));
         if let Some((agent, lease)) = self.end_lease(number, item) {
             // The result came from an earlier grant: the present one runs for nothing.
             if attempt != lease.attempt {
@@ -267,11 +244,14 @@
         }
         let holder = job.live.get(&delay.item).and_then(|agent| self.agents.get(agent));
         let live = holder.and_then(|agent| agent.held.get(&(number, delay.item)));
-        // A late report about an earlier grant does not end the present one.
-        if live.is_some_and(|live| live.attempt != attempt) {
+        // A late report about an earlier grant neither ends the present one nor replaces the
+        // report about its loss.
+        let lost = self.lost.get(&(number, delay.item)).map(|lost| lost.lease.attempt);
+        if live.map(|live| live.attempt).or(lost).is_some_and(|present| present != attempt) {
             return;
         }
         self.end_lease(number, delay.item);
+        self.lost.remove(&(number, delay.item));
         if let Some(job) = self.jobs.get_mut(&number) {
             job.withhold(delay.item);
         }
@@ -296,6 +276,7 @@
     /// Removes a job that has no open item or was cancelled.
     fn forget(&mut self, number: u32) {
         let Some(job) = self.jobs.remove(&number) else { return };
+        self.lost.retain(|(job, _), _| *job != number);
         self.names.remove(&job.name);
         if let Some(shares) = self.models.get_mut(&job.model).filter(|_| job.entered) {
             shares.leave(&job.place);
@@ -423,12 +404,23 @@
             let lost: Vec<_> = held.filter(|(_, l)| l.expires <= now).map(|(k, _)| *k).collect();
             let kept = agent.held.values().map(|l| l.expires).filter(|e| *e > now);
             agent.earliest = kept.min().unwrap_or(now);
-            let leases = lost.iter().filter_map(|(number, item)| self.end_lease(*number, *item));
-            let items: Vec<Lease> = leases.map(|(_, lease)| lease).collect();
-            if !items.is_empty() {
-                out.push(Output::Lost { agent: name, items });
+            for (number, item) in lost {
+                let Some((agent, lease)) = self.end_lease(number, item) else { continue };
+                self.lost.insert((number, item), Lost { agent, lease, again: now });
             }
         }
+        self.report_lost(now, out);
+    }
+
+    /// Reports the expired leases whose failed attempt is not committed yet.
+    fn report_lost(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let mut reports: SortedMap<Arc<str>, Vec<Lease>> = SortedMap::new();
+        for (_, lost) in self.lost.iter_mut().filter(|(_, lost)| lost.again <= now) {
+            lost.again = now + self.config.lease;
+            reports.entry_or(lost.agent.clone(), Vec::new).push(lost.lease.clone());
+        }
+        let reports = reports.iter();
+        out.extend(reports.map(|(a, i)| Output::Lost { agent: a.clone(), items: i.clone() }));
     }
 
     fn replace_pull(&mut self, agent: &str, out: &mut Vec<Output>) {
@@ -490,13 +482,6 @@
     }
 }
 
-impl Waiting {
-    /// Answer without items.
-    fn empty(self) -> Output {
-        Output::Grant { token: self.token, agent: self.agent, items: Vec::new() }
-    }
-}
-
 fn millis(time: Duration) -> i64 {
     i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
 }
--- /dev/null
+++ b/src/jobs/leases/records.rs
@@ -0,0 +1,70 @@
+//! Records of the leases: what agents hold, lost and wait for.
+
+use crate::jobs::leases::message::Output;
+use crate::sorted::SortedMap;
+use crate::wire::Lease;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Lease of one item at an agent.
+#[derive(Debug)]
+pub struct Live {
+    /// Id of the grant.
+    pub attempt: u64,
+    /// End of its validity.
+    pub expires: Duration,
+    /// Whether the item is granted alone when it is returned.
+    pub alone: bool,
+}
+
+/// Leases of one agent.
+#[derive(Debug, Default)]
+pub struct Agent {
+    /// Leases by number of the job and item.
+    pub held: SortedMap<(u32, u32), Live>,
+    /// No lease expires before this time.
+    pub earliest: Duration,
+}
+
+/// Lease that expired.
+#[derive(Debug)]
+pub struct Lost {
+    /// Agent that held it.
+    pub agent: Arc<str>,
+    /// The lease.
+    pub lease: Lease,
+    /// When it is reported again.
+    pub again: Duration,
+}
+
+/// Pull that waits for items.
+#[derive(Debug)]
+pub struct Waiting {
+    /// Number of the request.
+    pub token: u64,
+    /// Agent that asks.
+    pub agent: Arc<str>,
+    /// Number of items that it can start.
+    pub free: u32,
+    /// Models that its engines serve.
+    pub models: Vec<Arc<str>>,
+    /// End of the waiting time.
+    pub until: Duration,
+}
+
+/// Time after an election in which agents announce what they hold.
+#[derive(Debug)]
+pub struct Grace {
+    /// End of the time.
+    pub until: Duration,
+    /// Agents that have not announced.
+    pub missing: BTreeSet<Arc<str>>,
+}
+
+impl Waiting {
+    /// Answer without items.
+    pub fn empty(self) -> Output {
+        Output::Grant { token: self.token, agent: self.agent, items: Vec::new() }
+    }
+}
