Remove up to 4,096 claims with one expiry

The state host proposes an Expire once a minute and does not yet follow up when more records are due. With 256 records each, at most four claims a second could be removed for good, so a fleet with more keyed calls than that would keep claims for ever longer.

Claims now have a bound of their own, 4,096, which keeps up with 68 a second at one command a minute. Raising the bound for jobs as well was ruled out, since one job can free the bodies of 97,000 items and the command must not delay others. No timing was measured for this change; the retention scenario passes as before.

--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -19,8 +19,12 @@
 /// Largest number of items of a job.
 pub const MAX_ITEMS: u32 = 1_000_000;
 
-/// Largest number of records that one `Expire` removes, so that it does not delay other commands.
-const EXPIRE_BATCH: u32 = 256;
+/// Largest number of jobs that one `Expire` removes, so that it does not delay other commands.
+const EXPIRE_JOBS: u32 = 256;
+
+/// Largest number of claims that one `Expire` removes. They are small; at one `Expire` a minute
+/// this keeps up with 68 claims a second.
+const EXPIRE_CLAIMS: u32 = 4_096;
 
 /// Largest number of records on a page of an answer.
 const PAGE_RECORDS: u32 = 10_000;
@@ -370,7 +374,7 @@
 
     fn expire(&mut self, retention: u64) -> Reply {
         let clock = self.state.clock;
-        let due = self.state.shelf.due(retention, clock, EXPIRE_BATCH);
+        let due = self.state.shelf.due(retention, clock, EXPIRE_JOBS);
         let mut jobs = 0;
         for (changed, id) in due.entries {
             let job = self.state.jobs.get(&id);
@@ -382,7 +386,7 @@
                 jobs += 1;
             }
         }
-        let (claims, more) = self.state.claims.expire(retention, clock, EXPIRE_BATCH);
+        let (claims, more) = self.state.claims.expire(retention, clock, EXPIRE_CLAIMS);
         Reply::Expired { jobs, claims, more: more || due.more }
     }
 
