Bound the size of the grants of one answer

Leases grant as many items as an agent can start, without a look at their bodies. Sixteen items of 2 MB each would exceed the largest frame of 16 MiB: the answer could not be sent, the leases would expire, and every item would count a failed attempt although none had run.

Bounding the count in the leases was ruled out, because they do not know the sizes.

--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -3,6 +3,7 @@
 //! [`Table`] is the replicated state, identical on every replica of a group. [`leases::Leases`]
 //! lives only in the memory of the group's leader and decides which agent runs which item.
 
+mod change;
 pub mod claims;
 pub mod fairness;
 pub mod id;
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -3,6 +3,11 @@
 //! Every replica applies the same commands in the same order and holds the same state; nothing
 //! here depends on a clock, on randomness or on the settings of a host.
 
+pub use crate::jobs::change::Change;
+pub use crate::jobs::change::Delay;
+pub use crate::jobs::change::Grants;
+pub use crate::jobs::change::OpenJob;
+
 use crate::jobs::id::Id;
 use crate::jobs::items;
 use crate::jobs::items::Bodies;
@@ -26,6 +31,10 @@
 /// this keeps up with 68 claims a second.
 const EXPIRE_CLAIMS: u32 = 4_096;
 
+/// Size in bytes after which the grants of one answer end. With one further body they still fit
+/// into a frame ([`wire::MAX_FRAME`]).
+const GRANT_BYTES: usize = 4 << 20;
+
 /// Largest number of records on a page of an answer.
 const PAGE_RECORDS: u32 = 10_000;
 
@@ -33,64 +42,6 @@
 /// frame ([`wire::MAX_FRAME`]).
 const PAGE_BYTES: usize = 4 << 20;
 
-/// Job with items that can run, for the granting of items.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OpenJob {
-    /// Name of the job.
-    pub job: Arc<str>,
-    /// Workspace that owns the job.
-    pub workspace: Arc<str>,
-    /// Model that the items ask for.
-    pub model: Arc<str>,
-    /// Milliseconds until the job is due; negative if that time has passed.
-    pub slack: i64,
-    /// Bit set of the items without a result: item `i` is bit `i % 64` of word `i / 64`.
-    pub open: Vec<u64>,
-    /// Items among them that had failed attempts.
-    pub delayed: Vec<Delay>,
-}
-
-/// How an item with failed attempts is granted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Delay {
-    /// Position of the item.
-    pub item: u32,
-    /// Milliseconds before it may be granted.
-    pub wait: u64,
-    /// Whether it is granted alone.
-    pub alone: bool,
-}
-
-/// Change of the items that can run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// A job was accepted.
-    Accepted(OpenJob),
-    /// An item has a result.
-    Ended {
-        /// Name of the job.
-        job: Arc<str>,
-        /// Position of the item.
-        item: u32,
-        /// Grant whose result was stored, or whose failure was the last one allowed.
-        attempt: u64,
-    },
-    /// A failed attempt was counted; the item can run again.
-    Delayed {
-        /// Name of the job.
-        job: Arc<str>,
-        /// Grant that failed.
-        attempt: u64,
-        /// When and how the item is granted.
-        delay: Delay,
-    },
-    /// The job was cancelled.
-    Cancelled {
-        /// Name of the job.
-        job: Arc<str>,
-    },
-}
-
 /// State machine of a job group.
 pub struct Table {
     state: State,
@@ -147,6 +98,23 @@
         })
     }
 
+    /// Completes as many leases to grants as fit into one answer. Items that no longer run are
+    /// left out.
+    pub fn grants(&self, leases: &[wire::Lease]) -> Grants {
+        let mut grants = Grants::default();
+        let mut size = 0;
+        for lease in leases {
+            if size >= GRANT_BYTES {
+                grants.rest.push(lease.clone());
+                continue;
+            }
+            let Some(grant) = self.grant(lease) else { continue };
+            size += grant.body.len();
+            grants.items.push(grant);
+        }
+        grants
+    }
+
     fn execute(&mut self, index: u64, stamped: Stamped) -> Reply {
         self.state.clock = self.state.clock.max(stamped.clock);
         let result = match stamped.command {
--- a/tests/job_table.rs
+++ b/tests/job_table.rs
@@ -314,3 +314,23 @@
     }
     assert_eq!((done.len(), state(&table, &job)), (600, Some(JobState::Finished)));
 }
+
+/// Guards against an answer to a pull that exceeds the largest frame.
+#[test]
+fn grants_fit_into_a_frame() {
+    let mut table = Table::default();
+    let job = Id::of("w", "k").name();
+    let (workspace, key) = ("w".into(), "k".into());
+    let open = Command::Open { workspace, key, digest: 1, model: "m".into(), due: 0, total: 4 };
+    let item = |n: u32| NewItem { custom: n.to_string().into(), body: vec![0; 3 << 20].into() };
+    let chunk = |seq| Command::Chunk { job: job.clone(), seq, items: vec![item(seq)] };
+    let seal = Command::Seal { job: job.clone() };
+    for command in std::iter::once(open).chain((0..4).map(chunk)).chain([seal]) {
+        table.apply(1, &Stamped { clock: 0, command }.encode());
+    }
+    complete(&mut table, &job, 0, Vec::new());
+    let lease = |item| Lease { job: job.clone(), item, attempt: 1 };
+    let grants = table.grants(&[0, 1, 2, 3].map(lease));
+    assert_eq!(grants.items.iter().map(|g| g.lease.item).collect::<Vec<_>>(), [1, 2]);
+    assert_eq!(grants.rest, [lease(3)]);
+}
