--- a/src/gate/schedule.rs
+++ b/src/gate/schedule.rs
@@ -4,6 +4,7 @@
 use crate::gate::Class;
 use crate::gate::Input;
 use crate::gate::Output;
+use crate::gate::backlog;
 use crate::gate::cap;
 use crate::gate::ended;
 use crate::gate::preempt;
@@ -11,7 +12,6 @@
 use crate::gate::service;
 use crate::sorted;
 use crate::wire;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Time after a preemption during which batch starts within the floor only. Without it, a slot that
@@ -26,6 +26,8 @@
 /// Time after which a stream without a token no longer holds back batch streams. Endpoints that
 /// report no tokens are thus still filled.
 const PREFILL: Duration = Duration::from_millis(50);
+/// More slots than any engine has. Bounds what a mistaken announcement can cause.
+const MAX_SLOTS: u32 = 1 << 16;
 /// Ended ids that are remembered.
 const ENDED: usize = 4096;
 /// Time for which ended ids are remembered.
@@ -38,34 +40,18 @@
 const SILENT: Duration = Duration::from_secs(30);
 /// A stream without any token is given up after this time even if its deadline is later.
 const NO_TOKEN: Duration = Duration::from_secs(600);
-/// A batch item that could not start within this time goes back to its job, because another
-/// endpoint may be idle.
-const BATCH_WAIT: Duration = Duration::from_secs(10);
-/// The same for an item that was preempted: its tokens would be lost.
-const RESUMED_WAIT: Duration = Duration::from_secs(60);
 /// Requests that were accepted before a drain may still start within this time.
 const DRAIN_GRACE: Duration = Duration::from_secs(1);
 /// Retry time of a refusal because of a drain; the endpoint may be back or replaced by then.
 const DRAIN_RETRY: Duration = Duration::from_secs(1);
 
-/// Batch item that waits for a slot.
-#[derive(Clone, Debug)]
-struct Item {
-    waiting: queue::Waiting,
-    class: Class,
-    since: Duration,
-    preempted: u32,
-    /// When it was started for the first time, if it was preempted.
-    first: Option<Duration>,
-}
-
 /// Admission control at one endpoint.
 #[derive(Debug)]
 pub struct Gate {
     config: gate::Config,
     slots: u32,
     online: queue::Queue,
-    batch: VecDeque<Item>,
+    batch: backlog::Backlog,
     running: sorted::SortedMap<u64, preempt::Running>,
     ended: ended::Ended,
     cap: cap::Cap,
@@ -81,9 +67,9 @@
     /// Returns a gate without work.
     pub fn new(config: gate::Config) -> Gate {
         Gate {
-            slots: config.slots,
+            slots: config.slots.min(MAX_SLOTS),
             online: queue::Queue::default(),
-            batch: VecDeque::new(),
+            batch: backlog::Backlog::default(),
             running: sorted::SortedMap::new(),
             ended: ended::Ended::new(ENDED, KEEP),
             cap: cap::Cap::new(config.target, config.slots),
@@ -109,7 +95,8 @@
         let mut out = Vec::new();
         match input {
             Input::Submit { id, class, workspace, deadline } => {
-                let waiting = queue::Waiting { id, workspace, deadline: now + deadline };
+                let waiting =
+                    queue::Waiting { id, workspace, deadline: now.saturating_add(deadline) };
                 self.submit(now, class, waiting, &mut out);
             }
             Input::Withdraw { id } => self.withdraw(now, id, &mut out),
@@ -120,7 +107,7 @@
             }
             Input::Done { id, ok } => self.done(now, id, ok),
             Input::Cancelled { id } => self.cancelled(now, id),
-            Input::Slots(slots) => self.slots = slots,
+            Input::Slots(slots) => self.resize(slots),
             Input::Drain => self.drain(now, &mut out),
             Input::Resume => self.draining = None,
             Input::Tick => self.tick(now, &mut out),
@@ -171,22 +158,23 @@
             return self.refuse(now, id, wire::Reason::Draining, DRAIN_RETRY, out);
         }
         if class == Class::Batch || !self.config.policy {
-            self.submit_batch(now, Item { waiting, class, since: now, preempted, first }, out);
+            self.submit_batch(
+                now,
+                backlog::Item { waiting, class, since: now, preempted, first },
+                out,
+            );
         } else {
             self.submit_online(now, waiting, out);
         }
     }
 
-    fn submit_batch(&mut self, now: Duration, item: Item, out: &mut Vec<Output>) {
-        if self.batch.len() >= self.config.queue {
+    fn submit_batch(&mut self, now: Duration, item: backlog::Item, out: &mut Vec<Output>) {
+        if self.batch.len() >= self.config.queue.max(1) {
             let retry = self.service.retry(self.service.wait(self.batch.len(), self.slots));
             return self.refuse(now, item.waiting.id, wire::Reason::QueueFull, retry, out);
         }
         self.ended.remove(item.waiting.id);
-        // Resumed items go first, the oldest before the others: their tokens are held in memory.
-        let age = |item: &Item| item.first.unwrap_or(Duration::MAX);
-        let at = self.batch.partition_point(|other| age(other) <= age(&item));
-        self.batch.insert(at, item);
+        self.batch.push(item);
     }
 
     fn submit_online(&mut self, now: Duration, waiting: queue::Waiting, out: &mut Vec<Output>) {
@@ -197,7 +185,7 @@
             let retry = self.service.retry(ready - waiting.deadline);
             return self.refuse(now, waiting.id, wire::Reason::Deadline, retry, out);
         }
-        if self.online.len() >= self.config.queue {
+        if self.online.len() >= self.config.queue.max(1) {
             let half = self.service.wait(self.config.queue.div_ceil(2), self.slots);
             let retry = self.service.retry(half);
             let Some(shed) = self.online.shed(&waiting.workspace) else {
@@ -224,9 +212,7 @@
             running.stop = Some((now, preempt::Stop::Withdrawn));
             true
         } else {
-            let item = self.batch.iter().position(|i| i.waiting.id == id);
-            let resumed =
-                item.and_then(|at| self.batch.remove(at)).is_some_and(|i| i.preempted > 0);
+            let resumed = self.batch.remove(id).is_some_and(|item| item.preempted > 0);
             self.online.remove(id);
             let before = self.ended.get(id);
             let ended = matches!(before, Some(ended::End::Finished | ended::End::Preempted { .. }));
@@ -274,7 +260,7 @@
             self.draining = Some(now);
             self.idle = false;
         }
-        for item in std::mem::take(&mut self.batch) {
+        for item in self.batch.drain() {
             self.refuse(now, item.waiting.id, wire::Reason::Draining, DRAIN_RETRY, out);
         }
     }
@@ -298,11 +284,7 @@
     }
 
     fn expire_batch(&mut self, now: Duration, out: &mut Vec<Output>) {
-        let late = |item: &Item| now >= item.waiting.deadline || now >= item.since + patience(item);
-        let (expired, kept) = std::mem::take(&mut self.batch).into_iter().partition(late);
-        self.batch = kept;
-        let expired: VecDeque<Item> = expired;
-        for item in expired {
+        for item in self.batch.expire(now) {
             let retry = self.service.retry(self.service.wait(self.online.len(), self.slots));
             self.refuse(now, item.waiting.id, wire::Reason::Deadline, retry, out);
         }
@@ -342,21 +324,32 @@
     }
 
     fn is_live(&self, id: u64) -> bool {
-        self.running.contains(&id)
-            || self.batch.iter().any(|item| item.waiting.id == id)
-            || self.online.contains(id)
+        self.running.contains(&id) || self.batch.contains(id) || self.online.contains(id)
     }
 
     fn free(&self) -> u32 {
         self.slots.saturating_sub(self.running.len() as u32)
     }
 
+    fn resize(&mut self, slots: u32) {
+        if slots.min(MAX_SLOTS) != self.slots {
+            // The engine was restarted or changed: the learned cap does not apply to it.
+            self.cap = cap::Cap::new(self.config.target, slots);
+        }
+        self.slots = slots.min(MAX_SLOTS);
+    }
+
+    /// Slots that batch keeps; never all of them, since online would then wait behind batch.
     fn floor(&self) -> u32 {
-        (self.slots * self.config.floor).div_ceil(100).min(self.slots)
+        self.percent(self.config.floor).min(self.slots.saturating_sub(1))
     }
 
     fn headroom(&self) -> u32 {
-        (self.slots * self.config.headroom).div_ceil(100)
+        self.percent(self.config.headroom)
+    }
+
+    fn percent(&self, share: u32) -> u32 {
+        ((u64::from(self.slots) * u64::from(share) + 50) / 100).min(u64::from(self.slots)) as u32
     }
 
     fn bounds(&self) -> preempt::Bounds {
@@ -396,8 +389,13 @@
                 self.refuse(now, next.id, wire::Reason::Deadline, retry, out);
                 continue;
             }
-            let item =
-                Item { waiting: next, class: Class::Online, since: now, preempted: 0, first: None };
+            let item = backlog::Item {
+                waiting: next,
+                class: Class::Online,
+                since: now,
+                preempted: 0,
+                first: None,
+            };
             self.start(now, item, out);
         }
     }
@@ -405,7 +403,7 @@
     /// Starts batch items while fewer than `limit` run and more than `spare` slots are free.
     fn start_batch(&mut self, now: Duration, limit: u32, spare: u32, out: &mut Vec<Output>) {
         while self.free() > spare && self.batch_running() < limit && self.may_prefill(now) {
-            let Some(item) = self.batch.pop_front() else { return };
+            let Some(item) = self.batch.pop() else { return };
             if item.class == Class::Online {
                 self.online.count(&item.waiting.workspace);
             }
@@ -424,7 +422,7 @@
         (self.running.values().filter(fresh).count() as u32) < PREFILLS
     }
 
-    fn start(&mut self, now: Duration, item: Item, out: &mut Vec<Output>) {
+    fn start(&mut self, now: Duration, item: backlog::Item, out: &mut Vec<Output>) {
         let queue::Waiting { id, workspace, deadline } = item.waiting;
         let running = preempt::Running {
             class: item.class,
@@ -505,7 +503,3 @@
     let expected = running.token.is_some() || now >= running.deadline || silent >= NO_TOKEN;
     silent >= SILENT && expected
 }
-
-fn patience(item: &Item) -> Duration {
-    if item.preempted > 0 { RESUMED_WAIT } else { BATCH_WAIT }
-}
