Keep the election of a forming group on repeated orders

The shell repeats Input::Form with every probe while the replica is blank, and each order started a new pre-vote. With answers that take longer than the probe interval, the group would never have formed. A longer probe interval was ruled out because it only moves the limit. An order with the same membership is now ignored; the election timeout repeats the election as usual. Found by reading; the new test fails without the change and passes with it.

--- a/src/replica/membership.rs
+++ b/src/replica/membership.rs
@@ -68,6 +68,10 @@
         if !self.blank() || !members.is_voter(self.config.id) {
             return;
         }
+        // The order is repeated while the group is blank; the running election continues.
+        if self.forming.as_ref() == Some(&members) {
+            return;
+        }
         self.forming = Some(members);
         self.deadline = self.now;
         self.tick();
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -135,3 +135,13 @@
     net.check_converged();
     assert!(net.hosts[first].ledger.commands.is_empty());
 }
+
+/// Guards against repeated orders to form a group that restart its election each time.
+#[test]
+fn repeated_order_does_not_restart_election() {
+    let net = &mut Network::new(3, 1);
+    let (now, members) = (net.now, net.membership());
+    let replica = net.hosts[0].replica.as_mut().expect("runs");
+    assert!(!replica.step(now, Input::Form(members.clone())).is_empty());
+    assert!(replica.step(now, Input::Form(members)).is_empty());
+}
