Count the uncommitted entries that a new leader inherits

The bound on uncommitted bytes keeps a leader without quorum from accumulating work. The count now starts with what is uncommitted in the log. Recounting on each proposal was ruled out as it costs a pass over the log. Found by reading; the new test fails without the change and passes with it.

--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -92,7 +92,10 @@
     fn lead(&mut self) {
         self.leader = Some(self.config.id);
         let first = self.log.last() + 1;
-        let leader = replicate::Leader::new(first, self.now, self.members(), self.config.id);
+        let entries = self.log.range(self.commit + 1, self.log.last());
+        let uncommitted = entries.iter().map(replica::Entry::size).sum();
+        let (members, own) = (self.members(), self.config.id);
+        let leader = replicate::Leader::new(first, self.now, members, own, uncommitted);
         self.state = State::Leader(Box::new(leader));
         let payload = match self.forming.take() {
             Some(members) => replica::Payload::Members(members),
--- a/src/replica/replicate.rs
+++ b/src/replica/replicate.rs
@@ -25,7 +25,7 @@
     pub(super) progress: sorted::SortedMap<u64, Progress>,
     /// When the last heartbeat was sent.
     beat: Duration,
-    /// Bytes of commands that are not committed.
+    /// Bytes of entries that are not committed.
     pub(super) uncommitted: usize,
     pub(super) reads: read::Reads,
 }
@@ -55,11 +55,12 @@
         now: Duration,
         members: &replica::Membership,
         own: u64,
+        uncommitted: usize,
     ) -> Leader {
         let others = members.members.iter().filter(|m| m.id != own);
         // Voters count as heard from, so that check-quorum starts with a full timeout.
         let progress = others.map(|m| (m.id, Progress::new(first, Some(now)))).collect();
-        Leader { first, progress, beat: now, uncommitted: 0, reads: read::Reads::default() }
+        Leader { first, progress, beat: now, uncommitted, reads: read::Reads::default() }
     }
 }
 
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -10,6 +10,7 @@
 use basilfield::replica::formation::Cause;
 use basilfield::replica::formation::Decision;
 use network::Network;
+use std::time::Duration;
 
 /// Guards against a single member that waits for others.
 #[test]
@@ -145,3 +146,26 @@
     assert!(!replica.step(now, Input::Form(members.clone())).is_empty());
     assert!(replica.step(now, Input::Form(members)).is_empty());
 }
+
+/// Guards against a new leader that does not count what its predecessors left uncommitted.
+#[test]
+fn uncommitted_entries_of_earlier_leaders_count() {
+    let members = replica::Membership::of_voters([(1, "a".into())]);
+    let command = replica::Payload::Command(vec![0; replica::MAX_COMMAND].into());
+    let payloads = [replica::Payload::Members(members)].into_iter();
+    let payloads = payloads.chain(std::iter::repeat_n(command, 8));
+    let entry = |(at, payload)| replica::Entry { index: at as u64 + 1, term: 1, payload };
+    let entries = payloads.enumerate().map(entry).collect();
+    let hard = replica::HardState { term: 1, vote: None, commit: 0 };
+    let restored = replica::Restored { hard, snapshot: None, entries };
+    let second = Duration::from_secs(1);
+    let config = replica::Config { group: 1, id: 1, heartbeat: second, election: second, seed: 1 };
+    let mut replica = replica::Replica::new(config, restored, Duration::ZERO);
+    replica.step(second * 3, Input::Tick);
+    assert_eq!(replica.role(), replica::Role::Leader);
+    let propose = || Input::Propose { token: 1, command: "a".into() };
+    let busy = Output::Refused { token: 1, reason: replica::Refusal::Busy };
+    assert!(replica.step(second * 3, propose()).contains(&busy));
+    replica.step(second * 3, Input::Synced { index: replica.last() });
+    assert!(!replica.step(second * 3, propose()).contains(&busy));
+}
