Notice freed disk space without new appends

has_room() told the shell to refuse new work once the reserve for the next segment could not be made, and only an append tried again to make it. A leader that refuses everything appends nothing, so it went on refusing after space was freed on the disk. has_room() now tries itself; a timer was ruled out because the folder has no clock. Found by reading. It is not tested: a disk that is full at first and has space later cannot be produced here without a hook in the code.

--- a/src/storage/folder.rs
+++ b/src/storage/folder.rs
@@ -120,8 +120,10 @@
 
     /// Whether new work may be accepted: space for one more segment is reserved.
     ///
-    /// The reserved space is left to work that was accepted before.
-    pub fn has_room(&self) -> bool {
+    /// The reserved space is left to work that was accepted before. Without a reserve, this tries
+    /// again to get one, so that space that was freed on the disk is noticed.
+    pub fn has_room(&mut self) -> bool {
+        self.reserve();
         self.spare && self.used() + self.options.segment <= self.options.capacity
     }
 
@@ -274,8 +276,8 @@
             return;
         }
         let path = self.dir.join(SPARE);
-        let options = fs::OpenOptions::new().create(true).append(true).open(&path);
-        let reserved = options
+        let file = fs::OpenOptions::new().create(true).append(true).open(&path);
+        let reserved = file
             .step("create", &path)
             .and_then(|file| allocate(&file, &path, self.options.segment));
         self.spare = reserved.is_ok();
