State the order of Restore and Apply for the shell

The page says only that Restore is made durable before messages are sent, which a shell can read as permission to restore the machine before it applies the earlier entries; they would then be applied twice. The module documentation now states the rule; the shell in src/state needs to follow it.

--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -7,6 +7,8 @@
 //! - Every `Persist`, `Store` and `Restore` of a batch of steps is written and synced before any
 //!   `Send` of that batch is transmitted. Acknowledgements are emitted in the step that emits the
 //!   entries, so transmitting them earlier would acknowledge entries that can still be lost.
+//! - `Restore` and `Apply` change the machine in the order of the outputs. A batch can hold `Apply`
+//!   before `Restore`; applying those entries to the restored machine would corrupt it.
 //! - `Synced` is fed back before any further step. While a sync cannot be completed because the
 //!   disk is full, no `Send` is transmitted.
 //! - After a start, the shell restores the machine from [`Restored::snapshot`] before the first
