Send streamed answers without waiting for delayed acknowledgements

Cause: the entry's HTTP listener left Nagle's algorithm on. The second part of a streamed answer then waits for the caller's delayed acknowledgement of the first, which held back the first token.

Ruled out: the gate (online requests start at once), the agent's relay (the emulator called directly is not affected, and its listener already sets TCP_NODELAY), and batching of frames.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -28,6 +28,7 @@
 use axum::extract;
 use axum::http;
 use axum::routing;
+use axum::serve::ListenerExt as _;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -389,7 +390,12 @@
         .route("/healthz", routing::get(|| async { "ok" }))
         .route("/readyz", routing::get(ready))
         .with_state(entry.clone());
-    let listener = agent::share_listener(&listener)?;
+    // Without this, the second part of a streamed answer waits for the caller's delayed
+    // acknowledgement of the first, up to 40 ms.
+    let listener = agent::share_listener(&listener)?.tap_io(|stream| {
+        // A connection on which this fails is closed; its first read tells.
+        let _ = stream.set_nodelay(true);
+    });
     let turnaway = Duration::from_millis(settings.turnaway);
     let closing = {
         let entry = entry.clone();
