--- a/src/jobs/claims.rs
+++ b/src/jobs/claims.rs
@@ -1,11 +1,8 @@
 //! Claims: at-most-once execution of non-idempotent calls with a caller's key.
 
-use crate::jobs::id::Id;
-use crate::jobs::message::ClaimOutcome;
-use crate::jobs::message::ClaimStatus;
-use crate::jobs::message::Refusal;
-use crate::jobs::message::Reply;
-use crate::jobs::retention::Shelf;
+use crate::jobs::id;
+use crate::jobs::message;
+use crate::jobs::retention;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -17,7 +14,7 @@
     digest: u64,
     attempt: u64,
     agent: Arc<str>,
-    outcome: Option<ClaimOutcome>,
+    outcome: Option<message::ClaimOutcome>,
     /// Attempts that were withdrawn. A late duplicate of their claim must not pass.
     withdrawn: Vec<u64>,
     /// Group time in milliseconds of the last change.
@@ -29,42 +26,42 @@
 pub struct Claims {
     // A tree, because hashes arrive in random order and a sorted vector would move half of its
     // content for each of them.
-    claims: BTreeMap<Id, Claim>,
-    shelf: Shelf,
+    claims: BTreeMap<id::Id, Claim>,
+    shelf: retention::Shelf,
 }
 
 impl Claims {
     /// Gives the claim to `attempt` if no other attempt holds it.
-    pub fn claim(&mut self, id: Id, new: ClaimStatus, clock: u64) -> Reply {
+    pub fn claim(&mut self, id: id::Id, new: message::ClaimStatus, clock: u64) -> message::Reply {
         if let Some(refusal) = self.shelf.gone(id) {
-            return Reply::Refused(refusal);
+            return message::Reply::Refused(refusal);
         }
         let Some(claim) = self.claims.get_mut(&id) else {
             self.insert(id, new, clock);
-            return Reply::Claimed;
+            return message::Reply::Claimed;
         };
         if claim.digest != new.digest {
-            return Reply::Refused(Refusal::Conflict { digest: claim.digest });
+            return message::Reply::Refused(message::Refusal::Conflict { digest: claim.digest });
         }
         if claim.withdrawn.contains(&new.attempt) {
-            return Reply::Withdrawn;
+            return message::Reply::Withdrawn;
         }
         match &claim.outcome {
-            Some(ClaimOutcome::NeverRan) => {
+            Some(message::ClaimOutcome::NeverRan) => {
                 claim.attempt = new.attempt;
                 claim.agent = new.agent;
                 claim.outcome = None;
                 claim.changed = clock;
                 self.shelf.push(clock, id);
-                Reply::Claimed
+                message::Reply::Claimed
             }
-            Some(outcome) => Reply::Settled { outcome: outcome.clone() },
-            None if claim.attempt == new.attempt => Reply::Claimed,
-            None => Reply::Held { attempt: claim.attempt, agent: claim.agent.clone() },
+            Some(outcome) => message::Reply::Settled { outcome: outcome.clone() },
+            None if claim.attempt == new.attempt => message::Reply::Claimed,
+            None => message::Reply::Held { attempt: claim.attempt, agent: claim.agent.clone() },
         }
     }
 
-    fn insert(&mut self, id: Id, new: ClaimStatus, clock: u64) {
+    fn insert(&mut self, id: id::Id, new: message::ClaimStatus, clock: u64) {
         let claim = Claim {
             digest: new.digest,
             attempt: new.attempt,
@@ -78,33 +75,42 @@
     }
 
     /// Records the outcome of the attempt that holds the claim. The first outcome is final.
-    pub fn settle(&mut self, id: Id, attempt: u64, outcome: ClaimOutcome, clock: u64) -> Reply {
+    pub fn settle(
+        &mut self,
+        id: id::Id,
+        attempt: u64,
+        outcome: message::ClaimOutcome,
+        clock: u64,
+    ) -> message::Reply {
         let Some(claim) = self.claims.get_mut(&id) else {
-            return Reply::Refused(self.shelf.gone(id).unwrap_or(Refusal::NotFound));
+            return message::Reply::Refused(
+                self.shelf.gone(id).unwrap_or(message::Refusal::NotFound),
+            );
         };
         if claim.withdrawn.contains(&attempt) {
-            return Reply::Settled { outcome: ClaimOutcome::NeverRan };
+            return message::Reply::Settled { outcome: message::ClaimOutcome::NeverRan };
         }
         if claim.attempt != attempt {
-            return Reply::Held { attempt: claim.attempt, agent: claim.agent.clone() };
+            return message::Reply::Held { attempt: claim.attempt, agent: claim.agent.clone() };
         }
         if let Some(first) = &claim.outcome {
-            return Reply::Settled { outcome: first.clone() };
+            return message::Reply::Settled { outcome: first.clone() };
         }
-        if outcome == ClaimOutcome::NeverRan {
+        if outcome == message::ClaimOutcome::NeverRan {
             claim.withdrawn.push(attempt);
         }
         claim.outcome = Some(outcome.clone());
         claim.changed = clock;
         self.shelf.push(clock, id);
-        Reply::Settled { outcome }
+        message::Reply::Settled { outcome }
     }
 
     /// State of a claim.
-    pub fn status(&self, id: Id) -> Result<ClaimStatus, Refusal> {
+    pub fn status(&self, id: id::Id) -> Result<message::ClaimStatus, message::Refusal> {
         let claim = self.claims.get(&id);
-        let claim = claim.ok_or_else(|| self.shelf.gone(id).unwrap_or(Refusal::NotFound))?;
-        Ok(ClaimStatus {
+        let claim =
+            claim.ok_or_else(|| self.shelf.gone(id).unwrap_or(message::Refusal::NotFound))?;
+        Ok(message::ClaimStatus {
             digest: claim.digest,
             attempt: claim.attempt,
             agent: claim.agent.clone(),
--- a/src/jobs/fairness.rs
+++ b/src/jobs/fairness.rs
@@ -7,7 +7,7 @@
 //! others nor catches up on time in which it had nothing to run. Choosing and charging take
 //! logarithmic time in the number of workspaces and jobs.
 
-use crate::sorted::SortedMap;
+use crate::sorted;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -95,7 +95,7 @@
 /// Ready jobs of one model.
 #[derive(Debug, Default)]
 pub struct Shares {
-    spaces: SortedMap<Arc<str>, Space>,
+    spaces: sorted::SortedMap<Arc<str>, Space>,
     // Trees, because passes change with every served item and a sorted vector would move.
     levels: [BTreeSet<(u64, Arc<str>)>; LEVELS],
     /// Highest pass at which a workspace was served.
--- a/src/jobs/items.rs
+++ b/src/jobs/items.rs
@@ -1,12 +1,9 @@
 //! Items of one job, and the store of their bodies.
 
-use crate::jobs::id::Id;
-use crate::jobs::message::AttemptCause;
-use crate::jobs::message::NewItem;
-use crate::jobs::message::Outcome;
-use crate::jobs::pages::Scattered;
-use crate::jobs::pages::Sequence;
-use crate::sorted::SortedMap;
+use crate::jobs::id;
+use crate::jobs::message;
+use crate::jobs::pages;
+use crate::sorted;
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
@@ -50,7 +47,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Items {
     states: Vec<u8>,
-    retries: SortedMap<u32, Retry>,
+    retries: sorted::SortedMap<u32, Retry>,
     done: u32,
     failed: u32,
 }
@@ -92,30 +89,36 @@
     }
 
     /// Outcome of an item; `None` while it has no result or if there is no such item.
-    pub fn outcome(&self, item: u32) -> Option<Outcome> {
+    pub fn outcome(&self, item: u32) -> Option<message::Outcome> {
         match self.states.get(item as usize) {
-            Some(&DONE) => Some(Outcome::Done),
-            Some(&FAILED) => Some(Outcome::Failed),
+            Some(&DONE) => Some(message::Outcome::Done),
+            Some(&FAILED) => Some(message::Outcome::Failed),
             _ => None,
         }
     }
 
     /// Records the outcome of an existing item that has none.
-    pub fn end(&mut self, item: u32, outcome: Outcome) {
+    pub fn end(&mut self, item: u32, outcome: message::Outcome) {
         let state = match outcome {
-            Outcome::Done => DONE,
-            Outcome::Failed => FAILED,
+            message::Outcome::Done => DONE,
+            message::Outcome::Failed => FAILED,
         };
         self.states[item as usize] = state;
         match outcome {
-            Outcome::Done => self.done += 1,
-            Outcome::Failed => self.failed += 1,
+            message::Outcome::Done => self.done += 1,
+            message::Outcome::Failed => self.failed += 1,
         }
         self.retries.remove(&item);
     }
 
     /// Counts a failed attempt of an item without a result.
-    pub fn count(&mut self, item: u32, attempt: u64, cause: AttemptCause, clock: u64) -> Counted {
+    pub fn count(
+        &mut self,
+        item: u32,
+        attempt: u64,
+        cause: message::AttemptCause,
+        clock: u64,
+    ) -> Counted {
         let fresh = || Retry { failed: Vec::new(), until: 0, alone: false };
         let retry = self.retries.entry_or(item, fresh);
         if retry.failed.contains(&attempt) {
@@ -127,11 +130,13 @@
             return Counted::Exhausted(attempts);
         }
         match cause {
-            AttemptCause::WorkerLost => {
+            message::AttemptCause::WorkerLost => {
                 retry.alone = true;
                 retry.until = clock;
             }
-            AttemptCause::Transient => retry.until = clock.saturating_add(backoff(attempts)),
+            message::AttemptCause::Transient => {
+                retry.until = clock.saturating_add(backoff(attempts))
+            }
         }
         Counted::Retry(retry.clone())
     }
@@ -143,7 +148,7 @@
 
     /// Forgets the failed attempts of a job that stopped.
     pub fn stop(&mut self) {
-        self.retries = SortedMap::new();
+        self.retries = sorted::SortedMap::new();
     }
 
     /// Bit set of the items without a result: item `i` is bit `i % 64` of word `i / 64`.
@@ -166,19 +171,19 @@
 /// It is part of the replicated state: equal calls lead to equal content on every replica.
 pub trait Bodies: Send {
     /// Adds items after those that the job already has.
-    fn extend(&mut self, job: Id, items: &[NewItem]);
+    fn extend(&mut self, job: id::Id, items: &[message::NewItem]);
     /// Custom id of an item.
-    fn custom(&self, job: Id, item: u32) -> Option<Arc<str>>;
+    fn custom(&self, job: id::Id, item: u32) -> Option<Arc<str>>;
     /// Request body of an item of a job that has not ended.
-    fn input(&self, job: Id, item: u32) -> Option<Bytes>;
+    fn input(&self, job: id::Id, item: u32) -> Option<Bytes>;
     /// Stores the result body of an item.
-    fn put(&mut self, job: Id, item: u32, body: &[u8]);
+    fn put(&mut self, job: id::Id, item: u32, body: &[u8]);
     /// Result body of an item.
-    fn result(&self, job: Id, item: u32) -> Option<Bytes>;
+    fn result(&self, job: id::Id, item: u32) -> Option<Bytes>;
     /// Drops the request bodies of a job that has ended.
-    fn end(&mut self, job: Id);
+    fn end(&mut self, job: id::Id);
     /// Drops everything of a job.
-    fn remove(&mut self, job: Id);
+    fn remove(&mut self, job: id::Id);
     /// Whole content for a snapshot.
     fn export(&self) -> Vec<u8>;
     /// Replaces the content by an exported one.
@@ -188,49 +193,49 @@
 /// Bodies in memory.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Memory {
-    jobs: BTreeMap<Id, JobBodies>,
+    jobs: BTreeMap<id::Id, JobBodies>,
 }
 
 /// Bodies of one job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct JobBodies {
-    customs: Sequence,
-    inputs: Sequence,
-    results: Scattered,
+    customs: pages::Sequence,
+    inputs: pages::Sequence,
+    results: pages::Scattered,
 }
 
 impl Bodies for Memory {
-    fn extend(&mut self, job: Id, items: &[NewItem]) {
+    fn extend(&mut self, job: id::Id, items: &[message::NewItem]) {
         let bodies = self.jobs.entry(job).or_default();
         bodies.customs.extend(items.iter().map(|item| item.custom.as_bytes()));
         bodies.inputs.extend(items.iter().map(|item| &*item.body));
     }
 
-    fn custom(&self, job: Id, item: u32) -> Option<Arc<str>> {
+    fn custom(&self, job: id::Id, item: u32) -> Option<Arc<str>> {
         let custom = self.jobs.get(&job)?.customs.get(item)?;
         std::str::from_utf8(&custom).ok().map(Arc::from)
     }
 
-    fn input(&self, job: Id, item: u32) -> Option<Bytes> {
+    fn input(&self, job: id::Id, item: u32) -> Option<Bytes> {
         self.jobs.get(&job)?.inputs.get(item)
     }
 
-    fn put(&mut self, job: Id, item: u32, body: &[u8]) {
+    fn put(&mut self, job: id::Id, item: u32, body: &[u8]) {
         self.jobs.entry(job).or_default().results.put(item, body);
     }
 
-    fn result(&self, job: Id, item: u32) -> Option<Bytes> {
+    fn result(&self, job: id::Id, item: u32) -> Option<Bytes> {
         self.jobs.get(&job)?.results.get(item)
     }
 
-    fn end(&mut self, job: Id) {
+    fn end(&mut self, job: id::Id) {
         if let Some(bodies) = self.jobs.get_mut(&job) {
-            bodies.inputs = Sequence::default();
+            bodies.inputs = pages::Sequence::default();
             bodies.results.seal();
         }
     }
 
-    fn remove(&mut self, job: Id) {
+    fn remove(&mut self, job: id::Id) {
         self.jobs.remove(&job);
     }
 
--- a/src/jobs/leases/message.rs
+++ b/src/jobs/leases/message.rs
@@ -1,9 +1,8 @@
 //! Settings, inputs and outputs of the leases.
 
-use crate::jobs::table::Change;
-use crate::jobs::table::OpenJob;
-use crate::sorted::SortedMap;
-use crate::wire::Lease;
+use crate::jobs::table;
+use crate::sorted;
+use crate::wire;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,14 +33,14 @@
         /// Registered agents; each may hold leases of the previous leader.
         agents: Vec<Arc<str>>,
         /// Answer of [`crate::jobs::Table::observe`].
-        jobs: Vec<OpenJob>,
+        jobs: Vec<table::OpenJob>,
     },
     /// This replica is no longer the leader. The shell ends the waiting pulls.
     Deposed,
     /// The table changed.
-    Change(Change),
+    Change(table::Change),
     /// Shares of the workspaces; 1 for those that are not listed.
-    Weights(SortedMap<Arc<str>, u32>),
+    Weights(sorted::SortedMap<Arc<str>, u32>),
     /// An agent asks for items. Replaces an earlier pull of the same agent.
     Pull {
         /// Number of the request, returned by its [`Output::Grant`].
@@ -65,14 +64,14 @@
         /// Name of the agent.
         agent: Arc<str>,
         /// Items that it runs.
-        held: Vec<Lease>,
+        held: Vec<wire::Lease>,
     },
     /// An agent returns items that it has not run.
     Released {
         /// Name of the agent.
         agent: Arc<str>,
         /// Returned items.
-        items: Vec<Lease>,
+        items: Vec<wire::Lease>,
     },
     /// Time passed.
     Tick,
@@ -88,14 +87,14 @@
         /// Name of the agent.
         agent: Arc<str>,
         /// Granted items.
-        items: Vec<Lease>,
+        items: Vec<wire::Lease>,
     },
     /// Tell the agent to stop items. Repeated with every renewal that still names them.
     Stop {
         /// Name of the agent.
         agent: Arc<str>,
         /// Items without a valid lease.
-        items: Vec<Lease>,
+        items: Vec<wire::Lease>,
     },
     /// Leases expired. The shell proposes an `Attempt` with the cause `WorkerLost` for each. The
     /// items are not granted before its change is applied, and this output is repeated every
@@ -104,6 +103,6 @@
         /// Name of the agent.
         agent: Arc<str>,
         /// Items whose lease expired.
-        items: Vec<Lease>,
+        items: Vec<wire::Lease>,
     },
 }
--- a/src/jobs/leases/mod.rs
+++ b/src/jobs/leases/mod.rs
@@ -13,13 +13,9 @@
 pub use message::Output;
 
 use crate::jobs::fairness;
-use crate::jobs::fairness::Place;
-use crate::jobs::fairness::Shares;
-use crate::jobs::table::Change;
-use crate::jobs::table::Delay;
-use crate::jobs::table::OpenJob;
-use crate::sorted::SortedMap;
-use crate::wire::Lease;
+use crate::jobs::table;
+use crate::sorted;
+use crate::wire;
 use rand::RngCore as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -42,15 +38,15 @@
     grace: Option<Grace>,
     /// Open jobs by ascending number. Numbers are not used twice, so late timers cannot hit
     /// another job.
-    jobs: SortedMap<u32, Box<ReadyJob>>,
+    jobs: sorted::SortedMap<u32, Box<ReadyJob>>,
     names: BTreeMap<Arc<str>, u32>,
     number: u32,
-    models: SortedMap<Arc<str>, Shares>,
-    weights: SortedMap<Arc<str>, u32>,
-    agents: SortedMap<Arc<str>, Agent>,
+    models: sorted::SortedMap<Arc<str>, fairness::Shares>,
+    weights: sorted::SortedMap<Arc<str>, u32>,
+    agents: sorted::SortedMap<Arc<str>, Agent>,
     /// Leases that expired and whose failed attempt is not committed yet, by number of the job
     /// and item.
-    lost: SortedMap<(u32, u32), Lost>,
+    lost: sorted::SortedMap<(u32, u32), Lost>,
     pulls: Vec<Waiting>,
     /// Ends of backoffs: time, job, item.
     backoffs: BTreeSet<(Duration, u32, u32)>,
@@ -68,13 +64,13 @@
             config,
             random,
             grace: None,
-            jobs: SortedMap::new(),
+            jobs: sorted::SortedMap::new(),
             names: BTreeMap::new(),
             number: 0,
-            models: SortedMap::new(),
-            weights: SortedMap::new(),
-            agents: SortedMap::new(),
-            lost: SortedMap::new(),
+            models: sorted::SortedMap::new(),
+            weights: sorted::SortedMap::new(),
+            agents: sorted::SortedMap::new(),
+            lost: sorted::SortedMap::new(),
             pulls: Vec::new(),
             backoffs: BTreeSet::new(),
             urgencies: BTreeSet::new(),
@@ -111,17 +107,17 @@
 
     fn clear(&mut self) {
         self.grace = None;
-        self.jobs = SortedMap::new();
+        self.jobs = sorted::SortedMap::new();
         self.names = BTreeMap::new();
-        self.models = SortedMap::new();
-        self.agents = SortedMap::new();
-        self.lost = SortedMap::new();
+        self.models = sorted::SortedMap::new();
+        self.agents = sorted::SortedMap::new();
+        self.lost = sorted::SortedMap::new();
         self.pulls = Vec::new();
         self.backoffs = BTreeSet::new();
         self.urgencies = BTreeSet::new();
     }
 
-    fn elected(&mut self, now: Duration, agents: Vec<Arc<str>>, jobs: Vec<OpenJob>) {
+    fn elected(&mut self, now: Duration, agents: Vec<Arc<str>>, jobs: Vec<table::OpenJob>) {
         self.clear();
         let until = now + self.config.lease;
         self.grace = Some(Grace { until, missing: agents.into_iter().collect() });
@@ -143,14 +139,14 @@
         self.jobs.get(&number).map(|job| (number, &**job))
     }
 
-    fn add_job(&mut self, now: Duration, job: OpenJob) {
+    fn add_job(&mut self, now: Duration, job: table::OpenJob) {
         if self.names.contains_key(&job.job) {
             return;
         }
         self.number += 1;
         let number = self.number;
         let due = millis(now).saturating_add(job.slack);
-        let place = Place::new(job.workspace.clone(), number, fairness::LEVELS - 1);
+        let place = fairness::Place::new(job.workspace.clone(), number, fairness::LEVELS - 1);
         let delayed = job.delayed.clone();
         self.names.insert(job.job.clone(), number);
         self.jobs.insert(number, Box::new(ReadyJob::new(job, due, place)));
@@ -169,7 +165,7 @@
             return;
         }
         job.entered = ready;
-        let shares = self.models.entry_or(job.model.clone(), Shares::default);
+        let shares = self.models.entry_or(job.model.clone(), fairness::Shares::default);
         if ready {
             shares.enter(&mut job.place);
         } else {
@@ -184,7 +180,7 @@
         let slack = job.due.saturating_sub(millis(now)).saturating_sub(work);
         let level = fairness::level_of(slack);
         if level != job.place.level {
-            let shares = self.models.entry_or(job.model.clone(), Shares::default);
+            let shares = self.models.entry_or(job.model.clone(), fairness::Shares::default);
             if job.entered {
                 shares.leave(&job.place);
             }
@@ -198,7 +194,7 @@
         }
     }
 
-    fn schedule(&mut self, now: Duration, number: u32, delay: Delay) {
+    fn schedule(&mut self, now: Duration, number: u32, delay: table::Delay) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         if delay.wait == 0 {
             job.make_ready(delay.item, delay.alone);
@@ -209,12 +205,14 @@
         self.backoffs.insert((until, number, delay.item));
     }
 
-    fn change(&mut self, now: Duration, change: Change, out: &mut Vec<Output>) {
+    fn change(&mut self, now: Duration, change: table::Change, out: &mut Vec<Output>) {
         match change {
-            Change::Accepted(job) => self.add_job(now, job),
-            Change::Ended { job, item, attempt } => self.ended(&job, item, attempt, out),
-            Change::Delayed { job, attempt, delay } => self.delayed(now, &job, attempt, delay),
-            Change::Cancelled { job } => self.cancelled(&job, out),
+            table::Change::Accepted(job) => self.add_job(now, job),
+            table::Change::Ended { job, item, attempt } => self.ended(&job, item, attempt, out),
+            table::Change::Delayed { job, attempt, delay } => {
+                self.delayed(now, &job, attempt, delay)
+            }
+            table::Change::Cancelled { job } => self.cancelled(&job, out),
         }
     }
 
@@ -237,7 +235,7 @@
         }
     }
 
-    fn delayed(&mut self, now: Duration, name: &str, attempt: u64, delay: Delay) {
+    fn delayed(&mut self, now: Duration, name: &str, attempt: u64, delay: table::Delay) {
         let Some((number, job)) = self.find(name) else { return };
         if !job.open.contains(delay.item) {
             return;
@@ -261,7 +259,7 @@
 
     fn cancelled(&mut self, name: &str, out: &mut Vec<Output>) {
         let Some((number, job)) = self.find(name) else { return };
-        let mut stops: SortedMap<Arc<str>, Vec<Lease>> = SortedMap::new();
+        let mut stops: sorted::SortedMap<Arc<str>, Vec<wire::Lease>> = sorted::SortedMap::new();
         let live: Vec<u32> = job.live.keys().copied().collect();
         for item in live {
             if let Some((agent, lease)) = self.end_lease(number, item) {
@@ -284,19 +282,25 @@
     }
 
     /// Ends the lease of an item and returns its holder.
-    fn end_lease(&mut self, number: u32, item: u32) -> Option<(Arc<str>, Lease)> {
+    fn end_lease(&mut self, number: u32, item: u32) -> Option<(Arc<str>, wire::Lease)> {
         let job = self.jobs.get_mut(&number)?;
         let agent = job.live.remove(&item)?;
         let held = &mut self.agents.get_mut(&agent)?.held;
         let live = held.remove(&(number, item))?;
-        let lease = Lease { job: job.name.clone(), item, attempt: live.attempt };
+        let lease = wire::Lease { job: job.name.clone(), item, attempt: live.attempt };
         if held.is_empty() {
             self.agents.remove(&agent);
         }
         Some((agent, lease))
     }
 
-    fn renew(&mut self, now: Duration, agent: Arc<str>, held: Vec<Lease>, out: &mut Vec<Output>) {
+    fn renew(
+        &mut self,
+        now: Duration,
+        agent: Arc<str>,
+        held: Vec<wire::Lease>,
+        out: &mut Vec<Output>,
+    ) {
         let expires = now + self.config.lease;
         let mut stop = Vec::new();
         for lease in held {
@@ -317,7 +321,7 @@
     }
 
     /// Extends a valid lease.
-    fn extend(&mut self, expires: Duration, agent: &str, lease: &Lease) -> bool {
+    fn extend(&mut self, expires: Duration, agent: &str, lease: &wire::Lease) -> bool {
         let Some(number) = self.names.get(&lease.job) else { return false };
         let Some(agent) = self.agents.get_mut(agent) else { return false };
         let live = agent.held.get_mut(&(*number, lease.item));
@@ -326,7 +330,7 @@
     }
 
     /// Takes over the lease of an earlier leader, if nothing else was decided about the item.
-    fn adopt(&mut self, expires: Duration, agent: &Arc<str>, lease: &Lease) -> bool {
+    fn adopt(&mut self, expires: Duration, agent: &Arc<str>, lease: &wire::Lease) -> bool {
         let Some((number, job)) = self.find(&lease.job) else { return false };
         if job.live.contains(&lease.item) {
             return false;
@@ -347,19 +351,19 @@
         expires: Duration,
         agent: &Arc<str>,
         number: u32,
-        lease: &Lease,
+        lease: &wire::Lease,
         alone: bool,
     ) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         job.live.insert(lease.item, agent.clone());
-        let fresh = || Agent { held: SortedMap::new(), earliest: expires };
+        let fresh = || Agent { held: sorted::SortedMap::new(), earliest: expires };
         let record = self.agents.entry_or(agent.clone(), fresh);
         record.earliest = record.earliest.min(expires);
         let live = Live { attempt: lease.attempt, expires, alone };
         record.held.insert((number, lease.item), live);
     }
 
-    fn release(&mut self, agent: &str, items: &[Lease]) {
+    fn release(&mut self, agent: &str, items: &[wire::Lease]) {
         for lease in items {
             let Some((number, job)) = self.find(&lease.job) else { continue };
             let holds = job.live.get(&lease.item).is_some_and(|holder| **holder == *agent);
@@ -414,7 +418,7 @@
 
     /// Reports the expired leases whose failed attempt is not committed yet.
     fn report_lost(&mut self, now: Duration, out: &mut Vec<Output>) {
-        let mut reports: SortedMap<Arc<str>, Vec<Lease>> = SortedMap::new();
+        let mut reports: sorted::SortedMap<Arc<str>, Vec<wire::Lease>> = sorted::SortedMap::new();
         for (_, lost) in self.lost.iter_mut().filter(|(_, lost)| lost.again <= now) {
             lost.again = now + self.config.lease;
             reports.entry_or(lost.agent.clone(), Vec::new).push(lost.lease.clone());
@@ -447,7 +451,7 @@
         }
     }
 
-    fn fill(&mut self, now: Duration, pull: &Waiting) -> Vec<Lease> {
+    fn fill(&mut self, now: Duration, pull: &Waiting) -> Vec<wire::Lease> {
         let expires = now + self.config.lease;
         let mut items = Vec::new();
         while items.len() < pull.free as usize {
@@ -456,7 +460,8 @@
             let alone = if items.is_empty() { job.alone.pop_first() } else { None };
             // A job with only items to be granted alone is served by the next grant.
             let Some(item) = alone.or_else(|| job.ready.take()) else { break };
-            let lease = Lease { job: job.name.clone(), item, attempt: self.random.next_u64() };
+            let lease =
+                wire::Lease { job: job.name.clone(), item, attempt: self.random.next_u64() };
             let weight = self.weights.get(&job.place.workspace).copied().unwrap_or(1);
             if let Some(shares) = self.models.get_mut(&job.model) {
                 shares.charge(&mut job.place, weight);
--- a/src/jobs/leases/ready.rs
+++ b/src/jobs/leases/ready.rs
@@ -1,8 +1,8 @@
 //! Items of one open job as the leader sees them while it grants them.
 
-use crate::jobs::fairness::Place;
-use crate::jobs::table::OpenJob;
-use crate::sorted::SortedMap;
+use crate::jobs::fairness;
+use crate::jobs::table;
+use crate::sorted;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -97,18 +97,18 @@
     /// Items that can be granted alone.
     pub alone: BTreeSet<u32>,
     /// Items in backoff.
-    pub waiting: SortedMap<u32, Wait>,
+    pub waiting: sorted::SortedMap<u32, Wait>,
     /// Agents that hold a lease of an item.
-    pub live: SortedMap<u32, Arc<str>>,
+    pub live: sorted::SortedMap<u32, Arc<str>>,
     /// Place among the jobs of the model.
-    pub place: Place,
+    pub place: fairness::Place,
     /// Whether the job is entered there.
     pub entered: bool,
 }
 
 impl ReadyJob {
     /// Job with all of its open items ready, except for those with failed attempts.
-    pub fn new(job: OpenJob, due: i64, place: Place) -> ReadyJob {
+    pub fn new(job: table::OpenJob, due: i64, place: fairness::Place) -> ReadyJob {
         let open = Bits::new(job.open);
         let mut ready = open.clone();
         for delay in &job.delayed {
@@ -121,8 +121,8 @@
             open,
             ready,
             alone: BTreeSet::new(),
-            waiting: SortedMap::new(),
-            live: SortedMap::new(),
+            waiting: sorted::SortedMap::new(),
+            live: sorted::SortedMap::new(),
             place,
             entered: false,
         }
--- a/src/jobs/leases/records.rs
+++ b/src/jobs/leases/records.rs
@@ -1,8 +1,8 @@
 //! Records of the leases: what agents hold, lost and wait for.
 
-use crate::jobs::leases::message::Output;
-use crate::sorted::SortedMap;
-use crate::wire::Lease;
+use crate::jobs::leases::message;
+use crate::sorted;
+use crate::wire;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,7 +22,7 @@
 #[derive(Debug, Default)]
 pub struct Agent {
     /// Leases by number of the job and item.
-    pub held: SortedMap<(u32, u32), Live>,
+    pub held: sorted::SortedMap<(u32, u32), Live>,
     /// No lease expires before this time.
     pub earliest: Duration,
 }
@@ -33,7 +33,7 @@
     /// Agent that held it.
     pub agent: Arc<str>,
     /// The lease.
-    pub lease: Lease,
+    pub lease: wire::Lease,
     /// When it is reported again.
     pub again: Duration,
 }
@@ -64,7 +64,7 @@
 
 impl Waiting {
     /// Answer without items.
-    pub fn empty(self) -> Output {
-        Output::Grant { token: self.token, agent: self.agent, items: Vec::new() }
+    pub fn empty(self) -> message::Output {
+        message::Output::Grant { token: self.token, agent: self.agent, items: Vec::new() }
     }
 }
--- a/src/jobs/retention.rs
+++ b/src/jobs/retention.rs
@@ -1,7 +1,7 @@
 //! Retention of results and claims by group time.
 
-use crate::jobs::id::Id;
-use crate::jobs::message::Refusal;
+use crate::jobs::id;
+use crate::jobs::message;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeSet;
@@ -21,9 +21,9 @@
 pub struct Shelf {
     /// Time of a change and the changed record, ascending. A record that changed again has a
     /// later entry, and its earlier ones are skipped.
-    changes: VecDeque<(u64, Id)>,
-    buried: VecDeque<(u64, Id)>,
-    gone: BTreeSet<Id>,
+    changes: VecDeque<(u64, id::Id)>,
+    buried: VecDeque<(u64, id::Id)>,
+    gone: BTreeSet<id::Id>,
     /// Retention in milliseconds that was used last.
     retention: u64,
 }
@@ -31,14 +31,14 @@
 /// Entries that are due for removal.
 pub struct Due {
     /// Time of the change and record.
-    pub entries: Vec<(u64, Id)>,
+    pub entries: Vec<(u64, id::Id)>,
     /// Whether more entries are due.
     pub more: bool,
 }
 
 impl Shelf {
     /// Notes that a record changed at `clock`.
-    pub fn push(&mut self, clock: u64, id: Id) {
+    pub fn push(&mut self, clock: u64, id: id::Id) {
         self.changes.push_back((clock, id));
     }
 
@@ -47,7 +47,7 @@
     pub fn due(&mut self, retention: u64, clock: u64, limit: u32) -> Due {
         let retention = retention.max(MIN_RETENTION);
         self.retention = retention;
-        let passed = |entry: Option<&(u64, Id)>| {
+        let passed = |entry: Option<&(u64, id::Id)>| {
             entry.is_some_and(|(at, _)| at.saturating_add(retention) <= clock)
         };
         for _ in 0..limit {
@@ -67,18 +67,18 @@
     }
 
     /// Notes that a record was removed at `clock`.
-    pub fn bury(&mut self, clock: u64, id: Id) {
+    pub fn bury(&mut self, clock: u64, id: id::Id) {
         self.buried.push_back((clock, id));
         self.gone.insert(id);
     }
 
     /// Refusal for a reader of a removed record.
-    pub fn gone(&self, id: Id) -> Option<Refusal> {
+    pub fn gone(&self, id: id::Id) -> Option<message::Refusal> {
         if !self.gone.contains(&id) {
             return None;
         }
         let hours = self.retention / 3_600_000;
         let reason = format!("removed after its retention of {hours} hours");
-        Some(Refusal::Gone { reason: reason.into() })
+        Some(message::Refusal::Gone { reason: reason.into() })
     }
 }
--- a/src/jobs/state.rs
+++ b/src/jobs/state.rs
@@ -1,16 +1,12 @@
 //! Records of the table: jobs and the indexes over them.
 
-use crate::jobs::claims::Claims;
-use crate::jobs::id::Id;
-use crate::jobs::items::Items;
-use crate::jobs::items::Retry;
-use crate::jobs::message::JobState;
-use crate::jobs::message::Refusal;
-use crate::jobs::message::Status;
-use crate::jobs::retention::Shelf;
-use crate::jobs::table::Delay;
-use crate::jobs::table::OpenJob;
-use crate::sorted::SortedMap;
+use crate::jobs::claims;
+use crate::jobs::id;
+use crate::jobs::items;
+use crate::jobs::message;
+use crate::jobs::retention;
+use crate::jobs::table;
+use crate::sorted;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -42,11 +38,11 @@
     /// Results and failed attempts that came too late.
     pub dropped: u32,
     /// State of the job.
-    pub state: JobState,
+    pub state: message::JobState,
     /// Id of the cancellation.
     pub cancel: Option<Arc<str>>,
     /// Uploaded items.
-    pub items: Items,
+    pub items: items::Items,
 }
 
 /// Replicated state without the bodies.
@@ -56,19 +52,19 @@
     pub clock: u64,
     /// Jobs by identity. A tree, because hashes arrive in random order and a sorted vector would
     /// move half of its content for each of them.
-    pub jobs: BTreeMap<Id, Box<Job>>,
+    pub jobs: BTreeMap<id::Id, Box<Job>>,
     /// Jobs of each workspace by number.
-    pub workspaces: BTreeMap<Arc<str>, SortedMap<u64, Id>>,
+    pub workspaces: BTreeMap<Arc<str>, sorted::SortedMap<u64, id::Id>>,
     /// Order of the jobs' removal.
-    pub shelf: Shelf,
+    pub shelf: retention::Shelf,
     /// Claims of non-idempotent calls.
-    pub claims: Claims,
+    pub claims: claims::Claims,
 }
 
 impl Job {
     /// Status for a reader.
-    pub fn status(&self, id: Id) -> Status {
-        Status {
+    pub fn status(&self, id: id::Id) -> message::Status {
+        message::Status {
             job: id.name(),
             workspace: self.workspace.clone(),
             key: self.key.clone(),
@@ -89,21 +85,21 @@
 
 impl State {
     /// Looks up a job by name.
-    pub fn find(&self, name: &str) -> Result<(Id, &Job), Refusal> {
-        let id = Id::parse(name).ok_or(Refusal::NotFound)?;
-        let gone = || self.shelf.gone(id).unwrap_or(Refusal::NotFound);
+    pub fn find(&self, name: &str) -> Result<(id::Id, &Job), message::Refusal> {
+        let id = id::Id::parse(name).ok_or(message::Refusal::NotFound)?;
+        let gone = || self.shelf.gone(id).unwrap_or(message::Refusal::NotFound);
         self.jobs.get(&id).map(|job| (id, &**job)).ok_or_else(gone)
     }
 
     /// Looks up a job by name for modification.
-    pub fn find_mut(&mut self, name: &str) -> Result<(Id, &mut Job), Refusal> {
-        let id = Id::parse(name).ok_or(Refusal::NotFound)?;
-        let gone = || self.shelf.gone(id).unwrap_or(Refusal::NotFound);
+    pub fn find_mut(&mut self, name: &str) -> Result<(id::Id, &mut Job), message::Refusal> {
+        let id = id::Id::parse(name).ok_or(message::Refusal::NotFound)?;
+        let gone = || self.shelf.gone(id).unwrap_or(message::Refusal::NotFound);
         self.jobs.get_mut(&id).map(|job| (id, &mut **job)).ok_or_else(gone)
     }
 
     /// Adds a new job to the records and indexes.
-    pub fn insert(&mut self, id: Id, mut job: Job) {
+    pub fn insert(&mut self, id: id::Id, mut job: Job) {
         if let Some((name, _)) = self.workspaces.get_key_value(&job.workspace) {
             job.workspace = name.clone();
         }
@@ -114,7 +110,7 @@
     }
 
     /// Removes a job from the records and indexes.
-    pub fn remove(&mut self, id: Id) {
+    pub fn remove(&mut self, id: id::Id) {
         let Some(job) = self.jobs.remove(&id) else { return };
         let Some(numbers) = self.workspaces.get_mut(&job.workspace) else { return };
         numbers.remove(&job.number);
@@ -135,13 +131,13 @@
     }
 
     /// Describes an accepted job for the granting of its items.
-    pub fn open_job(&self, id: Id, job: &Job) -> OpenJob {
-        let delay = |(item, retry): (u32, &Retry)| Delay {
+    pub fn open_job(&self, id: id::Id, job: &Job) -> table::OpenJob {
+        let delay = |(item, retry): (u32, &items::Retry)| table::Delay {
             item,
             wait: retry.until.saturating_sub(self.clock),
             alone: retry.alone,
         };
-        OpenJob {
+        table::OpenJob {
             job: id.name(),
             workspace: job.workspace.clone(),
             model: job.model.clone(),
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -8,15 +8,11 @@
 pub use crate::jobs::change::Grants;
 pub use crate::jobs::change::OpenJob;
 
-use crate::jobs::id::Id;
+use crate::jobs::id;
 use crate::jobs::items;
-use crate::jobs::items::Bodies;
-use crate::jobs::items::Items;
-use crate::jobs::message::*;
-use crate::jobs::state::Job;
-use crate::jobs::state::State;
-use crate::replica::Machine;
-use crate::replica::RestoreError;
+use crate::jobs::message;
+use crate::jobs::state;
+use crate::replica;
 use crate::wire;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -44,8 +40,8 @@
 
 /// State machine of a job group.
 pub struct Table {
-    state: State,
-    bodies: Box<dyn Bodies>,
+    state: state::State,
+    bodies: Box<dyn items::Bodies>,
     /// Changes since the last [`Table::take_changes`]; `None` while nobody observes.
     changes: Option<Vec<Change>>,
 }
@@ -58,8 +54,8 @@
 
 impl Table {
     /// Returns an empty table that keeps bodies in `bodies`.
-    pub fn new(bodies: Box<dyn Bodies>) -> Table {
-        Table { state: State::default(), bodies, changes: None }
+    pub fn new(bodies: Box<dyn items::Bodies>) -> Table {
+        Table { state: state::State::default(), bodies, changes: None }
     }
 
     /// Highest applied group time in milliseconds.
@@ -71,7 +67,8 @@
     /// them when it is elected.
     pub fn observe(&mut self) -> Vec<OpenJob> {
         self.changes = Some(Vec::new());
-        let accepted = self.state.jobs.iter().filter(|(_, job)| job.state == JobState::Accepted);
+        let accepted =
+            self.state.jobs.iter().filter(|(_, job)| job.state == message::JobState::Accepted);
         accepted.map(|(id, job)| self.state.open_job(*id, job)).collect()
     }
 
@@ -88,7 +85,8 @@
     /// Completes a lease to a grant, or returns `None` if the item no longer runs.
     pub fn grant(&self, lease: &wire::Lease) -> Option<wire::Grant> {
         let (id, job) = self.state.find(&lease.job).ok()?;
-        let runs = job.state == JobState::Accepted && job.items.outcome(lease.item).is_none();
+        let runs =
+            job.state == message::JobState::Accepted && job.items.outcome(lease.item).is_none();
         let body = if runs { self.bodies.input(id, lease.item) } else { None };
         Some(wire::Grant {
             lease: lease.clone(),
@@ -115,52 +113,56 @@
         grants
     }
 
-    fn execute(&mut self, index: u64, stamped: Stamped) -> Reply {
+    fn execute(&mut self, index: u64, stamped: message::Stamped) -> message::Reply {
         self.state.clock = self.state.clock.max(stamped.clock);
         let result = match stamped.command {
-            Command::Open { .. } => self.open(index, stamped.command),
-            Command::Chunk { job, seq, items } => self.chunk(&job, seq, &items),
-            Command::Seal { job } => self.seal(&job),
-            Command::Cancel { job, id } => self.cancel(&job, id),
-            Command::Complete { job, item, attempt, outcome } => {
+            message::Command::Open { .. } => self.open(index, stamped.command),
+            message::Command::Chunk { job, seq, items } => self.chunk(&job, seq, &items),
+            message::Command::Seal { job } => self.seal(&job),
+            message::Command::Cancel { job, id } => self.cancel(&job, id),
+            message::Command::Complete { job, item, attempt, outcome } => {
                 self.complete(&job, item, attempt, outcome)
             }
-            Command::Attempt { job, item, attempt, cause } => {
+            message::Command::Attempt { job, item, attempt, cause } => {
                 self.attempt(&job, item, attempt, cause)
             }
-            Command::Claim { workspace, key, digest, attempt, agent } => {
-                let new = ClaimStatus { digest, attempt, agent, outcome: None };
-                Ok(self.state.claims.claim(Id::of(&workspace, &key), new, self.state.clock))
+            message::Command::Claim { workspace, key, digest, attempt, agent } => {
+                let new = message::ClaimStatus { digest, attempt, agent, outcome: None };
+                Ok(self.state.claims.claim(id::Id::of(&workspace, &key), new, self.state.clock))
             }
-            Command::Settle { workspace, key, attempt, outcome } => {
-                let id = Id::of(&workspace, &key);
+            message::Command::Settle { workspace, key, attempt, outcome } => {
+                let id = id::Id::of(&workspace, &key);
                 Ok(self.state.claims.settle(id, attempt, outcome, self.state.clock))
             }
-            Command::Expire { retention } => Ok(self.expire(retention)),
+            message::Command::Expire { retention } => Ok(self.expire(retention)),
         };
-        result.unwrap_or_else(Reply::Refused)
+        result.unwrap_or_else(message::Reply::Refused)
     }
 
-    fn open(&mut self, index: u64, command: Command) -> Result<Reply, Refusal> {
-        let Command::Open { workspace, key, digest, model, due, total } = command else {
-            return Err(Refusal::Undecodable);
+    fn open(
+        &mut self,
+        index: u64,
+        command: message::Command,
+    ) -> Result<message::Reply, message::Refusal> {
+        let message::Command::Open { workspace, key, digest, model, due, total } = command else {
+            return Err(message::Refusal::Undecodable);
         };
         if total == 0 || total > MAX_ITEMS {
             let text = format!("a job has 1 to {MAX_ITEMS} items, not {total}");
-            return Err(Refusal::Invalid(text.into()));
+            return Err(message::Refusal::Invalid(text.into()));
         }
-        let id = Id::of(&workspace, &key);
+        let id = id::Id::of(&workspace, &key);
         if let Some(job) = self.state.jobs.get(&id) {
             if job.digest != digest || job.total != total || job.model != model {
-                return Err(Refusal::Conflict { digest: job.digest });
+                return Err(message::Refusal::Conflict { digest: job.digest });
             }
-            return Ok(Reply::Opened { job: id.name(), state: job.state, next: job.next });
+            return Ok(message::Reply::Opened { job: id.name(), state: job.state, next: job.next });
         }
         if let Some(refusal) = self.state.shelf.gone(id) {
             return Err(refusal);
         }
         let clock = self.state.clock;
-        let job = Job {
+        let job = state::Job {
             workspace,
             key,
             model,
@@ -172,53 +174,58 @@
             total,
             next: 0,
             dropped: 0,
-            state: JobState::Uploading,
+            state: message::JobState::Uploading,
             cancel: None,
-            items: Items::default(),
+            items: items::Items::default(),
         };
         self.state.insert(id, job);
-        Ok(Reply::Opened { job: id.name(), state: JobState::Uploading, next: 0 })
+        Ok(message::Reply::Opened { job: id.name(), state: message::JobState::Uploading, next: 0 })
     }
 
-    fn chunk(&mut self, job: &str, seq: u32, items: &[NewItem]) -> Result<Reply, Refusal> {
+    fn chunk(
+        &mut self,
+        job: &str,
+        seq: u32,
+        items: &[message::NewItem],
+    ) -> Result<message::Reply, message::Refusal> {
         let (id, job) = self.state.find_mut(job)?;
         if let Some(cancel) = &job.cancel {
-            return Err(Refusal::Cancelled { id: cancel.clone() });
+            return Err(message::Refusal::Cancelled { id: cancel.clone() });
         }
-        if job.state != JobState::Uploading || seq != job.next {
-            return Ok(Reply::Next { next: job.next });
+        if job.state != message::JobState::Uploading || seq != job.next {
+            return Ok(message::Reply::Next { next: job.next });
         }
         let have = job.items.len() as usize + items.len();
         if items.is_empty() || have > job.total as usize {
             let text = format!("chunk {seq} has {} items; job total {}", items.len(), job.total);
-            return Err(Refusal::Invalid(text.into()));
+            return Err(message::Refusal::Invalid(text.into()));
         }
         job.items.extend(items.len());
         job.next += 1;
         let next = job.next;
         self.bodies.extend(id, items);
-        Ok(Reply::Next { next })
+        Ok(message::Reply::Next { next })
     }
 
-    fn seal(&mut self, name: &str) -> Result<Reply, Refusal> {
+    fn seal(&mut self, name: &str) -> Result<message::Reply, message::Refusal> {
         let (id, job) = self.state.find(name)?;
         if let Some(cancel) = &job.cancel {
-            return Err(Refusal::Cancelled { id: cancel.clone() });
+            return Err(message::Refusal::Cancelled { id: cancel.clone() });
         }
         let total = job.total;
-        if job.state != JobState::Uploading {
-            return Ok(Reply::Sealed { total });
+        if job.state != message::JobState::Uploading {
+            return Ok(message::Reply::Sealed { total });
         }
         let have = job.items.len();
         if have < total {
-            return Err(Refusal::Incomplete { have, total, next: job.next });
+            return Err(message::Refusal::Incomplete { have, total, next: job.next });
         }
         if let Some(duplicate) = self.duplicate(id, total) {
             return Err(duplicate);
         }
         let clock = self.state.clock;
         let (_, job) = self.state.find_mut(name)?;
-        job.state = JobState::Accepted;
+        job.state = message::JobState::Accepted;
         job.changed = clock;
         job.items.seal();
         if self.changes.is_some() {
@@ -226,48 +233,54 @@
             let open = self.state.open_job(id, job);
             self.record(Change::Accepted(open));
         }
-        Ok(Reply::Sealed { total })
+        Ok(message::Reply::Sealed { total })
     }
 
     /// First custom id that two items share, in order of the second use.
-    fn duplicate(&self, id: Id, total: u32) -> Option<Refusal> {
+    fn duplicate(&self, id: id::Id, total: u32) -> Option<message::Refusal> {
         let custom = |item| self.bodies.custom(id, item).unwrap_or_default();
         let mut order: Vec<(Arc<str>, u32)> = (0..total).map(|item| (custom(item), item)).collect();
         order.sort_unstable();
         let pairs = order.windows(2).filter(|pair| pair[0].0 == pair[1].0);
         let pair = pairs.min_by_key(|pair| pair[1].1)?;
         let custom = pair[0].0.clone();
-        Some(Refusal::Duplicate { custom, first: pair[0].1 + 1, second: pair[1].1 + 1 })
+        Some(message::Refusal::Duplicate { custom, first: pair[0].1 + 1, second: pair[1].1 + 1 })
     }
 
-    fn cancel(&mut self, name: &str, cancel: Arc<str>) -> Result<Reply, Refusal> {
+    fn cancel(&mut self, name: &str, cancel: Arc<str>) -> Result<message::Reply, message::Refusal> {
         let (id, job) = self.state.find(name)?;
         if let Some(first) = &job.cancel {
-            return Ok(Reply::Cancelled { id: first.clone() });
+            return Ok(message::Reply::Cancelled { id: first.clone() });
         }
-        if job.state == JobState::Finished {
-            return Err(Refusal::Finished);
+        if job.state == message::JobState::Finished {
+            return Err(message::Refusal::Finished);
         }
         let (_, job) = self.state.find_mut(name)?;
         job.cancel = Some(cancel.clone());
-        self.close(id, JobState::Cancelled);
+        self.close(id, message::JobState::Cancelled);
         self.record(Change::Cancelled { job: name.into() });
-        Ok(Reply::Cancelled { id: cancel })
+        Ok(message::Reply::Cancelled { id: cancel })
     }
 
     /// Job that may store a result for `item`, or the answer if it may not.
-    fn running(&mut self, job: &str, item: u32) -> Result<Result<Id, Reply>, Refusal> {
+    fn running(
+        &mut self,
+        job: &str,
+        item: u32,
+    ) -> Result<Result<id::Id, message::Reply>, message::Refusal> {
         let (id, job) = self.state.find_mut(job)?;
         let reason = match job.state {
-            JobState::Uploading => return Err(Refusal::NotAccepted),
-            _ if item >= job.items.len() => return Err(Refusal::NotFound),
-            JobState::Cancelled => DropReason::Cancelled,
-            JobState::Finished => DropReason::Ended,
-            JobState::Accepted if job.items.outcome(item).is_some() => DropReason::Ended,
-            JobState::Accepted => return Ok(Ok(id)),
+            message::JobState::Uploading => return Err(message::Refusal::NotAccepted),
+            _ if item >= job.items.len() => return Err(message::Refusal::NotFound),
+            message::JobState::Cancelled => message::DropReason::Cancelled,
+            message::JobState::Finished => message::DropReason::Ended,
+            message::JobState::Accepted if job.items.outcome(item).is_some() => {
+                message::DropReason::Ended
+            }
+            message::JobState::Accepted => return Ok(Ok(id)),
         };
         job.dropped = job.dropped.saturating_add(1);
-        Ok(Err(Reply::Dropped { reason }))
+        Ok(Err(message::Reply::Dropped { reason }))
     }
 
     fn complete(
@@ -275,17 +288,21 @@
         job: &str,
         item: u32,
         attempt: u64,
-        outcome: ItemOutcome,
-    ) -> Result<Reply, Refusal> {
+        outcome: message::ItemOutcome,
+    ) -> Result<message::Reply, message::Refusal> {
         let id = match self.running(job, item)? {
             Ok(id) => id,
             Err(reply) => return Ok(reply),
         };
         match outcome {
-            ItemOutcome::Done(body) => self.end(id, item, attempt, Outcome::Done, &body),
-            ItemOutcome::Failed(body) => self.end(id, item, attempt, Outcome::Failed, &body),
+            message::ItemOutcome::Done(body) => {
+                self.end(id, item, attempt, message::Outcome::Done, &body)
+            }
+            message::ItemOutcome::Failed(body) => {
+                self.end(id, item, attempt, message::Outcome::Failed, &body)
+            }
         }
-        Ok(Reply::Completed)
+        Ok(message::Reply::Completed)
     }
 
     fn attempt(
@@ -293,8 +310,8 @@
         name: &str,
         item: u32,
         attempt: u64,
-        cause: AttemptCause,
-    ) -> Result<Reply, Refusal> {
+        cause: message::AttemptCause,
+    ) -> Result<message::Reply, message::Refusal> {
         let id = match self.running(name, item)? {
             Ok(id) => id,
             Err(reply) => return Ok(reply),
@@ -308,29 +325,29 @@
                 // Also for a grant that was counted before: the leader may have adopted it again
                 // since, and keeps the item back until it is told that it can run.
                 self.record(Change::Delayed { job: name.into(), attempt, delay });
-                Ok(Reply::Counted { attempts: retry.failed.len() as u32, ended: false })
+                Ok(message::Reply::Counted { attempts: retry.failed.len() as u32, ended: false })
             }
             items::Counted::Exhausted(attempts) => {
                 let body = exhausted(attempts, cause);
-                self.end(id, item, attempt, Outcome::Failed, body.as_bytes());
-                Ok(Reply::Counted { attempts, ended: true })
+                self.end(id, item, attempt, message::Outcome::Failed, body.as_bytes());
+                Ok(message::Reply::Counted { attempts, ended: true })
             }
         }
     }
 
-    fn end(&mut self, id: Id, item: u32, attempt: u64, outcome: Outcome, body: &[u8]) {
+    fn end(&mut self, id: id::Id, item: u32, attempt: u64, outcome: message::Outcome, body: &[u8]) {
         self.bodies.put(id, item, body);
         let Some(job) = self.state.jobs.get_mut(&id) else { return };
         job.items.end(item, outcome);
         let finished = job.items.queued() == 0;
         if finished {
-            self.close(id, JobState::Finished);
+            self.close(id, message::JobState::Finished);
         }
         self.record(Change::Ended { job: id.name(), item, attempt });
     }
 
     /// Moves a job to a state that it does not leave.
-    fn close(&mut self, id: Id, state: JobState) {
+    fn close(&mut self, id: id::Id, state: message::JobState) {
         let clock = self.state.clock;
         let Some(job) = self.state.jobs.get_mut(&id) else { return };
         job.state = state;
@@ -340,14 +357,14 @@
         self.bodies.end(id);
     }
 
-    fn expire(&mut self, retention: u64) -> Reply {
+    fn expire(&mut self, retention: u64) -> message::Reply {
         let clock = self.state.clock;
         let due = self.state.shelf.due(retention, clock, EXPIRE_JOBS);
         let mut jobs = 0;
         for (changed, id) in due.entries {
             let job = self.state.jobs.get(&id);
             // An accepted job stays until it has ended, however long that takes.
-            if job.is_some_and(|j| j.changed == changed && j.state != JobState::Accepted) {
+            if job.is_some_and(|j| j.changed == changed && j.state != message::JobState::Accepted) {
                 self.state.remove(id);
                 self.state.shelf.bury(clock, id);
                 self.bodies.remove(id);
@@ -355,7 +372,7 @@
             }
         }
         let (claims, more) = self.state.claims.expire(retention, clock, EXPIRE_CLAIMS);
-        Reply::Expired { jobs, claims, more: more || due.more }
+        message::Reply::Expired { jobs, claims, more: more || due.more }
     }
 
     fn record(&mut self, change: Change) {
@@ -365,21 +382,28 @@
     }
 
     /// Answers a query from the applied state.
-    pub fn query(&self, query: &Query) -> Answer {
+    pub fn query(&self, query: &message::Query) -> message::Answer {
         let answer = match query {
-            Query::Job { job } => self.state.find(job).map(|(id, j)| Answer::Job(j.status(id))),
-            Query::Jobs { workspace, after, limit } => {
+            message::Query::Job { job } => {
+                self.state.find(job).map(|(id, j)| message::Answer::Job(j.status(id)))
+            }
+            message::Query::Jobs { workspace, after, limit } => {
                 self.list(workspace, after.as_deref(), *limit)
             }
-            Query::Results { job, from, limit } => self.results(job, *from, *limit),
-            Query::Claim { workspace, key } => {
-                self.state.claims.status(Id::of(workspace, key)).map(Answer::Claim)
+            message::Query::Results { job, from, limit } => self.results(job, *from, *limit),
+            message::Query::Claim { workspace, key } => {
+                self.state.claims.status(id::Id::of(workspace, key)).map(message::Answer::Claim)
             }
         };
-        answer.unwrap_or_else(Answer::Refused)
+        answer.unwrap_or_else(message::Answer::Refused)
     }
 
-    fn list(&self, workspace: &str, after: Option<&str>, limit: u32) -> Result<Answer, Refusal> {
+    fn list(
+        &self,
+        workspace: &str,
+        after: Option<&str>,
+        limit: u32,
+    ) -> Result<message::Answer, message::Refusal> {
         let before = match after {
             Some(job) => self.state.find(job)?.1.number,
             None => u64::MAX,
@@ -396,10 +420,15 @@
             }
             jobs.extend(self.state.jobs.get(id).map(|job| job.status(*id)));
         }
-        Ok(Answer::Jobs { jobs, more })
+        Ok(message::Answer::Jobs { jobs, more })
     }
 
-    fn results(&self, job: &str, from: u32, limit: u32) -> Result<Answer, Refusal> {
+    fn results(
+        &self,
+        job: &str,
+        from: u32,
+        limit: u32,
+    ) -> Result<message::Answer, message::Refusal> {
         let (id, job) = self.state.find(job)?;
         let limit = limit.clamp(1, PAGE_RECORDS) as usize;
         let mut items = Vec::new();
@@ -414,18 +443,18 @@
             let custom = self.bodies.custom(id, item).unwrap_or_default();
             let body = self.bodies.result(id, item).unwrap_or_default();
             size += body.len() + custom.len();
-            items.push(ItemResult { item, custom, outcome, body });
+            items.push(message::ItemResult { item, custom, outcome, body });
         }
-        Ok(Answer::Results { state: job.state, items, next })
+        Ok(message::Answer::Results { state: job.state, items, next })
     }
 }
 
-impl Machine for Table {
+impl replica::Machine for Table {
     /// Applies the log entry `index`: an encoded [`Stamped`], answered by an encoded [`Reply`].
     fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
-        let reply = match postcard::from_bytes::<Stamped>(command) {
+        let reply = match postcard::from_bytes::<message::Stamped>(command) {
             Ok(stamped) => self.execute(index, stamped),
-            Err(_) => Reply::Refused(Refusal::Undecodable),
+            Err(_) => message::Reply::Refused(message::Refusal::Undecodable),
         };
         postcard::to_stdvec(&reply).expect("replies encode")
     }
@@ -437,9 +466,10 @@
     }
 
     /// Replaces the state by that of a snapshot. On an error the table is unchanged.
-    fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
-        let error = |e: postcard::Error| RestoreError { cause: e.to_string().into() };
-        let (mut state, bodies): (State, Bytes) = postcard::from_bytes(data).map_err(error)?;
+    fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
+        let error = |e: postcard::Error| replica::RestoreError { cause: e.to_string().into() };
+        let (mut state, bodies): (state::State, Bytes) =
+            postcard::from_bytes(data).map_err(error)?;
         state.share_names();
         self.bodies.import(&bodies).map_err(error)?;
         self.state = state;
@@ -449,10 +479,10 @@
 }
 
 /// Error result of an item without an attempt left.
-fn exhausted(attempts: u32, cause: AttemptCause) -> String {
+fn exhausted(attempts: u32, cause: message::AttemptCause) -> String {
     let last = match cause {
-        AttemptCause::WorkerLost => "the worker was lost while the item ran",
-        AttemptCause::Transient => "the endpoint failed",
+        message::AttemptCause::WorkerLost => "the worker was lost while the item ran",
+        message::AttemptCause::Transient => "the endpoint failed",
     };
     let message = format!("gave up after {attempts} failed attempts; the last one: {last}");
     serde_json::json!({"error": {"code": "attempts_exhausted", "message": message}}).to_string()
