--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -1,4 +1,4 @@
-//! Elections, replication, reads and snapshots of replicas on a well-behaved network.
+//! Cases of one replica or one decision that scripts and random faults do not reach.
 
 mod network;
 
@@ -6,11 +6,11 @@
 use basilfield::replica::Input;
 use basilfield::replica::MemberChange;
 use basilfield::replica::Output;
-use basilfield::replica::Role;
 use basilfield::replica::formation;
 use basilfield::replica::formation::Cause;
 use basilfield::replica::formation::Decision;
 use network::Network;
+use std::time::Duration;
 
 /// Guards against a single member that waits for others.
 #[test]
@@ -25,70 +25,6 @@
     assert_eq!(net.hosts[0].ledger.commands.len(), 2);
 }
 
-/// Guards against a group that does not survive its leader, or a returning host left behind.
-#[test]
-fn three_members_survive_leader() {
-    let mut net = Network::new(3, 1);
-    let first = net.form();
-    for n in 0..50 {
-        net.commit(format!("{n}"));
-    }
-    net.kill(first, 0);
-    let second = net.await_leader();
-    assert_ne!(first, second);
-    net.commit("after");
-    net.start(first);
-    net.run(100);
-    net.check_converged();
-}
-
-/// Guards against replicas that act before they have a membership.
-#[test]
-fn blank_replicas_wait() {
-    let mut net = Network::new(3, 1);
-    net.run(500);
-    assert!(
-        net.hosts.iter().all(|h| h.replica.as_ref().is_some_and(|r| r.role() == Role::Forming))
-    );
-    assert!(net.hosts.iter().all(|h| h.disk.blank() && h.disk.hard.term == 0));
-}
-
-/// Guards against a follower that cannot catch up once the leader has truncated its log.
-#[test]
-fn snapshot_reaches_follower() {
-    let mut net = Network::new(3, 1);
-    net.compaction = 1000;
-    let leader = net.form();
-    let behind = (leader + 1) % 3;
-    net.kill(behind, 0);
-    for n in 0..6000 {
-        net.propose(leader, vec![n as u8; 100]);
-        if n % 100 == 0 {
-            net.tick();
-        }
-    }
-    net.run(100);
-    net.start(behind);
-    net.run(200);
-    assert_eq!(net.installed, 1);
-    net.check_converged();
-}
-
-/// Guards against reads that are answered without a quorum, or never.
-#[test]
-fn reads_need_a_quorum() {
-    let mut net = Network::new(3, 1);
-    let leader = net.form();
-    net.commit("a");
-    let read = net.read(leader);
-    net.run(10);
-    assert!(net.requests.readable.contains(&read));
-    net.isolate(leader, true);
-    let read = net.read(leader);
-    net.run(100);
-    assert!(net.requests.refused.contains_key(&read));
-}
-
 /// Guards against a group that is formed without some host, twice, or over existing data.
 #[test]
 fn formation_needs_every_host_blank() {
@@ -200,3 +136,36 @@
     net.check_converged();
     assert!(net.hosts[first].ledger.commands.is_empty());
 }
+
+/// Guards against repeated orders to form a group that restart its election each time.
+#[test]
+fn repeated_order_does_not_restart_election() {
+    let net = &mut Network::new(3, 1);
+    let (now, members) = (net.now, net.membership());
+    let replica = net.hosts[0].replica.as_mut().expect("runs");
+    assert!(!replica.step(now, Input::Form(members.clone())).is_empty());
+    assert!(replica.step(now, Input::Form(members)).is_empty());
+}
+
+/// Guards against a new leader that does not count what its predecessors left uncommitted.
+#[test]
+fn uncommitted_entries_of_earlier_leaders_count() {
+    let members = replica::Membership::of_voters([(1, "a".into())]);
+    let command = replica::Payload::Command(vec![0; replica::MAX_COMMAND].into());
+    let payloads = [replica::Payload::Members(members)].into_iter();
+    let payloads = payloads.chain(std::iter::repeat_n(command, 8));
+    let entry = |(at, payload)| replica::Entry { index: at as u64 + 1, term: 1, payload };
+    let entries = payloads.enumerate().map(entry).collect();
+    let hard = replica::HardState { term: 1, vote: None, commit: 0 };
+    let restored = replica::Restored { hard, snapshot: None, entries };
+    let second = Duration::from_secs(1);
+    let config = replica::Config { group: 1, id: 1, heartbeat: second, election: second, seed: 1 };
+    let mut replica = replica::Replica::new(config, restored, Duration::ZERO);
+    replica.step(second * 3, Input::Tick);
+    assert_eq!(replica.role(), replica::Role::Leader);
+    let propose = || Input::Propose { token: 1, command: "a".into() };
+    let busy = Output::Refused { token: 1, reason: replica::Refusal::Busy };
+    assert!(replica.step(second * 3, propose()).contains(&busy));
+    replica.step(second * 3, Input::Synced { index: replica.last() });
+    assert!(!replica.step(second * 3, propose()).contains(&busy));
+}
