Use standard terms for the removal of expired records

The order in which records are removed was kept in a type whose name and methods were figurative, which the wording rules of the project exclude, and the test harness had a command of that kind too. They are now named after what they do: Expiry, mark_removed, removed, and drop-reports in the scripts.

Only names change.

--- a/src/jobs/claims.rs
+++ b/src/jobs/claims.rs
@@ -27,13 +27,13 @@
     // A tree, because hashes arrive in random order and a sorted vector would move half of its
     // content for each of them.
     claims: BTreeMap<id::Id, Claim>,
-    shelf: retention::Shelf,
+    expiry: retention::Expiry,
 }
 
 impl Claims {
     /// Gives the claim to `attempt` if no other attempt holds it.
     pub fn claim(&mut self, id: id::Id, new: message::ClaimStatus, clock: u64) -> message::Reply {
-        if let Some(refusal) = self.shelf.gone(id) {
+        if let Some(refusal) = self.expiry.gone(id) {
             return message::Reply::Refused(refusal);
         }
         let Some(claim) = self.claims.get_mut(&id) else {
@@ -52,7 +52,7 @@
                 claim.agent = new.agent;
                 claim.outcome = None;
                 claim.changed = clock;
-                self.shelf.push(clock, id);
+                self.expiry.push(clock, id);
                 message::Reply::Claimed
             }
             Some(outcome) => message::Reply::Settled { outcome: outcome.clone() },
@@ -71,7 +71,7 @@
             changed: clock,
         };
         self.claims.insert(id, claim);
-        self.shelf.push(clock, id);
+        self.expiry.push(clock, id);
     }
 
     /// Records the outcome of the attempt that holds the claim. The first outcome is final.
@@ -84,7 +84,7 @@
     ) -> message::Reply {
         let Some(claim) = self.claims.get_mut(&id) else {
             return message::Reply::Refused(
-                self.shelf.gone(id).unwrap_or(message::Refusal::NotFound),
+                self.expiry.gone(id).unwrap_or(message::Refusal::NotFound),
             );
         };
         if claim.withdrawn.contains(&attempt) {
@@ -101,7 +101,7 @@
         }
         claim.outcome = Some(outcome.clone());
         claim.changed = clock;
-        self.shelf.push(clock, id);
+        self.expiry.push(clock, id);
         message::Reply::Settled { outcome }
     }
 
@@ -109,7 +109,7 @@
     pub fn status(&self, id: id::Id) -> Result<message::ClaimStatus, message::Refusal> {
         let claim = self.claims.get(&id);
         let claim =
-            claim.ok_or_else(|| self.shelf.gone(id).unwrap_or(message::Refusal::NotFound))?;
+            claim.ok_or_else(|| self.expiry.gone(id).unwrap_or(message::Refusal::NotFound))?;
         Ok(message::ClaimStatus {
             digest: claim.digest,
             attempt: claim.attempt,
@@ -121,12 +121,12 @@
     /// Removes up to `limit` claims that last changed a retention ago. Returns the number and
     /// whether more are due.
     pub fn expire(&mut self, retention: u64, clock: u64, limit: u32) -> (u32, bool) {
-        let due = self.shelf.due(retention, clock, limit);
+        let due = self.expiry.due(retention, clock, limit);
         let mut count = 0;
         for (changed, id) in due.entries {
             if self.claims.get(&id).is_some_and(|c| c.changed == changed) {
                 self.claims.remove(&id);
-                self.shelf.bury(clock, id);
+                self.expiry.mark_removed(clock, id);
                 count += 1;
             }
         }
--- a/src/jobs/retention.rs
+++ b/src/jobs/retention.rs
@@ -18,11 +18,11 @@
 /// A removed identity is remembered for as long again as the retention, so that a reader is told
 /// that the record is gone and a very late resend does not run again.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Shelf {
+pub struct Expiry {
     /// Time of a change and the changed record, ascending. A record that changed again has a
     /// later entry, and its earlier ones are skipped.
     changes: VecDeque<(u64, id::Id)>,
-    buried: VecDeque<(u64, id::Id)>,
+    removed: VecDeque<(u64, id::Id)>,
     gone: BTreeSet<id::Id>,
     /// Retention in milliseconds that was used last.
     retention: u64,
@@ -36,7 +36,7 @@
     pub more: bool,
 }
 
-impl Shelf {
+impl Expiry {
     /// Notes that a record changed at `clock`.
     pub fn push(&mut self, clock: u64, id: id::Id) {
         self.changes.push_back((clock, id));
@@ -51,10 +51,10 @@
             entry.is_some_and(|(at, _)| at.saturating_add(retention) <= clock)
         };
         for _ in 0..limit {
-            if !passed(self.buried.front()) {
+            if !passed(self.removed.front()) {
                 break;
             }
-            if let Some((_, id)) = self.buried.pop_front() {
+            if let Some((_, id)) = self.removed.pop_front() {
                 self.gone.remove(&id);
             }
         }
@@ -62,13 +62,13 @@
         while entries.len() < limit as usize && passed(self.changes.front()) {
             entries.extend(self.changes.pop_front());
         }
-        let more = passed(self.changes.front()) || passed(self.buried.front());
+        let more = passed(self.changes.front()) || passed(self.removed.front());
         Due { entries, more }
     }
 
     /// Notes that a record was removed at `clock`.
-    pub fn bury(&mut self, clock: u64, id: id::Id) {
-        self.buried.push_back((clock, id));
+    pub fn mark_removed(&mut self, clock: u64, id: id::Id) {
+        self.removed.push_back((clock, id));
         self.gone.insert(id);
     }
 
--- a/src/jobs/state.rs
+++ b/src/jobs/state.rs
@@ -56,7 +56,7 @@
     /// Jobs of each workspace by number.
     pub workspaces: BTreeMap<Arc<str>, sorted::SortedMap<u64, id::Id>>,
     /// Order of the jobs' removal.
-    pub shelf: retention::Shelf,
+    pub expiry: retention::Expiry,
     /// Claims of non-idempotent calls.
     pub claims: claims::Claims,
 }
@@ -87,14 +87,14 @@
     /// Looks up a job by name.
     pub fn find(&self, name: &str) -> Result<(id::Id, &Job), message::Refusal> {
         let id = id::Id::parse(name).ok_or(message::Refusal::NotFound)?;
-        let gone = || self.shelf.gone(id).unwrap_or(message::Refusal::NotFound);
+        let gone = || self.expiry.gone(id).unwrap_or(message::Refusal::NotFound);
         self.jobs.get(&id).map(|job| (id, &**job)).ok_or_else(gone)
     }
 
     /// Looks up a job by name for modification.
     pub fn find_mut(&mut self, name: &str) -> Result<(id::Id, &mut Job), message::Refusal> {
         let id = id::Id::parse(name).ok_or(message::Refusal::NotFound)?;
-        let gone = || self.shelf.gone(id).unwrap_or(message::Refusal::NotFound);
+        let gone = || self.expiry.gone(id).unwrap_or(message::Refusal::NotFound);
         self.jobs.get_mut(&id).map(|job| (id, &mut **job)).ok_or_else(gone)
     }
 
@@ -105,7 +105,7 @@
         }
         let numbers = self.workspaces.entry(job.workspace.clone()).or_default();
         numbers.insert(job.number, id);
-        self.shelf.push(job.opened, id);
+        self.expiry.push(job.opened, id);
         self.jobs.insert(id, Box::new(job));
     }
 
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -158,7 +158,7 @@
             }
             return Ok(message::Reply::Opened { job: id.name(), state: job.state, next: job.next });
         }
-        if let Some(refusal) = self.state.shelf.gone(id) {
+        if let Some(refusal) = self.state.expiry.gone(id) {
             return Err(refusal);
         }
         let clock = self.state.clock;
@@ -353,20 +353,20 @@
         job.state = state;
         job.changed = clock;
         job.items.stop();
-        self.state.shelf.push(clock, id);
+        self.state.expiry.push(clock, id);
         self.bodies.end(id);
     }
 
     fn expire(&mut self, retention: u64) -> message::Reply {
         let clock = self.state.clock;
-        let due = self.state.shelf.due(retention, clock, EXPIRE_JOBS);
+        let due = self.state.expiry.due(retention, clock, EXPIRE_JOBS);
         let mut jobs = 0;
         for (changed, id) in due.entries {
             let job = self.state.jobs.get(&id);
             // An accepted job stays until it has ended, however long that takes.
             if job.is_some_and(|j| j.changed == changed && j.state != message::JobState::Accepted) {
                 self.state.remove(id);
-                self.state.shelf.bury(clock, id);
+                self.state.expiry.mark_removed(clock, id);
                 self.bodies.remove(id);
                 jobs += 1;
             }
--- a/tests/job_table.rs
+++ b/tests/job_table.rs
@@ -146,7 +146,7 @@
     fn replay_from_any_snapshot(log in log(), cut in any::<prop::sample::Index>()) {
         let cut = cut.index(log.len() + 1);
         let (mut first, mut second) = (Table::default(), Table::default());
-        // The content that a restore replaces must not shine through.
+        // The content that a restore replaces must not remain.
         second.apply(1, &log.last().cloned().unwrap_or_default());
         for (index, entry) in log.iter().enumerate().take(cut) {
             first.apply(index as u64 + 1, entry);
--- a/tests/jobgroup/mod.rs
+++ b/tests/jobgroup/mod.rs
@@ -54,7 +54,7 @@
     token: u64,
     agents: BTreeMap<Arc<str>, Agent>,
     /// Whether the proposals for the next lost leases are lost as well.
-    mute: bool,
+    drop_reports: bool,
     /// Last report of a failed attempt, which `resend` repeats.
     report: Option<Command>,
     /// Leases that a living agent may act on.
@@ -75,7 +75,7 @@
             index: 0,
             token: 0,
             agents: BTreeMap::new(),
-            mute: false,
+            drop_reports: false,
             report: None,
             valid: BTreeMap::new(),
             names: Vec::new(),
@@ -162,8 +162,9 @@
                 }
                 Output::Lost { agent, items } => {
                     text += &format!("lost {agent}: {}\n", self.leases(&items));
-                    let mute = std::mem::take(&mut self.mute);
-                    for Lease { job, item, attempt } in items.into_iter().filter(|_| !mute) {
+                    let drop_reports = std::mem::take(&mut self.drop_reports);
+                    for Lease { job, item, attempt } in items.into_iter().filter(|_| !drop_reports)
+                    {
                         let valid = self.valid.remove(&(job.clone(), item));
                         assert!(valid.is_none_or(|v| v.end <= self.now), "lost after its end");
                         let cause = AttemptCause::WorkerLost;
@@ -339,7 +340,11 @@
         let attempt = args.take_key("attempt").unwrap_or("0").parse()?;
         let by: Arc<str> = args.take_key("agent").unwrap_or("a1").into();
         let mut next = || args.next_pos().ok_or("argument missing");
-        let path = if ["serve", "resend", "mute"].contains(&&*command.name) { "" } else { next()? };
+        let path = if ["serve", "resend", "drop-reports"].contains(&&*command.name) {
+            ""
+        } else {
+            next()?
+        };
         let text = match command.name.as_str() {
             "open" => {
                 self.job(path);
@@ -430,8 +435,8 @@
                 let until = args.take_key("until").unwrap_or("no/job");
                 self.serve(by, free, grants, until)
             }
-            "mute" => {
-                self.mute = true;
+            "drop-reports" => {
+                self.drop_reports = true;
                 String::new()
             }
             "resend" => match self.report.clone() {
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -82,7 +82,7 @@
         1 => agent.prop_map(|agent| format!("crash a{agent}")),
         4 => (1..40u32).prop_map(|tenths| format!("pass {tenths}00")),
         1 => Just("resend".to_string()),
-        1 => Just("mute".to_string()),
+        1 => Just("drop-reports".to_string()),
         2 => Just("failover a1/a2/a3".to_string()),
     ]
 }
