Fix the seed of the random job tests

The seed is now fixed, as in the other random tests; longer searches with other seeds remain a matter of local trials.

The number of cases stays at 400 and 500.

--- a/tests/job_table.rs
+++ b/tests/job_table.rs
@@ -17,6 +17,7 @@
 use basilfield::replica::Machine as _;
 use basilfield::wire::Lease;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -139,7 +140,13 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        // The verdict is the same on every run.
+        rng_seed: RngSeed::Fixed(0x10b5),
+        ..Default::default()
+    })]
 
     /// Guards against replicas that diverge, or state that a snapshot leaves out.
     #[test]
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -4,6 +4,7 @@
 
 use jobgroup::Group;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn run(name: &str) {
     goldenscript::run(&mut Group::new(), format!("tests/scenarios/jobs/{name}")).unwrap();
@@ -88,7 +89,13 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        // The verdict is the same on every run.
+        rng_seed: RngSeed::Fixed(0x10b5),
+        ..Default::default()
+    })]
 
     /// Guards against two valid leases of an item, a grant of an item that must not run, and an
     /// item that is never granted again. The harness checks every grant.
