--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -169,3 +169,60 @@
     replica.step(second * 3, Input::Synced { index: replica.last() });
     assert!(!replica.step(second * 3, propose()).contains(&busy));
 }
+
+/// Guards against a snapshot of several chunks that is put together wrongly when chunks are lost,
+/// repeated or reordered. The network compares the restored machine with the history.
+#[test]
+fn chunks_survive_a_bad_network() {
+    let mut net = Network::new(3, 1);
+    net.compaction = 1000;
+    let leader = net.form();
+    let behind = (leader + 1) % 3;
+    net.kill(behind, 0);
+    for n in 0..6000u32 {
+        net.propose(leader, n.to_le_bytes().repeat(100));
+        if n % 500 == 0 {
+            net.tick();
+        }
+    }
+    net.run(100);
+    net.faults = network::Faults { loss: 15, duplicate: 25, delay: 4 };
+    net.start(behind);
+    net.run(500);
+    assert_eq!(net.installed, 1);
+    net.faults = network::Faults { loss: 0, duplicate: 0, delay: 1 };
+    net.run(100);
+    net.check_converged();
+}
+
+/// Guards against membership changes that risk the quorum or the log.
+#[test]
+fn unsafe_changes_are_refused() {
+    use replica::ChangeRefusal;
+    let mut net = Network::new(3, 1);
+    let leader = net.form();
+    let own = net.hosts[leader].id;
+    let others: Vec<u64> = net.hosts.iter().map(|h| h.id).filter(|id| *id != own).collect();
+    let new = |id| replica::Member { id, host: "new".into(), role: replica::MemberRole::Voter };
+    let mut refused = |changes: &[MemberChange]| {
+        let tokens: Vec<u64> = changes.iter().map(|c| net.change(leader, c.clone())).collect();
+        net.run(100);
+        let last = tokens.last().and_then(|token| net.requests.refused.get(token));
+        last.cloned()
+    };
+    let expect = |reason| Some(replica::Refusal::Change(reason));
+    let add = MemberChange::AddLearner(new(9));
+    assert_eq!(refused(&[MemberChange::Remove(8)]), expect(ChangeRefusal::Absent));
+    assert_eq!(refused(&[MemberChange::Promote(own)]), expect(ChangeRefusal::Present));
+    // The second change has to wait for the first one.
+    let both = [add.clone(), MemberChange::Remove(others[0])];
+    assert_eq!(refused(&both), expect(ChangeRefusal::Pending));
+    assert_eq!(refused(&[add]), expect(ChangeRefusal::Present));
+    // The learner has never answered.
+    assert_eq!(refused(&[MemberChange::Promote(9)]), expect(ChangeRefusal::Behind));
+    net.kill(net.hosts.iter().position(|h| h.id == others[0]).expect("host"), 0);
+    net.run(100);
+    let token = net.change(leader, MemberChange::Remove(others[1]));
+    net.run(1);
+    assert_eq!(net.requests.refused.get(&token).copied(), expect(ChangeRefusal::Quorum));
+}
