Test that a removed replica is ignored

A trial change that lets a replica process messages of retired ids passed every test, because pre-vote and the log check refuse such a replica as well. The test of a returned disk now sends a pre-vote that only the retired id can stop, and fails with the trial change. A check of the whole group's behaviour was ruled out because the other safeguards hide the difference.

--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -70,6 +70,11 @@
     net.start(lost);
     net.run(300);
     let leader = net.await_leader();
+    let body = replica::Message::PreVote { last: 1000, last_term: 1000 };
+    let to = net.hosts[leader].id;
+    let envelope = replica::Envelope { group: 1, from: old, to, term: 1001, body };
+    let running = net.hosts[leader].replica.as_mut().expect("runs");
+    assert_eq!(running.step(net.now, Input::Message(envelope)), [], "a removed replica is ignored");
     let again = replica::Member { id: old, host: "x".into(), role: replica::MemberRole::Learner };
     let refused = net.change(leader, MemberChange::AddLearner(again));
     net.run(1);
