Let the trade of a policy set the gate's target; share agents and weights with job groups

Cause: a policy's trade had no effect, because the target time between tokens had a fixed default of 45 ms. A target of 0, the new default, takes the target of the trade (21 ms for tail, 24 ms for throughput). Without a policy the trade is tail.

Ruled out: a separate watch for each job group, since group 0 has a replica on the same host.

--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -6,6 +6,7 @@
 #[path = "../../tests/workdir/mod.rs"]
 mod workdir;
 
+mod arms;
 mod state;
 
 use std::process::Command;
@@ -23,6 +24,7 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum What {
+    Arms(Arms),
     Latency(Latency),
     Idle(Idle),
     Commits(Commits),
@@ -49,6 +51,21 @@
     entries: usize,
 }
 
+/// online latency and batch throughput, in three arms and both trades
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "arms")]
+pub struct Arms {
+    /// endpoints, each with an agent (default 9)
+    #[argh(option, default = "9")]
+    endpoints: usize,
+    /// online requests per second and endpoint within bursts (default 8)
+    #[argh(option, default = "8")]
+    rate: u32,
+    /// length of an arm in seconds (default 20)
+    #[argh(option, default = "20")]
+    seconds: u64,
+}
+
 /// memory and processor time of idle processes
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "idle")]
@@ -106,6 +123,7 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match args.what {
+        What::Arms(args) => arms::run_arms(&args),
         What::Latency(args) => latency(&args),
         What::Idle(args) => idle(&args),
         What::Commits(args) => state::commits(&args),
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -367,9 +367,23 @@
     let about = endpoint.about();
     let model = about.models.first().map(|m| &**m).unwrap_or_default();
     let policy = agent.follower.read(|c| c.config().policy(model).cloned());
-    if let Some(policy) = policy {
-        endpoint.set_policy(policy.floor, Duration::from_millis(policy.target));
+    let config = gate_config(policy.as_ref());
+    endpoint.set_policy(config.floor, config.target);
+}
+
+/// Gate settings for a policy; without one, online tail latency has more weight.
+pub fn gate_config(policy: Option<&catalog::documents::Policy>) -> gate::Config {
+    let Some(policy) = policy else { return gate::Config::for_trade(gate::Trade::Tail) };
+    let trade = match policy.trade {
+        catalog::documents::Trade::Tail => gate::Trade::Tail,
+        catalog::documents::Trade::Throughput => gate::Trade::Throughput,
+    };
+    let mut config = gate::Config::for_trade(trade);
+    config.floor = policy.floor;
+    if policy.target > 0 {
+        config.target = Duration::from_millis(policy.target);
     }
+    config
 }
 
 /// A second handle of a bound listener, so that a restarted task can serve it again.
--- a/src/agent/registry.rs
+++ b/src/agent/registry.rs
@@ -47,6 +47,7 @@
     changes: watch::Sender<u64>,
     pull: Arc<Notify>,
     queue: usize,
+    priority: bool,
     timer: timer::Timer,
     metrics: metrics::Metrics,
     log: slog::Logger,
@@ -70,6 +71,7 @@
             changes: watch::Sender::new(0),
             pull: Arc::new(Notify::new()),
             queue: settings.queue,
+            priority: settings.priority,
             timer: timer.clone(),
             metrics: metrics.clone(),
             log: log.clone(),
@@ -117,8 +119,12 @@
             return Err(errors::Error::invalid("announce", about.name, cause));
         }
         event!(self.inner.log, events::ENDPOINT_JOINED; "endpoint" => &*about.name);
-        let config =
-            gate::Config { slots: about.slots, queue: self.inner.queue, ..gate::Config::default() };
+        let config = gate::Config {
+            slots: about.slots,
+            queue: self.inner.queue,
+            policy: self.inner.priority,
+            ..crate::agent::gate_config(None)
+        };
         let name = about.name.clone();
         let endpoint = endpoint::Endpoint::new(
             about,
--- a/src/catalog/documents.rs
+++ b/src/catalog/documents.rs
@@ -215,7 +215,8 @@
     pub trade: Trade,
     /// Percent of the slots that batch work keeps under online load.
     pub floor: u32,
-    /// Target time between the tokens of an online stream, in milliseconds.
+    /// Target time between the tokens of an online stream, in milliseconds; 0 takes the default
+    /// of the trade.
     pub target: u64,
 }
 
--- a/src/catalog/fields.rs
+++ b/src/catalog/fields.rs
@@ -163,7 +163,6 @@
 fn check_policy(policy: &Policy, check: &mut Check<'_>) {
     check.model("name", &policy.name);
     check.that(policy.floor <= 100, "floor", policy.floor, "0 to 100 percent");
-    check.positive("target", policy.target);
 }
 
 fn check_service(service: &Service, check: &mut Check<'_>) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -180,6 +180,9 @@
     /// Most online requests that wait for one endpoint.
     #[serde(default = "default_queue")]
     pub queue: usize,
+    /// Whether online requests go before batch items. Switched off only to measure a baseline.
+    #[serde(default = "default_priority")]
+    pub priority: bool,
     /// Longest time in milliseconds between two tokens of an endpoint before its stream counts
     /// as stalled.
     #[serde(default = "default_stall")]
@@ -219,7 +222,14 @@
 impl Agent {
     /// Settings of an agent for development, with the defaults of a settings file.
     pub fn local(listen: SocketAddr, announce: SocketAddr) -> Agent {
-        Agent { listen, advertise: None, announce, queue: default_queue(), stall: default_stall() }
+        Agent {
+            listen,
+            advertise: None,
+            announce,
+            queue: default_queue(),
+            priority: default_priority(),
+            stall: default_stall(),
+        }
     }
 }
 
@@ -271,6 +281,10 @@
     7
 }
 
+fn default_priority() -> bool {
+    true
+}
+
 fn default_queue() -> usize {
     256
 }
--- a/src/state/group.rs
+++ b/src/state/group.rs
@@ -32,6 +32,8 @@
 const RECENT: usize = 4_096;
 /// Updates that may wait for a slow watcher before its watch ends.
 pub const WATCH_BUFFER: usize = 1_024;
+/// Log entries after which a snapshot is taken when space is short.
+const EARLY_SNAPSHOT: u64 = 1_000;
 /// Time for which the answer of a host to a probe is used. A host without a complete replica is
 /// probed, and probes, twice a second.
 const PROBE_KEEP: Duration = Duration::from_secs(3);
@@ -452,7 +454,7 @@
                 self.step(replica::Input::Synced { index });
             }
             for output in outputs {
-                self.carry_out(output);
+                self.carry_out(output)?;
             }
         }
         Ok(())
@@ -468,11 +470,10 @@
                     written = true;
                 }
                 replica::Output::Store(snapshot) => {
-                    self.check(|folder| folder.store(snapshot))?;
+                    self.store_own(snapshot)?;
                 }
                 replica::Output::Restore(snapshot) => {
                     self.check(|folder| folder.install(snapshot))?;
-                    self.restore(snapshot)?;
                 }
                 _ => {}
             }
@@ -483,6 +484,23 @@
         Ok(written)
     }
 
+    /// Stores a snapshot of the own machine. Without space for it the log is kept instead.
+    fn store_own(&mut self, snapshot: &replica::Snapshot) -> Result<(), errors::Error> {
+        match self.parts.folder.store(snapshot) {
+            Err(storage::Error::Full { .. }) => {
+                event!(self.parts.log, events::DISK_FULL; "step" => "store snapshot");
+                Ok(())
+            }
+            Ok(()) => Ok(()),
+            Err(error) => Err(self.failed(&error)),
+        }
+    }
+
+    fn failed(&self, error: &storage::Error) -> errors::Error {
+        event!(self.parts.log, events::STORAGE_FAILED; "error" => %error);
+        errors::Error::io("store", &*self.parts.host, error)
+    }
+
     /// Runs a storage operation. While the disk is full it is repeated, since the replica's
     /// state and the folder must not diverge; any other failure ends the thread.
     fn check(
@@ -503,10 +521,7 @@
                     self.refuse_waiting();
                     std::thread::sleep(SERVICE_TICK);
                 }
-                Err(error) => {
-                    event!(self.parts.log, events::STORAGE_FAILED; "error" => %error);
-                    return Err(errors::Error::io("store", &*self.parts.host, error));
-                }
+                Err(error) => return Err(self.failed(&error)),
             }
         }
     }
@@ -536,14 +551,16 @@
         self.recent.clear();
         // Watchers resume at their own position.
         self.watchers.clear();
+        let now = self.now();
+        self.parts.service.applied(now);
         Ok(())
     }
 
-    fn carry_out(&mut self, output: replica::Output) {
+    fn carry_out(&mut self, output: replica::Output) -> Result<(), errors::Error> {
         match output {
-            replica::Output::Persist { .. }
-            | replica::Output::Store(_)
-            | replica::Output::Restore(_) => {}
+            replica::Output::Persist { .. } | replica::Output::Store(_) => {}
+            // In its turn: entries that were committed before it are applied to the old state.
+            replica::Output::Restore(snapshot) => self.restore(&snapshot)?,
             replica::Output::Send(envelope) => {
                 let host = self.host_of(envelope.to);
                 if let Some(host) = host {
@@ -565,6 +582,7 @@
             }
             replica::Output::Role { role, term, leader } => self.role(role, term, leader),
         }
+        Ok(())
     }
 
     fn refused(&mut self, token: u64, reason: replica::Refusal) {
@@ -673,7 +691,11 @@
     }
 
     fn take_snapshot(&mut self) -> Result<(), errors::Error> {
-        if self.applied < self.snapshot_at + self.parts.snapshot {
+        let due = self.applied >= self.snapshot_at + self.parts.snapshot;
+        // A snapshot lets old segments go, which makes room before the disk is full.
+        let early =
+            self.applied >= self.snapshot_at + EARLY_SNAPSHOT && !self.parts.folder.has_room();
+        if !due && !early {
             return Ok(());
         }
         let data = self.parts.service.machine().snapshot().into();
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! Shell of the state role: drives the replicas and their state machines.
 
+pub mod directory;
 pub mod group;
 pub mod mesh;
 pub mod nodes;
@@ -50,6 +51,7 @@
     let links = link::Settings::default();
     let listener = link::Listener::bind(settings.listen, &context.identity, links, &log)?;
     let mesh = mesh::Mesh::start(&context.identity, &fleet, &name, &log);
+    let directory = directory::Directory::default();
     let mut groups = Vec::new();
     for group in 0..=fleet.groups {
         let path = settings.folder.join(format!("group-{group}"));
@@ -58,8 +60,8 @@
         event!(log, events::FOLDER_OPENED; "group" => group, "entries" => restored.entries.len(),
             "snapshot" => restored.snapshot.as_ref().map_or(0, |s| s.index));
         let service: Box<dyn service::Service> = match group {
-            0 => Box::new(nodes::Nodes::new()),
-            _ => Box::new(work::Work::new(settings.retention, &log)),
+            0 => Box::new(nodes::Nodes::new(directory.clone())),
+            _ => Box::new(work::Work::new(settings.retention, directory.clone(), &log)),
         };
         let parts = group::Parts {
             group,
--- a/src/state/nodes.rs
+++ b/src/state/nodes.rs
@@ -3,6 +3,7 @@
 use crate::catalog;
 use crate::replica;
 use crate::sorted;
+use crate::state::directory;
 use crate::state::service;
 use crate::wire;
 use bytes::Bytes;
@@ -23,6 +24,9 @@
     /// Heartbeats by role and name: one process may run several roles.
     seen: sorted::SortedMap<(Arc<str>, Arc<str>), Seen>,
     leads: Option<Duration>,
+    directory: directory::Directory,
+    /// Revision of the configuration and log index that the directory shows.
+    shown: (u64, u64),
 }
 
 struct Seen {
@@ -31,9 +35,27 @@
 }
 
 impl Nodes {
-    /// Creates the service with an empty catalog.
-    pub fn new() -> Nodes {
-        Nodes { catalog: catalog::Catalog::new(), seen: sorted::SortedMap::new(), leads: None }
+    /// Creates the service with an empty catalog. It keeps `directory` up to date.
+    pub fn new(directory: directory::Directory) -> Nodes {
+        Nodes {
+            catalog: catalog::Catalog::new(),
+            seen: sorted::SortedMap::new(),
+            leads: None,
+            directory,
+            shown: (0, 0),
+        }
+    }
+
+    fn facts(&self) -> directory::Facts {
+        let workspaces = self.catalog.config().kind(catalog::Kind::Workspace);
+        let weight = |stored: &catalog::documents::Stored| match &stored.document.body {
+            catalog::Body::Workspace(w) => Some((w.name.clone(), w.share)),
+            _ => None,
+        };
+        directory::Facts {
+            agents: self.catalog.agents().map(|a| a.name.clone()).collect(),
+            weights: workspaces.filter_map(weight).collect(),
+        }
     }
 
     fn beat(&mut self, now: Duration, beat: wire::Beat) -> wire::Reply {
@@ -63,12 +85,6 @@
     }
 }
 
-impl Default for Nodes {
-    fn default() -> Self {
-        Nodes::new()
-    }
-}
-
 impl service::Service for Nodes {
     fn machine(&mut self) -> &mut dyn replica::Machine {
         &mut self.catalog
@@ -94,7 +110,13 @@
         self.seen.clear();
     }
 
-    fn applied(&mut self, _now: Duration) {}
+    fn applied(&mut self, _now: Duration) {
+        let position = (self.catalog.revision(), self.catalog.applied());
+        if position != self.shown {
+            self.shown = position;
+            self.directory.update(self.facts());
+        }
+    }
 
     fn tick(&mut self, now: Duration) -> Vec<Bytes> {
         let Some(since) = self.leads else { return Vec::new() };
--- a/src/state/work.rs
+++ b/src/state/work.rs
@@ -6,6 +6,7 @@
 use crate::jobs::leases;
 use crate::replica;
 use crate::sorted;
+use crate::state::directory;
 use crate::state::service;
 use crate::wire;
 use bytes::Bytes;
@@ -15,7 +16,9 @@
 /// Milliseconds of a day.
 const DAY: u64 = 86_400_000;
 /// Interval at which what is older than the retention is removed.
-const EXPIRE_EVERY: Duration = Duration::from_secs(60);
+///
+/// One command removes a bounded number of records, so that it does not hold up the group.
+const EXPIRE_EVERY: Duration = Duration::from_secs(10);
 
 /// Service of a job group.
 pub struct Work {
@@ -26,8 +29,13 @@
     token: u64,
     /// Items that agents must stop, told with the next renewal.
     stops: sorted::SortedMap<Arc<str>, Vec<wire::Lease>>,
+    /// Leases that did not fit into an answer, to be released.
+    rest: Vec<leases::Input>,
     /// Commands to propose for lost leases.
     commands: Vec<Bytes>,
+    directory: directory::Directory,
+    /// Weights that the leases know.
+    weights: sorted::SortedMap<Arc<str>, u32>,
     /// Group time and own time at the election, while this replica leads.
     leads: Option<Clock>,
     retention: u64,
@@ -51,7 +59,7 @@
 
 impl Work {
     /// Creates the service with an empty table. `retention` is in days.
-    pub fn new(retention: u32, log: &slog::Logger) -> Work {
+    pub fn new(retention: u32, directory: directory::Directory, log: &slog::Logger) -> Work {
         let config = leases::Config { seed: rand::random(), ..leases::Config::default() };
         Work {
             table: jobs::Table::new(Box::new(jobs::items::Memory::default())),
@@ -59,7 +67,10 @@
             pulls: sorted::SortedMap::new(),
             token: 0,
             stops: sorted::SortedMap::new(),
+            rest: Vec::new(),
             commands: Vec::new(),
+            directory,
+            weights: sorted::SortedMap::new(),
             leads: None,
             retention: u64::from(retention) * DAY,
             expired: Duration::ZERO,
@@ -68,17 +79,25 @@
     }
 
     fn step(&mut self, now: Duration, input: leases::Input) {
-        for output in self.leases.step(now, input) {
-            self.carry_out(output);
+        let mut next = Some(input);
+        while let Some(input) = next {
+            for output in self.leases.step(now, input) {
+                self.carry_out(output);
+            }
+            next = self.rest.pop();
         }
     }
 
     fn carry_out(&mut self, output: leases::Output) {
         match output {
-            leases::Output::Grant { token, items, .. } => {
-                let grants = items.iter().filter_map(|l| self.table.grant(l)).collect();
+            leases::Output::Grant { token, agent, items } => {
+                // What does not fit into one answer is granted again.
+                let grants = self.table.grants(&items);
+                if !grants.rest.is_empty() {
+                    self.rest.push(leases::Input::Released { agent, items: grants.rest });
+                }
                 if let Some(done) = self.pulls.remove(&token) {
-                    service::answer(done, wire::Reply::Granted(grants));
+                    service::answer(done, wire::Reply::Granted(grants.items));
                 }
             }
             leases::Output::Stop { agent, items } => {
@@ -156,9 +175,11 @@
         if leads {
             self.leads = Some(Clock { group: self.table.clock(), own: now });
             let jobs = self.table.observe();
-            // Agents are not known to this group, so the whole lease time is waited for.
-            let agents = vec![UNKNOWN_AGENT.into()];
+            let facts = self.directory.facts();
+            let agents = facts.agents.clone();
             self.step(now, leases::Input::Elected { agents, jobs });
+            self.weights = facts.weights.clone();
+            self.step(now, leases::Input::Weights(self.weights.clone()));
         } else {
             self.leads = None;
             self.table.ignore();
@@ -180,6 +201,11 @@
 
     fn tick(&mut self, now: Duration) -> Vec<Bytes> {
         self.forget_abandoned(now);
+        let facts = self.directory.facts();
+        if facts.weights != self.weights {
+            self.weights = facts.weights.clone();
+            self.step(now, leases::Input::Weights(self.weights.clone()));
+        }
         self.step(now, leases::Input::Tick);
         if now.saturating_sub(self.expired) >= EXPIRE_EVERY {
             self.expired = now;
@@ -207,6 +233,3 @@
         }
     }
 }
-
-/// Stands for the agents that a new leader does not know of.
-const UNKNOWN_AGENT: &str = "";
