--- a/src/api.rs
+++ b/src/api.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// The innermost cause of an error. The outer ones only say that connecting failed.
+fn root_cause(error: &dyn std::error::Error) -> String {
+    let mut cause = error;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    cause.to_string()
+}
+
 impl Client {
     /// Creates a client. Nothing is sent yet.
     pub fn new(url: &str, key: &str) -> Client {
@@ -70,6 +79,10 @@
         path: &str,
         body: impl Into<Bytes>,
     ) -> Result<Answer, errors::Error> {
+        if !self.url.starts_with("http://") {
+            let cause = "the address of an entry begins with http://";
+            return Err(errors::Error::invalid("read address", &*self.url, cause));
+        }
         let request = hyper::Request::builder()
             .method(method)
             .uri(format!("{}{path}", self.url))
@@ -84,6 +97,9 @@
         };
         let answer = match sent {
             Ok(Ok(answer)) => answer,
+            Ok(Err(e)) if e.is_connect() => {
+                return Err(errors::Error::io("connect", &*self.url, root_cause(&e)));
+            }
             Ok(Err(e)) => return Err(errors::Error::lost("send request", &*self.url, e)),
             Err(_) => return Err(timeout()),
         };
--- a/src/cmd/cert.rs
+++ b/src/cmd/cert.rs
@@ -86,6 +86,11 @@
 }
 
 fn create(dir: &Path) -> Result<ExitCode, errors::Error> {
+    let key = dir.join("ca.key");
+    if key.exists() {
+        let cause = "the folder already has an authority, which is never replaced";
+        return Err(errors::Error::invalid("create authority", key.display().to_string(), cause));
+    }
     tls::Authority::create()?.save(dir)?;
     println!("created {} and {}", dir.join("ca.pem").display(), dir.join("ca.key").display());
     Ok(ExitCode::SUCCESS)
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -46,7 +46,29 @@
             by["revision"],
             by["id"].as_str().unwrap_or_default(),
             by["operator"].as_str().unwrap_or_default(),
-            record["action"]
+            describe(&record["action"])
         );
     }
 }
+
+/// One line for what a change or an operation did.
+fn describe(action: &Value) -> String {
+    if let Some(changed) = action["changed"].as_array() {
+        return changed.iter().map(describe_document).collect::<Vec<_>>().join(", ");
+    }
+    for (field, word) in [("drained", "drain"), ("resumed", "resume"), ("ordered", "order to")] {
+        if let Some(endpoint) = action[field]["endpoint"].as_str() {
+            return format!("{word} {endpoint}");
+        }
+    }
+    action.to_string()
+}
+
+fn describe_document(changed: &Value) -> String {
+    let name = changed["name"].as_str().unwrap_or_default();
+    match (changed["before"].is_null(), changed["document"].is_null()) {
+        (_, true) => format!("withdraw {name}"),
+        (true, false) => format!("create {name}"),
+        (false, false) => format!("change {name}"),
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -20,12 +20,15 @@
 pub mod withdraw;
 
 use crate::api;
+use crate::errors;
 use serde_json::Value;
 use std::future::Future;
 use std::process::ExitCode;
 
 /// Exit code of a request that was refused or failed.
 pub const FAILED: u8 = 1;
+/// HTTP status of a request without a valid key.
+const UNAUTHORIZED: u16 = 401;
 /// Exit code of wrong usage.
 pub const USAGE: u8 = 2;
 
@@ -126,14 +129,33 @@
     show: impl FnOnce(&Value),
 ) -> ExitCode {
     let client = api::Client::new(target.0, target.1);
-    let body = if body.is_null() { String::new() } else { body.to_string() };
-    match block_on(client.send(method, path, body)) {
-        Ok(Ok(answer)) => report(&answer, json, show),
-        Ok(Err(error)) => fail(error),
+    let text = if body.is_null() { String::new() } else { body.to_string() };
+    match block_on(client.send(method, path, text)) {
+        Ok(Ok(answer)) => {
+            let code = report(&answer, json, show);
+            if answer.json()["error"]["run"] == "unknown" {
+                explain_unknown(body);
+            }
+            code
+        }
+        Ok(Err(error)) => {
+            let code = fail(&error);
+            if matches!(error.cause, errors::Cause::Timeout(_) | errors::Cause::Lost(_)) {
+                explain_unknown(body);
+            }
+            code
+        }
         Err(error) => fail(error),
     }
 }
 
+/// Says how to send a command again whose outcome is not known.
+fn explain_unknown(body: &Value) {
+    if let Some(id) = body["id"].as_str() {
+        eprintln!("  it may have taken effect; send it again with --id {id}, which is safe");
+    }
+}
+
 /// Prints an answer and returns the exit code for it.
 pub fn report(answer: &api::Answer, json: bool, show: impl FnOnce(&Value)) -> ExitCode {
     let value = answer.json();
@@ -152,12 +174,18 @@
     let error = &value["error"];
     let message = error["message"].as_str().or(value["message"].as_str());
     match message {
-        Some(message) => eprintln!("basilfield: refused ({status}): {message}"),
+        Some(message) => {
+            let message = message.strip_prefix("refused: ").unwrap_or(message);
+            eprintln!("basilfield: refused ({status}): {message}");
+        }
         None => eprintln!("basilfield: refused ({status}): {value}"),
     }
     for problem in value["problems"].as_array().into_iter().flatten() {
         eprintln!("  {}", problem.as_str().unwrap_or_default());
     }
+    if status == UNAUTHORIZED {
+        eprintln!("  give a valid key with --key or in the variable BASILFIELD_KEY");
+    }
     if let Some(run) = error["run"].as_str() {
         eprintln!("  run: {run}");
     }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -41,7 +41,11 @@
         false => println!("configuration: revision {}", config["revision"]),
     }
     let behind: Vec<String> = list(&status["behind"]).map(text).collect();
-    println!("behind: {}", if behind.is_empty() { "none".into() } else { behind.join(", ") });
+    match (config.is_null(), behind.is_empty()) {
+        (true, _) => println!("behind: not known"),
+        (false, true) => println!("behind: none"),
+        (false, false) => println!("behind: {}", behind.join(", ")),
+    }
     println!("nodes:");
     for node in list(&status["nodes"]) {
         let beat = &node["beat"];
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -16,6 +16,8 @@
 
 /// Largest chunk in bytes.
 const CHUNK_BYTES: usize = 1 << 20;
+/// Milliseconds of a second.
+const MILLIS: u64 = 1_000;
 /// Interval at which a waiting command looks at the job.
 const POLL: Duration = Duration::from_millis(300);
 
@@ -55,17 +57,54 @@
         Ok(text) => text,
         Err(e) => return cmd::fail(format!("cannot read {}: {e}", args.file.display())),
     };
+    if text.trim().is_empty() {
+        return cmd::fail(format!("{} has no requests", args.file.display()));
+    }
+    let longest = batches::MAX_DUE / MILLIS;
+    if args.due.is_some_and(|due| due > longest) {
+        eprintln!("basilfield: --due must be at most {longest} seconds");
+        return ExitCode::from(cmd::USAGE);
+    }
     match cmd::block_on(submit(args, &text)) {
         Ok(Ok(code)) => code,
-        Ok(Err(Stop::Refused(answer))) => cmd::report(&answer, args.json, |_| {}),
+        Ok(Err(Stop::Refused(answer))) => {
+            let code = cmd::report(&answer, args.json, |_| {});
+            if answer.json()["error"]["code"] == "conflict" && !args.json {
+                explain_conflict(args);
+            }
+            code
+        }
+        Ok(Err(Stop::Cancelled(job))) => {
+            if args.json {
+                println!("{}", json!({ "job": job, "state": "cancelled" }));
+            }
+            cmd::fail(format!(
+                "job {job} has this key and was cancelled; give another --job-key to run the \
+                 content again"
+            ))
+        }
         Ok(Err(Stop::Failed(error))) => cmd::fail(error),
         Err(error) => cmd::fail(error),
     }
 }
 
+/// Says which part of the submission differs from the earlier job.
+fn explain_conflict(args: &Submit) {
+    match args.job_key {
+        None => eprintln!(
+            "  this content was submitted for another model; give a --job-key to run it again"
+        ),
+        Some(_) => eprintln!(
+            "  this --job-key belongs to a job of other content or another model; give another"
+        ),
+    }
+}
+
 /// Why a submission ended early.
 enum Stop {
     Refused(api::Answer),
+    /// The job with this key was cancelled, so nothing will run.
+    Cancelled(String),
     Failed(crate::errors::Error),
 }
 
@@ -85,10 +124,13 @@
     let digest = format!("{:016x}", xxh3::xxh3_64(text.as_bytes()));
     let open = json!({
         "key": args.job_key.as_ref().unwrap_or(&digest), "digest": digest, "model": args.model,
-        "due": args.due.map(|d| d * 1_000), "total": lines.len(),
+        "due": args.due.map(|d| d * MILLIS), "total": lines.len(),
     });
     let opened = accepted(client.post("/v1/jobs", &open).await?)?;
     let job = opened["job"].as_str().unwrap_or_default().to_string();
+    if opened["state"] == "cancelled" {
+        return Err(Stop::Cancelled(job));
+    }
     if opened["state"] == "uploading" {
         upload(&client, &job, &lines, &opened).await?;
         accepted(client.post(&format!("/v1/jobs/{job}/seal"), &Value::Null).await?)?;
@@ -140,11 +182,18 @@
 ) -> Result<(), Stop> {
     let first = usize::try_from(opened["next"].as_u64().unwrap_or_default()).unwrap_or(0);
     let progress = bar(lines.len(), "uploading");
+    let mut before = 0;
     for (seq, chunk) in chunks(lines).iter().enumerate() {
         if seq >= first {
             let path = format!("/v1/jobs/{job}/items?seq={seq}");
-            accepted(client.send("POST", &path, chunk.join("\n")).await?)?;
+            let answer = client.send("POST", &path, chunk.join("\n")).await?;
+            // The entry counts lines from the start of the chunk.
+            if !answer.is_ok() && before > 0 {
+                eprintln!("basilfield: line 1 of the refused part is request {}", before + 1);
+            }
+            accepted(answer)?;
         }
+        before += chunk.len();
         progress.inc(chunk.len() as u64);
     }
     progress.finish_and_clear();
--- a/src/cmd/withdraw.rs
+++ b/src/cmd/withdraw.rs
@@ -33,6 +33,10 @@
 
 /// Runs the command.
 pub fn run(args: &Withdraw) -> ExitCode {
+    if args.names.is_empty() {
+        eprintln!("basilfield: name at least one document, as KIND/NAME");
+        return ExitCode::from(cmd::USAGE);
+    }
     let body = json!({ "id": args.id, "expected": args.expected, "names": args.names });
     let target = (&*args.url, &*args.key);
     cmd::request(target, "POST", "/admin/withdraw", &body, args.json, cmd::show_message)
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -15,15 +15,20 @@
 use axum::response::IntoResponse as _;
 use axum::response::Response;
 use axum::routing;
+use futures_util::future;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time;
 
 /// Longest wait for the state hosts.
 const STATE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for each part of the status. It is below the patience of the command, so that the
+/// status is shown without the parts that cannot be read, for example without a quorum.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(3);
 /// Records in one page.
 const PAGE: u32 = 100;
 
@@ -126,11 +131,12 @@
     let Some(operator) = auth::operator(&entry.operators, headers) else {
         event!(entry.log, events::UNAUTHORIZED; "kind" => "operator");
         entry.metrics.refusal("unauthorized", "no");
-        return Err(refusal::rejected(
-            http::StatusCode::UNAUTHORIZED,
-            "unauthorized",
-            "no operator has this key; send it as `Authorization: Bearer KEY`",
-        ));
+        let message = match auth::bearer(headers) {
+            Some(key) if !key.is_empty() => "no operator has this key",
+            _ => "the request has no key; send an operator's as `Authorization: Bearer KEY`",
+        };
+        let status = http::StatusCode::UNAUTHORIZED;
+        return Err(refusal::rejected(status, "unauthorized", message));
     };
     if needed == settings::OperatorRole::Operator && operator.role != needed {
         let message = format!("{} may read only; this needs the role operator", operator.name);
@@ -318,7 +324,15 @@
 }
 
 async fn ask(entry: &entry::Entry, query: &catalog::Query) -> Result<catalog::Answer, Response> {
-    let answer = entry.client.query(0, catalog::encode(query), STATE_TIMEOUT).await;
+    ask_within(entry, query, STATE_TIMEOUT).await
+}
+
+async fn ask_within(
+    entry: &entry::Entry,
+    query: &catalog::Query,
+    limit: Duration,
+) -> Result<catalog::Answer, Response> {
+    let answer = entry.client.query(0, catalog::encode(query), limit).await;
     let answer = answer.map_err(|e| refusal::from_state(&e).into_response())?;
     catalog::decode(&answer).map_err(|_| undecodable())
 }
@@ -391,20 +405,31 @@
     if let Err(response) = authorize(&entry, &headers, settings::OperatorRole::ReadOnly) {
         return response;
     }
-    let summary = match ask(&entry, &catalog::Query::Summary).await {
+    let ask = |query| {
+        let entry = &entry;
+        async move { ask_within(entry, &query, STATUS_TIMEOUT).await }
+    };
+    // Asked at the same time, so that parts that do not answer are waited for only once.
+    let (summary, agents, drains, beats, hosts) = tokio::join!(
+        ask(catalog::Query::Summary),
+        ask(catalog::Query::Agents),
+        ask(catalog::Query::Drains),
+        entry.client.call(0, &wire::Request::Nodes, STATUS_TIMEOUT),
+        host_states(&entry),
+    );
+    let summary = match summary {
         Ok(catalog::Answer::Summary(summary)) => Some(summary),
         // The rest is shown even without a quorum.
         _ => None,
     };
-    let agents = match ask(&entry, &catalog::Query::Agents).await {
+    let agents = match agents {
         Ok(catalog::Answer::Agents(agents)) => agents,
         _ => Vec::new(),
     };
-    let drains = match ask(&entry, &catalog::Query::Drains).await {
+    let drains = match drains {
         Ok(catalog::Answer::Drains(drains)) => drains,
         _ => Vec::new(),
     };
-    let beats = entry.client.call(0, &wire::Request::Nodes, STATE_TIMEOUT).await;
     let nodes = match beats {
         Ok(wire::Reply::Nodes(nodes)) => nodes,
         _ => Vec::new(),
@@ -417,18 +442,24 @@
             .collect(),
         None => Vec::new(),
     };
-    let mut hosts = Vec::new();
-    for host in entry.client.hosts() {
-        let groups = match entry.client.ask(&host, &wire::Request::Status).await {
-            Ok(wire::Reply::Groups(groups)) => json!(groups),
-            Ok(_) => Value::Null,
-            Err(error) => json!(error.to_string()),
-        };
-        hosts.push(json!({ "host": &*host, "groups": groups }));
-    }
     Json(json!({
         "configuration": summary, "behind": behind, "nodes": nodes, "agents": agents,
         "drains": drains, "state": hosts,
     }))
     .into_response()
 }
+
+/// Replicas of every state host, or why the host does not answer.
+async fn host_states(entry: &entry::Entry) -> Vec<Value> {
+    let asked = entry.client.hosts().into_iter().map(|host| async move {
+        let asked = entry.client.ask(&host, &wire::Request::Status);
+        let groups = match time::timeout(STATUS_TIMEOUT, asked).await {
+            Ok(Ok(wire::Reply::Groups(groups))) => json!(groups),
+            Ok(Ok(_)) => Value::Null,
+            Ok(Err(error)) => json!(error.to_string()),
+            Err(_) => json!(format!("no answer within {} ms", STATUS_TIMEOUT.as_millis())),
+        };
+        json!({ "host": &*host, "groups": groups })
+    });
+    future::join_all(asked).await
+}
--- a/src/entry/batches.rs
+++ b/src/entry/batches.rs
@@ -33,7 +33,7 @@
 /// Results in one page at most. A page also ends early when its bodies are large.
 const PAGE: u32 = 1_000;
 /// Longest due time of a job: 30 days, in milliseconds.
-const MAX_DUE: u64 = 30 * 86_400_000;
+pub const MAX_DUE: u64 = 30 * 86_400_000;
 /// Due time of jobs without one: a day, in milliseconds.
 const DEFAULT_DUE: u64 = 86_400_000;
 /// Path that items may name.
@@ -481,7 +481,12 @@
             (http::StatusCode::BAD_REQUEST, "invalid")
         }
     };
-    refusal::rejected(status, code, refusal)
+    match refusal {
+        jobs::Refusal::NotFound => {
+            refusal::rejected(status, code, "the workspace of this key has no job of this name")
+        }
+        refusal => refusal::rejected(status, code, refusal),
+    }
 }
 
 fn unexpected(reply: jobs::Reply) -> Response {
