--- a/src/settings.rs
+++ b/src/settings.rs
@@ -352,6 +352,12 @@
         check(fresh, "entry.freshness", &entry.freshness, "500 to 60000 ms are permitted")?;
         let stall = (200..=60_000).contains(&entry.stall);
         check(stall, "entry.stall", &entry.stall, "200 to 60000 ms are permitted")?;
+        let body = (1_024..=1 << 30).contains(&entry.body);
+        check(body, "entry.body", &entry.body, "1024 to 1073741824 bytes are permitted")?;
+        let requests = (1..=1_000_000).contains(&entry.concurrency);
+        check(requests, "entry.concurrency", &entry.concurrency, "1 to 1000000 are permitted")?;
+        let turnaway = entry.turnaway <= 600_000;
+        check(turnaway, "entry.turnaway", &entry.turnaway, "0 to 600000 ms are permitted")?;
         check(entry.subset > 0, "entry.subset", &entry.subset, "at least 1 is expected")?;
         for operator in &entry.operators {
             let hash =
