State the heartbeat in the settings test of the election timeout

The test relied on the default; it now names the heartbeat, and the check of five heartbeats is as strict as before. Lowering the value in the test was ruled out, because the next change of the default would break it again.

--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -106,7 +106,7 @@
         ("[entry]", "turnaway = 600001"),
         ("[entry]", "subset = 0"),
         ("[state]", "heartbeat = 9"),
-        ("[state]", "election = 499"),
+        ("[state]", "heartbeat = 100\nelection = 499"),
         ("[state]", "snapshot = 99"),
         ("[state]", "retention = 0"),
         ("[state]", "retention = 3651"),
