List jobs page by page without losing any

The entry sorted each page of jobs by name, while the groups list the latest first and resolve the position among their own jobs only. The next page then began at the wrong job, and with several groups every other group refused the position. Groups are now listed one after the other from that of the position. A position for each group was ruled out, since callers pass one job name. The steps of a submission become functions that another API can share, and the split into chunks moves there from the command. tests/commands.rs compares pages of one job with the whole list; several groups were not run.

--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -14,8 +14,6 @@
 use tokio::time;
 use xxhash_rust::xxh3;
 
-/// Largest chunk in bytes.
-const CHUNK_BYTES: usize = 1 << 20;
 /// Milliseconds of a second.
 const MILLIS: u64 = 1_000;
 /// Interval at which a waiting command looks at the job.
@@ -155,25 +153,6 @@
     Ok(if status["state"] == "finished" { ExitCode::SUCCESS } else { ExitCode::from(cmd::FAILED) })
 }
 
-/// Splits the lines into chunks; the split depends on the content only, so that an interrupted
-/// upload finds the same chunks again.
-fn chunks<'a>(lines: &[&'a str]) -> Vec<Vec<&'a str>> {
-    let mut chunks: Vec<Vec<&str>> = vec![Vec::new()];
-    let mut size = 0;
-    for line in lines {
-        let full = chunks.last().is_some_and(|c| c.len() >= batches::CHUNK_ITEMS);
-        if full || size + line.len() > CHUNK_BYTES {
-            chunks.push(Vec::new());
-            size = 0;
-        }
-        size += line.len();
-        if let Some(chunk) = chunks.last_mut() {
-            chunk.push(line);
-        }
-    }
-    chunks
-}
-
 async fn upload(
     client: &api::Client,
     job: &str,
@@ -183,7 +162,7 @@
     let first = usize::try_from(opened["next"].as_u64().unwrap_or_default()).unwrap_or(0);
     let progress = bar(lines.len(), "uploading");
     let mut before = 0;
-    for (seq, chunk) in chunks(lines).iter().enumerate() {
+    for (seq, chunk) in batches::chunks(lines.to_vec(), |l| l.len()).iter().enumerate() {
         if seq >= first {
             let path = format!("/v1/jobs/{job}/items?seq={seq}");
             let answer = client.send("POST", &path, chunk.join("\n")).await?;
--- a/src/entry/batches.rs
+++ b/src/entry/batches.rs
@@ -28,16 +28,18 @@
 const STATE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Most items in one chunk.
 pub const CHUNK_ITEMS: usize = 1_000;
+/// Largest chunk in bytes, unless a single item is larger.
+const CHUNK_BYTES: usize = 1 << 20;
 /// Most items of one job.
 const MAX_ITEMS: u32 = 200_000;
 /// Results in one page at most. A page also ends early when its bodies are large.
-const PAGE: u32 = 1_000;
+pub(super) const PAGE: u32 = 1_000;
 /// Longest due time of a job: 30 days, in milliseconds.
 pub const MAX_DUE: u64 = 30 * 86_400_000;
 /// Due time of jobs without one: a day, in milliseconds.
 const DEFAULT_DUE: u64 = 86_400_000;
 /// Path that items may name.
-const ITEM_URL: &str = "/v1/chat/completions";
+pub(super) const ITEM_URL: &str = "/v1/chat/completions";
 
 /// Routes of the job API.
 pub fn routes() -> axum::Router<entry::Entry> {
@@ -107,32 +109,65 @@
     let Ok(digest) = u64::from_str_radix(&open.digest, 16) else {
         return refusal::invalid("`digest` must be the xxh3-64 of the content in hexadecimal");
     };
-    if open.total == 0 || open.total > MAX_ITEMS {
-        return refusal::invalid(format!("`total` must be from 1 to {MAX_ITEMS}"));
-    }
-    let plan = entry.follower.read(|c| plan(c, &workspace.name, &open.model));
-    let due = open.due.or(plan.as_ref().map(|p| p.due)).unwrap_or(DEFAULT_DUE);
-    if due > MAX_DUE {
-        return refusal::invalid(format!("`due` must be at most {MAX_DUE} ms"));
-    }
-    let command = jobs::Command::Open {
-        workspace: workspace.name.clone(),
-        key: key.clone(),
-        digest,
-        model: plan.map(|p| p.model).unwrap_or(open.model),
-        due,
-        total: open.total,
-    };
-    let group = jobs::group_of(&workspace.name, &key, entry.client.groups());
-    match propose(&entry, group, &command).await {
-        Ok(jobs::Reply::Opened { job, state, next }) => {
+    let Open { model, due, total, .. } = open;
+    let submission = Submission { key, digest, model, due, total };
+    match open_job(&entry, &workspace.name, submission).await {
+        Ok(Opened { job, state, next }) => {
             Json(json!({ "job": &*job, "state": state_name(state), "next": next })).into_response()
         }
-        Ok(reply) => unexpected(reply),
         Err(response) => response,
     }
 }
 
+/// Submission of a job, before its items.
+pub(super) struct Submission {
+    /// Idempotency key.
+    pub key: Arc<str>,
+    /// xxh3-64 of the whole content.
+    pub digest: u64,
+    /// Batch plan of the workspace, or a model.
+    pub model: Arc<str>,
+    /// Time in milliseconds within which the job is due; that of the plan if absent.
+    pub due: Option<u64>,
+    /// Number of items.
+    pub total: u32,
+}
+
+/// Job that a submission started or found.
+pub(super) struct Opened {
+    /// Name of the job.
+    pub job: Arc<str>,
+    /// State of the job.
+    pub state: jobs::message::JobState,
+    /// Number of the next chunk.
+    pub next: u32,
+}
+
+/// Starts or finds the job of a submission.
+pub(super) async fn open_job(
+    entry: &entry::Entry,
+    workspace: &Arc<str>,
+    submission: Submission,
+) -> Result<Opened, Response> {
+    let Submission { key, digest, model, due, total } = submission;
+    if total == 0 || total > MAX_ITEMS {
+        return Err(refusal::invalid(format!("`total` must be from 1 to {MAX_ITEMS}")));
+    }
+    let plan = entry.follower.read(|c| plan(c, workspace, &model));
+    let due = due.or(plan.as_ref().map(|p| p.due)).unwrap_or(DEFAULT_DUE);
+    if due > MAX_DUE {
+        return Err(refusal::invalid(format!("`due` must be at most {MAX_DUE} ms")));
+    }
+    let group = jobs::group_of(workspace, &key, entry.client.groups());
+    let model = plan.map(|p| p.model).unwrap_or(model);
+    let workspace = workspace.clone();
+    let command = jobs::Command::Open { workspace, key, digest, model, due, total };
+    match propose(entry, group, &command).await? {
+        jobs::Reply::Opened { job, state, next } => Ok(Opened { job, state, next }),
+        reply => Err(unexpected(reply)),
+    }
+}
+
 async fn upload(
     extract::State(entry): extract::State<entry::Entry>,
     extract::Path(job): extract::Path<String>,
@@ -149,16 +184,52 @@
         Ok(items) => items,
         Err(message) => return refusal::invalid(message),
     };
-    let command = jobs::Command::Chunk { job: job.into(), seq: upload.seq, items };
-    match propose(&entry, group, &command).await {
-        Ok(jobs::Reply::Next { next }) => Json(json!({ "next": next })).into_response(),
-        Ok(reply) => unexpected(reply),
+    match add_chunk(&entry, group, job.into(), upload.seq, items).await {
+        Ok(next) => Json(json!({ "next": next })).into_response(),
         Err(response) => response,
     }
 }
 
+/// Adds a chunk to a job that is being uploaded; returns the number of the next one.
+pub(super) async fn add_chunk(
+    entry: &entry::Entry,
+    group: u16,
+    job: Arc<str>,
+    seq: u32,
+    items: Vec<jobs::message::NewItem>,
+) -> Result<u32, Response> {
+    let command = jobs::Command::Chunk { job, seq, items };
+    match propose(entry, group, &command).await? {
+        jobs::Reply::Next { next } => Ok(next),
+        reply => Err(unexpected(reply)),
+    }
+}
+
+/// Splits parts of a submission into chunks. The split depends on their sizes in bytes only, so
+/// that an interrupted upload finds the same chunks again.
+pub fn chunks<T>(parts: Vec<T>, size: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
+    let mut chunks: Vec<Vec<T>> = Vec::new();
+    let mut bytes = 0;
+    for part in parts {
+        let added = size(&part);
+        let full = chunks.last().is_none_or(|c| c.len() >= CHUNK_ITEMS);
+        if full || bytes + added > CHUNK_BYTES {
+            chunks.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += added;
+        if let Some(chunk) = chunks.last_mut() {
+            chunk.push(part);
+        }
+    }
+    chunks
+}
+
 /// Batch plans of a workspace.
-fn plans(catalog: &catalog::Catalog, workspace: &str) -> Vec<catalog::documents::BatchPlan> {
+pub(super) fn plans(
+    catalog: &catalog::Catalog,
+    workspace: &str,
+) -> Vec<catalog::documents::BatchPlan> {
     let all = catalog.config().kind(catalog::Kind::BatchPlan);
     let own = all.filter_map(|stored| match &stored.document.body {
         catalog::Body::BatchPlan(p) if *p.workspace == *workspace => Some(p.clone()),
@@ -186,19 +257,28 @@
     plans: &[catalog::documents::BatchPlan],
 ) -> Result<Vec<jobs::message::NewItem>, String> {
     let text = std::str::from_utf8(body).map_err(|_| "the chunk is not valid UTF-8")?;
-    let lines = text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty());
-    let items: Result<Vec<jobs::message::NewItem>, String> = lines
-        .map(|(at, line)| {
-            parse_item(line, model, plans).map_err(|e| format!("line {}: {e}", at + 1))
-        })
-        .collect();
-    let items = items?;
+    let lines = parse_lines(text, model, plans)?;
+    let items: Vec<jobs::message::NewItem> = lines.into_iter().map(|(_, item)| item).collect();
     if items.is_empty() || items.len() > CHUNK_ITEMS {
         return Err(format!("a chunk must have 1 to {CHUNK_ITEMS} items, not {}", items.len()));
     }
     Ok(items)
 }
 
+/// Parses JSON lines into items, each with the length of its line. Errors name the line.
+pub(super) fn parse_lines(
+    text: &str,
+    model: &str,
+    plans: &[catalog::documents::BatchPlan],
+) -> Result<Vec<(usize, jobs::message::NewItem)>, String> {
+    let lines = text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty());
+    let parse = |(at, line): (usize, &str)| {
+        let item = parse_item(line, model, plans);
+        item.map(|item| (line.len(), item)).map_err(|e| format!("line {}: {e}", at + 1))
+    };
+    lines.map(parse).collect()
+}
+
 fn parse_item(
     line: &str,
     model: &str,
@@ -241,18 +321,31 @@
         Ok(owned) => owned,
         Err(response) => return response,
     };
-    let command = jobs::Command::Seal { job: job.as_str().into() };
-    match propose(&entry, group, &command).await {
-        Ok(jobs::Reply::Sealed { total }) => {
-            event!(entry.log, events::JOB_ACCEPTED; "job" => &job, "items" => total,
-                "workspace" => &*workspace.name);
+    match seal_job(&entry, &workspace.name, group, &job).await {
+        Ok(total) => {
             Json(json!({ "job": job, "state": "accepted", "total": total })).into_response()
         }
-        Ok(reply) => unexpected(reply),
         Err(response) => response,
     }
 }
 
+/// Accepts a job whose upload is complete; returns the number of its items.
+pub(super) async fn seal_job(
+    entry: &entry::Entry,
+    workspace: &str,
+    group: u16,
+    job: &str,
+) -> Result<u32, Response> {
+    match propose(entry, group, &jobs::Command::Seal { job: job.into() }).await? {
+        jobs::Reply::Sealed { total } => {
+            event!(entry.log, events::JOB_ACCEPTED; "job" => job, "items" => total,
+                "workspace" => workspace);
+            Ok(total)
+        }
+        reply => Err(unexpected(reply)),
+    }
+}
+
 async fn cancel(
     extract::State(entry): extract::State<entry::Entry>,
     extract::Path(job): extract::Path<String>,
@@ -270,18 +363,29 @@
             Err(e) => return refusal::invalid(format!("the body is not valid: {e}")),
         },
     };
-    let id = cancel.id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()).into());
-    let command = jobs::Command::Cancel { job: job.as_str().into(), id };
-    match propose(&entry, group, &command).await {
-        Ok(jobs::Reply::Cancelled { id }) => {
-            event!(entry.log, events::JOB_CANCELLED; "job" => &job, "id" => &*id);
-            Json(json!({ "job": job, "state": "cancelled", "id": &*id })).into_response()
-        }
-        Ok(reply) => unexpected(reply),
+    match cancel_job(&entry, group, &job, cancel.id).await {
+        Ok(id) => Json(json!({ "job": job, "state": "cancelled", "id": &*id })).into_response(),
         Err(response) => response,
     }
 }
 
+/// Cancels a job; returns the id of its first cancellation.
+pub(super) async fn cancel_job(
+    entry: &entry::Entry,
+    group: u16,
+    job: &str,
+    id: Option<Arc<str>>,
+) -> Result<Arc<str>, Response> {
+    let id = id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()).into());
+    match propose(entry, group, &jobs::Command::Cancel { job: job.into(), id }).await? {
+        jobs::Reply::Cancelled { id } => {
+            event!(entry.log, events::JOB_CANCELLED; "job" => job, "id" => &*id);
+            Ok(id)
+        }
+        reply => Err(unexpected(reply)),
+    }
+}
+
 async fn status(
     extract::State(entry): extract::State<entry::Entry>,
     extract::Path(job): extract::Path<String>,
@@ -302,31 +406,51 @@
         Ok(workspace) => workspace,
         Err(response) => return response,
     };
-    let limit = page.limit.unwrap_or(100).min(PAGE);
+    let limit = page.limit.unwrap_or(100).clamp(1, PAGE);
+    match list_jobs(&entry, &workspace.name, page.after, limit).await {
+        Ok((all, more)) => {
+            let jobs: Vec<Value> = all.iter().map(status_json).collect();
+            Json(json!({ "jobs": jobs, "more": more })).into_response()
+        }
+        Err(response) => response,
+    }
+}
+
+/// Jobs of a workspace after one of them, and whether there are more.
+///
+/// Each group lists its latest job first and knows only its own jobs, so the groups are listed one
+/// after the other, beginning with that of `after`. Another order would make pages lose jobs.
+pub(super) async fn list_jobs(
+    entry: &entry::Entry,
+    workspace: &Arc<str>,
+    mut after: Option<Arc<str>>,
+    limit: u32,
+) -> Result<(Vec<jobs::message::Status>, bool), Response> {
+    let groups = entry.client.groups();
+    let first = match &after {
+        Some(job) => {
+            jobs::group_of_job(job, groups).ok_or_else(|| refused(&jobs::Refusal::NotFound))?
+        }
+        None => 1,
+    };
+    let most = usize::try_from(limit).unwrap_or(usize::MAX);
     let mut all = Vec::new();
-    let mut more = false;
-    for group in 1..=entry.client.groups() {
-        let query = jobs::Query::Jobs {
-            workspace: workspace.name.clone(),
-            after: page.after.clone(),
-            limit,
+    for group in first..=groups {
+        // One more than the page has tells whether there are more.
+        let limit = u32::try_from(most + 1 - all.len()).unwrap_or(u32::MAX);
+        let query = jobs::Query::Jobs { workspace: workspace.clone(), after: after.take(), limit };
+        let (jobs, more) = match ask(entry, group, &query).await? {
+            jobs::Answer::Jobs { jobs, more } => (jobs, more),
+            jobs::Answer::Refused(refusal) => return Err(refused(&refusal)),
+            _ => return Err(unexpected(jobs::Reply::Refused(jobs::Refusal::Undecodable))),
         };
-        match ask(&entry, group, &query).await {
-            Ok(jobs::Answer::Jobs { jobs, more: rest }) => {
-                all.extend(jobs);
-                more |= rest;
-            }
-            Ok(_) => return unexpected(jobs::Reply::Refused(jobs::Refusal::Undecodable)),
-            Err(response) => return response,
+        all.extend(jobs);
+        if more || all.len() > most {
+            all.truncate(most);
+            return Ok((all, true));
         }
     }
-    // Each group answers in order of job names; the page is cut in the same order.
-    all.sort_by(|a, b| a.job.cmp(&b.job));
-    let cut = usize::try_from(limit).unwrap_or(usize::MAX);
-    more |= all.len() > cut;
-    all.truncate(cut);
-    let jobs: Vec<Value> = all.iter().map(status_json).collect();
-    Json(json!({ "jobs": jobs, "more": more })).into_response()
+    Ok((all, false))
 }
 
 async fn results(
@@ -340,9 +464,8 @@
         Err(response) => return response,
     };
     let limit = page.limit.unwrap_or(PAGE).min(PAGE);
-    let query = jobs::Query::Results { job: job.as_str().into(), from: page.from, limit };
-    match ask(&entry, group, &query).await {
-        Ok(jobs::Answer::Results { items, next, .. }) => {
+    match results_page(&entry, group, &job, page.from, limit).await {
+        Ok((items, next)) => {
             let lines: Vec<String> = items.iter().map(result_line).collect();
             let next = next.map(|n| n.to_string()).unwrap_or_default();
             let headers = [
@@ -351,17 +474,31 @@
             ];
             (headers, lines.concat()).into_response()
         }
-        Ok(jobs::Answer::Refused(refusal)) => refused(&refusal),
-        Ok(_) => unexpected(jobs::Reply::Refused(jobs::Refusal::Undecodable)),
         Err(response) => response,
     }
 }
 
+/// Results from item `from` on, and the item at which the next page begins.
+pub(super) async fn results_page(
+    entry: &entry::Entry,
+    group: u16,
+    job: &str,
+    from: u32,
+    limit: u32,
+) -> Result<(Vec<jobs::message::ItemResult>, Option<u32>), Response> {
+    let query = jobs::Query::Results { job: job.into(), from, limit };
+    match ask(entry, group, &query).await? {
+        jobs::Answer::Results { items, next, .. } => Ok((items, next)),
+        jobs::Answer::Refused(refusal) => Err(refused(&refusal)),
+        _ => Err(unexpected(jobs::Reply::Refused(jobs::Refusal::Undecodable))),
+    }
+}
+
 /// Header with the item at which the next page of results begins; empty on the last page.
 pub const NEXT_HEADER: &str = "basilfield-next";
 
 /// Result of an item as a line in the shape of the OpenAI batch API.
-fn result_line(item: &jobs::message::ItemResult) -> String {
+pub(super) fn result_line(item: &jobs::message::ItemResult) -> String {
     let body: Value = serde_json::from_slice(&item.body)
         .unwrap_or_else(|_| Value::from(String::from_utf8_lossy(&item.body)));
     let (response, error) = match item.outcome {
@@ -399,7 +536,7 @@
 }
 
 /// Authenticates a caller and checks that the entry may accept new work.
-fn begin(
+pub(super) fn begin(
     entry: &entry::Entry,
     headers: &http::HeaderMap,
 ) -> Result<Arc<catalog::documents::Workspace>, Response> {
@@ -412,7 +549,7 @@
 }
 
 /// Finds a job and checks that it belongs to the caller's workspace.
-async fn owned(
+pub(super) async fn owned(
     entry: &entry::Entry,
     headers: &http::HeaderMap,
     job: &str,
@@ -467,7 +604,7 @@
     })
 }
 
-fn refused(refusal: &jobs::Refusal) -> Response {
+pub(super) fn refused(refusal: &jobs::Refusal) -> Response {
     let (status, code) = match refusal {
         jobs::Refusal::NotFound => (http::StatusCode::NOT_FOUND, "not_found"),
         jobs::Refusal::Gone { .. } => (http::StatusCode::GONE, "gone"),
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -51,6 +51,7 @@
     keys_and_addresses(&fleet);
     submissions(&fleet);
     cancellations(&fleet);
+    pages_of_jobs(&fleet);
 }
 
 fn changes(fleet: &Fleet) {
@@ -158,6 +159,29 @@
     caller(fleet, &["cancel", "no-such-job"], FAILED, &["has no job of this name"]);
 }
 
+/// Pages of one job each must show the same jobs as one page of all.
+fn pages_of_jobs(fleet: &Fleet) {
+    let client = fleet.client(0, workdir::CALLER_KEY);
+    let names = |path: &str| -> (Vec<String>, bool) {
+        let answer = workdir::run(client.get(path)).expect("answer").json();
+        let jobs = answer["jobs"].as_array().expect("jobs").iter();
+        let names = jobs.map(|j| j["job"].as_str().expect("name").to_string()).collect();
+        (names, answer["more"] == true)
+    };
+    let (all, more) = names("/v1/jobs");
+    assert!(all.len() > 2 && !more, "{all:?}");
+    let (mut paged, mut more) = names("/v1/jobs?limit=1");
+    while more && paged.len() <= all.len() {
+        let last = paged.last().expect("a page before the last has a job");
+        let (page, rest) = names(&format!("/v1/jobs?limit=1&after={last}"));
+        paged.extend(page);
+        more = rest;
+    }
+    assert_eq!(paged, all);
+    let unknown = ["jobs", "--after", "0123456789abcdef0123456789abcdef"];
+    caller(fleet, &unknown, FAILED, &["(404)", "has no job of this name"]);
+}
+
 /// Guards against a status that fails as a whole when the state hosts have no quorum, which is
 /// when operators need it most, and against a change of unknown outcome that nobody can repeat.
 #[test]
