Add files and batches in the shape of the OpenAI API

Callers with an OpenAI client had to learn the job API to run a batch. A file is now a job that is uploaded but not sealed, and creating the batch seals it. The header Idempotency-Key is the key of the job and is required for both steps; a batch under another key than its file is refused, because it would otherwise silently be the earlier batch.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 pub mod batches;
 pub mod claims;
 pub mod online;
+pub mod openai;
 pub mod refusal;
 
 use crate::agent;
@@ -382,6 +383,7 @@
         .route("/v1/models", routing::get(online::models))
         .route("/services/{service}/{*path}", routing::any(online::service))
         .merge(batches::routes())
+        .merge(openai::routes())
         .merge(admin::routes())
         .layer(tower::limit::GlobalConcurrencyLimitLayer::new(settings.concurrency))
         .layer(extract::DefaultBodyLimit::max(settings.body))
