--- /dev/null
+++ b/examples/slopes.rs
@@ -0,0 +1,536 @@
+//! Measures how the cost of each kind of state and message grows, for `docs/CAPACITY.md`.
+//!
+//! `cargo run --release --example slopes` drives the real modules at several sizes and prints, for
+//! each quantity, the least-squares slope of its total over the size, the intercept, and the
+//! residual: the root mean square of the deviations from the line, in percent of the mean total.
+//! Memory is the sum of the allocated bytes, counted by the allocator, not resident size.
+//! Processor time is that of the measuring thread and includes the counting.
+
+use basilfield::catalog;
+use basilfield::jobs;
+use basilfield::jobs::items::Memory;
+use basilfield::jobs::leases;
+use basilfield::replica;
+use basilfield::replica::Machine as _;
+use basilfield::router;
+use basilfield::state::group;
+use basilfield::state::nodes::Nodes;
+use basilfield::state::service::Service as _;
+use basilfield::template;
+use basilfield::wire;
+use bytes::Bytes;
+use std::alloc::GlobalAlloc;
+use std::alloc::Layout;
+use std::alloc::System;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+/// Nodes and failure domains of the target scale.
+const NODES: u32 = 340;
+const DOMAINS: u32 = 7;
+/// Workspaces of the target scale.
+const WORKSPACES: u32 = 8_800;
+/// Bytes of a request and of a result.
+const BODY: usize = 300;
+/// Items of a chunk.
+const CHUNK: u32 = 1_000;
+/// Length of the prefix of a frame on a stream.
+const PREFIX: usize = 4;
+
+static LIVE: AtomicUsize = AtomicUsize::new(0);
+
+/// System allocator that counts the allocated bytes.
+struct Counting;
+
+// Only an allocator sees every allocation; the resident size is too coarse for single bytes.
+#[allow(unsafe_code)]
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        LIVE.fetch_add(layout.size(), Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, data: *mut u8, layout: Layout) {
+        LIVE.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(data, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Measures the slope of quantities and prints them.
+#[derive(argh::FromArgs)]
+struct Args {
+    /// runs at each size; the cheapest one counts, since other load only adds (default 3)
+    #[argh(option, default = "3")]
+    runs: u32,
+}
+
+/// Bytes that `build` leaves allocated.
+fn allocated<T>(build: impl FnOnce() -> T) -> (usize, T) {
+    let before = LIVE.load(Ordering::Relaxed);
+    let built = build();
+    (LIVE.load(Ordering::Relaxed) - before, built)
+}
+
+/// Processor time of this thread in microseconds.
+fn processor() -> f64 {
+    // The kernel brings the figure up to date when the thread passes through the scheduler.
+    std::thread::yield_now();
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").expect("schedstat");
+    let nanos = text.split_whitespace().next().and_then(|n| n.parse::<f64>().ok());
+    nanos.expect("schedstat starts with nanoseconds") / 1e3
+}
+
+/// Microseconds of processor time of `work`.
+fn timed(work: impl FnOnce()) -> f64 {
+    let before = processor();
+    work();
+    processor() - before
+}
+
+/// Least-squares line.
+struct Line {
+    slope: f64,
+    intercept: f64,
+    /// Percent of the mean.
+    residual: f64,
+}
+
+fn fit(points: &[(f64, f64)]) -> Line {
+    let count = points.len() as f64;
+    let mean = |value: fn(&(f64, f64)) -> f64| points.iter().map(value).sum::<f64>() / count;
+    let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+    let across: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+    let along: f64 = points.iter().map(|p| (p.0 - x).powi(2)).sum();
+    let slope = across / along;
+    let intercept = y - slope * x;
+    let off: f64 = points.iter().map(|p| (p.1 - intercept - slope * p.0).powi(2)).sum();
+    Line { slope, intercept, residual: (off / count).sqrt() / y * 100.0 }
+}
+
+fn print(name: &str, unit: &str, points: &[(f64, f64)]) {
+    let Line { slope, intercept, residual } = fit(points);
+    let sizes: Vec<String> = points.iter().map(|p| format!("{:.4}", p.0)).collect();
+    let sizes: Vec<&str> =
+        sizes.iter().map(|s| s.trim_end_matches('0').trim_end_matches('.')).collect();
+    println!("{name:<44} {slope:>10.3} {unit:<5} {intercept:>12.1} {residual:>7.2}%  {sizes:?}");
+}
+
+/// Prints the slope of `cost` over the sizes; each point is the lowest of `runs`.
+fn slope(name: &str, unit: &str, runs: u32, sizes: &[u32], cost: impl Fn(u32) -> f64) {
+    let lowest = |size: u32| (0..runs).map(|_| cost(size)).fold(f64::INFINITY, f64::min);
+    let points: Vec<_> = sizes.iter().map(|size| (f64::from(*size), lowest(*size))).collect();
+    print(name, unit, &points);
+}
+
+fn put(number: u32, round: u32) -> Vec<u8> {
+    let given = [
+        ("name", format!("workspace-{number}")),
+        ("keys", format!("{:064x}", u64::from(round) << 32 | u64::from(number))),
+        ("rate", "40".into()),
+        ("concurrency", "32".into()),
+    ];
+    let parameters: template::Parameters =
+        given.into_iter().map(|(n, v)| (n.into(), template::Given::Text(v.into()))).collect();
+    let template = template::get("workspace").expect("template is shipped");
+    let document = template::fill(template, &parameters).expect("parameters are valid");
+    catalog::encode(&catalog::Command::Change {
+        id: format!("change-{round}-{number}-0123456789abcdef").into(),
+        expected: None,
+        operator: "abena.mensah".into(),
+        changes: vec![catalog::Change::put(document)],
+    })
+}
+
+fn agent(number: u32) -> Arc<str> {
+    format!("agent-{number:04}").into()
+}
+
+fn domain(number: u32) -> Arc<str> {
+    format!("domain-{}", number % DOMAINS).into()
+}
+
+fn join(number: u32) -> Vec<u8> {
+    let endpoint = |at: u32| catalog::Endpoint {
+        name: format!("engine-{number:04}-{at}").into(),
+        kind: catalog::EndpointKind::Engine,
+        address: format!("10.0.0.1:{}", 8_000 + at).into(),
+        models: vec!["needle-llm".into()],
+        slots: 16,
+        fencing: true,
+    };
+    let agent = catalog::AgentRecord {
+        name: agent(number),
+        address: "10.0.0.1:7100".into(),
+        domain: domain(number),
+        region: format!("region-{}", number % DOMAINS % 3).into(),
+        // 1,100 servers behind 340 nodes: three each, and a fourth on some.
+        endpoints: (0..3 + u32::from(number % 17 < 4)).map(endpoint).collect(),
+    };
+    catalog::encode(&catalog::Command::Join { agent })
+}
+
+/// Catalog with this many workspaces and every agent of the target scale.
+fn filled(workspaces: u32) -> catalog::Catalog {
+    let mut state = catalog::Catalog::new();
+    let commands = (0..NODES).map(join).chain((0..workspaces).map(|n| put(n, 0)));
+    for (index, command) in (1..).zip(commands) {
+        state.apply(index, &command);
+    }
+    assert_eq!(state.config().len(), workspaces as usize);
+    state
+}
+
+fn beat(number: u32) -> wire::Beat {
+    wire::Beat {
+        node: agent(number),
+        role: "agent".into(),
+        domain: domain(number),
+        revision: 100_000,
+        digest: u64::MAX - 1,
+        expiry: 2_592_000,
+    }
+}
+
+fn frame<T: serde::Serialize>(value: &T) -> f64 {
+    (postcard::to_stdvec(value).expect("frame encodes").len() + PREFIX) as f64
+}
+
+/// Job group under load.
+struct Run {
+    table: jobs::Table,
+    index: u64,
+}
+
+impl Run {
+    fn new() -> Run {
+        Run { table: jobs::Table::new(Box::new(Memory::default())), index: 0 }
+    }
+
+    fn apply(&mut self, command: jobs::Command) -> Vec<u8> {
+        self.index += 1;
+        self.table.apply(self.index, &jobs::Stamped { clock: self.index, command }.encode())
+    }
+
+    fn job(number: u32) -> Arc<str> {
+        jobs::Id::of(&format!("workspace-{}", number % 100), &number.to_string()).name()
+    }
+
+    fn submit(&mut self, number: u32, total: u32, body: usize) {
+        let workspace = format!("workspace-{}", number % 100).into();
+        let (key, model) = (number.to_string().into(), "needle-llm".into());
+        let (digest, due) = (1, 86_400_000);
+        self.apply(jobs::Command::Open { workspace, key, digest, model, due, total });
+        let job = Run::job(number);
+        for seq in 0..total.div_ceil(CHUNK) {
+            let range = seq * CHUNK..total.min((seq + 1) * CHUNK);
+            let items = range
+                .map(|n| jobs::message::NewItem {
+                    custom: custom(n).into(),
+                    body: vec![b'x'; body].into(),
+                })
+                .collect();
+            self.apply(jobs::Command::Chunk { job: job.clone(), seq, items });
+        }
+        self.apply(jobs::Command::Seal { job });
+    }
+
+    fn finish(&mut self, total: u32, body: usize) {
+        for item in 0..total {
+            // Results do not arrive in the order of the upload.
+            let item = (item ^ 1).min(total - 1);
+            self.apply(complete(Run::job(0), item, u64::from(item) << 40 | 1, body));
+        }
+    }
+}
+
+fn custom(item: u32) -> String {
+    format!("request{item}")
+}
+
+fn customs(total: u32) -> usize {
+    (0..total).map(|item| custom(item).len()).sum()
+}
+
+fn complete(job: Arc<str>, item: u32, attempt: u64, body: usize) -> jobs::Command {
+    let outcome = jobs::message::ItemOutcome::Done(vec![b'y'; body].into());
+    jobs::Command::Complete { job, item, attempt, outcome }
+}
+
+fn elected(run: &mut Run) -> leases::Leases {
+    let mut leases = leases::Leases::new(leases::Config::default());
+    let jobs = run.table.observe();
+    leases.step(Duration::ZERO, leases::Input::Elected { agents: Vec::new(), jobs });
+    leases
+}
+
+/// Grants 16 items at most to one of the agents.
+fn pull(leases: &mut leases::Leases, token: u64) -> Vec<wire::Lease> {
+    let agent = agent(token as u32 % NODES);
+    let (models, wait) = (vec!["needle-llm".into()], Duration::ZERO);
+    let input = leases::Input::Pull { token, agent, free: 16, models, wait };
+    let granted = leases.step(Duration::from_secs(1), input).into_iter().map(|output| {
+        let leases::Output::Grant { items, .. } = output else { return Vec::new() };
+        items
+    });
+    granted.flatten().collect()
+}
+
+fn memory(runs: u32) {
+    let bytes = |name: &str, sizes: &[u32], cost: &dyn Fn(u32) -> f64| {
+        slope(name, "B", runs.min(1), sizes, cost);
+    };
+    let scale = [1_100, 2_200, 4_400, 8_800];
+    bytes("workspace, applied with one change id", &scale, &|n| allocated(|| filled(n)).0 as f64);
+    bytes("workspace, restored from a snapshot", &scale, &|n| {
+        let data = filled(n).snapshot();
+        let mut state = catalog::Catalog::new();
+        allocated(|| state.restore(&data).expect("restores")).0 as f64
+    });
+    bytes("job of one item, without content", &[1_000, 4_000, 16_000, 33_000], &|n| {
+        let mut run = Run::new();
+        let held = allocated(|| (0..n).for_each(|job| run.submit(job, 1, 0))).0;
+        (held - n as usize * customs(1)) as f64
+    });
+    let items = [20_000, 50_000, 97_000];
+    bytes("queued item, without content", &items, &|n| {
+        let mut run = Run::new();
+        (allocated(|| run.submit(0, n, BODY)).0 - n as usize * BODY - customs(n)) as f64
+    });
+    bytes("finished item, without content", &items, &|n| {
+        let mut run = Run::new();
+        let held = allocated(|| {
+            run.submit(0, n, BODY);
+            run.finish(n, BODY);
+        });
+        (held.0 - n as usize * BODY - customs(n)) as f64
+    });
+    bytes("lease", &[4_000, 8_000, 16_000, 32_000], &|n| {
+        let mut run = Run::new();
+        run.submit(0, 97_000, 0);
+        let mut leases = elected(&mut run);
+        let grant = |leases: &mut leases::Leases| {
+            (0..u64::from(n / 16)).map(|token| pull(leases, token).len()).sum::<usize>()
+        };
+        let (held, granted) = allocated(|| grant(&mut leases));
+        assert_eq!(granted, n as usize);
+        held as f64
+    });
+    let watchers = [100, 200, 400, 800];
+    let channel = || mpsc::channel::<wire::Reply>(group::WATCH_BUFFER);
+    let many = |n: u32| (0..n).map(|_| channel()).collect::<Vec<_>>();
+    bytes("watch subscriber, nothing waits", &watchers, &|n| allocated(|| many(n)).0 as f64);
+    bytes("watch subscriber, 1,024 updates wait", &watchers, &|n| {
+        let command = Bytes::from(put(0, 0));
+        let build = || {
+            let all = many(n);
+            for (sender, _) in &all {
+                for index in 0..group::WATCH_BUFFER as u64 {
+                    let update = wire::Reply::Update { index, command: command.clone() };
+                    sender.try_send(update).expect("buffer has room");
+                }
+            }
+            all
+        };
+        allocated(build).0 as f64
+    });
+}
+
+fn nodes(count: u32) -> Nodes {
+    let mut nodes = Nodes::new();
+    for (index, number) in (1..).zip(0..count) {
+        nodes.machine().apply(index, &join(number));
+    }
+    nodes.lead(Duration::ZERO, true);
+    nodes
+}
+
+fn time(runs: u32) {
+    let micros = |name: &str, sizes: &[u32], cost: &dyn Fn(u32) -> f64| {
+        slope(name, "us", runs, sizes, cost);
+    };
+    micros("heartbeat at the leader, 340 nodes", &[50_000, 100_000, 200_000, 400_000], &|n| {
+        let mut nodes = nodes(NODES);
+        timed(|| {
+            for at in 0..n {
+                let (done, answer) = oneshot::channel();
+                nodes.serve(Duration::ZERO, wire::Request::Beat(beat(at % NODES)), done);
+                drop(answer);
+            }
+        })
+    });
+    micros("1,000 checks for lost agents, per node", &[85, 170, 340, 680], &|n| {
+        let mut nodes = nodes(n);
+        for at in 0..n {
+            let (done, _answer) = oneshot::channel();
+            nodes.serve(Duration::ZERO, wire::Request::Beat(beat(at)), done);
+        }
+        timed(|| (0..1_000).for_each(|_| assert!(nodes.tick(Duration::ZERO).is_empty())))
+    });
+    micros("change applied, 8,800 workspaces", &[2_200, 4_400, 8_800, 17_600], &|n| {
+        let mut state = filled(WORKSPACES);
+        let change = |at: u32| put(at % WORKSPACES, 1 + at / WORKSPACES);
+        let commands: Vec<_> = (0..n).map(change).collect();
+        timed(|| {
+            for (index, command) in (u64::from(NODES + WORKSPACES) + 1..).zip(&commands) {
+                state.apply(index, command);
+            }
+        })
+    });
+    let items = [20_000, 50_000, 97_000];
+    micros("completion applied, 300 B", &items, &|n| {
+        let mut run = Run::new();
+        run.submit(0, n, BODY);
+        timed(|| run.finish(n, BODY))
+    });
+    micros("item granted, completed, lease ended", &items, &|n| {
+        let mut run = Run::new();
+        run.submit(0, n, BODY);
+        let mut leases = elected(&mut run);
+        let mut left = n;
+        let time = timed(|| {
+            for token in 0..u64::from(n.div_ceil(16)) {
+                for lease in pull(&mut leases, token) {
+                    run.apply(complete(lease.job, lease.item, lease.attempt, BODY));
+                    for change in run.table.take_changes() {
+                        leases.step(Duration::from_secs(1), leases::Input::Change(change));
+                    }
+                    left -= 1;
+                }
+            }
+        });
+        assert_eq!(left, 0, "every item is granted once");
+        time
+    });
+    micros("router pick, start and end, 340 agents", &[50_000, 100_000, 200_000], &|n| {
+        let config = router::Config::default();
+        let mut router = router::Router::new(config, "entry-1".into(), domain(0), 1);
+        let candidate = |number: u32| router::Candidate {
+            agent: agent(number),
+            domain: domain(number),
+            region: format!("region-{}", number % DOMAINS % 3).into(),
+            models: vec!["needle-llm".into()],
+            slots: 52,
+        };
+        router.update((0..NODES).map(candidate).collect());
+        let (model, deadline) = ("needle-llm".into(), Duration::from_secs(30));
+        let mut query = router::Query { model, prefix: 0, deadline, tried: Vec::new() };
+        timed(|| {
+            for at in 0..u64::from(n) {
+                let now = Duration::from_micros(at * 1_250);
+                query.prefix = at % 1_000;
+                let pick = router.pick(now, &query).expect("an endpoint is free");
+                router.observe(now, &pick.agent, router::Observation::Started);
+                router.observe(now, &pick.agent, router::Observation::Finished);
+            }
+        })
+    });
+}
+
+/// Sizes of frames without the headers of QUIC, UDP and IP.
+fn frames() {
+    let bytes = |name: &str, sizes: &[u32], cost: &dyn Fn(u32) -> f64| {
+        slope(name, "B", 1, sizes, cost);
+    };
+    let fleet = [85, 170, 340];
+    bytes("heartbeat and its answer", &fleet, &|n| {
+        let known = wire::Reply::Known { known: true, revision: 100_000 };
+        (0..n).map(|at| frame(&wire::Request::Beat(beat(at))) + frame(&known)).sum()
+    });
+    bytes("confirmation and its answer", &fleet, &|n| {
+        let confirmed = wire::Reply::Confirmed { index: 100_000 };
+        f64::from(n) * (frame(&wire::Request::Confirm { group: 0 }) + frame(&confirmed))
+    });
+    bytes("change to one watcher", &[180, 360, 720], &|n| {
+        let update = |at: u32| wire::Reply::Update { index: 100_000, command: put(at, 1).into() };
+        (0..n).map(|at| frame(&update(at))).sum()
+    });
+    let command = |body: u32| complete(Run::job(0), 50_000, u64::MAX / 3, body as usize);
+    let bodies = [100, 300, 1_000, 3_000];
+    bytes("completion to the leader, per body byte", &bodies, &|n| {
+        let command = jobs::encode(&command(n)).into();
+        frame(&wire::Request::Propose { group: 1, command })
+    });
+    bytes("completion to a follower, per body byte", &bodies, &|n| {
+        let stamped = jobs::Stamped { clock: 604_800_000, command: command(n) };
+        let payload = replica::Payload::Command(stamped.encode().into());
+        let entries = vec![replica::Entry { index: 1 << 29, term: 100, payload }];
+        let (prev, prev_term, commit) = ((1 << 29) - 1, 100, (1 << 29) - 1);
+        let body = replica::Message::Append { prev, prev_term, commit, entries };
+        frame(&replica::Envelope {
+            group: 1,
+            from: u64::MAX / 3,
+            to: u64::MAX / 5,
+            term: 100,
+            body,
+        })
+    });
+    let held = [0, 4, 16, 52];
+    let leases = |n: u32| {
+        let lease = |item| wire::Lease { job: Run::job(0), item, attempt: u64::MAX / 3 };
+        (0..n).map(|at| lease(50_000 + at)).collect::<Vec<_>>()
+    };
+    bytes("renewal and its answer, per held lease", &held, &|n| {
+        let hold = wire::Request::Hold { group: 1, agent: agent(0), held: leases(n) };
+        frame(&hold) + frame(&wire::Reply::Renewed { stop: Vec::new() })
+    });
+    bytes("release and its answer, per lease", &[1, 2, 4], &|n| {
+        let release = wire::Request::Release { group: 1, agent: agent(0), leases: leases(n) };
+        frame(&release) + frame(&wire::Reply::Renewed { stop: Vec::new() })
+    });
+    bytes("pull and its answer, per item without body", &held, &|n| {
+        let models = vec!["needle-llm".into()];
+        let pull = wire::Request::Pull { group: 1, agent: agent(0), free: 52, models, wait: 1_000 };
+        let grant = |lease| wire::Grant {
+            lease,
+            workspace: "workspace-0".into(),
+            model: "needle-llm".into(),
+            body: Bytes::new(),
+        };
+        frame(&pull) + frame(&wire::Reply::Granted(leases(n).into_iter().map(grant).collect()))
+    });
+}
+
+/// Time of a snapshot over its size: `make` returns a state machine of the given size.
+fn snapshot<M: replica::Machine>(name: &str, runs: u32, sizes: &[u32], make: &dyn Fn(u32) -> M) {
+    let measure = |n: u32| {
+        let mut machine = make(n);
+        let mut data = Vec::new();
+        let (mut encode, mut restore) = (f64::INFINITY, f64::INFINITY);
+        for _ in 0..runs {
+            encode = encode.min(timed(|| data = machine.snapshot()));
+            restore = restore.min(timed(|| machine.restore(&data).expect("restores")));
+        }
+        (data.len() as f64 / 1e6, encode / 1e3, restore / 1e3)
+    };
+    let all: Vec<_> = sizes.iter().map(|n| measure(*n)).collect();
+    let encode: Vec<_> = all.iter().map(|(size, encode, _)| (*size, *encode)).collect();
+    let restore: Vec<_> = all.iter().map(|(size, _, restore)| (*size, *restore)).collect();
+    print(&format!("{name} snapshot encoded, per MB"), "ms", &encode);
+    print(&format!("{name} snapshot restored, per MB"), "ms", &restore);
+}
+
+fn main() {
+    let Args { runs } = argh::from_env();
+    let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    println!("load before: {}", load.trim());
+    println!("{:<44} {:>10} {:<5} {:>12} residual  sizes", "quantity", "slope", "", "intercept");
+    memory(runs);
+    time(runs);
+    frames();
+    snapshot("catalog", runs, &[2_200, 4_400, 8_800], &filled);
+    snapshot("job group", runs, &[20_000, 97_000, 291_000], &|n| {
+        let mut run = Run::new();
+        run.submit(0, n, BODY);
+        run.finish(n, BODY);
+        run.table
+    });
+    let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    println!("load after: {}", load.trim());
+}
