--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -36,6 +36,8 @@
 const WORKSPACES: u32 = 8_800;
 /// Bytes of a request and of a result.
 const BODY: usize = 300;
+/// Bytes of a custom id.
+const CUSTOM: usize = 12;
 /// Items of a chunk.
 const CHUNK: u32 = 1_000;
 /// Length of the prefix of a frame on a stream.
@@ -94,32 +96,18 @@
     processor() - before
 }
 
-/// Least-squares line.
-struct Line {
-    slope: f64,
-    intercept: f64,
-    /// Percent of the mean.
-    residual: f64,
-}
-
-fn fit(points: &[(f64, f64)]) -> Line {
+/// Prints the least-squares line through the points.
+fn print(name: &str, unit: &str, points: &[(f64, f64)]) {
     let count = points.len() as f64;
     let mean = |value: fn(&(f64, f64)) -> f64| points.iter().map(value).sum::<f64>() / count;
     let (x, y) = (mean(|p| p.0), mean(|p| p.1));
     let across: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
-    let along: f64 = points.iter().map(|p| (p.0 - x).powi(2)).sum();
-    let slope = across / along;
-    let intercept = y - slope * x;
-    let off: f64 = points.iter().map(|p| (p.1 - intercept - slope * p.0).powi(2)).sum();
-    Line { slope, intercept, residual: (off / count).sqrt() / y * 100.0 }
-}
-
-fn print(name: &str, unit: &str, points: &[(f64, f64)]) {
-    let Line { slope, intercept, residual } = fit(points);
-    let sizes: Vec<String> = points.iter().map(|p| format!("{:.4}", p.0)).collect();
-    let sizes: Vec<&str> =
-        sizes.iter().map(|s| s.trim_end_matches('0').trim_end_matches('.')).collect();
-    println!("{name:<44} {slope:>10.3} {unit:<5} {intercept:>12.1} {residual:>7.2}%  {sizes:?}");
+    let slope = across / points.iter().map(|p| (p.0 - x).powi(2)).sum::<f64>();
+    let start = y - slope * x;
+    let off: f64 = points.iter().map(|p| (p.1 - start - slope * p.0).powi(2)).sum();
+    let residual = (off / count).sqrt() / y * 100.0;
+    let sizes: Vec<f64> = points.iter().map(|p| p.0).collect();
+    println!("{name:<44} {slope:>10.3} {unit:<5} {start:>12.1} {residual:>7.2}%  {sizes:.1?}");
 }
 
 /// Prints the slope of `cost` over the sizes; each point is the lowest of `runs`.
@@ -129,6 +117,11 @@
     print(name, unit, &points);
 }
 
+/// Prints the slope of a number of bytes, which is the same in every run.
+fn bytes(name: &str, sizes: &[u32], cost: &dyn Fn(u32) -> f64) {
+    slope(name, "B", 1, sizes, cost);
+}
+
 fn put(number: u32, round: u32) -> Vec<u8> {
     let given = [
         ("name", format!("workspace-{number}")),
@@ -156,6 +149,10 @@
     format!("domain-{}", number % DOMAINS).into()
 }
 
+fn region(number: u32) -> Arc<str> {
+    format!("region-{}", number % DOMAINS % 3).into()
+}
+
 fn join(number: u32) -> Vec<u8> {
     let endpoint = |at: u32| catalog::Endpoint {
         name: format!("engine-{number:04}-{at}").into(),
@@ -169,7 +166,7 @@
         name: agent(number),
         address: "10.0.0.1:7100".into(),
         domain: domain(number),
-        region: format!("region-{}", number % DOMAINS % 3).into(),
+        region: region(number),
         // 1,100 servers behind 340 nodes: three each, and a fourth on some.
         endpoints: (0..3 + u32::from(number % 17 < 4)).map(endpoint).collect(),
     };
@@ -230,12 +227,10 @@
         let job = Run::job(number);
         for seq in 0..total.div_ceil(CHUNK) {
             let range = seq * CHUNK..total.min((seq + 1) * CHUNK);
-            let items = range
-                .map(|n| jobs::message::NewItem {
-                    custom: custom(n).into(),
-                    body: vec![b'x'; body].into(),
-                })
-                .collect();
+            let custom = |n| format!("request{n:05}").into();
+            let body = Bytes::from(vec![b'x'; body]);
+            let item = |n| jobs::message::NewItem { custom: custom(n), body: body.clone() };
+            let items = range.map(item).collect();
             self.apply(jobs::Command::Chunk { job: job.clone(), seq, items });
         }
         self.apply(jobs::Command::Seal { job });
@@ -250,14 +245,6 @@
     }
 }
 
-fn custom(item: u32) -> String {
-    format!("request{item}")
-}
-
-fn customs(total: u32) -> usize {
-    (0..total).map(|item| custom(item).len()).sum()
-}
-
 fn complete(job: Arc<str>, item: u32, attempt: u64, body: usize) -> jobs::Command {
     let outcome = jobs::message::ItemOutcome::Done(vec![b'y'; body].into());
     jobs::Command::Complete { job, item, attempt, outcome }
@@ -282,10 +269,7 @@
     granted.flatten().collect()
 }
 
-fn memory(runs: u32) {
-    let bytes = |name: &str, sizes: &[u32], cost: &dyn Fn(u32) -> f64| {
-        slope(name, "B", runs.min(1), sizes, cost);
-    };
+fn memory() {
     let scale = [1_100, 2_200, 4_400, 8_800];
     bytes("workspace, applied with one change id", &scale, &|n| allocated(|| filled(n)).0 as f64);
     bytes("workspace, restored from a snapshot", &scale, &|n| {
@@ -296,12 +280,12 @@
     bytes("job of one item, without content", &[1_000, 4_000, 16_000, 33_000], &|n| {
         let mut run = Run::new();
         let held = allocated(|| (0..n).for_each(|job| run.submit(job, 1, 0))).0;
-        (held - n as usize * customs(1)) as f64
+        (held - n as usize * CUSTOM) as f64
     });
     let items = [20_000, 50_000, 97_000];
     bytes("queued item, without content", &items, &|n| {
         let mut run = Run::new();
-        (allocated(|| run.submit(0, n, BODY)).0 - n as usize * BODY - customs(n)) as f64
+        (allocated(|| run.submit(0, n, BODY)).0 - n as usize * (BODY + CUSTOM)) as f64
     });
     bytes("finished item, without content", &items, &|n| {
         let mut run = Run::new();
@@ -309,37 +293,32 @@
             run.submit(0, n, BODY);
             run.finish(n, BODY);
         });
-        (held.0 - n as usize * BODY - customs(n)) as f64
+        (held.0 - n as usize * (BODY + CUSTOM)) as f64
     });
     bytes("lease", &[4_000, 8_000, 16_000, 32_000], &|n| {
         let mut run = Run::new();
         run.submit(0, 97_000, 0);
         let mut leases = elected(&mut run);
-        let grant = |leases: &mut leases::Leases| {
-            (0..u64::from(n / 16)).map(|token| pull(leases, token).len()).sum::<usize>()
-        };
-        let (held, granted) = allocated(|| grant(&mut leases));
+        let tokens = 0..u64::from(n / 16);
+        let (held, granted) =
+            allocated(|| tokens.map(|token| pull(&mut leases, token).len()).sum::<usize>());
         assert_eq!(granted, n as usize);
         held as f64
     });
-    let watchers = [100, 200, 400, 800];
-    let channel = || mpsc::channel::<wire::Reply>(group::WATCH_BUFFER);
-    let many = |n: u32| (0..n).map(|_| channel()).collect::<Vec<_>>();
-    bytes("watch subscriber, nothing waits", &watchers, &|n| allocated(|| many(n)).0 as f64);
-    bytes("watch subscriber, 1,024 updates wait", &watchers, &|n| {
-        let command = Bytes::from(put(0, 0));
-        let build = || {
-            let all = many(n);
-            for (sender, _) in &all {
-                for index in 0..group::WATCH_BUFFER as u64 {
+    for waiting in [0, group::WATCH_BUFFER as u64] {
+        bytes(&format!("watch subscriber, {waiting} updates wait"), &[100, 200, 400], &|n| {
+            let command = Bytes::from(put(0, 0));
+            let watch = |_| {
+                let (sender, frames) = mpsc::channel(group::WATCH_BUFFER);
+                for index in 0..waiting {
                     let update = wire::Reply::Update { index, command: command.clone() };
                     sender.try_send(update).expect("buffer has room");
                 }
-            }
-            all
-        };
-        allocated(build).0 as f64
-    });
+                (sender, frames)
+            };
+            allocated(|| (0..n).map(watch).collect::<Vec<_>>()).0 as f64
+        });
+    }
 }
 
 fn nodes(count: u32) -> Nodes {
@@ -351,26 +330,22 @@
     nodes
 }
 
+fn heartbeat(nodes: &mut Nodes, number: u32) {
+    let (done, _answer) = oneshot::channel();
+    nodes.serve(Duration::ZERO, wire::Request::Beat(beat(number)), done);
+}
+
 fn time(runs: u32) {
     let micros = |name: &str, sizes: &[u32], cost: &dyn Fn(u32) -> f64| {
         slope(name, "us", runs, sizes, cost);
     };
     micros("heartbeat at the leader, 340 nodes", &[50_000, 100_000, 200_000, 400_000], &|n| {
         let mut nodes = nodes(NODES);
-        timed(|| {
-            for at in 0..n {
-                let (done, answer) = oneshot::channel();
-                nodes.serve(Duration::ZERO, wire::Request::Beat(beat(at % NODES)), done);
-                drop(answer);
-            }
-        })
+        timed(|| (0..n).for_each(|at| heartbeat(&mut nodes, at % NODES)))
     });
     micros("1,000 checks for lost agents, per node", &[85, 170, 340, 680], &|n| {
         let mut nodes = nodes(n);
-        for at in 0..n {
-            let (done, _answer) = oneshot::channel();
-            nodes.serve(Duration::ZERO, wire::Request::Beat(beat(at)), done);
-        }
+        (0..n).for_each(|at| heartbeat(&mut nodes, at));
         timed(|| (0..1_000).for_each(|_| assert!(nodes.tick(Duration::ZERO).is_empty())))
     });
     micros("change applied, 8,800 workspaces", &[2_200, 4_400, 8_800, 17_600], &|n| {
@@ -414,7 +389,7 @@
         let candidate = |number: u32| router::Candidate {
             agent: agent(number),
             domain: domain(number),
-            region: format!("region-{}", number % DOMAINS % 3).into(),
+            region: region(number),
             models: vec!["needle-llm".into()],
             slots: 52,
         };
@@ -435,9 +410,6 @@
 
 /// Sizes of frames without the headers of QUIC, UDP and IP.
 fn frames() {
-    let bytes = |name: &str, sizes: &[u32], cost: &dyn Fn(u32) -> f64| {
-        slope(name, "B", 1, sizes, cost);
-    };
     let fleet = [85, 170, 340];
     bytes("heartbeat and its answer", &fleet, &|n| {
         let known = wire::Reply::Known { known: true, revision: 100_000 };
@@ -510,8 +482,8 @@
         (data.len() as f64 / 1e6, encode / 1e3, restore / 1e3)
     };
     let all: Vec<_> = sizes.iter().map(|n| measure(*n)).collect();
-    let encode: Vec<_> = all.iter().map(|(size, encode, _)| (*size, *encode)).collect();
-    let restore: Vec<_> = all.iter().map(|(size, _, restore)| (*size, *restore)).collect();
+    let points = |times: fn(&(f64, f64, f64)) -> f64| all.iter().map(|p| (p.0, times(p))).collect();
+    let (encode, restore): (Vec<_>, Vec<_>) = (points(|p| p.1), points(|p| p.2));
     print(&format!("{name} snapshot encoded, per MB"), "ms", &encode);
     print(&format!("{name} snapshot restored, per MB"), "ms", &restore);
 }
@@ -521,7 +493,7 @@
     let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
     println!("load before: {}", load.trim());
     println!("{:<44} {:>10} {:<5} {:>12} residual  sizes", "quantity", "slope", "", "intercept");
-    memory(runs);
+    memory();
     time(runs);
     frames();
     snapshot("catalog", runs, &[2_200, 4_400, 8_800], &filled);
