Share the UDP relay and the online requests between tests

The relay of the link tests moves beside the work directory, so that tests of whole processes can put it between an entry and an agent. Agents can be started with an advertised address, and endpoints at a known one.

--- a/tests/link.rs
+++ b/tests/link.rs
@@ -1,18 +1,21 @@
 //! Links: authentication, frames, silent connections, reconnection and graceful close.
 
+#[path = "workdir/relay.rs"]
+mod relay;
+
 use basilfield::errors;
 use basilfield::link;
 use basilfield::tls;
 use basilfield::wire;
 use bytes::Bytes;
+use relay::Fate;
+use relay::Relay;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
-use tokio::net::UdpSocket;
 use tokio::time;
 
 const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -198,93 +201,6 @@
     endpoint.connect_with(config, addr, "server").unwrap().await.unwrap()
 }
 
-/// What a relay does with the datagrams of a flow.
-#[derive(Clone, Copy, PartialEq)]
-enum Fate {
-    Pass,
-    DropBoth,
-    DropToServer,
-    DropToClient,
-}
-
-/// UDP relay in place of a device on the path that keeps state for each flow.
-struct Relay {
-    addr: SocketAddr,
-    flows: Arc<Mutex<Vec<Flow>>>,
-    // Fate of flows that are established later.
-    later: Arc<Mutex<Fate>>,
-}
-
-struct Flow {
-    client: SocketAddr,
-    upstream: Arc<UdpSocket>,
-    fate: Arc<Mutex<Fate>>,
-}
-
-impl Relay {
-    async fn start(server: SocketAddr) -> Relay {
-        let socket = Arc::new(UdpSocket::bind(LOCAL).await.unwrap());
-        let addr = socket.local_addr().unwrap();
-        let relay = Relay { addr, flows: Arc::default(), later: Arc::new(Mutex::new(Fate::Pass)) };
-        let (flows, later) = (relay.flows.clone(), relay.later.clone());
-        tokio::spawn(async move {
-            let mut buffer = vec![0; 65536];
-            while let Ok((size, client)) = socket.recv_from(&mut buffer).await {
-                let known = flows.lock().unwrap().iter().position(|f| f.client == client);
-                let at = match known {
-                    Some(at) => at,
-                    None => {
-                        let fate = Arc::new(Mutex::new(*later.lock().unwrap()));
-                        let upstream = Arc::new(UdpSocket::bind(LOCAL).await.unwrap());
-                        upstream.connect(server).await.unwrap();
-                        tokio::spawn(backward(
-                            socket.clone(),
-                            client,
-                            upstream.clone(),
-                            fate.clone(),
-                        ));
-                        flows.lock().unwrap().push(Flow { client, upstream, fate });
-                        flows.lock().unwrap().len() - 1
-                    }
-                };
-                let (upstream, fate) = {
-                    let flow = &flows.lock().unwrap()[at];
-                    (flow.upstream.clone(), *flow.fate.lock().unwrap())
-                };
-                if !matches!(fate, Fate::DropBoth | Fate::DropToServer) {
-                    let _ = upstream.send(&buffer[..size]).await;
-                }
-            }
-        });
-        relay
-    }
-
-    fn set(&self, fate: Fate) {
-        for flow in self.flows.lock().unwrap().iter() {
-            *flow.fate.lock().unwrap() = fate;
-        }
-    }
-
-    fn sources(&self) -> usize {
-        self.flows.lock().unwrap().len()
-    }
-}
-
-async fn backward(
-    socket: Arc<UdpSocket>,
-    client: SocketAddr,
-    upstream: Arc<UdpSocket>,
-    fate: Arc<Mutex<Fate>>,
-) {
-    let mut buffer = vec![0; 65536];
-    while let Ok(size) = upstream.recv(&mut buffer).await {
-        let fate = *fate.lock().unwrap();
-        if !matches!(fate, Fate::DropBoth | Fate::DropToClient) {
-            let _ = socket.send_to(&buffer[..size], client).await;
-        }
-    }
-}
-
 /// Silences the established flow in the given direction and expects the pending call to fail
 /// within 2 s and the next one to succeed on a new connection from a new source port.
 async fn silence(fate: Fate) {
@@ -350,7 +266,7 @@
     let body = Bytes::from_static(b"body");
     call(&dialer, 0, &body).await.unwrap();
     relay.set(Fate::DropBoth);
-    *relay.later.lock().unwrap() = Fate::DropBoth;
+    relay.set_later(Fate::DropBoth);
     let started = Instant::now();
     assert!(call(&dialer, 0, &body).await.is_err());
     assert!(started.elapsed() < Duration::from_secs(2));
@@ -359,7 +275,7 @@
     assert!(calls.iter().all(Result::is_err));
     assert!(started.elapsed() < Duration::from_millis(1500), "{:?}", started.elapsed());
     assert_eq!(relay.sources(), 2, "fifty calls share one dial");
-    *relay.later.lock().unwrap() = Fate::Pass;
+    relay.set_later(Fate::Pass);
     time::sleep(Duration::from_millis(100)).await;
     call(&dialer, 0, &body).await.unwrap();
 }
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -7,35 +7,11 @@
 use std::process::Stdio;
 use std::time::Duration;
 use workdir::Fleet;
+use workdir::online::chat;
+use workdir::online::expected;
+use workdir::online::streamed_text;
 use workdir::run;
 
-fn chat(content: &str, tokens: u32, stream: bool) -> Value {
-    json!({ "model": "advisor", "max_tokens": tokens, "stream": stream,
-        "messages": [{ "role": "user", "content": content }] })
-}
-
-/// Answer that the emulator gives, which is a function of model and prompt. Assistants without a
-/// prompt of their own send the caller's messages unchanged.
-fn expected(content: &str, tokens: u32) -> String {
-    let prompt = basilfield::emulator::text::chat_prompt([("user", content)]);
-    basilfield::emulator::text::answer(workdir::MODEL, &prompt, tokens)
-}
-
-fn streamed_text(body: &str) -> (String, bool) {
-    let mut text = String::new();
-    let mut done = false;
-    for line in body.lines().filter_map(|l| l.strip_prefix("data: ")) {
-        match line {
-            "[DONE]" => done = true,
-            line => {
-                let event: Value = serde_json::from_str(line).expect("event is JSON");
-                text += event["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
-            }
-        }
-    }
-    (text, done)
-}
-
 /// Guards against a broken path between the processes: online answers whole and streamed through
 /// either entry, a batch job with one result per item, and a stop that cuts nothing off.
 #[test]
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub mod online;
+pub mod relay;
+
 use basilfield::api;
 use basilfield::entry::auth;
 use basilfield::tls;
@@ -151,30 +154,46 @@
     }
 
     pub fn start_agent(&mut self, at: usize) {
+        self.start_agent_at(at, free_udp(), None);
+    }
+
+    /// Starts an agent that announces another address than the one it listens on.
+    pub fn start_agent_at(&mut self, at: usize, listen: SocketAddr, advertise: Option<SocketAddr>) {
         if self.announces.len() <= at {
             self.announces.push(free_tcp());
         }
         let name = format!("agent-{at}");
         let mut text = self.settings(&name);
-        write!(
-            text,
-            "\n[agent]\nlisten = \"{}\"\nannounce = \"{}\"\n",
-            free_udp(),
-            self.announces[at]
-        )
-        .expect("string");
+        let announce = self.announces[at];
+        write!(text, "\n[agent]\nlisten = \"{listen}\"\nannounce = \"{announce}\"\n")
+            .expect("string");
+        if let Some(advertise) = advertise {
+            writeln!(text, "advertise = \"{advertise}\"").expect("string");
+        }
         self.serve(&name, &text);
     }
 
-    pub fn start_engine(&mut self, at: usize, options: &[&str]) {
+    /// Starts an engine and returns its address.
+    pub fn start_engine(&mut self, at: usize, options: &[&str]) -> SocketAddr {
+        self.start_endpoint(at, "engine", &[&["--model", MODEL], options].concat())
+    }
+
+    /// Starts a plain service and returns its address.
+    pub fn start_service(&mut self, at: usize, name: &str) -> SocketAddr {
+        self.start_endpoint(at, name, &["--kind", "service", "--name", name])
+    }
+
+    fn start_endpoint(&mut self, at: usize, name: &str, options: &[&str]) -> SocketAddr {
+        let address = free_tcp();
         let child = Command::new(example("engine"))
-            .args(["--agent", &self.announces[at].to_string(), "--model", MODEL])
+            .args(["--agent", &self.announces[at].to_string(), "--address", &address.to_string()])
             .args(options)
             .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
-            .expect("engine starts");
-        self.processes.push((format!("engine-{at}"), child));
+            .expect("endpoint starts");
+        self.processes.push((format!("{name}-{at}"), child));
+        address
     }
 
     fn position(&self, name: &str) -> usize {
