Keep one consistent stream when it is resumed elsewhere

Cause: the events of the second attempt went to the caller unchanged, so that its id and creation time changed in the middle of the stream, the role was sent a second time, and usage arrived that nobody had asked for, because resumption used the request that batch items use. Lost or doubled text was ruled out: the texts were right in every resumed stream.

A stream with further choices or tool calls is ended by an error event, since text and token count do not suffice to resume it.

--- a/src/completion.rs
+++ b/src/completion.rs
@@ -19,6 +19,11 @@
     finish: Option<String>,
     usage: Option<Value>,
     id: Option<String>,
+    created: Option<Value>,
+    /// Whether the event with the role was seen.
+    role: bool,
+    /// Whether something was seen that a resumption by text would lose.
+    opaque: bool,
 }
 
 /// Why a request body cannot be run.
@@ -31,16 +36,57 @@
     pub fn request(&self, body: &[u8]) -> Result<Bytes, BadBody> {
         let mut value: Value = serde_json::from_slice(body)
             .map_err(|e| BadBody(format!("body is not valid JSON: {e}")))?;
+        self.continue_in(&mut value)?;
+        value["stream"] = true.into();
+        value["stream_options"] = json!({ "include_usage": true });
+        Ok(value.to_string().into())
+    }
+
+    /// Builds the request that continues a caller's stream. Unlike [`Progress::request`] it adds
+    /// no option that the caller did not set, since the events go to the caller.
+    pub fn resume(&self, body: &[u8]) -> Result<Bytes, BadBody> {
+        let mut value: Value = serde_json::from_slice(body)
+            .map_err(|e| BadBody(format!("body is not valid JSON: {e}")))?;
+        self.continue_in(&mut value)?;
+        Ok(value.to_string().into())
+    }
+
+    fn continue_in(&self, value: &mut Value) -> Result<(), BadBody> {
         let Some(fields) = value.as_object_mut() else {
             return Err(BadBody("body is not a JSON object".into()));
         };
-        fields.insert("stream".into(), true.into());
-        fields.insert("stream_options".into(), json!({ "include_usage": true }));
         if self.tokens > 0 {
             let resume = json!({ "text": self.text, "tokens": self.tokens });
             fields.insert("resume".into(), resume);
         }
-        Ok(value.to_string().into())
+        Ok(())
+    }
+
+    /// Whether text and token count are all that a resumption needs. Further choices and tool
+    /// calls are not part of them.
+    pub fn is_resumable(&self) -> bool {
+        !self.opaque
+    }
+
+    /// Fits an event of a resumed stream to what the caller has read of it: the same id and time,
+    /// and no second role or finish reason. `None` if nothing of it is left.
+    pub fn splice(&self, data: &str) -> Option<String> {
+        let Ok(mut value) = serde_json::from_str::<Value>(data) else {
+            return Some(data.to_string());
+        };
+        let choice = &value["choices"][0];
+        let empty = choice["delta"]["content"].as_str().is_none_or(str::is_empty);
+        let again = self.role && choice["delta"]["role"].is_string() && empty;
+        if again || (self.finish.is_some() && choice["finish_reason"].is_string()) {
+            return None;
+        }
+        if let Some(id) = &self.id {
+            value["id"] = id.as_str().into();
+        }
+        if let Some(created) = &self.created {
+            value["created"] = created.clone();
+        }
+        Some(value.to_string())
     }
 
     /// Takes over one event of the stream. Returns the number of new tokens.
@@ -52,11 +98,16 @@
         }
         if self.id.is_none() {
             self.id = value["id"].as_str().map(str::to_string);
+            self.created = value.get("created").cloned();
         }
         if let Some(usage) = value.get("usage").filter(|u| !u.is_null()) {
             self.usage = Some(usage.clone());
         }
         let choice = &value["choices"][0];
+        let single = value["choices"].as_array().is_none_or(|c| c.len() <= 1);
+        let first = choice["index"].as_u64().is_none_or(|at| at == 0);
+        self.opaque |= !single || !first || choice["delta"]["tool_calls"].is_array();
+        self.role |= choice["delta"]["role"].is_string();
         if let Some(reason) = choice["finish_reason"].as_str() {
             self.finish = Some(reason.to_string());
         }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::completion;
 use crate::entry;
+use crate::entry::begun;
 use crate::errors;
 use crate::event;
 use crate::events;
@@ -13,7 +14,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time;
-use xxhash_rust::xxh3;
 
 /// Longest wait for the answer to a withdrawal on one connection.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(800);
@@ -23,8 +23,6 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 /// Most attempts for one request.
 const MAX_ATTEMPTS: usize = 4;
-/// Largest answer that is not streamed, in bytes.
-const MAX_ANSWER: usize = 32 << 20;
 /// Parts of a streamed answer that may wait for a slow caller.
 const STREAM_BUFFER: usize = 64;
 /// Retry hint when an agent was lost, in milliseconds.
@@ -103,16 +101,6 @@
     Unknown { reason: wire::Reason },
 }
 
-/// Answer that has begun.
-struct Begun {
-    stream: link::Stream,
-    status: u16,
-    content: Arc<str>,
-    next: u32,
-    digest: xxh3::Xxh3,
-    stall: Duration,
-}
-
 /// Runs a request: tries agents until one answers or nothing more may be tried.
 pub async fn run(entry: &entry::Entry, call: Call) -> Result<Answer, Refusal> {
     let mut tries = Tries::new(entry, call);
@@ -131,7 +119,11 @@
 }
 
 /// Reads an answer that is not streamed; nothing of it is passed on before its end is verified.
-async fn whole(mut tries: Tries, mut agent: Arc<str>, mut begun: Begun) -> Result<Answer, Refusal> {
+async fn whole(
+    mut tries: Tries,
+    mut agent: Arc<str>,
+    mut begun: begun::Begun,
+) -> Result<Answer, Refusal> {
     loop {
         let (status, content) = (begun.status, begun.content.clone());
         match begun.rest().await {
@@ -152,25 +144,31 @@
 async fn forward(
     mut tries: Tries,
     mut agent: Arc<str>,
-    mut begun: Begun,
+    mut begun: begun::Begun,
     sender: mpsc::Sender<Result<Bytes, Refusal>>,
 ) {
     let mut progress = completion::Progress::default();
     loop {
         let reason = match begun.pass(&sender, &mut progress).await {
-            Passed::Complete => {
+            begun::Passed::Complete => {
                 tries.succeeded(&agent);
                 begun.received();
                 return;
             }
             // Dropping the stream cancels the attempt at the agent.
-            Passed::CallerGone => {
+            begun::Passed::CallerGone => {
                 tries.entry.observe(&agent, router::Observation::Abandoned);
                 return;
             }
-            Passed::Broken(reason) => reason,
+            begun::Passed::Broken(reason) => reason,
         };
         tries.failed(&agent, &Failure::Unknown { reason });
+        if !progress.is_resumable() {
+            let retry = Duration::from_millis(LOST_RETRY);
+            let refusal = Refusal { reason, run: tries.run, retry };
+            let _ = sender.send(Err(refusal)).await;
+            return;
+        }
         match tries.begin(Some(&progress)).await {
             Ok(next) => {
                 event!(tries.entry.log, events::RESUMED; "from" => &*agent, "to" => &*next.0);
@@ -204,7 +202,7 @@
     async fn begin(
         &mut self,
         resume: Option<&completion::Progress>,
-    ) -> Result<(Arc<str>, Begun), Refusal> {
+    ) -> Result<(Arc<str>, begun::Begun), Refusal> {
         loop {
             self.may_try()?;
             let agent = self.pick()?;
@@ -290,11 +288,11 @@
         &mut self,
         agent: &str,
         resume: Option<&completion::Progress>,
-    ) -> Result<Begun, Failure> {
+    ) -> Result<begun::Begun, Failure> {
         let lost = |reason| Failure::NotRun { reason, retry: Duration::from_millis(LOST_RETRY) };
         let body = match resume {
             Some(progress) => {
-                progress.request(&self.call.body).map_err(|_| lost(wire::Reason::Invalid))?
+                progress.resume(&self.call.body).map_err(|_| lost(wire::Reason::Invalid))?
             }
             None => self.call.body.clone(),
         };
@@ -325,14 +323,9 @@
         };
         let begun = self.exchange(agent, &mut stream, attempt, left).await;
         match begun {
-            Ok((status, content)) => Ok(Begun {
-                stream,
-                status,
-                content,
-                next: 0,
-                digest: xxh3::Xxh3::new(),
-                stall: self.entry.stall,
-            }),
+            Ok((status, content)) => {
+                Ok(begun::Begun::new(stream, status, content, self.entry.stall, resume.is_some()))
+            }
             Err(Step::Refused(failure)) => Err(failure),
             // Silence before admission was seen: ask whether it ran.
             Err(Step::Silent(reason)) => {
@@ -429,105 +422,3 @@
     /// It broke off after admission.
     Broken(wire::Reason),
 }
-
-/// How the passing on of a streamed answer ended.
-enum Passed {
-    /// The end was verified and passed on.
-    Complete,
-    /// The caller closed its connection.
-    CallerGone,
-    /// The answer broke off.
-    Broken(wire::Reason),
-}
-
-impl Begun {
-    fn is_events(&self) -> bool {
-        self.status == 200 && self.content.starts_with("text/event-stream")
-    }
-
-    /// Next verified part; `None` at a valid end.
-    async fn part(&mut self) -> Result<Option<Bytes>, wire::Reason> {
-        match time::timeout(self.stall, self.stream.recv::<wire::Reply>()).await {
-            Ok(Ok(Some(wire::Reply::Chunk { seq, data }))) if seq == self.next => {
-                self.next += 1;
-                self.digest.update(&data);
-                Ok(Some(data))
-            }
-            Ok(Ok(Some(wire::Reply::End { count, digest })))
-                if count == self.next && digest == self.digest.digest() =>
-            {
-                Ok(None)
-            }
-            Ok(Ok(Some(wire::Reply::Broken { reason }))) => Err(reason),
-            Ok(_) => Err(wire::Reason::AgentLost),
-            Err(_) => Err(wire::Reason::Stalled),
-        }
-    }
-
-    /// Tells the agent that the whole answer has arrived, so that it may forget the attempt.
-    fn received(mut self) {
-        tokio::spawn(async move {
-            // A lost note only makes later withdrawals on this connection less certain.
-            let _ = self.stream.send(&wire::Request::Received).await;
-            self.stream.finish();
-        });
-    }
-
-    async fn rest(&mut self) -> Result<Bytes, wire::Reason> {
-        let mut all = Vec::new();
-        while let Some(part) = self.part().await? {
-            if all.len() + part.len() > MAX_ANSWER {
-                return Err(wire::Reason::Invalid);
-            }
-            all.extend_from_slice(&part);
-        }
-        Ok(all.into())
-    }
-
-    async fn pass(
-        &mut self,
-        sender: &mpsc::Sender<Result<Bytes, Refusal>>,
-        progress: &mut completion::Progress,
-    ) -> Passed {
-        // The last event tells the caller that the answer is whole, so it waits for the end.
-        let mut last: Option<Bytes> = None;
-        loop {
-            match self.part().await {
-                Ok(Some(part)) => {
-                    if is_last(&part) {
-                        last = Some(part);
-                        continue;
-                    }
-                    note(progress, &part);
-                    if sender.send(Ok(part)).await.is_err() {
-                        return Passed::CallerGone;
-                    }
-                }
-                Ok(None) => match last {
-                    Some(part) => {
-                        let _ = sender.send(Ok(part)).await;
-                        return Passed::Complete;
-                    }
-                    None => return Passed::Broken(wire::Reason::EndpointFailed),
-                },
-                Err(reason) => return Passed::Broken(reason),
-            }
-        }
-    }
-}
-
-/// Data of the single event in a part.
-fn event_data(part: &[u8]) -> Option<&str> {
-    std::str::from_utf8(part).ok()?.strip_prefix("data: ").map(str::trim_end)
-}
-
-fn is_last(part: &[u8]) -> bool {
-    event_data(part) == Some(completion::LAST_EVENT)
-}
-
-fn note(progress: &mut completion::Progress, part: &[u8]) {
-    if let Some(data) = event_data(part) {
-        // An event that is not understood is passed on all the same.
-        let _ = progress.event(data);
-    }
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod auth;
 pub mod batches;
+pub mod begun;
 pub mod claims;
 pub mod online;
 pub mod refusal;
