Give up answers that never begin at a frozen engine

Cause: an entry and its agent waited for the head of an answer until the deadline of the request, 30 s or what the assistant sets. An engine that is frozen still accepts connections, so that a request which was sent just before had no time left for another engine. Streamed answers now have the stall limit also for their head. Answers that are not streamed show no progress; their calls end when the endpoint was removed because it stopped announcing itself.

The router also heard nothing of running streams, so that it could not tell a busy engine from a silent one, and it took an agent that cannot be reached for one that refuses politely, which was asked again after a second. It now hears of progress every 200 ms and of such agents as failures.

--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 /// What an endpoint said of itself.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -57,6 +58,8 @@
     pull: Arc<Notify>,
     /// Woken whenever work ends.
     idle: Notify,
+    /// Whether the endpoint stopped announcing itself without a withdrawal.
+    lost: watch::Sender<bool>,
 }
 
 struct State {
@@ -143,6 +146,7 @@
             state: Mutex::new(state),
             pull,
             idle: Notify::new(),
+            lost: watch::Sender::new(false),
         };
         Endpoint { inner: Arc::new(inner) }
     }
@@ -235,6 +239,19 @@
         Load { queued, running: all.saturating_sub(queued) }
     }
 
+    /// Notes that the endpoint stopped announcing itself. Its name may be announced anew, which
+    /// makes another endpoint of it.
+    pub fn lose(&self) {
+        self.inner.lost.send_replace(true);
+    }
+
+    /// Waits until the endpoint has stopped announcing itself.
+    pub async fn lost(&self) {
+        let mut lost = self.inner.lost.subscribe();
+        // The sender lives as long as `self`.
+        let _ = lost.wait_for(|lost| *lost).await;
+    }
+
     /// Waits until no work runs or waits.
     pub async fn idle(&self) {
         loop {
--- a/src/agent/registry.rs
+++ b/src/agent/registry.rs
@@ -149,7 +149,9 @@
         let gone: Vec<Arc<str>> =
             self.lock().iter().filter(|(_, m)| late(m)).map(|(k, _)| k.clone()).collect();
         for name in gone {
+            let endpoint = self.get(&name);
             self.remove(&name, "silent");
+            endpoint.iter().for_each(endpoint::Endpoint::lose);
         }
     }
 
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -173,9 +173,21 @@
         content: attempt.content.clone(),
         body: attempt.body.clone(),
         stall: agent.stall,
-        first: Duration::from_millis(attempt.deadline).max(agent.stall),
+        // A streamed answer begins with its first token.
+        first: match attempt.stream {
+            true => agent.stall,
+            false => Duration::from_millis(attempt.deadline).max(agent.stall),
+        },
+    };
+    let mut answer = tokio::select! {
+        answer = agent.upstream.send(&call) => answer?,
+        // An answer that is not streamed shows no progress, so that only the missing announcements
+        // tell a long answer from one that never comes.
+        () = endpoint.lost() => {
+            let cause = "the endpoint stopped announcing itself";
+            return Err(errors::Error::lost("await answer", about.name, cause));
+        }
     };
-    let mut answer = agent.upstream.send(&call).await?;
     let head = wire::Reply::Head { status: answer.status, content: answer.content.clone() };
     stream.send(&head).await?;
     let mut body = Body { stream, count: 0, digest: xxh3::Xxh3::new() };
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -149,7 +149,7 @@
 ) {
     let mut progress = completion::Progress::default();
     loop {
-        let reason = match begun.pass(&sender, &mut progress).await {
+        let reason = match begun.pass(&tries.entry, &agent, &sender, &mut progress).await {
             begun::Passed::Complete => {
                 tries.succeeded(&agent);
                 begun.received();
@@ -264,6 +264,8 @@
 
     fn failed(&mut self, agent: &str, failure: &Failure) {
         let event = match failure {
+            // Not reached at all: a refusal would only delay the next request that waits for it.
+            Failure::NotRun { reason: wire::Reason::AgentLost, .. } => router::Observation::Failed,
             Failure::NotRun { reason, retry } => {
                 router::Observation::Refused { reason: *reason, retry: *retry }
             }
@@ -356,7 +358,10 @@
             Ok(Ok(_)) | Ok(Err(_)) => return Err(Step::Silent(wire::Reason::AgentLost)),
             Err(_) => return Err(Step::Silent(wire::Reason::Deadline)),
         }
-        let limit = left.max(self.entry.stall) + DEADLINE_MARGIN;
+        // A streamed answer begins with its first token, so that silence shows early. Other answers
+        // begin when they are complete.
+        let limit = if self.call.stream { self.entry.stall } else { left.max(self.entry.stall) };
+        let limit = limit + DEADLINE_MARGIN;
         match time::timeout(limit, stream.recv::<wire::Reply>()).await {
             Ok(Ok(Some(wire::Reply::Head { status, content }))) => Ok((status, content)),
             Ok(Ok(Some(wire::Reply::Broken { reason }))) => Err(Step::Broken(reason)),
--- a/src/entry/begun.rs
+++ b/src/entry/begun.rs
@@ -1,8 +1,10 @@
 //! Answer of an agent that has begun: verified parts, up to a verified end.
 
 use crate::completion;
+use crate::entry;
 use crate::entry::attempt;
 use crate::link;
+use crate::router;
 use crate::wire;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -13,6 +15,9 @@
 
 /// Largest answer that is not streamed, in bytes.
 const MAX_ANSWER: usize = 32 << 20;
+/// Interval at which the router hears of a running stream. Well below the silence after which it
+/// ejects an endpoint, and rare enough that its lock is not taken for every token.
+const PROGRESS_EVERY: Duration = Duration::from_millis(200);
 
 /// Answer that has begun.
 pub struct Begun {
@@ -107,14 +112,21 @@
     /// Passes events on to the caller and notes them in `progress`.
     pub async fn pass(
         &mut self,
+        entry: &entry::Entry,
+        agent: &str,
         sender: &mpsc::Sender<Result<Bytes, attempt::Refusal>>,
         progress: &mut completion::Progress,
     ) -> Passed {
         // The last event tells the caller that the answer is whole, so it waits for the end.
         let mut last: Option<Bytes> = None;
+        let mut noted: Option<time::Instant> = None;
         loop {
             match self.part().await {
                 Ok(Some(part)) => {
+                    if noted.is_none_or(|at| at.elapsed() >= PROGRESS_EVERY) {
+                        noted = Some(time::Instant::now());
+                        entry.observe(agent, router::Observation::Progress);
+                    }
                     if is_last(&part) {
                         last = Some(part);
                         continue;
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -51,6 +51,12 @@
     assert!(fleet.log("entry-0").contains("stream resumed elsewhere"), "some stream was resumed");
 }
 
+/// Guards against requests that are lost or wait at an engine that accepts them and never answers.
+#[test]
+fn frozen_engine() {
+    survives(3, |fleet| fleet.signal("engine-0", Signal::STOP));
+}
+
 /// Guards against requests that are lost or wait for an agent that holds its connections open.
 #[test]
 fn frozen_agent() {
