Break off the answers of the emulated service

The emulator counted requests that shall break off also for services, but answered them all the same. A test that wanted a cut-off answer from a plain service got a whole one. The body is now sent and the connection is then cut before the end of the message; stalls of a service are still the fault named frozen.

--- a/src/emulator/service.rs
+++ b/src/emulator/service.rs
@@ -6,6 +6,7 @@
 use crate::sorted::SortedMap;
 use axum::Json;
 use axum::Router;
+use axum::body::Body;
 use axum::body::Bytes;
 use axum::extract::RawQuery;
 use axum::extract::State;
@@ -15,6 +16,8 @@
 use axum::response::IntoResponse as _;
 use axum::response::Response;
 use axum::routing;
+use futures_util::stream;
+use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,7 +36,7 @@
     pub slots: u32,
     /// Time that each call takes.
     pub delay: Duration,
-    /// Faults from the start. Stalls and breaks do not apply to services.
+    /// Faults from the start. A break cuts the body off; stalls do not apply to services.
     pub faults: emulator::Faults,
 }
 
@@ -118,16 +121,22 @@
 ) -> Response {
     let key = host::request_key(&headers, query.as_deref());
     let admitted = shared.intake.admit(key.as_deref(), &String::from_utf8_lossy(&body));
-    if let Err(status) = admitted {
-        return host::problem(status, "simulated failure");
-    }
+    let disturbance = match admitted {
+        Ok(disturbance) => disturbance,
+        Err(status) => return host::problem(status, "simulated failure"),
+    };
     if !shared.settings.delay.is_zero() {
         tokio::time::sleep(shared.settings.delay).await;
     }
     while shared.intake.frozen() {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    let mut response = Response::new(body.into());
+    let cut_off = || io::Error::new(io::ErrorKind::ConnectionAborted, "simulated break");
+    let mut response = match disturbance.breaks {
+        // The body starts, so that the break is not one of the connection before an answer.
+        Some(_) => Response::new(Body::from_stream(stream::iter([Ok(body), Err(cut_off())]))),
+        None => Response::new(body.into()),
+    };
     if let Some(content) = headers.get(header::CONTENT_TYPE) {
         response.headers_mut().insert(header::CONTENT_TYPE, content.clone());
     }
