Let the claim of a lost entry pass on only after a withdrawal

Cause: a claim named the entry and not the agent, since the agent was chosen after the claim, and a held claim was answered by 409 with the explanation that the key had been used with other content. Nobody could ask the right agent to withdraw the attempt. A second attempt after one that never ran also had an id that no claim named, so that a takeover which believed the claim would have let the call run twice.

The agent is now chosen and reached before the claim, each attempt is claimed under its own id, and the claim names agent, entry run and connection. The next entry asks that agent with TakeOver; only the answer NeverRan settles the old attempt. An agent that has not seen the connection, for example after its restart, answers Running, and the caller is told that the outcome is unknown.

Before: keyed_calls_through_another_entry failed at the first open claim with 409 conflict. After: it passes, the service sees each key once, and the log of the second entry shows the claim that passed on. The other faults of calls_that_must_not_be_repeated, which is added here, passed before as well.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -127,6 +127,12 @@
         self.lock().withdraw(now, withdraw)
     }
 
+    /// Withdraws an attempt of another entry than the one that asks.
+    fn take_over(&self, id: u64, entry: &Arc<str>, sent: u64) -> wire::Withdrawal {
+        let now = self.timer.now();
+        self.lock().take_over(now, id, entry, sent)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, gate::attempts::Attempts<()>> {
         self.attempts.lock().unwrap_or_else(|e| e.into_inner())
     }
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -74,6 +74,12 @@
             stream.finish();
             Ok(())
         }
+        Some(wire::Request::TakeOver { attempt, entry, sent }) => {
+            let withdrawal = agent.take_over(attempt, &entry, sent);
+            stream.send(&wire::Reply::Withdrawal(withdrawal)).await?;
+            stream.finish();
+            Ok(())
+        }
         Some(wire::Request::Hello { entry, connection }) => {
             agent.greet(&entry, connection);
             stream.send(&wire::Reply::Greeted).await?;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -16,9 +16,9 @@
 use tokio::time;
 
 /// Longest wait for the answer to a withdrawal on one connection.
-const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(800);
+pub const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(800);
 /// Connections on which a withdrawal is tried before the agent counts as lost.
-const WITHDRAW_TRIES: u32 = 2;
+pub const WITHDRAW_TRIES: u32 = 2;
 /// Time beyond the deadline for which an agent may still refuse by itself.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 /// Most attempts for one request.
@@ -51,8 +51,6 @@
     pub deadline: time::Instant,
     /// Hash of the prompt's beginning, for prefix affinity.
     pub prefix: u64,
-    /// Id of the first attempt, if it was claimed before dispatch.
-    pub claimed: Option<u64>,
 }
 
 /// Final refusal or failure of a request.
@@ -182,8 +180,20 @@
     }
 }
 
+/// Attempt that has an id, an agent and a connection, but was not sent yet.
+pub struct Prepared {
+    /// Id of the attempt.
+    pub id: u64,
+    /// Agent that it goes to.
+    pub agent: Arc<str>,
+    /// Number of the connection that will carry it.
+    pub connection: u64,
+    agent_link: entry::AgentLink,
+    stream: link::Stream,
+}
+
 /// Attempts made for one request.
-struct Tries {
+pub struct Tries {
     entry: entry::Entry,
     call: Call,
     tried: Vec<Arc<str>>,
@@ -193,7 +203,8 @@
 }
 
 impl Tries {
-    fn new(entry: &entry::Entry, call: Call) -> Tries {
+    /// Starts without any attempt.
+    pub fn new(entry: &entry::Entry, call: Call) -> Tries {
         let entry = entry.clone();
         Tries { entry, call, tried: Vec::new(), run: wire::Run::No, last: None }
     }
@@ -218,6 +229,44 @@
         }
     }
 
+    /// Chooses an agent that can be reached, without sending it anything of the request.
+    pub async fn prepare(&mut self) -> Result<Prepared, Refusal> {
+        loop {
+            self.may_try()?;
+            let agent = self.pick()?;
+            self.tried.push(agent.clone());
+            match self.connect(&agent).await {
+                Ok(prepared) => return Ok(prepared),
+                Err(failure) => self.failed(&agent, &failure),
+            }
+        }
+    }
+
+    /// Sends a prepared attempt and reads its whole answer. Makes no other attempt.
+    pub async fn send(&mut self, prepared: Prepared) -> Result<Answer, Refusal> {
+        let agent = prepared.agent.clone();
+        let failure = match self.dispatch(prepared, None).await {
+            Ok(mut begun) => {
+                let (status, content) = (begun.status, begun.content.clone());
+                match begun.rest().await {
+                    Ok(body) => {
+                        self.succeeded(&agent);
+                        begun.received();
+                        return Ok(Answer::Whole { status, content, body });
+                    }
+                    Err(reason) => Failure::Unknown { reason },
+                }
+            }
+            Err(failure) => failure,
+        };
+        self.failed(&agent, &failure);
+        let (reason, retry) = match failure {
+            Failure::NotRun { reason, retry } => (reason, retry),
+            Failure::Unknown { reason } => (reason, Duration::from_millis(LOST_RETRY)),
+        };
+        Err(Refusal { reason, run: self.run, retry })
+    }
+
     /// Checks whether a further attempt is permitted.
     fn may_try(&self) -> Result<(), Refusal> {
         let Some(last) = &self.last else { return Ok(()) };
@@ -291,24 +340,36 @@
         agent: &str,
         resume: Option<&completion::Progress>,
     ) -> Result<begun::Begun, Failure> {
-        let lost = |reason| Failure::NotRun { reason, retry: Duration::from_millis(LOST_RETRY) };
-        let body = match resume {
-            Some(progress) => {
-                progress.resume(&self.call.body).map_err(|_| lost(wire::Reason::Invalid))?
-            }
-            None => self.call.body.clone(),
-        };
-        let Some(agent_link) = self.entry.dialer(agent) else {
-            return Err(lost(wire::Reason::AgentLost));
+        let prepared = self.connect(agent).await?;
+        self.dispatch(prepared, resume).await
+    }
+
+    async fn connect(&self, agent: &str) -> Result<Prepared, Failure> {
+        let lost = || Failure::NotRun {
+            reason: wire::Reason::AgentLost,
+            retry: Duration::from_millis(LOST_RETRY),
         };
         self.entry.observe(agent, router::Observation::Started);
+        let agent_link = self.entry.dialer(agent).ok_or_else(lost)?;
         let opened = agent_link.open(&self.entry.incarnation).await;
-        let Ok((mut stream, connection)) = opened else {
-            return Err(lost(wire::Reason::AgentLost));
+        let (stream, connection) = opened.map_err(|_| lost())?;
+        Ok(Prepared { id: rand::random(), agent: agent.into(), connection, agent_link, stream })
+    }
+
+    async fn dispatch(
+        &mut self,
+        prepared: Prepared,
+        resume: Option<&completion::Progress>,
+    ) -> Result<begun::Begun, Failure> {
+        let Prepared { id, agent, connection, agent_link, mut stream } = prepared;
+        let body = match resume {
+            Some(progress) => progress.resume(&self.call.body).map_err(|_| Failure::NotRun {
+                reason: wire::Reason::Invalid,
+                retry: Duration::ZERO,
+            })?,
+            None => self.call.body.clone(),
         };
         let left = self.call.deadline.saturating_duration_since(time::Instant::now());
-        // A claimed id is used for the first attempt only: later ones have ids of their own.
-        let id = self.call.claimed.take().unwrap_or_else(rand::random);
         let attempt = wire::Attempt {
             id,
             entry: self.entry.incarnation.clone(),
@@ -323,7 +384,7 @@
             body,
             stream: self.call.stream,
         };
-        let begun = self.exchange(agent, &mut stream, attempt, left).await;
+        let begun = self.exchange(&agent, &mut stream, attempt, left).await;
         match begun {
             Ok((status, content)) => {
                 Ok(begun::Begun::new(stream, status, content, self.entry.stall, resume.is_some()))
@@ -332,7 +393,7 @@
             // Silence before admission was seen: ask whether it ran.
             Err(Step::Silent(reason)) => {
                 drop(stream);
-                Err(self.withdraw(agent, &agent_link, connection, id, reason).await)
+                Err(self.withdraw(&agent, &agent_link, connection, id, reason).await)
             }
             Err(Step::Broken(reason)) => Err(Failure::Unknown { reason }),
         }
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -6,18 +6,26 @@
 use crate::entry;
 use crate::entry::attempt;
 use crate::entry::refusal;
+use crate::errors;
+use crate::event;
+use crate::events;
 use crate::jobs;
+use crate::router;
 use crate::wire;
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time;
 use xxhash_rust::xxh3;
 
 /// Longest wait for the state hosts.
 const STATE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Retry hint while the first run of a claimed request is still open, in milliseconds.
+/// Claims of other attempts that one call takes over at most. Calls with the same key at several
+/// entries could otherwise take the claim from each other without end.
+const TAKEOVERS: usize = 3;
+/// Retry hint while the first run of a claimed request is still open.
 const HELD_RETRY: Duration = Duration::from_secs(2);
 
 /// Stored answer of a claimed request.
@@ -28,53 +36,195 @@
     body: Bytes,
 }
 
+/// Claim of one caller's key.
+struct Claim<'a> {
+    entry: &'a entry::Entry,
+    group: u16,
+    workspace: Arc<str>,
+    key: Arc<str>,
+    digest: u64,
+}
+
+/// How a claim was answered.
+enum Claimed {
+    /// The attempt may be sent.
+    Own,
+    /// An earlier call has this answer.
+    Stored(attempt::Answer),
+}
+
 /// Runs a request at most once for its key.
+///
+/// Every attempt is claimed under its own id and with its agent, so that the claim always names
+/// the only attempt that can run.
 pub async fn run(
     entry: &entry::Entry,
     key: &str,
     mut call: attempt::Call,
 ) -> Result<attempt::Answer, attempt::Refusal> {
-    let group = jobs::group_of(&call.workspace, key, entry.client.groups());
-    let id = rand::random();
-    let claim = jobs::Command::Claim {
+    let claim = Claim {
+        entry,
+        group: jobs::group_of(&call.workspace, key, entry.client.groups()),
         workspace: call.workspace.clone(),
         key: key.into(),
         digest: digest(&call),
-        attempt: id,
-        agent: entry.name.clone(),
     };
-    match propose(entry, group, &claim).await? {
-        jobs::Reply::Claimed => {}
-        jobs::Reply::Settled { outcome: jobs::message::ClaimOutcome::Done(stored) } => {
-            return restore(&stored);
-        }
-        jobs::Reply::Settled { .. } => {
-            return Err(unknown(wire::Reason::AgentLost));
+    // The answer is stored as a whole, so it is not streamed.
+    call.stream = false;
+    let mut tries = attempt::Tries::new(entry, call);
+    loop {
+        let prepared = match tries.prepare().await {
+            Ok(prepared) => prepared,
+            // Without an agent the answer of an earlier call can still be given.
+            Err(refusal) => return claim.stored().await.unwrap_or(Err(refusal)),
+        };
+        let (id, agent) = (prepared.id, prepared.agent.clone());
+        match claim.take(&prepared).await {
+            Ok(Claimed::Own) => {}
+            Ok(Claimed::Stored(answer)) => {
+                entry.observe(&agent, router::Observation::Abandoned);
+                return Ok(answer);
+            }
+            Err(refusal) => {
+                entry.observe(&agent, router::Observation::Abandoned);
+                return Err(refusal);
+            }
         }
-        jobs::Reply::Held { .. } => return Err(unknown(wire::Reason::Conflict)),
-        jobs::Reply::Refused(jobs::Refusal::Conflict { .. }) => {
-            return Err(attempt::Refusal::not_run(wire::Reason::Conflict, Duration::ZERO));
+        let answered = tries.send(prepared).await;
+        claim.settle(id, outcome(&answered)).await;
+        match &answered {
+            // Another entry took the claim over and answers the call that was sent again.
+            Err(refusal) if refusal.reason == wire::Reason::Withdrawn => return answered,
+            Err(refusal) if refusal.run == wire::Run::No => {}
+            _ => return answered,
         }
-        _ => return Err(attempt::Refusal::not_run(wire::Reason::Invalid, Duration::ZERO)),
     }
-    call.claimed = Some(id);
-    // The answer is stored as a whole, so it is not streamed.
-    call.stream = false;
-    let workspace = call.workspace.clone();
-    let answered = attempt::run(entry, call).await;
-    let outcome = match &answered {
+}
+
+fn outcome(answered: &Result<attempt::Answer, attempt::Refusal>) -> jobs::message::ClaimOutcome {
+    match answered {
         Ok(attempt::Answer::Whole { status, content, body }) => {
             let stored = Stored { status: *status, content: content.clone(), body: body.clone() };
             jobs::message::ClaimOutcome::Done(jobs::encode(&stored).into())
         }
-        Ok(attempt::Answer::Stream { .. }) => jobs::message::ClaimOutcome::Unknown,
         Err(refusal) if refusal.run == wire::Run::No => jobs::message::ClaimOutcome::NeverRan,
-        Err(_) => jobs::message::ClaimOutcome::Unknown,
-    };
-    let settle = jobs::Command::Settle { workspace, key: key.into(), attempt: id, outcome };
-    // If this fails the claim stays open, and a request that is sent again is told so.
-    let _ = propose(entry, group, &settle).await;
-    answered
+        Ok(attempt::Answer::Stream { .. }) | Err(_) => jobs::message::ClaimOutcome::Unknown,
+    }
+}
+
+impl Claim<'_> {
+    /// Claims a prepared attempt. A claim of another attempt passes on only if that one never ran.
+    async fn take(&self, prepared: &attempt::Prepared) -> Result<Claimed, attempt::Refusal> {
+        let command = jobs::Command::Claim {
+            workspace: self.workspace.clone(),
+            key: self.key.clone(),
+            digest: self.digest,
+            attempt: prepared.id,
+            agent: prepared.agent.clone(),
+            sent: jobs::message::Sent {
+                entry: self.entry.incarnation.clone(),
+                connection: prepared.connection,
+            },
+        };
+        for _ in 0..TAKEOVERS {
+            match propose(self.entry, self.group, &command).await? {
+                jobs::Reply::Claimed => return Ok(Claimed::Own),
+                jobs::Reply::Settled { outcome: jobs::message::ClaimOutcome::Done(stored) } => {
+                    return restore(&stored).map(Claimed::Stored);
+                }
+                jobs::Reply::Settled { .. } => return Err(unknown(wire::Reason::Held)),
+                jobs::Reply::Held { attempt, .. } => self.withdraw(attempt).await?,
+                jobs::Reply::Withdrawn => {
+                    return Err(attempt::Refusal::not_run(wire::Reason::Withdrawn, HELD_RETRY));
+                }
+                jobs::Reply::Refused(jobs::Refusal::Conflict { .. }) => {
+                    let reason = wire::Reason::Conflict;
+                    return Err(attempt::Refusal::not_run(reason, Duration::ZERO));
+                }
+                _ => return Err(attempt::Refusal::not_run(wire::Reason::Invalid, Duration::ZERO)),
+            }
+        }
+        Err(unknown(wire::Reason::Held))
+    }
+
+    /// Withdraws the attempt that holds the claim and settles it, unless it may have run.
+    async fn withdraw(&self, attempt: u64) -> Result<(), attempt::Refusal> {
+        let Some(status) = self.status().await? else { return Ok(()) };
+        if status.attempt != attempt || status.outcome.is_some() {
+            // The claim has changed meanwhile; it is asked for again.
+            return Ok(());
+        }
+        // This entry is alive and settles its own claim.
+        if status.sent.entry == self.entry.incarnation {
+            return Err(unknown(wire::Reason::Held));
+        }
+        let agent_link = self.entry.dialer(&status.agent);
+        let Some(agent_link) = agent_link else { return Err(unknown(wire::Reason::Held)) };
+        for _ in 0..attempt::WITHDRAW_TRIES {
+            let asked = ask(self.entry, &agent_link, &status);
+            match time::timeout(attempt::WITHDRAW_TIMEOUT, asked).await {
+                Ok(Ok(wire::Withdrawal::NeverRan)) => {
+                    event!(self.entry.log, events::CLAIM_PASSED;
+                        "agent" => &*status.agent, "entry" => &*status.sent.entry);
+                    self.settle(attempt, jobs::message::ClaimOutcome::NeverRan).await;
+                    return Ok(());
+                }
+                Ok(Ok(wire::Withdrawal::Running | wire::Withdrawal::Finished)) => break,
+                Ok(Err(_)) | Err(_) => {
+                    self.entry.metrics.fault("take over");
+                    agent_link.dialer.reset(agent_link.dialer.generation());
+                }
+            }
+        }
+        Err(unknown(wire::Reason::Held))
+    }
+
+    async fn status(&self) -> Result<Option<jobs::message::ClaimStatus>, attempt::Refusal> {
+        let query = jobs::Query::Claim { workspace: self.workspace.clone(), key: self.key.clone() };
+        let answer = self.entry.client.query(self.group, jobs::encode(&query), STATE_TIMEOUT).await;
+        let answer = answer.map_err(|e| refusal::from_state(&e))?;
+        match jobs::decode(&answer) {
+            Ok(jobs::Answer::Claim(status)) => Ok(Some(status)),
+            _ => Ok(None),
+        }
+    }
+
+    /// Stored answer of an earlier call, or its open state; `None` if there was no such call.
+    async fn stored(&self) -> Option<Result<attempt::Answer, attempt::Refusal>> {
+        let status = self.status().await.ok()??;
+        if status.digest != self.digest {
+            let reason = wire::Reason::Conflict;
+            return Some(Err(attempt::Refusal::not_run(reason, Duration::ZERO)));
+        }
+        match status.outcome {
+            Some(jobs::message::ClaimOutcome::Done(stored)) => Some(restore(&stored)),
+            Some(jobs::message::ClaimOutcome::NeverRan) => None,
+            Some(jobs::message::ClaimOutcome::Unknown) | None => {
+                Some(Err(unknown(wire::Reason::Held)))
+            }
+        }
+    }
+
+    async fn settle(&self, attempt: u64, outcome: jobs::message::ClaimOutcome) {
+        let (workspace, key) = (self.workspace.clone(), self.key.clone());
+        let settle = jobs::Command::Settle { workspace, key, attempt, outcome };
+        // If this fails the claim stays open, and a request that is sent again is told so.
+        let _ = propose(self.entry, self.group, &settle).await;
+    }
+}
+
+async fn ask(
+    entry: &entry::Entry,
+    agent_link: &entry::AgentLink,
+    held: &jobs::message::ClaimStatus,
+) -> Result<wire::Withdrawal, errors::Error> {
+    let (mut stream, _) = agent_link.open(&entry.incarnation).await?;
+    let (entry, sent) = (held.sent.entry.clone(), held.sent.connection);
+    stream.send(&wire::Request::TakeOver { attempt: held.attempt, entry, sent }).await?;
+    match stream.recv::<wire::Reply>().await? {
+        Some(wire::Reply::Withdrawal(withdrawal)) => Ok(withdrawal),
+        _ => Err(errors::Error::protocol("take over", held.agent.clone(), "unexpected reply")),
+    }
 }
 
 fn unknown(reason: wire::Reason) -> attempt::Refusal {
--- a/src/entry/online.rs
+++ b/src/entry/online.rs
@@ -105,7 +105,6 @@
         idempotent,
         deadline,
         prefix: 0,
-        claimed: None,
     };
     run(entry, workspace, &parts.headers, call).await
 }
@@ -151,7 +150,6 @@
         deadline,
         prefix: prefix(&value),
         body: text.into(),
-        claimed: None,
     };
     run(entry, workspace, &headers, call).await
 }
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -36,6 +36,9 @@
         wire::Reason::Stalled => "the answer stalled",
         wire::Reason::Invalid => "the request is not valid",
         wire::Reason::Conflict => "the same key was used with other content",
+        wire::Reason::Held => {
+            "an earlier call with this key has no known outcome; it may run, have run, or still run"
+        }
     }
 }
 
@@ -45,7 +48,7 @@
             http::StatusCode::TOO_MANY_REQUESTS
         }
         wire::Reason::Invalid => http::StatusCode::BAD_REQUEST,
-        wire::Reason::Conflict => http::StatusCode::CONFLICT,
+        wire::Reason::Conflict | wire::Reason::Held => http::StatusCode::CONFLICT,
         wire::Reason::NoEndpoint
         | wire::Reason::Draining
         | wire::Reason::Stopping
--- a/src/events.rs
+++ b/src/events.rs
@@ -114,6 +114,8 @@
     RESUMED = 702, Info, "stream resumed elsewhere";
     /// A caller or operator presented no valid key.
     UNAUTHORIZED = 703, Info, "caller not authorized";
+    /// An attempt of another entry was withdrawn before it ran, and its claim passes on.
+    CLAIM_PASSED = 704, Info, "claim passed on";
 }
 
 /// Logs an event with its number: `event!(log, events::STARTED; "roles" => roles)`.
--- a/src/gate/attempts.rs
+++ b/src/gate/attempts.rs
@@ -213,6 +213,25 @@
     /// have run, also when there is no room for a tombstone.
     pub fn withdraw(&mut self, now: Duration, withdraw: &Withdraw) -> wire::Withdrawal {
         self.connect(&withdraw.entry, withdraw.connection);
+        self.resolve(now, withdraw)
+    }
+
+    /// Withdraws an attempt in place of `entry`, which may be lost or may still send it on its
+    /// connection `sent`. Otherwise like [`Attempts::withdraw`].
+    ///
+    /// It says nothing about the connections of that entry: one that this process has never seen
+    /// stays unknown, since the process may have lost its table after the attempt ran.
+    pub fn take_over(
+        &mut self,
+        now: Duration,
+        id: u64,
+        entry: &Arc<str>,
+        sent: u64,
+    ) -> wire::Withdrawal {
+        self.resolve(now, &Withdraw { id, entry: entry.clone(), connection: sent, sent })
+    }
+
+    fn resolve(&mut self, now: Duration, withdraw: &Withdraw) -> wire::Withdrawal {
         match self.state(withdraw.id) {
             Some(State::Running) => wire::Withdrawal::Running,
             Some(State::Finished(_)) => wire::Withdrawal::Finished,
--- a/src/jobs/claims.rs
+++ b/src/jobs/claims.rs
@@ -5,6 +5,7 @@
 use crate::jobs::message::ClaimStatus;
 use crate::jobs::message::Refusal;
 use crate::jobs::message::Reply;
+use crate::jobs::message::Sent;
 use crate::jobs::retention::Shelf;
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,6 +18,7 @@
     digest: u64,
     attempt: u64,
     agent: Arc<str>,
+    sent: Sent,
     outcome: Option<ClaimOutcome>,
     /// Attempts that were withdrawn. A late duplicate of their claim must not pass.
     withdrawn: Vec<u64>,
@@ -53,6 +55,7 @@
             Some(ClaimOutcome::NeverRan) => {
                 claim.attempt = new.attempt;
                 claim.agent = new.agent;
+                claim.sent = new.sent;
                 claim.outcome = None;
                 claim.changed = clock;
                 self.shelf.push(clock, id);
@@ -69,6 +72,7 @@
             digest: new.digest,
             attempt: new.attempt,
             agent: new.agent,
+            sent: new.sent,
             outcome: None,
             withdrawn: Vec::new(),
             changed: clock,
@@ -108,6 +112,7 @@
             digest: claim.digest,
             attempt: claim.attempt,
             agent: claim.agent.clone(),
+            sent: claim.sent.clone(),
             outcome: claim.outcome.clone(),
         })
     }
--- a/src/jobs/message.rs
+++ b/src/jobs/message.rs
@@ -48,6 +48,16 @@
     Transient,
 }
 
+/// Way of a claimed attempt to its agent. An agent needs it to withdraw an attempt that has not
+/// arrived.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sent {
+    /// Name of the entry's run.
+    pub entry: Arc<str>,
+    /// Number of its connection to the agent.
+    pub connection: u64,
+}
+
 /// What became of a claimed attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimOutcome {
@@ -134,6 +144,8 @@
         attempt: u64,
         /// Agent to which it will be dispatched.
         agent: Arc<str>,
+        /// Way on which it will be dispatched.
+        sent: Sent,
     },
     /// Records what became of a claimed attempt. Answered by [`Reply::Settled`] or
     /// [`Reply::Held`] if another attempt holds the claim.
@@ -413,6 +425,8 @@
     pub attempt: u64,
     /// Agent to which it was to be dispatched.
     pub agent: Arc<str>,
+    /// Way on which it was to be dispatched.
+    pub sent: Sent,
     /// Outcome, once settled.
     pub outcome: Option<ClaimOutcome>,
 }
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -156,8 +156,8 @@
             Command::Attempt { job, item, attempt, cause } => {
                 self.attempt(&job, item, attempt, cause)
             }
-            Command::Claim { workspace, key, digest, attempt, agent } => {
-                let new = ClaimStatus { digest, attempt, agent, outcome: None };
+            Command::Claim { workspace, key, digest, attempt, agent, sent } => {
+                let new = ClaimStatus { digest, attempt, agent, sent, outcome: None };
                 Ok(self.state.claims.claim(Id::of(&workspace, &key), new, self.state.clock))
             }
             Command::Settle { workspace, key, attempt, outcome } => {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -82,6 +82,9 @@
     /// The same key was used with other content.
     #[display("conflict")]
     Conflict,
+    /// Another call with the same key is open.
+    #[display("held")]
+    Held,
 }
 
 impl Reason {
@@ -106,6 +109,7 @@
             Reason::Stalled => "stalled",
             Reason::Invalid => "invalid",
             Reason::Conflict => "conflict",
+            Reason::Held => "held",
         }
     }
 }
@@ -250,6 +254,16 @@
     Status,
     /// Operator to the leader of group 0: heartbeats of the nodes. Answered by `Nodes`.
     Nodes,
+    /// Entry to agent: withdraw an attempt that another entry sent or was about to send. Answered
+    /// by `Withdrawal`.
+    TakeOver {
+        /// Id of the attempt.
+        attempt: u64,
+        /// Name of the entry that claimed it.
+        entry: Arc<str>,
+        /// Number of that entry's connection on which it goes.
+        sent: u64,
+    },
 }
 
 /// Heartbeat of a node.
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -3,6 +3,9 @@
 mod workdir;
 
 use rustix::process::Signal;
+use serde_json::Value;
+use serde_json::json;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::runtime::Runtime;
 use workdir::Fleet;
@@ -14,6 +17,9 @@
 /// Time that an undisturbed request may take: 30 tokens take 0.4 s, the rest is the busy machine.
 /// Any wait for a lost peer takes a second or more on top.
 const UNDISTURBED: Duration = Duration::from_millis(1_300);
+/// Header that marks a call that must not be repeated.
+const ONCE: (&str, &str) = ("basilfield-idempotent", "no");
+
 fn runtime() -> Runtime {
     Runtime::new().expect("runtime")
 }
@@ -115,3 +121,176 @@
         assert!(!late, "{} at {:?} took {:?}", call.content, call.start, reply.took);
     }
 }
+
+/// Plain service `ledger` beside two agents behind relays, and two entries.
+struct Services {
+    fleet: Fleet,
+    runtime: Runtime,
+    relays: Vec<Relay>,
+    addresses: Vec<SocketAddr>,
+}
+
+impl Services {
+    fn start() -> Services {
+        let runtime = runtime();
+        let mut fleet = Fleet::prepare(1);
+        fleet.start_state(0);
+        let relays = (0..2).map(|at| start_behind_relay(&mut fleet, &runtime, at)).collect();
+        (0..2).for_each(|at| fleet.start_entry(at));
+        let addresses = (0..2).map(|at| fleet.start_service(at, "ledger")).collect();
+        (0..2).for_each(|at| fleet.await_endpoints(at, 2));
+        fleet.create_workspace();
+        Services { fleet, runtime, relays, addresses }
+    }
+
+    fn faults(&self, faults: &Value) {
+        for address in &self.addresses {
+            self.runtime.block_on(online::endpoint(*address, "/faults", Some(faults)));
+        }
+    }
+
+    /// Times that the services have seen a key.
+    fn seen(&self, key: &str) -> u64 {
+        let stats = |address: &SocketAddr| {
+            self.runtime.block_on(online::endpoint(*address, "/stats", None))
+        };
+        self.addresses.iter().map(|a| stats(a)["keys"][key].as_u64().unwrap_or_default()).sum()
+    }
+
+    /// Starts a non-idempotent call that the services count under `key`.
+    fn start_call(
+        &self,
+        entry: usize,
+        key: &str,
+        claim: bool,
+    ) -> tokio::task::JoinHandle<Result<online::Reply, String>> {
+        let (url, key) = (self.fleet.url(entry), key.to_string());
+        self.runtime.spawn(async move {
+            let path = format!("/services/ledger/add?key={key}");
+            let mut headers = vec![ONCE, ("basilfield-deadline-ms", "2500")];
+            if claim {
+                headers.push(("idempotency-key", &key));
+            }
+            online::send(&url, &path, &headers, format!("{{\"add\":\"{key}\"}}")).await
+        })
+    }
+
+    fn call(&self, entry: usize, key: &str, claim: bool) -> online::Reply {
+        let call = self.start_call(entry, key, claim);
+        self.runtime.block_on(call).expect("task").expect("answer")
+    }
+
+    /// Waits until the services have seen a key.
+    fn await_seen(&self, key: &str) {
+        self.fleet.until("the call runs", || self.seen(key) > 0);
+    }
+
+    /// Checks the promise for a call that was refused or answered.
+    fn check(&self, key: &str, reply: &online::Reply) {
+        let seen = self.seen(key);
+        match (reply.status, &*reply.run) {
+            (200 | 500, "") => assert_eq!(seen, 1, "{key}: {reply:?}"),
+            (_, "no") => assert_eq!(seen, 0, "{key}: {reply:?}"),
+            (_, "unknown") => assert!(seen <= 1, "{key}: seen {seen} times, {reply:?}"),
+            _ => panic!("{key}: {reply:?}"),
+        }
+    }
+}
+
+/// Guards against a call that must not be repeated and runs twice, or runs although its refusal
+/// says that it did not, when the service, its agent or the connection fails.
+#[test]
+fn calls_that_must_not_be_repeated() {
+    let mut services = Services::start();
+    let reply = services.call(0, "plain", false);
+    assert_eq!((reply.status, services.seen("plain")), (200, 1), "{reply:?}");
+
+    services.faults(&json!({ "fail_every": 1 }));
+    let reply = services.call(0, "fails", false);
+    assert_eq!((reply.status, services.seen("fails")), (500, 1), "{reply:?}");
+
+    services.faults(&json!({ "break_after": 0 }));
+    let reply = services.call(0, "breaks", false);
+    assert_eq!((&*reply.run, services.seen("breaks")), ("unknown", 1), "{reply:?}");
+
+    services.faults(&json!({ "frozen": true }));
+    let reply = services.call(0, "stalls", false);
+    assert_eq!((&*reply.run, services.seen("stalls")), ("unknown", 1), "{reply:?}");
+    services.faults(&json!({}));
+
+    // The established flows of entry 0 go silent; new ones work.
+    services.call(0, "warm-a", false);
+    services.call(0, "warm-b", false);
+    services.relays.iter().for_each(|r| r.set(Fate::DropBoth));
+    let reply = services.call(0, "silent", false);
+    services.check("silent", &reply);
+    assert!(reply.status == 200 || reply.run == "no", "it never ran: {reply:?}");
+    // The agents get the call but their answers are lost, so that it may have run.
+    services.call(0, "warm-c", false);
+    services.call(0, "warm-d", false);
+    services.relays.iter().for_each(|r| r.set(Fate::DropToClient));
+    let reply = services.call(0, "mute", false);
+    services.check("mute", &reply);
+    assert_eq!(reply.run, "unknown", "{reply:?}");
+    services.relays.iter().for_each(|r| r.set(Fate::Pass));
+
+    services.faults(&json!({ "frozen": true }));
+    let calls: Vec<_> =
+        (0..4).map(|at| services.start_call(0, &format!("killed-{at}"), false)).collect();
+    (0..4).for_each(|at| services.await_seen(&format!("killed-{at}")));
+    services.fleet.kill("agent-0");
+    for (at, call) in calls.into_iter().enumerate() {
+        let reply = services.runtime.block_on(call).expect("task").expect("answer");
+        assert_eq!(reply.run, "unknown", "{reply:?}");
+        assert_eq!(services.seen(&format!("killed-{at}")), 1);
+    }
+}
+
+/// Guards against a second run of a call with a key when it is sent again through another entry,
+/// also after the first entry was lost before or after the call ran.
+#[test]
+fn keyed_calls_through_another_entry() {
+    let mut services = Services::start();
+    let first = services.call(0, "stored", true);
+    let again = services.call(1, "stored", true);
+    assert_eq!((first.status, &first.body), (200, &again.body), "{again:?}");
+    assert_eq!((again.status, services.seen("stored")), (200, 1));
+
+    // The first entry is lost while the service works on the call.
+    services.faults(&json!({ "frozen": true }));
+    let lost = services.start_call(0, "open", true);
+    services.await_seen("open");
+    let open = services.call(1, "open", true);
+    assert_eq!((open.status, &*open.run), (409, "unknown"), "{open:?}");
+    assert!(open.body.contains("no known outcome"), "{open:?}");
+    services.fleet.kill("entry-0");
+    assert!(services.runtime.block_on(lost).expect("task").is_err(), "the entry is gone");
+    let open = services.call(1, "open", true);
+    assert_eq!((open.status, &*open.run), (409, "unknown"), "{open:?}");
+    services.faults(&json!({}));
+    let open = services.call(1, "open", true);
+    assert_eq!((open.status, &*open.run, services.seen("open")), (409, "unknown", 1), "{open:?}");
+
+    // The first entry is lost before its attempt reaches the agent.
+    let known: Vec<usize> = services.relays.iter().map(Relay::sources).collect();
+    services.fleet.start_entry(0);
+    services.fleet.await_endpoints(0, 2);
+    let mut warm = 0;
+    services.fleet.until("entry 0 has connections", || {
+        warm += 1;
+        services.call(0, &format!("warm-{warm}"), false);
+        services.relays.iter().zip(&known).all(|(relay, known)| relay.sources() > *known)
+    });
+    for (relay, known) in services.relays.iter().zip(&known) {
+        relay.set_from(*known, Fate::DropToServer);
+    }
+    let lost = services.start_call(0, "never", true);
+    std::thread::sleep(Duration::from_millis(400));
+    services.fleet.kill("entry-0");
+    assert!(services.runtime.block_on(lost).expect("task").is_err(), "the entry is gone");
+    assert_eq!(services.seen("never"), 0);
+    let taken = services.call(1, "never", true);
+    services.check("never", &taken);
+    assert_eq!((taken.status, services.seen("never")), (200, 1), "{taken:?}");
+    assert!(services.fleet.log("entry-1").contains("claim passed on"), "the claim was taken over");
+}
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -3,9 +3,11 @@
 mod gate_script;
 
 use basilfield::gate;
+use basilfield::wire::Withdrawal;
 use gate::Class;
 use gate::Input;
 use gate::Output;
+use std::sync::Arc;
 use std::time::Duration;
 
 fn scenario(name: &str) {
@@ -156,3 +158,27 @@
     }
     gate.step(now * 60, Input::Tick);
 }
+
+/// Guards against a withdrawal in place of another entry that is not final, or that calls an
+/// attempt "never ran" although this process cannot know it.
+#[test]
+fn withdrawal_in_place_of_another_entry() {
+    let mut attempts = gate::attempts::Attempts::<()>::new(gate::attempts::Bounds::default());
+    let (lost, now) = (Arc::from("entry.1"), Duration::ZERO);
+    // The agent has restarted: it has not seen the connection on which the attempt went.
+    assert_eq!(attempts.take_over(now, 7, &lost, 3), Withdrawal::Running);
+    attempts.connect(&lost, 4);
+    assert_eq!(attempts.take_over(now, 7, &lost, 3), Withdrawal::Running);
+    // An attempt that is still under way is barred.
+    assert_eq!(attempts.take_over(now, 8, &lost, 4), Withdrawal::NeverRan);
+    assert_eq!(attempts.admit(8, &lost, 4), Err(gate::attempts::Denial::Withdrawn));
+    // A waiting attempt is withdrawn, a running one is not.
+    assert_eq!(attempts.admit(9, &lost, 4), Ok(()));
+    assert_eq!(attempts.take_over(now, 9, &lost, 4), Withdrawal::NeverRan);
+    assert!(!attempts.start(9));
+    assert_eq!(attempts.admit(10, &lost, 4), Ok(()));
+    assert!(attempts.start(10));
+    assert_eq!(attempts.take_over(now, 10, &lost, 4), Withdrawal::Running);
+    // The other attempts of the entry's connection are still admitted.
+    assert_eq!(attempts.admit(11, &lost, 4), Ok(()));
+}
--- a/tests/job_table.rs
+++ b/tests/job_table.rs
@@ -14,6 +14,7 @@
 use basilfield::jobs::message::ItemOutcome;
 use basilfield::jobs::message::JobState;
 use basilfield::jobs::message::NewItem;
+use basilfield::jobs::message::Sent;
 use basilfield::replica::Machine as _;
 use basilfield::wire::Lease;
 use proptest::prelude::*;
@@ -71,7 +72,8 @@
         8 => (job(), item, attempt.clone(), cause)
             .prop_map(|(job, item, attempt, cause)| Command::Attempt { job, item, attempt, cause }),
         4 => (text(), text(), attempt.clone()).prop_map(|(workspace, key, attempt)| {
-            Command::Claim { workspace, key, digest: 1, attempt, agent: "x".into() }
+            let sent = Sent { entry: "y".into(), connection: attempt };
+            Command::Claim { workspace, key, digest: 1, attempt, agent: "x".into(), sent }
         }),
         2 => (text(), text(), attempt, settled())
             .prop_map(|(workspace, key, attempt, outcome)| {
--- a/tests/jobgroup/mod.rs
+++ b/tests/jobgroup/mod.rs
@@ -15,6 +15,7 @@
 use basilfield::jobs::message::ClaimOutcome;
 use basilfield::jobs::message::ItemOutcome;
 use basilfield::jobs::message::NewItem;
+use basilfield::jobs::message::Sent;
 use basilfield::jobs::table::Change;
 use basilfield::replica::Machine as _;
 use basilfield::wire::Lease;
@@ -366,7 +367,8 @@
             "claim" => {
                 let (workspace, key) = path.split_once('/').ok_or("workspace/key")?;
                 let (workspace, key) = (workspace.into(), key.into());
-                let claim = Command::Claim { workspace, key, digest, attempt, agent: by };
+                let sent = Sent::default();
+                let claim = Command::Claim { workspace, key, digest, attempt, agent: by, sent };
                 self.reply(|group| group.propose(claim))
             }
             "settle" => {
--- a/tests/workdir/relay.rs
+++ b/tests/workdir/relay.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Sets the fate of the flows established so far, but for the first `known` ones.
+    pub fn set_from(&self, known: usize, fate: Fate) {
+        for flow in &self.flows.lock().unwrap()[known..] {
+            *flow.fate.lock().unwrap() = fate;
+        }
+    }
+
     /// Sets the fate of flows that are established later.
     pub fn set_later(&self, fate: Fate) {
         *self.later.lock().unwrap() = fate;
