Test drains under load and answers that break off everywhere

A drain of one of two engines under 20 requests per second must let no new work in after 1 s and cut nothing off; drains and resumes that are repeated must be answered as unchanged, and a repeated id like the first time. When each engine breaks off after five tokens, a stream must end with an error event and without its last event, and a whole answer must be refused with run unknown.

--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -294,3 +294,83 @@
     assert_eq!((taken.status, services.seen("never")), (200, 1), "{taken:?}");
     assert!(services.fleet.log("entry-1").contains("claim passed on"), "the claim was taken over");
 }
+
+/// Guards against a drain that cuts work off or lets new work in after 1 s, and against repeated
+/// drains and resumes that change the state or are not explained.
+#[test]
+fn drain_under_load() {
+    let runtime = runtime();
+    let mut fleet = Fleet::prepare(1);
+    fleet.start_state(0);
+    (0..2).for_each(|at| fleet.start_agent(at));
+    fleet.start_entry(0);
+    let engines: Vec<SocketAddr> = (0..2).map(|at| fleet.start_engine(at, &[])).collect();
+    fleet.await_endpoints(0, 2);
+    fleet.create_workspace();
+    let requests = || {
+        let stats = runtime.block_on(online::endpoint(engines[0], "/stats", None));
+        stats["requests"].as_u64().expect("requests")
+    };
+    let operate = |operation: &str, id: &str| {
+        let client = fleet.client(0, workdir::OPERATOR_KEY);
+        let body = json!({ "id": id, "target": "agent-0.engine" });
+        let answer = workdir::run(client.post(&format!("/admin/{operation}"), &body));
+        let answer = answer.expect("answer");
+        assert!(answer.is_ok(), "{operation} {id}: {}", answer.json());
+        let json = answer.json();
+        assert!(json["message"].as_str().is_some_and(|m| !m.is_empty()), "explained: {json}");
+        json["outcome"].as_str().unwrap_or_default().to_string()
+    };
+    let load = online::load(fleet.url(0), 8, Duration::from_millis(50), 5 * SECOND);
+    let load = runtime.spawn(load);
+    std::thread::sleep(SECOND);
+    assert!(requests() > 0, "the engine takes part in the load");
+    assert_eq!(operate("drain", "first"), "accepted");
+    std::thread::sleep(SECOND);
+    let after = requests();
+    assert_eq!(operate("drain", "second"), "unchanged");
+    // The same id is answered like the first time.
+    assert_eq!(operate("drain", "first"), "accepted");
+    std::thread::sleep(SECOND);
+    assert_eq!(requests(), after, "no new work 1 s after the drain");
+    assert_eq!(operate("resume", "third"), "accepted");
+    assert_eq!(operate("resume", "fourth"), "unchanged");
+    let calls = runtime.block_on(load).expect("load");
+    let bad: Vec<String> = calls.iter().filter_map(|c| c.check().err()).collect();
+    assert!(bad.is_empty(), "{bad:#?}");
+    assert!(requests() > after, "the engine takes part again");
+    assert!(!fleet.log("entry-0").contains("stream resumed elsewhere"), "nothing was cut off");
+}
+
+/// Guards against a truncated answer that looks whole when every engine breaks off.
+#[test]
+fn truncated_answers() {
+    let mut fleet = Fleet::prepare(1);
+    fleet.start_state(0);
+    (0..2).for_each(|at| fleet.start_agent(at));
+    fleet.start_entry(0);
+    (0..2).for_each(|at| {
+        fleet.start_engine(at, &["--faults", "{\"break_after\": 5}"]);
+    });
+    fleet.await_endpoints(0, 2);
+    fleet.create_workspace();
+    let runtime = runtime();
+    let send = |content: &str, stream: bool| {
+        let body = online::chat(content, 40, stream).to_string();
+        let url = fleet.url(0);
+        runtime.block_on(online::send(&url, "/v1/chat/completions", &[], body)).expect("answer")
+    };
+    for at in 0..5 {
+        let content = format!("hem {at}");
+        let reply = send(&content, true);
+        assert_eq!(reply.status, 200, "{reply:?}");
+        let (text, done) = online::streamed_text(&reply.body);
+        assert!(!done && online::expected(&content, 40).starts_with(&text), "{reply:?}");
+        assert!(!text.is_empty(), "some text was passed on: {reply:?}");
+        let last = reply.body.trim_end().rsplit("\n\n").next().unwrap_or_default();
+        assert!(last.starts_with("event: error\ndata: "), "{reply:?}");
+        assert!(last.contains("\"run\":\"unknown\""), "{reply:?}");
+        let reply = send(&content, false);
+        assert_eq!((reply.status, &*reply.run), (502, "unknown"), "{reply:?}");
+    }
+}
