--- a/tests/job_table.rs
+++ b/tests/job_table.rs
@@ -18,6 +18,7 @@
 use basilfield::replica::Machine as _;
 use basilfield::wire::Lease;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -141,14 +142,20 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        // The verdict is the same on every run.
+        rng_seed: RngSeed::Fixed(0x10b5),
+        ..Default::default()
+    })]
 
     /// Guards against replicas that diverge, or state that a snapshot leaves out.
     #[test]
     fn replay_from_any_snapshot(log in log(), cut in any::<prop::sample::Index>()) {
         let cut = cut.index(log.len() + 1);
         let (mut first, mut second) = (Table::default(), Table::default());
-        // The content that a restore replaces must not shine through.
+        // The content that a restore replaces must not remain.
         second.apply(1, &log.last().cloned().unwrap_or_default());
         for (index, entry) in log.iter().enumerate().take(cut) {
             first.apply(index as u64 + 1, entry);
@@ -316,3 +323,23 @@
     }
     assert_eq!((done.len(), state(&table, &job)), (600, Some(JobState::Finished)));
 }
+
+/// Guards against an answer to a pull that exceeds the largest frame.
+#[test]
+fn grants_fit_into_a_frame() {
+    let mut table = Table::default();
+    let job = Id::of("w", "k").name();
+    let (workspace, key) = ("w".into(), "k".into());
+    let open = Command::Open { workspace, key, digest: 1, model: "m".into(), due: 0, total: 4 };
+    let item = |n: u32| NewItem { custom: n.to_string().into(), body: vec![0; 3 << 20].into() };
+    let chunk = |seq| Command::Chunk { job: job.clone(), seq, items: vec![item(seq)] };
+    let seal = Command::Seal { job: job.clone() };
+    for command in std::iter::once(open).chain((0..4).map(chunk)).chain([seal]) {
+        table.apply(1, &Stamped { clock: 0, command }.encode());
+    }
+    complete(&mut table, &job, 0, Vec::new());
+    let lease = |item| Lease { job: job.clone(), item, attempt: 1 };
+    let grants = table.grants(&[0, 1, 2, 3].map(lease));
+    assert_eq!(grants.items.iter().map(|g| g.lease.item).collect::<Vec<_>>(), [1, 2]);
+    assert_eq!(grants.rest, [lease(3)]);
+}
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -10,6 +10,7 @@
 use basilfield::replica::formation::Cause;
 use basilfield::replica::formation::Decision;
 use network::Network;
+use std::time::Duration;
 
 /// Guards against a single member that waits for others.
 #[test]
@@ -69,6 +70,11 @@
     net.start(lost);
     net.run(300);
     let leader = net.await_leader();
+    let body = replica::Message::PreVote { last: 1000, last_term: 1000 };
+    let to = net.hosts[leader].id;
+    let envelope = replica::Envelope { group: 1, from: old, to, term: 1001, body };
+    let running = net.hosts[leader].replica.as_mut().expect("runs");
+    assert_eq!(running.step(net.now, Input::Message(envelope)), [], "a removed replica is ignored");
     let again = replica::Member { id: old, host: "x".into(), role: replica::MemberRole::Learner };
     let refused = net.change(leader, MemberChange::AddLearner(again));
     net.run(1);
@@ -135,3 +141,93 @@
     net.check_converged();
     assert!(net.hosts[first].ledger.commands.is_empty());
 }
+
+/// Guards against repeated orders to form a group that restart its election each time.
+#[test]
+fn repeated_order_does_not_restart_election() {
+    let net = &mut Network::new(3, 1);
+    let (now, members) = (net.now, net.membership());
+    let replica = net.hosts[0].replica.as_mut().expect("runs");
+    assert!(!replica.step(now, Input::Form(members.clone())).is_empty());
+    assert!(replica.step(now, Input::Form(members)).is_empty());
+}
+
+/// Guards against a new leader that does not count what its predecessors left uncommitted.
+#[test]
+fn uncommitted_entries_of_earlier_leaders_count() {
+    let members = replica::Membership::of_voters([(1, "a".into())]);
+    let command = replica::Payload::Command(vec![0; replica::MAX_COMMAND].into());
+    let payloads = [replica::Payload::Members(members)].into_iter();
+    let payloads = payloads.chain(std::iter::repeat_n(command, 8));
+    let entry = |(at, payload)| replica::Entry { index: at as u64 + 1, term: 1, payload };
+    let entries = payloads.enumerate().map(entry).collect();
+    let hard = replica::HardState { term: 1, vote: None, commit: 0 };
+    let restored = replica::Restored { hard, snapshot: None, entries };
+    let second = Duration::from_secs(1);
+    let config = replica::Config { group: 1, id: 1, heartbeat: second, election: second, seed: 1 };
+    let mut replica = replica::Replica::new(config, restored, Duration::ZERO);
+    replica.step(second * 3, Input::Tick);
+    assert_eq!(replica.role(), replica::Role::Leader);
+    let propose = || Input::Propose { token: 1, command: "a".into() };
+    let busy = Output::Refused { token: 1, reason: replica::Refusal::Busy };
+    assert!(replica.step(second * 3, propose()).contains(&busy));
+    replica.step(second * 3, Input::Synced { index: replica.last() });
+    assert!(!replica.step(second * 3, propose()).contains(&busy));
+}
+
+/// Guards against a snapshot of several chunks that is put together wrongly when chunks are lost,
+/// repeated or reordered. The network compares the restored machine with the history.
+#[test]
+fn chunks_survive_a_bad_network() {
+    let mut net = Network::new(3, 1);
+    net.compaction = 1000;
+    let leader = net.form();
+    let behind = (leader + 1) % 3;
+    net.kill(behind, 0);
+    for n in 0..6000u32 {
+        net.propose(leader, n.to_le_bytes().repeat(100));
+        if n % 500 == 0 {
+            net.tick();
+        }
+    }
+    net.run(100);
+    net.faults = network::Faults { loss: 15, duplicate: 25, delay: 4 };
+    net.start(behind);
+    net.run(500);
+    assert_eq!(net.installed, 1);
+    net.faults = network::Faults { loss: 0, duplicate: 0, delay: 1 };
+    net.run(100);
+    net.check_converged();
+}
+
+/// Guards against membership changes that risk the quorum or the log.
+#[test]
+fn unsafe_changes_are_refused() {
+    use replica::ChangeRefusal;
+    let mut net = Network::new(3, 1);
+    let leader = net.form();
+    let own = net.hosts[leader].id;
+    let others: Vec<u64> = net.hosts.iter().map(|h| h.id).filter(|id| *id != own).collect();
+    let new = |id| replica::Member { id, host: "new".into(), role: replica::MemberRole::Voter };
+    let mut refused = |changes: &[MemberChange]| {
+        let tokens: Vec<u64> = changes.iter().map(|c| net.change(leader, c.clone())).collect();
+        net.run(100);
+        let last = tokens.last().and_then(|token| net.requests.refused.get(token));
+        last.cloned()
+    };
+    let expect = |reason| Some(replica::Refusal::Change(reason));
+    let add = MemberChange::AddLearner(new(9));
+    assert_eq!(refused(&[MemberChange::Remove(8)]), expect(ChangeRefusal::Absent));
+    assert_eq!(refused(&[MemberChange::Promote(own)]), expect(ChangeRefusal::Present));
+    // The second change has to wait for the first one.
+    let both = [add.clone(), MemberChange::Remove(others[0])];
+    assert_eq!(refused(&both), expect(ChangeRefusal::Pending));
+    assert_eq!(refused(&[add]), expect(ChangeRefusal::Present));
+    // The learner has never answered.
+    assert_eq!(refused(&[MemberChange::Promote(9)]), expect(ChangeRefusal::Behind));
+    net.kill(net.hosts.iter().position(|h| h.id == others[0]).expect("host"), 0);
+    net.run(100);
+    let token = net.change(leader, MemberChange::Remove(others[1]));
+    net.run(1);
+    assert_eq!(net.requests.refused.get(&token).copied(), expect(ChangeRefusal::Quorum));
+}
