--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -13,6 +13,7 @@
 use basilfield::replica;
 use basilfield::replica::Machine as _;
 use basilfield::router;
+use basilfield::state::directory::Directory;
 use basilfield::state::group;
 use basilfield::state::nodes::Nodes;
 use basilfield::state::service::Service as _;
@@ -322,7 +323,7 @@
 }
 
 fn nodes(count: u32) -> Nodes {
-    let mut nodes = Nodes::new();
+    let mut nodes = Nodes::new(Directory::default());
     for (index, number) in (1..).zip(0..count) {
         nodes.machine().apply(index, &join(number));
     }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::completion;
 use crate::entry;
+use crate::entry::begun;
 use crate::errors;
 use crate::event;
 use crate::events;
@@ -13,18 +14,15 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time;
-use xxhash_rust::xxh3;
 
 /// Longest wait for the answer to a withdrawal on one connection.
-const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(800);
+pub const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(800);
 /// Connections on which a withdrawal is tried before the agent counts as lost.
-const WITHDRAW_TRIES: u32 = 2;
+pub const WITHDRAW_TRIES: u32 = 2;
 /// Time beyond the deadline for which an agent may still refuse by itself.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 /// Most attempts for one request.
 const MAX_ATTEMPTS: usize = 4;
-/// Largest answer that is not streamed, in bytes.
-const MAX_ANSWER: usize = 32 << 20;
 /// Parts of a streamed answer that may wait for a slow caller.
 const STREAM_BUFFER: usize = 64;
 /// Retry hint when an agent was lost, in milliseconds.
@@ -53,8 +51,6 @@
     pub deadline: time::Instant,
     /// Hash of the prompt's beginning, for prefix affinity.
     pub prefix: u64,
-    /// Id of the first attempt, if it was claimed before dispatch.
-    pub claimed: Option<u64>,
 }
 
 /// Final refusal or failure of a request.
@@ -103,16 +99,6 @@
     Unknown { reason: wire::Reason },
 }
 
-/// Answer that has begun.
-struct Begun {
-    stream: link::Stream,
-    status: u16,
-    content: Arc<str>,
-    next: u32,
-    digest: xxh3::Xxh3,
-    stall: Duration,
-}
-
 /// Runs a request: tries agents until one answers or nothing more may be tried.
 pub async fn run(entry: &entry::Entry, call: Call) -> Result<Answer, Refusal> {
     let mut tries = Tries::new(entry, call);
@@ -131,7 +117,11 @@
 }
 
 /// Reads an answer that is not streamed; nothing of it is passed on before its end is verified.
-async fn whole(mut tries: Tries, mut agent: Arc<str>, mut begun: Begun) -> Result<Answer, Refusal> {
+async fn whole(
+    mut tries: Tries,
+    mut agent: Arc<str>,
+    mut begun: begun::Begun,
+) -> Result<Answer, Refusal> {
     loop {
         let (status, content) = (begun.status, begun.content.clone());
         match begun.rest().await {
@@ -152,25 +142,31 @@
 async fn forward(
     mut tries: Tries,
     mut agent: Arc<str>,
-    mut begun: Begun,
+    mut begun: begun::Begun,
     sender: mpsc::Sender<Result<Bytes, Refusal>>,
 ) {
     let mut progress = completion::Progress::default();
     loop {
-        let reason = match begun.pass(&sender, &mut progress).await {
-            Passed::Complete => {
+        let reason = match begun.pass(&tries.entry, &agent, &sender, &mut progress).await {
+            begun::Passed::Complete => {
                 tries.succeeded(&agent);
                 begun.received();
                 return;
             }
             // Dropping the stream cancels the attempt at the agent.
-            Passed::CallerGone => {
+            begun::Passed::CallerGone => {
                 tries.entry.observe(&agent, router::Observation::Abandoned);
                 return;
             }
-            Passed::Broken(reason) => reason,
+            begun::Passed::Broken(reason) => reason,
         };
         tries.failed(&agent, &Failure::Unknown { reason });
+        if !progress.is_resumable() {
+            let retry = Duration::from_millis(LOST_RETRY);
+            let refusal = Refusal { reason, run: tries.run, retry };
+            let _ = sender.send(Err(refusal)).await;
+            return;
+        }
         match tries.begin(Some(&progress)).await {
             Ok(next) => {
                 event!(tries.entry.log, events::RESUMED; "from" => &*agent, "to" => &*next.0);
@@ -184,8 +180,20 @@
     }
 }
 
+/// Attempt that has an id, an agent and a connection, but was not sent yet.
+pub struct Prepared {
+    /// Id of the attempt.
+    pub id: u64,
+    /// Agent that it goes to.
+    pub agent: Arc<str>,
+    /// Number of the connection that will carry it.
+    pub connection: u64,
+    agent_link: entry::AgentLink,
+    stream: link::Stream,
+}
+
 /// Attempts made for one request.
-struct Tries {
+pub struct Tries {
     entry: entry::Entry,
     call: Call,
     tried: Vec<Arc<str>>,
@@ -195,7 +203,8 @@
 }
 
 impl Tries {
-    fn new(entry: &entry::Entry, call: Call) -> Tries {
+    /// Starts without any attempt.
+    pub fn new(entry: &entry::Entry, call: Call) -> Tries {
         let entry = entry.clone();
         Tries { entry, call, tried: Vec::new(), run: wire::Run::No, last: None }
     }
@@ -204,7 +213,7 @@
     async fn begin(
         &mut self,
         resume: Option<&completion::Progress>,
-    ) -> Result<(Arc<str>, Begun), Refusal> {
+    ) -> Result<(Arc<str>, begun::Begun), Refusal> {
         loop {
             self.may_try()?;
             let agent = self.pick()?;
@@ -220,6 +229,44 @@
         }
     }
 
+    /// Chooses an agent that can be reached, without sending it anything of the request.
+    pub async fn prepare(&mut self) -> Result<Prepared, Refusal> {
+        loop {
+            self.may_try()?;
+            let agent = self.pick()?;
+            self.tried.push(agent.clone());
+            match self.connect(&agent).await {
+                Ok(prepared) => return Ok(prepared),
+                Err(failure) => self.failed(&agent, &failure),
+            }
+        }
+    }
+
+    /// Sends a prepared attempt and reads its whole answer. Makes no other attempt.
+    pub async fn send(&mut self, prepared: Prepared) -> Result<Answer, Refusal> {
+        let agent = prepared.agent.clone();
+        let failure = match self.dispatch(prepared, None).await {
+            Ok(mut begun) => {
+                let (status, content) = (begun.status, begun.content.clone());
+                match begun.rest().await {
+                    Ok(body) => {
+                        self.succeeded(&agent);
+                        begun.received();
+                        return Ok(Answer::Whole { status, content, body });
+                    }
+                    Err(reason) => Failure::Unknown { reason },
+                }
+            }
+            Err(failure) => failure,
+        };
+        self.failed(&agent, &failure);
+        let (reason, retry) = match failure {
+            Failure::NotRun { reason, retry } => (reason, retry),
+            Failure::Unknown { reason } => (reason, Duration::from_millis(LOST_RETRY)),
+        };
+        Err(Refusal { reason, run: self.run, retry })
+    }
+
     /// Checks whether a further attempt is permitted.
     fn may_try(&self) -> Result<(), Refusal> {
         let Some(last) = &self.last else { return Ok(()) };
@@ -266,6 +313,8 @@
 
     fn failed(&mut self, agent: &str, failure: &Failure) {
         let event = match failure {
+            // Not reached at all: a refusal would only delay the next request that waits for it.
+            Failure::NotRun { reason: wire::Reason::AgentLost, .. } => router::Observation::Failed,
             Failure::NotRun { reason, retry } => {
                 router::Observation::Refused { reason: *reason, retry: *retry }
             }
@@ -290,25 +339,37 @@
         &mut self,
         agent: &str,
         resume: Option<&completion::Progress>,
-    ) -> Result<Begun, Failure> {
-        let lost = |reason| Failure::NotRun { reason, retry: Duration::from_millis(LOST_RETRY) };
-        let body = match resume {
-            Some(progress) => {
-                progress.request(&self.call.body).map_err(|_| lost(wire::Reason::Invalid))?
-            }
-            None => self.call.body.clone(),
-        };
-        let Some(agent_link) = self.entry.dialer(agent) else {
-            return Err(lost(wire::Reason::AgentLost));
+    ) -> Result<begun::Begun, Failure> {
+        let prepared = self.connect(agent).await?;
+        self.dispatch(prepared, resume).await
+    }
+
+    async fn connect(&self, agent: &str) -> Result<Prepared, Failure> {
+        let lost = || Failure::NotRun {
+            reason: wire::Reason::AgentLost,
+            retry: Duration::from_millis(LOST_RETRY),
         };
         self.entry.observe(agent, router::Observation::Started);
+        let agent_link = self.entry.dialer(agent).ok_or_else(lost)?;
         let opened = agent_link.open(&self.entry.incarnation).await;
-        let Ok((mut stream, connection)) = opened else {
-            return Err(lost(wire::Reason::AgentLost));
+        let (stream, connection) = opened.map_err(|_| lost())?;
+        Ok(Prepared { id: rand::random(), agent: agent.into(), connection, agent_link, stream })
+    }
+
+    async fn dispatch(
+        &mut self,
+        prepared: Prepared,
+        resume: Option<&completion::Progress>,
+    ) -> Result<begun::Begun, Failure> {
+        let Prepared { id, agent, connection, agent_link, mut stream } = prepared;
+        let body = match resume {
+            Some(progress) => progress.resume(&self.call.body).map_err(|_| Failure::NotRun {
+                reason: wire::Reason::Invalid,
+                retry: Duration::ZERO,
+            })?,
+            None => self.call.body.clone(),
         };
         let left = self.call.deadline.saturating_duration_since(time::Instant::now());
-        // A claimed id is used for the first attempt only: later ones have ids of their own.
-        let id = self.call.claimed.take().unwrap_or_else(rand::random);
         let attempt = wire::Attempt {
             id,
             entry: self.entry.incarnation.clone(),
@@ -323,21 +384,16 @@
             body,
             stream: self.call.stream,
         };
-        let begun = self.exchange(agent, &mut stream, attempt, left).await;
+        let begun = self.exchange(&agent, &mut stream, attempt, left).await;
         match begun {
-            Ok((status, content)) => Ok(Begun {
-                stream,
-                status,
-                content,
-                next: 0,
-                digest: xxh3::Xxh3::new(),
-                stall: self.entry.stall,
-            }),
+            Ok((status, content)) => {
+                Ok(begun::Begun::new(stream, status, content, self.entry.stall, resume.is_some()))
+            }
             Err(Step::Refused(failure)) => Err(failure),
             // Silence before admission was seen: ask whether it ran.
             Err(Step::Silent(reason)) => {
                 drop(stream);
-                Err(self.withdraw(agent, &agent_link, connection, id, reason).await)
+                Err(self.withdraw(&agent, &agent_link, connection, id, reason).await)
             }
             Err(Step::Broken(reason)) => Err(Failure::Unknown { reason }),
         }
@@ -363,7 +419,10 @@
             Ok(Ok(_)) | Ok(Err(_)) => return Err(Step::Silent(wire::Reason::AgentLost)),
             Err(_) => return Err(Step::Silent(wire::Reason::Deadline)),
         }
-        let limit = left.max(self.entry.stall) + DEADLINE_MARGIN;
+        // A streamed answer begins with its first token, so that silence shows early. Other answers
+        // begin when they are complete.
+        let limit = if self.call.stream { self.entry.stall } else { left.max(self.entry.stall) };
+        let limit = limit + DEADLINE_MARGIN;
         match time::timeout(limit, stream.recv::<wire::Reply>()).await {
             Ok(Ok(Some(wire::Reply::Head { status, content }))) => Ok((status, content)),
             Ok(Ok(Some(wire::Reply::Broken { reason }))) => Err(Step::Broken(reason)),
@@ -429,105 +488,3 @@
     /// It broke off after admission.
     Broken(wire::Reason),
 }
-
-/// How the passing on of a streamed answer ended.
-enum Passed {
-    /// The end was verified and passed on.
-    Complete,
-    /// The caller closed its connection.
-    CallerGone,
-    /// The answer broke off.
-    Broken(wire::Reason),
-}
-
-impl Begun {
-    fn is_events(&self) -> bool {
-        self.status == 200 && self.content.starts_with("text/event-stream")
-    }
-
-    /// Next verified part; `None` at a valid end.
-    async fn part(&mut self) -> Result<Option<Bytes>, wire::Reason> {
-        match time::timeout(self.stall, self.stream.recv::<wire::Reply>()).await {
-            Ok(Ok(Some(wire::Reply::Chunk { seq, data }))) if seq == self.next => {
-                self.next += 1;
-                self.digest.update(&data);
-                Ok(Some(data))
-            }
-            Ok(Ok(Some(wire::Reply::End { count, digest })))
-                if count == self.next && digest == self.digest.digest() =>
-            {
-                Ok(None)
-            }
-            Ok(Ok(Some(wire::Reply::Broken { reason }))) => Err(reason),
-            Ok(_) => Err(wire::Reason::AgentLost),
-            Err(_) => Err(wire::Reason::Stalled),
-        }
-    }
-
-    /// Tells the agent that the whole answer has arrived, so that it may forget the attempt.
-    fn received(mut self) {
-        tokio::spawn(async move {
-            // A lost note only makes later withdrawals on this connection less certain.
-            let _ = self.stream.send(&wire::Request::Received).await;
-            self.stream.finish();
-        });
-    }
-
-    async fn rest(&mut self) -> Result<Bytes, wire::Reason> {
-        let mut all = Vec::new();
-        while let Some(part) = self.part().await? {
-            if all.len() + part.len() > MAX_ANSWER {
-                return Err(wire::Reason::Invalid);
-            }
-            all.extend_from_slice(&part);
-        }
-        Ok(all.into())
-    }
-
-    async fn pass(
-        &mut self,
-        sender: &mpsc::Sender<Result<Bytes, Refusal>>,
-        progress: &mut completion::Progress,
-    ) -> Passed {
-        // The last event tells the caller that the answer is whole, so it waits for the end.
-        let mut last: Option<Bytes> = None;
-        loop {
-            match self.part().await {
-                Ok(Some(part)) => {
-                    if is_last(&part) {
-                        last = Some(part);
-                        continue;
-                    }
-                    note(progress, &part);
-                    if sender.send(Ok(part)).await.is_err() {
-                        return Passed::CallerGone;
-                    }
-                }
-                Ok(None) => match last {
-                    Some(part) => {
-                        let _ = sender.send(Ok(part)).await;
-                        return Passed::Complete;
-                    }
-                    None => return Passed::Broken(wire::Reason::EndpointFailed),
-                },
-                Err(reason) => return Passed::Broken(reason),
-            }
-        }
-    }
-}
-
-/// Data of the single event in a part.
-fn event_data(part: &[u8]) -> Option<&str> {
-    std::str::from_utf8(part).ok()?.strip_prefix("data: ").map(str::trim_end)
-}
-
-fn is_last(part: &[u8]) -> bool {
-    event_data(part) == Some(completion::LAST_EVENT)
-}
-
-fn note(progress: &mut completion::Progress, part: &[u8]) {
-    if let Some(data) = event_data(part) {
-        // An event that is not understood is passed on all the same.
-        let _ = progress.event(data);
-    }
-}
--- a/src/jobs/claims.rs
+++ b/src/jobs/claims.rs
@@ -14,6 +14,7 @@
     digest: u64,
     attempt: u64,
     agent: Arc<str>,
+    sent: message::Sent,
     outcome: Option<message::ClaimOutcome>,
     /// Attempts that were withdrawn. A late duplicate of their claim must not pass.
     withdrawn: Vec<u64>,
@@ -50,6 +51,7 @@
             Some(message::ClaimOutcome::NeverRan) => {
                 claim.attempt = new.attempt;
                 claim.agent = new.agent;
+                claim.sent = new.sent;
                 claim.outcome = None;
                 claim.changed = clock;
                 self.expiry.push(clock, id);
@@ -66,6 +68,7 @@
             digest: new.digest,
             attempt: new.attempt,
             agent: new.agent,
+            sent: new.sent,
             outcome: None,
             withdrawn: Vec::new(),
             changed: clock,
@@ -114,6 +117,7 @@
             digest: claim.digest,
             attempt: claim.attempt,
             agent: claim.agent.clone(),
+            sent: claim.sent.clone(),
             outcome: claim.outcome.clone(),
         })
     }
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -126,8 +126,8 @@
             message::Command::Attempt { job, item, attempt, cause } => {
                 self.attempt(&job, item, attempt, cause)
             }
-            message::Command::Claim { workspace, key, digest, attempt, agent } => {
-                let new = message::ClaimStatus { digest, attempt, agent, outcome: None };
+            message::Command::Claim { workspace, key, digest, attempt, agent, sent } => {
+                let new = message::ClaimStatus { digest, attempt, agent, sent, outcome: None };
                 Ok(self.state.claims.claim(id::Id::of(&workspace, &key), new, self.state.clock))
             }
             message::Command::Settle { workspace, key, attempt, outcome } => {
