--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -6,6 +6,7 @@
 use crate::api;
 use crate::cmd;
 use crate::entry::batches;
+use crate::entry::items;
 use serde_json::Value;
 use serde_json::json;
 use std::path::PathBuf;
@@ -162,7 +163,7 @@
     let first = usize::try_from(opened["next"].as_u64().unwrap_or_default()).unwrap_or(0);
     let progress = bar(lines.len(), "uploading");
     let mut before = 0;
-    for (seq, chunk) in batches::chunks(lines.to_vec(), |l| l.len()).iter().enumerate() {
+    for (seq, chunk) in items::chunks(lines.to_vec(), |l| l.len()).iter().enumerate() {
         if seq >= first {
             let path = format!("/v1/jobs/{job}/items?seq={seq}");
             let answer = client.send("POST", &path, chunk.join("\n")).await?;
--- a/src/entry/batches.rs
+++ b/src/entry/batches.rs
@@ -5,6 +5,7 @@
 
 use crate::catalog;
 use crate::entry;
+use crate::entry::items;
 use crate::entry::online;
 use crate::entry::refusal;
 use crate::event;
@@ -26,10 +27,6 @@
 
 /// Longest wait for the state hosts.
 const STATE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Most items in one chunk.
-pub const CHUNK_ITEMS: usize = 1_000;
-/// Largest chunk in bytes, unless a single item is larger.
-const CHUNK_BYTES: usize = 1 << 20;
 /// Most items of one job.
 const MAX_ITEMS: u32 = 200_000;
 /// Results in one page at most. A page also ends early when its bodies are large.
@@ -38,8 +35,6 @@
 pub const MAX_DUE: u64 = 30 * 86_400_000;
 /// Due time of jobs without one: a day, in milliseconds.
 const DEFAULT_DUE: u64 = 86_400_000;
-/// Path that items may name.
-pub(super) const ITEM_URL: &str = "/v1/chat/completions";
 
 /// Routes of the job API.
 pub fn routes() -> axum::Router<entry::Entry> {
@@ -153,7 +148,7 @@
     if total == 0 || total > MAX_ITEMS {
         return Err(refusal::invalid(format!("`total` must be from 1 to {MAX_ITEMS}")));
     }
-    let plan = entry.follower.read(|c| plan(c, workspace, &model));
+    let plan = entry.follower.read(|c| items::plan(c, workspace, &model));
     let due = due.or(plan.as_ref().map(|p| p.due)).unwrap_or(DEFAULT_DUE);
     if due > MAX_DUE {
         return Err(refusal::invalid(format!("`due` must be at most {MAX_DUE} ms")));
@@ -179,8 +174,8 @@
         Ok(owned) => owned,
         Err(response) => return response,
     };
-    let plans = entry.follower.read(|c| plans(c, &workspace.name));
-    let items = match parse_items(&body, &status.model, &plans) {
+    let plans = entry.follower.read(|c| items::plans(c, &workspace.name));
+    let items = match items::parse_items(&body, &status.model, &plans) {
         Ok(items) => items,
         Err(message) => return refusal::invalid(message),
     };
@@ -205,113 +200,6 @@
     }
 }
 
-/// Splits parts of a submission into chunks. The split depends on their sizes in bytes only, so
-/// that an interrupted upload finds the same chunks again.
-pub fn chunks<T>(parts: Vec<T>, size: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
-    let mut chunks: Vec<Vec<T>> = Vec::new();
-    let mut bytes = 0;
-    for part in parts {
-        let added = size(&part);
-        let full = chunks.last().is_none_or(|c| c.len() >= CHUNK_ITEMS);
-        if full || bytes + added > CHUNK_BYTES {
-            chunks.push(Vec::new());
-            bytes = 0;
-        }
-        bytes += added;
-        if let Some(chunk) = chunks.last_mut() {
-            chunk.push(part);
-        }
-    }
-    chunks
-}
-
-/// Batch plans of a workspace.
-pub(super) fn plans(
-    catalog: &catalog::Catalog,
-    workspace: &str,
-) -> Vec<catalog::documents::BatchPlan> {
-    let all = catalog.config().kind(catalog::Kind::BatchPlan);
-    let own = all.filter_map(|stored| match &stored.document.body {
-        catalog::Body::BatchPlan(p) if *p.workspace == *workspace => Some(p.clone()),
-        _ => None,
-    });
-    own.collect()
-}
-
-fn plan(
-    catalog: &catalog::Catalog,
-    workspace: &str,
-    name: &str,
-) -> Option<catalog::documents::BatchPlan> {
-    let stored = catalog.config().get(&catalog::Name::new(catalog::Kind::BatchPlan, name))?;
-    match &stored.document.body {
-        catalog::Body::BatchPlan(p) if *p.workspace == *workspace => Some(p.clone()),
-        _ => None,
-    }
-}
-
-/// Parses a chunk of JSON lines. Errors name the line within the chunk.
-fn parse_items(
-    body: &[u8],
-    model: &str,
-    plans: &[catalog::documents::BatchPlan],
-) -> Result<Vec<jobs::message::NewItem>, String> {
-    let text = std::str::from_utf8(body).map_err(|_| "the chunk is not valid UTF-8")?;
-    let lines = parse_lines(text, model, plans)?;
-    let items: Vec<jobs::message::NewItem> = lines.into_iter().map(|(_, item)| item).collect();
-    if items.is_empty() || items.len() > CHUNK_ITEMS {
-        return Err(format!("a chunk must have 1 to {CHUNK_ITEMS} items, not {}", items.len()));
-    }
-    Ok(items)
-}
-
-/// Parses JSON lines into items, each with the length of its line. Errors name the line.
-pub(super) fn parse_lines(
-    text: &str,
-    model: &str,
-    plans: &[catalog::documents::BatchPlan],
-) -> Result<Vec<(usize, jobs::message::NewItem)>, String> {
-    let lines = text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty());
-    let parse = |(at, line): (usize, &str)| {
-        let item = parse_item(line, model, plans);
-        item.map(|item| (line.len(), item)).map_err(|e| format!("line {}: {e}", at + 1))
-    };
-    lines.map(parse).collect()
-}
-
-fn parse_item(
-    line: &str,
-    model: &str,
-    plans: &[catalog::documents::BatchPlan],
-) -> Result<jobs::message::NewItem, String> {
-    let mut value: Value =
-        serde_json::from_str(line).map_err(|e| format!("not valid JSON: {e}"))?;
-    let custom = match value["custom_id"].as_str() {
-        Some(custom) if !custom.is_empty() => Arc::from(custom),
-        _ => return Err("the field `custom_id` is missing".into()),
-    };
-    if let Some(url) = value["url"].as_str().filter(|u| *u != ITEM_URL) {
-        return Err(format!("`url` is {url:?}; only {ITEM_URL:?} can be run in batch"));
-    }
-    let mut body = value["body"].take();
-    if !body.is_object() {
-        return Err("the field `body` is missing or not an object".into());
-    }
-    let named = body["model"].as_str().unwrap_or(model).to_string();
-    let plan = plans.iter().find(|p| *p.name == *named);
-    let resolved = plan.map(|p| &*p.model).unwrap_or(&named);
-    if resolved != model {
-        return Err(format!("the model is {named:?}; every item of this job needs {model:?}"));
-    }
-    if let Some(plan) = plan {
-        let most = u64::from(plan.tokens);
-        let asked = body["max_tokens"].as_u64().unwrap_or(most);
-        body["max_tokens"] = asked.min(most).into();
-    }
-    body["model"] = model.into();
-    Ok(jobs::message::NewItem { custom, body: body.to_string().into() })
-}
-
 async fn seal(
     extract::State(entry): extract::State<entry::Entry>,
     extract::Path(job): extract::Path<String>,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 pub mod batches;
 pub mod begun;
 pub mod claims;
+pub mod items;
 pub mod online;
 pub mod openai;
 pub mod refusal;
--- a/src/entry/openai.rs
+++ b/src/entry/openai.rs
@@ -8,6 +8,7 @@
 
 use crate::entry;
 use crate::entry::batches;
+use crate::entry::items;
 use crate::entry::refusal;
 use crate::jobs;
 use axum::Json;
@@ -114,10 +115,10 @@
     let key = key(headers)?;
     let form = form.map_err(|e| refusal::rejected(e.status(), "invalid", e.body_text()))?;
     let Form { name, text } = read_form(form).await?;
-    let plans = entry.follower.read(|c| batches::plans(c, &workspace.name));
+    let plans = entry.follower.read(|c| items::plans(c, &workspace.name));
     let named = first_model(&text).map_err(refusal::invalid)?;
     let model = plans.iter().find(|p| *p.name == *named).map_or(&*named, |p| &*p.model);
-    let lines = batches::parse_lines(&text, model, &plans).map_err(refusal::invalid)?;
+    let lines = items::parse_lines(&text, model, &plans).map_err(refusal::invalid)?;
     let total = u32::try_from(lines.len()).unwrap_or(u32::MAX);
     let digest = xxh3::xxh3_64(text.as_bytes());
     let submission = batches::Submission { key, digest, model: named, due: None, total };
@@ -140,7 +141,7 @@
 ) -> Result<(), Response> {
     let missing = || batches::refused(&jobs::Refusal::NotFound);
     let group = jobs::group_of_job(&opened.job, entry.client.groups()).ok_or_else(missing)?;
-    for (seq, chunk) in (0..).zip(batches::chunks(lines, |(length, _)| *length)) {
+    for (seq, chunk) in (0..).zip(items::chunks(lines, |(length, _)| *length)) {
         if seq >= opened.next {
             let items = chunk.into_iter().map(|(_, item)| item).collect();
             batches::add_chunk(entry, group, opened.job.clone(), seq, items).await?;
@@ -265,8 +266,8 @@
     let key = key(headers)?;
     let create: Create = serde_json::from_slice(body)
         .map_err(|e| refusal::invalid(format!("the body is not valid: {e}")))?;
-    if let Some(url) = create.endpoint.filter(|e| e != batches::ITEM_URL) {
-        let known = batches::ITEM_URL;
+    if let Some(url) = create.endpoint.filter(|e| e != items::ITEM_URL) {
+        let known = items::ITEM_URL;
         let message = format!("`endpoint` is {url:?}; only {known:?} can be run in batch");
         return Err(refusal::invalid(message));
     }
@@ -384,7 +385,7 @@
     json!({
         "id": format!("{BATCH}{job}"),
         "object": "batch",
-        "endpoint": batches::ITEM_URL,
+        "endpoint": items::ITEM_URL,
         "errors": null,
         "input_file_id": format!("{FILE}{job}"),
         "completion_window": WINDOW,
