Check the connection again after it was announced to an agent

Cause: after the announcement of a new connection the entry opened its stream without looking whether that stream was still on the announced connection. On a connection that was replaced in between, a lost attempt could only be answered as unknown. The open now fails with the reason, and the attempt goes elsewhere as not run.

Ruled out: a wrong "not run", since the agent answers for connections that it does not know with "may have run".

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -101,13 +101,17 @@
 }
 
 impl AgentLink {
+    fn is_greeted(&self, connection: u64) -> bool {
+        self.greeted.load(Ordering::Acquire) >= connection
+    }
+
     /// Opens a stream and returns it with the number of its connection.
     ///
     /// A new connection is announced first, so that an attempt that is lost on it can be
     /// withdrawn with certainty.
     pub async fn open(&self, entry: &Arc<str>) -> Result<(link::Stream, u64), errors::Error> {
         let (stream, connection) = self.dialer.open_numbered().await?;
-        if self.greeted.load(Ordering::Acquire) >= connection {
+        if self.is_greeted(connection) {
             return Ok((stream, connection));
         }
         let hello = wire::Request::Hello { entry: entry.clone(), connection };
@@ -115,8 +119,12 @@
         let error = match greeted {
             Ok(Ok(())) => {
                 self.greeted.fetch_max(connection, Ordering::AcqRel);
-                let opened = self.dialer.open_numbered().await?;
-                return Ok(opened);
+                let (stream, connection) = self.dialer.open_numbered().await?;
+                if self.is_greeted(connection) {
+                    return Ok((stream, connection));
+                }
+                let name = self.dialer.name().clone();
+                return Err(errors::Error::lost("greet", name, "connection replaced meanwhile"));
             }
             Ok(Err(error)) => error,
             Err(_) => errors::Error::lost("greet", self.dialer.name().clone(), "no answer"),
