Do not accept orders that no agent carries out

Cause: POST /admin/orders committed orders, but no agent carries them out yet, so an accepted order stayed pending for ever. The route is gone until agents use the enforcer; orders stay readable. Drain and resume now share one handler for the operator's rights.

Ruled out: an answer 501 behind the route, which would still advertise it. Nothing in the commands or pages used the route.

--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -45,7 +45,7 @@
         .route("/admin/history", routing::get(history))
         .route("/admin/drain", routing::post(drain))
         .route("/admin/resume", routing::post(resume))
-        .route("/admin/orders", routing::get(orders).post(order))
+        .route("/admin/orders", routing::get(orders))
 }
 
 /// Body of `POST /admin/apply`: one change made of filled templates.
@@ -96,18 +96,6 @@
     pub target: Arc<str>,
 }
 
-/// Body of `POST /admin/orders`.
-#[derive(Debug, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct GiveOrder {
-    /// Id of the operation.
-    pub id: Arc<str>,
-    /// Name of the endpoint.
-    pub endpoint: Arc<str>,
-    /// The order.
-    pub order: catalog::orders::Order,
-}
-
 #[derive(Debug, Deserialize)]
 struct Listing {
     kind: Option<catalog::Kind>,
@@ -256,13 +244,8 @@
     headers: http::HeaderMap,
     Json(target): Json<Target>,
 ) -> Response {
-    match authorize(&entry, &headers, settings::OperatorRole::Operator) {
-        Ok(operator) => {
-            let Target { id, target } = target;
-            change(&entry, catalog::Command::Drain { id, target, operator }).await
-        }
-        Err(response) => response,
-    }
+    let Target { id, target } = target;
+    operate(&entry, &headers, |operator| catalog::Command::Drain { id, target, operator }).await
 }
 
 async fn resume(
@@ -270,25 +253,18 @@
     headers: http::HeaderMap,
     Json(target): Json<Target>,
 ) -> Response {
-    match authorize(&entry, &headers, settings::OperatorRole::Operator) {
-        Ok(operator) => {
-            let Target { id, target } = target;
-            change(&entry, catalog::Command::Resume { id, target, operator }).await
-        }
-        Err(response) => response,
-    }
+    let Target { id, target } = target;
+    operate(&entry, &headers, |operator| catalog::Command::Resume { id, target, operator }).await
 }
 
-async fn order(
-    extract::State(entry): extract::State<entry::Entry>,
-    headers: http::HeaderMap,
-    Json(order): Json<GiveOrder>,
+/// Authorizes an operator and commits the operator's command.
+async fn operate(
+    entry: &entry::Entry,
+    headers: &http::HeaderMap,
+    command: impl FnOnce(Arc<str>) -> catalog::Command,
 ) -> Response {
-    match authorize(&entry, &headers, settings::OperatorRole::Operator) {
-        Ok(operator) => {
-            let GiveOrder { id, endpoint, order } = order;
-            change(&entry, catalog::Command::Order { id, endpoint, order, operator }).await
-        }
+    match authorize(entry, headers, settings::OperatorRole::Operator) {
+        Ok(operator) => change(entry, command(operator)).await,
         Err(response) => response,
     }
 }
