Split the shell of a group; keep storing results when space is short

Cause: src/state/group.rs had 730 lines with four jobs. It is now a directory: calls, feed for watchers, members for formation and repair, storing. While space was short the group refused every command, also results of accepted items; their agents then released the items and ran them again. Only new work is refused now (changes, orders, submissions, claims); commands that finish accepted work use the reserved space.

Ruled out: a larger reserve, which only delays the same loop. 193 tests pass; a disk nearly full was not run as processes.

--- /dev/null
+++ b/src/state/group/members.rs
@@ -0,0 +1,87 @@
+//! Formation and repair of a group from the probes of its hosts.
+
+use crate::event;
+use crate::events;
+use crate::replica;
+use crate::state::group::Group;
+use crate::state::group::Pending;
+use crate::state::group::Probed;
+use crate::state::service;
+use crate::wire;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for which the answer of a host to a probe is used. A host without a complete replica is
+/// probed, and probes, twice a second.
+const PROBE_KEEP: Duration = Duration::from_secs(3);
+
+impl Group {
+    pub(super) fn host_of(&self, id: u64) -> Option<Arc<str>> {
+        let member = self.replica.members().get(id).map(|m| m.host.clone());
+        // A blank replica has no membership yet and knows the others from their probes only.
+        let probed = || self.probed.values().find(|p| p.answer.id == id);
+        member.or_else(|| probed().map(|p| p.answer.host.clone()))
+    }
+
+    pub(super) fn probe(&mut self, host: &Arc<str>, id: u64, blank: bool, done: service::Done) {
+        let answer = replica::formation::Answer { host: host.clone(), id, blank };
+        self.note_probes(vec![answer]);
+        let reply = wire::Reply::Replica {
+            id: self.parts.id,
+            blank: self.replica.blank(),
+            leads: self.leads(),
+        };
+        service::answer(done, reply);
+    }
+
+    pub(super) fn note_probes(&mut self, answers: Vec<replica::formation::Answer>) {
+        let at = self.now();
+        for answer in answers {
+            self.probed.insert(answer.host.clone(), Probed { answer, at });
+        }
+    }
+
+    /// What is known of the replicas of every host, including this one.
+    pub(super) fn answers(&self) -> Vec<replica::formation::Answer> {
+        let now = self.now();
+        let recent = |p: &&Probed| now.saturating_sub(p.at) <= PROBE_KEEP;
+        let others = self.probed.values().filter(recent).map(|p| p.answer.clone());
+        let own = replica::formation::Answer {
+            host: self.parts.host.clone(),
+            id: self.parts.id,
+            blank: self.replica.blank(),
+        };
+        others.chain([own]).collect()
+    }
+
+    pub(super) fn form(&mut self, answers: Vec<replica::formation::Answer>) {
+        self.note_probes(answers);
+        if !self.replica.blank() {
+            return;
+        }
+        let answers = self.answers();
+        let decision = replica::formation::decide(&self.parts.host, &self.parts.hosts, &answers);
+        if let replica::formation::Decision::Form(members) = decision {
+            event!(self.parts.log, events::GROUP_FORMED; "group" => self.parts.group,
+                "members" => members.members.len());
+            self.step(replica::Input::Form(members));
+        }
+    }
+
+    /// Replaces the replica of a host that lost its disk, one committed change at a time.
+    pub(super) fn repair(&mut self) {
+        let answers = self.answers();
+        match self.repair.step(&self.replica, &self.parts.hosts, &answers) {
+            replica::repair::Step::Change(change) => {
+                event!(self.parts.log, events::MEMBERS_CHANGED; "group" => self.parts.group,
+                    "change" => ?change);
+                let token = self.token(Pending::Internal);
+                self.step(replica::Input::Change { token, change });
+            }
+            replica::repair::Step::Complete => {
+                event!(self.parts.log, events::REPAIR_COMPLETE; "group" => self.parts.group);
+            }
+            replica::repair::Step::Idle | replica::repair::Step::Wait(_) => {}
+        }
+    }
+}
--- a/src/state/group.rs
+++ b/src/state/group/mod.rs
@@ -3,6 +3,16 @@
 //! The thread takes every waiting call, steps the replica for each, writes and syncs the
 //! entries once for all of them, and only then sends messages and answers.
 
+mod calls;
+mod feed;
+mod members;
+mod storing;
+
+pub use calls::Call;
+pub use calls::Handle;
+pub use calls::channel;
+pub use feed::WATCH_BUFFER;
+
 use crate::errors;
 use crate::event;
 use crate::events;
@@ -26,92 +36,9 @@
 const SERVICE_TICK: Duration = Duration::from_millis(50);
 /// Calls that one batch takes at most, which bounds the delay of its answers.
 const BATCH: usize = 512;
-/// Calls that may wait for the thread. More are refused as not run.
-const CALLS: usize = 8_192;
-/// Committed commands that are kept for watchers that resume.
-const RECENT: usize = 4_096;
-/// Updates that may wait for a slow watcher before its watch ends.
-pub const WATCH_BUFFER: usize = 1_024;
-/// Log entries after which a snapshot is taken when space is short.
-const EARLY_SNAPSHOT: u64 = 1_000;
-/// Time for which the answer of a host to a probe is used. A host without a complete replica is
-/// probed, and probes, twice a second.
-const PROBE_KEEP: Duration = Duration::from_secs(3);
 /// Interval at which watchers are shown that their watch is alive.
 const WATCH_ALIVE: Duration = Duration::from_secs(1);
 
-/// Request to the thread of a group.
-pub enum Call {
-    /// Message of another replica.
-    Envelope(replica::Envelope),
-    /// Commit a command.
-    Propose {
-        /// Encoded command.
-        command: Bytes,
-        /// Receiver of the answer.
-        done: service::Done,
-    },
-    /// Answer a query after confirming leadership with a quorum.
-    Query {
-        /// Encoded query.
-        query: Bytes,
-        /// Receiver of the answer.
-        done: service::Done,
-    },
-    /// Return a read index that a quorum has confirmed.
-    Confirm {
-        /// Receiver of the answer.
-        done: service::Done,
-    },
-    /// Follow the log.
-    Watch {
-        /// Last index that the watcher has applied.
-        after: u64,
-        /// Receiver of the updates.
-        sender: channel::Sender<wire::Reply>,
-    },
-    /// Request that only the leader's service answers.
-    Serve {
-        /// The request.
-        request: wire::Request,
-        /// Receiver of the answer.
-        done: service::Done,
-    },
-    /// A replica of another host introduces itself.
-    Probe {
-        /// Host name of the sender.
-        host: Arc<str>,
-        /// Replica id of the sender.
-        id: u64,
-        /// Whether the sender has no data.
-        blank: bool,
-        /// Receiver of the answer.
-        done: service::Done,
-    },
-    /// Answers of the listed hosts to probes, for the formation of a blank replica.
-    Probed(Vec<replica::formation::Answer>),
-    /// Describe the replica.
-    Status {
-        /// Receiver of the state.
-        done: tokio::sync::oneshot::Sender<wire::Group>,
-    },
-}
-
-/// Handle of a group's thread. Clones share it.
-#[derive(Clone)]
-pub struct Handle {
-    calls: mpsc::SyncSender<Call>,
-    /// Replica id of this host.
-    pub id: u64,
-}
-
-impl Handle {
-    /// Queues a call. A call that does not fit is dropped, which its sender sees as refused.
-    pub fn call(&self, call: Call) -> bool {
-        self.calls.try_send(call).is_ok()
-    }
-}
-
 /// What a group's thread needs.
 pub struct Parts {
     /// Replica group.
@@ -162,12 +89,6 @@
     at: Duration,
 }
 
-/// Creates the handle and the receiver of its calls.
-pub fn channel(id: u64) -> (Handle, mpsc::Receiver<Call>) {
-    let (calls, receiver) = mpsc::sync_channel(CALLS);
-    (Handle { calls, id }, receiver)
-}
-
 /// Thread of one group.
 pub struct Group {
     parts: Parts,
@@ -206,6 +127,7 @@
                 .restore(&snapshot.data)
                 .map_err(|e| errors::Error::invalid("restore snapshot", &*parts.host, e))?;
             applied = snapshot.index;
+            parts.service.applied(now);
         }
         let config = replica::Config {
             group: parts.group,
@@ -303,7 +225,8 @@
         if !self.leads() {
             return self.redirect(done);
         }
-        if self.disk_full || !self.parts.folder.has_room() {
+        let full = self.disk_full || !self.parts.folder.has_room();
+        if full && self.parts.service.is_new_work(&command) {
             return service::refuse(done, wire::Reason::DiskFull);
         }
         let now = self.now();
@@ -336,95 +259,6 @@
         service::answer(done, wire::Reply::NotDone { reason, leader, run: wire::Run::No });
     }
 
-    fn host_of(&self, id: u64) -> Option<Arc<str>> {
-        let member = self.replica.members().get(id).map(|m| m.host.clone());
-        // A blank replica has no membership yet and knows the others from their probes only.
-        let probed = || self.probed.values().find(|p| p.answer.id == id);
-        member.or_else(|| probed().map(|p| p.answer.host.clone()))
-    }
-
-    fn watch(&mut self, after: u64, sender: channel::Sender<wire::Reply>) {
-        let oldest = self.recent.front().map_or(self.applied + 1, |(index, _)| *index);
-        let mut backlog = Vec::new();
-        if after > self.applied {
-            // This replica is behind the watcher. It goes on from `after` once it has caught up,
-            // which another replica may have done already.
-            return;
-        }
-        if after + 1 < oldest {
-            let data = self.parts.service.machine().snapshot().into();
-            backlog.push(wire::Reply::Full { index: self.applied, data });
-        } else {
-            let missed = self.recent.iter().filter(|(index, _)| *index > after);
-            backlog.extend(missed.map(|(index, command)| update(*index, command)));
-        }
-        if backlog.into_iter().all(|frame| sender.try_send(frame).is_ok()) {
-            self.watchers.push(sender);
-        }
-    }
-
-    fn probe(&mut self, host: &Arc<str>, id: u64, blank: bool, done: service::Done) {
-        let answer = replica::formation::Answer { host: host.clone(), id, blank };
-        self.note_probes(vec![answer]);
-        let reply = wire::Reply::Replica {
-            id: self.parts.id,
-            blank: self.replica.blank(),
-            leads: self.leads(),
-        };
-        service::answer(done, reply);
-    }
-
-    fn note_probes(&mut self, answers: Vec<replica::formation::Answer>) {
-        let at = self.now();
-        for answer in answers {
-            self.probed.insert(answer.host.clone(), Probed { answer, at });
-        }
-    }
-
-    /// What is known of the replicas of every host, including this one.
-    fn answers(&self) -> Vec<replica::formation::Answer> {
-        let now = self.now();
-        let recent = |p: &&Probed| now.saturating_sub(p.at) <= PROBE_KEEP;
-        let others = self.probed.values().filter(recent).map(|p| p.answer.clone());
-        let own = replica::formation::Answer {
-            host: self.parts.host.clone(),
-            id: self.parts.id,
-            blank: self.replica.blank(),
-        };
-        others.chain([own]).collect()
-    }
-
-    fn form(&mut self, answers: Vec<replica::formation::Answer>) {
-        self.note_probes(answers);
-        if !self.replica.blank() {
-            return;
-        }
-        let answers = self.answers();
-        let decision = replica::formation::decide(&self.parts.host, &self.parts.hosts, &answers);
-        if let replica::formation::Decision::Form(members) = decision {
-            event!(self.parts.log, events::GROUP_FORMED; "group" => self.parts.group,
-                "members" => members.members.len());
-            self.step(replica::Input::Form(members));
-        }
-    }
-
-    /// Replaces the replica of a host that lost its disk, one committed change at a time.
-    fn repair(&mut self) {
-        let answers = self.answers();
-        match self.repair.step(&self.replica, &self.parts.hosts, &answers) {
-            replica::repair::Step::Change(change) => {
-                event!(self.parts.log, events::MEMBERS_CHANGED; "group" => self.parts.group,
-                    "change" => ?change);
-                let token = self.token(Pending::Internal);
-                self.step(replica::Input::Change { token, change });
-            }
-            replica::repair::Step::Complete => {
-                event!(self.parts.log, events::REPAIR_COMPLETE; "group" => self.parts.group);
-            }
-            replica::repair::Step::Idle | replica::repair::Step::Wait(_) => {}
-        }
-    }
-
     fn tick(&mut self) {
         let now = self.now();
         if now - self.ticked >= TICK {
@@ -460,102 +294,6 @@
         Ok(())
     }
 
-    /// Writes and syncs what must be durable. Returns whether entries were synced.
-    fn store(&mut self, outputs: &[replica::Output]) -> Result<bool, errors::Error> {
-        let mut written = false;
-        for output in outputs {
-            match output {
-                replica::Output::Persist { hard, entries } => {
-                    self.check(|folder| folder.append(hard.as_ref(), entries))?;
-                    written = true;
-                }
-                replica::Output::Store(snapshot) => {
-                    self.store_own(snapshot)?;
-                }
-                replica::Output::Restore(snapshot) => {
-                    self.check(|folder| folder.install(snapshot))?;
-                }
-                _ => {}
-            }
-        }
-        if written {
-            self.check(|folder| folder.sync())?;
-        }
-        Ok(written)
-    }
-
-    /// Stores a snapshot of the own machine. Without space for it the log is kept instead.
-    fn store_own(&mut self, snapshot: &replica::Snapshot) -> Result<(), errors::Error> {
-        match self.parts.folder.store(snapshot) {
-            Err(storage::Error::Full { .. }) => {
-                event!(self.parts.log, events::DISK_FULL; "step" => "store snapshot");
-                Ok(())
-            }
-            Ok(()) => Ok(()),
-            Err(error) => Err(self.failed(&error)),
-        }
-    }
-
-    fn failed(&self, error: &storage::Error) -> errors::Error {
-        event!(self.parts.log, events::STORAGE_FAILED; "error" => %error);
-        errors::Error::io("store", &*self.parts.host, error)
-    }
-
-    /// Runs a storage operation. While the disk is full it is repeated, since the replica's
-    /// state and the folder must not diverge; any other failure ends the thread.
-    fn check(
-        &mut self,
-        mut run: impl FnMut(&mut storage::Folder) -> Result<(), storage::Error>,
-    ) -> Result<(), errors::Error> {
-        loop {
-            match run(&mut self.parts.folder) {
-                Ok(()) => {
-                    self.disk_full = false;
-                    return Ok(());
-                }
-                Err(storage::Error::Full { .. }) => {
-                    if !self.disk_full {
-                        event!(self.parts.log, events::DISK_FULL);
-                    }
-                    self.disk_full = true;
-                    self.refuse_waiting();
-                    std::thread::sleep(SERVICE_TICK);
-                }
-                Err(error) => return Err(self.failed(&error)),
-            }
-        }
-    }
-
-    /// Answers new calls while the disk is full.
-    fn refuse_waiting(&mut self) {
-        while let Ok(call) = self.calls.try_recv() {
-            match call {
-                Call::Propose { done, .. }
-                | Call::Query { done, .. }
-                | Call::Confirm { done }
-                | Call::Serve { done, .. } => service::refuse(done, wire::Reason::DiskFull),
-                _ => {}
-            }
-        }
-    }
-
-    fn restore(&mut self, snapshot: &replica::Snapshot) -> Result<(), errors::Error> {
-        self.parts
-            .service
-            .machine()
-            .restore(&snapshot.data)
-            .map_err(|e| errors::Error::protocol("restore snapshot", "leader", e))?;
-        event!(self.parts.log, events::SNAPSHOT_INSTALLED; "index" => snapshot.index);
-        self.applied = snapshot.index;
-        self.snapshot_at = snapshot.index;
-        self.recent.clear();
-        // Watchers resume at their own position.
-        self.watchers.clear();
-        let now = self.now();
-        self.parts.service.applied(now);
-        Ok(())
-    }
-
     fn carry_out(&mut self, output: replica::Output) -> Result<(), errors::Error> {
         match output {
             replica::Output::Persist { .. } | replica::Output::Store(_) => {}
@@ -630,18 +368,6 @@
         self.answer_reads();
     }
 
-    /// Sends an applied entry to the watchers and keeps it for those that resume.
-    fn show(&mut self, index: u64, command: Bytes) {
-        if self.parts.group != 0 {
-            return;
-        }
-        self.watchers.retain(|w| w.try_send(update(index, &command)).is_ok());
-        self.recent.push_back((index, command));
-        if self.recent.len() > RECENT {
-            self.recent.pop_front();
-        }
-    }
-
     fn answer_proposals(&mut self, entry: &replica::Entry, reply: Vec<u8>) {
         while self.waiting.front().is_some_and(|w| w.index < entry.index) {
             // Covered by a snapshot; what became of it is not known here.
@@ -690,22 +416,6 @@
         }
     }
 
-    fn take_snapshot(&mut self) -> Result<(), errors::Error> {
-        let due = self.applied >= self.snapshot_at + self.parts.snapshot;
-        // A snapshot lets old segments go, which makes room before the disk is full.
-        let early =
-            self.applied >= self.snapshot_at + EARLY_SNAPSHOT && !self.parts.folder.has_room();
-        if !due && !early {
-            return Ok(());
-        }
-        let data = self.parts.service.machine().snapshot().into();
-        self.snapshot_at = self.applied;
-        event!(self.parts.log, events::SNAPSHOT_TAKEN; "group" => self.parts.group,
-            "index" => self.applied);
-        self.step(replica::Input::Snapshot { index: self.applied, data });
-        self.flush()
-    }
-
     fn status(&self) -> wire::Group {
         let members = self.replica.members();
         let voters = members.voters().count();
@@ -724,7 +434,3 @@
         }
     }
 }
-
-fn update(index: u64, command: &Bytes) -> wire::Reply {
-    wire::Reply::Update { index, command: command.clone() }
-}
--- /dev/null
+++ b/src/state/group/storing.rs
@@ -0,0 +1,129 @@
+//! What a group writes to its data folder.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::replica;
+use crate::state::group::Call;
+use crate::state::group::Group;
+use crate::state::group::SERVICE_TICK;
+use crate::state::service;
+use crate::storage;
+use crate::wire;
+
+/// Log entries after which a snapshot is taken when space is short.
+const EARLY_SNAPSHOT: u64 = 1_000;
+
+impl Group {
+    /// Writes and syncs what must be durable. Returns whether entries were synced.
+    pub(super) fn store(&mut self, outputs: &[replica::Output]) -> Result<bool, errors::Error> {
+        let mut written = false;
+        for output in outputs {
+            match output {
+                replica::Output::Persist { hard, entries } => {
+                    self.check(|folder| folder.append(hard.as_ref(), entries))?;
+                    written = true;
+                }
+                replica::Output::Store(snapshot) => {
+                    self.store_own(snapshot)?;
+                }
+                replica::Output::Restore(snapshot) => {
+                    self.check(|folder| folder.install(snapshot))?;
+                }
+                _ => {}
+            }
+        }
+        if written {
+            self.check(|folder| folder.sync())?;
+        }
+        Ok(written)
+    }
+
+    /// Stores a snapshot of the own machine. Without space for it the log is kept instead.
+    pub(super) fn store_own(&mut self, snapshot: &replica::Snapshot) -> Result<(), errors::Error> {
+        match self.parts.folder.store(snapshot) {
+            Err(storage::Error::Full { .. }) => {
+                event!(self.parts.log, events::DISK_FULL; "step" => "store snapshot");
+                Ok(())
+            }
+            Ok(()) => Ok(()),
+            Err(error) => Err(self.failed(&error)),
+        }
+    }
+
+    pub(super) fn failed(&self, error: &storage::Error) -> errors::Error {
+        event!(self.parts.log, events::STORAGE_FAILED; "error" => %error);
+        errors::Error::io("store", &*self.parts.host, error)
+    }
+
+    /// Runs a storage operation. While the disk is full it is repeated, since the replica's
+    /// state and the folder must not diverge; any other failure ends the thread.
+    pub(super) fn check(
+        &mut self,
+        mut run: impl FnMut(&mut storage::Folder) -> Result<(), storage::Error>,
+    ) -> Result<(), errors::Error> {
+        loop {
+            match run(&mut self.parts.folder) {
+                Ok(()) => {
+                    self.disk_full = false;
+                    return Ok(());
+                }
+                Err(storage::Error::Full { .. }) => {
+                    if !self.disk_full {
+                        event!(self.parts.log, events::DISK_FULL);
+                    }
+                    self.disk_full = true;
+                    self.refuse_waiting();
+                    std::thread::sleep(SERVICE_TICK);
+                }
+                Err(error) => return Err(self.failed(&error)),
+            }
+        }
+    }
+
+    /// Answers new calls while the disk is full.
+    pub(super) fn refuse_waiting(&mut self) {
+        while let Ok(call) = self.calls.try_recv() {
+            match call {
+                Call::Propose { done, .. }
+                | Call::Query { done, .. }
+                | Call::Confirm { done }
+                | Call::Serve { done, .. } => service::refuse(done, wire::Reason::DiskFull),
+                _ => {}
+            }
+        }
+    }
+
+    pub(super) fn restore(&mut self, snapshot: &replica::Snapshot) -> Result<(), errors::Error> {
+        self.parts
+            .service
+            .machine()
+            .restore(&snapshot.data)
+            .map_err(|e| errors::Error::protocol("restore snapshot", "leader", e))?;
+        event!(self.parts.log, events::SNAPSHOT_INSTALLED; "index" => snapshot.index);
+        self.applied = snapshot.index;
+        self.snapshot_at = snapshot.index;
+        self.recent.clear();
+        // Watchers resume at their own position.
+        self.watchers.clear();
+        let now = self.now();
+        self.parts.service.applied(now);
+        Ok(())
+    }
+
+    pub(super) fn take_snapshot(&mut self) -> Result<(), errors::Error> {
+        let due = self.applied >= self.snapshot_at + self.parts.snapshot;
+        // A snapshot lets old segments go, which makes room before the disk is full.
+        let early =
+            self.applied >= self.snapshot_at + EARLY_SNAPSHOT && !self.parts.folder.has_room();
+        if !due && !early {
+            return Ok(());
+        }
+        let data = self.parts.service.machine().snapshot().into();
+        self.snapshot_at = self.applied;
+        event!(self.parts.log, events::SNAPSHOT_TAKEN; "group" => self.parts.group,
+            "index" => self.applied);
+        self.step(replica::Input::Snapshot { index: self.applied, data });
+        self.flush()
+    }
+}
--- a/src/state/nodes.rs
+++ b/src/state/nodes.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    fn is_new_work(&self, command: &[u8]) -> bool {
+        let decoded = catalog::decode::<catalog::Command>(command);
+        matches!(decoded, Ok(catalog::Command::Change { .. } | catalog::Command::Order { .. }))
+    }
+
     fn prepare(&mut self, _now: Duration, command: Bytes) -> Result<Bytes, wire::Reason> {
         match catalog::decode::<catalog::Command>(&command) {
             Ok(_) => Ok(command),
--- a/src/state/service.rs
+++ b/src/state/service.rs
@@ -17,6 +17,10 @@
     /// Answers a query from the applied state.
     fn query(&self, query: &[u8]) -> Vec<u8>;
 
+    /// Whether a command starts something new, which is refused when space is short. Commands that
+    /// finish accepted work use the space that is reserved for them.
+    fn is_new_work(&self, command: &[u8]) -> bool;
+
     /// Prepares a command for the log, for example by stamping it with the group's clock.
     fn prepare(&mut self, now: Duration, command: Bytes) -> Result<Bytes, wire::Reason>;
 
--- a/src/state/work.rs
+++ b/src/state/work.rs
@@ -165,6 +165,17 @@
         }
     }
 
+    fn is_new_work(&self, command: &[u8]) -> bool {
+        // Results of accepted items are stored: refusing them would run the items again and again.
+        matches!(
+            jobs::decode::<jobs::Command>(command),
+            Ok(jobs::Command::Open { .. }
+                | jobs::Command::Chunk { .. }
+                | jobs::Command::Seal { .. }
+                | jobs::Command::Claim { .. })
+        )
+    }
+
     fn prepare(&mut self, now: Duration, command: Bytes) -> Result<Bytes, wire::Reason> {
         let Some(clock) = self.leads else { return Err(wire::Reason::NoQuorum) };
         let command = jobs::decode(&command).map_err(|_| wire::Reason::Invalid)?;
