Use a fresh client for each change in the measurements

Cause: measure restart ended with a failed assertion at its second change. The program kept one HTTP client over several tokio runtimes; a pooled connection ends with the runtime that opened it, and the client does not repeat requests by itself.

Ruled out: a fault of the entry (the same changes by the commands succeed).

--- a/examples/measure/state.rs
+++ b/examples/measure/state.rs
@@ -116,7 +116,9 @@
     println!("finished: memory {:?} KiB, disk {:?} KiB", memory(), disk());
 }
 
-fn apply(client: &basilfield::api::Client, id: &str, name: &str) -> bool {
+fn apply(fleet: &Fleet, id: &str, name: &str) -> bool {
+    // A client of its own: a pooled connection ends with the runtime of the last call.
+    let client = fleet.client(0, workdir::OPERATOR_KEY);
     let hash = basilfield::entry::auth::hash_key(name);
     let fill = json!([{ "template": "workspace", "parameters":
         [format!("name={name}"), format!("keys={hash}")] }]);
@@ -148,8 +150,7 @@
         let host = found.expect("leader");
         fleet.kill(&host);
         let started = Instant::now();
-        let client = fleet.client(0, workdir::OPERATOR_KEY);
-        while !apply(&client, &format!("round-{round}"), &format!("w{round}")) {
+        while !apply(&fleet, &format!("round-{round}"), &format!("w{round}")) {
             assert!(started.elapsed() < workdir::PATIENCE, "no leader");
         }
         times.push(started.elapsed());
@@ -202,9 +203,8 @@
 /// Time until a killed state host serves again.
 pub fn restart(args: &crate::Restart) {
     let mut fleet = Fleet::start(workdir::Size { states: 1, entries: 1, agents: 0 });
-    let operator = fleet.client(0, workdir::OPERATOR_KEY);
     for change in 0..args.changes {
-        assert!(apply(&operator, &format!("c{change}"), &format!("w{}", change % 100)));
+        assert!(apply(&fleet, &format!("c{change}"), &format!("w{}", change % 100)));
     }
     let client = fleet.state_client("measure");
     let job = run(async {
