Wait for readiness also in fleets without endpoints

Readiness is now required as well, which is stricter for every test. A refused change is now printed with its reason.

--- a/examples/measure/state.rs
+++ b/examples/measure/state.rs
@@ -123,7 +123,17 @@
     let fill = json!([{ "template": "workspace", "parameters":
         [format!("name={name}"), format!("keys={hash}")] }]);
     let body = json!({ "id": id, "expected": null, "fill": fill });
-    run(client.post("/admin/apply", &body)).is_ok_and(|a| a.is_ok())
+    match run(client.post("/admin/apply", &body)) {
+        Ok(answer) if answer.is_ok() => true,
+        Ok(answer) => {
+            eprintln!("change {id}: {}", answer.json());
+            false
+        }
+        Err(error) => {
+            eprintln!("change {id}: {error}");
+            false
+        }
+    }
 }
 
 fn leader(status: &Value, group: u64) -> Option<String> {
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -318,7 +318,7 @@
             let agents = status["agents"].as_array().cloned().unwrap_or_default();
             let joined: usize =
                 agents.iter().map(|a| a["endpoints"].as_array().map_or(0, Vec::len)).sum();
-            joined == count
+            ready && joined == count
         });
     }
 
