Keep the connection of a running answer; create one link for each agent

Cause: two first requests to an agent could both create a link; the second replaced the first, whose connection was closed when its last handle went, and the first request's stream was cut off and resumed elsewhere. For the same reason the departure of an agent, which removes its link at the entry, would have cut off running streams. The link is now looked up and stored under one lock, and a running answer holds its link.

Ruled out: the drain itself (the log shows the closed connection a second before it, right after the first request).

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -387,7 +387,8 @@
         let begun = self.exchange(&agent, &mut stream, attempt, left).await;
         match begun {
             Ok((status, content)) => {
-                Ok(begun::Begun::new(stream, status, content, self.entry.stall, resume.is_some()))
+                let (stall, resumed) = (self.entry.stall, resume.is_some());
+                Ok(begun::Begun::new(stream, agent_link, status, content, stall, resumed))
             }
             Err(Step::Refused(failure)) => Err(failure),
             // Silence before admission was seen: ask whether it ran.
--- a/src/entry/begun.rs
+++ b/src/entry/begun.rs
@@ -22,6 +22,8 @@
 /// Answer that has begun.
 pub struct Begun {
     stream: link::Stream,
+    /// Keeps the connection open when the agent leaves while the answer is running.
+    _link: entry::AgentLink,
     /// HTTP status.
     pub status: u16,
     /// Content type.
@@ -47,12 +49,14 @@
     /// Creates an answer of which only the head has arrived. `stall` is the longest silence.
     pub fn new(
         stream: link::Stream,
+        link: entry::AgentLink,
         status: u16,
         content: Arc<str>,
         stall: Duration,
         resumed: bool,
     ) -> Begun {
-        Begun { stream, status, content, next: 0, digest: xxh3::Xxh3::new(), stall, resumed }
+        let digest = xxh3::Xxh3::new();
+        Begun { stream, _link: link, status, content, next: 0, digest, stall, resumed }
     }
 
     /// Whether it is a stream of server-sent events.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -217,15 +217,18 @@
 impl Entry {
     /// Connection to an agent; `None` if the agent has left.
     pub fn dialer(&self, agent: &str) -> Option<AgentLink> {
-        if let Some(dialer) = lock(&self.dialers).get(agent) {
-            return Some(dialer.clone());
+        // Held until the link is stored: of two links to one agent, one would be dropped, which
+        // closes its connection and cuts off its streams.
+        let mut dialers = lock(&self.dialers);
+        if let Some(agent_link) = dialers.get(agent) {
+            return Some(agent_link.clone());
         }
         let address = self.follower.read(|c| c.fleet().agent(agent).map(|a| a.address.clone()))?;
         let address = address.parse().ok()?;
         let settings = link::Settings::default();
         let dialer = link::Dialer::new(&self.identity, agent, address, settings, &self.log);
         let agent_link = AgentLink { dialer, greeted: Arc::new(AtomicU64::new(0)) };
-        lock(&self.dialers).insert(agent.into(), agent_link.clone());
+        dialers.insert(agent.into(), agent_link.clone());
         Some(agent_link)
     }
 
