--- /dev/null
+++ b/src/cmd/host.rs
@@ -0,0 +1,62 @@
+//! `basilfield host --settings FILE`: runs one role of a fleet whose hosts find each other by
+//! seeds.
+//!
+//! SIGTERM and SIGINT start a graceful stop, SIGHUP reads the settings again.
+
+use crate::cmd;
+use crate::errors;
+use crate::events;
+use crate::fleet;
+use crate::process;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// Run one role of a fleet whose hosts find each other by seeds.
+#[derive(argh::FromArgs, Clone, Debug)]
+#[argh(subcommand, name = "host")]
+pub struct Host {
+    /// settings file
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// only check the settings file
+    #[argh(switch)]
+    pub check: bool,
+}
+
+/// Runs the command. `protocol` translates what callers, endpoints and operators speak.
+pub fn run(args: &Host, protocol: Arc<dyn fleet::protocol::Protocol>) -> ExitCode {
+    let settings = match fleet::settings::load(&args.settings) {
+        Ok(settings) => settings,
+        Err(error) => return cmd::fail(error),
+    };
+    if args.check {
+        println!("{} is valid", args.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    let level = if settings.host.verbose { slog::Level::Debug } else { slog::Level::Info };
+    let (log, guard) = events::logger(settings.host.log, level);
+    let result = run_host(settings, args.settings.clone(), protocol, &log);
+    // Pending log lines are written when the guard is dropped.
+    drop(guard);
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => cmd::fail(error),
+    }
+}
+
+/// Hosts have one core or less, so one thread serves all connections.
+fn run_host(
+    settings: fleet::settings::Settings,
+    path: PathBuf,
+    protocol: Arc<dyn fleet::protocol::Protocol>,
+    log: &slog::Logger,
+) -> Result<(), errors::Error> {
+    let failed = |e| errors::Error::io("start runtime", "tokio", e);
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(failed)?;
+    runtime.block_on(async {
+        let tree = fleet::start(settings, path, protocol, log)?;
+        process::run(tree, log).await
+    })
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub mod dev;
 pub mod drain;
 pub mod history;
+pub mod host;
 pub mod jobs;
 pub mod keygen;
 pub mod results;
@@ -21,9 +22,11 @@
 
 use crate::api;
 use crate::errors;
+use crate::fleet;
 use serde_json::Value;
 use std::future::Future;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 /// Exit code of a request that was refused or failed.
 pub const FAILED: u8 = 1;
@@ -49,6 +52,7 @@
     Dev(dev::Dev),
     Drain(drain::Drain),
     History(history::History),
+    Host(host::Host),
     Jobs(jobs::Jobs),
     Keygen(keygen::Keygen),
     Resume(resume::Resume),
@@ -60,8 +64,9 @@
     Withdraw(withdraw::Withdraw),
 }
 
-/// Parses the command line, runs the command and returns its exit code.
-pub fn run() -> ExitCode {
+/// Parses the command line, runs the command and returns its exit code. `protocol` is what
+/// `host` speaks.
+pub fn run(protocol: Arc<dyn fleet::protocol::Protocol>) -> ExitCode {
     let words: Vec<String> = std::env::args().collect();
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     let Some((_, rest)) = words.split_first() else { return ExitCode::from(USAGE) };
@@ -81,6 +86,7 @@
         Command::Dev(args) => dev::run(&args),
         Command::Drain(args) => drain::run(&args),
         Command::History(args) => history::run(&args),
+        Command::Host(args) => host::run(&args, protocol),
         Command::Jobs(args) => jobs::run(&args),
         Command::Keygen(args) => keygen::run(&args),
         Command::Resume(args) => resume::run(&args),
--- a/src/events.rs
+++ b/src/events.rs
@@ -38,6 +38,14 @@
     TASK_RESTARTED = 103, Warning, "task failed and is restarted";
     /// A supervised task failed too often; the process ends.
     TASK_GAVE_UP = 104, Critical, "task failed too often";
+    /// The settings file was read again.
+    RELOADED = 106, Info, "settings reloaded";
+    /// A connection could not be accepted, for example for lack of descriptors.
+    ACCEPT_FAILED = 107, Warning, "accept failed";
+    /// The settings file could not be read again; the settings in force are kept.
+    RELOAD_FAILED = 108, Error, "settings not reloaded";
+    /// Connections between hosts are neither encrypted nor authenticated.
+    LINKS_PLAIN = 109, Warning, "links between hosts are not encrypted";
     /// A listener accepts connections.
     LISTENING = 105, Info, "listening";
     /// A connection to a peer was established.
@@ -50,6 +58,10 @@
     PEER_REJECTED = 203, Warning, "peer rejected";
     /// A peer sent a frame that does not follow the protocol.
     BAD_FRAME = 204, Warning, "frame rejected";
+    /// A connection to another host was established.
+    PEER_UP = 205, Info, "host reached";
+    /// The connection to another host was lost, or it could not be established.
+    PEER_LOST = 206, Warning, "host lost";
     /// A replica changed its role or learned of a new leader.
     ROLE_CHANGED = 300, Info, "replica role changed";
     /// A replica group was formed from blank hosts.
@@ -68,6 +80,8 @@
     STORAGE_FAILED = 307, Critical, "storage failed";
     /// A lost replica was replaced and redundancy is complete again.
     REPAIR_COMPLETE = 308, Info, "repair complete";
+    /// The replica was removed from its group; it starts anew with an empty data folder.
+    REPLICA_RETIRED = 309, Warning, "replica retired";
     /// A configuration change was committed.
     CHANGE_ACCEPTED = 400, Info, "configuration change accepted";
     /// A configuration change was refused; nothing was changed.
@@ -78,6 +92,14 @@
     CONFIG_FRESH = 403, Info, "configuration freshness confirmed";
     /// The watch of the configuration was interrupted and is resumed.
     WATCH_LOST = 404, Warning, "configuration watch interrupted";
+    /// A configuration came into force at this host.
+    CONFIG_IN_FORCE = 405, Info, "configuration in force";
+    /// A configuration was refused as invalid; nothing was changed.
+    CONFIG_INVALID = 406, Info, "configuration invalid";
+    /// The job group was placed on store hosts.
+    JOBS_PLACED = 407, Info, "job group placed";
+    /// A document from a control host could not be read.
+    CONFIG_UNREADABLE = 408, Error, "configuration not readable";
     /// A job was accepted.
     JOB_ACCEPTED = 500, Info, "job accepted";
     /// A job was cancelled.
@@ -88,6 +110,16 @@
     LEASE_LOST = 503, Warning, "item lease expired";
     /// An item ended with an error result.
     ITEM_FAILED = 504, Info, "item failed";
+    /// An item was sent to an endpoint.
+    ITEM_STARTED = 505, Debug, "item started";
+    /// The run of an item ended without its whole output.
+    ITEM_INTERRUPTED = 506, Info, "item interrupted";
+    /// The output of an item is complete.
+    ITEM_DONE = 507, Debug, "item done";
+    /// An item was given up.
+    ITEM_ABANDONED = 508, Info, "item given up";
+    /// The client of a job ended it.
+    JOB_ENDED = 509, Info, "job ended by its client";
     /// An endpoint announced itself.
     ENDPOINT_JOINED = 600, Info, "endpoint joined";
     /// An endpoint stopped announcing itself or withdrew.
@@ -106,6 +138,12 @@
     ORDER_DONE = 607, Info, "order finished";
     /// The state hosts refused the record of an agent, for example because of an endpoint's name.
     AGENT_REFUSED = 608, Error, "agent registration refused";
+    /// An endpoint stated something new about itself.
+    ENDPOINT_STATED = 609, Info, "endpoint statement";
+    /// A statement does not describe an endpoint and was refused.
+    STATEMENT_INVALID = 610, Warning, "endpoint statement invalid";
+    /// An endpoint is avoided for a while after failures.
+    ENDPOINT_EJECTED = 611, Warning, "endpoint avoided";
     /// A request was refused.
     REFUSED = 700, Debug, "request refused";
     /// An attempt failed and the request is retried elsewhere.
@@ -114,6 +152,14 @@
     RESUMED = 702, Info, "stream resumed elsewhere";
     /// A caller or operator presented no valid key.
     UNAUTHORIZED = 703, Info, "caller not authorized";
+    /// An attempt was sent to an endpoint.
+    SENT = 705, Debug, "attempt sent";
+    /// An answer was delivered whole.
+    ANSWERED = 706, Debug, "answer delivered";
+    /// A request ended with a failure.
+    FAILED = 707, Info, "request failed";
+    /// The caller left before the answer was complete.
+    CALLER_LEFT = 708, Info, "caller left";
     /// An attempt of another entry was withdrawn before it ran, and its claim passes on.
     CLAIM_PASSED = 704, Info, "claim passed on";
 }
--- /dev/null
+++ b/src/fleet/control.rs
@@ -0,0 +1,392 @@
+//! Role control: configuration, directory and the calls of operators and endpoints.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::fleet::directory;
+use crate::fleet::entry;
+use crate::fleet::frame;
+use crate::fleet::groups;
+use crate::fleet::keeper;
+use crate::fleet::member;
+use crate::fleet::node;
+use crate::fleet::peer;
+use crate::fleet::protocol;
+use crate::fleet::routes;
+use crate::fleet::serve;
+use crate::fleet::settings;
+use crate::replica;
+use crate::state::service;
+use crate::supervisor;
+use crate::wire;
+use bytes::Bytes;
+use futures_util::FutureExt as _;
+use futures_util::future::BoxFuture;
+use hyper::StatusCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time;
+
+/// Longest time for a change to be committed or a read to be confirmed. Callers wait a second and
+/// then ask another host.
+const CALL: Duration = Duration::from_millis(2_500);
+/// Largest body of an operator call.
+const BODY: usize = 16 << 20;
+/// Interval between looks at the placement of the job group.
+const PLACE: Duration = Duration::from_millis(300);
+/// Time for which the present store hosts must stay the same before the job group is placed.
+const SETTLE: Duration = Duration::from_millis(900);
+/// Time for running calls at a stop.
+const STOP: Duration = Duration::from_millis(500);
+
+struct Control {
+    node: node::Node,
+}
+
+/// State machine of the configuration with the hook that shows it to the host.
+struct Service {
+    keeper: keeper::Keeper,
+    shown: watch::Sender<keeper::Keeper>,
+    leads: watch::Sender<bool>,
+}
+
+impl service::Service for Service {
+    fn machine(&mut self) -> &mut dyn replica::Machine {
+        &mut self.keeper
+    }
+
+    fn query(&self, _query: &[u8]) -> Vec<u8> {
+        replica::Machine::snapshot(&self.keeper)
+    }
+
+    fn is_new_work(&self, _command: &[u8]) -> bool {
+        true
+    }
+
+    fn prepare(&mut self, _now: Duration, command: Bytes) -> Result<Bytes, wire::Reason> {
+        Ok(command)
+    }
+
+    fn lead(&mut self, _now: Duration, leads: bool) {
+        self.leads.send_replace(leads);
+    }
+
+    fn applied(&mut self, _now: Duration) {
+        let keeper = &self.keeper;
+        self.shown.send_if_modified(|shown| {
+            let news = (shown.document.version, &shown.stores)
+                != (keeper.document.version, &keeper.stores);
+            if news {
+                *shown = keeper.clone();
+            }
+            news
+        });
+    }
+
+    fn tick(&mut self, _now: Duration) -> Vec<Bytes> {
+        Vec::new()
+    }
+
+    fn serve(&mut self, _now: Duration, _request: wire::Request, done: service::Done) {
+        service::refuse(done, wire::Reason::Invalid);
+    }
+}
+
+/// Adds the tasks of the role to a supervisor. Returns the stop of its connections.
+///
+/// # Errors
+/// `Io` if a listener cannot be opened, `Invalid` if the settings lack an address or folder.
+pub fn start(
+    node: &node::Node,
+    tree: &mut supervisor::Supervisor,
+) -> Result<supervisor::Stop, errors::Error> {
+    let missing = |name| errors::Error::invalid("start control", "settings", name);
+    let operators =
+        node.settings.listen.operators.ok_or_else(|| missing("listen.operators is missing"))?;
+    let folder =
+        node.settings.host.folder.as_ref().ok_or_else(|| missing("host.folder is missing"))?;
+    let operators = node::listen(operators)?;
+    let founders = node.settings.seeds();
+    let member = member::Member {
+        node: node.clone(),
+        group: groups::CONTROL,
+        folder: folder.join("control"),
+        size: founders.len().min(2 * node.settings.fleet.losses + 1),
+        founders,
+    };
+    let (shown, shows) = watch::channel(keeper::Keeper::default());
+    let (leads, leading) = watch::channel(false);
+    member.spawn(tree, move || {
+        let (shown, leads) = (shown.clone(), leads.clone());
+        Box::new(Service { keeper: keeper::Keeper::default(), shown, leads })
+    });
+    let control = Arc::new(Control { node: node.clone() });
+    let (ended, end) = supervisor::Stop::channel();
+    let (open, _) = watch::channel(());
+    let (_, bounds) = watch::channel(routes::Bounds { body: BODY, ..routes::Bounds::default() });
+    let (stage_sender, stage) = watch::channel(serve::Stage::Serving);
+    let log = tree.log().clone();
+    tree.spawn_once(serve::run(operators, control, bounds, stage, open.clone(), end, log).map(Ok));
+    let mut stop = tree.stop();
+    tree.spawn_once(async move {
+        stop.wait().await;
+        stage_sender.send_replace(serve::Stage::Closing);
+        // A call that is cut off is sent again by its caller.
+        let _ = time::timeout(STOP, open.closed()).await;
+        ended.send_replace(true);
+        Ok(())
+    });
+    let n = node.clone();
+    tree.spawn("configuration", move |stop| show(n.clone(), shows.clone(), stop));
+    let n = node.clone();
+    tree.spawn("placement", move |stop| place(n.clone(), leading.clone(), stop));
+    Ok(tree.stop())
+}
+
+/// Handler of connections from other hosts.
+pub fn peer_handler(node: &node::Node) -> Arc<dyn peer::Handler> {
+    Arc::new(Control { node: node.clone() })
+}
+
+impl peer::Handler for Control {
+    fn cast(&self, from: &Arc<str>, message: frame::Cast) {
+        let node = &self.node;
+        match message {
+            frame::Cast::Replica(envelope) => member::deliver(node, envelope),
+            frame::Cast::Greet(greeting) => self.greeted(from, &greeting),
+            frame::Cast::News(news) => {
+                if let Some(news) = node.view.take_news(node.now(), news) {
+                    spread(node, Some(from), &news);
+                }
+            }
+            message => entry::cast(node, from, message),
+        }
+    }
+
+    fn call(&self, request: wire::Request) -> BoxFuture<'static, wire::Reply> {
+        member::answer(self.node.clone(), groups::CONTROL, request).boxed()
+    }
+}
+
+/// Sends news to every host that introduced itself lately, except the one that sent them.
+fn spread(node: &node::Node, from: Option<&Arc<str>>, news: &frame::News) {
+    let now = node.now();
+    let roles = [
+        settings::Role::Entry,
+        settings::Role::Store,
+        settings::Role::Control,
+        settings::Role::Agent,
+    ];
+    let hosts: Vec<Arc<str>> = node.view.directory(|d| {
+        let present = roles.iter().flat_map(|role| d.present(now, *role));
+        present.map(|h| h.link.clone()).collect()
+    });
+    let own = &node.view.own().link;
+    for host in hosts.iter().filter(|h| *h != own && Some(*h) != from) {
+        node.peers.cast(host, frame::Cast::News(news.clone()));
+    }
+}
+
+/// Shows what the replica has applied to this host and the others.
+async fn show(
+    node: node::Node,
+    mut shows: watch::Receiver<keeper::Keeper>,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    loop {
+        let keeper = shows.borrow_and_update().clone();
+        let document = Some(keeper.document).filter(|d| node.view.take_document(d.clone()));
+        let stores = Some(keeper.stores).filter(|s| node.view.take_stores(s.clone()));
+        if document.is_some() || stores.is_some() {
+            let news = frame::News { document, stores, ..frame::News::default() };
+            spread(&node, None, &news);
+        }
+        tokio::select! {
+            changed = shows.changed() => if changed.is_err() { return Ok(()) },
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
+/// Places the job group once enough store hosts have introduced themselves.
+async fn place(
+    node: node::Node,
+    leading: watch::Receiver<bool>,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    let mut ticks = node.timer.subscribe(PLACE);
+    let (mut seen, mut since) = (Vec::new(), Duration::ZERO);
+    loop {
+        let now = tokio::select! {
+            now = ticks.next() => now,
+            () = stop.wait() => return Ok(()),
+        };
+        if !*leading.borrow() || !node.view.stores().is_empty() {
+            continue;
+        }
+        let present = node.view.directory(|d| {
+            d.present(now, settings::Role::Store)
+                .map(|h| (h.link.clone(), h.domain.clone()))
+                .collect::<Vec<_>>()
+        });
+        if present != seen {
+            (seen, since) = (present, now);
+            continue;
+        }
+        let size = 2 * node.settings.fleet.losses + 1;
+        if seen.len() < size || now.saturating_sub(since) < SETTLE {
+            continue;
+        }
+        let command = keeper::Command::Place(spread_out(&seen, size));
+        // Tried again at the next tick unless it was committed.
+        let _ = node.groups.propose(groups::CONTROL, &command, CALL).await;
+    }
+}
+
+/// Chooses hosts from as many failure domains as possible.
+fn spread_out(hosts: &[(Arc<str>, Arc<str>)], size: usize) -> Vec<Arc<str>> {
+    let mut chosen: Vec<&(Arc<str>, Arc<str>)> = Vec::new();
+    while chosen.len() < size.min(hosts.len()) {
+        let used = |host: &&(Arc<str>, Arc<str>)| chosen.iter().filter(|c| c.1 == host.1).count();
+        let free = hosts.iter().filter(|h| !chosen.iter().any(|c| c.0 == h.0));
+        let Some(next) = free.min_by_key(used) else { break };
+        chosen.push(next);
+    }
+    let mut links: Vec<Arc<str>> = chosen.into_iter().map(|c| c.0.clone()).collect();
+    links.sort();
+    links
+}
+
+impl serve::Handler for Control {
+    fn handle(
+        self: Arc<Self>,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> BoxFuture<'static, serve::Answer> {
+        async move { self.answer(request).await }.boxed()
+    }
+}
+
+impl Control {
+    fn greeted(&self, from: &Arc<str>, greeting: &frame::Greeting) {
+        let node = &self.node;
+        let host = greeting.host.clone();
+        let news = node.view.directory(|d| d.note_host(node.now(), host.clone()));
+        if news {
+            node.view.directory_changed();
+            let records = directory::Records { hosts: vec![host], ..directory::Records::default() };
+            let news = frame::News { records, ..frame::News::default() };
+            spread(node, Some(from), &news);
+        }
+        if let Some(missing) = node.view.missing(greeting) {
+            node.peers.cast(&greeting.host.link, frame::Cast::News(missing));
+        }
+    }
+
+    async fn answer(&self, request: hyper::Request<hyper::body::Incoming>) -> serve::Answer {
+        let (head, body) = request.into_parts();
+        let call = self.node.view.protocol().call(&head.method, &head.uri);
+        let Some(call) = call else {
+            return serve::answer(StatusCode::NOT_FOUND, "no such call\n");
+        };
+        let body = match serve::read_body(body, BODY).await {
+            Ok(body) => body,
+            Err(answer) => return answer,
+        };
+        match call {
+            protocol::Call::Ready => serve::answer(StatusCode::OK, "ready\n"),
+            protocol::Call::Register(id) => self.register(&id, &body),
+            protocol::Call::Leave(id) => self.leave(&id, &body),
+            protocol::Call::PutConfig => self.put(&body).await,
+            protocol::Call::GetConfig => self.get().await,
+            protocol::Call::Retire(host) => self.retire(&host),
+            protocol::Call::Retiring(host) => self.retiring(&host),
+            _ => serve::answer(StatusCode::NOT_FOUND, "not served by this role\n"),
+        }
+    }
+
+    fn register(&self, id: &str, body: &[u8]) -> serve::Answer {
+        let node = &self.node;
+        let protocol = node.view.protocol();
+        let endpoint = match protocol.registration(id, body) {
+            Ok(endpoint) => endpoint,
+            Err(problem) => {
+                event!(node.log, events::STATEMENT_INVALID; "endpoint" => id,
+                    "error" => %problem);
+                return serve::answer(StatusCode::BAD_REQUEST, format!("{problem}\n"));
+            }
+        };
+        let changed = node.view.directory(|d| d.note_endpoint(node.now(), endpoint.clone()));
+        if changed {
+            event!(node.log, events::ENDPOINT_STATED; "endpoint" => id,
+                "service" => &*endpoint.service, "address" => %endpoint.address,
+                "phase" => ?endpoint.phase, "born" => endpoint.born, "seq" => endpoint.seq);
+            node.view.directory_changed();
+            let records = directory::Records { endpoints: vec![endpoint], hosts: Vec::new() };
+            spread(node, None, &frame::News { records, ..frame::News::default() });
+        }
+        serve::json(protocol.registered())
+    }
+
+    fn leave(&self, id: &str, body: &[u8]) -> serve::Answer {
+        let node = &self.node;
+        let born = node.view.protocol().farewell(body);
+        let left = node.view.directory(|d| d.leave(node.now(), id, born));
+        event!(node.log, events::ENDPOINT_LEFT; "endpoint" => id, "known" => left.is_some());
+        let born = born.or(left.map(|e| e.born));
+        let news = frame::News { left: vec![(id.into(), born)], ..frame::News::default() };
+        node.view.directory_changed();
+        spread(node, None, &news);
+        serve::answer(StatusCode::OK, "")
+    }
+
+    async fn put(&self, body: &Bytes) -> serve::Answer {
+        let node = &self.node;
+        let config = match node.view.protocol().config(body) {
+            Ok(config) => config,
+            Err(problem) => {
+                event!(node.log, events::CONFIG_INVALID; "error" => %problem);
+                return serve::answer(StatusCode::BAD_REQUEST, format!("{problem}\n"));
+            }
+        };
+        let document = keeper::Document { version: config.version, text: body.clone() };
+        let command = keeper::Command::Put(document);
+        match node.groups.propose(groups::CONTROL, &command, CALL).await {
+            Ok(_) => {
+                event!(node.log, events::CHANGE_ACCEPTED; "version" => config.version);
+                serve::answer(StatusCode::OK, "")
+            }
+            Err(failure) => {
+                event!(node.log, events::CHANGE_REFUSED; "version" => config.version,
+                    "reason" => ?failure);
+                serve::answer(StatusCode::SERVICE_UNAVAILABLE, "no quorum; send it again\n")
+            }
+        }
+    }
+
+    async fn get(&self) -> serve::Answer {
+        let asked = self.node.groups.query::<keeper::Keeper>(groups::CONTROL, &(), CALL).await;
+        match asked {
+            Ok(keeper) if keeper.document.version > 0 => serve::json(keeper.document.text.to_vec()),
+            _ => serve::answer(StatusCode::SERVICE_UNAVAILABLE, "no confirmed configuration\n"),
+        }
+    }
+
+    fn retire(&self, name: &str) -> serve::Answer {
+        let host = self.node.view.directory(|d| d.host(name).cloned());
+        match host {
+            Some(host) if host.role == settings::Role::Store => {
+                serve::answer(StatusCode::CONFLICT, "too few store hosts would remain\n")
+            }
+            _ => serve::answer(StatusCode::NOT_FOUND, "no such store host\n"),
+        }
+    }
+
+    fn retiring(&self, name: &str) -> serve::Answer {
+        let host = self.node.view.directory(|d| d.host(name).cloned());
+        match host {
+            Some(_) => serve::json(self.node.view.protocol().retiring(false)),
+            None => serve::answer(StatusCode::NOT_FOUND, "no such store host\n"),
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/directory.rs
@@ -0,0 +1,260 @@
+//! Directory of hosts and endpoints, free of I/O.
+//!
+//! Every record orders itself, so that copies on several hosts agree however their updates travel:
+//! a later start (`born`) replaces an earlier one, and within one start a higher sequence number
+//! replaces a lower one. The directory is soft state: after a restart the records come back with
+//! the next heartbeats.
+
+use crate::fleet::settings;
+use crate::sorted;
+use serde::Deserialize;
+use serde::Serialize;
+use std::hash::Hash;
+use std::hash::Hasher as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Whether an endpoint takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Phase {
+    /// Takes requests.
+    Ready,
+    /// Finishes what it has and takes nothing new.
+    Draining,
+    /// Has left, or another endpoint has taken its address.
+    Gone,
+}
+
+/// What an endpoint says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Endpoint {
+    /// Id of the endpoint; an id may come back after a restart.
+    pub id: Arc<str>,
+    /// Start of the endpoint in milliseconds of Unix time; 0 if it does not say.
+    pub born: u64,
+    /// Number of the last statement since that start.
+    pub seq: u64,
+    /// Service that it belongs to.
+    pub service: Arc<str>,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub phase: Phase,
+}
+
+/// What a host says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Host {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Address for connections between hosts.
+    pub link: Arc<str>,
+    /// Role of its process.
+    pub role: settings::Role,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Start of the process in milliseconds of Unix time.
+    pub born: u64,
+}
+
+/// Time without any statement after which a record is dropped. Far above the heartbeats of
+/// endpoints and hosts, so that a cut between a host and the control hosts removes nothing.
+const FORGET: Duration = Duration::from_secs(60);
+/// Time without a statement after which a host counts as absent.
+const ABSENT: Duration = Duration::from_millis(2_500);
+
+#[derive(Clone, Debug)]
+struct Record<T> {
+    value: T,
+    heard: Duration,
+}
+
+/// Hosts and endpoints that are known here.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    endpoints: sorted::SortedMap<Arc<str>, Record<Endpoint>>,
+    hosts: sorted::SortedMap<Arc<str>, Record<Host>>,
+}
+
+/// Copy of a directory's records.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Records {
+    /// Endpoints, also those that are gone.
+    pub endpoints: Vec<Endpoint>,
+    /// Hosts.
+    pub hosts: Vec<Host>,
+}
+
+impl Directory {
+    /// Takes a statement of an endpoint. Returns whether anything but its number changed.
+    pub fn note_endpoint(&mut self, now: Duration, mut next: Endpoint) -> bool {
+        if self.superseded(&next) {
+            next.phase = Phase::Gone;
+        }
+        let changed = match self.endpoints.get_mut(&next.id) {
+            Some(record) => {
+                let known = &record.value;
+                let (old, new) = ((known.born, known.seq), (next.born, next.seq));
+                // An endpoint does not come back after it has left, unless it was restarted.
+                let left = known.phase == Phase::Gone && known.born == next.born;
+                if new < old || left {
+                    return false;
+                }
+                let changed = Endpoint { seq: known.seq, ..next.clone() } != *known;
+                *record = Record { value: next.clone(), heard: now };
+                changed
+            }
+            None => {
+                let record = Record { value: next.clone(), heard: now };
+                self.endpoints.insert(next.id.clone(), record);
+                true
+            }
+        };
+        if next.phase != Phase::Gone {
+            self.take_address(&next);
+        }
+        changed
+    }
+
+    /// Whether an endpoint that started later has the address.
+    fn superseded(&self, next: &Endpoint) -> bool {
+        self.endpoints.values().any(|r| {
+            let other = &r.value;
+            other.id != next.id && other.address == next.address && other.born > next.born
+        })
+    }
+
+    fn take_address(&mut self, next: &Endpoint) {
+        for (_, record) in self.endpoints.iter_mut() {
+            let other = &mut record.value;
+            if other.id != next.id && other.address == next.address && other.born <= next.born {
+                other.phase = Phase::Gone;
+            }
+        }
+    }
+
+    /// Marks an endpoint as gone. `born` names the start that the statement is about, if known.
+    /// Returns the changed record.
+    pub fn leave(&mut self, now: Duration, id: &str, born: Option<u64>) -> Option<Endpoint> {
+        let record = self.endpoints.get_mut(id)?;
+        if born.is_some_and(|born| born < record.value.born) {
+            return None;
+        }
+        record.value.phase = Phase::Gone;
+        record.heard = now;
+        Some(record.value.clone())
+    }
+
+    /// Takes a statement of a host. Returns whether anything changed.
+    pub fn note_host(&mut self, now: Duration, next: Host) -> bool {
+        match self.hosts.get_mut(&next.link) {
+            Some(record) if next.born < record.value.born => false,
+            Some(record) => {
+                let changed = record.value != next;
+                *record = Record { value: next, heard: now };
+                changed
+            }
+            None => {
+                self.hosts.insert(next.link.clone(), Record { value: next, heard: now });
+                true
+            }
+        }
+    }
+
+    /// Takes records from another directory. Returns those that changed something here.
+    pub fn merge(&mut self, now: Duration, records: Records) -> Records {
+        let mut news = Records::default();
+        for endpoint in records.endpoints {
+            if self.note_copy(now, &endpoint) {
+                news.endpoints.push(endpoint);
+            }
+        }
+        for host in records.hosts {
+            if self.hosts.get(&host.link).is_none_or(|known| known.value.born < host.born) {
+                self.note_host(now, host.clone());
+                news.hosts.push(host);
+            }
+        }
+        news
+    }
+
+    /// Takes a copy of an endpoint's record, which is no sign of life if it is known already.
+    fn note_copy(&mut self, now: Duration, copy: &Endpoint) -> bool {
+        let known = self.endpoints.get(&copy.id).map(|r| &r.value);
+        if let Some(known) = known {
+            let gone = copy.phase == Phase::Gone && known.phase != Phase::Gone;
+            let newer = (copy.born, copy.seq) > (known.born, known.seq);
+            if !newer && !(gone && copy.born == known.born) {
+                return false;
+            }
+            if gone && copy.born == known.born {
+                return self.leave(now, &copy.id, Some(copy.born)).is_some();
+            }
+        }
+        self.note_endpoint(now, copy.clone())
+    }
+
+    /// Drops records that nothing was heard of for a long time.
+    pub fn expire(&mut self, now: Duration) {
+        self.endpoints.retain(|_, r| now.saturating_sub(r.heard) < FORGET);
+        self.hosts.retain(|_, r| now.saturating_sub(r.heard) < FORGET);
+    }
+
+    /// Every record.
+    pub fn records(&self) -> Records {
+        Records {
+            endpoints: self.endpoints.values().map(|r| r.value.clone()).collect(),
+            hosts: self.hosts.values().map(|r| r.value.clone()).collect(),
+        }
+    }
+
+    /// Digest of every record, without the numbers of statements that changed nothing.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        for record in self.endpoints.values() {
+            Endpoint { seq: 0, ..record.value.clone() }.hash(&mut hasher);
+        }
+        for record in self.hosts.values() {
+            record.value.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// Endpoints that take requests of a service.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Endpoint> {
+        let ready = move |e: &&Endpoint| &*e.service == service && e.phase == Phase::Ready;
+        self.endpoints.values().map(|r| &r.value).filter(ready)
+    }
+
+    /// Every endpoint, also those that are gone.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values().map(|r| &r.value)
+    }
+
+    /// Endpoint with the given id.
+    pub fn endpoint(&self, id: &str) -> Option<&Endpoint> {
+        self.endpoints.get(id).map(|r| &r.value)
+    }
+
+    /// Hosts of a role.
+    pub fn hosts(&self, role: settings::Role) -> impl Iterator<Item = &Host> {
+        self.hosts.values().map(|r| &r.value).filter(move |h| h.role == role)
+    }
+
+    /// Hosts of a role that were heard from lately.
+    pub fn present(&self, now: Duration, role: settings::Role) -> impl Iterator<Item = &Host> {
+        let recent = move |r: &&Record<Host>| now.saturating_sub(r.heard) < ABSENT;
+        self.hosts.values().filter(recent).map(|r| &r.value).filter(move |h| h.role == role)
+    }
+
+    /// Host with the given name; the one that started last if several have had it.
+    pub fn host(&self, name: &str) -> Option<&Host> {
+        let named = self.hosts.values().map(|r| &r.value).filter(|h| &*h.name == name);
+        named.max_by_key(|h| h.born)
+    }
+}
--- /dev/null
+++ b/src/fleet/dispatch.rs
@@ -0,0 +1,474 @@
+//! Runs the items of batch jobs on the leader of the job group.
+//!
+//! The progress of items is kept in memory: an item that is stopped or loses its endpoint goes on
+//! after the last event that arrived. After a change of leader an item starts anew, which is
+//! allowed, and the first output that is committed counts.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::fleet::directory;
+use crate::fleet::groups;
+use crate::fleet::ledger;
+use crate::fleet::node;
+use crate::fleet::peer;
+use crate::fleet::plan;
+use crate::fleet::sse;
+use crate::fleet::store;
+use crate::sorted;
+use crate::supervisor;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::StatusCode;
+use hyper::header;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task;
+use tokio::time;
+
+/// Interval between plans. An online request that waits for a slot gets it within this time and
+/// the time that its report takes.
+const PLAN: Duration = Duration::from_millis(25);
+/// Silence of an endpoint after which an item goes on elsewhere.
+const SILENCE: Duration = Duration::from_millis(3_000);
+/// Pause before an item is sent again after an endpoint did not run it.
+const AGAIN: Duration = Duration::from_millis(150);
+/// Pause before an item is sent again after an endpoint failed to run it.
+const AGAIN_FAILED: Duration = Duration::from_millis(400);
+/// Longest time for an outcome to be committed; it is proposed again afterwards.
+const COMMIT: Duration = Duration::from_secs(3);
+/// Factor by which jobs are kept longer than was promised: the leader counts from the moment at
+/// which it first saw a job.
+const KEEP_FACTOR: u32 = 2;
+
+type Key = (Arc<str>, Arc<str>);
+
+/// Part of an item's output that has arrived.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Progress {
+    output: Vec<u8>,
+    events: u64,
+    last: Option<u64>,
+}
+
+/// Item that is on its way.
+enum State {
+    /// Runs at an endpoint.
+    Running { endpoint: Arc<str>, order: u64, task: task::AbortHandle },
+    /// Waits until it may be sent again.
+    Resting { until: time::Instant },
+    /// Its outcome is being committed.
+    Ending,
+}
+
+struct Known {
+    state: State,
+    progress: Progress,
+}
+
+/// How the run of an item ended.
+enum Ended {
+    /// Its output is complete.
+    Done,
+    /// It goes on later.
+    Interrupted { cause: Arc<str>, at_fault: bool, pause: Duration },
+    /// The endpoint answered with a failure.
+    Failed,
+    /// The endpoint said that the item can never be run.
+    Impossible,
+}
+
+enum Message {
+    Event(Key, Vec<u8>, Option<u64>),
+    Ended(Key, Ended),
+    Committed(Key, bool),
+}
+
+struct Dispatcher {
+    node: node::Node,
+    shared: store::Shared,
+    known: sorted::SortedMap<Key, Known>,
+    /// When this leader first saw each job.
+    jobs: sorted::SortedMap<Arc<str>, time::Instant>,
+    messages: mpsc::Sender<Message>,
+    started: u64,
+}
+
+/// Runs items whenever this host leads the job group.
+///
+/// # Errors
+/// None; the signature is that of a supervised task.
+pub async fn run(
+    node: node::Node,
+    shared: store::Shared,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    /// Messages of running items that may wait; the items wait beyond that.
+    const MESSAGES: usize = 1_024;
+    let mut leads = shared.leads.subscribe();
+    let mut ticks = node.timer.subscribe(PLAN);
+    let (messages, mut inbox) = mpsc::channel(MESSAGES);
+    let mut dispatcher = Dispatcher {
+        node,
+        shared,
+        known: sorted::SortedMap::new(),
+        jobs: sorted::SortedMap::new(),
+        messages,
+        started: 0,
+    };
+    loop {
+        tokio::select! {
+            () = stop.wait() => return Ok(()),
+            _ = leads.changed() => dispatcher.reset(),
+            _ = ticks.next() => {
+                if *leads.borrow() {
+                    dispatcher.plan();
+                }
+            }
+            Some(message) = inbox.recv() => dispatcher.take(message),
+        }
+    }
+}
+
+impl Drop for Known {
+    fn drop(&mut self) {
+        if let State::Running { task, .. } = &self.state {
+            task.abort();
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Forgets everything; stops what runs.
+    fn reset(&mut self) {
+        self.known.clear();
+        self.jobs.clear();
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Event(key, data, id) => {
+                let Some(known) = self.known.get_mut(&key) else { return };
+                let progress = &mut known.progress;
+                if id.is_some() && id <= progress.last {
+                    // An endpoint that resumes may repeat what has arrived.
+                    return;
+                }
+                if progress.events > 0 {
+                    progress.output.push(b'\n');
+                }
+                progress.output.extend(data);
+                progress.events += 1;
+                progress.last = id.or(progress.last);
+            }
+            Message::Ended(key, ended) => self.ended(key, ended),
+            Message::Committed(key, true) => {
+                self.known.remove(&key);
+            }
+            Message::Committed(key, false) => self.rest(&key, AGAIN),
+        }
+    }
+
+    fn rest(&mut self, key: &Key, pause: Duration) {
+        if let Some(known) = self.known.get_mut(key) {
+            known.state = State::Resting { until: time::Instant::now() + pause };
+        }
+    }
+
+    fn ended(&mut self, key: Key, ended: Ended) {
+        let Some(known) = self.known.get_mut(&key) else { return };
+        let endpoint = match &known.state {
+            State::Running { endpoint, .. } => endpoint.clone(),
+            _ => return,
+        };
+        let (job, item) = key.clone();
+        let log = &self.node.log;
+        match ended {
+            Ended::Done => {
+                event!(log, events::ITEM_DONE; "job" => &*job, "request" => &*item,
+                    "endpoint" => &*endpoint);
+                let output = Bytes::from(std::mem::take(&mut known.progress.output));
+                known.progress = Progress::default();
+                known.state = State::Ending;
+                self.node.endpoint_answered(&endpoint);
+                self.commit(key, ledger::Command::Complete { job, item, output });
+            }
+            Ended::Interrupted { cause, at_fault, pause } => {
+                event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
+                    "endpoint" => &*endpoint, "cause" => &*cause,
+                    "events" => known.progress.events);
+                if at_fault {
+                    self.node.endpoint_failed(&endpoint, &cause);
+                }
+                self.rest(&key, pause);
+            }
+            Ended::Failed => {
+                event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
+                    "endpoint" => &*endpoint, "cause" => "the endpoint failed to run it");
+                self.rest(&key, AGAIN_FAILED);
+                let command = ledger::Command::Fail { job, item };
+                let groups = self.node.groups.clone();
+                tokio::spawn(async move {
+                    // A count that is lost gives the item one more attempt.
+                    let _ = groups.propose(groups::JOBS, &command, COMMIT).await;
+                });
+            }
+            Ended::Impossible => self.abandon(key, ledger::Cause::Impossible),
+        }
+    }
+
+    fn abandon(&mut self, key: Key, cause: ledger::Cause) {
+        let (job, item) = key.clone();
+        event!(self.node.log, events::ITEM_ABANDONED; "job" => &*job, "request" => &*item,
+            "cause" => ?cause);
+        let ending = Known { state: State::Ending, progress: Progress::default() };
+        self.known.insert(key.clone(), ending);
+        self.commit(key, ledger::Command::Abandon { job, item, cause });
+    }
+
+    fn commit(&self, key: Key, command: ledger::Command) {
+        let (groups, messages) = (self.node.groups.clone(), self.messages.clone());
+        tokio::spawn(async move {
+            let done = groups.propose(groups::JOBS, &command, COMMIT).await.is_ok();
+            // The dispatcher is gone only when the process ends.
+            let _ = messages.send(Message::Committed(key, done)).await;
+        });
+    }
+
+    /// Starts and stops items according to the load of the endpoints.
+    fn plan(&mut self) {
+        let Some(in_force) = self.node.view.in_force() else { return };
+        let now = time::Instant::now();
+        let ledger = self.shared.ledger.clone();
+        let ledger = peer::lock(&ledger);
+        let mut jobs: Vec<(&Arc<str>, &ledger::Job)> = ledger.jobs().collect();
+        jobs.sort_by_key(|(_, job)| job.accepted);
+        self.jobs.retain(|id, _| ledger.job(id).is_some());
+        // Items that have ended, or whose job has, stop.
+        self.known.retain(|(job, item), known| {
+            let open = ledger.job(job).is_some_and(|j| j.open.iter().any(|o| o.item.id == *item));
+            open || matches!(known.state, State::Ending)
+        });
+        let mut queue: Vec<(Key, Arc<ledger::Item>, Arc<str>)> = Vec::new();
+        let (mut over, mut waiting) = (Vec::new(), Vec::new());
+        for (id, job) in &jobs {
+            let since = *self.jobs.entry_or((*id).clone(), || now);
+            let service = in_force
+                .config
+                .find(&job.terms.host, &job.terms.prefix)
+                .and_then(|route| route.choose(rand::random()));
+            let late = now - since > Duration::from_millis(job.terms.patience);
+            for open in &job.open {
+                let key = ((*id).clone(), open.item.id.clone());
+                match self.known.get(&key).map(|k| &k.state) {
+                    Some(State::Ending) => continue,
+                    Some(State::Running { .. }) if !late && service.is_some() => continue,
+                    Some(State::Resting { until }) if *until > now => continue,
+                    _ => {}
+                }
+                match service {
+                    _ if late => over.push((key, ledger::Cause::Patience)),
+                    None => over.push((key, ledger::Cause::NoRoute)),
+                    Some(service) => {
+                        let index = queue.len();
+                        waiting.push(plan::Waiting { index, service: service.clone() });
+                        queue.push((key, open.item.clone(), job.terms.host.clone()));
+                    }
+                }
+            }
+        }
+        let forget: Vec<Arc<str>> = self.forgotten(&jobs, now);
+        drop(jobs);
+        drop(ledger);
+        for (key, cause) in over {
+            self.abandon(key, cause);
+        }
+        if !forget.is_empty() {
+            let groups = self.node.groups.clone();
+            let command = ledger::Command::Forget { jobs: forget };
+            tokio::spawn(async move {
+                // Jobs that are still there are forgotten at a later plan.
+                let _ = groups.propose(groups::JOBS, &command, COMMIT).await;
+            });
+        }
+        self.carry_out(&queue, &waiting);
+    }
+
+    /// Jobs that have ended and whose retention is over.
+    fn forgotten(&self, jobs: &[(&Arc<str>, &ledger::Job)], now: time::Instant) -> Vec<Arc<str>> {
+        let limits = &self.node.settings.limits;
+        let keep = Duration::from_secs(limits.retention) * KEEP_FACTOR;
+        let over = |id: &Arc<str>| self.jobs.get(id).is_some_and(|since| now - *since > keep);
+        let done = jobs.iter().filter(|(id, job)| job.open.is_empty() && over(id));
+        done.map(|(id, _)| (*id).clone()).collect()
+    }
+
+    fn carry_out(
+        &mut self,
+        queue: &[(Key, Arc<ledger::Item>, Arc<str>)],
+        waiting: &[plan::Waiting],
+    ) {
+        let places = self.places();
+        let mut keys = Vec::new();
+        let mut running = Vec::new();
+        for (key, known) in self.known.iter() {
+            if let State::Running { endpoint, order, .. } = &known.state {
+                let index = keys.len();
+                keys.push(key.clone());
+                running.push(plan::Running { index, endpoint: endpoint.clone(), order: *order });
+            }
+        }
+        let plan = plan::plan(places, waiting, &running);
+        for index in plan.stop {
+            let key = &keys[index];
+            event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0,
+                "request" => &*key.1, "cause" => "online requests need the slot");
+            if let Some(known) = self.known.get_mut(key) {
+                if let State::Running { task, .. } = &known.state {
+                    task.abort();
+                }
+                known.state = State::Resting { until: time::Instant::now() + AGAIN };
+            }
+        }
+        for (index, endpoint) in plan.start {
+            let (key, item, host) = &queue[index];
+            let address = self.node.view.directory(|d| d.endpoint(&endpoint).map(|e| e.address));
+            if let Some(address) = address {
+                self.start(key.clone(), item, host, endpoint, address);
+            }
+        }
+    }
+
+    fn places(&self) -> Vec<plan::Place> {
+        let now = self.node.now();
+        self.node.view.directory(|d| {
+            self.node.view.loads(|l| {
+                let health = peer::lock(&self.node.health);
+                let place = |e: &directory::Endpoint| plan::Place {
+                    id: e.id.clone(),
+                    service: e.service.clone(),
+                    slots: e.slots,
+                    running: l.running(now, &e.id),
+                    open: e.phase == directory::Phase::Ready && !health.avoided(now, &e.id),
+                };
+                d.endpoints().map(place).collect()
+            })
+        })
+    }
+
+    fn start(
+        &mut self,
+        key: Key,
+        item: &ledger::Item,
+        host: &str,
+        endpoint: Arc<str>,
+        address: SocketAddr,
+    ) {
+        let progress = self.known.get(&key).map_or_else(Progress::default, |k| k.progress.clone());
+        event!(self.node.log, events::ITEM_STARTED; "job" => &*key.0, "request" => &*key.1,
+            "endpoint" => &*endpoint, "after_event" => progress.last);
+        let request = match self.request(item, host, &endpoint, progress.last) {
+            Ok(request) => request,
+            Err(_) => return self.abandon(key, ledger::Cause::Impossible),
+        };
+        let (node, messages) = (self.node.clone(), self.messages.clone());
+        let (k, e) = (key.clone(), endpoint.clone());
+        let run = tokio::spawn(async move {
+            let busy = node.busy(&e);
+            let ended = run_item(&node, request, address, &k, &messages).await;
+            drop(busy);
+            // The dispatcher is gone only when the process ends.
+            let _ = messages.send(Message::Ended(k, ended)).await;
+        });
+        self.started += 1;
+        let state = State::Running { endpoint, order: self.started, task: run.abort_handle() };
+        self.known.insert(key, Known { state, progress });
+    }
+
+    fn request(
+        &self,
+        item: &ledger::Item,
+        host: &str,
+        endpoint: &str,
+        last: Option<u64>,
+    ) -> Result<hyper::Request<Full<Bytes>>, hyper::http::Error> {
+        let names = self.node.view.protocol().headers();
+        let mut request = hyper::Request::builder().method("POST").uri(&*item.path);
+        for (name, value) in &item.headers {
+            request = request.header(&**name, &**value);
+        }
+        let mut request = request.body(Full::new(item.body.clone()))?;
+        let headers = request.headers_mut();
+        headers.insert(header::HOST, HeaderValue::from_str(host)?);
+        headers.insert(names.request.clone(), HeaderValue::from_str(&item.id)?);
+        headers.insert(names.expect.clone(), HeaderValue::from_str(endpoint)?);
+        let own: &HeaderName = &names.resume;
+        match last {
+            Some(last) => headers.insert(own.clone(), HeaderValue::from(last)),
+            None => headers.remove(own),
+        };
+        Ok(request)
+    }
+}
+
+fn interrupted(cause: &str, at_fault: bool) -> Ended {
+    Ended::Interrupted { cause: cause.into(), at_fault, pause: AGAIN }
+}
+
+/// Runs an item at one endpoint and hands on its events.
+async fn run_item(
+    node: &node::Node,
+    request: hyper::Request<Full<Bytes>>,
+    address: SocketAddr,
+    key: &Key,
+    messages: &mpsc::Sender<Message>,
+) -> Ended {
+    let names = node.view.protocol().headers();
+    let sent = time::timeout(SILENCE, node.upstream.send(address, request, false)).await;
+    let mut answer = match sent {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(failure)) => return interrupted(&failure.to_string(), true),
+        Err(_) => return interrupted("no answer", true),
+    };
+    let status = answer.head.status;
+    let echo = answer.head.headers.get(&names.request).map(HeaderValue::as_bytes);
+    let own = echo == Some(key.1.as_bytes());
+    let declined = answer.head.headers.contains_key(&names.declined);
+    if declined || status == StatusCode::MISDIRECTED_REQUEST {
+        return interrupted("declined", false);
+    }
+    if !own {
+        return interrupted("answer of another request", true);
+    }
+    match status {
+        StatusCode::UNPROCESSABLE_ENTITY => return Ended::Impossible,
+        StatusCode::INTERNAL_SERVER_ERROR => return Ended::Failed,
+        status if !status.is_success() => {
+            return interrupted(&format!("status {}", status.as_u16()), false);
+        }
+        _ => {}
+    }
+    let mut splitter = sse::Splitter::default();
+    loop {
+        let bytes = match time::timeout(SILENCE, answer.next()).await {
+            Ok(Ok(Some(bytes))) => bytes,
+            Ok(Ok(None)) if splitter.rest().is_empty() => return Ended::Done,
+            Ok(Ok(None)) => return interrupted("the stream ends within an event", true),
+            Ok(Err(cause)) => return interrupted(&cause, true),
+            Err(_) => return interrupted("silence", true),
+        };
+        if splitter.push(&bytes).is_err() {
+            return interrupted("an event is too long", true);
+        }
+        while let Some(event) = splitter.next_event() {
+            let message = Message::Event(key.clone(), event.data(), event.id);
+            if messages.send(message).await.is_err() {
+                return interrupted("the process ends", false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/entry.rs
@@ -0,0 +1,302 @@
+//! Role entry: takes requests of callers.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::fleet::directory;
+use crate::fleet::forward;
+use crate::fleet::frame;
+use crate::fleet::groups;
+use crate::fleet::ledger;
+use crate::fleet::node;
+use crate::fleet::peer;
+use crate::fleet::protocol;
+use crate::fleet::routes;
+use crate::fleet::serve;
+use crate::supervisor;
+use crate::wire;
+use futures_util::FutureExt as _;
+use futures_util::future::BoxFuture;
+use hyper::StatusCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time;
+
+/// Time between failing the readiness check and closing connections: the balancer asks once a
+/// second and turns away after two misses.
+const TURN_AWAY: Duration = Duration::from_millis(2_600);
+/// Time before the forced end of the process by which every connection is closed.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Longest time for a job to be accepted, and for other calls about jobs.
+const JOB_CALL: Duration = Duration::from_millis(3_000);
+/// Longest time that a read may wait for results.
+const WAIT_MAX: Duration = Duration::from_millis(1_000);
+/// Pause between two looks for results of a read that waits.
+const LOOK: Duration = Duration::from_millis(150);
+/// Most items of one job.
+const ITEMS: usize = 200;
+
+struct Entry {
+    node: node::Node,
+    stopping: Arc<AtomicBool>,
+}
+
+/// Adds the tasks of the role to a supervisor. Returns the stop that follows the last request.
+///
+/// # Errors
+/// `Io` if a listener cannot be opened, `Invalid` if the settings lack an address.
+pub fn start(
+    node: &node::Node,
+    tree: &mut supervisor::Supervisor,
+) -> Result<supervisor::Stop, errors::Error> {
+    let missing = |name| errors::Error::invalid("start entry", "settings", name);
+    let listen = &node.settings.listen;
+    let callers = listen.callers.ok_or_else(|| missing("listen.callers is missing"))?;
+    let ready = listen.ready.ok_or_else(|| missing("listen.ready is missing"))?;
+    let (callers, ready) = (node::listen(callers)?, node::listen(ready)?);
+    let stopping = Arc::new(AtomicBool::new(false));
+    let entry = Arc::new(Entry { node: node.clone(), stopping: stopping.clone() });
+    let (bounds_sender, bounds) = watch::channel(routes::Bounds::default());
+    let (stage_sender, stage) = watch::channel(serve::Stage::Serving);
+    let (open, _) = watch::channel(());
+    let (ended, end) = supervisor::Stop::channel();
+    let log = tree.log().clone();
+    for listener in [callers, ready] {
+        let run = serve::run(
+            listener,
+            entry.clone(),
+            bounds.clone(),
+            stage.clone(),
+            open.clone(),
+            end.clone(),
+            log.clone(),
+        );
+        tree.spawn_once(run.map(Ok));
+    }
+    let node_ = node.clone();
+    tree.spawn("bounds", move |stop| follow_bounds(node_.clone(), bounds_sender.clone(), stop));
+    let grace = Duration::from_millis(node.settings.limits.grace);
+    let mut stop = tree.stop();
+    tree.spawn_once(async move {
+        stop.wait().await;
+        stopping.store(true, Ordering::Release);
+        let deadline = time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
+        time::sleep(TURN_AWAY).await;
+        stage_sender.send_replace(serve::Stage::Closing);
+        // The listeners stay open meanwhile: a balancer that has not noticed still sends here.
+        let _ = time::timeout_at(deadline, open.closed()).await;
+        ended.send_replace(true);
+        Ok(())
+    });
+    node.spawn_reports(tree, &end, false);
+    Ok(end)
+}
+
+async fn follow_bounds(
+    node: node::Node,
+    bounds: watch::Sender<routes::Bounds>,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    let mut changes = node.view.changes();
+    loop {
+        if let Some(in_force) = node.view.in_force() {
+            let next = in_force.config.bounds;
+            bounds.send_if_modified(|known| std::mem::replace(known, next) != next);
+        }
+        tokio::select! {
+            changed = changes.changed() => if changed.is_err() { return Ok(()) },
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
+impl peer::Handler for Entry {
+    fn cast(&self, from: &Arc<str>, message: frame::Cast) {
+        cast(&self.node, from, message);
+    }
+
+    fn call(&self, _request: wire::Request) -> BoxFuture<'static, wire::Reply> {
+        async {
+            wire::Reply::NotDone { reason: wire::Reason::Invalid, leader: None, run: wire::Run::No }
+        }
+        .boxed()
+    }
+}
+
+/// Takes a message that every role understands.
+pub fn cast(node: &node::Node, from: &Arc<str>, message: frame::Cast) {
+    match message {
+        frame::Cast::News(news) => {
+            node.view.take_news(node.now(), news);
+        }
+        frame::Cast::Load(load) => node::note_load(node, from, load),
+        frame::Cast::Replica(_) | frame::Cast::Greet(_) => {}
+    }
+}
+
+/// Handler of connections from other hosts.
+pub fn peer_handler(node: &node::Node) -> Arc<dyn peer::Handler> {
+    Arc::new(Entry { node: node.clone(), stopping: Arc::default() })
+}
+
+impl serve::Handler for Entry {
+    fn handle(
+        self: Arc<Self>,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> BoxFuture<'static, serve::Answer> {
+        async move { self.answer(request).await }.boxed()
+    }
+}
+
+impl Entry {
+    async fn answer(&self, request: hyper::Request<hyper::body::Incoming>) -> serve::Answer {
+        let arrived = time::Instant::now();
+        let node = &self.node;
+        let (head, body) = request.into_parts();
+        let call = node.view.protocol().call(&head.method, &head.uri);
+        match call {
+            Some(protocol::Call::Ready) => return self.ready(),
+            Some(protocol::Call::Results { job, after }) => {
+                return self.results(&head, job, after).await;
+            }
+            Some(protocol::Call::Body { job, item }) => return self.body(job, item).await,
+            Some(protocol::Call::End(job)) => return self.end(job).await,
+            Some(_) => return serve::answer(StatusCode::NOT_FOUND, "not served by this role\n"),
+            None => {}
+        }
+        let headers = node.view.protocol().headers();
+        let id = head.headers.get(&headers.request).and_then(|v| v.to_str().ok());
+        let id: Arc<str> = id.unwrap_or_default().into();
+        let Some(in_force) = node.view.in_force() else {
+            return forward::refuse(node, &id, "no configuration is known yet");
+        };
+        let host = head.headers.get(hyper::header::HOST).and_then(|v| v.to_str().ok());
+        let Some(route) = in_force.config.find(host.unwrap_or_default(), head.uri.path()) else {
+            event!(node.log, events::REFUSED; "request" => &*id, "reason" => "no route",
+                "version" => in_force.document.version, "path" => head.uri.path());
+            return serve::answer(StatusCode::NOT_FOUND, "no route\n");
+        };
+        if id.is_empty() {
+            return serve::answer(StatusCode::BAD_REQUEST, "the request has no id\n");
+        }
+        let body = match serve::read_body(body, in_force.config.bounds.body).await {
+            Ok(body) => body,
+            Err(answer) => return answer,
+        };
+        let request = forward::Request { id, head, body, route: route.clone(), arrived };
+        match request.route.kind {
+            routes::Kind::Batch => self.submit(request).await,
+            _ => forward::forward(node.clone(), request).await,
+        }
+    }
+
+    fn ready(&self) -> serve::Answer {
+        let node = &self.node;
+        let usable = node.view.in_force().is_some()
+            && node.view.directory(|d| d.endpoints().any(|e| e.phase == directory::Phase::Ready));
+        match usable && !self.stopping.load(Ordering::Acquire) {
+            true => serve::answer(StatusCode::OK, "ready\n"),
+            false => serve::answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        }
+    }
+
+    async fn submit(&self, request: forward::Request) -> serve::Answer {
+        let node = &self.node;
+        let items = match node.view.protocol().submission(&request.body) {
+            Ok(items) if items.len() <= ITEMS => items,
+            Ok(_) => return serve::answer(StatusCode::BAD_REQUEST, "too many items\n"),
+            Err(problem) => {
+                return serve::answer(StatusCode::BAD_REQUEST, format!("{problem}\n"));
+            }
+        };
+        let route = &request.route;
+        let terms = ledger::Terms {
+            host: route.host.clone(),
+            prefix: route.prefix.clone(),
+            attempts: route.attempts,
+            due: route.due.as_millis() as u64,
+            patience: route.patience.as_millis() as u64,
+        };
+        let count = items.len();
+        let items = items.into_iter().map(Arc::new).collect();
+        let command = ledger::Command::Submit { job: request.id.clone(), terms, items };
+        let headers = node.view.protocol().headers();
+        let asked = forward::number(&request.head.headers, &headers.deadline);
+        let limit = asked.map_or(JOB_CALL, |ms| JOB_CALL.min(Duration::from_millis(ms)));
+        match node.groups.propose(groups::JOBS, &command, limit).await {
+            Ok(_) => {
+                event!(node.log, events::JOB_ACCEPTED; "request" => &*request.id,
+                    "items" => count);
+                serve::answer(StatusCode::ACCEPTED, "")
+            }
+            Err(groups::Failure::NotDone(reason)) => {
+                slog::info!(node.log, "job not accepted"; "request" => &*request.id,
+                    "reason" => %reason);
+                forward::refuse(node, &request.id, "the store hosts cannot accept the job")
+            }
+            Err(groups::Failure::Unknown) => unsure(node, &request.id),
+        }
+    }
+
+    async fn results(
+        &self,
+        head: &hyper::http::request::Parts,
+        job: Arc<str>,
+        after: u64,
+    ) -> serve::Answer {
+        let node = &self.node;
+        let headers = node.view.protocol().headers();
+        let wait = forward::number(&head.headers, &headers.wait).unwrap_or(0);
+        let end = time::Instant::now() + Duration::from_millis(wait).min(WAIT_MAX);
+        let query = ledger::Query::Results { job: job.clone(), after };
+        loop {
+            let asked = node.groups.query(groups::JOBS, &query, JOB_CALL).await;
+            let page = match asked {
+                Ok(ledger::Answer::Page(page)) => page,
+                Ok(_) => return serve::answer(StatusCode::NOT_FOUND, "no such job\n"),
+                Err(_) => return forward::refuse(node, &job, "the jobs cannot be read now"),
+            };
+            let over = time::Instant::now() + LOOK > end;
+            if !page.results.is_empty() || page.next >= page.total || over {
+                return serve::json(node.view.protocol().page(&page));
+            }
+            time::sleep(LOOK).await;
+        }
+    }
+
+    async fn body(&self, job: Arc<str>, item: Arc<str>) -> serve::Answer {
+        let node = &self.node;
+        let query = ledger::Query::Body { job: job.clone(), item };
+        match node.groups.query(groups::JOBS, &query, JOB_CALL).await {
+            Ok(ledger::Answer::Body(body)) => serve::answer(StatusCode::OK, body),
+            Ok(_) => serve::answer(StatusCode::NOT_FOUND, "no such item, or it is listed\n"),
+            Err(_) => forward::refuse(node, &job, "the jobs cannot be read now"),
+        }
+    }
+
+    async fn end(&self, job: Arc<str>) -> serve::Answer {
+        let node = &self.node;
+        let command = ledger::Command::End { job: job.clone() };
+        match node.groups.propose(groups::JOBS, &command, JOB_CALL).await {
+            Ok(ledger::Reply::Done) => {
+                event!(node.log, events::JOB_ENDED; "request" => &*job);
+                serve::answer(StatusCode::OK, "")
+            }
+            Ok(_) => serve::answer(StatusCode::NOT_FOUND, "no such job\n"),
+            Err(groups::Failure::NotDone(_)) => {
+                forward::refuse(node, &job, "the job cannot be ended now")
+            }
+            Err(groups::Failure::Unknown) => unsure(node, &job),
+        }
+    }
+}
+
+/// Answer while it is not known whether a change was committed.
+fn unsure(node: &node::Node, id: &str) -> serve::Answer {
+    event!(node.log, events::FAILED; "request" => id, "status" => 504,
+        "reason" => "no quorum answered in time");
+    serve::answer(StatusCode::GATEWAY_TIMEOUT, "outcome unknown: no quorum answered in time\n")
+}
--- /dev/null
+++ b/src/fleet/frame.rs
@@ -0,0 +1,78 @@
+//! Frames between hosts.
+
+use crate::fleet::directory;
+use crate::fleet::keeper;
+use crate::replica;
+use crate::wire;
+use serde::Deserialize;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// Unit of a connection between hosts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Frame {
+    /// First frame: link address of the dialling host.
+    Hello(Arc<str>),
+    /// Asks for a sign of life.
+    Ping,
+    /// Answer to `Ping`.
+    Pong,
+    /// Message without an answer.
+    Cast(Cast),
+    /// Request under a number.
+    Call(u64, wire::Request),
+    /// Answer to the request with that number.
+    Answer(u64, wire::Reply),
+}
+
+/// Message without an answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Cast {
+    /// Message of a replica.
+    Replica(replica::Envelope),
+    /// A host introduces itself to a control host and says what it knows.
+    Greet(Greeting),
+    /// News of a control host.
+    News(News),
+    /// Requests of one host that run at endpoints.
+    Load(Load),
+}
+
+/// Introduction of a host.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Greeting {
+    /// The host.
+    pub host: directory::Host,
+    /// Version of its configuration; 0 without one.
+    pub version: u64,
+    /// Whether it knows where the job group is placed.
+    pub placed: bool,
+    /// Digest of its directory.
+    pub digest: u64,
+}
+
+/// News of a control host; absent parts have not changed.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct News {
+    /// Configuration document.
+    pub document: Option<keeper::Document>,
+    /// First members of the job group.
+    pub stores: Option<Vec<Arc<str>>>,
+    /// Records of hosts and endpoints.
+    pub records: directory::Records,
+    /// Endpoints that have left, with the start that the statement is about, if known.
+    pub left: Vec<(Arc<str>, Option<u64>)>,
+}
+
+/// Requests of one host that run at endpoints.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Start of the sending process in milliseconds of Unix time.
+    pub born: u64,
+    /// Number of the report since that start.
+    pub seq: u64,
+    /// Whether these are items of batch jobs.
+    pub batch: bool,
+    /// Id of each busy endpoint and the requests that run there, sorted by id.
+    pub running: Vec<(Arc<str>, u32)>,
+}
--- /dev/null
+++ b/src/fleet/groups.rs
@@ -0,0 +1,208 @@
+//! Requests to replica groups: finds the leader and repeats what was not done.
+
+use crate::errors;
+use crate::fleet::ledger;
+use crate::fleet::peer;
+use crate::fleet::view;
+use crate::sorted;
+use crate::state::group;
+use crate::wire;
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time;
+
+/// Replica group of the configuration.
+pub const CONTROL: u16 = 0;
+/// Replica group of the jobs.
+pub const JOBS: u16 = 1;
+
+/// Longest wait for one host: about two round trips of a quorum plus a slow sync. A leader that
+/// was cut off does not answer, and the next host is asked.
+const ATTEMPT: Duration = Duration::from_millis(900);
+/// Pause before a group without a leader is asked again; an election takes several of these.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// Why a request to a group was not answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing was changed and nothing will be.
+    NotDone(wire::Reason),
+    /// The time was over; a command may have been carried out.
+    Unknown,
+}
+
+/// Client of the replica groups. Clones share it.
+#[derive(Clone)]
+pub struct Groups {
+    peers: peer::Peers,
+    view: Arc<view::View>,
+    /// Host that answered last, by group.
+    leaders: Arc<Mutex<sorted::SortedMap<u16, Arc<str>>>>,
+    /// Replica of this host, if it has one.
+    local: Option<(u16, local::Slot)>,
+}
+
+/// Replica on this host, which comes and goes while its folder is opened anew.
+pub mod local {
+    use crate::state::group;
+    use std::sync::Arc;
+    use std::sync::Mutex;
+
+    /// Handle of the replica, once it runs.
+    pub type Slot = Arc<Mutex<Option<group::Handle>>>;
+}
+
+impl Groups {
+    /// Creates a client. `local` is the replica of this host.
+    pub fn new(
+        peers: peer::Peers,
+        view: Arc<view::View>,
+        local: Option<(u16, local::Slot)>,
+    ) -> Groups {
+        Groups { peers, view, leaders: Arc::default(), local }
+    }
+
+    /// Proposes a command until it is applied or `limit` is over.
+    ///
+    /// # Errors
+    /// `Unknown` if the command may have been applied.
+    pub async fn propose(
+        &self,
+        group: u16,
+        command: &impl Serialize,
+        limit: Duration,
+    ) -> Result<ledger::Reply, Failure> {
+        let command = Bytes::from(ledger::encode(command));
+        let request = wire::Request::Propose { group, command };
+        match self.ask(group, request, limit).await? {
+            wire::Reply::Applied { reply, .. } => {
+                postcard::from_bytes(&reply).map_err(|_| Failure::Unknown)
+            }
+            _ => Err(Failure::Unknown),
+        }
+    }
+
+    /// Asks for the answer to a query that a quorum confirms.
+    ///
+    /// # Errors
+    /// `NotDone` if no quorum confirmed it in time.
+    pub async fn query<T: DeserializeOwned>(
+        &self,
+        group: u16,
+        query: &impl Serialize,
+        limit: Duration,
+    ) -> Result<T, Failure> {
+        let query = Bytes::from(ledger::encode(query));
+        let request = wire::Request::Query { group, query };
+        match self.ask(group, request, limit).await? {
+            wire::Reply::Answer(answer) => {
+                postcard::from_bytes(&answer).map_err(|_| Failure::NotDone(wire::Reason::Invalid))
+            }
+            _ => Err(Failure::NotDone(wire::Reason::NoQuorum)),
+        }
+    }
+
+    async fn ask(
+        &self,
+        group: u16,
+        request: wire::Request,
+        limit: Duration,
+    ) -> Result<wire::Reply, Failure> {
+        let end = time::Instant::now() + limit;
+        let mut uncertain = false;
+        let mut turn = rand::random::<u32>() as usize;
+        let mut next = peer::lock(&self.leaders).get(&group).cloned();
+        loop {
+            let left = end.saturating_duration_since(time::Instant::now());
+            if left.is_zero() {
+                return Err(match uncertain {
+                    true => Failure::Unknown,
+                    false => Failure::NotDone(wire::Reason::NoQuorum),
+                });
+            }
+            let Some(host) = next.take().or_else(|| self.pick(group, &mut turn)) else {
+                time::sleep(PAUSE.min(left)).await;
+                continue;
+            };
+            let reply = self.send(group, &host, request.clone(), left.min(ATTEMPT)).await;
+            match reply {
+                Ok(wire::Reply::NotDone { reason, leader, run }) => {
+                    uncertain |= run == wire::Run::Unknown;
+                    if matches!(reason, wire::Reason::DiskFull | wire::Reason::Invalid) {
+                        return Err(Failure::NotDone(reason));
+                    }
+                    self.forget(group);
+                    next = leader.filter(|l| *l != host);
+                    if next.is_none() {
+                        time::sleep(PAUSE.min(left)).await;
+                    }
+                }
+                Ok(reply) => {
+                    peer::lock(&self.leaders).insert(group, host);
+                    return Ok(reply);
+                }
+                Err(_) => {
+                    uncertain = true;
+                    self.forget(group);
+                    time::sleep(PAUSE.min(left)).await;
+                }
+            }
+        }
+    }
+
+    fn forget(&self, group: u16) {
+        peer::lock(&self.leaders).remove(&group);
+    }
+
+    fn pick(&self, group: u16, turn: &mut usize) -> Option<Arc<str>> {
+        let mut hosts = self.view.members(group);
+        if self.local.as_ref().is_some_and(|(own, _)| *own == group) {
+            hosts.push(self.peers.own().clone());
+        }
+        *turn = turn.wrapping_add(1);
+        let len = hosts.len();
+        (len > 0).then(|| hosts.swap_remove(*turn % len))
+    }
+
+    async fn send(
+        &self,
+        group: u16,
+        host: &Arc<str>,
+        request: wire::Request,
+        limit: Duration,
+    ) -> Result<wire::Reply, errors::Error> {
+        let local = self.local.as_ref().filter(|(own, _)| *own == group);
+        let Some((_, slot)) = local.filter(|_| host == self.peers.own()) else {
+            return self.peers.call(host, request, limit).await;
+        };
+        let handle = peer::lock(slot).clone();
+        let asked = time::timeout(limit, ask_handle(handle, request)).await;
+        let cause = errors::Cause::Timeout(limit.as_millis() as u64);
+        asked.map_err(|_| errors::Error::new("ask replica", host.clone(), cause))
+    }
+}
+
+/// Asks the replica of this host.
+pub async fn ask_handle(handle: Option<group::Handle>, request: wire::Request) -> wire::Reply {
+    let refused = |run| wire::Reply::NotDone { reason: wire::Reason::NoQuorum, leader: None, run };
+    let Some(handle) = handle else { return refused(wire::Run::No) };
+    let (done, answer) = oneshot::channel();
+    let call = match request {
+        wire::Request::Propose { command, .. } => group::Call::Propose { command, done },
+        wire::Request::Query { query, .. } => group::Call::Query { query, done },
+        wire::Request::Probe { host, id, blank, .. } => {
+            group::Call::Probe { host, id, blank, done }
+        }
+        _ => return refused(wire::Run::No),
+    };
+    if !handle.call(call) {
+        return refused(wire::Run::No);
+    }
+    // The thread drops a call only when it ends, and the command may be in the log by then.
+    answer.await.unwrap_or(refused(wire::Run::Unknown))
+}
--- /dev/null
+++ b/src/fleet/ledger.rs
@@ -0,0 +1,340 @@
+//! Jobs of arbitrary requests as a replicated state machine, free of I/O.
+//!
+//! Items get their position in the results when they end, in the order of the log, so every
+//! replica lists the same. Whatever repeats a command (a caller that resubmits, a leader that runs
+//! an item again) changes nothing and gets the same reply.
+
+use crate::replica;
+use crate::sorted;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// Most bytes of outputs on one page, which bounds the answer to a read. The first result of a
+/// page is returned whatever its size.
+const PAGE_BYTES: usize = 900 << 10;
+
+/// Request of one item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Id chosen by the caller.
+    pub id: Arc<str>,
+    /// Path at the endpoint.
+    pub path: Arc<str>,
+    /// Headers of the request.
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Prompt and output tokens, for placement.
+    pub tokens: u64,
+}
+
+/// Rules of a job, taken from its route when it was accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Terms {
+    /// Host of the route, sent with every item.
+    pub host: Arc<str>,
+    /// Prefix of the route.
+    pub prefix: Arc<str>,
+    /// Failed runs after which an item is given up.
+    pub attempts: u32,
+    /// Milliseconds from submission until every result is due.
+    pub due: u64,
+    /// Milliseconds from submission after which items are given up.
+    pub patience: u64,
+}
+
+/// How an item ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Its whole output is stored.
+    Completed,
+    /// It was given up.
+    Abandoned,
+}
+
+/// Why an item is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Cause {
+    /// An endpoint said that it can never be run.
+    Impossible,
+    /// Its time is over.
+    Patience,
+    /// The route of its job is no longer configured.
+    NoRoute,
+}
+
+/// Listed item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Id of the item.
+    pub id: Arc<str>,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Data of all events, separated by line feeds; empty unless completed.
+    pub output: Bytes,
+}
+
+/// Results of a job from one position on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// Items of the job.
+    pub total: u64,
+    /// Position after the last result.
+    pub next: u64,
+    /// Results.
+    pub results: Vec<Listed>,
+}
+
+/// Item that has not ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Open {
+    /// The request.
+    pub item: Arc<Item>,
+    /// Runs that an endpoint has answered with a failure.
+    pub failures: u32,
+}
+
+/// Accepted job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// Rules of the job.
+    pub terms: Terms,
+    /// Number of items.
+    pub total: u64,
+    /// Log index of its acceptance, which orders jobs.
+    pub accepted: u64,
+    /// Whether its client ended it.
+    pub ended: bool,
+    /// Items that have not ended, in order of submission.
+    pub open: Vec<Open>,
+    /// Results in order of completion.
+    pub results: Vec<Listed>,
+}
+
+/// Command of the state machine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Accept a job; accepted again if the id is known.
+    Submit {
+        /// Id chosen by the caller.
+        job: Arc<str>,
+        /// Rules of the job.
+        terms: Terms,
+        /// Its items.
+        items: Vec<Arc<Item>>,
+    },
+    /// Store the output of an item.
+    Complete {
+        /// Id of the job.
+        job: Arc<str>,
+        /// Id of the item.
+        item: Arc<str>,
+        /// Whole output.
+        output: Bytes,
+    },
+    /// Count a run that an endpoint answered with a failure.
+    Fail {
+        /// Id of the job.
+        job: Arc<str>,
+        /// Id of the item.
+        item: Arc<str>,
+    },
+    /// Give up an item.
+    Abandon {
+        /// Id of the job.
+        job: Arc<str>,
+        /// Id of the item.
+        item: Arc<str>,
+        /// Reason.
+        cause: Cause,
+    },
+    /// End a job: its remaining items do not run.
+    End {
+        /// Id of the job.
+        job: Arc<str>,
+    },
+    /// Forget jobs whose retention is over.
+    Forget {
+        /// Ids of the jobs.
+        jobs: Vec<Arc<str>>,
+    },
+}
+
+/// Reply to a command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Done, or done before.
+    Done,
+    /// The job is unknown.
+    Unknown,
+    /// The command cannot be decoded.
+    Invalid,
+}
+
+/// Query of the state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Query {
+    /// Results of a job from a position on.
+    Results {
+        /// Id of the job.
+        job: Arc<str>,
+        /// First position.
+        after: u64,
+    },
+    /// Body of an item that has not ended.
+    Body {
+        /// Id of the job.
+        job: Arc<str>,
+        /// Id of the item.
+        item: Arc<str>,
+    },
+}
+
+/// Answer to a query.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// Results of a job.
+    Page(Page),
+    /// Body of an item.
+    Body(Bytes),
+    /// The job or item is unknown, or the item has ended.
+    Unknown,
+}
+
+/// All jobs of a group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Ledger {
+    jobs: sorted::SortedMap<Arc<str>, Job>,
+}
+
+impl Ledger {
+    /// Jobs by id.
+    pub fn jobs(&self) -> impl Iterator<Item = (&Arc<str>, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// Job with the given id.
+    pub fn job(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// Carries out a command.
+    pub fn run(&mut self, index: u64, command: Command) -> Reply {
+        match command {
+            Command::Submit { job, terms, items } => self.submit(index, job, terms, items),
+            Command::Complete { job, item, output } => {
+                self.list(&job, &item, Outcome::Completed, output)
+            }
+            Command::Fail { job, item } => self.fail(&job, &item),
+            Command::Abandon { job, item, cause: _ } => {
+                self.list(&job, &item, Outcome::Abandoned, Bytes::new())
+            }
+            Command::End { job } => match self.jobs.get_mut(&job) {
+                Some(job) => {
+                    job.ended = true;
+                    job.open.clear();
+                    Reply::Done
+                }
+                None => Reply::Unknown,
+            },
+            Command::Forget { jobs } => {
+                for job in &jobs {
+                    self.jobs.remove(job);
+                }
+                Reply::Done
+            }
+        }
+    }
+
+    fn submit(&mut self, index: u64, job: Arc<str>, terms: Terms, items: Vec<Arc<Item>>) -> Reply {
+        let accept = || {
+            let total = items.len() as u64;
+            let open = items.into_iter().map(|item| Open { item, failures: 0 }).collect();
+            Job { terms, total, accepted: index, ended: false, open, results: Vec::new() }
+        };
+        self.jobs.entry_or(job, accept);
+        Reply::Done
+    }
+
+    /// Lists an item that has not ended; later outcomes of the same item change nothing.
+    fn list(&mut self, job: &str, item: &str, outcome: Outcome, output: Bytes) -> Reply {
+        let Some(job) = self.jobs.get_mut(job) else { return Reply::Unknown };
+        let Some(at) = job.open.iter().position(|o| &*o.item.id == item) else {
+            return Reply::Done;
+        };
+        let id = job.open.remove(at).item.id.clone();
+        job.results.push(Listed { id, outcome, output });
+        Reply::Done
+    }
+
+    fn fail(&mut self, job: &str, item: &str) -> Reply {
+        let Some(found) = self.jobs.get_mut(job) else { return Reply::Unknown };
+        let limit = found.terms.attempts.max(1);
+        let Some(open) = found.open.iter_mut().find(|o| &*o.item.id == item) else {
+            return Reply::Done;
+        };
+        open.failures += 1;
+        if open.failures >= limit {
+            return self.list(job, item, Outcome::Abandoned, Bytes::new());
+        }
+        Reply::Done
+    }
+
+    /// Answers a query.
+    pub fn answer(&self, query: &Query) -> Answer {
+        match query {
+            Query::Results { job, after } => match self.jobs.get(job) {
+                Some(job) => Answer::Page(page(job, *after)),
+                None => Answer::Unknown,
+            },
+            Query::Body { job, item } => {
+                let open = self.jobs.get(job).map(|j| &j.open[..]).unwrap_or_default();
+                match open.iter().find(|o| o.item.id == *item) {
+                    Some(open) => Answer::Body(open.item.body.clone()),
+                    None => Answer::Unknown,
+                }
+            }
+        }
+    }
+}
+
+fn page(job: &Job, after: u64) -> Page {
+    let from = usize::try_from(after).unwrap_or(usize::MAX).min(job.results.len());
+    let mut bytes = 0;
+    let fits = |listed: &&Listed| {
+        let first = bytes == 0;
+        bytes += listed.output.len() + listed.id.len() + 1;
+        first || bytes <= PAGE_BYTES
+    };
+    let results: Vec<Listed> = job.results[from..].iter().take_while(fits).cloned().collect();
+    Page { total: job.total, next: (from + results.len()) as u64, results }
+}
+
+impl replica::Machine for Ledger {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        let reply = match postcard::from_bytes(command) {
+            Ok(command) => self.run(index, command),
+            Err(_) => Reply::Invalid,
+        };
+        encode(&reply)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
+        *self = postcard::from_bytes(data)
+            .map_err(|e| replica::RestoreError { cause: e.to_string().into() })?;
+        Ok(())
+    }
+}
+
+/// Encodes a value of this module.
+pub fn encode(value: &impl Serialize) -> Vec<u8> {
+    // Encoding into memory fails only for types that postcard does not support at all.
+    postcard::to_stdvec(value).unwrap_or_default()
+}
--- /dev/null
+++ b/src/fleet/member.rs
@@ -0,0 +1,224 @@
+//! Replica of this host: opens its folder, runs its thread and introduces it to the group.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::fleet::frame;
+use crate::fleet::groups;
+use crate::fleet::node;
+use crate::fleet::peer;
+use crate::replica;
+use crate::state::group;
+use crate::state::mesh;
+use crate::state::service;
+use crate::storage;
+use crate::supervisor;
+use crate::wire;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Interval between heartbeats of a leader. Followers learn of commits at the latest with it.
+const HEARTBEAT: Duration = Duration::from_millis(80);
+/// Shortest election timeout, six heartbeats. Short enough that a failover ends well within the
+/// time that operators and callers wait.
+const ELECTION: Duration = Duration::from_millis(480);
+/// Log entries after which a snapshot is taken.
+const SNAPSHOT: u64 = 4_000;
+/// Size of a log segment; two are reserved. The smallest disks hold 128 MB.
+const SEGMENT: u64 = 8 << 20;
+/// Part of the disk that is kept free of log segments, for snapshots.
+const CAPACITY: u64 = 64 << 20;
+/// Interval between introductions of a replica that is no voter or knows no leader.
+const PROBE: Duration = Duration::from_millis(250);
+/// Longest wait for the answer to an introduction.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Replica group and what this host needs to take part in it.
+#[derive(Clone)]
+pub struct Member {
+    /// What the parts of this process share.
+    pub node: node::Node,
+    /// Replica group.
+    pub group: u16,
+    /// Data folder of the group.
+    pub folder: PathBuf,
+    /// Link addresses of the hosts that form the group.
+    pub founders: Vec<Arc<str>>,
+    /// Voters that the group should have.
+    pub size: usize,
+}
+
+struct Outbox {
+    peers: peer::Peers,
+    runtime: tokio::runtime::Handle,
+}
+
+impl mesh::Outbox for Outbox {
+    fn send(&self, host: &Arc<str>, envelope: replica::Envelope) {
+        // The connection's task is spawned on the runtime of the process.
+        let _guard = self.runtime.enter();
+        self.peers.cast(host, frame::Cast::Replica(envelope));
+    }
+}
+
+impl Member {
+    /// Adds the tasks of the replica to a supervisor. `service` makes the state machine, also
+    /// after the replica was removed from its group and starts anew.
+    pub fn spawn(
+        self,
+        tree: &mut supervisor::Supervisor,
+        service: impl Fn() -> Box<dyn service::Service> + Send + 'static,
+    ) {
+        let member = self.clone();
+        tree.spawn("introductions", move |stop| probe(member.clone(), stop));
+        let mut stop = tree.stop();
+        tree.spawn_once(async move {
+            tokio::select! {
+                result = self.run(service) => result,
+                () = stop.wait() => Ok(()),
+            }
+        });
+    }
+
+    async fn run(
+        self,
+        service: impl Fn() -> Box<dyn service::Service>,
+    ) -> Result<(), errors::Error> {
+        loop {
+            let ended = self.run_once(service()).await?;
+            peer::lock(&self.node.local).take();
+            match ended {
+                group::Ended::Closed => return Ok(()),
+                group::Ended::Retired => {
+                    // Another replica has taken the place of this one, so its data is of no use.
+                    let failed = |e| errors::Error::io("empty folder", "data folder", e);
+                    std::fs::remove_dir_all(&self.folder).map_err(failed)?;
+                }
+            }
+        }
+    }
+
+    /// Runs the replica on a thread of its own, since it blocks on the disk.
+    async fn run_once(
+        &self,
+        service: Box<dyn service::Service>,
+    ) -> Result<group::Ended, errors::Error> {
+        let log = &self.node.log;
+        let options = storage::Options { segment: SEGMENT, capacity: CAPACITY };
+        let (folder, id, restored) = storage::Folder::open_with(&self.folder, self.group, options)?;
+        event!(log, events::FOLDER_OPENED; "group" => self.group, "replica" => id,
+            "entries" => restored.entries.len(),
+            "snapshot" => restored.snapshot.as_ref().map_or(0, |s| s.index));
+        let own = self.node.view.own().link.clone();
+        let bootstrap = self.node.settings.fleet.bootstrap;
+        let parts = group::Parts {
+            group: self.group,
+            forms: bootstrap && self.founders.contains(&own),
+            host: own,
+            hosts: self.founders.clone(),
+            open: Some(self.size),
+            folder,
+            id,
+            restored,
+            service,
+            outbox: Box::new(Outbox {
+                peers: self.node.peers.clone(),
+                runtime: tokio::runtime::Handle::current(),
+            }),
+            timer: self.node.timer.clone(),
+            heartbeat: HEARTBEAT,
+            election: ELECTION,
+            snapshot: SNAPSHOT,
+            log: log.clone(),
+        };
+        let (handle, calls) = group::channel(id);
+        let (sender, ended) = oneshot::channel();
+        let run = move || {
+            let result = group::Group::new(parts, calls).and_then(group::Group::run);
+            // The receiver is gone only when the process ends.
+            let _ = sender.send(result);
+        };
+        let failed = |e: &dyn ToString| errors::Error::io("run replica", "thread", e.to_string());
+        std::thread::Builder::new()
+            .name(format!("group-{}", self.group))
+            .spawn(run)
+            .map_err(|e| failed(&e))?;
+        *peer::lock(&self.node.local) = Some(handle);
+        // A sender that is dropped means that the thread panicked.
+        ended.await.unwrap_or_else(|e| Err(failed(&e)))
+    }
+}
+
+/// Introduces the replica while it is no voter or knows no leader.
+async fn probe(member: Member, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let mut ticks = member.node.timer.subscribe(PROBE);
+    loop {
+        let handle = peer::lock(&member.node.local).clone();
+        if let Some(handle) = handle {
+            introduce(&member, &handle).await;
+        }
+        tokio::select! {
+            _ = ticks.next() => {}
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
+async fn introduce(member: &Member, handle: &group::Handle) {
+    let (done, status) = oneshot::channel();
+    handle.call(group::Call::Status { done });
+    let Ok(status) = status.await else { return };
+    let blank = status.voters == 0;
+    if !blank && &*status.role != "learner" && status.leader.is_some() {
+        return;
+    }
+    let node = &member.node;
+    let mut hosts = node.view.members(member.group);
+    hosts.extend(member.founders.iter().filter(|f| *f != node.peers.own()).cloned());
+    hosts.sort();
+    hosts.dedup();
+    let own = node.peers.own();
+    let ask = |to: Arc<str>| async move {
+        let (group, id) = (member.group, handle.id);
+        let request = wire::Request::Probe { group, host: own.clone(), id, blank };
+        match node.peers.call(&to, request, PROBE_TIMEOUT).await {
+            Ok(wire::Reply::Replica { id, blank, retired, .. }) => {
+                Some((replica::formation::Answer { host: to, id, blank }, retired))
+            }
+            _ => None,
+        }
+    };
+    let answers = futures_util::future::join_all(hosts.into_iter().map(ask)).await;
+    let answers: Vec<_> = answers.into_iter().flatten().collect();
+    if answers.iter().any(|(_, retired)| *retired) {
+        handle.call(group::Call::Retire);
+        return;
+    }
+    handle.call(group::Call::Probed(answers.into_iter().map(|(answer, _)| answer).collect()));
+}
+
+/// Hands a message of another replica to the one of this host.
+pub fn deliver(node: &node::Node, envelope: replica::Envelope) {
+    if let Some(handle) = &*peer::lock(&node.local) {
+        // A full queue drops the message, which replicas tolerate.
+        handle.call(group::Call::Envelope(envelope));
+    }
+}
+
+/// Answers a request to the replica of this host.
+pub async fn answer(node: node::Node, group: u16, request: wire::Request) -> wire::Reply {
+    let asked = match &request {
+        wire::Request::Propose { group, .. }
+        | wire::Request::Query { group, .. }
+        | wire::Request::Probe { group, .. } => *group,
+        _ => u16::MAX,
+    };
+    if asked != group {
+        let run = wire::Run::No;
+        return wire::Reply::NotDone { reason: wire::Reason::Invalid, leader: None, run };
+    }
+    let handle = peer::lock(&node.local).clone();
+    groups::ask_handle(handle, request).await
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,76 @@
+//! Hosts that find each other by seeds and serve plain HTTP requests and jobs of such requests.
+//!
+//! `docs/platform.md` describes which host holds what. [`protocol::Protocol`] translates the words
+//! of a deployment; the modules marked as free of I/O decide, the others carry out.
+
+pub mod attempt;
+pub mod control;
+pub mod directory;
+pub mod dispatch;
+pub mod entry;
+pub mod forward;
+pub mod frame;
+pub mod groups;
+pub mod keeper;
+pub mod ledger;
+pub mod load;
+pub mod member;
+pub mod node;
+pub mod peer;
+pub mod place;
+pub mod plan;
+pub mod protocol;
+pub mod routes;
+pub mod serve;
+pub mod settings;
+pub mod sse;
+pub mod store;
+pub mod upstream;
+pub mod view;
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::supervisor;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// Starts the role that the settings name. Must be called on a tokio runtime.
+///
+/// # Errors
+/// `Io` if a listener cannot be opened, `Invalid` if the settings lack something.
+pub fn start(
+    settings: settings::Settings,
+    path: PathBuf,
+    protocol: Arc<dyn protocol::Protocol>,
+    log: &slog::Logger,
+) -> Result<supervisor::Supervisor, errors::Error> {
+    let role = settings.host.role;
+    let mut tree = supervisor::Supervisor::new("host", log);
+    let log = tree.log().new(slog::o!("host" => settings.host.name.to_string()));
+    let node = node::Node::new(settings, path, protocol, &log);
+    event!(log, events::STARTED; "role" => ?role, "domain" => &*node.settings.host.domain,
+        "seeds" => node.settings.seeds().join(","),
+        "bootstrap" => node.settings.fleet.bootstrap);
+    event!(log, events::LINKS_PLAIN);
+    let links = node::listen(node.settings.link())?;
+    let (end, handler) = match role {
+        settings::Role::Entry => (entry::start(&node, &mut tree)?, entry::peer_handler(&node)),
+        settings::Role::Control => {
+            (control::start(&node, &mut tree)?, control::peer_handler(&node))
+        }
+        settings::Role::Store => (store::start(&node, &mut tree)?, store::peer_handler(&node)),
+        settings::Role::Agent => (tree.stop(), entry::peer_handler(&node)),
+    };
+    // An entry that stops still finishes requests, for which it must learn of changes.
+    let mut stop = end.clone();
+    let serve = peer::serve(links, handler, log.clone());
+    tree.spawn_once(async move {
+        tokio::select! {
+            result = serve => result,
+            () = stop.wait() => Ok(()),
+        }
+    });
+    node.spawn_common(&mut tree, &end);
+    Ok(tree)
+}
--- /dev/null
+++ b/src/fleet/node.rs
@@ -0,0 +1,271 @@
+//! What the parts of one process share.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::fleet::directory;
+use crate::fleet::frame;
+use crate::fleet::groups;
+use crate::fleet::load;
+use crate::fleet::peer;
+use crate::fleet::place;
+use crate::fleet::protocol;
+use crate::fleet::settings;
+use crate::fleet::upstream;
+use crate::fleet::view;
+use crate::supervisor;
+use crate::timer;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::signal::unix;
+
+/// Interval between greetings to the control hosts.
+const GREET: Duration = Duration::from_millis(500);
+/// Interval between greetings before the first configuration arrives.
+const GREET_FIRST: Duration = Duration::from_millis(100);
+/// Interval between looks at the running requests.
+const REPORT: Duration = Duration::from_millis(20);
+/// Interval after which running requests are reported although nothing has changed.
+const REPEAT: Duration = Duration::from_millis(300);
+/// Interval between looks at the settings file, which may change without a signal.
+const RELOAD: Duration = Duration::from_secs(5);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// What the parts of one process share. Clones share it.
+#[derive(Clone)]
+pub struct Node {
+    /// Settings at the start of the process.
+    pub settings: Arc<settings::Settings>,
+    /// Path of the settings file.
+    pub path: Arc<PathBuf>,
+    /// What this host knows of the fleet.
+    pub view: Arc<view::View>,
+    /// Connections to other hosts.
+    pub peers: peer::Peers,
+    /// Client of the replica groups.
+    pub groups: groups::Groups,
+    /// Connections to endpoints.
+    pub upstream: upstream::Upstream,
+    /// Endpoints that have failed lately.
+    pub health: Arc<Mutex<place::Health>>,
+    /// Replica of this host, once it runs.
+    pub local: groups::local::Slot,
+    /// Timer service.
+    pub timer: timer::Timer,
+    /// Logger.
+    pub log: slog::Logger,
+}
+
+/// Milliseconds of Unix time, which orders the starts of processes and nothing else.
+fn unix_time() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+impl Node {
+    /// Creates what the parts of a process share. Must be called on a tokio runtime.
+    pub fn new(
+        settings: settings::Settings,
+        path: PathBuf,
+        protocol: Arc<dyn protocol::Protocol>,
+        log: &slog::Logger,
+    ) -> Node {
+        let own = directory::Host {
+            name: settings.host.name.clone(),
+            link: settings.link().to_string().into(),
+            role: settings.host.role,
+            domain: settings.host.domain.clone(),
+            born: unix_time(),
+        };
+        let link = own.link.clone();
+        let view = Arc::new(view::View::new(own, settings.seeds(), protocol, log));
+        let peers = peer::Peers::new(link, log);
+        let local = groups::local::Slot::default();
+        let group = match settings.host.role {
+            settings::Role::Control => Some(groups::CONTROL),
+            settings::Role::Store => Some(groups::JOBS),
+            settings::Role::Entry | settings::Role::Agent => None,
+        };
+        let own_group = group.map(|g| (g, local.clone()));
+        Node {
+            groups: groups::Groups::new(peers.clone(), view.clone(), own_group),
+            settings: Arc::new(settings),
+            path: Arc::new(path),
+            view,
+            peers,
+            upstream: upstream::Upstream::default(),
+            health: Arc::default(),
+            local,
+            timer: timer::Timer::start(),
+            log: log.clone(),
+        }
+    }
+
+    /// Monotonic time since the start of the process.
+    pub fn now(&self) -> Duration {
+        self.timer.now()
+    }
+
+    /// Endpoints of a service that take requests, with what runs there.
+    pub fn candidates(&self, service: &str) -> Vec<place::Candidate> {
+        let (now, domain) = (self.now(), &self.settings.host.domain);
+        self.view.directory(|d| {
+            self.view.loads(|l| {
+                let health = peer::lock(&self.health);
+                let candidate = |e: &directory::Endpoint| {
+                    let running = l.running(now, &e.id);
+                    place::Candidate::new(e, domain, running, health.avoided(now, &e.id))
+                };
+                d.ready(service).map(candidate).collect()
+            })
+        })
+    }
+
+    /// Notes that an endpoint did not answer.
+    pub fn endpoint_failed(&self, id: &Arc<str>, cause: &dyn std::fmt::Display) {
+        let pause = peer::lock(&self.health).failed(self.now(), id);
+        event!(self.log, events::ENDPOINT_EJECTED; "endpoint" => &**id,
+            "pause_ms" => pause.as_millis() as u64, "error" => %cause);
+    }
+
+    /// Notes that an endpoint has answered.
+    pub fn endpoint_answered(&self, id: &str) {
+        peer::lock(&self.health).answered(id);
+    }
+
+    /// Counts a request at an endpoint until the guard is dropped.
+    pub fn busy(&self, endpoint: &Arc<str>) -> Busy {
+        self.view.loads(|l| l.start(endpoint));
+        Busy { view: self.view.clone(), endpoint: endpoint.clone() }
+    }
+
+    /// Adds the tasks that every role needs. `end` ends the connections to other hosts.
+    pub fn spawn_common(&self, tree: &mut supervisor::Supervisor, end: &supervisor::Stop) {
+        let (node, end) = (self.clone(), end.clone());
+        tree.spawn("greetings", move |_| greet(node.clone(), end.clone()));
+        let node = self.clone();
+        tree.spawn("settings", move |stop| reload(node.clone(), stop));
+    }
+
+    /// Adds the task that reports running requests to the hosts that place requests.
+    pub fn spawn_reports(
+        &self,
+        tree: &mut supervisor::Supervisor,
+        end: &supervisor::Stop,
+        batch: bool,
+    ) {
+        let (node, end) = (self.clone(), end.clone());
+        tree.spawn("load reports", move |_| report(node.clone(), batch, end.clone()));
+    }
+}
+
+/// Request that runs at an endpoint.
+pub struct Busy {
+    view: Arc<view::View>,
+    endpoint: Arc<str>,
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.view.loads(|l| l.end(&self.endpoint));
+    }
+}
+
+/// Listens on a TCP address.
+///
+/// # Errors
+/// `Io` if the address cannot be used.
+pub fn listen(address: SocketAddr) -> Result<TcpListener, errors::Error> {
+    let failed = |e| errors::Error::io("listen", address.to_string(), e);
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let socket = socket.map_err(failed)?;
+    socket.set_reuseaddr(true).map_err(failed)?;
+    socket.bind(address).map_err(failed)?;
+    socket.listen(BACKLOG).map_err(failed)
+}
+
+async fn greet(node: Node, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    loop {
+        let greeting = node.view.greeting();
+        for control in node.view.controls() {
+            node.peers.cast(&control, frame::Cast::Greet(greeting.clone()));
+        }
+        node.view.directory(|d| d.expire(node.now()));
+        node.upstream.expire();
+        let ready = node.view.in_force().is_some();
+        let pause = if ready { GREET } else { GREET_FIRST };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
+async fn reload(node: Node, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let mut hangup = unix::signal(unix::SignalKind::hangup())
+        .map_err(|e| errors::Error::io("handle signal", "SIGHUP", e))?;
+    let mut ticks = node.timer.subscribe(RELOAD);
+    let mut known = node.settings.seeds();
+    loop {
+        let asked = tokio::select! {
+            _ = ticks.next() => false,
+            _ = hangup.recv() => true,
+            () = stop.wait() => return Ok(()),
+        };
+        match settings::load(&node.path) {
+            Ok(settings) => {
+                let seeds = settings.seeds();
+                if asked || seeds != known {
+                    event!(node.log, events::RELOADED; "seeds" => seeds.join(","));
+                }
+                node.view.reseed(seeds.clone());
+                known = seeds;
+            }
+            Err(error) => event!(node.log, events::RELOAD_FAILED; "error" => %error),
+        }
+    }
+}
+
+async fn report(node: Node, batch: bool, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let born = node.view.own().born;
+    let mut ticks = node.timer.subscribe(REPORT);
+    let (mut last, mut sent, mut seq) = (Vec::new(), Duration::ZERO, 0);
+    loop {
+        let now = tokio::select! {
+            now = ticks.next() => now,
+            () = stop.wait() => return Ok(()),
+        };
+        let running = node.view.loads(|l| l.own());
+        let repeat = !running.is_empty() && now.saturating_sub(sent) >= REPEAT;
+        if running == last && !repeat {
+            continue;
+        }
+        (last, sent, seq) = (running.clone(), now, seq + 1);
+        let load = frame::Load { born, seq, batch, running };
+        let own = &node.view.own().link;
+        let receivers: Vec<Arc<str>> = node.view.directory(|d| {
+            let entries = d.hosts(settings::Role::Entry);
+            let hosts = entries.chain(d.hosts(settings::Role::Store));
+            hosts.map(|h| h.link.clone()).filter(|l| l != own).collect()
+        });
+        for to in receivers {
+            node.peers.cast(&to, frame::Cast::Load(load.clone()));
+        }
+    }
+}
+
+/// Takes a load report of another host.
+pub fn note_load(node: &Node, from: &Arc<str>, load: frame::Load) {
+    node.view.loads(|l: &mut load::Loads| l.note(node.now(), from, load));
+}
--- /dev/null
+++ b/src/fleet/peer.rs
@@ -0,0 +1,368 @@
+//! Connections between hosts over TCP without certificates.
+//!
+//! Each host keeps one connection to every host that it sends to. Frames are encoded with
+//! postcard, each preceded by its length as a big-endian `u32`. The dialling end sends pings; a
+//! connection without an answer is dropped and the next frame dials anew, so that a connection
+//! whose packets vanish does not hold up the hosts. Casts are dropped while a host cannot be
+//! reached; a call ends with an error as soon as its connection is lost.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::fleet::frame;
+use crate::sorted;
+use crate::wire;
+use bytes::Buf as _;
+use bytes::BytesMut;
+use futures_util::future::BoxFuture;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time;
+
+/// Frames that may wait for one host.
+const QUEUE: usize = 4_096;
+/// Longest time to establish a connection; a lost first packet is sent again after a second,
+/// which is slower than another dial.
+const DIAL: Duration = Duration::from_millis(400);
+/// Pause after a failed dial.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Interval between pings.
+const PING: Duration = Duration::from_millis(300);
+/// Silence after which a connection is dropped: three lost pings.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// Time without frames after which a connection is closed by the dialling end.
+const IDLE: Duration = Duration::from_secs(20);
+/// Bytes that are gathered for one write at most.
+const WRITE: usize = 64 << 10;
+
+/// What a host does with frames of others.
+pub trait Handler: Send + Sync + 'static {
+    /// Takes a message that is not answered.
+    fn cast(&self, from: &Arc<str>, message: frame::Cast);
+
+    /// Answers a request.
+    fn call(&self, request: wire::Request) -> BoxFuture<'static, wire::Reply>;
+}
+
+enum Outgoing {
+    Cast(frame::Cast),
+    Call(wire::Request, oneshot::Sender<wire::Reply>),
+}
+
+/// Connections of one host to the others. Clones share them.
+#[derive(Clone)]
+pub struct Peers {
+    own: Arc<str>,
+    senders: Arc<Mutex<sorted::SortedMap<Arc<str>, mpsc::Sender<Outgoing>>>>,
+    log: slog::Logger,
+}
+
+/// Locks a mutex whose holders never panic.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+impl Peers {
+    /// Creates the connections of the host with the link address `own`. Dials nothing yet.
+    pub fn new(own: Arc<str>, log: &slog::Logger) -> Peers {
+        Peers { own, senders: Arc::default(), log: log.clone() }
+    }
+
+    /// Link address of this host.
+    pub fn own(&self) -> &Arc<str> {
+        &self.own
+    }
+
+    fn sender(&self, to: &Arc<str>) -> mpsc::Sender<Outgoing> {
+        let mut senders = lock(&self.senders);
+        if let Some(sender) = senders.get(to).filter(|s| !s.is_closed()) {
+            return sender.clone();
+        }
+        let (sender, receiver) = mpsc::channel(QUEUE);
+        let (own, to, log) = (self.own.clone(), to.clone(), self.log.clone());
+        senders.insert(to.clone(), sender.clone());
+        drop(senders);
+        tokio::spawn(keep(own, to, receiver, log));
+        sender
+    }
+
+    /// Sends a message. It is dropped if the host cannot be reached or is too slow.
+    pub fn cast(&self, to: &Arc<str>, message: frame::Cast) {
+        // Senders of casts repeat what is still needed.
+        let _ = self.sender(to).try_send(Outgoing::Cast(message));
+    }
+
+    /// Sends a request and waits for its answer.
+    ///
+    /// # Errors
+    /// `Lost` if the connection ended or could not be established, `Timeout` after `limit`. The
+    /// request may have been carried out in both cases.
+    pub async fn call(
+        &self,
+        to: &Arc<str>,
+        request: wire::Request,
+        limit: Duration,
+    ) -> Result<wire::Reply, errors::Error> {
+        let (done, answer) = oneshot::channel();
+        if self.sender(to).try_send(Outgoing::Call(request, done)).is_err() {
+            return Err(errors::Error::lost("call", to.clone(), "too many frames wait"));
+        }
+        match time::timeout(limit, answer).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) => Err(errors::Error::lost("call", to.clone(), "no connection")),
+            Err(_) => {
+                let cause = errors::Cause::Timeout(limit.as_millis() as u64);
+                Err(errors::Error::new("call", to.clone(), cause))
+            }
+        }
+    }
+}
+
+/// Keeps the connection to one host until nothing was sent for a while.
+async fn keep(own: Arc<str>, to: Arc<str>, mut queue: mpsc::Receiver<Outgoing>, log: slog::Logger) {
+    let mut up = true;
+    while let Ok(Some(first)) = time::timeout(IDLE, queue.recv()).await {
+        match dial(&to).await {
+            Ok(stream) => {
+                event!(log, events::PEER_UP; "peer" => &*to);
+                up = true;
+                let cause = drive(&own, &to, stream, first, &mut queue).await;
+                event!(log, events::PEER_LOST; "peer" => &*to, "error" => %cause);
+            }
+            Err(error) => {
+                if up {
+                    event!(log, events::PEER_LOST; "peer" => &*to, "error" => %error);
+                }
+                up = false;
+                drop(first);
+                time::sleep(PAUSE).await;
+                // What has waited meanwhile is old; calls end with an error.
+                while queue.try_recv().is_ok() {}
+            }
+        }
+    }
+}
+
+async fn dial(to: &Arc<str>) -> Result<TcpStream, errors::Error> {
+    let addr: SocketAddr = to.parse().map_err(|e| errors::Error::invalid("dial", to.clone(), e))?;
+    let limit = errors::Cause::Timeout(DIAL.as_millis() as u64);
+    let stream = time::timeout(DIAL, TcpStream::connect(addr))
+        .await
+        .map_err(|_| errors::Error::new("dial", to.clone(), limit))?
+        .map_err(|e| errors::Error::lost("dial", to.clone(), e))?;
+    stream.set_nodelay(true).map_err(|e| errors::Error::io("dial", to.clone(), e))?;
+    Ok(stream)
+}
+
+type Calls = sorted::SortedMap<u64, oneshot::Sender<wire::Reply>>;
+
+/// Sends frames over one connection until it is lost. Returns the reason.
+async fn drive(
+    own: &Arc<str>,
+    to: &Arc<str>,
+    stream: TcpStream,
+    first: Outgoing,
+    queue: &mut mpsc::Receiver<Outgoing>,
+) -> errors::Error {
+    let (read, mut write) = stream.into_split();
+    let mut read = Reader::new(read, to.clone());
+    let mut calls = Calls::new();
+    let mut next = 0;
+    let mut out = Vec::new();
+    push(&mut out, &frame::Frame::Hello(own.clone()));
+    push_outgoing(&mut out, first, &mut calls, &mut next);
+    let mut heard = time::Instant::now();
+    let mut ping = time::interval(PING);
+    ping.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        while out.len() < WRITE {
+            match queue.try_recv() {
+                Ok(outgoing) => push_outgoing(&mut out, outgoing, &mut calls, &mut next),
+                Err(_) => break,
+            }
+        }
+        if !out.is_empty() {
+            match time::timeout(SILENCE, write.write_all(&out)).await {
+                Ok(Ok(())) => out.clear(),
+                Ok(Err(e)) => return errors::Error::lost("send", to.clone(), e),
+                Err(_) => return errors::Error::lost("send", to.clone(), "the peer takes no data"),
+            }
+        }
+        tokio::select! {
+            outgoing = queue.recv() => match outgoing {
+                Some(outgoing) => push_outgoing(&mut out, outgoing, &mut calls, &mut next),
+                None => return errors::Error::lost("send", to.clone(), "closed by this host"),
+            },
+            frame = read.next() => match frame {
+                Ok(frame::Frame::Answer(id, reply)) => {
+                    heard = time::Instant::now();
+                    if let Some(done) = calls.remove(&id) {
+                        // The caller has given up.
+                        let _ = done.send(reply);
+                    }
+                }
+                Ok(_) => heard = time::Instant::now(),
+                Err(error) => return error,
+            },
+            _ = ping.tick() => {
+                if heard.elapsed() > SILENCE {
+                    return errors::Error::lost("ping", to.clone(), "no answer");
+                }
+                push(&mut out, &frame::Frame::Ping);
+            }
+        }
+    }
+}
+
+fn push_outgoing(out: &mut Vec<u8>, outgoing: Outgoing, calls: &mut Calls, next: &mut u64) {
+    match outgoing {
+        Outgoing::Cast(message) => push(out, &frame::Frame::Cast(message)),
+        Outgoing::Call(request, done) => {
+            *next += 1;
+            calls.insert(*next, done);
+            push(out, &frame::Frame::Call(*next, request));
+        }
+    }
+}
+
+fn push(out: &mut Vec<u8>, frame: &frame::Frame) {
+    let at = out.len();
+    out.extend([0; 4]);
+    let start = out.len();
+    // Encoding into memory fails only for types that postcard does not support at all.
+    let encoded = postcard::to_stdvec(frame).unwrap_or_default();
+    out.extend(encoded);
+    let len = u32::try_from(out.len() - start).unwrap_or(u32::MAX);
+    out[at..start].copy_from_slice(&len.to_be_bytes());
+}
+
+struct Reader {
+    read: OwnedReadHalf,
+    peer: Arc<str>,
+    buffer: BytesMut,
+}
+
+impl Reader {
+    fn new(read: OwnedReadHalf, peer: Arc<str>) -> Reader {
+        Reader { read, peer, buffer: BytesMut::new() }
+    }
+
+    /// Next frame. May be cancelled without losing data.
+    async fn next(&mut self) -> Result<frame::Frame, errors::Error> {
+        loop {
+            if let Some(frame) = self.take()? {
+                return Ok(frame);
+            }
+            match self.read.read_buf(&mut self.buffer).await {
+                Ok(0) => return Err(errors::Error::lost("read", self.peer.clone(), "closed")),
+                Ok(_) => {}
+                Err(e) => return Err(errors::Error::lost("read", self.peer.clone(), e)),
+            }
+        }
+    }
+
+    fn take(&mut self) -> Result<Option<frame::Frame>, errors::Error> {
+        let Some(len) = self.buffer.first_chunk::<4>() else { return Ok(None) };
+        let len = u32::from_be_bytes(*len) as usize;
+        if len > wire::MAX_FRAME {
+            return Err(errors::Error::protocol("read frame", self.peer.clone(), "too long"));
+        }
+        if self.buffer.len() < 4 + len {
+            self.buffer.reserve(4 + len - self.buffer.len());
+            return Ok(None);
+        }
+        self.buffer.advance(4);
+        let body = self.buffer.split_to(len);
+        postcard::from_bytes(&body)
+            .map(Some)
+            .map_err(|e| errors::Error::protocol("read frame", self.peer.clone(), e))
+    }
+}
+
+/// Accepts connections of other hosts until the task is dropped.
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    log: slog::Logger,
+) -> Result<(), errors::Error> {
+    loop {
+        match listener.accept().await {
+            Ok((stream, addr)) => {
+                let (handler, log) = (handler.clone(), log.clone());
+                tokio::spawn(async move {
+                    let error = receive(stream, addr, handler).await;
+                    slog::debug!(log, "connection of a host ended"; "error" => %error);
+                });
+            }
+            Err(error) => {
+                event!(log, events::ACCEPT_FAILED; "error" => %error);
+                time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn receive(stream: TcpStream, addr: SocketAddr, handler: Arc<dyn Handler>) -> errors::Error {
+    let mut from: Arc<str> = addr.to_string().into();
+    if let Err(e) = stream.set_nodelay(true) {
+        return errors::Error::io("accept", from, e);
+    }
+    let (read, write) = stream.into_split();
+    let mut read = Reader::new(read, from.clone());
+    let (answers, queue) = mpsc::channel(QUEUE);
+    let writer = tokio::spawn(answer(write, queue));
+    let error = loop {
+        // The dialling end pings; without pings it is gone or its packets vanish.
+        let frame = match time::timeout(SILENCE * 2, read.next()).await {
+            Ok(Ok(frame)) => frame,
+            Ok(Err(error)) => break error,
+            Err(_) => break errors::Error::lost("read", from, "silent"),
+        };
+        match frame {
+            frame::Frame::Hello(name) => from = name,
+            frame::Frame::Ping => {
+                let _ = answers.try_send(frame::Frame::Pong);
+            }
+            frame::Frame::Cast(message) => handler.cast(&from, message),
+            frame::Frame::Call(id, request) => {
+                let (reply, answers) = (handler.call(request), answers.clone());
+                tokio::spawn(async move {
+                    // Fails only if the connection is gone, which its other end notices.
+                    let _ = answers.send(frame::Frame::Answer(id, reply.await)).await;
+                });
+            }
+            frame::Frame::Pong | frame::Frame::Answer(..) => {}
+        }
+    };
+    writer.abort();
+    error
+}
+
+async fn answer(mut write: OwnedWriteHalf, mut queue: mpsc::Receiver<frame::Frame>) {
+    let mut out = Vec::new();
+    while let Some(frame) = queue.recv().await {
+        push(&mut out, &frame);
+        while out.len() < WRITE {
+            match queue.try_recv() {
+                Ok(frame) => push(&mut out, &frame),
+                Err(_) => break,
+            }
+        }
+        if write.write_all(&out).await.is_err() {
+            // The reading half sees the end of the connection as well.
+            return;
+        }
+        out.clear();
+    }
+}
--- /dev/null
+++ b/src/fleet/protocol.rs
@@ -0,0 +1,116 @@
+//! Interface to the protocol that callers, endpoints and operators of a deployment speak.
+//!
+//! An implementation translates names and formats into the types of this crate and decides
+//! nothing.
+
+use crate::fleet::directory;
+use crate::fleet::ledger;
+use crate::fleet::routes;
+use derive_more::Display;
+use hyper::header::HeaderName;
+use std::sync::Arc;
+
+/// Names of the headers that this crate reads or sets.
+#[derive(Clone, Debug)]
+pub struct Headers {
+    /// Id of a request.
+    pub request: HeaderName,
+    /// Milliseconds that the sender will wait.
+    pub deadline: HeaderName,
+    /// Id of the endpoint that the request is meant for.
+    pub expect: HeaderName,
+    /// Set by an endpoint that has not run a request.
+    pub declined: HeaderName,
+    /// Number of the last event that the receiver of a stream has.
+    pub resume: HeaderName,
+    /// Longest time in milliseconds that a read may wait for results.
+    pub wait: HeaderName,
+    /// Tokens of the prompt and most tokens of the answer.
+    pub tokens: HeaderName,
+}
+
+/// Call of an operator, an endpoint or the client of a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether the host takes requests.
+    Ready,
+    /// An endpoint states how it is.
+    Register(Arc<str>),
+    /// An endpoint leaves.
+    Leave(Arc<str>),
+    /// Put a configuration in force.
+    PutConfig,
+    /// Read the configuration in force.
+    GetConfig,
+    /// Empty a store host.
+    Retire(Arc<str>),
+    /// Progress of emptying a store host.
+    Retiring(Arc<str>),
+    /// Read results of a job from a position.
+    Results {
+        /// Id of the job.
+        job: Arc<str>,
+        /// First position.
+        after: u64,
+    },
+    /// Read the body of an item.
+    Body {
+        /// Id of the job.
+        job: Arc<str>,
+        /// Id of the item.
+        item: Arc<str>,
+    },
+    /// End a job.
+    End(Arc<str>),
+}
+
+/// Input that does not follow the protocol.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("{_0}")]
+pub struct Invalid(pub Arc<str>);
+
+impl Invalid {
+    /// Describes a problem.
+    pub fn new(problem: impl ToString) -> Invalid {
+        Invalid(problem.to_string().into())
+    }
+}
+
+/// Translation between the protocol of a deployment and the types of this crate.
+pub trait Protocol: Send + Sync {
+    /// Names of headers.
+    fn headers(&self) -> &Headers;
+
+    /// Recognises a call; `None` for requests that are forwarded.
+    fn call(&self, method: &hyper::Method, uri: &hyper::Uri) -> Option<Call>;
+
+    /// Reads and validates a configuration.
+    ///
+    /// # Errors
+    /// The first problem; an invalid configuration must not be used.
+    fn config(&self, body: &[u8]) -> Result<routes::Config, routes::Problem>;
+
+    /// Reads the statement of an endpoint.
+    ///
+    /// # Errors
+    /// `Invalid` for text that does not describe an endpoint completely.
+    fn registration(&self, id: &str, body: &[u8]) -> Result<directory::Endpoint, Invalid>;
+
+    /// Reads the start time from the farewell of an endpoint, if it is stated.
+    fn farewell(&self, body: &[u8]) -> Option<u64>;
+
+    /// Reads the items of a submitted job.
+    ///
+    /// # Errors
+    /// `Invalid` for text that is not a list of items.
+    fn submission(&self, body: &[u8]) -> Result<Vec<ledger::Item>, Invalid>;
+
+    /// Answer to a registration.
+    fn registered(&self) -> Vec<u8>;
+
+    /// Answer to a read of results.
+    fn page(&self, page: &ledger::Page) -> Vec<u8>;
+
+    /// Answer to a question for the progress of emptying a store host.
+    fn retiring(&self, complete: bool) -> Vec<u8>;
+}
--- /dev/null
+++ b/src/fleet/routes.rs
@@ -0,0 +1,227 @@
+//! Routes and services of one configuration: validation, matching and the choice of a service.
+//!
+//! Free of I/O.
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What may be repeated of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// A whole answer; may run more than once.
+    Safe,
+    /// A whole answer; runs at most once.
+    Unsafe,
+    /// A stream of numbered events.
+    Stream,
+    /// Submissions of batch jobs.
+    Batch,
+}
+
+/// Share of a route's requests that goes to a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Weight relative to the other shares of the route.
+    pub weight: u64,
+}
+
+/// Requests of one host and path prefix.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Name for operators.
+    pub name: Arc<str>,
+    /// Host that the request names, in lowercase.
+    pub host: Arc<str>,
+    /// Prefix of the path; begins and ends with a slash.
+    pub prefix: Arc<str>,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time for an answer. Does not apply to the items of batch jobs.
+    pub timeout: Duration,
+    /// Time within which an answer is useful to its caller.
+    pub target: Duration,
+    /// Longest pause between two events of a stream that is still useful; zero if not stated.
+    pub gap: Duration,
+    /// Rank among routes; 0 is the most urgent.
+    pub rank: u64,
+    /// Services that run the requests.
+    pub shares: Vec<Share>,
+    /// Most endpoints on which one request may run; for batch jobs, failed runs of an item.
+    pub attempts: u32,
+    /// Whether a broken stream may go on at another endpoint.
+    pub resumable: bool,
+    /// Batch jobs: time from submission until every result is due.
+    pub due: Duration,
+    /// Batch jobs: time from submission after which items may be given up.
+    pub patience: Duration,
+}
+
+impl Route {
+    /// Whether a request may run again after a run with unknown outcome.
+    pub fn repeatable(&self) -> bool {
+        match self.kind {
+            Kind::Safe | Kind::Batch => true,
+            Kind::Unsafe => false,
+            Kind::Stream => self.resumable,
+        }
+    }
+
+    /// Service for a request; `draw` is a random number.
+    pub fn choose(&self, draw: u64) -> Option<&Arc<str>> {
+        let total: u64 = self.shares.iter().map(|s| s.weight).sum();
+        let mut point = draw.checked_rem(total)?;
+        for share in &self.shares {
+            if point < share.weight {
+                return Some(&share.service);
+            }
+            point -= share.weight;
+        }
+        None
+    }
+}
+
+/// Kind of endpoints that serve the same requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Name of the service.
+    pub name: Arc<str>,
+    /// Requests that one endpoint runs at once, if the service says so.
+    pub slots: Option<u32>,
+    /// Tokens that one endpoint can hold in memory, if the service says so.
+    pub memory: Option<u64>,
+    /// Most connections that one endpoint accepts.
+    pub connections: Option<u32>,
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bounds {
+    /// Largest head of a request in bytes.
+    pub head: usize,
+    /// Largest body of a request in bytes.
+    pub body: usize,
+    /// Longest time for the head of a request.
+    pub head_time: Duration,
+    /// Longest time for which a connection may be idle.
+    pub idle: Duration,
+}
+
+impl Default for Bounds {
+    /// Used for what a configuration leaves out: the values of the platform's examples.
+    fn default() -> Bounds {
+        Bounds {
+            head: 16 << 10,
+            body: 4 << 20,
+            head_time: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Complete configuration under the operator's version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// Version; the highest is in force.
+    pub version: u64,
+    /// Routes, sorted by host and prefix.
+    pub routes: Vec<Route>,
+    /// Services, sorted by name.
+    pub services: Vec<Service>,
+    /// Bounds on what callers send.
+    pub bounds: Bounds,
+}
+
+/// Why a configuration is not valid.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Problem {
+    /// The text is not a configuration.
+    #[display("not readable: {_0}")]
+    Unreadable(Arc<str>),
+    /// A route names a service that the configuration does not have.
+    #[display("route {route}: unknown service {service}")]
+    UnknownService {
+        /// Name of the route.
+        route: Arc<str>,
+        /// Name of the service.
+        service: Arc<str>,
+    },
+    /// Two routes have the same host and prefix.
+    #[display("routes {first} and {second}: same host and prefix")]
+    SamePlace {
+        /// Name of the first route.
+        first: Arc<str>,
+        /// Name of the second route.
+        second: Arc<str>,
+    },
+    /// The weights of a route add up to zero.
+    #[display("route {_0}: the weights add up to 0")]
+    NoWeight(Arc<str>),
+    /// A route has a time limit of zero.
+    #[display("route {_0}: the time limit is 0")]
+    NoTimeout(Arc<str>),
+    /// Two services have the same name.
+    #[display("two services are named {_0}")]
+    SameService(Arc<str>),
+}
+
+impl Config {
+    /// Sorts and validates the parts of a configuration.
+    ///
+    /// # Errors
+    /// The first problem found; nothing of an invalid configuration may be used.
+    pub fn new(
+        version: u64,
+        mut routes: Vec<Route>,
+        mut services: Vec<Service>,
+        bounds: Bounds,
+    ) -> Result<Config, Problem> {
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        if let Some(pair) = services.windows(2).find(|p| p[0].name == p[1].name) {
+            return Err(Problem::SameService(pair[0].name.clone()));
+        }
+        let same = |p: &&[Route]| (&p[0].host, &p[0].prefix) == (&p[1].host, &p[1].prefix);
+        if let Some(pair) = routes.windows(2).find(same) {
+            let (first, second) = (pair[0].name.clone(), pair[1].name.clone());
+            return Err(Problem::SamePlace { first, second });
+        }
+        let config = Config { version, routes, services, bounds };
+        for route in &config.routes {
+            config.check(route)?;
+        }
+        Ok(config)
+    }
+
+    fn check(&self, route: &Route) -> Result<(), Problem> {
+        if let Some(share) = route.shares.iter().find(|s| self.service(&s.service).is_none()) {
+            let (route, service) = (route.name.clone(), share.service.clone());
+            return Err(Problem::UnknownService { route, service });
+        }
+        if route.shares.iter().map(|s| s.weight).sum::<u64>() == 0 {
+            return Err(Problem::NoWeight(route.name.clone()));
+        }
+        if route.timeout.is_zero() {
+            return Err(Problem::NoTimeout(route.name.clone()));
+        }
+        Ok(())
+    }
+
+    /// Service with the given name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.binary_search_by(|s| (*s.name).cmp(name)).ok().map(|at| &self.services[at])
+    }
+
+    /// Route of a request: the longest prefix among the routes of the host. The host is compared
+    /// without its port and case.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let from = self.routes.partition_point(|r| *r.host < *name);
+        let routes = self.routes[from..].iter().take_while(|r| *r.host == *name);
+        routes.filter(|r| path.starts_with(&*r.prefix)).max_by_key(|r| r.prefix.len())
+    }
+}
--- /dev/null
+++ b/src/fleet/serve.rs
@@ -0,0 +1,169 @@
+//! HTTP/1.1 listeners of a host.
+
+use crate::event;
+use crate::events;
+use crate::fleet::routes;
+use crate::supervisor;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::header;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time;
+
+/// Time by which a connection is kept longer than callers were promised.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Pause after a connection could not be accepted, for example for lack of descriptors.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Smallest read buffer that hyper accepts.
+const MIN_BUFFER: usize = 8 << 10;
+
+/// Body of an answer. An error closes the connection without a proper end of the answer.
+pub type Body = UnsyncBoxBody<Bytes, Broken>;
+
+/// Answer to a request.
+pub type Answer = hyper::Response<Body>;
+
+/// An answer broke off.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
+#[display("the answer broke off")]
+pub struct Broken;
+
+/// Handles requests of one listener.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers a request. Dropping the future cancels the request, as its caller has left.
+    fn handle(
+        self: Arc<Self>,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> BoxFuture<'static, Answer>;
+}
+
+/// Stages of a listener that is to end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Takes requests.
+    #[default]
+    Serving,
+    /// Ends each connection after its present request; new connections carry one request.
+    Closing,
+}
+
+/// Answer with a body that is complete.
+pub fn answer(status: hyper::StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut answer = hyper::Response::new(whole(body.into()));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Answer with a JSON body.
+pub fn json(body: Vec<u8>) -> Answer {
+    let mut answer = answer(hyper::StatusCode::OK, body);
+    let json = header::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
+
+/// Body whose bytes are all there.
+pub fn whole(body: Bytes) -> Body {
+    Full::new(body).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Reads the body of a request.
+///
+/// # Errors
+/// The answer to a body that is too long or breaks off.
+pub async fn read_body(body: hyper::body::Incoming, limit: usize) -> Result<Bytes, Answer> {
+    match http_body_util::Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(answer(hyper::StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"))
+        }
+        Err(_) => Err(answer(hyper::StatusCode::BAD_REQUEST, "the body breaks off\n")),
+    }
+}
+
+/// Connections of a listener that are open. Dropping the last clone ends a wait for them.
+pub type Open = watch::Sender<()>;
+
+/// Accepts connections until the stop, and serves each on a task of its own.
+pub async fn run(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    bounds: watch::Receiver<routes::Bounds>,
+    stage: watch::Receiver<Stage>,
+    open: Open,
+    mut stop: supervisor::Stop,
+    log: slog::Logger,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.wait() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let bounds = *bounds.borrow();
+                let (handler, stage) = (handler.clone(), stage.clone());
+                let guard = open.subscribe();
+                tokio::spawn(async move {
+                    connection(stream, handler, bounds, stage).await;
+                    drop(guard);
+                });
+            }
+            Err(error) => {
+                event!(log, events::ACCEPT_FAILED; "error" => %error);
+                time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(
+    stream: TcpStream,
+    handler: Arc<dyn Handler>,
+    bounds: routes::Bounds,
+    mut stage: watch::Receiver<Stage>,
+) {
+    if stream.set_nodelay(true).is_err() {
+        // The caller is gone already.
+        return;
+    }
+    let service = hyper::service::service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    // hyper counts the time between two requests of a connection as time for the next head.
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.idle.max(bounds.head_time) + IDLE_MARGIN)
+        .max_buf_size(bounds.head.max(MIN_BUFFER));
+    let served = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(served);
+    let closing = async {
+        // An error means that the listener is gone.
+        let _ = stage.wait_for(|s| *s == Stage::Closing).await;
+    };
+    tokio::pin!(closing);
+    let mut asked = false;
+    loop {
+        tokio::select! {
+            // The caller sees how its connection ended; nothing else depends on it.
+            _ = &mut served => return,
+            () = &mut closing, if !asked => {
+                asked = true;
+                served.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/sse.rs
@@ -0,0 +1,93 @@
+//! Splits a stream of server-sent events without changing its bytes; free of I/O.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Bytes of one event that are kept at most; a longer one is not a stream of events.
+const MAX_EVENT: usize = 1 << 20;
+
+/// Complete event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Bytes of the event with the blank line that ends it.
+    pub bytes: Bytes,
+    /// Value of its `id` field, if that is a number.
+    pub id: Option<u64>,
+}
+
+impl Event {
+    /// Values of the `data` fields, joined by line feeds.
+    pub fn data(&self) -> Vec<u8> {
+        let mut data = Vec::new();
+        for (n, value) in fields(&self.bytes, b"data").enumerate() {
+            if n > 0 {
+                data.push(b'\n');
+            }
+            data.extend(value);
+        }
+        data
+    }
+}
+
+/// The stream does not consist of events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TooLong;
+
+/// Collects bytes until an event is complete.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buffer: BytesMut,
+    /// Bytes at the start of the buffer that contain no end of an event.
+    searched: usize,
+}
+
+impl Splitter {
+    /// Takes more bytes of the stream.
+    ///
+    /// # Errors
+    /// `TooLong` if an event does not end within a megabyte.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), TooLong> {
+        self.buffer.extend_from_slice(bytes);
+        if self.buffer.len() > MAX_EVENT { Err(TooLong) } else { Ok(()) }
+    }
+
+    /// Next complete event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let from = self.searched.saturating_sub(3);
+        let Some(end) = end_of_event(&self.buffer, from) else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        self.searched = 0;
+        let bytes = self.buffer.split_to(end).freeze();
+        let id = fields(&bytes, b"id").last().and_then(number);
+        Some(Event { bytes, id })
+    }
+
+    /// Bytes of an event that is not complete.
+    pub fn rest(&self) -> &[u8] {
+        &self.buffer
+    }
+}
+
+fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
+    let tail = &bytes[from..];
+    let plain = tail.windows(2).position(|w| w == b"\n\n").map(|at| from + at + 2);
+    let crlf = tail.windows(4).position(|w| w == b"\r\n\r\n").map(|at| from + at + 4);
+    match (plain, crlf) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+fn fields<'a>(event: &'a [u8], name: &'static [u8]) -> impl Iterator<Item = &'a [u8]> {
+    event.split(|b| *b == b'\n').filter_map(move |line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let value = line.strip_prefix(name)?.strip_prefix(b":")?;
+        Some(value.strip_prefix(b" ").unwrap_or(value))
+    })
+}
+
+fn number(value: &[u8]) -> Option<u64> {
+    std::str::from_utf8(value).ok()?.parse().ok()
+}
--- /dev/null
+++ b/src/fleet/store.rs
@@ -0,0 +1,176 @@
+//! Role store: replicates the jobs and, on the leader, runs their items.
+
+use crate::errors;
+use crate::fleet::dispatch;
+use crate::fleet::entry;
+use crate::fleet::frame;
+use crate::fleet::groups;
+use crate::fleet::ledger;
+use crate::fleet::member;
+use crate::fleet::node;
+use crate::fleet::peer;
+use crate::replica;
+use crate::state::service;
+use crate::supervisor;
+use crate::wire;
+use bytes::Bytes;
+use futures_util::FutureExt as _;
+use futures_util::future::BoxFuture;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::sync::watch;
+
+struct Store {
+    node: node::Node,
+}
+
+/// Jobs as the dispatcher of the leader sees them.
+#[derive(Clone)]
+pub struct Shared {
+    /// State machine of the group.
+    pub ledger: Arc<Mutex<ledger::Ledger>>,
+    /// Whether this host leads the group.
+    pub leads: watch::Sender<bool>,
+    /// Wakes whenever commands were applied.
+    pub applied: watch::Sender<u64>,
+}
+
+struct Machine(Arc<Mutex<ledger::Ledger>>);
+
+impl replica::Machine for Machine {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        peer::lock(&self.0).apply(index, command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        replica::Machine::snapshot(&*peer::lock(&self.0))
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
+        peer::lock(&self.0).restore(data)
+    }
+}
+
+struct Service {
+    machine: Machine,
+    shared: Shared,
+}
+
+impl service::Service for Service {
+    fn machine(&mut self) -> &mut dyn replica::Machine {
+        &mut self.machine
+    }
+
+    fn query(&self, query: &[u8]) -> Vec<u8> {
+        let answer = match postcard::from_bytes(query) {
+            Ok(query) => peer::lock(&self.machine.0).answer(&query),
+            Err(_) => ledger::Answer::Unknown,
+        };
+        ledger::encode(&answer)
+    }
+
+    fn is_new_work(&self, command: &[u8]) -> bool {
+        matches!(postcard::from_bytes(command), Ok(ledger::Command::Submit { .. }))
+    }
+
+    fn prepare(&mut self, _now: Duration, command: Bytes) -> Result<Bytes, wire::Reason> {
+        Ok(command)
+    }
+
+    fn lead(&mut self, _now: Duration, leads: bool) {
+        self.shared.leads.send_replace(leads);
+    }
+
+    fn applied(&mut self, _now: Duration) {
+        self.shared.applied.send_modify(|n| *n += 1);
+    }
+
+    fn tick(&mut self, _now: Duration) -> Vec<Bytes> {
+        Vec::new()
+    }
+
+    fn serve(&mut self, _now: Duration, _request: wire::Request, done: service::Done) {
+        service::refuse(done, wire::Reason::Invalid);
+    }
+}
+
+/// Adds the tasks of the role to a supervisor. Returns the stop of its connections.
+///
+/// # Errors
+/// `Invalid` if the settings lack a folder.
+pub fn start(
+    node: &node::Node,
+    tree: &mut supervisor::Supervisor,
+) -> Result<supervisor::Stop, errors::Error> {
+    let folder = node.settings.host.folder.as_ref();
+    let folder = folder
+        .ok_or_else(|| errors::Error::invalid("start store", "settings", "host.folder is missing"))?
+        .join("jobs");
+    let shared = Shared {
+        ledger: Arc::default(),
+        leads: watch::Sender::new(false),
+        applied: watch::Sender::new(0),
+    };
+    let (n, s) = (node.clone(), shared.clone());
+    let mut stop = tree.stop();
+    let mut replica = supervisor::Supervisor::new("jobs", tree.log());
+    let stopper = replica.stopper();
+    tree.spawn_once(async move {
+        let founders = tokio::select! {
+            founders = founders(&n, &folder) => founders,
+            () = stop.wait() => return Ok(()),
+        };
+        let size = 2 * n.settings.fleet.losses + 1;
+        let member = member::Member { node: n, group: groups::JOBS, folder, founders, size };
+        member.spawn(&mut replica, move || {
+            // A replica that starts anew starts with an empty ledger.
+            *peer::lock(&s.ledger) = ledger::Ledger::default();
+            let machine = Machine(s.ledger.clone());
+            Box::new(Service { machine, shared: s.clone() })
+        });
+        tokio::spawn(async move {
+            stop.wait().await;
+            stopper.send_replace(true);
+        });
+        replica.run().await
+    });
+    let (n, s) = (node.clone(), shared);
+    tree.spawn("items", move |stop| dispatch::run(n.clone(), s.clone(), stop));
+    let end = tree.stop();
+    node.spawn_reports(tree, &end, true);
+    Ok(end)
+}
+
+/// Waits until the job group is placed, unless this host has taken part before.
+async fn founders(node: &node::Node, folder: &Path) -> Vec<Arc<str>> {
+    let mut changes = node.view.changes();
+    loop {
+        let stores = node.view.stores();
+        if !stores.is_empty() || folder.exists() {
+            return stores;
+        }
+        if changes.changed().await.is_err() {
+            return stores;
+        }
+    }
+}
+
+/// Handler of connections from other hosts.
+pub fn peer_handler(node: &node::Node) -> Arc<dyn peer::Handler> {
+    Arc::new(Store { node: node.clone() })
+}
+
+impl peer::Handler for Store {
+    fn cast(&self, from: &Arc<str>, message: frame::Cast) {
+        match message {
+            frame::Cast::Replica(envelope) => member::deliver(&self.node, envelope),
+            message => entry::cast(&self.node, from, message),
+        }
+    }
+
+    fn call(&self, request: wire::Request) -> BoxFuture<'static, wire::Reply> {
+        member::answer(self.node.clone(), groups::JOBS, request).boxed()
+    }
+}
--- /dev/null
+++ b/src/fleet/view.rs
@@ -0,0 +1,227 @@
+//! What a host knows of the fleet: configuration, directory, placement and load.
+
+use crate::event;
+use crate::events;
+use crate::fleet::directory;
+use crate::fleet::frame;
+use crate::fleet::keeper;
+use crate::fleet::load;
+use crate::fleet::peer;
+use crate::fleet::protocol;
+use crate::fleet::routes;
+use crate::fleet::settings;
+use arc_swap::ArcSwapOption;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Configuration in force at a host.
+#[derive(Debug)]
+pub struct InForce {
+    /// Document of the operator.
+    pub document: keeper::Document,
+    /// Its content.
+    pub config: routes::Config,
+}
+
+/// What a host knows of the fleet. Shared by the parts of a process.
+pub struct View {
+    own: directory::Host,
+    seeds: Mutex<Vec<Arc<str>>>,
+    protocol: Arc<dyn protocol::Protocol>,
+    in_force: ArcSwapOption<InForce>,
+    stores: Mutex<Vec<Arc<str>>>,
+    directory: Mutex<directory::Directory>,
+    loads: Mutex<load::Loads>,
+    changed: watch::Sender<u64>,
+    log: slog::Logger,
+}
+
+impl View {
+    /// View of a host that knows only itself and its seeds.
+    pub fn new(
+        own: directory::Host,
+        seeds: Vec<Arc<str>>,
+        protocol: Arc<dyn protocol::Protocol>,
+        log: &slog::Logger,
+    ) -> View {
+        let mut directory = directory::Directory::default();
+        directory.note_host(Duration::ZERO, own.clone());
+        View {
+            own,
+            seeds: Mutex::new(seeds),
+            protocol,
+            in_force: ArcSwapOption::empty(),
+            stores: Mutex::default(),
+            directory: Mutex::new(directory),
+            loads: Mutex::default(),
+            changed: watch::Sender::new(0),
+            log: log.clone(),
+        }
+    }
+
+    /// This host.
+    pub fn own(&self) -> &directory::Host {
+        &self.own
+    }
+
+    /// Translation of the deployment's protocol.
+    pub fn protocol(&self) -> &Arc<dyn protocol::Protocol> {
+        &self.protocol
+    }
+
+    /// Configuration in force; `None` before the first one arrives.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.in_force.load_full()
+    }
+
+    /// Wakes whenever something in the view has changed.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn change(&self) {
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Replaces the seeds after a change of the settings.
+    pub fn reseed(&self, seeds: Vec<Arc<str>>) {
+        *peer::lock(&self.seeds) = seeds;
+    }
+
+    /// Puts a document in force if its version is higher. Returns whether it was.
+    pub fn take_document(&self, document: keeper::Document) -> bool {
+        let known = self.in_force.load().as_ref().map_or(0, |f| f.document.version);
+        if document.version <= known {
+            return false;
+        }
+        let config = match self.protocol.config(&document.text) {
+            Ok(config) => config,
+            Err(problem) => {
+                event!(self.log, events::CONFIG_UNREADABLE; "version" => document.version,
+                    "error" => %problem);
+                return false;
+            }
+        };
+        event!(self.log, events::CONFIG_IN_FORCE; "version" => document.version,
+            "before" => known, "routes" => config.routes.len());
+        self.in_force.store(Some(Arc::new(InForce { document, config })));
+        self.change();
+        true
+    }
+
+    /// Link addresses of the first members of the job group; empty before it is placed.
+    pub fn stores(&self) -> Vec<Arc<str>> {
+        peer::lock(&self.stores).clone()
+    }
+
+    /// Learns where the job group is placed. Returns whether that was news.
+    pub fn take_stores(&self, stores: Vec<Arc<str>>) -> bool {
+        let mut known = peer::lock(&self.stores);
+        if stores.is_empty() || !known.is_empty() {
+            return false;
+        }
+        event!(self.log, events::JOBS_PLACED; "hosts" => stores.join(","));
+        *known = stores;
+        drop(known);
+        self.change();
+        true
+    }
+
+    /// Runs a function on the directory.
+    pub fn directory<T>(&self, run: impl FnOnce(&mut directory::Directory) -> T) -> T {
+        run(&mut peer::lock(&self.directory))
+    }
+
+    /// Runs a function on the load of the endpoints.
+    pub fn loads<T>(&self, run: impl FnOnce(&mut load::Loads) -> T) -> T {
+        run(&mut peer::lock(&self.loads))
+    }
+
+    /// Takes the news of a control host. Returns the part that changed something here.
+    pub fn take_news(&self, now: Duration, news: frame::News) -> Option<frame::News> {
+        let document = news.document.filter(|d| self.take_document(d.clone()));
+        let stores = news.stores.filter(|s| self.take_stores(s.clone()));
+        let (records, left) = self.directory(|d| {
+            let records = d.merge(now, news.records);
+            let mut left = Vec::new();
+            for (id, born) in news.left {
+                if d.endpoint(&id).is_some_and(|e| e.phase != directory::Phase::Gone)
+                    && d.leave(now, &id, born).is_some()
+                {
+                    left.push((id, born));
+                }
+            }
+            (records, left)
+        });
+        for endpoint in &records.endpoints {
+            event!(self.log, events::ENDPOINT_STATED; "endpoint" => &*endpoint.id,
+                "service" => &*endpoint.service, "address" => %endpoint.address,
+                "phase" => ?endpoint.phase, "born" => endpoint.born, "seq" => endpoint.seq);
+        }
+        let quiet = records.endpoints.is_empty() && records.hosts.is_empty() && left.is_empty();
+        if !quiet {
+            self.change();
+        }
+        let news = frame::News { document, stores, records, left };
+        let changed = !quiet || news.document.is_some() || news.stores.is_some();
+        changed.then_some(news)
+    }
+
+    /// Tells the waiting parts that the directory was changed directly.
+    pub fn directory_changed(&self) {
+        self.change();
+    }
+
+    /// Link addresses of the control hosts, without this host.
+    pub fn controls(&self) -> Vec<Arc<str>> {
+        let mut controls = peer::lock(&self.seeds).clone();
+        self.directory(|d| {
+            controls.extend(d.hosts(settings::Role::Control).map(|h| h.link.clone()));
+        });
+        self.others(controls)
+    }
+
+    /// Link addresses of the hosts that may hold replicas of a group, without this host.
+    pub fn members(&self, group: u16) -> Vec<Arc<str>> {
+        if group == 0 {
+            return self.controls();
+        }
+        let mut stores = self.stores();
+        self.directory(|d| {
+            stores.extend(d.hosts(settings::Role::Store).map(|h| h.link.clone()));
+        });
+        self.others(stores)
+    }
+
+    fn others(&self, mut links: Vec<Arc<str>>) -> Vec<Arc<str>> {
+        links.sort();
+        links.dedup();
+        links.retain(|l| *l != self.own.link);
+        links
+    }
+
+    /// Introduction of this host to a control host.
+    pub fn greeting(&self) -> frame::Greeting {
+        frame::Greeting {
+            host: self.own.clone(),
+            version: self.in_force.load().as_ref().map_or(0, |f| f.document.version),
+            placed: !peer::lock(&self.stores).is_empty(),
+            digest: self.directory(|d| d.digest()),
+        }
+    }
+
+    /// What a host that has sent a greeting does not know yet.
+    pub fn missing(&self, greeting: &frame::Greeting) -> Option<frame::News> {
+        let in_force = self.in_force.load();
+        let document = in_force.as_ref().map(|f| f.document.clone());
+        let document = document.filter(|d| d.version > greeting.version);
+        let stores = (!greeting.placed).then(|| self.stores()).filter(|s| !s.is_empty());
+        let same = self.directory(|d| d.digest()) == greeting.digest;
+        let records =
+            if same { directory::Records::default() } else { self.directory(|d| d.records()) };
+        let silent = document.is_none() && stores.is_none() && same;
+        (!silent).then_some(frame::News { document, stores, records, left: Vec::new() })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod errors;
 pub mod events;
+pub mod fleet;
 pub mod follow;
 pub mod gate;
 pub mod jobs;
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -22,6 +22,7 @@
 pub mod repair;
 mod replicate;
 mod transfer;
+pub mod turnover;
 mod types;
 
 pub use types::*;
--- a/src/state/group/calls.rs
+++ b/src/state/group/calls.rs
@@ -61,6 +61,8 @@
     },
     /// Answers of the listed hosts to probes, for the formation of a blank replica.
     Probed(Vec<replica::formation::Answer>),
+    /// A member has said that this replica was removed from the group.
+    Retire,
     /// Describe the replica.
     Status {
         /// Receiver of the state.
--- a/src/state/group/members.rs
+++ b/src/state/group/members.rs
@@ -30,6 +30,7 @@
             id: self.parts.id,
             blank: self.replica.blank(),
             leads: self.leads(),
+            retired: self.replica.members().is_retired(id),
         };
         service::answer(done, reply);
     }
@@ -59,6 +60,9 @@
         if !self.replica.blank() {
             return;
         }
+        if !self.parts.forms {
+            return;
+        }
         let answers = self.answers();
         let decision = replica::formation::decide(&self.parts.host, &self.parts.hosts, &answers);
         if let replica::formation::Decision::Form(members) = decision {
@@ -71,7 +75,14 @@
     /// Replaces the replica of a host that lost its disk, one committed change at a time.
     pub(super) fn repair(&mut self) {
         let answers = self.answers();
-        match self.repair.step(&self.replica, &self.parts.hosts, &answers) {
+        let step = match &mut self.turnover {
+            Some(turnover) => {
+                let now = self.parts.timer.now();
+                turnover.step(now, &self.replica, &answers, &self.parts.service.leaving())
+            }
+            None => self.repair.step(&self.replica, &self.parts.hosts, &answers),
+        };
+        match step {
             replica::repair::Step::Change(change) => {
                 event!(self.parts.log, events::MEMBERS_CHANGED; "group" => self.parts.group,
                     "change" => ?change);
--- a/src/state/group/mod.rs
+++ b/src/state/group/mod.rs
@@ -45,8 +45,13 @@
     pub group: u16,
     /// Name of this host.
     pub host: Arc<str>,
-    /// Names of all state hosts.
+    /// Names of the hosts that form the group.
     pub hosts: Vec<Arc<str>>,
+    /// Whether a blank replica may form a new group.
+    pub forms: bool,
+    /// Number of voters of a group in which any host may replace a lost one; `None` if only the
+    /// listed hosts take part.
+    pub open: Option<usize>,
     /// Data folder of the group.
     pub folder: storage::Folder,
     /// Replica id of this host.
@@ -56,7 +61,7 @@
     /// State machine and soft state.
     pub service: Box<dyn service::Service>,
     /// Messages to other hosts.
-    pub mesh: mesh::Mesh,
+    pub outbox: Box<dyn mesh::Outbox>,
     /// Timer service.
     pub timer: timer::Timer,
     /// Interval of the leader's heartbeats.
@@ -89,6 +94,15 @@
     at: Duration,
 }
 
+/// Why the thread of a group ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Every handle was dropped.
+    Closed,
+    /// The replica was removed from its group; its data folder is of no use any more.
+    Retired,
+}
+
 /// Thread of one group.
 pub struct Group {
     parts: Parts,
@@ -106,10 +120,13 @@
     snapshot_at: u64,
     role: replica::Role,
     repair: replica::repair::Repair,
+    /// Replaces `repair` in a group that is open to other hosts.
+    turnover: Option<replica::turnover::Turnover>,
     /// Last answer of each other host to a probe, and when it came.
     probed: sorted::SortedMap<Arc<str>, Probed>,
     outputs: Vec<replica::Output>,
     disk_full: bool,
+    retired: bool,
     ticked: Duration,
     serviced: Duration,
     shown_alive: Duration,
@@ -140,6 +157,7 @@
         Ok(Group {
             role: replica.role(),
             repair: replica::repair::Repair::default(),
+            turnover: parts.open.map(replica::turnover::Turnover::new),
             probed: sorted::SortedMap::new(),
             replica,
             calls,
@@ -153,6 +171,7 @@
             snapshot_at: applied,
             outputs: Vec::new(),
             disk_full: false,
+            retired: false,
             ticked: now,
             serviced: now,
             shown_alive: now,
@@ -160,13 +179,13 @@
         })
     }
 
-    /// Runs until every handle is dropped or storage fails.
-    pub fn run(mut self) -> Result<(), errors::Error> {
+    /// Runs until every handle is dropped, the replica is retired or storage fails.
+    pub fn run(mut self) -> Result<Ended, errors::Error> {
         loop {
             match self.calls.recv_timeout(TICK) {
                 Ok(call) => self.call(call),
                 Err(mpsc::RecvTimeoutError::Timeout) => {}
-                Err(mpsc::RecvTimeoutError::Disconnected) => return Ok(()),
+                Err(mpsc::RecvTimeoutError::Disconnected) => return Ok(Ended::Closed),
             }
             for _ in 1..BATCH {
                 match self.calls.try_recv() {
@@ -176,6 +195,9 @@
             }
             self.tick();
             self.flush()?;
+            if self.retired {
+                return Ok(Ended::Retired);
+            }
             self.take_snapshot()?;
         }
     }
@@ -207,6 +229,10 @@
             Call::Serve { done, .. } => self.redirect(done),
             Call::Probe { host, id, blank, done } => self.probe(&host, id, blank, done),
             Call::Probed(answers) => self.form(answers),
+            Call::Retire => {
+                event!(self.parts.log, events::REPLICA_RETIRED; "group" => self.parts.group);
+                self.retired = true;
+            }
             Call::Status { done } => {
                 // The asker may have given up.
                 let _ = done.send(self.status());
@@ -302,7 +328,7 @@
             replica::Output::Send(envelope) => {
                 let host = self.host_of(envelope.to);
                 if let Some(host) = host {
-                    self.parts.mesh.send(&host, envelope);
+                    self.parts.outbox.send(&host, envelope);
                 }
             }
             replica::Output::Accepted { token, index, term } => {
--- a/src/state/mesh.rs
+++ b/src/state/mesh.rs
@@ -17,7 +17,13 @@
 /// Pause after a failed connection.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// Outgoing messages to the other state hosts. Clones share the connections.
+/// Transport of replica messages to other hosts.
+pub trait Outbox: Send {
+    /// Queues a message for a host. It may be lost, which replicas tolerate.
+    fn send(&self, host: &Arc<str>, envelope: replica::Envelope);
+}
+
+/// Outgoing messages to the other state hosts over QUIC. Clones share the connections.
 #[derive(Clone)]
 pub struct Mesh {
     senders: Arc<sorted::SortedMap<Arc<str>, mpsc::Sender<replica::Envelope>>>,
@@ -42,9 +48,11 @@
         };
         Mesh { senders: Arc::new(others.map(start).collect()) }
     }
+}
 
-    /// Queues a message for a host. It is dropped if the queue is full or the host unknown.
-    pub fn send(&self, host: &str, envelope: replica::Envelope) {
+impl Outbox for Mesh {
+    /// Drops the message if the queue is full or the host unknown.
+    fn send(&self, host: &Arc<str>, envelope: replica::Envelope) {
         if let Some(sender) = self.senders.get(host) {
             let _ = sender.try_send(envelope);
         }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -67,11 +67,13 @@
             group,
             host: name.clone(),
             hosts: fleet.hosts.iter().map(|h| h.name.clone()).collect(),
+            forms: true,
+            open: None,
             folder,
             id,
             restored,
             service,
-            mesh: mesh.clone(),
+            outbox: Box::new(mesh.clone()),
             timer: context.timer.clone(),
             heartbeat: Duration::from_millis(settings.heartbeat),
             election: Duration::from_millis(settings.election),
@@ -103,7 +105,7 @@
     };
     let (sender, ended) = oneshot::channel();
     let run = move || {
-        let result = group::Group::new(parts, calls).and_then(group::Group::run);
+        let result = group::Group::new(parts, calls).and_then(group::Group::run).map(|_| ());
         // The receiver is gone only when the process ends.
         let _ = sender.send(result);
     };
--- a/src/state/service.rs
+++ b/src/state/service.rs
@@ -3,6 +3,7 @@
 use crate::replica;
 use crate::wire;
 use bytes::Bytes;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -27,6 +28,11 @@
     /// Leadership was gained or lost.
     fn lead(&mut self, now: Duration, leads: bool);
 
+    /// Hosts whose replicas are to be moved elsewhere.
+    fn leaving(&self) -> Vec<Arc<str>> {
+        Vec::new()
+    }
+
     /// Entries were applied. Called on every replica.
     fn applied(&mut self, now: Duration);
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -456,6 +456,8 @@
         blank: bool,
         /// Whether this replica leads its group.
         leads: bool,
+        /// Whether the replica that asked was removed from the group for good.
+        retired: bool,
     },
     /// State of the replicas of a host.
     Groups(Vec<Group>),
