Empty store hosts on request; add learners only when a place is free

Turnover scenarios replay replacement at another address, a lost disk, a short stop, a retired replica that returns, emptying, and a minority that must not replace anybody.

--- a/src/events.rs
+++ b/src/events.rs
@@ -98,8 +98,10 @@
     CONFIG_INVALID = 406, Info, "configuration invalid";
     /// The job group was placed on store hosts.
     JOBS_PLACED = 407, Info, "job group placed";
+    /// An operator has asked to empty a store host.
+    HOST_LEAVING = 408, Info, "store host is to be emptied";
     /// A document from a control host could not be read.
-    CONFIG_UNREADABLE = 408, Error, "configuration not readable";
+    CONFIG_UNREADABLE = 409, Error, "configuration not readable";
     /// A job was accepted.
     JOB_ACCEPTED = 500, Info, "job accepted";
     /// A job was cancelled.
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -8,6 +8,7 @@
 use crate::fleet::frame;
 use crate::fleet::groups;
 use crate::fleet::keeper;
+use crate::fleet::ledger;
 use crate::fleet::member;
 use crate::fleet::node;
 use crate::fleet::peer;
@@ -299,8 +300,8 @@
             protocol::Call::Leave(id) => self.leave(&id, &body),
             protocol::Call::PutConfig => self.put(&body).await,
             protocol::Call::GetConfig => self.get().await,
-            protocol::Call::Retire(host) => self.retire(&host),
-            protocol::Call::Retiring(host) => self.retiring(&host),
+            protocol::Call::Retire(host) => self.retire(&host).await,
+            protocol::Call::Retiring(host) => self.retiring(&host).await,
             _ => serve::answer(StatusCode::NOT_FOUND, "not served by this role\n"),
         }
     }
@@ -372,21 +373,47 @@
         }
     }
 
-    fn retire(&self, name: &str) -> serve::Answer {
-        let host = self.node.view.directory(|d| d.host(name).cloned());
-        match host {
-            Some(host) if host.role == settings::Role::Store => {
-                serve::answer(StatusCode::CONFLICT, "too few store hosts would remain\n")
+    /// Starts to empty a store host.
+    async fn retire(&self, name: &str) -> serve::Answer {
+        let node = &self.node;
+        let (host, others) = node.view.directory(|d| {
+            let others = d.present(node.now(), settings::Role::Store);
+            let others = others.filter(|h| &*h.name != name).map(|h| h.link.clone());
+            (d.host(name).cloned(), others.collect::<Vec<_>>())
+        });
+        let Some(host) = host.filter(|h| h.role == settings::Role::Store) else {
+            return serve::answer(StatusCode::NOT_FOUND, "no such store host\n");
+        };
+        let size = 2 * node.settings.fleet.losses + 1;
+        if others.len() < size {
+            return serve::answer(
+                StatusCode::CONFLICT,
+                format!("{} store hosts would remain, {size} are needed\n", others.len()),
+            );
+        }
+        let command = ledger::Command::Empty { host: host.link.clone() };
+        match node.groups.propose(groups::JOBS, &command, CALL).await {
+            Ok(_) => {
+                event!(node.log, events::HOST_LEAVING; "name" => name, "link" => &*host.link);
+                serve::answer(StatusCode::OK, "")
             }
-            _ => serve::answer(StatusCode::NOT_FOUND, "no such store host\n"),
+            Err(_) => serve::answer(StatusCode::SERVICE_UNAVAILABLE, "no quorum; send it again\n"),
         }
     }
 
-    fn retiring(&self, name: &str) -> serve::Answer {
-        let host = self.node.view.directory(|d| d.host(name).cloned());
-        match host {
-            Some(_) => serve::json(self.node.view.protocol().retiring(false)),
-            None => serve::answer(StatusCode::NOT_FOUND, "no such store host\n"),
-        }
+    /// Progress of emptying a store host: complete once no replica of the jobs is there and as
+    /// many as needed are elsewhere.
+    async fn retiring(&self, name: &str) -> serve::Answer {
+        let node = &self.node;
+        let Some(host) = node.view.directory(|d| d.host(name).cloned()) else {
+            return serve::answer(StatusCode::NOT_FOUND, "no such store host\n");
+        };
+        let Some(status) = node.groups.leader_status(groups::JOBS, CALL).await else {
+            return serve::answer(StatusCode::SERVICE_UNAVAILABLE, "no quorum; ask again\n");
+        };
+        let size = u32::try_from(2 * node.settings.fleet.losses + 1).unwrap_or(u32::MAX);
+        let moved = status.settled && !status.hosts.contains(&host.link);
+        let complete = moved && status.voters >= size && status.live >= size;
+        serve::json(node.view.protocol().retiring(complete))
     }
 }
--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -185,15 +185,13 @@
 
     /// Takes a copy of an endpoint's record, which is no sign of life if it is known already.
     fn note_copy(&mut self, now: Duration, copy: &Endpoint) -> bool {
-        let known = self.endpoints.get(&copy.id).map(|r| &r.value);
-        if let Some(known) = known {
-            let gone = copy.phase == Phase::Gone && known.phase != Phase::Gone;
-            let newer = (copy.born, copy.seq) > (known.born, known.seq);
-            if !newer && !(gone && copy.born == known.born) {
-                return false;
+        if let Some(known) = self.endpoints.get(&copy.id).map(|r| &r.value) {
+            if copy.born == known.born && copy.phase == Phase::Gone {
+                let news = known.phase != Phase::Gone;
+                return news && self.leave(now, &copy.id, Some(copy.born)).is_some();
             }
-            if gone && copy.born == known.born {
-                return self.leave(now, &copy.id, Some(copy.born)).is_some();
+            if (copy.born, copy.seq) <= (known.born, known.seq) {
+                return false;
             }
         }
         self.note_endpoint(now, copy.clone())
--- a/src/fleet/groups.rs
+++ b/src/fleet/groups.rs
@@ -107,6 +107,25 @@
         }
     }
 
+    /// State of the leader's replica; `None` if no leader is found in time.
+    pub async fn leader_status(&self, group: u16, limit: Duration) -> Option<wire::Group> {
+        let end = time::Instant::now() + limit;
+        // A confirmed read leads to the leader.
+        self.confirm(group, limit).await.ok()?;
+        let host = peer::lock(&self.leaders).get(&group).cloned()?;
+        let left = end.saturating_duration_since(time::Instant::now());
+        match self.send(group, &host, wire::Request::Status, left.min(ATTEMPT)).await {
+            Ok(wire::Reply::Groups(groups)) => {
+                groups.into_iter().find(|g| g.group == group && g.leader.as_ref() == Some(&host))
+            }
+            _ => None,
+        }
+    }
+
+    async fn confirm(&self, group: u16, limit: Duration) -> Result<(), Failure> {
+        self.ask(group, wire::Request::Confirm { group }, limit).await.map(|_| ())
+    }
+
     async fn ask(
         &self,
         group: u16,
@@ -195,9 +214,11 @@
     let call = match request {
         wire::Request::Propose { command, .. } => group::Call::Propose { command, done },
         wire::Request::Query { query, .. } => group::Call::Query { query, done },
+        wire::Request::Confirm { .. } => group::Call::Confirm { done },
         wire::Request::Probe { host, id, blank, .. } => {
             group::Call::Probe { host, id, blank, done }
         }
+        wire::Request::Status => return status(&handle).await,
         _ => return refused(wire::Run::No),
     };
     if !handle.call(call) {
@@ -206,3 +227,9 @@
     // The thread drops a call only when it ends, and the command may be in the log by then.
     answer.await.unwrap_or(refused(wire::Run::Unknown))
 }
+
+async fn status(handle: &group::Handle) -> wire::Reply {
+    let (done, answer) = oneshot::channel();
+    handle.call(group::Call::Status { done });
+    wire::Reply::Groups(answer.await.into_iter().collect())
+}
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -155,6 +155,11 @@
         /// Id of the job.
         job: Arc<str>,
     },
+    /// Move the replica of a host elsewhere, so that the host can be removed.
+    Empty {
+        /// Link address of the host.
+        host: Arc<str>,
+    },
     /// Forget jobs whose retention is over.
     Forget {
         /// Ids of the jobs.
@@ -205,9 +210,10 @@
 
 /// All jobs of a group.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
 pub struct Ledger {
     jobs: sorted::SortedMap<Arc<str>, Job>,
+    /// Link addresses of the hosts that are to be emptied, sorted.
+    leaving: Vec<Arc<str>>,
 }
 
 impl Ledger {
@@ -221,6 +227,11 @@
         self.jobs.get(id)
     }
 
+    /// Link addresses of the hosts that are to be emptied.
+    pub fn leaving(&self) -> &[Arc<str>] {
+        &self.leaving
+    }
+
     /// Carries out a command.
     pub fn run(&mut self, index: u64, command: Command) -> Reply {
         match command {
@@ -240,6 +251,12 @@
                 }
                 None => Reply::Unknown,
             },
+            Command::Empty { host } => {
+                if let Err(at) = self.leaving.binary_search(&host) {
+                    self.leaving.insert(at, host);
+                }
+                Reply::Done
+            }
             Command::Forget { jobs } => {
                 for job in &jobs {
                     self.jobs.remove(job);
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -212,7 +212,9 @@
     let asked = match &request {
         wire::Request::Propose { group, .. }
         | wire::Request::Query { group, .. }
+        | wire::Request::Confirm { group }
         | wire::Request::Probe { group, .. } => *group,
+        wire::Request::Status => group,
         _ => u16::MAX,
     };
     if asked != group {
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -79,6 +79,10 @@
         Ok(command)
     }
 
+    fn leaving(&self) -> Vec<Arc<str>> {
+        peer::lock(&self.machine.0).leaving().to_vec()
+    }
+
     fn lead(&mut self, _now: Duration, leads: bool) {
         self.shared.leads.send_replace(leads);
     }
--- a/src/replica/turnover.rs
+++ b/src/replica/turnover.rs
@@ -1,9 +1,9 @@
 //! Keeps a group at its size while hosts come and go, one committed step at a time.
 //!
 //! Unlike [`crate::replica::repair`], which replaces the replica of a listed host, any host that
-//! introduces itself may take the place of a lost one. Hosts beyond the size of the group are kept
-//! as learners, so that they can replace a lost voter without a copy of the log at that moment. A
-//! voter that can be reached is removed only if its host is to be emptied.
+//! introduces itself may take the place of a lost one. It becomes a learner only once a place is
+//! free or about to be, since every learner costs a copy of the log. A voter that can be reached
+//! is removed only if its host is to be emptied.
 
 use crate::replica::Member;
 use crate::replica::MemberChange;
@@ -109,9 +109,16 @@
                 return Some(MemberChange::Remove(lost.id));
             }
         }
-        let new = answers.iter().find(|a| {
+        let learners = of(MemberRole::Learner).count();
+        let needed = voters < self.size
+            || emptied.is_some()
+            || lost.is_some()
+            || of(MemberRole::Voter).any(|m| left(&m));
+        let own = |a: &&Answer| emptied.is_some_and(|e| e.host == a.host);
+        let new = answers.iter().filter(|a| {
             members.get(a.id).is_none() && !members.is_retired(a.id) && !leaving.contains(&a.host)
-        })?;
+        });
+        let new = new.min_by_key(|a| !own(a)).filter(|a| needed && (learners == 0 || own(a)))?;
         let member = Member { id: new.id, host: new.host.clone(), role: MemberRole::Learner };
         Some(MemberChange::AddLearner(member))
     }
--- a/src/state/group/mod.rs
+++ b/src/state/group/mod.rs
@@ -457,6 +457,8 @@
             voters: count(voters),
             live: count(live),
             learners: count(members.members.len() - voters),
+            hosts: members.members.iter().map(|m| m.host.clone()).collect(),
+            settled: self.replica.settled(),
         }
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -348,6 +348,10 @@
     pub live: u32,
     /// Learners that catch up.
     pub learners: u32,
+    /// Hosts of all members in the last membership, committed or not.
+    pub hosts: Vec<Arc<str>>,
+    /// Whether that membership is committed.
+    pub settled: bool,
 }
 
 /// Frame of an answer.
--- a/tests/network/mod.rs
+++ b/tests/network/mod.rs
@@ -14,6 +14,7 @@
 use basilfield::replica::Replica;
 use basilfield::replica::formation;
 use basilfield::replica::repair;
+use basilfield::replica::turnover;
 use bytes::Bytes;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -64,6 +65,7 @@
     pub ledger: Ledger,
     pub applied: u64,
     repair: repair::Repair,
+    turnover: turnover::Turnover,
     /// Outputs of the running batch.
     batch: Vec<Output>,
     /// Messages that arrived while the process was frozen.
@@ -107,6 +109,10 @@
     pub compaction: u64,
     /// Whether hosts form a group and repair it by themselves.
     pub managed: bool,
+    /// Voters of a group in which any host may replace a lost one; the first hosts form it.
+    pub open: Option<usize>,
+    /// Hosts that are to be emptied.
+    pub leaving: Vec<Arc<str>>,
     /// Repairs that leaders reported complete.
     pub repaired: u32,
     /// Snapshots installed from a leader.
@@ -129,6 +135,8 @@
             leaders: BTreeMap::new(),
             compaction: 0,
             managed: false,
+            open: None,
+            leaving: Vec::new(),
             repaired: 0,
             installed: 0,
             queue: Vec::new(),
@@ -136,25 +144,40 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             next_id: 1,
         };
-        for at in 0..count {
-            network.hosts.push(Host {
-                name: format!("h{}", at + 1),
-                id: 0,
-                disk: replica::Restored::default(),
-                replica: None,
-                frozen: false,
-                ledger: Ledger::default(),
-                applied: 0,
-                repair: repair::Repair::default(),
-                batch: Vec::new(),
-                backlog: Vec::new(),
-            });
-            network.wipe(at);
-            network.start(at);
+        for _ in 0..count {
+            network.add();
         }
         network
     }
 
+    /// Adds a host with an empty disk and starts it.
+    pub fn add(&mut self) {
+        let at = self.hosts.len();
+        self.hosts.push(Host {
+            name: format!("h{}", at + 1),
+            id: 0,
+            disk: replica::Restored::default(),
+            replica: None,
+            frozen: false,
+            ledger: Ledger::default(),
+            applied: 0,
+            repair: repair::Repair::default(),
+            turnover: turnover::Turnover::new(self.open.unwrap_or(0)),
+            batch: Vec::new(),
+            backlog: Vec::new(),
+        });
+        self.wipe(at);
+        self.start(at);
+    }
+
+    /// Opens the group to other hosts, with this many voters.
+    pub fn open(&mut self, size: usize) {
+        self.open = Some(size);
+        for host in &mut self.hosts {
+            host.turnover = turnover::Turnover::new(size);
+        }
+    }
+
     /// Membership of all hosts as voters.
     pub fn membership(&self) -> replica::Membership {
         let voters = self.hosts.iter().map(|h| (h.id, h.name.as_str().into()));
@@ -405,14 +428,26 @@
     /// Lets a host form, join or repair its group.
     fn manage(&mut self, at: usize) {
         let answers = self.probe(at);
-        let names: Vec<Arc<str>> = self.hosts.iter().map(|h| h.name.as_str().into()).collect();
+        let founders = self.open.unwrap_or(self.hosts.len());
+        let names: Vec<Arc<str>> =
+            self.hosts.iter().take(founders).map(|h| h.name.as_str().into()).collect();
+        let runs = self.hosts[at].replica.is_some();
+        if self.open.is_some() && runs && self.is_retired(at, &answers) {
+            self.kill(at, 0);
+            self.wipe(at);
+            return self.start(at);
+        }
         let host = &mut self.hosts[at];
         let Some(replica) = &host.replica else { return };
         if let formation::Decision::Form(members) = formation::decide(&host.name, &names, &answers)
         {
             return self.input(at, Input::Form(members));
         }
-        match host.repair.step(replica, &names, &answers) {
+        let step = match self.open {
+            Some(_) => host.turnover.step(self.now, replica, &answers, &self.leaving),
+            None => host.repair.step(replica, &names, &answers),
+        };
+        match step {
             repair::Step::Change(change) => {
                 self.change(at, change);
             }
@@ -421,6 +456,13 @@
         }
     }
 
+    /// Whether a host that can be reached knows that the replica of another was removed.
+    fn is_retired(&self, at: usize, answers: &[formation::Answer]) -> bool {
+        let id = self.hosts[at].id;
+        let reached = answers.iter().filter_map(|a| self.hosts.iter().find(|h| h.id == a.id));
+        reached.filter_map(|h| h.replica.as_ref()).any(|r| r.members().is_retired(id))
+    }
+
     /// Host that leads the highest term, if it runs.
     pub fn leader(&self) -> Option<usize> {
         let leads = |h: &&Host| {
--- a/tests/replica_scenarios.rs
+++ b/tests/replica_scenarios.rs
@@ -104,6 +104,9 @@
         args.reject_next()?;
         match command.name.as_str() {
             "manage" => self.net.managed = true,
+            "open" => self.net.open(text.parse()?),
+            "add" => self.net.add(),
+            "empty" => self.net.leaving.push(text.into()),
             "compact" => self.net.compaction = text.parse()?,
             "run" => self.net.run(text.parse()?),
             "commit" => return self.commit(text.parse()?),
@@ -141,14 +144,25 @@
     }
 }
 
-/// Guards against a change of what the group does under each scripted failure.
-#[test]
-fn scenarios() {
+fn run_scenarios(folder: &str) -> usize {
     let mut count = 0;
-    for file in std::fs::read_dir("tests/scenarios/replica").expect("scenarios") {
+    for file in std::fs::read_dir(folder).expect("scenarios") {
         let mut script = Script { net: Network::new(3, 1) };
         goldenscript::run(&mut script, file.expect("file").path()).expect("script");
         count += 1;
     }
-    assert_eq!(count, 12);
+    count
+}
+
+/// Guards against a change of what the group does under each scripted failure.
+#[test]
+fn scenarios() {
+    assert_eq!(run_scenarios("tests/scenarios/replica"), 12);
+}
+
+/// Guards against a group that other hosts do not keep at its size, or that removes a voter that
+/// can be reached.
+#[test]
+fn turnover() {
+    assert_eq!(run_scenarios("tests/scenarios/turnover"), 7);
 }
