--- /dev/null
+++ b/tests/fleet_ledger.rs
@@ -0,0 +1,142 @@
+//! Jobs of arbitrary requests: positions, repeats, failures and ends.
+
+use basilfield::fleet::ledger;
+use basilfield::replica::Machine as _;
+use ledger::Answer;
+use ledger::Command;
+use ledger::Ledger;
+use ledger::Outcome;
+use ledger::Query;
+use std::sync::Arc;
+
+fn item(id: &str) -> Arc<ledger::Item> {
+    Arc::new(ledger::Item {
+        id: id.into(),
+        path: "/p/x".into(),
+        headers: vec![("model".into(), "m".into())],
+        body: format!("body of {id}").into(),
+        tokens: 10,
+    })
+}
+
+fn terms() -> ledger::Terms {
+    let (host, prefix) = ("h".into(), "/p/".into());
+    ledger::Terms { host, prefix, attempts: 2, due: 18_000, patience: 60_000 }
+}
+
+fn submit(ledger: &mut Ledger, job: &str, items: &[&str]) -> ledger::Reply {
+    let items = items.iter().map(|id| item(id)).collect();
+    ledger.run(1, Command::Submit { job: job.into(), terms: terms(), items })
+}
+
+fn complete(ledger: &mut Ledger, job: &str, item: &str, output: &str) {
+    let output = output.to_string().into();
+    ledger.run(2, Command::Complete { job: job.into(), item: item.into(), output });
+}
+
+fn list(ledger: &Ledger, job: &str, after: u64) -> String {
+    match ledger.answer(&Query::Results { job: job.into(), after }) {
+        Answer::Page(page) => {
+            let result = |l: &ledger::Listed| {
+                let output = String::from_utf8_lossy(&l.output);
+                match l.outcome {
+                    Outcome::Completed => format!("{}={output}", l.id),
+                    Outcome::Abandoned => format!("{} abandoned", l.id),
+                }
+            };
+            let results: Vec<String> = page.results.iter().map(result).collect();
+            format!("{}/{} {}", page.next, page.total, results.join(", "))
+        }
+        other => format!("{other:?}"),
+    }
+}
+
+/// Guards against a job that is accepted twice, and a result that changes its position or text.
+#[test]
+fn repeats_change_nothing() {
+    let mut l = Ledger::default();
+    submit(&mut l, "j", &["a", "b", "c"]);
+    complete(&mut l, "j", "b", "B");
+    submit(&mut l, "j", &["a", "b", "c"]);
+    complete(&mut l, "j", "b", "other");
+    l.run(
+        3,
+        Command::Abandon { job: "j".into(), item: "b".into(), cause: ledger::Cause::Patience },
+    );
+    complete(&mut l, "j", "a", "A");
+    let seen = [list(&l, "j", 0), list(&l, "j", 1), list(&l, "j", 9), list(&l, "x", 0)];
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    2/3 b=B, a=A
+    2/3 a=A
+    2/3 
+    Unknown
+    ");
+}
+
+/// Guards against an item that fails at every run and holds up its job, and against one that is
+/// given up too early.
+#[test]
+fn failures_are_bounded() {
+    let mut l = Ledger::default();
+    submit(&mut l, "j", &["a", "b"]);
+    let fail = |l: &mut Ledger| {
+        l.run(2, Command::Fail { job: "j".into(), item: "a".into() });
+        list(l, "j", 0)
+    };
+    let seen = [fail(&mut l), fail(&mut l), fail(&mut l)];
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    0/2 
+    1/2 a abandoned
+    1/2 a abandoned
+    ");
+}
+
+/// Guards against items of an ended job that run on, and results that vanish with the end.
+#[test]
+fn end_keeps_what_is_listed() {
+    let mut l = Ledger::default();
+    submit(&mut l, "j", &["a", "b"]);
+    complete(&mut l, "j", "a", "A");
+    let body =
+        |l: &Ledger| format!("{:?}", l.answer(&Query::Body { job: "j".into(), item: "b".into() }));
+    let before = body(&l);
+    let end =
+        |l: &mut Ledger, job: &str| format!("{:?}", l.run(3, Command::End { job: job.into() }));
+    let ends = [end(&mut l, "j"), end(&mut l, "j"), end(&mut l, "x")].join(" ");
+    complete(&mut l, "j", "b", "late");
+    let seen = [before, ends, body(&l), list(&l, "j", 0)];
+    insta::assert_snapshot!(seen.join("\n"), @r#"
+    Body(b"body of b")
+    Done Done Unknown
+    Unknown
+    1/2 a=A
+    "#);
+}
+
+/// Guards against a page that is too large for one frame, and one without progress.
+#[test]
+fn pages_are_bounded() {
+    let mut l = Ledger::default();
+    submit(&mut l, "j", &["a", "b", "c"]);
+    for id in ["a", "b", "c"] {
+        complete(&mut l, "j", id, &"x".repeat(600 << 10));
+    }
+    let next = |after| match l.answer(&Query::Results { job: "j".into(), after }) {
+        Answer::Page(page) => page.next,
+        _ => 0,
+    };
+    insta::assert_snapshot!(format!("{} {} {}", next(0), next(1), next(2)), @"1 2 3");
+}
+
+/// Guards against a replica that differs from the others after it got a snapshot.
+#[test]
+fn snapshot_holds_everything() {
+    let mut l = Ledger::default();
+    submit(&mut l, "j", &["a", "b"]);
+    complete(&mut l, "j", "a", "A");
+    l.run(3, Command::Empty { host: "h:1".into() });
+    let mut copy = Ledger::default();
+    copy.restore(&l.snapshot()).expect("own snapshot");
+    assert_eq!(copy, l);
+    assert!(copy.restore(b"\xff\xff").is_err(), "a damaged snapshot is refused");
+}
