--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -53,12 +53,14 @@
     output: Vec<u8>,
     events: u64,
     last: Option<u64>,
+    /// Time for which the item has run.
+    ran: Duration,
 }
 
 /// Item that is on its way.
 enum State {
     /// Runs at an endpoint.
-    Running { endpoint: Arc<str>, order: u64, task: task::AbortHandle },
+    Running { endpoint: Arc<str>, number: u64, since: time::Instant, task: task::AbortHandle },
     /// Waits until it may be sent again.
     Resting { until: time::Instant },
     /// Its outcome is being committed.
@@ -96,6 +98,7 @@
     jobs: sorted::SortedMap<Arc<str>, time::Instant>,
     messages: mpsc::Sender<Message>,
     started: u64,
+    pace: plan::Pace,
 }
 
 /// Runs items whenever this host leads the job group.
@@ -119,6 +122,7 @@
         jobs: sorted::SortedMap::new(),
         messages,
         started: 0,
+        pace: plan::Pace::default(),
     };
     loop {
         tokio::select! {
@@ -134,6 +138,16 @@
     }
 }
 
+impl Known {
+    /// Time for which the item has run, with its present run.
+    fn ran(&self, now: time::Instant) -> Duration {
+        match &self.state {
+            State::Running { since, .. } => self.progress.ran + (now - *since),
+            _ => self.progress.ran,
+        }
+    }
+}
+
 impl Drop for Known {
     fn drop(&mut self) {
         if let State::Running { task, .. } = &self.state {
@@ -175,6 +189,7 @@
 
     fn rest(&mut self, key: &Key, pause: Duration) {
         if let Some(known) = self.known.get_mut(key) {
+            known.progress.ran = known.ran(time::Instant::now());
             known.state = State::Resting { until: time::Instant::now() + pause };
         }
     }
@@ -191,6 +206,7 @@
             Ended::Done => {
                 event!(log, events::ITEM_DONE; "job" => &*job, "request" => &*item,
                     "endpoint" => &*endpoint);
+                self.pace.note(known.ran(time::Instant::now()));
                 let output = Bytes::from(std::mem::take(&mut known.progress.output));
                 known.progress = Progress::default();
                 known.state = State::Ending;
@@ -255,6 +271,7 @@
         });
         let mut queue: Vec<(Key, Arc<ledger::Item>, Arc<str>)> = Vec::new();
         let (mut over, mut waiting) = (Vec::new(), Vec::new());
+        let (mut keys, mut running) = (Vec::new(), Vec::new());
         for (id, job) in &jobs {
             let since = *self.jobs.entry_or((*id).clone(), || now);
             let service = in_force
@@ -264,9 +281,18 @@
             let late = now - since > Duration::from_millis(job.terms.patience);
             for open in &job.open {
                 let key = ((*id).clone(), open.item.id.clone());
-                match self.known.get(&key).map(|k| &k.state) {
+                let known = self.known.get(&key);
+                let left = Duration::from_millis(job.terms.due).saturating_sub(now - since);
+                let rest = self.pace.rest(known.map_or(Duration::ZERO, |k| k.ran(now)));
+                let urgency = plan::Urgency::new(job.accepted, left, rest);
+                match known.map(|k| &k.state) {
                     Some(State::Ending) => continue,
-                    Some(State::Running { .. }) if !late && service.is_some() => continue,
+                    Some(State::Running { endpoint, number, .. }) if !late && service.is_some() => {
+                        let (index, endpoint) = (keys.len(), endpoint.clone());
+                        running.push(plan::Running { index, endpoint, urgency, started: *number });
+                        keys.push(key);
+                        continue;
+                    }
                     Some(State::Resting { until }) if *until > now => continue,
                     _ => {}
                 }
@@ -275,7 +301,8 @@
                     None => over.push((key, ledger::Cause::NoRoute)),
                     Some(service) => {
                         let index = queue.len();
-                        waiting.push(plan::Waiting { index, service: service.clone() });
+                        let service = service.clone();
+                        waiting.push(plan::Waiting { index, service, urgency });
                         queue.push((key, open.item.clone(), job.terms.host.clone()));
                     }
                 }
@@ -295,7 +322,8 @@
                 let _ = groups.propose(groups::JOBS, &command, COMMIT).await;
             });
         }
-        self.carry_out(&queue, &waiting);
+        let plan = plan::plan(self.places(), &waiting, &running);
+        self.carry_out(plan, &queue, &keys);
     }
 
     /// Jobs that have ended and whose retention is over.
@@ -309,30 +337,18 @@
 
     fn carry_out(
         &mut self,
+        plan: plan::Plan,
         queue: &[(Key, Arc<ledger::Item>, Arc<str>)],
-        waiting: &[plan::Waiting],
+        keys: &[Key],
     ) {
-        let places = self.places();
-        let mut keys = Vec::new();
-        let mut running = Vec::new();
-        for (key, known) in self.known.iter() {
-            if let State::Running { endpoint, order, .. } = &known.state {
-                let index = keys.len();
-                keys.push(key.clone());
-                running.push(plan::Running { index, endpoint: endpoint.clone(), order: *order });
-            }
-        }
-        let plan = plan::plan(places, waiting, &running);
         for index in plan.stop {
             let key = &keys[index];
             event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0,
-                "request" => &*key.1, "cause" => "online requests need the slot");
-            if let Some(known) = self.known.get_mut(key) {
-                if let State::Running { task, .. } = &known.state {
-                    task.abort();
-                }
-                known.state = State::Resting { until: time::Instant::now() + AGAIN };
+                "request" => &*key.1, "cause" => "more urgent requests need the slot");
+            if let Some(Known { state: State::Running { task, .. }, .. }) = self.known.get(key) {
+                task.abort();
             }
+            self.rest(key, AGAIN);
         }
         for (index, endpoint) in plan.start {
             let (key, item, host) = &queue[index];
@@ -385,7 +401,12 @@
             let _ = messages.send(Message::Ended(k, ended)).await;
         });
         self.started += 1;
-        let state = State::Running { endpoint, order: self.started, task: run.abort_handle() };
+        let state = State::Running {
+            endpoint,
+            number: self.started,
+            since: time::Instant::now(),
+            task: run.abort_handle(),
+        };
         self.known.insert(key, Known { state, progress });
     }
 
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -91,7 +91,7 @@
         ended.send_replace(true);
         Ok(())
     });
-    node.spawn_reports(tree, &end, false);
+    node.spawn_reports(tree, &end);
     Ok(end)
 }
 
@@ -132,7 +132,8 @@
         frame::Cast::News(news) => {
             node.view.take_news(node.now(), news);
         }
-        frame::Cast::Load(load) => node::note_load(node, from, load),
+        frame::Cast::Load(load) => node.view.loads(|l| l.note_load(node.now(), from, load)),
+        frame::Cast::Total(total) => node.view.loads(|l| l.note_total(node.now(), from, total)),
         frame::Cast::Replica(_) | frame::Cast::Greet(_) => {}
     }
 }
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -256,6 +256,15 @@
             };
             let name = endpoint.id.clone();
             match self.attempt(headers, endpoint, patience).await {
+                Ended::Begun(begun)
+                    if begun.answer.head.status.is_server_error() && self.attempts.may_repeat() =>
+                {
+                    let status = begun.answer.head.status.as_u16();
+                    self.node.endpoint_failed(&name, &format!("status {status}"));
+                    event!(self.node.log, events::RETRIED; "request" => &*id,
+                        "endpoint" => &*name, "outcome" => "Failed", "status" => status);
+                    self.attempts.after(attempt::Outcome::Failed);
+                }
                 Ended::Begun(begun) => return Ok(begun),
                 Ended::TimeOver => {
                     let status = StatusCode::GATEWAY_TIMEOUT;
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::directory;
 use crate::fleet::keeper;
+use crate::fleet::load;
 use crate::replica;
 use crate::wire;
 use serde::Deserialize;
@@ -34,8 +35,10 @@
     Greet(Greeting),
     /// News of a control host.
     News(News),
-    /// Requests of one host that run at endpoints.
+    /// An entry reports its running requests to the host that places items.
     Load(Load),
+    /// The host that places items reports what else runs at endpoints.
+    Total(Total),
 }
 
 /// Introduction of a host.
@@ -64,15 +67,25 @@
     pub left: Vec<(Arc<str>, Option<u64>)>,
 }
 
-/// Requests of one host that run at endpoints.
+/// Requests of one entry that run at endpoints.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Start of the sending process in milliseconds of Unix time.
     pub born: u64,
     /// Number of the report since that start.
     pub seq: u64,
-    /// Whether these are items of batch jobs.
-    pub batch: bool,
-    /// Id of each busy endpoint and the requests that run there, sorted by id.
-    pub running: Vec<(Arc<str>, u32)>,
+    /// Key of each busy endpoint and the requests that run there, sorted by key.
+    pub running: Vec<(load::Key, u32)>,
+}
+
+/// What runs at endpoints besides the requests of the receiving entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Total {
+    /// Start of the sending process in milliseconds of Unix time.
+    pub born: u64,
+    /// Number of the report since that start.
+    pub seq: u64,
+    /// Key of each busy endpoint, the online requests of other entries and the items that run
+    /// there, sorted by key.
+    pub running: Vec<(load::Key, u32, u32)>,
 }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -6,13 +6,13 @@
 use crate::fleet::directory;
 use crate::fleet::frame;
 use crate::fleet::groups;
-use crate::fleet::load;
 use crate::fleet::peer;
 use crate::fleet::place;
 use crate::fleet::protocol;
 use crate::fleet::settings;
 use crate::fleet::upstream;
 use crate::fleet::view;
+use crate::sorted;
 use crate::supervisor;
 use crate::timer;
 use std::net::SocketAddr;
@@ -25,13 +25,16 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::signal::unix;
+use tokio::sync::watch;
 
 /// Interval between greetings to the control hosts.
 const GREET: Duration = Duration::from_millis(500);
 /// Interval between greetings before the first configuration arrives.
 const GREET_FIRST: Duration = Duration::from_millis(100);
-/// Interval between looks at the running requests.
+/// Interval between looks at the requests of an entry.
 const REPORT: Duration = Duration::from_millis(20);
+/// Interval between reports to the entries. Each costs a message to every entry.
+const TOTALS: Duration = Duration::from_millis(40);
 /// Interval after which running requests are reported although nothing has changed.
 const REPEAT: Duration = Duration::from_millis(300);
 /// Interval between looks at the settings file, which may change without a signal.
@@ -155,15 +158,16 @@
         tree.spawn("settings", move |stop| reload(node.clone(), stop));
     }
 
-    /// Adds the task that reports running requests to the hosts that place requests.
-    pub fn spawn_reports(
-        &self,
-        tree: &mut supervisor::Supervisor,
-        end: &supervisor::Stop,
-        batch: bool,
-    ) {
+    /// Adds the task that reports the requests of an entry.
+    pub fn spawn_reports(&self, tree: &mut supervisor::Supervisor, end: &supervisor::Stop) {
         let (node, end) = (self.clone(), end.clone());
-        tree.spawn("load reports", move |_| report(node.clone(), batch, end.clone()));
+        tree.spawn("load reports", move |_| report(node.clone(), end.clone()));
+    }
+
+    /// Adds the task that tells the entries what else runs while `leads` is true.
+    pub fn spawn_totals(&self, tree: &mut supervisor::Supervisor, leads: watch::Receiver<bool>) {
+        let node = self.clone();
+        tree.spawn("load totals", move |stop| totals(node.clone(), leads.clone(), stop));
     }
 }
 
@@ -237,7 +241,8 @@
     }
 }
 
-async fn report(node: Node, batch: bool, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+/// Reports the requests of an entry to the host that places items.
+async fn report(node: Node, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
     let born = node.view.own().born;
     let mut ticks = node.timer.subscribe(REPORT);
     let (mut last, mut sent, mut seq) = (Vec::new(), Duration::ZERO, 0);
@@ -252,20 +257,46 @@
             continue;
         }
         (last, sent, seq) = (running.clone(), now, seq + 1);
-        let load = frame::Load { born, seq, batch, running };
-        let own = &node.view.own().link;
-        let receivers: Vec<Arc<str>> = node.view.directory(|d| {
-            let entries = d.hosts(settings::Role::Entry);
-            let hosts = entries.chain(d.hosts(settings::Role::Store));
-            hosts.map(|h| h.link.clone()).filter(|l| l != own).collect()
-        });
-        for to in receivers {
+        let load = frame::Load { born, seq, running };
+        for to in node.view.loads(|l| l.collectors(now)) {
             node.peers.cast(&to, frame::Cast::Load(load.clone()));
         }
     }
 }
 
-/// Takes a load report of another host.
-pub fn note_load(node: &Node, from: &Arc<str>, load: frame::Load) {
-    node.view.loads(|l: &mut load::Loads| l.note(node.now(), from, load));
+/// Tells the entries what else runs at endpoints, while this host places items.
+async fn totals(
+    node: Node,
+    leads: watch::Receiver<bool>,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    let born = node.view.own().born;
+    let mut ticks = node.timer.subscribe(TOTALS);
+    let mut last: sorted::SortedMap<Arc<str>, (Duration, Vec<_>)> = sorted::SortedMap::new();
+    let mut seq = 0;
+    loop {
+        let now = tokio::select! {
+            now = ticks.next() => now,
+            () = stop.wait() => return Ok(()),
+        };
+        if !*leads.borrow() {
+            last.clear();
+            continue;
+        }
+        let entries: Vec<Arc<str>> = node
+            .view
+            .directory(|d| d.hosts(settings::Role::Entry).map(|h| h.link.clone()).collect());
+        for to in entries {
+            let running = node.view.loads(|l| l.total(now, &to));
+            let known = last.get(&to);
+            let repeat = known.is_none_or(|(at, _)| now.saturating_sub(*at) >= REPEAT);
+            if !repeat && known.is_some_and(|(_, known)| *known == running) {
+                continue;
+            }
+            seq += 1;
+            let total = frame::Total { born, seq, running: running.clone() };
+            last.insert(to.clone(), (now, running));
+            node.peers.cast(&to, frame::Cast::Total(total));
+        }
+    }
 }
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -140,11 +140,11 @@
         });
         replica.run().await
     });
+    let leads = shared.leads.subscribe();
     let (n, s) = (node.clone(), shared);
     tree.spawn("items", move |stop| dispatch::run(n.clone(), s.clone(), stop));
-    let end = tree.stop();
-    node.spawn_reports(tree, &end, true);
-    Ok(end)
+    node.spawn_totals(tree, leads);
+    Ok(tree.stop())
 }
 
 /// Waits until the job group is placed, unless this host has taken part before.
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -109,28 +109,42 @@
         @"[400, 390, 380, 800, 1600, 3200, 3200, 3200, 3200] (true, false) 400");
 }
 
-/// Guards against reports that are counted after their sender is gone, or in the wrong order.
+/// Guards against reports that are counted after their sender is gone, or in the wrong order, and
+/// against an entry that counts its own requests twice.
 #[test]
 fn load_reports_age() {
     let mut loads = load::Loads::default();
-    let report = |born, seq, count| frame::Load {
-        born,
-        seq,
-        batch: false,
-        running: vec![("e".into(), count)],
-    };
-    let (host, endpoint): (Arc<str>, Arc<str>) = ("h".into(), "e".into());
-    loads.start(&endpoint);
-    loads.note(NOW, &host, report(1, 5, 4));
-    loads.note(NOW, &host, report(1, 4, 9));
-    let first = loads.running(NOW, "e");
-    loads.note(NOW, &host, report(2, 1, 2));
+    let report =
+        |born, seq, count| frame::Load { born, seq, running: vec![(load::key("e"), count)] };
+    let (one, two): (Arc<str>, Arc<str>) = ("one".into(), "two".into());
+    loads.start("e");
+    loads.note_load(NOW, &one, report(1, 5, 4));
+    loads.note_load(NOW, &one, report(1, 4, 9));
+    loads.note_load(NOW, &two, report(1, 1, 3));
+    let running = loads.running(NOW, "e");
+    let totals = [loads.total(NOW, &one), loads.total(NOW, &two)].map(|t| (t[0].1, t[0].2));
+    loads.note_load(NOW, &one, report(2, 1, 2));
     let restarted = loads.running(NOW, "e").online;
     let aged = loads.running(NOW + Duration::from_secs(2), "e").online;
-    loads.end(&endpoint);
+    loads.end("e");
     let own = loads.running(NOW, "e").own;
-    insta::assert_snapshot!(format!("{first:?} {restarted} {aged} {own}"),
-        @"Running { own: 1, online: 4, batch: 0 } 2 0 0");
+    insta::assert_snapshot!(format!("{running:?} {totals:?} {restarted} {aged} {own}"),
+        @"Running { own: 1, online: 7, batch: 0 } [(3, 1), (4, 1)] 5 0 0");
+}
+
+/// Guards against totals of a former leader that hide those of the present one.
+#[test]
+fn latest_total_counts() {
+    let mut loads = load::Loads::default();
+    let total =
+        |seq, online| frame::Total { born: 1, seq, running: vec![(load::key("e"), online, 1)] };
+    let (old, new): (Arc<str>, Arc<str>) = ("old".into(), "new".into());
+    loads.note_total(NOW, &old, total(9, 7));
+    loads.note_total(NOW + Duration::from_millis(10), &new, total(1, 2));
+    let running = loads.running(NOW + Duration::from_millis(20), "e");
+    let collectors = loads.collectors(NOW + Duration::from_millis(1_005)).join(" ");
+    insta::assert_snapshot!(format!("{running:?} {collectors}"),
+        @"Running { own: 0, online: 2, batch: 1 } new");
 }
 
 fn place(id: &str, own: u32, online: u32) -> plan::Place {
@@ -138,27 +152,46 @@
     plan::Place { id: id.into(), service: "s".into(), slots: 8, running, open: true }
 }
 
+const IN_TIME: plan::Urgency = plan::Urgency { late: false, job: 1 };
+const LATE: plan::Urgency = plan::Urgency { late: true, job: 0 };
+
+fn waiting(urgencies: &[plan::Urgency]) -> Vec<plan::Waiting> {
+    let item = |(index, urgency): (usize, &plan::Urgency)| plan::Waiting {
+        index,
+        service: "s".into(),
+        urgency: *urgency,
+    };
+    urgencies.iter().enumerate().map(item).collect()
+}
+
+fn running(urgencies: &[plan::Urgency]) -> Vec<plan::Running> {
+    let item = |(index, urgency): (usize, &plan::Urgency)| plan::Running {
+        index,
+        endpoint: "a".into(),
+        urgency: *urgency,
+        started: index as u64,
+    };
+    urgencies.iter().enumerate().map(item).collect()
+}
+
+fn show(plan: plan::Plan) -> String {
+    let start: Vec<String> = plan.start.iter().map(|(i, e)| format!("{i}@{e}")).collect();
+    format!("start [{}] stop {:?}", start.join(" "), plan.stop)
+}
+
 /// Guards against items that keep slots which online requests need, that take the last free slot,
 /// or that start where nothing may start.
 #[test]
 fn items_yield_to_online_requests() {
-    let waiting: Vec<plan::Waiting> =
-        (0..9).map(|index| plan::Waiting { index, service: "s".into() }).collect();
-    let running: Vec<plan::Running> = (0..6)
-        .map(|index| plan::Running { index, endpoint: "a".into(), order: index as u64 })
-        .collect();
-    let show = |plan: plan::Plan| {
-        let start: Vec<String> = plan.start.iter().map(|(i, e)| format!("{i}@{e}")).collect();
-        format!("start [{}] stop {:?}", start.join(" "), plan.stop)
-    };
+    let (nine, six) = (waiting(&[IN_TIME; 9]), running(&[IN_TIME; 6]));
     let closed = plan::Place { open: false, ..place("c", 0, 0) };
     let other = plan::Place { service: "t".into(), ..place("d", 0, 0) };
     let seen = [
-        show(plan::plan(vec![place("a", 6, 1)], &waiting, &running)),
-        show(plan::plan(vec![place("a", 6, 5)], &waiting, &running)),
-        show(plan::plan(vec![place("a", 6, 12)], &[], &running)),
-        show(plan::plan(vec![place("a", 0, 4), place("b", 0, 5)], &waiting, &[])),
-        show(plan::plan(vec![closed, other], &waiting, &[])),
+        show(plan::plan(vec![place("a", 6, 1)], &nine, &six)),
+        show(plan::plan(vec![place("a", 6, 5)], &nine, &six)),
+        show(plan::plan(vec![place("a", 6, 12)], &[], &six)),
+        show(plan::plan(vec![place("a", 0, 4), place("b", 0, 5)], &nine, &[])),
+        show(plan::plan(vec![closed, other], &nine, &[])),
     ];
     insta::assert_snapshot!(seen.join("\n"), @r"
     start [] stop []
@@ -169,6 +202,80 @@
     ");
 }
 
+/// Guards against overload in which every item is late: those that can be in time go first, and
+/// late ones give up their slots to them.
+#[test]
+fn late_items_yield() {
+    let seen = [
+        show(plan::plan(vec![place("a", 0, 5)], &waiting(&[LATE, IN_TIME, IN_TIME]), &[])),
+        show(plan::plan(
+            vec![place("a", 4, 4)],
+            &waiting(&[IN_TIME, LATE]),
+            &running(&[LATE, IN_TIME, LATE, IN_TIME]),
+        )),
+        show(plan::plan(vec![place("a", 2, 6)], &waiting(&[LATE]), &running(&[LATE, IN_TIME]))),
+    ];
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    start [1@a 2@a] stop []
+    start [] stop [2]
+    start [] stop []
+    ");
+}
+
+/// Generated overload: jobs that need twice the slots. Compares the items in time with the former
+/// order of arrival.
+#[test]
+fn overload_serves_more_in_time() {
+    let by_arrival = overload(|job, _, _| plan::Urgency { late: false, job });
+    let in_time_first = overload(plan::Urgency::new);
+    insta::assert_snapshot!(format!("by arrival {by_arrival}, in time first {in_time_first}"),
+        @"by arrival 32, in time first 56");
+}
+
+/// Plays 60 s of items that run for 4 s on 4 slots, two a second, each due 18 s after its arrival.
+/// Returns how many are in time.
+fn overload(urgency: fn(u64, Duration, Duration) -> plan::Urgency) -> usize {
+    const RUN: u64 = 4;
+    const DUE: u64 = 18;
+    // Arrival, time run, end.
+    let mut items: Vec<(u64, u64, Option<u64>)> = Vec::new();
+    let mut on: Vec<usize> = Vec::new();
+    for now in 0..60u64 {
+        for at in std::mem::take(&mut on) {
+            items[at].1 += 1;
+            match items[at].1 == RUN {
+                true => items[at].2 = Some(now),
+                false => on.push(at),
+            }
+        }
+        items.extend([(now, 0, None), (now, 0, None)]);
+        let order = |at: usize| {
+            let (arrival, ran, _) = items[at];
+            let left = Duration::from_secs((arrival + DUE).saturating_sub(now));
+            urgency(arrival, left, Duration::from_secs(RUN - ran))
+        };
+        let open = (0..items.len()).filter(|at| items[*at].2.is_none());
+        let (runs, waits): (Vec<usize>, Vec<usize>) = open.partition(|at| on.contains(at));
+        let wait =
+            |at: &usize| plan::Waiting { index: *at, service: "s".into(), urgency: order(*at) };
+        let run = |at: &usize| plan::Running {
+            index: *at,
+            endpoint: "a".into(),
+            urgency: order(*at),
+            started: *at as u64,
+        };
+        let mut spot = place("a", runs.len() as u32, 0);
+        // One slot is the reserve for online requests.
+        spot.slots = 5;
+        let waits: Vec<plan::Waiting> = waits.iter().map(wait).collect();
+        let runs: Vec<plan::Running> = runs.iter().map(run).collect();
+        let plan = plan::plan(vec![spot], &waits, &runs);
+        on.retain(|at| !plan.stop.contains(at));
+        on.extend(plan.start.iter().map(|(at, _)| *at));
+    }
+    items.iter().filter(|(arrival, _, end)| end.is_some_and(|e| e <= arrival + DUE)).count()
+}
+
 /// Guards against events that are changed, joined or passed on before they are complete.
 #[test]
 fn events_are_split_unchanged() {
