Report load every 10 ms and totals every 15 ms

Cause: online requests placed within one report interval meet at the same endpoint and wait there behind each other.

--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -32,9 +32,9 @@
 /// Interval between greetings before the first configuration arrives.
 const GREET_FIRST: Duration = Duration::from_millis(100);
 /// Interval between looks at the requests of an entry.
-const REPORT: Duration = Duration::from_millis(20);
+const REPORT: Duration = Duration::from_millis(10);
 /// Interval between reports to the entries. Each costs a message to every entry.
-const TOTALS: Duration = Duration::from_millis(40);
+const TOTALS: Duration = Duration::from_millis(15);
 /// Interval after which running requests are reported although nothing has changed.
 const REPEAT: Duration = Duration::from_millis(300);
 /// Interval between looks at the settings file, which may change without a signal.
