Explain requests from logs; metrics of hosts; process tests of the whole path

Decisions about requests are logged as JSON lines on standard output, at most 200 lines a second for each event; basilfield explain orders what several logs say of one id. Process tests cover the whole path, the kill of every process, lost disks one after the other, emptying a store host, and the logs of a refused and of an interrupted request.

--- a/src/cmd/host.rs
+++ b/src/cmd/host.rs
@@ -35,7 +35,8 @@
         return ExitCode::SUCCESS;
     }
     let level = if settings.host.verbose { slog::Level::Debug } else { slog::Level::Info };
-    let (log, guard) = events::logger(settings.host.log, level);
+    let out = std::io::stdout();
+    let (log, guard) = events::logger_to(out, settings.host.log, level);
     let result = run_host(settings, args.settings.clone(), protocol, &log);
     // Pending log lines are written when the guard is dropped.
     drop(guard);
@@ -56,7 +57,7 @@
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(failed)?;
     runtime.block_on(async {
-        let tree = fleet::start(settings, path, protocol, log)?;
+        let tree = fleet::start(settings, path, protocol, log).await?;
         process::run(tree, log).await
     })
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 pub mod check;
 pub mod dev;
 pub mod drain;
+pub mod explain;
 pub mod history;
 pub mod host;
 pub mod jobs;
@@ -51,6 +52,7 @@
     Check(check::Check),
     Dev(dev::Dev),
     Drain(drain::Drain),
+    Explain(explain::Explain),
     History(history::History),
     Host(host::Host),
     Jobs(jobs::Jobs),
@@ -85,6 +87,7 @@
         Command::Check(args) => check::run(&args),
         Command::Dev(args) => dev::run(&args),
         Command::Drain(args) => drain::run(&args),
+        Command::Explain(args) => explain::run(&args),
         Command::History(args) => history::run(&args),
         Command::Host(args) => host::run(&args, protocol),
         Command::Jobs(args) => jobs::run(&args),
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod host;
 mod orders;
+pub mod plain;
 mod service;
 pub mod text;
 
--- /dev/null
+++ b/src/emulator/plain.rs
@@ -0,0 +1,270 @@
+//! Emulator of endpoints that answer plain requests with streams of numbered events.
+//!
+//! The data of each event follows from the request's id and the event's number, so that whoever
+//! reads a stream can tell whether it is whole and whose it is. Faults are switched on and off
+//! while it runs; every run is recorded.
+
+use crate::errors;
+use crate::fleet::protocol;
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::StatusCode;
+use hyper::header;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task;
+use tokio::time;
+
+/// What an endpoint does wrong, each as a share of its answers from 0 to 1.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Streams that are cut off in the middle of an event.
+    pub cut: f64,
+    /// Requests that run and whose answer never comes.
+    pub lost: f64,
+    /// Requests that end with 500 after they have run.
+    pub errors: f64,
+    /// Requests that are declined although there is room.
+    pub declined: f64,
+    /// Factor on the time between events; 0 counts as 1.
+    pub slower: f64,
+}
+
+/// Behaviour of an endpoint.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Id that requests must expect.
+    pub id: Arc<str>,
+    /// Requests that run at once; further ones are declined.
+    pub slots: usize,
+    /// Events of each stream.
+    pub events: u64,
+    /// Time between two events.
+    pub step: Duration,
+    /// Names of headers.
+    pub headers: protocol::Headers,
+}
+
+/// Recorded run of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Id of the request.
+    pub request: Arc<str>,
+    /// Last event that its sender had.
+    pub after: u64,
+    /// Path of the request.
+    pub path: Arc<str>,
+    /// Hash of the request's body.
+    pub body: u64,
+}
+
+struct Inner {
+    options: Options,
+    faults: Mutex<Faults>,
+    runs: Mutex<Vec<Run>>,
+    running: Mutex<usize>,
+}
+
+/// Running emulator. Dropping it ends every connection, like a crash.
+pub struct Plain {
+    address: SocketAddr,
+    inner: Arc<Inner>,
+    tasks: Arc<Mutex<task::JoinSet<()>>>,
+    accept: task::JoinHandle<()>,
+}
+
+type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Data of one event of a request's stream.
+pub fn data(request: &str, event: u64) -> String {
+    format!("{request}/{event}")
+}
+
+impl Plain {
+    /// Starts an endpoint on `address`. Must be called on a tokio runtime.
+    ///
+    /// # Errors
+    /// `Io` if the address cannot be used.
+    pub async fn start(address: SocketAddr, options: Options) -> Result<Plain, errors::Error> {
+        let failed = |e| errors::Error::io("listen", address.to_string(), e);
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let inner = Arc::new(Inner {
+            options,
+            faults: Mutex::default(),
+            runs: Mutex::default(),
+            running: Mutex::default(),
+        });
+        let tasks: Arc<Mutex<task::JoinSet<()>>> = Arc::default();
+        let (i, t) = (inner.clone(), tasks.clone());
+        let accept = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let inner = i.clone();
+                let mut tasks = lock(&t);
+                while tasks.try_join_next().is_some() {}
+                tasks.spawn(async move {
+                    let service = hyper::service::service_fn(move |request| {
+                        let inner = inner.clone();
+                        async move { inner.answer(request).await }
+                    });
+                    let io = TokioIo::new(stream);
+                    // The caller notices how its connection ends.
+                    let _ = http1::Builder::new().serve_connection(io, service).await;
+                });
+            }
+        });
+        Ok(Plain { address, inner, tasks, accept })
+    }
+
+    /// Address for requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Id of the endpoint.
+    pub fn id(&self) -> &Arc<str> {
+        &self.inner.options.id
+    }
+
+    /// Changes what it does wrong from now on.
+    pub fn fail(&self, faults: Faults) {
+        *lock(&self.inner.faults) = faults;
+    }
+
+    /// Every run so far.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.inner.runs).clone()
+    }
+}
+
+impl Drop for Plain {
+    fn drop(&mut self) {
+        self.accept.abort();
+        lock(&self.tasks).abort_all();
+    }
+}
+
+/// Slot that a request holds.
+struct Slot(Arc<Inner>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        *lock(&self.0.running) -= 1;
+    }
+}
+
+fn plain(status: StatusCode) -> hyper::Response<Body> {
+    let empty = http_body_util::Empty::new().map_err(|never| match never {}).boxed_unsync();
+    let mut response = hyper::Response::new(empty);
+    *response.status_mut() = status;
+    response
+}
+
+/// Never answers; the request ends when its connection is closed.
+async fn hang() -> Result<hyper::Response<Body>, Infallible> {
+    std::future::pending().await
+}
+
+impl Inner {
+    async fn answer(
+        self: Arc<Self>,
+        request: hyper::Request<hyper::body::Incoming>,
+    ) -> Result<hyper::Response<Body>, Infallible> {
+        let (head, body) = request.into_parts();
+        let names = &self.options.headers;
+        let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
+        let request: Arc<str> = text(&names.request).unwrap_or_default().into();
+        if text(&names.expect).is_some_and(|id| id != &*self.options.id) {
+            return Ok(plain(StatusCode::MISDIRECTED_REQUEST));
+        }
+        let after = text(&names.resume).and_then(|n| n.parse().ok()).unwrap_or(0);
+        let Ok(body) = body.collect().await.map(http_body_util::Collected::to_bytes) else {
+            return Ok(plain(StatusCode::BAD_REQUEST));
+        };
+        let faults = *lock(&self.faults);
+        let slot = self.take_slot();
+        let Some(slot) = slot.filter(|_| rand::random::<f64>() >= faults.declined) else {
+            let mut declined = plain(StatusCode::SERVICE_UNAVAILABLE);
+            let header = HeaderValue::from_static("1");
+            declined.headers_mut().insert(names.declined.clone(), header);
+            return Ok(declined);
+        };
+        let path = head.uri.path().into();
+        let hash = xxhash_rust::xxh3::xxh3_64(&body);
+        lock(&self.runs).push(Run { request: request.clone(), after, path, body: hash });
+        if rand::random::<f64>() < faults.lost {
+            return hang().await;
+        }
+        let echo = head.headers.get(&names.request).cloned();
+        let mut response = match rand::random::<f64>() < faults.errors {
+            true => plain(StatusCode::INTERNAL_SERVER_ERROR),
+            false => self.clone().stream(request, after, faults, slot),
+        };
+        if let Some(echo) = echo {
+            response.headers_mut().insert(names.request.clone(), echo);
+        }
+        Ok(response)
+    }
+
+    fn take_slot(self: &Arc<Self>) -> Option<Slot> {
+        let mut running = lock(&self.running);
+        if *running >= self.options.slots {
+            return None;
+        }
+        *running += 1;
+        Some(Slot(self.clone()))
+    }
+
+    fn stream(
+        self: Arc<Self>,
+        request: Arc<str>,
+        after: u64,
+        faults: Faults,
+        slot: Slot,
+    ) -> hyper::Response<Body> {
+        let factor = if faults.slower > 0.0 { faults.slower } else { 1.0 };
+        let step = self.options.step.mul_f64(factor);
+        let last = self.options.events;
+        let cut = rand::random::<f64>() < faults.cut;
+        let cut = cut.then(|| after + 1 + rand::random::<u64>() % (last - after).max(1));
+        let events = futures_util::stream::unfold((after + 1, slot), move |(event, slot)| {
+            let request = request.clone();
+            async move {
+                if event > last {
+                    return None;
+                }
+                time::sleep(step).await;
+                let text = format!("id: {event}\ndata: {}\n\n", data(&request, event));
+                match cut {
+                    Some(at) if at == event => {
+                        let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+                        Some((Ok(hyper::body::Frame::data(half)), (u64::MAX, slot)))
+                    }
+                    _ => Some((Ok(hyper::body::Frame::data(text.into())), (event + 1, slot))),
+                }
+            }
+        });
+        // A stream that is cut ends with an error, which resets its connection.
+        let broken = cut.map(|_| Err(std::io::Error::other("cut off")));
+        let tail = futures_util::stream::iter(broken);
+        let body = futures_util::StreamExt::chain(events, tail);
+        let mut response = hyper::Response::new(StreamBody::new(body).boxed_unsync());
+        let kind = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        response
+    }
+}
--- a/src/events.rs
+++ b/src/events.rs
@@ -5,6 +5,10 @@
 //! 5xx jobs, 6xx agents and endpoints, 7xx entries.
 
 use slog::Level;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 /// Kind of log event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +42,8 @@
     TASK_RESTARTED = 103, Warning, "task failed and is restarted";
     /// A supervised task failed too often; the process ends.
     TASK_GAVE_UP = 104, Critical, "task failed too often";
+    /// A listener accepts connections.
+    LISTENING = 105, Info, "listening";
     /// The settings file was read again.
     RELOADED = 106, Info, "settings reloaded";
     /// A connection could not be accepted, for example for lack of descriptors.
@@ -46,8 +52,8 @@
     RELOAD_FAILED = 108, Error, "settings not reloaded";
     /// Connections between hosts are neither encrypted nor authenticated.
     LINKS_PLAIN = 109, Warning, "links between hosts are not encrypted";
-    /// A listener accepts connections.
-    LISTENING = 105, Info, "listening";
+    /// More lines of an event came in one second than are written; the rest was left out.
+    LEFT_OUT = 110, Warning, "lines left out";
     /// A connection to a peer was established.
     LINK_UP = 200, Info, "connection established";
     /// A connection was closed or went silent; the next use dials from a new socket.
@@ -166,12 +172,75 @@
     CLAIM_PASSED = 704, Info, "claim passed on";
 }
 
+/// Lines of one event that a process writes in one second. More are counted and left out, so that
+/// a fault that shows in every request does not cost the processor time of the requests.
+const LINES: u64 = 200;
+/// Numbers of events are below this.
+const NUMBERS: usize = 1_000;
+/// Bits of a limit's state that hold the lines of its second.
+const COUNT_BITS: u32 = 32;
+
+/// Second and number of its lines, by event number.
+static LIMITS: [AtomicU64; NUMBERS] = [const { AtomicU64::new(0) }; NUMBERS];
+
+/// Decision about a line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permit {
+    /// Write it.
+    Write,
+    /// Write it after a line that says how many of this event were left out.
+    WriteAfter(u64),
+    /// Leave it out.
+    LeaveOut,
+}
+
+/// Decides whether a line of an event may be written `second` seconds after some start.
+pub fn permit_at(limit: &AtomicU64, second: u64) -> Permit {
+    let mask = (1 << COUNT_BITS) - 1;
+    let next = |state: u64| match state >> COUNT_BITS == second {
+        true => state + u64::from(state & mask < mask),
+        false => (second << COUNT_BITS) + 1,
+    };
+    // The closure always returns a state, so that the update cannot fail.
+    let update = limit.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |s| Some(next(s)));
+    let state = update.unwrap_or_else(|state| state);
+    let count = state & mask;
+    match (state >> COUNT_BITS == second, count.saturating_sub(LINES)) {
+        (true, _) if count >= LINES => Permit::LeaveOut,
+        (false, left_out) if left_out > 0 => Permit::WriteAfter(left_out),
+        _ => Permit::Write,
+    }
+}
+
+/// Decides whether a line of an event may be written now. Lines below the logger's level take
+/// nothing from the limit.
+pub fn permit(log: &slog::Logger, event: Event) -> Permit {
+    use slog::Drain as _;
+    if !event.level.is_at_least(Level::Info) && !log.is_debug_enabled() {
+        return Permit::LeaveOut;
+    }
+    static START: OnceLock<Instant> = OnceLock::new();
+    let second = START.get_or_init(Instant::now).elapsed().as_secs() + 1;
+    match LIMITS.get(usize::from(event.number)) {
+        Some(limit) => permit_at(limit, second),
+        None => Permit::Write,
+    }
+}
+
 /// Logs an event with its number: `event!(log, events::STARTED; "roles" => roles)`.
+///
+/// Lines beyond the limit of an event are counted and left out.
 #[macro_export]
 macro_rules! event {
     ($log:expr, $event:expr $(; $($pairs:tt)*)?) => {{
         let event: $crate::events::Event = $event;
-        match event.level {
+        let permit = $crate::events::permit(&$log, event);
+        if let $crate::events::Permit::WriteAfter(count) = permit {
+            slog::warn!($log, "{}", $crate::events::LEFT_OUT.text;
+                "event" => $crate::events::LEFT_OUT.number, "of" => event.number,
+                "count" => count);
+        }
+        if permit != $crate::events::Permit::LeaveOut { match event.level {
             slog::Level::Critical =>
                 slog::crit!($log, "{}", event.text; "event" => event.number, $($($pairs)*)?),
             slog::Level::Error =>
@@ -181,7 +250,7 @@
             slog::Level::Info =>
                 slog::info!($log, "{}", event.text; "event" => event.number, $($($pairs)*)?),
             _ => slog::debug!($log, "{}", event.text; "event" => event.number, $($($pairs)*)?),
-        }
+        } }
     }};
 }
 
@@ -200,15 +269,25 @@
 ///
 /// The guard flushes pending lines when it is dropped.
 pub fn logger(format: Format, level: Level) -> (slog::Logger, slog_async::AsyncGuard) {
+    logger_to(std::io::stderr(), format, level)
+}
+
+/// Creates a root logger that writes to `out` without ever blocking a caller: lines that do not
+/// fit its queue are dropped and counted.
+pub fn logger_to(
+    out: impl std::io::Write + Send + 'static,
+    format: Format,
+    level: Level,
+) -> (slog::Logger, slog_async::AsyncGuard) {
     use slog::Drain as _;
     let (drain, guard) = match format {
         Format::Human => {
-            let plain = slog_term::PlainDecorator::new(std::io::stderr());
+            let plain = slog_term::PlainDecorator::new(out);
             let drain = slog_term::FullFormat::new(plain).build().fuse();
             slog_async::Async::new(drain).chan_size(4096).build_with_guard()
         }
         Format::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            let drain = slog_json::Json::default(out).fuse();
             slog_async::Async::new(drain).chan_size(4096).build_with_guard()
         }
     };
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,95 @@
+//! Puts together what the logs of several processes say of one request or job; free of I/O.
+
+use serde_json::Value;
+use std::collections::BTreeSet;
+
+/// Fields of every line that are not repeated in a story.
+const COMMON: [&str; 7] = ["msg", "level", "ts", "host", "part", "event", "request"];
+/// Events that explain requests although they name none: leadership, members, configuration,
+/// endpoints and lost hosts.
+const CONTEXT: std::ops::RangeInclusive<u64> = 200..=499;
+
+/// Line of a log.
+#[derive(Clone, Debug)]
+struct Line {
+    time: String,
+    host: String,
+    event: u64,
+    text: String,
+    fields: serde_json::Map<String, Value>,
+}
+
+/// Log lines of one or more processes.
+#[derive(Clone, Debug, Default)]
+pub struct Logs {
+    lines: Vec<Line>,
+    /// Lines that are not JSON objects with a time.
+    skipped: usize,
+}
+
+impl Logs {
+    /// Adds the text of a log file. What stands before the first brace of a line is ignored, as
+    /// collectors put a prefix there.
+    pub fn add(&mut self, text: &str) {
+        for line in text.lines().filter(|l| !l.trim().is_empty()) {
+            match parse(line) {
+                Some(line) => self.lines.push(line),
+                None => self.skipped += 1,
+            }
+        }
+    }
+
+    /// Number of lines that could not be read.
+    pub fn skipped(&self) -> usize {
+        self.skipped
+    }
+
+    /// Story of a request or job: its lines in order of time, and what happened meanwhile to the
+    /// endpoints it met and to the hosts that decided. `None` if no line names it.
+    pub fn explain(&self, id: &str) -> Option<String> {
+        let names = |line: &&Line| {
+            ["request", "job"].iter().any(|key| line.fields.get(*key).is_some_and(|v| v == id))
+        };
+        let own: Vec<&Line> = self.lines.iter().filter(names).collect();
+        let first = own.iter().map(|l| &l.time).min()?;
+        let last = own.iter().map(|l| &l.time).max()?;
+        let endpoints: BTreeSet<&str> = own.iter().filter_map(|l| l.endpoint()).collect();
+        let around = |line: &&Line| {
+            let named = line.endpoint().is_some_and(|e| endpoints.contains(e));
+            let meanwhile = line.time >= *first && line.time <= *last;
+            let elsewhere = line.fields.contains_key("request") || line.fields.contains_key("job");
+            !elsewhere && meanwhile && (named || CONTEXT.contains(&line.event))
+        };
+        let mut story: Vec<(&Line, bool)> = own.iter().map(|l| (*l, true)).collect();
+        story.extend(self.lines.iter().filter(around).map(|l| (l, false)));
+        story.sort_by(|a, b| (&a.0.time, !a.1).cmp(&(&b.0.time, !b.1)));
+        Some(story.into_iter().map(|(line, own)| line.show(own)).collect())
+    }
+}
+
+impl Line {
+    fn endpoint(&self) -> Option<&str> {
+        self.fields.get("endpoint").and_then(Value::as_str)
+    }
+
+    fn show(&self, own: bool) -> String {
+        let shown = |(key, value): (&String, &Value)| match value {
+            _ if COMMON.contains(&key.as_str()) => None,
+            Value::String(text) => Some(format!(" {key}={text}")),
+            value => Some(format!(" {key}={value}")),
+        };
+        let fields: String = self.fields.iter().filter_map(shown).collect();
+        let mark = if own { ' ' } else { '~' };
+        format!("{}{mark}{} [{}] {}{fields}\n", self.time, self.host, self.event, self.text)
+    }
+}
+
+fn parse(line: &str) -> Option<Line> {
+    let json = line.get(line.find('{')?..)?;
+    let Value::Object(fields) = serde_json::from_str(json).ok()? else { return None };
+    let text = |key: &str| fields.get(key).and_then(Value::as_str).unwrap_or_default().to_string();
+    let time = text("ts");
+    let event = fields.get("event").and_then(Value::as_u64).unwrap_or(0);
+    let (host, message) = (text("host"), text("msg"));
+    (!time.is_empty()).then_some(Line { time, host, event, text: message, fields })
+}
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -204,6 +204,7 @@
         let log = &self.node.log;
         match ended {
             Ended::Done => {
+                self.node.metrics.item("completed");
                 event!(log, events::ITEM_DONE; "job" => &*job, "request" => &*item,
                     "endpoint" => &*endpoint);
                 self.pace.note(known.ran(time::Instant::now()));
@@ -239,6 +240,7 @@
 
     fn abandon(&mut self, key: Key, cause: ledger::Cause) {
         let (job, item) = key.clone();
+        self.node.metrics.item("abandoned");
         event!(self.node.log, events::ITEM_ABANDONED; "job" => &*job, "request" => &*item,
             "cause" => ?cause);
         let ending = Known { state: State::Ending, progress: Progress::default() };
@@ -323,6 +325,8 @@
             });
         }
         let plan = plan::plan(self.places(), &waiting, &running);
+        self.node.metrics.level("items_waiting", waiting.len() as u64);
+        self.node.metrics.level("items_running", running.len() as u64);
         self.carry_out(plan, &queue, &keys);
     }
 
@@ -343,6 +347,7 @@
     ) {
         for index in plan.stop {
             let key = &keys[index];
+            self.node.metrics.preemption();
             event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0,
                 "request" => &*key.1, "cause" => "more urgent requests need the slot");
             if let Some(Known { state: State::Running { task, .. }, .. }) = self.known.get(key) {
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -90,6 +90,7 @@
 
 /// Tells a caller that its request has not run and when to come back.
 pub fn refuse(node: &node::Node, id: &str, reason: &'static str) -> serve::Answer {
+    node.metrics.refusal(reason, "no");
     let spread = RETRY_SPREAD.mul_f64(rand::random::<f64>());
     let pause = RETRY_MIN + spread;
     event!(node.log, events::REFUSED; "request" => id, "reason" => reason,
@@ -105,6 +106,7 @@
 
 /// Tells a caller that the outcome of its request is not known.
 fn fail(node: &node::Node, id: &str, status: StatusCode, reason: &str) -> serve::Answer {
+    node.metrics.request("online", "unknown");
     event!(node.log, events::FAILED; "request" => id, "status" => status.as_u16(),
         "reason" => reason);
     serve::answer(status, format!("outcome unknown: {reason}\n"))
@@ -271,6 +273,12 @@
                     return Err(fail(&self.node, &id, status, "no answer in time"));
                 }
                 Ended::Outcome(outcome, cause) => {
+                    self.node.metrics.retry(match outcome {
+                        attempt::Outcome::NotSent => "not_sent",
+                        attempt::Outcome::Declined => "declined",
+                        attempt::Outcome::Lost => "lost",
+                        attempt::Outcome::Failed => "failed",
+                    });
                     event!(self.node.log, events::RETRIED; "request" => &*id,
                         "endpoint" => &*name, "outcome" => ?outcome, "cause" => &*cause);
                     match self.attempts.after(outcome) {
@@ -353,8 +361,13 @@
         };
         // Until the first event arrives, another endpoint can take over without any trace.
         match events.next().await {
-            Some(Ok(event)) => events.ready.push_front(event),
+            Some(Ok(event)) => {
+                let run = &events.run;
+                run.node.metrics.latency("first_event", run.request.arrived.elapsed());
+                events.ready.push_front(event);
+            }
             Some(Err(_)) => {
+                // `next` has ended the stream, so that no caller has left.
                 let id = events.run.request.id.clone();
                 let status = match events.run.left().is_zero() {
                     true => StatusCode::GATEWAY_TIMEOUT,
@@ -400,6 +413,18 @@
     ended: bool,
 }
 
+impl Drop for Events {
+    fn drop(&mut self) {
+        if !self.ended {
+            let run = &self.run;
+            run.node.metrics.request("online", "caller_left");
+            event!(run.node.log, events::CALLER_LEFT; "request" => &*run.request.id,
+                "after_event" => run.last,
+                "elapsed_ms" => run.request.arrived.elapsed().as_millis() as u64);
+        }
+    }
+}
+
 impl Events {
     /// Next bytes for the caller; `None` after the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, serve::Broken>> {
@@ -440,8 +465,12 @@
             None if self.splitter.rest().is_empty() => {
                 self.ended = true;
                 self.run.node.endpoint_answered(&begun.endpoint.id);
+                let elapsed = self.run.request.arrived.elapsed();
+                self.run.node.metrics.request("online", "answered");
+                self.run.node.metrics.latency("answer", elapsed);
                 event!(self.run.node.log, events::ANSWERED;
-                    "request" => &*self.run.request.id, "endpoint" => &*begun.endpoint.id);
+                    "request" => &*self.run.request.id, "endpoint" => &*begun.endpoint.id,
+                    "events" => self.run.last, "elapsed_ms" => elapsed.as_millis() as u64);
             }
             None => return Err("the stream ends within an event".into()),
         }
@@ -473,6 +502,7 @@
         drop(from);
         self.splitter = sse::Splitter::default();
         let next = self.run.attempts.after(attempt::Outcome::Lost);
+        self.run.node.metrics.retry("broken_stream");
         event!(self.run.node.log, events::RESUMED; "request" => &*id, "cause" => &**cause,
             "after_event" => self.run.last, "next" => ?next);
         if next != attempt::Next::Again || self.run.left() < TOO_LATE {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::process;
 use crate::supervisor;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -39,7 +40,7 @@
 ///
 /// # Errors
 /// `Io` if a listener cannot be opened, `Invalid` if the settings lack something.
-pub fn start(
+pub async fn start(
     settings: settings::Settings,
     path: PathBuf,
     protocol: Arc<dyn protocol::Protocol>,
@@ -53,7 +54,7 @@
         "seeds" => node.settings.seeds().join(","),
         "bootstrap" => node.settings.fleet.bootstrap);
     event!(log, events::LINKS_PLAIN);
-    let links = node::listen(node.settings.link())?;
+    let links = node::listen(node.settings.link_bind())?;
     let (end, handler) = match role {
         settings::Role::Entry => (entry::start(&node, &mut tree)?, entry::peer_handler(&node)),
         settings::Role::Control => {
@@ -71,6 +72,9 @@
             () = stop.wait() => Ok(()),
         }
     });
+    if let Some(address) = node.settings.host.metrics {
+        process::spawn_metrics(&mut tree, address, node.metrics.clone()).await?;
+    }
     node.spawn_common(&mut tree, &end);
     Ok(tree)
 }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -12,6 +12,7 @@
 use crate::fleet::settings;
 use crate::fleet::upstream;
 use crate::fleet::view;
+use crate::metrics;
 use crate::sorted;
 use crate::supervisor;
 use crate::timer;
@@ -61,6 +62,8 @@
     pub health: Arc<Mutex<place::Health>>,
     /// Replica of this host, once it runs.
     pub local: groups::local::Slot,
+    /// Counters and histograms.
+    pub metrics: metrics::Metrics,
     /// Timer service.
     pub timer: timer::Timer,
     /// Logger.
@@ -107,6 +110,7 @@
             upstream: upstream::Upstream::default(),
             health: Arc::default(),
             local,
+            metrics: metrics::Metrics::new(),
             timer: timer::Timer::start(),
             log: log.clone(),
         }
@@ -135,6 +139,7 @@
     /// Notes that an endpoint did not answer.
     pub fn endpoint_failed(&self, id: &Arc<str>, cause: &dyn std::fmt::Display) {
         let pause = peer::lock(&self.health).failed(self.now(), id);
+        self.metrics.fault("endpoint");
         event!(self.log, events::ENDPOINT_EJECTED; "endpoint" => &**id,
             "pause_ms" => pause.as_millis() as u64, "error" => %cause);
     }
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -53,6 +53,11 @@
     pub address: IpAddr,
     /// Folder for durable state; required for the roles control and store.
     pub folder: Option<PathBuf>,
+    /// Address to listen on for other hosts, if not `address`; for hosts behind a proxy or an
+    /// address translation.
+    pub bind: Option<IpAddr>,
+    /// Address of the metrics scrape endpoint; none if absent.
+    pub metrics: Option<SocketAddr>,
     /// Format of log lines.
     #[serde(default)]
     pub log: events::Format,
@@ -124,6 +129,11 @@
         SocketAddr::new(self.host.address, self.fleet.port)
     }
 
+    /// Address on which this host listens for the others.
+    pub fn link_bind(&self) -> SocketAddr {
+        SocketAddr::new(self.host.bind.unwrap_or(self.host.address), self.fleet.port)
+    }
+
     /// Addresses for connections to the seeds.
     pub fn seeds(&self) -> Vec<Arc<str>> {
         let link = |s: &SocketAddr| SocketAddr::new(s.ip(), self.fleet.port).to_string().into();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod errors;
 pub mod events;
+pub mod explain;
 pub mod fleet;
 pub mod follow;
 pub mod gate;
--- a/src/process.rs
+++ b/src/process.rs
@@ -69,7 +69,11 @@
     names.join(",")
 }
 
-async fn spawn_metrics(
+/// Adds the metrics listener to a supervisor.
+///
+/// # Errors
+/// `Io` if the address cannot be used.
+pub async fn spawn_metrics(
     tree: &mut supervisor::Supervisor,
     address: SocketAddr,
     metrics: metrics::Metrics,
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,208 @@
+//! Hosts that find each other by seeds, as separate processes.
+
+mod fleet_world;
+
+use fleet_world::Role;
+use fleet_world::Size;
+use fleet_world::World;
+use fleet_world::client;
+use fleet_world::client::Ended;
+use fleet_world::client::finish;
+use fleet_world::client::stream;
+use fleet_world::client::submit;
+use std::process::Command;
+use std::time::Duration;
+
+const SMALL: Size = Size { stores: 3, entries: 2, endpoints: 2 };
+/// Time for a job of a few items, also after a change of leader.
+const JOB: Duration = Duration::from_secs(30);
+
+fn run(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("runtime")
+        .block_on(test);
+}
+
+/// Runs `basilfield explain` on the logs of a world.
+fn explain(world: &World, id: &str) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_basilfield"))
+        .args(["explain", id])
+        .args(world.log_files())
+        .output()
+        .expect("command runs");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+/// Story of a request without times, names and numbers that differ from run to run.
+fn steps(story: &str) -> Vec<&str> {
+    let own = story.lines().filter(|l| !l.contains('~'));
+    own.filter_map(|l| l.split_once("] ")).map(|(_, text)| text).collect()
+}
+
+async fn job(world: &World, name: &str) {
+    let entries = world.entries();
+    assert!(submit(&entries, name, 5).await, "{name} accepted\n{}", world.logs());
+    let finished = finish(&entries, name, 5, &mut Vec::new(), JOB).await;
+    assert_eq!(finished, Ok(()), "{}", world.logs());
+}
+
+/// Guards against a broken path through the hosts: streams through every entry, a job, an invalid
+/// configuration, an old version and an unknown job.
+#[test]
+fn whole_path() {
+    run(async {
+        let world = World::start(SMALL).await;
+        for (n, at) in world.of(Role::Entry).into_iter().enumerate() {
+            let id = format!("first-{n}");
+            let ended = stream(world.callers(at), fleet_world::STREAM, &id).await;
+            assert_eq!(ended, Ended::Whole, "{}", world.logs());
+        }
+        job(&world, "job").await;
+        let mut seen = vec![
+            world.put_config("{").await.to_string(),
+            world.put_config(&world.config(1)).await.to_string(),
+        ];
+        let entry = world.callers(world.of(Role::Entry)[0]);
+        seen.push(format!("{:?}", client::results(entry, "unknown", 0).await));
+        seen.push(client::call(entry, "POST", "/none/", &[], String::new()).await.0.to_string());
+        seen.push(format!("{:?}", world.read_version(0).await));
+        insta::assert_snapshot!(seen.join(" "), @"400 200 Err(404) 404 Some(1)");
+    });
+}
+
+/// Guards against a job or configuration that is lost when every process is killed at once, and
+/// against a store host that lost its disk and is not repaired before the next one is lost.
+#[test]
+fn kills_and_lost_disks() {
+    run(async {
+        let mut world = World::start(SMALL).await;
+        let entries = world.entries();
+        assert!(submit(&entries, "before", 5).await, "{}", world.logs());
+        assert_eq!(world.put_config(&world.config(7)).await, 200);
+        for at in 0..world.hosts.len() {
+            world.kill(at);
+        }
+        for at in 0..world.hosts.len() {
+            world.start_host(at, false);
+        }
+        // Endpoints state themselves about once a second; the directory starts empty.
+        world.beat_until_known().await;
+        let finished = finish(&entries, "before", 5, &mut Vec::new(), JOB).await;
+        assert_eq!(finished, Ok(()), "{}", world.logs());
+        assert_eq!(world.read_version(1).await, Some(7), "{}", world.logs());
+
+        for at in world.of(Role::Store) {
+            world.kill(at);
+            world.wipe(at);
+            world.start_host(at, false);
+            // The time in which a lost disk has to be repaired on the users' deployments.
+            tokio::time::sleep(Duration::from_millis(4_500)).await;
+        }
+        let again = finish(&entries, "before", 5, &mut Vec::new(), JOB).await;
+        assert_eq!(again, Ok(()), "{}", world.logs());
+        job(&world, "after").await;
+    });
+}
+
+/// Guards against a store host that is reported empty while it holds replicas, and against one
+/// that cannot be emptied.
+#[test]
+fn store_host_is_emptied() {
+    run(async {
+        let mut world = World::start(SMALL).await;
+        job(&world, "one").await;
+        let control = (world.hosts[0].real, fleet_world::OPERATORS).into();
+        let retire = |name: &'static str| async move {
+            let body = r#"{"completeByS":10}"#.to_string();
+            client::call(control, "POST", &format!("/-/retire/{name}"), &[], body).await.0
+        };
+        assert_eq!(retire("store-9").await, 404);
+        assert_eq!(retire("store-1").await, 409, "too few would remain");
+        let spare = world.add_host(Role::Store, 4).await;
+        world.start_host(spare, false);
+        let begun = std::time::Instant::now();
+        while retire("store-1").await != 200 {
+            assert!(begun.elapsed() < fleet_world::PATIENCE, "{}", world.logs());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        loop {
+            let call = client::call(control, "GET", "/-/retire/store-1", &[], String::new());
+            if &call.await.1[..] == br#"{"state":"completed"}"# {
+                break;
+            }
+            assert!(begun.elapsed() < fleet_world::PATIENCE, "{}", world.logs());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        // The host is removed at once, and another one is lost right after.
+        let stores = world.of(Role::Store);
+        world.kill(stores[0]);
+        world.wipe(stores[0]);
+        world.kill(stores[1]);
+        let entries = world.entries();
+        let finished = finish(&entries, "one", 5, &mut Vec::new(), JOB).await;
+        assert_eq!(finished, Ok(()), "{}", world.logs());
+    });
+}
+
+/// Guards against logs that do not lead from the id of a refused request to its cause.
+#[test]
+fn refused_request_is_explained() {
+    run(async {
+        let mut world = World::start(Size { endpoints: 1, ..SMALL }).await;
+        let entry = world.callers(world.of(Role::Entry)[0]);
+        let busy = (0..30).map(|n| {
+            tokio::spawn(
+                async move { stream(entry, fleet_world::ONCE, &format!("busy-{n}")).await },
+            )
+        });
+        let mut ends = Vec::new();
+        for task in busy.collect::<Vec<_>>() {
+            ends.push(task.await.expect("task"));
+        }
+        let refused = ends.iter().position(|e| *e == Ended::NotRun);
+        let refused = refused.unwrap_or_else(|| panic!("some are refused: {ends:?}"));
+        let id = format!("busy-{refused}");
+        let ran = world.all_runs().iter().any(|r| *r.request == *id);
+        assert!(!ran, "{id} was refused as not run");
+        world.crash_endpoint(0);
+        let story = explain(&world, &id);
+        let full = story.contains("reason=every endpoint is full");
+        let declined = story.contains("cause=declined with 503")
+            && story.contains("reason=no endpoint is left");
+        assert!(full || declined, "{story}");
+    });
+}
+
+/// Guards against logs that do not lead from the id of a broken stream to the lost endpoint, and
+/// against one from a job to the runs of its items.
+#[test]
+fn interrupted_work_is_explained() {
+    run(async {
+        let mut world = World::start(SMALL).await;
+        let entry = world.callers(world.of(Role::Entry)[0]);
+        let id = "cut-off";
+        let task = tokio::spawn(stream(entry, fleet_world::ONCE, id));
+        tokio::time::sleep(Duration::from_millis(70)).await;
+        world.crash_endpoint(0);
+        world.crash_endpoint(1);
+        assert_eq!(task.await.expect("task"), Ended::Broken);
+        let story = explain(&world, id);
+        insta::assert_snapshot!(
+            steps(&story).iter().filter_map(|s| s.split_once(" ")).map(|s| s.0)
+                .collect::<Vec<_>>().join(" "),
+            @"attempt stream"
+        );
+        assert!(story.contains("endpoint avoided"), "{story}");
+        for at in 0..2 {
+            world.start_endpoint(at).await;
+        }
+        world.beat().await;
+        job(&world, "explained").await;
+        let story = explain(&world, "explained");
+        let done = story.lines().filter(|l| l.contains("item done")).count();
+        assert_eq!((done, story.contains("job accepted")), (5, true), "{story}");
+    });
+}
--- /dev/null
+++ b/tests/fleet_world/client.rs
@@ -0,0 +1,198 @@
+//! Clients that check what they get against what the endpoints send.
+
+use crate::fleet_world::BATCH;
+use crate::fleet_world::HOST;
+use crate::fleet_world::OPTIONS;
+use basilfield::emulator::plain;
+use basilfield::fleet::sse;
+use basilfield::fleet::upstream;
+use bytes::Bytes;
+use http_body_util::Full;
+use serde_json::Value;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time;
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Every event arrived once and in order.
+    Whole,
+    /// The caller was told that the request has not run.
+    NotRun,
+    /// Another status.
+    Status(u16),
+    /// The connection ended early or in time.
+    Broken,
+    /// The answer is wrong.
+    Wrong(String),
+}
+
+fn request(
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> hyper::Request<Full<Bytes>> {
+    let mut request = hyper::Request::builder().method(method).uri(path).header("host", HOST);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(Full::new(body.into())).expect("valid request")
+}
+
+/// Sends one call on a connection of its own. Status 0 stands for a broken connection.
+pub async fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> (u16, Bytes) {
+    let sent = async {
+        let mut answer = upstream::Upstream::default()
+            .send(to, request(method, path, headers, body), true)
+            .await
+            .ok()?;
+        let status = answer.head.status.as_u16();
+        Some((status, answer.whole(16 << 20).await.ok()?))
+    };
+    let timed = time::timeout(Duration::from_secs(4), sent).await;
+    timed.ok().flatten().unwrap_or((0, Bytes::new()))
+}
+
+/// Sends a request for a stream and reads it to its end.
+pub async fn stream(to: SocketAddr, prefix: &str, id: &str) -> Ended {
+    let path = format!("{prefix}{id}");
+    let headers = [("x-basilfield-request-id", id), ("x-basilfield-deadline-ms", "6000")];
+    let sent = async {
+        let request = request("POST", &path, &headers, id.to_string());
+        let Ok(mut answer) = upstream::Upstream::default().send(to, request, true).await else {
+            return Ended::Broken;
+        };
+        match answer.head.status.as_u16() {
+            200 => {}
+            429 | 503 => return Ended::NotRun,
+            status => return Ended::Status(status),
+        }
+        let mut splitter = sse::Splitter::default();
+        let mut next = 1;
+        loop {
+            match answer.next().await {
+                Ok(Some(bytes)) => splitter.push(&bytes).expect("short events"),
+                Ok(None) if next == OPTIONS.1 + 1 && splitter.rest().is_empty() => {
+                    return Ended::Whole;
+                }
+                Ok(None) => return Ended::Wrong(format!("{id} ends before event {next}")),
+                Err(_) => return Ended::Broken,
+            }
+            while let Some(event) = splitter.next_event() {
+                if event.id != Some(next) || event.data() != plain::data(id, next).as_bytes() {
+                    return Ended::Wrong(format!("{id}: {event:?} in place of event {next}"));
+                }
+                next += 1;
+            }
+        }
+    };
+    time::timeout(Duration::from_secs(8), sent).await.unwrap_or(Ended::Broken)
+}
+
+/// Whole output of an item.
+pub fn output(item: &str) -> String {
+    (1..=OPTIONS.1).map(|n| plain::data(item, n)).collect::<Vec<_>>().join("\n")
+}
+
+/// Ids of a job's items.
+pub fn items(job: &str, count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("{job}-{n}")).collect()
+}
+
+/// Submits a job to the entries in turn until one accepts it or the time is over.
+pub async fn submit(entries: &[SocketAddr], job: &str, count: usize) -> bool {
+    use base64::Engine as _;
+    let item = |id: &String| {
+        let body = base64::engine::general_purpose::STANDARD.encode(id);
+        json!({ "id": id, "path": format!("{BATCH}{id}"), "headers": {}, "body": body,
+            "tokens": 100 })
+    };
+    let items: Vec<Value> = items(job, count).iter().map(item).collect();
+    let body = json!({ "items": items }).to_string();
+    let headers = [("x-basilfield-request-id", job)];
+    let path = format!("{BATCH}{job}");
+    for turn in 0..20 {
+        let to = entries[turn % entries.len()];
+        if call(to, "POST", &path, &headers, body.clone()).await.0 == 202 {
+            return true;
+        }
+        time::sleep(Duration::from_millis(300)).await;
+    }
+    false
+}
+
+/// Results of a job from a position on, if an entry is sure of them.
+pub async fn results(to: SocketAddr, job: &str, after: usize) -> Result<Vec<Value>, u16> {
+    let path = format!("/-/lots/{job}?after={after}");
+    let (status, body) = call(to, "GET", &path, &[], String::new()).await;
+    let page: Value = serde_json::from_slice(&body).unwrap_or_default();
+    match status {
+        200 => Ok(page["results"].as_array().cloned().unwrap_or_default()),
+        status => Err(status),
+    }
+}
+
+/// Reads a job until every item is listed, and checks it against `seen`, what was read before.
+pub async fn finish(
+    entries: &[SocketAddr],
+    job: &str,
+    count: usize,
+    seen: &mut Vec<Value>,
+    limit: Duration,
+) -> Result<(), String> {
+    let begun = time::Instant::now();
+    for turn in 0.. {
+        let read = results(entries[turn % entries.len()], job, 0).await;
+        match read {
+            Ok(results) => {
+                check(job, count, seen, &results)?;
+                if results.len() == count {
+                    return Ok(());
+                }
+            }
+            Err(404) => return Err(format!("{job} is unknown after it was accepted")),
+            Err(_) => {}
+        }
+        if begun.elapsed() > limit {
+            return Err(format!("{job}: {} of {count} items are listed", seen.len()));
+        }
+        time::sleep(Duration::from_millis(200)).await;
+    }
+    Ok(())
+}
+
+/// Checks a page from position 0 against an earlier one.
+pub fn check(
+    job: &str,
+    count: usize,
+    seen: &mut Vec<Value>,
+    results: &[Value],
+) -> Result<(), String> {
+    if results.len() < seen.len() || results[..seen.len()] != seen[..] {
+        return Err(format!("{job}: results were lost or changed: {seen:?} {results:?}"));
+    }
+    let known = items(job, count);
+    let mut ids: Vec<&str> = results.iter().filter_map(|r| r["id"].as_str()).collect();
+    ids.sort_unstable();
+    ids.dedup();
+    if ids.len() != results.len() || ids.iter().any(|id| !known.iter().any(|k| k == id)) {
+        return Err(format!("{job}: an item stands twice or is unknown: {ids:?}"));
+    }
+    for result in results {
+        let id = result["id"].as_str().unwrap_or_default();
+        if result["state"] == "completed" && result["output"] != output(id) {
+            return Err(format!("{job}: wrong output of {id}: {result}"));
+        }
+    }
+    *seen = results.to_vec();
+    Ok(())
+}
