Refuse requests that reach a stopping entry too late to be finished

The balancer uses every entry of a domain while most of them are out of rotation, so requests come until the end.

From 2.6 s after the request to stop, requests are refused as not run; a connection that comes then is told so and ends. The process test failed before.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -19,8 +19,6 @@
 use futures_util::future::BoxFuture;
 use hyper::StatusCode;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time;
@@ -41,7 +39,7 @@
 
 struct Entry {
     node: node::Node,
-    stopping: Arc<AtomicBool>,
+    stage: watch::Receiver<serve::Stage>,
 }
 
 /// Adds the tasks of the role to a supervisor. Returns the stop that follows the last request.
@@ -57,10 +55,9 @@
     let callers = listen.callers.ok_or_else(|| missing("listen.callers is missing"))?;
     let ready = listen.ready.ok_or_else(|| missing("listen.ready is missing"))?;
     let (callers, ready) = (node::listen(callers)?, node::listen(ready)?);
-    let stopping = Arc::new(AtomicBool::new(false));
-    let entry = Arc::new(Entry { node: node.clone(), stopping: stopping.clone() });
     let (bounds_sender, bounds) = watch::channel(routes::Bounds::default());
     let (stage_sender, stage) = watch::channel(serve::Stage::Serving);
+    let entry = Arc::new(Entry { node: node.clone(), stage: stage.clone() });
     let (open, _) = watch::channel(());
     let (ended, end) = supervisor::Stop::channel();
     let log = tree.log().clone();
@@ -82,7 +79,7 @@
     let mut stop = tree.stop();
     tree.spawn_once(async move {
         stop.wait().await;
-        stopping.store(true, Ordering::Release);
+        stage_sender.send_replace(serve::Stage::Leaving);
         let deadline = time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
         time::sleep(TURN_AWAY).await;
         stage_sender.send_replace(serve::Stage::Closing);
@@ -140,7 +137,8 @@
 
 /// Handler of connections from other hosts.
 pub fn peer_handler(node: &node::Node) -> Arc<dyn peer::Handler> {
-    Arc::new(Entry { node: node.clone(), stopping: Arc::default() })
+    let (_, stage) = watch::channel(serve::Stage::Serving);
+    Arc::new(Entry { node: node.clone(), stage })
 }
 
 impl serve::Handler for Entry {
@@ -171,6 +169,10 @@
         let headers = node.view.protocol().headers();
         let id = head.headers.get(&headers.request).and_then(|v| v.to_str().ok());
         let id: Arc<str> = id.unwrap_or_default().into();
+        if *self.stage.borrow() == serve::Stage::Closing {
+            // What starts now may not be finished before the forced end of the process.
+            return forward::refuse(node, &id, "the host stops");
+        }
         let Some(in_force) = node.view.in_force() else {
             return forward::refuse(node, &id, "no configuration is known yet");
         };
@@ -198,7 +200,7 @@
         let node = &self.node;
         let usable = node.view.in_force().is_some()
             && node.view.directory(|d| d.endpoints().any(|e| e.phase == directory::Phase::Ready));
-        match usable && !self.stopping.load(Ordering::Acquire) {
+        match usable && *self.stage.borrow() == serve::Stage::Serving {
             true => serve::answer(StatusCode::OK, "ready\n"),
             false => serve::answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         }
--- a/src/fleet/serve.rs
+++ b/src/fleet/serve.rs
@@ -54,6 +54,8 @@
     /// Takes requests.
     #[default]
     Serving,
+    /// Takes requests and tells the balancer to turn away.
+    Leaving,
     /// Ends each connection after its present request; new connections carry one request.
     Closing,
 }
@@ -148,6 +150,9 @@
         .timer(TokioTimer::new())
         .header_read_timeout(bounds.idle.max(bounds.head_time) + IDLE_MARGIN)
         .max_buf_size(bounds.head.max(MIN_BUFFER));
+    // A connection that comes late is told why its request is not served, and ends with that.
+    let mut asked = *stage.borrow() == Stage::Closing;
+    builder.keep_alive(!asked);
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     let closing = async {
@@ -155,7 +160,6 @@
         let _ = stage.wait_for(|s| *s == Stage::Closing).await;
     };
     tokio::pin!(closing);
-    let mut asked = false;
     loop {
         tokio::select! {
             // The caller sees how its connection ended; nothing else depends on it.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 mod fleet_world;
 
+use basilfield::emulator::plain;
 use fleet_world::Role;
 use fleet_world::Size;
 use fleet_world::World;
@@ -206,3 +207,39 @@
         assert_eq!((done, story.contains("job accepted")), (5, true), "{story}");
     });
 }
+
+/// Guards against requests that a stop cuts off: those that run are finished, and those that come
+/// too late to be finished are refused as not run.
+#[test]
+fn stop_cuts_nothing_off() {
+    run(async {
+        let mut world = World::start(SMALL).await;
+        let at = world.of(Role::Entry)[0];
+        let entry = world.callers(at);
+        let early = (0..4).map(|n| {
+            tokio::spawn(
+                async move { stream(entry, fleet_world::ONCE, &format!("early-{n}")).await },
+            )
+        });
+        let early: Vec<_> = early.collect();
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        world.terminate(at);
+        for task in early {
+            assert_eq!(task.await.expect("task"), Ended::Whole, "{}", world.logs());
+        }
+        // A balancer that has not noticed the stop still sends requests, to endpoints that are
+        // too slow to finish them in time. One request keeps the entry running meanwhile.
+        for endpoint in world.endpoints.iter().flatten() {
+            endpoint.fail(plain::Faults { slower: 25.0, ..plain::Faults::default() });
+        }
+        let hold = tokio::spawn(stream(entry, fleet_world::ONCE, "hold"));
+        let ready = (world.hosts[at].real, fleet_world::READY).into();
+        let status = client::call(ready, "GET", "/-/ready", &[], String::new()).await.0;
+        assert_eq!(status, 503);
+        tokio::time::sleep(Duration::from_millis(2_800)).await;
+        let late = stream(entry, fleet_world::ONCE, "late").await;
+        assert_eq!((late, hold.await.expect("task")), (Ended::NotRun, Ended::Whole));
+        assert!(!world.all_runs().iter().any(|r| &*r.request == "late"));
+        world.reap(at, Duration::from_secs(6)).await;
+    });
+}
