Store the output of running items once a second; let one online request wait

Items were also stopped for a single online request that would have got a slot in time (449 stops for 235 items).

The ledger stores the output that has arrived, and a new leader goes on after it.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -1,8 +1,8 @@
 //! Runs the items of batch jobs on the leader of the job group.
 //!
-//! The progress of items is kept in memory: an item that is stopped or loses its endpoint goes on
-//! after the last event that arrived. After a change of leader an item starts anew, which is
-//! allowed, and the first output that is committed counts.
+//! An item that is stopped or loses its endpoint goes on after the last event that arrived. About
+//! once a second the output that has arrived is stored in the ledger, so that a new leader goes on
+//! from there: with a leader lost every few seconds, items that start anew would never end.
 
 use crate::errors;
 use crate::event;
@@ -39,6 +39,9 @@
 const AGAIN: Duration = Duration::from_millis(150);
 /// Pause before an item is sent again after an endpoint failed to run it.
 const AGAIN_FAILED: Duration = Duration::from_millis(400);
+/// Interval at which the output of running items is stored. What arrives within it is run again
+/// after a change of leader.
+const STORE: Duration = Duration::from_secs(1);
 /// Longest time for an outcome to be committed; it is proposed again afterwards.
 const COMMIT: Duration = Duration::from_secs(3);
 /// Factor by which jobs are kept longer than was promised: the leader counts from the moment at
@@ -47,22 +50,63 @@
 
 type Key = (Arc<str>, Arc<str>);
 
-/// Part of an item's output that has arrived.
+/// Output of an item that has arrived.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Progress {
+    /// Events that are stored in the ledger.
+    stored: u64,
+    /// Data of the events after those, separated by line feeds.
     output: Vec<u8>,
+    /// Events in all.
     events: u64,
+    /// Number of the last event.
     last: Option<u64>,
     /// Time for which the item has run.
     ran: Duration,
 }
 
+impl Progress {
+    fn new(part: &ledger::Part) -> Progress {
+        let (events, last) = (part.events, part.last);
+        Progress { stored: events, events, last, ..Progress::default() }
+    }
+
+    fn add(&mut self, data: &[u8], id: Option<u64>) {
+        if self.events > self.stored {
+            self.output.push(b'\n');
+        }
+        self.output.extend_from_slice(data);
+        self.events += 1;
+        self.last = id.or(self.last);
+    }
+
+    fn advance(&self, key: &Key) -> ledger::Advance {
+        ledger::Advance {
+            job: key.0.clone(),
+            item: key.1.clone(),
+            after: self.stored,
+            events: self.events,
+            last: self.last,
+            data: self.output.clone().into(),
+        }
+    }
+
+    /// Forgets the output that the ledger has stored: `len` bytes up to the event `events`.
+    fn settle(&mut self, events: u64, len: usize) {
+        let separator = usize::from(self.events > events);
+        self.output.drain(..(len + separator).min(self.output.len()));
+        self.stored = events;
+    }
+}
+
 /// Item that is on its way.
 enum State {
     /// Runs at an endpoint.
     Running { endpoint: Arc<str>, number: u64, since: time::Instant, task: task::AbortHandle },
     /// Waits until it may be sent again.
     Resting { until: time::Instant },
+    /// Its output is complete and waits for an earlier part to be stored.
+    Whole,
     /// Its outcome is being committed.
     Ending,
 }
@@ -88,6 +132,18 @@
     Event(Key, Vec<u8>, Option<u64>),
     Ended(Key, Ended),
     Committed(Key, bool),
+    /// Parts of items were stored, or not: events and bytes of each.
+    Stored(Vec<(Key, u64, usize)>, bool),
+}
+
+/// Item that may be started.
+struct Queued {
+    key: Key,
+    item: Arc<ledger::Item>,
+    /// Host of its route.
+    host: Arc<str>,
+    /// What the ledger has stored of it.
+    progress: Progress,
 }
 
 struct Dispatcher {
@@ -99,6 +155,9 @@
     messages: mpsc::Sender<Message>,
     started: u64,
     pace: plan::Pace,
+    /// Items whose parts are being stored, sorted.
+    storing: Vec<Key>,
+    stored: time::Instant,
 }
 
 /// Runs items whenever this host leads the job group.
@@ -123,6 +182,8 @@
         messages,
         started: 0,
         pace: plan::Pace::default(),
+        storing: Vec::new(),
+        stored: time::Instant::now(),
     };
     loop {
         tokio::select! {
@@ -131,6 +192,7 @@
             _ = ticks.next() => {
                 if *leads.borrow() {
                     dispatcher.plan();
+                    dispatcher.store();
                 }
             }
             Some(message) = inbox.recv() => dispatcher.take(message),
@@ -161,32 +223,84 @@
     fn reset(&mut self) {
         self.known.clear();
         self.jobs.clear();
+        self.storing.clear();
     }
 
     fn take(&mut self, message: Message) {
         match message {
             Message::Event(key, data, id) => {
                 let Some(known) = self.known.get_mut(&key) else { return };
-                let progress = &mut known.progress;
-                if id.is_some() && id <= progress.last {
-                    // An endpoint that resumes may repeat what has arrived.
-                    return;
+                // An endpoint that resumes may repeat what has arrived.
+                if id.is_none() || id > known.progress.last {
+                    known.progress.add(&data, id);
                 }
-                if progress.events > 0 {
-                    progress.output.push(b'\n');
-                }
-                progress.output.extend(data);
-                progress.events += 1;
-                progress.last = id.or(progress.last);
             }
             Message::Ended(key, ended) => self.ended(key, ended),
             Message::Committed(key, true) => {
                 self.known.remove(&key);
             }
-            Message::Committed(key, false) => self.rest(&key, AGAIN),
+            // What is stored may not be what was assumed: the item goes on from the ledger.
+            Message::Committed(key, false) => {
+                self.known.remove(&key);
+            }
+            Message::Stored(parts, done) => {
+                self.storing.clear();
+                for (key, events, len) in parts {
+                    self.part_stored(key, done.then_some((events, len)));
+                }
+            }
         }
     }
 
+    fn part_stored(&mut self, key: Key, stored: Option<(u64, usize)>) {
+        let Some(known) = self.known.get_mut(&key) else { return };
+        if let Some((events, len)) = stored {
+            known.progress.settle(events, len);
+        }
+        if matches!(known.state, State::Whole) {
+            self.complete(key);
+        }
+    }
+
+    /// Stores the output of running items that has arrived since the last time.
+    fn store(&mut self) {
+        if self.stored.elapsed() < STORE || !self.storing.is_empty() {
+            return;
+        }
+        self.stored = time::Instant::now();
+        let news = |(_, known): &(&Key, &Known)| {
+            known.progress.events > known.progress.stored
+                && matches!(known.state, State::Running { .. } | State::Resting { .. })
+        };
+        let advances: Vec<(Key, ledger::Advance)> = self
+            .known
+            .iter()
+            .filter(news)
+            .map(|(k, known)| (k.clone(), known.progress.advance(k)))
+            .collect();
+        if advances.is_empty() {
+            return;
+        }
+        self.storing = advances.iter().map(|(key, _)| key.clone()).collect();
+        let part = |(key, a): &(Key, ledger::Advance)| (key.clone(), a.events, a.data.len());
+        let parts = advances.iter().map(part).collect();
+        let command = ledger::Command::Advance(advances.into_iter().map(|(_, a)| a).collect());
+        let (groups, messages) = (self.node.groups.clone(), self.messages.clone());
+        tokio::spawn(async move {
+            let done = groups.propose(groups::JOBS, &command, COMMIT).await.is_ok();
+            // The dispatcher is gone only when the process ends.
+            let _ = messages.send(Message::Stored(parts, done)).await;
+        });
+    }
+
+    /// Completes an item whose output is whole.
+    fn complete(&mut self, key: Key) {
+        let Some(known) = self.known.get_mut(&key) else { return };
+        known.state = State::Ending;
+        let advance = known.progress.advance(&key);
+        self.commit(key, ledger::Command::Complete(advance));
+    }
+
     fn rest(&mut self, key: &Key, pause: Duration) {
         if let Some(known) = self.known.get_mut(key) {
             known.progress.ran = known.ran(time::Instant::now());
@@ -208,11 +322,11 @@
                 event!(log, events::ITEM_DONE; "job" => &*job, "request" => &*item,
                     "endpoint" => &*endpoint);
                 self.pace.note(known.ran(time::Instant::now()));
-                let output = Bytes::from(std::mem::take(&mut known.progress.output));
-                known.progress = Progress::default();
-                known.state = State::Ending;
+                known.state = State::Whole;
                 self.node.endpoint_answered(&endpoint);
-                self.commit(key, ledger::Command::Complete { job, item, output });
+                if self.storing.binary_search(&key).is_err() {
+                    self.complete(key);
+                }
             }
             Ended::Interrupted { cause, at_fault, pause } => {
                 event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
@@ -251,7 +365,8 @@
     fn commit(&self, key: Key, command: ledger::Command) {
         let (groups, messages) = (self.node.groups.clone(), self.messages.clone());
         tokio::spawn(async move {
-            let done = groups.propose(groups::JOBS, &command, COMMIT).await.is_ok();
+            let reply = groups.propose(groups::JOBS, &command, COMMIT).await;
+            let done = reply.is_ok_and(|reply| reply != ledger::Reply::Stale);
             // The dispatcher is gone only when the process ends.
             let _ = messages.send(Message::Committed(key, done)).await;
         });
@@ -269,9 +384,9 @@
         // Items that have ended, or whose job has, stop.
         self.known.retain(|(job, item), known| {
             let open = ledger.job(job).is_some_and(|j| j.open.iter().any(|o| o.item.id == *item));
-            open || matches!(known.state, State::Ending)
+            open || matches!(known.state, State::Ending | State::Whole)
         });
-        let mut queue: Vec<(Key, Arc<ledger::Item>, Arc<str>)> = Vec::new();
+        let mut queue: Vec<Queued> = Vec::new();
         let (mut over, mut waiting) = (Vec::new(), Vec::new());
         let (mut keys, mut running) = (Vec::new(), Vec::new());
         for (id, job) in &jobs {
@@ -288,7 +403,7 @@
                 let rest = self.pace.rest(known.map_or(Duration::ZERO, |k| k.ran(now)));
                 let urgency = plan::Urgency::new(job.accepted, left, rest);
                 match known.map(|k| &k.state) {
-                    Some(State::Ending) => continue,
+                    Some(State::Ending | State::Whole) => continue,
                     Some(State::Running { endpoint, number, .. }) if !late && service.is_some() => {
                         let (index, endpoint) = (keys.len(), endpoint.clone());
                         running.push(plan::Running { index, endpoint, urgency, started: *number });
@@ -305,7 +420,12 @@
                         let index = queue.len();
                         let service = service.clone();
                         waiting.push(plan::Waiting { index, service, urgency });
-                        queue.push((key, open.item.clone(), job.terms.host.clone()));
+                        queue.push(Queued {
+                            key,
+                            item: open.item.clone(),
+                            host: job.terms.host.clone(),
+                            progress: Progress::new(&open.part),
+                        });
                     }
                 }
             }
@@ -339,12 +459,7 @@
         done.map(|(id, _)| (*id).clone()).collect()
     }
 
-    fn carry_out(
-        &mut self,
-        plan: plan::Plan,
-        queue: &[(Key, Arc<ledger::Item>, Arc<str>)],
-        keys: &[Key],
-    ) {
+    fn carry_out(&mut self, plan: plan::Plan, queue: &[Queued], keys: &[Key]) {
         for index in plan.stop {
             let key = &keys[index];
             self.node.metrics.preemption();
@@ -356,10 +471,10 @@
             self.rest(key, AGAIN);
         }
         for (index, endpoint) in plan.start {
-            let (key, item, host) = &queue[index];
+            let queued = &queue[index];
             let address = self.node.view.directory(|d| d.endpoint(&endpoint).map(|e| e.address));
             if let Some(address) = address {
-                self.start(key.clone(), item, host, endpoint, address);
+                self.start(queued, endpoint, address);
             }
         }
     }
@@ -381,15 +496,11 @@
         })
     }
 
-    fn start(
-        &mut self,
-        key: Key,
-        item: &ledger::Item,
-        host: &str,
-        endpoint: Arc<str>,
-        address: SocketAddr,
-    ) {
-        let progress = self.known.get(&key).map_or_else(Progress::default, |k| k.progress.clone());
+    fn start(&mut self, queued: &Queued, endpoint: Arc<str>, address: SocketAddr) {
+        let Queued { key, item, host, progress } = queued;
+        let key = key.clone();
+        let known = self.known.get(&key).map(|k| k.progress.clone());
+        let progress = known.unwrap_or_else(|| progress.clone());
         event!(self.node.log, events::ITEM_STARTED; "job" => &*key.0, "request" => &*key.1,
             "endpoint" => &*endpoint, "after_event" => progress.last);
         let request = match self.request(item, host, &endpoint, progress.last) {
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -87,6 +87,50 @@
     pub results: Vec<Listed>,
 }
 
+/// Part of an item's output that is stored, so that a new leader goes on from there.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Events that it holds.
+    pub events: u64,
+    /// Number of the last of them, if they are numbered.
+    pub last: Option<u64>,
+    /// Their data, separated by line feeds.
+    pub output: Bytes,
+}
+
+impl Part {
+    /// Adds the data of further events.
+    fn extend(&mut self, events: u64, last: Option<u64>, data: &[u8]) {
+        if events <= self.events {
+            return;
+        }
+        let mut output = Vec::with_capacity(self.output.len() + 1 + data.len());
+        output.extend_from_slice(&self.output);
+        if self.events > 0 {
+            output.push(b'\n');
+        }
+        output.extend_from_slice(data);
+        *self = Part { events, last: last.or(self.last), output: output.into() };
+    }
+}
+
+/// Further output of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Advance {
+    /// Id of the job.
+    pub job: Arc<str>,
+    /// Id of the item.
+    pub item: Arc<str>,
+    /// Events that must be stored already.
+    pub after: u64,
+    /// Events that are stored afterwards.
+    pub events: u64,
+    /// Number of the last of them, if they are numbered.
+    pub last: Option<u64>,
+    /// Data of the events after `after`, separated by line feeds.
+    pub data: Bytes,
+}
+
 /// Item that has not ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Open {
@@ -94,6 +138,8 @@
     pub item: Arc<Item>,
     /// Runs that an endpoint has answered with a failure.
     pub failures: u32,
+    /// Output that is stored.
+    pub part: Part,
 }
 
 /// Accepted job.
@@ -125,15 +171,11 @@
         /// Its items.
         items: Vec<Arc<Item>>,
     },
-    /// Store the output of an item.
-    Complete {
-        /// Id of the job.
-        job: Arc<str>,
-        /// Id of the item.
-        item: Arc<str>,
-        /// Whole output.
-        output: Bytes,
-    },
+    /// Store output of items that still run. Whatever does not go on from what is stored is
+    /// ignored.
+    Advance(Vec<Advance>),
+    /// Store the last output of an item, which completes it.
+    Complete(Advance),
     /// Count a run that an endpoint answered with a failure.
     Fail {
         /// Id of the job.
@@ -174,6 +216,8 @@
     Done,
     /// The job is unknown.
     Unknown,
+    /// The output does not go on from what is stored; nothing was changed.
+    Stale,
     /// The command cannot be decoded.
     Invalid,
 }
@@ -236,9 +280,15 @@
     pub fn run(&mut self, index: u64, command: Command) -> Reply {
         match command {
             Command::Submit { job, terms, items } => self.submit(index, job, terms, items),
-            Command::Complete { job, item, output } => {
-                self.list(&job, &item, Outcome::Completed, output)
+            Command::Advance(advances) => {
+                for advance in &advances {
+                    if let Some(part) = self.part(advance) {
+                        part.extend(advance.events, advance.last, &advance.data);
+                    }
+                }
+                Reply::Done
             }
+            Command::Complete(advance) => self.complete(&advance),
             Command::Fail { job, item } => self.fail(&job, &item),
             Command::Abandon { job, item, cause: _ } => {
                 self.list(&job, &item, Outcome::Abandoned, Bytes::new())
@@ -269,13 +319,34 @@
     fn submit(&mut self, index: u64, job: Arc<str>, terms: Terms, items: Vec<Arc<Item>>) -> Reply {
         let accept = || {
             let total = items.len() as u64;
-            let open = items.into_iter().map(|item| Open { item, failures: 0 }).collect();
+            let open = items
+                .into_iter()
+                .map(|item| Open { item, failures: 0, part: Part::default() })
+                .collect();
             Job { terms, total, accepted: index, ended: false, open, results: Vec::new() }
         };
         self.jobs.entry_or(job, accept);
         Reply::Done
     }
 
+    /// Stored output of an item, if it holds what the advance goes on from.
+    fn part(&mut self, advance: &Advance) -> Option<&mut Part> {
+        let open = &mut self.jobs.get_mut(&advance.job)?.open;
+        let open = open.iter_mut().find(|o| o.item.id == advance.item)?;
+        (open.part.events == advance.after).then_some(&mut open.part)
+    }
+
+    fn complete(&mut self, advance: &Advance) -> Reply {
+        let Some(job) = self.jobs.get(&advance.job) else { return Reply::Unknown };
+        if !job.open.iter().any(|o| o.item.id == advance.item) {
+            return Reply::Done;
+        }
+        let Some(part) = self.part(advance) else { return Reply::Stale };
+        part.extend(advance.events, advance.last, &advance.data);
+        let output = part.output.clone();
+        self.list(&advance.job, &advance.item, Outcome::Completed, output)
+    }
+
     /// Lists an item that has not ended; later outcomes of the same item change nothing.
     fn list(&mut self, job: &str, item: &str, outcome: Outcome, output: Bytes) -> Reply {
         let Some(job) = self.jobs.get_mut(job) else { return Reply::Unknown };
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -13,6 +13,10 @@
 /// any item has stopped.
 const RESERVE: u32 = 1;
 
+/// Online requests at an endpoint for each one that may wait there without an item being stopped:
+/// with as many running, one of them ends within a usual time to the first event.
+const ONLINE_PER_WAITING: u32 = 5;
+
 /// Endpoint with what runs there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -38,7 +42,10 @@
     }
 
     fn excess(&self) -> u32 {
-        self.running.own.saturating_sub(self.allowed())
+        let online = self.running.online + self.running.batch;
+        // Online requests alone that fill every slot need no items beside them.
+        let waiting = if online < self.slots { online / ONLINE_PER_WAITING } else { 0 };
+        self.running.own.saturating_sub(self.allowed() + waiting)
     }
 }
 
