--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -40,7 +40,7 @@
 }
 
 /// Guards against answers that are untrue or unclear and against wrong exit codes, for every
-/// mistake that `docs/operations.md` describes. One fleet serves all checks.
+/// mistake that `docs/OPERATIONS.md` describes. One fleet serves all checks.
 #[test]
 fn answers_and_exit_codes() {
     let fleet = Fleet::start(workdir::Size { states: 1, entries: 1, agents: 1 });
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,176 @@
+//! Translation of the platform's formats, and the settings of hosts.
+
+#[path = "../platform/mod.rs"]
+mod platform;
+
+use basilfield::fleet::ledger;
+use basilfield::fleet::protocol::Protocol as _;
+use basilfield::fleet::settings;
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+{"name":"r-1","host":"Nony24.example","prefix":"/a/","kind":"streaming","timeoutMs":5000,
+"responseTargetMs":300,"priority":0,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],
+"maxAttempts":2,"sessionAffinity":true,"resumable":true,"gapTargetMs":300,"new":1},
+{"name":"r-2","host":"ficu95.example","prefix":"/b/","kind":"batch","timeoutMs":15000,
+"responseTargetMs":400,"runTargetMs":18000,"maxWaitS":60.5,"service":"s","maxAttempts":3}],
+"services":[{"name":"t"},{"name":"s","healthPath":"/health","maxConns":200,
+"engine":{"slots":8,"kvCapacity":134354}}],
+"limits":{"headerBytes":16384,"bodyBytes":4194304,"headerMs":3000,"idleMs":15000}}"#;
+
+/// Guards against a field that is read under another meaning, unit or default.
+#[test]
+fn configuration() {
+    let platform = platform::Platform::default();
+    insta::assert_debug_snapshot!(platform.config(CONFIG.as_bytes()).expect("valid"));
+}
+
+/// Guards against an unreadable configuration that is taken for a valid one, or refused without
+/// its cause.
+#[test]
+fn unreadable_configurations() {
+    let platform = platform::Platform::default();
+    let cases = [
+        CONFIG[..CONFIG.len() - 9].to_string(),
+        CONFIG.replace("\"version\":7,", ""),
+        CONFIG.replace("\"batch\"", "\"other\""),
+        CONFIG.replace("\"weight\":90", "\"weight\":-1"),
+        "[]".to_string(),
+    ];
+    let problem = |text: &String| match platform.config(text.as_bytes()) {
+        Ok(_) => "valid".to_string(),
+        Err(problem) => problem.to_string(),
+    };
+    insta::assert_snapshot!(cases.iter().map(problem).collect::<Vec<_>>().join("\n"));
+}
+
+/// Guards against statements of other writers that are taken for those of an endpoint.
+#[test]
+fn statements_of_endpoints() {
+    let platform = platform::Platform::default();
+    let good = r#"{"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready","coldMs":0,"callSeq":4,"born":17}"#;
+    let cases = [
+        good.to_string(),
+        good.replace(",\"born\":17", ""),
+        good.replace("ready", "draining"),
+        good.replace("ready", "busy"),
+        good.replace("\"callSeq\":4", "\"callSeq\":\"4\""),
+        good.replace(":17", ":17.5"),
+        good.replace("10.128.0.9:8080", "nowhere"),
+        good.replace("\"slots\":8,", ""),
+        "\u{1}".to_string(),
+    ];
+    let read = |text: &String| match platform.registration("i-1", text.as_bytes()) {
+        Ok(e) => format!("{} {}.{} {:?} {}", e.id, e.born, e.seq, e.phase, e.address),
+        Err(_) => "refused".to_string(),
+    };
+    insta::assert_snapshot!(cases.iter().map(read).collect::<Vec<_>>().join("\n"), @r"
+    i-1 17.4 Ready 10.128.0.9:8080
+    i-1 0.4 Ready 10.128.0.9:8080
+    i-1 17.4 Draining 10.128.0.9:8080
+    refused
+    refused
+    refused
+    refused
+    refused
+    refused
+    ");
+}
+
+/// Guards against a call that is taken for a request to forward, or the other way round.
+#[test]
+fn calls() {
+    let platform = platform::Platform::default();
+    let call = |text: &&str| {
+        let (method, uri) = text.split_once(' ').expect("method and path");
+        let (method, uri) = (method.parse().expect("method"), uri.parse().expect("path"));
+        format!("{:?}", platform.call(&method, &uri))
+    };
+    let cases = [
+        "GET /-/ready",
+        "PUT /-/config",
+        "GET /-/config",
+        "PUT /-/instances/i-1",
+        "DELETE /-/instances/i-1",
+        "PUT /-/instances",
+        "POST /-/retire/store-1",
+        "GET /-/retire/store-1",
+        "GET /-/lots/7c41?after=12",
+        "GET /-/lots/7c41",
+        "GET /-/items/7c41?id=e5b2",
+        "DELETE /-/lots/7c41",
+        "POST /a/-/ready",
+        "POST /-/config",
+    ];
+    insta::assert_snapshot!(cases.iter().map(call).collect::<Vec<_>>().join("\n"));
+}
+
+/// Guards against items whose body, headers or order change, and results in another form.
+#[test]
+fn jobs() {
+    let platform = platform::Platform::default();
+    let job = r#"{"items":[{"id":"e5","path":"/p/3","headers":{"X-B":"m","X-A":"540,400"},"body":"q83vEjRWeJA=","tokens":940}]}"#;
+    let listed = |id: &str, outcome, output: &str| ledger::Listed {
+        id: id.into(),
+        outcome,
+        output: output.to_string().into(),
+    };
+    let page = ledger::Page {
+        total: 4,
+        next: 3,
+        results: vec![
+            listed("a", ledger::Outcome::Completed, "one\ntwo"),
+            listed("b", ledger::Outcome::Abandoned, ""),
+        ],
+    };
+    let bad = [
+        r#"{"items":[{"id":"e5","path":"/p/3","body":"***"}]}"#,
+        r#"{"items":[{"id":"e5","body":""}]}"#,
+        "{}",
+    ];
+    let mut seen = vec![format!("{:?}", platform.submission(job.as_bytes()).expect("valid"))];
+    seen.extend(bad.map(|text| {
+        let refused = platform.submission(text.as_bytes()).expect_err("not a job");
+        refused.to_string()
+    }));
+    seen.push(String::from_utf8_lossy(&platform.page(&page)).into_owned());
+    insta::assert_snapshot!(seen.join("\n"));
+}
+
+/// Guards against settings that are accepted without what the role needs.
+#[test]
+fn settings_of_hosts() {
+    let text = |role: &str, listen: &str, folder: &str| {
+        format!(
+            "[host]\nname = \"n\"\nrole = \"{role}\"\ndomain = \"d\"\naddress = \"10.0.0.1\"\n\
+             {folder}\n[listen]\n{listen}\n[fleet]\nport = 7720\n\
+             seeds = [\"10.0.0.3:80\", \"10.0.0.2:81\"]\nbootstrap = true\n"
+        )
+    };
+    let callers = "callers = \"10.0.0.1:1\"\nready = \"10.0.0.1:2\"";
+    let cases = [
+        text("entry", callers, ""),
+        text("entry", "", ""),
+        text("control", "", "folder = \"/data\""),
+        text("store", "", ""),
+        text("agent", "", "").replace("port = 7720", "port = 0"),
+        text("agent", "", "").replace("\"10.0.0.3:80\", \"10.0.0.2:81\"", ""),
+    ];
+    let check = |text: &String| match settings::parse(text) {
+        Ok(settings) => format!("{} {}", settings.link(), settings.seeds().join(",")),
+        Err(problems) => problems,
+    };
+    insta::assert_snapshot!(cases.iter().map(check).collect::<Vec<_>>().join("\n--\n"), @r"
+    10.0.0.1:7720 10.0.0.2:7720,10.0.0.3:7720
+    --
+    listen.callers: required for this role
+    listen.ready: required for this role
+    --
+    listen.operators: required for this role
+    --
+    host.folder: required for this role
+    --
+    fleet.port: must not be 0
+    --
+    fleet.seeds: at least one address is required
+    ");
+}
