--- a/src/events.rs
+++ b/src/events.rs
@@ -160,6 +160,8 @@
     RESUMED = 702, Info, "stream resumed elsewhere";
     /// A caller or operator presented no valid key.
     UNAUTHORIZED = 703, Info, "caller not authorized";
+    /// An attempt of another entry was withdrawn before it ran, and its claim passes on.
+    CLAIM_PASSED = 704, Info, "claim passed on";
     /// An attempt was sent to an endpoint.
     SENT = 705, Debug, "attempt sent";
     /// An answer was delivered whole.
@@ -168,8 +170,6 @@
     FAILED = 707, Info, "request failed";
     /// The caller left before the answer was complete.
     CALLER_LEFT = 708, Info, "caller left";
-    /// An attempt of another entry was withdrawn before it ran, and its claim passes on.
-    CLAIM_PASSED = 704, Info, "claim passed on";
 }
 
 /// Lines of one event that a process writes in one second. More are counted and left out, so that
