--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -173,12 +173,7 @@
 /// Sends news to every host that introduced itself lately, except the one that sent them.
 fn spread(node: &node::Node, from: Option<&Arc<str>>, news: &frame::News) {
     let now = node.now();
-    let roles = [
-        settings::Role::Entry,
-        settings::Role::Store,
-        settings::Role::Control,
-        settings::Role::Agent,
-    ];
+    let roles = [settings::Role::Entry, settings::Role::Store, settings::Role::Control];
     let hosts: Vec<Arc<str>> = node.view.directory(|d| {
         let present = roles.iter().flat_map(|role| d.present(now, *role));
         present.map(|h| h.link.clone()).collect()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -61,7 +61,6 @@
             (control::start(&node, &mut tree)?, control::peer_handler(&node))
         }
         settings::Role::Store => (store::start(&node, &mut tree)?, store::peer_handler(&node)),
-        settings::Role::Agent => (tree.stop(), entry::peer_handler(&node)),
     };
     // An entry that stops still finishes requests, for which it must learn of changes.
     let mut stop = end.clone();
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -98,7 +98,7 @@
         let group = match settings.host.role {
             settings::Role::Control => Some(groups::CONTROL),
             settings::Role::Store => Some(groups::JOBS),
-            settings::Role::Entry | settings::Role::Agent => None,
+            settings::Role::Entry => None,
         };
         let own_group = group.map(|g| (g, local.clone()));
         Node {
--- a/src/fleet/protocol.rs
+++ b/src/fleet/protocol.rs
@@ -25,8 +25,6 @@
     pub resume: HeaderName,
     /// Longest time in milliseconds that a read may wait for results.
     pub wait: HeaderName,
-    /// Tokens of the prompt and most tokens of the answer.
-    pub tokens: HeaderName,
 }
 
 /// Call of an operator, an endpoint or the client of a job.
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -19,8 +19,6 @@
     Control,
     /// Holds batch jobs and runs their items.
     Store,
-    /// Runs beside an endpoint.
-    Agent,
 }
 
 /// Contents of the settings file.
@@ -161,7 +159,6 @@
                 need(self.host.folder.is_some(), "host.folder");
             }
             Role::Store => need(self.host.folder.is_some(), "host.folder"),
-            Role::Agent => {}
         }
         if self.fleet.seeds.is_empty() {
             problems.push("fleet.seeds: at least one address is required".to_string());
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -152,8 +152,8 @@
         text("entry", "", ""),
         text("control", "", "folder = \"/data\""),
         text("store", "", ""),
-        text("agent", "", "").replace("port = 7720", "port = 0"),
-        text("agent", "", "").replace("\"10.0.0.3:80\", \"10.0.0.2:81\"", ""),
+        text("store", "", "folder = \"/data\"").replace("port = 7720", "port = 0"),
+        text("store", "", "folder = \"/data\"").replace("\"10.0.0.3:80\", \"10.0.0.2:81\"", ""),
     ];
     let check = |text: &String| match settings::parse(text) {
         Ok(settings) => format!("{} {}", settings.link(), settings.seeds().join(",")),
