Count a failed run once; keep an unknown outcome unknown

Cause: found by reading. A failed run of an item was proposed as one more failure, and a proposal is repeated when its acknowledgement is lost, so that an item could be given up before its route's attempts were used. A request to a replica group that one host may have carried out was reported as not done when the next host answered that its disk is full; a job was then refused as not run although it might have been accepted.

Failures carry their number, and the outcome of several tries is decided in one place. Both tests fail with the former rules.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -341,7 +341,8 @@
                 event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
                     "endpoint" => &*endpoint, "cause" => "the endpoint failed to run it");
                 self.rest(&key, AGAIN_FAILED);
-                let command = ledger::Command::Fail { job, item };
+                let failures = self.failures(&job, &item) + 1;
+                let command = ledger::Command::Fail { job, item, failures };
                 let groups = self.node.groups.clone();
                 tokio::spawn(async move {
                     // A count that is lost gives the item one more attempt.
@@ -352,6 +353,13 @@
         }
     }
 
+    /// Failed runs of an item that are counted so far.
+    fn failures(&self, job: &str, item: &str) -> u32 {
+        let ledger = peer::lock(&self.shared.ledger);
+        let open = ledger.job(job).and_then(|j| j.open.iter().find(|o| &*o.item.id == item));
+        open.map_or(0, |open| open.failures)
+    }
+
     fn abandon(&mut self, key: Key, cause: ledger::Cause) {
         let (job, item) = key.clone();
         self.node.metrics.item("abandoned");
--- a/src/fleet/groups.rs
+++ b/src/fleet/groups.rs
@@ -36,6 +36,31 @@
     Unknown,
 }
 
+/// What is known of a request that several hosts were asked in turn.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tries {
+    /// Whether a host may have carried it out.
+    uncertain: bool,
+}
+
+impl Tries {
+    /// Notes a host that did not answer.
+    pub fn lost(&mut self) {
+        self.uncertain = true;
+    }
+
+    /// Notes a host that refused. `run` says whether the command may still be committed there.
+    pub fn refused(&mut self, run: wire::Run) {
+        self.uncertain |= run == wire::Run::Unknown;
+    }
+
+    /// Failure after the last host was asked. What one host may have carried out is unknown,
+    /// whatever the later ones say.
+    pub fn failure(&self, reason: wire::Reason) -> Failure {
+        if self.uncertain { Failure::Unknown } else { Failure::NotDone(reason) }
+    }
+}
+
 /// Client of the replica groups. Clones share it.
 #[derive(Clone)]
 pub struct Groups {
@@ -133,16 +158,13 @@
         limit: Duration,
     ) -> Result<wire::Reply, Failure> {
         let end = time::Instant::now() + limit;
-        let mut uncertain = false;
+        let mut tries = Tries::default();
         let mut turn = rand::random::<u32>() as usize;
         let mut next = peer::lock(&self.leaders).get(&group).cloned();
         loop {
             let left = end.saturating_duration_since(time::Instant::now());
             if left.is_zero() {
-                return Err(match uncertain {
-                    true => Failure::Unknown,
-                    false => Failure::NotDone(wire::Reason::NoQuorum),
-                });
+                return Err(tries.failure(wire::Reason::NoQuorum));
             }
             let Some(host) = next.take().or_else(|| self.pick(group, &mut turn)) else {
                 time::sleep(PAUSE.min(left)).await;
@@ -151,9 +173,9 @@
             let reply = self.send(group, &host, request.clone(), left.min(ATTEMPT)).await;
             match reply {
                 Ok(wire::Reply::NotDone { reason, leader, run }) => {
-                    uncertain |= run == wire::Run::Unknown;
+                    tries.refused(run);
                     if matches!(reason, wire::Reason::DiskFull | wire::Reason::Invalid) {
-                        return Err(Failure::NotDone(reason));
+                        return Err(tries.failure(reason));
                     }
                     self.forget(group);
                     next = leader.filter(|l| *l != host);
@@ -166,7 +188,7 @@
                     return Ok(reply);
                 }
                 Err(_) => {
-                    uncertain = true;
+                    tries.lost();
                     self.forget(group);
                     time::sleep(PAUSE.min(left)).await;
                 }
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -182,6 +182,8 @@
         job: Arc<str>,
         /// Id of the item.
         item: Arc<str>,
+        /// Number of failures with this one, so that a repeated command counts once.
+        failures: u32,
     },
     /// Give up an item.
     Abandon {
@@ -289,7 +291,7 @@
                 Reply::Done
             }
             Command::Complete(advance) => self.complete(&advance),
-            Command::Fail { job, item } => self.fail(&job, &item),
+            Command::Fail { job, item, failures } => self.fail(&job, &item, failures),
             Command::Abandon { job, item, cause: _ } => {
                 self.list(&job, &item, Outcome::Abandoned, Bytes::new())
             }
@@ -358,13 +360,16 @@
         Reply::Done
     }
 
-    fn fail(&mut self, job: &str, item: &str) -> Reply {
+    fn fail(&mut self, job: &str, item: &str, failures: u32) -> Reply {
         let Some(found) = self.jobs.get_mut(job) else { return Reply::Unknown };
         let limit = found.terms.attempts.max(1);
         let Some(open) = found.open.iter_mut().find(|o| &*o.item.id == item) else {
             return Reply::Done;
         };
-        open.failures += 1;
+        if failures != open.failures + 1 {
+            return Reply::Done;
+        }
+        open.failures = failures;
         if open.failures >= limit {
             return self.list(job, item, Outcome::Abandoned, Bytes::new());
         }
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -2,10 +2,12 @@
 
 use basilfield::fleet::attempt;
 use basilfield::fleet::frame;
+use basilfield::fleet::groups;
 use basilfield::fleet::load;
 use basilfield::fleet::place;
 use basilfield::fleet::plan;
 use basilfield::fleet::sse;
+use basilfield::wire;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,6 +44,29 @@
     ");
 }
 
+/// Guards against a job that is refused as not accepted while a host that did not answer may have
+/// committed it.
+#[test]
+fn unknown_outcomes_stay_unknown() {
+    use groups::Tries;
+    let after = |notes: &[Option<wire::Run>]| {
+        let mut tries = Tries::default();
+        for note in notes {
+            match note {
+                Some(run) => tries.refused(*run),
+                None => tries.lost(),
+            }
+        }
+        format!("{:?}", tries.failure(wire::Reason::DiskFull))
+    };
+    let seen = [
+        after(&[Some(wire::Run::No)]),
+        after(&[None, Some(wire::Run::No)]),
+        after(&[Some(wire::Run::Unknown), Some(wire::Run::No)]),
+    ];
+    insta::assert_snapshot!(seen.join(" "), @"NotDone(DiskFull) Unknown Unknown");
+}
+
 fn candidate(id: &str, near: bool, own: u32, online: u32, batch: u32) -> place::Candidate {
     place::Candidate {
         id: id.into(),
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -116,13 +116,15 @@
 fn failures_are_bounded() {
     let mut l = Ledger::default();
     submit(&mut l, "j", &["a", "b"]);
-    let fail = |l: &mut Ledger| {
-        l.run(2, Command::Fail { job: "j".into(), item: "a".into() });
+    let fail = |l: &mut Ledger, failures| {
+        l.run(2, Command::Fail { job: "j".into(), item: "a".into(), failures });
         list(l, "j", 0)
     };
-    let seen = [fail(&mut l), fail(&mut l), fail(&mut l)];
+    // The first failure is proposed twice, as its acknowledgement was lost.
+    let seen = [fail(&mut l, 1), fail(&mut l, 1), fail(&mut l, 2), fail(&mut l, 3)];
     insta::assert_snapshot!(seen.join("\n"), @r"
     0/2 
+    0/2 
     1/2 a abandoned
     1/2 a abandoned
     ");
