Test that a failure cannot be counted before the one it follows

Cause: with the check of the number removed on a scratch copy, the ledger test still passed, since the number alone makes a repeat harmless. The test now has a failure that comes before the one it follows.

--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -120,11 +120,13 @@
         l.run(2, Command::Fail { job: "j".into(), item: "a".into(), failures });
         list(l, "j", 0)
     };
-    // The first failure is proposed twice, as its acknowledgement was lost.
-    let seen = [fail(&mut l, 1), fail(&mut l, 1), fail(&mut l, 2), fail(&mut l, 3)];
+    // A leader that has not applied the first failure cannot count the second one. The first is
+    // proposed twice, as its acknowledgement was lost.
+    let seen = [2, 1, 1, 2, 3].map(|failures| fail(&mut l, failures));
     insta::assert_snapshot!(seen.join("\n"), @r"
     0/2 
     0/2 
+    0/2 
     1/2 a abandoned
     1/2 a abandoned
     ");
