Keep unchanged records of the directory; mark what is silent instead of dropping it

Cause: found by reading. An entry hears only of changes, not of each heartbeat, and dropped every endpoint and host a minute after the last change; until its next greeting it refused every request. Control hosts that dropped a lost host at different moments gave it back to each other for ever. A host that restarted after the time of day was set back was ignored in greetings and load reports.

Only control hosts, which hear heartbeats, judge silence; the others learn it and drop what is silent or gone. Silent endpoints are tried when no other is left.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -38,6 +38,8 @@
 const PLACE: Duration = Duration::from_millis(300);
 /// Time for which the present store hosts must stay the same before the job group is placed.
 const SETTLE: Duration = Duration::from_millis(900);
+/// Interval between looks for silent endpoints and hosts.
+const SILENCE: Duration = Duration::from_secs(5);
 /// Time for running calls at a stop.
 const STOP: Duration = Duration::from_millis(500);
 
@@ -141,6 +143,8 @@
     let n = node.clone();
     tree.spawn("configuration", move |stop| show(n.clone(), shows.clone(), stop));
     let n = node.clone();
+    tree.spawn("silence", move |stop| silence(n.clone(), stop));
+    let n = node.clone();
     tree.spawn("placement", move |stop| place(n.clone(), leading.clone(), stop));
     Ok(tree.stop())
 }
@@ -205,6 +209,27 @@
     }
 }
 
+/// Marks endpoints and hosts that have been silent for long, and tells the other hosts.
+async fn silence(node: node::Node, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let mut ticks = node.timer.subscribe(SILENCE);
+    loop {
+        let now = tokio::select! {
+            now = ticks.next() => now,
+            () = stop.wait() => return Ok(()),
+        };
+        let own = &node.view.own().link;
+        let records = node.view.directory(|d| d.silence(now, own));
+        for endpoint in &records.endpoints {
+            event!(node.log, events::ENDPOINT_STATED; "endpoint" => &*endpoint.id,
+                "phase" => ?endpoint.phase, "cause" => "no heartbeat for long");
+        }
+        if !records.endpoints.is_empty() || !records.hosts.is_empty() {
+            node.view.directory_changed();
+            spread(&node, None, &frame::News { records, ..frame::News::default() });
+        }
+    }
+}
+
 /// Places the job group once enough store hosts have introduced themselves.
 async fn place(
     node: node::Node,
--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -20,6 +20,9 @@
 pub enum Phase {
     /// Takes requests.
     Ready,
+    /// Was ready when it was last heard of, which is long ago. It is tried when no other endpoint
+    /// is left: it may have lost only the control hosts.
+    Silent,
     /// Finishes what it has and takes nothing new.
     Draining,
     /// Has left, or another endpoint has taken its address.
@@ -60,10 +63,15 @@
     pub domain: Arc<str>,
     /// Start of the process in milliseconds of Unix time.
     pub born: u64,
+    /// Number of the greeting since that start.
+    pub seq: u64,
+    /// Whether nothing was heard of it for a long time.
+    pub silent: bool,
 }
 
-/// Time without any statement after which a record is dropped. Far above the heartbeats of
-/// endpoints and hosts, so that a cut between a host and the control hosts removes nothing.
+/// Time without any statement after which a control host counts an endpoint or host as silent,
+/// and time after which a record that is silent or gone is dropped. Far above the heartbeats, so
+/// that a short cut between a host and the control hosts changes nothing.
 const FORGET: Duration = Duration::from_secs(60);
 /// Time without a statement after which a host counts as absent.
 const ABSENT: Duration = Duration::from_millis(2_500);
@@ -153,9 +161,14 @@
     /// Takes a statement of a host. Returns whether anything changed.
     pub fn note_host(&mut self, now: Duration, next: Host) -> bool {
         match self.hosts.get_mut(&next.link) {
-            Some(record) if next.born < record.value.born => false,
+            // Any other start counts as later: the time of day may have been set back meanwhile.
+            Some(Record { value: known, .. })
+                if known.born == next.born && next.seq < known.seq =>
+            {
+                false
+            }
             Some(record) => {
-                let changed = record.value != next;
+                let changed = Host { seq: record.value.seq, ..next.clone() } != record.value;
                 *record = Record { value: next, heard: now };
                 changed
             }
@@ -175,17 +188,39 @@
             }
         }
         for host in records.hosts {
-            if self.hosts.get(&host.link).is_none_or(|known| known.value.born < host.born) {
-                self.note_host(now, host.clone());
+            if self.is_news(&host) && self.note_host(now, host.clone()) {
                 news.hosts.push(host);
             }
         }
         news
     }
 
+    /// Whether the copy of a host's record says more than what is known here.
+    fn is_news(&self, copy: &Host) -> bool {
+        let Some(known) = self.hosts.get(&copy.link).map(|r| &r.value) else {
+            // A silent host that is not known here was dropped already.
+            return !copy.silent;
+        };
+        match copy.silent {
+            true => copy.born == known.born && copy.seq >= known.seq,
+            false => (copy.born, copy.seq) > (known.born, known.seq),
+        }
+    }
+
     /// Takes a copy of an endpoint's record, which is no sign of life if it is known already.
     fn note_copy(&mut self, now: Duration, copy: &Endpoint) -> bool {
-        if let Some(known) = self.endpoints.get(&copy.id).map(|r| &r.value) {
+        let known = self.endpoints.get_mut(&copy.id);
+        if copy.phase == Phase::Silent {
+            // A silent endpoint that is not known here was dropped already.
+            let Some(record) = known else { return false };
+            let same = record.value.born == copy.born && copy.seq >= record.value.seq;
+            if same && record.value.phase == Phase::Ready {
+                *record = Record { value: copy.clone(), heard: now };
+                return true;
+            }
+            return false;
+        }
+        if let Some(known) = known.map(|r| &r.value) {
             if copy.born == known.born && copy.phase == Phase::Gone {
                 let news = known.phase != Phase::Gone;
                 return news && self.leave(now, &copy.id, Some(copy.born)).is_some();
@@ -197,10 +232,36 @@
         self.note_endpoint(now, copy.clone())
     }
 
-    /// Drops records that nothing was heard of for a long time.
+    /// Marks what nothing was heard of for a long time, except the host `own`. Only control hosts
+    /// hear heartbeats, so only they may decide this. Returns what has changed.
+    pub fn silence(&mut self, now: Duration, own: &str) -> Records {
+        let mut changed = Records::default();
+        let quiet = |heard: Duration| now.saturating_sub(heard) >= FORGET;
+        for (_, record) in self.endpoints.iter_mut().filter(|(_, r)| quiet(r.heard)) {
+            let phase = match record.value.phase {
+                Phase::Ready => Phase::Silent,
+                Phase::Draining => Phase::Gone,
+                Phase::Silent | Phase::Gone => continue,
+            };
+            record.value.phase = phase;
+            record.heard = now;
+            changed.endpoints.push(record.value.clone());
+        }
+        let hosts = self.hosts.iter_mut().filter(|(link, _)| &***link != own);
+        for (_, record) in hosts.filter(|(_, r)| quiet(r.heard) && !r.value.silent) {
+            record.value.silent = true;
+            record.heard = now;
+            changed.hosts.push(record.value.clone());
+        }
+        changed
+    }
+
+    /// Drops what has been silent or gone for a long time.
     pub fn expire(&mut self, now: Duration) {
-        self.endpoints.retain(|_, r| now.saturating_sub(r.heard) < FORGET);
-        self.hosts.retain(|_, r| now.saturating_sub(r.heard) < FORGET);
+        let old = |heard: Duration| now.saturating_sub(heard) >= FORGET;
+        self.endpoints
+            .retain(|_, r| !(old(r.heard) && matches!(r.value.phase, Phase::Silent | Phase::Gone)));
+        self.hosts.retain(|_, r| !(old(r.heard) && r.value.silent));
     }
 
     /// Every record.
@@ -211,21 +272,24 @@
         }
     }
 
-    /// Digest of every record, without the numbers of statements that changed nothing.
+    /// Digest of the records in use, without the numbers of statements that changed nothing. What
+    /// is silent or gone is dropped by each host at its own time.
     pub fn digest(&self) -> u64 {
         let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-        for record in self.endpoints.values() {
-            Endpoint { seq: 0, ..record.value.clone() }.hash(&mut hasher);
+        let used = |e: &&Endpoint| !matches!(e.phase, Phase::Silent | Phase::Gone);
+        for endpoint in self.endpoints().filter(used) {
+            Endpoint { seq: 0, ..endpoint.clone() }.hash(&mut hasher);
         }
-        for record in self.hosts.values() {
-            record.value.hash(&mut hasher);
+        for host in self.hosts.values().map(|r| &r.value).filter(|h| !h.silent) {
+            Host { seq: 0, ..host.clone() }.hash(&mut hasher);
         }
         hasher.finish()
     }
 
-    /// Endpoints that take requests of a service.
+    /// Endpoints that may take requests of a service.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Endpoint> {
-        let ready = move |e: &&Endpoint| &*e.service == service && e.phase == Phase::Ready;
+        let takes = |e: &Endpoint| matches!(e.phase, Phase::Ready | Phase::Silent);
+        let ready = move |e: &&Endpoint| &*e.service == service && takes(e);
         self.endpoints.values().map(|r| &r.value).filter(ready)
     }
 
@@ -241,7 +305,7 @@
 
     /// Hosts of a role.
     pub fn hosts(&self, role: settings::Role) -> impl Iterator<Item = &Host> {
-        self.hosts.values().map(|r| &r.value).filter(move |h| h.role == role)
+        self.hosts.values().map(|r| &r.value).filter(move |h| h.role == role && !h.silent)
     }
 
     /// Hosts of a role that were heard from lately.
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -36,6 +36,12 @@
     }
 }
 
+/// Whether a report is later than the known one. Any other start counts as later: the time of day
+/// may have been set back meanwhile.
+fn newer(known: (u64, u64), report: (u64, u64)) -> bool {
+    known.0 != report.0 || known.1 < report.1
+}
+
 /// Requests of this host and of others.
 #[derive(Debug, Default)]
 pub struct Loads {
@@ -78,7 +84,8 @@
     /// Takes the report of an entry; an older one changes nothing.
     pub fn note_load(&mut self, now: Duration, from: &Arc<str>, report: frame::Load) {
         let known = self.entries.get(from).map(|r| (r.report.born, r.report.seq));
-        if known.is_none_or(|known| known < (report.born, report.seq)) {
+        if known.is_none_or(|known| newer(known, (report.born, report.seq))) {
+            self.entries.retain(|_, r| r.fresh(now));
             self.entries.insert(from.clone(), Report { report, heard: now });
         }
     }
@@ -86,7 +93,8 @@
     /// Takes the report of a host that places items; an older one changes nothing.
     pub fn note_total(&mut self, now: Duration, from: &Arc<str>, report: frame::Total) {
         let known = self.totals.get(from).map(|r| (r.report.born, r.report.seq));
-        if known.is_none_or(|known| known < (report.born, report.seq)) {
+        if known.is_none_or(|known| newer(known, (report.born, report.seq))) {
+            self.totals.retain(|_, r| r.fresh(now));
             self.totals.insert(from.clone(), Report { report, heard: now });
         }
     }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -90,6 +90,8 @@
             role: settings.host.role,
             domain: settings.host.domain.clone(),
             born: unix_time(),
+            seq: 0,
+            silent: false,
         };
         let link = own.link.clone();
         let view = Arc::new(view::View::new(own, settings.seeds(), protocol, log));
@@ -205,8 +207,10 @@
 }
 
 async fn greet(node: Node, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let mut seq = 1;
     loop {
-        let greeting = node.view.greeting();
+        let greeting = node.view.greeting(seq);
+        seq += 1;
         for control in node.view.controls() {
             node.peers.cast(&control, frame::Cast::Greet(greeting.clone()));
         }
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -53,7 +53,7 @@
             near: *endpoint.domain == *domain,
             slots: endpoint.slots.max(1),
             running,
-            avoided,
+            avoided: avoided || endpoint.phase == directory::Phase::Silent,
         }
     }
 
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -202,10 +202,10 @@
         links
     }
 
-    /// Introduction of this host to a control host.
-    pub fn greeting(&self) -> frame::Greeting {
+    /// Introduction of this host to a control host under a number that rises.
+    pub fn greeting(&self, seq: u64) -> frame::Greeting {
         frame::Greeting {
-            host: self.own.clone(),
+            host: directory::Host { seq, ..self.own.clone() },
             version: self.in_force.load().as_ref().map_or(0, |f| f.document.version),
             placed: !peer::lock(&self.stores).is_empty(),
             digest: self.directory(|d| d.digest()),
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -148,7 +148,8 @@
     loads.note_load(NOW, &two, report(1, 1, 3));
     let running = loads.running(NOW, "e");
     let totals = [loads.total(NOW, &one), loads.total(NOW, &two)].map(|t| (t[0].1, t[0].2));
-    loads.note_load(NOW, &one, report(2, 1, 2));
+    // The time of day was set back before the restart.
+    loads.note_load(NOW, &one, report(0, 1, 2));
     let restarted = loads.running(NOW, "e").online;
     let aged = loads.running(NOW + Duration::from_secs(2), "e").online;
     loads.end("e");
--- a/tests/fleet_directory.rs
+++ b/tests/fleet_directory.rs
@@ -1,6 +1,7 @@
 //! Order of statements in the directory.
 
 use basilfield::fleet::directory;
+use basilfield::fleet::settings;
 use directory::Directory;
 use directory::Endpoint;
 use directory::Phase;
@@ -125,3 +126,89 @@
     d.note_endpoint(NOW, endpoint("i", 1, 6, 80, Phase::Draining));
     assert_ne!(d.digest(), before);
 }
+
+fn host(link: &str, born: u64, seq: u64) -> directory::Host {
+    directory::Host {
+        name: format!("name-{link}").into(),
+        link: link.into(),
+        role: settings::Role::Entry,
+        domain: "d".into(),
+        born,
+        seq,
+        silent: false,
+    }
+}
+
+fn hosts(d: &Directory) -> String {
+    let line = |h: &directory::Host| format!("{} {}.{}", h.link, h.born, h.seq);
+    d.hosts(settings::Role::Entry).map(line).collect::<Vec<_>>().join(", ")
+}
+
+const MINUTES: Duration = Duration::from_secs(150);
+
+/// Guards against an entry that forgets every endpoint after a minute, since it hears only of
+/// changes and not of each heartbeat.
+#[test]
+fn unchanged_records_stay() {
+    let mut d = Directory::default();
+    d.note_host(NOW, host("own", 1, 0));
+    let records = directory::Records {
+        endpoints: vec![endpoint("i", 1, 4, 80, Phase::Ready)],
+        hosts: vec![host("h", 1, 1)],
+    };
+    d.merge(NOW, records);
+    d.expire(MINUTES);
+    insta::assert_snapshot!([show(&d), hosts(&d)].join("\n"), @r"
+    i 1.4 Ready
+    h 1.1, own 1.0
+    ");
+}
+
+/// Guards against endpoints and hosts that are lost for good and stay in every directory, and
+/// against a control host that is cut off and takes from the others what they still hear.
+#[test]
+fn silent_records_end_unless_another_hears_them() {
+    let (mut cut, mut other, mut entry) =
+        (Directory::default(), Directory::default(), Directory::default());
+    for d in [&mut cut, &mut other, &mut entry] {
+        d.note_endpoint(NOW, endpoint("i", 1, 4, 80, Phase::Ready));
+        d.note_endpoint(NOW, endpoint("lost", 1, 4, 81, Phase::Ready));
+        d.note_endpoint(NOW, endpoint("drains", 1, 4, 82, Phase::Draining));
+        d.note_host(NOW, host("h", 1, 1));
+    }
+    let heard = Duration::from_secs(60);
+    other.note_endpoint(heard, endpoint("i", 1, 60, 80, Phase::Ready));
+    other.note_host(heard, host("h", 1, 120));
+    let later = Duration::from_secs(70);
+    let marked = cut.silence(later, "own");
+    let mut seen = vec![show(&cut)];
+    other.silence(later, "own");
+    other.merge(later, marked.clone());
+    seen.push(show(&other));
+    entry.merge(later, marked);
+    seen.push(show(&entry));
+    assert_ne!(entry.digest(), other.digest(), "the entry asks for what it lacks");
+    entry.merge(later, other.records());
+    seen.push(format!("{}; {}", show(&entry), hosts(&entry)));
+    assert_eq!(entry.digest(), other.digest());
+    entry.expire(MINUTES);
+    seen.push(show(&entry));
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    drains 1.4 Gone, i 1.4 Silent, lost 1.4 Silent
+    drains 1.4 Gone, i 1.60 Ready, lost 1.4 Silent
+    drains 1.4 Gone, i 1.4 Silent, lost 1.4 Silent
+    drains 1.4 Gone, i 1.60 Ready, lost 1.4 Silent; h 1.120
+    i 1.60 Ready
+    ");
+}
+
+/// Guards against a host that is ignored after a restart, because the time of day was set back.
+#[test]
+fn restart_after_the_clock_was_set_back() {
+    let mut d = Directory::default();
+    d.note_host(NOW, host("h", 5_000, 90));
+    d.note_host(Duration::from_secs(9), host("h", 3_000, 1));
+    let now = Duration::from_secs(10);
+    let present = d.present(now, settings::Role::Entry).count();
+    insta::assert_snapshot!(format!("{} present={present}", hosts(&d)), @"h 3000.1 present=1");
+}
