Judge the id of an answer before the word that the request was declined

Cause: found by reading. A late answer to an earlier request can stand where the next answer is expected. If it said that its request was declined, the present one was refused as not run, or tried elsewhere, although it may run.

The id is judged first, in one function for requests and items; without an id, a kept connection proves nothing.

--- a/src/emulator/plain.rs
+++ b/src/emulator/plain.rs
@@ -36,6 +36,8 @@
     pub errors: f64,
     /// Requests that are declined although there is room.
     pub declined: f64,
+    /// Requests that run and are answered with the word that another request was declined.
+    pub strange: f64,
     /// Factor on the time between events; 0 counts as 1.
     pub slower: f64,
 }
@@ -198,10 +200,7 @@
         let faults = *lock(&self.faults);
         let slot = self.take_slot();
         let Some(slot) = slot.filter(|_| rand::random::<f64>() >= faults.declined) else {
-            let mut declined = plain(StatusCode::SERVICE_UNAVAILABLE);
-            let header = HeaderValue::from_static("1");
-            declined.headers_mut().insert(names.declined.clone(), header);
-            return Ok(declined);
+            return Ok(self.declined(head.headers.get(&names.request).cloned()));
         };
         let path = head.uri.path().into();
         let hash = xxhash_rust::xxh3::xxh3_64(&body);
@@ -209,6 +208,9 @@
         if rand::random::<f64>() < faults.lost {
             return hang().await;
         }
+        if rand::random::<f64>() < faults.strange {
+            return Ok(self.declined(Some(HeaderValue::from_static("another"))));
+        }
         let echo = head.headers.get(&names.request).cloned();
         let mut response = match rand::random::<f64>() < faults.errors {
             true => plain(StatusCode::INTERNAL_SERVER_ERROR),
@@ -220,6 +222,16 @@
         Ok(response)
     }
 
+    fn declined(&self, echo: Option<HeaderValue>) -> hyper::Response<Body> {
+        let names = &self.options.headers;
+        let mut declined = plain(StatusCode::SERVICE_UNAVAILABLE);
+        declined.headers_mut().insert(names.declined.clone(), HeaderValue::from_static("1"));
+        if let Some(echo) = echo {
+            declined.headers_mut().insert(names.request.clone(), echo);
+        }
+        declined
+    }
+
     fn take_slot(self: &Arc<Self>) -> Option<Slot> {
         let mut running = lock(&self.running);
         if *running >= self.options.slots {
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::fleet::plan;
 use crate::fleet::sse;
 use crate::fleet::store;
+use crate::fleet::upstream;
 use crate::sorted;
 use crate::supervisor;
 use bytes::Bytes;
@@ -580,14 +581,10 @@
         Err(_) => return interrupted("no answer", true),
     };
     let status = answer.head.status;
-    let echo = answer.head.headers.get(&names.request).map(HeaderValue::as_bytes);
-    let own = echo == Some(key.1.as_bytes());
-    let declined = answer.head.headers.contains_key(&names.declined);
-    if declined || status == StatusCode::MISDIRECTED_REQUEST {
-        return interrupted("declined", false);
-    }
-    if !own {
-        return interrupted("answer of another request", true);
+    match answer.said(names, &key.1) {
+        upstream::Said::Own => {}
+        upstream::Said::Declined => return interrupted("declined", false),
+        upstream::Said::Strange => return interrupted("answer of another request", true),
     }
     match status {
         StatusCode::UNPROCESSABLE_ENTITY => return Ended::Impossible,
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -225,16 +225,16 @@
                 return Ended::Outcome(attempt::Outcome::Lost, "no answer".into());
             }
         };
-        let status = answer.head.status;
-        let declined = answer.head.headers.contains_key(&headers.declined);
-        if declined || status == StatusCode::MISDIRECTED_REQUEST {
-            let cause = format!("declined with {}", status.as_u16());
-            return Ended::Outcome(attempt::Outcome::Declined, cause.into());
-        }
-        let echo = answer.head.headers.get(&headers.request).map(HeaderValue::as_bytes);
-        let own = echo == Some(id.as_bytes());
-        if !own && (echo.is_some() || status.is_success()) {
-            return Ended::Outcome(attempt::Outcome::Lost, "answer of another request".into());
+        match answer.said(headers, &id) {
+            upstream::Said::Own => {}
+            upstream::Said::Declined => {
+                let cause = format!("declined with {}", answer.head.status.as_u16());
+                return Ended::Outcome(attempt::Outcome::Declined, cause.into());
+            }
+            upstream::Said::Strange => {
+                let cause = "answer of another request".into();
+                return Ended::Outcome(attempt::Outcome::Lost, cause);
+            }
         }
         Ended::Begun(Box::new(Begun { answer, endpoint, _busy: busy }))
     }
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -4,13 +4,16 @@
 //! answer; dropping an unfinished answer closes it, which cancels the request at the endpoint.
 
 use crate::fleet::peer;
+use crate::fleet::protocol;
 use crate::sorted;
 use bytes::Bytes;
 use derive_more::Display;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use hyper::StatusCode;
 use hyper::client::conn::http1;
 use hyper::header;
+use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -66,6 +69,37 @@
     idle: Arc<Mutex<sorted::SortedMap<SocketAddr, Vec<Idle>>>>,
 }
 
+/// What the head of an answer says of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// It is the answer to the request.
+    Own,
+    /// The endpoint has not run the request.
+    Declined,
+    /// It may be the answer to another request, so nothing is known of this one.
+    Strange,
+}
+
+/// Judges the head of an answer to the request `id`. Endpoints repeat the id of a request; an
+/// answer that came too late for the request before stands on a kept connection without notice,
+/// and must not be taken for the word that this request has not run.
+pub fn judge(
+    names: &protocol::Headers,
+    head: &hyper::http::response::Parts,
+    id: &str,
+    reused: bool,
+) -> Said {
+    let echo = head.headers.get(&names.request).map(HeaderValue::as_bytes);
+    let declined = head.headers.contains_key(&names.declined)
+        || head.status == StatusCode::MISDIRECTED_REQUEST;
+    match echo {
+        Some(echo) if echo != id.as_bytes() => Said::Strange,
+        None if reused || head.status.is_success() => Said::Strange,
+        _ if declined => Said::Declined,
+        _ => Said::Own,
+    }
+}
+
 /// Answer of an endpoint whose body is still arriving.
 pub struct Answer {
     /// Status line and headers.
@@ -74,6 +108,8 @@
     connection: Option<Connection>,
     upstream: Upstream,
     address: SocketAddr,
+    /// Whether the connection has carried another request before.
+    reused: bool,
 }
 
 impl Upstream {
@@ -100,7 +136,7 @@
                     let (head, body) = response.into_parts();
                     let upstream = self.clone();
                     let connection = Some(connection);
-                    return Ok(Answer { head, body, connection, upstream, address });
+                    return Ok(Answer { head, body, connection, upstream, address, reused });
                 }
                 Err(mut error) => match error.take_message() {
                     // A kept connection was closed before it was used.
@@ -161,6 +197,11 @@
 }
 
 impl Answer {
+    /// What the head says of the request `id`.
+    pub fn said(&self, names: &protocol::Headers, id: &str) -> Said {
+        judge(names, &self.head, id, self.reused)
+    }
+
     /// Next bytes of the body; `None` once it is complete.
     ///
     /// # Errors
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -243,3 +243,19 @@
         world.reap(at, Duration::from_secs(6)).await;
     });
 }
+
+/// Guards against the word that another request was declined, which is taken for this one: it ran,
+/// so it must neither be refused as not run nor run again.
+#[test]
+fn answer_of_another_request_says_nothing() {
+    run(async {
+        let world = World::start(SMALL).await;
+        for endpoint in world.endpoints.iter().flatten() {
+            endpoint.fail(plain::Faults { strange: 1.0, ..plain::Faults::default() });
+        }
+        let entry = world.callers(world.of(Role::Entry)[0]);
+        let ended = stream(entry, fleet_world::ONCE, "strange").await;
+        let runs = world.all_runs().iter().filter(|r| &*r.request == "strange").count();
+        assert_eq!((ended, runs), (Ended::Status(502), 1), "{}", world.logs());
+    });
+}
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -1,12 +1,17 @@
 //! Decisions about attempts, placement, batch work and streams.
 
+#[path = "../platform/mod.rs"]
+mod platform;
+
 use basilfield::fleet::attempt;
 use basilfield::fleet::frame;
 use basilfield::fleet::groups;
 use basilfield::fleet::load;
 use basilfield::fleet::place;
 use basilfield::fleet::plan;
+use basilfield::fleet::protocol::Protocol as _;
 use basilfield::fleet::sse;
+use basilfield::fleet::upstream;
 use basilfield::wire;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,6 +72,39 @@
     insta::assert_snapshot!(seen.join(" "), @"NotDone(DiskFull) Unknown Unknown");
 }
 
+/// Guards against an answer that belongs to another request and is passed on, or taken for the word
+/// that this one has not run.
+#[test]
+fn answers_are_judged_by_their_id() {
+    let names = platform::Platform::default();
+    let names = names.headers();
+    let judge = |status: u16, echo: Option<&str>, declined: bool, reused| {
+        let mut answer = hyper::Response::builder().status(status);
+        if let Some(echo) = echo {
+            answer = answer.header(&names.request, echo);
+        }
+        if declined {
+            answer = answer.header(&names.declined, "1");
+        }
+        let (head, ()) = answer.body(()).expect("valid").into_parts();
+        format!("{:?}", upstream::judge(names, &head, "r", reused))
+    };
+    let seen = [
+        judge(200, Some("r"), false, true),
+        judge(200, Some("q"), false, true),
+        judge(200, None, false, false),
+        judge(503, Some("r"), true, true),
+        judge(503, Some("q"), true, true),
+        judge(503, None, true, true),
+        judge(503, None, true, false),
+        judge(421, None, false, false),
+        judge(500, Some("r"), false, false),
+        judge(400, None, false, false),
+    ];
+    insta::assert_snapshot!(seen.join(" "),
+        @"Own Strange Strange Declined Strange Strange Declined Declined Own Own");
+}
+
 fn candidate(id: &str, near: bool, own: u32, online: u32, batch: u32) -> place::Candidate {
     place::Candidate {
         id: id.into(),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -224,6 +224,7 @@
                     lost: share(),
                     errors: share(),
                     declined: share(),
+                    strange: share(),
                     slower: 1.0,
                 };
                 if let Some(endpoint) = &self.world.endpoints[endpoint] {
