Refuse what cannot be sent or understood; forget failures of endpoints that are gone

Cause: found by reading. A longest wait that is no time became zero and gave up every item at once, as did a route without one; an endpoint id that does not fit a header was left out of requests, which then went to whatever endpoint had the address; frames over the limit were sent and cost the connection; failures of endpoints and queues of hosts that are gone were kept for ever.

A route without a longest wait never gives up its items, a negative one is refused with its route, ids and addresses are checked on registration, long frames are logged and left out.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -260,8 +260,10 @@
             continue;
         }
         let command = keeper::Command::Place(spread_out(&seen, size));
-        // Tried again at the next tick unless it was committed.
-        let _ = node.groups.propose(groups::CONTROL, &command, CALL).await;
+        if let Err(failure) = node.groups.propose(groups::CONTROL, &command, CALL).await {
+            // Tried again at the next tick unless it was committed.
+            event!(node.log, events::CHANGE_REFUSED; "reason" => ?failure, "step" => "place jobs");
+        }
     }
 }
 
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -404,7 +404,8 @@
                 .config
                 .find(&job.terms.host, &job.terms.prefix)
                 .and_then(|route| route.choose(rand::random()));
-            let late = now - since > Duration::from_millis(job.terms.patience);
+            let patience = job.terms.patience.map(Duration::from_millis);
+            let late = patience.is_some_and(|p| now - since > p);
             for open in &job.open {
                 let key = ((*id).clone(), open.item.id.clone());
                 let known = self.known.get(&key);
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -84,6 +84,7 @@
         time::sleep(TURN_AWAY).await;
         stage_sender.send_replace(serve::Stage::Closing);
         // The listeners stay open meanwhile: a balancer that has not noticed still sends here.
+        // What still runs at the deadline is cut off by the end of the process.
         let _ = time::timeout_at(deadline, open.closed()).await;
         ended.send_replace(true);
         Ok(())
@@ -221,7 +222,7 @@
             prefix: route.prefix.clone(),
             attempts: route.attempts,
             due: route.due.as_millis() as u64,
-            patience: route.patience.as_millis() as u64,
+            patience: route.patience.map(|p| p.as_millis() as u64),
         };
         let count = items.len();
         let items = items.into_iter().map(Arc::new).collect();
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -98,9 +98,8 @@
     let text = format!("not run: {reason}\n");
     let mut answer = serve::answer(StatusCode::SERVICE_UNAVAILABLE, text);
     let seconds = format!("{:.3}", pause.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        answer.headers_mut().insert(header::RETRY_AFTER, value);
-    }
+    let value = HeaderValue::try_from(seconds).expect("digits are a valid header");
+    answer.headers_mut().insert(header::RETRY_AFTER, value);
     answer
 }
 
@@ -183,9 +182,8 @@
         strip(&mut sent, false);
         let left = self.left().as_millis() as u64;
         sent.insert(headers.deadline.clone(), HeaderValue::from(left));
-        if let Ok(id) = HeaderValue::from_str(&endpoint.id) {
-            sent.insert(headers.expect.clone(), id);
-        }
+        let id = HeaderValue::from_str(&endpoint.id).expect("ids are checked on registration");
+        sent.insert(headers.expect.clone(), id);
         if let Some(last) = self.last {
             sent.insert(headers.resume.clone(), HeaderValue::from(last));
         }
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -41,8 +41,8 @@
     pub attempts: u32,
     /// Milliseconds from submission until every result is due.
     pub due: u64,
-    /// Milliseconds from submission after which items are given up.
-    pub patience: u64,
+    /// Milliseconds from submission after which items are given up; never if absent.
+    pub patience: Option<u64>,
 }
 
 /// How an item ended.
@@ -426,8 +426,10 @@
     }
 }
 
-/// Encodes a value of this module.
+/// Encodes a value of a state machine.
+///
+/// # Panics
+/// For types that postcard does not support at all, which is a mistake in the program.
 pub fn encode(value: &impl Serialize) -> Vec<u8> {
-    // Encoding into memory fails only for types that postcard does not support at all.
-    postcard::to_stdvec(value).unwrap_or_default()
+    postcard::to_stdvec(value).expect("postcard supports the types of state machines")
 }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -215,6 +215,7 @@
             node.peers.cast(&control, frame::Cast::Greet(greeting.clone()));
         }
         node.view.directory(|d| d.expire(node.now()));
+        peer::lock(&node.health).expire(node.now());
         node.upstream.expire();
         let ready = node.view.in_force().is_some();
         let pause = if ready { GREET } else { GREET_FIRST };
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -86,7 +86,9 @@
 
     fn sender(&self, to: &Arc<str>) -> mpsc::Sender<Outgoing> {
         let mut senders = lock(&self.senders);
-        if let Some(sender) = senders.get(to).filter(|s| !s.is_closed()) {
+        // Hosts that are gone leave nothing behind.
+        senders.retain(|_, sender| !sender.is_closed());
+        if let Some(sender) = senders.get(to) {
             return sender.clone();
         }
         let (sender, receiver) = mpsc::channel(QUEUE);
@@ -137,7 +139,7 @@
             Ok(stream) => {
                 event!(log, events::PEER_UP; "peer" => &*to);
                 up = true;
-                let cause = drive(&own, &to, stream, first, &mut queue).await;
+                let cause = drive(&own, &to, stream, first, &mut queue, &log).await;
                 event!(log, events::PEER_LOST; "peer" => &*to, "error" => %cause);
             }
             Err(error) => {
@@ -174,21 +176,22 @@
     stream: TcpStream,
     first: Outgoing,
     queue: &mut mpsc::Receiver<Outgoing>,
+    log: &slog::Logger,
 ) -> errors::Error {
     let (read, mut write) = stream.into_split();
     let mut read = Reader::new(read, to.clone());
     let mut calls = Calls::new();
     let mut next = 0;
     let mut out = Vec::new();
-    push(&mut out, &frame::Frame::Hello(own.clone()));
-    push_outgoing(&mut out, first, &mut calls, &mut next);
+    push(&mut out, &frame::Frame::Hello(own.clone()), log);
+    push_outgoing(&mut out, first, &mut calls, &mut next, log);
     let mut heard = time::Instant::now();
     let mut ping = time::interval(PING);
     ping.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
         while out.len() < WRITE {
             match queue.try_recv() {
-                Ok(outgoing) => push_outgoing(&mut out, outgoing, &mut calls, &mut next),
+                Ok(outgoing) => push_outgoing(&mut out, outgoing, &mut calls, &mut next, log),
                 Err(_) => break,
             }
         }
@@ -201,7 +204,7 @@
         }
         tokio::select! {
             outgoing = queue.recv() => match outgoing {
-                Some(outgoing) => push_outgoing(&mut out, outgoing, &mut calls, &mut next),
+                Some(outgoing) => push_outgoing(&mut out, outgoing, &mut calls, &mut next, log),
                 None => return errors::Error::lost("send", to.clone(), "closed by this host"),
             },
             frame = read.next() => match frame {
@@ -219,32 +222,44 @@
                 if heard.elapsed() > SILENCE {
                     return errors::Error::lost("ping", to.clone(), "no answer");
                 }
-                push(&mut out, &frame::Frame::Ping);
+                push(&mut out, &frame::Frame::Ping, log);
             }
         }
     }
 }
 
-fn push_outgoing(out: &mut Vec<u8>, outgoing: Outgoing, calls: &mut Calls, next: &mut u64) {
+fn push_outgoing(
+    out: &mut Vec<u8>,
+    outgoing: Outgoing,
+    calls: &mut Calls,
+    next: &mut u64,
+    log: &slog::Logger,
+) {
     match outgoing {
-        Outgoing::Cast(message) => push(out, &frame::Frame::Cast(message)),
+        Outgoing::Cast(message) => push(out, &frame::Frame::Cast(message), log),
         Outgoing::Call(request, done) => {
             *next += 1;
             calls.insert(*next, done);
-            push(out, &frame::Frame::Call(*next, request));
+            push(out, &frame::Frame::Call(*next, request), log);
         }
     }
 }
 
-fn push(out: &mut Vec<u8>, frame: &frame::Frame) {
+/// Appends a frame. One that is too long is left out; a call in it ends with its time limit.
+fn push(out: &mut Vec<u8>, frame: &frame::Frame, log: &slog::Logger) {
     let at = out.len();
     out.extend([0; 4]);
     let start = out.len();
-    // Encoding into memory fails only for types that postcard does not support at all.
-    let encoded = postcard::to_stdvec(frame).unwrap_or_default();
-    out.extend(encoded);
-    let len = u32::try_from(out.len() - start).unwrap_or(u32::MAX);
-    out[at..start].copy_from_slice(&len.to_be_bytes());
+    out.extend(postcard::to_stdvec(frame).expect("postcard supports the types of frames"));
+    let len = u32::try_from(out.len() - start).ok().filter(|len| *len as usize <= wire::MAX_FRAME);
+    match len {
+        Some(len) => out[at..start].copy_from_slice(&len.to_be_bytes()),
+        None => {
+            // The other end would drop the connection with everything else on it.
+            event!(log, events::BAD_FRAME; "bytes" => out.len() - start, "error" => "too long");
+            out.truncate(at);
+        }
+    }
 }
 
 struct Reader {
@@ -301,7 +316,7 @@
             Ok((stream, addr)) => {
                 let (handler, log) = (handler.clone(), log.clone());
                 tokio::spawn(async move {
-                    let error = receive(stream, addr, handler).await;
+                    let error = receive(stream, addr, handler, log.clone()).await;
                     slog::debug!(log, "connection of a host ended"; "error" => %error);
                 });
             }
@@ -313,7 +328,12 @@
     }
 }
 
-async fn receive(stream: TcpStream, addr: SocketAddr, handler: Arc<dyn Handler>) -> errors::Error {
+async fn receive(
+    stream: TcpStream,
+    addr: SocketAddr,
+    handler: Arc<dyn Handler>,
+    log: slog::Logger,
+) -> errors::Error {
     let mut from: Arc<str> = addr.to_string().into();
     if let Err(e) = stream.set_nodelay(true) {
         return errors::Error::io("accept", from, e);
@@ -321,7 +341,7 @@
     let (read, write) = stream.into_split();
     let mut read = Reader::new(read, from.clone());
     let (answers, queue) = mpsc::channel(QUEUE);
-    let writer = tokio::spawn(answer(write, queue));
+    let writer = tokio::spawn(answer(write, queue, log));
     let error = loop {
         // The dialling end pings; without pings it is gone or its packets vanish.
         let frame = match time::timeout(SILENCE * 2, read.next()).await {
@@ -332,6 +352,7 @@
         match frame {
             frame::Frame::Hello(name) => from = name,
             frame::Frame::Ping => {
+                // A full queue of answers is a sign of life as well.
                 let _ = answers.try_send(frame::Frame::Pong);
             }
             frame::Frame::Cast(message) => handler.cast(&from, message),
@@ -349,13 +370,17 @@
     error
 }
 
-async fn answer(mut write: OwnedWriteHalf, mut queue: mpsc::Receiver<frame::Frame>) {
+async fn answer(
+    mut write: OwnedWriteHalf,
+    mut queue: mpsc::Receiver<frame::Frame>,
+    log: slog::Logger,
+) {
     let mut out = Vec::new();
     while let Some(frame) = queue.recv().await {
-        push(&mut out, &frame);
+        push(&mut out, &frame, &log);
         while out.len() < WRITE {
             match queue.try_recv() {
-                Ok(frame) => push(&mut out, &frame),
+                Ok(frame) => push(&mut out, &frame, &log),
                 Err(_) => break,
             }
         }
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -22,6 +22,9 @@
 /// Longest time for which an endpoint is avoided; afterwards a request tries it again.
 const AVOID_MAX: Duration = Duration::from_millis(3_200);
 
+/// Time after the last pause of an endpoint for which its failures are remembered.
+const FORGET: Duration = Duration::from_secs(30);
+
 /// Endpoint that may take a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -128,6 +131,11 @@
         pause
     }
 
+    /// Forgets endpoints that have not failed for long; most of them are gone.
+    pub fn expire(&mut self, now: Duration) {
+        self.failing.retain(|_, f| now.saturating_sub(f.until) < FORGET);
+    }
+
     /// Notes that an endpoint has answered.
     pub fn answered(&mut self, id: &str) {
         self.failing.remove(id);
--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -57,8 +57,8 @@
     pub resumable: bool,
     /// Batch jobs: time from submission until every result is due.
     pub due: Duration,
-    /// Batch jobs: time from submission after which items may be given up.
-    pub patience: Duration,
+    /// Batch jobs: time from submission after which items may be given up; never if not stated.
+    pub patience: Option<Duration>,
 }
 
 impl Route {
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -21,7 +21,7 @@
 
 fn terms() -> ledger::Terms {
     let (host, prefix) = ("h".into(), "/p/".into());
-    ledger::Terms { host, prefix, attempts: 2, due: 18_000, patience: 60_000 }
+    ledger::Terms { host, prefix, attempts: 2, due: 18_000, patience: Some(60_000) }
 }
 
 fn submit(ledger: &mut Ledger, job: &str, items: &[&str]) -> ledger::Reply {
--- a/tests/fleet_routes.rs
+++ b/tests/fleet_routes.rs
@@ -24,7 +24,7 @@
         attempts: 2,
         resumable: true,
         due: Duration::ZERO,
-        patience: Duration::ZERO,
+        patience: None,
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -34,6 +34,7 @@
         CONFIG.replace("\"version\":7,", ""),
         CONFIG.replace("\"batch\"", "\"other\""),
         CONFIG.replace("\"weight\":90", "\"weight\":-1"),
+        CONFIG.replace("60.5", "-1"),
         "[]".to_string(),
     ];
     let problem = |text: &String| match platform.config(text.as_bytes()) {
@@ -56,6 +57,7 @@
         good.replace("\"callSeq\":4", "\"callSeq\":\"4\""),
         good.replace(":17", ":17.5"),
         good.replace("10.128.0.9:8080", "nowhere"),
+        good.replace("10.128.0.9:8080", "10.128.0.9:0"),
         good.replace("\"slots\":8,", ""),
         "\u{1}".to_string(),
     ];
@@ -73,7 +75,11 @@
     refused
     refused
     refused
+    refused
     ");
+    let ids = ["i-1", "i 1", "i\u{e9}", ""];
+    let read = ids.map(|id| platform.registration(id, good.as_bytes()).is_ok());
+    assert_eq!(read, [true, false, false, false], "ids are sent in a header");
 }
 
 /// Guards against a call that is taken for a request to forward, or the other way round.
