Bound the memory for bodies and outputs

Cause: found by reading. An entry held any number of bodies of up to 4 MB, and the job group accepted jobs until its hosts ran out of memory.

Entries hold 64 MB of bodies and refuse further requests as not run; the job group keeps 96 MB and refuses further jobs, which an entry tells its caller at once; one command stores at most 4 MB of output. Tested: the count of kept bytes. Not tested: the refusals themselves.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -43,6 +43,8 @@
 /// Interval at which the output of running items is stored. What arrives within it is run again
 /// after a change of leader.
 const STORE: Duration = Duration::from_secs(1);
+/// Output that is stored with one command at most, well below the longest command of a group.
+const STORE_BYTES: usize = 4 << 20;
 /// Longest time for an outcome to be committed; it is proposed again afterwards.
 const COMMIT: Duration = Duration::from_secs(3);
 /// Factor by which jobs are kept longer than was promised: the leader counts from the moment at
@@ -273,11 +275,18 @@
             known.progress.events > known.progress.stored
                 && matches!(known.state, State::Running { .. } | State::Resting { .. })
         };
+        let mut room = STORE_BYTES;
+        let mut fits = |(_, advance): &(Key, ledger::Advance)| {
+            let fits = advance.data.len() <= room;
+            room = room.saturating_sub(advance.data.len());
+            fits
+        };
         let advances: Vec<(Key, ledger::Advance)> = self
             .known
             .iter()
             .filter(news)
             .map(|(k, known)| (k.clone(), known.progress.advance(k)))
+            .take_while(&mut fits)
             .collect();
         if advances.is_empty() {
             return;
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -18,8 +18,10 @@
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -37,8 +39,16 @@
 /// Most items of one job.
 const ITEMS: usize = 200;
 
+/// Bytes of request bodies that an entry holds at most. They are held until the end of the answer,
+/// since the request may have to be sent again. The smallest entries have 160 MB.
+const BODIES: usize = 64 << 20;
+/// Unit in which memory for bodies is reserved.
+const BLOCK: usize = 1 << 10;
+
 struct Entry {
     node: node::Node,
+    /// Room for request bodies in blocks.
+    bodies: Arc<Semaphore>,
     stage: watch::Receiver<serve::Stage>,
 }
 
@@ -57,7 +67,7 @@
     let (callers, ready) = (node::listen(callers)?, node::listen(ready)?);
     let (bounds_sender, bounds) = watch::channel(routes::Bounds::default());
     let (stage_sender, stage) = watch::channel(serve::Stage::Serving);
-    let entry = Arc::new(Entry { node: node.clone(), stage: stage.clone() });
+    let entry = Arc::new(Entry::new(node, stage.clone()));
     let (open, _) = watch::channel(());
     let (ended, end) = supervisor::Stop::channel();
     let log = tree.log().clone();
@@ -139,7 +149,7 @@
 /// Handler of connections from other hosts.
 pub fn peer_handler(node: &node::Node) -> Arc<dyn peer::Handler> {
     let (_, stage) = watch::channel(serve::Stage::Serving);
-    Arc::new(Entry { node: node.clone(), stage })
+    Arc::new(Entry::new(node, stage))
 }
 
 impl serve::Handler for Entry {
@@ -152,6 +162,10 @@
 }
 
 impl Entry {
+    fn new(node: &node::Node, stage: watch::Receiver<serve::Stage>) -> Entry {
+        Entry { node: node.clone(), bodies: Arc::new(Semaphore::new(BODIES / BLOCK)), stage }
+    }
+
     async fn answer(&self, request: hyper::Request<hyper::body::Incoming>) -> serve::Answer {
         let arrived = time::Instant::now();
         let node = &self.node;
@@ -186,17 +200,35 @@
         if id.is_empty() {
             return serve::answer(StatusCode::BAD_REQUEST, "the request has no id\n");
         }
-        let body = match serve::read_body(body, in_force.config.bounds.body).await {
+        let limit = in_force.config.bounds.body;
+        let Some(room) = self.room(&body, limit) else {
+            return forward::refuse(node, &id, "too many bodies are held");
+        };
+        let body = match serve::read_body(body, limit).await {
             Ok(body) => body,
             Err(answer) => return answer,
         };
-        let request = forward::Request { id, head, body, route: route.clone(), arrived };
+        let route = route.clone();
+        let request = forward::Request { id, head, body, route, arrived, _room: room };
         match request.route.kind {
             routes::Kind::Batch => self.submit(request).await,
             _ => forward::forward(node.clone(), request).await,
         }
     }
 
+    /// Reserves memory for the body of a request; `None` if too much is held already. A body
+    /// without a stated length counts with the largest one.
+    fn room(
+        &self,
+        body: &hyper::body::Incoming,
+        limit: usize,
+    ) -> Option<tokio::sync::OwnedSemaphorePermit> {
+        let length = body.size_hint().exact().and_then(|n| usize::try_from(n).ok());
+        let bytes = length.unwrap_or(limit).min(limit);
+        let blocks = u32::try_from(bytes.div_ceil(BLOCK)).ok()?;
+        self.bodies.clone().try_acquire_many_owned(blocks).ok()
+    }
+
     fn ready(&self) -> serve::Answer {
         let node = &self.node;
         let usable = node.view.in_force().is_some()
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -65,6 +65,8 @@
     pub route: routes::Route,
     /// When it arrived.
     pub arrived: time::Instant,
+    /// Memory that its body takes.
+    pub _room: tokio::sync::OwnedSemaphorePermit,
 }
 
 /// Removes the headers that concern one connection only.
--- a/src/fleet/groups.rs
+++ b/src/fleet/groups.rs
@@ -174,7 +174,10 @@
             match reply {
                 Ok(wire::Reply::NotDone { reason, leader, run }) => {
                     tries.refused(run);
-                    if matches!(reason, wire::Reason::DiskFull | wire::Reason::Invalid) {
+                    // Another host would not decide otherwise.
+                    let last =
+                        [wire::Reason::DiskFull, wire::Reason::QueueFull, wire::Reason::Invalid];
+                    if last.contains(&reason) {
                         return Err(tries.failure(reason));
                     }
                     self.forget(group);
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -273,6 +273,15 @@
         self.jobs.get(id)
     }
 
+    /// Bytes of the bodies and outputs that are kept.
+    pub fn bytes(&self) -> usize {
+        let open = |job: &Job| -> usize {
+            job.open.iter().map(|o| o.item.body.len() + o.part.output.len()).sum()
+        };
+        let listed = |job: &Job| -> usize { job.results.iter().map(|r| r.output.len()).sum() };
+        self.jobs.values().map(|job| open(job) + listed(job)).sum()
+    }
+
     /// Link addresses of the hosts that are to be emptied.
     pub fn leaving(&self) -> &[Arc<str>] {
         &self.leaving
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -22,6 +22,10 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
+/// Bytes of bodies and outputs that are kept in memory at most; jobs beyond that are refused. A
+/// snapshot needs as much again, and the smallest store hosts have 280 MB.
+const MAX_BYTES: usize = 96 << 20;
+
 struct Store {
     node: node::Node,
 }
@@ -76,7 +80,9 @@
     }
 
     fn prepare(&mut self, _now: Duration, command: Bytes) -> Result<Bytes, wire::Reason> {
-        Ok(command)
+        let full = peer::lock(&self.machine.0).bytes() + command.len() > MAX_BYTES
+            && self.is_new_work(&command);
+        if full { Err(wire::Reason::QueueFull) } else { Ok(command) }
     }
 
     fn leaving(&self) -> Vec<Arc<str>> {
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -181,3 +181,20 @@
     assert_eq!(copy, l);
     assert!(copy.restore(b"\xff\xff").is_err(), "a damaged snapshot is refused");
 }
+
+/// Guards against jobs that are accepted until the memory of the store hosts is used up.
+#[test]
+fn kept_bytes_are_counted() {
+    let mut l = Ledger::default();
+    submit(&mut l, "j", &["a", "b"]);
+    let mut seen = vec![l.bytes()];
+    l.run(2, Command::Advance(vec![advance("j", "a", 0, 1, "1234")]));
+    seen.push(l.bytes());
+    l.run(3, Command::Complete(advance("j", "a", 1, 2, "5")));
+    seen.push(l.bytes());
+    l.run(4, Command::End { job: "j".into() });
+    seen.push(l.bytes());
+    l.run(5, Command::Forget { jobs: vec!["j".into()] });
+    seen.push(l.bytes());
+    insta::assert_snapshot!(format!("{seen:?}"), @"[18, 22, 15, 6, 0]");
+}
