Name announcements, updates and registrations by their usual terms

Cause: a newcomer had to learn what a keeper, a greeting, news or a statement of an endpoint is; the field has words for each. Two state machines repeated empty methods, and two places turned a request of another process into a call of the group's thread.

The control state machine is control_state, hosts announce themselves, entries take updates, and endpoints register. Methods of a service that most machines leave empty have defaults. group::Call::of is the only conversion.

New test fleet_view: versions of a configuration only rise, and an announcement brings what its host is missing.

--- a/src/events.rs
+++ b/src/events.rs
@@ -147,9 +147,9 @@
     /// The state hosts refused the record of an agent, for example because of an endpoint's name.
     AGENT_REFUSED = 608, Error, "agent registration refused";
     /// An endpoint stated something new about itself.
-    ENDPOINT_STATED = 609, Info, "endpoint statement";
-    /// A statement does not describe an endpoint and was refused.
-    STATEMENT_INVALID = 610, Warning, "endpoint statement invalid";
+    ENDPOINT_CHANGED = 609, Info, "endpoint changed";
+    /// A registration does not describe an endpoint and was refused.
+    REGISTRATION_INVALID = 610, Warning, "registration invalid";
     /// An endpoint is avoided for a while after failures.
     ENDPOINT_EJECTED = 611, Warning, "endpoint avoided";
     /// A request was refused.
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -3,11 +3,11 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::fleet::control_state;
 use crate::fleet::directory;
 use crate::fleet::entry;
 use crate::fleet::frame;
 use crate::fleet::groups;
-use crate::fleet::keeper;
 use crate::fleet::ledger;
 use crate::fleet::member;
 use crate::fleet::node;
@@ -49,51 +49,39 @@
 
 /// State machine of the configuration with the hook that shows it to the host.
 struct Service {
-    keeper: keeper::Keeper,
-    shown: watch::Sender<keeper::Keeper>,
+    state: control_state::ControlState,
+    shown: watch::Sender<control_state::ControlState>,
     leads: watch::Sender<bool>,
 }
 
 impl service::Service for Service {
     fn machine(&mut self) -> &mut dyn replica::Machine {
-        &mut self.keeper
+        &mut self.state
     }
 
     fn query(&self, _query: &[u8]) -> Vec<u8> {
-        replica::Machine::snapshot(&self.keeper)
+        replica::Machine::snapshot(&self.state)
     }
 
     fn is_new_work(&self, _command: &[u8]) -> bool {
         true
     }
 
-    fn prepare(&mut self, _now: Duration, command: Bytes) -> Result<Bytes, wire::Reason> {
-        Ok(command)
-    }
-
     fn lead(&mut self, _now: Duration, leads: bool) {
         self.leads.send_replace(leads);
     }
 
     fn applied(&mut self, _now: Duration) {
-        let keeper = &self.keeper;
+        let state = &self.state;
         self.shown.send_if_modified(|shown| {
-            let news = (shown.document.version, &shown.stores)
-                != (keeper.document.version, &keeper.stores);
-            if news {
-                *shown = keeper.clone();
+            let changed =
+                (shown.document.version, &shown.stores) != (state.document.version, &state.stores);
+            if changed {
+                *shown = state.clone();
             }
-            news
+            changed
         });
     }
-
-    fn tick(&mut self, _now: Duration) -> Vec<Bytes> {
-        Vec::new()
-    }
-
-    fn serve(&mut self, _now: Duration, _request: wire::Request, done: service::Done) {
-        service::refuse(done, wire::Reason::Invalid);
-    }
 }
 
 /// Adds the tasks of the role to a supervisor. Returns the stop of its connections.
@@ -118,11 +106,11 @@
         size: founders.len().min(2 * node.settings.fleet.losses + 1),
         founders,
     };
-    let (shown, shows) = watch::channel(keeper::Keeper::default());
+    let (shown, shows) = watch::channel(control_state::ControlState::default());
     let (leads, leading) = watch::channel(false);
     member.spawn(tree, move || {
         let (shown, leads) = (shown.clone(), leads.clone());
-        Box::new(Service { keeper: keeper::Keeper::default(), shown, leads })
+        Box::new(Service { state: control_state::ControlState::default(), shown, leads })
     });
     let control = Arc::new(Control { node: node.clone() });
     let (ended, end) = supervisor::Stop::channel();
@@ -159,10 +147,10 @@
         let node = &self.node;
         match message {
             frame::Cast::Replica(envelope) => member::deliver(node, envelope),
-            frame::Cast::Greet(greeting) => self.greeted(from, &greeting),
-            frame::Cast::News(news) => {
-                if let Some(news) = node.view.take_news(node.now(), news) {
-                    spread(node, Some(from), &news);
+            frame::Cast::Announce(announcement) => self.announced(from, &announcement),
+            frame::Cast::Update(update) => {
+                if let Some(update) = node.view.take_update(node.now(), update) {
+                    broadcast(node, Some(from), &update);
                 }
             }
             message => entry::cast(node, from, message),
@@ -174,8 +162,8 @@
     }
 }
 
-/// Sends news to every host that introduced itself lately, except the one that sent them.
-fn spread(node: &node::Node, from: Option<&Arc<str>>, news: &frame::News) {
+/// Sends an update to every host that announced itself lately, except the one that sent it.
+fn broadcast(node: &node::Node, from: Option<&Arc<str>>, update: &frame::Update) {
     let now = node.now();
     let roles = [settings::Role::Entry, settings::Role::Store, settings::Role::Control];
     let hosts: Vec<Arc<str>> = node.view.directory(|d| {
@@ -184,23 +172,23 @@
     });
     let own = &node.view.own().link;
     for host in hosts.iter().filter(|h| *h != own && Some(*h) != from) {
-        node.peers.cast(host, frame::Cast::News(news.clone()));
+        node.peers.cast(host, frame::Cast::Update(update.clone()));
     }
 }
 
 /// Shows what the replica has applied to this host and the others.
 async fn show(
     node: node::Node,
-    mut shows: watch::Receiver<keeper::Keeper>,
+    mut shows: watch::Receiver<control_state::ControlState>,
     mut stop: supervisor::Stop,
 ) -> Result<(), errors::Error> {
     loop {
-        let keeper = shows.borrow_and_update().clone();
-        let document = Some(keeper.document).filter(|d| node.view.take_document(d.clone()));
-        let stores = Some(keeper.stores).filter(|s| node.view.take_stores(s.clone()));
+        let state = shows.borrow_and_update().clone();
+        let document = Some(state.document).filter(|d| node.view.take_document(d.clone()));
+        let stores = Some(state.stores).filter(|s| node.view.take_stores(s.clone()));
         if document.is_some() || stores.is_some() {
-            let news = frame::News { document, stores, ..frame::News::default() };
-            spread(&node, None, &news);
+            let update = frame::Update { document, stores, ..frame::Update::default() };
+            broadcast(&node, None, &update);
         }
         tokio::select! {
             changed = shows.changed() => if changed.is_err() { return Ok(()) },
@@ -218,19 +206,19 @@
             () = stop.wait() => return Ok(()),
         };
         let own = &node.view.own().link;
-        let records = node.view.directory(|d| d.silence(now, own));
+        let records = node.view.directory(|d| d.mark_silent(now, own));
         for endpoint in &records.endpoints {
-            event!(node.log, events::ENDPOINT_STATED; "endpoint" => &*endpoint.id,
+            event!(node.log, events::ENDPOINT_CHANGED; "endpoint" => &*endpoint.id,
                 "phase" => ?endpoint.phase, "cause" => "no heartbeat for long");
         }
         if !records.endpoints.is_empty() || !records.hosts.is_empty() {
             node.view.directory_changed();
-            spread(&node, None, &frame::News { records, ..frame::News::default() });
+            broadcast(&node, None, &frame::Update { records, ..frame::Update::default() });
         }
     }
 }
 
-/// Places the job group once enough store hosts have introduced themselves.
+/// Places the job group once enough store hosts have announced themselves.
 async fn place(
     node: node::Node,
     leading: watch::Receiver<bool>,
@@ -259,7 +247,7 @@
         if seen.len() < size || now.saturating_sub(since) < SETTLE {
             continue;
         }
-        let command = keeper::Command::Place(spread_out(&seen, size));
+        let command = control_state::Command::Place(choose_stores(&seen, size));
         if let Err(failure) = node.groups.propose(groups::CONTROL, &command, CALL).await {
             // Tried again at the next tick unless it was committed.
             event!(node.log, events::CHANGE_REFUSED; "reason" => ?failure, "step" => "place jobs");
@@ -268,7 +256,7 @@
 }
 
 /// Chooses hosts from as many failure domains as possible.
-fn spread_out(hosts: &[(Arc<str>, Arc<str>)], size: usize) -> Vec<Arc<str>> {
+fn choose_stores(hosts: &[(Arc<str>, Arc<str>)], size: usize) -> Vec<Arc<str>> {
     let mut chosen: Vec<&(Arc<str>, Arc<str>)> = Vec::new();
     while chosen.len() < size.min(hosts.len()) {
         let used = |host: &&(Arc<str>, Arc<str>)| chosen.iter().filter(|c| c.1 == host.1).count();
@@ -291,18 +279,18 @@
 }
 
 impl Control {
-    fn greeted(&self, from: &Arc<str>, greeting: &frame::Greeting) {
+    fn announced(&self, from: &Arc<str>, announcement: &frame::Announcement) {
         let node = &self.node;
-        let host = greeting.host.clone();
-        let news = node.view.directory(|d| d.note_host(node.now(), host.clone()));
-        if news {
+        let host = announcement.host.clone();
+        let changed = node.view.directory(|d| d.note_host(node.now(), host.clone()));
+        if changed {
             node.view.directory_changed();
             let records = directory::Records { hosts: vec![host], ..directory::Records::default() };
-            let news = frame::News { records, ..frame::News::default() };
-            spread(node, Some(from), &news);
+            let update = frame::Update { records, ..frame::Update::default() };
+            broadcast(node, Some(from), &update);
         }
-        if let Some(missing) = node.view.missing(greeting) {
-            node.peers.cast(&greeting.host.link, frame::Cast::News(missing));
+        if let Some(missing) = node.view.missing(announcement) {
+            node.peers.cast(&announcement.host.link, frame::Cast::Update(missing));
         }
     }
 
@@ -334,32 +322,32 @@
         let endpoint = match protocol.registration(id, body) {
             Ok(endpoint) => endpoint,
             Err(problem) => {
-                event!(node.log, events::STATEMENT_INVALID; "endpoint" => id,
+                event!(node.log, events::REGISTRATION_INVALID; "endpoint" => id,
                     "error" => %problem);
                 return serve::answer(StatusCode::BAD_REQUEST, format!("{problem}\n"));
             }
         };
         let changed = node.view.directory(|d| d.note_endpoint(node.now(), endpoint.clone()));
         if changed {
-            event!(node.log, events::ENDPOINT_STATED; "endpoint" => id,
+            event!(node.log, events::ENDPOINT_CHANGED; "endpoint" => id,
                 "service" => &*endpoint.service, "address" => %endpoint.address,
                 "phase" => ?endpoint.phase, "born" => endpoint.born, "seq" => endpoint.seq);
             node.view.directory_changed();
             let records = directory::Records { endpoints: vec![endpoint], hosts: Vec::new() };
-            spread(node, None, &frame::News { records, ..frame::News::default() });
+            broadcast(node, None, &frame::Update { records, ..frame::Update::default() });
         }
         serve::json(protocol.registered())
     }
 
     fn leave(&self, id: &str, body: &[u8]) -> serve::Answer {
         let node = &self.node;
-        let born = node.view.protocol().farewell(body);
+        let born = node.view.protocol().deregistration(body);
         let left = node.view.directory(|d| d.leave(node.now(), id, born));
         event!(node.log, events::ENDPOINT_LEFT; "endpoint" => id, "known" => left.is_some());
         let born = born.or(left.map(|e| e.born));
-        let news = frame::News { left: vec![(id.into(), born)], ..frame::News::default() };
+        let update = frame::Update { left: vec![(id.into(), born)], ..frame::Update::default() };
         node.view.directory_changed();
-        spread(node, None, &news);
+        broadcast(node, None, &update);
         serve::answer(StatusCode::OK, "")
     }
 
@@ -372,8 +360,8 @@
                 return serve::answer(StatusCode::BAD_REQUEST, format!("{problem}\n"));
             }
         };
-        let document = keeper::Document { version: config.version, text: body.clone() };
-        let command = keeper::Command::Put(document);
+        let document = control_state::Document { version: config.version, text: body.clone() };
+        let command = control_state::Command::Put(document);
         match node.groups.propose(groups::CONTROL, &command, CALL).await {
             Ok(_) => {
                 event!(node.log, events::CHANGE_ACCEPTED; "version" => config.version);
@@ -388,9 +376,10 @@
     }
 
     async fn get(&self) -> serve::Answer {
-        let asked = self.node.groups.query::<keeper::Keeper>(groups::CONTROL, &(), CALL).await;
+        let asked =
+            self.node.groups.query::<control_state::ControlState>(groups::CONTROL, &(), CALL).await;
         match asked {
-            Ok(keeper) if keeper.document.version > 0 => serve::json(keeper.document.text.to_vec()),
+            Ok(state) if state.document.version > 0 => serve::json(state.document.text.to_vec()),
             _ => serve::answer(StatusCode::SERVICE_UNAVAILABLE, "no confirmed configuration\n"),
         }
     }
--- a/src/fleet/keeper.rs
+++ b/src/fleet/control_state.rs
@@ -30,14 +30,14 @@
 
 /// Configuration and placement.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Keeper {
+pub struct ControlState {
     /// Document in force.
     pub document: Document,
     /// Link addresses of the first members of the job group; empty before it is placed.
     pub stores: Vec<Arc<str>>,
 }
 
-impl Keeper {
+impl ControlState {
     /// Carries out a command.
     pub fn run(&mut self, command: Command) {
         match command {
@@ -55,7 +55,7 @@
     }
 }
 
-impl replica::Machine for Keeper {
+impl replica::Machine for ControlState {
     fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
         let reply = match postcard::from_bytes(command) {
             Ok(command) => {
--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -36,7 +36,7 @@
     pub id: Arc<str>,
     /// Start of the endpoint in milliseconds of Unix time; 0 if it does not say.
     pub born: u64,
-    /// Number of the last statement since that start.
+    /// Number of the last registration since that start.
     pub seq: u64,
     /// Service that it belongs to.
     pub service: Arc<str>,
@@ -63,17 +63,17 @@
     pub domain: Arc<str>,
     /// Start of the process in milliseconds of Unix time.
     pub born: u64,
-    /// Number of the greeting since that start.
+    /// Number of the announcement since that start.
     pub seq: u64,
     /// Whether nothing was heard of it for a long time.
     pub silent: bool,
 }
 
-/// Time without any statement after which a control host counts an endpoint or host as silent,
+/// Time without any registration after which a control host counts an endpoint or host as silent,
 /// and time after which a record that is silent or gone is dropped. Far above the heartbeats, so
 /// that a short cut between a host and the control hosts changes nothing.
 const FORGET: Duration = Duration::from_secs(60);
-/// Time without a statement after which a host counts as absent.
+/// Time without a registration after which a host counts as absent.
 const ABSENT: Duration = Duration::from_millis(2_500);
 
 #[derive(Clone, Debug)]
@@ -99,7 +99,7 @@
 }
 
 impl Directory {
-    /// Takes a statement of an endpoint. Returns whether anything but its number changed.
+    /// Takes a registration of an endpoint. Returns whether anything but its number changed.
     pub fn note_endpoint(&mut self, now: Duration, mut next: Endpoint) -> bool {
         if self.superseded(&next) {
             next.phase = Phase::Gone;
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Marks an endpoint as gone. `born` names the start that the statement is about, if known.
+    /// Marks an endpoint as gone. `born` names the start that the registration is about, if known.
     /// Returns the changed record.
     pub fn leave(&mut self, now: Duration, id: &str, born: Option<u64>) -> Option<Endpoint> {
         let record = self.endpoints.get_mut(id)?;
@@ -158,7 +158,7 @@
         Some(record.value.clone())
     }
 
-    /// Takes a statement of a host. Returns whether anything changed.
+    /// Takes a registration of a host. Returns whether anything changed.
     pub fn note_host(&mut self, now: Duration, next: Host) -> bool {
         match self.hosts.get_mut(&next.link) {
             // Any other start counts as later: the time of day may have been set back meanwhile.
@@ -181,22 +181,22 @@
 
     /// Takes records from another directory. Returns those that changed something here.
     pub fn merge(&mut self, now: Duration, records: Records) -> Records {
-        let mut news = Records::default();
+        let mut changed = Records::default();
         for endpoint in records.endpoints {
             if self.note_copy(now, &endpoint) {
-                news.endpoints.push(endpoint);
+                changed.endpoints.push(endpoint);
             }
         }
         for host in records.hosts {
-            if self.is_news(&host) && self.note_host(now, host.clone()) {
-                news.hosts.push(host);
+            if self.is_newer(&host) && self.note_host(now, host.clone()) {
+                changed.hosts.push(host);
             }
         }
-        news
+        changed
     }
 
     /// Whether the copy of a host's record says more than what is known here.
-    fn is_news(&self, copy: &Host) -> bool {
+    fn is_newer(&self, copy: &Host) -> bool {
         let Some(known) = self.hosts.get(&copy.link).map(|r| &r.value) else {
             // A silent host that is not known here was dropped already.
             return !copy.silent;
@@ -222,8 +222,8 @@
         }
         if let Some(known) = known.map(|r| &r.value) {
             if copy.born == known.born && copy.phase == Phase::Gone {
-                let news = known.phase != Phase::Gone;
-                return news && self.leave(now, &copy.id, Some(copy.born)).is_some();
+                let changed = known.phase != Phase::Gone;
+                return changed && self.leave(now, &copy.id, Some(copy.born)).is_some();
             }
             if (copy.born, copy.seq) <= (known.born, known.seq) {
                 return false;
@@ -234,7 +234,7 @@
 
     /// Marks what nothing was heard of for a long time, except the host `own`. Only control hosts
     /// hear heartbeats, so only they may decide this. Returns what has changed.
-    pub fn silence(&mut self, now: Duration, own: &str) -> Records {
+    pub fn mark_silent(&mut self, now: Duration, own: &str) -> Records {
         let mut changed = Records::default();
         let quiet = |heard: Duration| now.saturating_sub(heard) >= FORGET;
         for (_, record) in self.endpoints.iter_mut().filter(|(_, r)| quiet(r.heard)) {
@@ -272,7 +272,7 @@
         }
     }
 
-    /// Digest of the records in use, without the numbers of statements that changed nothing. What
+    /// Digest of the records in use, without the numbers of registrations that changed nothing. What
     /// is silent or gone is dropped by each host at its own time.
     pub fn digest(&self) -> u64 {
         let mut hasher = xxhash_rust::xxh3::Xxh3::new();
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -137,12 +137,12 @@
 /// Takes a message that every role understands.
 pub fn cast(node: &node::Node, from: &Arc<str>, message: frame::Cast) {
     match message {
-        frame::Cast::News(news) => {
-            node.view.take_news(node.now(), news);
+        frame::Cast::Update(update) => {
+            node.view.take_update(node.now(), update);
         }
         frame::Cast::Load(load) => node.view.loads(|l| l.note_load(node.now(), from, load)),
         frame::Cast::Total(total) => node.view.loads(|l| l.note_total(node.now(), from, total)),
-        frame::Cast::Replica(_) | frame::Cast::Greet(_) => {}
+        frame::Cast::Replica(_) | frame::Cast::Announce(_) => {}
     }
 }
 
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -1,7 +1,7 @@
 //! Frames between hosts.
 
+use crate::fleet::control_state;
 use crate::fleet::directory;
-use crate::fleet::keeper;
 use crate::fleet::load;
 use crate::replica;
 use crate::wire;
@@ -31,19 +31,19 @@
 pub enum Cast {
     /// Message of a replica.
     Replica(replica::Envelope),
-    /// A host introduces itself to a control host and says what it knows.
-    Greet(Greeting),
-    /// News of a control host.
-    News(News),
+    /// A host announces itself to a control host and says what it knows.
+    Announce(Announcement),
+    /// Update of a control host.
+    Update(Update),
     /// An entry reports its running requests to the host that places items.
     Load(Load),
     /// The host that places items reports what else runs at endpoints.
     Total(Total),
 }
 
-/// Introduction of a host.
+/// Announcement of a host.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Greeting {
+pub struct Announcement {
     /// The host.
     pub host: directory::Host,
     /// Version of its configuration; 0 without one.
@@ -54,16 +54,16 @@
     pub digest: u64,
 }
 
-/// News of a control host; absent parts have not changed.
+/// Update of a control host; absent parts have not changed.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct News {
+pub struct Update {
     /// Configuration document.
-    pub document: Option<keeper::Document>,
+    pub document: Option<control_state::Document>,
     /// First members of the job group.
     pub stores: Option<Vec<Arc<str>>>,
     /// Records of hosts and endpoints.
     pub records: directory::Records,
-    /// Endpoints that have left, with the start that the statement is about, if known.
+    /// Endpoints that have left, with the start that the registration is about, if known.
     pub left: Vec<(Arc<str>, Option<u64>)>,
 }
 
--- a/src/fleet/groups.rs
+++ b/src/fleet/groups.rs
@@ -147,6 +147,15 @@
         }
     }
 
+    /// Whether the replica of this host has applied everything that was committed before, which
+    /// only a leader that a quorum follows can tell.
+    pub async fn confirm_here(&self, limit: Duration) -> bool {
+        let Some((group, slot)) = &self.local else { return false };
+        let handle = peer::lock(slot).clone();
+        let asked = ask_handle(handle, wire::Request::Confirm { group: *group });
+        matches!(time::timeout(limit, asked).await, Ok(wire::Reply::Confirmed { .. }))
+    }
+
     async fn confirm(&self, group: u16, limit: Duration) -> Result<(), Failure> {
         self.ask(group, wire::Request::Confirm { group }, limit).await.map(|_| ())
     }
@@ -235,17 +244,11 @@
 pub async fn ask_handle(handle: Option<group::Handle>, request: wire::Request) -> wire::Reply {
     let refused = |run| wire::Reply::NotDone { reason: wire::Reason::NoQuorum, leader: None, run };
     let Some(handle) = handle else { return refused(wire::Run::No) };
+    if matches!(request, wire::Request::Status) {
+        return status(&handle).await;
+    }
     let (done, answer) = oneshot::channel();
-    let call = match request {
-        wire::Request::Propose { command, .. } => group::Call::Propose { command, done },
-        wire::Request::Query { query, .. } => group::Call::Query { query, done },
-        wire::Request::Confirm { .. } => group::Call::Confirm { done },
-        wire::Request::Probe { host, id, blank, .. } => {
-            group::Call::Probe { host, id, blank, done }
-        }
-        wire::Request::Status => return status(&handle).await,
-        _ => return refused(wire::Run::No),
-    };
+    let call = group::Call::of(request, done);
     if !handle.call(call) {
         return refused(wire::Run::No);
     }
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -1,4 +1,4 @@
-//! Replica of this host: opens its folder, runs its thread and introduces it to the group.
+//! Replica of this host: opens its folder, runs its thread and probes the members for the group.
 
 use crate::errors;
 use crate::event;
@@ -28,11 +28,11 @@
 const SNAPSHOT: u64 = 4_000;
 /// Size of a log segment; two are reserved. The smallest disks hold 128 MB.
 const SEGMENT: u64 = 8 << 20;
-/// Part of the disk that is kept free of log segments, for snapshots.
+/// Most bytes of all log segments. The rest of the smallest disk is left for snapshots.
 const CAPACITY: u64 = 64 << 20;
-/// Interval between introductions of a replica that is no voter or knows no leader.
+/// Interval between probes of a replica that is no voter or knows no leader.
 const PROBE: Duration = Duration::from_millis(250);
-/// Longest wait for the answer to an introduction.
+/// Longest wait for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Replica group and what this host needs to take part in it.
@@ -72,7 +72,7 @@
         service: impl Fn() -> Box<dyn service::Service> + Send + 'static,
     ) {
         let member = self.clone();
-        tree.spawn("introductions", move |stop| probe(member.clone(), stop));
+        tree.spawn("probes", move |stop| probe(member.clone(), stop));
         let mut stop = tree.stop();
         tree.spawn_once(async move {
             tokio::select! {
@@ -151,13 +151,13 @@
     }
 }
 
-/// Introduces the replica while it is no voter or knows no leader.
+/// Probes the members for the replica while it is no voter or knows no leader.
 async fn probe(member: Member, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
     let mut ticks = member.node.timer.subscribe(PROBE);
     loop {
         let handle = peer::lock(&member.node.local).clone();
         if let Some(handle) = handle {
-            introduce(&member, &handle).await;
+            probe_members(&member, &handle).await;
         }
         tokio::select! {
             _ = ticks.next() => {}
@@ -166,7 +166,7 @@
     }
 }
 
-async fn introduce(member: &Member, handle: &group::Handle) {
+async fn probe_members(member: &Member, handle: &group::Handle) {
     let (done, status) = oneshot::channel();
     handle.call(group::Call::Status { done });
     let Ok(status) = status.await else { return };
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,13 +5,13 @@
 
 pub mod attempt;
 pub mod control;
+pub mod control_state;
 pub mod directory;
 pub mod dispatch;
 pub mod entry;
 pub mod forward;
 pub mod frame;
 pub mod groups;
-pub mod keeper;
 pub mod ledger;
 pub mod load;
 pub mod member;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -28,10 +28,10 @@
 use tokio::signal::unix;
 use tokio::sync::watch;
 
-/// Interval between greetings to the control hosts.
-const GREET: Duration = Duration::from_millis(500);
-/// Interval between greetings before the first configuration arrives.
-const GREET_FIRST: Duration = Duration::from_millis(100);
+/// Interval between announcements to the control hosts.
+const ANNOUNCE: Duration = Duration::from_millis(500);
+/// Interval between announcements before the first configuration arrives.
+const ANNOUNCE_FIRST: Duration = Duration::from_millis(100);
 /// Interval between looks at the requests of an entry.
 const REPORT: Duration = Duration::from_millis(10);
 /// Interval between reports to the entries. Each costs a message to every entry.
@@ -160,7 +160,7 @@
     /// Adds the tasks that every role needs. `end` ends the connections to other hosts.
     pub fn spawn_common(&self, tree: &mut supervisor::Supervisor, end: &supervisor::Stop) {
         let (node, end) = (self.clone(), end.clone());
-        tree.spawn("greetings", move |_| greet(node.clone(), end.clone()));
+        tree.spawn("announcements", move |_| announce(node.clone(), end.clone()));
         let node = self.clone();
         tree.spawn("settings", move |stop| reload(node.clone(), stop));
     }
@@ -206,19 +206,19 @@
     socket.listen(BACKLOG).map_err(failed)
 }
 
-async fn greet(node: Node, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+async fn announce(node: Node, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
     let mut seq = 1;
     loop {
-        let greeting = node.view.greeting(seq);
+        let announcement = node.view.announcement(seq);
         seq += 1;
         for control in node.view.controls() {
-            node.peers.cast(&control, frame::Cast::Greet(greeting.clone()));
+            node.peers.cast(&control, frame::Cast::Announce(announcement.clone()));
         }
         node.view.directory(|d| d.expire(node.now()));
         peer::lock(&node.health).expire(node.now());
         node.upstream.expire();
         let ready = node.view.in_force().is_some();
-        let pause = if ready { GREET } else { GREET_FIRST };
+        let pause = if ready { ANNOUNCE } else { ANNOUNCE_FIRST };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = stop.wait() => return Ok(()),
--- a/src/fleet/protocol.rs
+++ b/src/fleet/protocol.rs
@@ -88,14 +88,14 @@
     /// The first problem; an invalid configuration must not be used.
     fn config(&self, body: &[u8]) -> Result<routes::Config, routes::Problem>;
 
-    /// Reads the statement of an endpoint.
+    /// Reads the registration of an endpoint.
     ///
     /// # Errors
     /// `Invalid` for text that does not describe an endpoint completely.
     fn registration(&self, id: &str, body: &[u8]) -> Result<directory::Endpoint, Invalid>;
 
-    /// Reads the start time from the farewell of an endpoint, if it is stated.
-    fn farewell(&self, body: &[u8]) -> Option<u64>;
+    /// Reads the start time from the deregistration of an endpoint, if it is stated.
+    fn deregistration(&self, body: &[u8]) -> Option<u64>;
 
     /// Reads the items of a submitted job.
     ///
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -96,14 +96,6 @@
     fn applied(&mut self, _now: Duration) {
         self.shared.applied.send_modify(|n| *n += 1);
     }
-
-    fn tick(&mut self, _now: Duration) -> Vec<Bytes> {
-        Vec::new()
-    }
-
-    fn serve(&mut self, _now: Duration, _request: wire::Request, done: service::Done) {
-        service::refuse(done, wire::Reason::Invalid);
-    }
 }
 
 /// Adds the tasks of the role to a supervisor. Returns the stop of its connections.
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -2,9 +2,9 @@
 
 use crate::event;
 use crate::events;
+use crate::fleet::control_state;
 use crate::fleet::directory;
 use crate::fleet::frame;
-use crate::fleet::keeper;
 use crate::fleet::load;
 use crate::fleet::peer;
 use crate::fleet::protocol;
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub struct InForce {
     /// Document of the operator.
-    pub document: keeper::Document,
+    pub document: control_state::Document,
     /// Its content.
     pub config: routes::Config,
 }
@@ -91,7 +91,7 @@
     }
 
     /// Puts a document in force if its version is higher. Returns whether it was.
-    pub fn take_document(&self, document: keeper::Document) -> bool {
+    pub fn take_document(&self, document: control_state::Document) -> bool {
         let known = self.in_force.load().as_ref().map_or(0, |f| f.document.version);
         if document.version <= known {
             return false;
@@ -116,7 +116,7 @@
         peer::lock(&self.stores).clone()
     }
 
-    /// Learns where the job group is placed. Returns whether that was news.
+    /// Learns where the job group is placed. Returns whether that changed anything.
     pub fn take_stores(&self, stores: Vec<Arc<str>>) -> bool {
         let mut known = peer::lock(&self.stores);
         if stores.is_empty() || !known.is_empty() {
@@ -139,14 +139,14 @@
         run(&mut peer::lock(&self.loads))
     }
 
-    /// Takes the news of a control host. Returns the part that changed something here.
-    pub fn take_news(&self, now: Duration, news: frame::News) -> Option<frame::News> {
-        let document = news.document.filter(|d| self.take_document(d.clone()));
-        let stores = news.stores.filter(|s| self.take_stores(s.clone()));
+    /// Takes an update of a control host. Returns the part that changed something here.
+    pub fn take_update(&self, now: Duration, update: frame::Update) -> Option<frame::Update> {
+        let document = update.document.filter(|d| self.take_document(d.clone()));
+        let stores = update.stores.filter(|s| self.take_stores(s.clone()));
         let (records, left) = self.directory(|d| {
-            let records = d.merge(now, news.records);
+            let records = d.merge(now, update.records);
             let mut left = Vec::new();
-            for (id, born) in news.left {
+            for (id, born) in update.left {
                 if d.endpoint(&id).is_some_and(|e| e.phase != directory::Phase::Gone)
                     && d.leave(now, &id, born).is_some()
                 {
@@ -156,7 +156,7 @@
             (records, left)
         });
         for endpoint in &records.endpoints {
-            event!(self.log, events::ENDPOINT_STATED; "endpoint" => &*endpoint.id,
+            event!(self.log, events::ENDPOINT_CHANGED; "endpoint" => &*endpoint.id,
                 "service" => &*endpoint.service, "address" => %endpoint.address,
                 "phase" => ?endpoint.phase, "born" => endpoint.born, "seq" => endpoint.seq);
         }
@@ -164,9 +164,9 @@
         if !quiet {
             self.change();
         }
-        let news = frame::News { document, stores, records, left };
-        let changed = !quiet || news.document.is_some() || news.stores.is_some();
-        changed.then_some(news)
+        let update = frame::Update { document, stores, records, left };
+        let changed = !quiet || update.document.is_some() || update.stores.is_some();
+        changed.then_some(update)
     }
 
     /// Tells the waiting parts that the directory was changed directly.
@@ -202,9 +202,9 @@
         links
     }
 
-    /// Introduction of this host to a control host under a number that rises.
-    pub fn greeting(&self, seq: u64) -> frame::Greeting {
-        frame::Greeting {
+    /// Announcement of this host to a control host under a number that rises.
+    pub fn announcement(&self, seq: u64) -> frame::Announcement {
+        frame::Announcement {
             host: directory::Host { seq, ..self.own.clone() },
             version: self.in_force.load().as_ref().map_or(0, |f| f.document.version),
             placed: !peer::lock(&self.stores).is_empty(),
@@ -212,16 +212,16 @@
         }
     }
 
-    /// What a host that has sent a greeting does not know yet.
-    pub fn missing(&self, greeting: &frame::Greeting) -> Option<frame::News> {
+    /// What a host that has sent a announcement does not know yet.
+    pub fn missing(&self, announcement: &frame::Announcement) -> Option<frame::Update> {
         let in_force = self.in_force.load();
         let document = in_force.as_ref().map(|f| f.document.clone());
-        let document = document.filter(|d| d.version > greeting.version);
-        let stores = (!greeting.placed).then(|| self.stores()).filter(|s| !s.is_empty());
-        let same = self.directory(|d| d.digest()) == greeting.digest;
+        let document = document.filter(|d| d.version > announcement.version);
+        let stores = (!announcement.placed).then(|| self.stores()).filter(|s| !s.is_empty());
+        let same = self.directory(|d| d.digest()) == announcement.digest;
         let records =
             if same { directory::Records::default() } else { self.directory(|d| d.records()) };
         let silent = document.is_none() && stores.is_none() && same;
-        (!silent).then_some(frame::News { document, stores, records, left: Vec::new() })
+        (!silent).then_some(frame::Update { document, stores, records, left: Vec::new() })
     }
 }
--- a/src/replica/turnover.rs
+++ b/src/replica/turnover.rs
@@ -1,7 +1,7 @@
 //! Keeps a group at its size while hosts come and go, one committed step at a time.
 //!
 //! Unlike [`crate::replica::repair`], which replaces the replica of a listed host, any host that
-//! introduces itself may take the place of a lost one. It becomes a learner only once a place is
+//! probes the members may take the place of a lost one. It becomes a learner only once a place is
 //! free or about to be, since every learner costs a copy of the log. A voter that can be reached
 //! is removed only if its host is to be emptied.
 
@@ -21,7 +21,7 @@
 /// and start of a process, which keeps its disk; shorter than the time after which a second loss
 /// has to be borne.
 const LOST: Duration = Duration::from_millis(1_500);
-/// Silence after which a learner is dropped. It is added again when it introduces itself.
+/// Silence after which a learner is dropped. It is added again when it probes the members.
 const DROPPED: Duration = Duration::from_secs(6);
 
 /// Turnover of one group, kept on every host and effective on the leader.
@@ -39,7 +39,7 @@
         Turnover { size, silent: sorted::SortedMap::new() }
     }
 
-    /// Decides from recent introductions of hosts. `leaving` names hosts that are to be emptied.
+    /// Decides from recent probes of hosts. `leaving` names hosts that are to be emptied.
     pub fn step(
         &mut self,
         now: Duration,
--- a/src/state/group/calls.rs
+++ b/src/state/group/calls.rs
@@ -70,6 +70,19 @@
     },
 }
 
+impl Call {
+    /// Call that answers a request of another process.
+    pub fn of(request: wire::Request, done: service::Done) -> Call {
+        match request {
+            wire::Request::Propose { command, .. } => Call::Propose { command, done },
+            wire::Request::Query { query, .. } => Call::Query { query, done },
+            wire::Request::Confirm { .. } => Call::Confirm { done },
+            wire::Request::Probe { host, id, blank, .. } => Call::Probe { host, id, blank, done },
+            request => Call::Serve { request, done },
+        }
+    }
+}
+
 /// Handle of a group's thread. Clones share it.
 #[derive(Clone)]
 pub struct Handle {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -204,15 +204,7 @@
             return refused(wire::Reason::Invalid);
         };
         let (done, answer) = oneshot::channel();
-        let call = match request {
-            wire::Request::Propose { command, .. } => group::Call::Propose { command, done },
-            wire::Request::Query { query, .. } => group::Call::Query { query, done },
-            wire::Request::Confirm { .. } => group::Call::Confirm { done },
-            wire::Request::Probe { host, id, blank, .. } => {
-                group::Call::Probe { host, id, blank, done }
-            }
-            request => group::Call::Serve { request, done },
-        };
+        let call = group::Call::of(request, done);
         if !group.call(call) {
             return refused(wire::Reason::QueueFull);
         }
--- a/src/state/service.rs
+++ b/src/state/service.rs
@@ -23,7 +23,9 @@
     fn is_new_work(&self, command: &[u8]) -> bool;
 
     /// Prepares a command for the log, for example by stamping it with the group's clock.
-    fn prepare(&mut self, now: Duration, command: Bytes) -> Result<Bytes, wire::Reason>;
+    fn prepare(&mut self, _now: Duration, command: Bytes) -> Result<Bytes, wire::Reason> {
+        Ok(command)
+    }
 
     /// Leadership was gained or lost.
     fn lead(&mut self, now: Duration, leads: bool);
@@ -37,10 +39,14 @@
     fn applied(&mut self, now: Duration);
 
     /// Time has passed on the leader. Returns commands to propose.
-    fn tick(&mut self, now: Duration) -> Vec<Bytes>;
+    fn tick(&mut self, _now: Duration) -> Vec<Bytes> {
+        Vec::new()
+    }
 
     /// Serves a request that only the leader answers.
-    fn serve(&mut self, now: Duration, request: wire::Request, done: Done);
+    fn serve(&mut self, _now: Duration, _request: wire::Request, done: Done) {
+        refuse(done, wire::Reason::Invalid);
+    }
 }
 
 /// Answers `NotDone` for a request that was not run.
--- a/tests/fleet_directory.rs
+++ b/tests/fleet_directory.rs
@@ -1,4 +1,4 @@
-//! Order of statements in the directory.
+//! Order of registrations in the directory.
 
 use basilfield::fleet::directory;
 use basilfield::fleet::settings;
@@ -59,7 +59,7 @@
     d.note_endpoint(NOW, endpoint("i", 1, 50, 80, Phase::Draining));
     d.note_endpoint(NOW, endpoint("i", 2, 1, 80, Phase::Ready));
     d.note_endpoint(NOW, endpoint("i", 1, 51, 80, Phase::Draining));
-    assert!(d.leave(NOW, "i", Some(1)).is_none(), "a farewell of the earlier start");
+    assert!(d.leave(NOW, "i", Some(1)).is_none(), "a deregistration of the earlier start");
     insta::assert_snapshot!(show(&d), @"i 2.1 Ready");
 }
 
@@ -84,7 +84,7 @@
 /// Guards against directories that differ for good after their updates took different ways.
 #[test]
 fn copies_agree_whatever_the_order() {
-    let statements = [
+    let registrations = [
         endpoint("a", 1, 1, 80, Phase::Ready),
         endpoint("a", 1, 3, 80, Phase::Draining),
         endpoint("b", 5, 1, 80, Phase::Ready),
@@ -93,7 +93,7 @@
         endpoint("c", 4, 1, 81, Phase::Ready),
     ];
     let orders = [[0, 1, 2, 3, 4, 5], [5, 4, 3, 2, 1, 0], [2, 0, 5, 1, 3, 4], [3, 5, 4, 1, 0, 2]];
-    // Numbers of statements that changed nothing may differ, as in the digest.
+    // Numbers of registrations that changed nothing may differ, as in the digest.
     let show = |d: &Directory| {
         let line = |e: &Endpoint| format!("{} {} {:?}", e.id, e.born, e.phase);
         d.endpoints().map(line).collect::<Vec<_>>().join(", ")
@@ -101,7 +101,7 @@
     let seen = orders.map(|order| {
         let mut d = Directory::default();
         for at in order {
-            let endpoints = vec![statements[at].clone()];
+            let endpoints = vec![registrations[at].clone()];
             d.merge(NOW, directory::Records { endpoints, hosts: Vec::new() });
         }
         show(&d)
@@ -180,9 +180,9 @@
     other.note_endpoint(heard, endpoint("i", 1, 60, 80, Phase::Ready));
     other.note_host(heard, host("h", 1, 120));
     let later = Duration::from_secs(70);
-    let marked = cut.silence(later, "own");
+    let marked = cut.mark_silent(later, "own");
     let mut seen = vec![show(&cut)];
-    other.silence(later, "own");
+    other.mark_silent(later, "own");
     other.merge(later, marked.clone());
     seen.push(show(&other));
     entry.merge(later, marked);
--- /dev/null
+++ b/tests/fleet_view.rs
@@ -0,0 +1,87 @@
+//! What a host believes of the fleet.
+
+#[path = "../platform/mod.rs"]
+mod platform;
+
+use basilfield::fleet::control_state;
+use basilfield::fleet::directory;
+use basilfield::fleet::frame;
+use basilfield::fleet::settings;
+use basilfield::fleet::view;
+use std::sync::Arc;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1);
+
+fn view(link: &str) -> view::View {
+    let own = directory::Host {
+        name: link.into(),
+        link: link.into(),
+        role: settings::Role::Control,
+        domain: "d".into(),
+        born: 1,
+        seq: 0,
+        silent: false,
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    view::View::new(own, vec!["seed".into()], Arc::new(platform::Platform::default()), &log)
+}
+
+fn document(version: u64, timeout: u64) -> control_state::Document {
+    let text = format!(
+        r#"{{"version":{version},"routes":[{{"name":"r","host":"h","prefix":"/","kind":"safe",
+        "timeoutMs":{timeout},"service":"s"}}],"services":[{{"name":"s"}}]}}"#
+    );
+    control_state::Document { version, text: text.into() }
+}
+
+fn in_force(view: &view::View) -> String {
+    view.in_force().map_or("none".to_string(), |f| {
+        format!("{} {:?}", f.document.version, f.config.routes[0].timeout)
+    })
+}
+
+/// Guards against a host that goes back to an older configuration, takes other content under the
+/// version it has, or one that it cannot read.
+#[test]
+fn versions_only_rise() {
+    let v = view("a");
+    let mut seen = vec![in_force(&v)];
+    let unreadable = control_state::Document { version: 9, text: "{".into() };
+    let documents =
+        [document(5, 100), document(3, 200), document(5, 300), unreadable, document(6, 400)];
+    for document in documents {
+        let taken = v.take_document(document);
+        seen.push(format!("{taken} {}", in_force(&v)));
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    none
+    true 5 100ms
+    false 5 100ms
+    false 5 100ms
+    false 5 100ms
+    true 6 400ms
+    ");
+}
+
+/// Guards against a host that never learns what it lacks, and against one that is sent everything
+/// again and again.
+#[test]
+fn announcements_bring_what_is_missing() {
+    let (control, other) = (view("a"), view("b"));
+    control.take_document(document(5, 100));
+    control.take_stores(vec!["s1".into()]);
+    let mut rounds = 0;
+    while let Some(update) = control.missing(&other.announcement(1)) {
+        other.take_update(NOW, update);
+        // The control host learns of the other one by its announcement.
+        control.directory(|d| d.note_host(NOW, other.announcement(1).host));
+        rounds += 1;
+        assert!(rounds < 5, "both agree after a few announcements");
+    }
+    let members = [other.members(0), other.members(1)].map(|m| m.join(" "));
+    insta::assert_snapshot!(format!("{rounds} {} {members:?}", in_force(&other)),
+        @r#"1 5 100ms ["a seed", "s1"]"#);
+    let again = frame::Update { document: Some(document(5, 9)), ..frame::Update::default() };
+    assert!(other.take_update(NOW, again).is_none(), "nothing to pass on");
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -44,7 +44,7 @@
     insta::assert_snapshot!(cases.iter().map(problem).collect::<Vec<_>>().join("\n"));
 }
 
-/// Guards against statements of other writers that are taken for those of an endpoint.
+/// Guards against registrations of other writers that are taken for those of an endpoint.
 #[test]
 fn statements_of_endpoints() {
     let platform = platform::Platform::default();
