Start items only on a complete ledger; tell the runs of an item apart

Cause: a new leader of the job group planned before it had applied all that its predecessor committed, so items ran again from an older event. A part that the ledger ignored counted as stored, and a report, or a reply, from before a change of leader could meet an item that had been started anew since. Of these the first was seen, in the new test: items ran three times where two were needed; the others were found by reading.

A leader waits for a confirmed read of its own replica. Reports carry the number of their run, messages the epoch of the dispatcher, and a part counts as stored only if the ledger holds it. The runs of items and their progress are modules of their own. An item that forms no request is refused with 400 when its job is submitted. A change of the ledger that is not confirmed is an event.

--- a/src/events.rs
+++ b/src/events.rs
@@ -128,6 +128,8 @@
     ITEM_ABANDONED = 508, Info, "item given up";
     /// The client of a job ended it.
     JOB_ENDED = 509, Info, "job ended by its client";
+    /// A change of the ledger was not committed, or it is unknown whether it was.
+    LEDGER_UNCHANGED = 510, Info, "change of the ledger not confirmed";
     /// An endpoint announced itself.
     ENDPOINT_JOINED = 600, Info, "endpoint joined";
     /// An endpoint stopped announcing itself or withdrew.
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -13,17 +13,13 @@
 use crate::fleet::node;
 use crate::fleet::peer;
 use crate::fleet::plan;
-use crate::fleet::sse;
+use crate::fleet::progress::Key;
+use crate::fleet::progress::Progress;
+use crate::fleet::runner;
+use crate::fleet::runner::Ended;
 use crate::fleet::store;
-use crate::fleet::upstream;
 use crate::sorted;
 use crate::supervisor;
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::StatusCode;
-use hyper::header;
-use hyper::header::HeaderName;
-use hyper::header::HeaderValue;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,8 +30,6 @@
 /// Interval between plans. An online request that waits for a slot gets it within this time and
 /// the time that its report takes.
 const PLAN: Duration = Duration::from_millis(25);
-/// Silence of an endpoint after which an item goes on elsewhere.
-const SILENCE: Duration = Duration::from_millis(3_000);
 /// Pause before an item is sent again after an endpoint did not run it.
 const AGAIN: Duration = Duration::from_millis(150);
 /// Pause before an item is sent again after an endpoint failed to run it.
@@ -51,57 +45,6 @@
 /// which it first saw a job.
 const KEEP_FACTOR: u32 = 2;
 
-type Key = (Arc<str>, Arc<str>);
-
-/// Output of an item that has arrived.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Progress {
-    /// Events that are stored in the ledger.
-    stored: u64,
-    /// Data of the events after those, separated by line feeds.
-    output: Vec<u8>,
-    /// Events in all.
-    events: u64,
-    /// Number of the last event.
-    last: Option<u64>,
-    /// Time for which the item has run.
-    ran: Duration,
-}
-
-impl Progress {
-    fn new(part: &ledger::Part) -> Progress {
-        let (events, last) = (part.events, part.last);
-        Progress { stored: events, events, last, ..Progress::default() }
-    }
-
-    fn add(&mut self, data: &[u8], id: Option<u64>) {
-        if self.events > self.stored {
-            self.output.push(b'\n');
-        }
-        self.output.extend_from_slice(data);
-        self.events += 1;
-        self.last = id.or(self.last);
-    }
-
-    fn advance(&self, key: &Key) -> ledger::Advance {
-        ledger::Advance {
-            job: key.0.clone(),
-            item: key.1.clone(),
-            after: self.stored,
-            events: self.events,
-            last: self.last,
-            data: self.output.clone().into(),
-        }
-    }
-
-    /// Forgets the output that the ledger has stored: `len` bytes up to the event `events`.
-    fn settle(&mut self, events: u64, len: usize) {
-        let separator = usize::from(self.events > events);
-        self.output.drain(..(len + separator).min(self.output.len()));
-        self.stored = events;
-    }
-}
-
 /// Item that is on its way.
 enum State {
     /// Runs at an endpoint.
@@ -119,26 +62,21 @@
     progress: Progress,
 }
 
-/// How the run of an item ended.
-enum Ended {
-    /// Its output is complete.
-    Done,
-    /// It goes on later.
-    Interrupted { cause: Arc<str>, at_fault: bool, pause: Duration },
-    /// The endpoint answered with a failure.
-    Failed,
-    /// The endpoint said that the item can never be run.
-    Impossible,
-}
-
 enum Message {
-    Event(Key, Vec<u8>, Option<u64>),
-    Ended(Key, Ended),
-    Committed(Key, bool),
+    /// An outcome was committed, or not.
+    Committed(Key),
+    /// The ledger holds all that was committed before this host began to lead.
+    Ready,
     /// Parts of items were stored, or not: events and bytes of each.
     Stored(Vec<(Key, u64, usize)>, bool),
 }
 
+/// Message with the epoch of the dispatcher in which its cause began.
+struct Stamped {
+    epoch: u64,
+    message: Message,
+}
+
 /// Item that may be started.
 struct Queued {
     key: Key,
@@ -155,9 +93,17 @@
     known: sorted::SortedMap<Key, Known>,
     /// When this leader first saw each job.
     jobs: sorted::SortedMap<Arc<str>, time::Instant>,
-    messages: mpsc::Sender<Message>,
+    messages: mpsc::Sender<Stamped>,
+    reports: mpsc::Sender<runner::Report>,
     started: u64,
     pace: plan::Pace,
+    /// Number of the last change of leadership. Messages from before it are ignored: what they
+    /// tell of an item does not fit the progress that was read from the ledger since.
+    epoch: u64,
+    /// Waits until the ledger is known to be complete.
+    confirming: Option<task::JoinHandle<()>>,
+    /// Whether the ledger is known to be complete, so that items may be started.
+    ready: bool,
     /// Items whose parts are being stored, sorted.
     storing: Vec<Key>,
     stored: time::Instant,
@@ -177,28 +123,40 @@
     let mut leads = shared.leads.subscribe();
     let mut ticks = node.timer.subscribe(PLAN);
     let (messages, mut inbox) = mpsc::channel(MESSAGES);
+    let (reports, mut reported) = mpsc::channel(MESSAGES);
     let mut dispatcher = Dispatcher {
         node,
         shared,
         known: sorted::SortedMap::new(),
         jobs: sorted::SortedMap::new(),
         messages,
+        reports,
         started: 0,
         pace: plan::Pace::default(),
+        epoch: 0,
+        confirming: None,
+        ready: false,
         storing: Vec::new(),
         stored: time::Instant::now(),
     };
     loop {
         tokio::select! {
             () = stop.wait() => return Ok(()),
-            _ = leads.changed() => dispatcher.reset(),
+            changed = leads.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+                let leads = *leads.borrow_and_update();
+                dispatcher.reset(leads);
+            }
             _ = ticks.next() => {
-                if *leads.borrow() {
+                if dispatcher.ready {
                     dispatcher.plan();
                     dispatcher.store();
                 }
             }
             Some(message) = inbox.recv() => dispatcher.take(message),
+            Some(report) = reported.recv() => dispatcher.report(report),
         }
     }
 }
@@ -222,30 +180,64 @@
 }
 
 impl Dispatcher {
-    /// Forgets everything; stops what runs.
-    fn reset(&mut self) {
+    /// Forgets everything; stops what runs. A new leader starts items once it has applied what
+    /// its predecessors committed.
+    fn reset(&mut self, leads: bool) {
+        self.epoch += 1;
+        self.ready = false;
+        if let Some(confirming) = self.confirming.take() {
+            confirming.abort();
+        }
+        if leads {
+            let node = self.node.clone();
+            self.confirming = Some(self.spawn(async move {
+                while !node.groups.confirm_here(COMMIT).await {
+                    time::sleep(AGAIN).await;
+                }
+                Message::Ready
+            }));
+        }
         self.known.clear();
         self.jobs.clear();
         self.storing.clear();
     }
 
-    fn take(&mut self, message: Message) {
-        match message {
-            Message::Event(key, data, id) => {
-                let Some(known) = self.known.get_mut(&key) else { return };
-                // An endpoint that resumes may repeat what has arrived.
-                if id.is_none() || id > known.progress.last {
-                    known.progress.add(&data, id);
-                }
-            }
-            Message::Ended(key, ended) => self.ended(key, ended),
-            Message::Committed(key, true) => {
-                self.known.remove(&key);
+    /// Runs `work` beside the dispatcher and sends what comes of it.
+    fn spawn(&self, work: impl Future<Output = Message> + Send + 'static) -> task::JoinHandle<()> {
+        let (epoch, messages) = (self.epoch, self.messages.clone());
+        tokio::spawn(async move {
+            let message = work.await;
+            // The dispatcher is gone only when the process ends.
+            let _ = messages.send(Stamped { epoch, message }).await;
+        })
+    }
+
+    /// Takes the report of a run, unless the item has been stopped or started again since.
+    fn report(&mut self, report: runner::Report) {
+        let Some(known) = self.known.get_mut(&report.key) else { return };
+        if !matches!(&known.state, State::Running { number, .. } if *number == report.number) {
+            return;
+        }
+        match report.said {
+            // An endpoint that resumes may repeat what has arrived.
+            runner::Said::Event(data, id) if id.is_none() || id > known.progress.last => {
+                known.progress.add(&data, id);
             }
-            // What is stored may not be what was assumed: the item goes on from the ledger.
-            Message::Committed(key, false) => {
+            runner::Said::Event(..) => {}
+            runner::Said::Ended(ended) => self.ended(report.key, ended),
+        }
+    }
+
+    fn take(&mut self, stamped: Stamped) {
+        if stamped.epoch != self.epoch {
+            return;
+        }
+        match stamped.message {
+            // An item that is still open goes on from what the ledger holds.
+            Message::Committed(key) => {
                 self.known.remove(&key);
             }
+            Message::Ready => self.ready = true,
             Message::Stored(parts, done) => {
                 self.storing.clear();
                 for (key, events, len) in parts {
@@ -256,8 +248,18 @@
     }
 
     fn part_stored(&mut self, key: Key, stored: Option<(u64, usize)>) {
+        let part = {
+            let ledger = peer::lock(&self.shared.ledger);
+            let open = ledger.job(&key.0).map(|j| &j.open[..]).unwrap_or_default();
+            open.iter().find(|o| o.item.id == key.1).map(|o| o.part.events)
+        };
         let Some(known) = self.known.get_mut(&key) else { return };
         if let Some((events, len)) = stored {
+            if part != Some(events) {
+                // The ledger holds something else: the item goes on from there.
+                self.known.remove(&key);
+                return;
+            }
             known.progress.settle(events, len);
         }
         if matches!(known.state, State::Whole) {
@@ -271,7 +273,7 @@
             return;
         }
         self.stored = time::Instant::now();
-        let news = |(_, known): &(&Key, &Known)| {
+        let unstored = |(_, known): &(&Key, &Known)| {
             known.progress.events > known.progress.stored
                 && matches!(known.state, State::Running { .. } | State::Resting { .. })
         };
@@ -284,7 +286,7 @@
         let advances: Vec<(Key, ledger::Advance)> = self
             .known
             .iter()
-            .filter(news)
+            .filter(unstored)
             .map(|(k, known)| (k.clone(), known.progress.advance(k)))
             .take_while(&mut fits)
             .collect();
@@ -295,11 +297,10 @@
         let part = |(key, a): &(Key, ledger::Advance)| (key.clone(), a.events, a.data.len());
         let parts = advances.iter().map(part).collect();
         let command = ledger::Command::Advance(advances.into_iter().map(|(_, a)| a).collect());
-        let (groups, messages) = (self.node.groups.clone(), self.messages.clone());
-        tokio::spawn(async move {
-            let done = groups.propose(groups::JOBS, &command, COMMIT).await.is_ok();
-            // The dispatcher is gone only when the process ends.
-            let _ = messages.send(Message::Stored(parts, done)).await;
+        let node = self.node.clone();
+        self.spawn(async move {
+            let done = commit(&node, &command).await;
+            Message::Stored(parts, done)
         });
     }
 
@@ -338,14 +339,14 @@
                     self.complete(key);
                 }
             }
-            Ended::Interrupted { cause, at_fault, pause } => {
+            Ended::Interrupted { cause, at_fault } => {
                 event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
                     "endpoint" => &*endpoint, "cause" => &*cause,
                     "events" => known.progress.events);
                 if at_fault {
                     self.node.endpoint_failed(&endpoint, &cause);
                 }
-                self.rest(&key, pause);
+                self.rest(&key, AGAIN);
             }
             Ended::Failed => {
                 event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
@@ -353,11 +354,9 @@
                 self.rest(&key, AGAIN_FAILED);
                 let failures = self.failures(&job, &item) + 1;
                 let command = ledger::Command::Fail { job, item, failures };
-                let groups = self.node.groups.clone();
-                tokio::spawn(async move {
-                    // A count that is lost gives the item one more attempt.
-                    let _ = groups.propose(groups::JOBS, &command, COMMIT).await;
-                });
+                let node = self.node.clone();
+                // A count that is lost gives the item one more attempt.
+                tokio::spawn(async move { commit(&node, &command).await });
             }
             Ended::Impossible => self.abandon(key, ledger::Cause::Impossible),
         }
@@ -381,12 +380,10 @@
     }
 
     fn commit(&self, key: Key, command: ledger::Command) {
-        let (groups, messages) = (self.node.groups.clone(), self.messages.clone());
-        tokio::spawn(async move {
-            let reply = groups.propose(groups::JOBS, &command, COMMIT).await;
-            let done = reply.is_ok_and(|reply| reply != ledger::Reply::Stale);
-            // The dispatcher is gone only when the process ends.
-            let _ = messages.send(Message::Committed(key, done)).await;
+        let node = self.node.clone();
+        self.spawn(async move {
+            commit(&node, &command).await;
+            Message::Committed(key)
         });
     }
 
@@ -456,12 +453,10 @@
             self.abandon(key, cause);
         }
         if !forget.is_empty() {
-            let groups = self.node.groups.clone();
+            let node = self.node.clone();
             let command = ledger::Command::Forget { jobs: forget };
-            tokio::spawn(async move {
-                // Jobs that are still there are forgotten at a later plan.
-                let _ = groups.propose(groups::JOBS, &command, COMMIT).await;
-            });
+            // Jobs that are still there are forgotten at a later plan.
+            tokio::spawn(async move { commit(&node, &command).await });
         }
         let plan = plan::plan(self.places(), &waiting, &running);
         self.node.metrics.level("items_waiting", waiting.len() as u64);
@@ -522,20 +517,23 @@
         let progress = known.unwrap_or_else(|| progress.clone());
         event!(self.node.log, events::ITEM_STARTED; "job" => &*key.0, "request" => &*key.1,
             "endpoint" => &*endpoint, "after_event" => progress.last);
-        let request = match self.request(item, host, &endpoint, progress.last) {
+        let names = self.node.view.protocol().headers();
+        let request = match runner::request(names, item, host, &endpoint, progress.last) {
             Ok(request) => request,
-            Err(_) => return self.abandon(key, ledger::Cause::Impossible),
+            Err(error) => {
+                slog::info!(self.node.log, "item is no request"; "request" => &*key.1,
+                    "error" => %error);
+                return self.abandon(key, ledger::Cause::Impossible);
+            }
         };
-        let (node, messages) = (self.node.clone(), self.messages.clone());
-        let (k, e) = (key.clone(), endpoint.clone());
+        self.started += 1;
+        let run = runner::Run { key: key.clone(), number: self.started, address, request };
+        let (node, reports) = (self.node.clone(), self.reports.clone());
+        let busy = self.node.busy(&endpoint);
         let run = tokio::spawn(async move {
-            let busy = node.busy(&e);
-            let ended = run_item(&node, request, address, &k, &messages).await;
+            run.run(node, reports).await;
             drop(busy);
-            // The dispatcher is gone only when the process ends.
-            let _ = messages.send(Message::Ended(k, ended)).await;
         });
-        self.started += 1;
         let state = State::Running {
             endpoint,
             number: self.started,
@@ -544,83 +542,14 @@
         };
         self.known.insert(key, Known { state, progress });
     }
-
-    fn request(
-        &self,
-        item: &ledger::Item,
-        host: &str,
-        endpoint: &str,
-        last: Option<u64>,
-    ) -> Result<hyper::Request<Full<Bytes>>, hyper::http::Error> {
-        let names = self.node.view.protocol().headers();
-        let mut request = hyper::Request::builder().method("POST").uri(&*item.path);
-        for (name, value) in &item.headers {
-            request = request.header(&**name, &**value);
-        }
-        let mut request = request.body(Full::new(item.body.clone()))?;
-        let headers = request.headers_mut();
-        headers.insert(header::HOST, HeaderValue::from_str(host)?);
-        headers.insert(names.request.clone(), HeaderValue::from_str(&item.id)?);
-        headers.insert(names.expect.clone(), HeaderValue::from_str(endpoint)?);
-        let own: &HeaderName = &names.resume;
-        match last {
-            Some(last) => headers.insert(own.clone(), HeaderValue::from(last)),
-            None => headers.remove(own),
-        };
-        Ok(request)
-    }
-}
-
-fn interrupted(cause: &str, at_fault: bool) -> Ended {
-    Ended::Interrupted { cause: cause.into(), at_fault, pause: AGAIN }
 }
 
-/// Runs an item at one endpoint and hands on its events.
-async fn run_item(
-    node: &node::Node,
-    request: hyper::Request<Full<Bytes>>,
-    address: SocketAddr,
-    key: &Key,
-    messages: &mpsc::Sender<Message>,
-) -> Ended {
-    let names = node.view.protocol().headers();
-    let sent = time::timeout(SILENCE, node.upstream.send(address, request, false)).await;
-    let mut answer = match sent {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(failure)) => return interrupted(&failure.to_string(), true),
-        Err(_) => return interrupted("no answer", true),
-    };
-    let status = answer.head.status;
-    match answer.said(names, &key.1) {
-        upstream::Said::Own => {}
-        upstream::Said::Declined => return interrupted("declined", false),
-        upstream::Said::Strange => return interrupted("answer of another request", true),
-    }
-    match status {
-        StatusCode::UNPROCESSABLE_ENTITY => return Ended::Impossible,
-        StatusCode::INTERNAL_SERVER_ERROR => return Ended::Failed,
-        status if !status.is_success() => {
-            return interrupted(&format!("status {}", status.as_u16()), false);
-        }
-        _ => {}
-    }
-    let mut splitter = sse::Splitter::default();
-    loop {
-        let bytes = match time::timeout(SILENCE, answer.next()).await {
-            Ok(Ok(Some(bytes))) => bytes,
-            Ok(Ok(None)) if splitter.rest().is_empty() => return Ended::Done,
-            Ok(Ok(None)) => return interrupted("the stream ends within an event", true),
-            Ok(Err(cause)) => return interrupted(&cause, true),
-            Err(_) => return interrupted("silence", true),
-        };
-        if splitter.push(&bytes).is_err() {
-            return interrupted("an event is too long", true);
-        }
-        while let Some(event) = splitter.next_event() {
-            let message = Message::Event(key.clone(), event.data(), event.id);
-            if messages.send(message).await.is_err() {
-                return interrupted("the process ends", false);
-            }
-        }
+/// Whether a command for the ledger was committed for certain.
+async fn commit(node: &node::Node, command: &ledger::Command) -> bool {
+    let reply = node.groups.propose(groups::JOBS, command, COMMIT).await;
+    if let Err(failure) = &reply {
+        event!(node.log, events::LEDGER_UNCHANGED; "change" => %command,
+            "error" => ?failure);
     }
+    reply.is_ok()
 }
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -12,6 +12,7 @@
 use crate::fleet::peer;
 use crate::fleet::protocol;
 use crate::fleet::routes;
+use crate::fleet::runner;
 use crate::fleet::serve;
 use crate::supervisor;
 use crate::wire;
@@ -249,6 +250,14 @@
             }
         };
         let route = &request.route;
+        let names = node.view.protocol().headers();
+        for item in &items {
+            // The endpoint is not known yet; what else the request holds is checked.
+            if let Err(error) = runner::request(names, item, &route.host, "any", None) {
+                let text = format!("item {} is no request: {error}\n", item.id);
+                return serve::answer(StatusCode::BAD_REQUEST, text);
+            }
+        }
         let terms = ledger::Terms {
             host: route.host.clone(),
             prefix: route.prefix.clone(),
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -160,9 +160,10 @@
 }
 
 /// Command of the state machine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 pub enum Command {
     /// Accept a job; accepted again if the id is known.
+    #[display("submit")]
     Submit {
         /// Id chosen by the caller.
         job: Arc<str>,
@@ -173,10 +174,13 @@
     },
     /// Store output of items that still run. Whatever does not go on from what is stored is
     /// ignored.
+    #[display("advance")]
     Advance(Vec<Advance>),
     /// Store the last output of an item, which completes it.
+    #[display("complete")]
     Complete(Advance),
     /// Count a run that an endpoint answered with a failure.
+    #[display("fail")]
     Fail {
         /// Id of the job.
         job: Arc<str>,
@@ -186,6 +190,7 @@
         failures: u32,
     },
     /// Give up an item.
+    #[display("abandon")]
     Abandon {
         /// Id of the job.
         job: Arc<str>,
@@ -195,16 +200,19 @@
         cause: Cause,
     },
     /// End a job: its remaining items do not run.
+    #[display("end")]
     End {
         /// Id of the job.
         job: Arc<str>,
     },
     /// Move the replica of a host elsewhere, so that the host can be removed.
+    #[display("empty")]
     Empty {
         /// Link address of the host.
         host: Arc<str>,
     },
     /// Forget jobs whose retention is over.
+    #[display("forget")]
     Forget {
         /// Ids of the jobs.
         jobs: Vec<Arc<str>>,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -259,3 +259,75 @@
         assert_eq!((ended, runs), (Ended::Status(502), 1), "{}", world.logs());
     });
 }
+
+/// Guards against items that start anew after each loss of the job group's leader.
+#[test]
+fn new_leader_goes_on_with_items() {
+    run(async {
+        let mut world = World::start(SMALL).await;
+        for endpoint in world.endpoints.iter().flatten() {
+            endpoint.fail(plain::Faults { slower: 25.0, ..plain::Faults::default() });
+        }
+        let entries = world.entries();
+        assert!(submit(&entries, "long", 4).await, "{}", world.logs());
+        // Longer than the interval at which output is stored, shorter than a run.
+        tokio::time::sleep(Duration::from_millis(3_000)).await;
+        for at in world.of(Role::Store) {
+            world.kill(at);
+        }
+        for at in world.of(Role::Store) {
+            world.start_host(at, false);
+        }
+        let finished = finish(&entries, "long", 4, &mut Vec::new(), JOB).await;
+        assert_eq!(finished, Ok(()), "{}", world.logs());
+        // Each item runs once from its start and once from what was stored.
+        let runs = world.all_runs();
+        let anew = runs.iter().filter(|r| r.after == 0).count();
+        assert_eq!((anew, runs.len()), (4, 8), "{runs:?}");
+    });
+}
+
+/// Guards against a request that runs at an endpoint which has taken the address of another one.
+#[test]
+fn reused_address_runs_nothing() {
+    run(async {
+        let mut world = World::start(SMALL).await;
+        world.crash_endpoint(0);
+        world.start_endpoint(0).await;
+        let entry = world.callers(world.of(Role::Entry)[0]);
+        for n in 0..6 {
+            let ended = stream(entry, fleet_world::STREAM, &format!("reused-{n}")).await;
+            assert_eq!(ended, Ended::Whole, "{}", world.logs());
+        }
+        let newcomer = world.endpoints[0].as_ref().expect("started");
+        assert_eq!(newcomer.runs(), [], "it is not known under its id");
+        let declined = world.logs_of(Role::Entry).matches("declined with 421").count();
+        assert!(declined > 0, "the old address was tried");
+    });
+}
+
+/// Guards against a job that is accepted with an item that can never be sent.
+#[test]
+fn item_that_is_no_request_is_refused() {
+    run(async {
+        let world = World::start(SMALL).await;
+        let entry = world.callers(world.of(Role::Entry)[0]);
+        let item = |path: &str, header: &str| {
+            format!(
+                r#"{{"items":[{{"id":"a","path":"{path}","headers":{{"{header}":"x"}},"body":""}}]}}"#
+            )
+        };
+        let headers = [("x-basilfield-request-id", "odd")];
+        let path = format!("{}odd", fleet_world::BATCH);
+        let mut seen = Vec::new();
+        for body in [item("no path", "x"), item("/batch/a", "no header"), "[]".to_string()] {
+            let (status, text) = client::call(entry, "POST", &path, &headers, body).await;
+            seen.push(format!("{status} {}", String::from_utf8_lossy(&text).trim()));
+        }
+        insta::assert_snapshot!(seen.join("\n"), @r"
+        400 item a is no request: invalid uri character
+        400 item a is no request: invalid HTTP header name
+        400 invalid length 0, expected struct Submission with 1 element at line 1 column 2
+        ");
+    });
+}
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -229,6 +229,12 @@
         self.log_files().into_iter().map(tail).collect()
     }
 
+    /// Whole logs of the hosts of a role.
+    pub fn logs_of(&self, role: Role) -> String {
+        let read = |at: &usize| std::fs::read_to_string(self.log_file(*at)).unwrap_or_default();
+        self.of(role).iter().map(read).collect()
+    }
+
     fn signal(&self, at: usize, signal: rustix::process::Signal) {
         if let Some(process) = &self.hosts[at].process
             && let Some(pid) = rustix::process::Pid::from_raw(process.id() as i32)
