Let the soak play larger fleets

Cause: the soak always played 11 hosts and endpoints, where a few dozen processes are usual and some runs should go up to a few hundred.

SOAK_SIZE sets the number of store hosts, entries and endpoints, and the addresses of a world have room for that.

--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -61,7 +61,7 @@
     starts: u32,
 }
 
-/// Size of a world.
+/// Size of a world: at most 29 stores, 159 entries and 50 endpoints, which the addresses permit.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
     pub stores: u8,
@@ -147,9 +147,9 @@
 
     pub async fn add_host(&mut self, role: Role, n: u8) -> usize {
         let last = match role {
-            Role::Control => 10 + n,
-            Role::Store => 30 + n,
-            Role::Entry => 50 + n,
+            Role::Control => n,
+            Role::Store => 10 + n,
+            Role::Entry => 40 + n,
         };
         let address = Ipv4Addr::new(127, self.net.0, self.net.1, last);
         let real = Ipv4Addr::new(127, self.net.0, self.net.1 + 1, last);
@@ -364,7 +364,7 @@
         let (slots, events, step) = OPTIONS;
         let headers = self.headers.clone();
         let options = plain::Options { id: id.into(), slots, events, step, headers };
-        let ip = Ipv4Addr::new(127, self.net.0, self.net.1 + 1, 100 + at as u8);
+        let ip = Ipv4Addr::new(127, self.net.0, self.net.1 + 1, 200 + at as u8);
         let begun = Instant::now();
         loop {
             // The address of an endpoint that has just ended may still be in use.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,8 +1,9 @@
 //! Randomized faults against the hosts as separate processes, injected from outside.
 //!
 //! `cargo test --test soak` plays a few seeds. `SOAK_SEEDS=100-149 cargo test --release --test
-//! soak -- --nocapture` plays others, and `SOAK_KEEP=FOLDER` keeps the logs of a failed one. What
-//! is checked is what clients, endpoints and operators see:
+//! soak -- --nocapture` plays others, and `SOAK_KEEP=FOLDER` keeps the logs of a failed one.
+//! `SOAK_SIZE=9,30,20` plays with that many stores, entries and endpoints. What is checked is what
+//! clients, endpoints and operators see:
 //!
 //! - a stream is whole, in order and the request's own, or is seen to be broken;
 //! - a request that must not be repeated runs at most once, and one that was refused never runs;
@@ -370,9 +371,21 @@
     }
 }
 
+/// Stores, entries and endpoints.
+fn size() -> Size {
+    let Ok(text) = std::env::var("SOAK_SIZE") else {
+        return Size { stores: 3, entries: 2, endpoints: 3 };
+    };
+    let numbers: Result<Vec<u8>, _> = text.split(',').map(str::parse).collect();
+    match numbers.as_deref() {
+        Ok(&[stores, entries, endpoints]) => Size { stores, entries, endpoints },
+        _ => panic!("SOAK_SIZE=STORES,ENTRIES,ENDPOINTS"),
+    }
+}
+
 /// Plays one seed. Returns a summary, or what went wrong.
 async fn soak(seed: u64) -> Result<String, String> {
-    let world = World::start(Size { stores: 3, entries: 2, endpoints: 3 }).await;
+    let world = World::start(size()).await;
     let entries = world.entries();
     let seen = Shared::default();
     let stop = Arc::new(AtomicBool::new(false));
