Refuse malformed parameters; log answers that cannot be read

Cause: by reading. A position that is no number read the results from their start, and a missing item id looked like an unknown item.

Conclusion: no behaviour changes for well-formed calls.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -179,6 +179,9 @@
             }
             Some(protocol::Call::Body { job, item }) => return self.body(job, item).await,
             Some(protocol::Call::End(job)) => return self.end(job).await,
+            Some(protocol::Call::Malformed(problem)) => {
+                return serve::answer(StatusCode::BAD_REQUEST, format!("{problem}\n"));
+            }
             Some(_) => return serve::answer(StatusCode::NOT_FOUND, "not served by this role\n"),
             None => {}
         }
--- a/src/fleet/groups.rs
+++ b/src/fleet/groups.rs
@@ -1,6 +1,8 @@
 //! Requests to replica groups: finds the leader and repeats what was not done.
 
 use crate::errors;
+use crate::event;
+use crate::events;
 use crate::fleet::ledger;
 use crate::fleet::peer;
 use crate::fleet::view;
@@ -70,6 +72,7 @@
     leaders: Arc<Mutex<sorted::SortedMap<u16, Arc<str>>>>,
     /// Replica of this host, if it has one.
     local: Option<(u16, local::Slot)>,
+    log: slog::Logger,
 }
 
 /// Replica on this host, which comes and goes while its folder is opened anew.
@@ -88,8 +91,14 @@
         peers: peer::Peers,
         view: Arc<view::View>,
         local: Option<(u16, local::Slot)>,
+        log: &slog::Logger,
     ) -> Groups {
-        Groups { peers, view, leaders: Arc::default(), local }
+        Groups { peers, view, leaders: Arc::default(), local, log: log.clone() }
+    }
+
+    fn unreadable(&self, group: u16, error: postcard::Error, failure: Failure) -> Failure {
+        event!(self.log, events::BAD_FRAME; "group" => group, "error" => %error);
+        failure
     }
 
     /// Proposes a command until it is applied or `limit` is over.
@@ -106,7 +115,8 @@
         let request = wire::Request::Propose { group, command };
         match self.ask(group, request, limit).await? {
             wire::Reply::Applied { reply, .. } => {
-                postcard::from_bytes(&reply).map_err(|_| Failure::Unknown)
+                let reply = postcard::from_bytes(&reply);
+                reply.map_err(|e| self.unreadable(group, e, Failure::Unknown))
             }
             _ => Err(Failure::Unknown),
         }
@@ -126,7 +136,8 @@
         let request = wire::Request::Query { group, query };
         match self.ask(group, request, limit).await? {
             wire::Reply::Answer(answer) => {
-                postcard::from_bytes(&answer).map_err(|_| Failure::NotDone(wire::Reason::Invalid))
+                let failure = Failure::NotDone(wire::Reason::Invalid);
+                postcard::from_bytes(&answer).map_err(|e| self.unreadable(group, e, failure))
             }
             _ => Err(Failure::NotDone(wire::Reason::NoQuorum)),
         }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -106,7 +106,7 @@
         };
         let own_group = group.map(|g| (g, local.clone()));
         Node {
-            groups: groups::Groups::new(peers.clone(), view.clone(), own_group),
+            groups: groups::Groups::new(peers.clone(), view.clone(), own_group, log),
             settings: Arc::new(settings),
             path: Arc::new(path),
             view,
--- a/src/fleet/protocol.rs
+++ b/src/fleet/protocol.rs
@@ -60,6 +60,8 @@
     },
     /// End a job.
     End(Arc<str>),
+    /// A call whose parameters cannot be read.
+    Malformed(Invalid),
 }
 
 /// Input that does not follow the protocol.
