--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -37,7 +37,9 @@
 /// Interval between attempts to open a folder while the disk is full.
 const RETRY_FULL: Duration = Duration::from_millis(200);
 /// File in the data folder of a host that was there when the fleet was first started. The host
-/// may be restarted before its groups are formed, and must then still take part in that.
+/// may be restarted before its group is formed, and must then still take part in that. It is
+/// removed once the replica holds data: hosts whose replicas were all replaced would otherwise
+/// form a second group.
 const FOUNDER: &str = "founder";
 /// Longest wait for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -108,7 +110,7 @@
     }
 
     async fn run(
-        self,
+        mut self,
         service: impl Fn() -> Box<dyn service::Service>,
     ) -> Result<(), errors::Error> {
         loop {
@@ -118,6 +120,7 @@
                 group::Ended::Closed => return Ok(()),
                 group::Ended::Retired => {
                     // Another replica has taken the place of this one, so its data is of no use.
+                    self.end_founding()?;
                     let failed = |e| errors::Error::io("empty folder", "data folder", e);
                     std::fs::remove_dir_all(&self.folder).map_err(failed)?;
                 }
@@ -146,6 +149,15 @@
         }
     }
 
+    /// Forgets that this host was there at the first start.
+    fn end_founding(&mut self) -> Result<(), errors::Error> {
+        if self.founder {
+            storage::remove(&self.folder.with_file_name(FOUNDER))?;
+            self.founder = false;
+        }
+        Ok(())
+    }
+
     /// Opens the data folder, as soon as the disk has room for that.
     async fn open(&self) -> Result<(storage::Folder, u64, replica::Restored), storage::Error> {
         let options = storage::Options { segment: SEGMENT, capacity: CAPACITY };
@@ -167,13 +179,18 @@
 
     /// Runs the replica on a thread of its own, since it blocks on the disk.
     async fn run_once(
-        &self,
+        &mut self,
         service: Box<dyn service::Service>,
     ) -> Result<group::Ended, errors::Error> {
-        let log = &self.node.log;
+        let log = self.node.log.clone();
         let (folder, id, restored) = self.open().await?;
         let blank = restored.snapshot.is_none() && restored.entries.is_empty();
-        let founders = if blank { self.placement().await } else { self.founders() };
+        let founders = if blank {
+            self.placement().await
+        } else {
+            self.end_founding()?;
+            self.founders()
+        };
         event!(log, events::FOLDER_OPENED; "group" => self.group, "replica" => id,
             "entries" => restored.entries.len(),
             "snapshot" => restored.snapshot.as_ref().map_or(0, |s| s.index));
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -127,6 +127,15 @@
     sync_dir(folder)
 }
 
+/// Removes a file durably, if it exists.
+pub fn remove(path: &Path) -> Result<(), Error> {
+    match std::fs::remove_file(path) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(()),
+        result => result.step("remove", path)?,
+    }
+    sync_dir(path.parent().unwrap_or(path))
+}
+
 /// Makes creations, renames and removals in a folder durable.
 fn sync_dir(path: &Path) -> Result<(), Error> {
     File::open(path).and_then(|dir| dir.sync_all()).step("sync folder", path)
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -126,7 +126,7 @@
         assert_eq!(retire("store-1").await, 409, "too few would remain");
         let spare = world.add_host(Role::Store, 4).await;
         world.start_host(spare, false);
-        let begun = std::time::Instant::now();
+        let begun = Instant::now();
         while retire("store-1").await != 200 {
             assert!(begun.elapsed() < fleet_world::PATIENCE, "{}", world.logs());
             tokio::time::sleep(Duration::from_millis(100)).await;
@@ -139,8 +139,14 @@
             assert!(begun.elapsed() < fleet_world::PATIENCE, "{}", world.logs());
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        // The host is removed at once, and another one is lost right after.
+        // Hosts whose replicas were all replaced would otherwise form a second group.
         let stores = world.of(Role::Store);
+        let founder = world.dir.path().join(&world.hosts[stores[0]].name).join("founder");
+        while founder.exists() {
+            assert!(begun.elapsed() < fleet_world::PATIENCE, "{}", world.logs());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        // The host is removed at once, and another one is lost right after.
         world.kill(stores[0]);
         world.wipe(stores[0]);
         world.kill(stores[1]);
@@ -383,30 +389,37 @@
     });
 }
 
+/// World whose job group is placed, and not formed since one store host gets no answer from the
+/// others.
+async fn placed_world() -> World {
+    let mut world = World::prepare(SMALL).await;
+    let stores = world.of(Role::Store);
+    let mute = proxy::Harm { mute_in: true, mute_out: true, delay: Duration::ZERO };
+    for at in &stores[1..] {
+        world.hosts[*at].proxy.harm(&world.link(stores[0]), mute);
+    }
+    for at in 0..world.hosts.len() {
+        world.start_host(at, true);
+    }
+    world.settle().await;
+    let begun = Instant::now();
+    while world.logs_of(Role::Store).matches("data folder opened").count() < stores.len() {
+        assert!(begun.elapsed() < fleet_world::PATIENCE, "{}", world.logs());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    world
+}
+
 /// Guards against a job group that is never formed because its hosts were restarted after it had
 /// been placed on them.
 #[test]
 fn placed_founders_that_restart_form_the_group() {
     run(async {
-        let mut world = World::prepare(SMALL).await;
-        let stores = world.of(Role::Store);
-        let mute = proxy::Harm { mute_in: true, mute_out: true, delay: Duration::ZERO };
-        for at in &stores[1..] {
-            world.hosts[*at].proxy.harm(&world.link(stores[0]), mute);
-        }
-        for at in 0..world.hosts.len() {
-            world.start_host(at, true);
-        }
-        world.settle().await;
-        let begun = Instant::now();
-        while world.logs_of(Role::Store).matches("data folder opened").count() < stores.len() {
-            assert!(begun.elapsed() < fleet_world::PATIENCE, "{}", world.logs());
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-        for at in &stores {
-            world.kill(*at);
-            world.start_host(*at, false);
-            world.hosts[*at].proxy.heal();
+        let mut world = placed_world().await;
+        for at in world.of(Role::Store) {
+            world.kill(at);
+            world.start_host(at, false);
+            world.hosts[at].proxy.heal();
         }
         let entries = world.entries();
         assert!(submit(&entries, "placed", 2).await, "{}", world.logs());
@@ -414,3 +427,23 @@
         assert_eq!(finished, Ok(()), "{}", world.logs());
     });
 }
+
+/// Guards against a job group that is never formed because the host that forms it lost its disk
+/// before.
+#[test]
+fn founder_that_loses_its_disk_is_replaced() {
+    run(async {
+        let mut world = placed_world().await;
+        let stores = world.of(Role::Store);
+        world.kill(stores[0]);
+        world.wipe(stores[0]);
+        world.start_host(stores[0], false);
+        for at in stores {
+            world.hosts[at].proxy.heal();
+        }
+        let entries = world.entries();
+        assert!(submit(&entries, "lost", 2).await, "{}", world.logs());
+        let finished = finish(&entries, "lost", 2, &mut Vec::new(), JOB).await;
+        assert_eq!(finished, Ok(()), "{}", world.logs());
+    });
+}
