Bound what is stored of long outputs without holding up other items

Cause: by reading. Parts of running items were taken until the first that did not fit into one command of 4 MB, so an item with a longer unstored output kept the output of all items after it from being stored. One that ended with more than the longest command was refused by the group and ran again without end.

A part that is too long is left out of the command, and an item that ends with more than 4 MB not stored is given up.

Test: long_part_holds_up_nothing, on the module that chooses the parts. That an item is given up for its length has no test of its own yet.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -87,7 +87,7 @@
 /// Adds the tasks of the role to a supervisor. Returns the stop of its connections.
 ///
 /// # Errors
-/// `Io` if a listener cannot be opened, `Invalid` if the settings lack an address or folder.
+/// `Io` if a listener cannot be opened or the data folder cannot be used, `Invalid` if the settings lack an address or folder.
 pub fn start(
     node: &node::Node,
     tree: &mut supervisor::Supervisor,
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::fleet::node;
 use crate::fleet::peer;
 use crate::fleet::plan;
+use crate::fleet::progress;
 use crate::fleet::progress::Key;
 use crate::fleet::progress::Progress;
 use crate::fleet::runner;
@@ -37,7 +38,8 @@
 /// Interval at which the output of running items is stored. What arrives within it is run again
 /// after a change of leader.
 const STORE: Duration = Duration::from_secs(1);
-/// Output that is stored with one command at most, well below the longest command of a group.
+/// Output that is stored with one command at most, half of the longest command of a group. An item
+/// that ends with more than that not stored is given up.
 const STORE_BYTES: usize = 4 << 20;
 /// Longest time for an outcome to be committed; it is proposed again afterwards.
 const COMMIT: Duration = Duration::from_secs(3);
@@ -273,23 +275,11 @@
             return;
         }
         self.stored = time::Instant::now();
-        let unstored = |(_, known): &(&Key, &Known)| {
-            known.progress.events > known.progress.stored
-                && matches!(known.state, State::Running { .. } | State::Resting { .. })
+        let open = |(_, known): &(&Key, &Known)| {
+            matches!(known.state, State::Running { .. } | State::Resting { .. })
         };
-        let mut room = STORE_BYTES;
-        let mut fits = |(_, advance): &(Key, ledger::Advance)| {
-            let fits = advance.data.len() <= room;
-            room = room.saturating_sub(advance.data.len());
-            fits
-        };
-        let advances: Vec<(Key, ledger::Advance)> = self
-            .known
-            .iter()
-            .filter(unstored)
-            .map(|(k, known)| (k.clone(), known.progress.advance(k)))
-            .take_while(&mut fits)
-            .collect();
+        let items = self.known.iter().filter(open).map(|(key, known)| (key, &known.progress));
+        let advances = progress::parts(items, STORE_BYTES);
         if advances.is_empty() {
             return;
         }
@@ -307,6 +297,10 @@
     /// Completes an item whose output is whole.
     fn complete(&mut self, key: Key) {
         let Some(known) = self.known.get_mut(&key) else { return };
+        if known.progress.unstored() > STORE_BYTES {
+            // It would be refused as too long, and the item would run again without end.
+            return self.abandon(key, ledger::Cause::Impossible);
+        }
         known.state = State::Ending;
         let advance = known.progress.advance(&key);
         self.commit(key, ledger::Command::Complete(advance));
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Bytes of output that the ledger does not hold yet.
+    pub fn unstored(&self) -> usize {
+        self.output.len()
+    }
+
     /// Forgets the output that the ledger has stored: `len` bytes up to the event `events`.
     pub fn settle(&mut self, events: u64, len: usize) {
         let separator = usize::from(self.events > events);
@@ -58,3 +63,19 @@
         self.stored = events;
     }
 }
+
+/// Parts to be stored with one command, in the given order and at most `room` bytes in all. A part
+/// that is too long is left out, so that it does not hold up those after it.
+pub fn parts<'a>(
+    items: impl Iterator<Item = (&'a Key, &'a Progress)>,
+    mut room: usize,
+) -> Vec<(Key, ledger::Advance)> {
+    let mut parts = Vec::new();
+    for (key, progress) in items.filter(|(_, progress)| progress.events > progress.stored) {
+        if progress.unstored() <= room {
+            room -= progress.unstored();
+            parts.push((key.clone(), progress.advance(key)));
+        }
+    }
+    parts
+}
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -100,7 +100,7 @@
 /// Adds the tasks of the role to a supervisor. Returns the stop of its connections.
 ///
 /// # Errors
-/// `Invalid` if the settings lack a folder.
+/// `Invalid` if the settings lack a folder, `Io` if it cannot be used.
 pub fn start(
     node: &node::Node,
     tree: &mut supervisor::Supervisor,
--- a/tests/fleet_progress.rs
+++ b/tests/fleet_progress.rs
@@ -53,3 +53,18 @@
         prop_assert_eq!(progress.last, all.len().checked_sub(1).map(|last| last as u64));
     }
 }
+
+/// Guards against one long output that keeps the output of other items from being stored.
+#[test]
+fn long_part_holds_up_nothing() {
+    let item = |id: &str, len: usize| {
+        let mut progress = progress::Progress::default();
+        progress.add(&vec![b'x'; len], Some(1));
+        (("job".into(), id.into()), progress)
+    };
+    let items: Vec<(progress::Key, progress::Progress)> =
+        vec![item("a", 40), item("b", 101), item("c", 60), item("d", 1)];
+    let parts = progress::parts(items.iter().map(|(key, progress)| (key, progress)), 100);
+    let ids: Vec<&str> = parts.iter().map(|(key, _)| &*key.1).collect();
+    assert_eq!(ids, ["a", "c"]);
+}
