Add failing tests of control groups smaller than the permitted losses need

Callers got 404 for routes of a change that had been accepted more than 2.5 s before. The suspected cause is that the control group never has more voters than there are seeds: with five control hosts, three seeds and two permitted losses it has three, and two hosts that are cut off together are a majority of it.

The test world gets a number of control hosts and of permitted losses, and can cut some hosts off from all others.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -16,7 +16,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-const SMALL_SIZE: Size = Size { stores: 3, entries: 2, endpoints: 2 };
+const SMALL_SIZE: Size = Size { controls: 3, losses: 1, stores: 3, entries: 2, endpoints: 2 };
+/// A fleet that survives the loss of two control hosts and has more of them than seeds.
+const TWO_LOSSES: Size = Size { controls: 5, losses: 2, stores: 0, ..SMALL_SIZE };
+/// Time within which an accepted change must be in force on every entry.
+const IN_FORCE_TIME: Duration = Duration::from_millis(2_500);
+/// Time within which a replica group must have replaced a lost host or taken in a new one.
+const REPAIR_TIME: Duration = Duration::from_millis(4_500);
 /// Longest time for a job of a few items to finish, including a change of leader.
 const JOB_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -103,8 +109,7 @@
             world.kill(at);
             world.delete_data(at);
             world.start_host(at, false);
-            // A lost disk must be repaired within this time in the users' deployments.
-            tokio::time::sleep(Duration::from_millis(4_500)).await;
+            tokio::time::sleep(REPAIR_TIME).await;
         }
         let again = finish(&entries, "before", 5, &mut Vec::new(), JOB_TIMEOUT).await;
         assert_eq!(again, Ok(()), "{}", world.logs());
@@ -459,3 +464,51 @@
         assert_eq!(finished, Ok(()), "{}", world.logs());
     });
 }
+
+/// Puts a configuration in force and checks that each entry serves its new route in time.
+async fn assert_change_takes_effect(world: &World, version: u64) {
+    assert_eq!(world.put_config(&world.config(version)).await, 200, "{}", world.logs());
+    tokio::time::sleep(IN_FORCE_TIME).await;
+    for at in world.hosts_of(Role::Entry) {
+        let id = format!("after-change-{version}-{at}");
+        let ended = stream(world.caller_address(at), &format!("/v{version}/"), &id).await;
+        assert_eq!(ended, StreamEnd::Complete, "{}", world.logs());
+    }
+}
+
+/// Guards against a change that is accepted by control hosts which no other host can reach, so that
+/// entries answer 404 for its routes.
+#[test]
+fn change_accepted_while_control_hosts_are_cut_off_is_in_force() {
+    run(async {
+        let world = World::start(TWO_LOSSES).await;
+        tokio::time::sleep(REPAIR_TIME).await;
+        // Two of the seeds, which form the group of the control hosts.
+        world.cut_off(&world.hosts_of(Role::Control)[..2]);
+        // Longer than an election.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert_change_takes_effect(&world, 2).await;
+    });
+}
+
+/// Guards against loss of the configuration when as many control hosts lose their disks at once as
+/// the settings permit.
+#[test]
+fn configuration_survives_permitted_losses_of_disks() {
+    run(async {
+        let mut world = World::start(TWO_LOSSES).await;
+        tokio::time::sleep(REPAIR_TIME).await;
+        assert_eq!(world.put_config(&world.config(7)).await, 200);
+        let lost = world.hosts_of(Role::Control)[..2].to_vec();
+        for at in &lost {
+            world.kill(*at);
+            world.delete_data(*at);
+        }
+        for at in &lost {
+            world.start_host(*at, false);
+        }
+        tokio::time::sleep(REPAIR_TIME).await;
+        assert_eq!(world.read_version(2).await, Some(7), "{}", world.logs());
+        assert_change_takes_effect(&world, 8).await;
+    });
+}
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -61,9 +61,13 @@
     starts: u32,
 }
 
-/// Size of a world. The address ranges allow at most 29 stores, 159 entries and 50 endpoints.
+/// Size of a world. The address ranges allow at most 10 control hosts, 29 stores, 159 entries and
+/// 50 endpoints.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
+    pub controls: u8,
+    /// Hosts with durable state that may be lost at the same time.
+    pub losses: u8,
     pub stores: u8,
     pub entries: u8,
     pub endpoints: u8,
@@ -74,6 +78,7 @@
     pub dir: tempfile::TempDir,
     /// Second and third byte of every address.
     net: (u8, u8),
+    losses: u8,
     pub hosts: Vec<Host>,
     pub endpoints: Vec<Option<plain::PlainEndpoint>>,
     /// Runs at endpoints that were crashed.
@@ -131,6 +136,7 @@
         let mut world = World {
             dir: tempfile::tempdir().expect("temporary folder"),
             net,
+            losses: size.losses,
             hosts: Vec::new(),
             endpoints: (0..size.endpoints).map(|_| None).collect(),
             finished_runs: Vec::new(),
@@ -139,7 +145,11 @@
             next_endpoint: 0,
             seq: 0,
         };
-        let roles = [(Role::Control, 3), (Role::Store, size.stores), (Role::Entry, size.entries)];
+        let roles = [
+            (Role::Control, size.controls),
+            (Role::Store, size.stores),
+            (Role::Entry, size.entries),
+        ];
         for (role, count) in roles {
             for n in 1..=count {
                 world.add_host(role, n).await;
@@ -213,7 +223,8 @@
         let _ = write!(
             text,
             "[fleet]\nport = {LINK_PORT}\nseeds = {seeds:?}\nbootstrap = {bootstrap}\n\
-             [limits]\ngrace = 6000\n"
+             losses = {}\n[limits]\ngrace = 6000\n",
+            self.losses,
         );
         let path = self.dir.path().join(format!("{}.toml", host.name));
         std::fs::write(&path, text).expect("settings written");
@@ -372,6 +383,17 @@
         let _ = std::fs::remove_dir_all(self.dir.path().join(&self.hosts[at].name));
     }
 
+    /// Cuts the links between some hosts and all others. Callers and operators reach every host.
+    pub fn cut_off(&self, hosts: &[usize]) {
+        let cut =
+            proxy::LinkFaults { drop_inbound: true, drop_outbound: true, ..Default::default() };
+        let others = (0..self.hosts.len()).filter(|at| !hosts.contains(at));
+        for (inner, outer) in others.flat_map(|o| hosts.iter().map(move |i| (*i, o))) {
+            self.hosts[inner].proxy.set_faults(&self.link(outer), cut);
+            self.hosts[outer].proxy.set_faults(&self.link(inner), cut);
+        }
+    }
+
     /// Starts an endpoint under a new id.
     pub async fn start_endpoint(&mut self, at: usize) {
         self.next_endpoint += 1;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -404,11 +404,13 @@
 /// Number of stores, entries and endpoints.
 fn world_size() -> Size {
     let Ok(text) = std::env::var("SOAK_SIZE") else {
-        return Size { stores: 3, entries: 2, endpoints: 3 };
+        return Size { controls: 3, losses: 1, stores: 3, entries: 2, endpoints: 3 };
     };
     let numbers: Result<Vec<u8>, _> = text.split(',').map(str::parse).collect();
     match numbers.as_deref() {
-        Ok(&[stores, entries, endpoints]) => Size { stores, entries, endpoints },
+        Ok(&[stores, entries, endpoints]) => {
+            Size { controls: 3, losses: 1, stores, entries, endpoints }
+        }
         _ => panic!("SOAK_SIZE=STORES,ENTRIES,ENDPOINTS"),
     }
 }
