Remove a lost voter before a group grows beyond an odd size

A group with fewer voters than its target promoted every learner that had caught up, and removed lost voters only once the target was reached. With three hosts, a target of five and a lost host, the next one made four voters of which three were left, so that the following loss stopped the group for good.

An odd number of voters now grows only while all of them answer; a lost one is removed first. An even number that is below the target drops a lost voter, which lowers the quorum.

The scenario turnover/lost_voter_below_target loses two of three hosts one after the other, each replaced by a new one. With the former order the last status was "h1 id=1 candidate ... voters=[1, 2, 3, 5]" and no leader; now the command is committed and the voters are [1, 5, 7]. The scenario turnover/grows_to_target loses two of five disks at once. The output of the other seven scenarios is unchanged.

--- a/src/replica/turnover.rs
+++ b/src/replica/turnover.rs
@@ -1,5 +1,5 @@
-//! Keeps the number of voters of a group constant while hosts come and go, one committed membership
-//! change at a time.
+//! Brings a group to its number of voters and keeps it there while hosts come and go, one committed
+//! membership change at a time.
 //!
 //! While [`crate::replica::repair`] only replaces the replica of a listed host, here any host that
 //! probes the members may replace a lost one. It becomes a learner only when a voter is missing,
@@ -107,19 +107,28 @@
             .filter(|m| replica.is_live(m.id) && replica.has_caught_up(m.id))
             // A host that lost its disk replaces its own replica in preference to other hosts.
             .min_by_key(|m| disk_lost.is_none_or(|e| e.host != m.host));
+        let is_incomplete = voters < self.target_size;
+        let is_even = voters.is_multiple_of(2);
+        let lost = disk_lost.or(lost);
         if let Some(ready) = ready {
-            if voters < self.target_size || with_role(MemberRole::Voter).any(|m| is_leaving(&m)) {
+            let empties_host = with_role(MemberRole::Voter).any(|m| is_leaving(&m));
+            let all_live = with_role(MemberRole::Voter).all(|m| replica.is_live(m.id));
+            // One more voter raises the quorum of an odd number of voters, so a silent one must
+            // return or be removed first.
+            if is_incomplete && (is_even || all_live) || empties_host {
                 return Some(MemberChange::Promote(ready.id));
             }
-            if let Some(lost) = disk_lost.or(lost) {
+            if let Some(lost) = lost {
                 return Some(MemberChange::Remove(lost.id));
             }
         }
+        // One voter less lowers the quorum of an even number of voters.
+        if let Some(lost) = lost.filter(|_| is_incomplete && is_even) {
+            return Some(MemberChange::Remove(lost.id));
+        }
         let learners = with_role(MemberRole::Learner).count();
-        let needed = voters < self.target_size
-            || disk_lost.is_some()
-            || lost.is_some()
-            || with_role(MemberRole::Voter).any(|m| is_leaving(&m));
+        let needed =
+            is_incomplete || lost.is_some() || with_role(MemberRole::Voter).any(|m| is_leaving(&m));
         let is_returning = |a: &&ProbeAnswer| disk_lost.is_some_and(|e| e.host == a.host);
         let new = answers.iter().filter(|a| {
             membership.get(a.id).is_none()
--- a/tests/network/mod.rs
+++ b/tests/network/mod.rs
@@ -113,6 +113,9 @@
     /// Number of voters of a group in which any host may replace a lost one. That many first hosts
     /// form the group. `None` if all hosts form it and only repair it.
     pub voter_count: Option<usize>,
+    /// Number of voters that the group should have, if other hosts than those that form it are to
+    /// become voters.
+    pub target_count: Option<usize>,
     /// Names of the hosts that an operator empties.
     pub leaving: Vec<Arc<str>>,
     /// Repairs that leaders reported complete.
@@ -139,6 +142,7 @@
             compaction: 0,
             managed: false,
             voter_count: None,
+            target_count: None,
             leaving: Vec::new(),
             repaired: 0,
             installed: 0,
@@ -165,7 +169,7 @@
             recorder: CommandRecorder::default(),
             applied: 0,
             repair: repair::Repair::default(),
-            turnover: turnover::Turnover::new(self.voter_count.unwrap_or(0)),
+            turnover: self.new_turnover(),
             batch: Vec::new(),
             backlog: Vec::new(),
         });
@@ -176,8 +180,22 @@
     /// Lets any host replace a lost one in a group of this many voters.
     pub fn open_group(&mut self, size: usize) {
         self.voter_count = Some(size);
-        for host in &mut self.hosts {
-            host.turnover = turnover::Turnover::new(size);
+        self.reset_turnover();
+    }
+
+    /// Sets the number of voters that the group should have. The same hosts as before form it.
+    pub fn grow_group(&mut self, size: usize) {
+        self.target_count = Some(size);
+        self.reset_turnover();
+    }
+
+    fn new_turnover(&self) -> turnover::Turnover {
+        turnover::Turnover::new(self.target_count.or(self.voter_count).unwrap_or(0))
+    }
+
+    fn reset_turnover(&mut self) {
+        for at in 0..self.hosts.len() {
+            self.hosts[at].turnover = self.new_turnover();
         }
     }
 
--- a/tests/replica_scenarios.rs
+++ b/tests/replica_scenarios.rs
@@ -106,6 +106,7 @@
         match command.name.as_str() {
             "manage" => self.net.managed = true,
             "open" => self.net.open_group(text.parse()?),
+            "grow" => self.net.grow_group(text.parse()?),
             "add" => self.net.add_host(),
             "empty" => self.net.leaving.push(text.into()),
             "compact" => self.net.compaction = text.parse()?,
@@ -162,9 +163,9 @@
     assert_eq!(run_scenarios("tests/scenarios/replica"), 12);
 }
 
-/// Guards against a group that does not replace lost voters by other hosts, or that removes a voter
-/// that can be reached.
+/// Guards against a group that does not replace lost voters by other hosts, that removes a voter that
+/// can be reached, or that does not get as many voters as it should have.
 #[test]
 fn turnover() {
-    assert_eq!(run_scenarios("tests/scenarios/turnover"), 7);
+    assert_eq!(run_scenarios("tests/scenarios/turnover"), 9);
 }
