Size the control group by the permitted losses, not by the seeds

Callers got 404 for routes of a configuration change that had been accepted 2.8 s before. The control group had as many voters as there are seeds, three, although the deployment has five control hosts and permits the loss of two. Two control hosts that were cut off from all other hosts were a majority of the voters: they committed the change and the operator, who reaches both sides, got 200, while the entries could only reach the other three control hosts, which had no leader and the version before.

Both replica groups now take their size from Fleet::group_size, twice the permitted losses and one. The seeds still form the control group, and the other control hosts join it through the turnover. As many hosts as may be lost can then neither commit alone nor stop the others. The same cause made the loss of two disks of control hosts lose the configuration.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -108,7 +108,7 @@
         founder,
         group: groups::CONTROL,
         folder: folder.join("control"),
-        target_voters: node.settings.seeds().len().min(2 * node.settings.fleet.losses + 1),
+        target_voters: node.settings.fleet.group_size(),
     };
     let (state_sender, published) = watch::channel(control_state::ControlState::default());
     let (leader_sender, is_leader) = watch::channel(false);
@@ -253,7 +253,7 @@
             (candidates, unchanged_since) = (present, now);
             continue;
         }
-        let size = 2 * node.settings.fleet.losses + 1;
+        let size = node.settings.fleet.group_size();
         if candidates.len() < size || now.saturating_sub(unchanged_since) < MIN_STABLE_TIME {
             continue;
         }
@@ -415,7 +415,7 @@
         let Some(host) = host.filter(|h| h.role == settings::Role::Store) else {
             return serve::response(StatusCode::NOT_FOUND, "no such store host\n");
         };
-        let size = 2 * node.settings.fleet.losses + 1;
+        let size = node.settings.fleet.group_size();
         if others.len() < size {
             return serve::response(
                 StatusCode::CONFLICT,
@@ -444,7 +444,7 @@
         let Some(status) = node.groups.leader_status(groups::JOBS, CALL_TIMEOUT).await else {
             return serve::response(StatusCode::SERVICE_UNAVAILABLE, "no quorum; ask again\n");
         };
-        let size = u32::try_from(2 * node.settings.fleet.losses + 1).unwrap_or(u32::MAX);
+        let size = u32::try_from(node.settings.fleet.group_size()).unwrap_or(u32::MAX);
         let moved = status.settled && !status.hosts.contains(&host.link);
         let complete = moved && status.voters >= size && status.live >= size;
         serve::json_response(node.view.protocol().encode_retire_status(complete))
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -93,6 +93,14 @@
     pub losses: usize,
 }
 
+impl Fleet {
+    /// Number of voters of a replica group. If `losses` of them are down or cut off, the others are
+    /// still a majority, and only they can commit.
+    pub fn group_size(&self) -> usize {
+        2 * self.losses + 1
+    }
+}
+
 /// Time limits that operators promise to callers.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -119,7 +119,7 @@
         applied: watch::Sender::new(0),
     };
     let s = shared.clone();
-    let target_voters = 2 * node.settings.fleet.losses + 1;
+    let target_voters = node.settings.fleet.group_size();
     let member =
         member::Member { node: node.clone(), group: groups::JOBS, folder, founder, target_voters };
     member.spawn(tree, move || {
