Log when a replica group has fewer voters than the losses require

In the incident of the accepted change that was not in force, the logs gave the members that formed the control group and each later change, but not that it needed five voters and had three. The same holds for an operator who sets fleet.losses higher than the number of hosts allows: the group survives fewer losses, and nothing says so.

A leader now logs event 310 with voters and needed voters when these differ, and event 308 when the group has enough. It logs only changes of the number. The test missing_voters_are_logged starts four and five control hosts with two permitted losses and compares the last of these lines with "310 4/5" and "308 5/5"; without the events there was no line to compare.

--- a/src/events.rs
+++ b/src/events.rs
@@ -90,6 +90,9 @@
     REPAIR_COMPLETE = 308, Info, "repair complete";
     /// The replica was removed from its group; it starts again with an empty data folder.
     REPLICA_RETIRED = 309, Warning, "replica retired";
+    /// A replica group has fewer voters than the permitted losses require, so it survives fewer
+    /// losses. Other hosts become voters as soon as they answer.
+    TOO_FEW_VOTERS = 310, Warning, "replica group has too few voters";
     /// A configuration change was committed.
     CHANGE_ACCEPTED = 400, Info, "configuration change accepted";
     /// A configuration change was refused; nothing was changed.
--- a/src/state/group/members.rs
+++ b/src/state/group/members.rs
@@ -79,6 +79,19 @@
         }
     }
 
+    /// Logs when the group lacks voters, and when it has as many as it needs again.
+    pub(super) fn log_missing_voters(&mut self) {
+        let Some(needed) = self.parts.target_voters else { return };
+        let voters = self.replica.membership().voters().count();
+        let missing = needed.saturating_sub(voters);
+        if missing == std::mem::replace(&mut self.missing_voters, missing) {
+            return;
+        }
+        let event = if missing > 0 { events::TOO_FEW_VOTERS } else { events::REPAIR_COMPLETE };
+        event!(self.parts.log, event; "group" => self.parts.group, "voters" => voters,
+            "needed" => needed);
+    }
+
     /// Proposes the next step of replacing a replica, for example of a host that lost its disk.
     /// Membership changes are committed one at a time.
     pub(super) fn repair_members(&mut self) {
--- a/src/state/group/mod.rs
+++ b/src/state/group/mod.rs
@@ -125,6 +125,8 @@
     repair: replica::repair::Repair,
     /// Used instead of `repair` in a group that hosts other than the listed ones may join.
     turnover: Option<replica::turnover::Turnover>,
+    /// Voters that the group lacked when this was last logged.
+    missing_voters: usize,
     /// Last probe record of each other host.
     probes: sorted::SortedMap<Arc<str>, ProbeRecord>,
     outputs: Vec<replica::Output>,
@@ -164,6 +166,7 @@
             role: replica.role(),
             repair: replica::repair::Repair::default(),
             turnover: parts.target_voters.map(replica::turnover::Turnover::new),
+            missing_voters: 0,
             probes: sorted::SortedMap::new(),
             replica,
             calls,
@@ -305,6 +308,7 @@
             for command in self.parts.service.tick(now) {
                 self.propose_internal(command);
             }
+            self.log_missing_voters();
             self.repair_members();
         }
         if now - self.last_keepalive >= WATCH_KEEPALIVE {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -512,3 +512,25 @@
         assert_change_takes_effect(&world, 8).await;
     });
 }
+
+/// Size of the control group as last logged by a leader: event number, voters and needed voters.
+fn last_logged_size(world: &World) -> String {
+    let logs = world.logs_of(Role::Control);
+    let lines = logs.lines().filter_map(|l| serde_json::from_str::<serde_json::Value>(l).ok());
+    let sizes = lines.filter(|l| l["event"] == 308 || l["event"] == 310);
+    let last = sizes.max_by_key(|l| l["ts"].to_string());
+    last.map_or_else(String::new, |l| format!("{} {}/{}", l["event"], l["voters"], l["needed"]))
+}
+
+/// Guards against a control group that survives fewer losses than the settings permit, without a
+/// line in the logs.
+#[test]
+fn missing_voters_are_logged() {
+    run(async {
+        for (controls, expected) in [(4, "310 4/5"), (5, "308 5/5")] {
+            let world = World::start(Size { controls, ..TWO_LOSSES }).await;
+            tokio::time::sleep(REPAIR_TIME).await;
+            assert_eq!(last_logged_size(&world), expected, "{}", world.logs());
+        }
+    });
+}
