Refuse unknown routes while an entry may have missed a change

In the incident, entries that had lost two of five control hosts answered 404 for a route of an accepted change. With the control group sized right, an entry that is itself cut off from the control hosts still did so for as long as the cut lasted. Callers do not repeat a request after 404, although all the entry knew was that its own, possibly old, configuration has no such route.

An entry now answers 404 only while it is connected to most of the control hosts; otherwise it refuses the request as not run, with a Retry-After. Requests with a known route are served as before.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -212,6 +212,10 @@
         let host = head.headers.get(hyper::header::HOST).and_then(|v| v.to_str().ok());
         let Some(route) = active.config.find_route(host.unwrap_or_default(), head.uri.path())
         else {
+            if !node.is_in_contact() {
+                // A later version may have the route.
+                return forward::refuse(node, &id, "no contact with most control hosts");
+            }
             event!(node.log, events::REQUEST_REFUSED; "request" => &*id, "reason" => "no route",
                 "version" => active.document.version, "path" => head.uri.path());
             return serve::response(StatusCode::NOT_FOUND, "no route\n");
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -123,6 +123,16 @@
         self.timer.now()
     }
 
+    /// Whether this host is in contact with most of the control hosts. Otherwise changes may be
+    /// accepted that it does not learn of, and the others may not learn what it is told.
+    pub fn is_in_contact(&self) -> bool {
+        // Without this host.
+        let controls = self.view.controls();
+        let reached = controls.iter().filter(|c| self.peers.is_connected(c)).count();
+        let own = usize::from(self.settings.host.role == settings::Role::Control);
+        2 * (reached + own) > controls.len() + own
+    }
+
     /// Endpoints of a service that accept requests, with their running requests.
     pub fn candidates(&self, service: &str) -> Vec<place::Candidate> {
         let (now, domain) = (self.now(), &self.settings.host.domain);
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -19,6 +19,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
@@ -61,11 +63,19 @@
     Call(wire::Request, oneshot::Sender<wire::Reply>),
 }
 
+/// Queue of the frames for one host, and the state of the connection to it.
+#[derive(Clone)]
+struct Connection {
+    sender: mpsc::Sender<Outgoing>,
+    /// Whether the host has answered on the connection that is open now.
+    answered: Arc<AtomicBool>,
+}
+
 /// Connections of this host to the others. Clones share them.
 #[derive(Clone)]
 pub struct Peers {
     own: Arc<str>,
-    senders: Arc<Mutex<sorted::SortedMap<Arc<str>, mpsc::Sender<Outgoing>>>>,
+    connections: Arc<Mutex<sorted::SortedMap<Arc<str>, Connection>>>,
     log: slog::Logger,
 }
 
@@ -77,7 +87,7 @@
 impl Peers {
     /// Creates the client of the host with the link address `own`. Opens no connection yet.
     pub fn new(own: Arc<str>, log: &slog::Logger) -> Peers {
-        Peers { own, senders: Arc::default(), log: log.clone() }
+        Peers { own, connections: Arc::default(), log: log.clone() }
     }
 
     /// Link address of this host.
@@ -85,18 +95,26 @@
         &self.own
     }
 
+    /// Whether a host answers on the connection from here. Pings find out within `PEER_TIMEOUT`.
+    pub fn is_connected(&self, to: &str) -> bool {
+        let connections = lock(&self.connections);
+        connections.get(to).is_some_and(|c| c.answered.load(Ordering::Relaxed))
+    }
+
     fn sender(&self, to: &Arc<str>) -> mpsc::Sender<Outgoing> {
-        let mut senders = lock(&self.senders);
-        // Remove senders whose connection task has ended.
-        senders.retain(|_, sender| !sender.is_closed());
-        if let Some(sender) = senders.get(to) {
-            return sender.clone();
+        let mut connections = lock(&self.connections);
+        // Remove connections whose task has ended.
+        connections.retain(|_, connection| !connection.sender.is_closed());
+        if let Some(connection) = connections.get(to) {
+            return connection.sender.clone();
         }
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
+        let connection = Connection { sender: sender.clone(), answered: Arc::default() };
+        let answered = connection.answered.clone();
+        connections.insert(to.clone(), connection);
+        drop(connections);
         let (own, to, log) = (self.own.clone(), to.clone(), self.log.clone());
-        senders.insert(to.clone(), sender.clone());
-        drop(senders);
-        tokio::spawn(maintain_connection(own, to, receiver, log));
+        tokio::spawn(maintain_connection(own, to, receiver, answered, log));
         sender
     }
 
@@ -138,6 +156,7 @@
     own: Arc<str>,
     to: Arc<str>,
     mut queue: mpsc::Receiver<Outgoing>,
+    answered: Arc<AtomicBool>,
     log: slog::Logger,
 ) {
     let mut reachable = true;
@@ -146,7 +165,9 @@
             Ok(stream) => {
                 event!(log, events::PEER_UP; "peer" => &*to);
                 reachable = true;
-                let cause = run_connection(&own, &to, stream, first, &mut queue, &log).await;
+                let cause =
+                    run_connection(&own, &to, stream, first, &mut queue, &answered, &log).await;
+                answered.store(false, Ordering::Relaxed);
                 event!(log, events::PEER_LOST; "peer" => &*to, "error" => %cause);
             }
             Err(error) => {
@@ -183,6 +204,7 @@
     stream: TcpStream,
     first: Outgoing,
     queue: &mut mpsc::Receiver<Outgoing>,
+    answered: &AtomicBool,
     log: &slog::Logger,
 ) -> errors::Error {
     let (read, mut write) = stream.into_split();
@@ -214,17 +236,20 @@
                 Some(outgoing) => append_outgoing(&mut out, outgoing, &mut calls, &mut next, log),
                 None => return errors::Error::lost("send", to.clone(), "closed by this host"),
             },
-            frame = read.next() => match frame {
-                Ok(frame::Frame::Answer(id, reply)) => {
-                    last_received = time::Instant::now();
-                    if let Some(done) = calls.remove(&id) {
-                        // Fails if the caller has given up.
-                        let _ = done.send(reply);
-                    }
+            frame = read.next() => {
+                let frame = match frame {
+                    Ok(frame) => frame,
+                    Err(error) => return error,
+                };
+                last_received = time::Instant::now();
+                answered.store(true, Ordering::Relaxed);
+                if let frame::Frame::Answer(id, reply) = frame
+                    && let Some(done) = calls.remove(&id)
+                {
+                    // Fails if the caller has given up.
+                    let _ = done.send(reply);
                 }
-                Ok(_) => last_received = time::Instant::now(),
-                Err(error) => return error,
-            },
+            }
             _ = ping.tick() => {
                 if last_received.elapsed() > PEER_TIMEOUT {
                     return errors::Error::lost("ping", to.clone(), "nothing received in time");
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -21,6 +21,8 @@
 const TWO_LOSSES: Size = Size { controls: 5, losses: 2, stores: 0, ..SMALL_SIZE };
 /// Time within which an accepted change must be in force on every entry.
 const IN_FORCE_TIME: Duration = Duration::from_millis(2_500);
+/// Time within which a host notices that it has lost contact with others.
+const LOST_CONTACT_TIME: Duration = Duration::from_millis(2_000);
 /// Time within which a replica group must have replaced a lost host or taken in a new one.
 const REPAIR_TIME: Duration = Duration::from_millis(4_500);
 /// Longest time for a job of a few items to finish, including a change of leader.
@@ -534,3 +536,20 @@
         }
     });
 }
+
+/// Guards against an entry that answers 404 for a route which it may merely not know yet. It still
+/// serves the routes that it knows.
+#[test]
+fn entry_out_of_contact_does_not_deny_routes() {
+    run(async {
+        let world = World::start(SMALL_SIZE).await;
+        let at = world.hosts_of(Role::Entry)[0];
+        let entry = world.caller_address(at);
+        world.cut_off(&[at]);
+        tokio::time::sleep(LOST_CONTACT_TIME).await;
+        assert_eq!(world.put_config(&world.config(2)).await, 200, "{}", world.logs());
+        let unknown = stream(entry, "/v2/", "unknown").await;
+        let known = stream(entry, fleet_world::STREAM_PREFIX, "known").await;
+        assert_eq!((unknown, known), (StreamEnd::NotRun, StreamEnd::Complete), "{}", world.logs());
+    });
+}
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -437,25 +437,37 @@
 
     /// Registers every endpoint at the first control host that accepts it.
     pub async fn send_heartbeats(&mut self) {
-        self.seq += 1;
-        for (at, endpoint) in self.endpoints.iter().enumerate() {
-            let Some(endpoint) = endpoint else { continue };
-            let body = json!({
-                "service": SERVICE, "address": endpoint.address(), "zone": format!("d{}", at % 3),
-                "version": "v1", "slots": ENDPOINT_OPTIONS.0, "state": "ready", "coldMs": 0,
-                "callSeq": self.seq,
-            });
-            let path = format!("/-/instances/{}", endpoint.id());
+        for endpoint in 0..self.endpoints.len() {
             for control in self.hosts_of(Role::Control) {
-                let to = (self.hosts[control].process_address, OPERATOR_PORT).into();
-                let body = body.to_string();
-                if client::call(to, "PUT", &path, &[], body).await.0 == 200 {
+                if self.send_heartbeat(control, endpoint, "ready").await == 200 {
                     break;
                 }
             }
         }
     }
 
+    /// Registers an endpoint at a control host. Returns the status, 0 without an endpoint.
+    pub async fn send_heartbeat(&mut self, control: usize, at: usize, state: &str) -> u16 {
+        let Some(endpoint) = &self.endpoints[at] else { return 0 };
+        self.seq += 1;
+        let body = json!({
+            "service": SERVICE, "address": endpoint.address(), "zone": format!("d{}", at % 3),
+            "version": "v1", "slots": ENDPOINT_OPTIONS.0, "state": state, "coldMs": 0,
+            "callSeq": self.seq,
+        });
+        let path = format!("/-/instances/{}", endpoint.id());
+        let to = (self.hosts[control].process_address, OPERATOR_PORT).into();
+        client::call(to, "PUT", &path, &[], body.to_string()).await.0
+    }
+
+    /// Deregisters an endpoint at a control host. Returns the status, 0 without an endpoint.
+    pub async fn deregister(&self, control: usize, at: usize) -> u16 {
+        let Some(endpoint) = &self.endpoints[at] else { return 0 };
+        let path = format!("/-/instances/{}", endpoint.id());
+        let to = (self.hosts[control].process_address, OPERATOR_PORT).into();
+        client::call(to, "DELETE", &path, &[], String::new()).await.0
+    }
+
     /// Repeats the heartbeats until every entry is ready.
     pub async fn send_heartbeats_until_ready(&mut self) {
         let begun = Instant::now();
