Acknowledge registrations only in contact with most control hosts

A control host that was cut off from all others acknowledged heartbeats and departures of endpoints, as the directory needs no quorum. An endpoint that then left, as it was told it may, still got requests from every entry, which could not learn of it.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -350,9 +350,20 @@
             let records = directory::Records { endpoints: vec![endpoint], hosts: Vec::new() };
             broadcast(node, None, &frame::Update { records, ..frame::Update::default() });
         }
+        if !node.is_in_contact() {
+            return self.unacknowledged(id);
+        }
         serve::json_response(protocol.registration_reply())
     }
 
+    /// Response to a registration or deregistration of which other hosts may not learn.
+    fn unacknowledged(&self, endpoint: &str) -> serve::Response {
+        let reason = "no contact with most control hosts";
+        event!(self.node.log, events::REGISTRATION_UNCONFIRMED; "endpoint" => endpoint,
+            "reason" => reason);
+        serve::response(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}; ask another\n"))
+    }
+
     fn deregister_endpoint(&self, id: &str, body: &[u8]) -> serve::Response {
         let node = &self.node;
         let start_time = node.view.protocol().parse_deregistration(body);
@@ -363,6 +374,9 @@
             frame::Update { departed: vec![(id.into(), start_time)], ..frame::Update::default() };
         node.view.notify_directory_changed();
         broadcast(node, None, &update);
+        if !node.is_in_contact() {
+            return self.unacknowledged(id);
+        }
         serve::response(StatusCode::OK, "")
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -553,3 +553,21 @@
         assert_eq!((unknown, known), (StreamEnd::NotRun, StreamEnd::Complete), "{}", world.logs());
     });
 }
+
+/// Guards against a departure that is acknowledged by a control host which can tell no other host,
+/// so that entries go on sending requests to the endpoint.
+#[test]
+fn departure_is_acknowledged_only_in_contact() {
+    run(async {
+        let mut world = World::start(SMALL_SIZE).await;
+        let controls = world.hosts_of(Role::Control);
+        world.cut_off(&controls[..1]);
+        tokio::time::sleep(LOST_CONTACT_TIME).await;
+        let mut seen = Vec::new();
+        for at in &controls[..2] {
+            seen.push(world.send_heartbeat(*at, 0, "draining").await);
+            seen.push(world.deregister(*at, 1).await);
+        }
+        assert_eq!(seen, [503, 503, 200, 200], "{}", world.logs());
+    });
+}
