Play the soak with two permitted losses, and check entries after it

SOAK_LOSSES=2 plays five control hosts and at least as many store hosts, loses up to two disks of a role and cuts two hosts of a role off from all others. With one loss, the faults of each seed stay the same. After the faults, every entry must serve the route that only the configuration in force has; in all sizes.

--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -78,7 +78,7 @@
     pub dir: tempfile::TempDir,
     /// Second and third byte of every address.
     net: (u8, u8),
-    losses: u8,
+    pub losses: u8,
     pub hosts: Vec<Host>,
     pub endpoints: Vec<Option<plain::PlainEndpoint>>,
     /// Runs at endpoints that were crashed.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,15 +2,17 @@
 //!
 //! `cargo test --test soak` runs a few seeds. `SOAK_SEEDS=100-149 cargo test --release --test soak
 //! -- --nocapture` runs others, and `SOAK_KEEP=FOLDER` keeps the logs of those that fail.
-//! `SOAK_SIZE=9,30,20` runs that many stores, entries and endpoints. The test checks what clients,
-//! endpoints and operators see:
+//! `SOAK_SIZE=9,30,20` runs that many stores, entries and endpoints. `SOAK_LOSSES=2` runs a fleet
+//! that permits the loss of two hosts, loses that many disks of a role, and cuts that many hosts of
+//! a role off from all others. The test checks what clients, endpoints and operators see:
 //!
 //! - a stream is complete, in order and belongs to its request, or the caller sees that it broke;
 //! - a request that must not be repeated runs at most once, and never if it was refused;
 //! - an endpoint gets only requests that a client sent, unchanged;
 //! - the results of an accepted job keep their positions and texts, and every item is listed after
 //!   the faults have ended;
-//! - after a configuration is acknowledged, no older one is read.
+//! - after a configuration is acknowledged, no older one is read;
+//! - after the faults have ended, every entry serves the configuration that is read.
 
 mod fleet_world;
 
@@ -22,6 +24,7 @@
 use fleet_world::proxy;
 use rand::Rng as _;
 use rand::SeedableRng as _;
+use rand::seq::SliceRandom as _;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -136,10 +139,12 @@
     observed: Shared,
     /// Actions that end faults, with the time at which each is due.
     pending_undos: Vec<(time::Instant, Undo)>,
-    /// Roles of which a host has lost its disk. A second loss would exceed what a fleet tolerates.
+    /// Role of each host that has lost its disk. A fleet tolerates a limited number of a role.
     lost_disks: Vec<Role>,
     /// Injected faults, for the report of a failure.
     faults: Vec<String>,
+    /// Paths that were requested to check the configuration in force.
+    checked_paths: Vec<String>,
 }
 
 /// Action that ends a fault; holds the index of the host or endpoint.
@@ -151,6 +156,8 @@
     StartEndpoint(usize),
     ClearEndpointFaults(usize),
     FreeDisk(usize),
+    /// Ends the faults of every link.
+    RestoreLinks,
 }
 
 impl Soak {
@@ -174,6 +181,11 @@
                     self.world.start_endpoint(at).await;
                 }
             }
+            Undo::RestoreLinks => {
+                for host in &self.world.hosts {
+                    host.proxy.clear_faults();
+                }
+            }
             Undo::FreeDisk(at) => self.world.fill_disk(at, false),
             Undo::ClearEndpointFaults(at) => {
                 if let Some(endpoint) = &self.world.endpoints[at] {
@@ -194,7 +206,9 @@
     async fn inject_fault(&mut self) {
         let all: Vec<usize> = (0..self.world.hosts.len()).collect();
         let at = self.pick(&all);
-        let kind = self.rng.random_range(0..18);
+        // Without the last kind, so that the faults of a seed stay the same.
+        let kinds = if self.world.losses > 1 { 20 } else { 18 };
+        let kind = self.rng.random_range(0..kinds);
         self.faults.push(format!("{kind} at {}", self.world.hosts[at].name));
         match kind {
             0 | 1 => self.kill_host(at),
@@ -216,7 +230,8 @@
             6 => self.world.hangup(at),
             7 => {
                 let role = self.world.hosts[at].role;
-                if role != Role::Entry && !self.lost_disks.contains(&role) {
+                let lost = self.lost_disks.iter().filter(|lost| **lost == role).count();
+                if role != Role::Entry && lost < usize::from(self.world.losses) {
                     self.lost_disks.push(role);
                     self.kill_host(at);
                     self.world.delete_data(at);
@@ -252,6 +267,13 @@
                 self.world.fill_disk(at, true);
                 self.undo_later(Undo::FreeDisk(at), 200, 3_000);
             }
+            18 | 19 => {
+                let mut hosts = self.world.hosts_of(self.world.hosts[at].role);
+                hosts.shuffle(&mut self.rng);
+                hosts.truncate(usize::from(self.world.losses));
+                self.world.cut_off(&hosts);
+                self.undo_later(Undo::RestoreLinks, 1_000, 5_000);
+            }
             _ => {
                 let endpoint = self.rng.random_range(0..self.world.endpoints.len());
                 let mut share = || self.rng.random_range(0.0..0.2);
@@ -279,7 +301,7 @@
             self.observed.lock().unwrap().versions.push((time::Instant::now(), version));
         }
         let read_start = time::Instant::now();
-        let control = self.rng.random_range(0..3);
+        let control = self.rng.random_range(0..self.world.hosts_of(Role::Control).len());
         if let Some(read) = self.world.read_version(control).await {
             let mut observed = self.observed.lock().unwrap();
             let old = observed.versions.iter().filter(|(at, _)| *at + APPLY_DELAY < read_start);
@@ -351,6 +373,7 @@
             }
             time::sleep(Duration::from_millis(100)).await;
         }
+        self.check_entries(entries).await;
         let last = format!("last-{}", self.seed);
         let ended = client::stream(entries[0], fleet_world::STREAM_PREFIX, &last).await;
         if ended != StreamEnd::Complete {
@@ -368,6 +391,32 @@
         self.check_runs();
     }
 
+    /// Checks that every entry serves the route that only the configuration in force has.
+    async fn check_entries(&mut self, entries: &[SocketAddr]) {
+        let mut version = self.world.read_version(0).await;
+        // A change without an answer may still be committed.
+        loop {
+            time::sleep(APPLY_DELAY).await;
+            let last = std::mem::replace(&mut version, self.world.read_version(0).await);
+            if version == last {
+                break;
+            }
+        }
+        let Some(version) = version else {
+            let problem = "the configuration cannot be read after the faults".to_string();
+            return self.observed.lock().unwrap().problems.push(problem);
+        };
+        for (n, entry) in entries.iter().enumerate() {
+            let id = format!("in-force-{n}");
+            let ended = client::stream(*entry, &format!("/v{version}/"), &id).await;
+            self.checked_paths.push(format!("/v{version}/{id}"));
+            if ended != StreamEnd::Complete {
+                let problem = format!("entry {n} and version {version}: {ended:?}");
+                self.observed.lock().unwrap().problems.push(problem);
+            }
+        }
+    }
+
     /// Checks the runs at the endpoints against the requests of the clients.
     fn check_runs(&self) {
         let runs = self.world.all_runs();
@@ -377,7 +426,8 @@
             *counts.entry(&run.request_id).or_default() += 1;
             let prefixes =
                 [fleet_world::STREAM_PREFIX, fleet_world::ONCE_PREFIX, fleet_world::BATCH_PREFIX];
-            let known_path = prefixes.iter().any(|p| *run.path == format!("{p}{}", run.request_id));
+            let known_path = prefixes.iter().any(|p| *run.path == format!("{p}{}", run.request_id))
+                || self.checked_paths.iter().any(|p| **p == *run.path);
             if !known_path || run.body_hash != xxhash_rust::xxh3::xxh3_64(run.request_id.as_bytes())
             {
                 observed.problems.push(format!("an endpoint got a changed request: {run:?}"));
@@ -401,16 +451,16 @@
     }
 }
 
-/// Number of stores, entries and endpoints.
+/// Permitted losses and numbers of hosts and endpoints.
 fn world_size() -> Size {
+    let losses = std::env::var("SOAK_LOSSES").map_or(1, |n| n.parse().expect("SOAK_LOSSES=N"));
+    let controls = 2 * losses + 1;
     let Ok(text) = std::env::var("SOAK_SIZE") else {
-        return Size { controls: 3, losses: 1, stores: 3, entries: 2, endpoints: 3 };
+        return Size { controls, losses, stores: controls, entries: 2, endpoints: 3 };
     };
     let numbers: Result<Vec<u8>, _> = text.split(',').map(str::parse).collect();
     match numbers.as_deref() {
-        Ok(&[stores, entries, endpoints]) => {
-            Size { controls: 3, losses: 1, stores, entries, endpoints }
-        }
+        Ok(&[stores, entries, endpoints]) => Size { controls, losses, stores, entries, endpoints },
         _ => panic!("SOAK_SIZE=STORES,ENTRIES,ENDPOINTS"),
     }
 }
@@ -431,9 +481,16 @@
     }
     tasks.spawn(job_client(entries.clone(), seed, observed.clone(), stop.clone()));
     let rng = ChaCha8Rng::seed_from_u64(seed);
-    let (pending_undos, lost_disks, faults) = (Vec::new(), Vec::new(), Vec::new());
-    let mut soak =
-        Soak { world, rng, seed, observed: observed.clone(), pending_undos, lost_disks, faults };
+    let mut soak = Soak {
+        world,
+        rng,
+        seed,
+        observed: observed.clone(),
+        pending_undos: Vec::new(),
+        lost_disks: Vec::new(),
+        faults: Vec::new(),
+        checked_paths: Vec::new(),
+    };
     soak.inject_faults().await;
     stop.store(true, Ordering::Relaxed);
     while tasks.join_next().await.is_some() {}
