Judge contact by the registered control hosts, not by the seeds

The check whether a host is in contact with most of the control hosts counted the seeds of the settings. After all seeds had been replaced, half of the hosts counted were gone for good: every heartbeat of an endpoint was left without acknowledgement and every unknown route answered 503, until the settings were changed.

The check now counts the control hosts of the directory, which drops those that are gone for a minute, and asks for at least half of them, so that three hosts replaced within that minute do no harm either. Hosts that are cut off together, at most the permitted losses, stay below half.

--- a/src/events.rs
+++ b/src/events.rs
@@ -159,7 +159,7 @@
     REGISTRATION_INVALID = 610, Warning, "registration invalid";
     /// An endpoint is avoided for a while after failures.
     ENDPOINT_EJECTED = 611, Warning, "endpoint avoided";
-    /// A control host that is not in contact with most of the others took a registration or
+    /// A control host that reaches less than half of the control hosts took a registration or
     /// deregistration without acknowledging it, so that the endpoint repeats it elsewhere.
     REGISTRATION_UNCONFIRMED = 612, Warning, "registration not acknowledged";
     /// A request was refused.
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -358,7 +358,7 @@
 
     /// Response to a registration or deregistration of which other hosts may not learn.
     fn unacknowledged(&self, endpoint: &str) -> serve::Response {
-        let reason = "no contact with most control hosts";
+        let reason = "too few control hosts can be reached";
         event!(self.node.log, events::REGISTRATION_UNCONFIRMED; "endpoint" => endpoint,
             "reason" => reason);
         serve::response(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}; ask another\n"))
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -123,14 +123,14 @@
         self.timer.now()
     }
 
-    /// Whether this host is in contact with most of the control hosts. Otherwise changes may be
-    /// accepted that it does not learn of, and the others may not learn what it is told.
+    /// Whether this host is in contact with at least half of the control hosts. Otherwise changes may
+    /// be accepted that it does not learn of, and the others may not learn what it is told.
     pub fn is_in_contact(&self) -> bool {
-        // Without this host.
-        let controls = self.view.controls();
+        let controls = self.view.registered_controls();
         let reached = controls.iter().filter(|c| self.peers.is_connected(c)).count();
+        // The list leaves out this host.
         let own = usize::from(self.settings.host.role == settings::Role::Control);
-        2 * (reached + own) > controls.len() + own
+        reached + own > 0 && 2 * (reached + own) >= controls.len() + own
     }
 
     /// Endpoints of a service that accept requests, with their running requests.
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -188,6 +188,15 @@
         self.without_own(controls)
     }
 
+    /// Link addresses of the control hosts in the directory, without this host. Unlike the seeds,
+    /// these do not include hosts that have been gone for long.
+    pub fn registered_controls(&self) -> Vec<Arc<str>> {
+        let controls = self.directory(|d| {
+            d.hosts(settings::Role::Control).map(|h| h.link.clone()).collect::<Vec<_>>()
+        });
+        self.without_own(controls)
+    }
+
     /// Link addresses of the hosts that may hold replicas of a group, without this host.
     pub fn members(&self, group: u16) -> Vec<Arc<str>> {
         if group == 0 {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -571,3 +571,26 @@
         assert_eq!(seen, [503, 503, 200, 200], "{}", world.logs());
     });
 }
+
+/// Guards against control hosts that acknowledge nothing after all seeds were replaced, because they
+/// still count the former ones.
+#[test]
+fn replaced_seeds_do_not_count_for_contact() {
+    run(async {
+        let mut world = World::start(Size { controls: 6, ..SMALL_SIZE }).await;
+        let controls = world.hosts_of(Role::Control);
+        for at in &controls[..3] {
+            tokio::time::sleep(REPAIR_TIME).await;
+            world.kill(*at);
+            world.delete_data(*at);
+        }
+        tokio::time::sleep(REPAIR_TIME).await;
+        let mut seen = Vec::new();
+        for at in &controls[3..] {
+            seen.push(world.send_heartbeat(*at, 0, "ready").await);
+        }
+        let entry = world.caller_address(world.hosts_of(Role::Entry)[0]);
+        seen.push(client::call(entry, "POST", "/none/", &[], String::new()).await.0);
+        assert_eq!(seen, [200, 200, 200, 404], "{}", world.logs());
+    });
+}
