Name the reason of refusals out of contact once

The entry and the control host each had their own copy of the text, and the check whether a host is in contact did not say why it needs at least one reached host. The text is a constant now, the answer to an endpoint says what to do, and a derive that nothing used is gone.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -358,10 +358,11 @@
 
     /// Response to a registration or deregistration of which other hosts may not learn.
     fn unacknowledged(&self, endpoint: &str) -> serve::Response {
-        let reason = "too few control hosts can be reached";
+        let reason = node::OUT_OF_CONTACT;
         event!(self.node.log, events::REGISTRATION_UNCONFIRMED; "endpoint" => endpoint,
             "reason" => reason);
-        serve::response(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}; ask another\n"))
+        let text = format!("not acknowledged: {reason}; send it to another control host\n");
+        serve::response(StatusCode::SERVICE_UNAVAILABLE, text)
     }
 
     fn deregister_endpoint(&self, id: &str, body: &[u8]) -> serve::Response {
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -214,7 +214,7 @@
         else {
             if !node.is_in_contact() {
                 // A later version may have the route.
-                return forward::refuse(node, &id, "too few control hosts can be reached");
+                return forward::refuse(node, &id, node::OUT_OF_CONTACT);
             }
             event!(node.log, events::REQUEST_REFUSED; "request" => &*id, "reason" => "no route",
                 "version" => active.document.version, "path" => head.uri.path());
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -42,6 +42,9 @@
 /// Most connections of a listener that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 
+/// Reason for refusals while [`Node::is_in_contact`] is false.
+pub const OUT_OF_CONTACT: &str = "too few control hosts can be reached";
+
 /// State shared by the parts of one process. Clones share it.
 #[derive(Clone)]
 pub struct Node {
@@ -128,9 +131,11 @@
     pub fn is_in_contact(&self) -> bool {
         let controls = self.view.registered_controls();
         let reached = controls.iter().filter(|c| self.peers.is_connected(c)).count();
-        // The list leaves out this host.
+        // A control host reaches itself, but is not in the list.
         let own = usize::from(self.settings.host.role == settings::Role::Control);
-        reached + own > 0 && 2 * (reached + own) >= controls.len() + own
+        let (reached, total) = (reached + own, controls.len() + own);
+        // An entry knows no control host before it gets its first directory.
+        reached > 0 && 2 * reached >= total
     }
 
     /// Endpoints of a service that accept requests, with their running requests.
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -64,7 +64,6 @@
 }
 
 /// Queue of the frames for one host, and the state of the connection to it.
-#[derive(Clone)]
 struct Connection {
     sender: mpsc::Sender<Outgoing>,
     /// Whether the host has answered on the connection that is open now.
