Check in the soak that a change is in force while hosts are cut off

Each seed now ends with a cut of as many control hosts as the fleet permits to lose. A change must be accepted meanwhile, and each entry must serve its route.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,7 +12,9 @@
 //! - the results of an accepted job keep their positions and texts, and every item is listed after
 //!   the faults have ended;
 //! - after a configuration is acknowledged, no older one is read;
-//! - after the faults have ended, every entry serves the configuration that is read.
+//! - after the faults have ended, every entry serves the configuration that is read;
+//! - while as many control hosts as permitted are cut off, a change is accepted and every entry
+//!   serves it.
 
 mod fleet_world;
 
@@ -35,9 +37,10 @@
 use std::time::Duration;
 use tokio::time;
 
-/// Seeds that run in CI, including those that once failed, each with its cause: in 12 the store
-/// hosts restart before the job group is formed.
-const SEEDS: [u64; 3] = [1, 2, 12];
+/// Seeds that run in CI and their permitted losses, including seeds that once failed, each with its
+/// cause: in 12 the store hosts restart before the job group is formed; in 501 two control hosts are
+/// cut off and were a majority of too small a group.
+const SEEDS: [(u64, u8); 4] = [(1, 1), (2, 1), (12, 1), (501, 2)];
 /// Faults are injected for this long with each seed.
 const FAULT_PERIOD: Duration = Duration::from_secs(12);
 /// Everything must work again within this time after the last fault. It covers an election, the
@@ -52,6 +55,9 @@
 /// No older configuration may be read from this long after an acknowledgement.
 const APPLY_DELAY: Duration = Duration::from_secs(2);
 
+/// Time for the control hosts that are left after a cut to notice it and to elect a leader.
+const LEADER_CHANGE_TIME: Duration = Duration::from_secs(3);
+
 /// What the clients have observed.
 #[derive(Default)]
 struct Observations {
@@ -374,6 +380,7 @@
             time::sleep(Duration::from_millis(100)).await;
         }
         self.check_entries(entries).await;
+        self.check_change_during_cut(entries).await;
         let last = format!("last-{}", self.seed);
         let ended = client::stream(entries[0], fleet_world::STREAM_PREFIX, &last).await;
         if ended != StreamEnd::Complete {
@@ -417,6 +424,32 @@
         }
     }
 
+    /// Cuts off as many control hosts as the fleet tolerates, and checks that a change is accepted
+    /// and that every entry uses it. No other fault may be active.
+    async fn check_change_during_cut(&mut self, entries: &[SocketAddr]) {
+        let mut hosts = self.world.hosts_of(Role::Control);
+        hosts.shuffle(&mut self.rng);
+        hosts.truncate(usize::from(self.world.losses));
+        self.world.cut_off(&hosts);
+        time::sleep(LEADER_CHANGE_TIME).await;
+        self.world.version += 1;
+        let version = self.world.version;
+        let status = self.world.put_config(&self.world.config(version)).await;
+        time::sleep(APPLY_DELAY).await;
+        let mut seen = vec![format!("{status}")];
+        for (n, entry) in entries.iter().enumerate() {
+            let id = format!("cut-{n}");
+            let ended = client::stream(*entry, &format!("/v{version}/"), &id).await;
+            self.checked_paths.push(format!("/v{version}/{id}"));
+            seen.push(format!("{ended:?}"));
+        }
+        if status != 200 || seen.iter().skip(1).any(|ended| ended != "Complete") {
+            let problem = format!("change while {hosts:?} are cut off: {}", seen.join(", "));
+            self.observed.lock().unwrap().problems.push(problem);
+        }
+        self.undo(Undo::RestoreLinks).await;
+    }
+
     /// Checks the runs at the endpoints against the requests of the clients.
     fn check_runs(&self) {
         let runs = self.world.all_runs();
@@ -451,9 +484,8 @@
     }
 }
 
-/// Permitted losses and numbers of hosts and endpoints.
-fn world_size() -> Size {
-    let losses = std::env::var("SOAK_LOSSES").map_or(1, |n| n.parse().expect("SOAK_LOSSES=N"));
+/// Numbers of hosts and endpoints.
+fn world_size(losses: u8) -> Size {
     let controls = 2 * losses + 1;
     let Ok(text) = std::env::var("SOAK_SIZE") else {
         return Size { controls, losses, stores: controls, entries: 2, endpoints: 3 };
@@ -469,8 +501,8 @@
 ///
 /// # Errors
 /// The summary with the injected faults and the problems.
-async fn run_seed(seed: u64) -> Result<String, String> {
-    let world = World::start(world_size()).await;
+async fn run_seed(seed: u64, losses: u8) -> Result<String, String> {
+    let world = World::start(world_size(losses)).await;
     let entries = world.caller_addresses();
     let observed = Shared::default();
     let stop = Arc::new(AtomicBool::new(false));
@@ -530,7 +562,9 @@
     let seeds = match std::env::var("SOAK_SEEDS") {
         Ok(range) => {
             let (first, last) = range.split_once('-').expect("SOAK_SEEDS=FIRST-LAST");
-            (first.parse().expect("number")..=last.parse().expect("number")).collect()
+            let losses = std::env::var("SOAK_LOSSES").map_or(1, |n| n.parse().expect("number"));
+            let seeds = first.parse().expect("number")..=last.parse().expect("number");
+            seeds.map(|seed| (seed, losses)).collect()
         }
         Err(_) => SEEDS.to_vec(),
     };
@@ -540,8 +574,8 @@
         .build()
         .expect("runtime");
     let mut failed = Vec::new();
-    for seed in seeds {
-        match runtime.block_on(run_seed(seed)) {
+    for (seed, losses) in seeds {
+        match runtime.block_on(run_seed(seed, losses)) {
             Ok(summary) => println!("{summary}"),
             Err(problem) => {
                 println!("FAILED {problem}");
