Compare and replace the active configuration in one step

Cause: View::apply_document compared the version, parsed the document and only then stored it. Documents arrive on several connections at once, so an older one could replace a newer one.

Change: the comparison and the replacement happen under one lock. The other writers of what a host believes were read: directory, placement and loads compare and store under their locks, and the rest has one writer each.

--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -32,6 +32,8 @@
     seeds: Mutex<Vec<Arc<str>>>,
     protocol: Arc<dyn protocol::Protocol>,
     active_config: ArcSwapOption<ActiveConfig>,
+    /// Held while a document is compared with the active one and replaces it.
+    config_update: Mutex<()>,
     placement: Mutex<control_state::Placement>,
     /// Id of the replica on this host.
     replica: Mutex<Option<u64>>,
@@ -56,6 +58,7 @@
             seeds: Mutex::new(seeds),
             protocol,
             active_config: ArcSwapOption::empty(),
+            config_update: Mutex::default(),
             placement: Mutex::default(),
             replica: Mutex::default(),
             directory: Mutex::new(directory),
@@ -97,6 +100,9 @@
     /// Activates a document if it is valid and its version is higher than the active one. Returns
     /// whether it was activated.
     pub fn apply_document(&self, document: control_state::Document) -> bool {
+        // Several connections deliver documents at the same time. Without the lock, an older one
+        // could replace a newer one that was activated after the comparison.
+        let _update = peer::lock(&self.config_update);
         let known = self.active_config.load().as_ref().map_or(0, |f| f.document.version);
         if document.version <= known {
             return false;
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -8,12 +8,19 @@
 use basilfield::fleet::frame;
 use basilfield::fleet::settings;
 use basilfield::fleet::view;
+use slog::Drain as _;
 use std::sync::Arc;
+use std::sync::Barrier;
+use std::sync::Mutex;
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(1);
 
 fn view(link: &str) -> view::View {
+    view_with_log(link, &slog::Logger::root(slog::Discard, slog::o!()))
+}
+
+fn view_with_log(link: &str, log: &slog::Logger) -> view::View {
     let own = directory::Host {
         name: link.into(),
         link: link.into(),
@@ -24,8 +31,37 @@
         replica: None,
         silent: false,
     };
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    view::View::new(own, vec!["seed".into()], Arc::new(platform::Platform::default()), &log)
+    view::View::new(own, vec!["seed".into()], Arc::new(platform::Platform::default()), log)
+}
+
+/// Collects log lines in memory.
+#[derive(Clone, Default)]
+struct LogBuffer(Arc<Mutex<Vec<u8>>>);
+
+impl std::io::Write for LogBuffer {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl LogBuffer {
+    /// Number of configurations that replaced one with the same or a higher version.
+    fn regressions(&self) -> usize {
+        let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
+        let lines = text.lines().map(|l| serde_json::from_str::<serde_json::Value>(l).unwrap());
+        let changes: Vec<(u64, u64)> = lines
+            .filter(|l| l["event"] == 405)
+            .map(|l| (l["before"].as_u64().unwrap(), l["version"].as_u64().unwrap()))
+            .collect();
+        let continues = |pair: &[(u64, u64)]| pair[0].1 == pair[1].0;
+        let gaps = changes.windows(2).filter(|pair| !continues(pair)).count();
+        gaps + changes.iter().filter(|(before, version)| before >= version).count()
+    }
 }
 
 fn document(version: u64, timeout: u64) -> control_state::Document {
@@ -86,3 +122,31 @@
     let again = frame::Update { document: Some(document(5, 9)), ..frame::Update::default() };
     assert!(other.apply_update(NOW, again).is_none(), "nothing to pass on");
 }
+
+/// Guards against a host that keeps an older configuration because two connections delivered a newer
+/// one and an older one at the same time.
+#[test]
+fn concurrent_documents_leave_the_newest_in_force() {
+    const ROUNDS: usize = 300;
+    const VERSIONS: u64 = 4;
+    let (mut older, mut regressions) = (0, 0);
+    for _ in 0..ROUNDS {
+        let lines = LogBuffer::default();
+        let drain = slog_json::Json::default(lines.clone()).map(slog::Fuse);
+        let log = slog::Logger::root(Mutex::new(drain).map(slog::Fuse), slog::o!());
+        let v = view_with_log("a", &log);
+        let start = Barrier::new(VERSIONS as usize);
+        std::thread::scope(|scope| {
+            for version in 1..=VERSIONS {
+                let (v, start) = (&v, &start);
+                scope.spawn(move || {
+                    start.wait();
+                    v.apply_document(document(version, 100));
+                });
+            }
+        });
+        older += usize::from(v.active_config().is_some_and(|c| c.document.version < VERSIONS));
+        regressions += lines.regressions();
+    }
+    assert_eq!((older, regressions), (0, 0), "rounds with an older version, and steps back");
+}
