Report changes of the load instead of whole tables

Cause: the host that places items built, for each of the entries and 67 times a second, the sum of all reports of the entries anew: entries x entries x endpoints in use.

Change: the sum is kept up to date report by report. An entry gets the endpoints whose numbers changed since its last report, those in other failure domains every 90 ms only. Reports to an entry are numbered; one that misses a report says so and gets a complete one.

--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -75,6 +75,8 @@
     pub start_time: u64,
     /// Sequence number of the report since that start.
     pub seq: u64,
+    /// Whether the entry has complete reports of the receiving host.
+    pub synced: bool,
     /// Key of each busy endpoint and number of requests that run there, sorted by key.
     pub running: Vec<(load::EndpointKey, u32)>,
 }
@@ -84,9 +86,12 @@
 pub struct OtherLoad {
     /// Start of the sending process in milliseconds of Unix time.
     pub start_time: u64,
-    /// Sequence number of the report since that start.
+    /// Sequence number of the report to the receiving entry since that start.
     pub seq: u64,
-    /// Key of each busy endpoint and the numbers of online requests of other entries and of batch
-    /// items that run there, sorted by key.
+    /// Whether `running` holds every busy endpoint; otherwise only those that changed since the
+    /// report before.
+    pub complete: bool,
+    /// Key of an endpoint and the numbers of online requests of other entries and of batch items
+    /// that run there, sorted by key.
     pub running: Vec<(load::EndpointKey, u32, u32)>,
 }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -5,6 +5,7 @@
 use crate::fleet::directory;
 use crate::fleet::frame;
 use crate::fleet::groups;
+use crate::fleet::load;
 use crate::fleet::peer;
 use crate::fleet::place;
 use crate::fleet::protocol;
@@ -287,14 +288,16 @@
             () = stop.wait() => return Ok(()),
         };
         let running = node.view.loads(|l| l.own_requests());
-        let repeat = !running.is_empty() && now.saturating_sub(last_sent) >= LOAD_REPEAT_INTERVAL;
+        let targets = node.view.loads(|l| l.report_targets(now));
+        let repeat = now.saturating_sub(last_sent) >= LOAD_REPEAT_INTERVAL
+            && (!running.is_empty() || targets.iter().any(|(_, synced)| !synced));
         if running == last_report && !repeat {
             continue;
         }
         (last_report, last_sent, seq) = (running.clone(), now, seq + 1);
-        let load = frame::EntryLoad { start_time, seq, running };
-        for to in node.view.loads(|l| l.report_targets(now)) {
-            node.peers.cast(&to, frame::Cast::EntryLoad(load.clone()));
+        for (to, synced) in targets {
+            let load = frame::EntryLoad { start_time, seq, synced, running: running.clone() };
+            node.peers.cast(&to, frame::Cast::EntryLoad(load));
         }
     }
 }
@@ -307,32 +310,36 @@
 ) -> Result<(), errors::Error> {
     let start_time = node.view.own().start_time;
     let mut ticks = node.timer.subscribe(OTHER_LOAD_INTERVAL);
-    let mut last_sent: sorted::SortedMap<Arc<str>, (Duration, Vec<_>)> = sorted::SortedMap::new();
-    let mut seq = 0;
+    let mut reporter = load::Reporter::default();
     loop {
         let now = tokio::select! {
             now = ticks.next() => now,
             () = stop.wait() => return Ok(()),
         };
         if !*is_leader.borrow() {
-            last_sent.clear();
+            reporter.reset();
             continue;
         }
-        let entries: Vec<Arc<str>> = node
-            .view
-            .directory(|d| d.hosts(settings::Role::Entry).map(|h| h.link.clone()).collect());
-        for to in entries {
-            let running = node.view.loads(|l| l.other_load(now, &to));
-            let known = last_sent.get(&to);
-            let repeat =
-                known.is_none_or(|(at, _)| now.saturating_sub(*at) >= LOAD_REPEAT_INTERVAL);
-            if !repeat && known.is_some_and(|(_, known)| *known == running) {
-                continue;
-            }
-            seq += 1;
-            let load = frame::OtherLoad { start_time, seq, running: running.clone() };
-            last_sent.insert(to.clone(), (now, running));
-            node.peers.cast(&to, frame::Cast::OtherLoad(load));
+        let (mut entries, endpoints) = node.view.directory(|d| {
+            let entries =
+                d.hosts(settings::Role::Entry).map(|h| (h.link.clone(), h.domain.clone()));
+            let domain = |e: &directory::Endpoint| (load::endpoint_key(&e.id), e.domain.clone());
+            let endpoints: sorted::SortedMap<_, _> = d.endpoints().map(domain).collect();
+            (entries.collect::<Vec<_>>(), endpoints)
+        });
+        entries.sort();
+        reporter.retain(|to| entries.binary_search_by(|(link, _)| link.cmp(to)).is_ok());
+        let reports: Vec<_> = node.view.loads(|l| {
+            l.remove_expired(now);
+            let report = |(to, domain): &(Arc<str>, Arc<str>)| {
+                let is_near = |key| endpoints.get(&key) == Some(domain);
+                let report = reporter.next_report(now, to, start_time, l, is_near);
+                report.map(|report| (to.clone(), report))
+            };
+            entries.iter().filter_map(report).collect()
+        });
+        for (to, report) in reports {
+            node.peers.cast(&to, frame::Cast::OtherLoad(report));
         }
     }
 }
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -180,6 +180,7 @@
     let report = |start_time, seq, count| frame::EntryLoad {
         start_time,
         seq,
+        synced: true,
         running: vec![(load::endpoint_key("e"), count)],
     };
     let (one, two): (Arc<str>, Arc<str>) = ("one".into(), "two".into());
@@ -188,11 +189,11 @@
     loads.record_entry_load(NOW, &one, report(1, 4, 9));
     loads.record_entry_load(NOW, &two, report(1, 1, 3));
     let running = loads.running(NOW, "e");
-    let totals =
-        [loads.other_load(NOW, &one), loads.other_load(NOW, &two)].map(|t| (t[0].1, t[0].2));
+    let totals = [loads.other_load(&one), loads.other_load(&two)].map(|t| t[0].1);
     // The clock of the sender was set back before its restart.
     loads.record_entry_load(NOW, &one, report(0, 1, 2));
     let restarted = loads.running(NOW, "e").online;
+    loads.remove_expired(NOW + Duration::from_secs(2));
     let aged = loads.running(NOW + Duration::from_secs(2), "e").online;
     loads.remove_request("e");
     let own = loads.running(NOW, "e").own;
@@ -207,13 +208,16 @@
     let total = |seq, online| frame::OtherLoad {
         start_time: 1,
         seq,
+        complete: true,
         running: vec![(load::endpoint_key("e"), online, 1)],
     };
     let (old, new): (Arc<str>, Arc<str>) = ("old".into(), "new".into());
     loads.record_other_load(NOW, &old, total(9, 7));
     loads.record_other_load(NOW + Duration::from_millis(10), &new, total(1, 2));
     let running = loads.running(NOW + Duration::from_millis(20), "e");
-    let report_targets = loads.report_targets(NOW + Duration::from_millis(1_005)).join(" ");
+    let report_targets = loads.report_targets(NOW + Duration::from_millis(1_005));
+    let report_targets =
+        report_targets.iter().map(|(host, _)| &**host).collect::<Vec<_>>().join(" ");
     insta::assert_snapshot!(format!("{running:?} {report_targets}"),
         @"Running { own: 0, online: 2, batch: 1 } new");
 }
