Send configurations and directories from one control host at a time

Cause: every control host pushed every configuration and every change of the directory to every host, and answered each announcement that lacked something with all of it. With five control hosts a configuration crossed the link of a host at least five times, and quick changes queued one whole document each. Spare store hosts all probed each other four times a second, and their connections never closed.

Change: control hosts announce the version only; a host fetches the newest configuration from one of them, one at a time, and from another after 0.7 s. A change of the directory is pushed by the control host that learned of it; a directory that stays different is sent by one control host, the next one in the order of this host taking over after 0.45 s. A blank replica probes the members of the group once a second, and every host only every 8 s. An idle connection between hosts closes after 10 s.

Tests: 25 versions in 1.5 s on a slow link, a control host that does not answer, 300 hosts with one sender each, 45 store hosts that probe.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -16,6 +16,7 @@
 use crate::fleet::routes;
 use crate::fleet::serve;
 use crate::fleet::settings;
+use crate::fleet::sync;
 use crate::replica;
 use crate::state::service;
 use crate::supervisor;
@@ -25,6 +26,7 @@
 use futures_util::future::BoxFuture;
 use hyper::StatusCode;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time;
@@ -46,6 +48,13 @@
 /// Handler of HTTP calls and of frames from other hosts.
 struct Control {
     node: node::Node,
+    directory_sync: Mutex<sync::DirectorySync>,
+}
+
+impl Control {
+    fn new(node: &node::Node) -> Control {
+        Control { node: node.clone(), directory_sync: Mutex::default() }
+    }
 }
 
 /// Replicated service of the control group. Publishes applied changes and leadership to the tasks
@@ -116,7 +125,7 @@
         let (published, is_leader) = (state_sender.clone(), leader_sender.clone());
         Box::new(Service { state: control_state::ControlState::default(), published, is_leader })
     });
-    let control = Arc::new(Control { node: node.clone() });
+    let control = Arc::new(Control::new(node));
     let (ended, end) = supervisor::Stop::channel();
     let (open, _) = watch::channel(());
     let (_, bounds) =
@@ -144,7 +153,7 @@
 
 /// Returns the handler of frames from other hosts.
 pub fn peer_handler(node: &node::Node) -> Arc<dyn peer::Handler> {
-    Arc::new(Control { node: node.clone() })
+    Arc::new(Control::new(node))
 }
 
 impl peer::Handler for Control {
@@ -152,10 +161,13 @@
         let node = &self.node;
         match message {
             frame::Cast::Replica(envelope) => member::deliver(node, envelope),
-            frame::Cast::Announce(announcement) => self.handle_announcement(from, &announcement),
-            frame::Cast::Update(update) => {
-                if let Some(update) = node.view.apply_update(node.now(), update) {
-                    broadcast(node, Some(from), &update);
+            frame::Cast::Announce(announcement) => self.handle_announcement(&announcement),
+            frame::Cast::FetchConfig(known) => {
+                let document = node.view.active_config().map(|c| c.document.clone());
+                if let Some(document) = document.filter(|d| d.version > known) {
+                    let update =
+                        frame::Update { document: Some(document), ..frame::Update::default() };
+                    node.peers.cast(from, frame::Cast::Update(update));
                 }
             }
             message => entry::handle_cast(node, from, message),
@@ -167,8 +179,8 @@
     }
 }
 
-/// Sends an update to every present host except this one and `from`, from which it came.
-fn broadcast(node: &node::Node, from: Option<&Arc<str>>, update: &frame::Update) {
+/// Sends a message to every present host except this one.
+fn broadcast(node: &node::Node, message: &frame::Cast) {
     let now = node.now();
     let roles = [settings::Role::Entry, settings::Role::Store, settings::Role::Control];
     let hosts: Vec<Arc<str>> = node.view.directory(|d| {
@@ -176,11 +188,17 @@
         present.map(|h| h.link.clone()).collect()
     });
     let own = &node.view.own().link;
-    for host in hosts.iter().filter(|h| *h != own && Some(*h) != from) {
-        node.peers.cast(host, frame::Cast::Update(update.clone()));
+    for host in hosts.iter().filter(|h| *h != own) {
+        node.peers.cast(host, message.clone());
     }
 }
 
+/// Sends records of the directory to every present host.
+fn broadcast_records(node: &node::Node, records: directory::Records) {
+    let update = frame::Update { records, ..frame::Update::default() };
+    broadcast(node, &frame::Cast::Update(update));
+}
+
 /// Passes configuration and placement that the replica has applied to the view of this host and to
 /// the other hosts.
 async fn publish_state(
@@ -190,11 +208,14 @@
 ) -> Result<(), errors::Error> {
     loop {
         let state = published.borrow_and_update().clone();
-        let document = Some(state.document).filter(|d| node.view.apply_document(d.clone()));
+        let version = state.document.version;
+        if node.view.apply_document(state.document) {
+            broadcast(&node, &frame::Cast::ConfigAvailable(version));
+        }
         let placement = Some(state.placement).filter(|p| node.view.apply_placement(p.clone()));
-        if document.is_some() || placement.is_some() {
-            let update = frame::Update { document, placement, ..frame::Update::default() };
-            broadcast(&node, None, &update);
+        if placement.is_some() {
+            let update = frame::Update { placement, ..frame::Update::default() };
+            broadcast(&node, &frame::Cast::Update(update));
         }
         tokio::select! {
             changed = published.changed() => if changed.is_err() { return Ok(()) },
@@ -222,7 +243,7 @@
         }
         if !records.endpoints.is_empty() || !records.hosts.is_empty() {
             node.view.notify_directory_changed();
-            broadcast(&node, None, &frame::Update { records, ..frame::Update::default() });
+            broadcast_records(&node, records);
         }
     }
 }
@@ -297,18 +318,32 @@
 }
 
 impl Control {
-    fn handle_announcement(&self, from: &Arc<str>, announcement: &frame::Announcement) {
-        let node = &self.node;
+    /// Registers the host that announced itself, and sends it what it lacks. The other hosts learn
+    /// of a change from the first of the control hosts that serve this one.
+    fn handle_announcement(&self, announcement: &frame::Announcement) {
+        let (node, now) = (&self.node, self.node.now());
         let host = announcement.host.clone();
-        let changed = node.view.directory(|d| d.register_host(node.now(), host.clone()));
+        let link = &announcement.host.link;
+        let changed = node.view.directory(|d| d.register_host(now, host.clone()));
+        let controls: Vec<Arc<str>> = node.view.directory(|d| {
+            d.present_hosts(now, settings::Role::Control).map(|h| h.link.clone()).collect()
+        });
+        let rank = sync::rank(link, &node.view.own().link, &controls);
         if changed {
             node.view.notify_directory_changed();
-            let records = directory::Records { hosts: vec![host], ..directory::Records::default() };
-            let update = frame::Update { records, ..frame::Update::default() };
-            broadcast(node, Some(from), &update);
+            if rank == 0 {
+                let hosts = vec![host];
+                broadcast_records(node, directory::Records { hosts, ..Default::default() });
+            }
+        }
+        let version = node.view.config_version();
+        if version > announcement.version {
+            node.peers.cast(link, frame::Cast::ConfigAvailable(version));
         }
-        if let Some(update) = node.view.missing_update(announcement) {
-            node.peers.cast(&announcement.host.link, frame::Cast::Update(update));
+        let same = node.view.has_same_directory(announcement);
+        let due = peer::lock(&self.directory_sync).is_due(now, link, rank, same);
+        if let Some(update) = node.view.missing_update(announcement, due) {
+            node.peers.cast(link, frame::Cast::Update(update));
         }
     }
 
@@ -355,7 +390,7 @@
                 "phase" => ?endpoint.phase, "born" => endpoint.start_time, "seq" => endpoint.seq);
             node.view.notify_directory_changed();
             let records = directory::Records { endpoints: vec![endpoint], hosts: Vec::new() };
-            broadcast(node, None, &frame::Update { records, ..frame::Update::default() });
+            broadcast_records(node, records);
         }
         if !node.is_in_contact() {
             return self.unacknowledged(id);
@@ -381,7 +416,7 @@
         let update =
             frame::Update { departed: vec![(id.into(), start_time)], ..frame::Update::default() };
         node.view.notify_directory_changed();
-        broadcast(node, None, &update);
+        broadcast(node, &frame::Cast::Update(update));
         if !node.is_in_contact() {
             return self.unacknowledged(id);
         }
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -142,15 +142,16 @@
 pub fn handle_cast(node: &node::Node, from: &Arc<str>, message: frame::Cast) {
     match message {
         frame::Cast::Update(update) => {
-            node.view.apply_update(node.now(), update);
+            node.apply_update(update);
         }
+        frame::Cast::ConfigAvailable(version) => node.handle_available_config(from, version),
         frame::Cast::EntryLoad(load) => {
             node.view.loads(|l| l.record_entry_load(node.now(), from, load))
         }
         frame::Cast::OtherLoad(load) => {
             node.view.loads(|l| l.record_other_load(node.now(), from, load))
         }
-        frame::Cast::Replica(_) | frame::Cast::Announce(_) => {}
+        frame::Cast::Replica(_) | frame::Cast::Announce(_) | frame::Cast::FetchConfig(_) => {}
     }
 }
 
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -39,6 +39,10 @@
     EntryLoad(EntryLoad),
     /// The host that places items reports to an entry what other hosts run.
     OtherLoad(OtherLoad),
+    /// A control host has this version of the configuration.
+    ConfigAvailable(u64),
+    /// A host asks a control host for a configuration that is newer than this version.
+    FetchConfig(u64),
 }
 
 /// Announcement that a host sends to the control hosts at regular intervals.
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -234,10 +234,11 @@
 /// Probes the other members at an interval, as long as [`probe_members`] finds a reason to.
 async fn probe(member: Member, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
     let mut ticks = member.node.timer.subscribe(PROBE_INTERVAL);
+    let mut targets = replica::probing::Targets::default();
     loop {
         let handle = peer::lock(&member.node.local_replica).clone();
         if let Some(handle) = handle {
-            probe_members(&member, &handle).await;
+            probe_members(&member, &handle, &mut targets).await;
         }
         tokio::select! {
             _ = ticks.next() => {}
@@ -248,7 +249,11 @@
 
 /// Asks the other members for their replicas if this one is blank, a learner or without a leader.
 /// Hands the answers to the replica, or retires it if a member says that it was replaced.
-async fn probe_members(member: &Member, handle: &group::Handle) {
+async fn probe_members(
+    member: &Member,
+    handle: &group::Handle,
+    targets: &mut replica::probing::Targets,
+) {
     let (done, status) = oneshot::channel();
     handle.call(group::Call::Status { done });
     let Ok(status) = status.await else { return };
@@ -267,6 +272,7 @@
     hosts.extend(member.first_members().into_iter().filter(|f| f != node.peers.own()));
     hosts.sort();
     hosts.dedup();
+    let Some(hosts) = targets.next_round(node.now(), hosts, blank) else { return };
     let own = node.peers.own();
     let ask = |to: Arc<str>| async move {
         let (group, id) = (member.group, handle.id);
@@ -280,6 +286,7 @@
     };
     let answers = futures_util::future::join_all(hosts.into_iter().map(ask)).await;
     let answers: Vec<_> = answers.into_iter().flatten().collect();
+    targets.record_answers(answers.iter().map(|(answer, _)| answer));
     if answers.iter().any(|(_, retired)| *retired) {
         handle.call(group::Call::Retire);
         return;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 pub mod settings;
 pub mod sse;
 pub mod store;
+pub mod sync;
 pub mod upstream;
 pub mod view;
 
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -10,6 +10,7 @@
 use crate::fleet::place;
 use crate::fleet::protocol;
 use crate::fleet::settings;
+use crate::fleet::sync;
 use crate::fleet::upstream;
 use crate::fleet::view;
 use crate::metrics;
@@ -61,6 +62,8 @@
     pub groups: groups::Client,
     /// HTTP client for endpoints.
     pub upstream: upstream::Upstream,
+    /// Configuration that this host is fetching.
+    pub config_fetch: Arc<Mutex<sync::ConfigFetch>>,
     /// Endpoints that failed recently.
     pub health: Arc<Mutex<place::Health>>,
     /// Handle of the replica on this host, while it runs.
@@ -115,6 +118,7 @@
             view,
             peers,
             upstream: upstream::Upstream::default(),
+            config_fetch: Arc::default(),
             health: Arc::default(),
             local_replica,
             metrics: metrics::Metrics::new(),
@@ -140,6 +144,32 @@
         reached > 0 && 2 * reached >= total
     }
 
+    /// Fetches the configuration if the control host `from` has a newer one.
+    pub fn handle_available_config(&self, from: &Arc<str>, version: u64) {
+        let known = self.view.config_version();
+        let source =
+            peer::lock(&self.config_fetch).record_available(self.now(), known, version, from);
+        self.fetch_config(source, known);
+    }
+
+    /// Applies an update of a control host. Returns the parts that changed something here.
+    pub fn apply_update(&self, update: frame::Update) -> Option<frame::Update> {
+        let has_document = update.document.is_some();
+        let applied = self.view.apply_update(self.now(), update);
+        if has_document {
+            let known = self.view.config_version();
+            let source = peer::lock(&self.config_fetch).record_arrival(self.now(), known);
+            self.fetch_config(source, known);
+        }
+        applied
+    }
+
+    fn fetch_config(&self, source: Option<Arc<str>>, known: u64) {
+        if let Some(source) = source {
+            self.peers.cast(&source, frame::Cast::FetchConfig(known));
+        }
+    }
+
     /// Endpoints of a service that accept requests, with their running requests.
     pub fn candidates(&self, service: &str) -> Vec<place::Candidate> {
         let (now, domain) = (self.now(), &self.settings.host.domain);
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -44,8 +44,9 @@
 /// A connection is dropped if nothing is received, or no write completes, for this long: three lost
 /// pings.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// While disconnected from a host, its connection task ends after this long without frames to send.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// A connection is closed, and its task ends, after this long without frames to send. Each open
+/// connection costs pings in both directions.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Frames are gathered into one write until it has this many bytes.
 const MAX_WRITE_BYTES: usize = 64 << 10;
 
@@ -149,8 +150,7 @@
     }
 }
 
-/// Connects to one host whenever a frame is queued. Ends after `IDLE_TIMEOUT` without a connection
-/// and without frames.
+/// Connects to one host whenever a frame is queued. Ends after `IDLE_TIMEOUT` without frames.
 async fn maintain_connection(
     own: Arc<str>,
     to: Arc<str>,
@@ -214,12 +214,16 @@
     append_frame(&mut out, &frame::Frame::Hello(own.clone()), log);
     append_outgoing(&mut out, first, &mut calls, &mut next, log);
     let mut last_received = time::Instant::now();
+    let mut last_used = time::Instant::now();
     let mut ping = time::interval(PING_INTERVAL);
     ping.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
         while out.len() < MAX_WRITE_BYTES {
             match queue.try_recv() {
-                Ok(outgoing) => append_outgoing(&mut out, outgoing, &mut calls, &mut next, log),
+                Ok(outgoing) => {
+                    last_used = time::Instant::now();
+                    append_outgoing(&mut out, outgoing, &mut calls, &mut next, log);
+                }
                 Err(_) => break,
             }
         }
@@ -232,7 +236,10 @@
         }
         tokio::select! {
             outgoing = queue.recv() => match outgoing {
-                Some(outgoing) => append_outgoing(&mut out, outgoing, &mut calls, &mut next, log),
+                Some(outgoing) => {
+                    last_used = time::Instant::now();
+                    append_outgoing(&mut out, outgoing, &mut calls, &mut next, log);
+                }
                 None => return errors::Error::lost("send", to.clone(), "closed by this host"),
             },
             frame = read.next() => {
@@ -253,6 +260,9 @@
                 if last_received.elapsed() > PEER_TIMEOUT {
                     return errors::Error::lost("ping", to.clone(), "nothing received in time");
                 }
+                if last_used.elapsed() > IDLE_TIMEOUT && calls.is_empty() {
+                    return errors::Error::lost("ping", to.clone(), "idle, closed by this host");
+                }
                 append_frame(&mut out, &frame::Frame::Ping, log);
             }
         }
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -83,6 +83,11 @@
         self.active_config.load_full()
     }
 
+    /// Version of the active configuration; 0 before the first one arrives.
+    pub fn config_version(&self) -> u64 {
+        self.active_config.load().as_ref().map_or(0, |f| f.document.version)
+    }
+
     /// Receiver that is notified after each change of the view.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
@@ -103,7 +108,7 @@
         // Several connections deliver documents at the same time. Without the lock, an older one
         // could replace a newer one that was activated after the comparison.
         let _update = peer::lock(&self.config_update);
-        let known = self.active_config.load().as_ref().map_or(0, |f| f.document.version);
+        let known = self.config_version();
         if document.version <= known {
             return false;
         }
@@ -234,30 +239,33 @@
     pub fn announcement(&self, seq: u64) -> frame::Announcement {
         frame::Announcement {
             host: directory::Host { seq, replica: *peer::lock(&self.replica), ..self.own.clone() },
-            version: self.active_config.load().as_ref().map_or(0, |f| f.document.version),
+            version: self.config_version(),
             placement_known: !peer::lock(&self.placement).hosts.is_empty(),
             digest: self.directory(|d| d.digest()),
         }
     }
 
-    /// Update with everything that the sender of an announcement does not know yet; `None` if it is
-    /// up to date.
-    pub fn missing_update(&self, announcement: &frame::Announcement) -> Option<frame::Update> {
-        let active_config = self.active_config.load();
-        let document = active_config.as_ref().map(|f| f.document.clone());
-        let document = document.filter(|d| d.version > announcement.version);
+    /// Whether the sender of an announcement has the same directory.
+    pub fn has_same_directory(&self, announcement: &frame::Announcement) -> bool {
+        self.directory(|d| d.digest()) == announcement.digest
+    }
+
+    /// Update with what the sender of an announcement does not know yet, except the configuration,
+    /// which it fetches; `None` if there is nothing to send. The directory is part of it only if
+    /// `with_directory` is set.
+    pub fn missing_update(
+        &self,
+        announcement: &frame::Announcement,
+        with_directory: bool,
+    ) -> Option<frame::Update> {
         let placement = (!announcement.placement_known)
             .then(|| self.placement())
             .filter(|p| !p.hosts.is_empty());
-        let same = self.directory(|d| d.digest()) == announcement.digest;
-        let records =
-            if same { directory::Records::default() } else { self.directory(|d| d.records()) };
-        let up_to_date = document.is_none() && placement.is_none() && same;
-        (!up_to_date).then_some(frame::Update {
-            document,
-            placement,
-            records,
-            departed: Vec::new(),
-        })
+        let records = match with_directory {
+            true => self.directory(|d| d.records()),
+            false => directory::Records::default(),
+        };
+        let needed = placement.is_some() || with_directory;
+        needed.then_some(frame::Update { placement, records, ..frame::Update::default() })
     }
 }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -22,6 +22,7 @@
 pub mod formation;
 mod log;
 mod membership;
+pub mod probing;
 mod read;
 pub mod repair;
 mod replicate;
--- /dev/null
+++ b/tests/fleet_sync.rs
@@ -0,0 +1,133 @@
+//! Distribution of the configuration and the directory in a large fleet.
+
+use basilfield::fleet::sync;
+use basilfield::replica::formation;
+use basilfield::replica::probing;
+use std::sync::Arc;
+use std::time::Duration;
+
+const HOSTS: usize = 300;
+const CONTROLS: usize = 5;
+
+fn names(prefix: &str, count: usize) -> Vec<Arc<str>> {
+    (0..count).map(|n| format!("{prefix}-{n}").into()).collect()
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Guards against a host whose link is full of outdated configurations while they come in quick
+/// succession, so that the newest one takes effect seconds late.
+#[test]
+fn quick_changes_do_not_queue_configurations() {
+    let controls = names("control", CONTROLS);
+    let mut fetch = sync::ConfigFetch::default();
+    let (mut known, mut arrivals, mut bytes_sent) = (0, Vec::new(), 0);
+    /// Time that one configuration takes on the link of the host.
+    const TRANSFER: u64 = 250;
+    let mut arrives: Option<(u64, u64)> = None;
+    let (mut announced, mut in_force_at) = (0, 0);
+    for now in 0..4_000 {
+        // 25 versions within 1.5 s, each announced by every control host.
+        if now % 60 == 0 && announced < 25 {
+            announced += 1;
+            for control in &controls {
+                let asked = fetch.record_available(ms(now), known, announced, control);
+                if asked.is_some() && arrives.is_none() {
+                    (arrives, bytes_sent) = (Some((now + TRANSFER, announced)), bytes_sent + 1);
+                }
+            }
+        }
+        if let Some((at, version)) = arrives
+            && at == now
+        {
+            known = version;
+            arrivals.push(version);
+            arrives = fetch.record_arrival(ms(now), known).map(|_| (now + TRANSFER, announced));
+            bytes_sent += u64::from(arrives.is_some());
+            if known == 25 {
+                in_force_at = now;
+            }
+        }
+    }
+    insta::assert_snapshot!(format!("{arrivals:?} {bytes_sent} in force at {in_force_at} ms"),
+        @"[1, 5, 9, 13, 17, 21, 25] 7 in force at 1750 ms");
+}
+
+/// Guards against a configuration that never arrives because the control host that was asked is
+/// gone.
+#[test]
+fn lost_configuration_is_fetched_elsewhere() {
+    let controls = names("control", CONTROLS);
+    let mut fetch = sync::ConfigFetch::default();
+    let mut seen = Vec::new();
+    for (now, control) in [(0, 0), (10, 1), (500, 2), (800, 1), (900, 2)] {
+        seen.push(fetch.record_available(ms(now), 3, 4, &controls[control]));
+    }
+    seen.push(fetch.record_arrival(ms(1_000), 4));
+    seen.push(fetch.record_available(ms(1_100), 4, 4, &controls[0]));
+    let seen: Vec<&str> = seen.iter().map(|s| s.as_deref().unwrap_or("-")).collect();
+    insta::assert_snapshot!(seen.join(" "), @"control-0 - - control-1 - - -");
+}
+
+/// Guards against a directory that every control host sends to every host whenever something
+/// changes, and against one that is never sent because the first control host is gone.
+#[test]
+fn one_control_host_sends_the_directory() {
+    let (hosts, controls) = (names("host", HOSTS), names("control", CONTROLS));
+    let mut syncs: Vec<sync::DirectorySync> =
+        controls.iter().map(|_| sync::DirectorySync::default()).collect();
+    let mut send = |now: u64, up: &dyn Fn(usize) -> bool, same: &dyn Fn(usize) -> bool| {
+        let mut sent = vec![0; HOSTS];
+        for (n, control) in controls.iter().enumerate().filter(|(n, _)| up(*n)) {
+            for (h, host) in hosts.iter().enumerate() {
+                let rank = sync::rank(host, control, &controls);
+                sent[h] += usize::from(syncs[n].is_due(ms(now), host, rank, same(h)));
+            }
+        }
+        let total: usize = sent.iter().sum();
+        (total, sent.iter().filter(|s| **s > 1).count())
+    };
+    let all_up = |_: usize| true;
+    let mut seen = Vec::new();
+    // A change that reaches every host before its next announcement.
+    seen.push(send(0, &all_up, &|_| false));
+    seen.push(send(500, &all_up, &|_| true));
+    // A change that no host learns of: the first control host sends it.
+    seen.push(send(1_000, &all_up, &|_| false));
+    seen.push(send(1_500, &all_up, &|_| false));
+    seen.push(send(2_000, &all_up, &|_| true));
+    // One control host is gone: the next one serves its hosts.
+    let one_down = |n: usize| n != 0;
+    seen.push(send(3_000, &one_down, &|_| false));
+    seen.push(send(3_500, &one_down, &|_| false));
+    let first_is_up = |h: usize| sync::rank(&hosts[h], &controls[0], &controls) != 0;
+    seen.push(send(4_000, &one_down, &first_is_up));
+    let per_control: Vec<usize> = controls
+        .iter()
+        .map(|c| hosts.iter().filter(|h| sync::rank(h, c, &controls) == 0).count())
+        .collect();
+    insta::assert_snapshot!(format!("{seen:?} {per_control:?}"), @"[(0, 0), (0, 0), (0, 0), (300, 0), (0, 0), (0, 0), (230, 0), (70, 0)] [70, 70, 47, 57, 56]");
+}
+
+/// Guards against spare hosts that all probe each other all the time, and against ones that no
+/// longer find the members of the group.
+#[test]
+fn spare_hosts_probe_only_members() {
+    let hosts = names("store", 45);
+    let answer =
+        |host: &Arc<str>, blank| formation::ProbeAnswer { host: host.clone(), id: 1, blank };
+    let mut targets = probing::Targets::default();
+    let mut probes = Vec::new();
+    for round in 0..64 {
+        let now = ms(round * 250);
+        // From the 40th round on, the group is on other hosts.
+        let members = if round < 40 { &hosts[..5] } else { &hosts[20..25] };
+        let Some(asked) = targets.next_round(now, hosts.clone(), true) else { continue };
+        probes.push(asked.len());
+        let answers: Vec<_> = asked.iter().map(|h| answer(h, !members.contains(h))).collect();
+        targets.record_answers(answers.iter());
+    }
+    insta::assert_snapshot!(format!("{probes:?}"), @"[45, 5, 5, 5, 5, 5, 5, 5, 45, 5, 5, 45, 5, 5, 5, 5, 5]");
+}
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -109,13 +109,20 @@
     control.apply_document(document(5, 100));
     control.apply_placement(control_state::Placement::new([("s1".into(), 1)]));
     let mut rounds = 0;
-    while let Some(update) = control.missing_update(&other.announcement(1)) {
+    loop {
+        let announcement = other.announcement(1);
+        let same = control.has_same_directory(&announcement);
+        let Some(update) = control.missing_update(&announcement, !same) else { break };
         other.apply_update(NOW, update);
         // The control host registers the other host when it receives its announcement.
         control.directory(|d| d.register_host(NOW, other.announcement(1).host));
         rounds += 1;
         assert!(rounds < 5, "both agree after a few announcements");
     }
+    // The host fetches a configuration that is newer than the one in its announcement.
+    assert_eq!((other.announcement(1).version, control.config_version()), (0, 5));
+    let fetched = control.active_config().map(|c| c.document.clone());
+    other.apply_update(NOW, frame::Update { document: fetched, ..frame::Update::default() });
     let members = [other.members(0), other.members(1)].map(|m| m.join(" "));
     insta::assert_snapshot!(format!("{rounds} {} {members:?}", active_config(&other)),
         @r#"1 5 100ms ["a seed", "s1"]"#);
