Keep planning cheap while many items wait, and count each failed run

Cause: a plan compared every waiting item with every endpoint and every endpoint with every running item, 40 times a second, and cloned every waiting item; the bytes of all jobs were summed up before each command. The cost grew with the queue, on the host that has to shorten it.

Change: free endpoints are kept in a heap, running items are sorted by endpoint, only started items are cloned, and the bytes of jobs are a counter. The outcome of an item is proposed until it is committed or this host loses the leadership; the item does not run meanwhile.

Tests: the plans of the existing tests are the same.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -42,8 +42,8 @@
 /// Most output stored with one command: half of the longest command of a group. An item that ends
 /// with more unstored output is abandoned.
 const MAX_STORE_BYTES: usize = 4 << 20;
-/// Longest wait for a command to be committed. If an outcome is not in the ledger by then, the item
-/// runs again and its outcome is proposed again.
+/// Longest wait for a command to be committed. The outcome of an item is proposed again after that:
+/// if the item ran instead, an endpoint would run it more often than its job allows.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Jobs are kept for the promised retention times this factor, as the leader counts from the moment
 /// at which it first saw a job.
@@ -69,8 +69,10 @@
 
 /// Result of background work for the dispatcher.
 enum Message {
-    /// The commit of an item's outcome has succeeded or failed.
+    /// The outcome of an item is committed.
     Committed(ItemKey),
+    /// A failed run of an item is counted in the ledger.
+    FailureCounted(ItemKey),
     /// The ledger holds everything that was committed before this host became leader.
     LedgerComplete,
     /// The commit of chunks of output has succeeded (`true`) or failed. Holds for each chunk the
@@ -117,6 +119,8 @@
     storing: Vec<ItemKey>,
     /// Time at which output was last stored.
     last_store: time::Instant,
+    /// Tasks that commit outcomes of items.
+    commits: task::JoinSet<()>,
 }
 
 /// Runs items whenever this host leads the job group.
@@ -148,6 +152,7 @@
         ledger_complete: false,
         storing: Vec::new(),
         last_store: time::Instant::now(),
+        commits: task::JoinSet::new(),
     };
     loop {
         tokio::select! {
@@ -207,6 +212,7 @@
                 Message::LedgerComplete
             }));
         }
+        self.commits.abort_all();
         self.tracked.clear();
         self.first_seen.clear();
         self.storing.clear();
@@ -250,6 +256,7 @@
             Message::Committed(key) => {
                 self.tracked.remove(&key);
             }
+            Message::FailureCounted(key) => self.back_off(&key, FAILURE_RETRY_DELAY),
             Message::LedgerComplete => self.ledger_complete = true,
             Message::Stored(parts, done) => {
                 self.storing.clear();
@@ -318,7 +325,7 @@
         }
         tracked.state = ItemState::Committing;
         let chunk = tracked.progress.unstored_chunk(&key);
-        self.commit(key, ledger::Command::Complete(chunk));
+        self.commit(ledger::Command::Complete(chunk), Message::Committed(key));
     }
 
     /// Ends the current run of an item, which may run again after `pause`.
@@ -361,12 +368,11 @@
             RunEnd::Failed => {
                 event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
                     "endpoint" => &*endpoint, "cause" => "endpoint answered that it failed");
-                self.back_off(&key, FAILURE_RETRY_DELAY);
+                tracked.progress.run_time = tracked.run_time(time::Instant::now());
+                tracked.state = ItemState::Committing;
                 let failures = self.failure_count(&job, &item) + 1;
                 let command = ledger::Command::RecordFailure { job, item, failures };
-                let node = self.node.clone();
-                // If the count is lost, the item gets one more attempt.
-                tokio::spawn(async move { commit(&node, &command).await });
+                self.commit(command, Message::FailureCounted(key));
             }
             RunEnd::Impossible => self.abandon(key, ledger::Cause::Impossible),
         }
@@ -387,15 +393,20 @@
             "cause" => ?cause);
         let tracked = TrackedItem { state: ItemState::Committing, progress: Progress::default() };
         self.tracked.insert(key.clone(), tracked);
-        self.commit(key, ledger::Command::Abandon { job, item, cause });
+        self.commit(ledger::Command::Abandon { job, item, cause }, Message::Committed(key));
     }
 
-    /// Commits the outcome of an item on its own task.
-    fn commit(&self, key: ItemKey, command: ledger::Command) {
-        let node = self.node.clone();
-        self.spawn(async move {
-            commit(&node, &command).await;
-            Message::Committed(key)
+    /// Commits the outcome of an item on its own task, which then sends `message`. Repeats the
+    /// command until it is known to be committed, or this host has lost the leadership.
+    fn commit(&mut self, command: ledger::Command, message: Message) {
+        let (node, epoch, messages) = (self.node.clone(), self.epoch, self.messages.clone());
+        while self.commits.try_join_next().is_some() {}
+        self.commits.spawn(async move {
+            while !commit(&node, &command).await {
+                time::sleep(RETRY_DELAY).await;
+            }
+            // The receiver is dropped only when the process ends.
+            let _ = messages.send(EpochMessage { epoch, message }).await;
         });
     }
 
@@ -416,21 +427,24 @@
                 ledger.job(job).is_some_and(|j| j.pending.iter().any(|o| o.item.id == *item));
             pending || matches!(tracked.state, ItemState::Committing | ItemState::Finished)
         });
-        let mut queue: Vec<QueuedItem> = Vec::new();
+        let mut queue: Vec<(&Arc<str>, &ledger::Job, &ledger::PendingItem)> = Vec::new();
         let (mut to_abandon, mut waiting) = (Vec::new(), Vec::new());
         let (mut keys, mut running) = (Vec::new(), Vec::new());
         for (id, job) in &jobs {
             let since = *self.first_seen.entry_or((*id).clone(), || now);
+            if job.pending.is_empty() {
+                continue;
+            }
             let service = active
                 .config
                 .find_route(&job.rules.host, &job.rules.prefix)
                 .and_then(|route| route.choose_service(rand::random()));
             let max_wait = job.rules.max_wait_ms.map(Duration::from_millis);
             let late = max_wait.is_some_and(|limit| now - since > limit);
+            let left = Duration::from_millis(job.rules.due_ms).saturating_sub(now - since);
             for pending in &job.pending {
                 let key = ((*id).clone(), pending.item.id.clone());
                 let tracked = self.tracked.get(&key);
-                let left = Duration::from_millis(job.rules.due_ms).saturating_sub(now - since);
                 let remaining = self
                     .run_time_estimate
                     .remaining(tracked.map_or(Duration::ZERO, |k| k.run_time(now)));
@@ -457,20 +471,29 @@
                     _ if late => to_abandon.push((key, ledger::Cause::Patience)),
                     None => to_abandon.push((key, ledger::Cause::NoRoute)),
                     Some(service) => {
-                        let index = queue.len();
-                        let service = service.clone();
+                        let (index, service) = (queue.len(), service.clone());
                         waiting.push(plan::WaitingItem { index, service, urgency });
-                        queue.push(QueuedItem {
-                            key,
-                            item: pending.item.clone(),
-                            host: job.rules.host.clone(),
-                            progress: Progress::new(&pending.stored),
-                        });
+                        queue.push((id, job, pending));
                     }
                 }
             }
         }
         let to_remove: Vec<Arc<str>> = self.expired_jobs(&jobs, now);
+        self.node.metrics.record_level("items_waiting", waiting.len() as u64);
+        self.node.metrics.record_level("items_running", running.len() as u64);
+        let plan = plan::plan(self.endpoint_loads(), &waiting, &running);
+        let to_start = plan.start.into_iter().map(|(index, endpoint)| {
+            let (id, job, pending) = queue[index];
+            let queued = QueuedItem {
+                key: (id.clone(), pending.item.id.clone()),
+                item: pending.item.clone(),
+                host: job.rules.host.clone(),
+                progress: Progress::new(&pending.stored),
+            };
+            (queued, endpoint)
+        });
+        let to_start: Vec<(QueuedItem, Arc<str>)> = to_start.collect();
+        drop(queue);
         drop(jobs);
         drop(ledger);
         for (key, cause) in to_abandon {
@@ -482,10 +505,15 @@
             // If this fails, a later plan tries again.
             tokio::spawn(async move { commit(&node, &command).await });
         }
-        let plan = plan::plan(self.endpoint_loads(), &waiting, &running);
-        self.node.metrics.record_level("items_waiting", waiting.len() as u64);
-        self.node.metrics.record_level("items_running", running.len() as u64);
-        self.execute_plan(plan, &queue, &keys);
+        for index in plan.stop {
+            self.stop_item(&keys[index]);
+        }
+        for (queued, endpoint) in to_start {
+            let address = self.node.view.directory(|d| d.endpoint(&endpoint).map(|e| e.address));
+            if let Some(address) = address {
+                self.start_item(&queued, endpoint, address);
+            }
+        }
     }
 
     /// Jobs without pending items whose retention has passed.
@@ -502,28 +530,17 @@
         done.map(|(id, _)| (*id).clone()).collect()
     }
 
-    /// Stops and starts the items of a plan. Its indices refer to `keys` for items to stop and to
-    /// `queue` for items to start.
-    fn execute_plan(&mut self, plan: plan::Plan, queue: &[QueuedItem], keys: &[ItemKey]) {
-        for index in plan.stop {
-            let key = &keys[index];
-            self.node.metrics.count_preemption();
-            event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0,
-                "request" => &*key.1, "cause" => "more urgent requests need the slot");
-            if let Some(TrackedItem { state: ItemState::Running { task, .. }, .. }) =
-                self.tracked.get(key)
-            {
-                task.abort();
-            }
-            self.back_off(key, RETRY_DELAY);
-        }
-        for (index, endpoint) in plan.start {
-            let queued = &queue[index];
-            let address = self.node.view.directory(|d| d.endpoint(&endpoint).map(|e| e.address));
-            if let Some(address) = address {
-                self.start_item(queued, endpoint, address);
-            }
+    /// Stops the run of an item, which continues later.
+    fn stop_item(&mut self, key: &ItemKey) {
+        self.node.metrics.count_preemption();
+        event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0,
+            "request" => &*key.1, "cause" => "more urgent requests need the slot");
+        if let Some(TrackedItem { state: ItemState::Running { task, .. }, .. }) =
+            self.tracked.get(key)
+        {
+            task.abort();
         }
+        self.back_off(key, RETRY_DELAY);
     }
 
     /// Endpoints with their load, as input of a plan.
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -275,6 +275,17 @@
     jobs: sorted::SortedMap<Arc<str>, Job>,
     /// Link addresses of the hosts whose replicas are to be moved away, sorted.
     retiring: Vec<Arc<str>>,
+    /// Bytes of all stored bodies and outputs.
+    #[serde(skip)]
+    stored_bytes: usize,
+}
+
+impl Job {
+    /// Bytes of the stored bodies and outputs.
+    fn stored_bytes(&self) -> usize {
+        let pending = self.pending.iter().map(|o| o.item.body.len() + o.stored.output.len());
+        pending.sum::<usize>() + self.results.iter().map(|r| r.output.len()).sum::<usize>()
+    }
 }
 
 impl Ledger {
@@ -288,13 +299,9 @@
         self.jobs.get(id)
     }
 
-    /// Bytes of all stored bodies and outputs.
+    /// Bytes of all stored bodies and outputs. Kept up to date, as it is read before each command.
     pub fn stored_bytes(&self) -> usize {
-        let pending = |job: &Job| -> usize {
-            job.pending.iter().map(|o| o.item.body.len() + o.stored.output.len()).sum()
-        };
-        let finished = |job: &Job| -> usize { job.results.iter().map(|r| r.output.len()).sum() };
-        self.jobs.values().map(|job| pending(job) + finished(job)).sum()
+        self.stored_bytes
     }
 
     /// Link addresses of the hosts whose replicas are to be moved away.
@@ -309,7 +316,10 @@
             Command::StoreOutput(chunks) => {
                 for chunk in &chunks {
                     if let Some(stored) = self.pending_output(chunk) {
+                        let before = stored.output.len();
                         stored.extend(chunk.events, chunk.last_event, &chunk.data);
+                        let added = stored.output.len() - before;
+                        self.stored_bytes += added;
                     }
                 }
                 Reply::Done
@@ -323,8 +333,10 @@
             }
             Command::EndJob { job } => match self.jobs.get_mut(&job) {
                 Some(job) => {
+                    let before = job.stored_bytes();
                     job.ended = true;
                     job.pending.clear();
+                    self.stored_bytes -= before - job.stored_bytes();
                     Reply::Done
                 }
                 None => Reply::Unknown,
@@ -336,8 +348,8 @@
                 Reply::Done
             }
             Command::RemoveJobs { jobs } => {
-                for job in &jobs {
-                    self.jobs.remove(job);
+                for removed in jobs.iter().filter_map(|job| self.jobs.remove(job)) {
+                    self.stored_bytes -= removed.stored_bytes();
                 }
                 Reply::Done
             }
@@ -353,7 +365,10 @@
                 .collect();
             Job { rules, total, accept_index: index, ended: false, pending, results: Vec::new() }
         };
-        self.jobs.entry_or(job, accept);
+        if !self.jobs.contains(&job) {
+            let job = self.jobs.entry_or(job, accept);
+            self.stored_bytes += job.stored_bytes();
+        }
         Reply::Done
     }
 
@@ -370,8 +385,10 @@
             return Reply::Done;
         }
         let Some(stored) = self.pending_output(chunk) else { return Reply::Stale };
+        let before = stored.output.len();
         stored.extend(chunk.events, chunk.last_event, &chunk.data);
         let output = stored.output.clone();
+        self.stored_bytes += output.len() - before;
         self.record_result(&chunk.job, &chunk.item, Outcome::Completed, output)
     }
 
@@ -381,8 +398,10 @@
         let Some(at) = job.pending.iter().position(|o| &*o.item.id == item) else {
             return Reply::Done;
         };
-        let id = job.pending.remove(at).item.id.clone();
-        job.results.push(ItemResult { id, outcome, output });
+        let ended = job.pending.remove(at);
+        self.stored_bytes -= ended.item.body.len() + ended.stored.output.len();
+        self.stored_bytes += output.len();
+        job.results.push(ItemResult { id: ended.item.id.clone(), outcome, output });
         Reply::Done
     }
 
@@ -448,6 +467,7 @@
     fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
         *self = postcard::from_bytes(data)
             .map_err(|e| replica::RestoreError { cause: e.to_string().into() })?;
+        self.stored_bytes = self.jobs.values().map(Job::stored_bytes).sum();
         Ok(())
     }
 }
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -4,9 +4,12 @@
 //! - Online bursts of a few seconds over steady batch work: items use the slots that online
 //!   requests leave free and release them as soon as online requests need them.
 //! - Lasting overload: items that can still finish in time run before those that cannot. In order
-//!   of arrival alone, every item would soon be late.
+//!   of arrival alone, every item would soon be late. A plan costs little more than a sort of the
+//!   waiting items, so that a long queue does not slow down the host that has to shorten it.
 
 use crate::fleet::load;
+use crate::sorted;
+use std::collections::BinaryHeap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -138,39 +141,58 @@
     waiting: &[WaitingItem],
     running: &[RunningItem],
 ) -> Plan {
-    let mut plan = Plan::default();
-    for endpoint in &mut endpoints {
-        let excess = endpoint.excess_items() as usize;
-        let mut here: Vec<&RunningItem> =
-            running.iter().filter(|r| r.endpoint == endpoint.id).collect();
-        here.sort_by_key(|r| std::cmp::Reverse((r.urgency, r.run_number)));
-        plan.stop.extend(here.iter().take(excess).map(|r| r.index));
+    let mut plan = Plan { start: Vec::new(), stop: excess_items(&endpoints, running) };
+    let mut free: sorted::SortedMap<Arc<str>, BinaryHeap<(u32, usize)>> = sorted::SortedMap::new();
+    for (at, endpoint) in endpoints.iter().enumerate() {
+        if endpoint.accepting && endpoint.free_slots() > 0 {
+            let heap = free.entry_or(endpoint.service.clone(), BinaryHeap::new);
+            heap.push((endpoint.free_slots(), at));
+        }
     }
     let mut queue: Vec<&WaitingItem> = waiting.iter().collect();
     queue.sort_by_key(|w| w.urgency);
-    let mut unplaced = Vec::new();
+    let mut in_time = queue.iter().filter(|w| !w.urgency.late).count();
     for item in queue {
-        let fits =
-            |p: &&mut EndpointLoad| p.accepting && p.service == item.service && p.free_slots() > 0;
-        let Some(endpoint) = endpoints.iter_mut().filter(fits).max_by_key(|p| p.free_slots())
-        else {
-            unplaced.push(item);
-            continue;
-        };
+        let Some(heap) = free.get_mut(&item.service) else { continue };
+        let Some((_, at)) = heap.pop() else { continue };
+        let endpoint = &mut endpoints[at];
         endpoint.running.own += 1;
+        if endpoint.free_slots() > 0 {
+            heap.push((endpoint.free_slots(), at));
+        }
         plan.start.push((item.index, endpoint.id.clone()));
+        in_time -= usize::from(!item.urgency.late);
     }
-    stop_late_items(&mut plan, &unplaced, running);
+    stop_late_items(&mut plan, in_time, running);
     plan
 }
 
-/// Stops late items in favour of waiting items that can finish in time. Those start with a later
-/// plan, once the slots are free.
-fn stop_late_items(plan: &mut Plan, unplaced: &[&WaitingItem], running: &[RunningItem]) {
-    let in_time = unplaced.iter().filter(|w| !w.urgency.late).count();
-    let kept = |r: &&RunningItem| r.urgency.late && !plan.stop.contains(&r.index);
+/// Items that must release their slots to online requests, the least urgent of each endpoint.
+fn excess_items(endpoints: &[EndpointLoad], running: &[RunningItem]) -> Vec<usize> {
+    let mut by_endpoint: Vec<&RunningItem> = running.iter().collect();
+    by_endpoint.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
+    let mut stop = Vec::new();
+    for endpoint in endpoints {
+        let excess = endpoint.excess_items() as usize;
+        if excess == 0 {
+            continue;
+        }
+        let start = by_endpoint.partition_point(|r| r.endpoint < endpoint.id);
+        let here = by_endpoint[start..].iter().take_while(|r| r.endpoint == endpoint.id);
+        let mut here: Vec<&RunningItem> = here.copied().collect();
+        here.sort_by_key(|r| std::cmp::Reverse((r.urgency, r.run_number)));
+        stop.extend(here.iter().take(excess).map(|r| r.index));
+    }
+    stop
+}
+
+/// Stops late items in favour of `in_time` waiting items that can finish in time. Those start with
+/// a later plan, once the slots are free.
+fn stop_late_items(plan: &mut Plan, in_time: usize, running: &[RunningItem]) {
+    let mut stopped = plan.stop.clone();
+    stopped.sort_unstable();
+    let kept = |r: &&RunningItem| r.urgency.late && stopped.binary_search(&r.index).is_err();
     let mut late: Vec<&RunningItem> = running.iter().filter(kept).collect();
     late.sort_by_key(|r| std::cmp::Reverse((r.urgency, r.run_number)));
-    let stop: Vec<usize> = late.iter().take(in_time).map(|r| r.index).collect();
-    plan.stop.extend(stop);
+    plan.stop.extend(late.iter().take(in_time).map(|r| r.index));
 }
