Spread requests over free slots instead of the least loaded endpoint

Cause: entries know some hundredths of a second late what the others send. Each chose the endpoint with the fewest requests, so at a step of the load all chose the same few: on the large site 40% of the online requests of the steps were late, with waits of over 2 s, while slots were free elsewhere.

Change: an endpoint is chosen at random, each as likely as its number of free slots, then as its slots that items release, then as its places for waiting requests. Endpoints of the own failure domain are used alone while more than a sixteenth of their slots are free.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -173,7 +173,7 @@
     /// Chooses the endpoint for the next attempt.
     fn choose_endpoint(&self) -> place::Choice {
         let candidates = self.node.candidates(&self.service);
-        place::choose(candidates, &self.tried, rand::random::<u32>() as usize)
+        place::choose(candidates, &self.tried, rand::random())
     }
 
     /// Builds the request to send to an endpoint.
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -1,8 +1,15 @@
 //! Chooses the endpoint for a request or decides to refuse it. Free of I/O.
 //!
-//! Designed for bursts of online requests: requests go to endpoints with free slots. Once every
-//! endpoint has as many online requests as it can start soon, further requests are refused at
-//! once, so that those already waiting still start in time.
+//! Designed for steps of online requests to several times their mean, sent by many entries at the
+//! same moment. What an entry knows about the others is some hundredths of a second old. If each of
+//! them chose the endpoint with the fewest requests, all would choose the same few. Instead, a
+//! request goes to a random endpoint, each as likely as its number of free slots, so that requests
+//! of one moment spread over all free slots. Once every endpoint has as many online requests as it
+//! can start soon, further requests are refused at once, so that those already waiting still start
+//! in time.
+//!
+//! Traffic between failure domains is charged: the endpoints of the own domain are used first, as
+//! long as enough of their slots are free that a request is unlikely to wait for one.
 
 use crate::fleet::directory;
 use crate::fleet::load;
@@ -14,9 +21,8 @@
 /// Slots of an endpoint for each online request that may wait there. A slot becomes free about
 /// every tenth of a second, so the waiting requests still start within usual response targets.
 const SLOTS_PER_WAITING: u32 = 4;
-/// Cost of an endpoint in another failure domain, in halves of a request: such an endpoint is
-/// preferred only if it has fewer requests, because traffic between failure domains is charged.
-const CROSS_DOMAIN_COST: u32 = 1;
+/// Slots of the own failure domain for each one that must be free for the domain to be used alone.
+const SLOTS_PER_FREE: u32 = 16;
 /// Backoff after the first failure of an endpoint; it doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(400);
 /// Longest backoff, after which a request tries the endpoint again.
@@ -64,14 +70,19 @@
         self.running.own + self.running.online
     }
 
-    fn is_full(&self) -> bool {
-        self.online_requests() >= self.slots + self.slots / SLOTS_PER_WAITING
+    /// Slots that neither online requests nor items use.
+    fn free_slots(&self) -> u32 {
+        self.slots.saturating_sub(self.online_requests() + self.running.batch)
+    }
+
+    /// Slots that online requests do not use. Items release theirs when online requests need them.
+    fn yielding_slots(&self) -> u32 {
+        self.slots.saturating_sub(self.online_requests())
     }
 
-    /// Sort key; the lowest is preferred.
-    fn cost(&self) -> (bool, u32) {
-        let load = self.online_requests() + self.running.batch;
-        (self.avoided, 2 * load + if self.same_domain { 0 } else { CROSS_DOMAIN_COST })
+    /// Online requests that may still be sent there.
+    fn room(&self) -> u32 {
+        (self.slots + self.slots / SLOTS_PER_WAITING).saturating_sub(self.online_requests())
     }
 }
 
@@ -86,24 +97,42 @@
     None,
 }
 
-/// Chooses the cheapest endpoint that is not in `tried`. `random` breaks ties, so that requests
-/// spread over equal endpoints.
-pub fn choose(candidates: Vec<Candidate>, tried: &[Arc<str>], random: usize) -> Choice {
+/// Chooses an endpoint that is not in `tried`. `random` is a random number.
+pub fn choose(candidates: Vec<Candidate>, tried: &[Arc<str>], random: u64) -> Choice {
     let mut untried: Vec<Candidate> =
         candidates.into_iter().filter(|c| !tried.contains(&c.id)).collect();
     if untried.is_empty() {
         return Choice::None;
     }
-    let start = random % untried.len();
-    untried.rotate_left(start);
-    let healthy = untried.iter().any(|c| !c.avoided);
-    let best = untried.into_iter().filter(|c| !c.is_full()).min_by_key(Candidate::cost);
-    match best {
-        // An avoided endpoint is used only if all others are avoided too. While a healthy endpoint
-        // is merely full, the request is refused instead.
-        Some(best) if !best.avoided || !healthy => Choice::Send(best),
-        Some(_) | None => Choice::Full,
+    // An avoided endpoint is used only if all others are avoided too. While a healthy endpoint is
+    // merely full, the request is refused instead.
+    if untried.iter().any(|c| !c.avoided) {
+        untried.retain(|c| !c.avoided);
     }
+    let weights = [Candidate::free_slots, Candidate::yielding_slots, Candidate::room];
+    let chosen = weights.iter().find_map(|weight| pick(&untried, weight, random));
+    chosen.map_or(Choice::Full, |at| Choice::Send(untried.swap_remove(at)))
+}
+
+/// Picks an endpoint at random, each as likely as its weight; `None` if all weights are 0.
+fn pick(
+    candidates: &[Candidate],
+    weight: impl Fn(&Candidate) -> u32,
+    random: u64,
+) -> Option<usize> {
+    let near = || candidates.iter().filter(|c| c.same_domain);
+    let near_weight: u32 = near().map(&weight).sum();
+    let near_slots: u32 = near().map(|c| c.slots).sum();
+    let near_only = near_weight > near_slots / SLOTS_PER_FREE;
+    let weight = |c: &Candidate| if c.same_domain || !near_only { weight(c) } else { 0 };
+    let total: u32 = candidates.iter().map(weight).sum();
+    let mut left = u32::try_from(random % u64::from(total.max(1))).unwrap_or(0);
+    candidates.iter().position(|c| {
+        let weight = weight(c);
+        let picked = left < weight;
+        left = left.saturating_sub(weight);
+        picked
+    })
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -116,25 +116,37 @@
     }
 }
 
+/// Endpoints that are chosen for the numbers 0 to 63, with how often, or why none is.
 fn chosen(candidates: &[place::Candidate], tried: &[&str]) -> String {
     let tried: Vec<Arc<str>> = tried.iter().map(|t| (*t).into()).collect();
-    match place::choose(candidates.to_vec(), &tried, 0) {
-        place::Choice::Send(candidate) => candidate.id.to_string(),
-        other => format!("{other:?}"),
+    let mut counts = std::collections::BTreeMap::new();
+    for random in 0..64 {
+        let choice = match place::choose(candidates.to_vec(), &tried, random) {
+            place::Choice::Send(candidate) => candidate.id.to_string(),
+            other => format!("{other:?}"),
+        };
+        *counts.entry(choice).or_insert(0) += 1;
     }
+    counts.iter().map(|(choice, count)| format!("{choice} {count}")).collect::<Vec<_>>().join(", ")
 }
 
 /// Guards against requests that pile up at one endpoint, that wait although every endpoint is full,
-/// or that are refused although a slot is free.
+/// that are refused although a slot is free, or that leave their failure domain without need.
 #[test]
 fn placement() {
     let avoided = place::Candidate { avoided: true, ..candidate("c", true, 0, 0, 0) };
     let seen = [
-        chosen(&[candidate("a", true, 3, 0, 0), candidate("b", true, 1, 1, 0)], &[]),
-        chosen(&[candidate("a", true, 1, 0, 0), candidate("b", false, 1, 0, 0)], &[]),
-        chosen(&[candidate("a", true, 2, 0, 0), candidate("b", false, 1, 0, 0)], &[]),
+        // By free slots, of which items use some.
+        chosen(&[candidate("a", true, 3, 1, 0), candidate("b", true, 1, 1, 2)], &[]),
         chosen(&[candidate("a", true, 2, 0, 6), candidate("b", true, 4, 0, 0)], &[]),
+        // In the own failure domain while one of its slots is free.
+        chosen(&[candidate("a", true, 7, 0, 0), candidate("b", false, 0, 0, 0)], &[]),
+        chosen(&[candidate("a", true, 8, 0, 0), candidate("b", false, 1, 0, 0)], &[]),
+        // Slots that items release.
+        chosen(&[candidate("a", true, 2, 0, 6), candidate("b", true, 8, 0, 0)], &[]),
         chosen(&[candidate("a", true, 1, 0, 0), candidate("b", true, 4, 0, 0)], &["a"]),
+        // Endpoints at which some requests may wait.
+        chosen(&[candidate("a", true, 4, 5, 0), candidate("b", true, 10, 0, 0)], &[]),
         chosen(&[candidate("a", true, 4, 6, 0), candidate("b", true, 10, 0, 0)], &[]),
         chosen(&[avoided.clone(), candidate("b", true, 7, 0, 0)], &[]),
         chosen(&[avoided.clone(), candidate("b", true, 10, 0, 0)], &[]),
@@ -142,16 +154,18 @@
         chosen(&[candidate("a", true, 0, 0, 0)], &["a"]),
     ];
     insta::assert_snapshot!(seen.join("\n"), @r"
-    b
-    a
-    b
-    b
-    b
-    Full
-    b
-    Full
-    c
-    None
+    a 32, b 32
+    b 64
+    a 64
+    b 64
+    a 64
+    b 64
+    a 64
+    Full 64
+    b 64
+    Full 64
+    c 64
+    None 64
     ");
 }
 
