--- a/tests/fleet_sync.rs
+++ b/tests/fleet_sync.rs
@@ -90,20 +90,21 @@
         (total, sent.iter().filter(|s| **s > 1).count())
     };
     let all_up = |_: usize| true;
-    let mut seen = Vec::new();
-    // A change that reaches every host before its next announcement.
-    seen.push(send(0, &all_up, &|_| false));
-    seen.push(send(500, &all_up, &|_| true));
-    // A change that no host learns of: the first control host sends it.
-    seen.push(send(1_000, &all_up, &|_| false));
-    seen.push(send(1_500, &all_up, &|_| false));
-    seen.push(send(2_000, &all_up, &|_| true));
-    // One control host is gone: the next one serves its hosts.
     let one_down = |n: usize| n != 0;
-    seen.push(send(3_000, &one_down, &|_| false));
-    seen.push(send(3_500, &one_down, &|_| false));
     let first_is_up = |h: usize| sync::rank(&hosts[h], &controls[0], &controls) != 0;
-    seen.push(send(4_000, &one_down, &first_is_up));
+    let seen = [
+        // A change that reaches every host before its next announcement.
+        send(0, &all_up, &|_| false),
+        send(500, &all_up, &|_| true),
+        // A change that no host learns of: the first control host sends it.
+        send(1_000, &all_up, &|_| false),
+        send(1_500, &all_up, &|_| false),
+        send(2_000, &all_up, &|_| true),
+        // One control host is gone: the next one serves its hosts.
+        send(3_000, &one_down, &|_| false),
+        send(3_500, &one_down, &|_| false),
+        send(4_000, &one_down, &first_is_up),
+    ];
     let per_control: Vec<usize> = controls
         .iter()
         .map(|c| hosts.iter().filter(|h| sync::rank(h, c, &controls) == 0).count())
