--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -461,7 +461,9 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        encode(self)
+        // Growing the vector step by step would need twice its memory.
+        let encoded = Vec::with_capacity(self.stored_bytes + self.stored_bytes / 8);
+        postcard::to_extend(self, encoded).expect("postcard supports the ledger")
     }
 
     fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
--- a/src/replica/log.rs
+++ b/src/replica/log.rs
@@ -9,6 +9,8 @@
 /// Number of entries covered by a snapshot that stay in memory, so that a follower that is slightly
 /// behind does not need the snapshot.
 const RETAINED_ENTRIES: u64 = 4096;
+/// Bytes of entries covered by a snapshot that stay in memory.
+const RETAINED_BYTES: usize = 8 << 20;
 
 /// Log of one replica.
 pub(super) struct Log {
@@ -127,12 +129,19 @@
     }
 
     /// Stores a snapshot at `index` and drops the entries that it covers, except for the last
-    /// [`RETAINED_ENTRIES`].
+    /// [`RETAINED_ENTRIES`] within [`RETAINED_BYTES`].
     pub(super) fn compact(&mut self, index: u64, term: u64, data: Bytes) -> Snapshot {
         let membership = self.membership_at(index).clone();
         let snapshot = Snapshot { index, term, membership, data };
         self.snapshot = Some(snapshot.clone());
-        let base = index.saturating_sub(RETAINED_ENTRIES).max(self.base);
+        let covered = &self.entries[..(index - self.base) as usize];
+        let mut bytes = 0;
+        let retained = covered.iter().rev().take_while(|e| {
+            bytes += e.size();
+            bytes <= RETAINED_BYTES
+        });
+        let retained = (retained.count() as u64).min(RETAINED_ENTRIES);
+        let base = (index - retained).max(self.base);
         self.base_term = self.term_at(base).unwrap_or(self.base_term);
         self.entries.drain(..(base - self.base) as usize);
         self.base = base;
--- a/src/state/group/mod.rs
+++ b/src/state/group/mod.rs
@@ -27,6 +27,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::mpsc;
+use std::thread;
 use std::time::Duration;
 use tokio::sync::mpsc as channel;
 
@@ -130,6 +131,8 @@
     /// Last probe record of each other host.
     probes: sorted::SortedMap<Arc<str>, ProbeRecord>,
     outputs: Vec<replica::Output>,
+    /// Thread that writes a snapshot of the state machine.
+    saving: Option<thread::JoinHandle<Result<storage::Written, storage::Error>>>,
     disk_full: bool,
     retired: bool,
     last_tick: Duration,
@@ -179,6 +182,7 @@
             applied,
             snapshot_index: applied,
             outputs: Vec::new(),
+            saving: None,
             disk_full: false,
             retired: false,
             last_tick: now,
@@ -193,6 +197,15 @@
     /// # Errors
     /// If storage fails or the state machine cannot restore a snapshot.
     pub fn run(mut self) -> Result<ExitReason, errors::Error> {
+        let reason = self.run_until_exit();
+        if let Some(saving) = self.saving.take() {
+            // The folder may be removed after this, and an unfinished snapshot is of no use.
+            let _ = saving.join();
+        }
+        reason
+    }
+
+    fn run_until_exit(&mut self) -> Result<ExitReason, errors::Error> {
         loop {
             match self.calls.recv_timeout(REPLICA_TICK) {
                 Ok(call) => self.handle_call(call),
@@ -210,6 +223,7 @@
             if self.retired {
                 return Ok(ExitReason::Retired);
             }
+            self.finish_snapshot()?;
             self.snapshot_if_due()?;
         }
     }
--- a/src/state/group/storing.rs
+++ b/src/state/group/storing.rs
@@ -25,7 +25,7 @@
                     written = true;
                 }
                 replica::Output::SaveSnapshot(snapshot) => {
-                    self.save_snapshot(snapshot)?;
+                    self.begin_snapshot(snapshot.clone())?;
                 }
                 replica::Output::InstallSnapshot(snapshot) => {
                     self.retry_while_full(|folder| folder.install_snapshot(snapshot))?;
@@ -39,12 +39,25 @@
         Ok(written)
     }
 
-    /// Saves a snapshot of the own state machine. If the disk is full, keeps the log instead.
-    pub(super) fn save_snapshot(
-        &mut self,
-        snapshot: &replica::Snapshot,
-    ) -> Result<(), errors::Error> {
-        match self.parts.folder.save_snapshot(snapshot) {
+    /// Starts to save a snapshot of the own state machine on a thread of its own. While a leader
+    /// writes tens of megabytes, its heartbeats and commits must go on.
+    fn begin_snapshot(&mut self, snapshot: replica::Snapshot) -> Result<(), errors::Error> {
+        let writer = self.parts.folder.begin_snapshot(snapshot);
+        let writer = writer.map_err(|e| self.log_failure(&e))?;
+        let thread = std::thread::Builder::new().name(format!("snapshot-{}", self.parts.group));
+        let failed = |e: std::io::Error| errors::Error::io("save snapshot", "thread", e);
+        self.saving = Some(thread.spawn(|| writer.write()).map_err(failed)?);
+        Ok(())
+    }
+
+    /// Replaces the log by the saved snapshot once it is written. If the disk is full, keeps the
+    /// log instead.
+    pub(super) fn finish_snapshot(&mut self) -> Result<(), errors::Error> {
+        let Some(saving) = self.saving.take_if(|s| s.is_finished()) else { return Ok(()) };
+        let Ok(written) = saving.join() else {
+            return Err(errors::Error::io("save snapshot", "thread", "the thread panicked"));
+        };
+        match written.and_then(|written| self.parts.folder.finish_snapshot(written)) {
             Err(storage::Error::Full { .. }) => {
                 event!(self.parts.log, events::DISK_FULL; "step" => "store snapshot");
                 Ok(())
@@ -123,7 +136,7 @@
         // A snapshot frees old segments before the disk is full.
         let early = self.applied >= self.snapshot_index + EARLY_SNAPSHOT_ENTRIES
             && !self.parts.folder.has_free_space();
-        if !due && !early {
+        if !due && !early || self.saving.is_some() {
             return Ok(());
         }
         let data = self.parts.service.state_machine().snapshot().into();
--- a/src/storage/folder.rs
+++ b/src/storage/folder.rs
@@ -68,6 +68,8 @@
     max_index: u64,
     /// Whether space for the next segment is reserved.
     has_spare: bool,
+    /// Number of snapshots from the leader that were installed since the folder was opened.
+    installed: u64,
     /// Error of a failed write or sync, after which the content of the file is unknown.
     failure: Option<Error>,
 }
@@ -112,6 +114,7 @@
             pending: Vec::new(),
             max_index: 0,
             has_spare: false,
+            installed: 0,
             failure: None,
         };
         folder.reserve_spare();
@@ -175,12 +178,34 @@
 
     /// Saves a snapshot of this replica's state machine and removes the segments that it covers.
     pub fn save_snapshot(&mut self, snapshot: &replica::Snapshot) -> Result<(), Error> {
+        let written = self.begin_snapshot(snapshot.clone())?.write();
+        let written = written.map_err(|e| self.record_failure(e))?;
+        self.finish_snapshot(written)
+    }
+
+    /// Begins to save a snapshot of this replica's state machine. The writer may run on another
+    /// thread; the log is kept until [`Folder::finish_snapshot`].
+    pub fn begin_snapshot(&self, snapshot: replica::Snapshot) -> Result<snapshot::Writer, Error> {
         self.check_usable()?;
         let last = self.segments.len() - 1;
         let covered = self.segments[..last].iter().take_while(|s| s.max_index <= snapshot.index);
-        let first = self.segments[covered.count()].number;
-        snapshot::write(&self.dir, first, snapshot).map_err(|e| self.record_failure(e))?;
-        self.remove_segments_before(first)
+        let first_segment = self.segments[covered.count()].number;
+        let (dir, installed) = (self.dir.clone(), self.installed);
+        Ok(snapshot::Writer { dir, first_segment, snapshot, installed })
+    }
+
+    /// Puts a written snapshot in the place of the segments that it covers. Drops it if a snapshot
+    /// from the leader was installed meanwhile.
+    pub fn finish_snapshot(&mut self, written: snapshot::Written) -> Result<(), Error> {
+        self.check_usable()?;
+        let temp = self.dir.join(snapshot::OWN_TEMP_NAME);
+        if written.installed != self.installed {
+            return storage::remove(&temp);
+        }
+        let path = self.dir.join(snapshot::FILE_NAME);
+        let renamed = fs::rename(&temp, &path).context("rename", &path);
+        renamed.and_then(|()| storage::sync_dir(&self.dir)).map_err(|e| self.record_failure(e))?;
+        self.remove_segments_before(written.first_segment)
     }
 
     /// Replaces the snapshot and the log by a snapshot from the leader.
@@ -190,6 +215,7 @@
         // hard state is written to the new segment.
         self.pending.clear();
         self.max_index = 0;
+        self.installed += 1;
         self.start_segment()?;
         let first = self.active_segment().number;
         snapshot::write(&self.dir, first, snapshot).map_err(|e| self.record_failure(e))?;
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -15,6 +15,8 @@
 
 pub use folder::Folder;
 pub use folder::Options;
+pub use snapshot::Writer;
+pub use snapshot::Written;
 
 use crate::errors;
 use derive_more::Display;
--- a/src/storage/segment.rs
+++ b/src/storage/segment.rs
@@ -38,18 +38,28 @@
 
 /// Encodes a frame.
 pub(super) fn encode_frame(payload: &[u8]) -> Vec<u8> {
-    let length = (payload.len() as u32).to_le_bytes();
     let mut frame = Vec::with_capacity(HEADER_SIZE + payload.len());
-    frame.extend(length);
-    frame.extend(checksum(&length, payload).to_le_bytes());
+    frame.extend(frame_header(&[payload]));
     frame.extend(payload);
     frame
 }
 
-fn checksum(length: &[u8], payload: &[u8]) -> u32 {
+/// Encodes the header of a frame whose payload consists of `parts`.
+pub(super) fn frame_header(parts: &[&[u8]]) -> [u8; HEADER_SIZE] {
+    let length = parts.iter().map(|p| p.len()).sum::<usize>() as u32;
+    let length = length.to_le_bytes();
+    let mut header = [0; HEADER_SIZE];
+    header[..4].copy_from_slice(&length);
+    header[4..].copy_from_slice(&checksum(&length, parts).to_le_bytes());
+    header
+}
+
+fn checksum(length: &[u8], parts: &[&[u8]]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(length);
-    hasher.update(payload);
+    for part in parts {
+        hasher.update(part);
+    }
     hasher.finalize()
 }
 
@@ -61,7 +71,7 @@
     let size = u32::from_le_bytes(length.try_into().ok()?) as usize;
     let payload = rest.get(..size)?;
     let sum = u32::from_le_bytes(sum.try_into().ok()?);
-    (size > 0 && checksum(length, payload) == sum).then_some(payload)
+    (size > 0 && checksum(length, &[payload]) == sum).then_some(payload)
 }
 
 /// Content of a segment file.
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -227,6 +227,40 @@
     assert!(matches!(opened, Err(storage::Error::Damaged { offset: 0, .. })), "{opened:?}");
 }
 
+/// Guards against a crash that loses the log while a snapshot is being written beside it.
+#[test]
+fn log_is_kept_until_a_snapshot_is_finished() {
+    let dir = tempfile::tempdir().expect("folder");
+    let (mut folder, ..) = open(dir.path());
+    append(&mut folder, 1..=100, 1);
+    let writer = folder.begin_snapshot(snapshot(70)).expect("begin");
+    let written = std::thread::spawn(|| writer.write()).join().expect("join").expect("write");
+    append(&mut folder, 101..=110, 1);
+    let copy = copy_with_change(dir.path(), |_| {});
+    let (_copied, _, restored) = open(copy.path());
+    assert_eq!((restored.snapshot, restored.entries.len()), (None, 110));
+    folder.finish_snapshot(written).expect("finish");
+    drop(folder);
+    let (_folder, _, restored) = open(dir.path());
+    assert_eq!(indexes(&restored), (71..=110).collect::<Vec<_>>());
+    assert_eq!(restored.snapshot, Some(snapshot(70)));
+}
+
+/// Guards against an own snapshot that replaces a newer one of the leader.
+#[test]
+fn installed_snapshot_outlives_an_unfinished_one() {
+    let dir = tempfile::tempdir().expect("folder");
+    let (mut folder, ..) = open(dir.path());
+    append(&mut folder, 1..=100, 1);
+    let written = folder.begin_snapshot(snapshot(70)).expect("begin").write().expect("write");
+    folder.install_snapshot(&snapshot(120)).expect("install");
+    folder.finish_snapshot(written).expect("finish");
+    drop(folder);
+    let (_folder, _, restored) = open(dir.path());
+    assert_eq!((restored.snapshot, restored.entries.len()), (Some(snapshot(120)), 0));
+    assert!(!dir.path().join("own-snapshot.tmp").exists());
+}
+
 /// Guards against a full disk that loses accepted entries, against use of the reserved space for
 /// new work, and against a folder that stays full after a snapshot has freed space.
 #[test]
