Let requests wait at the entry for the slots of its own requests

Cause: when steps of the load exceed all slots, requests were sent to the few endpoints that had last been reported free, and waited there behind others while slots became free elsewhere.

Change: if few slots are free, a share of the requests waits at the entry. A waiting request takes over the slot of the next request of this entry that ends; other entries never see that slot free. One that would wait for longer than 0.6 of its response target goes to an endpoint with few waiting requests, or is refused at once.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -22,7 +22,6 @@
 use crate::fleet::store;
 use crate::sorted;
 use crate::supervisor;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -509,9 +508,9 @@
             self.stop_item(&keys[index]);
         }
         for (queued, endpoint) in to_start {
-            let address = self.node.view.directory(|d| d.endpoint(&endpoint).map(|e| e.address));
-            if let Some(address) = address {
-                self.start_item(&queued, endpoint, address);
+            let found = self.node.view.directory(|d| d.endpoint(&endpoint).cloned());
+            if let Some(endpoint) = found {
+                self.start_item(&queued, &endpoint);
             }
         }
     }
@@ -562,7 +561,9 @@
     }
 
     /// Starts a run of an item at an endpoint.
-    fn start_item(&mut self, queued: &QueuedItem, endpoint: Arc<str>, address: SocketAddr) {
+    fn start_item(&mut self, queued: &QueuedItem, endpoint: &directory::Endpoint) {
+        let directory::Endpoint { id: endpoint, service, address, .. } = endpoint;
+        let (endpoint, address) = (endpoint.clone(), *address);
         let QueuedItem { key, item, host, progress } = queued;
         let key = key.clone();
         let tracked = self.tracked.get(&key).map(|k| k.progress.clone());
@@ -581,7 +582,7 @@
         self.last_run += 1;
         let run = runner::Run { key: key.clone(), number: self.last_run, address, request };
         let (node, reports) = (self.node.clone(), self.reports.clone());
-        let guard = self.node.count_request(&endpoint);
+        let guard = self.node.count_request(service, &endpoint);
         let run = tokio::spawn(async move {
             run.run(node, reports).await;
             drop(guard);
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -37,6 +37,9 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Random part of the retry time, so that refused callers do not all retry at once.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(500);
+/// Share of the response target for which a request waits for a slot. The rest is the usual time to
+/// the first event.
+const SLOT_WAIT_SHARE: f64 = 0.6;
 /// A request is not sent if less than this is left until its deadline.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -176,6 +179,26 @@
         place::choose(candidates, &self.tried, rand::random())
     }
 
+    /// Waits for a slot. If none becomes free in time, returns the endpoint `other`, if any.
+    async fn wait_for_slot(
+        &self,
+        other: Option<place::Candidate>,
+    ) -> Option<(place::Candidate, node::RequestGuard)> {
+        let limit = self.request.route.response_target.mul_f64(SLOT_WAIT_SHARE);
+        let waited = self.request.arrived.elapsed();
+        let limit = limit.saturating_sub(waited).min(self.time_left());
+        if let Some(guard) = self.node.wait_for_slot(&self.service, limit).await {
+            let candidates = self.node.candidates(&self.service);
+            let found = candidates.into_iter().find(|c| c.id == *guard.endpoint());
+            if let Some(endpoint) = found.filter(|c| !self.tried.contains(&c.id)) {
+                return Some((endpoint, guard));
+            }
+        }
+        let other = other?;
+        let guard = self.node.count_request(&self.service, &other.id);
+        Some((other, guard))
+    }
+
     /// Builds the request to send to an endpoint.
     fn outgoing_request(
         &self,
@@ -204,9 +227,9 @@
         &mut self,
         headers: &protocol::Headers,
         endpoint: place::Candidate,
+        guard: node::RequestGuard,
         attempt_timeout: Duration,
     ) -> AttemptResult {
-        let guard = self.node.count_request(&endpoint.id);
         let request = self.outgoing_request(headers, &endpoint);
         let id = self.request.id.clone();
         event!(self.node.log, events::ATTEMPT_SENT; "request" => &*id, "endpoint" => &*endpoint.id,
@@ -255,9 +278,15 @@
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(self.give_up("the time is over"));
             }
-            let endpoint = match self.choose_endpoint() {
-                place::Choice::Send(endpoint) => endpoint,
-                place::Choice::Full => return Err(self.give_up("every endpoint is full")),
+            let (endpoint, guard) = match self.choose_endpoint() {
+                place::Choice::Send(endpoint) => {
+                    let guard = self.node.count_request(&self.service, &endpoint.id);
+                    (endpoint, guard)
+                }
+                place::Choice::Wait(other) => match self.wait_for_slot(other).await {
+                    Some(slot) => slot,
+                    None => return Err(self.give_up("every endpoint is full")),
+                },
                 place::Choice::None => return Err(self.give_up("no endpoint is left")),
             };
             self.tried.push(endpoint.id.clone());
@@ -266,7 +295,7 @@
                 false => Duration::MAX,
             };
             let name = endpoint.id.clone();
-            match self.attempt(headers, endpoint, attempt_timeout).await {
+            match self.attempt(headers, endpoint, guard, attempt_timeout).await {
                 AttemptResult::Started(started)
                     if started.response.head.status.is_server_error()
                         && self.attempts.may_retry() =>
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -169,6 +169,11 @@
         running
     }
 
+    /// Number of running requests of this host.
+    pub fn own_total(&self) -> u32 {
+        self.own.values().sum()
+    }
+
     /// Running requests of this host by endpoint, sorted by key.
     pub fn own_requests(&self) -> Vec<(EndpointKey, u32)> {
         self.own.iter().map(|(key, count)| (*key, *count)).collect()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -32,6 +32,7 @@
 pub mod sync;
 pub mod upstream;
 pub mod view;
+pub mod waiting;
 
 use crate::errors;
 use crate::event;
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -4,7 +4,8 @@
 //! same moment. What an entry knows about the others is some hundredths of a second old. If each of
 //! them chose the endpoint with the fewest requests, all would choose the same few. Instead, a
 //! request goes to a random endpoint, each as likely as its number of free slots, so that requests
-//! of one moment spread over all free slots. Once every endpoint has as many online requests as it
+//! of one moment spread over all free slots. If only few are free, a share of the requests waits
+//! instead, so that not all of them are sent to these. Once every endpoint has as many online requests as it
 //! can start soon, further requests are refused at once, so that those already waiting still start
 //! in time.
 //!
@@ -23,6 +24,9 @@
 const SLOTS_PER_WAITING: u32 = 4;
 /// Slots of the own failure domain for each one that must be free for the domain to be used alone.
 const SLOTS_PER_FREE: u32 = 16;
+/// Slots for each one that must be free for every request to be sent to a free slot. About as many
+/// requests arrive at a full fleet while an entry does not know of them yet.
+const SLOTS_PER_UNREPORTED: u32 = 16;
 /// Backoff after the first failure of an endpoint; it doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(400);
 /// Longest backoff, after which a request tries the endpoint again.
@@ -91,8 +95,9 @@
 pub enum Choice {
     /// Send the request there.
     Send(Candidate),
-    /// Every endpoint has as many online requests as it can start soon.
-    Full,
+    /// Online requests use every slot. A request may wait for one, or else be sent to this endpoint,
+    /// if any, at which few others wait.
+    Wait(Option<Candidate>),
     /// Every endpoint of the service was tried, or there is none.
     None,
 }
@@ -109,9 +114,22 @@
     if untried.iter().any(|c| !c.avoided) {
         untried.retain(|c| !c.avoided);
     }
-    let weights = [Candidate::free_slots, Candidate::yielding_slots, Candidate::room];
-    let chosen = weights.iter().find_map(|weight| pick(&untried, weight, random));
-    chosen.map_or(Choice::Full, |at| Choice::Send(untried.swap_remove(at)))
+    let weights = [Candidate::free_slots, Candidate::yielding_slots];
+    let chosen = weights.iter().find_map(|weight| {
+        let slots: u32 = untried.iter().map(|c| c.slots).sum();
+        let free: u32 = untried.iter().map(weight).sum();
+        // The low half of the number picks the endpoint.
+        let sent =
+            (random >> 32) % u64::from((slots / SLOTS_PER_UNREPORTED).max(1)) < u64::from(free);
+        sent.then(|| pick(&untried, weight, random & u64::from(u32::MAX))).flatten()
+    });
+    match chosen {
+        Some(at) => Choice::Send(untried.swap_remove(at)),
+        None => {
+            let room = pick(&untried, Candidate::room, random);
+            Choice::Wait(room.map(|at| untried.swap_remove(at)))
+        }
+    }
 }
 
 /// Picks an endpoint at random, each as likely as its weight; `None` if all weights are 0.
--- /dev/null
+++ b/src/fleet/waiting.rs
@@ -0,0 +1,64 @@
+//! Decides which requests of an entry wait for a slot, and which of them gets one. Free of I/O.
+//!
+//! Designed for steps of online requests to somewhat more than all slots, a few seconds long and
+//! followed by less. A request that waits at an endpoint is bound to it, although another endpoint
+//! may be free first, and other entries learn of it late. A request that waits here takes over the
+//! next slot that a request of the same entry releases. The other entries never see that slot free,
+//! so none of them sends a request there at the same moment.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Weight of the latest request in the moving average of run times.
+const RUN_TIME_WEIGHT: f64 = 0.1;
+
+#[derive(Debug)]
+struct Waiting {
+    ticket: u64,
+    /// Time until which it can still use a slot.
+    until: Duration,
+}
+
+/// Requests for one service that wait at one entry, in order of arrival.
+#[derive(Debug, Default)]
+pub struct Queue {
+    waiting: VecDeque<Waiting>,
+    last_ticket: u64,
+    /// Average run time of requests; `None` before the first one has ended.
+    run_time: Option<Duration>,
+}
+
+impl Queue {
+    /// Adds a request that can wait for `limit`, while the entry runs `running` requests. Returns its
+    /// ticket, or `None` if it would probably get no slot in time.
+    pub fn join(&mut self, now: Duration, limit: Duration, running: u32) -> Option<u64> {
+        let position = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX).saturating_add(1);
+        // Slots are released at equal intervals on average.
+        let wait = self.run_time?.saturating_mul(position).checked_div(running)?;
+        if wait > limit {
+            return None;
+        }
+        self.last_ticket += 1;
+        self.waiting.push_back(Waiting { ticket: self.last_ticket, until: now + limit });
+        Some(self.last_ticket)
+    }
+
+    /// Removes a request that no longer waits.
+    pub fn leave(&mut self, ticket: u64) {
+        self.waiting.retain(|w| w.ticket != ticket);
+    }
+
+    /// Records that a request has ended after `run_time`, which frees its slot. Returns the ticket of
+    /// the request that takes the slot over.
+    pub fn release(&mut self, now: Duration, run_time: Duration) -> Option<u64> {
+        let average = self.run_time.unwrap_or(run_time);
+        self.run_time =
+            Some(average.mul_f64(1.0 - RUN_TIME_WEIGHT) + run_time.mul_f64(RUN_TIME_WEIGHT));
+        while let Some(first) = self.waiting.pop_front() {
+            if first.until >= now {
+                return Some(first.ticket);
+            }
+        }
+        None
+    }
+}
