--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -5,9 +5,9 @@
 //! them chose the endpoint with the fewest requests, all would choose the same few. Instead, a
 //! request goes to a random endpoint, each as likely as its number of free slots, so that requests
 //! of one moment spread over all free slots. If only few are free, a share of the requests waits
-//! instead, so that not all of them are sent to these. Once every endpoint has as many online requests as it
-//! can start soon, further requests are refused at once, so that those already waiting still start
-//! in time.
+//! instead, so that not all of them are sent to these. Once every endpoint has as many online
+//! requests as it can start soon, further requests are refused at once, so that those already
+//! waiting still start in time.
 //!
 //! Traffic between failure domains is charged: the endpoints of the own domain are used first, as
 //! long as enough of their slots are free that a request is unlikely to wait for one.
@@ -114,22 +114,25 @@
     if untried.iter().any(|c| !c.avoided) {
         untried.retain(|c| !c.avoided);
     }
-    let weights = [Candidate::free_slots, Candidate::yielding_slots];
-    let chosen = weights.iter().find_map(|weight| {
-        let slots: u32 = untried.iter().map(|c| c.slots).sum();
-        let free: u32 = untried.iter().map(weight).sum();
-        // The low half of the number picks the endpoint.
-        let sent =
-            (random >> 32) % u64::from((slots / SLOTS_PER_UNREPORTED).max(1)) < u64::from(free);
-        sent.then(|| pick(&untried, weight, random & u64::from(u32::MAX))).flatten()
-    });
-    match chosen {
-        Some(at) => Choice::Send(untried.swap_remove(at)),
-        None => {
-            let room = pick(&untried, Candidate::room, random);
-            Choice::Wait(room.map(|at| untried.swap_remove(at)))
+    // The halves of the number decide independently whether the request is sent, and where.
+    let (sending, picking) = (random >> 32, random & u64::from(u32::MAX));
+    for weight in [Candidate::free_slots, Candidate::yielding_slots] {
+        if is_sent(&untried, weight, sending)
+            && let Some(at) = pick(&untried, weight, picking)
+        {
+            return Choice::Send(untried.swap_remove(at));
         }
     }
+    let room = pick(&untried, Candidate::room, random);
+    Choice::Wait(room.map(|at| untried.swap_remove(at)))
+}
+
+/// Whether a request is sent to one of the slots that `weight` counts. If they are few, only a share
+/// of the requests is.
+fn is_sent(candidates: &[Candidate], weight: impl Fn(&Candidate) -> u32, random: u64) -> bool {
+    let slots: u32 = candidates.iter().map(|c| c.slots).sum();
+    let free: u32 = candidates.iter().map(weight).sum();
+    random % u64::from((slots / SLOTS_PER_UNREPORTED).max(1)) < u64::from(free)
 }
 
 /// Picks an endpoint at random, each as likely as its weight; `None` if all weights are 0.
