Give the slots of requests a module and forget hosts that left

The hand-over of slots moves out of node.rs unchanged. The record of hosts whose directory differs forgets those that have not announced themselves for a minute; the function for that was never called.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -8,6 +8,7 @@
 use crate::fleet::protocol;
 use crate::fleet::routes;
 use crate::fleet::serve;
+use crate::fleet::slots;
 use crate::fleet::sse;
 use crate::fleet::upstream;
 use bytes::Bytes;
@@ -134,7 +135,7 @@
 struct StartedResponse {
     response: upstream::Response,
     endpoint: place::Candidate,
-    _guard: node::RequestGuard,
+    _guard: slots::RequestGuard,
 }
 
 /// Result of one attempt.
@@ -183,7 +184,7 @@
     async fn wait_for_slot(
         &self,
         other: Option<place::Candidate>,
-    ) -> Option<(place::Candidate, node::RequestGuard)> {
+    ) -> Option<(place::Candidate, slots::RequestGuard)> {
         let limit = self.request.route.response_target.mul_f64(SLOT_WAIT_SHARE);
         let waited = self.request.arrived.elapsed();
         let limit = limit.saturating_sub(waited).min(self.time_left());
@@ -227,7 +228,7 @@
         &mut self,
         headers: &protocol::Headers,
         endpoint: place::Candidate,
-        guard: node::RequestGuard,
+        guard: slots::RequestGuard,
         attempt_timeout: Duration,
     ) -> AttemptResult {
         let request = self.outgoing_request(headers, &endpoint);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 pub mod runner;
 pub mod serve;
 pub mod settings;
+pub mod slots;
 pub mod sse;
 pub mod store;
 pub mod sync;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -10,10 +10,10 @@
 use crate::fleet::place;
 use crate::fleet::protocol;
 use crate::fleet::settings;
+use crate::fleet::slots;
 use crate::fleet::sync;
 use crate::fleet::upstream;
 use crate::fleet::view;
-use crate::fleet::waiting;
 use crate::metrics;
 use crate::sorted;
 use crate::supervisor;
@@ -28,7 +28,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::signal::unix;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 /// Interval between announcements of this host to the control hosts.
@@ -69,7 +68,7 @@
     /// Endpoints that failed recently.
     pub health: Arc<Mutex<place::Health>>,
     /// Requests that wait for slots.
-    pub slots: Arc<Mutex<SlotQueues>>,
+    pub slots: slots::Slots,
     /// Handle of the replica on this host, while it runs.
     pub local_replica: groups::local::SharedHandle,
     /// Counters and histograms.
@@ -124,7 +123,7 @@
             upstream: upstream::Upstream::default(),
             config_fetch: Arc::default(),
             health: Arc::default(),
-            slots: Arc::default(),
+            slots: slots::Slots::default(),
             local_replica,
             metrics: metrics::Metrics::new(),
             timer: timer::Timer::start(),
@@ -204,29 +203,21 @@
     }
 
     /// Counts a running request at an endpoint until the guard is dropped.
-    pub fn count_request(&self, service: &Arc<str>, endpoint: &Arc<str>) -> RequestGuard {
+    pub fn count_request(&self, service: &Arc<str>, endpoint: &Arc<str>) -> slots::RequestGuard {
         self.view.loads(|l| l.add_request(endpoint));
-        RequestGuard {
-            view: self.view.clone(),
-            health: self.health.clone(),
-            slots: self.slots.clone(),
-            timer: self.timer.clone(),
-            service: service.clone(),
-            endpoint: endpoint.clone(),
-            since: self.now(),
-        }
+        slots::RequestGuard::new(self, service, endpoint)
     }
 
     /// Waits until another request of this host for a service releases its slot, and takes the slot
     /// over. Returns `None` at once if that will probably take longer than `limit`, or after
     /// `limit`.
-    pub async fn wait_for_slot(&self, service: &Arc<str>, limit: Duration) -> Option<RequestGuard> {
-        let (sender, slot) = oneshot::channel();
+    pub async fn wait_for_slot(
+        &self,
+        service: &Arc<str>,
+        limit: Duration,
+    ) -> Option<slots::RequestGuard> {
         let running = self.view.loads(|l| l.own_total());
-        let ticket = peer::lock(&self.slots).join(service, self.now(), limit, running, sender)?;
-        let _leave = LeaveQueue { slots: &self.slots, service, ticket };
-        // The sender is dropped when the request has waited for too long.
-        tokio::time::timeout(limit, slot).await.ok()?.ok()
+        self.slots.wait(service, self.now(), limit, running).await
     }
 
     /// Adds the tasks that every role needs. `end` stops the announcements to the control hosts.
@@ -256,117 +247,6 @@
     }
 }
 
-/// Requests that wait for slots, by service.
-#[derive(Default)]
-pub struct SlotQueues {
-    queues: sorted::SortedMap<Arc<str>, waiting::Queue>,
-    /// Receiver of the slot of each waiting request.
-    receivers: sorted::SortedMap<(Arc<str>, u64), oneshot::Sender<RequestGuard>>,
-}
-
-impl SlotQueues {
-    fn join(
-        &mut self,
-        service: &Arc<str>,
-        now: Duration,
-        limit: Duration,
-        running: u32,
-        receiver: oneshot::Sender<RequestGuard>,
-    ) -> Option<u64> {
-        let queue = self.queues.entry_or(service.clone(), waiting::Queue::default);
-        let ticket = queue.join(now, limit, running)?;
-        self.receivers.insert((service.clone(), ticket), receiver);
-        Some(ticket)
-    }
-
-    fn leave(&mut self, service: &Arc<str>, ticket: u64) {
-        if let Some(queue) = self.queues.get_mut(service) {
-            queue.leave(ticket);
-        }
-        self.receivers.remove(&(service.clone(), ticket));
-    }
-
-    /// Receiver of a slot that has become free.
-    fn release(
-        &mut self,
-        service: &Arc<str>,
-        now: Duration,
-        run_time: Duration,
-    ) -> Option<oneshot::Sender<RequestGuard>> {
-        let queue = self.queues.entry_or(service.clone(), waiting::Queue::default);
-        let ticket = queue.release(now, run_time)?;
-        self.receivers.remove(&(service.clone(), ticket))
-    }
-}
-
-/// Removes a request from its queue when it is dropped.
-struct LeaveQueue<'a> {
-    slots: &'a Mutex<SlotQueues>,
-    service: &'a Arc<str>,
-    ticket: u64,
-}
-
-impl Drop for LeaveQueue<'_> {
-    fn drop(&mut self) {
-        peer::lock(self.slots).leave(self.service, self.ticket);
-    }
-}
-
-/// Guard of a request that is counted as running at an endpoint. When it is dropped, the slot passes
-/// to a request that waits for one.
-pub struct RequestGuard {
-    view: Arc<view::View>,
-    health: Arc<Mutex<place::Health>>,
-    slots: Arc<Mutex<SlotQueues>>,
-    timer: timer::Timer,
-    service: Arc<str>,
-    endpoint: Arc<str>,
-    since: Duration,
-}
-
-impl RequestGuard {
-    /// Id of the endpoint.
-    pub fn endpoint(&self) -> &Arc<str> {
-        &self.endpoint
-    }
-
-    /// Whether a further request can start at the endpoint once this one has ended.
-    fn is_reusable(&self, now: Duration) -> bool {
-        let slots = self.view.directory(|d| {
-            let ready = d.endpoint(&self.endpoint).filter(|e| e.phase == directory::Phase::Ready);
-            ready.map(|e| e.slots)
-        });
-        let running = self.view.loads(|l| l.running(now, &self.endpoint));
-        slots.is_some_and(|slots| running.own + running.online <= slots)
-            && !peer::lock(&self.health).is_avoided(now, &self.endpoint)
-    }
-}
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        let now = self.timer.now();
-        if self.is_reusable(now) {
-            let run_time = now.saturating_sub(self.since);
-            let receiver = peer::lock(&self.slots).release(&self.service, now, run_time);
-            if let Some(receiver) = receiver {
-                let guard = RequestGuard {
-                    view: self.view.clone(),
-                    health: self.health.clone(),
-                    slots: self.slots.clone(),
-                    timer: self.timer.clone(),
-                    service: self.service.clone(),
-                    endpoint: self.endpoint.clone(),
-                    since: now,
-                };
-                // A request that has given up drops the guard, which passes the slot on.
-                drop(receiver.send(guard));
-                return;
-            }
-        }
-        self.view.loads(|l| l.remove_request(&self.endpoint));
-    }
-}
-
 /// Opens a listener on a TCP address.
 ///
 /// # Errors
--- a/src/fleet/sync.rs
+++ b/src/fleet/sync.rs
@@ -18,6 +18,8 @@
 const MIN_DIFFERENCE_TIME: Duration = Duration::from_millis(350);
 /// Time by which each further control host waits longer before it sends the directory.
 const RANK_DELAY: Duration = Duration::from_millis(450);
+/// Time after which a host that no longer announces itself is forgotten.
+const RETENTION: Duration = Duration::from_secs(60);
 
 /// Fetching of the newest configuration by one host.
 #[derive(Debug, Default)]
@@ -80,6 +82,7 @@
             self.differs_since.remove(host);
             return false;
         }
+        self.differs_since.retain(|_, since| now.saturating_sub(*since) < RETENTION);
         let since = self.differs_since.entry_or(host.clone(), || now);
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let wait = MIN_DIFFERENCE_TIME + RANK_DELAY.saturating_mul(rank);
@@ -89,11 +92,6 @@
         }
         due
     }
-
-    /// Forgets the hosts for which `keep` is false.
-    pub fn retain(&mut self, keep: impl Fn(&Arc<str>) -> bool) {
-        self.differs_since.retain(|host, _| keep(host));
-    }
 }
 
 /// Number of control hosts that come before `own` in the order in which they serve `host`. The order
