Read the output of items as it arrives again

Reading each run every 100 ms was meant to spare the leader wake-ups. A read returns one chunk of the response, which is one event, and an engine makes one every 60 ms: items ran at a fraction of their pace.

--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -21,20 +21,6 @@
 /// continues elsewhere.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
-/// Interval between reads of the output of one run. A leader that runs hundreds of items would
-/// otherwise wake up for each of their events, thousands of times a second.
-const READ_INTERVAL: Duration = Duration::from_millis(100);
-/// Runs are read together at multiples of this interval, each run at every fifth of them.
-const READ_TICK: Duration = Duration::from_millis(20);
-
-/// Time from `now` until the output of the run with this number is read next.
-pub fn read_delay(now: Duration, number: u64) -> Duration {
-    let (interval, tick) = (READ_INTERVAL.as_micros(), READ_TICK.as_micros());
-    let phase = u128::from(number) * tick % interval;
-    let delay = interval - (now.as_micros() + interval - phase) % interval;
-    Duration::from_micros(u64::try_from(delay).unwrap_or(0))
-}
-
 /// How the run of an item ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunEnd {
@@ -172,7 +158,6 @@
                     return interrupted("the process ends", false);
                 }
             }
-            time::sleep(read_delay(node.now(), self.number)).await;
         }
     }
 }
--- a/tests/fleet_progress.rs
+++ b/tests/fleet_progress.rs
@@ -1,9 +1,7 @@
 //! Stored and unstored output of items, compared with a list of all their events.
 
 use basilfield::fleet::progress;
-use basilfield::fleet::runner;
 use proptest::prelude::*;
-use std::time::Duration;
 
 /// Step in the run of an item.
 #[derive(Clone, Copy, Debug)]
@@ -72,25 +70,3 @@
     let ids: Vec<&str> = chunks.iter().map(|(key, _)| &*key.1).collect();
     assert_eq!(ids, ["a", "c"]);
 }
-
-/// Guards against a leader that wakes up for every event of hundreds of items: the runs are read at
-/// few moments, and each of them often enough.
-#[test]
-fn runs_are_read_together() {
-    let ms = Duration::from_millis;
-    let mut moments = Vec::new();
-    let mut longest = Duration::ZERO;
-    for run in 0..800 {
-        let mut now = ms(1_000 + run % 37);
-        while now < ms(2_000) {
-            let delay = runner::read_delay(now, run);
-            (now, longest) = (now + delay, longest.max(delay));
-            moments.push(now);
-        }
-    }
-    moments.sort();
-    moments.dedup();
-    // A second has 50 multiples of 20 ms.
-    assert!(moments.len() <= 55, "{} moments", moments.len());
-    assert!(longest <= ms(100), "{longest:?}");
-}
