Let an emulated endpoint pause in the middle of an answer

The emulator could cut off an answer, lose it or slow it down, but not be silent for a while and then go on. Cause: a fault of this kind was reported and no test could play it.

A pause has a rate, a length and the event before which the answer is silent; 0 stands for the head. An endpoint also tells how many requests run there, so that a test sees whether the connection of an abandoned run was closed.

--- a/src/emulator/plain.rs
+++ b/src/emulator/plain.rs
@@ -25,6 +25,18 @@
 use tokio::task;
 use tokio::time;
 
+/// Silence of an endpoint in the middle of an answer, which it then completes.
+#[derive(Clone, Copy, Debug)]
+pub struct Pause {
+    /// Rate of requests whose answers pause.
+    pub rate: f64,
+    /// Number of the event before which the answer pauses, or 0 for its head. A resumed answer that
+    /// starts after this event does not pause.
+    pub before: u64,
+    /// Length of the pause.
+    pub length: Duration,
+}
+
 /// Simulated faults of an endpoint. Each rate is a probability from 0 to 1.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FaultRates {
@@ -41,6 +53,8 @@
     pub mismatch_rate: f64,
     /// Factor by which the time between events grows; 0 counts as 1.
     pub slowdown: f64,
+    /// Pause of answers, if any.
+    pub pause: Option<Pause>,
 }
 
 /// Options of an endpoint.
@@ -151,6 +165,16 @@
         *lock(&self.inner.faults) = faults;
     }
 
+    /// Returns the faults for requests that arrive now.
+    pub fn faults(&self) -> FaultRates {
+        *lock(&self.inner.faults)
+    }
+
+    /// Returns the number of requests that run now. A request stops when its connection is closed.
+    pub fn running(&self) -> usize {
+        *lock(&self.inner.running)
+    }
+
     /// Returns the record of every execution so far.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.inner.runs).clone()
@@ -220,6 +244,11 @@
         if rand::random::<f64>() < faults.mismatch_rate {
             return Ok(self.decline_response(Some(HeaderValue::from_static("another"))));
         }
+        let pause = faults.pause.filter(|p| rand::random::<f64>() < p.rate);
+        if let Some(pause) = pause.filter(|p| p.before == 0) {
+            time::sleep(pause.length).await;
+        }
+        let faults = FaultRates { pause, ..faults };
         let echo = head.headers.get(&names.request_id).cloned();
         let mut response = match rand::random::<f64>() < faults.error_rate {
             true => empty_response(StatusCode::INTERNAL_SERVER_ERROR),
@@ -269,6 +298,9 @@
                     return None;
                 }
                 time::sleep(step).await;
+                if let Some(pause) = faults.pause.filter(|p| p.before == event) {
+                    time::sleep(pause.length).await;
+                }
                 let text = format!("id: {event}\ndata: {}\n\n", event_data(&request, event));
                 match cut {
                     Some(at) if at == event => {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -290,6 +290,7 @@
                     decline_rate: share(),
                     mismatch_rate: share(),
                     slowdown: 1.0,
+                    pause: None,
                 };
                 if let Some(endpoint) = &self.world.endpoints[endpoint] {
                     endpoint.set_faults(faults);
