Test answers of endpoints that are silent for a while

An entry closes the connection of an endpoint that is silent for 0.9 s within a stream, or for 1.2 s before its first event or head. If no other endpoint takes the request over, the caller loses an answer that was only late.

The tests play pauses of 1.5 s with the real processes: at the only endpoint, while the others decline, fail or hang, on a kept connection, and while all endpoints are full and the configuration changes. Others guard what must stay: a free endpoint replaces one that hangs for good, the run at the endpoint that was left ends within 0.4 s, and a takeover at the moment at which the endpoint goes on keeps the stream in order. Items whose endpoint pauses for 4 s must end with their whole output.

--- a/tests/fleet_world/client.rs
+++ b/tests/fleet_world/client.rs
@@ -63,13 +63,24 @@
     timed.ok().flatten().unwrap_or((0, Bytes::new()))
 }
 
-/// Sends a request and reads the stream of events to its end.
+/// Sends a request on a new connection and reads the stream of events to its end.
 pub async fn stream(to: SocketAddr, prefix: &str, id: &str) -> StreamEnd {
+    stream_on(&upstream::Upstream::default(), to, prefix, id).await
+}
+
+/// Sends a request on an idle connection of `connections`, or else on a new one, and reads the
+/// stream of events to its end.
+pub async fn stream_on(
+    connections: &upstream::Upstream,
+    to: SocketAddr,
+    prefix: &str,
+    id: &str,
+) -> StreamEnd {
     let path = format!("{prefix}{id}");
     let headers = [("x-basilfield-request-id", id), ("x-basilfield-deadline-ms", "6000")];
     let sent = async {
         let request = request("POST", &path, &headers, id.to_string());
-        let Ok(mut answer) = upstream::Upstream::default().send(to, request, true).await else {
+        let Ok(mut answer) = connections.send(to, request, false).await else {
             return StreamEnd::Disconnected;
         };
         match answer.head.status.as_u16() {
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -35,6 +35,7 @@
 pub const STREAM_PREFIX: &str = "/stream/";
 pub const ONCE_PREFIX: &str = "/once/";
 pub const BATCH_PREFIX: &str = "/batch/";
+pub const SAFE_PREFIX: &str = "/safe/";
 pub const SERVICE: &str = "engines";
 /// Longest wait for a condition. Far above the expected time, since the machine may be busy.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
@@ -503,6 +504,7 @@
                 route("stream", STREAM_PREFIX, "streaming", 3, true),
                 route("once", ONCE_PREFIX, "streaming", 1, false),
                 route("batch", BATCH_PREFIX, "batch", 3, false),
+                route("safe", SAFE_PREFIX, "safe", 3, false),
                 route("version", &format!("/v{version}/"), "streaming", 1, false),
             ],
             "services": [{ "name": SERVICE, "maxConns": 200 }],
