Let endpoints pause in the soak

The soak cut off, lost and declined answers, but no endpoint was silent for a while and then went on. Now about a fifth of the injected faults comes with an endpoint that pauses in up to half of its answers, for 0.2 to 2 s, before an event drawn from the seed. The numbers come from a stream of their own, so that the other faults of a seed are drawn as before.

What the soak checks is unchanged: while hosts are killed and endpoints crash, it cannot tell which streams had to be completed.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -18,6 +18,7 @@
 
 mod fleet_world;
 
+use basilfield::emulator::plain;
 use fleet_world::Role;
 use fleet_world::Size;
 use fleet_world::World;
@@ -46,6 +47,8 @@
 /// Everything must work again within this time after the last fault. It covers an election, the
 /// return of the endpoints and the runs of all accepted items.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(40);
+/// Rate of injected faults at which an endpoint starts to pause as well.
+const PAUSE_RATE: f64 = 0.2;
 /// Number of clients that request streams. Half of them send requests that must not be repeated.
 const STREAM_CLIENTS: usize = 6;
 /// Number of items in each job.
@@ -141,6 +144,9 @@
 struct Soak {
     world: World,
     rng: ChaCha8Rng,
+    /// Numbers for the pauses of endpoints. They are drawn apart, so that the other faults of a seed
+    /// stay the same.
+    pause_rng: ChaCha8Rng,
     seed: u64,
     observed: Shared,
     /// Actions that end faults, with the time at which each is due.
@@ -161,6 +167,7 @@
     ClearLinkFaults(usize),
     StartEndpoint(usize),
     ClearEndpointFaults(usize),
+    ClearPause(usize),
     FreeDisk(usize),
     /// Ends the faults of every link.
     RestoreLinks,
@@ -195,9 +202,31 @@
             Undo::FreeDisk(at) => self.world.fill_disk(at, false),
             Undo::ClearEndpointFaults(at) => {
                 if let Some(endpoint) = &self.world.endpoints[at] {
-                    endpoint.set_faults(Default::default());
+                    let pause = endpoint.faults().pause;
+                    endpoint.set_faults(plain::FaultRates { pause, ..Default::default() });
                 }
             }
+            Undo::ClearPause(at) => {
+                if let Some(endpoint) = &self.world.endpoints[at] {
+                    endpoint.set_faults(plain::FaultRates { pause: None, ..endpoint.faults() });
+                }
+            }
+        }
+    }
+
+    /// Lets a random endpoint pause in some of its answers for a while.
+    fn pause_endpoint(&mut self) {
+        let at = self.pause_rng.random_range(0..self.world.endpoints.len());
+        let pause = plain::Pause {
+            rate: self.pause_rng.random_range(0.0..0.5),
+            before: self.pause_rng.random_range(0..=fleet_world::ENDPOINT_OPTIONS.1),
+            length: Duration::from_millis(self.pause_rng.random_range(200..2_000)),
+        };
+        let after = Duration::from_millis(self.pause_rng.random_range(500..3_000));
+        self.pending_undos.push((time::Instant::now() + after, Undo::ClearPause(at)));
+        if let Some(endpoint) = &self.world.endpoints[at] {
+            self.faults.push(format!("{pause:?} of {}", endpoint.id()));
+            endpoint.set_faults(plain::FaultRates { pause: Some(pause), ..endpoint.faults() });
         }
     }
 
@@ -283,7 +312,7 @@
             _ => {
                 let endpoint = self.rng.random_range(0..self.world.endpoints.len());
                 let mut share = || self.rng.random_range(0.0..0.2);
-                let faults = basilfield::emulator::plain::FaultRates {
+                let faults = plain::FaultRates {
                     cut_rate: share(),
                     lost_rate: share(),
                     error_rate: share(),
@@ -293,7 +322,8 @@
                     pause: None,
                 };
                 if let Some(endpoint) = &self.world.endpoints[endpoint] {
-                    endpoint.set_faults(faults);
+                    let pause = endpoint.faults().pause;
+                    endpoint.set_faults(plain::FaultRates { pause, ..faults });
                 }
                 self.undo_later(Undo::ClearEndpointFaults(endpoint), 500, 3_000);
             }
@@ -327,6 +357,9 @@
         let mut last_heartbeat = time::Instant::now();
         while time::Instant::now() < end {
             self.inject_fault().await;
+            if self.pause_rng.random_bool(PAUSE_RATE) {
+                self.pause_endpoint();
+            }
             let pause = Duration::from_millis(self.rng.random_range(50..900));
             let next = time::Instant::now() + pause;
             while time::Instant::now() < next {
@@ -514,9 +547,12 @@
     }
     tasks.spawn(job_client(entries.clone(), seed, observed.clone(), stop.clone()));
     let rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut pause_rng = rng.clone();
+    pause_rng.set_stream(1);
     let mut soak = Soak {
         world,
         rng,
+        pause_rng,
         seed,
         observed: observed.clone(),
         pending_undos: Vec::new(),
