Keep the answer of a silent endpoint until another one has taken over

Callers saw answers that were cut off, or 502, although their endpoint was sound. The users saw it beside a change of the configuration.

Cause: an entry closed the connection of an endpoint that was silent for 0.9 s within a stream, or 1.2 s before its start, and only then looked for another one. If there was none, all were full, declined, failed or hung, or no attempt was left, the answer that was merely late could no longer be had.

Now the silent endpoint keeps the request while another one with a free slot is asked, at an interval of 0.1 s. It is left, and its run cancelled, once the other has started to respond; if it goes on first, the other is cancelled. Neither costs more attempts than before. Streams and whole answers wait in the same function, and event 613 tells of it. The stream of events has a module of its own.

--- a/src/events.rs
+++ b/src/events.rs
@@ -162,6 +162,8 @@
     /// A control host that reaches less than half of the control hosts took a registration or
     /// deregistration without acknowledging it, so that the endpoint repeats it elsewhere.
     REGISTRATION_UNCONFIRMED = 612, Warning, "registration not acknowledged";
+    /// An endpoint that runs a request has been silent for long, and another one is asked as well.
+    ENDPOINT_SILENT = 613, Info, "endpoint silent, another one asked";
     /// A request was refused.
     REQUEST_REFUSED = 700, Debug, "request refused";
     /// An attempt failed and the request is retried elsewhere.
--- a/src/fleet/attempt.rs
+++ b/src/fleet/attempt.rs
@@ -53,6 +53,12 @@
         self.retryable && self.possible_runs + 1 < self.max_runs
     }
 
+    /// Whether another endpoint may be asked while the current one is silent. Some attempts are kept
+    /// for the case that the current one fails.
+    pub fn may_take_over(&self) -> bool {
+        self.may_retry() && self.declined + 1 < MAX_DECLINED_ATTEMPTS
+    }
+
     /// Whether any attempt ran or may have run.
     pub fn may_have_run(&self) -> bool {
         self.possible_runs > 0
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -3,13 +3,13 @@
 use crate::event;
 use crate::events;
 use crate::fleet::attempt;
+use crate::fleet::event_stream;
 use crate::fleet::node;
 use crate::fleet::place;
 use crate::fleet::protocol;
 use crate::fleet::routes;
 use crate::fleet::serve;
 use crate::fleet::slots;
-use crate::fleet::sse;
 use crate::fleet::upstream;
 use bytes::Bytes;
 use futures_util::stream;
@@ -21,18 +21,19 @@
 use hyper::header::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time;
 
 /// Largest response that is buffered before it is passed on.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
-/// Shortest wait for the first event before another endpoint is tried. A busy engine starts a
-/// request within a few tenths of a second.
+/// Shortest silence before the first event after which another endpoint is asked. A busy engine
+/// starts a request within a few tenths of a second.
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Shortest wait between two events before another endpoint is tried.
+/// Shortest silence between two events after which another endpoint is asked.
 const MIN_NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Interval at which another endpoint is looked for while one stays silent.
+const TAKEOVER_INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest time after which a refused caller should retry. A slot of an engine becomes free within
 /// it.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -118,32 +119,35 @@
 }
 
 /// State of one forwarded request across its attempts.
-struct Forwarder {
-    node: node::Node,
-    request: Request,
+pub(super) struct Forwarder {
+    pub(super) node: node::Node,
+    pub(super) request: Request,
     /// Deadline set by the caller or the route, whichever is earlier.
     deadline: time::Instant,
-    attempts: attempt::Attempts,
+    pub(super) attempts: attempt::Attempts,
     /// Ids of the endpoints that were tried.
     tried: Vec<Arc<str>>,
     /// Number of the last event that the caller has received.
-    last_event: Option<u64>,
+    pub(super) last_event: Option<u64>,
     service: Arc<str>,
 }
 
 /// Response of an endpoint whose head has arrived.
-struct StartedResponse {
-    response: upstream::Response,
-    endpoint: place::Candidate,
+pub(super) struct StartedResponse {
+    pub(super) response: upstream::Response,
+    pub(super) endpoint: place::Candidate,
     _guard: slots::RequestGuard,
 }
 
-/// Result of one attempt.
-enum AttemptResult {
-    /// The head of the response has arrived.
-    Started(Box<StartedResponse>),
-    /// The attempt ended without a usable response, for this cause.
-    Unsuccessful(attempt::Outcome, Arc<str>),
+/// Why an endpoint gave no usable answer: the outcome of the attempt and its cause.
+pub(super) type AttemptFailure = (attempt::Outcome, Arc<str>);
+
+/// Result of waiting for an endpoint.
+pub(super) enum Waited<T> {
+    /// The endpoint went on or failed.
+    Ended(Result<T, AttemptFailure>),
+    /// The endpoint was silent, and another one has started to respond instead.
+    TakenOver(Box<StartedResponse>),
     /// The deadline passed while the request may be running.
     DeadlineExceeded,
 }
@@ -170,7 +174,7 @@
 
 impl Forwarder {
     /// Time left until the deadline.
-    fn time_left(&self) -> Duration {
+    pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(time::Instant::now())
     }
 
@@ -222,55 +226,135 @@
         request
     }
 
-    /// Sends the request to one endpoint and waits for the head of the response, at most
-    /// `attempt_timeout`.
-    async fn attempt(
-        &mut self,
+    /// Sends the request to one endpoint and waits for the head of the response.
+    fn attempt(
+        &self,
         headers: &protocol::Headers,
         endpoint: place::Candidate,
         guard: slots::RequestGuard,
-        attempt_timeout: Duration,
-    ) -> AttemptResult {
+    ) -> impl Future<Output = Result<Box<StartedResponse>, AttemptFailure>> + Send + use<> {
         let request = self.outgoing_request(headers, &endpoint);
+        let (node, headers) = (self.node.clone(), headers.clone());
         let id = self.request.id.clone();
-        event!(self.node.log, events::ATTEMPT_SENT; "request" => &*id, "endpoint" => &*endpoint.id,
+        event!(node.log, events::ATTEMPT_SENT; "request" => &*id, "endpoint" => &*endpoint.id,
             "running" => ?endpoint.running, "left_ms" => self.time_left().as_millis() as u64);
-        let limit = self.time_left().min(attempt_timeout);
         // The endpoint may close an idle connection while the request is being sent.
         let new_connection = !self.request.route.is_retryable();
-        let sending = self.node.upstream.send(endpoint.address, request, new_connection);
-        let response = match time::timeout(limit, sending).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(failure)) => {
-                self.node.record_endpoint_failure(&endpoint.id, &failure);
+        async move {
+            let sent = node.upstream.send(endpoint.address, request, new_connection).await;
+            let response = sent.map_err(|failure| {
+                node.record_endpoint_failure(&endpoint.id, &failure);
                 let outcome = match failure {
                     upstream::Failure::NotSent(_) => attempt::Outcome::NotSent,
                     upstream::Failure::Lost(_) => attempt::Outcome::Lost,
                 };
-                return AttemptResult::Unsuccessful(outcome, failure.to_string().into());
+                (outcome, Arc::from(failure.to_string()))
+            })?;
+            match response.classify(&headers, &id) {
+                upstream::ResponseClass::Matching => {}
+                upstream::ResponseClass::Declined => {
+                    let cause = format!("declined with {}", response.head.status.as_u16());
+                    return Err((attempt::Outcome::Declined, cause.into()));
+                }
+                upstream::ResponseClass::Mismatched => {
+                    return Err((attempt::Outcome::Lost, "answer of another request".into()));
+                }
             }
-            Err(_) if limit < attempt_timeout => return AttemptResult::DeadlineExceeded,
-            Err(_) => {
-                self.node.record_endpoint_failure(&endpoint.id, &"no answer");
-                return AttemptResult::Unsuccessful(attempt::Outcome::Lost, "no answer".into());
+            Ok(Box::new(StartedResponse { response, endpoint, _guard: guard }))
+        }
+    }
+
+    /// Waits for the endpoint `from` to go on. Once it has been silent for `limit`, another endpoint
+    /// with a free slot is asked as well, if the request may run there. The silent one is left only
+    /// when the other has started to respond: a sound endpoint may be silent for a second or more,
+    /// and without another one its answer is the only one that the caller can get.
+    pub(super) async fn wait_or_take_over<T>(
+        &mut self,
+        headers: &protocol::Headers,
+        from: &Arc<str>,
+        limit: Duration,
+        answer: impl Future<Output = Result<T, AttemptFailure>>,
+    ) -> Waited<T> {
+        let mut answer = std::pin::pin!(answer);
+        let mut pause = limit;
+        loop {
+            let pause_now = match self.attempts.may_take_over() {
+                true => pause.min(self.time_left()),
+                false => self.time_left(),
+            };
+            match time::timeout(pause_now, &mut answer).await {
+                Ok(ended) => return Waited::Ended(ended),
+                Err(_) if self.time_left().is_zero() => return Waited::DeadlineExceeded,
+                Err(_) => {}
             }
-        };
-        match response.classify(headers, &id) {
-            upstream::ResponseClass::Matching => {}
-            upstream::ResponseClass::Declined => {
-                let cause = format!("declined with {}", response.head.status.as_u16());
-                return AttemptResult::Unsuccessful(attempt::Outcome::Declined, cause.into());
+            pause = TAKEOVER_INTERVAL;
+            let place::Choice::Send(endpoint) = self.choose_endpoint() else { continue };
+            let name = endpoint.id.clone();
+            event!(self.node.log, events::ENDPOINT_SILENT; "request" => &*self.request.id,
+                "endpoint" => &**from, "silent_ms" => limit.as_millis() as u64,
+                "asked" => &*name);
+            self.tried.push(name.clone());
+            let guard = self.node.count_request(&self.service, &endpoint.id);
+            let mut other = std::pin::pin!(self.attempt(headers, endpoint, guard));
+            let mut failure = None;
+            let result = tokio::select! {
+                biased;
+                ended = &mut answer => match ended {
+                    Ok(answer) => {
+                        // Dropping the attempt cancels it, but it may have run.
+                        self.attempts.record(attempt::Outcome::Lost);
+                        return Waited::Ended(Ok(answer));
+                    }
+                    Err(cause) => {
+                        failure = Some(cause);
+                        time::timeout_at(self.deadline, &mut other).await
+                    }
+                },
+                started = time::timeout_at(self.deadline, &mut other) => started,
+            };
+            match result {
+                Ok(Ok(started)) if started.response.head.status.is_success() => {
+                    let (outcome, cause) =
+                        failure.unwrap_or_else(|| (attempt::Outcome::Lost, Arc::from("silence")));
+                    self.node.record_endpoint_failure(from, &cause);
+                    self.attempts.record(outcome);
+                    return Waited::TakenOver(started);
+                }
+                Ok(Ok(started)) => {
+                    let status = started.response.head.status.as_u16();
+                    self.record_retry(&name, attempt::Outcome::Failed, &format!("status {status}"));
+                }
+                Ok(Err((outcome, cause))) => {
+                    self.record_retry(&name, outcome, &cause);
+                }
+                Err(_) => return Waited::DeadlineExceeded,
             }
-            upstream::ResponseClass::Mismatched => {
-                let cause = "answer of another request".into();
-                return AttemptResult::Unsuccessful(attempt::Outcome::Lost, cause);
+            if let Some(failure) = failure {
+                return Waited::Ended(Err(failure));
             }
         }
-        AttemptResult::Started(Box::new(StartedResponse { response, endpoint, _guard: guard }))
+    }
+
+    /// Counts and logs an attempt without a usable answer, and decides how to go on.
+    fn record_retry(
+        &mut self,
+        endpoint: &str,
+        outcome: attempt::Outcome,
+        cause: &str,
+    ) -> attempt::Next {
+        self.node.metrics.count_retry(match outcome {
+            attempt::Outcome::NotSent => "not_sent",
+            attempt::Outcome::Declined => "declined",
+            attempt::Outcome::Lost => "lost",
+            attempt::Outcome::Failed => "failed",
+        });
+        event!(self.node.log, events::REQUEST_RETRIED; "request" => &*self.request.id,
+            "endpoint" => endpoint, "outcome" => ?outcome, "cause" => cause);
+        self.attempts.record(outcome)
     }
 
     /// Tries endpoints until a response starts or no attempt is left.
-    async fn start_response(
+    pub(super) async fn start_response(
         &mut self,
         headers: &protocol::Headers,
     ) -> Result<Box<StartedResponse>, serve::Response> {
@@ -291,37 +375,25 @@
                 place::Choice::None => return Err(self.give_up("no endpoint is left")),
             };
             self.tried.push(endpoint.id.clone());
-            let attempt_timeout = match self.attempts.may_retry() {
-                true => self.first_event_timeout(),
-                false => Duration::MAX,
-            };
             let name = endpoint.id.clone();
-            match self.attempt(headers, endpoint, guard, attempt_timeout).await {
-                AttemptResult::Started(started)
+            let limit = self.first_event_timeout();
+            let sending = self.attempt(headers, endpoint, guard);
+            match self.wait_or_take_over(headers, &name, limit, sending).await {
+                Waited::Ended(Ok(started))
                     if started.response.head.status.is_server_error()
                         && self.attempts.may_retry() =>
                 {
-                    let status = started.response.head.status.as_u16();
-                    self.node.record_endpoint_failure(&name, &format!("status {status}"));
-                    event!(self.node.log, events::REQUEST_RETRIED; "request" => &*id,
-                        "endpoint" => &*name, "outcome" => "Failed", "status" => status);
-                    self.attempts.record(attempt::Outcome::Failed);
+                    let cause = format!("status {}", started.response.head.status.as_u16());
+                    self.node.record_endpoint_failure(&name, &cause);
+                    self.record_retry(&name, attempt::Outcome::Failed, &cause);
                 }
-                AttemptResult::Started(started) => return Ok(started),
-                AttemptResult::DeadlineExceeded => {
+                Waited::Ended(Ok(started)) | Waited::TakenOver(started) => return Ok(started),
+                Waited::DeadlineExceeded => {
                     let status = StatusCode::GATEWAY_TIMEOUT;
                     return Err(fail(&self.node, &id, status, "no answer in time"));
                 }
-                AttemptResult::Unsuccessful(outcome, cause) => {
-                    self.node.metrics.count_retry(match outcome {
-                        attempt::Outcome::NotSent => "not_sent",
-                        attempt::Outcome::Declined => "declined",
-                        attempt::Outcome::Lost => "lost",
-                        attempt::Outcome::Failed => "failed",
-                    });
-                    event!(self.node.log, events::REQUEST_RETRIED; "request" => &*id,
-                        "endpoint" => &*name, "outcome" => ?outcome, "cause" => &*cause);
-                    match self.attempts.record(outcome) {
+                Waited::Ended(Err((outcome, cause))) => {
+                    match self.record_retry(&name, outcome, &cause) {
                         attempt::Next::Again => {}
                         attempt::Next::Refuse => {
                             return Err(refuse(&self.node, &id, "no endpoint took the request"));
@@ -343,13 +415,13 @@
         }
     }
 
-    /// Longest wait for the first event while another endpoint may be tried.
-    fn first_event_timeout(&self) -> Duration {
+    /// Silence before the first event after which another endpoint is asked.
+    pub(super) fn first_event_timeout(&self) -> Duration {
         MIN_FIRST_EVENT_TIMEOUT.max(self.request.route.response_target * 4)
     }
 
-    /// Longest wait for a further event while another endpoint may be tried.
-    fn next_event_timeout(&self) -> Duration {
+    /// Silence between two events after which another endpoint is asked.
+    pub(super) fn next_event_timeout(&self) -> Duration {
         MIN_NEXT_EVENT_TIMEOUT.max(self.request.route.gap_target * 3)
     }
 
@@ -395,14 +467,7 @@
             return self.forward_failure(started).await;
         }
         let mut head = started.response.head.clone();
-        let mut events = EventStream {
-            forwarder: self,
-            headers: headers.clone(),
-            started: Some(started),
-            splitter: sse::Splitter::default(),
-            ready: VecDeque::new(),
-            ended: false,
-        };
+        let mut events = event_stream::EventStream::new(self, headers.clone(), started);
         // Wait for the first event: until then another endpoint can take over unnoticed.
         match events.next_bytes().await {
             Some(Ok(event)) => {
@@ -450,124 +515,3 @@
         hyper::Response::from_parts(head, serve::full_body(body))
     }
 }
-
-/// Stream of events for the caller. If an endpoint breaks it off, another one continues it.
-struct EventStream {
-    forwarder: Forwarder,
-    headers: protocol::Headers,
-    /// Response that is being read.
-    started: Option<Box<StartedResponse>>,
-    splitter: sse::Splitter,
-    /// Bytes of complete events that the caller has not received yet.
-    ready: VecDeque<Bytes>,
-    /// Whether the stream ended or failed. Otherwise a dropped stream means that the caller left.
-    ended: bool,
-}
-
-impl Drop for EventStream {
-    fn drop(&mut self) {
-        if !self.ended {
-            let forwarder = &self.forwarder;
-            forwarder.node.metrics.count_request("online", "caller_left");
-            event!(forwarder.node.log, events::CALLER_LEFT; "request" => &*forwarder.request.id,
-                "after_event" => forwarder.last_event,
-                "elapsed_ms" => forwarder.request.arrived.elapsed().as_millis() as u64);
-        }
-    }
-}
-
-impl EventStream {
-    /// Returns the next bytes for the caller; `None` after the end of the stream.
-    async fn next_bytes(&mut self) -> Option<Result<Bytes, serve::ResponseAborted>> {
-        loop {
-            if let Some(bytes) = self.ready.pop_front() {
-                return Some(Ok(bytes));
-            }
-            if self.ended {
-                return None;
-            }
-            if let Err(cause) = self.read_events().await
-                && !self.resume(&cause).await
-            {
-                self.ended = true;
-                return Some(Err(serve::ResponseAborted));
-            }
-        }
-    }
-
-    /// Reads one chunk from the endpoint and queues the events that are complete.
-    async fn read_events(&mut self) -> Result<(), Arc<str>> {
-        let Some(started) = &mut self.started else { return Err("no endpoint".into()) };
-        let attempt_timeout = match (self.forwarder.attempts.may_retry(), self.forwarder.last_event)
-        {
-            (false, _) => Duration::MAX,
-            (true, None) => self.forwarder.first_event_timeout(),
-            (true, Some(_)) => self.forwarder.next_event_timeout(),
-        };
-        let left = self.forwarder.deadline.saturating_duration_since(time::Instant::now());
-        let bytes =
-            match time::timeout(left.min(attempt_timeout), started.response.next_chunk()).await {
-                Ok(next) => next?,
-                Err(_) => return Err("silence".into()),
-            };
-        match bytes {
-            Some(bytes) => self
-                .splitter
-                .push(&bytes)
-                .map_err(|sse::TooLong| Arc::from("an event is too long"))?,
-            None if self.splitter.remainder().is_empty() => {
-                self.ended = true;
-                self.forwarder.node.record_endpoint_success(&started.endpoint.id);
-                let elapsed = self.forwarder.request.arrived.elapsed();
-                self.forwarder.node.metrics.count_request("online", "answered");
-                self.forwarder.node.metrics.record_latency("answer", elapsed);
-                event!(self.forwarder.node.log, events::ANSWER_DELIVERED;
-                    "request" => &*self.forwarder.request.id, "endpoint" => &*started.endpoint.id,
-                    "events" => self.forwarder.last_event,
-                    "elapsed_ms" => elapsed.as_millis() as u64);
-            }
-            None => return Err("the stream ends within an event".into()),
-        }
-        let mut bytes = Vec::new();
-        while let Some(event) = self.splitter.next_event() {
-            if let Some(id) = event.id {
-                // An endpoint that resumes may repeat events that the caller has.
-                if self.forwarder.last_event.is_some_and(|last| id <= last) {
-                    continue;
-                }
-                self.forwarder.last_event = Some(id);
-            }
-            bytes.extend_from_slice(&event.bytes);
-        }
-        if !bytes.is_empty() {
-            self.ready.push_back(bytes.into());
-        }
-        Ok(())
-    }
-
-    /// Continues the stream at another endpoint. Returns whether one has started to respond.
-    async fn resume(&mut self, cause: &Arc<str>) -> bool {
-        let id = self.forwarder.request.id.clone();
-        let from = self.started.take();
-        if let Some(started) = &from {
-            self.forwarder.node.record_endpoint_failure(&started.endpoint.id, cause);
-        }
-        // Closes the connection, which cancels the request at the endpoint.
-        drop(from);
-        self.splitter = sse::Splitter::default();
-        let next = self.forwarder.attempts.record(attempt::Outcome::Lost);
-        self.forwarder.node.metrics.count_retry("broken_stream");
-        event!(self.forwarder.node.log, events::STREAM_RESUMED; "request" => &*id, "cause" => &**cause,
-            "after_event" => self.forwarder.last_event, "next" => ?next);
-        if next != attempt::Next::Again || self.forwarder.time_left() < MIN_TIME_LEFT {
-            return false;
-        }
-        match self.forwarder.start_response(&self.headers).await {
-            Ok(started) if started.response.head.status.is_success() => {
-                self.started = Some(started);
-                true
-            }
-            _ => false,
-        }
-    }
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod entry;
+mod event_stream;
 pub mod forward;
 pub mod frame;
 pub mod groups;
