Log the build of endpoints

The registration of an endpoint states its build; one without it, as another sender may write it, is refused like one with other missing fields. The build is part of the directory and of the candidates of a request. Events 609 and 705 log it.

Measured: tests of the platform, the directory, the decisions and the replayed loads pass; nothing is chosen by the build yet.

--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -44,6 +44,8 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: Arc<str>,
+    /// Build of its software. A stream goes on only at the build that began it.
+    pub build: Arc<str>,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts requests.
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -237,7 +237,7 @@
         let (node, headers) = (self.node.clone(), headers.clone());
         let id = self.request.id.clone();
         event!(node.log, events::ATTEMPT_SENT; "request" => &*id, "endpoint" => &*endpoint.id,
-            "running" => ?endpoint.running, "left_ms" => self.time_left().as_millis() as u64);
+            "build" => &*endpoint.build, "running" => ?endpoint.running, "left_ms" => self.time_left().as_millis() as u64);
         // The endpoint may close an idle connection while the request is being sent.
         let new_connection = !self.request.route.is_retryable();
         async move {
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -42,6 +42,8 @@
     pub id: Arc<str>,
     /// Address for requests.
     pub address: SocketAddr,
+    /// Build of its software.
+    pub build: Arc<str>,
     /// Whether it is in the failure domain of this host.
     pub same_domain: bool,
     /// Requests that it runs concurrently.
@@ -63,6 +65,7 @@
         Candidate {
             id: endpoint.id.clone(),
             address: endpoint.address,
+            build: endpoint.build.clone(),
             same_domain: *endpoint.domain == *domain,
             slots: endpoint.slots.max(1),
             running,
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -180,7 +180,8 @@
         });
         for endpoint in &records.endpoints {
             event!(self.log, events::ENDPOINT_CHANGED; "endpoint" => &*endpoint.id,
-                "service" => &*endpoint.service, "address" => %endpoint.address,
+                "service" => &*endpoint.service, "build" => &*endpoint.build,
+                "address" => %endpoint.address,
                 "phase" => ?endpoint.phase, "born" => endpoint.start_time, "seq" => endpoint.seq);
         }
         let unchanged =
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -109,6 +109,7 @@
     place::Candidate {
         id: id.into(),
         address: ([127, 0, 0, 1], 1).into(),
+        build: "v1".into(),
         same_domain,
         slots: 8,
         running: load::Running { own, online, batch },
--- a/tests/fleet_directory.rs
+++ b/tests/fleet_directory.rs
@@ -17,6 +17,7 @@
         service: "a".into(),
         address: ([127, 0, 0, 1], port).into(),
         domain: "d".into(),
+        build: "v1".into(),
         slots: 8,
         phase,
     }
--- a/tests/loads/steps.rs
+++ b/tests/loads/steps.rs
@@ -157,6 +157,7 @@
             place::Candidate {
                 id: e.to_string().into(),
                 address: ([127, 0, 0, 1], 1).into(),
+                build: "v1".into(),
                 same_domain: e % DOMAINS == entry % DOMAINS,
                 slots: SLOTS,
                 running,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,6 +3,7 @@
 #[path = "../platform/mod.rs"]
 mod platform;
 
+use basilfield::fleet::directory;
 use basilfield::fleet::ledger;
 use basilfield::fleet::protocol::Protocol as _;
 use basilfield::fleet::settings;
@@ -60,16 +61,21 @@
         good.replace("10.128.0.9:8080", "nowhere"),
         good.replace("10.128.0.9:8080", "10.128.0.9:0"),
         good.replace("\"slots\":8,", ""),
+        good.replace("\"version\":\"v1\",", ""),
         "\u{1}".to_string(),
     ];
     let read = |text: &String| match platform.parse_registration("i-1", text.as_bytes()) {
-        Ok(e) => format!("{} {}.{} {:?} {}", e.id, e.start_time, e.seq, e.phase, e.address),
+        Ok(e) => {
+            let directory::Endpoint { id, start_time, seq, phase, address, build, .. } = e;
+            format!("{id} {start_time}.{seq} {phase:?} {address} {build}")
+        }
         Err(_) => "refused".to_string(),
     };
     insta::assert_snapshot!(cases.iter().map(read).collect::<Vec<_>>().join("\n"), @r"
-    i-1 17.4 Ready 10.128.0.9:8080
-    i-1 0.4 Ready 10.128.0.9:8080
-    i-1 17.4 Draining 10.128.0.9:8080
+    i-1 17.4 Ready 10.128.0.9:8080 v1
+    i-1 0.4 Ready 10.128.0.9:8080 v1
+    i-1 17.4 Draining 10.128.0.9:8080 v1
+    refused
     refused
     refused
     refused
