Give the endpoints of the test fleet a build each

Endpoints of several builds may serve in one service, and no test could tell which build ran a request. Each endpoint now has a build, which it registers and records with every run, together with the time of its start. The test client can break a stream after an event and take it up again at any entry with Last-Event-Id and Resumes; it checks that the events go on after the last one that has arrived. World::mixed_builds lists the runs that went on with the events of another build.

--- a/src/emulator/plain.rs
+++ b/src/emulator/plain.rs
@@ -62,6 +62,8 @@
 pub struct Options {
     /// Id of the endpoint. Requests that expect another one are refused with status 421.
     pub id: Arc<str>,
+    /// Build of the endpoint's software, as it registers it.
+    pub build: Arc<str>,
     /// Maximum number of requests that run at once. Further ones are declined.
     pub slots: usize,
     /// Number of events in each stream.
@@ -83,6 +85,10 @@
     pub path: Arc<str>,
     /// XXH3 hash of the request's body.
     pub body_hash: u64,
+    /// Build of the endpoint that ran the request.
+    pub build: Arc<str>,
+    /// Time at which the request began to run.
+    pub started: time::Instant,
 }
 
 struct Inner {
@@ -175,6 +181,11 @@
         *lock(&self.inner.running)
     }
 
+    /// Returns the build of the endpoint's software.
+    pub fn build(&self) -> &Arc<str> {
+        &self.inner.options.build
+    }
+
     /// Returns the record of every execution so far.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.inner.runs).clone()
@@ -237,6 +248,8 @@
             last_event: after,
             path,
             body_hash: hash,
+            build: self.options.build.clone(),
+            started: time::Instant::now(),
         });
         if rand::random::<f64>() < faults.lost_rate {
             return hang().await;
--- a/tests/fleet_world/client.rs
+++ b/tests/fleet_world/client.rs
@@ -8,6 +8,7 @@
 use basilfield::fleet::upstream;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::HeaderValue;
 use serde_json::Value;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -37,7 +38,8 @@
 ) -> hyper::Request<Full<Bytes>> {
     let mut request = hyper::Request::builder().method(method).uri(path).header("host", ROUTE_HOST);
     for (name, value) in headers {
-        request = request.header(*name, *value);
+        let value = HeaderValue::from_bytes(value.as_bytes()).expect("valid header");
+        request = request.header(*name, value);
     }
     request.body(Full::new(body.into())).expect("valid request")
 }
@@ -76,21 +78,99 @@
     prefix: &str,
     id: &str,
 ) -> StreamEnd {
-    let path = format!("{prefix}{id}");
-    let headers = [("x-basilfield-request-id", id), ("x-basilfield-deadline-ms", "6000")];
-    let sent = async {
-        let request = request("POST", &path, &headers, id.to_string());
+    let mut attempt = Attempt::new(prefix, id);
+    attempt.run_on(connections, to, ENDPOINT_OPTIONS.1).await
+}
+
+/// Stream that a request id belongs to: the id of the attempt that brought its first event. Later
+/// attempts append a point and their number.
+pub fn stream_of(id: &str) -> &str {
+    id.split_once('.').map_or(id, |(first, _)| first)
+}
+
+/// Caller of one stream, who may take it up again after a broken connection.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    prefix: String,
+    /// Id of the attempt that brought the first event, or of the next one before that.
+    pub stream: String,
+    /// Attempts so far under this id.
+    pub count: u32,
+    /// Number of the last event that has arrived; 0 for none.
+    pub last: u64,
+    /// `Retry-After` of the last refusal.
+    pub retry: Option<String>,
+}
+
+impl Attempt {
+    /// Creates the caller of a new stream.
+    pub fn new(prefix: &str, stream: &str) -> Attempt {
+        let (prefix, stream) = (prefix.to_string(), stream.to_string());
+        Attempt { prefix, stream, count: 0, last: 0, retry: None }
+    }
+
+    /// Id of the next attempt.
+    fn next_id(&self) -> String {
+        match self.count {
+            0 => self.stream.clone(),
+            n => format!("{}.{n}", self.stream),
+        }
+    }
+
+    /// Sends the next attempt, which goes on after the last event that has arrived, and checks
+    /// every event. Breaks the connection after event number `until` unless that is the last one.
+    pub async fn run(&mut self, to: SocketAddr, until: u64) -> StreamEnd {
+        self.run_on(&upstream::Upstream::default(), to, until).await
+    }
+
+    /// Sends the next attempt as [`Attempt::run`] does, on an idle connection of `connections` if
+    /// there is one.
+    async fn run_on(
+        &mut self,
+        connections: &upstream::Upstream,
+        to: SocketAddr,
+        until: u64,
+    ) -> StreamEnd {
+        let sent = self.read(connections, to, until);
+        time::timeout(Duration::from_secs(8), sent).await.unwrap_or(StreamEnd::Disconnected)
+    }
+
+    async fn read(
+        &mut self,
+        connections: &upstream::Upstream,
+        to: SocketAddr,
+        until: u64,
+    ) -> StreamEnd {
+        if self.last == 0 && self.count > 0 {
+            // Each attempt has an id of its own.
+            self.stream.push('x');
+            self.count = 0;
+        }
+        let id = self.next_id();
+        self.count += 1;
+        let path = format!("{}{id}", self.prefix);
+        let last = self.last.to_string();
+        let mut headers =
+            vec![("x-basilfield-request-id", &*id), ("x-basilfield-deadline-ms", "6000")];
+        if self.last > 0 {
+            headers.extend([("last-event-id", &*last), ("resumes", &*self.stream)]);
+        }
+        let request = request("POST", &path, &headers, id.clone());
         let Ok(mut answer) = connections.send(to, request, false).await else {
             return StreamEnd::Disconnected;
         };
         match answer.head.status.as_u16() {
             200 => {}
-            429 | 503 => return StreamEnd::NotRun,
+            429 | 503 => {
+                let retry = answer.head.headers.get("retry-after");
+                self.retry = retry.and_then(|v| v.to_str().ok()).map(str::to_string);
+                return StreamEnd::NotRun;
+            }
             status => return StreamEnd::Status(status),
         }
         let mut splitter = sse::Splitter::default();
-        let mut next = 1;
         loop {
+            let next = self.last + 1;
             match answer.next_chunk().await {
                 Ok(Some(bytes)) => splitter.push(&bytes).expect("short events"),
                 Ok(None) if next == ENDPOINT_OPTIONS.1 + 1 && splitter.remainder().is_empty() => {
@@ -100,15 +180,18 @@
                 Err(_) => return StreamEnd::Disconnected,
             }
             while let Some(event) = splitter.next_event() {
-                if event.id != Some(next) || event.data() != plain::event_data(id, next).as_bytes()
+                let next = self.last + 1;
+                if event.id != Some(next) || event.data() != plain::event_data(&id, next).as_bytes()
                 {
                     return StreamEnd::Wrong(format!("{id}: {event:?} in place of event {next}"));
                 }
-                next += 1;
+                self.last = next;
+                if next == until && until < ENDPOINT_OPTIONS.1 {
+                    return StreamEnd::Disconnected;
+                }
             }
         }
-    };
-    time::timeout(Duration::from_secs(8), sent).await.unwrap_or(StreamEnd::Disconnected)
+    }
 }
 
 /// Expected output of an item.
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -12,6 +12,7 @@
 use basilfield::emulator::plain;
 use basilfield::fleet::protocol::Protocol as _;
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io::Write as _;
@@ -37,6 +38,8 @@
 pub const BATCH_PREFIX: &str = "/batch/";
 pub const SAFE_PREFIX: &str = "/safe/";
 pub const SERVICE: &str = "engines";
+/// Build of endpoints unless a test sets another one.
+pub const DEFAULT_BUILD: &str = "v1";
 /// Longest wait for a condition. Far above the expected time, since the machine may be busy.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
 
@@ -82,6 +85,10 @@
     pub losses: u8,
     pub hosts: Vec<Host>,
     pub endpoints: Vec<Option<plain::PlainEndpoint>>,
+    /// Build under which each endpoint starts.
+    pub builds: Vec<Arc<str>>,
+    /// Slots of each endpoint.
+    pub slots: usize,
     /// Runs at endpoints that were crashed.
     finished_runs: Vec<plain::Run>,
     pub headers: basilfield::fleet::protocol::Headers,
@@ -98,13 +105,27 @@
     /// are ready.
     pub async fn start(size: Size) -> World {
         let mut world = World::prepare(size).await;
-        for at in 0..world.hosts.len() {
-            world.start_host(at, true);
-        }
-        world.set_up().await;
+        world.start_all().await;
+        world
+    }
+
+    /// Starts a world with one endpoint for each build and `slots` slots at each of them.
+    pub async fn start_with_builds(size: Size, builds: &[&str], slots: usize) -> World {
+        let endpoints = u8::try_from(builds.len()).expect("few endpoints");
+        let mut world = World::prepare(Size { endpoints, ..size }).await;
+        world.builds = builds.iter().map(|b| Arc::from(*b)).collect();
+        world.slots = slots;
+        world.start_all().await;
         world
     }
 
+    async fn start_all(&mut self) {
+        for at in 0..self.hosts.len() {
+            self.start_host(at, true);
+        }
+        self.set_up().await;
+    }
+
     /// Starts the endpoints, puts a configuration in force and waits until the entries are ready.
     pub async fn set_up(&mut self) {
         for at in 0..self.endpoints.len() {
@@ -140,6 +161,8 @@
             losses: size.losses,
             hosts: Vec::new(),
             endpoints: (0..size.endpoints).map(|_| None).collect(),
+            builds: vec![DEFAULT_BUILD.into(); size.endpoints.into()],
+            slots: ENDPOINT_OPTIONS.0,
             finished_runs: Vec::new(),
             headers: platform::Platform::default().headers().clone(),
             version: 0,
@@ -399,11 +422,12 @@
     pub async fn start_endpoint(&mut self, at: usize) {
         self.next_endpoint += 1;
         let id = format!("i-{}", self.next_endpoint);
-        let (slots, events, step) = ENDPOINT_OPTIONS;
+        let (_, events, step) = ENDPOINT_OPTIONS;
         let headers = self.headers.clone();
         let options = plain::Options {
             id: id.into(),
-            slots,
+            build: self.builds[at].clone(),
+            slots: self.slots,
             event_count: events,
             event_interval: step,
             headers,
@@ -436,6 +460,32 @@
         self.finished_runs.iter().cloned().chain(running).collect()
     }
 
+    /// Runs of a stream or item and of the attempts that took it up again, by their start.
+    pub fn runs_of(&self, stream: &str) -> Vec<plain::Run> {
+        let mut runs = self.all_runs();
+        runs.retain(|r| client::stream_of(&r.request_id) == stream);
+        runs.sort_by_key(|r| r.started);
+        runs
+    }
+
+    /// Runs that went on with the events of another build than their own, and those of later
+    /// attempts that started over.
+    pub fn mixed_builds(&self) -> Vec<plain::Run> {
+        let mut runs = self.all_runs();
+        runs.sort_by_key(|r| r.started);
+        let mut begun: BTreeMap<&str, &str> = BTreeMap::new();
+        let mut mixed = Vec::new();
+        for run in &runs {
+            let stream = client::stream_of(&run.request_id);
+            if run.last_event == 0 && *run.request_id == *stream {
+                begun.insert(stream, &run.build);
+            } else if run.last_event == 0 || begun.get(stream).is_some_and(|b| *b != &*run.build) {
+                mixed.push(run.clone());
+            }
+        }
+        mixed
+    }
+
     /// Registers every endpoint at the first control host that accepts it.
     pub async fn send_heartbeats(&mut self) {
         for endpoint in 0..self.endpoints.len() {
@@ -453,7 +503,7 @@
         self.seq += 1;
         let body = json!({
             "service": SERVICE, "address": endpoint.address(), "zone": format!("d{}", at % 3),
-            "version": "v1", "slots": ENDPOINT_OPTIONS.0, "state": state, "coldMs": 0,
+            "version": &**endpoint.build(), "slots": self.slots, "state": state, "coldMs": 0,
             "callSeq": self.seq,
         });
         let path = format!("/-/instances/{}", endpoint.id());
@@ -464,11 +514,42 @@
     /// Deregisters an endpoint at a control host. Returns the status, 0 without an endpoint.
     pub async fn deregister(&self, control: usize, at: usize) -> u16 {
         let Some(endpoint) = &self.endpoints[at] else { return 0 };
-        let path = format!("/-/instances/{}", endpoint.id());
+        self.deregister_id(control, endpoint.id()).await
+    }
+
+    async fn deregister_id(&self, control: usize, id: &str) -> u16 {
+        let path = format!("/-/instances/{id}");
         let to = (self.hosts[control].process_address, OPERATOR_PORT).into();
         client::call(to, "DELETE", &path, &[], String::new()).await.0
     }
 
+    /// Crashes every endpoint of a build and deregisters them at the first control host that
+    /// accepts it.
+    pub async fn remove_build(&mut self, build: &str) {
+        for at in 0..self.endpoints.len() {
+            let found = self.endpoints[at].as_ref().filter(|e| &**e.build() == build);
+            let Some(id) = found.map(|e| e.id().clone()) else { continue };
+            self.crash_endpoint(at);
+            for control in self.hosts_of(Role::Control) {
+                if self.deregister_id(control, &id).await == 200 {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Slows down the endpoints of a build by a factor; of all builds if it is `None`.
+    pub fn slow_down(&self, build: Option<&str>, factor: f64) {
+        for endpoint in self.endpoints.iter().flatten() {
+            if build.is_none_or(|b| b == &**endpoint.build()) {
+                endpoint.set_faults(plain::FaultRates {
+                    slowdown: factor,
+                    ..plain::FaultRates::default()
+                });
+            }
+        }
+    }
+
     /// Repeats the heartbeats until every entry is ready.
     pub async fn send_heartbeats_until_ready(&mut self) {
         let begun = Instant::now();
