Keep the run of an item at a silent endpoint until another one has a slot

Items of a job whose endpoint was silent for more than 3 s lost that run each time, and the next one elsewhere or at the same endpoint began with a new prompt. If every run paused at the same event, the job never ended.

Cause: as for online requests, silence ended the run before it was known whether another endpoint could go on.

Now the run reports the silence after 3 s and goes on. The next plan treats the item as one that waits as well and moves it as soon as another endpoint has a free slot. A run that is silent for 10 s ends in any case, as its connection may lead nowhere.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -51,7 +51,14 @@
 /// State of an item on the leader.
 enum ItemState {
     /// Runs at an endpoint; `number` is that of the run.
-    Running { endpoint: Arc<str>, number: u64, since: time::Instant, task: task::AbortHandle },
+    Running {
+        endpoint: Arc<str>,
+        number: u64,
+        since: time::Instant,
+        task: task::AbortHandle,
+        /// Whether the endpoint has been silent for long, so that another one may take over.
+        silent: bool,
+    },
     /// Waits until it may run again.
     BackingOff { until: time::Instant },
     /// Its output is complete. Earlier output is being stored before the rest can be committed.
@@ -230,10 +237,11 @@
     /// Handles the report of a run. Ignores it if the item was stopped or started again since.
     fn handle_report(&mut self, report: runner::Report) {
         let Some(tracked) = self.tracked.get_mut(&report.key) else { return };
-        if !matches!(&tracked.state, ItemState::Running { number, .. } if *number == report.number)
-        {
+        let ItemState::Running { number, silent, .. } = &mut tracked.state else { return };
+        if *number != report.number {
             return;
         }
+        *silent = report.update == runner::RunUpdate::Silent;
         match report.update {
             // An endpoint that resumes may repeat events that have arrived already.
             runner::RunUpdate::Event(data, id)
@@ -241,7 +249,7 @@
             {
                 tracked.progress.add_event(&data, id);
             }
-            runner::RunUpdate::Event(..) => {}
+            runner::RunUpdate::Event(..) | runner::RunUpdate::Silent => {}
             runner::RunUpdate::Ended(ended) => self.handle_run_end(report.key, ended),
         }
     }
@@ -450,7 +458,7 @@
                 let urgency = plan::Urgency::new(job.accept_index, left, remaining);
                 match tracked.map(|k| &k.state) {
                     Some(ItemState::Committing | ItemState::Finished) => continue,
-                    Some(ItemState::Running { endpoint, number, .. })
+                    Some(ItemState::Running { endpoint, number, silent, .. })
                         if !late && service.is_some() =>
                     {
                         let (index, endpoint) = (keys.len(), endpoint.clone());
@@ -460,8 +468,11 @@
                             urgency,
                             run_number: *number,
                         });
-                        keys.push(key);
-                        continue;
+                        keys.push(key.clone());
+                        // Another endpoint may take the item over meanwhile.
+                        if !silent {
+                            continue;
+                        }
                     }
                     Some(ItemState::BackingOff { until }) if *until > now => continue,
                     _ => {}
@@ -509,12 +520,33 @@
         }
         for (queued, endpoint) in to_start {
             let found = self.node.view.directory(|d| d.endpoint(&endpoint).cloned());
-            if let Some(endpoint) = found {
+            if let Some(endpoint) = found
+                && self.leave_silent_run(&queued.key, &endpoint.id)
+            {
                 self.start_item(&queued, &endpoint);
             }
         }
     }
 
+    /// Ends the run of an item at a silent endpoint, which `next` takes over. Returns `false` if the
+    /// item has to stay where it runs, as `next` is the same endpoint.
+    fn leave_silent_run(&mut self, key: &ItemKey, next: &Arc<str>) -> bool {
+        let state = self.tracked.get(key).map(|t| &t.state);
+        let Some(ItemState::Running { endpoint, task, .. }) = state else { return true };
+        if endpoint == next {
+            return false;
+        }
+        task.abort();
+        let endpoint = endpoint.clone();
+        self.handle_run_end(
+            key.clone(),
+            RunEnd::Interrupted { cause: "silence".into(), at_fault: true },
+        );
+        event!(self.node.log, events::ENDPOINT_SILENT; "job" => &*key.0, "request" => &*key.1,
+            "endpoint" => &*endpoint, "asked" => &**next);
+        true
+    }
+
     /// Jobs without pending items whose retention has passed.
     fn expired_jobs(
         &self,
@@ -592,6 +624,7 @@
             number: self.last_run,
             since: time::Instant::now(),
             task: run.abort_handle(),
+            silent: false,
         };
         self.tracked.insert(key, TrackedItem { state, progress });
     }
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -17,9 +17,11 @@
 use tokio::sync::mpsc;
 use tokio::time;
 
-/// Longest wait for the head of a response and between two chunks of it. After that the item
-/// continues elsewhere.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Silence of an endpoint after which the item continues at another one, if one has a free slot. A
+/// sound endpoint may be silent for a second or more.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// Silence after which a run ends in any case: the connection may lead nowhere.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How the run of an item ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -44,6 +46,8 @@
 pub enum RunUpdate {
     /// An event arrived, with this data and number.
     Event(Vec<u8>, Option<u64>),
+    /// The endpoint has been silent for long. The run goes on.
+    Silent,
     /// The run has ended.
     Ended(RunEnd),
 }
@@ -106,22 +110,50 @@
 impl Run {
     /// Runs the item and sends its events and its end to `reports`.
     pub async fn run(self, node: node::Node, reports: mpsc::Sender<Report>) {
-        let (key, number) = (self.key.clone(), self.number);
-        let update = RunUpdate::Ended(self.stream_events(&node, &reports).await);
-        // The receiver is dropped only when the process ends.
-        let _ = reports.send(Report { key, number, update }).await;
+        let Run { key, number, address, request } = self;
+        let reporter = Reporter { key, number, reports };
+        let update = RunUpdate::Ended(reporter.stream_events(&node, address, request).await);
+        reporter.send(update).await;
+    }
+}
+
+/// Sends the updates of one run to the dispatcher.
+struct Reporter {
+    key: progress::ItemKey,
+    number: u64,
+    reports: mpsc::Sender<Report>,
+}
+
+impl Reporter {
+    /// Sends an update. Returns `false` if the process ends.
+    async fn send(&self, update: RunUpdate) -> bool {
+        let report = Report { key: self.key.clone(), number: self.number, update };
+        self.reports.send(report).await.is_ok()
+    }
+
+    /// Waits for the endpoint to go on and reports a long silence. Returns `None` after
+    /// `RESPONSE_TIMEOUT`.
+    async fn wait<T>(&self, answer: impl Future<Output = T>) -> Option<T> {
+        let mut answer = std::pin::pin!(answer);
+        if let Ok(answer) = time::timeout(SILENCE_LIMIT, &mut answer).await {
+            return Some(answer);
+        }
+        self.send(RunUpdate::Silent).await;
+        time::timeout(RESPONSE_TIMEOUT - SILENCE_LIMIT, answer).await.ok()
     }
 
     /// Sends the request and reports each event of the response.
-    async fn stream_events(self, node: &node::Node, reports: &mpsc::Sender<Report>) -> RunEnd {
+    async fn stream_events(
+        &self,
+        node: &node::Node,
+        address: SocketAddr,
+        request: hyper::Request<Full<Bytes>>,
+    ) -> RunEnd {
         let names = node.view.protocol().headers();
-        let sent =
-            time::timeout(RESPONSE_TIMEOUT, node.upstream.send(self.address, self.request, false))
-                .await;
-        let mut response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(failure)) => return interrupted(&failure.to_string(), true),
-            Err(_) => return interrupted("no response in time", true),
+        let mut response = match self.wait(node.upstream.send(address, request, false)).await {
+            Some(Ok(response)) => response,
+            Some(Err(failure)) => return interrupted(&failure.to_string(), true),
+            None => return interrupted("no response in time", true),
         };
         let status = response.head.status;
         match response.classify(names, &self.key.1) {
@@ -141,20 +173,18 @@
         }
         let mut splitter = sse::Splitter::default();
         loop {
-            let bytes = match time::timeout(RESPONSE_TIMEOUT, response.next_chunk()).await {
-                Ok(Ok(Some(bytes))) => bytes,
-                Ok(Ok(None)) if splitter.remainder().is_empty() => return RunEnd::Done,
-                Ok(Ok(None)) => return interrupted("the stream ends within an event", true),
-                Ok(Err(cause)) => return interrupted(&cause, true),
-                Err(_) => return interrupted("silence", true),
+            let bytes = match self.wait(response.next_chunk()).await {
+                Some(Ok(Some(bytes))) => bytes,
+                Some(Ok(None)) if splitter.remainder().is_empty() => return RunEnd::Done,
+                Some(Ok(None)) => return interrupted("the stream ends within an event", true),
+                Some(Err(cause)) => return interrupted(&cause, true),
+                None => return interrupted("silence", true),
             };
             if splitter.push(&bytes).is_err() {
                 return interrupted("an event is too long", true);
             }
             while let Some(event) = splitter.next_event() {
-                let update = RunUpdate::Event(event.data(), event.id);
-                let report = Report { key: self.key.clone(), number: self.number, update };
-                if reports.send(report).await.is_err() {
+                if !self.send(RunUpdate::Event(event.data(), event.id)).await {
                     return interrupted("the process ends", false);
                 }
             }
