Continue a broken answer only at the build that began it

Cause: an entry that lost the endpoint of a stream chose any other endpoint of the service.

A stream is bound to the build that brought its first event. Resumptions and takeovers of silent endpoints choose among the endpoints of that build. As these are fewer, a stream waits up to 1.5 s for a slot there, is sent to a full one rather than given up, and may go back to an endpoint that was tried before. If the build has left, the answer breaks off, and the caller sees it.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -125,6 +125,9 @@
             bytes.extend_from_slice(&event.bytes);
         }
         if !bytes.is_empty() {
+            if let Some(started) = &self.started {
+                self.forwarder.begin_stream(&started.endpoint.build);
+            }
             self.ready.push_back(bytes.into());
         }
         Ok(())
@@ -157,6 +160,7 @@
         let forwarder = &self.forwarder;
         forwarder.node.metrics.count_retry("broken_stream");
         event!(forwarder.node.log, events::STREAM_RESUMED; "request" => &*forwarder.request.id,
-            "cause" => cause, "after_event" => forwarder.last_event, "next" => ?next);
+            "cause" => cause, "after_event" => forwarder.last_event,
+            "build" => forwarder.build().map(|b| &**b), "next" => ?next);
     }
 }
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -42,6 +42,9 @@
 /// Share of the response target for which a request waits for a slot. The rest is the usual time to
 /// the first event.
 const SLOT_WAIT_SHARE: f64 = 0.6;
+/// Time for which a stream waits for a slot at an endpoint of its build. Callers leave a silent
+/// stream after about two seconds.
+const BUILD_WAIT: Duration = Duration::from_millis(1_500);
 /// A request is not sent if less than this is left until its deadline.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -130,6 +133,8 @@
     /// Number of the last event that the caller has received.
     pub(super) last_event: Option<u64>,
     service: Arc<str>,
+    /// Build at which the stream has to go on, once the caller has events of it.
+    build: Option<Arc<str>>,
 }
 
 /// Response of an endpoint whose head has arrived.
@@ -164,8 +169,16 @@
     };
     let attempts = attempt::Attempts::new(request.route.is_retryable(), request.route.max_attempts);
     let last_event = numeric_header(&request.head.headers, &headers.last_event);
-    let mut forwarder =
-        Forwarder { node, request, deadline, attempts, tried: Vec::new(), last_event, service };
+    let mut forwarder = Forwarder {
+        node,
+        request,
+        deadline,
+        attempts,
+        tried: Vec::new(),
+        last_event,
+        service,
+        build: None,
+    };
     match forwarder.request.route.kind {
         routes::Kind::Stream => forwarder.forward_stream(&headers).await,
         _ => forwarder.forward_whole(&headers).await,
@@ -178,10 +191,43 @@
         self.deadline.saturating_duration_since(time::Instant::now())
     }
 
+    /// Endpoints at which the request may run. What endpoints of two builds write does not fit
+    /// together, so a stream that has begun goes on at its build only.
+    fn candidates(&self) -> Vec<place::Candidate> {
+        let mut candidates = self.node.candidates(&self.service);
+        if let Some(build) = &self.build {
+            candidates.retain(|c| c.build == *build);
+        }
+        candidates
+    }
+
+    /// Build at which the stream has to go on.
+    pub(super) fn build(&self) -> Option<&Arc<str>> {
+        self.build.as_ref()
+    }
+
+    /// Records that the caller has events of the stream, which `build` has brought.
+    pub(super) fn begin_stream(&mut self, build: &Arc<str>) {
+        if self.build.is_none() {
+            self.build = Some(build.clone());
+        }
+    }
+
     /// Chooses the endpoint for the next attempt.
     fn choose_endpoint(&self) -> place::Choice {
-        let candidates = self.node.candidates(&self.service);
-        place::choose(candidates, &self.tried, rand::random())
+        place::choose(self.candidates(), &self.tried, rand::random())
+    }
+
+    /// Chooses the endpoint for the next attempt while none is running. A stream that no untried
+    /// endpoint can continue goes back to one that was tried: that one may have lost only the
+    /// connection, or a slot may have become free.
+    fn choose_next_endpoint(&self) -> place::Choice {
+        match self.choose_endpoint() {
+            place::Choice::None if self.build.is_some() => {
+                place::choose(self.candidates(), &[], rand::random())
+            }
+            choice => choice,
+        }
     }
 
     /// Waits for a slot. If none becomes free in time, returns the endpoint `other`, if any.
@@ -189,6 +235,9 @@
         &self,
         other: Option<place::Candidate>,
     ) -> Option<(place::Candidate, slots::RequestGuard)> {
+        if self.build.is_some() {
+            return self.wait_for_build(other).await;
+        }
         let limit = self.request.route.response_target.mul_f64(SLOT_WAIT_SHARE);
         let waited = self.request.arrived.elapsed();
         let limit = limit.saturating_sub(waited).min(self.time_left());
@@ -204,6 +253,30 @@
         Some((other, guard))
     }
 
+    /// Waits for an endpoint of the stream's build, and sends to a full one rather than give up: no
+    /// other endpoint can continue the stream.
+    async fn wait_for_build(
+        &self,
+        mut other: Option<place::Candidate>,
+    ) -> Option<(place::Candidate, slots::RequestGuard)> {
+        let end = time::Instant::now() + BUILD_WAIT;
+        loop {
+            if let Some(endpoint) = other {
+                let guard = self.node.count_request(&self.service, &endpoint.id);
+                return Some((endpoint, guard));
+            }
+            if time::Instant::now() > end || self.time_left() < MIN_TIME_LEFT {
+                return None;
+            }
+            time::sleep(TAKEOVER_INTERVAL).await;
+            other = match self.choose_next_endpoint() {
+                place::Choice::Send(endpoint) => Some(endpoint),
+                place::Choice::Wait(other) => other,
+                place::Choice::None => return None,
+            };
+        }
+    }
+
     /// Builds the request to send to an endpoint.
     fn outgoing_request(
         &self,
@@ -363,7 +436,7 @@
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(self.give_up("the time is over"));
             }
-            let (endpoint, guard) = match self.choose_endpoint() {
+            let (endpoint, guard) = match self.choose_next_endpoint() {
                 place::Choice::Send(endpoint) => {
                     let guard = self.node.count_request(&self.service, &endpoint.id);
                     (endpoint, guard)
@@ -372,6 +445,9 @@
                     Some(slot) => slot,
                     None => return Err(self.give_up("every endpoint is full")),
                 },
+                place::Choice::None if self.build.is_some() => {
+                    return Err(self.give_up("no endpoint of the stream's build is left"));
+                }
                 place::Choice::None => return Err(self.give_up("no endpoint is left")),
             };
             self.tried.push(endpoint.id.clone());
@@ -394,6 +470,10 @@
                 }
                 Waited::Ended(Err((outcome, cause))) => {
                     match self.record_retry(&name, outcome, &cause) {
+                        attempt::Next::Again if self.build.is_some() => {
+                            // Few endpoints can continue the stream, and a slot may become free.
+                            time::sleep(TAKEOVER_INTERVAL.min(self.time_left())).await;
+                        }
                         attempt::Next::Again => {}
                         attempt::Next::Refuse => {
                             return Err(refuse(&self.node, &id, "no endpoint took the request"));
