Continue a stream that its caller takes up at the build that began it

Callers whose connection broke took their streams up again at any entry, which continued them at any build; the events do not fit together.

Cause: no entry but the one that began a stream could know its build, and that one did not keep it.

An entry records the origin of a stream, its service and build, before the first event can arrive, and again if another build brings it. It keeps the record until the deadline of the caller has passed, and sends it to one control host more than may be lost, chosen by the id of the stream, so that the cost of a stream does not grow with the fleet. Control hosts that start or return get the records again. An entry that is asked to continue a stream looks at its own records and asks the control hosts that it reaches. If none of them knows the stream, it goes on only if all endpoints of the last minute are of one build and the entry is in contact; otherwise it is refused as not run. A malformed name of the stream is refused with 400.

--- a/src/events.rs
+++ b/src/events.rs
@@ -182,6 +182,8 @@
     REQUEST_FAILED = 707, Info, "request failed";
     /// The caller left before the answer was complete.
     CALLER_LEFT = 708, Info, "caller left";
+    /// A caller came back and takes up a stream again, which goes on at the build that began it.
+    STREAM_TAKEN_UP = 709, Info, "stream taken up again";
 }
 
 /// Most lines of one event that a process writes in one second. Further lines are counted and left
--- /dev/null
+++ b/src/fleet/continuation.rs
@@ -0,0 +1,84 @@
+//! Finds out where a stream goes on that a caller takes up again.
+
+use crate::event;
+use crate::events;
+use crate::fleet::forward;
+use crate::fleet::node;
+use crate::fleet::origin;
+use crate::fleet::protocol;
+use crate::fleet::serve;
+use hyper::StatusCode;
+use hyper::header::HeaderMap;
+use hyper::header::HeaderName;
+use std::sync::Arc;
+
+/// Service and build at which a stream goes on; any build if `None`.
+pub(super) type Place = (Arc<str>, Option<Arc<str>>);
+
+/// Finds the service and build at which a stream goes on. `service` is the one that its route
+/// chooses.
+///
+/// # Errors
+/// The response to send if the caller names the stream in a malformed way, or if no build is known.
+pub(super) async fn find(
+    node: &node::Node,
+    request: &forward::Request,
+    headers: &protocol::Headers,
+    service: Arc<str>,
+) -> Result<Place, serve::Response> {
+    let stream = match named_stream(&request.head.headers, &headers.resumed_request) {
+        Ok(stream) => stream,
+        Err(problem) => {
+            event!(node.log, events::REQUEST_REFUSED; "request" => &*request.id,
+                "reason" => &problem);
+            return Err(serve::response(StatusCode::BAD_REQUEST, format!("{problem}\n")));
+        }
+    };
+    let found = match &stream {
+        Some(stream) => node.find_origin(stream).await,
+        None => None,
+    };
+    let builds = node.view.directory(|d| d.builds(&service));
+    let is_known = found.is_some();
+    match origin::continuation(found, (&service, &builds), node.is_in_contact()) {
+        origin::Continuation::At(origin) => {
+            event!(node.log, events::STREAM_TAKEN_UP; "request" => &*request.id,
+                "stream" => stream.as_deref(), "service" => &*origin.service,
+                "build" => &*origin.build, "recorded" => is_known);
+            Ok(place(node, request, service, origin))
+        }
+        origin::Continuation::Unknown => {
+            let reason = "the build that began the stream is not known";
+            Err(forward::refuse(node, &request.id, reason))
+        }
+    }
+}
+
+/// Place of a stream of known origin. The route may lead to other services by now, whose builds have
+/// nothing in common with that of the origin but perhaps the name.
+fn place(
+    node: &node::Node,
+    request: &forward::Request,
+    chosen: Arc<str>,
+    origin: origin::Origin,
+) -> Place {
+    if request.route.shares.iter().any(|s| s.service == origin.service && s.weight > 0) {
+        return (origin.service, Some(origin.build));
+    }
+    let builds = node.view.directory(|d| d.builds(&chosen));
+    let same = builds.contains(&origin.build).then_some(origin.build);
+    (chosen, same)
+}
+
+/// Id in the header that names the stream; `None` without the header.
+fn named_stream(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Arc<str>>, String> {
+    let mut values = headers.get_all(name).iter();
+    let (Some(value), further) = (values.next(), values.next()) else { return Ok(None) };
+    if further.is_some() {
+        return Err(format!("{name}: the header names several streams"));
+    }
+    let is_word = |id: &&str| !id.is_empty() && id.bytes().all(|b| b.is_ascii_graphic());
+    let id = value.to_str().ok().map(str::trim).filter(is_word);
+    let problem = || format!("{name}: the id of the stream is not a word of visible characters");
+    id.map(|id| Some(id.into())).ok_or_else(problem)
+}
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -170,11 +170,21 @@
                     node.peers.cast(from, frame::Cast::Update(update));
                 }
             }
+            frame::Cast::Origins(records) => {
+                let mut origins = peer::lock(&node.origins);
+                for record in records {
+                    origins.insert(node.now(), record);
+                }
+            }
             message => entry::handle_cast(node, from, message),
         }
     }
 
     fn call(&self, request: wire::Request) -> BoxFuture<'static, wire::Reply> {
+        if let wire::Request::FindOrigin { stream } = &request {
+            let found = peer::lock(&self.node.origins).find(self.node.now(), stream);
+            return async { wire::Reply::Origin(found) }.boxed();
+        }
         member::handle_request(self.node.clone(), groups::CONTROL, request).boxed()
     }
 }
--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -318,6 +318,15 @@
         self.endpoints.values().map(|r| &r.value).filter(ready)
     }
 
+    /// Builds of the endpoints of a service, sorted, including those that are gone.
+    pub fn builds(&self, service: &str) -> Vec<Arc<str>> {
+        let of_service = self.endpoints().filter(|e| &*e.service == service);
+        let mut builds: Vec<Arc<str>> = of_service.map(|e| e.build.clone()).collect();
+        builds.sort();
+        builds.dedup();
+        builds
+    }
+
     /// All endpoints, including those that are gone.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values().map(|r| &r.value)
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -151,7 +151,10 @@
         frame::Cast::OtherLoad(load) => {
             node.view.loads(|l| l.record_other_load(node.now(), from, load))
         }
-        frame::Cast::Replica(_) | frame::Cast::Announce(_) | frame::Cast::FetchConfig(_) => {}
+        frame::Cast::Replica(_)
+        | frame::Cast::Announce(_)
+        | frame::Cast::FetchConfig(_)
+        | frame::Cast::Origins(_) => {}
     }
 }
 
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -3,8 +3,10 @@
 use crate::event;
 use crate::events;
 use crate::fleet::attempt;
+use crate::fleet::continuation;
 use crate::fleet::event_stream;
 use crate::fleet::node;
+use crate::fleet::origin;
 use crate::fleet::place;
 use crate::fleet::protocol;
 use crate::fleet::routes;
@@ -45,6 +47,8 @@
 /// Time for which a stream waits for a slot at an endpoint of its build. Callers leave a silent
 /// stream after about two seconds.
 const BUILD_WAIT: Duration = Duration::from_millis(1_500);
+/// Added to the deadline of a caller for the time until which it may take up a stream again.
+const RETURN_MARGIN: Duration = Duration::from_secs(1);
 /// A request is not sent if less than this is left until its deadline.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -135,6 +139,10 @@
     service: Arc<str>,
     /// Build at which the stream has to go on, once the caller has events of it.
     build: Option<Arc<str>>,
+    /// Whether the caller may take up the stream again under the id of this request.
+    is_origin: bool,
+    /// Number of the last record of the stream's origin, and the build that it names.
+    recorded: Option<(u32, Arc<str>)>,
 }
 
 /// Response of an endpoint whose head has arrived.
@@ -164,11 +172,20 @@
         numeric_header(&request.head.headers, &headers.deadline).map(Duration::from_millis);
     let limit = requested.unwrap_or(request.route.timeout).min(request.route.timeout);
     let deadline = request.arrived + limit;
-    let Some(service) = request.route.choose_service(rand::random()).cloned() else {
+    let Some(mut service) = request.route.choose_service(rand::random()).cloned() else {
         return refuse(&node, &request.id, "the route has no service");
     };
-    let attempts = attempt::Attempts::new(request.route.is_retryable(), request.route.max_attempts);
+    let mut build = None;
     let last_event = numeric_header(&request.head.headers, &headers.last_event);
+    let is_stream = request.route.kind == routes::Kind::Stream;
+    if is_stream && last_event.is_some_and(|last| last > 0) {
+        match continuation::find(&node, &request, &headers, service).await {
+            Ok(found) => (service, build) = found,
+            Err(response) => return response,
+        }
+    }
+    let is_origin = is_stream && request.route.resumable && build.is_none();
+    let attempts = attempt::Attempts::new(request.route.is_retryable(), request.route.max_attempts);
     let mut forwarder = Forwarder {
         node,
         request,
@@ -177,7 +194,9 @@
         tried: Vec::new(),
         last_event,
         service,
-        build: None,
+        build,
+        is_origin,
+        recorded: None,
     };
     match forwarder.request.route.kind {
         routes::Kind::Stream => forwarder.forward_stream(&headers).await,
@@ -209,10 +228,34 @@
     /// Records that the caller has events of the stream, which `build` has brought.
     pub(super) fn begin_stream(&mut self, build: &Arc<str>) {
         if self.build.is_none() {
+            self.record_origin(build);
             self.build = Some(build.clone());
         }
     }
 
+    /// Records that an endpoint of the given build may begin the stream, before it does.
+    fn record_origin(&mut self, build: &Arc<str>) {
+        let seq = match &self.recorded {
+            _ if !self.is_origin || self.build.is_some() => return,
+            Some((_, recorded)) if recorded == build => return,
+            Some((seq, _)) => seq + 1,
+            None => 1,
+        };
+        self.recorded = Some((seq, build.clone()));
+        let origin = origin::Origin { service: self.service.clone(), build: build.clone() };
+        let keep_ms = self.return_time().as_millis() as u64;
+        let stream = self.request.id.clone();
+        self.node.keep_origin(origin::Record { stream, seq, origin, keep_ms });
+    }
+
+    /// Time for which the caller may still come back to take up its stream.
+    fn return_time(&self) -> Duration {
+        let headers = self.node.view.protocol().headers();
+        let requested = numeric_header(&self.request.head.headers, &headers.deadline);
+        let limit = requested.map_or(self.request.route.timeout, Duration::from_millis);
+        limit.max(self.request.route.timeout) + RETURN_MARGIN
+    }
+
     /// Chooses the endpoint for the next attempt.
     fn choose_endpoint(&self) -> place::Choice {
         place::choose(self.candidates(), &self.tried, rand::random())
@@ -367,6 +410,7 @@
                 "endpoint" => &**from, "silent_ms" => limit.as_millis() as u64,
                 "asked" => &*name);
             self.tried.push(name.clone());
+            self.record_origin(&endpoint.build);
             let guard = self.node.count_request(&self.service, &endpoint.id);
             let mut other = std::pin::pin!(self.attempt(headers, endpoint, guard));
             let mut failure = None;
@@ -451,6 +495,7 @@
                 place::Choice::None => return Err(self.give_up("no endpoint is left")),
             };
             self.tried.push(endpoint.id.clone());
+            self.record_origin(&endpoint.build);
             let name = endpoint.id.clone();
             let limit = self.first_event_timeout();
             let sending = self.attempt(headers, endpoint, guard);
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -3,6 +3,7 @@
 use crate::fleet::control_state;
 use crate::fleet::directory;
 use crate::fleet::load;
+use crate::fleet::origin;
 use crate::replica;
 use crate::wire;
 use serde::Deserialize;
@@ -43,6 +44,8 @@
     ConfigAvailable(u64),
     /// A host asks a control host for a configuration that is newer than this version.
     FetchConfig(u64),
+    /// An entry sends a control host the origins of streams.
+    Origins(Vec<origin::Record>),
 }
 
 /// Announcement that a host sends to the control hosts at regular intervals.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! other modules carry them out.
 
 pub mod attempt;
+mod continuation;
 pub mod control;
 pub mod control_state;
 pub mod directory;
@@ -19,6 +20,8 @@
 pub mod load;
 pub mod member;
 pub mod node;
+pub mod origin;
+mod origin_client;
 pub mod peer;
 pub mod place;
 pub mod plan;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -6,6 +6,7 @@
 use crate::fleet::frame;
 use crate::fleet::groups;
 use crate::fleet::load;
+use crate::fleet::origin;
 use crate::fleet::peer;
 use crate::fleet::place;
 use crate::fleet::protocol;
@@ -65,6 +66,8 @@
     pub upstream: upstream::Upstream,
     /// Configuration that this host is fetching.
     pub config_fetch: Arc<Mutex<sync::ConfigFetch>>,
+    /// Origins of streams: at an entry of its own, at a control host of those sent to it.
+    pub origins: Arc<Mutex<origin::Origins>>,
     /// Endpoints that failed recently.
     pub health: Arc<Mutex<place::Health>>,
     /// Requests that wait for slots.
@@ -122,6 +125,7 @@
             peers,
             upstream: upstream::Upstream::default(),
             config_fetch: Arc::default(),
+            origins: Arc::default(),
             health: Arc::default(),
             slots: slots::Slots::default(),
             local_replica,
@@ -267,6 +271,7 @@
 /// endpoint health and of idle connections.
 async fn send_announcements(node: Node, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
     let mut seq = 1;
+    let mut informed = sorted::SortedMap::new();
     loop {
         let announcement = node.view.announcement(seq);
         seq += 1;
@@ -275,6 +280,8 @@
         }
         node.view.directory(|d| d.remove_expired(node.now()));
         peer::lock(&node.health).remove_expired(node.now());
+        peer::lock(&node.origins).remove_expired(node.now());
+        node.repeat_origins(&mut informed);
         node.upstream.close_expired();
         let ready = node.view.active_config().is_some();
         let pause = if ready { ANNOUNCE_INTERVAL } else { INITIAL_ANNOUNCE_INTERVAL };
--- /dev/null
+++ b/src/fleet/origin_client.rs
@@ -0,0 +1,93 @@
+//! Sends the origins of streams to control hosts and asks for those of other entries.
+
+use crate::fleet::frame;
+use crate::fleet::node;
+use crate::fleet::origin;
+use crate::fleet::peer;
+use crate::fleet::settings;
+use crate::sorted;
+use crate::wire;
+use futures_util::StreamExt as _;
+use futures_util::stream;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time;
+
+/// Longest wait for the control hosts to tell where a stream began.
+const FIND_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest wait for further answers after one host has told an origin. A host that missed the last
+/// record of a stream tells an earlier one.
+const FURTHER_ANSWERS_TIMEOUT: Duration = Duration::from_millis(50);
+/// Most origins in one message.
+const MAX_RECORDS: usize = 1_000;
+
+impl node::Node {
+    /// Keeps the origin of a stream that a caller may take up again, here and at control hosts: one
+    /// more than may be lost at the same time.
+    pub(super) fn keep_origin(&self, record: origin::Record) {
+        let count = self.settings.fleet.losses + 1;
+        for keeper in origin::keepers(&record.stream, self.reached_controls(), count) {
+            self.peers.cast(&keeper, frame::Cast::Origins(vec![record.clone()]));
+        }
+        peer::lock(&self.origins).insert(self.now(), record);
+    }
+
+    /// Finds out where a stream began; `None` if no host that answers in time knows.
+    pub(super) async fn find_origin(&self, stream: &Arc<str>) -> Option<origin::Origin> {
+        if let Some(own) = peer::lock(&self.origins).find(self.now(), stream) {
+            return Some(own.origin);
+        }
+        let ask = |control: Arc<str>| async move {
+            let request = wire::Request::FindOrigin { stream: stream.clone() };
+            match self.peers.call(&control, request, FIND_TIMEOUT).await {
+                Ok(wire::Reply::Origin(found)) => found,
+                _ => None,
+            }
+        };
+        let mut answers: stream::FuturesUnordered<_> =
+            self.reached_controls().into_iter().map(ask).collect();
+        let mut latest: Option<origin::Record> = None;
+        loop {
+            let limit = if latest.is_some() { FURTHER_ANSWERS_TIMEOUT } else { FIND_TIMEOUT };
+            match time::timeout(limit, answers.next()).await {
+                Ok(Some(Some(found))) => {
+                    if latest.as_ref().is_none_or(|known| known.seq < found.seq) {
+                        latest = Some(found);
+                    }
+                }
+                Ok(Some(None)) => {}
+                Ok(None) | Err(_) => return latest.map(|record| record.origin),
+            }
+        }
+    }
+
+    /// Control hosts that answer on the connection from here. An entry reaches the seeds before its
+    /// first directory arrives.
+    fn reached_controls(&self) -> Vec<Arc<str>> {
+        let mut controls = self.view.controls();
+        controls.retain(|c| self.peers.is_connected(c));
+        controls
+    }
+
+    /// Sends the origins that this entry keeps to control hosts that have started or can be reached
+    /// again. `informed` holds the start time of each one that has them.
+    pub(super) fn repeat_origins(&self, informed: &mut sorted::SortedMap<Arc<str>, u64>) {
+        if self.settings.host.role != settings::Role::Entry {
+            return;
+        }
+        let controls: Vec<(Arc<str>, u64)> = self.view.directory(|d| {
+            d.hosts(settings::Role::Control).map(|h| (h.link.clone(), h.start_time)).collect()
+        });
+        informed.retain(|control, _| self.peers.is_connected(control));
+        for (control, start_time) in controls {
+            if informed.get(&control) == Some(&start_time) || !self.peers.is_connected(&control) {
+                continue;
+            }
+            let records = peer::lock(&self.origins).records(self.now());
+            for part in records.chunks(MAX_RECORDS) {
+                self.peers.cast(&control, frame::Cast::Origins(part.to_vec()));
+            }
+            informed.insert(control, start_time);
+        }
+    }
+}
--- a/src/fleet/protocol.rs
+++ b/src/fleet/protocol.rs
@@ -23,6 +23,8 @@
     pub declined: HeaderName,
     /// Number of the last event that the receiver of a stream has.
     pub last_event: HeaderName,
+    /// Id of the request that began the stream which the caller takes up again.
+    pub resumed_request: HeaderName,
     /// Milliseconds that a read of results may wait for new ones.
     pub wait: HeaderName,
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,6 +3,7 @@
 //! Each request opens one bidirectional stream: one [`Request`], then one or more [`Reply`]
 //! frames. Replica envelopes travel as [`crate::replica::Envelope`] on unidirectional streams.
 
+use crate::fleet::origin;
 use bytes::Bytes;
 use derive_more::Display;
 use serde::Deserialize;
@@ -253,6 +254,11 @@
     },
     /// Operator to a state host: state of its replicas. Answered by `Groups`.
     Status,
+    /// Entry to a control host: ask where a stream began. Answered by `Origin`.
+    FindOrigin {
+        /// Id of the request that began the stream.
+        stream: Arc<str>,
+    },
     /// Operator to the leader of group 0: heartbeats of the nodes. Answered by `Nodes`.
     Nodes,
     /// Entry to agent: withdraw an attempt that another entry sent or was about to send. Answered
@@ -468,4 +474,6 @@
     Groups(Vec<Group>),
     /// Heartbeats of the nodes.
     Nodes(Vec<Node>),
+    /// Origin of a stream; `None` if the host does not know it.
+    Origin(Option<origin::Record>),
 }
--- /dev/null
+++ b/tests/fleet_origin.rs
@@ -0,0 +1,97 @@
+//! Origins of streams: which record counts, who keeps it, and where a stream may go on.
+
+use basilfield::fleet::origin;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn record(stream: &str, seq: u32, build: &str, keep_ms: u64) -> origin::Record {
+    let origin = origin::Origin { service: "s".into(), build: build.into() };
+    origin::Record { stream: stream.into(), seq, origin, keep_ms }
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Guards against a record of the endpoint that was asked first, if another one brought the first
+/// event, and against records that stay for ever.
+#[test]
+fn latest_record_counts_until_it_expires() {
+    let mut origins = origin::Origins::default();
+    origins.insert(ms(0), record("a", 1, "v1", 500));
+    origins.insert(ms(0), record("b", 2, "v2", 500));
+    // Records of one stream may arrive in any order.
+    origins.insert(ms(10), record("b", 1, "v1", 500));
+    origins.insert(ms(10), record("a", 2, "v2", 500));
+    let find = |origins: &origin::Origins, now, stream| {
+        origins.find(ms(now), stream).map_or("-".into(), |r| format!("{}", r.origin.build))
+    };
+    let mut seen = Vec::new();
+    for now in [20, 505] {
+        seen.push(format!("{} {}", find(&origins, now, "a"), find(&origins, now, "b")));
+    }
+    origins.remove_expired(ms(505));
+    seen.push(format!("{} left", origins.records(ms(505)).len()));
+    insta::assert_snapshot!(seen.join(", "), @"v2 v2, v2 -, 1 left");
+}
+
+/// Guards against unbounded memory while very many streams begin.
+#[test]
+fn number_of_records_is_bounded() {
+    let mut origins = origin::Origins::default();
+    for n in 0..60_000 {
+        origins.insert(ms(n / 100), record(&format!("s{n}"), 1, "v1", 600_000));
+    }
+    let known = |n: u64| origins.find(ms(700), &format!("s{n}")).is_some();
+    assert_eq!(
+        (origins.records(ms(700)).len(), known(9_999), known(10_000)),
+        (50_000, false, true)
+    );
+}
+
+/// Guards against records that all go to the same control hosts, and against a cost of a stream that
+/// grows with the fleet.
+#[test]
+fn records_spread_over_the_control_hosts() {
+    let controls: Vec<Arc<str>> = (0..5).map(|n| format!("10.0.0.{n}:1").into()).collect();
+    let mut counts = [0; 5];
+    for n in 0..1_000 {
+        let keepers = origin::keepers(&format!("stream-{n}"), controls.clone(), 3);
+        assert_eq!(keepers.len(), 3);
+        for keeper in keepers {
+            counts[controls.iter().position(|c| *c == keeper).expect("one of them")] += 1;
+        }
+    }
+    assert!(counts.iter().all(|n| (500..700).contains(n)), "{counts:?}");
+    let few = origin::keepers("stream", controls[..2].to_vec(), 3);
+    assert_eq!(few.len(), 2);
+}
+
+/// Guards against a stream that goes on at a build which may not be the one that began it, and
+/// against refusing one that can have begun at one build only.
+#[test]
+fn stream_of_unknown_origin_goes_on_at_the_only_build() {
+    let (service, v1, v2): (Arc<str>, Arc<str>, Arc<str>) = ("s".into(), "v1".into(), "v2".into());
+    let builds: [&[Arc<str>]; 3] = [&[], &[v1.clone()], &[v1, v2]];
+    let found = record("a", 1, "v2", 500).origin;
+    let mut seen = Vec::new();
+    for (found, in_contact) in
+        [(Some(found.clone()), true), (Some(found), false), (None, true), (None, false)]
+    {
+        let decide = |builds: &&[Arc<str>]| match origin::continuation(
+            found.clone(),
+            (&service, builds),
+            in_contact,
+        ) {
+            origin::Continuation::At(origin) => origin.build.to_string(),
+            origin::Continuation::Unknown => "-".to_string(),
+        };
+        seen.push(builds.iter().map(decide).collect::<Vec<_>>().join(" "));
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    v2 v2 v2
+    v2 v2 v2
+    - v1 -
+    - - -
+    ");
+}
