Continue the output of an item only at the build that began it

Results of jobs could hold output of two builds, also after a change of the leader of the job group.

Cause: the dispatcher started an item at any endpoint, and the ledger stored output without the build that made it, so that a new leader could not know it.

Stored output belongs to a generation: the number of times that the item has started over, and the build. A plan starts an item that has output at its build. If no endpoint of that build is ready, or none has a slot for 2 s, the item starts over in the next generation, which replaces the stored output. Output of an earlier generation, or of a leader that went on at another build, is not joined to it.

--- a/src/events.rs
+++ b/src/events.rs
@@ -135,6 +135,8 @@
     JOB_ENDED = 509, Info, "job ended by its client";
     /// A change of the ledger was not committed, or it is unknown whether it was.
     LEDGER_UNCHANGED = 510, Info, "change of the ledger not confirmed";
+    /// An item starts over, since no endpoint of the build that began its output takes it.
+    ITEM_STARTED_OVER = 511, Info, "item starts over at another build";
     /// An endpoint announced itself.
     ENDPOINT_JOINED = 600, Info, "endpoint joined";
     /// An endpoint stopped announcing itself or withdrew.
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -44,6 +44,9 @@
 /// Longest wait for a command to be committed. The outcome of an item is proposed again after that:
 /// if the item ran instead, an endpoint would run it more often than its job allows.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which an item waits for an endpoint of the build that began its output. After that it
+/// starts over at another build. Running it again takes about as long.
+const BUILD_WAIT: Duration = Duration::from_secs(2);
 /// Jobs are kept for the promised retention times this factor, as the leader counts from the moment
 /// at which it first saw a job.
 const RETENTION_FACTOR: u32 = 2;
@@ -81,9 +84,18 @@
     FailureCounted(ItemKey),
     /// The ledger holds everything that was committed before this host became leader.
     LedgerComplete,
-    /// The commit of chunks of output has succeeded (`true`) or failed. Holds for each chunk the
-    /// item, its events up to the chunk's end and the bytes of the chunk.
-    Stored(Vec<(ItemKey, u64, usize)>, bool),
+    /// The commit of chunks of output has succeeded (`true`) or failed.
+    Stored(Vec<SentChunk>, bool),
+}
+
+/// Chunk of output whose commit was started.
+struct SentChunk {
+    key: ItemKey,
+    generation: ledger::Generation,
+    /// Events of the item up to the end of the chunk.
+    events: u64,
+    /// Bytes of the chunk.
+    len: usize,
 }
 
 /// Message with the epoch in which its work was started.
@@ -192,6 +204,20 @@
     }
 }
 
+impl TrackedItem {
+    /// Build at which the item has to go on; `None` if it may start over, since it has waited for
+    /// long.
+    fn pinned_build(&self, now: time::Instant) -> Option<Arc<str>> {
+        let waits = match self.state {
+            ItemState::BackingOff { until } => now.saturating_duration_since(until) < BUILD_WAIT,
+            // A silent endpoint may still go on.
+            ItemState::Running { .. } => true,
+            ItemState::Finished | ItemState::Committing => false,
+        };
+        self.progress.build().filter(|_| waits).cloned()
+    }
+}
+
 impl Drop for TrackedItem {
     fn drop(&mut self) {
         if let ItemState::Running { task, .. } = &self.state {
@@ -267,24 +293,26 @@
             Message::LedgerComplete => self.ledger_complete = true,
             Message::Stored(parts, done) => {
                 self.storing.clear();
-                for (key, events, len) in parts {
-                    self.handle_chunk_stored(key, done.then_some((events, len)));
+                for chunk in parts {
+                    self.handle_chunk_stored(chunk, done);
                 }
             }
         }
     }
 
-    /// Handles the end of the commit of a chunk of output. `stored` holds the item's events up to
-    /// its end and its bytes if the commit succeeded.
-    fn handle_chunk_stored(&mut self, key: ItemKey, stored: Option<(u64, usize)>) {
-        let stored_events = {
+    /// Handles the end of the commit of a chunk of output, which has succeeded if `done`.
+    fn handle_chunk_stored(&mut self, chunk: SentChunk, done: bool) {
+        let SentChunk { key, generation, events, len } = chunk;
+        let stored = {
             let ledger = peer::lock(&self.shared.ledger);
             let pending = ledger.job(&key.0).map(|j| &j.pending[..]).unwrap_or_default();
-            pending.iter().find(|o| o.item.id == key.1).map(|o| o.stored.events)
+            let found = pending.iter().find(|o| o.item.id == key.1);
+            found.map(|o| (ledger.generation(&key.0, &key.1), o.stored.events))
         };
         let Some(tracked) = self.tracked.get_mut(&key) else { return };
-        if let Some((events, len)) = stored {
-            if stored_events != Some(events) {
+        // If the item has started over since, the chunk says nothing about its present output.
+        if done && tracked.progress.generation == generation {
+            if stored != Some((generation, events)) {
                 // The ledger holds other output than expected: the item continues from there.
                 self.tracked.remove(&key);
                 return;
@@ -312,10 +340,15 @@
             return;
         }
         self.storing = chunks.iter().map(|(key, _)| key.clone()).collect();
-        let metadata =
-            |(key, a): &(ItemKey, ledger::OutputChunk)| (key.clone(), a.events, a.data.len());
-        let parts = chunks.iter().map(metadata).collect();
-        let command = ledger::Command::StoreOutput(chunks.into_iter().map(|(_, a)| a).collect());
+        let sent = |(key, part): &(ItemKey, ledger::GenerationChunk)| SentChunk {
+            key: key.clone(),
+            generation: part.generation.clone(),
+            events: part.chunk.events,
+            len: part.chunk.data.len(),
+        };
+        let parts = chunks.iter().map(sent).collect();
+        let chunks = chunks.into_iter().map(|(_, chunk)| chunk).collect();
+        let command = ledger::Command::StoreGenerations(chunks);
         let node = self.node.clone();
         self.spawn(async move {
             let done = commit(&node, &command).await;
@@ -332,7 +365,7 @@
         }
         tracked.state = ItemState::Committing;
         let chunk = tracked.progress.unstored_chunk(&key);
-        self.commit(ledger::Command::Complete(chunk), Message::Committed(key));
+        self.commit(ledger::Command::CompleteGeneration(chunk), Message::Committed(key));
     }
 
     /// Ends the current run of an item, which may run again after `pause`.
@@ -424,6 +457,7 @@
         let now = time::Instant::now();
         let ledger = self.shared.ledger.clone();
         let ledger = peer::lock(&ledger);
+        let serving = self.serving_builds();
         let mut jobs: Vec<(&Arc<str>, &ledger::Job)> = ledger.jobs().collect();
         jobs.sort_by_key(|(_, job)| job.accept_index);
         self.first_seen.retain(|id, _| ledger.job(id).is_some());
@@ -482,12 +516,30 @@
                     None => to_abandon.push((key, ledger::Cause::NoRoute)),
                     Some(service) => {
                         let (index, service) = (queue.len(), service.clone());
-                        waiting.push(plan::WaitingItem { index, service, urgency });
+                        let build = match tracked {
+                            Some(tracked) => tracked.pinned_build(now),
+                            None => ledger.generation(id, &pending.item.id).build,
+                        };
+                        let build = build.filter(|b| {
+                            serving.binary_search(&(service.clone(), b.clone())).is_ok()
+                        });
+                        waiting.push(plan::WaitingItem { index, service, build, urgency });
                         queue.push((id, job, pending));
                     }
                 }
             }
         }
+        // Items that a former leader has run wait for their build from now on.
+        for item in waiting.iter().filter(|w| w.build.is_some()) {
+            let (id, _, pending) = queue[item.index];
+            let key = (id.clone(), pending.item.id.clone());
+            if !self.tracked.contains(&key) {
+                let generation = ledger.generation(&key.0, &key.1);
+                let progress = Progress::new(&pending.stored, generation);
+                let state = ItemState::BackingOff { until: now };
+                self.tracked.insert(key, TrackedItem { state, progress });
+            }
+        }
         let to_remove: Vec<Arc<str>> = self.expired_jobs(&jobs, now);
         self.node.metrics.record_level("items_waiting", waiting.len() as u64);
         self.node.metrics.record_level("items_running", running.len() as u64);
@@ -498,7 +550,7 @@
                 key: (id.clone(), pending.item.id.clone()),
                 item: pending.item.clone(),
                 host: job.rules.host.clone(),
-                progress: Progress::new(&pending.stored),
+                progress: Progress::new(&pending.stored, ledger.generation(id, &pending.item.id)),
             };
             (queued, endpoint)
         });
@@ -583,6 +635,7 @@
                 let load = |e: &directory::Endpoint| plan::EndpointLoad {
                     id: e.id.clone(),
                     service: e.service.clone(),
+                    build: e.build.clone(),
                     slots: e.slots,
                     running: l.running(now, &e.id),
                     accepting: e.phase == directory::Phase::Ready && !health.is_avoided(now, &e.id),
@@ -592,16 +645,32 @@
         })
     }
 
+    /// Services and builds of the endpoints that accept requests, sorted.
+    fn serving_builds(&self) -> Vec<(Arc<str>, Arc<str>)> {
+        let mut serving: Vec<_> = self.node.view.directory(|d| {
+            let ready = d.endpoints().filter(|e| e.phase == directory::Phase::Ready);
+            ready.map(|e| (e.service.clone(), e.build.clone())).collect()
+        });
+        serving.sort();
+        serving.dedup();
+        serving
+    }
+
     /// Starts a run of an item at an endpoint.
     fn start_item(&mut self, queued: &QueuedItem, endpoint: &directory::Endpoint) {
-        let directory::Endpoint { id: endpoint, service, address, .. } = endpoint;
+        let directory::Endpoint { id: endpoint, service, address, build, .. } = endpoint;
         let (endpoint, address) = (endpoint.clone(), *address);
         let QueuedItem { key, item, host, progress } = queued;
         let key = key.clone();
         let tracked = self.tracked.get(&key).map(|k| k.progress.clone());
-        let progress = tracked.unwrap_or_else(|| progress.clone());
+        let mut progress = tracked.unwrap_or_else(|| progress.clone());
+        let began_at = progress.build().cloned();
+        if progress.prepare_run(build) {
+            event!(self.node.log, events::ITEM_STARTED_OVER; "job" => &*key.0,
+                "request" => &*key.1, "began_at" => began_at.as_deref(), "build" => &**build);
+        }
         event!(self.node.log, events::ITEM_STARTED; "job" => &*key.0, "request" => &*key.1,
-            "endpoint" => &*endpoint, "after_event" => progress.last_event);
+            "endpoint" => &*endpoint, "build" => &**build, "after_event" => progress.last_event);
         let names = self.node.view.protocol().headers();
         let request = match runner::request(names, item, host, &endpoint, progress.last_event) {
             Ok(request) => request,
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -137,6 +137,25 @@
     pub data: Bytes,
 }
 
+/// Part of an item's runs that form one output. What endpoints of two builds write does not fit
+/// together, so an item that goes on at another build starts over.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Generation {
+    /// How often the item has started over.
+    pub number: u32,
+    /// Build of the endpoints; `None` while nothing is stored.
+    pub build: Option<Arc<str>>,
+}
+
+/// Output of one generation of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GenerationChunk {
+    /// Generation that the output belongs to.
+    pub generation: Generation,
+    /// Output that follows the stored output of this generation.
+    pub chunk: OutputChunk,
+}
+
 /// Item that has not ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PendingItem {
@@ -178,11 +197,12 @@
         /// Its items.
         items: Vec<Arc<Item>>,
     },
-    /// Store output of running items. Output that does not directly follow the stored output of its
-    /// item is ignored.
+    /// Store output of items as [`Command::StoreGenerations`] does, without a generation. Only in logs
+    /// of builds that did not know generations.
     #[display("advance")]
     StoreOutput(Vec<OutputChunk>),
-    /// Store the rest of an item's output, which completes the item.
+    /// Complete an item as [`Command::CompleteGeneration`] does, without a generation. Only in logs of
+    /// builds that did not know generations.
     #[display("complete")]
     Complete(OutputChunk),
     /// Count a run that an endpoint answered with an error. At the limit of the job the item is
@@ -224,6 +244,13 @@
         /// Ids of the jobs.
         jobs: Vec<Arc<str>>,
     },
+    /// Store output of running items. Output that does not directly follow the stored output of its
+    /// item is ignored. A later generation replaces the stored output of an earlier one.
+    #[display("advance")]
+    StoreGenerations(Vec<GenerationChunk>),
+    /// Store the rest of an item's output, which completes the item.
+    #[display("complete")]
+    CompleteGeneration(GenerationChunk),
 }
 
 /// Reply to a command.
@@ -275,11 +302,21 @@
     jobs: sorted::SortedMap<Arc<str>, Job>,
     /// Link addresses of the hosts whose replicas are to be moved away, sorted.
     retiring: Vec<Arc<str>>,
+    /// Generation of the stored output by job and item. Items without an entry have stored none, or
+    /// it was stored by a build that did not know generations.
+    generations: sorted::SortedMap<(Arc<str>, Arc<str>), Generation>,
     /// Bytes of all stored bodies and outputs.
     #[serde(skip)]
     stored_bytes: usize,
 }
 
+/// Snapshot of a ledger by builds that did not know generations.
+#[derive(Deserialize)]
+struct LedgerWithoutGenerations {
+    jobs: sorted::SortedMap<Arc<str>, Job>,
+    retiring: Vec<Arc<str>>,
+}
+
 impl Job {
     /// Bytes of the stored bodies and outputs.
     fn stored_bytes(&self) -> usize {
@@ -315,28 +352,38 @@
             Command::Submit { job, rules, items } => self.submit(index, job, rules, items),
             Command::StoreOutput(chunks) => {
                 for chunk in &chunks {
-                    if let Some(stored) = self.pending_output(chunk) {
-                        let before = stored.output.len();
-                        stored.extend(chunk.events, chunk.last_event, &chunk.data);
-                        let added = stored.output.len() - before;
-                        self.stored_bytes += added;
-                    }
+                    self.store(chunk);
                 }
                 Reply::Done
             }
             Command::Complete(chunk) => self.complete(&chunk),
+            Command::StoreGenerations(chunks) => {
+                for GenerationChunk { generation, chunk } in chunks {
+                    if self.enter_generation(&chunk, generation) {
+                        self.store(&chunk);
+                    }
+                }
+                Reply::Done
+            }
+            Command::CompleteGeneration(GenerationChunk { generation, chunk }) => {
+                if self.is_pending(&chunk) && !self.enter_generation(&chunk, generation) {
+                    return Reply::Stale;
+                }
+                self.complete(&chunk)
+            }
             Command::RecordFailure { job, item, failures } => {
                 self.record_failure(&job, &item, failures)
             }
             Command::Abandon { job, item, cause: _ } => {
                 self.record_result(&job, &item, Outcome::Abandoned, Bytes::new())
             }
-            Command::EndJob { job } => match self.jobs.get_mut(&job) {
+            Command::EndJob { job: id } => match self.jobs.get_mut(&id) {
                 Some(job) => {
                     let before = job.stored_bytes();
                     job.ended = true;
                     job.pending.clear();
                     self.stored_bytes -= before - job.stored_bytes();
+                    self.generations.retain(|(of, _), _| *of != id);
                     Reply::Done
                 }
                 None => Reply::Unknown,
@@ -351,6 +398,8 @@
                 for removed in jobs.iter().filter_map(|job| self.jobs.remove(job)) {
                     self.stored_bytes -= removed.stored_bytes();
                 }
+                let jobs = &self.jobs;
+                self.generations.retain(|(job, _), _| jobs.contains(job));
                 Reply::Done
             }
         }
@@ -379,21 +428,63 @@
         (found.stored.events == chunk.after).then_some(&mut found.stored)
     }
 
-    fn complete(&mut self, chunk: &OutputChunk) -> Reply {
-        let Some(job) = self.jobs.get(&chunk.job) else { return Reply::Unknown };
-        if !job.pending.iter().any(|o| o.item.id == chunk.item) {
-            return Reply::Done;
-        }
-        let Some(stored) = self.pending_output(chunk) else { return Reply::Stale };
+    /// Appends output that directly follows the stored output of its item. Returns the whole output,
+    /// or `None` if it does not follow.
+    fn store(&mut self, chunk: &OutputChunk) -> Option<Bytes> {
+        let stored = self.pending_output(chunk)?;
         let before = stored.output.len();
         stored.extend(chunk.events, chunk.last_event, &chunk.data);
         let output = stored.output.clone();
         self.stored_bytes += output.len() - before;
+        Some(output)
+    }
+
+    fn is_pending(&self, chunk: &OutputChunk) -> bool {
+        let pending = self.jobs.get(&chunk.job).map(|j| &j.pending[..]).unwrap_or_default();
+        pending.iter().any(|o| o.item.id == chunk.item)
+    }
+
+    /// Generation of the stored output of an item.
+    pub fn generation(&self, job: &Arc<str>, item: &Arc<str>) -> Generation {
+        self.generations.get(&(job.clone(), item.clone())).cloned().unwrap_or_default()
+    }
+
+    /// Drops the stored output of an item if `chunk` begins a later generation. Returns whether the
+    /// chunk directly follows what is stored now.
+    fn enter_generation(&mut self, chunk: &OutputChunk, next: Generation) -> bool {
+        let known = self.generation(&chunk.job, &chunk.item);
+        let pending = self.jobs.get_mut(&chunk.job).map(|j| &mut j.pending[..]);
+        let mut pending = pending.unwrap_or_default().iter_mut();
+        let Some(found) = pending.find(|o| o.item.id == chunk.item) else { return false };
+        let stored = &mut found.stored;
+        let begins = next.number > known.number && chunk.after == 0;
+        let continues = next.number == known.number
+            && chunk.after == stored.events
+            && (stored.events == 0 || known.build.is_none() || known.build == next.build);
+        if begins {
+            let dropped = std::mem::take(stored);
+            self.stored_bytes -= dropped.output.len();
+        }
+        if begins || continues {
+            self.generations.insert((chunk.job.clone(), chunk.item.clone()), next);
+        }
+        begins || continues
+    }
+
+    fn complete(&mut self, chunk: &OutputChunk) -> Reply {
+        if !self.jobs.contains(&chunk.job) {
+            return Reply::Unknown;
+        }
+        if !self.is_pending(chunk) {
+            return Reply::Done;
+        }
+        let Some(output) = self.store(chunk) else { return Reply::Stale };
         self.record_result(&chunk.job, &chunk.item, Outcome::Completed, output)
     }
 
     /// Ends an item and appends its result. Does nothing if the item has already ended.
     fn record_result(&mut self, job: &str, item: &str, outcome: Outcome, output: Bytes) -> Reply {
+        let id: Arc<str> = job.into();
         let Some(job) = self.jobs.get_mut(job) else { return Reply::Unknown };
         let Some(at) = job.pending.iter().position(|o| &*o.item.id == item) else {
             return Reply::Done;
@@ -402,6 +493,7 @@
         self.stored_bytes -= ended.item.body.len() + ended.stored.output.len();
         self.stored_bytes += output.len();
         job.results.push(ItemResult { id: ended.item.id.clone(), outcome, output });
+        self.generations.remove(&(id, ended.item.id.clone()));
         Reply::Done
     }
 
@@ -467,8 +559,17 @@
     }
 
     fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
-        *self = postcard::from_bytes(data)
-            .map_err(|e| replica::RestoreError { cause: e.to_string().into() })?;
+        *self = match postcard::from_bytes(data) {
+            Ok(ledger) => ledger,
+            // A snapshot without generations ends before them.
+            Err(postcard::Error::DeserializeUnexpectedEnd) => {
+                let old: LedgerWithoutGenerations = postcard::from_bytes(data)
+                    .map_err(|e| replica::RestoreError { cause: e.to_string().into() })?;
+                let LedgerWithoutGenerations { jobs, retiring } = old;
+                Ledger { jobs, retiring, ..Ledger::default() }
+            }
+            Err(e) => return Err(replica::RestoreError { cause: e.to_string().into() }),
+        };
         self.stored_bytes = self.jobs.values().map(Job::stored_bytes).sum();
         Ok(())
     }
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -28,6 +28,8 @@
     pub id: Arc<str>,
     /// Service that it belongs to.
     pub service: Arc<str>,
+    /// Build of its software.
+    pub build: Arc<str>,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Requests that are running there; `own` counts the items of this host.
@@ -108,6 +110,8 @@
     pub index: usize,
     /// Service that runs it.
     pub service: Arc<str>,
+    /// Build at which it has to go on; `None` if any will do.
+    pub build: Option<Arc<str>>,
     /// Urgency.
     pub urgency: Urgency,
 }
@@ -135,6 +139,41 @@
     pub stop: Vec<usize>,
 }
 
+/// Service and one of its builds; `None` stands for all builds.
+type ServiceBuild = (Arc<str>, Option<Arc<str>>);
+
+/// Endpoints with free slots, those with most of them first.
+#[derive(Default)]
+struct FreeSlots {
+    /// Free slots and position of each endpoint. An entry is outdated once the number of free slots
+    /// has changed.
+    heaps: sorted::SortedMap<ServiceBuild, BinaryHeap<(u32, usize)>>,
+}
+
+impl FreeSlots {
+    fn push(&mut self, at: usize, endpoint: &EndpointLoad) {
+        let free = endpoint.free_slots();
+        if free == 0 {
+            return;
+        }
+        for build in [None, Some(endpoint.build.clone())] {
+            let heap = self.heaps.entry_or((endpoint.service.clone(), build), BinaryHeap::new);
+            heap.push((free, at));
+        }
+    }
+
+    /// Removes the endpoint with most free slots at which an item may run.
+    fn pop(&mut self, item: &WaitingItem, endpoints: &[EndpointLoad]) -> Option<usize> {
+        let heap = self.heaps.get_mut(&(item.service.clone(), item.build.clone()))?;
+        while let Some((free, at)) = heap.pop() {
+            if endpoints[at].free_slots() == free {
+                return Some(at);
+            }
+        }
+        None
+    }
+}
+
 /// Plans which items to start and to stop.
 pub fn plan(
     mut endpoints: Vec<EndpointLoad>,
@@ -142,24 +181,18 @@
     running: &[RunningItem],
 ) -> Plan {
     let mut plan = Plan { start: Vec::new(), stop: excess_items(&endpoints, running) };
-    let mut free: sorted::SortedMap<Arc<str>, BinaryHeap<(u32, usize)>> = sorted::SortedMap::new();
-    for (at, endpoint) in endpoints.iter().enumerate() {
-        if endpoint.accepting && endpoint.free_slots() > 0 {
-            let heap = free.entry_or(endpoint.service.clone(), BinaryHeap::new);
-            heap.push((endpoint.free_slots(), at));
-        }
+    let mut free = FreeSlots::default();
+    for (at, endpoint) in endpoints.iter().enumerate().filter(|(_, e)| e.accepting) {
+        free.push(at, endpoint);
     }
     let mut queue: Vec<&WaitingItem> = waiting.iter().collect();
     queue.sort_by_key(|w| w.urgency);
     let mut in_time = queue.iter().filter(|w| !w.urgency.late).count();
     for item in queue {
-        let Some(heap) = free.get_mut(&item.service) else { continue };
-        let Some((_, at)) = heap.pop() else { continue };
+        let Some(at) = free.pop(item, &endpoints) else { continue };
         let endpoint = &mut endpoints[at];
         endpoint.running.own += 1;
-        if endpoint.free_slots() > 0 {
-            heap.push((endpoint.free_slots(), at));
-        }
+        free.push(at, endpoint);
         plan.start.push((item.index, endpoint.id.clone()));
         in_time -= usize::from(!item.urgency.late);
     }
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -21,13 +21,35 @@
     pub last_event: Option<u64>,
     /// Total run time of the item's previous runs.
     pub run_time: Duration,
+    /// Generation that the output belongs to.
+    pub generation: ledger::Generation,
 }
 
 impl Progress {
-    /// Creates the progress of an item whose output is stored up to `stored`.
-    pub fn new(stored: &ledger::StoredOutput) -> Progress {
+    /// Creates the progress of an item whose output is stored up to `stored`, which belongs to
+    /// `generation`.
+    pub fn new(stored: &ledger::StoredOutput, generation: ledger::Generation) -> Progress {
         let (events, last_event) = (stored.events, stored.last_event);
-        Progress { stored_events: events, events, last_event, ..Progress::default() }
+        Progress { stored_events: events, events, last_event, generation, ..Progress::default() }
+    }
+
+    /// Build at which the item goes on after the output that has arrived; `None` if there is no
+    /// output, or its build is not known.
+    pub fn build(&self) -> Option<&Arc<str>> {
+        self.generation.build.as_ref().filter(|_| self.events > 0)
+    }
+
+    /// Prepares a run at an endpoint of the given build. If the output that has arrived is of
+    /// another build, the item starts over. Returns whether it does.
+    pub fn prepare_run(&mut self, build: &Arc<str>) -> bool {
+        let starts_over = self.events > 0 && self.build() != Some(build);
+        if starts_over {
+            let number = self.generation.number + 1;
+            let generation = ledger::Generation { number, build: None };
+            *self = Progress { generation, ..Progress::default() };
+        }
+        self.generation.build = Some(build.clone());
+        starts_over
     }
 
     /// Adds an event that has arrived.
@@ -41,15 +63,16 @@
     }
 
     /// Output that is not stored in the ledger yet.
-    pub fn unstored_chunk(&self, key: &ItemKey) -> ledger::OutputChunk {
-        ledger::OutputChunk {
+    pub fn unstored_chunk(&self, key: &ItemKey) -> ledger::GenerationChunk {
+        let chunk = ledger::OutputChunk {
             job: key.0.clone(),
             item: key.1.clone(),
             after: self.stored_events,
             events: self.events,
             last_event: self.last_event,
             data: self.output.clone().into(),
-        }
+        };
+        ledger::GenerationChunk { generation: self.generation.clone(), chunk }
     }
 
     /// Bytes of output that are not stored in the ledger yet.
@@ -72,7 +95,7 @@
 pub fn unstored_chunks<'a>(
     items: impl Iterator<Item = (&'a ItemKey, &'a Progress)>,
     mut max_bytes: usize,
-) -> Vec<(ItemKey, ledger::OutputChunk)> {
+) -> Vec<(ItemKey, ledger::GenerationChunk)> {
     let mut chunks = Vec::new();
     for (key, progress) in items.filter(|(_, progress)| progress.events > progress.stored_events) {
         if progress.unstored_bytes() <= max_bytes {
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -242,7 +242,8 @@
 
 fn endpoint(id: &str, own: u32, online: u32) -> plan::EndpointLoad {
     let running = load::Running { own, online, batch: 0 };
-    plan::EndpointLoad { id: id.into(), service: "s".into(), slots: 8, running, accepting: true }
+    let (id, service, build) = (id.into(), "s".into(), "v1".into());
+    plan::EndpointLoad { id, service, build, slots: 8, running, accepting: true }
 }
 
 const IN_TIME: plan::Urgency = plan::Urgency { late: false, job: 1 };
@@ -252,6 +253,7 @@
     let item = |(index, urgency): (usize, &plan::Urgency)| plan::WaitingItem {
         index,
         service: "s".into(),
+        build: None,
         urgency: *urgency,
     };
     urgencies.iter().enumerate().map(item).collect()
@@ -349,8 +351,12 @@
         };
         let open = (0..items.len()).filter(|at| items[*at].2.is_none());
         let (runs, waits): (Vec<usize>, Vec<usize>) = open.partition(|at| on.contains(at));
-        let wait =
-            |at: &usize| plan::WaitingItem { index: *at, service: "s".into(), urgency: order(*at) };
+        let wait = |at: &usize| plan::WaitingItem {
+            index: *at,
+            service: "s".into(),
+            build: None,
+            urgency: order(*at),
+        };
         let run = |at: &usize| plan::RunningItem {
             index: *at,
             endpoint: "a".into(),
@@ -390,3 +396,24 @@
     by_size.dedup();
     insta::assert_snapshot!(by_size.join("\n---\n"));
 }
+
+/// Guards against an item with output that goes on at an endpoint of another build, and against one
+/// that waits although an endpoint of its build has a free slot.
+#[test]
+fn items_go_on_at_their_build() {
+    let endpoint = |id: &str, build: &str, own| plan::EndpointLoad {
+        build: build.into(),
+        ..endpoint(id, own, 0)
+    };
+    let builds = [Some("v2"), None, Some("v1"), Some("v1"), Some("v3"), None];
+    let mut items = waiting(&[IN_TIME; 6]);
+    for (item, build) in items.iter_mut().zip(builds) {
+        item.build = build.map(Into::into);
+    }
+    // Of the eight slots of each endpoint one is reserved for online requests.
+    let endpoints = vec![endpoint("a", "v1", 6), endpoint("b", "v2", 5), endpoint("c", "v2", 7)];
+    let plan = plan::plan(endpoints, &items, &[]);
+    let starts =
+        plan.start.iter().map(|(index, id)| format!("{}={id}", builds[*index].unwrap_or("any")));
+    insta::assert_snapshot!(starts.collect::<Vec<_>>().join(" "), @"v2=b any=b v1=a");
+}
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -202,3 +202,143 @@
     seen.push(l.stored_bytes());
     insta::assert_snapshot!(format!("{seen:?}"), @"[18, 22, 15, 6, 0]");
 }
+
+fn generation(number: u32, build: &str) -> ledger::Generation {
+    ledger::Generation { number, build: Some(build.into()) }
+}
+
+fn generation_chunk(
+    (number, build): (u32, &str),
+    (after, events): (u64, u64),
+    data: &str,
+) -> ledger::GenerationChunk {
+    let chunk = chunk("j", "a", after, events, data);
+    ledger::GenerationChunk { generation: generation(number, build), chunk }
+}
+
+fn stored(ledger: &Ledger) -> String {
+    let generation = ledger.generation(&"j".into(), &"a".into());
+    let stored = &ledger.job("j").expect("known").pending[0].stored;
+    let text = String::from_utf8_lossy(&stored.output);
+    let build = generation.build.as_deref().unwrap_or("-");
+    format!("{}/{build} {} {text:?} {}", generation.number, stored.events, ledger.stored_bytes())
+}
+
+/// Guards against an output that holds events of two builds: output of an earlier generation, or of
+/// another leader that goes on at another build, must not join what is stored.
+#[test]
+fn output_of_two_builds_is_not_joined() {
+    let mut l = Ledger::default();
+    submit(&mut l, "j", &["a"]);
+    let mut seen = Vec::new();
+    for chunk in [
+        generation_chunk((0, "v1"), (0, 2), "1\n2"),
+        // Of a leader that believes that nothing is stored, and of one that goes on elsewhere.
+        generation_chunk((0, "v2"), (0, 1), "x"),
+        generation_chunk((0, "v2"), (2, 3), "x"),
+        generation_chunk((0, "v1"), (2, 3), "3"),
+        // The item starts over.
+        generation_chunk((1, "v2"), (2, 4), "x"),
+        generation_chunk((1, "v2"), (0, 1), "A"),
+        // A late chunk of the earlier generation.
+        generation_chunk((0, "v1"), (3, 4), "4"),
+        generation_chunk((1, "v2"), (1, 2), "B"),
+    ] {
+        l.execute(2, Command::StoreGenerations(vec![chunk]));
+        seen.push(stored(&l));
+    }
+    for chunk in [
+        generation_chunk((0, "v1"), (3, 4), "4"),
+        generation_chunk((1, "v1"), (2, 3), "x"),
+        generation_chunk((1, "v2"), (2, 3), "C"),
+        generation_chunk((1, "v2"), (2, 3), "C"),
+    ] {
+        let reply = l.execute(3, Command::CompleteGeneration(chunk));
+        seen.push(format!("{reply:?} {}", list(&l, "j", 0).replace('\n', "/")));
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r#"
+    0/v1 2 "1\n2" 12
+    0/v1 2 "1\n2" 12
+    0/v1 2 "1\n2" 12
+    0/v1 3 "1\n2\n3" 14
+    0/v1 3 "1\n2\n3" 14
+    1/v2 1 "A" 10
+    1/v2 1 "A" 10
+    1/v2 2 "A\nB" 12
+    Stale 0/1 
+    Stale 0/1 
+    Done 1/1 a=A/B/C
+    Done 1/1 a=A/B/C
+    "#);
+}
+
+/// Guards against an item that can never be stored because a late chunk of another leader has set
+/// the build of an output that is still empty.
+#[test]
+fn chunk_that_is_not_stored_sets_no_build() {
+    let mut l = Ledger::default();
+    submit(&mut l, "j", &["a"]);
+    l.execute(2, Command::StoreGenerations(vec![generation_chunk((0, "v1"), (5, 6), "6")]));
+    let before = stored(&l);
+    l.execute(2, Command::StoreGenerations(vec![generation_chunk((0, "v2"), (0, 1), "1")]));
+    insta::assert_snapshot!(format!("{before}, then {}", stored(&l)),
+        @r#"0/- 0 "" 9, then 0/v2 1 "1" 10"#);
+}
+
+/// Guards against a build that cannot read the snapshots and logs of builds that did not know the
+/// generations of outputs.
+#[test]
+fn state_without_generations_is_read() {
+    /// Ledger as written before generations.
+    #[derive(serde::Serialize)]
+    struct Former {
+        jobs: basilfield::sorted::SortedMap<Arc<str>, ledger::Job>,
+        retiring: Vec<Arc<str>>,
+    }
+    let mut l = Ledger::default();
+    submit(&mut l, "j", &["a"]);
+    let logged = Command::StoreOutput(vec![chunk("j", "a", 0, 2, "1\n2")]);
+    l.apply(2, &ledger::encode(&logged));
+    let mut former = Former { jobs: basilfield::sorted::SortedMap::new(), retiring: Vec::new() };
+    former.jobs.insert("j".into(), l.job("j").expect("known").clone());
+    former.retiring.push("10.0.0.1:1".into());
+    let mut restored = Ledger::default();
+    restored.restore(&ledger::encode(&former)).expect("former snapshot");
+    let retiring = restored.retiring_hosts().join(" ");
+    let mut seen = vec![stored(&l), format!("{} {retiring}", stored(&restored))];
+    let next = generation_chunk((0, "v1"), (2, 3), "3");
+    restored.execute(3, Command::StoreGenerations(vec![next]));
+    seen.push(stored(&restored));
+    let mut again = Ledger::default();
+    again.restore(&restored.snapshot()).expect("snapshot");
+    seen.push(stored(&again));
+    insta::assert_snapshot!(seen.join("\n"), @r#"
+    0/- 2 "1\n2" 12
+    0/- 2 "1\n2" 12 10.0.0.1:1
+    0/v1 3 "1\n2\n3" 14
+    0/v1 3 "1\n2\n3" 14
+    "#);
+}
+
+/// Guards against generations of items that stay after the items have ended.
+#[test]
+fn ended_items_leave_no_generation() {
+    let mut l = Ledger::default();
+    let store = |l: &mut Ledger| {
+        submit(l, "j", &["a", "b"]);
+        l.execute(2, Command::StoreGenerations(vec![generation_chunk((1, "v1"), (0, 1), "1")]));
+    };
+    let left = |l: &Ledger| l.generation(&"j".into(), &"a".into()) != ledger::Generation::default();
+    store(&mut l);
+    let mut seen = vec![left(&l)];
+    l.execute(3, Command::CompleteGeneration(generation_chunk((1, "v1"), (1, 2), "2")));
+    seen.push(left(&l));
+    for end in [Command::EndJob { job: "j".into() }, Command::RemoveJobs { jobs: vec!["j".into()] }]
+    {
+        l = Ledger::default();
+        store(&mut l);
+        l.execute(3, end);
+        seen.push(left(&l));
+    }
+    assert_eq!(seen, [true, false, false, false]);
+}
--- a/tests/fleet_progress.rs
+++ b/tests/fleet_progress.rs
@@ -36,7 +36,7 @@
                     all.push(data);
                 }
                 Step::Send if sent.is_none() && progress.events > progress.stored_events => {
-                    sent = Some(progress.unstored_chunk(&key));
+                    sent = Some(progress.unstored_chunk(&key).chunk);
                 }
                 Step::Send => {}
                 Step::Stored => {
@@ -70,3 +70,30 @@
     let ids: Vec<&str> = chunks.iter().map(|(key, _)| &*key.1).collect();
     assert_eq!(ids, ["a", "c"]);
 }
+
+/// Guards against output of two builds in one item, and against an item that starts over at the
+/// build that began it.
+#[test]
+fn item_starts_over_at_another_build() {
+    let (key, mut item) = (("j".into(), "a".into()), progress::Progress::default());
+    let mut seen = Vec::new();
+    // An item without output may run anywhere.
+    for build in ["v1", "v2"] {
+        seen.push(format!("{} {:?}", item.prepare_run(&build.into()), item.build()));
+    }
+    item.add_event(b"1", Some(1));
+    for build in ["v2", "v3", "v3"] {
+        let over = item.prepare_run(&build.into());
+        item.add_event(build.as_bytes(), item.last_event.map_or(Some(1), |last| Some(last + 1)));
+        let part = item.unstored_chunk(&key);
+        let text = String::from_utf8_lossy(&part.chunk.data).replace('\n', "/");
+        seen.push(format!("{over} {} {} {text}", part.generation.number, part.chunk.events));
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    false None
+    false None
+    false 0 2 1/v2
+    true 1 1 v3
+    false 1 2 v3/v3
+    ");
+}
