--- a/tests/fleet_origin.rs
+++ b/tests/fleet_origin.rs
@@ -72,7 +72,7 @@
 #[test]
 fn stream_of_unknown_origin_goes_on_at_the_only_build() {
     let (service, v1, v2): (Arc<str>, Arc<str>, Arc<str>) = ("s".into(), "v1".into(), "v2".into());
-    let builds: [&[Arc<str>]; 3] = [&[], &[v1.clone()], &[v1, v2]];
+    let builds: [Vec<Arc<str>>; 3] = [vec![], vec![v1.clone()], vec![v1, v2]];
     let found = record("a", 1, "v2", 500).origin;
     let mut seen = Vec::new();
     for (found, in_contact) in
