Count only the incomplete event towards the limit on events

The splitter of event streams compared its whole buffer with the limit of one megabyte. Complete events that arrived together and were not taken yet counted as well, so a sound stream could fail as one whose event is too long.

The splitter now remembers where the complete events end and compares only what follows.

Before, complete_events_do_not_count_as_a_long_one got Err(TooLong) for 2,000 events of one kilobyte; now it gets Ok, and TooLong for an event of more than one megabyte.

--- a/src/fleet/sse.rs
+++ b/src/fleet/sse.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Most bytes that are buffered until an event is complete; a stream with a longer event is not a
-/// stream of events.
+/// Longest incomplete event that is buffered; a stream with a longer event is not a stream of
+/// events.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Complete server-sent event.
@@ -40,16 +40,20 @@
     buffer: BytesMut,
     /// Length of the start of the buffer that was scanned without finding the end of an event.
     scanned: usize,
+    /// Length of the start of the buffer that holds complete events.
+    complete: usize,
 }
 
 impl Splitter {
     /// Appends bytes of the stream.
     ///
     /// # Errors
-    /// `TooLong` if more than one megabyte is buffered.
+    /// `TooLong` if the last event is incomplete and longer than one megabyte.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), TooLong> {
+        let from = self.buffer.len().saturating_sub(3);
         self.buffer.extend_from_slice(bytes);
-        if self.buffer.len() > MAX_EVENT_BYTES { Err(TooLong) } else { Ok(()) }
+        self.complete = find_last_event_end(&self.buffer, from).unwrap_or(self.complete);
+        if self.buffer.len() - self.complete > MAX_EVENT_BYTES { Err(TooLong) } else { Ok(()) }
     }
 
     /// Removes and returns the next complete event.
@@ -60,6 +64,7 @@
             return None;
         };
         self.scanned = 0;
+        self.complete = self.complete.saturating_sub(end);
         let bytes = self.buffer.split_to(end).freeze();
         let id = field_values(&bytes, b"id").last().and_then(parse_number);
         Some(Event { bytes, id })
@@ -82,6 +87,14 @@
     }
 }
 
+/// Position after the last blank line at or after `from`.
+fn find_last_event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let tail = &bytes[from..];
+    let plain = tail.windows(2).rposition(|w| w == b"\n\n").map(|at| from + at + 2);
+    let crlf = tail.windows(4).rposition(|w| w == b"\r\n\r\n").map(|at| from + at + 4);
+    plain.max(crlf)
+}
+
 /// Values of the fields with the given name.
 fn field_values<'a>(event: &'a [u8], name: &'static [u8]) -> impl Iterator<Item = &'a [u8]> {
     event.split(|b| *b == b'\n').filter_map(move |line| {
