Limit the bytes of an endpoint that are read in vain

Interim responses (1xx) were read without end: only the deadline of the request ended that, with 138 MB read in two seconds by one request. The other kinds of a head without end were limited to 400 KB by the default of the HTTP library.

Connections to endpoints now fail once 256 KB have arrived since the last head or part of a body, whatever they are. The read buffer of a connection, and with it the longest head, is 64 KB. Causes of failures name their source, which tells what was too long.

--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -16,10 +16,19 @@
 use hyper::header;
 use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::task;
 use tokio::time;
@@ -32,6 +41,11 @@
 /// Share of the endpoint's stated limit after which an idle connection is no longer used. Near the
 /// limit the endpoint may close it just as a request is sent.
 const KEEP_ALIVE_SHARE: f64 = 0.6;
+/// Most bytes that are buffered of a connection, which is also the longest head of a response.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Most bytes that may arrive without a head or a part of a body for the caller. It leaves room for
+/// a full buffer, a part that is just being passed on, and the framing of a body.
+const MAX_UNUSED_BYTES: usize = 4 * MAX_BUFFER_BYTES;
 /// Most idle connections to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -52,6 +66,8 @@
 struct Connection {
     sender: Sender,
     task: task::AbortHandle,
+    /// Bytes read since the caller last received a head or a part of a body.
+    unused: Arc<AtomicUsize>,
 }
 
 impl Drop for Connection {
@@ -60,6 +76,59 @@
     }
 }
 
+/// Stream to an endpoint that fails once too many bytes were read in vain. The HTTP library reads
+/// interim responses without end.
+struct BoundedStream {
+    stream: TcpStream,
+    unused: Arc<AtomicUsize>,
+}
+
+impl AsyncRead for BoundedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.unused.load(Ordering::Relaxed) > MAX_UNUSED_BYTES {
+            return Poll::Ready(Err(io::Error::other("too many bytes that are no answer")));
+        }
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.unused.fetch_add(buf.filled().len() - before, Ordering::Relaxed);
+        read
+    }
+}
+
+impl AsyncWrite for BoundedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     expires: time::Instant,
@@ -133,8 +202,10 @@
                 Some(connection) => connection,
                 None => connect(address).await?,
             };
+            connection.unused.store(0, Ordering::Relaxed);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
+                    connection.unused.store(0, Ordering::Relaxed);
                     let (head, body) = response.into_parts();
                     let upstream = self.clone();
                     let connection = Some(connection);
@@ -143,8 +214,8 @@
                 Err(mut error) => match error.take_message() {
                     // The idle connection was closed before this request used it.
                     Some(unsent) if reused => request = unsent,
-                    Some(_) => return Err(Failure::NotSent(error.error().to_string().into())),
-                    None => return Err(Failure::Lost(error.error().to_string().into())),
+                    Some(_) => return Err(Failure::NotSent(with_source(error.error()))),
+                    None => return Err(Failure::Lost(with_source(error.error()))),
                 },
             }
         }
@@ -190,13 +261,26 @@
         .map_err(|_| not_sent(&"connection not established in time"))?
         .map_err(|e| not_sent(&e))?;
     stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
-    let (sender, connection) =
-        http1::Builder::new().handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(&e))?;
+    let unused = Arc::<AtomicUsize>::default();
+    let stream = BoundedStream { stream, unused: unused.clone() };
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| not_sent(&e))?;
     let task = tokio::spawn(async move {
         // An error reaches the task that waits for the response; an idle connection has none.
         let _ = connection.await;
     });
-    Ok(Connection { sender, task: task.abort_handle() })
+    Ok(Connection { sender, task: task.abort_handle(), unused })
+}
+
+/// Text of an error and of its source, which holds the cause.
+fn with_source(error: &hyper::Error) -> Arc<str> {
+    match std::error::Error::source(error) {
+        Some(source) => format!("{error}: {source}").into(),
+        None => error.to_string().into(),
+    }
 }
 
 impl Response {
@@ -214,12 +298,15 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        if let Some(connection) = &self.connection {
+                            connection.unused.store(0, Ordering::Relaxed);
+                        }
                         return Ok(Some(data));
                     }
                 }
                 Some(Err(error)) => {
                     self.connection = None;
-                    return Err(error.to_string().into());
+                    return Err(with_source(&error));
                 }
                 None => {
                     self.release_connection();
