Tell callers why an answer of an endpoint was given up

A stream that failed before its first event was answered with "the stream broke off", and an error response whose body failed with "the answer broke off", whatever the cause was. The endpoint of the latter was not avoided either, and a body that was late was answered 502, not 504.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -19,6 +19,8 @@
     /// Response that is being read.
     pub(super) started: Option<Box<forward::StartedResponse>>,
     splitter: sse::Splitter,
+    /// Why the last endpoint was given up.
+    pub(super) cause: Arc<str>,
     /// Bytes of complete events that the caller has not received yet.
     pub(super) ready: VecDeque<Bytes>,
     /// Whether the stream ended or failed. Otherwise a dropped stream means that the caller left.
@@ -49,6 +51,7 @@
             headers,
             started: Some(started),
             splitter: sse::Splitter::default(),
+            cause: Arc::default(),
             ready: VecDeque::new(),
             ended: false,
         }
@@ -142,6 +145,7 @@
         // Closes the connection, which cancels the request at the endpoint.
         drop(from);
         self.splitter = sse::Splitter::default();
+        self.cause = cause.clone();
         let next = self.forwarder.attempts.record(attempt::Outcome::Lost);
         self.log_resumption(cause, next);
         if next != attempt::Next::Again {
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -315,6 +315,11 @@
         }
     }
 
+    /// Process id of a host that is running.
+    pub fn process_id(&self, at: usize) -> u32 {
+        self.hosts[at].process.as_ref().expect("the host is running").id()
+    }
+
     /// Whether a host has been started and not stopped since.
     pub fn is_running(&self, at: usize) -> bool {
         self.hosts[at].process.is_some()
