Limit the memory of responses that are held, in all

One response may hold 32 MB until it is complete, and an event one megabyte, but nothing limited the sum over all requests: an entry of 160 MB reached 213 MB with 120 streams whose event never ends.

The responses of a process now hold 48 MB in all, counted in blocks of 64 KB without the last one, so that long responses do not keep short ones out. The memory stays reserved until the caller has received the body. A body whose stated length is over the limit fails before it is read.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -127,6 +127,11 @@
             }
             bytes.extend_from_slice(&event.bytes);
         }
+        if let Some(started) = &mut self.started {
+            // Buffers grow to a power of two.
+            let held = self.splitter.remainder().len() + bytes.len();
+            started.response.hold(held.next_power_of_two())?;
+        }
         if !bytes.is_empty() {
             if let Some(started) = &self.started {
                 self.forwarder.begin_stream(&started.endpoint.build);
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::client::conn::http1;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -30,6 +31,8 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::task;
 use tokio::time;
 
@@ -46,6 +49,12 @@
 /// Most bytes that may arrive without a head or a part of a body for the caller. It leaves room for
 /// a full buffer, a part that is just being passed on, and the framing of a body.
 const MAX_UNUSED_BYTES: usize = 4 * MAX_BUFFER_BYTES;
+/// Most bytes of responses that are held until they are complete, in all. With the bodies of requests
+/// they leave the smallest entries, which have 160 MB, 50 MB for all else.
+const MAX_HELD_BYTES: usize = 48 << 20;
+/// Held bytes are counted in blocks of this size. The last, partial block of a response is not
+/// counted, so that long responses do not keep short ones out.
+const HELD_BLOCK_BYTES: usize = 64 << 10;
 /// Most idle connections to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -135,9 +144,30 @@
 }
 
 /// HTTP client for endpoints, with a pool of idle connections by address. Clones share the pool.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Upstream {
     idle: Arc<Mutex<sorted::SortedMap<SocketAddr, Vec<IdleConnection>>>>,
+    /// Blocks of memory for held responses.
+    held_blocks: Arc<Semaphore>,
+}
+
+impl Default for Upstream {
+    fn default() -> Upstream {
+        let held_blocks = Arc::new(Semaphore::new(MAX_HELD_BYTES / HELD_BLOCK_BYTES));
+        Upstream { idle: Arc::default(), held_blocks }
+    }
+}
+
+/// Complete body with the memory that is reserved for it.
+struct HeldBody {
+    bytes: Vec<u8>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 /// Whether a response belongs to a request, judged by its head.
@@ -181,6 +211,8 @@
     address: SocketAddr,
     /// Whether the connection has carried another request before.
     reused: bool,
+    /// Memory that is reserved for bytes of the response.
+    held: Option<OwnedSemaphorePermit>,
 }
 
 impl Upstream {
@@ -209,7 +241,16 @@
                     let (head, body) = response.into_parts();
                     let upstream = self.clone();
                     let connection = Some(connection);
-                    return Ok(Response { head, body, connection, upstream, address, reused });
+                    let held = None;
+                    return Ok(Response {
+                        head,
+                        body,
+                        connection,
+                        upstream,
+                        address,
+                        reused,
+                        held,
+                    });
                 }
                 Err(mut error) => match error.take_message() {
                     // The idle connection was closed before this request used it.
@@ -316,19 +357,55 @@
         }
     }
 
-    /// Reads the whole body, at most `limit` bytes.
+    /// Reserves memory for `bytes` of the response, in place of what was reserved before.
     ///
     /// # Errors
-    /// The cause, if the connection ended early or the body is too long.
+    /// The responses of all requests hold too much memory.
+    pub fn hold(&mut self, bytes: usize) -> Result<(), Arc<str>> {
+        let blocks = bytes / HELD_BLOCK_BYTES;
+        let held = self.held.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        if blocks > held {
+            let more = u32::try_from(blocks - held).unwrap_or(u32::MAX);
+            let more = self.upstream.held_blocks.clone().try_acquire_many_owned(more);
+            let more = more.map_err(|_| Arc::from("the answers that are held are too long"))?;
+            match &mut self.held {
+                Some(permit) => permit.merge(more),
+                None => self.held = Some(more),
+            }
+        } else if let Some(permit) = &mut self.held {
+            drop(permit.split(held - blocks));
+        }
+        Ok(())
+    }
+
+    /// Reads the whole body, at most `limit` bytes. Its memory stays reserved until the returned
+    /// bytes are dropped.
+    ///
+    /// # Errors
+    /// The cause, if the connection ended early, the body is too long, or the responses of all
+    /// requests hold too much memory.
     pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, Arc<str>> {
-        let mut body = bytes::BytesMut::new();
+        let too_long = || Err(Arc::from("the answer is too long"));
+        if self.body.size_hint().lower() > limit as u64 {
+            return too_long();
+        }
+        let mut body = Vec::new();
         while let Some(data) = self.next_chunk().await? {
-            body.extend_from_slice(&data);
-            if body.len() > limit {
-                return Err("the answer is too long".into());
+            let len = body.len() + data.len();
+            if len > limit {
+                return too_long();
+            }
+            if len > body.capacity() {
+                let capacity = len.next_power_of_two().min(limit);
+                self.hold(capacity)?;
+                body.reserve_exact(capacity - body.len());
             }
+            body.extend_from_slice(&data);
+        }
+        match self.held.take() {
+            Some(permit) => Ok(Bytes::from_owner(HeldBody { bytes: body, _permit: permit })),
+            None => Ok(body.into()),
         }
-        Ok(body.freeze())
     }
 
     /// Returns the connection to the pool after a complete body, if it can be reused.
--- a/tests/fleet_endless.rs
+++ b/tests/fleet_endless.rs
@@ -27,8 +27,12 @@
 const SIZE: Size = Size { controls: 3, losses: 1, stores: 0, entries: 1, endpoints: 1 };
 /// Time limit of the routes under test.
 const ROUTE_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Time that callers allow where an answer arrives slowly.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(1_800);
 /// Time after its deadline within which a request must have ended, also on a busy machine.
 const END_MARGIN: Duration = Duration::from_millis(2_000);
+/// Memory of the smallest entries.
+const ENTRY_MEMORY: u64 = 160_000_000;
 /// Far more slots than the other endpoint, so that requests go to the endpoint in trouble first.
 const MANY_SLOTS: u32 = 2_000;
 /// Time within which an answer without end must have failed.
@@ -515,3 +519,50 @@
         ");
     });
 }
+
+/// Largest resident size of a process so far, in bytes.
+fn peak_memory(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("process runs");
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("peak");
+    line.trim().trim_end_matches(" kB").parse::<u64>().expect("number") * 1_024
+}
+
+/// Counts equal ends, sorted.
+fn kinds_of(ends: &[(String, String)]) -> Vec<(usize, &(String, String))> {
+    let mut kinds: Vec<&(String, String)> = ends.iter().collect();
+    kinds.sort();
+    kinds.chunk_by(|a, b| a == b).map(|same| (same.len(), same[0])).collect()
+}
+
+/// Guards against many answers without end that take more memory than the smallest entries have.
+#[test]
+fn many_endless_answers_take_bounded_memory() {
+    run(async {
+        let mut fleet = Fleet::start(SIZE).await;
+        let kinds = [
+            ("/unsafe/", Script::endless("200 OK", UNFRAMED, "aaaaaaaaaaaaaaaa")),
+            ("/once/", Script::endless("200 OK", UNFRAMED, "data: aaaaaaaaaaaaaaaa")),
+        ];
+        let mut seen = Vec::new();
+        for (prefix, script) in kinds {
+            fleet.set(script).await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            let asked = (0..120).map(|n| {
+                let (entry, path) = (fleet.entry(), format!("{prefix}{n}"));
+                tokio::spawn(async move { ask(entry, &path, SHORT_TIMEOUT).await })
+            });
+            let mut ends = Vec::new();
+            for task in asked.collect::<Vec<_>>() {
+                ends.push(task.await.expect("task"));
+            }
+            let complete = ends.iter().filter(|(s, b)| s == "200" && !b.ends_with("cut off"));
+            let sound = complete.clone().filter(|(_, b)| b == "20 events").count();
+            let entry = fleet.world.hosts_of(Role::Entry)[0];
+            let peak = peak_memory(fleet.world.process_id(entry));
+            let fits = if peak < ENTRY_MEMORY { "fits" } else { "too much" };
+            println!("{prefix}: peak {} MB, {:?}", peak / 1_000_000, kinds_of(&ends));
+            seen.push(format!("{fits}, {} look complete", complete.count() - sound));
+        }
+        insta::assert_snapshot!(seen.join("; "), @"fits, 0 look complete; fits, 0 look complete");
+    });
+}
