Wait for new events of a stream, not for any bytes

The waits after which another endpoint continues a stream started anew with each part of the body. Comments, repeated events and an event that never ends kept a request at its endpoint until its deadline.

A read now ends only with an event with data that is new to the caller, so that the silence of an endpoint is the time since the last such event. Comments are passed on with the next event; a stream with more than 64 KB of them in between fails. An endpoint whose last new event is recent when the deadline passes is not avoided; before, any silence at that moment was held against it.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -11,6 +11,11 @@
 use futures_util::TryFutureExt as _;
 use std::collections::VecDeque;
 use std::sync::Arc;
+use tokio::task;
+use tokio::time;
+
+/// Most bytes of comments that are held back until the next event.
+const MAX_COMMENT_BYTES: usize = 64 << 10;
 
 /// Stream of events for the caller. If an endpoint breaks it off, another one continues it.
 pub(super) struct EventStream {
@@ -75,25 +80,34 @@
         }
     }
 
-    /// Reads one chunk from the endpoint and queues the events that are complete.
+    /// Reads events that are new to the caller from the endpoint and queues them.
     async fn read_events(&mut self) -> Result<(), Arc<str>> {
+        let begun = time::Instant::now();
         let Some(started) = &mut self.started else { return Err("no endpoint".into()) };
         // A timeout does not end a read for which bytes are always ready.
         if self.forwarder.time_left().is_zero() {
             return Err("the time is over".into());
         }
-        let limit = match self.forwarder.last_event {
+        let last_event = self.forwarder.last_event;
+        let limit = match last_event {
             None => self.forwarder.first_event_timeout(),
             Some(_) => self.forwarder.next_event_timeout(),
         };
         let from = started.endpoint.id.clone();
-        let next = started.response.next_chunk();
-        let next = next.map_err(|cause| (attempt::Outcome::Lost, cause));
-        let waited = self.forwarder.wait_or_take_over(&self.headers, &from, limit, next).await;
-        let bytes = match waited {
-            forward::Waited::Ended(Ok(bytes)) => bytes,
+        let build = started.endpoint.build.clone();
+        let read = read_new_events(started, &mut self.splitter, last_event);
+        let read = read.map_err(|cause| (attempt::Outcome::Lost, cause));
+        let waited = self.forwarder.wait_or_take_over(&self.headers, &from, limit, read).await;
+        let read = match waited {
+            forward::Waited::Ended(Ok(read)) => read,
             forward::Waited::Ended(Err((_, cause))) => return Err(cause),
-            forward::Waited::DeadlineExceeded => return Err("the time is over".into()),
+            forward::Waited::DeadlineExceeded => {
+                // An endpoint that makes progress until the deadline is not at fault.
+                if begun.elapsed() >= limit {
+                    self.forwarder.node.record_endpoint_failure(&from, &"silence");
+                }
+                return Err("the time is over".into());
+            }
             forward::Waited::TakenOver(other) => {
                 self.log_resumption("silence", attempt::Next::Again);
                 // Closes the connection to the silent endpoint, which cancels the request there.
@@ -102,53 +116,36 @@
                 return Ok(());
             }
         };
-        match bytes {
-            Some(bytes) => self
-                .splitter
-                .push(&bytes)
-                .map_err(|sse::TooLong| Arc::from("an event is too long"))?,
-            None if self.splitter.remainder().is_empty() => {
-                self.ended = true;
-                self.forwarder.node.record_endpoint_success(&started.endpoint.id);
-                let elapsed = self.forwarder.request.arrived.elapsed();
-                self.forwarder.node.metrics.count_request("online", "answered");
-                self.forwarder.node.metrics.record_latency("answer", elapsed);
-                event!(self.forwarder.node.log, events::ANSWER_DELIVERED;
-                    "request" => &*self.forwarder.request.id, "endpoint" => &*started.endpoint.id,
-                    "events" => self.forwarder.last_event,
-                    "elapsed_ms" => elapsed.as_millis() as u64);
-            }
-            None => return Err("the stream ends within an event".into()),
+        self.forwarder.last_event = read.last_event;
+        if !read.bytes.is_empty() {
+            self.forwarder.begin_stream(&build);
+            self.ready.push_back(read.bytes.into());
         }
-        let mut bytes = Vec::new();
-        while let Some(event) = self.splitter.next_event() {
-            if let Some(id) = event.id {
-                // An endpoint that resumes may repeat events that the caller has.
-                if self.forwarder.last_event.is_some_and(|last| id <= last) {
-                    continue;
-                }
-                self.forwarder.last_event = Some(id);
-            }
-            bytes.extend_from_slice(&event.bytes);
-        }
-        if let Some(started) = &mut self.started {
-            // Buffers grow to a power of two.
-            let held = self.splitter.remainder().len() + bytes.len();
-            started.response.hold(held.next_power_of_two())?;
-        }
-        if !bytes.is_empty() {
-            if let Some(started) = &self.started {
-                self.forwarder.begin_stream(&started.endpoint.build);
-            }
-            self.ready.push_back(bytes.into());
+        if read.ended {
+            self.finish(&from);
         }
         Ok(())
     }
 
+    /// Records that the whole answer has arrived from the endpoint `from`.
+    fn finish(&mut self, from: &Arc<str>) {
+        self.ended = true;
+        let forwarder = &self.forwarder;
+        forwarder.node.record_endpoint_success(from);
+        let elapsed = forwarder.request.arrived.elapsed();
+        forwarder.node.metrics.count_request("online", "answered");
+        forwarder.node.metrics.record_latency("answer", elapsed);
+        event!(forwarder.node.log, events::ANSWER_DELIVERED; "request" => &*forwarder.request.id,
+            "endpoint" => &**from, "events" => forwarder.last_event,
+            "elapsed_ms" => elapsed.as_millis() as u64);
+    }
+
     /// Continues the stream at another endpoint. Returns whether one has started to respond.
     async fn resume(&mut self, cause: &Arc<str>) -> bool {
         let from = self.started.take();
-        if let Some(started) = &from {
+        if let Some(started) = &from
+            && !self.forwarder.time_left().is_zero()
+        {
             self.forwarder.node.record_endpoint_failure(&started.endpoint.id, cause);
         }
         // Closes the connection, which cancels the request at the endpoint.
@@ -177,3 +174,55 @@
             "build" => forwarder.build().map(|b| &**b), "next" => ?next);
     }
 }
+
+/// Events that are new to the caller.
+struct NewEvents {
+    bytes: Vec<u8>,
+    /// Number of the last event that the caller has with them.
+    last_event: Option<u64>,
+    /// Whether the stream has ended.
+    ended: bool,
+}
+
+/// Reads until there is an event with data that the caller does not have, or the stream ends.
+/// Comments and repeated events do not prove that the endpoint makes progress; comments are passed on
+/// along with the next event.
+async fn read_new_events(
+    started: &mut forward::StartedResponse,
+    splitter: &mut sse::Splitter,
+    mut last_event: Option<u64>,
+) -> Result<NewEvents, Arc<str>> {
+    let mut bytes = Vec::new();
+    loop {
+        let Some(part) = started.response.next_chunk().await? else {
+            return match splitter.remainder() {
+                [] => Ok(NewEvents { bytes, last_event, ended: true }),
+                _ => Err("the stream ends within an event".into()),
+            };
+        };
+        splitter.push(&part).map_err(|sse::TooLong| Arc::from("an event is too long"))?;
+        let mut has_new = false;
+        while let Some(event) = splitter.next_event() {
+            if let Some(id) = event.id {
+                // An endpoint that resumes may repeat events that the caller has.
+                if last_event.is_some_and(|last| id <= last) {
+                    continue;
+                }
+                last_event = Some(id);
+            }
+            has_new |= event.has_data();
+            bytes.extend_from_slice(&event.bytes);
+        }
+        // Buffers grow to a power of two.
+        let held = splitter.remainder().len() + bytes.len();
+        started.response.hold(held.next_power_of_two())?;
+        if has_new {
+            return Ok(NewEvents { bytes, last_event, ended: false });
+        }
+        if bytes.len() > MAX_COMMENT_BYTES {
+            return Err("too many comments without an event".into());
+        }
+        // Gives way to timeouts if bytes are always ready.
+        task::coop::consume_budget().await;
+    }
+}
--- a/src/fleet/sse.rs
+++ b/src/fleet/sse.rs
@@ -17,6 +17,11 @@
 }
 
 impl Event {
+    /// Whether the event has a `data` field. Comments, which keep a connection open, have none.
+    pub fn has_data(&self) -> bool {
+        field_values(&self.bytes, b"data").next().is_some()
+    }
+
     /// Values of the `data` fields, joined by line feeds.
     pub fn data(&self) -> Vec<u8> {
         let mut data = Vec::new();
--- a/tests/fleet_endless.rs
+++ b/tests/fleet_endless.rs
@@ -520,6 +520,65 @@
     });
 }
 
+/// Guards against streams of events without end that go on after the deadline of the request, or
+/// that hold a request although another endpoint could continue it.
+#[test]
+fn endless_streams_end_in_time() {
+    run(async {
+        let mut fleet = Fleet::start(SIZE).await;
+        let mut seen = Vec::new();
+        let slow = Duration::from_millis(100);
+        let events = |piece: &str, pause: Duration| Script {
+            pause,
+            ..Script::endless("200 OK", UNFRAMED, piece)
+        };
+        let scripts = [
+            ("one event", events("data: aaaaaaaa", Duration::ZERO)),
+            ("one line each", events("data: aaaaaaaa\n", Duration::ZERO)),
+            ("comment lines", events(": aaaaaaaa\n", Duration::ZERO)),
+            ("comments", events(": aaaaaaaa\n\n", Duration::ZERO)),
+            ("without ids", events("data: aaaaaaaa\n\n", Duration::ZERO)),
+            ("same id", events("id: 1\ndata: aaaaaaaa\n\n", Duration::ZERO)),
+            ("slow event", events("data: aaaaaaaa", slow)),
+            ("slow comments", events(": aaaaaaaa\n\n", slow)),
+            ("slow without ids", events("data: aaaaaaaa\n\n", slow)),
+            ("slow same id", events("id: 1\ndata: aaaaaaaa\n\n", slow)),
+        ];
+        for (name, script) in scripts {
+            for prefix in ["/stream/", "/once/"] {
+                fleet.set(script.clone()).await;
+                let result = fleet.ask(prefix, &name.replace(' ', "-"), SHORT_TIMEOUT).await;
+                seen.push(format!("{name} {prefix}: {result}"));
+            }
+        }
+        let left = fleet.endpoint.is_left_within(FAILURE_TIME).await;
+        seen.push(format!("left {left}"));
+        insta::assert_snapshot!(seen.join("\n"), @"
+        one event /stream/: 200 20 events
+        one event /once/: 502 outcome unknown: an event is too long
+        one line each /stream/: 200 20 events
+        one line each /once/: 502 outcome unknown: an event is too long
+        comment lines /stream/: 200 20 events
+        comment lines /once/: 502 outcome unknown: an event is too long
+        comments /stream/: 200 20 events
+        comments /once/: 502 outcome unknown: too many comments without an event
+        without ids /stream/: 200 many bytes cut off
+        without ids /once/: 200 many bytes cut off
+        same id /stream/: 200 20 events
+        same id /once/: 200 id: 1 data: aaaaaaaa cut off
+        slow event /stream/: 200 20 events
+        slow event /once/: 504 outcome unknown: the time is over
+        slow comments /stream/: 200 20 events
+        slow comments /once/: 504 outcome unknown: the time is over
+        slow without ids /stream/: 200 many bytes cut off
+        slow without ids /once/: 200 many bytes cut off
+        slow same id /stream/: 200 20 events
+        slow same id /once/: 200 id: 1 data: aaaaaaaa cut off
+        left true
+        ");
+    });
+}
+
 /// Largest resident size of a process so far, in bytes.
 fn peak_memory(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("process runs");
