Ask another control host for a configuration that does not arrive

Cause: a host that had asked a control host for a configuration asked again only when a version was announced after 0.7 s, which is once in 0.5 s, and then asked whoever announced first, which could be the host that had not answered.

Change: the host remembers which control hosts have the newest version. It checks each 100 ms whether the answer is overdue, and asks first those that it has not asked yet, the one that was heard last before the others. A late answer that brings nothing new no longer causes another request.

Tests: the replay now gives 750 ms with one such host, silent or not answering, 750 ms with two silent ones, and 1,450 ms with two of which one or both go on announcing. Both new tests fail without the change.

--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -43,6 +43,8 @@
 const LOAD_REPEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval between reads of the settings file, which may change without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// Interval between checks whether a configuration that was asked for is overdue.
+const FETCH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Most connections of a listener that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 
@@ -224,11 +226,20 @@
         self.slots.wait(service, self.now(), limit, running).await
     }
 
+    /// Asks another control host for a configuration that is overdue.
+    fn repeat_overdue_fetch(&self) {
+        let known = self.view.config_version();
+        let source = peer::lock(&self.config_fetch).next_source(self.now(), known);
+        self.fetch_config(source, known);
+    }
+
     /// Adds the tasks that every role needs. `end` stops the announcements to the control hosts.
     pub fn spawn_common(&self, tree: &mut supervisor::Supervisor, end: &supervisor::Stop) {
         let (node, end) = (self.clone(), end.clone());
         tree.spawn("announcements", move |_| send_announcements(node.clone(), end.clone()));
         let node = self.clone();
+        tree.spawn("configuration fetch", move |stop| repeat_fetches(node.clone(), stop));
+        let node = self.clone();
         tree.spawn("settings", move |stop| reload_settings(node.clone(), stop));
     }
 
@@ -292,6 +303,17 @@
     }
 }
 
+/// Asks for configurations again that do not arrive.
+async fn repeat_fetches(node: Node, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
+    let mut ticks = node.timer.subscribe(FETCH_CHECK_INTERVAL);
+    loop {
+        tokio::select! {
+            _ = ticks.next() => node.repeat_overdue_fetch(),
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
 /// Applies changes of the seeds in the settings file, at an interval and on SIGHUP.
 async fn reload_settings(node: Node, mut stop: supervisor::Stop) -> Result<(), errors::Error> {
     let mut hangup = unix::signal(unix::SignalKind::hangup())
--- a/src/fleet/sync.rs
+++ b/src/fleet/sync.rs
@@ -8,11 +8,13 @@
 //! one from one control host, and one control host at a time sends it the directory.
 
 use crate::sorted;
+use std::cmp;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// A configuration that was asked for and has not arrived after this long is asked for again, from
-/// the next control host that has it.
+/// another control host that has it. An accepted change is to be in force within 2 s, also if two
+/// control hosts in turn do not answer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 /// A directory that differs for less than this is not sent: the changes are usually under way.
 const MIN_DIFFERENCE_TIME: Duration = Duration::from_millis(350);
@@ -24,14 +26,29 @@
 /// Fetching of the newest configuration by one host.
 #[derive(Debug, Default)]
 pub struct ConfigFetch {
-    /// Newest version that is known to be available, and a control host that has it.
-    available: Option<(u64, Arc<str>)>,
+    /// Newest version that is known to be available.
+    newest: u64,
+    /// Control hosts that have the newest version.
+    sources: Vec<Source>,
     /// Time at which a configuration was asked for that has not arrived yet.
     asked: Option<Duration>,
+    /// Version that was active after the last arrival.
+    arrived: u64,
+}
+
+/// Control host that has the newest version.
+#[derive(Debug)]
+struct Source {
+    host: Arc<str>,
+    /// Time at which it last said that it has the version.
+    heard: Duration,
+    /// Time at which it was last asked for the version.
+    asked: Option<Duration>,
 }
 
 impl ConfigFetch {
-    /// Records that the control host `from` has a version. Returns the host to ask now, if any.
+    /// Records that the control host `from` has a version, while `known` is active here. Returns the
+    /// host to ask now, if any.
     pub fn record_available(
         &mut self,
         now: Duration,
@@ -39,31 +56,49 @@
         version: u64,
         from: &Arc<str>,
     ) -> Option<Arc<str>> {
-        if version <= known {
-            return None;
+        if version > self.newest {
+            self.newest = version;
+            self.sources.clear();
         }
-        // After a timeout any other control host is a better source than the one that was asked.
-        if self.is_overdue(now) || self.available.as_ref().is_none_or(|a| a.0 < version) {
-            self.available = Some((version, from.clone()));
+        if version == self.newest && version > known {
+            match self.sources.iter_mut().find(|s| s.host == *from) {
+                Some(source) => source.heard = now,
+                None => self.sources.push(Source { host: from.clone(), heard: now, asked: None }),
+            }
         }
-        let waits = self.asked.is_some() && !self.is_overdue(now);
-        (!waits).then(|| {
-            self.asked = Some(now);
-            from.clone()
-        })
+        self.next_source(now, known)
     }
 
     /// Records that a configuration has arrived, after which the version `known` is active. Returns
     /// the host to ask for a newer one, if any.
     pub fn record_arrival(&mut self, now: Duration, known: u64) -> Option<Arc<str>> {
-        self.asked = None;
-        let (_, source) = self.available.take_if(|a| a.0 > known)?;
-        self.asked = Some(now);
-        Some(source)
+        // A late answer brings nothing new, and the next one is still under way.
+        if known > self.arrived {
+            (self.arrived, self.asked) = (known, None);
+        }
+        self.next_source(now, known)
+    }
+
+    /// Returns the host to ask for a configuration that is available and that nobody has been asked
+    /// for, or that has not arrived in time.
+    pub fn next_source(&mut self, now: Duration, known: u64) -> Option<Arc<str>> {
+        if !self.is_newer_available(known) {
+            (self.asked, self.sources) = (None, Vec::new());
+            return None;
+        }
+        if self.asked.is_some_and(|asked| now.saturating_sub(asked) < FETCH_TIMEOUT) {
+            return None;
+        }
+        // One that was asked in vain may be unreachable, even if it still announces the version.
+        let order = |s: &&mut Source| (s.asked, cmp::Reverse(s.heard));
+        let source = self.sources.iter_mut().min_by_key(order)?;
+        (source.asked, self.asked) = (Some(now), Some(now));
+        Some(source.host.clone())
     }
 
-    fn is_overdue(&self, now: Duration) -> bool {
-        self.asked.is_some_and(|asked| now.saturating_sub(asked) >= FETCH_TIMEOUT)
+    /// Whether a version newer than `known` is available.
+    pub fn is_newer_available(&self, known: u64) -> bool {
+        self.newest > known
     }
 }
 
--- a/tests/fleet_sync.rs
+++ b/tests/fleet_sync.rs
@@ -71,6 +71,89 @@
     insta::assert_snapshot!(seen.join(" "), @"control-0 - - control-1 - - -");
 }
 
+/// What a control host does for the host that fetches, after it has announced a new version.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Source {
+    Answers,
+    /// Falls silent after its first announcement.
+    Silent,
+    /// Repeats its announcements, and gets no request or loses its answers.
+    NeverAnswers,
+}
+
+/// Time until a version arrives that every control host announces at once, in the given order, and
+/// again `phase` ms later and every 500 ms after that, when the host announces itself.
+fn fetch_time(controls: &[(Arc<str>, Source)], phase: u64) -> u64 {
+    const INTERVAL: u64 = 500;
+    const CHECK_INTERVAL: u64 = 100;
+    const TRANSFER: u64 = 50;
+    let mut fetch = sync::ConfigFetch::default();
+    let mut arrives = None;
+    for now in 0..10_000 {
+        let mut asked = Vec::new();
+        let repeats = now > 0 && now % INTERVAL == phase;
+        for (control, source) in controls {
+            if now == 0 || (repeats && *source != Source::Silent) {
+                asked.extend(fetch.record_available(ms(now), 3, 4, control));
+            }
+        }
+        if now % CHECK_INTERVAL == 0 {
+            asked.extend(fetch.next_source(ms(now), 3));
+        }
+        let answers = |host| controls.iter().any(|c| c.0 == host && c.1 == Source::Answers);
+        if arrives.is_none() && asked.into_iter().any(answers) {
+            arrives = Some(now + TRANSFER);
+        }
+        if arrives == Some(now) {
+            return now;
+        }
+    }
+    u64::MAX
+}
+
+/// Guards against a configuration that is in force seconds after its acknowledgement because as many
+/// control hosts as may be lost do not answer, each asked in turn or one of them again and again.
+#[test]
+fn control_hosts_that_do_not_answer_delay_a_configuration_little() {
+    let names = names("control", CONTROLS);
+    let slowest = |sources: [Source; CONTROLS]| {
+        let controls: Vec<_> = names.iter().cloned().zip(sources).collect();
+        (0..500).map(|phase| fetch_time(&controls, phase)).max().unwrap_or_default()
+    };
+    use Source::{Answers, NeverAnswers, Silent};
+    let seen = [
+        slowest([Answers; CONTROLS]),
+        slowest([Silent, Answers, Answers, Answers, Answers]),
+        slowest([Silent, Silent, Answers, Answers, Answers]),
+        slowest([NeverAnswers, Answers, Answers, Answers, Answers]),
+        slowest([NeverAnswers, NeverAnswers, Answers, Answers, Answers]),
+        slowest([Silent, NeverAnswers, Answers, Answers, Answers]),
+    ];
+    insta::assert_snapshot!(format!("{seen:?}"), @"[50, 750, 750, 750, 1450, 1450]");
+}
+
+/// Guards against a host that asks for a configuration again because the late answer of another
+/// control host has arrived, while the newest version is under way.
+#[test]
+fn late_answers_are_not_asked_for_again() {
+    let controls = names("control", CONTROLS);
+    let mut fetch = sync::ConfigFetch::default();
+    let seen = [
+        fetch.record_available(ms(0), 3, 4, &controls[0]),
+        fetch.record_available(ms(10), 3, 4, &controls[1]),
+        fetch.next_source(ms(600), 3),
+        fetch.next_source(ms(700), 3),
+        // The answers of both arrive, and version 5 is announced in between.
+        fetch.record_arrival(ms(800), 4),
+        fetch.record_available(ms(820), 4, 5, &controls[2]),
+        fetch.record_arrival(ms(830), 4),
+        fetch.record_arrival(ms(900), 5),
+        fetch.next_source(ms(9_000), 5),
+    ];
+    let seen: Vec<&str> = seen.iter().map(|s| s.as_deref().unwrap_or("-")).collect();
+    insta::assert_snapshot!(seen.join(" "), @"control-0 - - control-1 - control-2 - - -");
+}
+
 /// Guards against a directory that every control host sends to every host whenever something
 /// changes, and against one that is never sent because the first control host is gone.
 #[test]
