Answer 503 for an unknown route while a newer configuration is fetched

Cause: an entry that had been told of a newer version, and had not received it yet, answered 404 for routes that only the newer version has, although it knew that it could not tell.

Change: it refuses such a request as not run. Routes that it knows are served as before.

Test: a fleet in which the messages of an entry to the control hosts get lost when a change is accepted.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -220,6 +220,9 @@
                 // A later version may have the route.
                 return forward::refuse(node, &id, node::OUT_OF_CONTACT);
             }
+            if node.is_newer_config_available(active.document.version) {
+                return forward::refuse(node, &id, "a newer configuration has not arrived yet");
+            }
             event!(node.log, events::REQUEST_REFUSED; "request" => &*id, "reason" => "no route",
                 "version" => active.document.version, "path" => head.uri.path());
             return serve::response(StatusCode::NOT_FOUND, "no route\n");
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -154,6 +154,11 @@
         reached > 0 && 2 * reached >= total
     }
 
+    /// Whether a control host has a configuration that is newer than the version `known`.
+    pub fn is_newer_config_available(&self, known: u64) -> bool {
+        peer::lock(&self.config_fetch).is_newer_available(known)
+    }
+
     /// Fetches the configuration if the control host `from` has a newer one.
     pub fn handle_available_config(&self, from: &Arc<str>, version: u64) {
         let known = self.view.config_version();
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -547,6 +547,26 @@
     });
 }
 
+/// Guards against an entry that answers 404 for a route of a configuration which it knows to exist
+/// and has not received yet.
+#[test]
+fn entry_that_still_fetches_a_configuration_does_not_deny_routes() {
+    run(async {
+        let world = World::start(SMALL_SIZE).await;
+        tokio::time::sleep(REPAIR_TIME).await;
+        let at = world.hosts_of(Role::Entry)[0];
+        let lost = proxy::LinkFaults { drop_inbound: true, ..Default::default() };
+        for control in world.hosts_of(Role::Control) {
+            world.hosts[control].proxy.set_faults(&world.link(at), lost);
+        }
+        assert_eq!(world.put_config(&world.config(2)).await, 200, "{}", world.logs());
+        // The entry has been told by now, and has not noticed that its own messages are lost.
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let ended = stream(world.caller_address(at), "/v2/", "fetched").await;
+        assert_eq!(ended, StreamEnd::NotRun, "{}", world.logs());
+    });
+}
+
 /// Guards against a departure that is acknowledged by a control host which can tell no other host,
 /// so that entries go on sending requests to the endpoint.
 #[test]
