Limit the time that a run of an item goes on without new events

The waits after which an item continues elsewhere started anew with each part of the response. Comments or repeated events without end kept an item at an endpoint until its job gave up.

Only new events prolong a run now, repeated ones are dropped before they are reported, and the incomplete event counts towards the memory of held responses. A run ends after 120 s in any case: items have no deadline of their own, and an interrupted item continues after its last event.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -681,7 +681,9 @@
             }
         };
         self.last_run += 1;
-        let run = runner::Run { key: key.clone(), number: self.last_run, address, request };
+        let last_event = progress.last_event;
+        let run =
+            runner::Run { key: key.clone(), number: self.last_run, last_event, address, request };
         let (node, reports) = (self.node.clone(), self.reports.clone());
         let guard = self.node.count_request(service, &endpoint);
         let run = tokio::spawn(async move {
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -22,6 +22,9 @@
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
 /// Silence after which a run ends in any case: the connection may lead nowhere.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time of one run. An item that is interrupted continues after its last event, so that the
+/// limit costs an item with a long output little.
+const MAX_RUN_TIME: Duration = Duration::from_secs(120);
 
 /// How the run of an item ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -70,6 +73,8 @@
     pub key: progress::ItemKey,
     /// Number of the run.
     pub number: u64,
+    /// Number of the last event that has arrived in earlier runs.
+    pub last_event: Option<u64>,
     /// Address of the endpoint.
     pub address: SocketAddr,
     /// Request of the item.
@@ -103,6 +108,52 @@
     Ok(request)
 }
 
+/// Decides how long a run waits for the next bytes. Comments and repeated events do not prolong it.
+/// Free of I/O.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    begun: time::Instant,
+    last_new: time::Instant,
+    /// Whether the silence since the last new event was reported.
+    reported: bool,
+}
+
+impl Patience {
+    /// Creates the state of a run that begins at `now`.
+    pub fn new(now: time::Instant) -> Patience {
+        Patience { begun: now, last_new: now, reported: false }
+    }
+
+    /// Records that an event arrived that was not known before.
+    pub fn record_event(&mut self, now: time::Instant) {
+        (self.last_new, self.reported) = (now, false);
+    }
+
+    /// Whether a silence is to be reported now. It is reported once.
+    pub fn report_silence(&mut self, now: time::Instant) -> bool {
+        let due = !self.reported && now - self.last_new >= SILENCE_LIMIT;
+        self.reported |= due;
+        due
+    }
+
+    /// Longest wait for the next bytes, after which the limit has to be asked for again.
+    ///
+    /// # Errors
+    /// How the run ends, if it waits no longer.
+    pub fn limit(&self, now: time::Instant) -> Result<Duration, RunEnd> {
+        let silent = now - self.last_new;
+        let left = MAX_RUN_TIME.saturating_sub(now - self.begun);
+        if silent >= RESPONSE_TIMEOUT {
+            return Err(interrupted("no new event in time", true));
+        }
+        if left.is_zero() {
+            return Err(interrupted("the run takes too long", false));
+        }
+        let next = if silent < SILENCE_LIMIT { SILENCE_LIMIT } else { RESPONSE_TIMEOUT };
+        Ok((next - silent).min(left))
+    }
+}
+
 fn interrupted(cause: &str, at_fault: bool) -> RunEnd {
     RunEnd::Interrupted { cause: cause.into(), at_fault }
 }
@@ -110,8 +161,8 @@
 impl Run {
     /// Runs the item and sends its events and its end to `reports`.
     pub async fn run(self, node: node::Node, reports: mpsc::Sender<Report>) {
-        let Run { key, number, address, request } = self;
-        let reporter = Reporter { key, number, reports };
+        let Run { key, number, last_event, address, request } = self;
+        let reporter = Reporter { key, number, last_event, reports };
         let update = RunUpdate::Ended(reporter.stream_events(&node, address, request).await);
         reporter.send(update).await;
     }
@@ -121,6 +172,8 @@
 struct Reporter {
     key: progress::ItemKey,
     number: u64,
+    /// Number of the last event that has arrived in earlier runs.
+    last_event: Option<u64>,
     reports: mpsc::Sender<Report>,
 }
 
@@ -131,15 +184,25 @@
         self.reports.send(report).await.is_ok()
     }
 
-    /// Waits for the endpoint to go on and reports a long silence. Returns `None` after
-    /// `RESPONSE_TIMEOUT`.
-    async fn wait<T>(&self, answer: impl Future<Output = T>) -> Option<T> {
+    /// Waits for the endpoint to go on and reports a long silence.
+    ///
+    /// # Errors
+    /// How the run ends, if the endpoint does not go on in time.
+    async fn wait<T>(
+        &self,
+        patience: &mut Patience,
+        answer: impl Future<Output = T>,
+    ) -> Result<T, RunEnd> {
         let mut answer = std::pin::pin!(answer);
-        if let Ok(answer) = time::timeout(SILENCE_LIMIT, &mut answer).await {
-            return Some(answer);
+        loop {
+            if patience.report_silence(time::Instant::now()) {
+                self.send(RunUpdate::Silent).await;
+            }
+            let limit = patience.limit(time::Instant::now())?;
+            if let Ok(answer) = time::timeout(limit, &mut answer).await {
+                return Ok(answer);
+            }
         }
-        self.send(RunUpdate::Silent).await;
-        time::timeout(RESPONSE_TIMEOUT - SILENCE_LIMIT, answer).await.ok()
     }
 
     /// Sends the request and reports each event of the response.
@@ -150,10 +213,12 @@
         request: hyper::Request<Full<Bytes>>,
     ) -> RunEnd {
         let names = node.view.protocol().headers();
-        let mut response = match self.wait(node.upstream.send(address, request, false)).await {
-            Some(Ok(response)) => response,
-            Some(Err(failure)) => return interrupted(&failure.to_string(), true),
-            None => return interrupted("no response in time", true),
+        let mut patience = Patience::new(time::Instant::now());
+        let sent = node.upstream.send(address, request, false);
+        let mut response = match self.wait(&mut patience, sent).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(failure)) => return interrupted(&failure.to_string(), true),
+            Err(ended) => return ended,
         };
         let status = response.head.status;
         match response.classify(names, &self.key.1) {
@@ -172,18 +237,32 @@
             _ => {}
         }
         let mut splitter = sse::Splitter::default();
+        let mut last_event = self.last_event;
         loop {
-            let bytes = match self.wait(response.next_chunk()).await {
-                Some(Ok(Some(bytes))) => bytes,
-                Some(Ok(None)) if splitter.remainder().is_empty() => return RunEnd::Done,
-                Some(Ok(None)) => return interrupted("the stream ends within an event", true),
-                Some(Err(cause)) => return interrupted(&cause, true),
-                None => return interrupted("silence", true),
+            let bytes = match self.wait(&mut patience, response.next_chunk()).await {
+                Ok(Ok(Some(bytes))) => bytes,
+                Ok(Ok(None)) if splitter.remainder().is_empty() => return RunEnd::Done,
+                Ok(Ok(None)) => return interrupted("the stream ends within an event", true),
+                Ok(Err(cause)) => return interrupted(&cause, true),
+                Err(ended) => return ended,
             };
             if splitter.push(&bytes).is_err() {
                 return interrupted("an event is too long", true);
             }
+            if let Err(cause) = response.hold(splitter.remainder().len().next_power_of_two()) {
+                return interrupted(&cause, true);
+            }
             while let Some(event) = splitter.next_event() {
+                // An endpoint that resumes may repeat events that have arrived already.
+                let is_new = match event.id {
+                    Some(id) => Some(id) > last_event,
+                    None => event.has_data(),
+                };
+                if !is_new {
+                    continue;
+                }
+                last_event = event.id.or(last_event);
+                patience.record_event(time::Instant::now());
                 if !self.send(RunUpdate::Event(event.data(), event.id)).await {
                     return interrupted("the process ends", false);
                 }
--- a/tests/fleet_endless.rs
+++ b/tests/fleet_endless.rs
@@ -2,6 +2,8 @@
 
 mod fleet_world;
 
+use basilfield::emulator::plain;
+use basilfield::fleet::runner;
 use basilfield::fleet::sse;
 use basilfield::fleet::upstream;
 use bytes::Bytes;
@@ -31,6 +33,8 @@
 const SHORT_TIMEOUT: Duration = Duration::from_millis(1_800);
 /// Time after its deadline within which a request must have ended, also on a busy machine.
 const END_MARGIN: Duration = Duration::from_millis(2_000);
+/// Longest time for a job of a few items, including the runs at the endpoint in trouble.
+const JOB_TIMEOUT: Duration = Duration::from_secs(40);
 /// Memory of the smallest entries.
 const ENTRY_MEMORY: u64 = 160_000_000;
 /// Far more slots than the other endpoint, so that requests go to the endpoint in trouble first.
@@ -626,3 +630,80 @@
         insta::assert_snapshot!(seen.join("; "), @"fits, 0 look complete; fits, 0 look complete; fits, 0 look complete");
     });
 }
+
+/// Guards against items that an endpoint in trouble holds without end, whose output fills the memory
+/// or the ledger of the store hosts, or whose results hold bytes of that endpoint.
+#[test]
+fn endless_output_of_items_is_dropped() {
+    run(async {
+        let mut fleet = Fleet::start(Size { stores: 3, ..SIZE }).await;
+        let entries = fleet.world.caller_addresses();
+        let scripts = [
+            ("event", "data: aaaaaaaa", 0),
+            ("comments", ": aaaaaaaa\n\n", 0),
+            ("same-id", "id: 1\ndata: aaaaaaaa\n\n", 0),
+            ("slow-comments", ": aaaaaaaa\n\n", 100),
+        ];
+        let mut seen = Vec::new();
+        for (name, piece, pause) in scripts {
+            let mut script = Script::endless("200 OK", UNFRAMED, piece);
+            if name == "same-id" {
+                // The first event is right.
+                script.start += &format!("id: 1\ndata: {}\n\n", plain::event_data("{id}", 1));
+            }
+            let before = fleet.endpoint.requests();
+            fleet.set(Script { pause: Duration::from_millis(pause), ..script }).await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            assert!(client::submit(&entries, name, 4).await, "{}", fleet.world.logs());
+            let results = &mut Vec::new();
+            let finished = client::finish(&entries, name, 4, results, JOB_TIMEOUT).await;
+            let tried = fleet.endpoint.requests() > before;
+            seen.push(format!("{name}: tried {tried}, {finished:?}"));
+        }
+        let peaks = fleet.world.hosts_of(Role::Store).into_iter().map(|at| {
+            let peak = peak_memory(fleet.world.process_id(at));
+            println!("{}: peak {} MB", fleet.world.hosts[at].name, peak / 1_000_000);
+            peak
+        });
+        let fits = peaks.max().expect("stores") < ENTRY_MEMORY;
+        seen.push(format!("fits {fits}"));
+        insta::assert_snapshot!(seen.join("\n"), @"
+        event: tried true, Ok(())
+        comments: tried true, Ok(())
+        same-id: tried true, Ok(())
+        slow-comments: tried true, Ok(())
+        fits true
+        ");
+    });
+}
+
+/// Guards against a run that comments or a slow output without end keep at an endpoint for good.
+#[test]
+fn run_of_an_item_ends() {
+    let start = tokio::time::Instant::now();
+    let after = |ms: u64| start + Duration::from_millis(ms);
+    let mut patience = runner::Patience::new(start);
+    let mut seen = vec![format!("{:?}", patience.limit(start))];
+    for ms in [1_000, 2_999, 3_000, 3_001, 9_999, 10_000] {
+        let report = patience.report_silence(after(ms));
+        seen.push(format!("{report} {:?}", patience.limit(after(ms))));
+    }
+    for ms in (2_000..=120_000).step_by(2_000) {
+        patience.record_event(after(ms));
+    }
+    for ms in [119_500, 120_000, 130_000] {
+        seen.push(format!("{:?}", patience.limit(after(ms))));
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r#"
+    Ok(3s)
+    false Ok(2s)
+    false Ok(1ms)
+    true Ok(7s)
+    false Ok(6.999s)
+    false Ok(1ms)
+    false Err(Interrupted { cause: "no new event in time", at_fault: true })
+    Ok(500ms)
+    Err(Interrupted { cause: "the run takes too long", at_fault: false })
+    Err(Interrupted { cause: "no new event in time", at_fault: true })
+    "#);
+}
