Drop the output of an item that is too long, and run it again

An endpoint that writes events without end filled the memory of the leader of the job group and, through the output that is stored once a second, the ledger of every store host. The length was checked only when the output was complete.

The leader now checks it with each event: one megabyte that is not stored yet, or eight in all, which fit into one answer. It stops the run, avoids the endpoint and commits the new command DiscardOutput, which begins the next generation of the item, so that nothing of that output is listed.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -68,6 +68,9 @@
     Finished,
     /// Its outcome is being committed.
     Committing,
+    /// Its output was too long. It starts over once the output that is being stored is dropped as
+    /// well.
+    Discarded,
 }
 
 /// Item that this leader has started or is abandoning.
@@ -212,7 +215,7 @@
             ItemState::BackingOff { until } => now.saturating_duration_since(until) < BUILD_WAIT,
             // A silent endpoint may still go on.
             ItemState::Running { .. } => true,
-            ItemState::Finished | ItemState::Committing => false,
+            ItemState::Discarded | ItemState::Finished | ItemState::Committing => false,
         };
         self.progress.build().filter(|_| waits).cloned()
     }
@@ -274,6 +277,9 @@
                 if id.is_none() || id > tracked.progress.last_event =>
             {
                 tracked.progress.add_event(&data, id);
+                if tracked.progress.is_too_long() {
+                    self.discard_output(report.key);
+                }
             }
             runner::RunUpdate::Event(..) | runner::RunUpdate::Silent => {}
             runner::RunUpdate::Ended(ended) => self.handle_run_end(report.key, ended),
@@ -310,6 +316,9 @@
             found.map(|o| (ledger.generation(&key.0, &key.1), o.stored.events))
         };
         let Some(tracked) = self.tracked.get_mut(&key) else { return };
+        if matches!(tracked.state, ItemState::Discarded) {
+            return self.commit_discard(key);
+        }
         // If the item has started over since, the chunk says nothing about its present output.
         if done && tracked.progress.generation == generation {
             if stored != Some((generation, events)) {
@@ -368,6 +377,30 @@
         self.commit(ledger::Command::CompleteGeneration(chunk), Message::Committed(key));
     }
 
+    /// Stops the run of an item whose output is too long, and drops its output.
+    fn discard_output(&mut self, key: ItemKey) {
+        let Some(tracked) = self.tracked.get_mut(&key) else { return };
+        let ItemState::Running { endpoint, task, .. } = &tracked.state else { return };
+        task.abort();
+        let (endpoint, cause) = (endpoint.clone(), "the output is too long");
+        event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0, "request" => &*key.1,
+            "endpoint" => &*endpoint, "cause" => cause, "events" => tracked.progress.events);
+        tracked.state = ItemState::Discarded;
+        tracked.progress = Progress::default();
+        self.node.record_endpoint_failure(&endpoint, &cause);
+        if self.storing.binary_search(&key).is_err() {
+            self.commit_discard(key);
+        }
+    }
+
+    /// Commits that the stored output of an item is dropped.
+    fn commit_discard(&mut self, key: ItemKey) {
+        let Some(tracked) = self.tracked.get_mut(&key) else { return };
+        tracked.state = ItemState::Committing;
+        let (job, item) = key.clone();
+        self.commit(ledger::Command::DiscardOutput { job, item }, Message::Committed(key));
+    }
+
     /// Ends the current run of an item, which may run again after `pause`.
     fn back_off(&mut self, key: &ItemKey, pause: Duration) {
         if let Some(tracked) = self.tracked.get_mut(key) {
@@ -491,7 +524,9 @@
                     .remaining(tracked.map_or(Duration::ZERO, |k| k.run_time(now)));
                 let urgency = plan::Urgency::new(job.accept_index, left, remaining);
                 match tracked.map(|k| &k.state) {
-                    Some(ItemState::Committing | ItemState::Finished) => continue,
+                    Some(ItemState::Committing | ItemState::Finished | ItemState::Discarded) => {
+                        continue;
+                    }
                     Some(ItemState::Running { endpoint, number, silent, .. })
                         if !late && service.is_some() =>
                     {
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -251,6 +251,15 @@
     /// Store the rest of an item's output, which completes the item.
     #[display("complete")]
     CompleteGeneration(GenerationChunk),
+    /// Drop the stored output of an item that has not ended, because it cannot be its output. The
+    /// item starts over.
+    #[display("discard")]
+    DiscardOutput {
+        /// Id of the job.
+        job: Arc<str>,
+        /// Id of the item.
+        item: Arc<str>,
+    },
 }
 
 /// Reply to a command.
@@ -402,6 +411,7 @@
                 self.generations.retain(|(job, _), _| jobs.contains(job));
                 Reply::Done
             }
+            Command::DiscardOutput { job, item } => self.discard_output(&job, &item),
         }
     }
 
@@ -497,6 +507,18 @@
         Reply::Done
     }
 
+    fn discard_output(&mut self, job: &Arc<str>, item: &Arc<str>) -> Reply {
+        let number = self.generation(job, item).number + 1;
+        let Some(entry) = self.jobs.get_mut(job) else { return Reply::Unknown };
+        if let Some(found) = entry.pending.iter_mut().find(|o| o.item.id == *item) {
+            let dropped = std::mem::take(&mut found.stored);
+            self.stored_bytes -= dropped.output.len();
+            let next = Generation { number, build: None };
+            self.generations.insert((job.clone(), item.clone()), next);
+        }
+        Reply::Done
+    }
+
     fn record_failure(&mut self, job: &str, item: &str, failures: u32) -> Reply {
         let Some(entry) = self.jobs.get_mut(job) else { return Reply::Unknown };
         let limit = entry.rules.max_failures.max(1);
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -5,6 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Most output of an item that is not stored yet. It arrives within a few seconds, in which an
+/// engine writes some kilobytes.
+const MAX_UNSTORED_BYTES: usize = 1 << 20;
+/// Most output of an item, which is read in one answer: half of the longest frame between hosts.
+const MAX_OUTPUT_BYTES: usize = 8 << 20;
+
 /// Id of a job and id of one of its items.
 pub type ItemKey = (Arc<str>, Arc<str>);
 
@@ -13,6 +19,8 @@
 pub struct Progress {
     /// Number of events stored in the ledger.
     pub stored_events: u64,
+    /// Bytes of output stored in the ledger.
+    pub stored_bytes: usize,
     /// Data of the events that are not stored yet, separated by line feeds.
     output: Vec<u8>,
     /// Number of events that have arrived.
@@ -30,7 +38,15 @@
     /// `generation`.
     pub fn new(stored: &ledger::StoredOutput, generation: ledger::Generation) -> Progress {
         let (events, last_event) = (stored.events, stored.last_event);
-        Progress { stored_events: events, events, last_event, generation, ..Progress::default() }
+        let stored_bytes = stored.output.len();
+        Progress {
+            stored_events: events,
+            stored_bytes,
+            events,
+            last_event,
+            generation,
+            ..Progress::default()
+        }
     }
 
     /// Build at which the item goes on after the output that has arrived; `None` if there is no
@@ -80,12 +96,19 @@
         self.output.len()
     }
 
+    /// Whether there is more output than an item can have.
+    pub fn is_too_long(&self) -> bool {
+        let total = self.stored_bytes + self.output.len();
+        self.output.len() > MAX_UNSTORED_BYTES || total > MAX_OUTPUT_BYTES
+    }
+
     /// Drops the output that the ledger has stored: the first `len` bytes. `events` is the number
     /// of events that the ledger now holds.
     pub fn mark_stored(&mut self, events: u64, len: usize) {
         let separator = usize::from(self.events > events);
         self.output.drain(..(len + separator).min(self.output.len()));
         self.stored_events = events;
+        self.stored_bytes += len + separator;
     }
 }
 
--- a/tests/fleet_endless.rs
+++ b/tests/fleet_endless.rs
@@ -642,6 +642,8 @@
             ("event", "data: aaaaaaaa", 0),
             ("comments", ": aaaaaaaa\n\n", 0),
             ("same-id", "id: 1\ndata: aaaaaaaa\n\n", 0),
+            ("without-ids", "data: aaaaaaaa\n\n", 0),
+            ("numbered", "id: {n}\ndata: aaaaaaaa\n\n", 0),
             ("slow-comments", ": aaaaaaaa\n\n", 100),
         ];
         let mut seen = Vec::new();
@@ -671,6 +673,8 @@
         event: tried true, Ok(())
         comments: tried true, Ok(())
         same-id: tried true, Ok(())
+        without-ids: tried true, Ok(())
+        numbered: tried true, Ok(())
         slow-comments: tried true, Ok(())
         fits true
         ");
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -342,3 +342,25 @@
     }
     assert_eq!(seen, [true, false, false, false]);
 }
+
+/// Guards against dropped output that comes back, or that is still counted.
+#[test]
+fn discarded_output_starts_over() {
+    let mut l = Ledger::default();
+    submit(&mut l, "j", &["a", "b"]);
+    let empty = l.stored_bytes();
+    l.execute(2, Command::StoreOutput(vec![chunk("j", "a", 0, 2, "wrong")]));
+    let discard = |item: &str| Command::DiscardOutput { job: "j".into(), item: item.into() };
+    let mut seen = vec![format!("{:?}", l.execute(3, discard("a")))];
+    seen.push(format!("{} B", l.stored_bytes() - empty));
+    // Follows the output that was dropped.
+    l.execute(4, Command::StoreOutput(vec![chunk("j", "a", 2, 3, "wrong")]));
+    // Is proposed again by a former leader.
+    l.execute(4, Command::StoreGenerations(vec![generation_chunk((0, "v1"), (0, 2), "wrong")]));
+    seen.push(format!("{:?}", l.execute(5, Command::Complete(chunk("j", "a", 0, 1, "right")))));
+    // The item has ended.
+    seen.push(format!("{:?}", l.execute(6, discard("a"))));
+    let results = &l.job("j").expect("job").results;
+    seen.push(format!("{:?}", results.iter().map(|r| &r.output).collect::<Vec<_>>()));
+    insta::assert_snapshot!(seen.join(" "), @r#"Done 0 B Done Done [b"right"]"#);
+}
