Limit an event that an agent reads from an engine

The parser of an agent's streams has no limit, and comments are skipped without end: an engine that never ends an event filled the memory of the agent, with nothing but the wait for each part as a limit.

A stream now fails once a megabyte has arrived without the end of an event with data.

--- a/src/agent/upstream.rs
+++ b/src/agent/upstream.rs
@@ -9,6 +9,8 @@
 use hyper_util::rt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time;
 
@@ -17,6 +19,9 @@
 /// Idle time after which a pooled connection is closed. Devices on the path may drop the state of
 /// connections that idle for longer.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most bytes of a stream of events in which no event with data ends. The parts of a body are
+/// shorter.
+const MAX_EVENT_SIZE: usize = 1 << 20;
 /// Most bytes that [`Response::read_body`] accepts.
 const MAX_BODY_SIZE: usize = 16 << 20;
 
@@ -171,15 +176,24 @@
     /// Converts the body into a stream of server-sent events.
     pub fn events(self) -> Events {
         let peer = self.peer.clone();
-        let parts = futures_util::stream::unfold(Some(self), |state| async move {
-            let mut response = state?;
+        let unused = Arc::<AtomicUsize>::default();
+        let state = Some((self, unused.clone()));
+        let parts = futures_util::stream::unfold(state, |state| async move {
+            let (mut response, unused) = state?;
             match response.next_part().await {
-                Ok(Some(part)) => Some((Ok(part), Some(response))),
+                Ok(Some(part))
+                    if unused.fetch_add(part.len(), Ordering::Relaxed) > MAX_EVENT_SIZE =>
+                {
+                    let peer = response.peer.clone();
+                    let error = errors::Error::protocol("read event", peer, "event is too long");
+                    Some((Err(error), None))
+                }
+                Ok(Some(part)) => Some((Ok(part), Some((response, unused)))),
                 Ok(None) => None,
                 Err(error) => Some((Err(error), None)),
             }
         });
-        Events { stream: sse_stream::SseByteStream::new(parts.boxed()), peer }
+        Events { stream: sse_stream::SseByteStream::new(parts.boxed()), unused, peer }
     }
 }
 
@@ -188,6 +202,8 @@
     stream: sse_stream::SseByteStream<
         futures_util::stream::BoxStream<'static, Result<Bytes, errors::Error>>,
     >,
+    /// Bytes read since the last event with data.
+    unused: Arc<AtomicUsize>,
     peer: Arc<str>,
 }
 
@@ -199,6 +215,7 @@
             match self.stream.next().await {
                 Some(Ok(event)) => {
                     if let Some(data) = event.data {
+                        self.unused.store(0, Ordering::Relaxed);
                         return Ok(Some(data));
                     }
                 }
--- a/tests/fleet_endless.rs
+++ b/tests/fleet_endless.rs
@@ -2,6 +2,7 @@
 
 mod fleet_world;
 
+use basilfield::agent;
 use basilfield::emulator::plain;
 use basilfield::fleet::runner;
 use basilfield::fleet::sse;
@@ -301,6 +302,34 @@
     });
 }
 
+/// Guards against an event without end that fills the memory of an agent.
+#[test]
+fn endless_event_is_not_read_on_by_an_agent() {
+    run(async {
+        let mut seen = Vec::new();
+        for (name, piece) in [("event", "data: aaaaaaaa"), ("comments", ": aaaaaaaa\n\n")] {
+            let endpoint = RawEndpoint::start(Script::endless("200 OK", UNFRAMED, piece));
+            let request = agent::upstream::Request {
+                address: endpoint.address,
+                method: "POST".into(),
+                path: "/".into(),
+                content_type: "application/json".into(),
+                body: Bytes::new(),
+                stall_timeout: FAILURE_TIME,
+                header_timeout: FAILURE_TIME,
+            };
+            let response = agent::upstream::Upstream::new().send(&request).await;
+            let mut events = response.expect("head").events();
+            let read = tokio::time::timeout(FAILURE_TIME / 2, events.next()).await;
+            drop(events);
+            let failed = matches!(read, Ok(Err(_)));
+            let left = endpoint.is_left_within(FAILURE_TIME).await;
+            seen.push(format!("{name}: failed {failed}, left {left}"));
+        }
+        insta::assert_snapshot!(seen.join("; "), @"event: failed true, left true; comments: failed true, left true");
+    });
+}
+
 /// Guards against complete events that count towards the limit on an incomplete one.
 #[test]
 fn complete_events_do_not_count_as_a_long_one() {
