--- a/tests/fleet_progress.rs
+++ b/tests/fleet_progress.rs
@@ -97,3 +97,22 @@
     false 1 2 v3/v3
     ");
 }
+
+/// Guards against output without end that fills the memory of the leader or the ledger, also if it
+/// arrives so slowly that most of it is stored.
+#[test]
+fn endless_output_is_noticed() {
+    let mut seen = Vec::new();
+    for store in [false, true] {
+        let mut progress = progress::Progress::default();
+        while !progress.is_too_long() {
+            progress.add_event(&[b'a'; 65_535], None);
+            if store {
+                progress.mark_stored(progress.events, progress.unstored_bytes());
+            }
+        }
+        let unstored = progress.unstored_bytes();
+        seen.push(format!("{} stored, {unstored} not stored", progress.stored_bytes));
+    }
+    insta::assert_snapshot!(seen.join("; "), @"0 stored, 1114111 not stored; 8454015 stored, 0 not stored");
+}
