Send nothing new to endpoints that say in answers that they leave

An endpoint that leaves says so in all its answers. The hosts ignored this and learned of the leaving only from the directory, which does not tell while the control hosts are cut off. Requests and items then kept reaching the endpoint.

A host now reads the header from the head of each answer and marks the endpoint as leaving in its own directory. The mark replaces the registered phase in all choices: first attempts, retries, resumed streams, released slots and items. It belongs to one start of the endpoint and ends with the next one.

Headers with another value, repeated headers, and answers that do not repeat the request id or come from another endpoint at the address are ignored.

--- a/src/emulator/plain.rs
+++ b/src/emulator/plain.rs
@@ -20,6 +20,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task;
@@ -77,6 +79,10 @@
 /// Record of one execution of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
+    /// Id of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Whether the answer said that the endpoint is leaving.
+    pub leaving: bool,
     /// Id of the request.
     pub request_id: Arc<str>,
     /// Number of the last event that the sender had already received; 0 for none.
@@ -94,6 +100,8 @@
 struct Inner {
     options: Options,
     faults: Mutex<FaultRates>,
+    /// Whether every answer says that the endpoint is leaving.
+    leaving: AtomicBool,
     runs: Mutex<Vec<Run>>,
     running: Mutex<usize>,
 }
@@ -132,6 +140,7 @@
         let inner = Arc::new(Inner {
             options,
             faults: Mutex::default(),
+            leaving: AtomicBool::default(),
             runs: Mutex::default(),
             running: Mutex::default(),
         });
@@ -145,7 +154,16 @@
                 tasks.spawn(async move {
                     let service = hyper::service::service_fn(move |request| {
                         let inner = inner.clone();
-                        async move { inner.handle(request).await }
+                        async move {
+                            let leaving = inner.leaving.load(Ordering::Relaxed);
+                            let mut response = inner.clone().handle(request, leaving).await?;
+                            if leaving {
+                                let names = &inner.options.headers;
+                                let value = names.leaving_value.clone();
+                                response.headers_mut().insert(names.leaving.clone(), value);
+                            }
+                            Ok::<_, Infallible>(response)
+                        }
                     });
                     let io = TokioIo::new(stream);
                     // The caller sees the error on its side of the connection.
@@ -186,6 +204,11 @@
         &self.inner.options.build
     }
 
+    /// Makes every answer from now on say that the endpoint is leaving.
+    pub fn leave(&self) {
+        self.inner.leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the record of every execution so far.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.inner.runs).clone()
@@ -224,6 +247,7 @@
     async fn handle(
         self: Arc<Self>,
         request: hyper::Request<hyper::body::Incoming>,
+        leaving: bool,
     ) -> Result<hyper::Response<Body>, Infallible> {
         let (head, body) = request.into_parts();
         let names = &self.options.headers;
@@ -243,7 +267,11 @@
         };
         let path = head.uri.path().into();
         let hash = xxhash_rust::xxh3::xxh3_64(&body);
+        let is_lost = rand::random::<f64>() < faults.lost_rate;
+        let is_mismatched = rand::random::<f64>() < faults.mismatch_rate;
         lock(&self.runs).push(Run {
+            endpoint: self.options.id.clone(),
+            leaving: leaving && !is_lost && !is_mismatched,
             request_id: request.clone(),
             last_event: after,
             path,
@@ -251,10 +279,10 @@
             build: self.options.build.clone(),
             started: time::Instant::now(),
         });
-        if rand::random::<f64>() < faults.lost_rate {
+        if is_lost {
             return hang().await;
         }
-        if rand::random::<f64>() < faults.mismatch_rate {
+        if is_mismatched {
             return Ok(self.decline_response(Some(HeaderValue::from_static("another"))));
         }
         let pause = faults.pause.filter(|p| rand::random::<f64>() < p.rate);
--- a/src/events.rs
+++ b/src/events.rs
@@ -166,6 +166,14 @@
     REGISTRATION_UNCONFIRMED = 612, Warning, "registration not acknowledged";
     /// An endpoint that runs a request has been silent for long, and another one is asked as well.
     ENDPOINT_SILENT = 613, Info, "endpoint silent, another one asked";
+    /// An endpoint said in an answer that it is leaving. This host sends it no new requests until it
+    /// starts again.
+    ENDPOINT_LEAVING = 614, Info, "endpoint is leaving";
+    /// An endpoint is no longer marked as leaving: it started again, has left, or its record expired.
+    ENDPOINT_LEAVING_ENDED = 615, Info, "endpoint no longer marked as leaving";
+    /// An answer said in an invalid form, or in place of another answer, that its endpoint is leaving;
+    /// this was ignored.
+    LEAVING_UNUSABLE = 616, Warning, "unusable statement that an endpoint is leaving";
     /// A request was refused.
     REQUEST_REFUSED = 700, Debug, "request refused";
     /// An attempt failed and the request is retried elsewhere.
--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -4,6 +4,10 @@
 //! updates arrive: a later `start_time` replaces an earlier one, and within one start a higher
 //! sequence number replaces a lower one. The directory is soft state: after a restart, the next
 //! heartbeats restore the records.
+//!
+//! An endpoint also says in its answers that it is leaving. A host that gets such an answer marks the
+//! endpoint in its own directory until it starts again. The mark is not part of what hosts tell each
+//! other, so that directories with and without it have the same digest.
 
 use crate::fleet::settings;
 use crate::sorted;
@@ -27,6 +31,9 @@
     Draining,
     /// Has deregistered, or an endpoint that started later uses its address.
     Gone,
+    /// Said in an answer to this host that it is leaving, whatever its registrations say since.
+    #[serde(skip)]
+    Leaving,
 }
 
 /// Registration of an endpoint.
@@ -52,6 +59,13 @@
     pub phase: Phase,
 }
 
+impl Endpoint {
+    /// Whether requests may be sent to it, if only because no other endpoint is left.
+    pub fn is_available(&self) -> bool {
+        matches!(self.phase, Phase::Ready | Phase::Silent)
+    }
+}
+
 /// Registration of a host.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Host {
@@ -79,6 +93,8 @@
 const RECORD_TIMEOUT: Duration = Duration::from_secs(60);
 /// A host counts as present for this long after its last registration.
 const PRESENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Shortest time between two reports of unusable statements of one endpoint that it is leaving.
+const REPORT_INTERVAL: Duration = Duration::from_secs(60);
 
 #[derive(Clone, Debug)]
 struct Record<T> {
@@ -87,11 +103,77 @@
     updated: Duration,
 }
 
+/// Record of an endpoint.
+#[derive(Clone, Debug)]
+struct EndpointRecord {
+    /// The endpoint as this host sees it.
+    endpoint: Endpoint,
+    /// Phase in the directories of all hosts, which differs if the endpoint is marked as leaving.
+    registered: Phase,
+    /// When this host last received or changed the registration.
+    updated: Duration,
+    /// When an unusable statement that it is leaving was last reported.
+    reported: Option<Duration>,
+}
+
+impl EndpointRecord {
+    fn new(now: Duration, endpoint: Endpoint) -> EndpointRecord {
+        let registered = endpoint.phase;
+        EndpointRecord { endpoint, registered, updated: now, reported: None }
+    }
+
+    /// The endpoint as the directories of all hosts hold it.
+    fn registration(&self) -> Endpoint {
+        Endpoint { phase: self.registered, ..self.endpoint.clone() }
+    }
+
+    /// Replaces the registered phase. Returns how the mark as leaving has ended, if it has.
+    fn set_phase(&mut self, now: Duration, phase: Phase) -> Option<EndedMark> {
+        let next = Endpoint { phase, ..self.endpoint.clone() };
+        self.replace(now, next)
+    }
+
+    /// Replaces the registration. Returns how the mark as leaving has ended, if it has.
+    fn replace(&mut self, now: Duration, next: Endpoint) -> Option<EndedMark> {
+        let cause = match self.endpoint.phase {
+            Phase::Leaving if next.start_time != self.endpoint.start_time => "it started again",
+            Phase::Leaving if next.phase == Phase::Gone => "it has left",
+            Phase::Leaving => {
+                (self.registered, self.updated) = (next.phase, now);
+                self.endpoint = Endpoint { phase: Phase::Leaving, ..next };
+                return None;
+            }
+            _ => "",
+        };
+        let reported = self.reported;
+        let next = EndpointRecord { reported, ..EndpointRecord::new(now, next) };
+        std::mem::replace(self, next).ended_mark(cause)
+    }
+
+    fn ended_mark(self, cause: &'static str) -> Option<EndedMark> {
+        let Endpoint { id, start_time, phase, .. } = self.endpoint;
+        (phase == Phase::Leaving).then_some(EndedMark { id, start_time, cause })
+    }
+}
+
+/// End of the mark of an endpoint as leaving.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndedMark {
+    /// Id of the endpoint.
+    pub id: Arc<str>,
+    /// Start of the endpoint to which the mark belonged.
+    pub start_time: u64,
+    /// What ended it.
+    pub cause: &'static str,
+}
+
 /// Hosts and endpoints known to this host.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    endpoints: sorted::SortedMap<Arc<str>, Record<Endpoint>>,
+    endpoints: sorted::SortedMap<Arc<str>, EndpointRecord>,
     hosts: sorted::SortedMap<Arc<str>, Record<Host>>,
+    /// Marks that have ended since they were last taken.
+    ended_marks: Vec<EndedMark>,
 }
 
 /// Records of a directory, as sent to other hosts.
@@ -112,20 +194,19 @@
         }
         let changed = match self.endpoints.get_mut(&next.id) {
             Some(record) => {
-                let known = &record.value;
+                let known = record.registration();
                 let (old, new) = ((known.start_time, known.seq), (next.start_time, next.seq));
                 // An endpoint that is gone returns only with a later start.
                 let left = known.phase == Phase::Gone && known.start_time == next.start_time;
                 if new < old || left {
                     return false;
                 }
-                let changed = Endpoint { seq: known.seq, ..next.clone() } != *known;
-                *record = Record { value: next.clone(), updated: now };
+                let changed = Endpoint { seq: known.seq, ..next.clone() } != known;
+                self.ended_marks.extend(record.replace(now, next.clone()));
                 changed
             }
             None => {
-                let record = Record { value: next.clone(), updated: now };
-                self.endpoints.insert(next.id.clone(), record);
+                self.endpoints.insert(next.id.clone(), EndpointRecord::new(now, next.clone()));
                 true
             }
         };
@@ -138,7 +219,7 @@
     /// Whether an endpoint that started later uses the same address.
     fn is_superseded(&self, next: &Endpoint) -> bool {
         self.endpoints.values().any(|r| {
-            let other = &r.value;
+            let other = &r.endpoint;
             other.id != next.id
                 && other.address == next.address
                 && other.start_time > next.start_time
@@ -148,12 +229,13 @@
     /// Marks the other endpoints with the same address as gone unless they started later.
     fn mark_superseded(&mut self, next: &Endpoint) {
         for (_, record) in self.endpoints.iter_mut() {
-            let other = &mut record.value;
+            let other = &record.endpoint;
             if other.id != next.id
                 && other.address == next.address
                 && other.start_time <= next.start_time
             {
-                other.phase = Phase::Gone;
+                let updated = record.updated;
+                self.ended_marks.extend(record.set_phase(updated, Phase::Gone));
             }
         }
     }
@@ -167,12 +249,40 @@
         start_time: Option<u64>,
     ) -> Option<Endpoint> {
         let record = self.endpoints.get_mut(id)?;
-        if start_time.is_some_and(|start_time| start_time < record.value.start_time) {
+        if start_time.is_some_and(|start_time| start_time < record.endpoint.start_time) {
             return None;
         }
-        record.value.phase = Phase::Gone;
-        record.updated = now;
-        Some(record.value.clone())
+        self.ended_marks.extend(record.set_phase(now, Phase::Gone));
+        Some(record.endpoint.clone())
+    }
+
+    /// Marks an endpoint as leaving because an answer of its start `start_time` said so. Returns the
+    /// time since its registration was last received or changed; `None` if it is already known that
+    /// this start accepts no requests, or another start is known.
+    pub fn mark_leaving(&mut self, now: Duration, id: &str, start_time: u64) -> Option<Duration> {
+        let record = self.endpoints.get_mut(id)?;
+        let accepts = record.endpoint.start_time == start_time
+            && matches!(record.endpoint.phase, Phase::Ready | Phase::Silent | Phase::Draining);
+        accepts.then(|| {
+            record.endpoint.phase = Phase::Leaving;
+            now.saturating_sub(record.updated)
+        })
+    }
+
+    /// Whether to report that an endpoint sent an unusable statement that it is leaving: at most
+    /// once per `REPORT_INTERVAL`, and only for endpoints in the directory.
+    pub fn try_take_report(&mut self, now: Duration, id: &str) -> bool {
+        let Some(record) = self.endpoints.get_mut(id) else { return false };
+        let is_due = record.reported.is_none_or(|at| now.saturating_sub(at) >= REPORT_INTERVAL);
+        if is_due {
+            record.reported = Some(now);
+        }
+        is_due
+    }
+
+    /// Returns the marks as leaving that have ended since the last call.
+    pub fn take_ended_marks(&mut self) -> Vec<EndedMark> {
+        std::mem::take(&mut self.ended_marks)
     }
 
     /// Stores the registration of a host. Returns whether anything but its sequence number changed.
@@ -232,14 +342,15 @@
         if copy.phase == Phase::Silent {
             // A silent endpoint that is unknown here has already been dropped.
             let Some(record) = known else { return false };
-            let same = record.value.start_time == copy.start_time && copy.seq >= record.value.seq;
-            if same && record.value.phase == Phase::Ready {
-                *record = Record { value: copy.clone(), updated: now };
+            let known = &record.endpoint;
+            let same = known.start_time == copy.start_time && copy.seq >= known.seq;
+            if same && record.registered == Phase::Ready {
+                self.ended_marks.extend(record.replace(now, copy.clone()));
                 return true;
             }
             return false;
         }
-        if let Some(known) = known.map(|r| &r.value) {
+        if let Some(known) = known.map(|r| r.registration()) {
             if copy.start_time == known.start_time && copy.phase == Phase::Gone {
                 let changed = known.phase != Phase::Gone;
                 return changed
@@ -259,14 +370,13 @@
         let mut changed = Records::default();
         let is_overdue = |updated: Duration| now.saturating_sub(updated) >= RECORD_TIMEOUT;
         for (_, record) in self.endpoints.iter_mut().filter(|(_, r)| is_overdue(r.updated)) {
-            let phase = match record.value.phase {
+            let phase = match record.registered {
                 Phase::Ready => Phase::Silent,
                 Phase::Draining => Phase::Gone,
-                Phase::Silent | Phase::Gone => continue,
+                Phase::Silent | Phase::Gone | Phase::Leaving => continue,
             };
-            record.value.phase = phase;
-            record.updated = now;
-            changed.endpoints.push(record.value.clone());
+            self.ended_marks.extend(record.set_phase(now, phase));
+            changed.endpoints.push(record.registration());
         }
         let hosts = self.hosts.iter_mut().filter(|(link, _)| &***link != own);
         for (_, record) in hosts.filter(|(_, r)| is_overdue(r.updated) && !r.value.silent) {
@@ -280,27 +390,32 @@
     /// Drops records that have been silent or gone for a long time.
     pub fn remove_expired(&mut self, now: Duration) {
         let is_old = |updated: Duration| now.saturating_sub(updated) >= RECORD_TIMEOUT;
-        self.endpoints.retain(|_, r| {
-            !(is_old(r.updated) && matches!(r.value.phase, Phase::Silent | Phase::Gone))
-        });
+        let is_expired = |r: &EndpointRecord| {
+            is_old(r.updated) && matches!(r.registered, Phase::Silent | Phase::Gone)
+        };
+        let expired = self.endpoints.values().filter(|r| is_expired(r)).cloned();
+        let ended = expired.filter_map(|r| r.ended_mark("its record has expired"));
+        self.ended_marks.extend(ended);
+        self.endpoints.retain(|_, r| !is_expired(r));
         self.hosts.retain(|_, r| !(is_old(r.updated) && r.value.silent));
     }
 
     /// Copy of all records.
     pub fn records(&self) -> Records {
         Records {
-            endpoints: self.endpoints.values().map(|r| r.value.clone()).collect(),
+            endpoints: self.endpoints.values().map(EndpointRecord::registration).collect(),
             hosts: self.hosts.values().map(|r| r.value.clone()).collect(),
         }
     }
 
     /// Digest of the records in use. Leaves out sequence numbers, which change with every
-    /// heartbeat, and silent or gone records, which each host drops at a different time.
+    /// heartbeat, silent or gone records, which each host drops at a different time, and marks as
+    /// leaving, which only the host that set them has.
     pub fn digest(&self) -> u64 {
         let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-        let used = |e: &&Endpoint| !matches!(e.phase, Phase::Silent | Phase::Gone);
-        for endpoint in self.endpoints().filter(used) {
-            Endpoint { seq: 0, ..endpoint.clone() }.hash(&mut hasher);
+        let used = |r: &&EndpointRecord| !matches!(r.registered, Phase::Silent | Phase::Gone);
+        for record in self.endpoints.values().filter(used) {
+            Endpoint { seq: 0, ..record.registration() }.hash(&mut hasher);
         }
         for host in self.hosts.values().map(|r| &r.value).filter(|h| !h.silent) {
             Host { seq: 0, ..host.clone() }.hash(&mut hasher);
@@ -313,9 +428,7 @@
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = &'a Endpoint> {
-        let takes = |e: &Endpoint| matches!(e.phase, Phase::Ready | Phase::Silent);
-        let ready = move |e: &&Endpoint| &*e.service == service && takes(e);
-        self.endpoints.values().map(|r| &r.value).filter(ready)
+        self.endpoints().filter(move |e| &*e.service == service && e.is_available())
     }
 
     /// Builds of the endpoints of a service, sorted, including those that are gone.
@@ -329,12 +442,12 @@
 
     /// All endpoints, including those that are gone.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.values().map(|r| &r.value)
+        self.endpoints.values().map(|r| &r.endpoint)
     }
 
     /// Endpoint with the given id.
     pub fn endpoint(&self, id: &str) -> Option<&Endpoint> {
-        self.endpoints.get(id).map(|r| &r.value)
+        self.endpoints.get(id).map(|r| &r.endpoint)
     }
 
     /// Hosts with the given role that are not silent.
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -693,8 +693,9 @@
 
     /// Starts a run of an item at an endpoint.
     fn start_item(&mut self, queued: &QueuedItem, endpoint: &directory::Endpoint) {
-        let directory::Endpoint { id: endpoint, service, address, build, .. } = endpoint;
-        let (endpoint, address) = (endpoint.clone(), *address);
+        let directory::Endpoint { id: endpoint, service, start_time, address, build, .. } =
+            endpoint;
+        let (endpoint, start_time, address) = (endpoint.clone(), *start_time, *address);
         let QueuedItem { key, item, host, progress } = queued;
         let key = key.clone();
         let tracked = self.tracked.get(&key).map(|k| k.progress.clone());
@@ -716,9 +717,15 @@
             }
         };
         self.last_run += 1;
-        let last_event = progress.last_event;
-        let run =
-            runner::Run { key: key.clone(), number: self.last_run, last_event, address, request };
+        let run = runner::Run {
+            key: key.clone(),
+            number: self.last_run,
+            last_event: progress.last_event,
+            endpoint: endpoint.clone(),
+            start_time,
+            address,
+            request,
+        };
         let (node, reports) = (self.node.clone(), self.reports.clone());
         let guard = self.node.count_request(service, &endpoint);
         let run = tokio::spawn(async move {
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -366,6 +366,8 @@
                 };
                 (outcome, Arc::from(failure.to_string()))
             })?;
+            let notice = response.leaving_notice(&headers, &id);
+            node.handle_leaving_notice(&endpoint.id, endpoint.start_time, notice, &id);
             match response.classify(&headers, &id) {
                 upstream::ResponseClass::Matching => {}
                 upstream::ResponseClass::Declined => {
@@ -494,6 +496,10 @@
                 }
                 place::Choice::None => return Err(self.give_up("no endpoint is left")),
             };
+            // It may have started to leave while the request waited for a slot.
+            if !self.node.is_available(&endpoint.id) {
+                continue;
+            }
             self.tried.push(endpoint.id.clone());
             self.record_origin(&endpoint.build);
             let name = endpoint.id.clone();
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -171,6 +171,7 @@
     pub fn apply_update(&self, update: frame::Update) -> Option<frame::Update> {
         let has_document = update.document.is_some();
         let applied = self.view.apply_update(self.now(), update);
+        self.report_ended_marks();
         if has_document {
             let known = self.view.config_version();
             let source = peer::lock(&self.config_fetch).record_arrival(self.now(), known);
@@ -200,6 +201,52 @@
         })
     }
 
+    /// Whether requests may still be sent to an endpoint that was chosen before.
+    pub fn is_available(&self, id: &str) -> bool {
+        self.view.directory(|d| d.endpoint(id).is_some_and(directory::Endpoint::is_available))
+    }
+
+    /// Handles what an answer of an endpoint to the request `request` says about whether the endpoint
+    /// is leaving. `start_time` is the start of the endpoint to which the request was sent.
+    pub fn handle_leaving_notice(
+        &self,
+        id: &str,
+        start_time: u64,
+        notice: upstream::LeavingNotice,
+        request: &str,
+    ) {
+        let now = self.now();
+        match notice {
+            upstream::LeavingNotice::Absent => {}
+            upstream::LeavingNotice::Leaving => {
+                let marked = self.view.directory(|d| d.mark_leaving(now, id, start_time));
+                if let Some(age) = marked {
+                    self.metrics.count_leaving("marked");
+                    event!(self.log, events::ENDPOINT_LEAVING; "endpoint" => id,
+                        "born" => start_time, "told_by" => request,
+                        "entry_age_ms" => age.as_millis() as u64);
+                    self.view.notify_directory_changed();
+                }
+            }
+            upstream::LeavingNotice::Unusable(cause) => {
+                self.metrics.count_leaving("unusable");
+                if self.view.directory(|d| d.try_take_report(now, id)) {
+                    event!(self.log, events::LEAVING_UNUSABLE; "endpoint" => id,
+                        "told_by" => request, "cause" => cause);
+                }
+            }
+        }
+    }
+
+    /// Counts and logs the marks as leaving that have ended.
+    fn report_ended_marks(&self) {
+        for mark in self.view.directory(directory::Directory::take_ended_marks) {
+            self.metrics.count_leaving("ended");
+            event!(self.log, events::ENDPOINT_LEAVING_ENDED; "endpoint" => &*mark.id,
+                "born" => mark.start_time, "cause" => mark.cause);
+        }
+    }
+
     /// Records and logs that an endpoint failed, so that it is avoided for a while.
     pub fn record_endpoint_failure(&self, id: &Arc<str>, cause: &dyn std::fmt::Display) {
         let pause = peer::lock(&self.health).record_failure(self.now(), id);
@@ -295,6 +342,7 @@
             node.peers.cast(&control, frame::Cast::Announce(announcement.clone()));
         }
         node.view.directory(|d| d.remove_expired(node.now()));
+        node.report_ended_marks();
         peer::lock(&node.health).remove_expired(node.now());
         peer::lock(&node.origins).remove_expired(node.now());
         node.repeat_origins(&mut informed);
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -40,6 +40,8 @@
 pub struct Candidate {
     /// Id of the endpoint.
     pub id: Arc<str>,
+    /// Start of the endpoint in milliseconds of Unix time; 0 if not stated.
+    pub start_time: u64,
     /// Address for requests.
     pub address: SocketAddr,
     /// Build of its software.
@@ -64,6 +66,7 @@
     ) -> Candidate {
         Candidate {
             id: endpoint.id.clone(),
+            start_time: endpoint.start_time,
             address: endpoint.address,
             build: endpoint.build.clone(),
             same_domain: *endpoint.domain == *domain,
--- a/src/fleet/protocol.rs
+++ b/src/fleet/protocol.rs
@@ -8,6 +8,7 @@
 use crate::fleet::routes;
 use derive_more::Display;
 use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use std::sync::Arc;
 
 /// Names of the headers that this crate reads or sets.
@@ -21,6 +22,10 @@
     pub expected_endpoint: HeaderName,
     /// Set by an endpoint in the answer to a request that it did not run.
     pub declined: HeaderName,
+    /// Set by an endpoint in every answer while it is leaving, with the value `leaving_value`.
+    pub leaving: HeaderName,
+    /// Value of `leaving`; any other one says nothing.
+    pub leaving_value: HeaderValue,
     /// Number of the last event that the receiver of a stream has.
     pub last_event: HeaderName,
     /// Id of the request that began the stream which the caller takes up again.
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -75,6 +75,10 @@
     pub number: u64,
     /// Number of the last event that has arrived in earlier runs.
     pub last_event: Option<u64>,
+    /// Id of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Start of the endpoint in milliseconds of Unix time.
+    pub start_time: u64,
     /// Address of the endpoint.
     pub address: SocketAddr,
     /// Request of the item.
@@ -161,8 +165,8 @@
 impl Run {
     /// Runs the item and sends its events and its end to `reports`.
     pub async fn run(self, node: node::Node, reports: mpsc::Sender<Report>) {
-        let Run { key, number, last_event, address, request } = self;
-        let reporter = Reporter { key, number, last_event, reports };
+        let Run { key, number, last_event, endpoint, start_time, address, request } = self;
+        let reporter = Reporter { key, number, last_event, endpoint, start_time, reports };
         let update = RunUpdate::Ended(reporter.stream_events(&node, address, request).await);
         reporter.send(update).await;
     }
@@ -174,6 +178,8 @@
     number: u64,
     /// Number of the last event that has arrived in earlier runs.
     last_event: Option<u64>,
+    endpoint: Arc<str>,
+    start_time: u64,
     reports: mpsc::Sender<Report>,
 }
 
@@ -221,6 +227,8 @@
             Err(ended) => return ended,
         };
         let status = response.head.status;
+        let notice = response.leaving_notice(names, &self.key.1);
+        node.handle_leaving_notice(&self.endpoint, self.start_time, notice, &self.key.1);
         match response.classify(names, &self.key.1) {
             upstream::ResponseClass::Matching => {}
             upstream::ResponseClass::Declined => return interrupted("declined", false),
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -201,6 +201,42 @@
     }
 }
 
+/// What the head of a response says about whether the endpoint is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeavingNotice {
+    /// Nothing.
+    Absent,
+    /// The endpoint is leaving.
+    Leaving,
+    /// Nothing that can be used, for this reason.
+    Unusable(&'static str),
+}
+
+/// Reads from the head of a response to the request `id` whether the endpoint is leaving. Only the
+/// head counts: an endpoint may break off the body just because it is leaving.
+pub fn leaving_notice(
+    names: &protocol::Headers,
+    head: &hyper::http::response::Parts,
+    id: &str,
+) -> LeavingNotice {
+    let mut values = head.headers.get_all(&names.leaving).iter();
+    let (Some(value), other) = (values.next(), values.next()) else { return LeavingNotice::Absent };
+    let mut echoes = head.headers.get_all(&names.request_id).iter();
+    let is_own = echoes.next().is_some_and(|e| e.as_bytes() == id.as_bytes());
+    if !is_own || echoes.next().is_some() {
+        LeavingNotice::Unusable("the answer does not name the request")
+    } else if head.status == StatusCode::MISDIRECTED_REQUEST {
+        // Another endpoint that has taken over the address speaks of itself.
+        LeavingNotice::Unusable("the answer is from another endpoint")
+    } else if other.is_some() {
+        LeavingNotice::Unusable("the header is repeated")
+    } else if *value != names.leaving_value {
+        LeavingNotice::Unusable("the header has another value")
+    } else {
+        LeavingNotice::Leaving
+    }
+}
+
 /// Response of an endpoint. Its body is still arriving.
 pub struct Response {
     /// Status line and headers.
@@ -330,6 +366,12 @@
         classify_response(names, &self.head, id, self.reused)
     }
 
+    /// What the head says about whether the endpoint is leaving, if this is the response to the
+    /// request `id`.
+    pub fn leaving_notice(&self, names: &protocol::Headers, id: &str) -> LeavingNotice {
+        leaving_notice(names, &self.head, id)
+    }
+
     /// Returns the next bytes of the body; `None` once it is complete.
     ///
     /// # Errors
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -26,6 +26,7 @@
     items: Counter<u64>,
     preemptions: Counter<u64>,
     faults: Counter<u64>,
+    leaving: Counter<u64>,
     latency: Histogram<f64>,
     level: Gauge<u64>,
 }
@@ -57,6 +58,7 @@
             items: counter("items", "Batch items by outcome"),
             preemptions: counter("preemptions", "Batch streams preempted for online requests"),
             faults: counter("faults", "Faults by step"),
+            leaving: counter("leaving", "Marks of endpoints as leaving by change"),
             latency: meter
                 .f64_histogram("latency_seconds")
                 .with_description("Latency by step")
@@ -99,6 +101,12 @@
         self.inner.faults.add(1, &[KeyValue::new("step", step)]);
     }
 
+    /// Counts a change of the mark of an endpoint as leaving: `marked`, `ended`, or `unusable` for a
+    /// statement that was ignored.
+    pub fn count_leaving(&self, change: &'static str) {
+        self.inner.leaving.add(1, &[KeyValue::new("change", change)]);
+    }
+
     /// Records the latency of a step.
     pub fn record_latency(&self, step: &'static str, elapsed: Duration) {
         self.inner.latency.record(elapsed.as_secs_f64(), &[KeyValue::new("step", step)]);
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -108,6 +108,7 @@
 fn candidate(id: &str, same_domain: bool, own: u32, online: u32, batch: u32) -> place::Candidate {
     place::Candidate {
         id: id.into(),
+        start_time: 1,
         address: ([127, 0, 0, 1], 1).into(),
         build: "v1".into(),
         same_domain,
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -35,6 +35,7 @@
 pub const ROUTE_HOST: &str = "soak.example";
 pub const STREAM_PREFIX: &str = "/stream/";
 pub const ONCE_PREFIX: &str = "/once/";
+pub const PLAIN_PREFIX: &str = "/plain/";
 pub const BATCH_PREFIX: &str = "/batch/";
 pub const SAFE_PREFIX: &str = "/safe/";
 pub const SERVICE: &str = "engines";
@@ -65,6 +66,11 @@
     starts: u32,
 }
 
+/// Names of the headers of the platform's protocol.
+pub fn protocol_headers() -> basilfield::fleet::protocol::Headers {
+    platform::Platform::default().headers().clone()
+}
+
 /// Size of a world. The address ranges allow at most 10 control hosts, 29 stores, 159 entries and
 /// 50 endpoints.
 #[derive(Clone, Copy, Debug)]
@@ -164,7 +170,7 @@
             builds: vec![DEFAULT_BUILD.into(); size.endpoints.into()],
             slots: ENDPOINT_OPTIONS.0,
             finished_runs: Vec::new(),
-            headers: platform::Platform::default().headers().clone(),
+            headers: protocol_headers(),
             version: 0,
             next_endpoint: 0,
             seq: 0,
@@ -589,6 +595,7 @@
             "routes": [
                 route("stream", STREAM_PREFIX, "streaming", 3, true),
                 route("once", ONCE_PREFIX, "streaming", 1, false),
+                route("plain", PLAIN_PREFIX, "safe", 3, false),
                 route("batch", BATCH_PREFIX, "batch", 3, false),
                 route("safe", SAFE_PREFIX, "safe", 3, false),
                 route("version", &format!("/v{version}/"), "streaming", 1, false),
--- a/tests/loads/steps.rs
+++ b/tests/loads/steps.rs
@@ -156,6 +156,7 @@
             let running = load::Running { own: self.own[e][entry], online: others, batch: 0 };
             place::Candidate {
                 id: e.to_string().into(),
+                start_time: 1,
                 address: ([127, 0, 0, 1], 1).into(),
                 build: "v1".into(),
                 same_domain: e % DOMAINS == entry % DOMAINS,
