Refuse at once while every endpoint of a service is leaving

Requests that waited for a slot waited for their whole limit although the last endpoint of their service had said that it is leaving: its slots are not handed on. The reason of a refusal was "no endpoint is left", and no log line told which endpoints had been left out of a choice.

The wait now ends with the last mark, and the refusal says "every endpoint is leaving".

Before, waiting_request_gets_no_slot_of_a_leaving_endpoint found the request still waiting after half of its 20 s, and the refusal in request_is_refused_while_every_endpoint_leaves had the other reason. Both pass now. The lookup of the log in the second test repeats the command until the line is written, since log lines are written in the background.

--- a/src/events.rs
+++ b/src/events.rs
@@ -174,6 +174,8 @@
     /// An answer said in an invalid form, or in place of another answer, that its endpoint is leaving;
     /// this was ignored.
     LEAVING_UNUSABLE = 616, Warning, "unusable statement that an endpoint is leaving";
+    /// Endpoints that are marked as leaving were left out of the choice for a request.
+    ENDPOINTS_LEFT_OUT = 617, Debug, "leaving endpoints left out";
     /// A request was refused.
     REQUEST_REFUSED = 700, Debug, "request refused";
     /// An attempt failed and the request is retried elsewhere.
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -1,5 +1,6 @@
 //! Collects the log lines of several processes that concern one request or job. Does no I/O.
 
+use crate::events;
 use serde_json::Value;
 use std::collections::BTreeSet;
 
@@ -45,8 +46,8 @@
     }
 
     /// Timeline of a request or job: its lines in order of time, and the events of the same period
-    /// that concern its endpoints, links, replicas or the configuration. `None` if no line names
-    /// it.
+    /// that concern its endpoints, links, replicas or the configuration. Endpoints that were left
+    /// out of a choice for it appear with the line that tells why. `None` if no line names it.
     pub fn explain(&self, id: &str) -> Option<String> {
         let has_id = |line: &&Line| {
             ["request", "job"].iter().any(|key| line.fields.get(*key).is_some_and(|v| v == id))
@@ -59,7 +60,9 @@
             let same_endpoint = line.endpoint().is_some_and(|e| endpoints.contains(e));
             let in_period = line.time >= *first && line.time <= *last;
             let of_other = line.fields.contains_key("request") || line.fields.contains_key("job");
-            !of_other && in_period && (same_endpoint || CONTEXT_EVENTS.contains(&line.event))
+            let is_context = in_period && (same_endpoint || CONTEXT_EVENTS.contains(&line.event));
+            let is_reason = line.time <= *last && own.iter().any(|l| l.has_left_out(line));
+            !of_other && (is_context || is_reason)
         };
         let mut timeline: Vec<(&Line, bool)> = own.iter().map(|l| (*l, true)).collect();
         timeline.extend(self.lines.iter().filter(is_context).map(|l| (l, false)));
@@ -73,6 +76,15 @@
         self.fields.get("endpoint").and_then(Value::as_str)
     }
 
+    /// Whether `mark` is the line in which the same host marked an endpoint as leaving that it left out
+    /// of the choice of this line.
+    fn has_left_out(&self, mark: &Line) -> bool {
+        let left_out = self.fields.get("leaving").and_then(Value::as_str).unwrap_or_default();
+        mark.event == u64::from(events::ENDPOINT_LEAVING.number)
+            && mark.host == self.host
+            && left_out.split(',').any(|id| mark.endpoint() == Some(id))
+    }
+
     fn render(&self, own: bool) -> String {
         let render_field = |(key, value): (&String, &Value)| match value {
             _ if COMMON_FIELDS.contains(&key.as_str()) => None,
--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -440,6 +440,11 @@
         builds
     }
 
+    /// Endpoints of a service that are marked as leaving.
+    pub fn leaving_endpoints<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Endpoint> {
+        self.endpoints().filter(move |e| &*e.service == service && e.phase == Phase::Leaving)
+    }
+
     /// All endpoints, including those that are gone.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values().map(|r| &r.endpoint)
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -49,6 +49,8 @@
 const BUILD_WAIT: Duration = Duration::from_millis(1_500);
 /// Added to the deadline of a caller for the time until which it may take up a stream again.
 const RETURN_MARGIN: Duration = Duration::from_secs(1);
+/// Most endpoints that a log line names.
+const MAX_LOGGED_ENDPOINTS: usize = 8;
 /// A request is not sent if less than this is left until its deadline.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -273,6 +275,16 @@
         }
     }
 
+    /// Logs which endpoints are left out of the choice because they are leaving.
+    fn log_left_out_endpoints(&self) {
+        let leaving = self.node.leaving_endpoints(&self.service);
+        if !leaving.is_empty() {
+            let names = &leaving[..leaving.len().min(MAX_LOGGED_ENDPOINTS)];
+            event!(self.node.log, events::ENDPOINTS_LEFT_OUT; "request" => &*self.request.id,
+                "count" => leaving.len(), "leaving" => names.join(","));
+        }
+    }
+
     /// Waits for a slot. If none becomes free in time, returns the endpoint `other`, if any.
     async fn wait_for_slot(
         &self,
@@ -482,6 +494,7 @@
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(self.give_up("the time is over"));
             }
+            self.log_left_out_endpoints();
             let (endpoint, guard) = match self.choose_next_endpoint() {
                 place::Choice::Send(endpoint) => {
                     let guard = self.node.count_request(&self.service, &endpoint.id);
@@ -540,6 +553,10 @@
 
     /// Builds the response to a request that has no attempt left.
     fn give_up(&self, reason: &'static str) -> serve::Response {
+        let reason = match self.node.is_service_leaving(&self.service) {
+            true => "every endpoint is leaving",
+            false => reason,
+        };
         match self.attempts.may_have_run() {
             true => fail(&self.node, &self.request.id, StatusCode::BAD_GATEWAY, reason),
             false => refuse(&self.node, &self.request.id, reason),
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -206,6 +206,11 @@
         self.view.directory(|d| d.endpoint(id).is_some_and(directory::Endpoint::is_available))
     }
 
+    /// Ids of the endpoints of a service that are marked as leaving.
+    pub fn leaving_endpoints(&self, service: &str) -> Vec<Arc<str>> {
+        self.view.directory(|d| d.leaving_endpoints(service).map(|e| e.id.clone()).collect())
+    }
+
     /// Handles what an answer of an endpoint to the request `request` says about whether the endpoint
     /// is leaving. `start_time` is the start of the endpoint to which the request was sent.
     pub fn handle_leaving_notice(
@@ -226,6 +231,7 @@
                         "born" => start_time, "told_by" => request,
                         "entry_age_ms" => age.as_millis() as u64);
                     self.view.notify_directory_changed();
+                    self.dismiss_unservable(id);
                 }
             }
             upstream::LeavingNotice::Unusable(cause) => {
@@ -238,6 +244,23 @@
         }
     }
 
+    /// Whether a service has endpoints that are marked as leaving and none that accepts requests.
+    pub fn is_service_leaving(&self, service: &str) -> bool {
+        self.view.directory(|d| {
+            d.leaving_endpoints(service).next().is_some()
+                && d.available_endpoints(service).next().is_none()
+        })
+    }
+
+    /// Ends the wait for slots of the service of an endpoint if no endpoint of it accepts requests:
+    /// no slot would become free for them.
+    fn dismiss_unservable(&self, endpoint: &str) {
+        let service = self.view.directory(|d| d.endpoint(endpoint).map(|e| e.service.clone()));
+        if let Some(service) = service.filter(|s| self.is_service_leaving(s)) {
+            self.slots.dismiss(&service);
+        }
+    }
+
     /// Counts and logs the marks as leaving that have ended.
     fn report_ended_marks(&self) {
         for mark in self.view.directory(directory::Directory::take_ended_marks) {
--- a/src/fleet/slots.rs
+++ b/src/fleet/slots.rs
@@ -54,6 +54,11 @@
         time::timeout(limit, slot).await.ok()?.ok()
     }
 
+    /// Ends the wait of every request for a service.
+    pub fn dismiss(&self, service: &str) {
+        peer::lock(&self.queues).receivers.retain(|(waiting, _), _| **waiting != *service);
+    }
+
     fn leave(&self, service: &Arc<str>, ticket: u64) {
         let mut queues = peer::lock(&self.queues);
         if let Some(queue) = queues.queues.get_mut(service) {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -39,6 +39,29 @@
     ");
 }
 
+/// Guards against a timeline that does not tell why an endpoint was not chosen: another host marked
+/// it, or it was marked long before the request.
+#[test]
+fn left_out_endpoint_is_explained() {
+    let mut logs = explain::Logs::default();
+    logs.add(concat!(
+        r#"{"msg":"endpoint is leaving","ts":"10:00:01","host":"entry-1","endpoint":"i-1","told_by":"r0","event":614}"#,
+        "\n",
+        r#"{"msg":"endpoint is leaving","ts":"10:00:02","host":"entry-2","endpoint":"i-1","told_by":"r7","event":614}"#,
+        "\n",
+        r#"{"msg":"endpoint is leaving","ts":"10:00:02","host":"entry-1","endpoint":"i-3","told_by":"r8","event":614}"#,
+        "\n",
+        r#"{"msg":"leaving endpoints left out","ts":"10:00:04","host":"entry-1","request":"r1","leaving":"i-1,i-2","count":2,"event":617}"#,
+        "\n",
+        r#"{"msg":"attempt sent","ts":"10:00:05","host":"entry-1","request":"r1","endpoint":"i-4","event":705}"#,
+    ));
+    insta::assert_snapshot!(logs.explain("r1").unwrap_or_default(), @r"
+    10:00:01~entry-1 [614] endpoint is leaving endpoint=i-1 told_by=r0
+    10:00:04 entry-1 [617] leaving endpoints left out count=2 leaving=i-1,i-2
+    10:00:05 entry-1 [705] attempt sent endpoint=i-4
+    ");
+}
+
 /// Guards against logs whose volume grows with the load, and against lines that are left out
 /// without being counted.
 #[test]
--- a/tests/fleet_leaving.rs
+++ b/tests/fleet_leaving.rs
@@ -4,6 +4,8 @@
 
 use basilfield::emulator::plain;
 use basilfield::fleet::directory;
+use basilfield::fleet::node;
+use basilfield::fleet::settings;
 use basilfield::fleet::upstream;
 use directory::Directory;
 use directory::Phase;
@@ -13,6 +15,7 @@
 use fleet_world::client;
 use fleet_world::client::StreamEnd;
 use std::net::SocketAddr;
+use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +25,9 @@
 const JOB_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time within which every host knows what a control host has accepted.
 const IN_FORCE_TIME: Duration = Duration::from_millis(2_500);
+/// Time within which a request that cannot be served must be refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(400);
+
 fn run(test: impl Future<Output = ()>) {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
@@ -183,6 +189,43 @@
     });
 }
 
+/// Guards against a request that waits for its deadline, runs, or is refused without a time to return
+/// although every endpoint is known to be leaving, and against logs that do not tell why.
+#[test]
+fn request_is_refused_while_every_endpoint_leaves() {
+    run(async {
+        let world = start_without_controls().await;
+        let entry = world.caller_address(world.hosts_of(Role::Entry)[0]);
+        for at in 0..3 {
+            leave(&world, at);
+        }
+        for at in 0..3 {
+            learn(&world, entry, at).await;
+        }
+        let begun = Instant::now();
+        let refusal = client::refusal(entry, fleet_world::ONCE_PREFIX, "refused").await;
+        let is_late = begun.elapsed() > REFUSAL_TIME;
+        let ran = world.all_runs().iter().any(|r| &*r.request_id == "refused");
+        let mut explanation = String::new();
+        // Log lines are written in the background.
+        while !explanation.contains("request refused") && begun.elapsed() < JOB_TIMEOUT {
+            let output = Command::new(env!("CARGO_BIN_EXE_basilfield"))
+                .args(["explain", "refused"])
+                .args(world.log_files())
+                .output()
+                .expect("command runs");
+            explanation = String::from_utf8_lossy(&output.stdout).into_owned();
+        }
+        let has = |text: &str| explanation.contains(text);
+        let told = explanation.lines().filter(|l| l.contains("~entry-1 [614]")).count();
+        assert_eq!(
+            (refusal, is_late, ran, told, has("reason=every endpoint is leaving")),
+            ((503, true), false, false, 3, true),
+            "{explanation}"
+        );
+    });
+}
+
 /// Guards against an endpoint that is used again because it still registers as ready with control
 /// hosts that have restarted, and against one that is not used after it has started again.
 #[test]
@@ -455,3 +498,50 @@
     }
     insta::assert_snapshot!(format!("{taken:?} {}", d.try_take_report(NOW, "j")), @"[0, 60, 120] false");
 }
+
+/// Host in this process that knows one endpoint, `i` on `port`.
+fn node(port: u16) -> node::Node {
+    let settings = settings::parse(
+        "[host]\nname = \"e\"\nrole = \"entry\"\ndomain = \"d\"\naddress = \"127.0.0.1\"\n\
+         [listen]\ncallers = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\n\
+         [fleet]\nport = 7720\nseeds = [\"127.0.0.1:3\"]\nbootstrap = false\n",
+    );
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let protocol = std::sync::Arc::new(fleet_world::platform::Platform::default());
+    let node = node::Node::new(settings.expect("valid"), "e.toml".into(), protocol, &log);
+    let endpoint = directory::Endpoint {
+        address: ([127, 0, 0, 1], port).into(),
+        ..registration("i", 1, 1, Phase::Ready)
+    };
+    node.view.directory(|d| d.register_endpoint(NOW, endpoint));
+    node
+}
+
+/// Guards against a request that waits for a slot until its time is over although the endpoint whose
+/// slot it waits for is leaving, and against a slot of that endpoint that is handed on.
+#[test]
+fn waiting_request_gets_no_slot_of_a_leaving_endpoint() {
+    run(async {
+        let (service, id) = ("a".into(), "i".into());
+        let node = node(80);
+        // The end of a first request tells how long a wait takes.
+        drop(node.count_request(&service, &id));
+        let running = node.count_request(&service, &id);
+        let limit = Duration::from_secs(20);
+        let waiting = tokio::spawn({
+            let (node, service) = (node.clone(), service.clone());
+            async move {
+                let begun = Instant::now();
+                let slot = node.wait_for_slot(&service, limit).await;
+                (slot.is_some(), begun.elapsed() < limit / 2)
+            }
+        });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!waiting.is_finished(), "it waits");
+        node.handle_leaving_notice("i", 1, upstream::LeavingNotice::Leaving, "r1");
+        let dismissed = waiting.await.expect("task");
+        let waiting = node.wait_for_slot(&service, Duration::from_millis(200));
+        let (handed_on, ()) = tokio::join!(waiting, async { drop(running) });
+        insta::assert_snapshot!(format!("{dismissed:?} {}", handed_on.is_some()), @"(false, true) false");
+    });
+}
--- a/tests/fleet_world/client.rs
+++ b/tests/fleet_world/client.rs
@@ -65,6 +65,17 @@
     timed.ok().flatten().unwrap_or((0, Bytes::new()))
 }
 
+/// Sends a request. Returns the status of the answer and whether it says when to retry.
+pub async fn refusal(to: SocketAddr, prefix: &str, id: &str) -> (u16, bool) {
+    let path = format!("{prefix}{id}");
+    let headers = [("x-basilfield-request-id", id), ("x-basilfield-deadline-ms", "6000")];
+    let request = request("POST", &path, &headers, id.to_string());
+    let sent = upstream::Upstream::default().send(to, request, true).await;
+    sent.map_or((0, false), |a| {
+        (a.head.status.as_u16(), a.head.headers.contains_key("retry-after"))
+    })
+}
+
 /// Sends a request on a new connection and reads the stream of events to its end.
 pub async fn stream(to: SocketAddr, prefix: &str, id: &str) -> StreamEnd {
     stream_on(&upstream::Upstream::default(), to, prefix, id).await
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -7,7 +7,7 @@
 pub mod proxy;
 
 #[path = "../../platform/mod.rs"]
-mod platform;
+pub mod platform;
 
 use basilfield::emulator::plain;
 use basilfield::fleet::protocol::Protocol as _;
