Let endpoints leave in the soak, and check that they are left alone

Endpoints of the soak only crashed. Half of these faults now make the endpoint say in its answers for five seconds that it is leaving, while it still registers as ready. The check uses what endpoints and clients see: two seconds after an entry has passed such an answer on, no request that a client sends to this entry may reach the endpoint, unless the entry was stopped or suspended since.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,6 +9,8 @@
 //! - a stream is complete, in order and belongs to its request, or the caller sees that it broke;
 //! - a stream never goes on with events of another build, within an answer or when its caller takes
 //!   it up again at another entry;
+//! - an endpoint that says that it is leaving gets no request that a client sends to an entry more
+//!   than two seconds after that entry has passed this on;
 //! - a request that must not be repeated runs at most once, and never if it was refused;
 //! - an endpoint gets only requests that a client sent, unchanged;
 //! - the results of an accepted job keep their positions and texts, and every item is listed after
@@ -67,6 +69,12 @@
 /// No older configuration may be read from this long after an acknowledgement.
 const APPLY_DELAY: Duration = Duration::from_secs(2);
 
+/// An endpoint that leaves serves for this long after it has begun to say so.
+const LEAVE_TIME: Duration = Duration::from_secs(5);
+/// An entry that has passed on an answer of an endpoint that is leaving sends it no request that a
+/// client sends later than this.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Time for the control hosts that are left after a cut to notice it and to elect a leader.
 const LEADER_CHANGE_TIME: Duration = Duration::from_secs(3);
 
@@ -75,6 +83,8 @@
 struct Observations {
     /// Ends of streams by request id.
     streams: BTreeMap<String, StreamEnd>,
+    /// Entry, start and end of streams that were requested once, by request id.
+    times: BTreeMap<String, (usize, time::Instant, time::Instant)>,
     /// Accepted jobs.
     jobs: Vec<String>,
     /// Violations of the guarantees.
@@ -113,18 +123,26 @@
             return;
         }
         let id = format!("s{seed}-{number}-{n}");
+        let (first, sent) = ((number + n) % entries.len(), time::Instant::now());
+        let mut turns = 0;
         let mut caller = client::Attempt::new(prefix, &id);
         let mut ended = StreamEnd::Disconnected;
         for turn in 0..MAX_CALLER_ATTEMPTS {
             let entry = entries[(number + n + turn) % entries.len()];
             ended = caller.run(entry, fleet_world::ENDPOINT_OPTIONS.1).await;
             let resumable = prefix == fleet_world::STREAM_PREFIX && caller.last > 0;
+            turns = turn;
             if !resumable || !matches!(ended, StreamEnd::Disconnected | StreamEnd::NotRun) {
                 break;
             }
             time::sleep(RESUME_DELAY).await;
         }
         let pause = if ended == StreamEnd::Complete { 20 } else { 100 };
+        // The runs of a stream that was taken up again are those of several entries.
+        if turns == 0 {
+            let times = (first, sent, time::Instant::now());
+            observed.lock().unwrap().times.insert(id.clone(), times);
+        }
         observed.lock().unwrap().record_stream(id, ended);
         time::sleep(Duration::from_millis(pause)).await;
     }
@@ -173,6 +191,8 @@
     pending_undos: Vec<(time::Instant, Undo)>,
     /// Role of each host that has lost its disk. A fleet tolerates a limited number of a role.
     lost_disks: Vec<Role>,
+    /// Hosts that were stopped or suspended, with the time.
+    interruptions: Vec<(usize, time::Instant)>,
     /// Injected faults, for the report of a failure.
     faults: Vec<String>,
     /// Crashed endpoints that have returned.
@@ -188,6 +208,7 @@
     ResumeHost(usize),
     ClearLinkFaults(usize),
     StartEndpoint(usize),
+    CrashEndpoint(usize),
     ClearEndpointFaults(usize),
     ClearPause(usize),
     FreeDisk(usize),
@@ -219,6 +240,7 @@
                     self.world.start_endpoint(at).await;
                 }
             }
+            Undo::CrashEndpoint(at) => self.world.crash_endpoint(at),
             Undo::RestoreLinks => {
                 for host in &self.world.hosts {
                     host.proxy.clear_faults();
@@ -257,6 +279,7 @@
 
     /// Kills a host and schedules its restart.
     fn kill_host(&mut self, at: usize) {
+        self.interruptions.push((at, time::Instant::now()));
         self.world.resume(at);
         self.world.kill(at);
         self.undo_later(Undo::StartHost(at), 100, 3_000);
@@ -279,11 +302,13 @@
                 }
             }
             3 => {
+                self.interruptions.push((at, time::Instant::now()));
                 self.world.terminate(at);
                 self.world.wait_for_exit(at, Duration::from_millis(300)).await;
                 self.undo_later(Undo::StartHost(at), 50, 1_000);
             }
             4 | 5 => {
+                self.interruptions.push((at, time::Instant::now()));
                 self.world.suspend(at);
                 self.undo_later(Undo::ResumeHost(at), 200, 3_500);
             }
@@ -311,8 +336,19 @@
             10 => self.world.hosts[at].proxy.reset(),
             11 | 12 => {
                 let endpoint = self.rng.random_range(0..self.world.endpoints.len());
-                self.world.crash_endpoint(endpoint);
-                self.undo_later(Undo::StartEndpoint(endpoint), 200, 2_000);
+                let mut stay = Duration::ZERO;
+                if let Some(leaving) =
+                    self.world.endpoints[endpoint].as_ref().filter(|_| kind == 12)
+                {
+                    leaving.leave();
+                    stay = LEAVE_TIME;
+                    let crash = Undo::CrashEndpoint(endpoint);
+                    self.pending_undos.push((time::Instant::now() + stay, crash));
+                } else {
+                    self.world.crash_endpoint(endpoint);
+                }
+                let stay = stay.as_millis() as u64;
+                self.undo_later(Undo::StartEndpoint(endpoint), stay + 200, stay + 2_000);
             }
             13 => {
                 self.kill_host(at);
@@ -545,8 +581,41 @@
                 problems.push(format!("{id} was refused as not run and ran"));
             }
         }
+        problems.extend(self.requests_after_leaving(&runs, &observed));
         observed.problems.extend(problems);
     }
+
+    /// Requests that reached an endpoint although their entry had passed on long before that it is
+    /// leaving, and was neither stopped nor suspended since.
+    fn requests_after_leaving(&self, runs: &[plain::Run], observed: &Observations) -> Vec<String> {
+        let entries = self.world.hosts_of(Role::Entry);
+        let is_only_run =
+            |run: &plain::Run| runs.iter().filter(|r| r.request_id == run.request_id).count() == 1;
+        let is_passed_on = |run: &&plain::Run| {
+            let ended = observed.streams.get(&*run.request_id);
+            run.leaving && ended == Some(&StreamEnd::Complete) && is_only_run(run)
+        };
+        let mut problems = Vec::new();
+        for told in runs.iter().filter(is_passed_on) {
+            let Some((entry, since, passed_on)) = observed.times.get(&*told.request_id) else {
+                continue;
+            };
+            for run in runs.iter().filter(|r| r.endpoint == told.endpoint) {
+                let Some((to, sent, _)) = observed.times.get(&*run.request_id) else { continue };
+                let is_excused = |(host, at): &(usize, time::Instant)| {
+                    *host == entries[*entry] && *at >= *since && *at <= run.started
+                };
+                if to == entry
+                    && *sent > *passed_on + DRAIN_TIME
+                    && !self.interruptions.iter().any(is_excused)
+                {
+                    let (id, endpoint) = (&run.request_id, &run.endpoint);
+                    problems.push(format!("{id} reached {endpoint}, which was leaving"));
+                }
+            }
+        }
+        problems
+    }
 }
 
 /// Numbers of hosts and endpoints.
@@ -588,6 +657,7 @@
         observed: observed.clone(),
         pending_undos: Vec::new(),
         lost_disks: Vec::new(),
+        interruptions: Vec::new(),
         faults: Vec::new(),
         returns: 0,
         checked_paths: Vec::new(),
@@ -599,11 +669,13 @@
     let observed = observed.lock().unwrap();
     let whole = observed.streams.values().filter(|e| **e == StreamEnd::Complete).count();
     let summary = format!(
-        "seed {seed}: {} faults, {whole} of {} streams whole, {} jobs, {} versions",
+        "seed {seed}: {} faults, {whole} of {} streams whole, {} jobs, {} versions, {} answers of \
+         leaving endpoints",
         soak.faults.len(),
         observed.streams.len(),
         observed.jobs.len(),
         observed.versions.len(),
+        soak.world.all_runs().iter().filter(|r| r.leaving).count(),
     );
     match observed.problems.is_empty() {
         true => Ok(summary),
