Release the memory that a read body does not need

Callers with small chunked bodies were refused with "too many bodies are held" while slots were free.

Cause: a body without a stated length reserves memory for the longest one that the configuration allows, 4 MB of 64 MB, and kept it until its answer had ended, so that sixteen such requests at a time filled an entry.

What the body does not need is released once it is read.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -231,13 +231,17 @@
             return serve::response(StatusCode::BAD_REQUEST, "the request has no id\n");
         }
         let limit = active.config.bounds.body_bytes;
-        let Some(body_permit) = self.reserve_body(&body, limit) else {
+        let Some(mut body_permit) = self.reserve_body(&body, limit) else {
             return forward::refuse(node, &id, "too many bodies are held");
         };
         let body = match serve::read_body(body, limit).await {
             Ok(body) => body,
             Err(response) => return response,
         };
+        // A body without a stated length reserves memory for the largest one until it is read.
+        let unused =
+            body_permit.num_permits().saturating_sub(body.len().div_ceil(BODY_BLOCK_BYTES));
+        drop(body_permit.split(unused));
         let route = route.clone();
         let request =
             forward::Request { id, head, body, route, arrived, _body_permit: body_permit };
