Do not plan an item back to the silent endpoint that it leaves

Cause: an item whose endpoint is silent waits for another one in the plan, which takes the endpoint with most free slots. The plan also counted the slot as taken.

The plan leaves out the endpoint that runs the item.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -208,6 +208,14 @@
 }
 
 impl TrackedItem {
+    /// Id of the endpoint that runs the item.
+    fn endpoint(&self) -> Option<&Arc<str>> {
+        match &self.state {
+            ItemState::Running { endpoint, .. } => Some(endpoint),
+            _ => None,
+        }
+    }
+
     /// Build at which the item has to go on; `None` if it may start over, since it has waited for
     /// long.
     fn pinned_build(&self, now: time::Instant) -> Option<Arc<str>> {
@@ -558,7 +566,8 @@
                         let build = build.filter(|b| {
                             serving.binary_search(&(service.clone(), b.clone())).is_ok()
                         });
-                        waiting.push(plan::WaitingItem { index, service, build, urgency });
+                        let leaves = tracked.and_then(TrackedItem::endpoint).cloned();
+                        waiting.push(plan::WaitingItem { index, service, build, leaves, urgency });
                         queue.push((id, job, pending));
                     }
                 }
@@ -607,22 +616,18 @@
         }
         for (queued, endpoint) in to_start {
             let found = self.node.view.directory(|d| d.endpoint(&endpoint).cloned());
-            if let Some(endpoint) = found
-                && self.leave_silent_run(&queued.key, &endpoint.id)
-            {
+            if let Some(endpoint) = found {
+                self.leave_silent_run(&queued.key, &endpoint.id);
                 self.start_item(&queued, &endpoint);
             }
         }
     }
 
-    /// Ends the run of an item at a silent endpoint, which `next` takes over. Returns `false` if the
-    /// item has to stay where it runs, as `next` is the same endpoint.
-    fn leave_silent_run(&mut self, key: &ItemKey, next: &Arc<str>) -> bool {
+    /// Ends the run of an item at a silent endpoint, which `next` takes over. Does nothing for an item
+    /// that does not run.
+    fn leave_silent_run(&mut self, key: &ItemKey, next: &Arc<str>) {
         let state = self.tracked.get(key).map(|t| &t.state);
-        let Some(ItemState::Running { endpoint, task, .. }) = state else { return true };
-        if endpoint == next {
-            return false;
-        }
+        let Some(ItemState::Running { endpoint, task, .. }) = state else { return };
         task.abort();
         let endpoint = endpoint.clone();
         self.handle_run_end(
@@ -631,7 +636,6 @@
         );
         event!(self.node.log, events::ENDPOINT_SILENT; "job" => &*key.0, "request" => &*key.1,
             "endpoint" => &*endpoint, "asked" => &**next);
-        true
     }
 
     /// Jobs without pending items whose retention has passed.
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -112,6 +112,8 @@
     pub service: Arc<str>,
     /// Build at which it has to go on; `None` if any will do.
     pub build: Option<Arc<str>>,
+    /// Id of the silent endpoint that runs it, which another one is to replace.
+    pub leaves: Option<Arc<str>>,
     /// Urgency.
     pub urgency: Urgency,
 }
@@ -165,12 +167,21 @@
     /// Removes the endpoint with most free slots at which an item may run.
     fn pop(&mut self, item: &WaitingItem, endpoints: &[EndpointLoad]) -> Option<usize> {
         let heap = self.heaps.get_mut(&(item.service.clone(), item.build.clone()))?;
+        let mut left = None;
+        let mut found = None;
         while let Some((free, at)) = heap.pop() {
-            if endpoints[at].free_slots() == free {
-                return Some(at);
+            let endpoint = &endpoints[at];
+            if endpoint.free_slots() != free {
+                continue;
             }
+            if item.leaves.as_ref() != Some(&endpoint.id) {
+                found = Some(at);
+                break;
+            }
+            left = Some((free, at));
         }
-        None
+        heap.extend(left);
+        found
     }
 }
 
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -255,6 +255,7 @@
         index,
         service: "s".into(),
         build: None,
+        leaves: None,
         urgency: *urgency,
     };
     urgencies.iter().enumerate().map(item).collect()
@@ -356,6 +357,7 @@
             index: *at,
             service: "s".into(),
             build: None,
+            leaves: None,
             urgency: order(*at),
         };
         let run = |at: &usize| plan::RunningItem {
