Limit the wait for an endpoint that is asked in place of a silent one

Found by a review of the takeover of silent endpoints: two endpoints could work on one request until its deadline, if the second one began it and was silent as well; a third one was never asked; and three declines ended the takeover for good.

The second endpoint now gets 0.3 s, since two must not work on one request for more than 0.4 s. It is given up after that, the silent one keeps the request, and the next one is asked. Declines no longer use up the attempts of the request; the interval doubles with each, up to 0.8 s.

--- a/src/fleet/attempt.rs
+++ b/src/fleet/attempt.rs
@@ -16,6 +16,13 @@
     Failed,
 }
 
+impl Outcome {
+    /// Whether the request has certainly not run.
+    pub fn is_not_run(self) -> bool {
+        matches!(self, Outcome::NotSent | Outcome::Declined)
+    }
+}
+
 /// Decision about a request after an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
@@ -53,12 +60,6 @@
         self.retryable && self.possible_runs + 1 < self.max_runs
     }
 
-    /// Whether another endpoint may be asked while the current one is silent. Some attempts are kept
-    /// for the case that the current one fails.
-    pub fn may_take_over(&self) -> bool {
-        self.may_retry() && self.declined + 1 < MAX_DECLINED_ATTEMPTS
-    }
-
     /// Whether any attempt ran or may have run.
     pub fn may_have_run(&self) -> bool {
         self.possible_runs > 0
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -34,8 +34,14 @@
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Shortest silence between two events after which another endpoint is asked.
 const MIN_NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(900);
-/// Interval at which another endpoint is looked for while one stays silent.
+/// Interval at which another endpoint is looked for while one stays silent. It doubles with each
+/// endpoint that declines.
 const TAKEOVER_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest interval at which another endpoint is looked for.
+const MAX_TAKEOVER_INTERVAL: Duration = Duration::from_millis(800);
+/// Longest wait for an endpoint that is asked while a silent one runs the request. Two endpoints
+/// must not work on one request for longer than 0.4 s.
+const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Shortest time after which a refused caller should retry. A slot of an engine becomes free within
 /// it.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -406,9 +412,9 @@
         answer: impl Future<Output = Result<T, AttemptFailure>>,
     ) -> Waited<T> {
         let mut answer = std::pin::pin!(answer);
-        let mut pause = limit;
+        let (mut pause, mut interval) = (limit, TAKEOVER_INTERVAL);
         loop {
-            let pause_now = match self.attempts.may_take_over() {
+            let pause_now = match self.attempts.may_retry() {
                 true => pause.min(self.time_left()),
                 false => self.time_left(),
             };
@@ -417,7 +423,7 @@
                 Err(_) if self.time_left().is_zero() => return Waited::DeadlineExceeded,
                 Err(_) => {}
             }
-            pause = TAKEOVER_INTERVAL;
+            pause = interval;
             let place::Choice::Send(endpoint) = self.choose_endpoint() else { continue };
             let name = endpoint.id.clone();
             event!(self.node.log, events::ENDPOINT_SILENT; "request" => &*self.request.id,
@@ -438,10 +444,11 @@
                     }
                     Err(cause) => {
                         failure = Some(cause);
-                        time::timeout_at(self.deadline, &mut other).await
+                        let limit = self.first_event_timeout().min(self.time_left());
+                        time::timeout(limit, &mut other).await
                     }
                 },
-                started = time::timeout_at(self.deadline, &mut other) => started,
+                started = time::timeout(TAKEOVER_TIMEOUT.min(self.time_left()), &mut other) => started,
             };
             match result {
                 Ok(Ok(started)) if started.response.head.status.is_success() => {
@@ -455,10 +462,23 @@
                     let status = started.response.head.status.as_u16();
                     self.record_retry(&name, attempt::Outcome::Failed, &format!("status {status}"));
                 }
+                Ok(Err((outcome, cause))) if outcome.is_not_run() => {
+                    // Asking in vain leaves as many attempts as before, and the endpoint may have
+                    // room later.
+                    self.log_retry(&name, outcome, &cause);
+                    self.tried.retain(|t| *t != name);
+                    interval = (interval * 2).min(MAX_TAKEOVER_INTERVAL);
+                    pause = interval;
+                }
                 Ok(Err((outcome, cause))) => {
                     self.record_retry(&name, outcome, &cause);
                 }
-                Err(_) => return Waited::DeadlineExceeded,
+                Err(_) if self.time_left().is_zero() => return Waited::DeadlineExceeded,
+                Err(_) => {
+                    let cause = "no answer while another endpoint runs the request";
+                    self.node.record_endpoint_failure(&name, &cause);
+                    self.record_retry(&name, attempt::Outcome::Lost, cause);
+                }
             }
             if let Some(failure) = failure {
                 return Waited::Ended(Err(failure));
@@ -473,6 +493,11 @@
         outcome: attempt::Outcome,
         cause: &str,
     ) -> attempt::Next {
+        self.log_retry(endpoint, outcome, cause);
+        self.attempts.record(outcome)
+    }
+
+    fn log_retry(&self, endpoint: &str, outcome: attempt::Outcome, cause: &str) {
         self.node.metrics.count_retry(match outcome {
             attempt::Outcome::NotSent => "not_sent",
             attempt::Outcome::Declined => "declined",
@@ -481,7 +506,6 @@
         });
         event!(self.node.log, events::REQUEST_RETRIED; "request" => &*self.request.id,
             "endpoint" => endpoint, "outcome" => ?outcome, "cause" => cause);
-        self.attempts.record(outcome)
     }
 
     /// Tries endpoints until a response starts or no attempt is left.
--- /dev/null
+++ b/tests/fleet_takeover.rs
@@ -0,0 +1,381 @@
+//! Tests of requests whose endpoint and its replacement are silent or fail, and of early refusals,
+//! with processes over loopback.
+
+mod fleet_world;
+
+use basilfield::emulator::plain;
+use fleet_world::ENDPOINT_OPTIONS;
+use fleet_world::ONCE_PREFIX;
+use fleet_world::ROUTE_HOST;
+use fleet_world::Role;
+use fleet_world::STREAM_PREFIX;
+use fleet_world::Size;
+use fleet_world::World;
+use fleet_world::client;
+use fleet_world::client::StreamEnd;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time;
+
+const TWO_ENDPOINTS: Size = Size { controls: 3, losses: 1, stores: 0, entries: 1, endpoints: 2 };
+const THREE_ENDPOINTS: Size = Size { endpoints: 3, ..TWO_ENDPOINTS };
+const FIVE_ENDPOINTS: Size = Size { endpoints: 5, ..TWO_ENDPOINTS };
+const FOUR_ENDPOINTS: Size = Size { endpoints: 4, ..TWO_ENDPOINTS };
+const HANG: Duration = Duration::from_secs(60);
+const MIDDLE: u64 = 10;
+const OVERLAP_TIME: Duration = Duration::from_millis(400);
+
+fn run(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("runtime")
+        .block_on(test);
+}
+
+fn pause(before: u64, length: Duration) -> plain::FaultRates {
+    let pause = plain::Pause { rate: 1.0, before, length };
+    plain::FaultRates { pause: Some(pause), ..plain::FaultRates::default() }
+}
+
+fn lost() -> plain::FaultRates {
+    plain::FaultRates { lost_rate: 1.0, ..plain::FaultRates::default() }
+}
+
+fn declining() -> plain::FaultRates {
+    plain::FaultRates { decline_rate: 1.0, ..plain::FaultRates::default() }
+}
+
+fn entry(world: &World) -> SocketAddr {
+    world.caller_address(world.hosts_of(Role::Entry)[0])
+}
+
+fn endpoint(world: &World, at: usize) -> &plain::PlainEndpoint {
+    world.endpoints[at].as_ref().expect("started")
+}
+
+fn run_count(endpoint: &plain::PlainEndpoint, id: &str) -> usize {
+    endpoint.runs().iter().filter(|r| &*r.request_id == id).count()
+}
+
+async fn wait_until(limit: Duration, condition: impl Fn() -> bool) -> bool {
+    let begun = Instant::now();
+    while !condition() {
+        if begun.elapsed() > limit {
+            return false;
+        }
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    true
+}
+
+/// Starts a stream that hangs in the middle. Returns the index of its endpoint.
+async fn start_hanging(world: &World, id: &str) -> (JoinHandle<StreamEnd>, usize) {
+    start_with(world, id, pause(MIDDLE, HANG)).await
+}
+
+/// Starts a stream while all endpoints have `faults`. Returns the index of its endpoint.
+async fn start_with(
+    world: &World,
+    id: &str,
+    faults: plain::FaultRates,
+) -> (JoinHandle<StreamEnd>, usize) {
+    for endpoint in world.endpoints.iter().flatten() {
+        endpoint.set_faults(faults);
+    }
+    let (to, owned) = (entry(world), id.to_string());
+    let stream = tokio::spawn(async move { client::stream(to, STREAM_PREFIX, &owned).await });
+    let at = || (0..world.endpoints.len()).find(|at| run_count(endpoint(world, *at), id) > 0);
+    assert!(wait_until(fleet_world::WAIT_TIMEOUT, || at().is_some()).await, "{}", world.logs());
+    (stream, at().expect("runs"))
+}
+
+/// Index of the endpoint other than `first` that runs the request.
+async fn second(world: &World, first: usize, id: &str) -> usize {
+    let at = || {
+        (0..world.endpoints.len())
+            .find(|at| *at != first && run_count(endpoint(world, *at), id) > 0)
+    };
+    assert!(wait_until(Duration::from_secs(3), || at().is_some()).await, "{}", world.logs());
+    at().expect("runs")
+}
+
+/// Guards against a stream that is lost because the endpoint asked to take it over hangs as well,
+/// although a third one is free.
+#[test]
+fn third_endpoint_replaces_two_that_hang() {
+    run(async {
+        let world = World::start(THREE_ENDPOINTS).await;
+        let (stream, first) = start_hanging(&world, "two-hang").await;
+        for at in (0..3).filter(|at| *at != first) {
+            endpoint(&world, at).set_faults(lost());
+        }
+        let second = second(&world, first, "two-hang").await;
+        endpoint(&world, 3 - first - second).set_faults(plain::FaultRates::default());
+        assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
+    });
+}
+
+/// Guards against a stream that is lost because its endpoint ends while the one asked to take it
+/// over hangs, although a third one is free.
+#[test]
+fn third_endpoint_resumes_if_one_ends_and_one_hangs() {
+    run(async {
+        let mut world = World::start(THREE_ENDPOINTS).await;
+        let (stream, first) = start_hanging(&world, "one-ends").await;
+        for at in (0..3).filter(|at| *at != first) {
+            endpoint(&world, at).set_faults(lost());
+        }
+        let second = second(&world, first, "one-ends").await;
+        endpoint(&world, 3 - first - second).set_faults(plain::FaultRates::default());
+        world.crash_endpoint(first);
+        assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
+    });
+}
+
+/// Guards against two runs of a stream that go on for long, because the endpoint that takes it over
+/// is slow to send the head of its answer.
+#[test]
+fn runs_do_not_overlap_while_replacement_is_slow() {
+    run(async {
+        let world = World::start(TWO_ENDPOINTS).await;
+        let (stream, first) = start_hanging(&world, "overlap").await;
+        endpoint(&world, 1 - first).set_faults(pause(0, Duration::from_millis(1_500)));
+        let second = second(&world, first, "overlap").await;
+        let begun = Instant::now();
+        let running = |at| endpoint(&world, at).running() > 0;
+        let one = || !running(first) || !running(second);
+        wait_until(Duration::from_secs(4), one).await;
+        let overlap = begun.elapsed();
+        let ended = stream.await.expect("task");
+        assert!(overlap <= OVERLAP_TIME, "both ran for {overlap:?}, {ended:?}\n{}", world.logs());
+    });
+}
+
+/// Guards against a stream that cannot be resumed after its endpoint ends, because the only other
+/// endpoint declined to take it over some time before.
+#[test]
+fn endpoint_that_declined_takeover_resumes_later() {
+    run(async {
+        let mut world = World::start(TWO_ENDPOINTS).await;
+        let (stream, first) = start_hanging(&world, "declined").await;
+        endpoint(&world, 1 - first).set_faults(declining());
+        time::sleep(Duration::from_millis(1_500)).await;
+        endpoint(&world, 1 - first).set_faults(plain::FaultRates::default());
+        world.crash_endpoint(first);
+        assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
+    });
+}
+
+/// Guards against a stream that cannot be resumed after its endpoint ends, because the attempt to
+/// take it over during an earlier silence is counted more than once.
+#[test]
+fn stream_is_resumed_after_cancelled_takeover() {
+    run(async {
+        let mut world = World::start(THREE_ENDPOINTS).await;
+        let slow = plain::FaultRates { slowdown: 5.0, ..pause(2, Duration::from_millis(1_500)) };
+        let (stream, first) = start_with(&world, "cancelled", slow).await;
+        for at in (0..3).filter(|at| *at != first) {
+            endpoint(&world, at).set_faults(lost());
+        }
+        let second = second(&world, first, "cancelled").await;
+        let cancelled = || endpoint(&world, second).running() == 0;
+        assert!(wait_until(Duration::from_secs(3), cancelled).await, "{}", world.logs());
+        for at in (0..3).filter(|at| *at != first) {
+            endpoint(&world, at).set_faults(plain::FaultRates::default());
+        }
+        world.crash_endpoint(first);
+        assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
+    });
+}
+
+/// Guards against a stream that is lost because its endpoint hangs and the others declined to take
+/// it over for a moment, although they are free soon after.
+#[test]
+fn hanging_endpoint_is_replaced_after_others_declined() {
+    run(async {
+        let world = World::start(FIVE_ENDPOINTS).await;
+        let (stream, first) = start_hanging(&world, "busy").await;
+        let others = || (0..5).filter(|at| *at != first).map(|at| endpoint(&world, at));
+        others().for_each(|e| e.set_faults(declining()));
+        time::sleep(Duration::from_millis(1_600)).await;
+        others().for_each(|e| e.set_faults(plain::FaultRates::default()));
+        assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
+    });
+}
+
+/// Guards against streams that are not resumed after their endpoint ended because every slot is taken
+/// for a moment.
+#[test]
+fn broken_streams_wait_for_slots() {
+    run(async {
+        let mut world = World::start(TWO_ENDPOINTS).await;
+        for endpoint in world.endpoints.iter().flatten() {
+            endpoint.set_faults(pause(MIDDLE, Duration::from_millis(600)));
+        }
+        let to = entry(&world);
+        let slots = world.endpoints.len() * ENDPOINT_OPTIONS.0;
+        let start = |n| {
+            tokio::spawn(
+                async move { client::stream(to, STREAM_PREFIX, &format!("full-{n}")).await },
+            )
+        };
+        let streams: Vec<JoinHandle<StreamEnd>> = (0..slots).map(start).collect();
+        let running = || -> usize {
+            world.endpoints.iter().flatten().map(plain::PlainEndpoint::running).sum()
+        };
+        assert!(wait_until(Duration::from_secs(1), || slots == running()).await);
+        time::sleep(Duration::from_millis(300)).await;
+        world.crash_endpoint(0);
+        let mut cut = 0;
+        for stream in streams {
+            cut += usize::from(stream.await.expect("task") != StreamEnd::Complete);
+        }
+        assert_eq!(cut, 0, "{}", world.logs());
+    });
+}
+
+/// Guards against an item that stays at an endpoint that hangs, although another one has free slots,
+/// because the one that hangs has more of them.
+#[test]
+fn item_leaves_hanging_endpoint_with_more_free_slots() {
+    run(async {
+        let mut world = World::start(Size { stores: 3, ..TWO_ENDPOINTS }).await;
+        for endpoint in world.endpoints.iter().flatten() {
+            endpoint.set_faults(pause(MIDDLE, HANG));
+        }
+        assert!(client::submit(&world.caller_addresses(), "stuck", 1).await, "{}", world.logs());
+        let at = || (0..2).find(|at| run_count(endpoint(&world, *at), "stuck-0") > 0);
+        assert!(wait_until(fleet_world::WAIT_TIMEOUT, || at().is_some()).await, "{}", world.logs());
+        let begun = Instant::now();
+        let first = at().expect("runs");
+        endpoint(&world, first).set_faults(plain::FaultRates::default());
+        let to = entry(&world);
+        let other = 1 - first;
+        let mut streams = Vec::new();
+        for n in 0..40 {
+            if endpoint(&world, other).running() >= 3 {
+                break;
+            }
+            let id = format!("hang-{n}");
+            streams.push(tokio::spawn(async move { client::stream(to, ONCE_PREFIX, &id).await }));
+            time::sleep(Duration::from_millis(30)).await;
+        }
+        let online = endpoint(&world, other).running();
+        endpoint(&world, other).set_faults(plain::FaultRates::default());
+        while begun.elapsed() < Duration::from_millis(4_800) {
+            world.send_heartbeats().await;
+            time::sleep(Duration::from_millis(200)).await;
+        }
+        let moved = run_count(endpoint(&world, other), "stuck-0");
+        assert_eq!((online, moved), (3, 1), "{}", world.logs());
+    });
+}
+
+/// Sends a request with a body of `len` bytes on a raw connection: all of it before reading.
+/// Returns the first line of the answer, or the error.
+async fn send_raw(to: SocketAddr, path: &str, id: &str, len: usize, chunked: bool) -> String {
+    let mut stream = TcpStream::connect(to).await.expect("connected");
+    let framing = match chunked {
+        true => "transfer-encoding: chunked".to_string(),
+        false => format!("content-length: {len}"),
+    };
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: {ROUTE_HOST}\r\nx-basilfield-request-id: {id}\r\n\
+         x-basilfield-deadline-ms: 6000\r\n{framing}\r\n\r\n"
+    );
+    let body = vec![b'x'; len];
+    let mut message = head.into_bytes();
+    if chunked {
+        message.extend(format!("{len:x}\r\n").into_bytes());
+    }
+    message.extend(&body);
+    if chunked {
+        message.extend(b"\r\n0\r\n\r\n");
+    }
+    // An answer may have arrived although the connection was closed during the write.
+    let written = stream.write_all(&message).await;
+    let mut buffer = vec![0; 512];
+    match time::timeout(Duration::from_secs(3), stream.read(&mut buffer)).await {
+        Ok(Ok(0)) => "closed".to_string(),
+        Ok(Ok(n)) => {
+            String::from_utf8_lossy(&buffer[..n]).lines().next().unwrap_or_default().to_string()
+        }
+        Ok(Err(error)) => format!("read: {:?}, written: {written:?}", error.kind()),
+        Err(_) => "no answer".to_string(),
+    }
+}
+
+/// Guards against a refusal that does not arrive, because the connection is reset while the rest of
+/// the body is still on its way.
+#[test]
+fn refusal_arrives_although_body_is_long() {
+    run(async {
+        let mut world = World::start(TWO_ENDPOINTS).await;
+        let to = entry(&world);
+        let mut seen = Vec::new();
+        for (len, chunked) in [(100, false), (100, true), (100_000, true), (3_000_000, false)] {
+            for n in 0..5 {
+                let id = format!("early-{len}-{chunked}-{n}");
+                let ended = send_raw(to, &format!("/none/{id}"), &id, len, chunked).await;
+                seen.push(format!("no route {len} {chunked}: {ended}"));
+            }
+        }
+        // A stream that is still running keeps the process from stopping.
+        for endpoint in world.endpoints.iter().flatten() {
+            endpoint.set_faults(pause(MIDDLE, Duration::from_secs(5)));
+        }
+        let running =
+            tokio::spawn(async move { client::stream(to, ONCE_PREFIX, "until-the-end").await });
+        time::sleep(Duration::from_millis(200)).await;
+        world.terminate(world.hosts_of(Role::Entry)[0]);
+        time::sleep(Duration::from_millis(2_900)).await;
+        for (len, chunked) in [(100, false), (100, true), (100_000, true), (3_000_000, false)] {
+            for n in 0..3 {
+                let id = format!("stop-{len}-{chunked}-{n}");
+                let path = format!("{STREAM_PREFIX}{id}");
+                let ended = send_raw(to, &path, &id, len, chunked).await;
+                seen.push(format!("stopping {len} {chunked}: {ended}"));
+            }
+        }
+        drop(running);
+        let lost: Vec<&String> = seen.iter().filter(|s| !s.contains("HTTP/1.1")).collect();
+        assert!(lost.is_empty(), "{} of {}: {lost:#?}", lost.len(), seen.len());
+    });
+}
+
+/// Guards against refusals of requests with small chunked bodies while most slots are free.
+#[test]
+fn small_chunked_bodies_are_not_refused() {
+    run(async {
+        let world = World::start(FOUR_ENDPOINTS).await;
+        for endpoint in world.endpoints.iter().flatten() {
+            endpoint.set_faults(pause(MIDDLE, Duration::from_secs(1)));
+        }
+        let to = entry(&world);
+        let count = 20;
+        assert!(count < world.endpoints.len() * ENDPOINT_OPTIONS.0);
+        for chunked in [false, true] {
+            let start = |n| {
+                tokio::spawn(async move {
+                    let id = format!("chunked-{chunked}-{n}");
+                    send_raw(to, &format!("{STREAM_PREFIX}{id}"), &id, 100, chunked).await
+                })
+            };
+            let calls: Vec<JoinHandle<String>> = (0..count).map(start).collect();
+            let mut seen = Vec::new();
+            for call in calls {
+                seen.push(call.await.expect("task"));
+            }
+            let refused = seen.iter().filter(|s| !s.contains(" 200 ")).count();
+            assert_eq!(refused, 0, "chunked: {chunked}\n{}", world.logs());
+            time::sleep(Duration::from_secs(2)).await;
+        }
+    });
+}
