Close connections whose first frame names no host

Cause: a connection that is opened while a link drops everything, and outlives the cut, has lost its first frame. The accepting host then took the address of the TCP connection for the sender. Pings and announcements kept the connection open, and everything that is answered to the sender of a message went to an address where no host listens: configurations, announcements of versions, load reports. A proxy of the soak drops bytes of a connection that goes on, which TCP does not.

Change: a host that receives another frame first closes the connection, and the peer opens a new one.

--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -379,12 +379,13 @@
     handler: Arc<dyn Handler>,
     log: slog::Logger,
 ) -> errors::Error {
-    let mut from: Arc<str> = addr.to_string().into();
+    let peer: Arc<str> = addr.to_string().into();
     if let Err(e) = stream.set_nodelay(true) {
-        return errors::Error::io("accept", from, e);
+        return errors::Error::io("accept", peer, e);
     }
     let (read, write) = stream.into_split();
-    let mut read = FrameReader::new(read, from.clone());
+    let mut read = FrameReader::new(read, peer.clone());
+    let mut sender: Option<Arc<str>> = None;
     let (answers, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
     let writer = tokio::spawn(write_answers(write, queue, log));
     let error = loop {
@@ -392,15 +393,22 @@
         let frame = match time::timeout(PEER_TIMEOUT * 2, read.next()).await {
             Ok(Ok(frame)) => frame,
             Ok(Err(error)) => break error,
-            Err(_) => break errors::Error::lost("read", from, "silent"),
+            Err(_) => break errors::Error::lost("read", peer, "silent"),
+        };
+        if let frame::Frame::Hello(name) = frame {
+            sender = Some(name);
+            continue;
+        }
+        // The peer opens another connection. On this one, answers would go to no host.
+        let Some(from) = &sender else {
+            break errors::Error::protocol("read frame", peer, "the first frame names no host");
         };
         match frame {
-            frame::Frame::Hello(name) => from = name,
             frame::Frame::Ping => {
                 // If the queue is full, the answers in it show the peer that this host is alive.
                 let _ = answers.try_send(frame::Frame::Pong);
             }
-            frame::Frame::Cast(message) => handler.cast(&from, message),
+            frame::Frame::Cast(message) => handler.cast(from, message),
             frame::Frame::Call(id, request) => {
                 let (reply, answers) = (handler.call(request), answers.clone());
                 tokio::spawn(async move {
@@ -408,7 +416,7 @@
                     let _ = answers.send(frame::Frame::Answer(id, reply.await)).await;
                 });
             }
-            frame::Frame::Pong | frame::Frame::Answer(..) => {}
+            frame::Frame::Hello(_) | frame::Frame::Pong | frame::Frame::Answer(..) => {}
         }
     };
     writer.abort();
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -486,6 +486,27 @@
     });
 }
 
+/// Guards against an entry that never gets a configuration after a short cut, because the frame that
+/// names it was lost on its new connections and the answers of the control hosts went elsewhere.
+#[test]
+fn change_after_a_short_cut_of_an_entry_is_in_force() {
+    run(async {
+        let world = World::start(TWO_LOSSES).await;
+        tokio::time::sleep(REPAIR_TIME).await;
+        world.cut_off(&world.hosts_of(Role::Entry));
+        for host in &world.hosts {
+            host.proxy.reset();
+        }
+        // The links return while the connections that are opened after the reset are still in use.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        for host in &world.hosts {
+            host.proxy.clear_faults();
+        }
+        tokio::time::sleep(LOST_CONTACT_TIME).await;
+        assert_change_takes_effect(&world, 2).await;
+    });
+}
+
 /// Guards against loss of the configuration when as many control hosts lose their disks at once as
 /// the settings permit.
 #[test]
