Probe a member again that does not answer a blank replica

Cause: after a round of probes in which one host with data answered, a blank replica asked only the hosts that had answered, for 8 s. If the answer of the leader was the one that got lost, the replica did not know the host of the leader, could not answer its messages as a learner, and was removed as silent after 6 s. Until then its group survives one loss less.

Change: only hosts that answer with a blank replica are left out of the rounds in between.

Test: a host that does not answer is asked at 0 s and 8 s before, and each second now.

--- a/src/replica/probing.rs
+++ b/src/replica/probing.rs
@@ -17,8 +17,11 @@
 /// Hosts to probe.
 #[derive(Debug, Default)]
 pub struct Targets {
-    /// Hosts that answered the last round with a replica that has data, sorted.
+    /// Hosts of the last round but those whose replica is blank. One that did not answer may be the
+    /// leader, which a learner has to know before it can answer it.
     members: Vec<Arc<str>>,
+    /// Whether a host has answered the last round with a replica that has data.
+    found: bool,
     /// Time of the last round.
     last: Duration,
     /// Time of the last round to every host.
@@ -34,21 +37,28 @@
         hosts: Vec<Arc<str>>,
         blank: bool,
     ) -> Option<Vec<Arc<str>>> {
-        let spare = blank && !self.members.is_empty();
+        let spare = blank && self.found;
         if spare && now.saturating_sub(self.last) < SPARE_INTERVAL {
             return None;
         }
         self.last = now;
         if !spare || now.saturating_sub(self.last_full) >= FULL_INTERVAL {
             self.last_full = now;
-            return Some(hosts);
+            self.members = hosts;
+        } else {
+            self.members.retain(|m| hosts.contains(m));
         }
-        Some(self.members.iter().filter(|m| hosts.contains(m)).cloned().collect())
+        Some(self.members.clone())
     }
 
     /// Records the answers to a round.
     pub fn record_answers<'a>(&mut self, answers: impl Iterator<Item = &'a ProbeAnswer>) {
-        self.members = answers.filter(|a| !a.blank).map(|a| a.host.clone()).collect();
-        self.members.sort();
+        self.found = false;
+        for answer in answers {
+            self.found |= !answer.blank;
+            if answer.blank {
+                self.members.retain(|m| *m != answer.host);
+            }
+        }
     }
 }
--- a/tests/fleet_sync.rs
+++ b/tests/fleet_sync.rs
@@ -215,3 +215,26 @@
     }
     insta::assert_snapshot!(format!("{probes:?}"), @"[45, 5, 5, 5, 5, 5, 5, 5, 45, 5, 5, 45, 5, 5, 5, 5, 5]");
 }
+
+/// Guards against a learner that does not know the leader for 8 s, and is removed as silent, because
+/// the answer of the leader to its first probe was lost.
+#[test]
+fn member_that_does_not_answer_is_probed_again() {
+    let hosts = names("control", 3);
+    let mut targets = probing::Targets::default();
+    let mut asked_at = Vec::new();
+    for round in 0..12 {
+        let now = ms(round * 250);
+        let Some(asked) = targets.next_round(now, hosts.clone(), true) else { continue };
+        if asked.contains(&hosts[0]) {
+            asked_at.push(round * 250);
+        }
+        // The first host does not answer until 2 s, the second one is blank.
+        let answers = [(0, false), (1, true), (2, false)].map(|(n, blank)| {
+            formation::ProbeAnswer { host: hosts[n].clone(), id: n as u64, blank }
+        });
+        let answers = answers.iter().filter(|a| round >= 8 || a.host != hosts[0]);
+        targets.record_answers(answers.filter(|a| asked.contains(&a.host)));
+    }
+    insta::assert_snapshot!(format!("{asked_at:?}"), @"[0, 1000, 2000]");
+}
