--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -44,9 +44,8 @@
 
 /// Seeds that run in CI and their permitted losses, including seeds that once failed, each with its
 /// cause: in 12 the store hosts restart before the job group is formed, and a stream went on at an
-/// endpoint of another build; in 108 an entry kept an old configuration, of which the cause is not
-/// known; in 501 two control hosts are cut off and were a majority of too small a group, and
-/// connections lose the frame that names the host.
+/// endpoint of another build; in 108 connections lose the frame that names the host; in 501 too, and
+/// two control hosts are cut off that were a majority of too small a group.
 const SEEDS: [(u64, u8); 5] = [(1, 1), (2, 1), (12, 1), (108, 1), (501, 2)];
 /// Faults are injected for this long with each seed.
 const FAULT_PERIOD: Duration = Duration::from_secs(12);
