--- a/src/fleet/origin.rs
+++ b/src/fleet/origin.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Most origins that a host keeps. Each takes about a hundred bytes. The oldest is dropped for a
+/// Most origins that a host keeps. Each takes some 200 bytes. The oldest is dropped for a
 /// further one.
 const MAX_ORIGINS: usize = 50_000;
 /// Longest time that an origin is kept, whatever the deadline of its caller is.
