--- a/tests/fleet_origin.rs
+++ b/tests/fleet_origin.rs
@@ -78,7 +78,7 @@
     for (found, in_contact) in
         [(Some(found.clone()), true), (Some(found), false), (None, true), (None, false)]
     {
-        let decide = |builds: &&[Arc<str>]| match origin::continuation(
+        let decide = |builds: &Vec<Arc<str>>| match origin::continuation(
             found.clone(),
             (&service, builds),
             in_contact,
