Test an unknown stream once the entry is in contact

The log shows that the request came before the entry had the first records of control hosts: it had learned of its endpoints within the same few milliseconds. Such an entry may lack endpoints of other builds, so it refuses an unknown stream as not run, as one that is cut off does. The test now waits until the entry answers 404 for a route that does not exist, which it does only in contact, and then demands the same as before.

--- a/tests/fleet_builds.rs
+++ b/tests/fleet_builds.rs
@@ -206,12 +206,23 @@
     });
 }
 
+/// Waits until an entry is in contact with the control hosts: it then answers 404 for a route that
+/// does not exist. Before that it may lack endpoints of other builds.
+async fn wait_for_contact(world: &World, entry: SocketAddr) {
+    let begun = Instant::now();
+    while client::call(entry, "POST", "/none/", &[], String::new()).await.0 != 404 {
+        assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "{}", world.logs());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Guards against a refusal of an unknown stream that any endpoint can go on with.
 #[test]
 fn unknown_stream_goes_on_while_one_build_serves() {
     run(async {
         let world = World::start_with_builds(SIZE, &["v1", "v1"], SLOTS).await;
         for entry in world.caller_addresses().iter() {
+            wait_for_contact(&world, *entry).await;
             let ended = unknown_caller().run(*entry, LAST_EVENT).await;
             assert_eq!(ended, StreamEnd::Complete, "{}", world.logs());
         }
