Count the bytes sent to other hosts by kind of message

The metrics of a host had no counter for the traffic between hosts. Each frame is now counted when it is encoded, as sent_bytes_total with the kind of message and, for messages of a replica group, the group. The test sends casts and a call over a connection and reads the counters of both sides; without the counter they are absent.

--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -27,6 +27,41 @@
     Answer(u64, wire::Reply),
 }
 
+impl Frame {
+    /// Name under which the bytes of the frame are counted.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Frame::Hello(_) => "hello",
+            Frame::Ping => "ping",
+            Frame::Pong => "pong",
+            Frame::Cast(message) => message.kind(),
+            Frame::Call(_, request) => match request {
+                wire::Request::Propose { .. } => "propose",
+                wire::Request::Query { .. } => "query",
+                wire::Request::Confirm { .. } => "confirm",
+                wire::Request::Probe { .. } => "probe",
+                _ => "other_call",
+            },
+            Frame::Answer(..) => "answer",
+        }
+    }
+
+    /// Replica group that the frame is for; `None` if it concerns none.
+    pub fn group(&self) -> Option<u16> {
+        match self {
+            Frame::Cast(Cast::Replica(envelope)) => Some(envelope.group),
+            Frame::Call(
+                _,
+                wire::Request::Propose { group, .. }
+                | wire::Request::Query { group, .. }
+                | wire::Request::Confirm { group }
+                | wire::Request::Probe { group, .. },
+            ) => Some(*group),
+            _ => None,
+        }
+    }
+}
+
 /// Message that is not answered.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Cast {
@@ -48,6 +83,31 @@
     Origins(Vec<origin::Record>),
 }
 
+impl Cast {
+    fn kind(&self) -> &'static str {
+        match self {
+            Cast::Replica(envelope) => match envelope.body {
+                replica::Message::Append { .. } => "append",
+                replica::Message::Appended { .. } => "appended",
+                replica::Message::AppendRejected { .. } => "append_rejected",
+                replica::Message::Heartbeat { .. } => "heartbeat",
+                replica::Message::HeartbeatReply { .. } => "heartbeat_reply",
+                replica::Message::SnapshotChunk { .. } => "snapshot_chunk",
+                _ => "other_replica",
+            },
+            Cast::Announce(_) => "announce",
+            Cast::Update(update) if update.document.is_some() => "configuration",
+            Cast::Update(update) if update.placement.is_some() => "placement",
+            Cast::Update(_) => "directory",
+            Cast::EntryLoad(_) => "entry_load",
+            Cast::OtherLoad(_) => "other_load",
+            Cast::ConfigAvailable(_) => "config_available",
+            Cast::FetchConfig(_) => "fetch_config",
+            Cast::Origins(_) => "origins",
+        }
+    }
+}
+
 /// Announcement that a host sends to the control hosts at regular intervals.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Announcement {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -76,7 +76,7 @@
     // A stopping entry still finishes requests and needs updates until then, so the links close
     // with `end` and not with the stop of the tree.
     let mut stop = end.clone();
-    let serve = peer::serve(links, handler, log.clone());
+    let serve = peer::serve(links, handler, node.metrics.clone(), log.clone());
     tree.spawn_once(async move {
         tokio::select! {
             result = serve => result,
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -111,7 +111,8 @@
         };
         let link = own.link.clone();
         let view = Arc::new(view::View::new(own, settings.seeds(), protocol, log));
-        let peers = peer::Peers::new(link, log);
+        let metrics = metrics::Metrics::new();
+        let peers = peer::Peers::new(link, &metrics, log);
         let local_replica = groups::local::SharedHandle::default();
         let group = match settings.host.role {
             settings::Role::Control => Some(groups::CONTROL),
@@ -131,7 +132,7 @@
             health: Arc::default(),
             slots: slots::Slots::default(),
             local_replica,
-            metrics: metrics::Metrics::new(),
+            metrics,
             timer: timer::Timer::start(),
             log: log.clone(),
         }
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -10,6 +10,7 @@
 use crate::event;
 use crate::events;
 use crate::fleet::frame;
+use crate::metrics;
 use crate::sorted;
 use crate::wire;
 use bytes::Buf as _;
@@ -76,6 +77,7 @@
 pub struct Peers {
     own: Arc<str>,
     connections: Arc<Mutex<sorted::SortedMap<Arc<str>, Connection>>>,
+    encoder: Encoder,
     log: slog::Logger,
 }
 
@@ -86,8 +88,9 @@
 
 impl Peers {
     /// Creates the client of the host with the link address `own`. Opens no connection yet.
-    pub fn new(own: Arc<str>, log: &slog::Logger) -> Peers {
-        Peers { own, connections: Arc::default(), log: log.clone() }
+    pub fn new(own: Arc<str>, metrics: &metrics::Metrics, log: &slog::Logger) -> Peers {
+        let encoder = Encoder { metrics: metrics.clone(), log: log.clone() };
+        Peers { own, connections: Arc::default(), encoder, log: log.clone() }
     }
 
     /// Link address of this host.
@@ -114,7 +117,8 @@
         connections.insert(to.clone(), connection);
         drop(connections);
         let (own, to, log) = (self.own.clone(), to.clone(), self.log.clone());
-        tokio::spawn(maintain_connection(own, to, receiver, answered, log));
+        let encoder = self.encoder.clone();
+        tokio::spawn(maintain_connection(own, to, receiver, answered, encoder, log));
         sender
     }
 
@@ -156,6 +160,7 @@
     to: Arc<str>,
     mut queue: mpsc::Receiver<Outgoing>,
     answered: Arc<AtomicBool>,
+    encoder: Encoder,
     log: slog::Logger,
 ) {
     let mut reachable = true;
@@ -165,7 +170,7 @@
                 event!(log, events::PEER_UP; "peer" => &*to);
                 reachable = true;
                 let cause =
-                    run_connection(&own, &to, stream, first, &mut queue, &answered, &log).await;
+                    run_connection(&own, &to, stream, first, &mut queue, &answered, &encoder).await;
                 answered.store(false, Ordering::Relaxed);
                 event!(log, events::PEER_LOST; "peer" => &*to, "error" => %cause);
             }
@@ -204,15 +209,15 @@
     first: Outgoing,
     queue: &mut mpsc::Receiver<Outgoing>,
     answered: &AtomicBool,
-    log: &slog::Logger,
+    encoder: &Encoder,
 ) -> errors::Error {
     let (read, mut write) = stream.into_split();
     let mut read = FrameReader::new(read, to.clone());
     let mut calls = PendingCalls::new();
     let mut next = 0;
     let mut out = Vec::new();
-    append_frame(&mut out, &frame::Frame::Hello(own.clone()), log);
-    append_outgoing(&mut out, first, &mut calls, &mut next, log);
+    encoder.append_frame(&mut out, &frame::Frame::Hello(own.clone()));
+    encoder.append_outgoing(&mut out, first, &mut calls, &mut next);
     let mut last_received = time::Instant::now();
     let mut last_used = time::Instant::now();
     let mut ping = time::interval(PING_INTERVAL);
@@ -222,7 +227,7 @@
             match queue.try_recv() {
                 Ok(outgoing) => {
                     last_used = time::Instant::now();
-                    append_outgoing(&mut out, outgoing, &mut calls, &mut next, log);
+                    encoder.append_outgoing(&mut out, outgoing, &mut calls, &mut next);
                 }
                 Err(_) => break,
             }
@@ -238,7 +243,7 @@
             outgoing = queue.recv() => match outgoing {
                 Some(outgoing) => {
                     last_used = time::Instant::now();
-                    append_outgoing(&mut out, outgoing, &mut calls, &mut next, log);
+                    encoder.append_outgoing(&mut out, outgoing, &mut calls, &mut next);
                 }
                 None => return errors::Error::lost("send", to.clone(), "closed by this host"),
             },
@@ -263,43 +268,56 @@
                 if last_used.elapsed() > IDLE_TIMEOUT && calls.is_empty() {
                     return errors::Error::lost("ping", to.clone(), "idle, closed by this host");
                 }
-                append_frame(&mut out, &frame::Frame::Ping, log);
+                encoder.append_frame(&mut out, &frame::Frame::Ping);
             }
         }
     }
 }
 
-fn append_outgoing(
-    out: &mut Vec<u8>,
-    outgoing: Outgoing,
-    calls: &mut PendingCalls,
-    next: &mut u64,
-    log: &slog::Logger,
-) {
-    match outgoing {
-        Outgoing::Cast(message) => append_frame(out, &frame::Frame::Cast(message), log),
-        Outgoing::Call(request, done) => {
-            *next += 1;
-            calls.insert(*next, done);
-            append_frame(out, &frame::Frame::Call(*next, request), log);
+/// Encodes frames and counts their bytes.
+#[derive(Clone)]
+struct Encoder {
+    metrics: metrics::Metrics,
+    log: slog::Logger,
+}
+
+impl Encoder {
+    fn append_outgoing(
+        &self,
+        out: &mut Vec<u8>,
+        outgoing: Outgoing,
+        calls: &mut PendingCalls,
+        next: &mut u64,
+    ) {
+        match outgoing {
+            Outgoing::Cast(message) => self.append_frame(out, &frame::Frame::Cast(message)),
+            Outgoing::Call(request, done) => {
+                *next += 1;
+                calls.insert(*next, done);
+                self.append_frame(out, &frame::Frame::Call(*next, request));
+            }
         }
     }
-}
 
-/// Appends an encoded frame to `out`. Leaves out a frame that is too long; a call in it times out.
-fn append_frame(out: &mut Vec<u8>, frame: &frame::Frame, log: &slog::Logger) {
-    let at = out.len();
-    out.extend([0; 4]);
-    let start = out.len();
-    out.extend(postcard::to_stdvec(frame).expect("postcard supports the types of frames"));
-    let len = u32::try_from(out.len() - start).ok().filter(|len| *len as usize <= wire::MAX_FRAME);
-    match len {
-        Some(len) => out[at..start].copy_from_slice(&len.to_be_bytes()),
-        None => {
-            // The peer would drop the whole connection.
-            event!(log, events::BAD_FRAME; "bytes" => out.len() - start,
-                "error" => "frame too long");
-            out.truncate(at);
+    /// Appends an encoded frame to `out`. Leaves out a frame that is too long; a call in it times
+    /// out.
+    fn append_frame(&self, out: &mut Vec<u8>, frame: &frame::Frame) {
+        let at = out.len();
+        out.extend([0; 4]);
+        let start = out.len();
+        out.extend(postcard::to_stdvec(frame).expect("postcard supports the types of frames"));
+        let len = u32::try_from(out.len() - start).ok();
+        match len.filter(|len| *len as usize <= wire::MAX_FRAME) {
+            Some(len) => {
+                out[at..start].copy_from_slice(&len.to_be_bytes());
+                self.metrics.count_sent(frame.kind(), frame.group(), out.len() - at);
+            }
+            None => {
+                // The peer would drop the whole connection.
+                event!(self.log, events::BAD_FRAME; "bytes" => out.len() - start,
+                    "error" => "frame too long");
+                out.truncate(at);
+            }
         }
     }
 }
@@ -353,14 +371,16 @@
 pub async fn serve(
     listener: TcpListener,
     handler: Arc<dyn Handler>,
+    metrics: metrics::Metrics,
     log: slog::Logger,
 ) -> Result<(), errors::Error> {
+    let encoder = Encoder { metrics, log: log.clone() };
     loop {
         match listener.accept().await {
             Ok((stream, addr)) => {
-                let (handler, log) = (handler.clone(), log.clone());
+                let (handler, encoder, log) = (handler.clone(), encoder.clone(), log.clone());
                 tokio::spawn(async move {
-                    let error = receive_frames(stream, addr, handler, log.clone()).await;
+                    let error = receive_frames(stream, addr, handler, encoder).await;
                     slog::debug!(log, "connection from host closed"; "error" => %error);
                 });
             }
@@ -377,7 +397,7 @@
     stream: TcpStream,
     addr: SocketAddr,
     handler: Arc<dyn Handler>,
-    log: slog::Logger,
+    encoder: Encoder,
 ) -> errors::Error {
     let peer: Arc<str> = addr.to_string().into();
     if let Err(e) = stream.set_nodelay(true) {
@@ -387,7 +407,7 @@
     let mut read = FrameReader::new(read, peer.clone());
     let mut sender: Option<Arc<str>> = None;
     let (answers, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
-    let writer = tokio::spawn(write_answers(write, queue, log));
+    let writer = tokio::spawn(write_answers(write, queue, encoder));
     let error = loop {
         // The dialing host sends pings. Without them it is gone or its packets are lost.
         let frame = match time::timeout(PEER_TIMEOUT * 2, read.next()).await {
@@ -427,14 +447,14 @@
 async fn write_answers(
     mut write: OwnedWriteHalf,
     mut queue: mpsc::Receiver<frame::Frame>,
-    log: slog::Logger,
+    encoder: Encoder,
 ) {
     let mut out = Vec::new();
     while let Some(frame) = queue.recv().await {
-        append_frame(&mut out, &frame, &log);
+        encoder.append_frame(&mut out, &frame);
         while out.len() < MAX_WRITE_BYTES {
             match queue.try_recv() {
-                Ok(frame) => append_frame(&mut out, &frame, &log),
+                Ok(frame) => encoder.append_frame(&mut out, &frame),
                 Err(_) => break,
             }
         }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -27,6 +27,7 @@
     preemptions: Counter<u64>,
     faults: Counter<u64>,
     leaving: Counter<u64>,
+    sent_bytes: Counter<u64>,
     latency: Histogram<f64>,
     level: Gauge<u64>,
 }
@@ -59,6 +60,7 @@
             preemptions: counter("preemptions", "Batch streams preempted for online requests"),
             faults: counter("faults", "Faults by step"),
             leaving: counter("leaving", "Marks of endpoints as leaving by change"),
+            sent_bytes: counter("sent_bytes", "Bytes of frames to other hosts by kind and group"),
             latency: meter
                 .f64_histogram("latency_seconds")
                 .with_description("Latency by step")
@@ -107,6 +109,18 @@
         self.inner.leaving.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts the bytes of a frame to another host. `group` is the replica group that it is for.
+    pub fn count_sent(&self, kind: &'static str, group: Option<u16>, bytes: usize) {
+        let kind = KeyValue::new("kind", kind);
+        match group {
+            Some(group) => {
+                let group = KeyValue::new("group", i64::from(group));
+                self.inner.sent_bytes.add(bytes as u64, &[kind, group]);
+            }
+            None => self.inner.sent_bytes.add(bytes as u64, &[kind]),
+        }
+    }
+
     /// Records the latency of a step.
     pub fn record_latency(&self, step: &'static str, elapsed: Duration) {
         self.inner.latency.record(elapsed.as_secs_f64(), &[KeyValue::new("step", step)]);
--- a/tests/fleet_peer.rs
+++ b/tests/fleet_peer.rs
@@ -2,6 +2,7 @@
 
 use basilfield::fleet::frame;
 use basilfield::fleet::peer;
+use basilfield::metrics;
 use basilfield::wire;
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
@@ -48,7 +49,7 @@
         let to = listener.local_addr().expect("address");
         let senders = Arc::new(Senders::default());
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        tokio::spawn(peer::serve(listener, senders.clone(), log));
+        tokio::spawn(peer::serve(listener, senders.clone(), metrics::Metrics::new(), log));
         let cast = encode(&frame::Frame::Cast(frame::Cast::FetchConfig(3)));
         let ping = encode(&frame::Frame::Ping);
         let named = encode(&frame::Frame::Hello("10.0.0.1:7700".into()));
@@ -65,3 +66,41 @@
         insta::assert_snapshot!(format!("{seen:?} {senders:?}"), @r#"[0, 1] ["10.0.0.1:7700"]"#);
     });
 }
+
+/// Guards against traffic between hosts of which nobody can tell what it consists of.
+#[test]
+fn sent_bytes_are_counted_by_kind() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let to: Arc<str> = listener.local_addr().expect("address").to_string().into();
+        let senders = Arc::new(Senders::default());
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let (sent, answered) = (metrics::Metrics::new(), metrics::Metrics::new());
+        tokio::spawn(peer::serve(listener, senders.clone(), answered.clone(), log.clone()));
+        let peers = peer::Peers::new("10.0.0.1:7700".into(), &sent, &log);
+        peers.cast(&to, frame::Cast::ConfigAvailable(4));
+        peers.cast(&to, frame::Cast::ConfigAvailable(5));
+        let request = wire::Request::Propose { group: 1, command: vec![7; 100].into() };
+        // The handler does not answer.
+        assert!(peers.call(&to, request, Duration::from_millis(500)).await.is_err());
+        let lines = |metrics: &metrics::Metrics| -> Vec<String> {
+            let text = metrics.render();
+            let counted = text.lines().filter(|l| l.starts_with("sent_bytes"));
+            let kinds = ["ping", "pong"].map(|kind| format!("kind=\"{kind}\""));
+            let (pings, other): (Vec<&str>, _) =
+                counted.partition(|l| kinds.iter().any(|kind| l.contains(kind)));
+            let mut lines: Vec<String> = other.into_iter().map(str::to_string).collect();
+            lines.push(format!("{} of pings or pongs", pings.len()));
+            lines
+        };
+        let lines = [lines(&sent), lines(&answered)].concat();
+        insta::assert_snapshot!(lines.join("\n"), @r#"
+        sent_bytes_total{kind="config_available",otel_scope_name="basilfield"} 14
+        sent_bytes_total{kind="hello",otel_scope_name="basilfield"} 19
+        sent_bytes_total{group="1",kind="propose",otel_scope_name="basilfield"} 109
+        1 of pings or pongs
+        1 of pings or pongs
+        "#);
+    });
+}
