Let broken streams wait for a slot until their deadline

After one of two full endpoints had crashed, callers saw streams cut off with 502 in the middle. A stream that met no endpoint with room at all was given up after 1.5 s.

Attempts that did not run no longer end a stream of which the caller has events. It waits until its deadline or until its caller leaves. A stream that its caller takes up again is still refused as not run after 1.5 s. An endpoint that declines hands no slot on, since it would decline the next request as well.

Existing tests: the queue of waiting requests is told the build of the released slot; nothing that they assert has changed.

--- a/src/events.rs
+++ b/src/events.rs
@@ -196,6 +196,8 @@
     CALLER_LEFT = 708, Info, "caller left";
     /// A caller came back and takes up a stream again, which goes on at the build that began it.
     STREAM_TAKEN_UP = 709, Info, "stream taken up again";
+    /// Every endpoint that can continue a stream is full, and the stream waits for a slot.
+    STREAM_WAITING = 712, Info, "stream waits for a slot";
 }
 
 /// Most lines of one event that a process writes in one second. Further lines are counted and left
--- a/src/fleet/attempt.rs
+++ b/src/fleet/attempt.rs
@@ -1,7 +1,9 @@
 //! Decides after each attempt of a request whether to try another endpoint. Free of I/O.
 //!
 //! A request is reported as "not run" only if none of its attempts can have run. Attempts that
-//! certainly did not run do not count towards the limit of the route.
+//! certainly did not run do not count towards the limit of the route. They end a request that has
+//! not begun after a few, but not a stream of which the caller has events: only endpoints of its
+//! build can continue it, and they may be full for as long as their requests run.
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,12 +49,26 @@
     /// Attempts that ran or may have run.
     possible_runs: u32,
     declined: u32,
+    /// Whether the caller has a part of the answer.
+    begun: bool,
 }
 
 impl Attempts {
     /// Creates the state before the first attempt of a request that may run on `max_runs` endpoints.
     pub fn new(retryable: bool, max_runs: u32) -> Attempts {
-        Attempts { retryable, max_runs: max_runs.max(1), possible_runs: 0, declined: 0 }
+        Attempts {
+            retryable,
+            max_runs: max_runs.max(1),
+            possible_runs: 0,
+            declined: 0,
+            begun: false,
+        }
+    }
+
+    /// Records that the caller has a part of the answer. Attempts that do not run no longer end the
+    /// request; the time of the caller does.
+    pub fn begin(&mut self) {
+        self.begun = true;
     }
 
     /// Whether another attempt is allowed if the current one ran or may have run.
@@ -70,7 +86,8 @@
         match outcome {
             Outcome::NotSent | Outcome::Declined => {
                 self.declined += 1;
-                match (self.declined < MAX_DECLINED_ATTEMPTS, self.possible_runs) {
+                let again = self.begun || self.declined < MAX_DECLINED_ATTEMPTS;
+                match (again, self.possible_runs) {
                     (true, _) => Next::Again,
                     (false, 0) => Next::Refuse,
                     (false, _) => Next::Fail,
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -50,8 +50,8 @@
 /// Share of the response target for which a request waits for a slot. The rest is the usual time to
 /// the first event.
 const SLOT_WAIT_SHARE: f64 = 0.6;
-/// Time for which a stream waits for a slot at an endpoint of its build. Callers leave a silent
-/// stream after about two seconds.
+/// Time for which a stream that its caller takes up again waits for a slot at an endpoint of its
+/// build. Callers leave a silent stream after about two seconds.
 const BUILD_WAIT: Duration = Duration::from_millis(1_500);
 /// Added to the deadline of a caller for the time until which it may take up a stream again.
 const RETURN_MARGIN: Duration = Duration::from_secs(1);
@@ -147,6 +147,8 @@
     service: Arc<str>,
     /// Build at which the stream has to go on, once the caller has events of it.
     build: Option<Arc<str>>,
+    /// Whether the caller has events of this response.
+    begun: bool,
     /// Whether the caller may take up the stream again under the id of this request.
     is_origin: bool,
     /// Number of the last record of the stream's origin, and the build that it names.
@@ -160,6 +162,9 @@
     _guard: slots::RequestGuard,
 }
 
+/// Endpoint with a slot for a request, and the guard that counts the request there.
+type Slot = (place::Candidate, slots::RequestGuard);
+
 /// Why an endpoint gave no usable answer: the outcome of the attempt and its cause.
 pub(super) type AttemptFailure = (attempt::Outcome, Arc<str>);
 
@@ -193,7 +198,11 @@
         }
     }
     let is_origin = is_stream && request.route.resumable && build.is_none();
-    let attempts = attempt::Attempts::new(request.route.is_retryable(), request.route.max_attempts);
+    let mut attempts =
+        attempt::Attempts::new(request.route.is_retryable(), request.route.max_attempts);
+    if build.is_some() {
+        attempts.begin();
+    }
     let mut forwarder = Forwarder {
         node,
         request,
@@ -203,6 +212,7 @@
         last_event,
         service,
         build,
+        begun: false,
         is_origin,
         recorded: None,
     };
@@ -239,6 +249,8 @@
             self.record_origin(build);
             self.build = Some(build.clone());
         }
+        self.begun = true;
+        self.attempts.begin();
     }
 
     /// Records that an endpoint of the given build may begin the stream, before it does.
@@ -274,7 +286,7 @@
     /// connection, or a slot may have become free.
     fn choose_next_endpoint(&self) -> place::Choice {
         match self.choose_endpoint() {
-            place::Choice::None if self.build.is_some() => {
+            place::Choice::None | place::Choice::Wait(None) if self.build.is_some() => {
                 place::choose(self.candidates(), &[], rand::random())
             }
             choice => choice,
@@ -291,13 +303,15 @@
         }
     }
 
-    /// Waits for a slot. If none becomes free in time, returns the endpoint `other`, if any.
+    /// Waits for a slot. If none becomes free in time, returns the endpoint `other`, if any. A stream
+    /// that goes on at its build waits until `end`.
     async fn wait_for_slot(
         &self,
         other: Option<place::Candidate>,
-    ) -> Option<(place::Candidate, slots::RequestGuard)> {
+        end: time::Instant,
+    ) -> Option<Slot> {
         if self.build.is_some() {
-            return self.wait_for_build(other).await;
+            return self.wait_for_build(other, end).await;
         }
         let limit = self.request.route.response_target.mul_f64(SLOT_WAIT_SHARE);
         let waited = self.request.arrived.elapsed();
@@ -314,13 +328,19 @@
         Some((other, guard))
     }
 
-    /// Waits for an endpoint of the stream's build, and sends to a full one rather than give up: no
-    /// other endpoint can continue the stream.
+    /// Waits until `end` for an endpoint of the stream's build, and sends to a full one rather than
+    /// give up: no other endpoint can continue the stream.
     async fn wait_for_build(
         &self,
         mut other: Option<place::Candidate>,
-    ) -> Option<(place::Candidate, slots::RequestGuard)> {
-        let end = time::Instant::now() + BUILD_WAIT;
+        end: time::Instant,
+    ) -> Option<Slot> {
+        if other.is_none() {
+            let patience = end.saturating_duration_since(time::Instant::now());
+            event!(self.node.log, events::STREAM_WAITING; "request" => &*self.request.id,
+                "build" => self.build().map(|b| &**b), "after_event" => self.last_event,
+                "patience_ms" => patience.as_millis() as u64);
+        }
         loop {
             if let Some(endpoint) = other {
                 let guard = self.node.count_request(&self.service, &endpoint.id);
@@ -329,7 +349,9 @@
             if time::Instant::now() > end || self.time_left() < MIN_TIME_LEFT {
                 return None;
             }
-            time::sleep(TAKEOVER_INTERVAL).await;
+            if let Some(slot) = self.wait_for_released_slot(TAKEOVER_INTERVAL).await {
+                return Some(slot);
+            }
             other = match self.choose_next_endpoint() {
                 place::Choice::Send(endpoint) => Some(endpoint),
                 place::Choice::Wait(other) => other,
@@ -338,6 +360,16 @@
         }
     }
 
+    /// Waits for at most `limit` until another request releases its slot at an endpoint of the
+    /// stream's build.
+    async fn wait_for_released_slot(&self, limit: Duration) -> Option<Slot> {
+        let limit = limit.min(self.time_left());
+        let build = self.build.as_ref()?;
+        let guard = self.node.wait_for_build_slot(&self.service, build, limit).await?;
+        let endpoint = self.candidates().into_iter().find(|c| c.id == *guard.endpoint())?;
+        Some((endpoint, guard))
+    }
+
     /// Builds the request to send to an endpoint.
     fn outgoing_request(
         &self,
@@ -389,6 +421,7 @@
             match response.classify(&headers, &id) {
                 upstream::ResponseClass::Matching => {}
                 upstream::ResponseClass::Declined => {
+                    guard.discard();
                     let cause = format!("declined with {}", response.head.status.as_u16());
                     return Err((attempt::Outcome::Declined, cause.into()));
                 }
@@ -513,25 +546,32 @@
         &mut self,
         headers: &protocol::Headers,
     ) -> Result<Box<StartedResponse>, serve::Response> {
+        // A caller that has events waits on, or ends the connection. Others can be refused.
+        let patience = if self.begun { self.time_left() } else { BUILD_WAIT };
+        let end = time::Instant::now() + patience;
+        let (mut released, mut interval) = (None, TAKEOVER_INTERVAL);
         loop {
             let id = self.request.id.clone();
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(self.give_up("the time is over"));
             }
             self.log_left_out_endpoints();
-            let (endpoint, guard) = match self.choose_next_endpoint() {
-                place::Choice::Send(endpoint) => {
-                    let guard = self.node.count_request(&self.service, &endpoint.id);
-                    (endpoint, guard)
-                }
-                place::Choice::Wait(other) => match self.wait_for_slot(other).await {
-                    Some(slot) => slot,
-                    None => return Err(self.give_up("every endpoint is full")),
+            let (endpoint, guard) = match released.take() {
+                Some(slot) => slot,
+                None => match self.choose_next_endpoint() {
+                    place::Choice::Send(endpoint) => {
+                        let guard = self.node.count_request(&self.service, &endpoint.id);
+                        (endpoint, guard)
+                    }
+                    place::Choice::Wait(other) => match self.wait_for_slot(other, end).await {
+                        Some(slot) => slot,
+                        None => return Err(self.give_up("every endpoint is full")),
+                    },
+                    place::Choice::None if self.build.is_some() => {
+                        return Err(self.give_up("no endpoint of the stream's build is left"));
+                    }
+                    place::Choice::None => return Err(self.give_up("no endpoint is left")),
                 },
-                place::Choice::None if self.build.is_some() => {
-                    return Err(self.give_up("no endpoint of the stream's build is left"));
-                }
-                place::Choice::None => return Err(self.give_up("no endpoint is left")),
             };
             // It may have started to leave while the request waited for a slot.
             if !self.node.is_available(&endpoint.id) {
@@ -559,8 +599,12 @@
                 Waited::Ended(Err((outcome, cause))) => {
                     match self.record_retry(&name, outcome, &cause) {
                         attempt::Next::Again if self.build.is_some() => {
+                            if outcome.is_not_run() && time::Instant::now() > end {
+                                return Err(self.give_up("every endpoint is full"));
+                            }
                             // Few endpoints can continue the stream, and a slot may become free.
-                            time::sleep(TAKEOVER_INTERVAL.min(self.time_left())).await;
+                            released = self.wait_for_released_slot(interval).await;
+                            interval = (interval * 2).min(MAX_TAKEOVER_INTERVAL);
                         }
                         attempt::Next::Again => {}
                         attempt::Next::Refuse => {
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -299,7 +299,18 @@
         limit: Duration,
     ) -> Option<slots::RequestGuard> {
         let running = self.view.loads(|l| l.own_total());
-        self.slots.wait(service, self.now(), limit, running).await
+        self.slots.wait(service, self.now(), limit, running, None).await
+    }
+
+    /// Waits for at most `limit`, before all new requests, until another request of this host
+    /// releases its slot at an endpoint of `build`, and takes the slot over.
+    pub async fn wait_for_build_slot(
+        &self,
+        service: &Arc<str>,
+        build: &Arc<str>,
+        limit: Duration,
+    ) -> Option<slots::RequestGuard> {
+        self.slots.wait(service, self.now(), limit, 0, Some(build)).await
     }
 
     /// Asks another control host for a configuration that is overdue.
--- a/src/fleet/slots.rs
+++ b/src/fleet/slots.rs
@@ -33,19 +33,24 @@
 impl Slots {
     /// Waits until a request for a service releases its slot, and takes the slot over. `running` is
     /// the number of requests of this host. Returns `None` at once if the wait will probably take
-    /// longer than `limit`, or after `limit`.
+    /// longer than `limit`, or after `limit`. A stream that goes on at `build` only waits before all
+    /// new requests, and for `limit` in any case.
     pub async fn wait(
         &self,
         service: &Arc<str>,
         now: Duration,
         limit: Duration,
         running: u32,
+        build: Option<&Arc<str>>,
     ) -> Option<RequestGuard> {
         let (sender, slot) = oneshot::channel();
         let ticket = {
             let mut queues = peer::lock(&self.queues);
             let queue = queues.queues.entry_or(service.clone(), waiting::Queue::default);
-            let ticket = queue.join(now, limit, running)?;
+            let ticket = match build {
+                Some(build) => queue.join_first(now, limit, build),
+                None => queue.join(now, limit, running)?,
+            };
             queues.receivers.insert((service.clone(), ticket), sender);
             ticket
         };
@@ -67,17 +72,18 @@
         queues.receivers.remove(&(service.clone(), ticket));
     }
 
-    /// Records that a request has ended after `run_time`. Returns the receiver of its slot, if a
-    /// request waits.
+    /// Records that a request has ended after `run_time` at an endpoint of `build`. Returns the
+    /// receiver of its slot, if a request waits.
     fn release(
         &self,
         service: &Arc<str>,
         now: Duration,
         run_time: Duration,
+        build: &str,
     ) -> Option<oneshot::Sender<RequestGuard>> {
         let mut queues = peer::lock(&self.queues);
         let queue = queues.queues.entry_or(service.clone(), waiting::Queue::default);
-        let ticket = queue.release(now, run_time)?;
+        let ticket = queue.release(now, run_time, build)?;
         queues.receivers.remove(&(service.clone(), ticket))
     }
 }
@@ -105,6 +111,8 @@
     service: Arc<str>,
     endpoint: Arc<str>,
     since: Duration,
+    /// Whether the request has had no slot.
+    declined: bool,
 }
 
 impl RequestGuard {
@@ -118,23 +126,32 @@
             service: service.clone(),
             endpoint: endpoint.clone(),
             since: node.now(),
+            declined: false,
         }
     }
 
+    /// Drops the guard of a request that the endpoint declined. No slot is passed on: the endpoint is
+    /// fuller than this host knows, and would decline the next request as well.
+    pub fn discard(mut self) {
+        self.declined = true;
+    }
+
     /// Id of the endpoint.
     pub fn endpoint(&self) -> &Arc<str> {
         &self.endpoint
     }
 
-    /// Whether a further request can start at the endpoint once this one has ended.
-    fn is_reusable(&self, now: Duration) -> bool {
-        let slots = self.view.directory(|d| {
+    /// Build of the endpoint if a further request can start there once this one has ended.
+    fn reusable_build(&self, now: Duration) -> Option<Arc<str>> {
+        let (slots, build) = self.view.directory(|d| {
             let ready = d.endpoint(&self.endpoint).filter(|e| e.phase == directory::Phase::Ready);
-            ready.map(|e| e.slots)
-        });
+            ready.map(|e| (e.slots, e.build.clone()))
+        })?;
         let running = self.view.loads(|l| l.running(now, &self.endpoint));
-        slots.is_some_and(|slots| running.own + running.online <= slots)
-            && !peer::lock(&self.health).is_avoided(now, &self.endpoint)
+        let is_reusable = !self.declined
+            && running.own + running.online <= slots
+            && !peer::lock(&self.health).is_avoided(now, &self.endpoint);
+        is_reusable.then_some(build)
     }
 
     /// Guard of the request that takes over the slot of this one at `now`.
@@ -147,6 +164,7 @@
             service: self.service.clone(),
             endpoint: self.endpoint.clone(),
             since: now,
+            declined: false,
         }
     }
 }
@@ -154,9 +172,9 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let now = self.timer.now();
-        if self.is_reusable(now) {
+        if let Some(build) = self.reusable_build(now) {
             let run_time = now.saturating_sub(self.since);
-            if let Some(receiver) = self.slots.release(&self.service, now, run_time) {
+            if let Some(receiver) = self.slots.release(&self.service, now, run_time, &build) {
                 // A request that has given up drops the guard, which passes the slot on.
                 drop(receiver.send(self.successor(now)));
                 return;
--- a/src/fleet/waiting.rs
+++ b/src/fleet/waiting.rs
@@ -7,6 +7,7 @@
 //! so none of them sends a request there at the same moment.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Weight of the latest request in the moving average of run times.
@@ -17,9 +18,12 @@
     ticket: u64,
     /// Time until which it can still use a slot.
     until: Duration,
+    /// Build of the endpoints that can continue its stream; `None` for a new request.
+    build: Option<Arc<str>>,
 }
 
-/// Requests for one service that wait at one entry, in order of arrival.
+/// Requests for one service that wait at one entry: streams that go on first, then new requests,
+/// both in order of arrival.
 #[derive(Debug, Default)]
 pub struct Queue {
     waiting: VecDeque<Waiting>,
@@ -38,9 +42,21 @@
         if wait > limit {
             return None;
         }
+        let at = self.waiting.len();
+        Some(self.insert(at, now + limit, None))
+    }
+
+    /// Adds a stream that goes on at endpoints of `build` only and can wait for `limit`. It goes
+    /// before new requests, since its caller already has a part of the answer. Returns its ticket.
+    pub fn join_first(&mut self, now: Duration, limit: Duration, build: &Arc<str>) -> u64 {
+        let at = self.waiting.partition_point(|w| w.build.is_some());
+        self.insert(at, now + limit, Some(build.clone()))
+    }
+
+    fn insert(&mut self, at: usize, until: Duration, build: Option<Arc<str>>) -> u64 {
         self.last_ticket += 1;
-        self.waiting.push_back(Waiting { ticket: self.last_ticket, until: now + limit });
-        Some(self.last_ticket)
+        self.waiting.insert(at, Waiting { ticket: self.last_ticket, until, build });
+        self.last_ticket
     }
 
     /// Removes a request that no longer waits.
@@ -48,17 +64,15 @@
         self.waiting.retain(|w| w.ticket != ticket);
     }
 
-    /// Records that a request has ended after `run_time`, which frees its slot. Returns the ticket of
-    /// the request that takes the slot over.
-    pub fn release(&mut self, now: Duration, run_time: Duration) -> Option<u64> {
+    /// Records that a request has ended after `run_time`, which frees its slot at an endpoint of
+    /// `build`. Returns the ticket of the request that takes the slot over.
+    pub fn release(&mut self, now: Duration, run_time: Duration, build: &str) -> Option<u64> {
         let average = self.run_time.unwrap_or(run_time);
         self.run_time =
             Some(average.mul_f64(1.0 - RUN_TIME_WEIGHT) + run_time.mul_f64(RUN_TIME_WEIGHT));
-        while let Some(first) = self.waiting.pop_front() {
-            if first.until >= now {
-                return Some(first.ticket);
-            }
-        }
-        None
+        self.waiting.retain(|w| w.until >= now);
+        let fits = |w: &Waiting| w.build.as_deref().is_none_or(|b| b == build);
+        let at = self.waiting.iter().position(fits)?;
+        self.waiting.remove(at).map(|w| w.ticket)
     }
 }
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -49,6 +49,20 @@
     ");
 }
 
+/// Guards against a stream that is cut off because the endpoints that can continue it declined a few
+/// times while they were full.
+#[test]
+fn declines_do_not_end_a_stream_that_has_begun() {
+    use attempt::Outcome::*;
+    let mut attempts = attempt::Attempts::new(true, 3);
+    attempts.begin();
+    let mut next = vec![attempts.record(Lost)];
+    next.extend([Declined, NotSent].repeat(5).iter().map(|o| attempts.record(*o)));
+    assert_eq!(next, [attempt::Next::Again; 11]);
+    let ends = [attempts.record(Lost), attempts.record(Lost)];
+    assert_eq!(ends, [attempt::Next::Again, attempt::Next::Fail]);
+}
+
 /// Guards against a job that is reported as not accepted although a host that did not answer may
 /// have committed it.
 #[test]
--- a/tests/fleet_takeover.rs
+++ b/tests/fleet_takeover.rs
@@ -210,33 +210,48 @@
     });
 }
 
+/// Fills two endpoints whose answers pause for `length` and crashes one of them soon after. Returns
+/// the number of streams that were cut off.
+async fn crash_one_of_two_full(world: &mut World, length: Duration) -> usize {
+    for endpoint in world.endpoints.iter().flatten() {
+        endpoint.set_faults(pause(MIDDLE, length));
+    }
+    let to = entry(world);
+    let slots = world.endpoints.len() * ENDPOINT_OPTIONS.0;
+    let start = |n| {
+        tokio::spawn(async move { client::stream(to, STREAM_PREFIX, &format!("full-{n}")).await })
+    };
+    let streams: Vec<JoinHandle<StreamEnd>> = (0..slots).map(start).collect();
+    let running =
+        || -> usize { world.endpoints.iter().flatten().map(plain::PlainEndpoint::running).sum() };
+    assert!(wait_until(Duration::from_secs(1), || slots == running()).await);
+    time::sleep(Duration::from_millis(300)).await;
+    world.crash_endpoint(0);
+    let mut cut = 0;
+    for stream in streams {
+        cut += usize::from(stream.await.expect("task") != StreamEnd::Complete);
+    }
+    cut
+}
+
 /// Guards against streams that are not resumed after their endpoint ended because every slot is taken
 /// for a moment.
 #[test]
 fn broken_streams_wait_for_slots() {
     run(async {
         let mut world = World::start(TWO_ENDPOINTS).await;
-        for endpoint in world.endpoints.iter().flatten() {
-            endpoint.set_faults(pause(MIDDLE, Duration::from_millis(600)));
-        }
-        let to = entry(&world);
-        let slots = world.endpoints.len() * ENDPOINT_OPTIONS.0;
-        let start = |n| {
-            tokio::spawn(
-                async move { client::stream(to, STREAM_PREFIX, &format!("full-{n}")).await },
-            )
-        };
-        let streams: Vec<JoinHandle<StreamEnd>> = (0..slots).map(start).collect();
-        let running = || -> usize {
-            world.endpoints.iter().flatten().map(plain::PlainEndpoint::running).sum()
-        };
-        assert!(wait_until(Duration::from_secs(1), || slots == running()).await);
-        time::sleep(Duration::from_millis(300)).await;
-        world.crash_endpoint(0);
-        let mut cut = 0;
-        for stream in streams {
-            cut += usize::from(stream.await.expect("task") != StreamEnd::Complete);
-        }
+        let cut = crash_one_of_two_full(&mut world, Duration::from_millis(600)).await;
+        assert_eq!(cut, 0, "{}", world.logs());
+    });
+}
+
+/// Guards against streams that are not resumed after their endpoint ended because the requests in the
+/// slots run for longer than the wait for a new stream, although their callers wait on.
+#[test]
+fn broken_streams_wait_as_long_as_their_callers() {
+    run(async {
+        let mut world = World::start(TWO_ENDPOINTS).await;
+        let cut = crash_one_of_two_full(&mut world, Duration::from_secs(2)).await;
         assert_eq!(cut, 0, "{}", world.logs());
     });
 }
--- a/tests/loads/steps.rs
+++ b/tests/loads/steps.rs
@@ -15,6 +15,7 @@
 const ENDPOINTS: usize = 160;
 const DOMAINS: usize = 5;
 const SLOTS: u32 = 7;
+const BUILD: &str = "v1";
 /// Requests in a second, on average, of which the steps nearly fill all slots.
 pub const LIGHT: f64 = 720.0;
 /// Requests in a second, on average, of which the steps exceed all slots.
@@ -123,9 +124,8 @@
                 continue;
             }
             let waiting = &mut self.queues[entry];
-            if let Some(ticket) =
-                waiting.queue.release(Duration::from_millis(now), Duration::from_millis(RUN_TIME))
-            {
+            let (time, run_time) = (Duration::from_millis(now), Duration::from_millis(RUN_TIME));
+            if let Some(ticket) = waiting.queue.release(time, run_time, BUILD) {
                 let arrived = waiting.arrivals.remove(&ticket).expect("waits");
                 self.send(at, entry, arrived);
             }
