Reserve memory for chunked bodies as they arrive

Callers of small requests with chunked bodies got 503 "too many bodies are held" while the entry was nearly idle. A body without a stated length reserved the longest permitted one, 4 MB of 64 MB, until it was read, so the seventeenth body of one moment was refused, and sixteen callers who stopped in the middle of a body refused everybody for as long as they liked, since reading had no time limit.

A body that finds no memory fails at once and releases what it holds, so bodies cannot wait for each other. A body is read until the deadline of its request at most; then the request is refused as not run.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -3,6 +3,7 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::fleet::body;
 use crate::fleet::directory;
 use crate::fleet::forward;
 use crate::fleet::frame;
@@ -19,10 +20,8 @@
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
 use hyper::StatusCode;
-use hyper::body::Body as _;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -43,14 +42,12 @@
 /// Most bytes of request bodies that an entry holds. A body is held until the response ends, since
 /// the request may have to be sent again. The smallest entries have 160 MB.
 const MAX_HELD_BODY_BYTES: usize = 64 << 20;
-/// Memory for bodies is reserved in blocks of this many bytes.
-const BODY_BLOCK_BYTES: usize = 1 << 10;
 
 /// Handler of caller requests and of frames from other hosts.
 struct Entry {
     node: node::Node,
-    /// Free blocks of memory for request bodies.
-    body_blocks: Arc<Semaphore>,
+    /// Memory for request bodies.
+    memory: body::Memory,
     stage: watch::Receiver<serve::Stage>,
 }
 
@@ -175,11 +172,7 @@
 
 impl Entry {
     fn new(node: &node::Node, stage: watch::Receiver<serve::Stage>) -> Entry {
-        Entry {
-            node: node.clone(),
-            body_blocks: Arc::new(Semaphore::new(MAX_HELD_BODY_BYTES / BODY_BLOCK_BYTES)),
-            stage,
-        }
+        Entry { node: node.clone(), memory: body::Memory::new(MAX_HELD_BODY_BYTES), stage }
     }
 
     async fn handle_request(
@@ -231,39 +224,29 @@
             return serve::response(StatusCode::BAD_REQUEST, "the request has no id\n");
         }
         let limit = active.config.bounds.body_bytes;
-        let Some(mut body_permit) = self.reserve_body(&body, limit) else {
-            return forward::refuse(node, &id, "too many bodies are held");
-        };
-        let body = match serve::read_body(body, limit).await {
-            Ok(body) => body,
-            Err(response) => return response,
+        // A body that stops arriving holds memory until the time of its request is over.
+        let end = arrived + forward::time_limit(headers, &head.headers, route.timeout);
+        let (body, memory) = match time::timeout_at(end, self.memory.read(body, limit)).await {
+            Ok(Ok(read)) => read,
+            Ok(Err(body::Problem::NoMemory)) => {
+                return forward::refuse(node, &id, "too many bodies are held");
+            }
+            Ok(Err(body::Problem::TooLong)) => {
+                return serve::response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n");
+            }
+            Ok(Err(body::Problem::BrokenOff)) => {
+                return serve::response(StatusCode::BAD_REQUEST, "the body breaks off\n");
+            }
+            Err(_) => return forward::refuse(node, &id, "the body has not arrived in time"),
         };
-        // A body without a stated length reserves memory for the largest one until it is read.
-        let unused =
-            body_permit.num_permits().saturating_sub(body.len().div_ceil(BODY_BLOCK_BYTES));
-        drop(body_permit.split(unused));
         let route = route.clone();
-        let request =
-            forward::Request { id, head, body, route, arrived, _body_permit: body_permit };
+        let request = forward::Request { id, head, body, route, arrived, _memory: memory };
         match request.route.kind {
             routes::Kind::Batch => self.submit_job(request).await,
             _ => forward::forward(node.clone(), request).await,
         }
     }
 
-    /// Reserves memory for the body of a request; `None` if too little is free. A body without a
-    /// stated length counts as the largest allowed one.
-    fn reserve_body(
-        &self,
-        body: &hyper::body::Incoming,
-        limit: usize,
-    ) -> Option<tokio::sync::OwnedSemaphorePermit> {
-        let length = body.size_hint().exact().and_then(|n| usize::try_from(n).ok());
-        let bytes = length.unwrap_or(limit).min(limit);
-        let blocks = u32::try_from(bytes.div_ceil(BODY_BLOCK_BYTES)).ok()?;
-        self.body_blocks.clone().try_acquire_many_owned(blocks).ok()
-    }
-
     fn readiness(&self) -> serve::Response {
         let node = &self.node;
         let usable = node.view.active_config().is_some()
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -3,6 +3,7 @@
 use crate::event;
 use crate::events;
 use crate::fleet::attempt;
+use crate::fleet::body;
 use crate::fleet::continuation;
 use crate::fleet::event_stream;
 use crate::fleet::node;
@@ -86,7 +87,7 @@
     /// Time at which the request arrived.
     pub arrived: time::Instant,
     /// Reservation of memory for the body.
-    pub _body_permit: tokio::sync::OwnedSemaphorePermit,
+    pub _memory: body::Reservation,
 }
 
 /// Removes the headers that apply to one connection only, and those named by `Connection`.
@@ -178,13 +179,18 @@
     DeadlineExceeded,
 }
 
+/// Time that a request has: the one that its caller states or that of the route, whichever is
+/// shorter.
+pub fn time_limit(names: &protocol::Headers, headers: &HeaderMap, timeout: Duration) -> Duration {
+    let requested = numeric_header(headers, &names.deadline).map(Duration::from_millis);
+    requested.unwrap_or(timeout).min(timeout)
+}
+
 /// Forwards a request. Dropping the future or the body of the response cancels it.
 pub async fn forward(node: node::Node, request: Request) -> serve::Response {
     let headers = node.view.protocol().headers().clone();
-    let requested =
-        numeric_header(&request.head.headers, &headers.deadline).map(Duration::from_millis);
-    let limit = requested.unwrap_or(request.route.timeout).min(request.route.timeout);
-    let deadline = request.arrived + limit;
+    let deadline =
+        request.arrived + time_limit(&headers, &request.head.headers, request.route.timeout);
     let Some(mut service) = request.route.choose_service(rand::random()).cloned() else {
         return refuse(&node, &request.id, "the route has no service");
     };
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! other modules carry them out.
 
 pub mod attempt;
+pub mod body;
 mod continuation;
 pub mod control;
 pub mod control_state;
--- a/tests/fleet_takeover.rs
+++ b/tests/fleet_takeover.rs
@@ -28,6 +28,8 @@
 const FOUR_ENDPOINTS: Size = Size { endpoints: 4, ..TWO_ENDPOINTS };
 const HANG: Duration = Duration::from_secs(60);
 const MIDDLE: u64 = 10;
+/// Time limit of requests whose bodies stop arriving.
+const STALL_TIME: Duration = Duration::from_secs(2);
 const OVERLAP_TIME: Duration = Duration::from_millis(400);
 
 fn run(test: impl Future<Output = ()>) {
@@ -394,3 +396,67 @@
         }
     });
 }
+
+/// Opens a connection and sends the head of a request and one chunk of `len` bytes, but not the end
+/// of the body.
+async fn start_chunked(to: SocketAddr, id: &str, len: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.expect("connected");
+    let head = format!(
+        "POST {STREAM_PREFIX}{id} HTTP/1.1\r\nhost: {ROUTE_HOST}\r\n\
+         x-basilfield-request-id: {id}\r\nx-basilfield-deadline-ms: {}\r\n\
+         transfer-encoding: chunked\r\n\r\n{len:x}\r\n",
+        STALL_TIME.as_millis()
+    );
+    // The entry may refuse the request before all of it has arrived.
+    let _ = stream.write_all(head.as_bytes()).await;
+    let _ = stream.write_all(&vec![b'x'; len]).await;
+    stream
+}
+
+/// Guards against refusals of small requests because bodies whose length is not stated, of which
+/// little has arrived, hold the memory of the largest ones.
+#[test]
+fn unfinished_chunked_bodies_hold_little_memory() {
+    run(async {
+        let world = World::start(TWO_ENDPOINTS).await;
+        let to = entry(&world);
+        let mut unfinished = Vec::new();
+        for n in 0..40 {
+            unfinished.push(start_chunked(to, &format!("unfinished-{n}"), 100).await);
+        }
+        time::sleep(Duration::from_millis(100)).await;
+        let path = format!("{STREAM_PREFIX}small");
+        let seen = send_raw(to, &path, "small", 100, true).await;
+        drop(unfinished);
+        assert!(seen.contains(" 200 "), "{seen}\n{}", world.logs());
+    });
+}
+
+/// Guards against long bodies that hold all memory for ever because each waits for the rest of
+/// itself or for the memory of the others.
+#[test]
+fn stalled_bodies_release_their_memory() {
+    run(async {
+        let world = World::start(TWO_ENDPOINTS).await;
+        let to = entry(&world);
+        let begun = Instant::now();
+        let start = |n| {
+            tokio::spawn(async move {
+                let mut stream = start_chunked(to, &format!("stalled-{n}"), 4_000_000).await;
+                let mut buffer = vec![0; 512];
+                let read = time::timeout(STALL_TIME * 4, stream.read(&mut buffer)).await;
+                (matches!(read, Ok(Ok(n)) if n > 0), begun.elapsed())
+            })
+        };
+        let mut ended = Vec::new();
+        for call in (0..20).map(start).collect::<Vec<_>>() {
+            ended.push(call.await.expect("task"));
+        }
+        let path = format!("{STREAM_PREFIX}after");
+        let after = send_raw(to, &path, "after", 4_000_000, true).await;
+        let early = ended.iter().filter(|(_, at)| *at < STALL_TIME).count();
+        let late = ended.iter().filter(|(_, at)| *at > STALL_TIME * 2).count();
+        assert_eq!((early > 0, late), (true, 0), "{ended:?}\n{}", world.logs());
+        assert!(after.contains(" 200 "), "{after} {ended:?}\n{}", world.logs());
+    });
+}
