Read logs in tests once their lines have been written

interrupted_work_is_explained failed once because event 702 of a broken stream was not in the output of `basilfield explain`. The entry logs the event before the caller sees the end of its stream, but processes write their lines in the background, and the test read the files at once.

World::explain repeats the command until the expected line is there, for at most 10 s, as one test of endpoints that leave did by itself. What they assert is unchanged.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -12,7 +12,6 @@
 use fleet_world::client::stream;
 use fleet_world::client::submit;
 use fleet_world::proxy;
-use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -37,16 +36,6 @@
         .block_on(test);
 }
 
-/// Runs `basilfield explain` on the logs of a world.
-fn explain(world: &World, id: &str) -> String {
-    let output = Command::new(env!("CARGO_BIN_EXE_basilfield"))
-        .args(["explain", id])
-        .args(world.log_files())
-        .output()
-        .expect("command runs");
-    String::from_utf8_lossy(&output.stdout).into_owned()
-}
-
 /// Event texts in the output of `basilfield explain`, without times, hosts and numbers, which
 /// differ from run to run. Leaves out lines marked `~`, which do not name the request.
 fn event_texts(explanation: &str) -> Vec<&str> {
@@ -180,7 +169,7 @@
         let ran = world.all_runs().iter().any(|r| *r.request_id == *id);
         assert!(!ran, "{id} was refused as not run");
         world.crash_endpoint(0);
-        let explanation = explain(&world, &id);
+        let explanation = world.explain(&id, |text| text.contains("[700]")).await;
         let full = explanation.contains("reason=every endpoint is full");
         let declined = explanation.contains("cause=declined with 503")
             && explanation.contains("reason=no endpoint is left");
@@ -201,7 +190,7 @@
         world.crash_endpoint(0);
         world.crash_endpoint(1);
         assert_eq!(task.await.expect("task"), StreamEnd::Disconnected);
-        let explanation = explain(&world, id);
+        let explanation = world.explain(id, |text| text.contains("[702]")).await;
         insta::assert_snapshot!(
             event_texts(&explanation).iter().filter_map(|s| s.split_once(" ")).map(|s| s.0)
                 .collect::<Vec<_>>().join(" "),
@@ -213,9 +202,11 @@
         }
         world.send_heartbeats().await;
         run_job(&world, "explained").await;
-        let explanation = explain(&world, "explained");
-        let done = explanation.lines().filter(|l| l.contains("item done")).count();
-        assert_eq!((done, explanation.contains("job accepted")), (5, true), "{explanation}");
+        let done = |text: &str| text.lines().filter(|l| l.contains("item done")).count();
+        let has_all = |text: &str| done(text) == 5 && text.contains("job accepted");
+        let explanation = world.explain("explained", has_all).await;
+        let is_accepted = explanation.contains("job accepted");
+        assert_eq!((done(&explanation), is_accepted), (5, true), "{explanation}");
     });
 }
 
--- a/tests/fleet_leaving.rs
+++ b/tests/fleet_leaving.rs
@@ -15,7 +15,6 @@
 use fleet_world::client;
 use fleet_world::client::StreamEnd;
 use std::net::SocketAddr;
-use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -206,16 +205,7 @@
         let refusal = client::refusal(entry, fleet_world::ONCE_PREFIX, "refused").await;
         let is_late = begun.elapsed() > REFUSAL_TIME;
         let ran = world.all_runs().iter().any(|r| &*r.request_id == "refused");
-        let mut explanation = String::new();
-        // Log lines are written in the background.
-        while !explanation.contains("request refused") && begun.elapsed() < JOB_TIMEOUT {
-            let output = Command::new(env!("CARGO_BIN_EXE_basilfield"))
-                .args(["explain", "refused"])
-                .args(world.log_files())
-                .output()
-                .expect("command runs");
-            explanation = String::from_utf8_lossy(&output.stdout).into_owned();
-        }
+        let explanation = world.explain("refused", |text| text.contains("request refused")).await;
         let has = |text: &str| explanation.contains(text);
         let told = explanation.lines().filter(|l| l.contains("~entry-1 [614]")).count();
         assert_eq!(
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -43,6 +43,8 @@
 pub const DEFAULT_BUILD: &str = "v1";
 /// Longest wait for a condition. Far above the expected time, since the machine may be busy.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
+/// Longest time until a log line is in its file. Processes write their lines in the background.
+const LOG_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Role of a host. The lower-case names of the variants are the values in the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -306,6 +308,24 @@
         self.log_files().into_iter().map(tail).collect()
     }
 
+    /// Output of `basilfield explain ID` on every log. Repeats the command until the output holds the
+    /// lines for which `is_complete` looks, at most for a bounded time.
+    pub async fn explain(&self, id: &str, is_complete: impl Fn(&str) -> bool) -> String {
+        let begun = Instant::now();
+        loop {
+            let output = Command::new(env!("CARGO_BIN_EXE_basilfield"))
+                .args(["explain", id])
+                .args(self.log_files())
+                .output()
+                .expect("command runs");
+            let explanation = String::from_utf8_lossy(&output.stdout).into_owned();
+            if is_complete(&explanation) || begun.elapsed() > LOG_TIMEOUT {
+                return explanation;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Complete logs of the hosts of a role.
     pub fn logs_of(&self, role: Role) -> String {
         let read = |at: &usize| std::fs::read_to_string(self.log_file(*at)).unwrap_or_default();
