Send a command to the leader only, once while it leads

A call that was not answered within 0.9 s forgot the leader, even one on the same host, and sent the whole command to the next host, which could not take it; after 3 s the dispatcher proposed it again, so that a slow group was handed the same commands several times. A request now waits as long as its host answers that it leads, which is asked after 0.3 s; a host that does not answer within 0.9 s in all is given up as before. A command of more than 1 KB goes only to a host that says that it leads. The dispatcher proposes at its own host only and waits until the command is applied or the leadership is lost.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -41,9 +41,8 @@
 /// Most output stored with one command: half of the longest command of a group. An item that ends
 /// with more unstored output is abandoned.
 const MAX_STORE_BYTES: usize = 4 << 20;
-/// Longest wait for a command to be committed. The outcome of an item is proposed again after that:
-/// if the item ran instead, an endpoint would run it more often than its job allows.
-const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest wait for the confirmation that the ledger is complete, which is then asked for again.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for which an item waits for an endpoint of the build that began its output. After that it
 /// starts over at another build. Running it again takes about as long.
 const BUILD_WAIT: Duration = Duration::from_secs(2);
@@ -249,7 +248,7 @@
         if is_leader {
             let node = self.node.clone();
             self.confirmation = Some(self.spawn(async move {
-                while !node.groups.confirm_local(COMMIT_TIMEOUT).await {
+                while !node.groups.confirm_local(CONFIRM_TIMEOUT).await {
                     time::sleep(RETRY_DELAY).await;
                 }
                 Message::LedgerComplete
@@ -747,9 +746,10 @@
     }
 }
 
-/// Commits a command to the ledger. Returns whether it is known to be committed.
+/// Commits a command to the ledger. Returns whether it is known to be committed. As long as this
+/// host leads the job group, a command in its queue is not proposed again.
 async fn commit(node: &node::Node, command: &ledger::Command) -> bool {
-    let reply = node.groups.propose(groups::JOBS, command, COMMIT_TIMEOUT).await;
+    let reply = node.groups.propose_local(groups::JOBS, command).await;
     if let Err(failure) = &reply {
         event!(node.log, events::LEDGER_UNCHANGED; "change" => %command,
             "error" => ?failure);
--- a/src/fleet/groups.rs
+++ b/src/fleet/groups.rs
@@ -24,9 +24,14 @@
 /// Replica group of the jobs.
 pub const JOBS: u16 = 1;
 
-/// Timeout of a call to one host: about two round trips of a quorum plus a slow disk sync. A leader
-/// that is cut off does not answer, and then the next host is called.
+/// Timeout of a short call to one host: about two round trips of a quorum plus a slow disk sync.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time without an answer after which a host is asked whether it still leads, and again after each
+/// answer. A host that is cut off does not answer within `CALL_TIMEOUT` in all, and then the next
+/// one is called. One that still leads has the request in its queue, and is not sent it again.
+const CHECK_DELAY: Duration = Duration::from_millis(300);
+/// Longest command that is sent to a host of which it is not known whether it leads.
+const MAX_BLIND_BYTES: usize = 1 << 10;
 /// Delay before a group without a leader is called again; an election takes several times as long.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -125,6 +130,31 @@
         }
     }
 
+    /// Proposes a command at the replica on this host, if that leads, and waits until the command is
+    /// applied or the replica no longer leads. No other host is asked.
+    ///
+    /// # Errors
+    /// `NotDone` if the command was not applied, `Unknown` if it may have been.
+    pub async fn propose_local(
+        &self,
+        group: u16,
+        command: &impl Serialize,
+    ) -> Result<ledger::Reply, Failure> {
+        let command = Bytes::from(ledger::encode(command));
+        let request = wire::Request::Propose { group, command };
+        let own = self.peers.own().clone();
+        match self.send_while_led(group, &own, request, Duration::MAX).await {
+            Ok(wire::Reply::Applied { reply, .. }) => {
+                let reply = postcard::from_bytes(&reply);
+                reply.map_err(|e| self.log_unreadable(group, e, Failure::Unknown))
+            }
+            Ok(wire::Reply::NotDone { reason, run: wire::Run::No, .. }) => {
+                Err(Failure::NotDone(reason))
+            }
+            _ => Err(Failure::Unknown),
+        }
+    }
+
     /// Sends a query to the leader, which answers it after a quorum has confirmed its leadership.
     ///
     /// # Errors
@@ -183,17 +213,32 @@
         let end = time::Instant::now() + limit;
         let mut tracker = OutcomeTracker::default();
         let mut position = rand::random::<u32>() as usize;
-        let mut next = peer::lock(&self.leaders).get(&group).cloned();
+        let mut leader = peer::lock(&self.leaders).get(&group).cloned();
+        let mut hint = None;
         loop {
             let left = end.saturating_duration_since(time::Instant::now());
             if left.is_zero() {
                 return Err(tracker.failure(wire::Reason::NoQuorum));
             }
-            let Some(host) = next.take().or_else(|| self.next_host(group, &mut position)) else {
+            if leader.is_none() && is_long(&request) {
+                let Some(host) = hint.take().or_else(|| self.next_host(group, &mut position))
+                else {
+                    time::sleep(RETRY_DELAY.min(left)).await;
+                    continue;
+                };
+                hint = self.ask_leader(group, &host, left.min(CALL_TIMEOUT)).await;
+                leader = hint.take_if(|l| *l == host);
+                if leader.is_none() && hint.is_none() {
+                    time::sleep(RETRY_DELAY.min(left)).await;
+                }
+                continue;
+            }
+            let next = leader.take().or_else(|| hint.take());
+            let Some(host) = next.or_else(|| self.next_host(group, &mut position)) else {
                 time::sleep(RETRY_DELAY.min(left)).await;
                 continue;
             };
-            let reply = self.send(group, &host, request.clone(), left.min(CALL_TIMEOUT)).await;
+            let reply = self.send_while_led(group, &host, request.clone(), left).await;
             match reply {
                 Ok(wire::Reply::NotDone { reason, leader, run }) => {
                     tracker.record_refusal(run);
@@ -204,8 +249,8 @@
                         return Err(tracker.failure(reason));
                     }
                     self.forget_leader(group);
-                    next = leader.filter(|l| *l != host);
-                    if next.is_none() {
+                    hint = leader.filter(|l| *l != host);
+                    if hint.is_none() {
                         time::sleep(RETRY_DELAY.min(left)).await;
                     }
                 }
@@ -222,6 +267,59 @@
         }
     }
 
+    /// Sends a request and waits for the answer as long as the host answers that it leads.
+    ///
+    /// # Errors
+    /// `Timeout` after `limit`, or if the host does not answer that it leads; `Lost` if the
+    /// connection is lost.
+    async fn send_while_led(
+        &self,
+        group: u16,
+        host: &Arc<str>,
+        request: wire::Request,
+        limit: Duration,
+    ) -> Result<wire::Reply, errors::Error> {
+        tokio::select! {
+            biased;
+            reply = self.send(group, host, request, limit) => reply,
+            () = self.wait_until_not_led(group, host) => {
+                let cause = errors::Cause::Timeout(CALL_TIMEOUT.as_millis() as u64);
+                Err(errors::Error::new("call leader", host.clone(), cause))
+            }
+        }
+    }
+
+    /// Waits until a host no longer answers that it leads.
+    async fn wait_until_not_led(&self, group: u16, host: &Arc<str>) {
+        // A local replica answers unless the process ends, but may be busy with the disk for long.
+        let limit = match self.is_local(group, host) {
+            true => Duration::MAX,
+            false => CALL_TIMEOUT - CHECK_DELAY,
+        };
+        loop {
+            time::sleep(CHECK_DELAY).await;
+            let leader = self.ask_leader(group, host, limit).await;
+            if leader.as_ref() != Some(host) {
+                return;
+            }
+        }
+    }
+
+    /// Asks a host which host leads a group; `None` if it does not answer or knows no leader.
+    async fn ask_leader(&self, group: u16, host: &Arc<str>, limit: Duration) -> Option<Arc<str>> {
+        match self.send(group, host, wire::Request::Status, limit).await {
+            Ok(wire::Reply::Groups(groups)) => {
+                groups.into_iter().find(|g| g.group == group)?.leader
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether the replica of a group on `host` is that of this host.
+    fn is_local(&self, group: u16, host: &Arc<str>) -> bool {
+        host == self.peers.own() && self.local.as_ref().is_some_and(|(own, _)| *own == group)
+    }
+
     fn forget_leader(&self, group: u16) {
         peer::lock(&self.leaders).remove(&group);
     }
@@ -243,8 +341,8 @@
         request: wire::Request,
         limit: Duration,
     ) -> Result<wire::Reply, errors::Error> {
-        let local = self.local.as_ref().filter(|(own, _)| *own == group);
-        let Some((_, slot)) = local.filter(|_| host == self.peers.own()) else {
+        let local = self.local.as_ref().filter(|_| self.is_local(group, host));
+        let Some((_, slot)) = local else {
             return self.peers.call(host, request, limit).await;
         };
         let handle = peer::lock(slot).clone();
@@ -254,6 +352,11 @@
     }
 }
 
+/// Whether a request is long, so that it is sent only to the leader.
+fn is_long(request: &wire::Request) -> bool {
+    matches!(request, wire::Request::Propose { command, .. } if command.len() > MAX_BLIND_BYTES)
+}
+
 /// Sends a request to the replica on this host and waits for its reply.
 pub async fn call_local_replica(
     handle: Option<group::Handle>,
