Find the changes for load reports in a log of changes

For each report to an entry, the host that places items compared every busy endpoint with what that entry had been told: with 88 entries, 160 endpoints and 67 reports a second, a cost that grows with the product of two sizes of the fleet, on the host that also leads the job group. Loads now keep a bounded log of the endpoints whose numbers changed, and a report looks only at those since the last one; an entry that is further behind, or lacks a report, still gets every difference.

The existing test shows that the counts stay exact, also after lost reports.

--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet::frame;
 use crate::sorted;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -62,6 +63,47 @@
     running: sorted::SortedMap<EndpointKey, OtherRequests>,
 }
 
+/// Most changes that are kept. An entry that has not been told of an older one is told of every
+/// endpoint that differs.
+const MAX_RECENT_CHANGES: usize = 4_096;
+
+/// Endpoints whose requests changed, in order, with repetitions.
+#[derive(Debug, Default)]
+struct Changes {
+    /// Number of changes so far.
+    total: u64,
+    /// Latest changes.
+    recent: VecDeque<EndpointKey>,
+}
+
+impl Changes {
+    fn record(&mut self, key: EndpointKey) {
+        self.total += 1;
+        if self.recent.len() == MAX_RECENT_CHANGES {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(key);
+    }
+
+    /// Records the endpoints at which two reports of an entry differ; both are sorted.
+    fn record_difference(&mut self, a: &frame::EntryLoad, b: &frame::EntryLoad) {
+        let count = |report: &frame::EntryLoad, key: EndpointKey| {
+            let at = report.running.binary_search_by_key(&key, |(k, _)| *k);
+            at.map_or(0, |at| report.running[at].1)
+        };
+        let differing = a.running.iter().filter(|(key, n)| count(b, *key) != *n);
+        let new = b.running.iter().filter(|(key, _)| count(a, *key) == 0);
+        differing.chain(new).for_each(|(key, _)| self.record(*key));
+    }
+
+    /// Changes after the first `count` ones; `None` if some of them are no longer kept.
+    fn since(&self, count: u64) -> Option<impl Iterator<Item = EndpointKey>> {
+        let missed = usize::try_from(self.total - count).ok()?;
+        let skipped = self.recent.len().checked_sub(missed)?;
+        Some(self.recent.range(skipped..).copied())
+    }
+}
+
 /// Requests of this host and reported requests of other hosts, by endpoint.
 #[derive(Debug, Default)]
 pub struct Loads {
@@ -74,6 +116,8 @@
     /// Latest report of each host that places items; filled at entries. After a change of leader
     /// there are two of them for a short time.
     others: sorted::SortedMap<Arc<str>, Received<OtherReport>>,
+    /// Changes of `own` and of the reports in `entries`.
+    changes: Changes,
 }
 
 /// Requests that are running at one endpoint.
@@ -90,12 +134,16 @@
 impl Loads {
     /// Counts the start of a request of this host.
     pub fn add_request(&mut self, endpoint: &str) {
-        *self.own.entry_or(endpoint_key(endpoint), || 0) += 1;
+        let key = endpoint_key(endpoint);
+        *self.own.entry_or(key, || 0) += 1;
+        self.changes.record(key);
     }
 
     /// Counts the end of a request of this host.
     pub fn remove_request(&mut self, endpoint: &str) {
-        subtract(&mut self.own, endpoint_key(endpoint), 1);
+        let key = endpoint_key(endpoint);
+        subtract(&mut self.own, key, 1);
+        self.changes.record(key);
     }
 
     /// Stores the report of an entry unless it is outdated.
@@ -107,19 +155,25 @@
         for (key, count) in &report.running {
             *self.online.entry_or(*key, || 0) += count;
         }
-        let received = Received { report, received: now };
-        if let Some(former) = self.entries.insert(from.clone(), received) {
-            subtract_report(&mut self.online, &former.report);
+        let former = self.entries.remove(from).map(|r| r.report);
+        if let Some(former) = &former {
+            subtract_report(&mut self.online, former);
+        }
+        match &former {
+            Some(former) => self.changes.record_difference(former, &report),
+            None => report.running.iter().for_each(|(key, _)| self.changes.record(*key)),
         }
+        self.entries.insert(from.clone(), Received { report, received: now });
     }
 
     /// Drops the reports of entries that have stopped reporting.
     pub fn remove_expired(&mut self, now: Duration) {
-        let online = &mut self.online;
+        let (online, changes) = (&mut self.online, &mut self.changes);
         self.entries.retain(|_, r| {
             let fresh = r.is_fresh(now);
             if !fresh {
                 subtract_report(online, &r.report);
+                r.report.running.iter().for_each(|(key, _)| changes.record(*key));
             }
             fresh
         });
@@ -194,18 +248,40 @@
     /// Requests at each endpoint other than those of the entry `to`: online requests of the other
     /// entries, then items of this host. Sorted by key.
     pub fn other_load(&self, to: &Arc<str>) -> Vec<(EndpointKey, OtherRequests)> {
-        let own_online = self.entries.get(to).map(|r| &r.report.running[..]).unwrap_or_default();
-        let mut own_online = own_online.iter().peekable();
-        let mut load = Vec::with_capacity(self.online.len().max(self.own.len()));
-        for (key, online, batch) in merge(&self.online, &self.own) {
-            while own_online.next_if(|(other, _)| *other < key).is_some() {}
-            let excluded = own_online.next_if(|(other, _)| *other == key).map_or(0, |(_, n)| *n);
-            let online = online.saturating_sub(excluded);
-            if (online, batch) != (0, 0) {
-                load.push((key, (online, batch)));
-            }
-        }
-        load
+        let others = self.other_loads(to);
+        let mut keys: Vec<EndpointKey> = self.busy_endpoints().collect();
+        keys.sort_unstable();
+        keys.dedup();
+        let load = keys.into_iter().map(|key| (key, others.at(key)));
+        load.filter(|(_, requests)| *requests != (0, 0)).collect()
+    }
+
+    /// Lookup of the requests other than those of the entry `to`.
+    fn other_loads(&self, to: &Arc<str>) -> OtherLoads<'_> {
+        let report = self.entries.get(to);
+        OtherLoads { loads: self, excluded: report.map_or(&[], |r| &r.report.running[..]) }
+    }
+
+    /// Endpoints at which requests run.
+    fn busy_endpoints(&self) -> impl Iterator<Item = EndpointKey> {
+        self.online.keys().chain(self.own.keys()).copied()
+    }
+}
+
+/// Finds the requests at single endpoints other than those of one entry.
+struct OtherLoads<'a> {
+    loads: &'a Loads,
+    /// Requests of the entry, sorted by endpoint.
+    excluded: &'a [(EndpointKey, u32)],
+}
+
+impl OtherLoads<'_> {
+    fn at(&self, key: EndpointKey) -> OtherRequests {
+        let excluded = self.excluded.binary_search_by_key(&key, |(k, _)| *k);
+        let excluded = excluded.map_or(0, |at| self.excluded[at].1);
+        let online = self.loads.online.get(&key).copied().unwrap_or(0);
+        let batch = self.loads.own.get(&key).copied().unwrap_or(0);
+        (online.saturating_sub(excluded), batch)
     }
 }
 
@@ -224,24 +300,6 @@
     }
 }
 
-/// Merges online requests and items by endpoint, in the order of the keys.
-fn merge<'a>(
-    online: &'a sorted::SortedMap<EndpointKey, u32>,
-    batch: &'a sorted::SortedMap<EndpointKey, u32>,
-) -> impl Iterator<Item = (EndpointKey, u32, u32)> + 'a {
-    let (mut online, mut batch) = (online.iter().peekable(), batch.iter().peekable());
-    std::iter::from_fn(move || {
-        let key = match (online.peek(), batch.peek()) {
-            (Some((a, _)), Some((b, _))) => **a.min(b),
-            (Some((key, _)), None) | (None, Some((key, _))) => **key,
-            (None, None) => return None,
-        };
-        let of_online = online.next_if(|(k, _)| **k == key).map_or(0, |(_, n)| *n);
-        let of_batch = batch.next_if(|(k, _)| **k == key).map_or(0, |(_, n)| *n);
-        Some((key, of_online, of_batch))
-    })
-}
-
 /// Interval after which an unchanged report is repeated.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval of changes at endpoints in other failure domains than the entry.
@@ -256,6 +314,10 @@
     seq: u64,
     /// Whether the entry has had a complete report.
     synced: bool,
+    /// Number of changes of which the entry knows at endpoints in its failure domain.
+    near_changes: u64,
+    /// Number of changes of which the entry knows at every endpoint.
+    far_changes: u64,
 }
 
 /// Reports of the host that places items to the entries.
@@ -290,20 +352,29 @@
         let sent = self.sent.entry_or(to.clone(), SentReport::default);
         let complete = !sent.synced || loads.lacks_report(to);
         let far_due = complete || now.saturating_sub(sent.far_sent) >= FAR_INTERVAL;
-        let current = loads.other_load(to);
-        let mut running = Vec::new();
         if complete {
             sent.running.clear();
         }
-        for (key, requests) in &current {
-            if (far_due || is_near(*key)) && sent.running.get(key) != Some(requests) {
-                running.push((*key, requests.0, requests.1));
+        let known = if far_due { sent.far_changes } else { sent.near_changes };
+        let changed = if complete { None } else { loads.changes.since(known) };
+        let mut keys: Vec<EndpointKey> = match changed {
+            Some(changed) => changed.collect(),
+            None => loads.busy_endpoints().chain(sent.running.keys().copied()).collect(),
+        };
+        keys.sort_unstable();
+        keys.dedup();
+        sent.near_changes = loads.changes.total;
+        if far_due {
+            sent.far_changes = loads.changes.total;
+        }
+        let current = loads.other_loads(to);
+        let mut running = Vec::new();
+        for key in keys.into_iter().filter(|key| far_due || is_near(*key)) {
+            let (online, batch) = current.at(key);
+            if sent.running.get(&key).copied().unwrap_or_default() != (online, batch) {
+                running.push((key, online, batch));
             }
         }
-        let ended = sent.running.keys().filter(|key| {
-            (far_due || is_near(**key)) && current.binary_search_by_key(*key, |c| c.0).is_err()
-        });
-        running.extend(ended.map(|key| (*key, 0, 0)));
         let repeat = now.saturating_sub(sent.sent) >= REPEAT_INTERVAL;
         if running.is_empty() && !complete && !repeat {
             return None;
@@ -319,7 +390,6 @@
         }
         (sent.sent, sent.synced) = (now, true);
         sent.seq += 1;
-        running.sort_unstable();
         Some(frame::OtherLoad { start_time, seq: sent.seq, complete, running })
     }
 }
--- a/tests/fleet_load.rs
+++ b/tests/fleet_load.rs
@@ -5,6 +5,7 @@
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +30,8 @@
     now: Duration,
     rng: ChaCha8Rng,
     bytes: usize,
+    /// Endpoints that were looked at for the reports.
+    looked_at: Cell<usize>,
 }
 
 impl Fleet {
@@ -44,6 +47,7 @@
             now: Duration::from_secs(10),
             rng: ChaCha8Rng::seed_from_u64(1),
             bytes: 0,
+            looked_at: Cell::new(0),
         }
     }
 
@@ -80,7 +84,10 @@
         let near: Vec<(load::EndpointKey, usize)> =
             self.endpoints.iter().enumerate().map(|(n, e)| (load::endpoint_key(e), n)).collect();
         for (n, (link, loads)) in self.entries.iter_mut().enumerate() {
-            let is_near = |key| near.iter().any(|(k, e)| *k == key && e % DOMAINS == n % DOMAINS);
+            let is_near = |key| {
+                self.looked_at.update(|n| n + 1);
+                near.iter().any(|(k, e)| *k == key && e % DOMAINS == n % DOMAINS)
+            };
             let report = self.reporter.next_report(self.now, link, 1, &self.leader, is_near);
             if let Some(report) = report {
                 self.bytes += postcard::to_stdvec(&report).expect("encodes").len();
@@ -150,3 +157,20 @@
     assert!(lost > 0, "lost reports have an effect");
     assert!(bytes <= MAX_REPORT_BYTES, "{bytes} bytes a second for each entry");
 }
+
+/// Guards against a host that places items and looks at every endpoint for every entry each time,
+/// though few endpoints have changed.
+#[test]
+fn reports_look_only_at_changes() {
+    let mut fleet = Fleet::new();
+    fleet.run_steps(400, |_| false);
+    fleet.looked_at.set(0);
+    let ticks = 60;
+    for _ in 0..ticks {
+        fleet.start(0);
+        fleet.end();
+        fleet.report(|_| false);
+    }
+    let each = fleet.looked_at.get() / ticks / ENTRIES;
+    assert!(each <= 2, "{each} endpoints are looked at for each entry and report");
+}
