Make plans and stores less often while they take long

A plan looks at every waiting item and was made every 25 ms, and output was stored every second, however long either took. A longer queue thus took more of the processor time of the leader from the commits that shorten it. A pause of eight times the duration of a plan, of at most 250 ms, now follows it, and the next store comes no sooner than four times the duration of the last commit of output, up to 10 s. Both durations are steps of the latency histogram.

The decisions are functions without I/O with a test of their own.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -139,6 +139,10 @@
     storing: Vec<ItemKey>,
     /// Time at which output was last stored.
     last_store: time::Instant,
+    /// Time that the last commit of output took.
+    store_time: Duration,
+    /// Time before which no plan is made.
+    next_plan: time::Instant,
     /// Tasks that commit outcomes of items.
     commits: task::JoinSet<()>,
 }
@@ -172,6 +176,8 @@
         ledger_complete: false,
         storing: Vec::new(),
         last_store: time::Instant::now(),
+        store_time: Duration::ZERO,
+        next_plan: time::Instant::now(),
         commits: task::JoinSet::new(),
     };
     loop {
@@ -186,7 +192,7 @@
             }
             _ = ticks.next() => {
                 if dispatcher.ledger_complete {
-                    dispatcher.plan();
+                    dispatcher.plan_if_due();
                     dispatcher.store_output();
                 }
             }
@@ -258,6 +264,7 @@
         self.tracked.clear();
         self.first_seen.clear();
         self.storing.clear();
+        self.store_time = Duration::ZERO;
     }
 
     /// Runs `work` on its own task, which sends the result to the dispatcher.
@@ -306,6 +313,8 @@
             Message::LedgerComplete => self.ledger_complete = true,
             Message::Stored(parts, done) => {
                 self.storing.clear();
+                self.store_time = self.last_store.elapsed();
+                self.node.metrics.record_latency("store_output", self.store_time);
                 for chunk in parts {
                     self.handle_chunk_stored(chunk, done);
                 }
@@ -342,7 +351,8 @@
 
     /// Stores the output that arrived since the last store.
     fn store_output(&mut self) {
-        if self.last_store.elapsed() < STORE_INTERVAL || !self.storing.is_empty() {
+        let interval = plan::store_interval(STORE_INTERVAL, self.store_time);
+        if self.last_store.elapsed() < interval || !self.storing.is_empty() {
             return;
         }
         self.last_store = time::Instant::now();
@@ -490,6 +500,18 @@
         });
     }
 
+    /// Makes a plan unless the last one took long and was made just now.
+    fn plan_if_due(&mut self) {
+        let begun = time::Instant::now();
+        if begun < self.next_plan {
+            return;
+        }
+        self.plan();
+        let plan_time = begun.elapsed();
+        self.node.metrics.record_latency("plan", plan_time);
+        self.next_plan = begun + plan_time + plan::pause_after(plan_time);
+    }
+
     /// Starts and stops items according to the load of the endpoints, and abandons those that
     /// waited too long or have no route.
     fn plan(&mut self) {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -185,6 +185,25 @@
     }
 }
 
+/// The pause after a plan is this many times as long as the plan took. A long queue, whose plans take
+/// long, then leaves the processor to the commits that shorten it.
+const PAUSE_FACTOR: u32 = 8;
+/// Longest pause after a plan. Online requests wait that long for the slots of items.
+const MAX_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause after a plan that took this long.
+pub fn pause_after(plan_time: Duration) -> Duration {
+    (plan_time * PAUSE_FACTOR).min(MAX_PAUSE)
+}
+
+/// Interval to the next store of output after one that took this long to be committed, where
+/// `shortest` is the usual one. The stores of a group that is slow do not make it slower.
+pub fn store_interval(shortest: Duration, commit_time: Duration) -> Duration {
+    const COMMIT_TIMES: u32 = 4;
+    const LONGEST: Duration = Duration::from_secs(10);
+    shortest.max((commit_time * COMMIT_TIMES).min(LONGEST))
+}
+
 /// Plans which items to start and to stop.
 pub fn plan(
     mut endpoints: Vec<EndpointLoad>,
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -434,3 +434,15 @@
         plan.start.iter().map(|(index, id)| format!("{}={id}", builds[*index].unwrap_or("any")));
     insta::assert_snapshot!(starts.collect::<Vec<_>>().join(" "), @"v2=b any=b v1=a");
 }
+
+/// Guards against plans and stores that take most of the time of a host that is behind, so that it
+/// does not catch up.
+#[test]
+fn slow_plans_and_stores_are_made_less_often() {
+    let millis = Duration::from_millis;
+    let pauses = [1, 10, 100].map(|n| plan::pause_after(millis(n)));
+    let second = millis(1_000);
+    let intervals = [10, 600, 3_000].map(|n| plan::store_interval(second, millis(n)));
+    insta::assert_snapshot!(format!("{pauses:?} {intervals:?}"),
+        @"[8ms, 80ms, 250ms] [1s, 2.4s, 10s]");
+}
