Send entries again only if they are lost or long overdue

A leader sent a batch of up to 1 MB again after two heartbeats without an answer, on connections that lose nothing. A follower that needed longer, for its link, its disk or its processor, was sent the same bytes again and again, which made it slower still and outlasted the load that began it.

A message is now sent again when its connection is reported lost (Input::ConnectionLost), or after three election timeouts or four times the smoothed time to an answer, which doubles with each repetition up to 10 s. A member that no longer answers heartbeats gets heartbeats only. The answer to a heartbeat carries the index up to which the follower's synced log is known to equal the leader's in this term, so that a lost acknowledgement costs no entries. Elections and the rule for commits are as they were; replica_model is unchanged. The messages between replicas change.

--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -72,6 +72,8 @@
     leader_contact: Duration,
     /// Membership of a group that this replica forms, until it is appended as the first entry.
     forming: Option<Membership>,
+    /// Term, and last index up to which the log is known to equal that of the term's leader.
+    accepted: (u64, u64),
     /// Snapshot that is being received from the leader.
     incoming: Option<transfer::IncomingSnapshot>,
     /// Hard state in the last `Persist`.
@@ -112,6 +114,7 @@
             election_deadline: now,
             leader_contact: now,
             forming: None,
+            accepted: (0, 0),
             incoming: None,
             saved_state: hard_state,
             first_unsaved: None,
@@ -133,6 +136,7 @@
             Input::Propose { token, command } => self.propose(token, command),
             Input::Read { token } => self.read(token),
             Input::Synced { index } => self.record_synced(index),
+            Input::ConnectionLost { member } => self.handle_lost_connection(member),
             Input::Snapshot { index, data } => self.compact(index, data),
             Input::ChangeMembership { token, change } => self.change_membership(token, change),
             Input::Form(membership) => self.form_group(membership),
@@ -273,7 +277,7 @@
             Message::Heartbeat { commit, round } => {
                 self.follow(from);
                 self.raise_commit_index(commit);
-                self.send(from, Message::HeartbeatReply { round });
+                self.send(from, Message::HeartbeatReply { round, matched: self.accepted_index() });
             }
             Message::SnapshotChunk { index, last_term, membership, offset, total, data } => {
                 self.follow(from);
@@ -282,7 +286,9 @@
             }
             Message::Appended { matched } => self.handle_appended(from, matched),
             Message::AppendRejected { prev, hint } => self.handle_rejected(from, prev, hint),
-            Message::HeartbeatReply { round } => self.handle_heartbeat_reply(from, round),
+            Message::HeartbeatReply { round, matched } => {
+                self.handle_heartbeat_reply(from, round, matched)
+            }
             Message::SnapshotChunkReply { index, received } => {
                 self.handle_chunk_reply(from, index, received)
             }
@@ -295,7 +301,7 @@
             Message::PreVote { .. } => self.send(from, Message::PreVoteReply { granted: false }),
             Message::Vote { .. } => self.send(from, Message::VoteReply { granted: false }),
             Message::Append { .. } | Message::Heartbeat { .. } | Message::SnapshotChunk { .. } => {
-                self.send(from, Message::HeartbeatReply { round: 0 });
+                self.send(from, Message::HeartbeatReply { round: 0, matched: 0 });
             }
             _ => {}
         }
--- a/src/replica/read.rs
+++ b/src/replica/read.rs
@@ -74,8 +74,11 @@
         self.try_finish_round();
     }
 
-    pub(super) fn handle_heartbeat_reply(&mut self, from: u64, round: u64) {
+    pub(super) fn handle_heartbeat_reply(&mut self, from: u64, round: u64, matched: u64) {
         self.record_contact(from);
+        // An acknowledgement that was lost is made up for without sending the entries again.
+        self.record_matched(from, matched);
+        self.try_commit();
         if let State::Leader(leader) = &mut self.state
             && leader.reads.round == round
             && let Some(running) = &mut leader.reads.running
--- a/src/replica/replicate.rs
+++ b/src/replica/replicate.rs
@@ -3,6 +3,10 @@
 //! At most one append message per follower is in flight; entries that accumulate meanwhile are sent
 //! in the next one. This batches entries under load and keeps the handling of loss, duplication and
 //! reordering simple.
+//!
+//! A message in flight is sent again only if the connection on which it was sent is reported lost,
+//! or after a time well above the measured one from message to answer, which doubles with every
+//! repetition. A follower that is slow does not receive the same entries again and become slower.
 
 use crate::replica;
 use crate::replica::Entry;
@@ -17,8 +21,18 @@
 /// Maximum size of the entries in one message, in bytes; a single larger entry is sent alone.
 /// Limits the delay of heartbeats that are queued behind a batch.
 const MAX_BATCH_BYTES: usize = 1 << 20;
-/// Number of heartbeat intervals after which an unanswered message is sent again.
-const RESEND_HEARTBEATS: u32 = 2;
+/// Election timeouts after which an unanswered message is sent again at the earliest. Connections
+/// report what they lose, so this makes up only for messages that a follower drops.
+const RESEND_ELECTION_TIMEOUTS: u32 = 3;
+/// An unanswered message is sent again after this many times the smoothed time from message to
+/// answer, at the earliest.
+const RESEND_ROUND_TRIPS: u32 = 4;
+/// Longest time after which an unanswered message is sent again.
+const MAX_RESEND_TIMEOUT: Duration = Duration::from_secs(10);
+/// A measured time from message to answer counts for one part in this many in the smoothed one.
+const ROUND_TRIP_WEIGHT: u32 = 4;
+/// Most doublings of the time after which a message is sent again.
+const MAX_BACKOFF: u32 = 5;
 
 /// State of a leader.
 pub(super) struct Leader {
@@ -39,8 +53,16 @@
     pub(super) matched: u64,
     /// Next index to send.
     next: u64,
-    /// Last index and send time of the message in flight.
-    pub(super) in_flight: Option<(u64, Duration)>,
+    /// Message in flight.
+    pub(super) in_flight: Option<InFlight>,
+    /// Smoothed time from message to answer; zero before the first answer.
+    round_trip: Duration,
+    /// Repetitions since a message was last answered without being repeated.
+    backoff: u32,
+    /// Whether the next message repeats one that was not answered.
+    repeats: bool,
+    /// Messages that were sent again.
+    repeated: u64,
     /// Time of the last message from the member; `None` until a new member answers for the first
     /// time.
     pub(super) last_contact: Option<Duration>,
@@ -48,9 +70,66 @@
     pub(super) transfer: Option<transfer::OutgoingSnapshot>,
 }
 
+/// Message with entries or a part of a snapshot that the member has not answered.
+#[derive(Clone, Copy)]
+pub(super) struct InFlight {
+    /// Index that the member reaches with it.
+    end: u64,
+    /// Time at which it was sent.
+    sent: Duration,
+    /// Whether it repeats an earlier message, so that its answer may belong to that one.
+    repeated: bool,
+}
+
 impl Progress {
     pub(super) fn new(next: u64, last_contact: Option<Duration>) -> Progress {
-        Progress { matched: 0, next, in_flight: None, last_contact, transfer: None }
+        Progress {
+            matched: 0,
+            next,
+            in_flight: None,
+            round_trip: Duration::ZERO,
+            backoff: 0,
+            repeats: false,
+            repeated: 0,
+            last_contact,
+            transfer: None,
+        }
+    }
+
+    /// Records that a message was sent with which the member reaches the index `end`.
+    pub(super) fn record_sent(&mut self, end: u64, now: Duration) {
+        let repeated = std::mem::take(&mut self.repeats);
+        self.repeated += u64::from(repeated);
+        self.in_flight = Some(InFlight { end, sent: now, repeated });
+    }
+
+    /// Records that the message in flight was answered.
+    pub(super) fn record_answer(&mut self, now: Duration) {
+        let Some(InFlight { sent, repeated: false, .. }) = self.in_flight.take() else { return };
+        let sample = now.saturating_sub(sent);
+        self.round_trip = match self.round_trip.is_zero() {
+            true => sample,
+            false => {
+                self.round_trip + sample / ROUND_TRIP_WEIGHT - self.round_trip / ROUND_TRIP_WEIGHT
+            }
+        };
+        self.backoff = 0;
+    }
+
+    /// Time after which the message in flight is sent again; at least `shortest` before any
+    /// repetition.
+    fn resend_timeout(&self, shortest: Duration) -> Duration {
+        let single = shortest.max(self.round_trip * RESEND_ROUND_TRIPS);
+        (single * (1 << self.backoff)).min(MAX_RESEND_TIMEOUT)
+    }
+
+    /// Gives up the message in flight if it is not answered in time.
+    fn expire_in_flight(&mut self, now: Duration, shortest: Duration) {
+        let limit = self.resend_timeout(shortest);
+        if self.in_flight.take_if(|m| now >= m.sent + limit).is_some() {
+            self.backoff = (self.backoff + 1).min(MAX_BACKOFF);
+            self.repeats = true;
+        }
     }
 }
 
@@ -83,6 +162,27 @@
         }
     }
 
+    /// How far the other members have got; empty unless this replica leads.
+    pub fn replication(&self) -> Vec<replica::MemberProgress> {
+        let State::Leader(leader) = &self.state else { return Vec::new() };
+        let last = self.log.last_index();
+        let progress = |(id, p): (&u64, &Progress)| replica::MemberProgress {
+            id: *id,
+            behind: last.saturating_sub(p.matched),
+            round_trip: p.round_trip,
+            repeated: p.repeated,
+        };
+        leader.progress.iter().map(progress).collect()
+    }
+
+    /// Size of the entries that are not committed; 0 unless this replica leads.
+    pub fn uncommitted_bytes(&self) -> usize {
+        match &self.state {
+            State::Leader(leader) => leader.uncommitted_bytes,
+            _ => 0,
+        }
+    }
+
     /// Whether a message from `id` arrived within the last election timeout; false unless this
     /// replica leads.
     pub(super) fn is_live(&self, id: u64) -> bool {
@@ -120,11 +220,14 @@
         }
     }
 
-    /// Sends the next entries to a member unless a message is in flight.
+    /// Sends the next entries to a member unless a message is in flight or the member no
+    /// longer answers heartbeats. Its next answer to one continues the replication.
     pub(super) fn replicate_to(&mut self, id: u64) {
         let (now, last, base) = (self.now, self.log.last_index(), self.log.base());
+        let timeout = self.config.election_timeout;
         let Some(progress) = self.progress(id) else { return };
-        if progress.in_flight.is_some() {
+        let silent = progress.last_contact.is_some_and(|at| now >= at + timeout);
+        if progress.in_flight.is_some() || silent {
             return;
         }
         if progress.transfer.is_some() || progress.next <= base {
@@ -135,27 +238,25 @@
         }
         let prev = progress.next - 1;
         let entries = self.log.batch(prev + 1, MAX_BATCH_BYTES).to_vec();
-        let in_flight = (prev + entries.len() as u64, now);
+        let end = prev + entries.len() as u64;
         if let Some(progress) = self.progress(id) {
-            progress.in_flight = Some(in_flight);
+            progress.record_sent(end, now);
         }
         let Some(prev_term) = self.log.term_at(prev) else { return };
         self.send(id, Message::Append { prev, prev_term, commit: self.commit_index, entries });
     }
 
-    /// If a heartbeat is due, sends it and repeats messages that were not answered.
+    /// If a heartbeat is due, sends it and repeats messages that were not answered in time.
     pub(super) fn send_due_messages(&mut self) {
         let (now, interval) = (self.now, self.config.heartbeat_interval);
+        let shortest = self.config.election_timeout * RESEND_ELECTION_TIMEOUTS;
         let State::Leader(leader) = &mut self.state else { return };
         if now < leader.last_heartbeat + interval {
             return;
         }
         leader.last_heartbeat = now;
         for progress in leader.progress.iter_mut().map(|(_, p)| p) {
-            let late = |(_, at): (u64, Duration)| now >= at + interval * RESEND_HEARTBEATS;
-            if progress.in_flight.is_some_and(late) {
-                progress.in_flight = None;
-            }
+            progress.expire_in_flight(now, shortest);
         }
         self.send_heartbeats();
         self.replicate();
@@ -174,37 +275,56 @@
 
     /// Records that a message from a member arrived.
     pub(super) fn record_contact(&mut self, from: u64) {
-        let now = self.now;
+        let (now, was_live) = (self.now, self.is_live(from));
         if let Some(progress) = self.progress(from) {
             progress.last_contact = Some(now);
+            // What was sent while it did not answer says nothing about its speed.
+            if !was_live {
+                progress.backoff = 0;
+            }
+        }
+    }
+
+    /// Handles the loss of the connection to a member: what is in flight is sent again.
+    pub(super) fn handle_lost_connection(&mut self, id: u64) {
+        let Some(progress) = self.progress(id) else { return };
+        if progress.in_flight.take().is_some() {
+            progress.repeats = true;
+            self.replicate_to(id);
         }
     }
 
     pub(super) fn handle_appended(&mut self, from: u64, matched: u64) {
         self.record_contact(from);
-        let last = self.log.last_index();
+        self.record_matched(from, matched);
+        self.try_commit();
+        self.replicate_to(from);
+    }
+
+    /// Records up to which index the synced log of a member equals that of this leader.
+    pub(super) fn record_matched(&mut self, from: u64, matched: u64) {
+        let (now, last) = (self.now, self.log.last_index());
         let Some(progress) = self.progress(from) else { return };
         progress.matched = progress.matched.max(matched.min(last));
-        if progress.in_flight.is_some_and(|(end, _)| progress.matched >= end) {
-            progress.in_flight = None;
+        if progress.in_flight.is_some_and(|m| progress.matched >= m.end) {
+            progress.record_answer(now);
             progress.next = progress.matched + 1;
         }
         if progress.transfer.as_ref().is_some_and(|t| progress.matched >= t.index()) {
             progress.transfer = None;
             progress.next = progress.matched + 1;
         }
-        self.try_commit();
-        self.replicate_to(from);
     }
 
     pub(super) fn handle_rejected(&mut self, from: u64, prev: u64, hint: u64) {
         self.record_contact(from);
+        let now = self.now;
         let Some(progress) = self.progress(from) else { return };
         // Otherwise, this is the answer to an earlier message.
         if progress.next != prev + 1 || progress.in_flight.is_none() {
             return;
         }
-        progress.in_flight = None;
+        progress.record_answer(now);
         progress.next = prev.min(hint + 1).max(progress.matched + 1);
         self.replicate_to(from);
     }
@@ -267,9 +387,23 @@
             self.accept_entry(entry);
         }
         self.raise_commit_index(commit.min(matched));
+        self.record_accepted(matched);
         self.send(from, Message::Appended { matched });
     }
 
+    /// Records that the log equals that of the current leader up to `index`.
+    pub(super) fn record_accepted(&mut self, index: u64) {
+        let earlier = self.accepted_index();
+        self.accepted = (self.term, index.max(earlier));
+    }
+
+    /// Index up to which the log is known to equal that of the current leader. Entries up to it
+    /// may be in the batch that is being synced.
+    pub(super) fn accepted_index(&self) -> u64 {
+        let (term, index) = self.accepted;
+        if term == self.term { index } else { 0 }
+    }
+
     fn accept_entry(&mut self, entry: Entry) {
         let known = self.log.term_at(entry.index) == Some(entry.term);
         if known || entry.index <= self.log.base() {
--- a/src/replica/transfer.rs
+++ b/src/replica/transfer.rs
@@ -54,12 +54,14 @@
         }
         let Some(transfer) = &progress.transfer else { return };
         let chunk = transfer.chunk();
-        progress.in_flight = Some((transfer.index(), now));
+        let end = transfer.index();
+        progress.record_sent(end, now);
         self.send(id, chunk);
     }
 
     pub(super) fn handle_chunk_reply(&mut self, from: u64, index: u64, received: u64) {
         self.record_contact(from);
+        let now = self.now;
         let Some(progress) = self.progress(from) else { return };
         let Some(transfer) = &mut progress.transfer else { return };
         let size = transfer.snapshot.data.len() as u64;
@@ -68,7 +70,7 @@
             return;
         }
         transfer.offset = received as usize;
-        progress.in_flight = None;
+        progress.record_answer(now);
         self.replicate_to(from);
     }
 
@@ -79,6 +81,7 @@
             // The log already holds the entries that the snapshot covers, and they are committed.
             self.incoming = None;
             self.raise_commit_index(index);
+            self.record_accepted(index);
             return self.send(from, Message::Appended { matched: index });
         }
         let incoming = self.incoming.take();
@@ -96,6 +99,7 @@
             return self.send(from, Message::SnapshotChunkReply { index, received });
         }
         self.install_snapshot(Snapshot { index, term, membership, data: incoming.data.into() });
+        self.record_accepted(index);
         self.send(from, Message::Appended { matched: index });
     }
 
--- a/src/replica/types.rs
+++ b/src/replica/types.rs
@@ -178,6 +178,20 @@
     Promote(u64),
 }
 
+/// How far a member of the group has got, as known to the leader.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{id}: {behind} behind, answers in {} ms, {repeated} repeated", round_trip.as_millis())]
+pub struct MemberProgress {
+    /// Replica id.
+    pub id: u64,
+    /// Entries that the member is not known to have.
+    pub behind: u64,
+    /// Smoothed time from a message with entries to its answer.
+    pub round_trip: Duration,
+    /// Messages with entries, or parts of snapshots, that were sent again.
+    pub repeated: u64,
+}
+
 /// Reason for refusing a membership change. The membership stays as it was.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum ChangeRefusal {
@@ -311,6 +325,9 @@
     HeartbeatReply {
         /// Number of the confirmation round; 0 in answers to messages of an old term.
         round: u64,
+        /// Last index up to which the sender's synced log is known to equal the leader's; 0 if none
+        /// is known in this term.
+        matched: u64,
     },
     /// Part of a snapshot.
     SnapshotChunk {
@@ -384,6 +401,12 @@
         /// Result of [`StateMachine::snapshot`].
         data: Bytes,
     },
+    /// Reports that messages to a member may have been lost, since the connection on which they were
+    /// sent has ended.
+    ConnectionLost {
+        /// Replica id of the member.
+        member: u64,
+    },
     /// Adds, promotes or removes one member. Answered by `Accepted` or `Refused`.
     ChangeMembership {
         /// Chosen by the caller to match the answer to its request.
--- a/tests/network/mod.rs
+++ b/tests/network/mod.rs
@@ -94,6 +94,36 @@
     pub readable: BTreeSet<u64>,
 }
 
+/// Rate and load of the links between hosts. Messages with entries of one pair of hosts wait for
+/// each other; others are too small to matter and have a connection of their own.
+#[derive(Default)]
+pub struct Links {
+    /// Bytes per second of each link; 0 if messages take no time.
+    pub rate: u64,
+    /// Bytes of entries sent so far, by pair of replica ids.
+    pub sent: BTreeMap<(u64, u64), u64>,
+    /// Time until which a link is busy, by pair of replica ids.
+    busy: BTreeMap<(u64, u64), Duration>,
+}
+
+impl Links {
+    /// Adds a message and returns the time for which it waits and is transmitted.
+    fn transmit(&mut self, now: Duration, envelope: &Envelope) -> Duration {
+        let replica::Message::Append { entries, .. } = &envelope.body else {
+            return Duration::ZERO;
+        };
+        let (pair, bytes) = ((envelope.from, envelope.to), entries.iter().map(|e| e.size() as u64));
+        let bytes: u64 = bytes.sum();
+        *self.sent.entry(pair).or_default() += bytes;
+        if self.rate == 0 {
+            return Duration::ZERO;
+        }
+        let busy = self.busy.entry(pair).or_default();
+        *busy = now.max(*busy) + Duration::from_micros(bytes * 1_000_000 / self.rate);
+        *busy - now
+    }
+}
+
 /// Hosts, the messages between them and the observed history.
 pub struct Network {
     pub now: Duration,
@@ -124,6 +154,7 @@
     pub repaired: u32,
     /// Snapshots installed from a leader.
     pub installed: u32,
+    pub links: Links,
     /// Messages in flight by due time and sequence number.
     queue: Vec<(Duration, u64, Envelope)>,
     sent: u64,
@@ -149,6 +180,7 @@
             leaving: Vec::new(),
             repaired: 0,
             installed: 0,
+            links: Links::default(),
             queue: Vec::new(),
             sent: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -382,7 +414,8 @@
             _ => 1,
         };
         for _ in 0..copies {
-            let due = self.now + TICK * self.rng.random_range(1..=self.faults.delay.max(1));
+            let delay = TICK * self.rng.random_range(1..=self.faults.delay.max(1));
+            let due = self.now + delay + self.links.transmit(self.now, &envelope);
             self.sent += 1;
             self.queue.push((due, self.sent, envelope.clone()));
         }
@@ -435,6 +468,16 @@
         }
     }
 
+    /// Loses the messages in flight from one host to another, as when the connection is closed, and
+    /// tells the first one.
+    pub fn reset_connection(&mut self, from: usize, to: usize) {
+        let pair = (self.hosts[from].id, self.hosts[to].id);
+        self.queue.retain(|(_, _, envelope)| (envelope.from, envelope.to) != pair);
+        self.links.busy.remove(&pair);
+        self.input(from, Input::ConnectionLost { member: pair.1 });
+        self.flush(from);
+    }
+
     pub fn run(&mut self, ticks: u32) {
         for _ in 0..ticks {
             self.tick();
