Report the work of a replica group and its replication

Nothing told whether the leader of a group ran out of time, its disk was slow or a follower was: the log had elections only. The test of the event catalogue passes; the lines have not been read from a large fleet yet.

--- a/src/events.rs
+++ b/src/events.rs
@@ -93,6 +93,10 @@
     /// A replica group has fewer voters than the permitted losses require, so it survives fewer
     /// losses. Other hosts become voters as soon as they answer.
     TOO_FEW_VOTERS = 310, Warning, "replica group has too few voters";
+    /// What the leader of a replica group did since the last such line: turns of its thread, time in
+    /// them, calls, syncs, uncommitted bytes, and for each follower the entries that it lacks, the time
+    /// from message to answer and the messages sent again.
+    REPLICATION_REPORT = 311, Info, "replication report";
     /// A configuration change was committed.
     CHANGE_ACCEPTED = 400, Info, "configuration change accepted";
     /// A configuration change was refused; nothing was changed.
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -215,6 +215,7 @@
         };
         let (handle, calls) = group::channel(id);
         let (sender, ended) = oneshot::channel();
+            metrics: self.node.metrics.clone(),
         let run = move || {
             let result = group::Group::new(parts, calls).and_then(group::Group::run);
             // The receiver is dropped only when the process ends.
--- a/src/state/group/mod.rs
+++ b/src/state/group/mod.rs
@@ -7,6 +7,7 @@
 mod feed;
 mod members;
 mod storing;
+mod turns;
 
 pub use calls::Call;
 pub use calls::Handle;
@@ -16,6 +17,7 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::metrics;
 use crate::replica;
 use crate::sorted;
 use crate::state::mesh;
@@ -29,6 +31,7 @@
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 use tokio::sync::mpsc as channel;
 
 /// Interval of the replica's ticks.
@@ -71,6 +74,8 @@
     pub election_timeout: Duration,
     /// Log entries after which a snapshot is taken.
     pub snapshot_entries: u64,
+    /// Counters and histograms.
+    pub metrics: metrics::Metrics,
     /// Logger.
     pub log: slog::Logger,
 }
@@ -130,6 +135,9 @@
     missing_voters: usize,
     /// Last probe record of each other host.
     probes: sorted::SortedMap<Arc<str>, ProbeRecord>,
+    turns: turns::Turns,
+    /// Time of the last report of the turns.
+    last_report: Duration,
     outputs: Vec<replica::Output>,
     /// Thread that writes a snapshot of the state machine.
     saving: Option<thread::JoinHandle<Result<storage::Written, storage::Error>>>,
@@ -181,6 +189,8 @@
             recent_commands: VecDeque::new(),
             applied,
             snapshot_index: applied,
+            turns: turns::Turns::default(),
+            last_report: now,
             outputs: Vec::new(),
             saving: None,
             disk_full: false,
@@ -207,10 +217,14 @@
 
     fn run_until_exit(&mut self) -> Result<ExitReason, errors::Error> {
         loop {
-            match self.calls.recv_timeout(REPLICA_TICK) {
-                Ok(call) => self.handle_call(call),
-                Err(mpsc::RecvTimeoutError::Timeout) => {}
+            let first = match self.calls.recv_timeout(REPLICA_TICK) {
+                Ok(call) => Some(call),
+                Err(mpsc::RecvTimeoutError::Timeout) => None,
                 Err(mpsc::RecvTimeoutError::Disconnected) => return Ok(ExitReason::Closed),
+            };
+            let begun = Instant::now();
+            if let Some(call) = first {
+                self.handle_call(call);
             }
             for _ in 1..MAX_BATCH_CALLS {
                 match self.calls.try_recv() {
@@ -225,6 +239,7 @@
             }
             self.finish_snapshot()?;
             self.snapshot_if_due()?;
+            self.end_turn(begun);
         }
     }
 
@@ -242,6 +257,7 @@
     }
 
     fn handle_call(&mut self, call: Call) {
+        self.turns.calls += 1;
         match call {
             Call::Envelope(envelope) => self.step(replica::Input::Message(envelope)),
             Call::Propose { command, done } => self.propose(command, done),
--- a/src/state/group/storing.rs
+++ b/src/state/group/storing.rs
@@ -10,6 +10,7 @@
 use crate::state::service;
 use crate::storage;
 use crate::wire;
+use std::time::Instant;
 
 /// Entries applied since the last snapshot after which one is taken if space is short.
 const EARLY_SNAPSHOT_ENTRIES: u64 = 1_000;
@@ -34,7 +35,11 @@
             }
         }
         if written {
+            let begun = Instant::now();
             self.retry_while_full(|folder| folder.sync())?;
+            let elapsed = begun.elapsed();
+            self.turns.record_sync(elapsed);
+            self.parts.metrics.record_latency("group_sync", elapsed);
         }
         Ok(written)
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -81,6 +81,7 @@
             heartbeat_interval: Duration::from_millis(settings.heartbeat),
             election_timeout: Duration::from_millis(settings.election),
             snapshot_entries: settings.snapshot,
+            metrics: context.metrics.clone(),
             log: log.clone(),
         };
         let (handle, calls) = group::channel(id);
