Give batches a connection of their own that reports its losses

And a leader did not learn that a batch was lost with its connection or dropped from a full queue. The QUIC links report no losses, and replicas there repeat messages by time only.

In the new test a heartbeat arrives while the other side reads nothing of an 8 MB batch, whose connection stays open; with one connection that was closed first. A closed connection changes the number of its last loss.

--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -75,6 +75,10 @@
         let _guard = self.runtime.enter();
         self.peers.cast(host, frame::Cast::Replica(envelope));
     }
+
+    fn losses(&self, host: &Arc<str>) -> Option<u64> {
+        self.peers.bulk_losses(host)
+    }
 }
 
 /// Returns whether this host is a founder. With the setting `fleet.bootstrap` it is one, and the
@@ -211,11 +215,11 @@
             heartbeat_interval: HEARTBEAT_INTERVAL,
             election_timeout: MIN_ELECTION_TIMEOUT,
             snapshot_entries: SNAPSHOT_ENTRIES,
+            metrics: self.node.metrics.clone(),
             log: log.clone(),
         };
         let (handle, calls) = group::channel(id);
         let (sender, ended) = oneshot::channel();
-            metrics: self.node.metrics.clone(),
         let run = move || {
             let result = group::Group::new(parts, calls).and_then(group::Group::run);
             // The receiver is dropped only when the process ends.
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -5,6 +5,10 @@
 //! that does not answer them is dropped and the next frame opens a new one, so that hosts do not
 //! wait on a connection whose packets get lost. While a host cannot be reached, casts to it are
 //! dropped; a call fails as soon as its connection is lost.
+//!
+//! Batches of log entries and parts of snapshots have a connection of their own, so that heartbeats
+//! and answers do not wait behind them. Its losses can be asked for: what was sent before them is
+//! sent again, and nothing else is.
 
 use crate::errors;
 use crate::event;
@@ -21,6 +25,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::AsyncReadExt as _;
@@ -65,18 +70,60 @@
     Call(wire::Request, oneshot::Sender<wire::Reply>),
 }
 
+/// Kind of a connection to a host.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Lane {
+    /// Carries everything else.
+    Main,
+    /// Carries batches of log entries and parts of snapshots.
+    Bulk,
+}
+
+impl Lane {
+    fn of(message: &frame::Cast) -> Lane {
+        match message {
+            frame::Cast::Replica(envelope) if envelope.body.is_bulk() => Lane::Bulk,
+            _ => Lane::Main,
+        }
+    }
+}
+
 /// Queue of the frames for one host, and the state of the connection to it.
 struct Connection {
     sender: mpsc::Sender<Outgoing>,
     /// Whether the host has answered on the connection that is open now.
     answered: Arc<AtomicBool>,
+    losses: Losses,
+}
+
+/// Number of the last loss of frames of one connection, out of all losses of this process.
+#[derive(Clone)]
+struct Losses {
+    last: Arc<AtomicU64>,
+    total: Arc<AtomicU64>,
+}
+
+impl Losses {
+    fn new(total: &Arc<AtomicU64>) -> Losses {
+        let losses = Losses { last: Arc::default(), total: total.clone() };
+        losses.record();
+        losses
+    }
+
+    /// Records that frames which were queued or sent may be lost.
+    fn record(&self) {
+        let number = self.total.fetch_add(1, Ordering::Relaxed) + 1;
+        self.last.store(number, Ordering::Relaxed);
+    }
 }
 
 /// Connections of this host to the others. Clones share them.
 #[derive(Clone)]
 pub struct Peers {
     own: Arc<str>,
-    connections: Arc<Mutex<sorted::SortedMap<Arc<str>, Connection>>>,
+    connections: Arc<Mutex<sorted::SortedMap<(Arc<str>, Lane), Connection>>>,
+    /// Number of losses of frames on all connections.
+    losses: Arc<AtomicU64>,
     encoder: Encoder,
     log: slog::Logger,
 }
@@ -90,7 +137,8 @@
     /// Creates the client of the host with the link address `own`. Opens no connection yet.
     pub fn new(own: Arc<str>, metrics: &metrics::Metrics, log: &slog::Logger) -> Peers {
         let encoder = Encoder { metrics: metrics.clone(), log: log.clone() };
-        Peers { own, connections: Arc::default(), encoder, log: log.clone() }
+        let (connections, losses) = (Arc::default(), Arc::default());
+        Peers { own, connections, losses, encoder, log: log.clone() }
     }
 
     /// Link address of this host.
@@ -99,33 +147,48 @@
     }
 
     /// Whether a host answers on the connection from here. Pings find out within `PEER_TIMEOUT`.
-    pub fn is_connected(&self, to: &str) -> bool {
+    pub fn is_connected(&self, to: &Arc<str>) -> bool {
         let connections = lock(&self.connections);
-        connections.get(to).is_some_and(|c| c.answered.load(Ordering::Relaxed))
+        let connection = connections.get(&(to.clone(), Lane::Main));
+        connection.is_some_and(|c| c.answered.load(Ordering::Relaxed))
     }
 
-    fn sender(&self, to: &Arc<str>) -> mpsc::Sender<Outgoing> {
+    /// Number that changes whenever batches or parts of snapshots that were sent to a host may be
+    /// lost; `None` if no connection for them is open.
+    pub fn bulk_losses(&self, to: &Arc<str>) -> Option<u64> {
+        let connections = lock(&self.connections);
+        let connection = connections.get(&(to.clone(), Lane::Bulk))?;
+        Some(connection.losses.last.load(Ordering::Relaxed))
+    }
+
+    /// Queue of a connection, and the record of its losses.
+    fn sender(&self, to: &Arc<str>, lane: Lane) -> (mpsc::Sender<Outgoing>, Losses) {
         let mut connections = lock(&self.connections);
         // Remove connections whose task has ended.
         connections.retain(|_, connection| !connection.sender.is_closed());
-        if let Some(connection) = connections.get(to) {
-            return connection.sender.clone();
+        let key = (to.clone(), lane);
+        if let Some(connection) = connections.get(&key) {
+            return (connection.sender.clone(), connection.losses.clone());
         }
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
-        let connection = Connection { sender: sender.clone(), answered: Arc::default() };
-        let answered = connection.answered.clone();
-        connections.insert(to.clone(), connection);
+        let losses = Losses::new(&self.losses);
+        let answered = Arc::<AtomicBool>::default();
+        let (sent, seen) = (losses.clone(), answered.clone());
+        connections.insert(key, Connection { sender: sender.clone(), answered, losses });
         drop(connections);
         let (own, to, log) = (self.own.clone(), to.clone(), self.log.clone());
-        let encoder = self.encoder.clone();
-        tokio::spawn(maintain_connection(own, to, receiver, answered, encoder, log));
-        sender
+        let (encoder, lost) = (self.encoder.clone(), sent.clone());
+        tokio::spawn(maintain_connection(own, to, receiver, seen, lost, encoder, log));
+        (sender, sent)
     }
 
     /// Sends a message. It is dropped if the host cannot be reached or its queue is full.
     pub fn cast(&self, to: &Arc<str>, message: frame::Cast) {
+        let (sender, losses) = self.sender(to, Lane::of(&message));
         // The callers repeat messages that are still needed.
-        let _ = self.sender(to).try_send(Outgoing::Cast(message));
+        if sender.try_send(Outgoing::Cast(message)).is_err() {
+            losses.record();
+        }
     }
 
     /// Sends a request and waits for its answer.
@@ -140,7 +203,8 @@
         limit: Duration,
     ) -> Result<wire::Reply, errors::Error> {
         let (done, answer) = oneshot::channel();
-        if self.sender(to).try_send(Outgoing::Call(request, done)).is_err() {
+        let (sender, _) = self.sender(to, Lane::Main);
+        if sender.try_send(Outgoing::Call(request, done)).is_err() {
             return Err(errors::Error::lost("call", to.clone(), "the send queue is full"));
         }
         match time::timeout(limit, answer).await {
@@ -160,6 +224,7 @@
     to: Arc<str>,
     mut queue: mpsc::Receiver<Outgoing>,
     answered: Arc<AtomicBool>,
+    losses: Losses,
     encoder: Encoder,
     log: slog::Logger,
 ) {
@@ -172,6 +237,7 @@
                 let cause =
                     run_connection(&own, &to, stream, first, &mut queue, &answered, &encoder).await;
                 answered.store(false, Ordering::Relaxed);
+                losses.record();
                 event!(log, events::PEER_LOST; "peer" => &*to, "error" => %cause);
             }
             Err(error) => {
@@ -183,6 +249,7 @@
                 time::sleep(RETRY_DELAY).await;
                 // Drop what was queued meanwhile, as it is outdated; calls fail with an error.
                 while queue.try_recv().is_ok() {}
+                losses.record();
             }
         }
     }
--- a/src/replica/types.rs
+++ b/src/replica/types.rs
@@ -353,6 +353,14 @@
     },
 }
 
+impl Message {
+    /// Whether the message carries entries or a part of a snapshot. Others are small, and must not
+    /// wait behind these.
+    pub fn is_bulk(&self) -> bool {
+        matches!(self, Message::Append { .. } | Message::SnapshotChunk { .. })
+    }
+}
+
 /// Message with its sender and receiver.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Envelope {
@@ -393,6 +401,12 @@
         /// Last durable index.
         index: u64,
     },
+    /// Reports that messages to a member may have been lost, since the connection on which they were
+    /// sent has ended.
+    ConnectionLost {
+        /// Replica id of the member.
+        member: u64,
+    },
     /// Passes a snapshot of the state machine, taken after `index` was applied. Answered by
     /// `SaveSnapshot`, or by nothing if the snapshot is not newer than the last one.
     Snapshot {
@@ -401,12 +415,6 @@
         /// Result of [`StateMachine::snapshot`].
         data: Bytes,
     },
-    /// Reports that messages to a member may have been lost, since the connection on which they were
-    /// sent has ended.
-    ConnectionLost {
-        /// Replica id of the member.
-        member: u64,
-    },
     /// Adds, promotes or removes one member. Answered by `Accepted` or `Refused`.
     ChangeMembership {
         /// Chosen by the caller to match the answer to its request.
--- a/src/state/group/members.rs
+++ b/src/state/group/members.rs
@@ -89,6 +89,25 @@
         self.step(replica::Input::Form(membership));
     }
 
+    /// Tells the replica, if it leads, of the members to which messages may have been lost.
+    pub(super) fn report_losses(&mut self) {
+        if !self.is_leader() {
+            return;
+        }
+        let members: Vec<u64> = self.replica.membership().members.iter().map(|m| m.id).collect();
+        self.losses.retain(|id, _| members.binary_search(id).is_ok());
+        for member in members {
+            let host = self.host_of(member);
+            let Some(last) = host.and_then(|host| self.parts.outbox.losses(&host)) else {
+                continue;
+            };
+            // The first number is that of a connection on which nothing is lost yet.
+            if self.losses.insert(member, last).is_some_and(|before| before != last) {
+                self.step(replica::Input::ConnectionLost { member });
+            }
+        }
+    }
+
     /// Logs when the group lacks voters, and when it has as many as it needs again.
     pub(super) fn log_missing_voters(&mut self) {
         let Some(needed) = self.parts.target_voters else { return };
--- a/src/state/group/mod.rs
+++ b/src/state/group/mod.rs
@@ -135,6 +135,8 @@
     missing_voters: usize,
     /// Last probe record of each other host.
     probes: sorted::SortedMap<Arc<str>, ProbeRecord>,
+    /// Number of the last loss of messages to each member, as last seen.
+    losses: sorted::SortedMap<u64, u64>,
     turns: turns::Turns,
     /// Time of the last report of the turns.
     last_report: Duration,
@@ -189,6 +191,7 @@
             recent_commands: VecDeque::new(),
             applied,
             snapshot_index: applied,
+            losses: sorted::SortedMap::new(),
             turns: turns::Turns::default(),
             last_report: now,
             outputs: Vec::new(),
@@ -332,6 +335,7 @@
         let now = self.now();
         if now - self.last_tick >= REPLICA_TICK {
             self.last_tick = now;
+            self.report_losses();
             self.step(replica::Input::Tick);
         }
         if now - self.last_service >= SERVICE_TICK && self.is_leader() {
--- a/src/state/mesh.rs
+++ b/src/state/mesh.rs
@@ -22,6 +22,12 @@
 pub trait Outbox: Send {
     /// Queues a message for a host. It may be lost, which the replication protocol tolerates.
     fn send(&self, host: &Arc<str>, envelope: replica::Envelope);
+
+    /// Number that changes whenever bulk messages that were sent to a host may be lost; `None` if
+    /// nothing is known of it. Without it, replicas repeat messages after a time.
+    fn losses(&self, _host: &Arc<str>) -> Option<u64> {
+        None
+    }
 }
 
 /// Sends messages to the other state hosts over QUIC. Clones share the connections.
--- a/tests/fleet_peer.rs
+++ b/tests/fleet_peer.rs
@@ -3,6 +3,7 @@
 use basilfield::fleet::frame;
 use basilfield::fleet::peer;
 use basilfield::metrics;
+use basilfield::replica;
 use basilfield::wire;
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
@@ -67,6 +68,78 @@
     });
 }
 
+fn envelope(body: replica::Message) -> frame::Cast {
+    frame::Cast::Replica(replica::Envelope { group: 1, from: 1, to: 2, term: 1, body })
+}
+
+/// Batch of log entries of `len` bytes.
+fn batch(len: usize) -> frame::Cast {
+    let payload = replica::Payload::Command(vec![0; len].into());
+    let entries = vec![replica::Entry { index: 1, term: 1, payload }];
+    envelope(replica::Message::Append { prev: 0, prev_term: 0, commit: 0, entries })
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    let accepted = time::timeout(WAIT_TIMEOUT, listener.accept()).await;
+    accepted.expect("connection in time").expect("accepted").0
+}
+
+/// Guards against heartbeats that wait behind a batch of entries that the follower cannot take yet,
+/// so that it starts an election.
+#[test]
+fn heartbeat_passes_a_batch() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let to: Arc<str> = listener.local_addr().expect("address").to_string().into();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let peers = peer::Peers::new("10.0.0.1:7700".into(), &metrics::Metrics::new(), &log);
+        peers.cast(&to, batch(8 << 20));
+        // Nothing is read from the connection of the batch for now.
+        let mut stalled = accept(&listener).await;
+        let heartbeat = envelope(replica::Message::Heartbeat { commit: 0, round: 3 });
+        peers.cast(&to, heartbeat.clone());
+        let mut stream = accept(&listener).await;
+        let hello = encode(&frame::Frame::Hello("10.0.0.1:7700".into()));
+        let expected = [hello, encode(&frame::Frame::Cast(heartbeat))].concat();
+        let mut received = vec![0; expected.len()];
+        let read = time::timeout(WAIT_TIMEOUT, stream.read_exact(&mut received)).await;
+        read.expect("heartbeat in time").expect("received");
+        assert_eq!(received, expected);
+        let hello = encode(&frame::Frame::Hello("10.0.0.1:7700".into()));
+        let expected = [hello, encode(&frame::Frame::Cast(batch(8 << 20)))].concat();
+        let mut received = vec![0; expected.len()];
+        let read = time::timeout(WAIT_TIMEOUT, stalled.read_exact(&mut received)).await;
+        read.expect("batch in time").expect("the first connection is still open");
+        assert!(received == expected);
+    });
+}
+
+/// Guards against a leader that does not learn that a batch was lost with its connection, and waits
+/// for an answer to it.
+#[test]
+fn lost_batch_is_reported() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let to: Arc<str> = listener.local_addr().expect("address").to_string().into();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let peers = peer::Peers::new("10.0.0.1:7700".into(), &metrics::Metrics::new(), &log);
+        assert_eq!(peers.bulk_losses(&to), None);
+        peers.cast(&to, batch(100));
+        let before = peers.bulk_losses(&to).expect("a connection");
+        let stream = accept(&listener).await;
+        assert_eq!(peers.bulk_losses(&to), Some(before), "nothing is lost yet");
+        drop(stream);
+        let changed = async {
+            while peers.bulk_losses(&to) == Some(before) {
+                time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        time::timeout(WAIT_TIMEOUT, changed).await.expect("the loss is reported");
+    });
+}
+
 /// Guards against traffic between hosts of which nobody can tell what it consists of.
 #[test]
 fn sent_bytes_are_counted_by_kind() {
