Keep a connection while a long frame gets on

A write of a frame had to end within a second, and a frame had to arrive within two; a long frame on a slow link was cut off then, with everything else on the connection, and sent again from the start. A write now fails only if the other side takes no byte for a second, and a reader waits on as long as bytes of the frame arrive. A connection whose other side is silent is dropped as before.

In the new test, a frame of 14 MB at 4 MB/s arrives in both directions; the old code ended the connection within the frame.

--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -47,8 +47,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval between pings on each connection.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
-/// A connection is dropped if nothing is received, or no write completes, for this long: three lost
-/// pings.
+/// A connection is dropped if nothing is received, or no byte of a write is taken, for this long:
+/// three lost pings. A long frame on a slow link may take longer, as long as it gets on.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A connection is closed, and its task ends, after this long without frames to send. Each open
 /// connection costs pings in both directions.
@@ -266,6 +266,23 @@
     Ok(stream)
 }
 
+/// Writes encoded frames as long as the peer takes bytes of them.
+async fn write_frames(
+    write: &mut OwnedWriteHalf,
+    mut bytes: &[u8],
+    to: &Arc<str>,
+) -> Result<(), errors::Error> {
+    while !bytes.is_empty() {
+        match time::timeout(PEER_TIMEOUT, write.write(bytes)).await {
+            Ok(Ok(0)) => return Err(errors::Error::lost("send", to.clone(), "closed")),
+            Ok(Ok(written)) => bytes = &bytes[written..],
+            Ok(Err(e)) => return Err(errors::Error::lost("send", to.clone(), e)),
+            Err(_) => return Err(errors::Error::lost("send", to.clone(), "write timed out")),
+        }
+    }
+    Ok(())
+}
+
 type PendingCalls = sorted::SortedMap<u64, oneshot::Sender<wire::Reply>>;
 
 /// Sends frames over one connection until it is lost. Returns the cause.
@@ -300,10 +317,14 @@
             }
         }
         if !out.is_empty() {
-            match time::timeout(PEER_TIMEOUT, write.write_all(&out)).await {
-                Ok(Ok(())) => out.clear(),
-                Ok(Err(e)) => return errors::Error::lost("send", to.clone(), e),
-                Err(_) => return errors::Error::lost("send", to.clone(), "write timed out"),
+            let begun = time::Instant::now();
+            if let Err(error) = write_frames(&mut write, &out, to).await {
+                return error;
+            }
+            out.clear();
+            // The peer took bytes meanwhile, and its answers wait to be read.
+            if begun.elapsed() > PING_INTERVAL {
+                last_received = time::Instant::now();
             }
         }
         tokio::select! {
@@ -477,9 +498,12 @@
     let writer = tokio::spawn(write_answers(write, queue, encoder));
     let error = loop {
         // The dialing host sends pings. Without them it is gone or its packets are lost.
+        let received = read.buffer.len();
         let frame = match time::timeout(PEER_TIMEOUT * 2, read.next()).await {
             Ok(Ok(frame)) => frame,
             Ok(Err(error)) => break error,
+            // A long frame is arriving.
+            Err(_) if read.buffer.len() > received => continue,
             Err(_) => break errors::Error::lost("read", peer, "silent"),
         };
         if let frame::Frame::Hello(name) = frame {
--- a/tests/fleet_peer.rs
+++ b/tests/fleet_peer.rs
@@ -140,6 +140,49 @@
     });
 }
 
+/// Guards against a long frame that is cut off, and sent again from the start, since its link is
+/// slow.
+#[test]
+fn slow_link_does_not_cut_a_long_frame() {
+    /// Bytes read or written at a time, and pause after that: 4 MB/s.
+    const PART: usize = 256 << 10;
+    const PAUSE: Duration = Duration::from_millis(64);
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let to: Arc<str> = listener.local_addr().expect("address").to_string().into();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let peers = peer::Peers::new("10.0.0.1:7700".into(), &metrics::Metrics::new(), &log);
+        let sent = batch(14 << 20);
+        peers.cast(&to, sent.clone());
+        let mut stream = accept(&listener).await;
+        let hello = encode(&frame::Frame::Hello("10.0.0.1:7700".into()));
+        let cast = encode(&frame::Frame::Cast(sent));
+        let mut received = vec![0; hello.len() + cast.len()];
+        for part in received.chunks_mut(PART) {
+            stream.read_exact(part).await.expect("the frame goes on");
+            time::sleep(PAUSE).await;
+        }
+        assert!(received == [hello, cast].concat());
+        // The other direction: a frame that arrives for longer than a silent peer is waited for.
+        let senders = Arc::new(Senders::default());
+        let serving = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let to = serving.local_addr().expect("address");
+        tokio::spawn(peer::serve(serving, senders.clone(), metrics::Metrics::new(), log));
+        let mut stream = TcpStream::connect(to).await.expect("connected");
+        for part in received.chunks(PART) {
+            stream.write_all(part).await.expect("the frame goes on");
+            time::sleep(PAUSE).await;
+        }
+        let arrived = async {
+            while senders.0.lock().unwrap().is_empty() {
+                time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        time::timeout(WAIT_TIMEOUT, arrived).await.expect("the frame arrives");
+    });
+}
+
 /// Guards against traffic between hosts of which nobody can tell what it consists of.
 #[test]
 fn sent_bytes_are_counted_by_kind() {
