Name the type of the connections between hosts

The lint for complex types, which is an error in the checks of this repository, refused the type of the map from host and kind of connection to its queue, which the connections for batches had made longer. It has a name of its own now, and nothing else changes.

--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -117,11 +117,13 @@
     }
 }
 
+type Connections = sorted::SortedMap<(Arc<str>, Lane), Connection>;
+
 /// Connections of this host to the others. Clones share them.
 #[derive(Clone)]
 pub struct Peers {
     own: Arc<str>,
-    connections: Arc<Mutex<sorted::SortedMap<(Arc<str>, Lane), Connection>>>,
+    connections: Arc<Mutex<Connections>>,
     /// Number of losses of frames on all connections.
     losses: Arc<AtomicU64>,
     encoder: Encoder,
