Answer callers under HTTP/1.1 whatever the endpoint speaks

A caller whose stream was broken off could not see that: its answer had neither a length nor chunks and just ended with the connection. An entry copied the head of the endpoint's response, with its HTTP version. Under 1.0 a stream cannot be sent in chunks, so the end of the connection also stands for the end of the answer.

The version now applies to one connection only, like the hop-by-hop headers: what a caller gets is always 1.1, in chunks or with a length.

broken_answer_without_length_looks_complete failed before: for an endpoint that answers under 1.0 and is reset after ten of 20 events, the caller of a stream that must not be repeated got these ten and an end that looked complete. It now sees that the answer is cut off. The test with changes of the configuration in series, request_is_lost_beside_changes, passed before this change as well.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -106,6 +106,15 @@
     }
 }
 
+/// Head of a response for the caller, without what applies only to the connection to the endpoint.
+/// That includes the HTTP version: under 1.0, a stream would have no framing for the caller either,
+/// and one that is broken off would look complete.
+fn caller_head(mut head: hyper::http::response::Parts) -> hyper::http::response::Parts {
+    remove_hop_by_hop(&mut head.headers, false);
+    head.version = hyper::Version::HTTP_11;
+    head
+}
+
 /// Reads a header whose value is a number; `None` if it is absent or not a number.
 pub fn numeric_header(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
@@ -661,8 +670,7 @@
             match read {
                 Ok(Ok(body)) => {
                     self.node.record_endpoint_success(&started.endpoint.id);
-                    let mut head = started.response.head;
-                    remove_hop_by_hop(&mut head.headers, false);
+                    let head = caller_head(started.response.head);
                     return hyper::Response::from_parts(head, serve::full_body(body));
                 }
                 Ok(Err(cause)) => {
@@ -714,12 +722,11 @@
         if let Some(started) = &events.started {
             head = started.response.head.clone();
         }
-        remove_hop_by_hop(&mut head.headers, false);
         let frames = stream::unfold(events, |mut events| async move {
             let next = events.next_bytes().await?;
             Some((next.map(hyper::body::Frame::data), events))
         });
-        hyper::Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
+        hyper::Response::from_parts(caller_head(head), StreamBody::new(frames).boxed_unsync())
     }
 
     /// Passes an error response of an endpoint on unchanged.
@@ -738,10 +745,9 @@
                 return fail(&self.node, &self.request.id, status, cause);
             }
         };
-        let mut head = started.response.head;
+        let head = started.response.head;
         event!(self.node.log, events::REQUEST_FAILED; "request" => &*self.request.id,
             "endpoint" => &*started.endpoint.id, "status" => head.status.as_u16());
-        remove_hop_by_hop(&mut head.headers, false);
-        hyper::Response::from_parts(head, serve::full_body(body))
+        hyper::Response::from_parts(caller_head(head), serve::full_body(body))
     }
 }
--- /dev/null
+++ b/tests/fleet_unframed.rs
@@ -0,0 +1,339 @@
+//! Endpoints whose answers have neither a length nor chunks and end with their connection, with
+//! processes over loopback.
+
+mod fleet_world;
+
+use basilfield::emulator::plain;
+use basilfield::fleet::upstream;
+use fleet_world::ONCE_PREFIX;
+use fleet_world::Role;
+use fleet_world::SAFE_PREFIX;
+use fleet_world::STREAM_PREFIX;
+use fleet_world::Size;
+use fleet_world::World;
+use fleet_world::client;
+use serde_json::Value;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time;
+
+const SIZE: Size = Size { controls: 3, losses: 1, stores: 0, entries: 1, endpoints: 1 };
+const THREE_ENDPOINTS: Size = Size { endpoints: 3, ..SIZE };
+/// Far more slots than the other endpoint, so that requests go to the one under test first.
+const MANY_SLOTS: u32 = 2_000;
+/// Events of a complete answer, and of one that breaks off.
+const EVENT_COUNT: u64 = fleet_world::ENDPOINT_OPTIONS.1;
+const BROKEN_COUNT: u64 = 10;
+/// Longest time for an answer, also on a busy machine.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+
+fn run(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("runtime")
+        .block_on(test);
+}
+
+/// How an endpoint ends its answer.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    /// After the last event.
+    Complete,
+    /// Within an event.
+    WithinEvent,
+    /// With a reset between two events.
+    Reset,
+}
+
+/// What an endpoint answers.
+#[derive(Clone, Debug)]
+struct Answer {
+    /// HTTP version of the status line.
+    version: &'static str,
+    end: End,
+    /// Id of the endpoint; requests for another one are declined.
+    endpoint: String,
+}
+
+/// Reads until the blank line after a head. Returns the head in lower case.
+async fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
+    Ok(String::from_utf8_lossy(&head).to_ascii_lowercase())
+}
+
+fn field(head: &str, name: &str) -> String {
+    let value = head.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(':'));
+    value.unwrap_or_default().trim().to_string()
+}
+
+async fn answer(
+    stream: &mut TcpStream,
+    answer: &Mutex<Answer>,
+    asked: &AtomicUsize,
+) -> std::io::Result<()> {
+    let head = read_head(stream).await?;
+    let mut body = vec![0; field(&head, "content-length").parse().unwrap_or(0)];
+    stream.read_exact(&mut body).await?;
+    let Answer { version, end, endpoint } = answer.lock().expect("lock").clone();
+    let id = field(&head, "x-basilfield-request-id");
+    let echo = format!("x-basilfield-request-id: {id}\r\n");
+    if field(&head, "x-basilfield-expect-instance") != endpoint {
+        let declined = format!("HTTP/1.1 421 Other\r\n{echo}content-length: 0\r\n\r\n");
+        return stream.write_all(declined.as_bytes()).await;
+    }
+    asked.fetch_add(1, Ordering::SeqCst);
+    let head = format!("{version} 200 OK\r\n{echo}content-type: text/event-stream\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    let count = match end {
+        End::Complete => EVENT_COUNT,
+        End::WithinEvent | End::Reset => BROKEN_COUNT,
+    };
+    for n in 1..=count {
+        let event = format!("id: {n}\ndata: {}\n\n", plain::event_data(&id, n));
+        stream.write_all(event.as_bytes()).await?;
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    match end {
+        End::Complete => {}
+        End::WithinEvent => stream.write_all(b"id: 11\ndata: ").await?,
+        End::Reset => stream.set_zero_linger()?,
+    }
+    Ok(())
+}
+
+/// Fleet with an endpoint under test beside another one.
+struct Fleet {
+    world: World,
+    address: SocketAddr,
+    answer: Arc<Mutex<Answer>>,
+    /// Requests that the endpoint has answered.
+    asked: Arc<AtomicUsize>,
+    /// Slots of the endpoint.
+    slots: u32,
+    seq: u64,
+}
+
+impl Fleet {
+    async fn start(size: Size) -> Fleet {
+        let world = World::start(size).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+        let address = listener.local_addr().expect("address");
+        let first = Answer { version: "HTTP/1.1", end: End::Complete, endpoint: String::default() };
+        let shared = Arc::new(Mutex::new(first));
+        let script = shared.clone();
+        let asked = Arc::<AtomicUsize>::default();
+        let count = asked.clone();
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (script, count) = (script.clone(), count.clone());
+                // The caller sees the error on its side of the connection.
+                tokio::spawn(async move { drop(answer(&mut stream, &script, &count).await) });
+            }
+        });
+        Fleet { world, address, answer: shared, asked, slots: MANY_SLOTS, seq: 0 }
+    }
+
+    /// Gives the endpoint an answer and registers it under a new id, which is not avoided yet.
+    async fn set(&mut self, version: &'static str, end: End) {
+        self.seq += 1;
+        let endpoint = format!("raw-{}", self.seq);
+        let path = format!("/-/instances/{endpoint}");
+        *self.answer.lock().expect("lock") = Answer { version, end, endpoint };
+        let body = json!({
+            "service": fleet_world::SERVICE, "address": self.address, "zone": "d0",
+            "version": fleet_world::DEFAULT_BUILD, "slots": self.slots, "state": "ready",
+            "coldMs": 0, "callSeq": self.seq,
+        });
+        let control = self.world.hosts_of(Role::Control)[0];
+        let to = (self.world.hosts[control].process_address, fleet_world::OPERATOR_PORT).into();
+        let status = client::call(to, "PUT", &path, &[], body.to_string()).await.0;
+        assert_eq!(status, 200, "{}", self.world.logs());
+        self.world.send_heartbeats().await;
+    }
+
+    fn entry(&self) -> SocketAddr {
+        self.world.caller_address(self.world.hosts_of(Role::Entry)[0])
+    }
+
+    /// Sends a request on a new connection that the endpoint under test gets first. Tells how its
+    /// answer is framed and how it ends.
+    async fn ask(&self, prefix: &str, id: &str) -> String {
+        for turn in 0..40 {
+            let before = self.asked.load(Ordering::SeqCst);
+            let mut stream = TcpStream::connect(self.entry()).await.expect("connection");
+            let id = format!("{id}-{turn}");
+            let read = read_answer(&mut stream, prefix, &id);
+            let read = time::timeout(ANSWER_TIMEOUT, read).await;
+            if self.asked.load(Ordering::SeqCst) > before {
+                return read.unwrap_or_else(|_| "without end".into());
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("no request reaches the endpoint\n{}", self.world.logs());
+    }
+}
+
+async fn read_answer(stream: &mut TcpStream, prefix: &str, id: &str) -> String {
+    let request = format!(
+        "POST {prefix}{id} HTTP/1.1\r\nhost: {}\r\nx-basilfield-request-id: {id}\r\n\
+         x-basilfield-deadline-ms: 6000\r\ncontent-length: 3\r\n\r\nask",
+        fleet_world::ROUTE_HOST
+    );
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let Ok(head) = read_head(stream).await else { return "no answer".into() };
+    let line = head.lines().next().unwrap_or_default().to_string();
+    let length = field(&head, "content-length").parse::<usize>().ok();
+    let is_chunked = field(&head, "transfer-encoding") == "chunked";
+    let mut body = Vec::new();
+    let mut buf = [0; 4_096];
+    let end = loop {
+        if is_chunked && body.ends_with(b"0\r\n\r\n") || length == Some(body.len()) {
+            break "complete";
+        }
+        match stream.read(&mut buf).await {
+            Ok(0) if !is_chunked && length.is_none() => break "ends with its connection",
+            Ok(0) | Err(_) => break "cut off",
+            Ok(n) => body.extend_from_slice(&buf[..n]),
+        }
+    };
+    let text = String::from_utf8_lossy(&body);
+    let events = text.matches("\ndata: ").count();
+    format!("{line}, {events} events, {end}")
+}
+
+/// Sends requests to the endpoint under test, which ends its answers in each of the given ways.
+async fn ask_each(ends: &[End], prefixes: &[&str]) -> String {
+    let mut fleet = Fleet::start(SIZE).await;
+    let mut seen = Vec::new();
+    for version in ["HTTP/1.1", "HTTP/1.0"] {
+        for end in ends {
+            for prefix in prefixes {
+                fleet.set(version, *end).await;
+                let result = fleet.ask(prefix, &format!("r-{}", fleet.seq)).await;
+                seen.push(format!("{version} {end:?} {prefix}: {result}"));
+            }
+        }
+    }
+    seen.join("\n")
+}
+
+/// Guards against an answer that is passed on in the framing of its endpoint: the caller cannot tell
+/// the end of an answer without length and chunks from a break.
+#[test]
+fn broken_answer_without_length_looks_complete() {
+    run(async {
+        let ends = [End::Complete, End::WithinEvent, End::Reset];
+        let seen = ask_each(&ends, &[STREAM_PREFIX, ONCE_PREFIX, SAFE_PREFIX]).await;
+        insta::assert_snapshot!(seen, @r"
+        HTTP/1.1 Complete /stream/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.1 Complete /once/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.1 Complete /safe/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.1 WithinEvent /stream/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.1 WithinEvent /once/: http/1.1 200 ok, 10 events, cut off
+        HTTP/1.1 WithinEvent /safe/: http/1.1 200 ok, 11 events, complete
+        HTTP/1.1 Reset /stream/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.1 Reset /once/: http/1.1 200 ok, 10 events, cut off
+        HTTP/1.1 Reset /safe/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.0 Complete /stream/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.0 Complete /once/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.0 Complete /safe/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.0 WithinEvent /stream/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.0 WithinEvent /once/: http/1.1 200 ok, 10 events, cut off
+        HTTP/1.0 WithinEvent /safe/: http/1.1 200 ok, 11 events, complete
+        HTTP/1.0 Reset /stream/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.0 Reset /once/: http/1.1 200 ok, 10 events, cut off
+        HTTP/1.0 Reset /safe/: http/1.1 200 ok, 20 events, complete
+        ");
+    });
+}
+
+/// Time for which the configuration changes, and time between two changes.
+const CHANGE_TIME: Duration = Duration::from_secs(6);
+const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
+/// Callers with a kept connection each.
+const CALLER_COUNT: usize = 8;
+
+/// Configuration that differs from the one before in time limits, limits of idle connections, shares
+/// and a further route.
+fn changed_config(world: &World, version: u64) -> String {
+    let mut config: Value = serde_json::from_str(&world.config(version)).expect("document");
+    config["limits"]["idleMs"] = json!(3_000 + version % 4 * 3_000);
+    let routes = config["routes"].as_array_mut().expect("routes");
+    if version.is_multiple_of(2) {
+        routes.retain(|r| r["name"] != "plain" && r["name"] != "version");
+    }
+    for route in routes {
+        route["timeoutMs"] = json!(5_000 + version % 3 * 500);
+        let share = |weight: u64| json!({ "service": fleet_world::SERVICE, "weight": weight });
+        route["split"] = json!([share(version % 5 * 20), share(20)]);
+    }
+    config.to_string()
+}
+
+/// Sends requests on a kept connection until `end`. Returns how each of them ended.
+async fn send_requests(entry: SocketAddr, caller: usize, end: time::Instant) -> Vec<String> {
+    let connections = upstream::Upstream::default();
+    let mut seen = Vec::new();
+    for turn in 0.. {
+        if time::Instant::now() > end {
+            break;
+        }
+        let prefix = [STREAM_PREFIX, ONCE_PREFIX, SAFE_PREFIX][(caller + turn) % 3];
+        let id = format!("c{caller}-{turn}");
+        let ended = client::stream_on(&connections, entry, prefix, &id).await;
+        seen.push(format!("{prefix} {ended:?}"));
+    }
+    seen
+}
+
+/// Guards against a request that ends with neither an answer nor a refusal beside changes of the
+/// configuration, while endpoints are silent for a while and answer without length and chunks.
+#[test]
+fn request_is_lost_beside_changes() {
+    run(async {
+        let mut fleet = Fleet::start(THREE_ENDPOINTS).await;
+        let pause = plain::Pause { rate: 0.2, before: 10, length: Duration::from_millis(1_500) };
+        for endpoint in fleet.world.endpoints.iter().flatten() {
+            endpoint.set_faults(plain::FaultRates {
+                pause: Some(pause),
+                ..plain::FaultRates::default()
+            });
+        }
+        fleet.slots = 6;
+        fleet.set("HTTP/1.1", End::Complete).await;
+        let entry = fleet.entry();
+        let end = time::Instant::now() + CHANGE_TIME;
+        let callers: Vec<_> =
+            (0..CALLER_COUNT).map(|c| tokio::spawn(send_requests(entry, c, end))).collect();
+        let mut version = 1;
+        while time::Instant::now() < end {
+            version += 1;
+            let document = changed_config(&fleet.world, version);
+            assert_eq!(fleet.world.put_config(&document).await, 200, "{}", fleet.world.logs());
+            time::sleep(CHANGE_INTERVAL).await;
+        }
+        let mut seen = Vec::new();
+        for caller in callers {
+            seen.extend(caller.await.expect("task"));
+        }
+        let answered = seen.iter().filter(|s| s.ends_with("Complete")).count();
+        let lost: Vec<&String> =
+            seen.iter().filter(|s| !s.ends_with("Complete") && !s.ends_with("NotRun")).collect();
+        assert!(lost.is_empty(), "{lost:?} of {}\n{}", seen.len(), fleet.world.logs());
+        assert!(answered > CALLER_COUNT && version > 5, "{answered} answers, version {version}");
+    });
+}
