Continue answers that end with their connection before an event

An item of a job was completed without output, and a caller got a stream with status 200 and no event. An answer may have neither a length nor chunks and end with its connection. If the endpoint broke off right after the head, the entry and the host that runs items took the end of the connection for the end of a complete answer; the same held for a run that goes on after the events of an earlier one, whose output was then cut short.

Such an answer without any event now counts as broken off: the request or item goes on at another endpoint if it may, and the caller gets 502 if not. An answer with a length or in chunks may still be empty.

Failed before: answer_without_events_looks_complete (status 200, no event) and item_without_events_is_completed (completed with an empty output). The latter condition is also tested for a stream that its caller has taken up again, resumed_answer_without_events_looks_complete.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -17,6 +17,10 @@
 /// Most bytes of comments that are held back until the next event.
 const MAX_COMMENT_BYTES: usize = 64 << 10;
 
+/// Cause of a failed attempt whose answer has neither an event nor length or chunks, so that nothing
+/// shows that it is complete.
+pub(super) const ENDED_WITHOUT_EVENT: &str = "the connection ends before the first event";
+
 /// Stream of events for the caller. If an endpoint breaks it off, another one continues it.
 pub(super) struct EventStream {
     pub(super) forwarder: forward::Forwarder,
@@ -196,6 +200,9 @@
     loop {
         let Some(part) = started.response.next_chunk().await? else {
             return match splitter.remainder() {
+                [] if !splitter.has_events() && !started.response.is_framed() => {
+                    Err(ENDED_WITHOUT_EVENT.into())
+                }
                 [] => Ok(NewEvents { bytes, last_event, ended: true }),
                 _ => Err("the stream ends within an event".into()),
             };
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -1,5 +1,6 @@
 //! Runs one item of a batch job at one endpoint.
 
+use crate::fleet::event_stream;
 use crate::fleet::ledger;
 use crate::fleet::node;
 use crate::fleet::progress;
@@ -249,6 +250,9 @@
         loop {
             let bytes = match self.wait(&mut patience, response.next_chunk()).await {
                 Ok(Ok(Some(bytes))) => bytes,
+                Ok(Ok(None)) if !splitter.has_events() && !response.is_framed() => {
+                    return interrupted(event_stream::ENDED_WITHOUT_EVENT, true);
+                }
                 Ok(Ok(None)) if splitter.remainder().is_empty() => return RunEnd::Done,
                 Ok(Ok(None)) => return interrupted("the stream ends within an event", true),
                 Ok(Err(cause)) => return interrupted(&cause, true),
--- a/src/fleet/sse.rs
+++ b/src/fleet/sse.rs
@@ -47,6 +47,8 @@
     scanned: usize,
     /// Length of the start of the buffer that holds complete events.
     complete: usize,
+    /// Whether a complete event was removed.
+    has_events: bool,
 }
 
 impl Splitter {
@@ -70,11 +72,17 @@
         };
         self.scanned = 0;
         self.complete = self.complete.saturating_sub(end);
+        self.has_events = true;
         let bytes = self.buffer.split_to(end).freeze();
         let id = field_values(&bytes, b"id").last().and_then(parse_number);
         Some(Event { bytes, id })
     }
 
+    /// Whether the stream has had a complete event.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Bytes of the event that is not complete yet.
     pub fn remainder(&self) -> &[u8] {
         &self.buffer
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -457,13 +457,17 @@
         if close.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close")) {
             return;
         }
-        // A body without a length or chunks ends when the endpoint closes the connection.
-        let framed = self.head.headers.contains_key(header::CONTENT_LENGTH)
-            || self.head.headers.contains_key(header::TRANSFER_ENCODING);
-        if framed {
+        if self.is_framed() {
             self.upstream.keep_idle(self.address, connection, keep_alive(&self.head.headers));
         }
     }
+
+    /// Whether the body has a length or chunks. Otherwise it ends when the endpoint closes the
+    /// connection, and its end cannot be told from a break.
+    pub fn is_framed(&self) -> bool {
+        self.head.headers.contains_key(header::CONTENT_LENGTH)
+            || self.head.headers.contains_key(header::TRANSFER_ENCODING)
+    }
 }
 
 /// How long an idle connection may be used, from the endpoint's `keep-alive` header.
--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -35,6 +35,7 @@
 const BROKEN_COUNT: u64 = 10;
 /// Longest time for an answer, also on a busy machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+const JOB_TIMEOUT: Duration = Duration::from_secs(40);
 
 fn run(test: impl Future<Output = ()>) {
     tokio::runtime::Builder::new_multi_thread()
@@ -54,6 +55,8 @@
     WithinEvent,
     /// With a reset between two events.
     Reset,
+    /// Before the first event.
+    Empty,
 }
 
 /// What an endpoint answers.
@@ -101,6 +104,7 @@
     let count = match end {
         End::Complete => EVENT_COUNT,
         End::WithinEvent | End::Reset => BROKEN_COUNT,
+        End::Empty => 0,
     };
     for n in 1..=count {
         let event = format!("id: {n}\ndata: {}\n\n", plain::event_data(&id, n));
@@ -108,7 +112,7 @@
         time::sleep(Duration::from_millis(5)).await;
     }
     match end {
-        End::Complete => {}
+        End::Complete | End::Empty => {}
         End::WithinEvent => stream.write_all(b"id: 11\ndata: ").await?,
         End::Reset => stream.set_zero_linger()?,
     }
@@ -172,11 +176,16 @@
     /// Sends a request on a new connection that the endpoint under test gets first. Tells how its
     /// answer is framed and how it ends.
     async fn ask(&self, prefix: &str, id: &str) -> String {
+        self.ask_after(prefix, id, 0).await
+    }
+
+    /// Sends a request as [`Fleet::ask`] does, for a stream of which event number `last` has arrived.
+    async fn ask_after(&self, prefix: &str, id: &str, last: u64) -> String {
         for turn in 0..40 {
             let before = self.asked.load(Ordering::SeqCst);
             let mut stream = TcpStream::connect(self.entry()).await.expect("connection");
             let id = format!("{id}-{turn}");
-            let read = read_answer(&mut stream, prefix, &id);
+            let read = read_answer(&mut stream, prefix, &id, last);
             let read = time::timeout(ANSWER_TIMEOUT, read).await;
             if self.asked.load(Ordering::SeqCst) > before {
                 return read.unwrap_or_else(|_| "without end".into());
@@ -187,10 +196,14 @@
     }
 }
 
-async fn read_answer(stream: &mut TcpStream, prefix: &str, id: &str) -> String {
+async fn read_answer(stream: &mut TcpStream, prefix: &str, id: &str, last: u64) -> String {
+    let resumed = match last {
+        0 => String::new(),
+        last => format!("last-event-id: {last}\r\n"),
+    };
     let request = format!(
         "POST {prefix}{id} HTTP/1.1\r\nhost: {}\r\nx-basilfield-request-id: {id}\r\n\
-         x-basilfield-deadline-ms: 6000\r\ncontent-length: 3\r\n\r\nask",
+         x-basilfield-deadline-ms: 6000\r\n{resumed}content-length: 3\r\n\r\nask",
         fleet_world::ROUTE_HOST
     );
     stream.write_all(request.as_bytes()).await.expect("sent");
@@ -261,6 +274,48 @@
     });
 }
 
+/// Guards against a stream without events for the caller because the connection of its endpoint, which
+/// sends neither length nor chunks, ended before the first event.
+#[test]
+fn answer_without_events_looks_complete() {
+    run(async {
+        let seen = ask_each(&[End::Empty], &[STREAM_PREFIX, ONCE_PREFIX]).await;
+        insta::assert_snapshot!(seen, @r"
+        HTTP/1.1 Empty /stream/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.1 Empty /once/: http/1.1 502 bad gateway, 0 events, complete
+        HTTP/1.0 Empty /stream/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.0 Empty /once/: http/1.1 502 bad gateway, 0 events, complete
+        ");
+    });
+}
+
+/// Guards against a stream that ends early for a caller who has taken it up again, because the
+/// connection of its endpoint ended before the first event.
+#[test]
+fn resumed_answer_without_events_looks_complete() {
+    run(async {
+        let mut fleet = Fleet::start(SIZE).await;
+        fleet.set("HTTP/1.1", End::Empty).await;
+        let seen = fleet.ask_after(STREAM_PREFIX, "resumed", BROKEN_COUNT).await;
+        insta::assert_snapshot!(seen, @"http/1.1 200 ok, 10 events, complete");
+    });
+}
+
+/// Guards against an item that is completed without output because the connection of its endpoint
+/// ended before the first event.
+#[test]
+fn item_without_events_is_completed() {
+    run(async {
+        let mut fleet = Fleet::start(Size { stores: 3, ..SIZE }).await;
+        fleet.set("HTTP/1.1", End::Empty).await;
+        let (entries, mut seen) = ([fleet.entry()], Vec::new());
+        assert!(client::submit(&entries, "job", 5).await, "{}", fleet.world.logs());
+        let finished = client::finish(&entries, "job", 5, &mut seen, JOB_TIMEOUT).await;
+        assert_eq!(finished, Ok(()), "{}", fleet.world.logs());
+        assert!(fleet.asked.load(Ordering::SeqCst) > 0, "{}", fleet.world.logs());
+    });
+}
+
 /// Time for which the configuration changes, and time between two changes.
 const CHANGE_TIME: Duration = Duration::from_secs(6);
 const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
