Log the end of every request that was sent to an endpoint

The log could not tell whether a request had been answered: a whole answer that was delivered had no event, nor had a caller that left before the head of its answer, nor the closing of a caller's connection in the middle of a stream. So a report of requests that got neither an answer nor a refusal could not be checked against the logs of an entry.

Events 706 and 708 now cover whole answers and the time before the first event, and event 713 (answer broken off) tells the cause, the last event that the caller has and the time left; requests_total counts it as broken_off.

--- a/src/events.rs
+++ b/src/events.rs
@@ -202,6 +202,8 @@
     STREAM_TAKEN_UP = 709, Info, "stream taken up again";
     /// Every endpoint that can continue a stream is full, and the stream waits for a slot.
     STREAM_WAITING = 712, Info, "stream waits for a slot";
+    /// The connection of a caller was closed in the middle of an answer, as no endpoint can go on.
+    ANSWER_BROKEN_OFF = 713, Info, "answer broken off";
 }
 
 /// Most lines of one event that a process writes in one second. Further lines are counted and left
--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -32,20 +32,6 @@
     pub(super) cause: Arc<str>,
     /// Bytes of complete events that the caller has not received yet.
     pub(super) ready: VecDeque<Bytes>,
-    /// Whether the stream ended or failed. Otherwise a dropped stream means that the caller left.
-    ended: bool,
-}
-
-impl Drop for EventStream {
-    fn drop(&mut self) {
-        if !self.ended {
-            let forwarder = &self.forwarder;
-            forwarder.node.metrics.count_request("online", "caller_left");
-            event!(forwarder.node.log, events::CALLER_LEFT; "request" => &*forwarder.request.id,
-                "after_event" => forwarder.last_event,
-                "elapsed_ms" => forwarder.request.arrived.elapsed().as_millis() as u64);
-        }
-    }
 }
 
 impl EventStream {
@@ -62,7 +48,6 @@
             splitter: sse::Splitter::default(),
             cause: Arc::default(),
             ready: VecDeque::new(),
-            ended: false,
         }
     }
 
@@ -72,13 +57,13 @@
             if let Some(bytes) = self.ready.pop_front() {
                 return Some(Ok(bytes));
             }
-            if self.ended {
+            if self.forwarder.ended {
                 return None;
             }
             if let Err(cause) = self.read_events().await
                 && !self.resume(&cause).await
             {
-                self.ended = true;
+                self.forwarder.ended = true;
                 return Some(Err(serve::ResponseAborted));
             }
         }
@@ -126,22 +111,20 @@
             self.ready.push_back(read.bytes.into());
         }
         if read.ended {
-            self.finish(&from);
+            self.forwarder.finish(&from);
         }
         Ok(())
     }
 
-    /// Records that the whole answer has arrived from the endpoint `from`.
-    fn finish(&mut self, from: &Arc<str>) {
-        self.ended = true;
+    /// Records that the caller has only a part of the answer, and that its connection is closed.
+    pub(super) fn record_broken_off(&self) {
         let forwarder = &self.forwarder;
-        forwarder.node.record_endpoint_success(from);
-        let elapsed = forwarder.request.arrived.elapsed();
-        forwarder.node.metrics.count_request("online", "answered");
-        forwarder.node.metrics.record_latency("answer", elapsed);
-        event!(forwarder.node.log, events::ANSWER_DELIVERED; "request" => &*forwarder.request.id,
-            "endpoint" => &**from, "events" => forwarder.last_event,
-            "elapsed_ms" => elapsed.as_millis() as u64);
+        forwarder.node.metrics.count_request("online", "broken_off");
+        event!(forwarder.node.log, events::ANSWER_BROKEN_OFF;
+            "request" => &*forwarder.request.id, "cause" => &*self.cause,
+            "after_event" => forwarder.last_event,
+            "elapsed_ms" => forwarder.request.arrived.elapsed().as_millis() as u64,
+            "left_ms" => forwarder.time_left().as_millis() as u64);
     }
 
     /// Continues the stream at another endpoint. Returns whether one has started to respond.
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -163,6 +163,20 @@
     is_origin: bool,
     /// Number of the last record of the stream's origin, and the build that it names.
     recorded: Option<(u32, Arc<str>)>,
+    /// Whether the answer is complete or has failed. If the request is dropped before, the caller
+    /// has left.
+    pub(super) ended: bool,
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.node.metrics.count_request("online", "caller_left");
+            event!(self.node.log, events::CALLER_LEFT; "request" => &*self.request.id,
+                "after_event" => self.last_event,
+                "elapsed_ms" => self.request.arrived.elapsed().as_millis() as u64);
+        }
+    }
 }
 
 /// Response of an endpoint whose head has arrived.
@@ -230,10 +244,15 @@
         begun: false,
         is_origin,
         recorded: None,
+        ended: false,
     };
     match forwarder.request.route.kind {
         routes::Kind::Stream => forwarder.forward_stream(&headers).await,
-        _ => forwarder.forward_whole(&headers).await,
+        _ => {
+            let response = forwarder.forward_whole(&headers).await;
+            forwarder.ended = true;
+            response
+        }
     }
 }
 
@@ -669,8 +688,13 @@
             let id = self.request.id.clone();
             match read {
                 Ok(Ok(body)) => {
-                    self.node.record_endpoint_success(&started.endpoint.id);
                     let head = caller_head(started.response.head);
+                    if head.status.is_success() {
+                        self.finish(&started.endpoint.id);
+                    } else {
+                        self.node.record_endpoint_success(&started.endpoint.id);
+                        self.log_failure(&started.endpoint.id, head.status);
+                    }
                     return hyper::Response::from_parts(head, serve::full_body(body));
                 }
                 Ok(Err(cause)) => {
@@ -691,10 +715,15 @@
     async fn forward_stream(mut self, headers: &protocol::Headers) -> serve::Response {
         let started = match self.start_response(headers).await {
             Ok(started) => started,
-            Err(response) => return response,
+            Err(response) => {
+                self.ended = true;
+                return response;
+            }
         };
         if !started.response.head.status.is_success() {
-            return self.forward_failure(started).await;
+            let response = self.forward_failure(started).await;
+            self.ended = true;
+            return response;
         }
         let mut head = started.response.head.clone();
         let mut events = event_stream::EventStream::new(self, headers.clone(), started);
@@ -724,13 +753,16 @@
         }
         let frames = stream::unfold(events, |mut events| async move {
             let next = events.next_bytes().await?;
+            if next.is_err() {
+                events.record_broken_off();
+            }
             Some((next.map(hyper::body::Frame::data), events))
         });
         hyper::Response::from_parts(caller_head(head), StreamBody::new(frames).boxed_unsync())
     }
 
     /// Passes an error response of an endpoint on unchanged.
-    async fn forward_failure(self, mut started: Box<StartedResponse>) -> serve::Response {
+    async fn forward_failure(&self, mut started: Box<StartedResponse>) -> serve::Response {
         let body =
             time::timeout(self.time_left(), started.response.read_body(MAX_RESPONSE_BYTES)).await;
         let body = match body {
@@ -745,9 +777,26 @@
                 return fail(&self.node, &self.request.id, status, cause);
             }
         };
-        let head = started.response.head;
+        let head = caller_head(started.response.head);
+        self.log_failure(&started.endpoint.id, head.status);
+        hyper::Response::from_parts(head, serve::full_body(body))
+    }
+
+    /// Logs that the answer of an endpoint is a failure, which is passed on.
+    fn log_failure(&self, endpoint: &str, status: StatusCode) {
         event!(self.node.log, events::REQUEST_FAILED; "request" => &*self.request.id,
-            "endpoint" => &*started.endpoint.id, "status" => head.status.as_u16());
-        hyper::Response::from_parts(caller_head(head), serve::full_body(body))
+            "endpoint" => endpoint, "status" => status.as_u16());
+    }
+
+    /// Records that the whole answer has arrived from the endpoint `from`.
+    pub(super) fn finish(&mut self, from: &str) {
+        self.ended = true;
+        self.node.record_endpoint_success(from);
+        let elapsed = self.request.arrived.elapsed();
+        self.node.metrics.count_request("online", "answered");
+        self.node.metrics.record_latency("answer", elapsed);
+        event!(self.node.log, events::ANSWER_DELIVERED; "request" => &*self.request.id,
+            "endpoint" => from, "events" => self.last_event,
+            "elapsed_ms" => elapsed.as_millis() as u64);
     }
 }
--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -194,6 +194,20 @@
         }
         panic!("no request reaches the endpoint\n{}", self.world.logs());
     }
+
+    /// Waits until the log of the entry has a line with an event of a request.
+    async fn is_logged(&self, id: &str, event: u16) -> bool {
+        let begun = time::Instant::now();
+        let (id, event) = (format!("\"request\":\"{id}"), format!("\"event\":{event}"));
+        while begun.elapsed() < ANSWER_TIMEOUT {
+            let log = self.world.logs_of(Role::Entry);
+            if log.lines().any(|l| l.contains(&id) && l.contains(&event)) {
+                return true;
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        false
+    }
 }
 
 async fn read_answer(stream: &mut TcpStream, prefix: &str, id: &str, last: u64) -> String {
@@ -316,6 +330,39 @@
     });
 }
 
+/// Guards against requests whose end is in no log line, so that the log cannot tell an answer that was
+/// delivered from one that was lost.
+#[test]
+fn end_of_request_is_not_logged() {
+    run(async {
+        let mut fleet = Fleet::start(SIZE).await;
+        let mut seen = Vec::new();
+        fleet.set("HTTP/1.1", End::Complete).await;
+        fleet.ask(SAFE_PREFIX, "whole").await;
+        seen.push(format!("whole answer: {}", fleet.is_logged("whole", 706).await));
+        fleet.set("HTTP/1.1", End::Reset).await;
+        fleet.ask(ONCE_PREFIX, "broken").await;
+        seen.push(format!("broken off: {}", fleet.is_logged("broken", 713).await));
+        for endpoint in fleet.world.endpoints.iter().flatten() {
+            endpoint
+                .set_faults(plain::FaultRates { lost_rate: 1.0, ..plain::FaultRates::default() });
+        }
+        for (prefix, id) in [(SAFE_PREFIX, "left-whole"), (STREAM_PREFIX, "left-stream")] {
+            let mut stream = TcpStream::connect(fleet.entry()).await.expect("connection");
+            let read = read_answer(&mut stream, prefix, id, 0);
+            let _ = time::timeout(Duration::from_millis(300), read).await;
+            drop(stream);
+            seen.push(format!("{id}: {}", fleet.is_logged(id, 708).await));
+        }
+        insta::assert_snapshot!(seen.join("\n"), @r"
+        whole answer: true
+        broken off: true
+        left-whole: true
+        left-stream: true
+        ");
+    });
+}
+
 /// Time for which the configuration changes, and time between two changes.
 const CHANGE_TIME: Duration = Duration::from_secs(6);
 const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
