Send a configuration as the difference to the one a host holds

A control host sent every version of the configuration whole to every host. With a document of 50 to 210 KB and a change every 0.33 s, one control host sent 52 to 117 MB a second, nearly all that its link carries, and the bytes grew with versions times hosts times size.

A host that fetches now names the version that it holds and its digest. If it does not know the document of the host, the new one is compressed alone. The host checks the digest and asks for a whole document if the result differs. A host asks at most every 0.1 s, a newer answer replaces one that still waits to be sent to the same host, and two control hosts, the one of the same failure domain first, tell a host of a version instead of all.

In fleet_view.rs, the document that a host fetches is now the encoded one, since an update no longer carries a document; a repeated answer and another content of the same version are both checked. In fleet_sync.rs, requests have become a type with the control host and a flag; the expected results are unchanged. In fleet_peer.rs, only the type of the message differs.

--- a/src/events.rs
+++ b/src/events.rs
@@ -117,6 +117,9 @@
     HOST_LEAVING = 408, Info, "store host is to be emptied";
     /// A configuration document from a control host could not be parsed.
     CONFIG_UNREADABLE = 409, Error, "configuration not readable";
+    /// A configuration could not be encoded for another host, or one that a control host sent could
+    /// not be decoded; the host asks for it whole.
+    CONFIG_UNDECODABLE = 410, Warning, "configuration not decodable";
     /// A job was accepted.
     JOB_ACCEPTED = 500, Info, "job accepted";
     /// A job was cancelled.
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -5,6 +5,7 @@
 use crate::events;
 use crate::fleet::control_state;
 use crate::fleet::directory;
+use crate::fleet::documents;
 use crate::fleet::entry;
 use crate::fleet::frame;
 use crate::fleet::groups;
@@ -35,7 +36,7 @@
 /// second and ask another host.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Largest body of a call by an operator or endpoint.
-const MAX_BODY_BYTES: usize = 16 << 20;
+const MAX_BODY_BYTES: usize = documents::MAX_DOCUMENT_BYTES;
 /// Interval between checks whether the job group can be placed.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(300);
 /// The job group is placed only after the set of present store hosts has not changed for this long.
@@ -162,14 +163,14 @@
         match message {
             frame::Cast::Replica(envelope) => member::deliver(node, envelope),
             frame::Cast::Announce(announcement) => self.handle_announcement(&announcement),
-            frame::Cast::FetchConfig(known) => {
-                let document = node.view.active_config().map(|c| c.document.clone());
-                if let Some(document) = document.filter(|d| d.version > known) {
-                    let update =
-                        frame::Update { document: Some(document), ..frame::Update::default() };
-                    node.peers.cast(from, frame::Cast::Update(update));
+            frame::Cast::FetchConfig(held) => match node.view.encode_config(held) {
+                Ok(Some(encoded)) => node.peers.send_config(from, encoded),
+                Ok(None) => {}
+                Err(problem) => {
+                    event!(node.log, events::CONFIG_UNDECODABLE; "peer" => &**from,
+                        "held" => held.version, "error" => %problem);
                 }
-            }
+            },
             frame::Cast::Origins(records) => {
                 let mut origins = peer::lock(&node.origins);
                 for record in records {
@@ -209,6 +210,24 @@
     broadcast(node, &frame::Cast::Update(update));
 }
 
+/// Tells the hosts that this control host serves first of a new version. The others learn of it from
+/// other control hosts, or when they announce themselves.
+fn tell_version(node: &node::Node, version: u64) {
+    let now = node.now();
+    let roles = [settings::Role::Entry, settings::Role::Store, settings::Role::Control];
+    let own = &node.view.own().link;
+    let hosts: Vec<Arc<str>> = node.view.directory(|d| {
+        let present = d.present_hosts(now, settings::Role::Control);
+        let controls: Vec<_> = present.map(|h| (h.link.clone(), h.domain.clone())).collect();
+        let present = roles.iter().flat_map(|role| d.present_hosts(now, *role));
+        let told = present.filter(|h| sync::is_informed_by(&h.link, &h.domain, own, &controls));
+        told.map(|h| h.link.clone()).collect()
+    });
+    for host in hosts.iter().filter(|h| *h != own) {
+        node.peers.cast(host, frame::Cast::ConfigAvailable(version));
+    }
+}
+
 /// Passes configuration and placement that the replica has applied to the view of this host and to
 /// the other hosts.
 async fn publish_state(
@@ -220,7 +239,7 @@
         let state = published.borrow_and_update().clone();
         let version = state.document.version;
         if node.view.apply_document(state.document) {
-            broadcast(&node, &frame::Cast::ConfigAvailable(version));
+            tell_version(&node, version);
         }
         let placement = Some(state.placement).filter(|p| node.view.apply_placement(p.clone()));
         if placement.is_some() {
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -142,6 +142,7 @@
             node.apply_update(update);
         }
         frame::Cast::ConfigAvailable(version) => node.handle_available_config(from, version),
+        frame::Cast::Config(encoded) => node.apply_config(from, &encoded),
         frame::Cast::EntryLoad(load) => {
             node.view.loads(|l| l.record_entry_load(node.now(), from, load))
         }
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -6,6 +6,7 @@
 use crate::fleet::origin;
 use crate::replica;
 use crate::wire;
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use std::sync::Arc;
@@ -77,8 +78,10 @@
     OtherLoad(OtherLoad),
     /// A control host has this version of the configuration.
     ConfigAvailable(u64),
-    /// A host asks a control host for a configuration that is newer than this version.
-    FetchConfig(u64),
+    /// A host asks a control host for a configuration that is newer than the one it holds.
+    FetchConfig(HeldConfig),
+    /// A control host sends the configuration that a host has asked for.
+    Config(EncodedConfig),
     /// An entry sends a control host the origins of streams.
     Origins(Vec<origin::Record>),
 }
@@ -96,13 +99,13 @@
                 _ => "other_replica",
             },
             Cast::Announce(_) => "announce",
-            Cast::Update(update) if update.document.is_some() => "configuration",
             Cast::Update(update) if update.placement.is_some() => "placement",
             Cast::Update(_) => "directory",
             Cast::EntryLoad(_) => "entry_load",
             Cast::OtherLoad(_) => "other_load",
             Cast::ConfigAvailable(_) => "config_available",
             Cast::FetchConfig(_) => "fetch_config",
+            Cast::Config(_) => "configuration",
             Cast::Origins(_) => "origins",
         }
     }
@@ -124,8 +127,6 @@
 /// Changes sent by a control host; absent or empty parts have not changed.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Update {
-    /// Active configuration document.
-    pub document: Option<control_state::Document>,
     /// Placement of the job group.
     pub placement: Option<control_state::Placement>,
     /// Records of hosts and endpoints.
@@ -135,6 +136,30 @@
     pub departed: Vec<(Arc<str>, Option<u64>)>,
 }
 
+/// Configuration document that a host holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldConfig {
+    /// Version; 0 if the host needs a document that is encoded without another one.
+    pub version: u64,
+    /// Digest of the text.
+    pub digest: u64,
+}
+
+/// Configuration document, compressed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EncodedConfig {
+    /// Version of the document.
+    pub version: u64,
+    /// Version of the document that is the dictionary; `None` if there is none.
+    pub base: Option<u64>,
+    /// Size of the text in bytes.
+    pub size: u64,
+    /// Digest of the text.
+    pub digest: u64,
+    /// Compressed text.
+    pub data: Bytes,
+}
+
 /// Report of the requests that one entry runs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryLoad {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod control_state;
 pub mod directory;
 pub mod dispatch;
+pub mod documents;
 pub mod entry;
 mod event_stream;
 pub mod forward;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -165,25 +165,42 @@
         let known = self.view.config_version();
         let source =
             peer::lock(&self.config_fetch).record_available(self.now(), known, version, from);
-        self.fetch_config(source, known);
+        self.fetch_config(source);
     }
 
     /// Applies an update of a control host. Returns the parts that changed something here.
     pub fn apply_update(&self, update: frame::Update) -> Option<frame::Update> {
-        let has_document = update.document.is_some();
         let applied = self.view.apply_update(self.now(), update);
         self.report_ended_marks();
-        if has_document {
-            let known = self.view.config_version();
-            let source = peer::lock(&self.config_fetch).record_arrival(self.now(), known);
-            self.fetch_config(source, known);
-        }
         applied
     }
 
-    fn fetch_config(&self, source: Option<Arc<str>>, known: u64) {
-        if let Some(source) = source {
-            self.peers.cast(&source, frame::Cast::FetchConfig(known));
+    /// Applies a configuration that the control host `from` has sent, and fetches a newer one if it
+    /// is available.
+    pub fn apply_config(&self, from: &Arc<str>, encoded: &frame::EncodedConfig) {
+        let result = self.view.apply_encoded(encoded);
+        let known = self.view.config_version();
+        let mut fetch = peer::lock(&self.config_fetch);
+        let source = match result {
+            Ok(_) => fetch.record_arrival(self.now(), known),
+            Err(problem) => {
+                event!(self.log, events::CONFIG_UNDECODABLE; "version" => encoded.version,
+                    "base" => encoded.base, "held" => known, "bytes" => encoded.data.len(),
+                    "peer" => &**from, "error" => %problem);
+                fetch.record_unusable(self.now(), known)
+            }
+        };
+        drop(fetch);
+        self.fetch_config(source);
+    }
+
+    fn fetch_config(&self, source: Option<sync::Fetch>) {
+        if let Some(sync::Fetch { source, whole }) = source {
+            let held = match whole {
+                true => frame::HeldConfig::default(),
+                false => self.view.held_config(),
+            };
+            self.peers.cast(&source, frame::Cast::FetchConfig(held));
         }
     }
 
@@ -317,7 +334,7 @@
     fn repeat_overdue_fetch(&self) {
         let known = self.view.config_version();
         let source = peer::lock(&self.config_fetch).next_source(self.now(), known);
-        self.fetch_config(source, known);
+        self.fetch_config(source);
     }
 
     /// Adds the tasks that every role needs. `end` stops the announcements to the control hosts.
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -68,6 +68,26 @@
 enum Outgoing {
     Cast(frame::Cast),
     Call(wire::Request, oneshot::Sender<wire::Reply>),
+    Config(QueuedConfig),
+}
+
+/// Newest configuration that waits to be sent to one host.
+type ConfigSlot = Arc<Mutex<Option<frame::EncodedConfig>>>;
+
+/// Place of a configuration in the queue. A newer one takes the place of one that waits, so that a
+/// slow host does not let them pile up. Empties the slot when it is dropped.
+struct QueuedConfig(ConfigSlot);
+
+impl QueuedConfig {
+    fn take(&self) -> Option<frame::EncodedConfig> {
+        lock(&self.0).take()
+    }
+}
+
+impl Drop for QueuedConfig {
+    fn drop(&mut self) {
+        self.take();
+    }
 }
 
 /// Kind of a connection to a host.
@@ -89,8 +109,10 @@
 }
 
 /// Queue of the frames for one host, and the state of the connection to it.
+#[derive(Clone)]
 struct Connection {
     sender: mpsc::Sender<Outgoing>,
+    config: ConfigSlot,
     /// Whether the host has answered on the connection that is open now.
     answered: Arc<AtomicBool>,
     losses: Losses,
@@ -163,33 +185,48 @@
         Some(connection.losses.last.load(Ordering::Relaxed))
     }
 
-    /// Queue of a connection, and the record of its losses.
-    fn sender(&self, to: &Arc<str>, lane: Lane) -> (mpsc::Sender<Outgoing>, Losses) {
+    fn connection(&self, to: &Arc<str>, lane: Lane) -> Connection {
         let mut connections = lock(&self.connections);
         // Remove connections whose task has ended.
         connections.retain(|_, connection| !connection.sender.is_closed());
         let key = (to.clone(), lane);
         if let Some(connection) = connections.get(&key) {
-            return (connection.sender.clone(), connection.losses.clone());
+            return connection.clone();
         }
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
-        let losses = Losses::new(&self.losses);
-        let answered = Arc::<AtomicBool>::default();
-        let (sent, seen) = (losses.clone(), answered.clone());
-        connections.insert(key, Connection { sender: sender.clone(), answered, losses });
+        let connection = Connection {
+            sender,
+            config: ConfigSlot::default(),
+            answered: Arc::default(),
+            losses: Losses::new(&self.losses),
+        };
+        connections.insert(key, connection.clone());
         drop(connections);
+        let (answered, losses) = (connection.answered.clone(), connection.losses.clone());
         let (own, to, log) = (self.own.clone(), to.clone(), self.log.clone());
-        let (encoder, lost) = (self.encoder.clone(), sent.clone());
-        tokio::spawn(maintain_connection(own, to, receiver, seen, lost, encoder, log));
-        (sender, sent)
+        let encoder = self.encoder.clone();
+        tokio::spawn(maintain_connection(own, to, receiver, answered, losses, encoder, log));
+        connection
     }
 
     /// Sends a message. It is dropped if the host cannot be reached or its queue is full.
     pub fn cast(&self, to: &Arc<str>, message: frame::Cast) {
-        let (sender, losses) = self.sender(to, Lane::of(&message));
+        let connection = self.connection(to, Lane::of(&message));
         // The callers repeat messages that are still needed.
-        if sender.try_send(Outgoing::Cast(message)).is_err() {
-            losses.record();
+        if connection.sender.try_send(Outgoing::Cast(message)).is_err() {
+            connection.losses.record();
+        }
+    }
+
+    /// Sends a configuration, after the messages that wait already. It replaces one that waits, and
+    /// is dropped if the host cannot be reached or its queue is full.
+    pub fn send_config(&self, to: &Arc<str>, config: frame::EncodedConfig) {
+        let connection = self.connection(to, Lane::Main);
+        let waits = lock(&connection.config).replace(config).is_some();
+        if !waits {
+            // A host that gets no answer asks again.
+            let place = QueuedConfig(connection.config);
+            let _ = connection.sender.try_send(Outgoing::Config(place));
         }
     }
 
@@ -205,7 +242,7 @@
         limit: Duration,
     ) -> Result<wire::Reply, errors::Error> {
         let (done, answer) = oneshot::channel();
-        let (sender, _) = self.sender(to, Lane::Main);
+        let sender = self.connection(to, Lane::Main).sender;
         if sender.try_send(Outgoing::Call(request, done)).is_err() {
             return Err(errors::Error::lost("call", to.clone(), "the send queue is full"));
         }
@@ -386,6 +423,11 @@
                 calls.insert(*next, done);
                 self.append_frame(out, &frame::Frame::Call(*next, request));
             }
+            Outgoing::Config(place) => {
+                if let Some(config) = place.take() {
+                    self.append_frame(out, &frame::Frame::Cast(frame::Cast::Config(config)));
+                }
+            }
         }
     }
 
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -5,6 +5,7 @@
 use crate::events;
 use crate::fleet::control_state;
 use crate::fleet::directory;
+use crate::fleet::documents;
 use crate::fleet::frame;
 use crate::fleet::load;
 use crate::fleet::peer;
@@ -32,6 +33,8 @@
     seeds: Mutex<Vec<Arc<str>>>,
     protocol: Arc<dyn protocol::Protocol>,
     active_config: ArcSwapOption<ActiveConfig>,
+    /// Recent documents, at a control host.
+    documents: Mutex<documents::Documents>,
     /// Held while a document is compared with the active one and replaces it.
     config_update: Mutex<()>,
     placement: Mutex<control_state::Placement>,
@@ -58,6 +61,7 @@
             seeds: Mutex::new(seeds),
             protocol,
             active_config: ArcSwapOption::empty(),
+            documents: Mutex::default(),
             config_update: Mutex::default(),
             placement: Mutex::default(),
             replica: Mutex::default(),
@@ -122,11 +126,48 @@
         };
         event!(self.log, events::CONFIG_IN_FORCE; "version" => document.version,
             "before" => known, "routes" => config.routes.len());
+        if self.own.role == settings::Role::Control {
+            peer::lock(&self.documents).record(document.clone());
+        }
         self.active_config.store(Some(Arc::new(ActiveConfig { document, config })));
         self.notify_change();
         true
     }
 
+    /// Decodes a document that a control host has sent and activates it if its version is higher
+    /// than the active one. Returns whether it was activated.
+    ///
+    /// # Errors
+    /// The reason for which it cannot be decoded here.
+    pub fn apply_encoded(
+        &self,
+        encoded: &frame::EncodedConfig,
+    ) -> Result<bool, documents::Problem> {
+        let active = self.active_config();
+        if active.as_ref().is_some_and(|a| a.document.version >= encoded.version) {
+            return Ok(false);
+        }
+        let document = documents::decode(encoded, active.as_ref().map(|a| &a.document))?;
+        Ok(self.apply_document(document))
+    }
+
+    /// Document that this host holds.
+    pub fn held_config(&self) -> frame::HeldConfig {
+        self.active_config().map(|a| documents::held(&a.document)).unwrap_or_default()
+    }
+
+    /// Newest document of this control host, encoded for a host that holds `held`; `None` if that
+    /// one is not older.
+    ///
+    /// # Errors
+    /// The reason for which it cannot be encoded.
+    pub fn encode_config(
+        &self,
+        held: frame::HeldConfig,
+    ) -> Result<Option<frame::EncodedConfig>, documents::Problem> {
+        peer::lock(&self.documents).encode(held)
+    }
+
     /// Placement of the job group; empty until it is known.
     pub fn placement(&self) -> control_state::Placement {
         peer::lock(&self.placement).clone()
@@ -164,7 +205,6 @@
     /// Applies an update of a control host. Returns the parts that changed something here; `None`
     /// if there are none.
     pub fn apply_update(&self, now: Duration, update: frame::Update) -> Option<frame::Update> {
-        let document = update.document.filter(|d| self.apply_document(d.clone()));
         let placement = update.placement.filter(|p| self.apply_placement(p.clone()));
         let (records, departed) = self.directory(|d| {
             let records = d.merge(now, update.records);
@@ -189,8 +229,8 @@
         if !unchanged {
             self.notify_change();
         }
-        let update = frame::Update { document, placement, records, departed };
-        let changed = !unchanged || update.document.is_some() || update.placement.is_some();
+        let update = frame::Update { placement, records, departed };
+        let changed = !unchanged || update.placement.is_some();
         changed.then_some(update)
     }
 
--- a/tests/fleet_peer.rs
+++ b/tests/fleet_peer.rs
@@ -19,13 +19,16 @@
 /// Longest wait for a connection to be closed or a frame to arrive.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Records the senders of messages.
+/// Records the senders of messages, and the versions of configurations.
 #[derive(Default)]
-struct Senders(Mutex<Vec<Arc<str>>>);
+struct Senders(Mutex<Vec<Arc<str>>>, Mutex<Vec<u64>>);
 
 impl peer::Handler for Senders {
-    fn cast(&self, from: &Arc<str>, _message: frame::Cast) {
+    fn cast(&self, from: &Arc<str>, message: frame::Cast) {
         self.0.lock().unwrap().push(from.clone());
+        if let frame::Cast::Config(config) = message {
+            self.1.lock().unwrap().push(config.version);
+        }
     }
 
     fn call(&self, _request: wire::Request) -> BoxFuture<'static, wire::Reply> {
@@ -33,6 +36,11 @@
     }
 }
 
+fn config(version: u64, bytes: usize) -> frame::EncodedConfig {
+    let data = vec![7; bytes].into();
+    frame::EncodedConfig { version, base: None, size: bytes as u64, digest: 0, data }
+}
+
 fn encode(frame: &frame::Frame) -> Vec<u8> {
     let body = postcard::to_stdvec(frame).expect("encoded");
     let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
@@ -51,7 +59,10 @@
         let senders = Arc::new(Senders::default());
         let log = slog::Logger::root(slog::Discard, slog::o!());
         tokio::spawn(peer::serve(listener, senders.clone(), metrics::Metrics::new(), log));
-        let cast = encode(&frame::Frame::Cast(frame::Cast::FetchConfig(3)));
+        let cast = encode(&frame::Frame::Cast(frame::Cast::FetchConfig(frame::HeldConfig {
+            version: 3,
+            digest: 0,
+        })));
         let ping = encode(&frame::Frame::Ping);
         let named = encode(&frame::Frame::Hello("10.0.0.1:7700".into()));
         let mut seen = Vec::new();
@@ -220,3 +231,32 @@
         "#);
     });
 }
+
+/// Guards against a slow host for which outdated configurations pile up.
+#[test]
+fn newer_configuration_replaces_one_that_waits() {
+    // The task of the connection does not run before this one waits.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("runtime").block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let to: Arc<str> = listener.local_addr().expect("address").to_string().into();
+        let senders = Arc::new(Senders::default());
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let metrics = metrics::Metrics::new();
+        tokio::spawn(peer::serve(listener, senders.clone(), metrics.clone(), log.clone()));
+        let peers = peer::Peers::new("10.0.0.1:7700".into(), &metrics, &log);
+        for versions in [1..100, 100..200] {
+            let last = versions.end - 1;
+            for version in versions {
+                peers.send_config(&to, config(version, 1_000));
+            }
+            let arrived = time::timeout(WAIT_TIMEOUT, async {
+                while senders.1.lock().unwrap().last() != Some(&last) {
+                    time::sleep(Duration::from_millis(5)).await;
+                }
+            });
+            assert!(arrived.await.is_ok(), "version {last} arrives");
+        }
+        insta::assert_snapshot!(format!("{:?}", senders.1.lock().unwrap()), @"[99, 199]");
+    });
+}
--- a/tests/fleet_sync.rs
+++ b/tests/fleet_sync.rs
@@ -13,6 +13,10 @@
     (0..count).map(|n| format!("{prefix}-{n}").into()).collect()
 }
 
+fn asked_host(fetch: &Option<sync::Fetch>) -> &str {
+    fetch.as_ref().map_or("-", |fetch| &fetch.source)
+}
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -67,7 +71,7 @@
     }
     seen.push(fetch.record_arrival(ms(1_000), 4));
     seen.push(fetch.record_available(ms(1_100), 4, 4, &controls[0]));
-    let seen: Vec<&str> = seen.iter().map(|s| s.as_deref().unwrap_or("-")).collect();
+    let seen: Vec<&str> = seen.iter().map(asked_host).collect();
     insta::assert_snapshot!(seen.join(" "), @"control-0 - - control-1 - - -");
 }
 
@@ -100,7 +104,9 @@
         if now % CHECK_INTERVAL == 0 {
             asked.extend(fetch.next_source(ms(now), 3));
         }
-        let answers = |host| controls.iter().any(|c| c.0 == host && c.1 == Source::Answers);
+        let answers = |fetch: sync::Fetch| {
+            controls.iter().any(|c| c.0 == fetch.source && c.1 == Source::Answers)
+        };
         if arrives.is_none() && asked.into_iter().any(answers) {
             arrives = Some(now + TRANSFER);
         }
@@ -150,10 +156,34 @@
         fetch.record_arrival(ms(900), 5),
         fetch.next_source(ms(9_000), 5),
     ];
-    let seen: Vec<&str> = seen.iter().map(|s| s.as_deref().unwrap_or("-")).collect();
+    let seen: Vec<&str> = seen.iter().map(asked_host).collect();
     insta::assert_snapshot!(seen.join(" "), @"control-0 - - control-1 - control-2 - - -");
 }
 
+/// Guards against a host that asks for changes again and again to a document that it does not hold,
+/// and against one that asks more often than an answer can arrive.
+#[test]
+fn undecodable_configuration_is_asked_for_whole_once() {
+    let controls = names("control", CONTROLS);
+    let mut fetch = sync::ConfigFetch::default();
+    let seen = [
+        fetch.record_available(ms(0), 3, 4, &controls[0]),
+        fetch.record_available(ms(10), 3, 4, &controls[1]),
+        // Each request waits a little after the one before.
+        fetch.record_unusable(ms(20), 3),
+        fetch.next_source(ms(100), 3),
+        // A whole document that cannot be decoded either is asked for after the usual time.
+        fetch.record_unusable(ms(250), 3),
+        fetch.next_source(ms(700), 3),
+        fetch.next_source(ms(800), 3),
+        fetch.record_arrival(ms(900), 4),
+        fetch.record_available(ms(1_000), 4, 5, &controls[2]),
+    ];
+    let whole = |fetch: &Option<sync::Fetch>| fetch.as_ref().is_some_and(|f| f.whole);
+    let seen: Vec<_> = seen.iter().map(|s| (asked_host(s), whole(s))).collect();
+    insta::assert_snapshot!(format!("{seen:?}"), @r#"[("control-0", false), ("-", false), ("-", false), ("control-1", true), ("-", false), ("-", false), ("control-0", true), ("-", false), ("control-2", false)]"#);
+}
+
 /// Guards against a directory that every control host sends to every host whenever something
 /// changes, and against one that is never sent because the first control host is gone.
 #[test]
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -5,6 +5,7 @@
 
 use basilfield::fleet::control_state;
 use basilfield::fleet::directory;
+use basilfield::fleet::documents;
 use basilfield::fleet::frame;
 use basilfield::fleet::settings;
 use basilfield::fleet::view;
@@ -121,13 +122,18 @@
     }
     // The host fetches a configuration that is newer than the one in its announcement.
     assert_eq!((other.announcement(1).version, control.config_version()), (0, 5));
-    let fetched = control.active_config().map(|c| c.document.clone());
-    other.apply_update(NOW, frame::Update { document: fetched, ..frame::Update::default() });
+    let fetched = control.encode_config(other.held_config()).expect("encoded").expect("newer");
+    assert_eq!(other.apply_encoded(&fetched), Ok(true));
     let members = [other.members(0), other.members(1)].map(|m| m.join(" "));
     insta::assert_snapshot!(format!("{rounds} {} {members:?}", active_config(&other)),
         @r#"1 5 100ms ["a seed", "s1"]"#);
-    let again = frame::Update { document: Some(document(5, 9)), ..frame::Update::default() };
-    assert!(other.apply_update(NOW, again).is_none(), "nothing to pass on");
+    assert_eq!(other.apply_encoded(&fetched), Ok(false), "a repeated answer changes nothing");
+    let mut different = documents::Documents::default();
+    different.record(document(5, 9));
+    let again = different.encode(frame::HeldConfig::default()).expect("encoded").expect("newer");
+    assert_eq!(other.apply_encoded(&again), Ok(false), "nothing else takes the same version");
+    assert_eq!(control.encode_config(other.held_config()), Ok(None), "nothing to fetch");
+    assert!(other.apply_update(NOW, frame::Update::default()).is_none(), "nothing to pass on");
 }
 
 /// Guards against a host that keeps an older configuration because two connections delivered a newer
