Test hosts whose informers of a new configuration are lost

Two control hosts tell a host of a new version at once, and the others answer with it when the host announces itself. The test lets each of the two answer, fall silent after its first message, never answer, or be gone, and asks for the version within the 2 s in which an accepted change is to be in force; the slowest case takes 1.45 s, as with all five control hosts announcing.

--- a/tests/fleet_sync.rs
+++ b/tests/fleet_sync.rs
@@ -83,11 +83,14 @@
     Silent,
     /// Repeats its announcements, and gets no request or loses its answers.
     NeverAnswers,
+    /// Announces nothing.
+    Gone,
 }
 
-/// Time until a version arrives that every control host announces at once, in the given order, and
-/// again `phase` ms later and every 500 ms after that, when the host announces itself.
-fn fetch_time(controls: &[(Arc<str>, Source)], phase: u64) -> u64 {
+/// Time until a version arrives that the first `informers` control hosts announce at once, in the
+/// given order, and all of them `phase` ms later and every 500 ms after that, when the host announces
+/// itself.
+fn fetch_time(controls: &[(Arc<str>, Source)], informers: usize, phase: u64) -> u64 {
     const INTERVAL: u64 = 500;
     const CHECK_INTERVAL: u64 = 100;
     const TRANSFER: u64 = 50;
@@ -96,8 +99,12 @@
     for now in 0..10_000 {
         let mut asked = Vec::new();
         let repeats = now > 0 && now % INTERVAL == phase;
-        for (control, source) in controls {
-            if now == 0 || (repeats && *source != Source::Silent) {
+        for (n, (control, source)) in controls.iter().enumerate() {
+            let announces = match source {
+                Source::Answers | Source::NeverAnswers => repeats,
+                Source::Silent | Source::Gone => false,
+            };
+            if announces || (now == 0 && n < informers && *source != Source::Gone) {
                 asked.extend(fetch.record_available(ms(now), 3, 4, control));
             }
         }
@@ -124,7 +131,7 @@
     let names = names("control", CONTROLS);
     let slowest = |sources: [Source; CONTROLS]| {
         let controls: Vec<_> = names.iter().cloned().zip(sources).collect();
-        (0..500).map(|phase| fetch_time(&controls, phase)).max().unwrap_or_default()
+        (0..500).map(|phase| fetch_time(&controls, CONTROLS, phase)).max().unwrap_or_default()
     };
     use Source::{Answers, NeverAnswers, Silent};
     let seen = [
@@ -138,6 +145,29 @@
     insta::assert_snapshot!(format!("{seen:?}"), @"[50, 750, 750, 750, 1450, 1450]");
 }
 
+/// Guards against a configuration that is in force too late at a host because the control hosts that
+/// tell it of a new version at once are gone or do not answer.
+#[test]
+fn hosts_whose_informers_are_lost_get_a_configuration_in_time() {
+    const INFORMERS: usize = 2;
+    const MAX_DELAY: u64 = 2_000;
+    let names = names("control", CONTROLS);
+    use Source::{Answers, Gone, NeverAnswers, Silent};
+    let sources = [Answers, Silent, NeverAnswers, Gone];
+    let mut seen = Vec::new();
+    for first in sources {
+        for second in sources {
+            let sources = [first, second, Answers, Answers, Answers];
+            let controls: Vec<_> = names.iter().cloned().zip(sources).collect();
+            let times = (0..500).map(|phase| fetch_time(&controls, INFORMERS, phase));
+            seen.push(times.max().unwrap_or(u64::MAX));
+        }
+    }
+    assert!(seen.iter().all(|time| *time <= MAX_DELAY), "{seen:?}");
+    insta::assert_snapshot!(format!("{seen:?}"),
+        @"[50, 50, 50, 50, 750, 750, 1450, 750, 750, 750, 1450, 750, 50, 750, 750, 550]");
+}
+
 /// Guards against a host that asks for a configuration again because the late answer of another
 /// control host has arrived, while the newest version is under way.
 #[test]
