--- a/tests/fleet_builds.rs
+++ b/tests/fleet_builds.rs
@@ -45,15 +45,6 @@
 
 type Ended = Vec<(Attempt, StreamEnd)>;
 
-fn run(test: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("runtime")
-        .block_on(test);
-}
-
 fn callers() -> Vec<Attempt> {
     (0..STREAMS).map(|n| Attempt::new(fleet_world::STREAM_PREFIX, &format!("stream-{n}"))).collect()
 }
@@ -116,7 +107,7 @@
 /// Guards against an answer that goes on at an endpoint of another build when its endpoint is lost.
 #[test]
 fn answer_goes_on_at_its_build_after_a_lost_endpoint() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
         world.slow_down(None, SLOWDOWN);
         let entries = world.caller_addresses();
@@ -132,7 +123,7 @@
 /// Guards against an answer that goes on at another build when no endpoint of its own is left.
 #[test]
 fn answer_breaks_when_its_build_is_gone() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
         world.slow_down(None, SLOWDOWN);
         let entries = world.caller_addresses();
@@ -153,7 +144,7 @@
 /// Guards against streams that go on at another build, or not at all, after their entry is lost.
 #[test]
 fn streams_of_a_lost_entry_go_on_at_their_build() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
         world.slow_down(None, SLOWDOWN);
         let entries = world.caller_addresses();
@@ -170,7 +161,7 @@
 /// control host are lost at the same moment.
 #[test]
 fn streams_of_a_lost_entry_and_control_host_go_on_at_their_build() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
         world.slow_down(None, SLOWDOWN);
         let entries = world.caller_addresses();
@@ -187,7 +178,7 @@
 /// Guards against an entry that forgets the builds of its streams when the control hosts restart.
 #[test]
 fn restart_of_control_hosts_keeps_builds_of_streams() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
         world.slow_down(None, SLOWDOWN);
         let entries = world.caller_addresses();
@@ -219,7 +210,7 @@
 /// Guards against a refusal of an unknown stream that any endpoint can go on with.
 #[test]
 fn unknown_stream_goes_on_while_one_build_serves() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start_with_builds(SIZE, &["v1", "v1"], SLOTS).await;
         for entry in world.caller_addresses().iter() {
             wait_for_contact(&world, *entry).await;
@@ -245,7 +236,7 @@
 /// Guards against an unknown stream that goes on at an endpoint of a build that may be another one.
 #[test]
 fn unknown_stream_is_refused_while_two_builds_serve() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
         for entry in world.caller_addresses().iter() {
             assert_refused(&world, *entry, unknown_caller()).await;
@@ -256,7 +247,7 @@
 /// Guards against an entry without control hosts that goes on with a stream at any build.
 #[test]
 fn entry_out_of_contact_refuses_unknown_streams() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
         let entries = world.caller_addresses();
         let callers = begin(&world, entries[0], 4).await;
@@ -271,7 +262,7 @@
 /// Guards against a stream that goes on at another build, or waits, when its own build has left.
 #[test]
 fn stream_of_a_build_that_has_left_is_refused() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
         let entries = world.caller_addresses();
         let callers = begin(&world, entries[0], 4).await;
@@ -292,7 +283,7 @@
 /// Guards against records that are kept under the id of a later attempt only.
 #[test]
 fn third_attempt_names_the_first_one() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
         world.slow_down(None, SLOWDOWN);
         let entries = world.caller_addresses();
@@ -307,7 +298,7 @@
 /// Guards against a new stream that is bound to a build before its first event.
 #[test]
 fn stream_without_events_goes_to_any_build() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
         world.slow_down(Some("v1"), 400.0);
         let entries = world.caller_addresses();
@@ -328,7 +319,7 @@
 /// build.
 #[test]
 fn malformed_name_of_a_stream_is_refused() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start_with_builds(SIZE, &["v1", "v1"], SLOTS).await;
         let entry = world.caller_addresses()[0];
         let path = format!("{}odd", fleet_world::STREAM_PREFIX);
@@ -376,7 +367,7 @@
 /// Guards against items that a new leader goes on with at another build from their stored output.
 #[test]
 fn new_leader_goes_on_with_items_at_their_build() {
-    run(async {
+    fleet_world::run(async {
         let mut world = world_with_items("led").await;
         for at in world.hosts_of(Role::Store) {
             world.kill(at);
@@ -391,7 +382,7 @@
 /// Guards against items that go on at another build when their endpoint is lost.
 #[test]
 fn items_of_a_lost_endpoint_go_on_at_their_build() {
-    run(async {
+    fleet_world::run(async {
         let mut world = world_with_items("moved").await;
         let runs = |at: &usize| world.endpoints[*at].as_ref().map_or(0, |e| e.runs().len());
         let busiest = (0..world.endpoints.len()).max_by_key(runs).expect("endpoints");
@@ -403,7 +394,7 @@
 /// Guards against items that go on at another build, or never end, when their own build has left.
 #[test]
 fn items_of_a_build_that_has_left_start_over() {
-    run(async {
+    fleet_world::run(async {
         let mut world = world_with_items("anew").await;
         world.remove_build("v1").await;
         assert_items_are_whole(&world, "anew").await;
--- a/tests/fleet_leaving.rs
+++ b/tests/fleet_leaving.rs
@@ -27,15 +27,6 @@
 /// Time within which a request that cannot be served must be refused.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
 
-fn run(test: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("runtime")
-        .block_on(test);
-}
-
 /// Starts a world and cuts every control host off, so that no host learns from the directory that an
 /// endpoint leaves.
 async fn start_without_controls() -> World {
@@ -49,11 +40,11 @@
 }
 
 fn set_faults(world: &World, at: usize, faults: plain::FaultRates) {
-    world.endpoints[at].as_ref().expect("started").set_faults(faults);
+    world.endpoint(at).set_faults(faults);
 }
 
 fn leave(world: &World, at: usize) {
-    world.endpoints[at].as_ref().expect("started").leave();
+    world.endpoint(at).leave();
 }
 
 /// Submits a job of a dozen items and waits until it has finished.
@@ -94,9 +85,9 @@
 /// and calls on connections that callers and entries keep.
 #[test]
 fn leaving_endpoint_gets_no_new_request() {
-    run(async {
+    fleet_world::run(async {
         let world = start_without_controls().await;
-        let entry = world.caller_address(world.hosts_of(Role::Entry)[0]);
+        let entry = world.entry();
         leave(&world, 0);
         learn(&world, entry, 0).await;
         let before = runs_at(&world, 0).len();
@@ -127,9 +118,9 @@
 /// Guards against a broken stream that is resumed at an endpoint that is leaving.
 #[test]
 fn broken_stream_is_resumed_elsewhere() {
-    run(async {
+    fleet_world::run(async {
         let world = start_without_controls().await;
-        let entry = world.caller_address(world.hosts_of(Role::Entry)[0]);
+        let entry = world.entry();
         leave(&world, 0);
         learn(&world, entry, 0).await;
         let before = runs_at(&world, 0).len();
@@ -149,7 +140,7 @@
 /// Guards against items that start at an endpoint that is leaving.
 #[test]
 fn leaving_endpoint_gets_no_new_item() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start(SIZE).await;
         // The control hosts place the job group.
         run_job(&world, "first").await;
@@ -174,9 +165,9 @@
 /// leaving.
 #[test]
 fn declined_answer_tells_of_leaving() {
-    run(async {
+    fleet_world::run(async {
         let world = start_without_controls().await;
-        let entry = world.caller_address(world.hosts_of(Role::Entry)[0]);
+        let entry = world.entry();
         set_faults(&world, 0, plain::FaultRates { decline_rate: 1.0, ..Default::default() });
         leave(&world, 0);
         let first = stream_ends(entry, fleet_world::STREAM_PREFIX, "declined", 6).await;
@@ -192,9 +183,9 @@
 /// although every endpoint is known to be leaving, and against logs that do not tell why.
 #[test]
 fn request_is_refused_while_every_endpoint_leaves() {
-    run(async {
+    fleet_world::run(async {
         let world = start_without_controls().await;
-        let entry = world.caller_address(world.hosts_of(Role::Entry)[0]);
+        let entry = world.entry();
         for at in 0..3 {
             leave(&world, at);
         }
@@ -220,9 +211,9 @@
 /// hosts that have restarted, and against one that is not used after it has started again.
 #[test]
 fn only_a_new_start_brings_an_endpoint_back() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(SIZE).await;
-        let entry = world.caller_address(world.hosts_of(Role::Entry)[0]);
+        let entry = world.entry();
         leave(&world, 0);
         learn(&world, entry, 0).await;
         let before = runs_at(&world, 0).len();
@@ -255,9 +246,9 @@
 /// Guards against an endpoint that is taken out of use by an answer to another request.
 #[test]
 fn answer_of_another_request_tells_nothing() {
-    run(async {
+    fleet_world::run(async {
         let world = start_without_controls().await;
-        let entry = world.caller_address(world.hosts_of(Role::Entry)[0]);
+        let entry = world.entry();
         set_faults(&world, 0, plain::FaultRates { mismatch_rate: 1.0, ..Default::default() });
         leave(&world, 0);
         let first = stream_ends(entry, fleet_world::STREAM_PREFIX, "strange", 6).await;
@@ -511,7 +502,7 @@
 /// slot it waits for is leaving, and against a slot of that endpoint that is handed on.
 #[test]
 fn waiting_request_gets_no_slot_of_a_leaving_endpoint() {
-    run(async {
+    fleet_world::run(async {
         let (service, id) = ("a".into(), "i".into());
         let node = node(80);
         // The end of a first request tells how long a wait takes.
--- a/tests/fleet_silence.rs
+++ b/tests/fleet_silence.rs
@@ -7,14 +7,12 @@
 use basilfield::fleet::upstream;
 use fleet_world::BATCH_PREFIX;
 use fleet_world::ONCE_PREFIX;
-use fleet_world::Role;
 use fleet_world::SAFE_PREFIX;
 use fleet_world::STREAM_PREFIX;
 use fleet_world::Size;
 use fleet_world::World;
 use fleet_world::client;
 use fleet_world::client::StreamEnd;
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 use tokio::task::JoinHandle;
@@ -38,81 +36,18 @@
 const OVERLAP_TIME: Duration = Duration::from_millis(400);
 const JOB_TIMEOUT: Duration = Duration::from_secs(30);
 
-fn run(test: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("runtime")
-        .block_on(test);
-}
-
-fn pause(before: u64, length: Duration) -> plain::FaultRates {
-    let pause = plain::Pause { rate: 1.0, before, length };
-    plain::FaultRates { pause: Some(pause), ..plain::FaultRates::default() }
-}
-
-fn entry(world: &World) -> SocketAddr {
-    world.caller_address(world.hosts_of(Role::Entry)[0])
-}
-
-fn endpoint(world: &World, at: usize) -> &plain::PlainEndpoint {
-    world.endpoints[at].as_ref().expect("started")
-}
-
-fn set_all_faults(world: &World, faults: plain::FaultRates) {
-    for endpoint in world.endpoints.iter().flatten() {
-        endpoint.set_faults(faults);
-    }
-}
-
-/// Number of requests that run at all endpoints.
-fn running(world: &World) -> usize {
-    world.endpoints.iter().flatten().map(plain::PlainEndpoint::running).sum()
-}
-
-/// Number of runs of a request at an endpoint.
-fn run_count(endpoint: &plain::PlainEndpoint, id: &str) -> usize {
-    endpoint.runs().iter().filter(|r| &*r.request_id == id).count()
-}
-
-/// Waits until `condition` holds, at most `limit`. Returns whether it holds.
-async fn wait_until(limit: Duration, condition: impl Fn() -> bool) -> bool {
-    let begun = Instant::now();
-    while !condition() {
-        if begun.elapsed() > limit {
-            return false;
-        }
-        time::sleep(Duration::from_millis(5)).await;
-    }
-    true
-}
-
-/// Starts a stream and waits until an endpoint runs it. Returns the index of the endpoint.
-async fn start_stream(
-    world: &World,
-    prefix: &'static str,
-    id: &str,
-) -> (JoinHandle<StreamEnd>, usize) {
-    let (to, owned) = (entry(world), id.to_string());
-    let stream = tokio::spawn(async move { client::stream(to, prefix, &owned).await });
-    let at = || (0..world.endpoints.len()).find(|at| run_count(endpoint(world, *at), id) > 0);
-    assert!(wait_until(fleet_world::WAIT_TIMEOUT, || at().is_some()).await, "{}", world.logs());
-    (stream, at().expect("runs"))
-}
-
 /// Ends of requests to the only endpoint, which pauses before each of the given events, with the
 /// number of runs. 0 is the head of the answer.
 async fn request_paused(world: &mut World, prefix: &'static str, before: &[u64]) -> Vec<String> {
     let mut seen = Vec::new();
     for event in before {
         world.send_heartbeats().await;
-        set_all_faults(world, pause(*event, PAUSE));
+        world.set_all_faults(fleet_world::pause(*event, PAUSE));
         let id = format!("paused-{event}");
         let begun = Instant::now();
-        let ended = client::stream(entry(world), prefix, &id).await;
+        let ended = client::stream(world.entry(), prefix, &id).await;
         let late = if begun.elapsed() >= PAUSE { "late" } else { "early" };
-        let runs = run_count(endpoint(world, 0), &id);
+        let runs = world.run_count(0, &id);
         seen.push(format!("{event}: {ended:?} {late}, {runs} runs"));
     }
     seen
@@ -122,7 +57,7 @@
 /// middle of it.
 #[test]
 fn stream_goes_on_after_silence_of_only_endpoint() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(ONE_ENDPOINT).await;
         let seen = request_paused(&mut world, STREAM_PREFIX, &[2, MIDDLE, 20]).await;
         insta::assert_snapshot!(seen.join("\n"), @r"
@@ -137,7 +72,7 @@
 /// the first event of a stream.
 #[test]
 fn stream_starts_after_silence_of_only_endpoint() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(ONE_ENDPOINT).await;
         let seen = request_paused(&mut world, STREAM_PREFIX, &[0, 1]).await;
         insta::assert_snapshot!(seen.join("\n"), @r"
@@ -151,7 +86,7 @@
 /// answer of a request that may be repeated.
 #[test]
 fn whole_answer_arrives_after_silence_of_only_endpoint() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(ONE_ENDPOINT).await;
         let seen = request_paused(&mut world, SAFE_PREFIX, &[0, MIDDLE]).await;
         insta::assert_snapshot!(seen.join("\n"), @r"
@@ -165,7 +100,7 @@
 /// endpoint is silent for a while.
 #[test]
 fn unrepeatable_stream_waits_for_silent_endpoint() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(ONE_ENDPOINT).await;
         let seen = request_paused(&mut world, ONCE_PREFIX, &[0, 1, MIDDLE]).await;
         insta::assert_snapshot!(seen.join("\n"), @r"
@@ -184,15 +119,15 @@
     let mut seen = Vec::new();
     for (n, (prefix, before)) in cases.into_iter().enumerate() {
         world.send_heartbeats().await;
-        set_all_faults(&world, pause(before, PAUSE));
+        world.set_all_faults(fleet_world::pause(before, PAUSE));
         let id = format!("kept-{n}");
-        let (stream, first) = start_stream(&world, prefix, &id).await;
+        let (stream, first) = world.start_stream(prefix, &id).await;
         for at in (0..world.endpoints.len()).filter(|at| *at != first) {
-            endpoint(&world, at).set_faults(faults);
+            world.endpoint(at).set_faults(faults);
         }
         let ended = stream.await.expect("task");
-        let runs = run_count(endpoint(&world, first), &id);
-        let stopped = wait_until(OVERLAP_TIME, || running(&world) == 0).await;
+        let runs = world.run_count(first, &id);
+        let stopped = fleet_world::wait_until(OVERLAP_TIME, || world.running() == 0).await;
         seen.push(format!("{prefix} {before}: {ended:?}, {runs} runs, stopped: {stopped}"));
     }
     insta::allow_duplicates! {
@@ -209,7 +144,7 @@
 /// others decline the request.
 #[test]
 fn silent_endpoint_is_kept_while_others_decline() {
-    run(assert_kept_while_others_fail(plain::FaultRates {
+    fleet_world::run(assert_kept_while_others_fail(plain::FaultRates {
         decline_rate: 1.0,
         ..plain::FaultRates::default()
     }));
@@ -219,7 +154,7 @@
 /// others fail.
 #[test]
 fn silent_endpoint_is_kept_while_others_return_errors() {
-    run(assert_kept_while_others_fail(plain::FaultRates {
+    fleet_world::run(assert_kept_while_others_fail(plain::FaultRates {
         error_rate: 1.0,
         ..plain::FaultRates::default()
     }));
@@ -229,7 +164,7 @@
 /// others hang.
 #[test]
 fn silent_endpoint_is_kept_while_others_hang() {
-    run(assert_kept_while_others_fail(plain::FaultRates {
+    fleet_world::run(assert_kept_while_others_fail(plain::FaultRates {
         lost_rate: 1.0,
         ..plain::FaultRates::default()
     }));
@@ -239,17 +174,17 @@
 /// carried another request before.
 #[test]
 fn stream_on_kept_connection_goes_on_after_silence() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start(ONE_ENDPOINT).await;
         let connections = upstream::Upstream::default();
         let mut ends = Vec::new();
         for (id, faults) in [
             ("kept-1", plain::FaultRates::default()),
-            ("kept-2", pause(MIDDLE, PAUSE)),
+            ("kept-2", fleet_world::pause(MIDDLE, PAUSE)),
             ("kept-3", plain::FaultRates::default()),
         ] {
-            set_all_faults(&world, faults);
-            ends.push(client::stream_on(&connections, entry(&world), STREAM_PREFIX, id).await);
+            world.set_all_faults(faults);
+            ends.push(client::stream_on(&connections, world.entry(), STREAM_PREFIX, id).await);
         }
         let expected = [StreamEnd::Complete, StreamEnd::Complete, StreamEnd::Complete];
         assert_eq!(ends, expected, "{}", world.logs());
@@ -260,10 +195,10 @@
 /// when a change of the configuration takes effect.
 #[test]
 fn full_silent_endpoints_are_kept_during_change() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start(TWO_ENDPOINTS).await;
-        set_all_faults(&world, pause(MIDDLE, PAUSE));
-        let to = entry(&world);
+        world.set_all_faults(fleet_world::pause(MIDDLE, PAUSE));
+        let to = world.entry();
         let slots = world.endpoints.len() * fleet_world::ENDPOINT_OPTIONS.0;
         let start = |n| {
             tokio::spawn(
@@ -271,8 +206,9 @@
             )
         };
         let streams: Vec<JoinHandle<StreamEnd>> = (0..slots).map(start).collect();
-        let started = wait_until(Duration::from_secs(1), || running(&world) == slots).await;
-        assert!(started, "{} run\n{}", running(&world), world.logs());
+        let started =
+            fleet_world::wait_until(Duration::from_secs(1), || world.running() == slots).await;
+        assert!(started, "{} run\n{}", world.running(), world.logs());
         assert_eq!(world.put_config(&world.config(2)).await, 200, "{}", world.logs());
         let mut seen = Vec::new();
         for stream in streams {
@@ -280,7 +216,10 @@
         }
         let cut = seen.iter().filter(|ended| **ended != StreamEnd::Complete).count();
         assert_eq!(cut, 0, "{seen:?}\n{}", world.logs());
-        assert!(wait_until(OVERLAP_TIME, || running(&world) == 0).await, "runs are left over");
+        assert!(
+            fleet_world::wait_until(OVERLAP_TIME, || world.running() == 0).await,
+            "runs are left over"
+        );
     });
 }
 
@@ -288,24 +227,28 @@
 /// against a run that goes on at the endpoint that was left.
 #[test]
 fn free_endpoint_replaces_one_that_hangs() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(TWO_ENDPOINTS).await;
         let mut seen = Vec::new();
         for before in [0, 1, MIDDLE] {
             world.send_heartbeats().await;
-            set_all_faults(&world, pause(before, HANG));
+            world.set_all_faults(fleet_world::pause(before, HANG));
             let id = format!("replaced-{before}");
             let begun = Instant::now();
-            let (stream, first) = start_stream(&world, STREAM_PREFIX, &id).await;
-            let other = endpoint(&world, 1 - first);
+            let (stream, first) = world.start_stream(STREAM_PREFIX, &id).await;
+            let other = world.endpoint(1 - first);
             other.set_faults(plain::FaultRates::default());
-            let taken = wait_until(TAKEOVER_TIME, || run_count(other, &id) > 0).await;
-            let closed = wait_until(OVERLAP_TIME, || endpoint(&world, first).running() == 0).await;
+            let taken =
+                fleet_world::wait_until(TAKEOVER_TIME, || world.run_count(1 - first, &id) > 0)
+                    .await;
+            let closed =
+                fleet_world::wait_until(OVERLAP_TIME, || world.endpoint(first).running() == 0)
+                    .await;
             let ended = stream.await.expect("task");
             let in_time = begun.elapsed() < TAKEOVER_TIME;
             let runs = world.all_runs().into_iter().filter(|r| *r.request_id == *id);
             let after: Vec<u64> = runs.map(|r| r.last_event).collect();
-            let left = !wait_until(OVERLAP_TIME, || running(&world) == 0).await;
+            let left = !fleet_world::wait_until(OVERLAP_TIME, || world.running() == 0).await;
             seen.push(format!(
                 "{before}: {ended:?}, in time: {in_time}, taken: {taken}, closed: {closed}, \
                  runs after events {:?}, left over: {left}",
@@ -325,13 +268,13 @@
 /// endpoint goes on at the moment at which another one takes its stream over.
 #[test]
 fn takeover_at_end_of_silence_keeps_stream_in_order() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(TWO_ENDPOINTS).await;
         let mut paused_runs = 0;
         // An entry waits 900 ms for the next event.
         for length in [880, 900, 905, 910, 950] {
             world.send_heartbeats().await;
-            let (to, paused) = (entry(&world), endpoint(&world, 0));
+            let (to, paused) = (world.entry(), world.endpoint(0));
             // An answer ends the backoff of the endpoint.
             paused.set_faults(plain::FaultRates::default());
             let known = paused.runs().len();
@@ -340,7 +283,7 @@
                 let ended = client::stream(to, STREAM_PREFIX, &id).await;
                 assert_eq!(ended, StreamEnd::Complete, "{}", world.logs());
             }
-            paused.set_faults(pause(MIDDLE, Duration::from_millis(length)));
+            paused.set_faults(fleet_world::pause(MIDDLE, Duration::from_millis(length)));
             let known = paused.runs().len();
             let start = |n| {
                 tokio::spawn(async move {
@@ -355,12 +298,15 @@
                 assert_eq!(ended, StreamEnd::Complete, "{length} ms\n{}", world.logs());
             }
             paused_runs += paused.runs().len() - known;
-            assert!(wait_until(OVERLAP_TIME, || running(&world) == 0).await, "{length} ms");
+            assert!(
+                fleet_world::wait_until(OVERLAP_TIME, || world.running() == 0).await,
+                "{length} ms"
+            );
         }
         assert!(paused_runs > 0, "no stream was paused");
         for at in 0..world.endpoints.len() {
-            for run in endpoint(&world, at).runs() {
-                assert_eq!(run_count(endpoint(&world, at), &run.request_id), 1, "{run:?}");
+            for run in world.endpoint(at).runs() {
+                assert_eq!(world.run_count(at, &run.request_id), 1, "{run:?}");
             }
         }
     });
@@ -386,15 +332,15 @@
 /// Guards against items that lose their output because their endpoint is silent for a while.
 #[test]
 fn items_finish_after_silence_of_endpoint() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(WITH_STORES).await;
-        set_all_faults(&world, pause(MIDDLE, ITEM_PAUSE));
+        world.set_all_faults(fleet_world::pause(MIDDLE, ITEM_PAUSE));
         assert!(client::submit(&world.caller_addresses(), "late", 5).await, "{}", world.logs());
-        let started = || endpoint(&world, 0).runs().len() == 5;
-        assert!(wait_until(JOB_TIMEOUT, started).await, "{}", world.logs());
-        set_all_faults(&world, plain::FaultRates::default());
+        let started = || world.endpoint(0).runs().len() == 5;
+        assert!(fleet_world::wait_until(JOB_TIMEOUT, started).await, "{}", world.logs());
+        world.set_all_faults(plain::FaultRates::default());
         assert_eq!(finish_job(&mut world, "late").await, Ok(()), "{}", world.logs());
-        let paths: Vec<_> = endpoint(&world, 0).runs().into_iter().map(|r| r.path).collect();
+        let paths: Vec<_> = world.endpoint(0).runs().into_iter().map(|r| r.path).collect();
         assert!(paths.iter().all(|p| p.starts_with(BATCH_PREFIX)), "{paths:?}");
     });
 }
@@ -403,9 +349,9 @@
 /// so that each run is given up at the same event.
 #[test]
 fn items_finish_although_each_run_is_silent() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(WITH_STORES).await;
-        set_all_faults(&world, pause(MIDDLE, ITEM_PAUSE));
+        world.set_all_faults(fleet_world::pause(MIDDLE, ITEM_PAUSE));
         assert!(client::submit(&world.caller_addresses(), "slow", 5).await, "{}", world.logs());
         assert_eq!(finish_job(&mut world, "slow").await, Ok(()), "{}", world.logs());
     });
--- a/tests/fleet_takeover.rs
+++ b/tests/fleet_takeover.rs
@@ -32,20 +32,6 @@
 const STALL_TIME: Duration = Duration::from_secs(2);
 const OVERLAP_TIME: Duration = Duration::from_millis(400);
 
-fn run(test: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("runtime")
-        .block_on(test);
-}
-
-fn pause(before: u64, length: Duration) -> plain::FaultRates {
-    let pause = plain::Pause { rate: 1.0, before, length };
-    plain::FaultRates { pause: Some(pause), ..plain::FaultRates::default() }
-}
-
 fn lost() -> plain::FaultRates {
     plain::FaultRates { lost_rate: 1.0, ..plain::FaultRates::default() }
 }
@@ -54,32 +40,9 @@
     plain::FaultRates { decline_rate: 1.0, ..plain::FaultRates::default() }
 }
 
-fn entry(world: &World) -> SocketAddr {
-    world.caller_address(world.hosts_of(Role::Entry)[0])
-}
-
-fn endpoint(world: &World, at: usize) -> &plain::PlainEndpoint {
-    world.endpoints[at].as_ref().expect("started")
-}
-
-fn run_count(endpoint: &plain::PlainEndpoint, id: &str) -> usize {
-    endpoint.runs().iter().filter(|r| &*r.request_id == id).count()
-}
-
-async fn wait_until(limit: Duration, condition: impl Fn() -> bool) -> bool {
-    let begun = Instant::now();
-    while !condition() {
-        if begun.elapsed() > limit {
-            return false;
-        }
-        time::sleep(Duration::from_millis(5)).await;
-    }
-    true
-}
-
 /// Starts a stream that hangs in the middle. Returns the index of its endpoint.
 async fn start_hanging(world: &World, id: &str) -> (JoinHandle<StreamEnd>, usize) {
-    start_with(world, id, pause(MIDDLE, HANG)).await
+    start_with(world, id, fleet_world::pause(MIDDLE, HANG)).await
 }
 
 /// Starts a stream while all endpoints have `faults`. Returns the index of its endpoint.
@@ -88,23 +51,18 @@
     id: &str,
     faults: plain::FaultRates,
 ) -> (JoinHandle<StreamEnd>, usize) {
-    for endpoint in world.endpoints.iter().flatten() {
-        endpoint.set_faults(faults);
-    }
-    let (to, owned) = (entry(world), id.to_string());
-    let stream = tokio::spawn(async move { client::stream(to, STREAM_PREFIX, &owned).await });
-    let at = || (0..world.endpoints.len()).find(|at| run_count(endpoint(world, *at), id) > 0);
-    assert!(wait_until(fleet_world::WAIT_TIMEOUT, || at().is_some()).await, "{}", world.logs());
-    (stream, at().expect("runs"))
+    world.set_all_faults(faults);
+    world.start_stream(STREAM_PREFIX, id).await
 }
 
 /// Index of the endpoint other than `first` that runs the request.
 async fn second(world: &World, first: usize, id: &str) -> usize {
-    let at = || {
-        (0..world.endpoints.len())
-            .find(|at| *at != first && run_count(endpoint(world, *at), id) > 0)
-    };
-    assert!(wait_until(Duration::from_secs(3), || at().is_some()).await, "{}", world.logs());
+    let at = || (0..world.endpoints.len()).find(|at| *at != first && world.run_count(*at, id) > 0);
+    assert!(
+        fleet_world::wait_until(Duration::from_secs(3), || at().is_some()).await,
+        "{}",
+        world.logs()
+    );
     at().expect("runs")
 }
 
@@ -112,14 +70,14 @@
 /// although a third one is free.
 #[test]
 fn third_endpoint_replaces_two_that_hang() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start(THREE_ENDPOINTS).await;
         let (stream, first) = start_hanging(&world, "two-hang").await;
         for at in (0..3).filter(|at| *at != first) {
-            endpoint(&world, at).set_faults(lost());
+            world.endpoint(at).set_faults(lost());
         }
         let second = second(&world, first, "two-hang").await;
-        endpoint(&world, 3 - first - second).set_faults(plain::FaultRates::default());
+        world.endpoint(3 - first - second).set_faults(plain::FaultRates::default());
         assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
     });
 }
@@ -128,14 +86,14 @@
 /// over hangs, although a third one is free.
 #[test]
 fn third_endpoint_resumes_if_one_ends_and_one_hangs() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(THREE_ENDPOINTS).await;
         let (stream, first) = start_hanging(&world, "one-ends").await;
         for at in (0..3).filter(|at| *at != first) {
-            endpoint(&world, at).set_faults(lost());
+            world.endpoint(at).set_faults(lost());
         }
         let second = second(&world, first, "one-ends").await;
-        endpoint(&world, 3 - first - second).set_faults(plain::FaultRates::default());
+        world.endpoint(3 - first - second).set_faults(plain::FaultRates::default());
         world.crash_endpoint(first);
         assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
     });
@@ -145,15 +103,15 @@
 /// is slow to send the head of its answer.
 #[test]
 fn runs_do_not_overlap_while_replacement_is_slow() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start(TWO_ENDPOINTS).await;
         let (stream, first) = start_hanging(&world, "overlap").await;
-        endpoint(&world, 1 - first).set_faults(pause(0, Duration::from_millis(1_500)));
+        world.endpoint(1 - first).set_faults(fleet_world::pause(0, Duration::from_millis(1_500)));
         let second = second(&world, first, "overlap").await;
         let begun = Instant::now();
-        let running = |at| endpoint(&world, at).running() > 0;
+        let running = |at| world.endpoint(at).running() > 0;
         let one = || !running(first) || !running(second);
-        wait_until(Duration::from_secs(4), one).await;
+        fleet_world::wait_until(Duration::from_secs(4), one).await;
         let overlap = begun.elapsed();
         let ended = stream.await.expect("task");
         assert!(overlap <= OVERLAP_TIME, "both ran for {overlap:?}, {ended:?}\n{}", world.logs());
@@ -164,12 +122,12 @@
 /// endpoint declined to take it over some time before.
 #[test]
 fn endpoint_that_declined_takeover_resumes_later() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(TWO_ENDPOINTS).await;
         let (stream, first) = start_hanging(&world, "declined").await;
-        endpoint(&world, 1 - first).set_faults(declining());
+        world.endpoint(1 - first).set_faults(declining());
         time::sleep(Duration::from_millis(1_500)).await;
-        endpoint(&world, 1 - first).set_faults(plain::FaultRates::default());
+        world.endpoint(1 - first).set_faults(plain::FaultRates::default());
         world.crash_endpoint(first);
         assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
     });
@@ -179,18 +137,25 @@
 /// take it over during an earlier silence is counted more than once.
 #[test]
 fn stream_is_resumed_after_cancelled_takeover() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(THREE_ENDPOINTS).await;
-        let slow = plain::FaultRates { slowdown: 5.0, ..pause(2, Duration::from_millis(1_500)) };
+        let slow = plain::FaultRates {
+            slowdown: 5.0,
+            ..fleet_world::pause(2, Duration::from_millis(1_500))
+        };
         let (stream, first) = start_with(&world, "cancelled", slow).await;
         for at in (0..3).filter(|at| *at != first) {
-            endpoint(&world, at).set_faults(lost());
+            world.endpoint(at).set_faults(lost());
         }
         let second = second(&world, first, "cancelled").await;
-        let cancelled = || endpoint(&world, second).running() == 0;
-        assert!(wait_until(Duration::from_secs(3), cancelled).await, "{}", world.logs());
+        let cancelled = || world.endpoint(second).running() == 0;
+        assert!(
+            fleet_world::wait_until(Duration::from_secs(3), cancelled).await,
+            "{}",
+            world.logs()
+        );
         for at in (0..3).filter(|at| *at != first) {
-            endpoint(&world, at).set_faults(plain::FaultRates::default());
+            world.endpoint(at).set_faults(plain::FaultRates::default());
         }
         world.crash_endpoint(first);
         assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
@@ -201,10 +166,10 @@
 /// it over for a moment, although they are free soon after.
 #[test]
 fn hanging_endpoint_is_replaced_after_others_declined() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start(FIVE_ENDPOINTS).await;
         let (stream, first) = start_hanging(&world, "busy").await;
-        let others = || (0..5).filter(|at| *at != first).map(|at| endpoint(&world, at));
+        let others = || (0..5).filter(|at| *at != first).map(|at| world.endpoint(at));
         others().for_each(|e| e.set_faults(declining()));
         time::sleep(Duration::from_millis(1_600)).await;
         others().for_each(|e| e.set_faults(plain::FaultRates::default()));
@@ -215,18 +180,14 @@
 /// Fills two endpoints whose answers pause for `length` and crashes one of them soon after. Returns
 /// the number of streams that were cut off.
 async fn crash_one_of_two_full(world: &mut World, length: Duration) -> usize {
-    for endpoint in world.endpoints.iter().flatten() {
-        endpoint.set_faults(pause(MIDDLE, length));
-    }
-    let to = entry(world);
+    world.set_all_faults(fleet_world::pause(MIDDLE, length));
+    let to = world.entry();
     let slots = world.endpoints.len() * ENDPOINT_OPTIONS.0;
     let start = |n| {
         tokio::spawn(async move { client::stream(to, STREAM_PREFIX, &format!("full-{n}")).await })
     };
     let streams: Vec<JoinHandle<StreamEnd>> = (0..slots).map(start).collect();
-    let running =
-        || -> usize { world.endpoints.iter().flatten().map(plain::PlainEndpoint::running).sum() };
-    assert!(wait_until(Duration::from_secs(1), || slots == running()).await);
+    assert!(fleet_world::wait_until(Duration::from_secs(1), || slots == world.running()).await);
     time::sleep(Duration::from_millis(300)).await;
     world.crash_endpoint(0);
     let mut cut = 0;
@@ -240,7 +201,7 @@
 /// for a moment.
 #[test]
 fn broken_streams_wait_for_slots() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(TWO_ENDPOINTS).await;
         let cut = crash_one_of_two_full(&mut world, Duration::from_millis(600)).await;
         assert_eq!(cut, 0, "{}", world.logs());
@@ -251,7 +212,7 @@
 /// slots run for longer than the wait for a new stream, although their callers wait on.
 #[test]
 fn broken_streams_wait_as_long_as_their_callers() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(TWO_ENDPOINTS).await;
         let cut = crash_one_of_two_full(&mut world, Duration::from_secs(2)).await;
         assert_eq!(cut, 0, "{}", world.logs());
@@ -262,35 +223,37 @@
 /// because the one that hangs has more of them.
 #[test]
 fn item_leaves_hanging_endpoint_with_more_free_slots() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(Size { stores: 3, ..TWO_ENDPOINTS }).await;
-        for endpoint in world.endpoints.iter().flatten() {
-            endpoint.set_faults(pause(MIDDLE, HANG));
-        }
+        world.set_all_faults(fleet_world::pause(MIDDLE, HANG));
         assert!(client::submit(&world.caller_addresses(), "stuck", 1).await, "{}", world.logs());
-        let at = || (0..2).find(|at| run_count(endpoint(&world, *at), "stuck-0") > 0);
-        assert!(wait_until(fleet_world::WAIT_TIMEOUT, || at().is_some()).await, "{}", world.logs());
+        let at = || (0..2).find(|at| world.run_count(*at, "stuck-0") > 0);
+        assert!(
+            fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, || at().is_some()).await,
+            "{}",
+            world.logs()
+        );
         let begun = Instant::now();
         let first = at().expect("runs");
-        endpoint(&world, first).set_faults(plain::FaultRates::default());
-        let to = entry(&world);
+        world.endpoint(first).set_faults(plain::FaultRates::default());
+        let to = world.entry();
         let other = 1 - first;
         let mut streams = Vec::new();
         for n in 0..40 {
-            if endpoint(&world, other).running() >= 3 {
+            if world.endpoint(other).running() >= 3 {
                 break;
             }
             let id = format!("hang-{n}");
             streams.push(tokio::spawn(async move { client::stream(to, ONCE_PREFIX, &id).await }));
             time::sleep(Duration::from_millis(30)).await;
         }
-        let online = endpoint(&world, other).running();
-        endpoint(&world, other).set_faults(plain::FaultRates::default());
+        let online = world.endpoint(other).running();
+        world.endpoint(other).set_faults(plain::FaultRates::default());
         while begun.elapsed() < Duration::from_millis(4_800) {
             world.send_heartbeats().await;
             time::sleep(Duration::from_millis(200)).await;
         }
-        let moved = run_count(endpoint(&world, other), "stuck-0");
+        let moved = world.run_count(other, "stuck-0");
         assert_eq!((online, moved), (3, 1), "{}", world.logs());
     });
 }
@@ -333,9 +296,9 @@
 /// the body is still on its way.
 #[test]
 fn refusal_arrives_although_body_is_long() {
-    run(async {
+    fleet_world::run(async {
         let mut world = World::start(TWO_ENDPOINTS).await;
-        let to = entry(&world);
+        let to = world.entry();
         let mut seen = Vec::new();
         for (len, chunked) in [(100, false), (100, true), (100_000, true), (3_000_000, false)] {
             for n in 0..5 {
@@ -345,9 +308,7 @@
             }
         }
         // A stream that is still running keeps the process from stopping.
-        for endpoint in world.endpoints.iter().flatten() {
-            endpoint.set_faults(pause(MIDDLE, Duration::from_secs(5)));
-        }
+        world.set_all_faults(fleet_world::pause(MIDDLE, Duration::from_secs(5)));
         let running =
             tokio::spawn(async move { client::stream(to, ONCE_PREFIX, "until-the-end").await });
         time::sleep(Duration::from_millis(200)).await;
@@ -370,12 +331,10 @@
 /// Guards against refusals of requests with small chunked bodies while most slots are free.
 #[test]
 fn small_chunked_bodies_are_not_refused() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start(FOUR_ENDPOINTS).await;
-        for endpoint in world.endpoints.iter().flatten() {
-            endpoint.set_faults(pause(MIDDLE, Duration::from_secs(1)));
-        }
-        let to = entry(&world);
+        world.set_all_faults(fleet_world::pause(MIDDLE, Duration::from_secs(1)));
+        let to = world.entry();
         let count = 20;
         assert!(count < world.endpoints.len() * ENDPOINT_OPTIONS.0);
         for chunked in [false, true] {
@@ -417,9 +376,9 @@
 /// little has arrived, hold the memory of the largest ones.
 #[test]
 fn unfinished_chunked_bodies_hold_little_memory() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start(TWO_ENDPOINTS).await;
-        let to = entry(&world);
+        let to = world.entry();
         let mut unfinished = Vec::new();
         for n in 0..40 {
             unfinished.push(start_chunked(to, &format!("unfinished-{n}"), 100).await);
@@ -436,9 +395,9 @@
 /// itself or for the memory of the others.
 #[test]
 fn stalled_bodies_release_their_memory() {
-    run(async {
+    fleet_world::run(async {
         let world = World::start(TWO_ENDPOINTS).await;
-        let to = entry(&world);
+        let to = world.entry();
         let begun = Instant::now();
         let start = |n| {
             tokio::spawn(async move {
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -68,6 +68,34 @@
     starts: u32,
 }
 
+/// Runs a test on a runtime of its own.
+pub fn run(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("runtime")
+        .block_on(test);
+}
+
+/// Faults of an endpoint whose answers all pause.
+pub fn pause(before: u64, length: Duration) -> plain::FaultRates {
+    let pause = plain::Pause { rate: 1.0, before, length };
+    plain::FaultRates { pause: Some(pause), ..plain::FaultRates::default() }
+}
+
+/// Waits until `condition` holds, at most `limit`. Returns whether it holds.
+pub async fn wait_until(limit: Duration, condition: impl Fn() -> bool) -> bool {
+    let begun = Instant::now();
+    while !condition() {
+        if begun.elapsed() > limit {
+            return false;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    true
+}
+
 /// Names of the headers of the platform's protocol.
 pub fn protocol_headers() -> basilfield::fleet::protocol::Headers {
     platform::Platform::default().headers().clone()
@@ -663,6 +691,47 @@
         }
     }
 
+    /// Address of the first entry for callers.
+    pub fn entry(&self) -> SocketAddr {
+        self.caller_address(self.hosts_of(Role::Entry)[0])
+    }
+
+    /// Endpoint that has been started and not crashed.
+    pub fn endpoint(&self, at: usize) -> &plain::PlainEndpoint {
+        self.endpoints[at].as_ref().expect("started")
+    }
+
+    /// Sets the faults of every endpoint.
+    pub fn set_all_faults(&self, faults: plain::FaultRates) {
+        for endpoint in self.endpoints.iter().flatten() {
+            endpoint.set_faults(faults);
+        }
+    }
+
+    /// Number of requests that run at all endpoints.
+    pub fn running(&self) -> usize {
+        self.endpoints.iter().flatten().map(plain::PlainEndpoint::running).sum()
+    }
+
+    /// Number of runs of a request at an endpoint.
+    pub fn run_count(&self, at: usize, id: &str) -> usize {
+        self.endpoint(at).runs().iter().filter(|r| &*r.request_id == id).count()
+    }
+
+    /// Starts a stream through the first entry and waits until an endpoint runs it. Returns the index
+    /// of the endpoint.
+    pub async fn start_stream(
+        &self,
+        prefix: &'static str,
+        id: &str,
+    ) -> (tokio::task::JoinHandle<client::StreamEnd>, usize) {
+        let (to, owned) = (self.entry(), id.to_string());
+        let stream = tokio::spawn(async move { client::stream(to, prefix, &owned).await });
+        let at = || (0..self.endpoints.len()).find(|at| self.run_count(*at, id) > 0);
+        assert!(wait_until(WAIT_TIMEOUT, || at().is_some()).await, "{}", self.logs());
+        (stream, at().expect("runs"))
+    }
+
     /// Address of an entry for callers.
     pub fn caller_address(&self, at: usize) -> SocketAddr {
         (self.hosts[at].process_address, CALLER_PORT).into()
