Test requests with a part that crashes endpoints

All crashes happened under requests with one part of their prompts in common. Nothing compares what broke at different endpoints, so each request is sent, and retried, until every endpoint has crashed.

The emulated endpoint can now crash when it begins to answer a prompt with a given part: it drops its connections and its listener.

--- a/src/emulator/plain.rs
+++ b/src/emulator/plain.rs
@@ -24,6 +24,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task;
 use tokio::time;
 
@@ -97,9 +98,31 @@
     pub started: time::Instant,
 }
 
+/// Parts of prompts that crash the endpoint when it begins to write an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FatalParts {
+    /// Name of the header that lists the parts of a prompt as `ID:TOKENS` entries.
+    pub header: Arc<str>,
+    /// Ids of the parts. The last part of a prompt has no effect.
+    pub ids: Vec<Arc<str>>,
+}
+
+impl FatalParts {
+    /// Whether a prompt has one of the parts.
+    fn are_in(&self, headers: &hyper::HeaderMap) -> bool {
+        let list = headers.get(&*self.header).and_then(|v| v.to_str().ok()).unwrap_or_default();
+        let mut ids: Vec<&str> =
+            list.split(',').map(|e| e.split(':').next().unwrap_or_default().trim()).collect();
+        ids.pop();
+        self.ids.iter().any(|fatal| ids.contains(&&**fatal))
+    }
+}
+
 struct Inner {
     options: Options,
     faults: Mutex<FaultRates>,
+    fatal_parts: Mutex<FatalParts>,
+    crash: watch::Sender<bool>,
     /// Whether every answer says that the endpoint is leaving.
     leaving: AtomicBool,
     runs: Mutex<Vec<Run>>,
@@ -140,13 +163,15 @@
         let inner = Arc::new(Inner {
             options,
             faults: Mutex::default(),
+            fatal_parts: Mutex::default(),
+            crash: watch::Sender::new(false),
             leaving: AtomicBool::default(),
             runs: Mutex::default(),
             running: Mutex::default(),
         });
         let tasks: Arc<Mutex<task::JoinSet<()>>> = Arc::default();
         let (i, t) = (inner.clone(), tasks.clone());
-        let accept = tokio::spawn(async move {
+        let accept_connections = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let inner = i.clone();
                 let mut tasks = lock(&t);
@@ -170,6 +195,14 @@
                     let _ = http1::Builder::new().serve_connection(io, service).await;
                 });
             }
+        };
+        let (mut crash, t) = (inner.crash.subscribe(), tasks.clone());
+        let accept = tokio::spawn(async move {
+            tokio::select! {
+                () = accept_connections => {}
+                // Fails only if the endpoint is dropped, which closes everything as well.
+                _ = crash.wait_for(|crashed| *crashed) => lock(&t).abort_all(),
+            }
         });
         Ok(PlainEndpoint { address, inner, tasks, accept })
     }
@@ -194,6 +227,17 @@
         *lock(&self.inner.faults)
     }
 
+    /// Replaces the parts of prompts that crash the endpoint.
+    pub fn set_fatal_parts(&self, parts: FatalParts) {
+        *lock(&self.inner.fatal_parts) = parts;
+    }
+
+    /// Whether a part of a prompt has crashed the endpoint: it has closed its connections and its
+    /// listener.
+    pub fn has_crashed(&self) -> bool {
+        *self.inner.crash.borrow()
+    }
+
     /// Returns the number of requests that run now. A request stops when its connection is closed.
     pub fn running(&self) -> usize {
         *lock(&self.inner.running)
@@ -290,10 +334,11 @@
             time::sleep(pause.length).await;
         }
         let faults = FaultRates { pause, ..faults };
+        let is_fatal = lock(&self.fatal_parts).are_in(&head.headers);
         let echo = head.headers.get(&names.request_id).cloned();
         let mut response = match rand::random::<f64>() < faults.error_rate {
             true => empty_response(StatusCode::INTERNAL_SERVER_ERROR),
-            false => self.clone().stream(request, after, faults, slot),
+            false => self.clone().stream(request, after, faults, is_fatal, slot),
         };
         if let Some(echo) = echo {
             response.headers_mut().insert(names.request_id.clone(), echo);
@@ -325,6 +370,7 @@
         request: Arc<str>,
         after: u64,
         faults: FaultRates,
+        is_fatal: bool,
         slot: Slot,
     ) -> hyper::Response<Body> {
         let factor = if faults.slowdown > 0.0 { faults.slowdown } else { 1.0 };
@@ -332,13 +378,18 @@
         let last = self.options.event_count;
         let cut = rand::random::<f64>() < faults.cut_rate;
         let cut = cut.then(|| after + 1 + rand::random::<u64>() % (last - after).max(1));
+        let inner = self.clone();
         let events = futures_util::stream::unfold((after + 1, slot), move |(event, slot)| {
-            let request = request.clone();
+            let (request, inner) = (request.clone(), inner.clone());
             async move {
                 if event > last {
                     return None;
                 }
                 time::sleep(step).await;
+                if is_fatal {
+                    inner.crash.send_replace(true);
+                    std::future::pending::<()>().await;
+                }
                 if let Some(pause) = faults.pause.filter(|p| p.before == event) {
                     time::sleep(pause.length).await;
                 }
--- a/tests/fleet_world/client.rs
+++ b/tests/fleet_world/client.rs
@@ -15,6 +15,9 @@
 use std::time::Duration;
 use tokio::time;
 
+/// Header that lists the parts of a prompt.
+pub const PROMPT_HEADER: &str = "x-basilfield-prompt-prefix";
+
 /// How a stream ended for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StreamEnd {
@@ -111,13 +114,15 @@
     pub last: u64,
     /// `Retry-After` of the last refusal.
     pub retry: Option<String>,
+    /// Parts of the prompt, as the platform lists them in a header; none if empty.
+    pub prompt: String,
 }
 
 impl Attempt {
     /// Creates the caller of a new stream.
     pub fn new(prefix: &str, stream: &str) -> Attempt {
         let (prefix, stream) = (prefix.to_string(), stream.to_string());
-        Attempt { prefix, stream, count: 0, last: 0, retry: None }
+        Attempt { prefix, stream, count: 0, last: 0, retry: None, prompt: String::new() }
     }
 
     /// Id of the next attempt.
@@ -166,6 +171,9 @@
         if self.last > 0 {
             headers.extend([("last-event-id", &*last), ("resumes", &*self.stream)]);
         }
+        if !self.prompt.is_empty() {
+            headers.push((PROMPT_HEADER, &*self.prompt));
+        }
         let request = request("POST", &path, &headers, id.clone());
         let Ok(mut answer) = connections.send(to, request, false).await else {
             return StreamEnd::Disconnected;
@@ -217,13 +225,22 @@
 
 /// Submits a job to the entries in turn. Returns whether one accepted it within 20 attempts.
 pub async fn submit(entries: &[SocketAddr], job: &str, count: usize) -> bool {
+    submit_with_prompts(entries, job, &vec![String::new(); count]).await
+}
+
+/// Submits a job with an item for each prompt, as [`submit`] does. An empty prompt is not listed.
+pub async fn submit_with_prompts(entries: &[SocketAddr], job: &str, prompts: &[String]) -> bool {
     use base64::Engine as _;
-    let item = |id: &String| {
+    let item = |(id, prompt): (&String, &String)| {
         let body = base64::engine::general_purpose::STANDARD.encode(id);
-        json!({ "id": id, "path": format!("{BATCH_PREFIX}{id}"), "headers": {}, "body": body,
+        let headers = match prompt.is_empty() {
+            true => json!({}),
+            false => json!({ PROMPT_HEADER: prompt }),
+        };
+        json!({ "id": id, "path": format!("{BATCH_PREFIX}{id}"), "headers": headers, "body": body,
             "tokens": 100 })
     };
-    let items: Vec<Value> = items(job, count).iter().map(item).collect();
+    let items: Vec<Value> = items(job, prompts.len()).iter().zip(prompts).map(item).collect();
     let body = json!({ "items": items }).to_string();
     let headers = [("x-basilfield-request-id", job)];
     let path = format!("{BATCH_PREFIX}{job}");
