--- a/src/events.rs
+++ b/src/events.rs
@@ -120,6 +120,17 @@
     /// A configuration could not be encoded for another host, or one that a control host sent could
     /// not be decoded; the host asks for it whole.
     CONFIG_UNDECODABLE = 410, Warning, "configuration not decodable";
+    /// Requests with a part in their prompts are no longer sent, since endpoints crash when they answer
+    /// them; or such a part had a further crash or a trial.
+    PART_QUARANTINED = 410, Warning, "part of prompts quarantined";
+    /// Requests with a part in their prompts are sent again.
+    PART_RELEASED = 411, Info, "part of prompts released";
+    /// One request with a quarantined part is sent, to find out whether endpoints still crash.
+    TRIAL_GRANTED = 412, Info, "trial of a quarantined part granted";
+    /// A host reports parts that are suspected or quarantined and that an endpoint has answered.
+    PARTS_ANSWERED = 413, Info, "suspected parts of prompts answered";
+    /// A report of crashes or answered parts was not committed; it is repeated.
+    CRASHES_UNREPORTED = 414, Warning, "report of crashes not confirmed";
     /// A job was accepted.
     JOB_ACCEPTED = 500, Info, "job accepted";
     /// A job was cancelled.
@@ -144,6 +155,8 @@
     LEDGER_UNCHANGED = 510, Info, "change of the ledger not confirmed";
     /// An item starts over, since no endpoint of the build that began its output takes it.
     ITEM_STARTED_OVER = 511, Info, "item starts over at another build";
+    /// An item waits, since a part of its prompt is quarantined.
+    ITEM_HELD = 512, Info, "item held for a quarantined part";
     /// An endpoint announced itself.
     ENDPOINT_JOINED = 600, Info, "endpoint joined";
     /// An endpoint stopped announcing itself or withdrew.
@@ -183,6 +196,8 @@
     LEAVING_UNUSABLE = 616, Warning, "unusable statement that an endpoint is leaving";
     /// Endpoints that are marked as leaving were left out of the choice for a request.
     ENDPOINTS_LEFT_OUT = 617, Debug, "leaving endpoints left out";
+    /// An endpoint at which answers broke off no longer accepts connections.
+    ENDPOINT_CRASHED = 618, Warning, "endpoint crashed under requests";
     /// A request was refused.
     REQUEST_REFUSED = 700, Debug, "request refused";
     /// An attempt failed and the request is retried elsewhere.
@@ -207,6 +222,11 @@
     STREAM_WAITING = 712, Info, "stream waits for a slot";
     /// The connection of a caller was closed in the middle of an answer, as no endpoint can go on.
     ANSWER_BROKEN_OFF = 713, Info, "answer broken off";
+    /// A request was not sent to an endpoint, or not to a further one, since a part of its prompt is
+    /// quarantined.
+    REQUEST_HELD = 710, Info, "request held for a quarantined part";
+    /// The list of a prompt's parts is malformed and is not looked at.
+    PROMPT_UNREADABLE = 711, Info, "list of prompt parts not readable";
 }
 
 /// Most lines of one event that a process writes in one second. Further lines are counted and left
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -14,6 +14,7 @@
 use crate::fleet::node;
 use crate::fleet::peer;
 use crate::fleet::protocol;
+use crate::fleet::quarantine;
 use crate::fleet::routes;
 use crate::fleet::serve;
 use crate::fleet::settings;
@@ -43,6 +44,8 @@
 const MIN_STABLE_TIME: Duration = Duration::from_millis(900);
 /// Interval between checks for silent endpoints and hosts.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// Shortest time between two messages about quarantined parts to all hosts.
+const QUARANTINE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time that running calls get to finish when the host stops.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -50,11 +53,17 @@
 struct Control {
     node: node::Node,
     directory_sync: Mutex<sync::DirectorySync>,
+    /// Hosts that know an earlier state of the quarantined parts.
+    quarantine_sync: Mutex<sync::DirectorySync>,
 }
 
 impl Control {
     fn new(node: &node::Node) -> Control {
-        Control { node: node.clone(), directory_sync: Mutex::default() }
+        Control {
+            node: node.clone(),
+            directory_sync: Mutex::default(),
+            quarantine_sync: Mutex::default(),
+        }
     }
 }
 
@@ -86,8 +95,10 @@
     fn entries_applied(&mut self, _now: Duration) {
         let state = &self.state;
         self.published.send_if_modified(|published| {
-            let changed = (published.document.version, &published.placement)
-                != (state.document.version, &state.placement);
+            let key = |s: &control_state::ControlState| {
+                (s.document.version, s.quarantine.revision(), s.placement.clone())
+            };
+            let changed = key(published) != key(state);
             if changed {
                 *published = state.clone();
             }
@@ -121,6 +132,7 @@
         target_voters: node.settings.fleet.group_size(),
     };
     let (state_sender, published) = watch::channel(control_state::ControlState::default());
+    let parts = published.clone();
     let (leader_sender, is_leader) = watch::channel(false);
     member.spawn(tree, move || {
         let (published, is_leader) = (state_sender.clone(), leader_sender.clone());
@@ -145,6 +157,8 @@
     });
     let n = node.clone();
     tree.spawn("configuration", move |stop| publish_state(n.clone(), published.clone(), stop));
+    let (n, p, l) = (node.clone(), parts, is_leader.clone());
+    tree.spawn("quarantine", move |stop| publish_quarantine(n.clone(), p.clone(), l.clone(), stop));
     let n = node.clone();
     tree.spawn("silence", move |stop| mark_silent_records(n.clone(), stop));
     let n = node.clone();
@@ -164,7 +178,13 @@
             frame::Cast::Replica(envelope) => member::deliver(node, envelope),
             frame::Cast::Announce(announcement) => self.handle_announcement(&announcement),
             frame::Cast::FetchConfig(held) => match node.view.encode_config(held) {
-                Ok(Some(encoded)) => node.peers.send_config(from, encoded),
+                Ok(Some(encoded)) => {
+                    // A host that accepts requests has to know which ones crash endpoints.
+                    let quarantine = Some(node.view.quarantine(|q| q.summary()));
+                    let update = frame::Update { quarantine, ..frame::Update::default() };
+                    node.peers.cast(from, frame::Cast::Update(update));
+                    node.peers.send_config(from, encoded);
+                }
                 Ok(None) => {}
                 Err(problem) => {
                     event!(node.log, events::CONFIG_UNDECODABLE; "peer" => &**from,
@@ -238,6 +258,7 @@
     loop {
         let state = published.borrow_and_update().clone();
         let version = state.document.version;
+        node.view.apply_quarantine(node.now(), &state.quarantine.summary());
         if node.view.apply_document(state.document) {
             tell_version(&node, version);
         }
@@ -253,6 +274,42 @@
     }
 }
 
+/// Tells the other hosts of quarantined and suspected parts of prompts while this host leads the
+/// control group. A host that misses this announces an earlier revision and gets them again.
+async fn publish_quarantine(
+    node: node::Node,
+    mut published: watch::Receiver<control_state::ControlState>,
+    mut is_leader: watch::Receiver<bool>,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    let mut sent = None;
+    loop {
+        // A leader has everything that was committed before only once a quorum has confirmed it.
+        let is_leading = *is_leader.borrow_and_update();
+        let confirmed = is_leading && node.groups.confirm_local(CALL_TIMEOUT).await;
+        let state = published.borrow_and_update().quarantine.clone();
+        if confirmed && sent != Some(state.revision()) {
+            let summary = quarantine::Summary { confirmed, ..state.summary() };
+            node.view.apply_quarantine(node.now(), &summary);
+            let quarantine = Some(summary);
+            let update = frame::Update { quarantine, ..frame::Update::default() };
+            broadcast(&node, &frame::Cast::Update(update));
+        }
+        sent = confirmed.then_some(state.revision());
+        tokio::select! {
+            () = time::sleep(QUARANTINE_INTERVAL) => {}
+            () = stop.wait() => return Ok(()),
+        }
+        let is_due = is_leading && !confirmed;
+        tokio::select! {
+            changed = published.changed() => if changed.is_err() { return Ok(()) },
+            changed = is_leader.changed() => if changed.is_err() { return Ok(()) },
+            () = std::future::ready(()), if is_due => {}
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
 /// Marks endpoints and hosts without recent heartbeats as silent and tells the other hosts.
 async fn mark_silent_records(
     node: node::Node,
@@ -374,6 +431,14 @@
         if let Some(update) = node.view.missing_update(announcement, due) {
             node.peers.cast(link, frame::Cast::Update(update));
         }
+        let (known, confirmed) = node.view.quarantine(|q| (q.revision(), q.is_confirmed()));
+        let same =
+            announcement.quarantine >= known && (announcement.quarantine_confirmed || !confirmed);
+        if peer::lock(&self.quarantine_sync).is_due(now, link, rank, same) {
+            let quarantine = Some(node.view.quarantine(|q| q.summary()));
+            let update = frame::Update { quarantine, ..frame::Update::default() };
+            node.peers.cast(link, frame::Cast::Update(update));
+        }
     }
 
     async fn handle_request(
--- a/src/fleet/control_state.rs
+++ b/src/fleet/control_state.rs
@@ -1,5 +1,5 @@
-//! Replicated state machine of the configuration document and the placement of the job group; free
-//! of I/O.
+//! Replicated state machine of the configuration document, the placement of the job group and the
+//! quarantined parts of prompts; free of I/O.
 //!
 //! The document is stored as the operator sent it, so that reads return it byte for byte.
 //!
@@ -7,6 +7,7 @@
 //! listed replica may form the group without the others, and all of them form the same one.
 
 use crate::fleet::ledger;
+use crate::fleet::quarantine;
 use crate::replica;
 use bytes::Bytes;
 use serde::Deserialize;
@@ -59,6 +60,17 @@
     PlaceOnHosts(Vec<Arc<str>>),
     /// Places the job group on these replicas, unless it is placed already.
     Place(Placement),
+    /// Records crashes of endpoints.
+    RecordCrashes(Vec<quarantine::Crash>),
+    /// Releases parts of prompts that were answered.
+    ClearParts(Vec<u64>),
+    /// Grants the trial of a quarantined part with this number, unless it was granted before.
+    GrantTrial {
+        /// Id of the part.
+        part: u64,
+        /// Number of the trial, counted from 1.
+        number: u32,
+    },
 }
 
 /// State of the control group.
@@ -68,18 +80,38 @@
     pub document: Document,
     /// Placement of the job group.
     pub placement: Placement,
+    /// Crashes of endpoints and quarantined parts of prompts.
+    pub quarantine: quarantine::State,
 }
 
-/// Snapshot of an earlier version, whose placement has no replica ids.
+/// Snapshot of an earlier version, without quarantined parts.
+#[derive(Deserialize)]
+struct PlacedState {
+    document: Document,
+    placement: Placement,
+}
+
+/// Snapshot of the first version, whose placement has no replica ids.
 #[derive(Deserialize)]
 struct FormerState {
     document: Document,
     hosts: Vec<Arc<str>>,
 }
 
+/// Reads a snapshot of an earlier version.
+fn decode_former(data: &[u8]) -> Result<ControlState, postcard::Error> {
+    let quarantine = quarantine::State::default();
+    if let Ok(PlacedState { document, placement }) = postcard::from_bytes(data) {
+        return Ok(ControlState { document, placement, quarantine });
+    }
+    let FormerState { document, hosts } = postcard::from_bytes(data)?;
+    let placement = Placement { hosts, replicas: Vec::new() };
+    Ok(ControlState { document, placement, quarantine })
+}
+
 impl ControlState {
-    /// Executes a command.
-    pub fn execute(&mut self, command: Command) {
+    /// Executes a command. Returns whether it was granted, if it asks for a trial.
+    pub fn execute(&mut self, command: Command) -> bool {
         match command {
             Command::Put(document) => {
                 if document.version > self.document.version {
@@ -88,7 +120,17 @@
             }
             Command::PlaceOnHosts(hosts) => self.place(Placement { hosts, replicas: Vec::new() }),
             Command::Place(placement) => self.place(placement),
+            Command::RecordCrashes(crashes) => {
+                for crash in crashes {
+                    self.quarantine.record_crash(crash);
+                }
+            }
+            Command::ClearParts(parts) => self.quarantine.clear(&parts),
+            Command::GrantTrial { part, number } => {
+                return self.quarantine.grant_trial(part, number);
+            }
         }
+        true
     }
 
     fn place(&mut self, placement: Placement) {
@@ -101,10 +143,10 @@
 impl replica::StateMachine for ControlState {
     fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
         let reply = match postcard::from_bytes(command) {
-            Ok(command) => {
-                self.execute(command);
-                ledger::Reply::Done
-            }
+            Ok(command) => match self.execute(command) {
+                true => ledger::Reply::Done,
+                false => ledger::Reply::Stale,
+            },
             Err(_) => ledger::Reply::Invalid,
         };
         ledger::encode(&reply)
@@ -115,13 +157,8 @@
     }
 
     fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
-        let former = |e: postcard::Error| {
-            let former: FormerState = postcard::from_bytes(data)
-                .map_err(|_| replica::RestoreError { cause: e.to_string().into() })?;
-            let placement = Placement { hosts: former.hosts, replicas: Vec::new() };
-            Ok(ControlState { document: former.document, placement })
-        };
-        *self = postcard::from_bytes(data).or_else(former)?;
+        let failed = |e: postcard::Error| replica::RestoreError { cause: e.to_string().into() };
+        *self = postcard::from_bytes(data).or_else(|_| decode_former(data)).map_err(failed)?;
         Ok(())
     }
 }
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::fleet::progress;
 use crate::fleet::progress::ItemKey;
 use crate::fleet::progress::Progress;
+use crate::fleet::quarantine;
 use crate::fleet::runner;
 use crate::fleet::runner::RunEnd;
 use crate::fleet::store;
@@ -49,6 +50,8 @@
 /// Jobs are kept for the promised retention times this factor, as the leader counts from the moment
 /// at which it first saw a job.
 const RETENTION_FACTOR: u32 = 2;
+/// Time within which an item has to start that was granted the trial of a quarantined part.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// State of an item on the leader.
 enum ItemState {
@@ -88,6 +91,10 @@
     LedgerComplete,
     /// The commit of chunks of output has succeeded (`true`) or failed.
     Stored(Vec<SentChunk>, bool),
+    /// An item may run as the trial of a quarantined part.
+    TrialGranted(ItemKey),
+    /// The trial of a quarantined part was not granted.
+    TrialRefused,
 }
 
 /// Chunk of output whose commit was started.
@@ -143,6 +150,10 @@
     store_time: Duration,
     /// Time before which no plan is made.
     next_plan: time::Instant,
+    /// Items that may run as the trial of a quarantined part, and the time of the grant.
+    trials: sorted::SortedMap<ItemKey, time::Instant>,
+    /// Items that wait because a part of their prompts is quarantined.
+    held: sorted::SortedMap<ItemKey, quarantine::Hold>,
     /// Tasks that commit outcomes of items.
     commits: task::JoinSet<()>,
 }
@@ -178,6 +189,8 @@
         last_store: time::Instant::now(),
         store_time: Duration::ZERO,
         next_plan: time::Instant::now(),
+        trials: sorted::SortedMap::new(),
+        held: sorted::SortedMap::new(),
         commits: task::JoinSet::new(),
     };
     loop {
@@ -265,6 +278,8 @@
         self.first_seen.clear();
         self.storing.clear();
         self.store_time = Duration::ZERO;
+        self.trials.clear();
+        self.held.clear();
     }
 
     /// Runs `work` on its own task, which sends the result to the dispatcher.
@@ -311,6 +326,10 @@
             }
             Message::FailureCounted(key) => self.back_off(&key, FAILURE_RETRY_DELAY),
             Message::LedgerComplete => self.ledger_complete = true,
+            Message::TrialGranted(key) => {
+                self.trials.insert(key, time::Instant::now());
+            }
+            Message::TrialRefused => {}
             Message::Stored(parts, done) => {
                 self.storing.clear();
                 self.store_time = self.last_store.elapsed();
@@ -516,6 +535,9 @@
     /// waited too long or have no route.
     fn plan(&mut self) {
         let Some(active) = self.node.view.active_config() else { return };
+        if !self.node.view.quarantine(|q| q.is_usable(self.node.now())) {
+            return;
+        }
         let now = time::Instant::now();
         let ledger = self.shared.ledger.clone();
         let ledger = peer::lock(&ledger);
@@ -532,6 +554,8 @@
         });
         let mut queue: Vec<(&Arc<str>, &ledger::Job, &ledger::PendingItem)> = Vec::new();
         let (mut to_abandon, mut waiting) = (Vec::new(), Vec::new());
+        let mut held = sorted::SortedMap::new();
+        self.trials.retain(|_, since| now - *since < TRIAL_TIMEOUT);
         let (mut keys, mut running) = (Vec::new(), Vec::new());
         for (id, job) in &jobs {
             let since = *self.first_seen.entry_or((*id).clone(), || now);
@@ -579,6 +603,10 @@
                     _ if late => to_abandon.push((key, ledger::Cause::Patience)),
                     None => to_abandon.push((key, ledger::Cause::NoRoute)),
                     Some(service) => {
+                        if let Some(hold) = self.check_prompt(&key, &pending.item) {
+                            held.insert(key, hold);
+                            continue;
+                        }
                         let (index, service) = (queue.len(), service.clone());
                         let build = match tracked {
                             Some(tracked) => tracked.pinned_build(now),
@@ -605,6 +633,8 @@
                 self.tracked.insert(key, TrackedItem { state, progress });
             }
         }
+        self.log_held_items(&held);
+        self.held = held;
         let to_remove: Vec<Arc<str>> = self.expired_jobs(&jobs, now);
         self.node.metrics.record_level("items_waiting", waiting.len() as u64);
         self.node.metrics.record_level("items_running", running.len() as u64);
@@ -644,6 +674,41 @@
         }
     }
 
+    /// Returns why an item has to wait, judged by its prompt. If the trial of a quarantined part is
+    /// due, asks for it; the item may run in a later plan then.
+    fn check_prompt(&self, key: &ItemKey, item: &ledger::Item) -> Option<quarantine::Hold> {
+        let (node, now) = (&self.node, self.node.now());
+        if self.trials.contains(key) || node.view.quarantine(|q| q.count()) == 0 {
+            return None;
+        }
+        let prompt = node.item_prompt(item);
+        match node.view.quarantine(|q| q.check(now, &prompt.parts)) {
+            quarantine::Check::Free => None,
+            quarantine::Check::Held(hold) => Some(hold),
+            quarantine::Check::TrialDue { hold, number } => {
+                let (node, key) = (node.clone(), key.clone());
+                self.spawn(async move {
+                    match node.ask_for_trial(hold, number, &key.1).await {
+                        true => Message::TrialGranted(key),
+                        false => Message::TrialRefused,
+                    }
+                });
+                Some(hold)
+            }
+        }
+    }
+
+    /// Logs the items that wait because of their prompts and did not before.
+    fn log_held_items(&self, held: &sorted::SortedMap<ItemKey, quarantine::Hold>) {
+        self.node.metrics.record_level("items_held", held.len() as u64);
+        for (key, hold) in held.iter().filter(|(key, _)| !self.held.contains(key)) {
+            self.node.metrics.count_part("held");
+            event!(self.node.log, events::ITEM_HELD; "job" => &*key.0, "request" => &*key.1,
+                "part_id" => format!("{:x}", hold.part), "crashes" => hold.crashes,
+                "wait_ms" => hold.wait.as_millis() as u64);
+        }
+    }
+
     /// Ends the run of an item at a silent endpoint, which `next` takes over. Does nothing for an item
     /// that does not run.
     fn leave_silent_run(&mut self, key: &ItemKey, next: &Arc<str>) {
@@ -749,8 +814,10 @@
             endpoint: endpoint.clone(),
             start_time,
             address,
+            prompt: self.node.item_prompt(item),
             request,
         };
+        self.trials.remove(&key);
         let (node, reports) = (self.node.clone(), self.reports.clone());
         let guard = self.node.count_request(service, &endpoint);
         let run = tokio::spawn(async move {
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -207,6 +207,13 @@
         let Some(active) = node.view.active_config() else {
             return forward::refuse(node, &id, "no configuration is known yet");
         };
+        if !node.view.quarantine(|q| q.is_usable(node.now())) {
+            return forward::refuse(
+                node,
+                &id,
+                "the quarantined parts of prompts are not known yet",
+            );
+        }
         let host = head.headers.get(hyper::header::HOST).and_then(|v| v.to_str().ok());
         let Some(route) = active.config.find_route(host.unwrap_or_default(), head.uri.path())
         else {
@@ -251,6 +258,7 @@
     fn readiness(&self) -> serve::Response {
         let node = &self.node;
         let usable = node.view.active_config().is_some()
+            && node.view.quarantine(|q| q.is_usable(node.now()))
             && node.view.directory(|d| d.endpoints().any(|e| e.phase == directory::Phase::Ready));
         match usable && *self.stage.borrow() == serve::Stage::Serving {
             true => serve::response(StatusCode::OK, "ready\n"),
@@ -272,9 +280,13 @@
         let names = node.view.protocol().headers();
         for item in &items {
             // Checks the request with a placeholder, as its endpoint is not known yet.
-            if let Err(error) = runner::request(names, item, &route.host, "any", None) {
-                let text = format!("item {} is no request: {error}\n", item.id);
-                return serve::response(StatusCode::BAD_REQUEST, text);
+            match runner::request(names, item, &route.host, "any", None) {
+                // Logs a malformed prompt.
+                Ok(request) => drop(node.request_prompt(request.headers(), &item.id)),
+                Err(error) => {
+                    let text = format!("item {} is no request: {error}\n", item.id);
+                    return serve::response(StatusCode::BAD_REQUEST, text);
+                }
             }
         }
         let rules = ledger::Rules {
--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -3,6 +3,7 @@
 use crate::event;
 use crate::events;
 use crate::fleet::attempt;
+use crate::fleet::crashes;
 use crate::fleet::forward;
 use crate::fleet::protocol;
 use crate::fleet::serve;
@@ -28,6 +29,8 @@
     /// Response that is being read.
     pub(super) started: Option<Box<forward::StartedResponse>>,
     splitter: sse::Splitter,
+    /// Events of the response that is being read.
+    run_events: u32,
     /// Why the last endpoint was given up.
     pub(super) cause: Arc<str>,
     /// Bytes of complete events that the caller has not received yet.
@@ -46,6 +49,7 @@
             headers,
             started: Some(started),
             splitter: sse::Splitter::default(),
+            run_events: 0,
             cause: Arc::default(),
             ready: VecDeque::new(),
         }
@@ -99,23 +103,47 @@
             }
             forward::Waited::TakenOver(other) => {
                 self.log_resumption("silence", attempt::Next::Again);
+                self.record_broken_answer();
                 // Closes the connection to the silent endpoint, which cancels the request there.
                 self.started = Some(other);
                 self.splitter = sse::Splitter::default();
+                self.run_events = 0;
                 return Ok(());
             }
         };
         self.forwarder.last_event = read.last_event;
+        self.count_events(read.count);
         if !read.bytes.is_empty() {
             self.forwarder.begin_stream(&build);
             self.ready.push_back(read.bytes.into());
         }
         if read.ended {
+            match self.run_events {
+                // An answer without a length ends in the same way when its endpoint crashes.
+                0 => self.record_broken_answer(),
+                _ => self.forwarder.node.record_prompt_answer(&self.forwarder.prompt),
+            }
             self.forwarder.finish(&from);
         }
         Ok(())
     }
 
+    /// Counts events of the response that is being read.
+    fn count_events(&mut self, count: u32) {
+        let before = self.run_events;
+        self.run_events = before.saturating_add(count);
+        if before < crashes::ANSWERED_EVENTS && self.run_events >= crashes::ANSWERED_EVENTS {
+            self.forwarder.node.record_prompt_answer(&self.forwarder.prompt);
+        }
+    }
+
+    /// Records that the response that is being read broke off.
+    fn record_broken_answer(&self) {
+        if let Some(started) = &self.started {
+            self.forwarder.record_broken_answer(&started.endpoint, self.run_events);
+        }
+    }
+
     /// Records that the caller has only a part of the answer, and that its connection is closed.
     pub(super) fn record_broken_off(&self) {
         let forwarder = &self.forwarder;
@@ -129,6 +157,8 @@
 
     /// Continues the stream at another endpoint. Returns whether one has started to respond.
     async fn resume(&mut self, cause: &Arc<str>) -> bool {
+        self.record_broken_answer();
+        self.run_events = 0;
         let from = self.started.take();
         if let Some(started) = &from
             && !self.forwarder.time_left().is_zero()
@@ -167,6 +197,8 @@
     bytes: Vec<u8>,
     /// Number of the last event that the caller has with them.
     last_event: Option<u64>,
+    /// Number of the events with data.
+    count: u32,
     /// Whether the stream has ended.
     ended: bool,
 }
@@ -179,14 +211,14 @@
     splitter: &mut sse::Splitter,
     mut last_event: Option<u64>,
 ) -> Result<NewEvents, Arc<str>> {
-    let mut bytes = Vec::new();
+    let (mut bytes, mut count) = (Vec::new(), 0);
     loop {
         let Some(part) = started.response.next_chunk().await? else {
             return match splitter.remainder() {
                 [] if !splitter.has_events() && !started.response.is_framed() => {
                     Err(ENDED_WITHOUT_EVENT.into())
                 }
-                [] => Ok(NewEvents { bytes, last_event, ended: true }),
+                [] => Ok(NewEvents { bytes, last_event, count, ended: true }),
                 _ => Err("the stream ends within an event".into()),
             };
         };
@@ -201,13 +233,14 @@
                 last_event = Some(id);
             }
             has_new |= event.has_data();
+            count += u32::from(event.has_data());
             bytes.extend_from_slice(&event.bytes);
         }
         // Buffers grow to a power of two.
         let held = splitter.remainder().len() + bytes.len();
         started.response.hold(held.next_power_of_two())?;
         if has_new {
-            return Ok(NewEvents { bytes, last_event, ended: false });
+            return Ok(NewEvents { bytes, last_event, count, ended: false });
         }
         if bytes.len() > MAX_COMMENT_BYTES {
             return Err("too many comments without an event".into());
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -5,11 +5,13 @@
 use crate::fleet::attempt;
 use crate::fleet::body;
 use crate::fleet::continuation;
+use crate::fleet::crashes;
 use crate::fleet::event_stream;
 use crate::fleet::node;
 use crate::fleet::origin;
 use crate::fleet::place;
 use crate::fleet::protocol;
+use crate::fleet::quarantine;
 use crate::fleet::routes;
 use crate::fleet::serve;
 use crate::fleet::slots;
@@ -127,6 +129,21 @@
     let pause = MIN_RETRY_AFTER + spread;
     event!(node.log, events::REQUEST_REFUSED; "request" => id, "reason" => reason,
         "retry_ms" => pause.as_millis() as u64);
+    not_run(reason, pause)
+}
+
+/// Builds the response that tells a caller that its request has not run because a part of its prompt
+/// is quarantined.
+fn refuse_held(node: &node::Node, hold: quarantine::Hold) -> serve::Response {
+    node.metrics.count_refusal("a part of the prompt is quarantined", "no");
+    let quarantine::Hold { part, crashes, wait } = hold;
+    let reason = format!(
+        "part {part:x} of the prompt is quarantined, since {crashes} endpoints crashed with it"
+    );
+    not_run(&reason, wait.max(MIN_RETRY_AFTER))
+}
+
+fn not_run(reason: &str, pause: Duration) -> serve::Response {
     let text = format!("not run: {reason}\n");
     let mut response = serve::response(StatusCode::SERVICE_UNAVAILABLE, text);
     let seconds = format!("{:.3}", pause.as_secs_f64());
@@ -163,6 +180,8 @@
     is_origin: bool,
     /// Number of the last record of the stream's origin, and the build that it names.
     recorded: Option<(u32, Arc<str>)>,
+    pub(super) prompt: Arc<quarantine::PromptParts>,
+    trial: Trial,
     /// Whether the answer is complete or has failed. If the request is dropped before, the caller
     /// has left.
     pub(super) ended: bool,
@@ -179,6 +198,15 @@
     }
 }
 
+/// Whether the request is the trial of a quarantined part, which goes to one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trial {
+    No,
+    Granted,
+    /// It has reached an endpoint.
+    Sent,
+}
+
 /// Response of an endpoint whose head has arrived.
 pub(super) struct StartedResponse {
     pub(super) response: upstream::Response,
@@ -232,6 +260,7 @@
     if build.is_some() {
         attempts.begin();
     }
+    let prompt = node.request_prompt(&request.head.headers, &request.id);
     let mut forwarder = Forwarder {
         node,
         request,
@@ -245,6 +274,8 @@
         is_origin,
         recorded: None,
         ended: false,
+        prompt,
+        trial: Trial::No,
     };
     match forwarder.request.route.kind {
         routes::Kind::Stream => forwarder.forward_stream(&headers).await,
@@ -404,6 +435,55 @@
         Some((endpoint, guard))
     }
 
+    /// Whether a part of the prompt is quarantined and the request is not the trial of it.
+    fn is_held(&self) -> bool {
+        self.trial == Trial::No && !self.node.view.quarantine(|q| q.is_free(&self.prompt.parts))
+    }
+
+    /// Decides whether the request may be sent to an endpoint, judged by its prompt.
+    ///
+    /// # Errors
+    /// The response to a request that may not.
+    async fn admit(&mut self) -> Result<(), serve::Response> {
+        match self.trial {
+            Trial::Granted => return Ok(()),
+            Trial::Sent => return Err(self.give_up("the trial of a quarantined part has ended")),
+            Trial::No => {}
+        }
+        let now = self.node.now();
+        let check = self.node.view.quarantine(|q| q.check(now, &self.prompt.parts));
+        let hold = match check {
+            quarantine::Check::Free => return Ok(()),
+            quarantine::Check::Held(hold) => hold,
+            quarantine::Check::TrialDue { hold, number } => {
+                let id = self.request.id.clone();
+                if !self.attempts.may_have_run() && self.node.ask_for_trial(hold, number, &id).await
+                {
+                    self.trial = Trial::Granted;
+                    self.attempts = attempt::Attempts::new(false, 1);
+                    return Ok(());
+                }
+                hold
+            }
+        };
+        self.node.metrics.count_part("held");
+        event!(self.node.log, events::REQUEST_HELD; "request" => &*self.request.id,
+            "part_id" => format!("{:x}", hold.part), "crashes" => hold.crashes,
+            "wait_ms" => hold.wait.as_millis() as u64, "ran" => self.attempts.may_have_run());
+        Err(match self.attempts.may_have_run() {
+            true => self.give_up("a part of the prompt is quarantined"),
+            false => refuse_held(&self.node, hold),
+        })
+    }
+
+    /// Records that the answer of an endpoint broke off after `events` events.
+    pub(super) fn record_broken_answer(&self, endpoint: &place::Candidate, events: u32) {
+        if events < crashes::ANSWERED_EVENTS {
+            let endpoint = (&endpoint.id, endpoint.start_time, endpoint.address);
+            self.node.record_broken_prompt(endpoint, &self.prompt, &self.request.id);
+        }
+    }
+
     /// Builds the request to send to an endpoint.
     fn outgoing_request(
         &self,
@@ -435,7 +515,7 @@
     ) -> impl Future<Output = Result<Box<StartedResponse>, AttemptFailure>> + Send + use<> {
         let request = self.outgoing_request(headers, &endpoint);
         let (node, headers) = (self.node.clone(), headers.clone());
-        let id = self.request.id.clone();
+        let (id, prompt) = (self.request.id.clone(), self.prompt.clone());
         event!(node.log, events::ATTEMPT_SENT; "request" => &*id, "endpoint" => &*endpoint.id,
             "build" => &*endpoint.build, "running" => ?endpoint.running, "left_ms" => self.time_left().as_millis() as u64);
         // The endpoint may close an idle connection while the request is being sent.
@@ -446,7 +526,11 @@
                 node.record_endpoint_failure(&endpoint.id, &failure);
                 let outcome = match failure {
                     upstream::Failure::NotSent(_) => attempt::Outcome::NotSent,
-                    upstream::Failure::Lost(_) => attempt::Outcome::Lost,
+                    upstream::Failure::Lost(_) => {
+                        let endpoint = (&endpoint.id, endpoint.start_time, endpoint.address);
+                        node.record_broken_prompt(endpoint, &prompt, &id);
+                        attempt::Outcome::Lost
+                    }
                 };
                 (outcome, Arc::from(failure.to_string()))
             })?;
@@ -491,6 +575,9 @@
                 Err(_) => {}
             }
             pause = interval;
+            if self.is_held() {
+                continue;
+            }
             let place::Choice::Send(endpoint) = self.choose_endpoint() else { continue };
             let name = endpoint.id.clone();
             event!(self.node.log, events::ENDPOINT_SILENT; "request" => &*self.request.id,
@@ -589,6 +676,7 @@
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(self.give_up("the time is over"));
             }
+            self.admit().await?;
             self.log_left_out_endpoints();
             let (endpoint, guard) = match released.take() {
                 Some(slot) => slot,
@@ -607,13 +695,17 @@
                     place::Choice::None => return Err(self.give_up("no endpoint is left")),
                 },
             };
-            // It may have started to leave while the request waited for a slot.
-            if !self.node.is_available(&endpoint.id) {
+            // It may have started to leave, or a part of the prompt may have been quarantined, while
+            // the request waited for a slot.
+            if !self.node.is_available(&endpoint.id) || self.is_held() {
                 continue;
             }
+            if self.trial == Trial::Granted {
+                self.trial = Trial::Sent;
+            }
             self.tried.push(endpoint.id.clone());
             self.record_origin(&endpoint.build);
-            let name = endpoint.id.clone();
+            let (name, asked) = (endpoint.id.clone(), endpoint.clone());
             let limit = self.first_event_timeout();
             let sending = self.attempt(headers, endpoint, guard);
             match self.wait_or_take_over(headers, &name, limit, sending).await {
@@ -625,12 +717,20 @@
                     self.node.record_endpoint_failure(&name, &cause);
                     self.record_retry(&name, attempt::Outcome::Failed, &cause);
                 }
-                Waited::Ended(Ok(started)) | Waited::TakenOver(started) => return Ok(started),
+                Waited::Ended(Ok(started)) => return Ok(started),
+                Waited::TakenOver(started) => {
+                    self.record_broken_answer(&asked, 0);
+                    return Ok(started);
+                }
                 Waited::DeadlineExceeded => {
+                    self.record_broken_answer(&asked, 0);
                     let status = StatusCode::GATEWAY_TIMEOUT;
                     return Err(fail(&self.node, &id, status, "no answer in time"));
                 }
                 Waited::Ended(Err((outcome, cause))) => {
+                    if outcome == attempt::Outcome::NotSent && self.trial == Trial::Sent {
+                        self.trial = Trial::Granted;
+                    }
                     match self.record_retry(&name, outcome, &cause) {
                         attempt::Next::Again if self.build.is_some() => {
                             if outcome.is_not_run() && time::Instant::now() > end {
@@ -688,8 +788,13 @@
             let id = self.request.id.clone();
             match read {
                 Ok(Ok(body)) => {
+                    let is_success = started.response.head.status.is_success();
+                    // Without a length, a crash looks like the end of the answer.
+                    if is_success && started.response.is_framed() {
+                        self.node.record_prompt_answer(&self.prompt);
+                    }
                     let head = caller_head(started.response.head);
-                    if head.status.is_success() {
+                    if is_success {
                         self.finish(&started.endpoint.id);
                     } else {
                         self.node.record_endpoint_success(&started.endpoint.id);
@@ -699,6 +804,7 @@
                 }
                 Ok(Err(cause)) => {
                     self.node.record_endpoint_failure(&started.endpoint.id, &cause);
+                    self.record_broken_answer(&started.endpoint, 0);
                     if self.attempts.record(attempt::Outcome::Lost) != attempt::Next::Again {
                         return fail(&self.node, &id, StatusCode::BAD_GATEWAY, &cause);
                     }
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -4,6 +4,7 @@
 use crate::fleet::directory;
 use crate::fleet::load;
 use crate::fleet::origin;
+use crate::fleet::quarantine;
 use crate::replica;
 use crate::wire;
 use bytes::Bytes;
@@ -120,6 +121,10 @@
     pub version: u64,
     /// Whether it knows on which hosts the job group is placed.
     pub placement_known: bool,
+    /// Revision of the quarantined parts of prompts that it knows; 0 if it knows none.
+    pub quarantine: u64,
+    /// Whether its quarantined parts were known to be complete at some moment.
+    pub quarantine_confirmed: bool,
     /// Digest of its directory.
     pub digest: u64,
 }
@@ -129,6 +134,8 @@
 pub struct Update {
     /// Placement of the job group.
     pub placement: Option<control_state::Placement>,
+    /// Quarantined parts of prompts.
+    pub quarantine: Option<quarantine::Summary>,
     /// Records of hosts and endpoints.
     pub records: directory::Records,
     /// Ids of deregistered endpoints and the start times that their deregistrations refer to, if
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -269,7 +269,8 @@
     Done,
     /// The job is unknown.
     Unknown,
-    /// The output does not follow the stored output; nothing was changed.
+    /// The output does not follow the stored output, or the trial of a quarantined part was granted
+    /// before; nothing was changed.
     Stale,
     /// The command cannot be decoded.
     Invalid,
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -2,6 +2,7 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::fleet::crashes;
 use crate::fleet::directory;
 use crate::fleet::frame;
 use crate::fleet::groups;
@@ -72,6 +73,8 @@
     pub origins: Arc<Mutex<origin::Origins>>,
     /// Endpoints that failed recently.
     pub health: Arc<Mutex<place::Health>>,
+    /// Endpoints at which answers broke off recently.
+    pub suspects: Arc<Mutex<crashes::Suspects>>,
     /// Requests that wait for slots.
     pub slots: slots::Slots,
     /// Handle of the replica on this host, while it runs.
@@ -130,6 +133,7 @@
             config_fetch: Arc::default(),
             origins: Arc::default(),
             health: Arc::default(),
+            suspects: Arc::default(),
             slots: slots::Slots::default(),
             local_replica,
             metrics,
@@ -172,6 +176,10 @@
     pub fn apply_update(&self, update: frame::Update) -> Option<frame::Update> {
         let applied = self.view.apply_update(self.now(), update);
         self.report_ended_marks();
+        if applied.as_ref().is_some_and(|a| a.quarantine.is_some()) {
+            let count = self.view.quarantine(|q| q.count());
+            self.metrics.record_level("quarantined_parts", count as u64);
+        }
         applied
     }
 
@@ -343,6 +351,10 @@
         tree.spawn("announcements", move |_| send_announcements(node.clone(), end.clone()));
         let node = self.clone();
         tree.spawn("configuration fetch", move |stop| repeat_fetches(node.clone(), stop));
+        if self.settings.host.role != settings::Role::Control {
+            let node = self.clone();
+            tree.spawn("crash reports", move |stop| crashes::send_reports(node.clone(), stop));
+        }
         let node = self.clone();
         tree.spawn("settings", move |stop| reload_settings(node.clone(), stop));
     }
--- a/src/fleet/protocol.rs
+++ b/src/fleet/protocol.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::directory;
 use crate::fleet::ledger;
+use crate::fleet::prompt;
 use crate::fleet::routes;
 use derive_more::Display;
 use hyper::header::HeaderName;
@@ -32,6 +33,8 @@
     pub resumed_request: HeaderName,
     /// Milliseconds that a read of results may wait for new ones.
     pub wait: HeaderName,
+    /// Parts of the prompt of a request.
+    pub prompt: HeaderName,
 }
 
 /// API call of an operator, an endpoint or the client of a batch job.
@@ -112,6 +115,12 @@
     /// `Invalid` if the body is not a list of items.
     fn parse_submission(&self, body: &[u8]) -> Result<Vec<ledger::Item>, Invalid>;
 
+    /// Parses the header that lists the parts of a prompt.
+    ///
+    /// # Errors
+    /// `Invalid` if the text is not a list of parts.
+    fn parse_prompt(&self, list: &str) -> Result<prompt::Prompt, Invalid>;
+
     /// Body of the answer to a registration.
     fn registration_reply(&self) -> Vec<u8>;
 
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -1,10 +1,12 @@
 //! Runs one item of a batch job at one endpoint.
 
+use crate::fleet::crashes;
 use crate::fleet::event_stream;
 use crate::fleet::ledger;
 use crate::fleet::node;
 use crate::fleet::progress;
 use crate::fleet::protocol;
+use crate::fleet::quarantine;
 use crate::fleet::sse;
 use crate::fleet::upstream;
 use bytes::Bytes;
@@ -82,6 +84,8 @@
     pub start_time: u64,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Parts of the item's prompt.
+    pub prompt: Arc<quarantine::PromptParts>,
     /// Request of the item.
     pub request: hyper::Request<Full<Bytes>>,
 }
@@ -166,25 +170,58 @@
 impl Run {
     /// Runs the item and sends its events and its end to `reports`.
     pub async fn run(self, node: node::Node, reports: mpsc::Sender<Report>) {
-        let Run { key, number, last_event, endpoint, start_time, address, request } = self;
-        let reporter = Reporter { key, number, last_event, endpoint, start_time, reports };
-        let update = RunUpdate::Ended(reporter.stream_events(&node, address, request).await);
-        reporter.send(update).await;
+        let Run { key, number, last_event, endpoint, start_time, address, prompt, request } = self;
+        let mut reporter = Reporter {
+            node,
+            key,
+            number,
+            last_event,
+            endpoint,
+            start_time,
+            address,
+            prompt,
+            sent: true,
+            events: 0,
+            reports,
+        };
+        let ended = reporter.stream_events(request).await;
+        match &ended {
+            RunEnd::Interrupted { at_fault: true, .. } => reporter.record_broken_answer(),
+            RunEnd::Done if reporter.events == 0 => reporter.record_broken_answer(),
+            RunEnd::Done => reporter.node.record_prompt_answer(&reporter.prompt),
+            _ => {}
+        }
+        reporter.send(RunUpdate::Ended(ended)).await;
     }
 }
 
 /// Sends the updates of one run to the dispatcher.
 struct Reporter {
+    node: node::Node,
     key: progress::ItemKey,
     number: u64,
     /// Number of the last event that has arrived in earlier runs.
     last_event: Option<u64>,
     endpoint: Arc<str>,
     start_time: u64,
+    address: SocketAddr,
+    prompt: Arc<quarantine::PromptParts>,
+    /// Whether the request may have reached the endpoint.
+    sent: bool,
+    /// New events of this run.
+    events: u32,
     reports: mpsc::Sender<Report>,
 }
 
 impl Reporter {
+    /// Records that the answer broke off.
+    fn record_broken_answer(&self) {
+        if self.sent && self.events < crashes::ANSWERED_EVENTS {
+            let endpoint = (&self.endpoint, self.start_time, self.address);
+            self.node.record_broken_prompt(endpoint, &self.prompt, &self.key.1);
+        }
+    }
+
     /// Sends an update. Returns `false` if the process ends.
     async fn send(&self, update: RunUpdate) -> bool {
         let report = Report { key: self.key.clone(), number: self.number, update };
@@ -203,6 +240,8 @@
         let mut answer = std::pin::pin!(answer);
         loop {
             if patience.report_silence(time::Instant::now()) {
+                // Another endpoint may take the item over, which ends this run.
+                self.record_broken_answer();
                 self.send(RunUpdate::Silent).await;
             }
             let limit = patience.limit(time::Instant::now())?;
@@ -213,16 +252,14 @@
     }
 
     /// Sends the request and reports each event of the response.
-    async fn stream_events(
-        &self,
-        node: &node::Node,
-        address: SocketAddr,
-        request: hyper::Request<Full<Bytes>>,
-    ) -> RunEnd {
+    async fn stream_events(&mut self, request: hyper::Request<Full<Bytes>>) -> RunEnd {
+        let node = self.node.clone();
         let names = node.view.protocol().headers();
         let mut patience = Patience::new(time::Instant::now());
-        let sent = node.upstream.send(address, request, false);
-        let mut response = match self.wait(&mut patience, sent).await {
+        let sent = node.upstream.send(self.address, request, false);
+        let sent = self.wait(&mut patience, sent).await;
+        self.sent = !matches!(sent, Ok(Err(upstream::Failure::NotSent(_))));
+        let mut response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(failure)) => return interrupted(&failure.to_string(), true),
             Err(ended) => return ended,
@@ -275,6 +312,10 @@
                 }
                 last_event = event.id.or(last_event);
                 patience.record_event(time::Instant::now());
+                self.events = self.events.saturating_add(1);
+                if self.events == crashes::ANSWERED_EVENTS {
+                    node.record_prompt_answer(&self.prompt);
+                }
                 if !self.send(RunUpdate::Event(event.data(), event.id)).await {
                     return interrupted("the process ends", false);
                 }
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -450,6 +450,13 @@
         }
     }
 
+    /// Whether the head tells where the body ends. Otherwise it ends when the endpoint closes the
+    /// connection.
+    pub fn is_framed(&self) -> bool {
+        self.head.headers.contains_key(header::CONTENT_LENGTH)
+            || self.head.headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Returns the connection to the pool after a complete body, if it can be reused.
     fn release_connection(&mut self) {
         let Some(connection) = self.connection.take() else { return };
@@ -461,13 +468,6 @@
             self.upstream.keep_idle(self.address, connection, keep_alive(&self.head.headers));
         }
     }
-
-    /// Whether the body has a length or chunks. Otherwise it ends when the endpoint closes the
-    /// connection, and its end cannot be told from a break.
-    pub fn is_framed(&self) -> bool {
-        self.head.headers.contains_key(header::CONTENT_LENGTH)
-            || self.head.headers.contains_key(header::TRANSFER_ENCODING)
-    }
 }
 
 /// How long an idle connection may be used, from the endpoint's `keep-alive` header.
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -10,6 +10,7 @@
 use crate::fleet::load;
 use crate::fleet::peer;
 use crate::fleet::protocol;
+use crate::fleet::quarantine;
 use crate::fleet::routes;
 use crate::fleet::settings;
 use arc_swap::ArcSwapOption;
@@ -42,6 +43,7 @@
     replica: Mutex<Option<u64>>,
     directory: Mutex<directory::Directory>,
     loads: Mutex<load::Loads>,
+    quarantine: Mutex<quarantine::Watch>,
     changed: watch::Sender<u64>,
     log: slog::Logger,
 }
@@ -67,6 +69,7 @@
             replica: Mutex::default(),
             directory: Mutex::new(directory),
             loads: Mutex::default(),
+            quarantine: Mutex::default(),
             changed: watch::Sender::new(0),
             log: log.clone(),
         }
@@ -202,9 +205,30 @@
         run(&mut peer::lock(&self.loads))
     }
 
+    /// Calls `run` with the locked quarantined parts of prompts.
+    pub fn quarantine<T>(&self, run: impl FnOnce(&mut quarantine::Watch) -> T) -> T {
+        run(&mut peer::lock(&self.quarantine))
+    }
+
+    /// Applies the quarantined parts of prompts. Returns whether they were newer than those known.
+    pub fn apply_quarantine(&self, now: Duration, summary: &quarantine::Summary) -> bool {
+        let Some(changes) = self.quarantine(|q| q.apply(now, summary)) else { return false };
+        for part in &changes.quarantined {
+            event!(self.log, events::PART_QUARANTINED; "part_id" => format!("{:x}", part.part),
+                "crashes" => part.crashes, "trials" => part.trials,
+                "relapsed" => part.relapsed, "revision" => summary.revision);
+        }
+        for part in &changes.released {
+            event!(self.log, events::PART_RELEASED; "part_id" => format!("{part:x}"),
+                "revision" => summary.revision);
+        }
+        true
+    }
+
     /// Applies an update of a control host. Returns the parts that changed something here; `None`
     /// if there are none.
     pub fn apply_update(&self, now: Duration, update: frame::Update) -> Option<frame::Update> {
+        let quarantine = update.quarantine.filter(|q| self.apply_quarantine(now, q));
         let placement = update.placement.filter(|p| self.apply_placement(p.clone()));
         let (records, departed) = self.directory(|d| {
             let records = d.merge(now, update.records);
@@ -229,8 +253,8 @@
         if !unchanged {
             self.notify_change();
         }
-        let update = frame::Update { placement, records, departed };
-        let changed = !unchanged || update.placement.is_some();
+        let update = frame::Update { placement, quarantine, records, departed };
+        let changed = !unchanged || update.placement.is_some() || update.quarantine.is_some();
         changed.then_some(update)
     }
 
@@ -282,6 +306,8 @@
             host: directory::Host { seq, replica: *peer::lock(&self.replica), ..self.own.clone() },
             version: self.config_version(),
             placement_known: !peer::lock(&self.placement).hosts.is_empty(),
+            quarantine: self.quarantine(|q| q.revision()),
+            quarantine_confirmed: self.quarantine(|q| q.is_confirmed()),
             digest: self.directory(|d| d.digest()),
         }
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -28,6 +28,7 @@
     faults: Counter<u64>,
     leaving: Counter<u64>,
     sent_bytes: Counter<u64>,
+    parts: Counter<u64>,
     latency: Histogram<f64>,
     level: Gauge<u64>,
 }
@@ -61,6 +62,7 @@
             faults: counter("faults", "Faults by step"),
             leaving: counter("leaving", "Marks of endpoints as leaving by change"),
             sent_bytes: counter("sent_bytes", "Bytes of frames to other hosts by kind and group"),
+            parts: counter("prompt_parts", "Parts of prompts that may crash endpoints by step"),
             latency: meter
                 .f64_histogram("latency_seconds")
                 .with_description("Latency by step")
@@ -121,6 +123,13 @@
         }
     }
 
+    /// Counts a step in the handling of parts of prompts that may crash endpoints: `crash` of an
+    /// endpoint under requests, `held` for a request that is not sent, `trial` for one that is sent
+    /// nevertheless, `cleared` for a report of answered parts, `unreadable` for a malformed list.
+    pub fn count_part(&self, step: &'static str) {
+        self.inner.parts.add(1, &[KeyValue::new("step", step)]);
+    }
+
     /// Records the latency of a step.
     pub fn record_latency(&self, step: &'static str, elapsed: Duration) {
         self.inner.latency.record(elapsed.as_secs_f64(), &[KeyValue::new("step", step)]);
--- /dev/null
+++ b/tests/fleet_quarantine.rs
@@ -0,0 +1,308 @@
+//! Which parts of prompts are quarantined after crashes, and when they are released, in simulated time.
+
+use basilfield::fleet::quarantine;
+use quarantine::Check;
+use quarantine::Crash;
+use quarantine::PromptParts;
+use quarantine::State;
+use quarantine::Summary;
+use quarantine::Watch;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+/// First part of every prompt, a bad one and another bad one, and sound ones.
+const FIRST: u64 = 1;
+const BAD: u64 = 0xb;
+const OTHER_BAD: u64 = 0xc;
+const SOUND: u64 = 5;
+
+/// Crash number `n` under prompts that are given as key and shared parts.
+fn crash(n: u64, prompts: &[(u64, &[u64])]) -> Crash {
+    let prompt = |(key, parts): &(u64, &[u64])| PromptParts { key: *key, parts: parts.to_vec() };
+    let prompts = prompts.iter().map(prompt).collect();
+    Crash { endpoint: format!("i-{n}").into(), start_time: n, prompts }
+}
+
+fn names(summary: &Summary) -> String {
+    let quarantined = summary.quarantined.iter();
+    let mut text: String = quarantined
+        .map(|q| format!("{:x}: {} crashes, {} trials ", q.part, q.crashes, q.trials))
+        .collect();
+    let _ = write!(text, "suspected {:x?}", summary.suspected);
+    text
+}
+
+fn seconds(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+/// Guards against a bad part that is never found, and a shared first part that is blamed beside it.
+#[test]
+fn narrowest_part_of_the_crashes_is_quarantined() {
+    let mut state = State::default();
+    let mut seen = Vec::new();
+    for n in 0..5 {
+        state.record_crash(crash(n, &[(n, &[FIRST, BAD]), (100 + n, &[FIRST, SOUND + n])]));
+        seen.push(names(&state.summary()));
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    suspected [1, 5, b]
+    suspected [1, 5, 6, b]
+    b: 3 crashes, 0 trials suspected []
+    b: 4 crashes, 0 trials suspected []
+    b: 5 crashes, 0 trials suspected []
+    ");
+}
+
+/// Guards against a part that is blamed because one request with it broke at several endpoints, or
+/// because one crash is reported by several hosts.
+#[test]
+fn repeated_prompts_and_reports_count_once() {
+    let mut state = State::default();
+    for n in 0..4 {
+        state.record_crash(crash(n, &[(7, &[FIRST, SOUND])]));
+    }
+    let of_one_request = names(&state.summary());
+    let mut state = State::default();
+    for n in 0..9 {
+        state.record_crash(crash(n % 2, &[(n, &[FIRST, SOUND])]));
+    }
+    insta::assert_snapshot!(format!("{of_one_request}\n{}", names(&state.summary())), @r"
+    suspected [1, 5]
+    suspected [1, 5]
+    ");
+}
+
+/// Guards against a second bad part that stays hidden behind the first one.
+#[test]
+fn crashes_of_a_second_bad_part_count_by_themselves() {
+    let mut state = State::default();
+    let mut seen = Vec::new();
+    for n in 0..6 {
+        let part = if n % 2 == 0 { BAD } else { OTHER_BAD };
+        state.record_crash(crash(n, &[(n, &[FIRST, part])]));
+        seen.push(names(&state.summary()));
+    }
+    // Both crashes of each are under the first part as well.
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    suspected [1, b]
+    suspected [1, b, c]
+    1: 3 crashes, 0 trials suspected []
+    1: 4 crashes, 0 trials suspected []
+    1: 5 crashes, 0 trials suspected []
+    1: 6 crashes, 0 trials suspected []
+    ");
+    state.clear(&[FIRST]);
+    insta::assert_snapshot!(names(&state.summary()), @"b: 3 crashes, 0 trials c: 3 crashes, 0 trials suspected []");
+}
+
+/// Guards against sound parts that stay blamed after they were answered, and against a part that is
+/// never found because it was sound once.
+#[test]
+fn answered_part_is_released_until_it_is_named_often() {
+    let mut state = State::default();
+    for n in 0..3 {
+        state.record_crash(crash(n, &[(n, &[SOUND])]));
+    }
+    let mut seen = vec![names(&state.summary())];
+    state.clear(&[SOUND, 99]);
+    seen.push(names(&state.summary()));
+    for n in 3..12 {
+        state.record_crash(crash(n, &[(n, &[SOUND])]));
+    }
+    let summary = state.summary();
+    seen.push(format!("{} relapsed {}", names(&summary), summary.quarantined[0].relapsed));
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    5: 3 crashes, 0 trials suspected []
+    suspected []
+    5: 9 crashes, 0 trials suspected [] relapsed true
+    ");
+}
+
+/// Guards against memory that grows with the number of crashes, prompts or parts.
+#[test]
+fn remembered_crashes_are_bounded() {
+    let mut state = State::default();
+    for n in 0..5_000 {
+        let parts: Vec<u64> = (0..300).map(|p| n * 1_000 + p).collect();
+        let prompts: Vec<(u64, &[u64])> = (0..40).map(|key| (key, &parts[..])).collect();
+        state.record_crash(crash(n, &prompts));
+        state.clear(&[n * 1_000]);
+    }
+    let size = postcard::to_stdvec(&state).expect("state").len();
+    assert!(size < 400_000, "{size} bytes");
+    assert!(state.summary().suspected.len() <= 256);
+}
+
+/// Guards against requests that are held for ever, or sent more often than the trials allow: the
+/// pauses grow, only one request of a host asks, and an answer releases the part.
+#[test]
+fn trials_follow_at_growing_pauses() {
+    let mut state = State::default();
+    for n in 0..3 {
+        state.record_crash(crash(n, &[(n, &[FIRST, BAD])]));
+    }
+    let mut watch = Watch::default();
+    let (mut seen, mut now) = (Vec::new(), seconds(100));
+    watch.apply(now, &state.summary());
+    for n in 0..5 {
+        let check = watch.check(now, &[FIRST, BAD]);
+        let Check::Held(hold) = check else { panic!("{check:?}") };
+        now += hold.wait;
+        let (due, next) = (watch.check(now, &[BAD]), watch.check(now, &[BAD]));
+        let Check::TrialDue { number, .. } = due else { panic!("{due:?}") };
+        seen.push(format!("{} s: trial {number}, then {next:?}", hold.wait.as_secs()));
+        assert!(state.grant_trial(BAD, number));
+        state.record_crash(crash(10 + n, &[(10 + n, &[BAD])]));
+        watch.apply(now, &state.summary());
+    }
+    watch.evidence().record_answer(now, &[FIRST, BAD]);
+    state.clear(&watch.clearable(now));
+    watch.apply(now, &state.summary());
+    seen.push(format!("{:?}", watch.check(now, &[FIRST, BAD])));
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    30 s: trial 1, then Held(Hold { part: 11, crashes: 3, wait: 2s })
+    300 s: trial 2, then Held(Hold { part: 11, crashes: 4, wait: 2s })
+    1800 s: trial 3, then Held(Hold { part: 11, crashes: 5, wait: 2s })
+    86400 s: trial 4, then Held(Hold { part: 11, crashes: 6, wait: 2s })
+    86400 s: trial 5, then Held(Hold { part: 11, crashes: 7, wait: 2s })
+    Free
+    ");
+}
+
+/// Guards against hosts that send requests after a restart of the fleet before they know which parts
+/// crash endpoints, and against hosts that refuse them for ever while no leader is elected.
+#[test]
+fn requests_wait_for_a_confirmed_state() {
+    let mut state = State::default();
+    for n in 0..3 {
+        state.record_crash(crash(n, &[(n, &[BAD])]));
+    }
+    let mut alone = Watch::default();
+    let waits = [1, 2, 3, 4].map(|second| alone.is_usable(seconds(second)));
+    let mut told = Watch::default();
+    let before = told.is_usable(seconds(1));
+    told.apply(seconds(1), &Summary::default());
+    let unconfirmed = told.is_usable(seconds(1));
+    told.apply(seconds(1), &Summary { confirmed: true, ..state.summary() });
+    let confirmed = (told.is_usable(seconds(1)), told.summary().confirmed, told.is_free(&[BAD]));
+    insta::assert_snapshot!(format!("{waits:?} {before} {unconfirmed} {confirmed:?}"), @"[false, false, false, true] false false (true, true, false)");
+}
+
+/// Guards against old answers that clear a part which has become bad since.
+#[test]
+fn answers_before_crashes_clear_no_part() {
+    let mut watch = Watch::default();
+    watch.evidence().record_answer(seconds(1), &[FIRST, BAD]);
+    let suspected = vec![FIRST, BAD];
+    watch.apply(seconds(1), &Summary { revision: 1, suspected, ..Summary::default() });
+    let mut seen = Vec::new();
+    for second in 2..6 {
+        // Several endpoints may crash at the same moment for another reason.
+        for _ in 0..5 {
+            watch.evidence().record_crash(seconds(second), &[FIRST, BAD]);
+        }
+        seen.push(format!("{:?}", watch.clearable(seconds(second))));
+        watch.evidence().record_answer(seconds(second), &[FIRST]);
+    }
+    seen.push(format!("{:?}", watch.clearable(seconds(70))));
+    insta::assert_snapshot!(seen.join(" "), @"[1, 11] [1, 11] [1] [1] []");
+}
+
+/// Fleet of hosts in simulated time, with sound traffic and crashes.
+struct Simulation {
+    rng: ChaCha8Rng,
+    state: State,
+    hosts: Vec<Watch>,
+    now: Duration,
+    crashes: u64,
+    prompts: u64,
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Simulation {
+        let (rng, hosts) = (ChaCha8Rng::seed_from_u64(seed), vec![Watch::default(); 4]);
+        let (state, now) = (State::default(), seconds(100));
+        Simulation { rng, state, hosts, now, crashes: 0, prompts: 0 }
+    }
+
+    /// Prompt of a sound request: one of 8 first parts, one of 200 middle parts.
+    fn sound_prompt(&mut self) -> PromptParts {
+        self.prompts += 1;
+        let parts =
+            vec![1_000 + self.rng.random_range(0..8), 2_000 + self.rng.random_range(0..200)];
+        PromptParts { key: self.prompts, parts }
+    }
+
+    fn answer(&mut self, prompt: &PromptParts) {
+        let host = self.rng.random_range(0..self.hosts.len());
+        if self.hosts[host].is_free(&prompt.parts) {
+            self.hosts[host].evidence().record_answer(self.now, &prompt.parts);
+        }
+    }
+
+    /// An endpoint crashes under these prompts, which several hosts report.
+    fn crash(&mut self, prompts: Vec<PromptParts>) {
+        self.crashes += 1;
+        for prompt in prompts {
+            let host = self.rng.random_range(0..self.hosts.len());
+            let (now, watch) = (self.now, &mut self.hosts[host]);
+            watch.evidence().record_crash(now, &prompt.parts);
+            let mut parts = prompt.parts;
+            parts.retain(|p| watch.evidence().answered(now, *p).is_none());
+            let report: (u64, &[u64]) = (prompt.key, &parts);
+            self.state.record_crash(crash(self.crashes, &[report]));
+        }
+    }
+
+    /// All hosts learn the state, and say what was answered.
+    fn exchange(&mut self) {
+        for host in 0..self.hosts.len() {
+            self.hosts[host].apply(self.now, &self.state.summary());
+            let parts = self.hosts[host].clearable(self.now);
+            self.state.clear(&parts);
+        }
+        for host in &mut self.hosts {
+            host.apply(self.now, &self.state.summary());
+        }
+    }
+}
+
+/// Guards against a bad part that is found late, and sound parts that are kept from endpoints, in
+/// random traffic with rare parts and crashes for other reasons.
+#[test]
+fn bad_part_is_found_in_random_traffic() {
+    for seed in 0..30 {
+        let mut s = Simulation::new(seed);
+        let (mut bad_crashes, mut held_sound) = (0, 0);
+        for step in 0..600 {
+            s.now += Duration::from_millis(100);
+            for _ in 0..4 {
+                let prompt = s.sound_prompt();
+                s.answer(&prompt);
+            }
+            // An endpoint now and then crashes for another reason.
+            if s.rng.random_range(0..40) == 0 {
+                let prompts = (0..3).map(|_| s.sound_prompt()).collect();
+                s.crash(prompts);
+            }
+            let is_bad = step > 200 && s.rng.random_range(0..3) == 0;
+            if is_bad && s.hosts[0].is_free(&[BAD]) {
+                bad_crashes += 1;
+                let mut prompts: Vec<PromptParts> = (0..2).map(|_| s.sound_prompt()).collect();
+                let bad = s.sound_prompt();
+                prompts.push(PromptParts { parts: vec![bad.parts[0], BAD], ..bad });
+                s.crash(prompts);
+            }
+            s.exchange();
+            let quarantined = s.state.summary().quarantined;
+            held_sound += quarantined.iter().filter(|q| q.part != BAD).count();
+        }
+        assert!((3..=5).contains(&bad_crashes), "seed {seed}: {bad_crashes} crashes");
+        // A trial is due after 300 steps.
+        assert!(held_sound <= 300, "seed {seed}: sound parts were held for {held_sound} steps");
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -190,3 +190,44 @@
     fleet.seeds: at least one address is required
     ");
 }
+
+/// Guards against a malformed list of prompt parts that is read as another prompt, so that sound
+/// requests are taken for ones that crash endpoints.
+#[test]
+fn prompts_of_requests() {
+    let platform = platform::Platform::default();
+    let cases = [
+        "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+        "5c1e07a2:800",
+        " a:1 , B:2",
+        "ffffffffffffffff:1",
+        "1ffffffffffffffff:1",
+        "",
+        "a:1,",
+        "a",
+        "x:1",
+        "+a:1",
+        "a:-1",
+        ":1",
+        "a:",
+    ];
+    let read = |list: &&str| match platform.parse_prompt(list) {
+        Ok(prompt) => format!("{list}: {:x?} of {}", prompt.shared_ids(), prompt.parts.len()),
+        Err(problem) => format!("{list}: {problem}"),
+    };
+    insta::assert_snapshot!(cases.iter().map(read).collect::<Vec<_>>().join("\n"), @r#"
+    5c1e07a2:800,91bd3f06:410,e4402b7d:250: [5c1e07a2, 91bd3f06] of 3
+    5c1e07a2:800: [] of 1
+     a:1 , B:2: [a] of 2
+    ffffffffffffffff:1: [] of 1
+    1ffffffffffffffff:1: "1ffffffffffffffff:1" is no part of a prompt
+    : "" is no part of a prompt
+    a:1,: "" is no part of a prompt
+    a: "a" is no part of a prompt
+    x:1: "x:1" is no part of a prompt
+    +a:1: "+a:1" is no part of a prompt
+    a:-1: "a:-1" is no part of a prompt
+    :1: ":1" is no part of a prompt
+    a:: "a:" is no part of a prompt
+    "#);
+}
