Read each prompt of a crash once when a cause is sought

The search for the part that explains crashes looked up each part in each prompt of its crash, and kept parts of a single crash until the end. Each prompt is now read once, and parts that cannot qualify are dropped first.

--- a/src/fleet/quarantine.rs
+++ b/src/fleet/quarantine.rs
@@ -297,16 +297,18 @@
         for crash in self.unexplained() {
             for part in crash.parts().into_iter().filter(|p| !self.is_cleared(*p)) {
                 let empty = || Suspect { part, crashes: 0, prompts: Vec::new(), depth: 0 };
-                let suspect = suspects.entry_or(part, empty);
-                suspect.crashes += 1;
-                for prompt in &crash.prompts {
-                    if let Some(depth) = prompt.parts.iter().position(|p| *p == part) {
+                suspects.entry_or(part, empty).crashes += 1;
+            }
+            for prompt in &crash.prompts {
+                for (depth, part) in prompt.parts.iter().enumerate() {
+                    if let Some(suspect) = suspects.get_mut(part) {
                         suspect.prompts.push(prompt.key);
                         suspect.depth = suspect.depth.max(depth);
                     }
                 }
             }
         }
+        suspects.retain(|_, suspect| suspect.crashes >= MIN_CRASHES);
         for (_, suspect) in suspects.iter_mut() {
             suspect.prompts.sort_unstable();
             suspect.prompts.dedup();
