Test trials of quarantined parts with real processes

The trials were tested in simulated time only. Two process tests now wait for the first one, 30 s after the last crash. While endpoints still crash, exactly one request of six through three entries is sent, once. After the endpoints can answer the part again, the trial is answered in full and requests with the part are served at every entry.

--- a/tests/fleet_crashing_part.rs
+++ b/tests/fleet_crashing_part.rs
@@ -21,6 +21,8 @@
 const RESTART_TIME: Duration = Duration::from_millis(900);
 /// Time within which every host knows what the control hosts have committed.
 const IN_FORCE_TIME: Duration = Duration::from_millis(2_500);
+/// Time after which the first trial is due, and two seconds more.
+const TRIAL_TIME: Duration = Duration::from_secs(32);
 /// Time after the fifth crash within which hosts have to know of the part.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Part that all requests share, and parts that crash endpoints.
@@ -166,6 +168,45 @@
     });
 }
 
+/// Guards against several requests that are sent when the trial of a part is due, through several
+/// entries or again after the endpoint has crashed.
+#[test]
+fn due_trial_sends_one_request() {
+    run(async {
+        let mut scene = Scene::start(&BAD_PARTS[..1]).await;
+        scene.play(6).await;
+        scene.assert_few_runs(MAX_RUNS);
+        let before = scene.runs("bad1_");
+        scene.wait(TRIAL_TIME).await;
+        scene.play(6).await;
+        assert_eq!(scene.runs("bad1_"), before + 1, "{}", scene.world.logs());
+    });
+}
+
+/// Guards against a part that is kept from endpoints for ever after they can answer it again.
+#[test]
+fn answered_trial_releases_part() {
+    run(async {
+        let mut scene = Scene::start(&BAD_PARTS[..1]).await;
+        scene.play(6).await;
+        scene.assert_few_runs(MAX_RUNS);
+        scene.fatal_parts = plain::FatalParts::default();
+        for endpoint in scene.world.endpoints.iter().flatten() {
+            endpoint.set_fatal_parts(scene.fatal_parts.clone());
+        }
+        let entries = scene.entries();
+        assert_eq!(scene.send(entries[0], "early", BAD_PARTS[0]).await, StreamEnd::NotRun);
+        scene.wait(TRIAL_TIME).await;
+        let trial = scene.send(entries[0], "trial", BAD_PARTS[0]).await;
+        scene.wait(IN_FORCE_TIME).await;
+        let mut ends = vec![trial];
+        for entry in entries {
+            ends.push(scene.send(entry, "after", BAD_PARTS[0]).await);
+        }
+        assert_eq!(ends, vec![StreamEnd::Complete; 4], "{}", scene.world.logs());
+    });
+}
+
 /// Guards against entries and control hosts that forget a bad part when they start again, and new
 /// entries that never learn of it.
 #[test]
