Let store hosts near the endpoints carry out runs of items

The leader of the job group read every event of every item by itself, several thousand a second, on a host with 0.3 cores; that left too little for heartbeats, appends and plans.

The leader still decides which item runs at which endpoint. A store host in the failure domain of the endpoint carries the run out and reports its events each 0.1 s. It does so under a lease that its reports renew once the leader has acknowledged them, counted from their sending, so that a paused or cut off host stops before the leader starts the run elsewhere. Lost messages are found by the list of runs in each message and the numbers of updates.

tests/fleet_delegation.rs plays lost messages, paused and restarted hosts in simulated time: five tests pass.

--- a/src/events.rs
+++ b/src/events.rs
@@ -117,9 +117,6 @@
     HOST_LEAVING = 408, Info, "store host is to be emptied";
     /// A configuration document from a control host could not be parsed.
     CONFIG_UNREADABLE = 409, Error, "configuration not readable";
-    /// A configuration could not be encoded for another host, or one that a control host sent could
-    /// not be decoded; the host asks for it whole.
-    CONFIG_UNDECODABLE = 410, Warning, "configuration not decodable";
     /// Requests with a part in their prompts are no longer sent, since endpoints crash when they answer
     /// them; or such a part had a further crash or a trial.
     PART_QUARANTINED = 410, Warning, "part of prompts quarantined";
@@ -131,6 +128,9 @@
     PARTS_ANSWERED = 413, Info, "suspected parts of prompts answered";
     /// A report of crashes or answered parts was not committed; it is repeated.
     CRASHES_UNREPORTED = 414, Warning, "report of crashes not confirmed";
+    /// A configuration could not be encoded for another host, or one that a control host sent could
+    /// not be decoded; the host asks for it whole.
+    CONFIG_UNDECODABLE = 415, Warning, "configuration not decodable";
     /// A job was accepted.
     JOB_ACCEPTED = 500, Info, "job accepted";
     /// A job was cancelled.
@@ -157,6 +157,12 @@
     ITEM_STARTED_OVER = 511, Info, "item starts over at another build";
     /// An item waits, since a part of its prompt is quarantined.
     ITEM_HELD = 512, Info, "item held for a quarantined part";
+    /// A store host begins a run of an item that the leader of the job group has ordered.
+    RUN_ACCEPTED = 515, Debug, "run accepted";
+    /// A store host has stopped runs of items, as the leader of the job group did not renew its lease.
+    RUN_LEASE_ENDED = 516, Info, "lease for runs ended";
+    /// A store host that carries out runs of items is silent; the runs are interrupted.
+    RUN_HOST_SILENT = 517, Info, "host with runs is silent";
     /// An endpoint announced itself.
     ENDPOINT_JOINED = 600, Info, "endpoint joined";
     /// An endpoint stopped announcing itself or withdrew.
@@ -218,15 +224,15 @@
     CALLER_LEFT = 708, Info, "caller left";
     /// A caller came back and takes up a stream again, which goes on at the build that began it.
     STREAM_TAKEN_UP = 709, Info, "stream taken up again";
-    /// Every endpoint that can continue a stream is full, and the stream waits for a slot.
-    STREAM_WAITING = 712, Info, "stream waits for a slot";
-    /// The connection of a caller was closed in the middle of an answer, as no endpoint can go on.
-    ANSWER_BROKEN_OFF = 713, Info, "answer broken off";
     /// A request was not sent to an endpoint, or not to a further one, since a part of its prompt is
     /// quarantined.
     REQUEST_HELD = 710, Info, "request held for a quarantined part";
     /// The list of a prompt's parts is malformed and is not looked at.
     PROMPT_UNREADABLE = 711, Info, "list of prompt parts not readable";
+    /// Every endpoint that can continue a stream is full, and the stream waits for a slot.
+    STREAM_WAITING = 712, Info, "stream waits for a slot";
+    /// The connection of a caller was closed in the middle of an answer, as no endpoint can go on.
+    ANSWER_BROKEN_OFF = 713, Info, "answer broken off";
 }
 
 /// Most lines of one event that a process writes in one second. Further lines are counted and left
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -8,7 +8,9 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::fleet::delegation;
 use crate::fleet::directory;
+use crate::fleet::frame;
 use crate::fleet::groups;
 use crate::fleet::ledger;
 use crate::fleet::node;
@@ -20,10 +22,13 @@
 use crate::fleet::quarantine;
 use crate::fleet::runner;
 use crate::fleet::runner::RunEnd;
+use crate::fleet::settings;
+use crate::fleet::slots;
 use crate::fleet::store;
 use crate::sorted;
 use crate::supervisor;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task;
@@ -60,12 +65,16 @@
         endpoint: Arc<str>,
         number: u64,
         since: time::Instant,
-        task: task::AbortHandle,
+        run: RunHandle,
         /// Whether the endpoint has been silent for long, so that another one may take over.
         silent: bool,
     },
     /// Waits until it may run again.
-    BackingOff { until: time::Instant },
+    BackingOff {
+        until: time::Instant,
+        /// Number of the run that was stopped. Its last events may still arrive.
+        stopped: Option<u64>,
+    },
     /// Its output is complete. Earlier output is being stored before the rest can be committed.
     Finished,
     /// Its outcome is being committed.
@@ -75,6 +84,27 @@
     Discarded,
 }
 
+/// Numbers of runs on other hosts that are to stop.
+type Stops = Arc<Mutex<Vec<u64>>>;
+
+/// Run of an item.
+enum RunHandle {
+    /// On this host. The task holds the guard of the request.
+    Local(task::AbortHandle),
+    /// On another host.
+    Delegated { number: u64, stops: Stops, _guard: slots::RequestGuard },
+}
+
+impl RunHandle {
+    /// Stops the run unless it has ended.
+    fn stop(&self) {
+        match self {
+            RunHandle::Local(task) => task.abort(),
+            RunHandle::Delegated { number, stops, .. } => peer::lock(stops).push(*number),
+        }
+    }
+}
+
 /// Item that this leader has started or is abandoning.
 struct TrackedItem {
     state: ItemState,
@@ -135,6 +165,11 @@
     /// Number of the last run that was started.
     last_run: u64,
     run_time_estimate: plan::RunTimeEstimate,
+    /// Runs on other hosts.
+    delegator: delegation::Delegator,
+    stops: Stops,
+    /// Whether items wait or run.
+    has_items: bool,
     /// Number of the last change of leadership. Messages from earlier epochs are ignored, since
     /// they do not match the progress that was read from the ledger afterwards.
     epoch: u64,
@@ -171,6 +206,7 @@
     const MAX_QUEUED_MESSAGES: usize = 1_024;
     let mut is_leader = shared.is_leader.subscribe();
     let mut ticks = node.timer.subscribe(PLAN_INTERVAL);
+    let mut run_reports = node.run_mailboxes.reports.open();
     let (messages, mut inbox) = mpsc::channel(MAX_QUEUED_MESSAGES);
     let (reports, mut report_inbox) = mpsc::channel(MAX_QUEUED_MESSAGES);
     let mut dispatcher = Dispatcher {
@@ -182,6 +218,9 @@
         reports,
         last_run: 0,
         run_time_estimate: plan::RunTimeEstimate::default(),
+        delegator: delegation::Delegator::default(),
+        stops: Stops::default(),
+        has_items: false,
         epoch: 0,
         confirmation: None,
         ledger_complete: false,
@@ -206,11 +245,15 @@
             _ = ticks.next() => {
                 if dispatcher.ledger_complete {
                     dispatcher.plan_if_due();
+                    dispatcher.send_orders();
                     dispatcher.store_output();
                 }
             }
             Some(message) = inbox.recv() => dispatcher.handle_message(message),
             Some(report) = report_inbox.recv() => dispatcher.handle_report(report),
+            Some((from, reports)) = run_reports.recv() => {
+                dispatcher.handle_run_reports(&from, reports);
+            }
         }
     }
 }
@@ -238,7 +281,9 @@
     /// long.
     fn pinned_build(&self, now: time::Instant) -> Option<Arc<str>> {
         let waits = match self.state {
-            ItemState::BackingOff { until } => now.saturating_duration_since(until) < BUILD_WAIT,
+            ItemState::BackingOff { until, .. } => {
+                now.saturating_duration_since(until) < BUILD_WAIT
+            }
             // A silent endpoint may still go on.
             ItemState::Running { .. } => true,
             ItemState::Discarded | ItemState::Finished | ItemState::Committing => false,
@@ -249,8 +294,8 @@
 
 impl Drop for TrackedItem {
     fn drop(&mut self) {
-        if let ItemState::Running { task, .. } = &self.state {
-            task.abort();
+        if let ItemState::Running { run, .. } = &self.state {
+            run.stop();
         }
     }
 }
@@ -274,6 +319,13 @@
             }));
         }
         self.commits.abort_all();
+        for (host, orders) in self.delegator.end_all(self.node.now()) {
+            self.node.peers.cast(&host, frame::Cast::RunOrders(orders));
+        }
+        let term =
+            delegation::Term { start_time: self.node.view.own().start_time, epoch: self.epoch };
+        self.delegator = delegation::Delegator::new(term);
+        self.stops = Stops::default();
         self.tracked.clear();
         self.first_seen.clear();
         self.storing.clear();
@@ -295,11 +347,15 @@
     /// Handles the report of a run. Ignores it if the item was stopped or started again since.
     fn handle_report(&mut self, report: runner::Report) {
         let Some(tracked) = self.tracked.get_mut(&report.key) else { return };
-        let ItemState::Running { number, silent, .. } = &mut tracked.state else { return };
-        if *number != report.number {
-            return;
+        let is_event = matches!(report.update, runner::RunUpdate::Event(..));
+        match &mut tracked.state {
+            ItemState::Running { number, silent, .. } if *number == report.number => {
+                *silent = report.update == runner::RunUpdate::Silent;
+            }
+            ItemState::BackingOff { stopped, .. }
+                if is_event && *stopped == Some(report.number) => {}
+            _ => return,
         }
-        *silent = report.update == runner::RunUpdate::Silent;
         match report.update {
             // An endpoint that resumes may repeat events that have arrived already.
             runner::RunUpdate::Event(data, id)
@@ -416,8 +472,8 @@
     /// Stops the run of an item whose output is too long, and drops its output.
     fn discard_output(&mut self, key: ItemKey) {
         let Some(tracked) = self.tracked.get_mut(&key) else { return };
-        let ItemState::Running { endpoint, task, .. } = &tracked.state else { return };
-        task.abort();
+        let ItemState::Running { endpoint, run, .. } = &tracked.state else { return };
+        run.stop();
         let (endpoint, cause) = (endpoint.clone(), "the output is too long");
         event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0, "request" => &*key.1,
             "endpoint" => &*endpoint, "cause" => cause, "events" => tracked.progress.events);
@@ -441,7 +497,12 @@
     fn back_off(&mut self, key: &ItemKey, pause: Duration) {
         if let Some(tracked) = self.tracked.get_mut(key) {
             tracked.progress.run_time = tracked.run_time(time::Instant::now());
-            tracked.state = ItemState::BackingOff { until: time::Instant::now() + pause };
+            let stopped = match &tracked.state {
+                ItemState::Running { number, .. } => Some(*number),
+                _ => None,
+            };
+            let until = time::Instant::now() + pause;
+            tracked.state = ItemState::BackingOff { until, stopped };
         }
     }
 
@@ -596,7 +657,7 @@
                             continue;
                         }
                     }
-                    Some(ItemState::BackingOff { until }) if *until > now => continue,
+                    Some(ItemState::BackingOff { until, .. }) if *until > now => continue,
                     _ => {}
                 }
                 match service {
@@ -629,7 +690,7 @@
             if !self.tracked.contains(&key) {
                 let generation = ledger.generation(&key.0, &key.1);
                 let progress = Progress::new(&pending.stored, generation);
-                let state = ItemState::BackingOff { until: now };
+                let state = ItemState::BackingOff { until: now, stopped: None };
                 self.tracked.insert(key, TrackedItem { state, progress });
             }
         }
@@ -638,6 +699,9 @@
         let to_remove: Vec<Arc<str>> = self.expired_jobs(&jobs, now);
         self.node.metrics.record_level("items_waiting", waiting.len() as u64);
         self.node.metrics.record_level("items_running", running.len() as u64);
+        let delegated = self.delegator.run_count() as u64;
+        self.node.metrics.record_level("runs_delegated", delegated);
+        self.has_items = !waiting.is_empty() || !running.is_empty();
         let plan = plan::plan(self.endpoint_loads(), &waiting, &running);
         let to_start = plan.start.into_iter().map(|(index, endpoint)| {
             let (id, job, pending) = queue[index];
@@ -713,8 +777,8 @@
     /// that does not run.
     fn leave_silent_run(&mut self, key: &ItemKey, next: &Arc<str>) {
         let state = self.tracked.get(key).map(|t| &t.state);
-        let Some(ItemState::Running { endpoint, task, .. }) = state else { return };
-        task.abort();
+        let Some(ItemState::Running { endpoint, run, .. }) = state else { return };
+        run.stop();
         let endpoint = endpoint.clone();
         self.handle_run_end(
             key.clone(),
@@ -743,14 +807,57 @@
         self.node.metrics.count_preemption();
         event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0,
             "request" => &*key.1, "cause" => "more urgent requests need the slot");
-        if let Some(TrackedItem { state: ItemState::Running { task, .. }, .. }) =
+        if let Some(TrackedItem { state: ItemState::Running { run, .. }, .. }) =
             self.tracked.get(key)
         {
-            task.abort();
+            run.stop();
         }
         self.back_off(key, RETRY_DELAY);
     }
 
+    /// Hosts to which runs may be handed, with their failure domains: the other store hosts except
+    /// those that are being retired.
+    fn run_hosts(&self) -> Vec<(Arc<str>, Arc<str>)> {
+        let retiring = peer::lock(&self.shared.ledger).retiring_hosts().to_vec();
+        let own = self.node.peers.own();
+        self.node.view.directory(|d| {
+            let stores = d.hosts(settings::Role::Store);
+            let others = stores.filter(|h| h.link != *own && !retiring.contains(&h.link));
+            others.map(|h| (h.link.clone(), h.domain.clone())).collect()
+        })
+    }
+
+    /// Sends the hosts that carry out runs what has changed, and interrupts the runs of silent hosts.
+    fn send_orders(&mut self) {
+        for number in std::mem::take(&mut *peer::lock(&self.stops)) {
+            self.delegator.stop(number);
+        }
+        let now = self.node.now();
+        let (interrupted, hosts) = self.delegator.expire(now);
+        for host in hosts {
+            event!(self.node.log, events::RUN_HOST_SILENT; "peer" => &*host,
+                "runs" => interrupted.len());
+        }
+        for report in interrupted {
+            self.handle_report(report);
+        }
+        if !self.has_items && self.delegator.run_count() == 0 {
+            return;
+        }
+        self.delegator.set_hosts(self.run_hosts());
+        for (host, orders) in self.delegator.due_orders(now) {
+            self.node.peers.cast(&host, frame::Cast::RunOrders(orders));
+        }
+    }
+
+    /// Handles a report of a host that carries out runs.
+    fn handle_run_reports(&mut self, from: &Arc<str>, reports: delegation::Reports) {
+        let now = self.node.now();
+        for report in self.delegator.record_reports(now, from, reports) {
+            self.handle_report(report);
+        }
+    }
+
     /// Endpoints with their load, as input of a plan.
     fn endpoint_loads(&self) -> Vec<plan::EndpointLoad> {
         let now = self.node.now();
@@ -781,10 +888,12 @@
         serving
     }
 
-    /// Starts a run of an item at an endpoint.
+    /// Starts a run of an item at an endpoint, on a host in the failure domain of the endpoint if one
+    /// is in contact.
     fn start_item(&mut self, queued: &QueuedItem, endpoint: &directory::Endpoint) {
-        let directory::Endpoint { id: endpoint, service, start_time, address, build, .. } =
-            endpoint;
+        let directory::Endpoint {
+            id: endpoint, service, start_time, address, build, domain, ..
+        } = endpoint;
         let (endpoint, start_time, address) = (endpoint.clone(), *start_time, *address);
         let QueuedItem { key, item, host, progress } = queued;
         let key = key.clone();
@@ -795,8 +904,10 @@
             event!(self.node.log, events::ITEM_STARTED_OVER; "job" => &*key.0,
                 "request" => &*key.1, "began_at" => began_at.as_deref(), "build" => &**build);
         }
+        let run_host = self.delegator.choose(self.node.now(), domain);
         event!(self.node.log, events::ITEM_STARTED; "job" => &*key.0, "request" => &*key.1,
-            "endpoint" => &*endpoint, "build" => &**build, "after_event" => progress.last_event);
+            "endpoint" => &*endpoint, "build" => &**build, "after_event" => progress.last_event,
+            "run_host" => run_host.as_deref());
         let names = self.node.view.protocol().headers();
         let request = match runner::request(names, item, host, &endpoint, progress.last_event) {
             Ok(request) => request,
@@ -807,30 +918,45 @@
             }
         };
         self.last_run += 1;
-        let run = runner::Run {
-            key: key.clone(),
-            number: self.last_run,
-            last_event: progress.last_event,
-            endpoint: endpoint.clone(),
-            start_time,
-            address,
-            prompt: self.node.item_prompt(item),
-            request,
-        };
         self.trials.remove(&key);
-        let (node, reports) = (self.node.clone(), self.reports.clone());
+        let (number, last_event) = (self.last_run, progress.last_event);
         let guard = self.node.count_request(service, &endpoint);
-        let run = tokio::spawn(async move {
-            run.run(node, reports).await;
-            drop(guard);
-        });
-        let state = ItemState::Running {
-            endpoint,
-            number: self.last_run,
-            since: time::Instant::now(),
-            task: run.abort_handle(),
-            silent: false,
+        let run = match run_host {
+            Some(run_host) => {
+                let order = delegation::Order {
+                    number,
+                    key: key.clone(),
+                    item: item.clone(),
+                    host: host.clone(),
+                    endpoint: endpoint.clone(),
+                    start_time,
+                    address,
+                    last_event,
+                };
+                self.delegator.start(&run_host, order);
+                RunHandle::Delegated { number, stops: self.stops.clone(), _guard: guard }
+            }
+            None => {
+                let run = runner::Run {
+                    key: key.clone(),
+                    number,
+                    last_event,
+                    endpoint: endpoint.clone(),
+                    start_time,
+                    address,
+                    prompt: self.node.item_prompt(item),
+                    request,
+                };
+                let (node, reports) = (self.node.clone(), self.reports.clone());
+                let task = tokio::spawn(async move {
+                    run.run(node, reports).await;
+                    drop(guard);
+                });
+                RunHandle::Local(task.abort_handle())
+            }
         };
+        let since = time::Instant::now();
+        let state = ItemState::Running { endpoint, number, since, run, silent: false };
         self.tracked.insert(key, TrackedItem { state, progress });
     }
 }
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -152,7 +152,9 @@
         frame::Cast::Replica(_)
         | frame::Cast::Announce(_)
         | frame::Cast::FetchConfig(_)
-        | frame::Cast::Origins(_) => {}
+        | frame::Cast::Origins(_)
+        | frame::Cast::RunOrders(_)
+        | frame::Cast::RunReports(_) => {}
     }
 }
 
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -1,6 +1,7 @@
 //! Frames that hosts exchange over their links.
 
 use crate::fleet::control_state;
+use crate::fleet::delegation;
 use crate::fleet::directory;
 use crate::fleet::load;
 use crate::fleet::origin;
@@ -85,6 +86,10 @@
     Config(EncodedConfig),
     /// An entry sends a control host the origins of streams.
     Origins(Vec<origin::Record>),
+    /// The leader of the job group orders runs of items.
+    RunOrders(delegation::Orders),
+    /// A store host reports to the leader of the job group how the runs go that it carries out.
+    RunReports(delegation::Reports),
 }
 
 impl Cast {
@@ -108,6 +113,8 @@
             Cast::FetchConfig(_) => "fetch_config",
             Cast::Config(_) => "configuration",
             Cast::Origins(_) => "origins",
+            Cast::RunOrders(_) => "run_orders",
+            Cast::RunReports(_) => "run_reports",
         }
     }
 }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -11,6 +11,7 @@
 use crate::fleet::peer;
 use crate::fleet::place;
 use crate::fleet::protocol;
+use crate::fleet::run_host;
 use crate::fleet::settings;
 use crate::fleet::slots;
 use crate::fleet::sync;
@@ -77,6 +78,8 @@
     pub suspects: Arc<Mutex<crashes::Suspects>>,
     /// Requests that wait for slots.
     pub slots: slots::Slots,
+    /// Messages about runs of items that one host carries out for another.
+    pub run_mailboxes: Arc<run_host::Mailboxes>,
     /// Handle of the replica on this host, while it runs.
     pub local_replica: groups::local::SharedHandle,
     /// Counters and histograms.
@@ -135,6 +138,7 @@
             health: Arc::default(),
             suspects: Arc::default(),
             slots: slots::Slots::default(),
+            run_mailboxes: Arc::default(),
             local_replica,
             metrics,
             timer: timer::Timer::start(),
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -14,6 +14,8 @@
 use hyper::StatusCode;
 use hyper::header;
 use hyper::header::HeaderValue;
+use serde::Deserialize;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,7 +32,7 @@
 const MAX_RUN_TIME: Duration = Duration::from_secs(120);
 
 /// How the run of an item ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunEnd {
     /// Its output is complete.
     Done,
@@ -48,7 +50,7 @@
 }
 
 /// Progress of a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunUpdate {
     /// An event arrived, with this data and number.
     Event(Vec<u8>, Option<u64>),
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -9,6 +9,7 @@
 use crate::fleet::member;
 use crate::fleet::node;
 use crate::fleet::peer;
+use crate::fleet::run_host;
 use crate::replica;
 use crate::state::service;
 use crate::supervisor;
@@ -135,6 +136,8 @@
     let is_leader = shared.is_leader.subscribe();
     let (n, s) = (node.clone(), shared);
     tree.spawn("items", move |stop| dispatch::run(n.clone(), s.clone(), stop));
+    let n = node.clone();
+    tree.spawn("runs", move |stop| run_host::run(n.clone(), stop));
     node.spawn_other_load_reports(tree, is_leader);
     Ok(tree.stop_signal())
 }
@@ -148,6 +151,12 @@
     fn cast(&self, from: &Arc<str>, message: frame::Cast) {
         match message {
             frame::Cast::Replica(envelope) => member::deliver(&self.node, envelope),
+            frame::Cast::RunOrders(orders) => {
+                self.node.run_mailboxes.orders.deliver(from, orders);
+            }
+            frame::Cast::RunReports(reports) => {
+                self.node.run_mailboxes.reports.deliver(from, reports);
+            }
             message => entry::handle_cast(&self.node, from, message),
         }
     }
--- /dev/null
+++ b/tests/fleet_delegation.rs
@@ -0,0 +1,377 @@
+//! Runs of items that a leader hands to other hosts, over links that lose and delay messages, with
+//! hosts that are paused and restarted. In simulated time.
+
+use basilfield::fleet::delegation;
+use basilfield::fleet::ledger;
+use basilfield::fleet::progress;
+use basilfield::fleet::runner;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const STEP: Duration = Duration::from_millis(5);
+/// Interval at which the leader sends its orders.
+const PLAN_INTERVAL: Duration = Duration::from_millis(25);
+const DOMAINS: usize = 3;
+/// Items that run at the same time.
+const ITEMS: u64 = 60;
+const ITEM_EVENTS: u64 = 200;
+const LINK_DELAY: Duration = Duration::from_millis(1);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Faults {
+    /// Share of the messages that are lost.
+    loss: f64,
+    /// Chance in each step that a host is paused for up to four seconds.
+    pause: f64,
+    /// Chance in each step that a host is restarted.
+    restart: f64,
+}
+
+enum Message {
+    Orders(delegation::Orders),
+    Reports(delegation::Reports),
+}
+
+struct Carrier {
+    delegate: delegation::Delegate,
+    /// Runs with their next event.
+    runs: BTreeMap<delegation::RunKey, (progress::ItemKey, u64)>,
+    paused_until: Duration,
+    inbox: Vec<(Duration, Message)>,
+}
+
+impl Carrier {
+    fn new() -> Carrier {
+        Carrier {
+            delegate: delegation::Delegate::default(),
+            runs: BTreeMap::new(),
+            paused_until: Duration::ZERO,
+            inbox: Vec::new(),
+        }
+    }
+}
+
+/// Item at the leader: events that have arrived, and its run.
+#[derive(Default)]
+struct Item {
+    events: Vec<u64>,
+    run: Option<u64>,
+    finished: bool,
+}
+
+struct Fleet {
+    delegator: delegation::Delegator,
+    inbox: Vec<(Duration, Arc<str>, Message)>,
+    carriers: Vec<(Arc<str>, Carrier)>,
+    items: BTreeMap<progress::ItemKey, Item>,
+    now: Duration,
+    rng: ChaCha8Rng,
+    faults: Faults,
+    last_run: u64,
+    /// Messages and events that the leader has handled.
+    messages: usize,
+    events: usize,
+    finished: usize,
+    interrupted: usize,
+}
+
+fn leader() -> Arc<str> {
+    "leader".into()
+}
+
+fn domain(at: usize) -> Arc<str> {
+    format!("domain-{}", at % DOMAINS).into()
+}
+
+fn item(id: &str) -> Arc<ledger::Item> {
+    let body = Default::default();
+    Arc::new(ledger::Item { id: id.into(), path: "/".into(), headers: vec![], body, tokens: 1 })
+}
+
+impl Fleet {
+    fn new(hosts: usize, seed: u64, faults: Faults) -> Fleet {
+        let carrier = |n| (Arc::from(format!("host-{n}")), Carrier::new());
+        let mut fleet = Fleet {
+            delegator: delegation::Delegator::new(delegation::Term { start_time: 1, epoch: 1 }),
+            inbox: Vec::new(),
+            carriers: (0..hosts).map(carrier).collect(),
+            items: BTreeMap::new(),
+            now: Duration::from_secs(1),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            faults,
+            last_run: 0,
+            messages: 0,
+            events: 0,
+            finished: 0,
+            interrupted: 0,
+        };
+        let hosts = fleet.carriers.iter().enumerate();
+        let hosts = hosts.map(|(n, (link, _))| (link.clone(), domain(n))).collect();
+        fleet.delegator.set_hosts(hosts);
+        for n in 0..ITEMS {
+            fleet.items.insert(("job".into(), format!("item-{n}").into()), Item::default());
+        }
+        fleet
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.rng.random_bool(self.faults.loss)
+    }
+
+    /// Starts every item that has no run, if a host is in contact.
+    fn start_items(&mut self) {
+        let idle = self.items.iter().filter(|(_, i)| i.run.is_none() && !i.finished);
+        let idle: Vec<(progress::ItemKey, u64)> =
+            idle.map(|(key, item)| (key.clone(), item.events.len() as u64)).collect();
+        for (at, (key, events)) in idle.into_iter().enumerate() {
+            let Some(host) = self.delegator.choose(self.now, &domain(at)) else { continue };
+            self.last_run += 1;
+            let order = delegation::Order {
+                number: self.last_run,
+                key: key.clone(),
+                item: item(&key.1),
+                host: "jobs.example".into(),
+                endpoint: "endpoint".into(),
+                start_time: 0,
+                address: ([127, 0, 0, 1], 1).into(),
+                last_event: events.checked_sub(1),
+            };
+            self.delegator.start(&host, order);
+            self.items.get_mut(&key).expect("known").run = Some(self.last_run);
+        }
+    }
+
+    fn handle_reports(&mut self, reports: Vec<runner::Report>) {
+        for report in reports {
+            let item = self.items.get_mut(&report.key).expect("known");
+            if item.run != Some(report.number) {
+                continue;
+            }
+            match report.update {
+                runner::RunUpdate::Event(_, Some(id)) => {
+                    self.events += 1;
+                    item.events.push(id);
+                }
+                runner::RunUpdate::Ended(runner::RunEnd::Done) => {
+                    item.finished = true;
+                    item.run = None;
+                    self.finished += 1;
+                }
+                runner::RunUpdate::Ended(_) => {
+                    item.run = None;
+                    self.interrupted += 1;
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+
+    fn step_leader(&mut self) {
+        let now = self.now;
+        let arrived: Vec<_> = self.inbox.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, from, message) in arrived {
+            let Message::Reports(reports) = message else { continue };
+            self.messages += 1;
+            let reports = self.delegator.record_reports(now, &from, reports);
+            self.handle_reports(reports);
+        }
+        if now.as_millis() % PLAN_INTERVAL.as_millis() != 0 {
+            return;
+        }
+        let (interrupted, _) = self.delegator.expire(now);
+        self.handle_reports(interrupted);
+        self.start_items();
+        for (host, orders) in self.delegator.due_orders(now) {
+            if !self.is_lost() {
+                let carrier = self.carriers.iter_mut().find(|(link, _)| *link == host);
+                let inbox = &mut carrier.expect("known").1.inbox;
+                inbox.push((now + LINK_DELAY, Message::Orders(orders)));
+            }
+        }
+    }
+
+    fn step_carrier(&mut self, at: usize) {
+        let now = self.now;
+        let (pause, restart) = (self.faults.pause, self.faults.restart);
+        if self.rng.random_bool(pause) {
+            let length = Duration::from_millis(self.rng.random_range(100..4_000));
+            self.carriers[at].1.paused_until = now + length;
+        }
+        let restarts = self.rng.random_bool(restart);
+        let (link, carrier) = &mut self.carriers[at];
+        if restarts {
+            *carrier = Carrier::new();
+        }
+        if carrier.paused_until > now {
+            return;
+        }
+        let arrived: Vec<_> = carrier.inbox.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, message) in arrived {
+            let Message::Orders(orders) = message else { continue };
+            let session = self.rng.random();
+            let changes = carrier.delegate.record_orders(now, &leader(), orders, session);
+            for run in changes.stop {
+                carrier.runs.remove(&run);
+            }
+            for order in changes.start {
+                let next = order.last_event.map_or(0, |last| last + 1);
+                carrier.runs.insert((leader(), order.number), (order.key, next));
+            }
+        }
+        for run in carrier.delegate.expire(now) {
+            carrier.runs.remove(&run);
+        }
+        // Each run writes one event in each step.
+        carrier.runs.retain(|run, (_, next)| {
+            let done = *next >= ITEM_EVENTS;
+            let update = match done {
+                true => runner::RunUpdate::Ended(runner::RunEnd::Done),
+                false => runner::RunUpdate::Event(vec![b'x'; 20], Some(*next)),
+            };
+            carrier.delegate.record_update(now, run, update);
+            *next += 1;
+            !done
+        });
+        let (link, due) = (link.clone(), carrier.delegate.due_reports(now));
+        for (_, reports) in due {
+            if !self.is_lost() {
+                let message = Message::Reports(reports);
+                self.inbox.push((now + LINK_DELAY, link.clone(), message));
+            }
+        }
+    }
+
+    /// Items that two hosts run at this moment. A host that is paused runs nothing.
+    fn doubled(&self) -> Vec<progress::ItemKey> {
+        let awake = self.carriers.iter().filter(|(_, c)| c.paused_until <= self.now);
+        let mut running: Vec<_> =
+            awake.flat_map(|(_, c)| c.runs.values().map(|(key, _)| key.clone())).collect();
+        running.sort();
+        let doubled = running.chunk_by(|a, b| a == b).filter(|c| c.len() > 1);
+        doubled.map(|c| c[0].clone()).collect()
+    }
+
+    /// Plays for at most `time`, or until every item is finished. Returns the longest time for which
+    /// an item ran at two hosts.
+    fn play(&mut self, time: Duration) -> Duration {
+        let end = self.now + time;
+        let (mut since, mut longest) = (BTreeMap::new(), Duration::ZERO);
+        while self.now < end && self.finished < self.items.len() {
+            self.now += STEP;
+            for at in 0..self.carriers.len() {
+                self.step_carrier(at);
+            }
+            self.step_leader();
+            let doubled = self.doubled();
+            since.retain(|key, _| doubled.contains(key));
+            for key in doubled {
+                let since = *since.entry(key).or_insert(self.now);
+                longest = longest.max(self.now - since);
+            }
+        }
+        longest
+    }
+
+    fn assert_complete(&self) {
+        for (key, item) in &self.items {
+            let expected: Vec<u64> = (0..ITEM_EVENTS).collect();
+            assert_eq!((item.finished, &item.events), (true, &expected), "{key:?}");
+        }
+    }
+}
+
+#[test]
+fn the_leader_handles_few_messages_for_many_events() {
+    let mut fleet = Fleet::new(6, 1, Faults::default());
+    fleet.play(Duration::from_secs(20));
+    fleet.assert_complete();
+    // One report of a host in a tenth of a second, whatever the number of its runs.
+    let seconds = fleet.now.as_secs_f64();
+    assert!(fleet.messages as f64 <= seconds * 6.0 * 12.0, "{} messages", fleet.messages);
+    assert_eq!((fleet.events, fleet.interrupted), ((ITEMS * ITEM_EVENTS) as usize, 0));
+}
+
+#[test]
+fn lost_messages_neither_lose_nor_repeat_output() {
+    for seed in 0..20 {
+        let faults = Faults { loss: 0.05, ..Faults::default() };
+        let mut fleet = Fleet::new(6, seed, faults);
+        fleet.play(Duration::from_secs(60));
+        fleet.assert_complete();
+    }
+}
+
+#[test]
+fn paused_hosts_stop_before_others_run_the_items() {
+    for seed in 0..20 {
+        let faults = Faults { loss: 0.01, pause: 0.001, restart: 0.000_5 };
+        let mut fleet = Fleet::new(9, seed, faults);
+        let doubled = fleet.play(Duration::from_secs(120));
+        fleet.assert_complete();
+        // A host that wakes reads the messages that have waited before it ends its leases.
+        assert!(doubled <= STEP, "seed {seed}: two hosts ran an item for {doubled:?}");
+    }
+}
+
+#[test]
+fn a_silent_host_gets_no_further_runs() {
+    let mut fleet = Fleet::new(3, 1, Faults::default());
+    fleet.play(Duration::from_millis(300));
+    let silent = fleet.carriers[0].0.clone();
+    fleet.carriers[0].1.paused_until = Duration::from_secs(1_000);
+    fleet.play(Duration::from_millis(1_000));
+    assert_eq!(fleet.delegator.choose(fleet.now, &domain(0)), None);
+    // Its lease still runs, so its items are not started elsewhere yet.
+    assert_eq!(fleet.interrupted, 0);
+    fleet.play(Duration::from_millis(900));
+    assert_eq!(fleet.interrupted, fleet.carriers[0].1.runs.len());
+    assert!(fleet.interrupted > 0, "{silent} carried out no run");
+}
+
+#[test]
+fn a_stopped_run_hands_over_its_last_events() {
+    let term = delegation::Term { start_time: 1, epoch: 1 };
+    let mut delegator = delegation::Delegator::new(term);
+    let mut delegate = delegation::Delegate::default();
+    let (host, mut now): (Arc<str>, _) = ("host".into(), Duration::from_secs(1));
+    delegator.set_hosts(vec![(host.clone(), domain(0))]);
+    let mut exchange = |delegator: &mut delegation::Delegator,
+                        delegate: &mut delegation::Delegate| {
+        now += Duration::from_millis(250);
+        let mut news = Vec::new();
+        for _ in 0..2 {
+            for (_, orders) in delegator.due_orders(now) {
+                delegate.record_orders(now, &leader(), orders, 1);
+            }
+            for (_, reports) in delegate.due_reports(now) {
+                news.extend(delegator.record_reports(now, &host, reports));
+            }
+        }
+        (now, news)
+    };
+    exchange(&mut delegator, &mut delegate);
+    let key: progress::ItemKey = ("job".into(), "item".into());
+    let order = delegation::Order {
+        number: 7,
+        key,
+        item: item("item"),
+        host: "jobs.example".into(),
+        endpoint: "endpoint".into(),
+        start_time: 0,
+        address: ([127, 0, 0, 1], 1).into(),
+        last_event: None,
+    };
+    delegator.start(&host.clone(), order);
+    let (now, _) = exchange(&mut delegator, &mut delegate);
+    let event = runner::RunUpdate::Event(b"last".to_vec(), Some(0));
+    delegate.record_update(now, &(leader(), 7), event.clone());
+    delegator.stop(7);
+    let (_, news) = exchange(&mut delegator, &mut delegate);
+    let updates: Vec<_> = news.into_iter().map(|n| (n.number, n.update)).collect();
+    assert_eq!(updates, [(7, event)]);
+    assert_eq!(delegator.run_count(), 0);
+}
--- a/tests/fleet_groups.rs
+++ b/tests/fleet_groups.rs
@@ -11,6 +11,7 @@
 use basilfield::fleet::peer;
 use basilfield::fleet::settings;
 use basilfield::fleet::view;
+use basilfield::metrics;
 use basilfield::state::group;
 use basilfield::wire;
 use futures_util::FutureExt as _;
@@ -111,7 +112,7 @@
             links.push(Arc::<str>::from(listener.local_addr().expect("address").to_string()));
             let (leader, commands) = (Mutex::new("".into()), Mutex::default());
             let host = Arc::new(Host { leader, leads: at == 1, commands });
-            tokio::spawn(peer::serve(listener, host.clone(), discard()));
+            tokio::spawn(peer::serve(listener, host.clone(), metrics::Metrics::new(), discard()));
             hosts.push(host);
         }
         for host in &hosts {
@@ -120,7 +121,7 @@
         let view = view("10.0.0.1:7700");
         let members = links.iter().cloned().zip(1..);
         view.apply_placement(control_state::Placement::new(members));
-        let peers = peer::Peers::new("10.0.0.1:7700".into(), &discard());
+        let peers = peer::Peers::new("10.0.0.1:7700".into(), &metrics::Metrics::new(), &discard());
         let client = groups::Client::new(peers, view, None, &discard());
         let done = client.propose(groups::JOBS, &vec![7_u8; 100_000], LIMIT).await;
         assert!(done.is_ok(), "{done:?}");
@@ -170,7 +171,7 @@
     });
     let runtime = tokio::runtime::Runtime::new().expect("runtime");
     runtime.block_on(async {
-        let peers = peer::Peers::new(own.clone(), &discard());
+        let peers = peer::Peers::new(own.clone(), &metrics::Metrics::new(), &discard());
         let local = Some((groups::JOBS, Arc::new(Mutex::new(Some(handle)))));
         let client = groups::Client::new(peers, view(&own), local, &discard());
         let done = client.propose(groups::JOBS, &vec![7_u8; 100], LIMIT).await;
