--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -194,7 +194,7 @@
         insta::assert_snapshot!(
             event_texts(&explanation).iter().filter_map(|s| s.split_once(" ")).map(|s| s.0)
                 .collect::<Vec<_>>().join(" "),
-            @"attempt stream"
+            @"attempt stream answer"
         );
         assert!(explanation.contains("endpoint avoided"), "{explanation}");
         for at in 0..2 {
