Describe the compression level without a note on its choice

The comment of the constant said how the level compares with others. A constant carries its name and its unit; figures of a comparison belong into a commit message or a page with measured values.

--- a/src/fleet/documents.rs
+++ b/src/fleet/documents.rs
@@ -18,7 +18,7 @@
 const MAX_DOCUMENTS: usize = 32;
 /// Most bytes of the documents that are kept besides the newest one.
 const MAX_KEPT_BYTES: usize = 16 << 20;
-/// Compression level. Higher ones take several times as long for a few bytes less.
+/// Compression level of zstd.
 const LEVEL: zstd_safe::CompressionLevel = 1;
 /// Base-2 logarithm of the smallest window. The compressor allows no window below 1 KiB.
 const MIN_WINDOW_LOG: u32 = 10;
