Ask endpoints that declined last when one is silent

A stream whose endpoint had fallen silent was not continued, although an endpoint was free: the entry asked one that declined again and again. An endpoint that declines is not counted as tried, so that it can be asked later, and the choice prefers the failure domain of the entry; while the directory shows a free slot there, the same endpoint was chosen each time.

Endpoints that declined during one silence are now asked again only after every other one with a free slot.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -346,6 +346,19 @@
         place::choose(self.candidates(), &self.tried, rand::random())
     }
 
+    /// Chooses the endpoint to ask while another one is silent. Those in `declined` are asked again
+    /// only once no other has a free slot.
+    fn choose_replacement(&self, declined: &mut Vec<Arc<str>>) -> place::Choice {
+        let excluded: Vec<Arc<str>> = self.tried.iter().chain(&*declined).cloned().collect();
+        match place::choose(self.candidates(), &excluded, rand::random()) {
+            place::Choice::Send(endpoint) => place::Choice::Send(endpoint),
+            place::Choice::Wait(_) | place::Choice::None => {
+                declined.clear();
+                self.choose_endpoint()
+            }
+        }
+    }
+
     /// Chooses the endpoint for the next attempt while none is running. A stream that no untried
     /// endpoint can continue goes back to one that was tried: that one may have lost only the
     /// connection, or a slot may have become free.
@@ -564,6 +577,7 @@
     ) -> Waited<T> {
         let mut answer = std::pin::pin!(answer);
         let (mut pause, mut interval) = (limit, TAKEOVER_INTERVAL);
+        let mut declined = Vec::new();
         loop {
             let pause_now = match self.attempts.may_retry() {
                 true => pause.min(self.time_left()),
@@ -578,7 +592,9 @@
             if self.is_held() {
                 continue;
             }
-            let place::Choice::Send(endpoint) = self.choose_endpoint() else { continue };
+            let place::Choice::Send(endpoint) = self.choose_replacement(&mut declined) else {
+                continue;
+            };
             let name = endpoint.id.clone();
             event!(self.node.log, events::ENDPOINT_SILENT; "request" => &*self.request.id,
                 "endpoint" => &**from, "silent_ms" => limit.as_millis() as u64,
@@ -621,6 +637,7 @@
                     // room later.
                     self.log_retry(&name, outcome, &cause);
                     self.tried.retain(|t| *t != name);
+                    declined.push(name);
                     interval = (interval * 2).min(MAX_TAKEOVER_INTERVAL);
                     pause = interval;
                 }
--- a/tests/fleet_takeover.rs
+++ b/tests/fleet_takeover.rs
@@ -177,6 +177,32 @@
     });
 }
 
+/// Guards against a silent endpoint that is not replaced for long, because those that declined are
+/// asked again before others, which may be free.
+#[test]
+fn endpoints_that_declined_are_asked_last() {
+    fleet_world::run(async {
+        let world = World::start(FIVE_ENDPOINTS).await;
+        let (stream, first) = start_hanging(&world, "in-turn").await;
+        let others = || (0..5).filter(|at| *at != first).map(|at| world.endpoint(at));
+        others().for_each(|e| e.set_faults(declining()));
+        let asked = || {
+            let log = world.logs_of(Role::Entry);
+            let lines = log.lines().filter(|l| l.contains("in-turn"));
+            let asked = lines.filter_map(|l| l.split_once("\"asked\":\"")).map(|(_, rest)| rest);
+            asked.filter_map(|rest| rest.split('"').next()).map(str::to_string).collect::<Vec<_>>()
+        };
+        assert!(fleet_world::wait_until(HANG / 10, || asked().len() >= 4).await, "{:?}", asked());
+        others().for_each(|e| e.set_faults(plain::FaultRates::default()));
+        let mut turn = asked();
+        turn.truncate(4);
+        turn.sort();
+        turn.dedup();
+        assert_eq!(turn.len(), 4, "{:?}", asked());
+        assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
+    });
+}
+
 /// Fills two endpoints whose answers pause for `length` and crashes one of them soon after. Returns
 /// the number of streams that were cut off.
 async fn crash_one_of_two_full(world: &mut World, length: Duration) -> usize {
