--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -190,7 +190,7 @@
         world.crash_endpoint(0);
         world.crash_endpoint(1);
         assert_eq!(task.await.expect("task"), StreamEnd::Disconnected);
-        let explanation = world.explain(id, |text| text.contains("[702]")).await;
+        let explanation = world.explain(id, |text| text.contains("[713]")).await;
         insta::assert_snapshot!(
             event_texts(&explanation).iter().filter_map(|s| s.split_once(" ")).map(|s| s.0)
                 .collect::<Vec<_>>().join(" "),
