--- a/tests/fleet_delegation.rs
+++ b/tests/fleet_delegation.rs
@@ -179,7 +179,7 @@
             let reports = self.delegator.record_reports(now, &from, reports);
             self.handle_reports(reports);
         }
-        if now.as_millis() % PLAN_INTERVAL.as_millis() != 0 {
+        if !now.as_millis().is_multiple_of(PLAN_INTERVAL.as_millis()) {
             return;
         }
         let (interrupted, _) = self.delegator.expire(now);
