Ask the endpoints of a broken stream in turn

A broken stream that every endpoint of its build had declined once chose among all of them anew for each further attempt. The choice prefers the failure domain of the entry, so it could ask the same endpoint again and again while another one became free, until its deadline.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -361,11 +361,12 @@
 
     /// Chooses the endpoint for the next attempt while none is running. A stream that no untried
     /// endpoint can continue goes back to one that was tried: that one may have lost only the
-    /// connection, or a slot may have become free.
-    fn choose_next_endpoint(&self) -> place::Choice {
+    /// connection, or a slot may have become free. All are asked again in turn.
+    fn choose_next_endpoint(&mut self) -> place::Choice {
         match self.choose_endpoint() {
             place::Choice::None | place::Choice::Wait(None) if self.build.is_some() => {
-                place::choose(self.candidates(), &[], rand::random())
+                self.tried.clear();
+                self.choose_endpoint()
             }
             choice => choice,
         }
@@ -384,7 +385,7 @@
     /// Waits for a slot. If none becomes free in time, returns the endpoint `other`, if any. A stream
     /// that goes on at its build waits until `end`.
     async fn wait_for_slot(
-        &self,
+        &mut self,
         other: Option<place::Candidate>,
         end: time::Instant,
     ) -> Option<Slot> {
@@ -409,7 +410,7 @@
     /// Waits until `end` for an endpoint of the stream's build, and sends to a full one rather than
     /// give up: no other endpoint can continue the stream.
     async fn wait_for_build(
-        &self,
+        &mut self,
         mut other: Option<place::Candidate>,
         end: time::Instant,
     ) -> Option<Slot> {
--- a/tests/fleet_takeover.rs
+++ b/tests/fleet_takeover.rs
@@ -205,6 +205,31 @@
     });
 }
 
+/// Guards against a broken stream that asks only the endpoint of its own failure domain again and
+/// again, although others of its build may be free by then.
+#[test]
+fn broken_stream_asks_endpoints_in_turn() {
+    fleet_world::run(async {
+        let mut world = World::start(THREE_ENDPOINTS).await;
+        let (stream, first) = start_hanging(&world, "broken").await;
+        let others: Vec<usize> = (0..3).filter(|at| *at != first).collect();
+        others.iter().for_each(|at| world.endpoint(*at).set_faults(declining()));
+        // The caller has the events before the pause by then.
+        time::sleep(Duration::from_millis(300)).await;
+        world.crash_endpoint(first);
+        let asked = |at: &usize| {
+            let log = world.logs_of(Role::Entry);
+            let endpoint = format!("\"endpoint\":\"{}\"", world.endpoint(*at).id());
+            log.lines().filter(|l| l.contains("attempt sent") && l.contains(&*endpoint)).count()
+        };
+        let least = || others.iter().map(asked).min();
+        let in_turn = fleet_world::wait_until(HANG / 20, || least() >= Some(2)).await;
+        others.iter().for_each(|at| world.endpoint(*at).set_faults(plain::FaultRates::default()));
+        assert!(in_turn, "{}", world.logs());
+        assert_eq!(stream.await.expect("task"), StreamEnd::Complete, "{}", world.logs());
+    });
+}
+
 /// Fills two endpoints whose answers pause for `length` and crashes one of them soon after. Returns
 /// the number of streams that were cut off.
 async fn crash_one_of_two_full(world: &mut World, length: Duration) -> usize {
