Tell the leader of endpoints that say they leave to a run host

Runs of items are carried out by other store hosts now, and an endpoint that is leaving says so in the head of its answer, which only the run host reads. The leader learned of it with the next registration at best, and went on ordering items there through a host that knew better.

A run now reports the statement as an update, which the leader handles as one that it has read itself. A run host starts no run at an endpoint that has said to it that it leaves; it returns the order at once and tells the leader why.

--- a/src/fleet/delegation.rs
+++ b/src/fleet/delegation.rs
@@ -519,7 +519,7 @@
         let Some(run) = assignment.runs.get_mut(&run.1).filter(|r| !r.ended) else { return };
         let bytes = match &update {
             runner::RunUpdate::Event(data, _) => data.len(),
-            runner::RunUpdate::Silent => 0,
+            runner::RunUpdate::Silent | runner::RunUpdate::Leaving(..) => 0,
             runner::RunUpdate::Ended(_) => {
                 run.ended = true;
                 0
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -25,6 +25,7 @@
 use crate::fleet::settings;
 use crate::fleet::slots;
 use crate::fleet::store;
+use crate::fleet::upstream;
 use crate::sorted;
 use crate::supervisor;
 use std::sync::Arc;
@@ -346,6 +347,10 @@
 
     /// Handles the report of a run. Ignores it if the item was stopped or started again since.
     fn handle_report(&mut self, report: runner::Report) {
+        if let runner::RunUpdate::Leaving(endpoint, start_time) = &report.update {
+            let notice = upstream::LeavingNotice::Leaving;
+            return self.node.handle_leaving_notice(endpoint, *start_time, notice, &report.key.1);
+        }
         let Some(tracked) = self.tracked.get_mut(&report.key) else { return };
         let is_event = matches!(report.update, runner::RunUpdate::Event(..));
         match &mut tracked.state {
@@ -366,7 +371,9 @@
                     self.discard_output(report.key);
                 }
             }
-            runner::RunUpdate::Event(..) | runner::RunUpdate::Silent => {}
+            runner::RunUpdate::Event(..)
+            | runner::RunUpdate::Silent
+            | runner::RunUpdate::Leaving(..) => {}
             runner::RunUpdate::Ended(ended) => self.handle_run_end(report.key, ended),
         }
     }
--- a/src/fleet/run_host.rs
+++ b/src/fleet/run_host.rs
@@ -4,6 +4,7 @@
 use crate::event;
 use crate::events;
 use crate::fleet::delegation;
+use crate::fleet::directory;
 use crate::fleet::frame;
 use crate::fleet::node;
 use crate::fleet::peer;
@@ -122,6 +123,20 @@
     }
 
     fn start(&mut self, key: delegation::RunKey, order: delegation::Order) {
+        let is_leaving = |d: &mut directory::Directory| {
+            let known = d.endpoint(&order.endpoint).filter(|e| e.start_time == order.start_time);
+            known.is_some_and(|e| e.phase == directory::Phase::Leaving)
+        };
+        if self.node.view.directory(is_leaving) {
+            // The endpoint said so to this host, and the leader has not heard of it yet.
+            let cause = Arc::from("the endpoint is leaving");
+            let ended = runner::RunEnd::Interrupted { cause, at_fault: false };
+            let leaving = runner::RunUpdate::Leaving(order.endpoint, order.start_time);
+            for update in [leaving, runner::RunUpdate::Ended(ended)] {
+                self.delegate.record_update(self.node.now(), &key, update);
+            }
+            return;
+        }
         let names = self.node.view.protocol().headers();
         let delegation::Order { item, host, endpoint, last_event, .. } = &order;
         let request = match runner::request(names, item, host, endpoint, *last_event) {
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -56,6 +56,9 @@
     Event(Vec<u8>, Option<u64>),
     /// The endpoint has been silent for long. The run goes on.
     Silent,
+    /// The endpoint with this id and start time is leaving, as it said to the host that carries out
+    /// the run.
+    Leaving(Arc<str>, u64),
     /// The run has ended.
     Ended(RunEnd),
 }
@@ -269,6 +272,10 @@
         let status = response.head.status;
         let notice = response.leaving_notice(names, &self.key.1);
         node.handle_leaving_notice(&self.endpoint, self.start_time, notice, &self.key.1);
+        if notice == upstream::LeavingNotice::Leaving {
+            // The leader may be another host, which would send further items there.
+            self.send(RunUpdate::Leaving(self.endpoint.clone(), self.start_time)).await;
+        }
         match response.classify(names, &self.key.1) {
             upstream::ResponseClass::Matching => {}
             upstream::ResponseClass::Declined => return interrupted("declined", false),
