Stop the last runs of items at once

The leader sent its orders only while items waited or ran. When the last item of an ended job was dropped, its run at another store host had to be stopped, but no order went out: the host found out by the end of its lease, up to 1.5 s later, and the endpoint worked on for nobody. Found by reading the code.

Delegator::due_orders now decides: a change always goes out, a beat only to hosts with runs or while items wait or run. the_last_run_is_stopped_at_once checks it; the former condition was in the dispatcher, so the test does not compile against the former code.

--- a/src/fleet/delegation.rs
+++ b/src/fleet/delegation.rs
@@ -259,12 +259,15 @@
         self.hosts.values().map(RunHost::live_runs).sum()
     }
 
-    /// Messages that are due.
-    pub fn due_orders(&mut self, now: Duration) -> Vec<(Arc<str>, Orders)> {
+    /// Messages that are due. Hosts without runs stay in contact only if `has_items` tells that items
+    /// wait or run.
+    pub fn due_orders(&mut self, now: Duration, has_items: bool) -> Vec<(Arc<str>, Orders)> {
         let mut due = Vec::new();
         for (link, host) in self.hosts.iter_mut() {
             let is_beat_due = host.sent.is_none_or(|sent| now >= sent + BEAT_INTERVAL);
-            if !host.changed && !is_beat_due {
+            let is_contact_needed = has_items || !host.runs.is_empty();
+            let is_due = host.changed || is_beat_due && is_contact_needed;
+            if !is_due {
                 continue;
             }
             (host.seq, host.sent, host.changed) = (host.seq + 1, Some(now), false);
@@ -336,7 +339,7 @@
             (host.runs, host.changed) = (sorted::SortedMap::new(), true);
             host.start.clear();
         }
-        self.due_orders(now)
+        self.due_orders(now, false)
     }
 
     /// Interrupts the runs of hosts whose leases have ended. Returns their updates, and the hosts.
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -848,11 +848,10 @@
         for report in interrupted {
             self.handle_report(report);
         }
-        if !self.has_items && self.delegator.run_count() == 0 {
-            return;
+        if self.has_items {
+            self.delegator.set_hosts(self.run_hosts());
         }
-        self.delegator.set_hosts(self.run_hosts());
-        for (host, orders) in self.delegator.due_orders(now) {
+        for (host, orders) in self.delegator.due_orders(now, self.has_items) {
             self.node.peers.cast(&host, frame::Cast::RunOrders(orders));
         }
     }
--- a/tests/fleet_delegation.rs
+++ b/tests/fleet_delegation.rs
@@ -185,7 +185,7 @@
         let (interrupted, _) = self.delegator.expire(now);
         self.handle_reports(interrupted);
         self.start_items();
-        for (host, orders) in self.delegator.due_orders(now) {
+        for (host, orders) in self.delegator.due_orders(now, true) {
             if !self.is_lost() {
                 let carrier = self.carriers.iter_mut().find(|(link, _)| *link == host);
                 let inbox = &mut carrier.expect("known").1.inbox;
@@ -332,6 +332,22 @@
     assert!(fleet.interrupted > 0, "{silent} carried out no run");
 }
 
+/// Guards against the last run of an ended job that goes on, since no item is left to send orders for.
+#[test]
+fn the_last_run_is_stopped_at_once() {
+    let mut fleet = Fleet::new(1, 1, Faults::default());
+    let (key, item) = fleet.items.pop_first().expect("an item");
+    fleet.items = [(key.clone(), item)].into();
+    fleet.play(Duration::from_millis(500));
+    let run = fleet.items[&key].run.expect("it runs");
+    let host = fleet.carriers[0].0.clone();
+    fleet.delegator.stop(run);
+    let orders = fleet.delegator.due_orders(fleet.now, false);
+    let live: Vec<_> = orders.into_iter().map(|(to, orders)| (to, orders.live)).collect();
+    assert_eq!(live, [(host, vec![])]);
+    assert_eq!(fleet.delegator.due_orders(fleet.now, false), []);
+}
+
 #[test]
 fn a_stopped_run_hands_over_its_last_events() {
     let term = delegation::Term { start_time: 1, epoch: 1 };
@@ -344,7 +360,7 @@
         now += Duration::from_millis(250);
         let mut news = Vec::new();
         for _ in 0..2 {
-            for (_, orders) in delegator.due_orders(now) {
+            for (_, orders) in delegator.due_orders(now, true) {
                 delegate.record_orders(now, &leader(), orders, 1);
             }
             for (_, reports) in delegate.due_reports(now) {
