Keep a host that has voted from deposing the leader it elected

40 ms after a leader had been elected in a group that was just being formed, a second host deposed it, and the group had no leader for a second. Each host on which a group is placed starts an election as soon as it learns of the placement. A host that had voted for another one by then started its own all the same, and a third one granted it a pre-vote, although it had voted for the leader as well: a pre-vote was refused only after a message from a leader.

A replica that has voted for another one within an election timeout now neither grants a pre-vote nor starts an election in order to form the group.

--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -111,6 +111,12 @@
         matches!(self.state, State::Leader(_)) || (self.leader.is_some() && heard)
     }
 
+    /// Whether this replica voted for another one within an election timeout. That one may lead
+    /// already, although nothing was heard from it yet.
+    pub(super) fn has_voted_recently(&self) -> bool {
+        self.vote_time.is_some_and(|at| self.now < at + self.config.election_timeout)
+    }
+
     pub(super) fn handle_pre_vote(
         &mut self,
         from: u64,
@@ -118,8 +124,8 @@
         last_index: u64,
         last_term: u64,
     ) {
-        let granted =
-            term > self.term && !self.has_leader() && self.is_up_to_date(last_index, last_term);
+        let free = !self.has_leader() && !self.has_voted_recently();
+        let granted = term > self.term && free && self.is_up_to_date(last_index, last_term);
         let term = if granted { term } else { self.term };
         self.send_with_term(from, term, Message::PreVoteReply { granted });
     }
@@ -129,6 +135,7 @@
         let granted = free && self.is_up_to_date(last_index, last_term);
         if granted {
             self.vote = Some(from);
+            self.vote_time = Some(self.now);
             self.reset_election_deadline();
         }
         self.send(from, Message::VoteReply { granted });
--- a/src/replica/membership.rs
+++ b/src/replica/membership.rs
@@ -74,8 +74,11 @@
             return;
         }
         self.forming = Some(membership);
-        self.election_deadline = self.now;
-        self.tick();
+        // Another member may be about to form the group with the vote of this replica.
+        if !self.has_voted_recently() {
+            self.election_deadline = self.now;
+            self.tick();
+        }
     }
 
     pub(super) fn change_membership(&mut self, token: u64, change: MemberChange) {
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -58,6 +58,8 @@
     now: Duration,
     term: u64,
     vote: Option<u64>,
+    /// Time of the last vote for another replica since the start.
+    vote_time: Option<Duration>,
     state: State,
     leader: Option<u64>,
     log: log::Log,
@@ -106,6 +108,7 @@
             now,
             term: hard_state.term,
             vote: hard_state.vote,
+            vote_time: None,
             state: State::Follower,
             leader: None,
             commit_index: hard_state.commit.clamp(applied, log.last_index()),
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -163,6 +163,31 @@
     assert!(replica.step(now, Input::Form(members)).is_empty());
 }
 
+/// Guards against a second election in a group that is being formed, when a host starts to form it
+/// after it voted for another one.
+#[test]
+fn late_form_does_not_depose_new_leader() {
+    let mut deposed = Vec::new();
+    for (seed, delay, late) in (1..=5).flat_map(|seed| {
+        (1..=4).flat_map(move |delay| (0..=12).map(move |late| (seed, delay, late)))
+    }) {
+        let mut net = Network::new(3, seed);
+        net.faults.delay = delay;
+        let members = net.membership();
+        net.input(0, Input::Form(members.clone()));
+        net.flush(0);
+        net.run(late);
+        net.input(1, Input::Form(members));
+        net.flush(1);
+        net.run(100);
+        let terms = net.leader_ids.len();
+        if terms != 1 {
+            deposed.push((seed, delay, late, terms));
+        }
+    }
+    assert_eq!(deposed, []);
+}
+
 /// Guards against a new leader that does not count the uncommitted entries of earlier leaders
 /// towards its limit.
 #[test]
