Wait for contact before a test asks for an unknown route

The logs of both show why: the entry had the configuration some tenths of a second before it reached the control hosts, and until then it rightly refuses requests for routes that it does not know ("too few control hosts can be reached").

--- a/tests/fleet_idle.rs
+++ b/tests/fleet_idle.rs
@@ -71,6 +71,21 @@
     }
 }
 
+/// Waits until the entry answers for routes that it does not know. It refuses requests for them until
+/// it has reached the control hosts.
+async fn await_contact(world: &World) {
+    let begun = time::Instant::now();
+    loop {
+        let mut stream = TcpStream::connect(entry(world)).await.expect("connection");
+        let answer = ask(&mut stream, "contact").await;
+        if answer == "HTTP/1.1 404 Not Found" {
+            return;
+        }
+        assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "{answer}\n{}", world.logs());
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Guards against a kept connection that is closed after the idle time of an earlier configuration,
 /// so that the next request on it gets no answer.
 #[test]
@@ -78,6 +93,7 @@
     run(async {
         let mut world = World::start(SIZE).await;
         set_idle_limit(&mut world, SHORT_IDLE_MS).await;
+        await_contact(&world).await;
         // One connection has not carried a request, one has.
         let mut unused = TcpStream::connect(entry(&world)).await.expect("connection");
         let mut used = TcpStream::connect(entry(&world)).await.expect("connection");
