Take up the items after the task that runs them was restarted

After a failure the supervisor starts the task "items" again, but a new subscription sees no change of the leadership, so on a host that leads the task did nothing until the leadership changed. It now begins with the present value. Its epochs and run numbers started from 1 again, so that run hosts ignored the new orders and their reports of earlier runs counted for the new ones of the same number. Both numbers now come from counters of the process.

The tests play a leader and a run host in the test process, with a thread in place of the replica.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -163,8 +163,6 @@
     first_seen: sorted::SortedMap<Arc<str>, time::Instant>,
     messages: mpsc::Sender<EpochMessage>,
     reports: mpsc::Sender<runner::Report>,
-    /// Number of the last run that was started.
-    last_run: u64,
     run_time_estimate: plan::RunTimeEstimate,
     /// Runs on other hosts.
     delegator: delegation::Delegator,
@@ -206,6 +204,8 @@
     /// Most queued messages or reports; the tasks that send more wait.
     const MAX_QUEUED_MESSAGES: usize = 1_024;
     let mut is_leader = shared.is_leader.subscribe();
+    // If this task was started again, the leadership does not change.
+    is_leader.mark_changed();
     let mut ticks = node.timer.subscribe(PLAN_INTERVAL);
     let mut run_reports = node.run_mailboxes.reports.open();
     let (messages, mut inbox) = mpsc::channel(MAX_QUEUED_MESSAGES);
@@ -217,7 +217,6 @@
         first_seen: sorted::SortedMap::new(),
         messages,
         reports,
-        last_run: 0,
         run_time_estimate: plan::RunTimeEstimate::default(),
         delegator: delegation::Delegator::default(),
         stops: Stops::default(),
@@ -305,7 +304,7 @@
     /// Discards all state and stops all runs after a change of leadership. A new leader starts
     /// items once it has applied everything that its predecessors committed.
     fn reset(&mut self, is_leader: bool) {
-        self.epoch += 1;
+        self.epoch = self.shared.numbers.next_epoch();
         self.ledger_complete = false;
         if let Some(confirmation) = self.confirmation.take() {
             confirmation.abort();
@@ -923,9 +922,8 @@
                 return self.abandon(key, ledger::Cause::Impossible);
             }
         };
-        self.last_run += 1;
         self.trials.remove(&key);
-        let (number, last_event) = (self.last_run, progress.last_event);
+        let (number, last_event) = (self.shared.numbers.next_run(), progress.last_event);
         let guard = self.node.count_request(service, &endpoint);
         let run = match run_host {
             Some(run_host) => {
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -19,6 +19,8 @@
 use futures_util::future::BoxFuture;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -32,7 +34,7 @@
 }
 
 /// State that the replica shares with the dispatcher.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct SharedLedger {
     /// State machine of the job group.
     pub ledger: Arc<Mutex<ledger::Ledger>>,
@@ -40,6 +42,28 @@
     pub is_leader: watch::Sender<bool>,
     /// Changes whenever commands are applied.
     pub applied: watch::Sender<u64>,
+    /// Numbers that the dispatcher has given. They outlast it, since other hosts still know them when
+    /// it is started again.
+    pub numbers: Arc<Numbers>,
+}
+
+/// Last numbers given in this process.
+#[derive(Debug, Default)]
+pub struct Numbers {
+    epoch: AtomicU64,
+    run: AtomicU64,
+}
+
+impl Numbers {
+    /// Number of a new leadership.
+    pub fn next_epoch(&self) -> u64 {
+        self.epoch.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Number of a new run.
+    pub fn next_run(&self) -> u64 {
+        self.run.fetch_add(1, Ordering::Relaxed) + 1
+    }
 }
 
 struct Machine(Arc<Mutex<ledger::Ledger>>);
@@ -113,11 +137,7 @@
         errors::Error::invalid("start store", "settings", "host.folder is missing")
     })?;
     let folder = folder.join("jobs");
-    let shared = SharedLedger {
-        ledger: Arc::default(),
-        is_leader: watch::Sender::new(false),
-        applied: watch::Sender::new(0),
-    };
+    let shared = SharedLedger::default();
     let s = shared.clone();
     let target_voters = node.settings.fleet.group_size();
     let member = member::Member {
--- a/tests/fleet_delegation.rs
+++ b/tests/fleet_delegation.rs
@@ -1,10 +1,16 @@
 //! Runs of items that a leader hands to other hosts, over links that lose and delay messages, with
-//! hosts that are paused and restarted. In simulated time.
+//! hosts that are paused and restarted, in simulated time; and the tasks of both sides, in this
+//! process.
 
+mod fleet_pair;
+mod fleet_world;
+
+use basilfield::emulator::plain;
 use basilfield::fleet::delegation;
 use basilfield::fleet::ledger;
 use basilfield::fleet::progress;
 use basilfield::fleet::runner;
+use fleet_pair::Pair;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -391,3 +397,66 @@
     assert_eq!(updates, [(7, event)]);
     assert_eq!(delegator.run_count(), 0);
 }
+
+/// Time within which the items of a test are completed, far above the expected time.
+const RUN_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Slows the endpoint down, so that an item runs for about a second and a half.
+fn slow_down(pair: &Pair) {
+    pair.endpoint.set_faults(plain::FaultRates { slowdown: 10.0, ..Default::default() });
+}
+
+fn whole_output(item: &str) -> Vec<String> {
+    let count = fleet_world::ENDPOINT_OPTIONS.1;
+    (1..=count).map(|event| plain::event_data(item, event)).collect()
+}
+
+/// Guards against items that wait until the leadership changes, because the task that runs them has
+/// failed and was started again on a host that leads.
+#[test]
+fn restarted_task_does_not_take_up_the_items() {
+    fleet_world::run(async {
+        let pair = Pair::start().await;
+        pair.submit("before", vec![fleet_pair::item("item-1", "")]);
+        pair.lead().await;
+        assert_eq!(pair.output("before", RUN_TIMEOUT).await, whole_output("item-1"));
+        pair.failure.notify_one();
+        pair.submit("after", vec![fleet_pair::item("item-2", "")]);
+        assert_eq!(pair.output("after", RUN_TIMEOUT).await, whole_output("item-2"));
+    });
+}
+
+/// Guards against orders and runs that have the numbers of earlier ones after the task that gives
+/// them was started again: the host that carries them out would ignore the orders, and its reports
+/// of an earlier run would count as output of another item.
+#[test]
+fn restarted_task_repeats_the_numbers_of_orders() {
+    fleet_world::run(async {
+        let pair = Pair::start().await;
+        slow_down(&pair);
+        pair.lead().await;
+        for job in ["before", "after"] {
+            pair.submit(job, vec![fleet_pair::item(job, "")]);
+            // From now on the host may get runs.
+            assert!(pair.wait_for_contact().await, "{job}: the host gets orders");
+            let names = ["a", "b", "c"].map(|name| format!("{job}-{name}"));
+            let items = names.iter().map(|name| fleet_pair::item(name, "")).collect();
+            pair.submit(&format!("{job}-2"), items);
+            assert!(pair.wait_for_start(&names).await, "{job}: the host gets runs");
+            pair.failure.notify_one();
+        }
+        let received = pair.orders.lock().expect("lock").clone();
+        let mut messages: Vec<_> =
+            received.iter().map(|o| (o.term.start_time, o.term.epoch, o.seq)).collect();
+        let mut runs: Vec<u64> = received.iter().flat_map(|o| &o.start).map(|o| o.number).collect();
+        let counts = (messages.len(), runs.len());
+        messages.sort_unstable();
+        messages.dedup();
+        runs.sort_unstable();
+        runs.dedup();
+        assert_eq!((messages.len(), runs.len()), counts, "{received:?}");
+        let newest = received.last().expect("orders").term;
+        let old: Vec<_> = received.iter().filter(|o| o.term.epoch > newest.epoch).collect();
+        assert!(old.is_empty(), "{old:?}");
+    });
+}
