Keep delegated items with a quarantined part from endpoints

The leader checks an item against the quarantined parts that it knows when it places the item. The host that carried the run out did not, so that an order under way when a part was quarantined still reached an endpoint, and so did every order of a leader that learnt of it late. The run host now gives such an item back without a run; the leader puts it back and holds it as soon as it knows the part itself. An order says whether it is the trial of a part, which is not held back.

Before: run_host_runs_an_item_with_a_quarantined_part saw one run of the held item, and run_host_holds_back_a_trial saw two runs in place of one. After: both pass. trial_of_item_is_held_back plays a trial from its grant on and passes; with orders that never say that they are a trial, the item did not run.

--- a/src/fleet/delegation.rs
+++ b/src/fleet/delegation.rs
@@ -83,6 +83,8 @@
     pub address: SocketAddr,
     /// Number of the last event that has arrived in earlier runs.
     pub last_event: Option<u64>,
+    /// Whether the run is the trial of a quarantined part of its prompt.
+    pub trial: bool,
 }
 
 /// Number of a report. A host begins a new session, with new numbers, when it has lost contact with
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -922,7 +922,7 @@
                 return self.abandon(key, ledger::Cause::Impossible);
             }
         };
-        self.trials.remove(&key);
+        let trial = self.trials.remove(&key).is_some();
         let (number, last_event) = (self.shared.numbers.next_run(), progress.last_event);
         let guard = self.node.count_request(service, &endpoint);
         let run = match run_host {
@@ -936,6 +936,7 @@
                     start_time,
                     address,
                     last_event,
+                    trial,
                 };
                 self.delegator.start(&run_host, order);
                 RunHandle::Delegated { number, stops: self.stops.clone(), _guard: guard }
--- a/src/fleet/run_host.rs
+++ b/src/fleet/run_host.rs
@@ -129,13 +129,15 @@
         };
         if self.node.view.directory(is_leaving) {
             // The endpoint said so to this host, and the leader has not heard of it yet.
-            let cause = Arc::from("the endpoint is leaving");
-            let ended = runner::RunEnd::Interrupted { cause, at_fault: false };
             let leaving = runner::RunUpdate::Leaving(order.endpoint, order.start_time);
-            for update in [leaving, runner::RunUpdate::Ended(ended)] {
-                self.delegate.record_update(self.node.now(), &key, update);
-            }
-            return;
+            self.delegate.record_update(self.node.now(), &key, leaving);
+            return self.return_run(&key, "the endpoint is leaving");
+        }
+        let prompt = self.node.item_prompt(&order.item);
+        if !order.trial && !self.node.view.quarantine(|q| q.is_free(&prompt.parts)) {
+            // The leader has not heard of the quarantine yet.
+            self.node.metrics.count_part("held");
+            return self.return_run(&key, "a part of the prompt is quarantined");
         }
         let names = self.node.view.protocol().headers();
         let delegation::Order { item, host, endpoint, last_event, .. } = &order;
@@ -160,13 +162,20 @@
             endpoint: order.endpoint,
             start_time: order.start_time,
             address: order.address,
-            prompt: self.node.item_prompt(&order.item),
+            prompt,
             request,
         };
         let task = tokio::spawn(run.run(self.node.clone(), self.updates.clone()));
         self.carried.insert(self.last_run, Carried { run: key, task: task.abort_handle() });
     }
 
+    /// Gives a run back to its leader without having started it.
+    fn return_run(&mut self, key: &delegation::RunKey, cause: &str) {
+        let ended = runner::RunEnd::Interrupted { cause: cause.into(), at_fault: false };
+        let update = runner::RunUpdate::Ended(ended);
+        self.delegate.record_update(self.node.now(), key, update);
+    }
+
     fn handle_update(&mut self, report: runner::Report) {
         let Some(carried) = self.carried.get(&report.number) else { return };
         let ended = matches!(report.update, runner::RunUpdate::Ended(_));
--- a/tests/fleet_crashing_part.rs
+++ b/tests/fleet_crashing_part.rs
@@ -1,8 +1,10 @@
 //! Requests with a part in their prompts that crashes each endpoint which begins to answer them.
 
+mod fleet_pair;
 mod fleet_world;
 
 use basilfield::emulator::plain;
+use fleet_pair::Pair;
 use fleet_world::Role;
 use fleet_world::Size;
 use fleet_world::World;
@@ -345,3 +347,30 @@
         assert_eq!(ends, vec![StreamEnd::Complete; 9], "{}", scene.world.logs());
     });
 }
+
+/// Guards against the trial of a quarantined part that is granted to an item and held back by the
+/// host that is to carry out its run.
+#[test]
+fn trial_of_item_is_held_back() {
+    run(async {
+        let pair = Pair::start().await;
+        pair.start_control().await;
+        for node in [&pair.leader, &pair.host] {
+            node.view.apply_quarantine(node.now(), &fleet_pair::quarantine(2, Some(0xbad1)));
+        }
+        // The host stays in contact as long as an item runs.
+        let slow = plain::FaultRates { slowdown: 300.0, ..Default::default() };
+        pair.endpoint.set_faults(slow);
+        pair.lead().await;
+        pair.submit("slow", vec![fleet_pair::item("slow", "")]);
+        assert!(pair.wait_for_run("slow").await, "it runs");
+        pair.endpoint.set_faults(plain::FaultRates::default());
+        pair.submit("job", vec![fleet_pair::item("trial", "f1:100,bad1:100,10:250")]);
+        let output = pair.output("job", TRIAL_TIME).await;
+        let runs = pair.endpoint.runs().iter().filter(|r| &*r.request_id == "trial").count();
+        let orders = pair.orders.lock().expect("lock").clone();
+        let trials = orders.iter().flat_map(|o| &o.start).filter(|order| order.trial).count();
+        let count = usize::try_from(fleet_world::ENDPOINT_OPTIONS.1).expect("few events");
+        assert_eq!((output.len(), runs, trials), (count, 1, 1));
+    });
+}
--- a/tests/fleet_delegation.rs
+++ b/tests/fleet_delegation.rs
@@ -98,6 +98,20 @@
     Arc::new(ledger::Item { id: id.into(), path: "/".into(), headers: vec![], body, tokens: 1 })
 }
 
+fn order(number: u64, key: progress::ItemKey) -> delegation::Order {
+    delegation::Order {
+        number,
+        item: item(&key.1),
+        key,
+        host: "jobs.example".into(),
+        endpoint: "endpoint".into(),
+        start_time: 0,
+        address: ([127, 0, 0, 1], 1).into(),
+        last_event: None,
+        trial: false,
+    }
+}
+
 impl Fleet {
     fn new(hosts: usize, seed: u64, faults: Faults) -> Fleet {
         let carrier = |n| (Arc::from(format!("host-{n}")), Carrier::new());
@@ -137,14 +151,8 @@
             let Some(host) = self.delegator.choose(self.now, &domain(at)) else { continue };
             self.last_run += 1;
             let order = delegation::Order {
-                number: self.last_run,
-                key: key.clone(),
-                item: item(&key.1),
-                host: "jobs.example".into(),
-                endpoint: "endpoint".into(),
-                start_time: 0,
-                address: ([127, 0, 0, 1], 1).into(),
                 last_event: events.checked_sub(1),
+                ..order(self.last_run, key.clone())
             };
             self.delegator.start(&host, order);
             self.items.get_mut(&key).expect("known").run = Some(self.last_run);
@@ -377,17 +385,7 @@
     };
     exchange(&mut delegator, &mut delegate);
     let key: progress::ItemKey = ("job".into(), "item".into());
-    let order = delegation::Order {
-        number: 7,
-        key,
-        item: item("item"),
-        host: "jobs.example".into(),
-        endpoint: "endpoint".into(),
-        start_time: 0,
-        address: ([127, 0, 0, 1], 1).into(),
-        last_event: None,
-    };
-    delegator.start(&host.clone(), order);
+    delegator.start(&host.clone(), order(7, key));
     let (now, _) = exchange(&mut delegator, &mut delegate);
     let event = runner::RunUpdate::Event(b"last".to_vec(), Some(0));
     delegate.record_update(now, &(leader(), 7), event.clone());
@@ -460,3 +458,46 @@
         assert!(old.is_empty(), "{old:?}");
     });
 }
+
+/// Guards against an item that reaches an endpoint although the host that carries it out knows that a
+/// part of its prompt is quarantined. The leader, which does not know it yet, has ordered the run.
+#[test]
+fn run_host_runs_an_item_with_a_quarantined_part() {
+    fleet_world::run(async {
+        let pair = Pair::start().await;
+        pair.host.view.apply_quarantine(pair.host.now(), &fleet_pair::quarantine(2, Some(0xbad1)));
+        slow_down(&pair);
+        pair.lead().await;
+        pair.submit("first", vec![fleet_pair::item("first", "")]);
+        assert!(pair.wait_for_contact().await, "the host gets orders");
+        let sound = fleet_pair::item("sound", "f1:100,2:100,10:250");
+        pair.submit("job", vec![fleet_pair::item("held", "f1:100,bad1:100,11:250"), sound]);
+        assert!(pair.wait_for_start(&["held".into(), "sound".into()]).await, "orders");
+        assert_eq!(pair.output("job", RUN_TIMEOUT).await, whole_output("sound"));
+        let runs = |id: &str| pair.endpoint.runs().iter().filter(|r| &*r.request_id == id).count();
+        assert_eq!((runs("held"), runs("sound")), (0, 1));
+        pair.host.view.apply_quarantine(pair.host.now(), &fleet_pair::quarantine(3, None));
+        let is_done = || pair.outputs("job").contains(&whole_output("held"));
+        assert!(fleet_world::wait_until(RUN_TIMEOUT, is_done).await, "the item goes on");
+    });
+}
+
+/// Guards against the trial of a quarantined part that is used up because the host that carries out
+/// its run holds it back.
+#[test]
+fn run_host_holds_back_a_trial() {
+    fleet_world::run(async {
+        let pair = Pair::start().await;
+        pair.host.view.apply_quarantine(pair.host.now(), &fleet_pair::quarantine(2, Some(0xbad1)));
+        let mut script = fleet_pair::Script::start(&pair).await;
+        let item = |id| fleet_pair::item(id, "f1:100,bad1:100,11:250");
+        let order = |number, id, trial| delegation::Order { trial, ..pair.order(number, item(id)) };
+        script.start_run(order(1, "held", false));
+        script.start_run(order(2, "trial", true));
+        let ended = script.wait_for_ends(2).await;
+        let ids: Vec<_> = pair.endpoint.runs().into_iter().map(|r| r.request_id).collect();
+        let is_held = matches!(ended[0], (1, runner::RunEnd::Interrupted { .. }));
+        assert!(is_held && ended[1] == (2, runner::RunEnd::Done), "{ended:?}");
+        assert_eq!(ids, ["trial".into()]);
+    });
+}
--- a/tests/fleet_pair/mod.rs
+++ b/tests/fleet_pair/mod.rs
@@ -1,6 +1,8 @@
 //! Two store hosts in the process of the test: the leader of the job group and one that carries out
 //! runs for it, in the failure domain of the only endpoint. A thread stands in for the replica.
 
+#![allow(dead_code)] // Each test file uses only a part of this module.
+
 use crate::fleet_world;
 use basilfield::emulator::plain;
 use basilfield::errors;
@@ -14,6 +16,7 @@
 use basilfield::fleet::peer;
 use basilfield::fleet::quarantine;
 use basilfield::fleet::run_host;
+use basilfield::fleet::runner;
 use basilfield::fleet::settings;
 use basilfield::fleet::store;
 use basilfield::replica::StateMachine as _;
@@ -27,6 +30,10 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time;
 
 /// Failure domain of the endpoint and of the host that carries out runs.
 const DOMAIN: &str = "d1";
@@ -35,6 +42,9 @@
 /// Job of every item.
 pub const JOB: &str = "job";
 
+/// Changes a command before it is applied.
+pub type Interceptor = Box<dyn FnMut(&mut ledger::Ledger, &ledger::Command) + Send>;
+
 /// Records the orders that arrive, and passes everything on.
 struct Recorder {
     orders: Arc<Mutex<Vec<delegation::Orders>>>,
@@ -54,17 +64,36 @@
     }
 }
 
+/// Stands in for a control host: grants everything.
+struct Control;
+
+impl peer::Handler for Control {
+    fn cast(&self, _: &Arc<str>, _: frame::Cast) {}
+
+    fn call(&self, _: wire::Request) -> BoxFuture<'static, wire::Reply> {
+        let reply = ledger::encode(&ledger::Reply::Done).into();
+        Box::pin(async { wire::Reply::Applied { index: 1, reply } })
+    }
+}
+
+/// Task that carries out runs, and the signal that stops it.
+struct HostTask {
+    stop: watch::Sender<bool>,
+    ended: Mutex<Option<JoinHandle<Result<(), errors::Error>>>>,
+}
+
 /// Leader, run host and endpoint.
 pub struct Pair {
     pub leader: node::Node,
+    pub host: node::Node,
     pub shared: store::SharedLedger,
     pub endpoint: plain::PlainEndpoint,
     /// Orders that the run host has received.
     pub orders: Arc<Mutex<Vec<delegation::Orders>>>,
     /// Makes the task fail that runs the items.
     pub failure: Arc<Notify>,
-    /// Stops the run host.
-    _host_stop: tokio::sync::watch::Sender<bool>,
+    host_task: HostTask,
+    interceptor: Arc<Mutex<Option<Interceptor>>>,
 }
 
 /// Starts a store host that listens on a port of its own.
@@ -91,10 +120,15 @@
 }
 
 /// Stands in for the replica of the leader: commits each command at once.
-fn start_replica(node: &node::Node, shared: &store::SharedLedger) {
+fn start_replica(
+    node: &node::Node,
+    shared: &store::SharedLedger,
+    interceptor: &Arc<Mutex<Option<Interceptor>>>,
+) {
     let (handle, calls) = group::channel(1);
     *node.local_replica.lock().expect("lock") = Some(handle);
     let (own, ledger) = (node.peers.own().clone(), shared.ledger.clone());
+    let interceptor = interceptor.clone();
     std::thread::spawn(move || {
         let mut index = 1;
         for call in calls {
@@ -102,6 +136,10 @@
                 group::Call::Propose { command, done } => {
                     index += 1;
                     let mut ledger = ledger.lock().expect("lock");
+                    if let Some(intercept) = &mut *interceptor.lock().expect("lock") {
+                        let decoded = postcard::from_bytes(&command).expect("a command");
+                        intercept(&mut ledger, &decoded);
+                    }
                     let reply = ledger.apply(index, &command).into();
                     // The caller may have given up.
                     let _ = done.send(wire::Reply::Applied { index, reply });
@@ -210,11 +248,13 @@
             });
         }
         let shared = store::SharedLedger::default();
-        start_replica(&leader, &shared);
-        let (_host_stop, stop) = supervisor::Stop::channel();
-        tokio::spawn(run_host::run(host, stop));
+        let interceptor = Arc::default();
+        start_replica(&leader, &shared, &interceptor);
+        let (sender, stop) = supervisor::Stop::channel();
+        let ended = tokio::spawn(run_host::run(host.clone(), stop));
+        let host_task = HostTask { stop: sender, ended: Mutex::new(Some(ended)) };
         let failure = Arc::default();
-        Pair { leader, shared, endpoint, orders, failure, _host_stop }
+        Pair { leader, host, shared, endpoint, orders, failure, host_task, interceptor }
     }
 
     /// Starts the task that runs the items, and makes the leader lead.
@@ -237,6 +277,21 @@
         self.shared.is_leader.send_replace(true);
     }
 
+    /// Starts a stand-in for a control host, which the leader knows.
+    pub async fn start_control(&self) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+        let link = listener.local_addr().expect("address").to_string().into();
+        let (metrics, log) = (self.leader.metrics.clone(), self.leader.log.clone());
+        tokio::spawn(peer::serve(listener, Arc::new(Control), metrics, log));
+        let record = directory::Host {
+            name: "control".into(),
+            link,
+            role: settings::Role::Control,
+            ..self.leader.view.own().clone()
+        };
+        self.leader.view.directory(|d| d.register_host(self.leader.now(), record));
+    }
+
     /// Accepts a job with the given items.
     pub fn submit(&self, job: &str, items: Vec<Arc<ledger::Item>>) {
         let rules = ledger::Rules {
@@ -250,6 +305,14 @@
         self.shared.ledger.lock().expect("lock").execute(1, command);
     }
 
+    /// Calls `intercept` with the ledger and each command before the command is applied.
+    pub fn intercept(
+        &self,
+        intercept: impl FnMut(&mut ledger::Ledger, &ledger::Command) + Send + 'static,
+    ) {
+        *self.interceptor.lock().expect("lock") = Some(Box::new(intercept));
+    }
+
     /// Outputs of the completed items of a job, as texts of their events.
     pub fn outputs(&self, job: &str) -> Vec<Vec<String>> {
         let ledger = self.shared.ledger.lock().expect("lock");
@@ -283,4 +346,90 @@
         let are_started = || items.iter().all(is_started);
         fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, are_started).await
     }
+
+    /// Waits until the endpoint runs a request.
+    pub async fn wait_for_run(&self, id: &str) -> bool {
+        let is_run = || self.endpoint.runs().iter().any(|r| &*r.request_id == id);
+        fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, is_run).await
+    }
+
+    /// Stops the task that carries out runs, and waits until it has ended.
+    pub async fn stop_host(&self) {
+        self.host_task.stop.send_replace(true);
+        let ended = self.host_task.ended.lock().expect("lock").take().expect("it runs");
+        ended.await.expect("no panic").expect("no failure");
+    }
+
+    /// Order of a run at the endpoint.
+    pub fn order(&self, number: u64, item: Arc<ledger::Item>) -> delegation::Order {
+        delegation::Order {
+            number,
+            key: (JOB.into(), item.id.clone()),
+            item,
+            host: fleet_world::ROUTE_HOST.into(),
+            endpoint: self.endpoint.id().clone(),
+            start_time: 1,
+            address: self.endpoint.address(),
+            last_event: None,
+            trial: false,
+        }
+    }
+}
+
+/// Leader whose runs a test starts one by one.
+pub struct Script {
+    node: node::Node,
+    host: Arc<str>,
+    delegator: delegation::Delegator,
+    reports: mpsc::Receiver<(Arc<str>, delegation::Reports)>,
+}
+
+impl Script {
+    /// Creates the leader and waits until the run host is in contact.
+    pub async fn start(pair: &Pair) -> Script {
+        let (node, host) = (pair.leader.clone(), pair.host.peers.own().clone());
+        let reports = node.run_mailboxes.reports.open();
+        let term = delegation::Term { start_time: 1, epoch: 1 };
+        let mut delegator = delegation::Delegator::new(term);
+        delegator.set_hosts(vec![(host.clone(), DOMAIN.into())]);
+        let mut script = Script { node, host, delegator, reports };
+        while script.delegator.choose(script.node.now(), DOMAIN).is_none() {
+            script.exchange().await;
+        }
+        script
+    }
+
+    /// Hands a run to the run host.
+    pub fn start_run(&mut self, order: delegation::Order) {
+        self.delegator.start(&self.host, order);
+    }
+
+    /// Sends orders that are due, and returns what the run host has reported.
+    async fn exchange(&mut self) -> Vec<runner::Report> {
+        for (to, orders) in self.delegator.due_orders(self.node.now(), true) {
+            self.node.peers.cast(&to, frame::Cast::RunOrders(orders));
+        }
+        time::sleep(Duration::from_millis(20)).await;
+        let mut news = Vec::new();
+        while let Ok((from, reports)) = self.reports.try_recv() {
+            news.extend(self.delegator.record_reports(self.node.now(), &from, reports));
+        }
+        news
+    }
+
+    /// Waits until the given number of runs have ended. Returns their numbers and ends, sorted; fewer
+    /// if that takes long.
+    pub async fn wait_for_ends(&mut self, count: usize) -> Vec<(u64, runner::RunEnd)> {
+        let begun = time::Instant::now();
+        let mut ends = Vec::new();
+        while ends.len() < count && begun.elapsed() < fleet_world::WAIT_TIMEOUT {
+            for report in self.exchange().await {
+                if let runner::RunUpdate::Ended(ended) = report.update {
+                    ends.push((report.number, ended));
+                }
+            }
+        }
+        ends.sort_by_key(|(number, _)| *number);
+        ends
+    }
 }
