Limit the bytes of runs in one message to a store host

The leader put every new run of a host into one message. If their bodies were longer than a frame, the message was left out, the host never heard of the runs, and after the next message the leader gave them up and handed out the same again. A message now holds at most 4 MiB of runs to start, or a single one; the rest follows with the next message, which is due at once.

orders_are_longer_than_a_frame hands 24 runs of 1 MiB to a host, over links that drop what does not fit into a frame. Before: they did not run. After: all are finished in 1.6 s of simulated time and none is interrupted.

--- a/src/fleet/delegation.rs
+++ b/src/fleet/delegation.rs
@@ -19,6 +19,7 @@
 use crate::fleet::progress;
 use crate::fleet::runner;
 use crate::sorted;
+use crate::wire;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::VecDeque;
@@ -44,6 +45,11 @@
 const MAX_DOMAIN_HOSTS: usize = 4;
 /// Bytes of updates after which they are reported at once.
 const MAX_UPDATE_BYTES: usize = 256 << 10;
+/// Most bytes of runs to start in one message, a quarter of the longest frame. A single run may be
+/// longer. Other messages to the host wait behind it.
+const MAX_START_BYTES: usize = wire::MAX_FRAME / 4;
+/// Bytes of an encoded order besides its texts, about.
+const ORDER_OVERHEAD: usize = 256;
 /// Most reports of which a host keeps the time of sending. Older ones cannot renew a lease.
 const MAX_KEPT_REPORTS: usize = 64;
 
@@ -87,6 +93,16 @@
     pub trial: bool,
 }
 
+impl Order {
+    /// About the bytes of the encoded order.
+    fn size(&self) -> usize {
+        let item = &self.item;
+        let headers: usize = item.headers.iter().map(|(n, v)| n.len() + v.len()).sum();
+        let names = self.key.0.len() + self.key.1.len() + self.host.len() + self.endpoint.len();
+        ORDER_OVERHEAD + names + item.id.len() + item.path.len() + headers + item.body.len()
+    }
+}
+
 /// Number of a report. A host begins a new session, with new numbers, when it has lost contact with
 /// the leader or was restarted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -106,7 +122,7 @@
     pub seq: u64,
     /// Last report that has arrived, if any.
     pub heard: Option<ReportId>,
-    /// Runs to start.
+    /// Runs to start. Some of `live` may follow with the next message.
     pub start: Vec<Order>,
     /// Numbers of all runs that the host is to carry out, sorted. It stops any others.
     pub live: Vec<u64>,
@@ -187,6 +203,25 @@
         self.heard.is_some_and(|(_, at)| now.saturating_sub(at) <= CONTACT_TIMEOUT)
     }
 
+    /// Takes the runs to start with the orders that were just numbered. Those that are too many bytes
+    /// are left for the next orders, which are due at once.
+    fn take_starts(&mut self) -> Vec<Order> {
+        let mut bytes = 0;
+        let fits = |order: &&Order| {
+            bytes += order.size();
+            bytes <= MAX_START_BYTES
+        };
+        let count = self.start.iter().take_while(fits).count().max(1);
+        let rest = self.start.split_off(count.min(self.start.len()));
+        for order in &rest {
+            if let Some(run) = self.runs.get_mut(&order.number) {
+                run.ordered = self.seq + 1;
+            }
+        }
+        self.changed = !rest.is_empty();
+        std::mem::replace(&mut self.start, rest)
+    }
+
     fn live_runs(&self) -> usize {
         self.runs.values().filter(|r| r.stopped.is_none()).count()
     }
@@ -272,13 +307,14 @@
             if !is_due {
                 continue;
             }
-            (host.seq, host.sent, host.changed) = (host.seq + 1, Some(now), false);
+            (host.seq, host.sent) = (host.seq + 1, Some(now));
+            let start = host.take_starts();
             let live = host.runs.iter().filter(|(_, r)| r.stopped.is_none());
             let orders = Orders {
                 term: self.term,
                 seq: host.seq,
                 heard: host.heard.map(|(id, _)| id),
-                start: std::mem::take(&mut host.start),
+                start,
                 live: live.map(|(number, _)| *number).collect(),
             };
             due.push((link.clone(), orders));
--- a/tests/fleet_delegation.rs
+++ b/tests/fleet_delegation.rs
@@ -7,9 +7,11 @@
 
 use basilfield::emulator::plain;
 use basilfield::fleet::delegation;
+use basilfield::fleet::frame;
 use basilfield::fleet::ledger;
 use basilfield::fleet::progress;
 use basilfield::fleet::runner;
+use basilfield::wire;
 use fleet_pair::Pair;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -112,6 +114,12 @@
     }
 }
 
+/// Whether a message does not fit into a frame, so that it is not sent.
+fn is_too_long(orders: &delegation::Orders) -> bool {
+    let frame = frame::Frame::Cast(frame::Cast::RunOrders(orders.clone()));
+    ledger::encode(&frame).len() > wire::MAX_FRAME
+}
+
 impl Fleet {
     fn new(hosts: usize, seed: u64, faults: Faults) -> Fleet {
         let carrier = |n| (Arc::from(format!("host-{n}")), Carrier::new());
@@ -200,7 +208,7 @@
         self.handle_reports(interrupted);
         self.start_items();
         for (host, orders) in self.delegator.due_orders(now, true) {
-            if !self.is_lost() {
+            if !self.is_lost() && !is_too_long(&orders) {
                 let carrier = self.carriers.iter_mut().find(|(link, _)| *link == host);
                 let inbox = &mut carrier.expect("known").1.inbox;
                 inbox.push((now + LINK_DELAY, Message::Orders(orders)));
@@ -396,6 +404,27 @@
     assert_eq!(delegator.run_count(), 0);
 }
 
+/// Guards against orders that are never sent because their message is longer than a frame may be, and
+/// are repeated the same.
+#[test]
+fn orders_are_longer_than_a_frame() {
+    const RUNS: u64 = 24;
+    let mut fleet = Fleet::new(1, 1, Faults::default());
+    fleet.play(Duration::from_millis(300));
+    let host = fleet.carriers[0].0.clone();
+    let body = bytes::Bytes::from(vec![b'x'; 1 << 20]);
+    for number in 1_000..1_000 + RUNS {
+        let key: progress::ItemKey = ("job".into(), format!("long-{number}").into());
+        let item = Arc::new(ledger::Item { body: body.clone(), ..(*item(&key.1)).clone() });
+        fleet.items.insert(key.clone(), Item { run: Some(number), ..Item::default() });
+        fleet.delegator.start(&host, delegation::Order { item, ..order(number, key) });
+    }
+    // A run takes a second; the lease of a lost run ends after a second and a half.
+    fleet.play(Duration::from_millis(1_600));
+    fleet.assert_complete();
+    assert_eq!(fleet.interrupted, 0);
+}
+
 /// Time within which the items of a test are completed, far above the expected time.
 const RUN_TIMEOUT: Duration = Duration::from_secs(10);
 
