Hand no runs to a store host that is stopping

A store host that stops ended its runs and reported that once, but nothing in the report said that it was stopping. For 0.7 s the leader handed it further runs, which then waited 1.65 s for the end of its lease, as did those under way to it. Its reports now say that it is stopping. The leader hands it no runs from then on and puts all of its runs back at once; the host starts none of the orders that still arrive, and waits for at most 0.5 s until the leader has heard it, since the report could be lost with the process.

Before: stopping_host_gets_further_runs got 60 of 61 runs back, and leader_hands_runs_to_a_host_that_has_stopped saw two runs handed to the host. After: both pass, with all runs back and none handed out.

--- a/src/fleet/delegation.rs
+++ b/src/fleet/delegation.rs
@@ -152,6 +152,8 @@
     pub updates: Vec<Updates>,
     /// Numbers of the runs that are carried out, sorted.
     pub running: Vec<u64>,
+    /// Whether the host is stopping. It starts no further runs, also of orders under way.
+    pub stopping: bool,
 }
 
 /// Run that was handed to a host.
@@ -173,6 +175,8 @@
     domain: Arc<str>,
     /// Whether it may get further runs.
     eligible: bool,
+    /// Whether it has reported that it is stopping.
+    stopping: bool,
     /// Sequence number of the last orders.
     seq: u64,
     /// Last report that has arrived, and when it arrived.
@@ -190,6 +194,7 @@
         RunHost {
             domain,
             eligible: true,
+            stopping: false,
             seq: 0,
             heard: None,
             runs: sorted::SortedMap::new(),
@@ -265,7 +270,8 @@
     /// Chooses the host for a run at an endpoint in `domain`: the one there with the fewest runs.
     /// `None` if the leader has to carry the run out itself.
     pub fn choose(&self, now: Duration, domain: &str) -> Option<Arc<str>> {
-        let is_usable = |h: &RunHost| h.eligible && *h.domain == *domain && h.is_in_contact(now);
+        let is_usable =
+            |h: &RunHost| h.eligible && !h.stopping && *h.domain == *domain && h.is_in_contact(now);
         let near = self.hosts.iter().filter(|(_, h)| is_usable(h));
         near.min_by_key(|(_, h)| h.live_runs()).map(|(link, _)| link.clone())
     }
@@ -337,6 +343,12 @@
             return Vec::new();
         }
         host.heard = Some((id, now));
+        if reports.stopping && !host.stopping {
+            host.start.clear();
+            // The host waits for the answer before it ends.
+            host.changed = true;
+        }
+        host.stopping = reports.stopping;
         let mut news = Vec::new();
         for Updates { number, after, updates } in reports.updates {
             let Some(run) = host.runs.get_mut(&number) else { continue };
@@ -356,14 +368,18 @@
             }
         }
         host.runs.retain(|number, run| {
-            // The host has not heard of the run yet, or carries it out.
-            if reports.acked < run.ordered || reports.running.binary_search(number).is_ok() {
+            let is_under_way = reports.acked < run.ordered && !reports.stopping;
+            if is_under_way || reports.running.binary_search(number).is_ok() {
                 return true;
             }
+            let cause = match reports.stopping {
+                true => "its host is stopping",
+                false => "its host lost the run",
+            };
             match run.stopped {
-                Some(seq) => reports.acked < seq,
+                Some(seq) => reports.acked < seq && !reports.stopping,
                 None => {
-                    news.push(interrupted(run.key.clone(), *number, "its host lost the run"));
+                    news.push(interrupted(run.key.clone(), *number, cause));
                     false
                 }
             }
@@ -428,6 +444,10 @@
     pending: Option<(Duration, usize)>,
     /// Whether to report at once.
     urgent: bool,
+    /// Sequence number of the first report that says that this host is stopping.
+    stop_report: Option<u64>,
+    /// Whether the leader has heard that report.
+    stop_heard: bool,
 }
 
 impl Assignment {
@@ -442,6 +462,8 @@
             runs: sorted::SortedMap::new(),
             pending: None,
             urgent: true,
+            stop_report: None,
+            stop_heard: false,
         }
     }
 
@@ -457,9 +479,12 @@
         ended
     }
 
-    fn report(&mut self, now: Duration) -> Reports {
+    fn report(&mut self, now: Duration, stopping: bool) -> Reports {
         (self.pending, self.urgent) = (None, false);
         self.last_report.seq += 1;
+        if stopping {
+            self.stop_report.get_or_insert(self.last_report.seq);
+        }
         if self.sent.len() >= MAX_KEPT_REPORTS {
             self.sent.pop_front();
         }
@@ -478,6 +503,7 @@
             acked: self.acked,
             updates,
             running: self.runs.keys().copied().collect(),
+            stopping,
         }
     }
 }
@@ -499,6 +525,8 @@
 #[derive(Debug, Default)]
 pub struct Delegate {
     leaders: sorted::SortedMap<Arc<str>, Assignment>,
+    /// Whether this host stops, so that it starts no further runs.
+    stopping: bool,
 }
 
 impl Delegate {
@@ -507,6 +535,11 @@
         !self.leaders.is_empty()
     }
 
+    /// Whether every leader in contact knows that this host is stopping.
+    pub fn is_stop_heard(&self) -> bool {
+        self.leaders.values().all(|assignment| assignment.stop_heard)
+    }
+
     /// Handles a message of a leader. `session` is a random number for the case that a session
     /// begins.
     pub fn record_orders(
@@ -543,9 +576,11 @@
         if let Some((_, at)) = sent.find(|(seq, _)| heard.is_some_and(|h| h.seq == *seq)) {
             assignment.lease_end = assignment.lease_end.max(*at + LEASE);
         }
+        assignment.stop_heard |=
+            heard.is_some_and(|h| assignment.stop_report.is_some_and(|seq| h.seq >= seq));
         let ended = assignment.end_runs(|number| orders.live.binary_search(&number).is_err());
         changes.stop.extend(ended.into_iter().map(run_key));
-        if now < assignment.lease_end {
+        if now < assignment.lease_end && !self.stopping {
             for order in &orders.start {
                 assignment.runs.insert(order.number, CarriedRun::default());
             }
@@ -581,11 +616,13 @@
             assignment.urgent || has_updates || last.is_none_or(|at| now >= at + BEAT_INTERVAL)
         };
         let due = self.leaders.iter_mut().filter(|(_, assignment)| is_due(assignment));
-        due.map(|(leader, assignment)| (leader.clone(), assignment.report(now))).collect()
+        let stopping = self.stopping;
+        due.map(|(leader, a)| (leader.clone(), a.report(now, stopping))).collect()
     }
 
-    /// Ends all runs, since this host stops.
+    /// Ends all runs, since this host stops. Its reports say so from now on.
     pub fn end_all(&mut self) {
+        self.stopping = true;
         for (_, assignment) in self.leaders.iter_mut() {
             assignment.end_runs(|_| true);
             assignment.urgent = true;
--- a/src/fleet/run_host.rs
+++ b/src/fleet/run_host.rs
@@ -16,9 +16,12 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task;
+use tokio::time;
 
 /// Interval between checks whether a report is due. A report is late by this at most.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest wait until the leader has heard that this host stops. It answers at its next plan.
+const STOP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most messages that wait. Further ones are dropped, which the protocol tolerates.
 const MAX_QUEUED_MESSAGES: usize = 1_024;
 
@@ -98,18 +101,27 @@
     let mut host = RunHost { node, delegate, carried, last_run: 0, updates };
     loop {
         tokio::select! {
-            () = stop.wait() => {
-                // The leader hands the runs to other hosts at once if it gets this report.
-                host.delegate.end_all();
-                host.report();
-                return Ok(());
-            }
+            () = stop.wait() => break,
             Some((from, orders)) = orders.recv() => host.handle_orders(&from, orders),
             Some(report) = update_inbox.recv() => host.handle_update(report),
             _ = ticks.next(), if host.delegate.is_active() => host.expire(),
         }
         host.report();
     }
+    // The leaders hand the runs to other hosts at once, also those of orders under way.
+    host.carried = sorted::SortedMap::new();
+    host.delegate.end_all();
+    host.report();
+    let answers = async {
+        while !host.delegate.is_stop_heard() {
+            let Some((from, orders)) = orders.recv().await else { return };
+            host.handle_orders(&from, orders);
+            host.report();
+        }
+    };
+    // A leader that does not answer waits for the end of the lease.
+    let _ = time::timeout(STOP_TIMEOUT, answers).await;
+    Ok(())
 }
 
 impl RunHost {
--- a/tests/fleet_delegation.rs
+++ b/tests/fleet_delegation.rs
@@ -425,6 +425,41 @@
     assert_eq!(fleet.interrupted, 0);
 }
 
+/// Guards against runs that are handed to a host which is stopping, and against runs under way to it
+/// that wait for the end of its lease.
+#[test]
+fn stopping_host_gets_further_runs() {
+    let mut fleet = Fleet::new(1, 1, Faults::default());
+    fleet.play(Duration::from_millis(300));
+    let running = fleet.carriers[0].1.runs.len();
+    assert!(running > 0, "the host carries out runs");
+    // These orders are under way when the host stops.
+    let host = fleet.carriers[0].0.clone();
+    let key: progress::ItemKey = ("job".into(), "late".into());
+    fleet.items.insert(key.clone(), Item { run: Some(1_000), ..Item::default() });
+    fleet.delegator.start(&host, order(1_000, key.clone()));
+    let late = fleet.delegator.due_orders(fleet.now, true);
+    let carrier = &mut fleet.carriers[0].1;
+    carrier.delegate.end_all();
+    carrier.runs.clear();
+    let mut returned = Vec::new();
+    for (_, reports) in carrier.delegate.due_reports(fleet.now) {
+        returned.extend(fleet.delegator.record_reports(fleet.now, &host, reports));
+    }
+    let ended = returned.iter().filter(|r| matches!(r.update, runner::RunUpdate::Ended(_)));
+    assert_eq!(ended.count(), running + 1, "runs given back");
+    assert_eq!(fleet.delegator.choose(fleet.now, &domain(0)), None);
+    for (_, orders) in late {
+        let changes = carrier.delegate.record_orders(fleet.now, &leader(), orders, 1);
+        assert_eq!(changes.start, []);
+    }
+    // The host may get runs again as soon as it has started again.
+    fleet.handle_reports(returned);
+    fleet.carriers[0].1 = Carrier::new();
+    fleet.play(Duration::from_millis(300));
+    assert_eq!(fleet.delegator.choose(fleet.now, &domain(0)), Some(host));
+}
+
 /// Time within which the items of a test are completed, far above the expected time.
 const RUN_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -530,3 +565,25 @@
         assert_eq!(ids, ["trial".into()]);
     });
 }
+
+/// Guards against a host that ends before the leader has learnt that it is stopping.
+#[test]
+fn leader_hands_runs_to_a_host_that_has_stopped() {
+    fleet_world::run(async {
+        let pair = Pair::start().await;
+        slow_down(&pair);
+        pair.lead().await;
+        pair.submit("first", vec![fleet_pair::item("first", "")]);
+        assert!(pair.wait_for_contact().await, "the host gets orders");
+        pair.submit("second", vec![fleet_pair::item("second", "")]);
+        assert!(pair.wait_for_start(&["second".into()]).await, "the host gets a run");
+        pair.stop_host().await;
+        let before = pair.orders.lock().expect("lock").len();
+        pair.submit("third", vec![fleet_pair::item("third", "")]);
+        assert!(pair.wait_for_run("third").await, "{:?}", pair.endpoint.runs());
+        let orders = pair.orders.lock().expect("lock").split_off(before);
+        let started: usize = orders.iter().map(|o| o.start.len()).sum();
+        assert_eq!(started, 0, "runs handed to the host");
+        assert_eq!(pair.output("second", RUN_TIMEOUT).await, whole_output("second"));
+    });
+}
