Count a comment as no event of an unframed answer

An answer with neither a length nor chunks counts as broken off if its connection ends before the first event. The splitter also counted comments as events, so an answer of a comment alone was passed on as complete without events, and an item was completed with empty output. Only events with data count now.

Before the change, answer_of_a_comment_looks_complete showed answers without events, and item_of_a_comment_is_completed an item with empty output. Both pass with it.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -215,7 +215,7 @@
     loop {
         let Some(part) = started.response.next_chunk().await? else {
             return match splitter.remainder() {
-                [] if !splitter.has_events() && !started.response.is_framed() => {
+                [] if !splitter.has_data() && !started.response.is_framed() => {
                     Err(ENDED_WITHOUT_EVENT.into())
                 }
                 [] => Ok(NewEvents { bytes, last_event, count, ended: true }),
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -296,7 +296,7 @@
         loop {
             let bytes = match self.wait(&mut patience, response.next_chunk()).await {
                 Ok(Ok(Some(bytes))) => bytes,
-                Ok(Ok(None)) if !splitter.has_events() && !response.is_framed() => {
+                Ok(Ok(None)) if !splitter.has_data() && !response.is_framed() => {
                     return interrupted(event_stream::ENDED_WITHOUT_EVENT, true);
                 }
                 Ok(Ok(None)) if splitter.remainder().is_empty() => return RunEnd::Done,
--- a/src/fleet/sse.rs
+++ b/src/fleet/sse.rs
@@ -47,8 +47,8 @@
     scanned: usize,
     /// Length of the start of the buffer that holds complete events.
     complete: usize,
-    /// Whether a complete event was removed.
-    has_events: bool,
+    /// Whether a complete event with data was removed.
+    has_data: bool,
 }
 
 impl Splitter {
@@ -72,15 +72,16 @@
         };
         self.scanned = 0;
         self.complete = self.complete.saturating_sub(end);
-        self.has_events = true;
         let bytes = self.buffer.split_to(end).freeze();
         let id = field_values(&bytes, b"id").last().and_then(parse_number);
-        Some(Event { bytes, id })
+        let event = Event { bytes, id };
+        self.has_data |= event.has_data();
+        Some(event)
     }
 
-    /// Whether the stream has had a complete event.
-    pub fn has_events(&self) -> bool {
-        self.has_events
+    /// Whether the stream has had a complete event with data.
+    pub fn has_data(&self) -> bool {
+        self.has_data
     }
 
     /// Bytes of the event that is not complete yet.
--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -57,6 +57,8 @@
     Reset,
     /// Before the first event.
     Empty,
+    /// After a comment, before the first event.
+    Comment,
 }
 
 /// What an endpoint answers.
@@ -104,7 +106,7 @@
     let count = match end {
         End::Complete => EVENT_COUNT,
         End::WithinEvent | End::Reset => BROKEN_COUNT,
-        End::Empty => 0,
+        End::Empty | End::Comment => 0,
     };
     for n in 1..=count {
         let event = format!("id: {n}\ndata: {}\n\n", plain::event_data(&id, n));
@@ -113,6 +115,7 @@
     }
     match end {
         End::Complete | End::Empty => {}
+        End::Comment => stream.write_all(b": open\n\n").await?,
         End::WithinEvent => stream.write_all(b"id: 11\ndata: ").await?,
         End::Reset => stream.set_zero_linger()?,
     }
@@ -303,6 +306,21 @@
     });
 }
 
+/// Guards against a stream without events for the caller because a comment of its endpoint, whose
+/// connection then ended, counted as an event.
+#[test]
+fn answer_of_a_comment_looks_complete() {
+    run(async {
+        let seen = ask_each(&[End::Comment], &[STREAM_PREFIX, ONCE_PREFIX]).await;
+        insta::assert_snapshot!(seen, @r"
+        HTTP/1.1 Comment /stream/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.1 Comment /once/: http/1.1 502 bad gateway, 0 events, complete
+        HTTP/1.0 Comment /stream/: http/1.1 200 ok, 20 events, complete
+        HTTP/1.0 Comment /once/: http/1.1 502 bad gateway, 0 events, complete
+        ");
+    });
+}
+
 /// Guards against a stream that ends early for a caller who has taken it up again, because the
 /// connection of its endpoint ended before the first event.
 #[test]
@@ -315,19 +333,29 @@
     });
 }
 
+/// Finishes a job while the endpoint under test ends its answers in the given way.
+async fn finish_job(end: End) {
+    let mut fleet = Fleet::start(Size { stores: 3, ..SIZE }).await;
+    fleet.set("HTTP/1.1", end).await;
+    let (entries, mut seen) = ([fleet.entry()], Vec::new());
+    assert!(client::submit(&entries, "job", 5).await, "{}", fleet.world.logs());
+    let finished = client::finish(&entries, "job", 5, &mut seen, JOB_TIMEOUT).await;
+    assert_eq!(finished, Ok(()), "{}", fleet.world.logs());
+    assert!(fleet.asked.load(Ordering::SeqCst) > 0, "{}", fleet.world.logs());
+}
+
 /// Guards against an item that is completed without output because the connection of its endpoint
 /// ended before the first event.
 #[test]
 fn item_without_events_is_completed() {
-    run(async {
-        let mut fleet = Fleet::start(Size { stores: 3, ..SIZE }).await;
-        fleet.set("HTTP/1.1", End::Empty).await;
-        let (entries, mut seen) = ([fleet.entry()], Vec::new());
-        assert!(client::submit(&entries, "job", 5).await, "{}", fleet.world.logs());
-        let finished = client::finish(&entries, "job", 5, &mut seen, JOB_TIMEOUT).await;
-        assert_eq!(finished, Ok(()), "{}", fleet.world.logs());
-        assert!(fleet.asked.load(Ordering::SeqCst) > 0, "{}", fleet.world.logs());
-    });
+    run(finish_job(End::Empty));
+}
+
+/// Guards against an item that is completed without output because a comment of its endpoint, whose
+/// connection then ended, counted as an event.
+#[test]
+fn item_of_a_comment_is_completed() {
+    run(finish_job(End::Comment));
 }
 
 /// Guards against requests whose end is in no log line, so that the log cannot tell an answer that was
