Take few events of an unframed answer for no answer of a prompt

The end of an answer without a length and chunks looks the same when its endpoint crashes. Such an end is now recorded like a broken answer, so that it is found out whether the endpoint crashed.

Before the change, the part of crash_after_few_events_counts_as_answer and of crash_after_few_events_of_item_counts_as_answer crashed a fourth endpoint after three. With it, the request is refused and the item waits.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -88,6 +88,7 @@
         };
         let from = started.endpoint.id.clone();
         let build = started.endpoint.build.clone();
+        let is_framed = started.response.is_framed();
         let read = read_new_events(started, &mut self.splitter, last_event);
         let read = read.map_err(|cause| (attempt::Outcome::Lost, cause));
         let waited = self.forwarder.wait_or_take_over(&self.headers, &from, limit, read).await;
@@ -118,10 +119,10 @@
             self.ready.push_back(read.bytes.into());
         }
         if read.ended {
-            match self.run_events {
-                // An answer without a length ends in the same way when its endpoint crashes.
-                0 => self.record_broken_answer(),
-                _ => self.forwarder.node.record_prompt_answer(&self.forwarder.prompt),
+            // An answer without a length ends in the same way when its endpoint crashes.
+            match is_framed && self.run_events > 0 {
+                true => self.forwarder.node.record_prompt_answer(&self.forwarder.prompt),
+                false => self.record_broken_answer(),
             }
             self.forwarder.finish(&from);
         }
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -186,14 +186,18 @@
             address,
             prompt,
             sent: true,
+            framed: false,
             events: 0,
             reports,
         };
         let ended = reporter.stream_events(request).await;
         match &ended {
             RunEnd::Interrupted { at_fault: true, .. } => reporter.record_broken_answer(),
-            RunEnd::Done if reporter.events == 0 => reporter.record_broken_answer(),
-            RunEnd::Done => reporter.node.record_prompt_answer(&reporter.prompt),
+            RunEnd::Done if reporter.framed && reporter.events > 0 => {
+                reporter.node.record_prompt_answer(&reporter.prompt);
+            }
+            // An answer without a length ends in the same way when its endpoint crashes.
+            RunEnd::Done => reporter.record_broken_answer(),
             _ => {}
         }
         reporter.send(RunUpdate::Ended(ended)).await;
@@ -213,6 +217,8 @@
     prompt: Arc<quarantine::PromptParts>,
     /// Whether the request may have reached the endpoint.
     sent: bool,
+    /// Whether the head of the answer tells where its body ends.
+    framed: bool,
     /// New events of this run.
     events: u32,
     reports: mpsc::Sender<Report>,
@@ -269,6 +275,7 @@
             Ok(Err(failure)) => return interrupted(&failure.to_string(), true),
             Err(ended) => return ended,
         };
+        self.framed = response.is_framed();
         let status = response.head.status;
         let notice = response.leaving_notice(names, &self.key.1);
         node.handle_leaving_notice(&self.endpoint, self.start_time, notice, &self.key.1);
--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -24,6 +24,8 @@
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task;
 use tokio::time;
 
 const SIZE: Size = Size { controls: 3, losses: 1, stores: 0, entries: 1, endpoints: 1 };
@@ -33,8 +35,12 @@
 /// Events of a complete answer, and of one that breaks off.
 const EVENT_COUNT: u64 = fleet_world::ENDPOINT_OPTIONS.1;
 const BROKEN_COUNT: u64 = 10;
+/// Events of an answer whose endpoint crashes soon after it has begun.
+const FEW_COUNT: u64 = 2;
 /// Longest time for an answer, also on a busy machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time within which every host knows of a crash.
+const CRASH_TIME: Duration = Duration::from_secs(1);
 const JOB_TIMEOUT: Duration = Duration::from_secs(40);
 
 fn run(test: impl Future<Output = ()>) {
@@ -59,6 +65,8 @@
     Empty,
     /// After a comment, before the first event.
     Comment,
+    /// Between two events, with a crash that closes the listener as well.
+    Crash,
 }
 
 /// What an endpoint answers.
@@ -85,11 +93,12 @@
     value.unwrap_or_default().trim().to_string()
 }
 
+/// Answers a request. Returns how the answer ended; `None` if the request was declined.
 async fn answer(
     stream: &mut TcpStream,
     answer: &Mutex<Answer>,
     asked: &AtomicUsize,
-) -> std::io::Result<()> {
+) -> std::io::Result<Option<End>> {
     let head = read_head(stream).await?;
     let mut body = vec![0; field(&head, "content-length").parse().unwrap_or(0)];
     stream.read_exact(&mut body).await?;
@@ -98,7 +107,8 @@
     let echo = format!("x-basilfield-request-id: {id}\r\n");
     if field(&head, "x-basilfield-expect-instance") != endpoint {
         let declined = format!("HTTP/1.1 421 Other\r\n{echo}content-length: 0\r\n\r\n");
-        return stream.write_all(declined.as_bytes()).await;
+        stream.write_all(declined.as_bytes()).await?;
+        return Ok(None);
     }
     asked.fetch_add(1, Ordering::SeqCst);
     let head = format!("{version} 200 OK\r\n{echo}content-type: text/event-stream\r\n\r\n");
@@ -106,6 +116,7 @@
     let count = match end {
         End::Complete => EVENT_COUNT,
         End::WithinEvent | End::Reset => BROKEN_COUNT,
+        End::Crash => FEW_COUNT,
         End::Empty | End::Comment => 0,
     };
     for n in 1..=count {
@@ -114,18 +125,49 @@
         time::sleep(Duration::from_millis(5)).await;
     }
     match end {
-        End::Complete | End::Empty => {}
+        End::Complete | End::Empty | End::Crash => {}
         End::Comment => stream.write_all(b": open\n\n").await?,
         End::WithinEvent => stream.write_all(b"id: 11\ndata: ").await?,
         End::Reset => stream.set_zero_linger()?,
     }
-    Ok(())
+    Ok(Some(end))
 }
 
-/// Fleet with an endpoint under test beside another one.
+/// Starts the endpoint under test on a new address.
+async fn listen(
+    script: &Arc<Mutex<Answer>>,
+    asked: &Arc<AtomicUsize>,
+) -> (SocketAddr, task::JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    let address = listener.local_addr().expect("address");
+    let (script, asked) = (script.clone(), asked.clone());
+    let accept = tokio::spawn(async move {
+        let (crash, mut crashed) = mpsc::channel(1);
+        loop {
+            let mut stream = tokio::select! {
+                accepted = listener.accept() => accepted.expect("connection").0,
+                _ = crashed.recv() => return,
+            };
+            let (script, asked, crash) = (script.clone(), asked.clone(), crash.clone());
+            tokio::spawn(async move {
+                // The caller sees the error on its side of the connection.
+                let ended = answer(&mut stream, &script, &asked).await;
+                if matches!(ended, Ok(Some(End::Crash))) {
+                    // The listener is closed before the connection.
+                    let _ = crash.send(()).await;
+                    crash.closed().await;
+                }
+            });
+        }
+    });
+    (address, accept)
+}
+
+/// Fleet with an endpoint under test beside others, if any.
 struct Fleet {
     world: World,
     address: SocketAddr,
+    accept: task::JoinHandle<()>,
     answer: Arc<Mutex<Answer>>,
     /// Requests that the endpoint has answered.
     asked: Arc<AtomicUsize>,
@@ -137,25 +179,26 @@
 impl Fleet {
     async fn start(size: Size) -> Fleet {
         let world = World::start(size).await;
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
-        let address = listener.local_addr().expect("address");
         let first = Answer { version: "HTTP/1.1", end: End::Complete, endpoint: String::default() };
-        let shared = Arc::new(Mutex::new(first));
-        let script = shared.clone();
-        let asked = Arc::<AtomicUsize>::default();
-        let count = asked.clone();
-        tokio::spawn(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
-                let (script, count) = (script.clone(), count.clone());
-                // The caller sees the error on its side of the connection.
-                tokio::spawn(async move { drop(answer(&mut stream, &script, &count).await) });
-            }
-        });
-        Fleet { world, address, answer: shared, asked, slots: MANY_SLOTS, seq: 0 }
+        let (answer, asked) = (Arc::new(Mutex::new(first)), Arc::default());
+        let (address, accept) = listen(&answer, &asked).await;
+        Fleet { world, address, accept, answer, asked, slots: MANY_SLOTS, seq: 0 }
+    }
+
+    /// Starts a fleet in which only the endpoint under test serves.
+    async fn start_alone() -> Fleet {
+        let mut fleet = Fleet::start(Size { stores: 3, ..SIZE }).await;
+        // Entries are ready only once they know an endpoint.
+        fleet.world.remove_build(fleet_world::DEFAULT_BUILD).await;
+        fleet
     }
 
-    /// Gives the endpoint an answer and registers it under a new id, which is not avoided yet.
+    /// Gives the endpoint an answer and registers it under a new id, which is not avoided yet. An
+    /// endpoint that has crashed starts again on another address.
     async fn set(&mut self, version: &'static str, end: End) {
+        if self.accept.is_finished() {
+            (self.address, self.accept) = listen(&self.answer, &self.asked).await;
+        }
         self.seq += 1;
         let endpoint = format!("raw-{}", self.seq);
         let path = format!("/-/instances/{endpoint}");
@@ -172,6 +215,15 @@
         self.world.send_heartbeats().await;
     }
 
+    /// Waits until the entry has logged the last registration of the endpoint.
+    async fn wait_until_known(&self) {
+        let id = format!("\"raw-{}\"", self.seq);
+        let is_known = |l: &str| l.contains("endpoint changed") && l.contains(&id);
+        let known = || self.world.logs_of(Role::Entry).lines().any(is_known);
+        let known = fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, known).await;
+        assert!(known, "{}", self.world.logs());
+    }
+
     fn entry(&self) -> SocketAddr {
         self.world.caller_address(self.world.hosts_of(Role::Entry)[0])
     }
@@ -358,6 +410,48 @@
     run(finish_job(End::Comment));
 }
 
+/// Guards against a part that crashes endpoints and is never found, because the few events of an
+/// answer without length and chunks, whose endpoint then crashed, counted as the whole answer.
+#[test]
+fn crash_after_few_events_counts_as_answer() {
+    run(async {
+        let mut fleet = Fleet::start_alone().await;
+        let mut seen = Vec::new();
+        for n in 0..4 {
+            fleet.set("HTTP/1.1", End::Crash).await;
+            fleet.wait_until_known().await;
+            let before = fleet.asked.load(Ordering::SeqCst);
+            let mut caller = client::Attempt::new(ONCE_PREFIX, &format!("crash-{n}"));
+            caller.prompt = format!("f1:100,bad:100,{:x}:250", 0x100 + n);
+            caller.run(fleet.entry(), u64::MAX).await;
+            seen.push((caller.last, fleet.asked.load(Ordering::SeqCst) - before));
+            // Hosts learn of a crash within it.
+            time::sleep(CRASH_TIME).await;
+        }
+        assert_eq!(seen, [(2, 1), (2, 1), (2, 1), (0, 0)], "{}", fleet.world.logs());
+    });
+}
+
+/// Guards against items that crash one endpoint after the other, because the few events of an answer
+/// without length and chunks, whose endpoint then crashed, counted as the whole answer.
+#[test]
+fn crash_after_few_events_of_item_counts_as_answer() {
+    run(async {
+        let mut fleet = Fleet::start_alone().await;
+        for n in 0..4 {
+            fleet.set("HTTP/1.1", End::Crash).await;
+            let prompts = [format!("f1:100,bad:100,{:x}:250", 0x100 + n)];
+            let job = format!("crash-{n}");
+            let entries = [fleet.entry()];
+            assert!(client::submit_with_prompts(&entries, &job, &prompts).await);
+            let limit = if n < 3 { ANSWER_TIMEOUT } else { CRASH_TIME };
+            let crashed = fleet_world::wait_until(limit, || fleet.accept.is_finished()).await;
+            assert_eq!(crashed, n < 3, "{job}\n{}", fleet.world.logs());
+            time::sleep(CRASH_TIME).await;
+        }
+    });
+}
+
 /// Guards against requests whose end is in no log line, so that the log cannot tell an answer that was
 /// delivered from one that was lost.
 #[test]
