Start an item over whose lost end cannot be read again

If the connection breaks after the last event of an item, the item goes on after that event. An endpoint that answers without a length and chunks then sends no event, which counts as broken off, so the item ran again until it was given up. Nothing tells such an answer from that of an endpoint that crashed. After two such runs in a row the item starts over, at which its answer has events again.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::events;
 use crate::fleet::delegation;
 use crate::fleet::directory;
+use crate::fleet::event_stream;
 use crate::fleet::frame;
 use crate::fleet::groups;
 use crate::fleet::ledger;
@@ -541,6 +542,16 @@
                 }
                 self.back_off(&key, RETRY_DELAY);
             }
+            RunEnd::Empty => {
+                let cause = event_stream::ENDED_WITHOUT_EVENT;
+                let events = tracked.progress.events;
+                let starts_over = tracked.progress.record_empty_run();
+                event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
+                    "endpoint" => &*endpoint, "cause" => cause, "events" => events,
+                    "starts_over" => starts_over);
+                self.node.record_endpoint_failure(&endpoint, &cause);
+                self.back_off(&key, RETRY_DELAY);
+            }
             RunEnd::Failed => {
                 event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
                     "endpoint" => &*endpoint, "cause" => "endpoint answered that it failed");
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -11,6 +11,10 @@
 /// Most output of an item, which is read in one answer: half of the longest frame between hosts.
 const MAX_OUTPUT_BYTES: usize = 8 << 20;
 
+/// Runs in a row that ended without an event after which an item starts over. It may have had its last
+/// event before its connection was lost, so that no run from there on ends in another way.
+const MAX_EMPTY_RUNS: u32 = 2;
+
 /// Id of a job and id of one of its items.
 pub type ItemKey = (Arc<str>, Arc<str>);
 
@@ -31,6 +35,8 @@
     pub run_time: Duration,
     /// Generation that the output belongs to.
     pub generation: ledger::Generation,
+    /// Runs since the last event that ended without one.
+    empty_runs: u32,
 }
 
 impl Progress {
@@ -60,14 +66,29 @@
     pub fn prepare_run(&mut self, build: &Arc<str>) -> bool {
         let starts_over = self.events > 0 && self.build() != Some(build);
         if starts_over {
-            let number = self.generation.number + 1;
-            let generation = ledger::Generation { number, build: None };
-            *self = Progress { generation, ..Progress::default() };
+            self.start_over();
         }
         self.generation.build = Some(build.clone());
         starts_over
     }
 
+    /// Records a run that ended without an event and without anything that shows that the output is
+    /// complete. Returns whether the item starts over.
+    pub fn record_empty_run(&mut self) -> bool {
+        self.empty_runs += 1;
+        let starts_over = self.events > 0 && self.empty_runs >= MAX_EMPTY_RUNS;
+        if starts_over {
+            self.start_over();
+        }
+        starts_over
+    }
+
+    fn start_over(&mut self) {
+        let number = self.generation.number + 1;
+        let generation = ledger::Generation { number, build: None };
+        *self = Progress { generation, ..Progress::default() };
+    }
+
     /// Adds an event that has arrived.
     pub fn add_event(&mut self, data: &[u8], id: Option<u64>) {
         if self.events > self.stored_events {
@@ -75,6 +96,7 @@
         }
         self.output.extend_from_slice(data);
         self.events += 1;
+        self.empty_runs = 0;
         self.last_event = id.or(self.last_event);
     }
 
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -1,7 +1,6 @@
 //! Runs one item of a batch job at one endpoint.
 
 use crate::fleet::crashes;
-use crate::fleet::event_stream;
 use crate::fleet::ledger;
 use crate::fleet::node;
 use crate::fleet::progress;
@@ -47,6 +46,8 @@
     Failed,
     /// The endpoint answered that the item can never run.
     Impossible,
+    /// The answer had neither an event nor anything that shows that it is complete.
+    Empty,
 }
 
 /// Progress of a run.
@@ -192,7 +193,9 @@
         };
         let ended = reporter.stream_events(request).await;
         match &ended {
-            RunEnd::Interrupted { at_fault: true, .. } => reporter.record_broken_answer(),
+            RunEnd::Interrupted { at_fault: true, .. } | RunEnd::Empty => {
+                reporter.record_broken_answer();
+            }
             RunEnd::Done if reporter.framed && reporter.events > 0 => {
                 reporter.node.record_prompt_answer(&reporter.prompt);
             }
@@ -304,7 +307,7 @@
             let bytes = match self.wait(&mut patience, response.next_chunk()).await {
                 Ok(Ok(Some(bytes))) => bytes,
                 Ok(Ok(None)) if !splitter.has_data() && !response.is_framed() => {
-                    return interrupted(event_stream::ENDED_WITHOUT_EVENT, true);
+                    return RunEnd::Empty;
                 }
                 Ok(Ok(None)) if splitter.remainder().is_empty() => return RunEnd::Done,
                 Ok(Ok(None)) => return interrupted("the stream ends within an event", true),
--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -65,6 +65,9 @@
     Empty,
     /// After a comment, before the first event.
     Comment,
+    /// With a reset after the last event the first time. Later answers go on after the last event that
+    /// the caller has, and are complete.
+    LateReset,
     /// Between two events, with a crash that closes the listener as well.
     Crash,
 }
@@ -110,16 +113,18 @@
         stream.write_all(declined.as_bytes()).await?;
         return Ok(None);
     }
-    asked.fetch_add(1, Ordering::SeqCst);
-    let head = format!("{version} 200 OK\r\n{echo}content-type: text/event-stream\r\n\r\n");
-    stream.write_all(head.as_bytes()).await?;
+    let is_first = asked.fetch_add(1, Ordering::SeqCst) == 0;
+    let answer = format!("{version} 200 OK\r\n{echo}content-type: text/event-stream\r\n\r\n");
+    stream.write_all(answer.as_bytes()).await?;
     let count = match end {
-        End::Complete => EVENT_COUNT,
+        End::Complete | End::LateReset => EVENT_COUNT,
         End::WithinEvent | End::Reset => BROKEN_COUNT,
         End::Crash => FEW_COUNT,
         End::Empty | End::Comment => 0,
     };
-    for n in 1..=count {
+    let last = field(&head, "last-event-id").parse().unwrap_or(0);
+    let after = if matches!(end, End::LateReset) { last } else { 0 };
+    for n in after + 1..=count {
         let event = format!("id: {n}\ndata: {}\n\n", plain::event_data(&id, n));
         stream.write_all(event.as_bytes()).await?;
         time::sleep(Duration::from_millis(5)).await;
@@ -128,7 +133,8 @@
         End::Complete | End::Empty | End::Crash => {}
         End::Comment => stream.write_all(b": open\n\n").await?,
         End::WithinEvent => stream.write_all(b"id: 11\ndata: ").await?,
-        End::Reset => stream.set_zero_linger()?,
+        End::LateReset if !is_first => {}
+        End::Reset | End::LateReset => stream.set_zero_linger()?,
     }
     Ok(Some(end))
 }
@@ -452,6 +458,21 @@
     });
 }
 
+/// Guards against an item that runs until it is given up because its connection was lost after the last
+/// event: the answers without length and chunks that go on there have no event.
+#[test]
+fn item_whose_end_was_lost_never_ends() {
+    run(async {
+        let mut fleet = Fleet::start_alone().await;
+        fleet.set("HTTP/1.1", End::LateReset).await;
+        let (entries, mut seen) = ([fleet.entry()], Vec::new());
+        assert!(client::submit(&entries, "job", 1).await, "{}", fleet.world.logs());
+        let finished = client::finish(&entries, "job", 1, &mut seen, JOB_TIMEOUT).await;
+        assert_eq!(finished, Ok(()), "{}", fleet.world.logs());
+        assert_eq!(seen[0]["state"], "completed", "{}", fleet.world.logs());
+    });
+}
+
 /// Guards against requests whose end is in no log line, so that the log cannot tell an answer that was
 /// delivered from one that was lost.
 #[test]
