Keep the trial of a part that an endpoint did not run

A request with the trial of a quarantined part counted as sent when an endpoint declined it, and was refused although others were free. An item lost its trial with its start, also if the endpoint declined it or could not be reached. Both keep it now until an endpoint may have run them; a run of an item tells that it has certainly not run.

The endpoints of the tests that crash are now deregistered, so that no request is sent to them later.

Before the change, the request of declined_trial_is_used_up was refused, and the item of declined_trial_of_item_is_used_up not listed within 8 s. Both are answered with it.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -129,6 +129,13 @@
     TrialRefused,
 }
 
+/// Permission of an item to run as the trial of a quarantined part.
+struct Grant {
+    since: time::Instant,
+    /// Whether it was sent to an endpoint that may have run it.
+    sent: bool,
+}
+
 /// Chunk of output whose commit was started.
 struct SentChunk {
     key: ItemKey,
@@ -185,8 +192,8 @@
     store_time: Duration,
     /// Time before which no plan is made.
     next_plan: time::Instant,
-    /// Items that may run as the trial of a quarantined part, and the time of the grant.
-    trials: sorted::SortedMap<ItemKey, time::Instant>,
+    /// Items that may run as the trial of a quarantined part.
+    trials: sorted::SortedMap<ItemKey, Grant>,
     /// Items that wait because a part of their prompts is quarantined.
     held: sorted::SortedMap<ItemKey, quarantine::Hold>,
     /// Tasks that commit outcomes of items.
@@ -390,7 +397,7 @@
             Message::FailureCounted(key) => self.back_off(&key, FAILURE_RETRY_DELAY),
             Message::LedgerComplete => self.ledger_complete = true,
             Message::TrialGranted(key) => {
-                self.trials.insert(key, time::Instant::now());
+                self.trials.insert(key, Grant { since: time::Instant::now(), sent: false });
             }
             Message::TrialRefused => {}
             Message::Stored(parts, done) => {
@@ -519,6 +526,11 @@
             ItemState::Running { endpoint, .. } => endpoint.clone(),
             _ => return,
         };
+        if matches!(ended, RunEnd::NotRun { .. })
+            && let Some(grant) = self.trials.get_mut(&key)
+        {
+            grant.sent = false;
+        }
         let (job, item) = key.clone();
         let log = &self.node.log;
         match ended {
@@ -533,7 +545,7 @@
                     self.complete(key);
                 }
             }
-            RunEnd::Interrupted { cause, at_fault } => {
+            RunEnd::Interrupted { cause, at_fault } | RunEnd::NotRun { cause, at_fault } => {
                 event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
                     "endpoint" => &*endpoint, "cause" => &*cause,
                     "events" => tracked.progress.events);
@@ -633,7 +645,7 @@
         let mut queue: Vec<(&Arc<str>, &ledger::Job, &ledger::PendingItem)> = Vec::new();
         let (mut to_abandon, mut waiting) = (Vec::new(), Vec::new());
         let mut held = sorted::SortedMap::new();
-        self.trials.retain(|_, since| now - *since < TRIAL_TIMEOUT);
+        self.trials.retain(|_, grant| now - grant.since < TRIAL_TIMEOUT);
         let (mut keys, mut running) = (Vec::new(), Vec::new());
         for (id, job) in &jobs {
             let since = *self.first_seen.entry_or((*id).clone(), || now);
@@ -759,7 +771,8 @@
     /// due, asks for it; the item may run in a later plan then.
     fn check_prompt(&self, key: &ItemKey, item: &ledger::Item) -> Option<quarantine::Hold> {
         let (node, now) = (&self.node, self.node.now());
-        if self.trials.contains(key) || node.view.quarantine(|q| q.count()) == 0 {
+        let is_trial = self.trials.get(key).is_some_and(|grant| !grant.sent);
+        if is_trial || node.view.quarantine(|q| q.count()) == 0 {
             return None;
         }
         let prompt = node.item_prompt(item);
@@ -933,7 +946,11 @@
                 return self.abandon(key, ledger::Cause::Impossible);
             }
         };
-        let trial = self.trials.remove(&key).is_some();
+        let mut trial = false;
+        if let Some(grant) = self.trials.get_mut(&key) {
+            trial = !grant.sent;
+            grant.sent = true;
+        }
         let (number, last_event) = (self.shared.numbers.next_run(), progress.last_event);
         let guard = self.node.count_request(service, &endpoint);
         let run = match run_host {
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -203,7 +203,7 @@
 enum Trial {
     No,
     Granted,
-    /// It has reached an endpoint.
+    /// It was sent to an endpoint that may have run it.
     Sent,
 }
 
@@ -746,7 +746,7 @@
                     return Err(fail(&self.node, &id, status, "no answer in time"));
                 }
                 Waited::Ended(Err((outcome, cause))) => {
-                    if outcome == attempt::Outcome::NotSent && self.trial == Trial::Sent {
+                    if outcome.is_not_run() && self.trial == Trial::Sent {
                         self.trial = Trial::Granted;
                     }
                     match self.record_retry(&name, outcome, &cause) {
--- a/src/fleet/run_host.rs
+++ b/src/fleet/run_host.rs
@@ -143,13 +143,15 @@
             // The endpoint said so to this host, and the leader has not heard of it yet.
             let leaving = runner::RunUpdate::Leaving(order.endpoint, order.start_time);
             self.delegate.record_update(self.node.now(), &key, leaving);
-            return self.return_run(&key, "the endpoint is leaving");
+            let cause = "the endpoint is leaving".into();
+            return self.end_run(&key, runner::RunEnd::NotRun { cause, at_fault: false });
         }
         let prompt = self.node.item_prompt(&order.item);
         if !order.trial && !self.node.view.quarantine(|q| q.is_free(&prompt.parts)) {
             // The leader has not heard of the quarantine yet.
             self.node.metrics.count_part("held");
-            return self.return_run(&key, "a part of the prompt is quarantined");
+            let cause = "a part of the prompt is quarantined".into();
+            return self.end_run(&key, runner::RunEnd::Interrupted { cause, at_fault: false });
         }
         let names = self.node.view.protocol().headers();
         let delegation::Order { item, host, endpoint, last_event, .. } = &order;
@@ -159,8 +161,7 @@
                 // The leader has built the same request before.
                 slog::info!(self.node.log, "item does not form a valid request";
                     "request" => &*order.key.1, "error" => %error);
-                let update = runner::RunUpdate::Ended(runner::RunEnd::Impossible);
-                return self.delegate.record_update(self.node.now(), &key, update);
+                return self.end_run(&key, runner::RunEnd::Impossible);
             }
         };
         self.last_run += 1;
@@ -181,9 +182,8 @@
         self.carried.insert(self.last_run, Carried { run: key, task: task.abort_handle() });
     }
 
-    /// Gives a run back to its leader without having started it.
-    fn return_run(&mut self, key: &delegation::RunKey, cause: &str) {
-        let ended = runner::RunEnd::Interrupted { cause: cause.into(), at_fault: false };
+    /// Ends a run that was not started.
+    fn end_run(&mut self, key: &delegation::RunKey, ended: runner::RunEnd) {
         let update = runner::RunUpdate::Ended(ended);
         self.delegate.record_update(self.node.now(), key, update);
     }
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -48,6 +48,13 @@
     Impossible,
     /// The answer had neither an event nor anything that shows that it is complete.
     Empty,
+    /// The endpoint has certainly not run the item, which runs again later.
+    NotRun {
+        /// Why it was not run.
+        cause: Arc<str>,
+        /// Whether the endpoint misbehaved, so that it is avoided for a while.
+        at_fault: bool,
+    },
 }
 
 /// Progress of a run.
@@ -186,7 +193,6 @@
             start_time,
             address,
             prompt,
-            sent: true,
             framed: false,
             events: 0,
             reports,
@@ -218,8 +224,6 @@
     start_time: u64,
     address: SocketAddr,
     prompt: Arc<quarantine::PromptParts>,
-    /// Whether the request may have reached the endpoint.
-    sent: bool,
     /// Whether the head of the answer tells where its body ends.
     framed: bool,
     /// New events of this run.
@@ -230,7 +234,7 @@
 impl Reporter {
     /// Records that the answer broke off.
     fn record_broken_answer(&self) {
-        if self.sent && self.events < crashes::ANSWERED_EVENTS {
+        if self.events < crashes::ANSWERED_EVENTS {
             let endpoint = (&self.endpoint, self.start_time, self.address);
             self.node.record_broken_prompt(endpoint, &self.prompt, &self.key.1);
         }
@@ -272,10 +276,17 @@
         let mut patience = Patience::new(time::Instant::now());
         let sent = node.upstream.send(self.address, request, false);
         let sent = self.wait(&mut patience, sent).await;
-        self.sent = !matches!(sent, Ok(Err(upstream::Failure::NotSent(_))));
         let mut response = match sent {
             Ok(Ok(response)) => response,
-            Ok(Err(failure)) => return interrupted(&failure.to_string(), true),
+            Ok(Err(failure)) => {
+                let cause = failure.to_string();
+                return match failure {
+                    upstream::Failure::NotSent(_) => {
+                        RunEnd::NotRun { cause: cause.into(), at_fault: true }
+                    }
+                    upstream::Failure::Lost(_) => interrupted(&cause, true),
+                };
+            }
             Err(ended) => return ended,
         };
         self.framed = response.is_framed();
@@ -288,7 +299,9 @@
         }
         match response.classify(names, &self.key.1) {
             upstream::ResponseClass::Matching => {}
-            upstream::ResponseClass::Declined => return interrupted("declined", false),
+            upstream::ResponseClass::Declined => {
+                return RunEnd::NotRun { cause: "declined".into(), at_fault: false };
+            }
             upstream::ResponseClass::Mismatched => {
                 return interrupted("answer of another request", true);
             }
--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -39,6 +39,8 @@
 const FEW_COUNT: u64 = 2;
 /// Longest time for an answer, also on a busy machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time after a crash after which the first trial is due.
+const TRIAL_TIME: Duration = Duration::from_secs(31);
 /// Time within which every host knows of a crash.
 const CRASH_TIME: Duration = Duration::from_secs(1);
 const JOB_TIMEOUT: Duration = Duration::from_secs(40);
@@ -68,6 +70,8 @@
     /// With a reset after the last event the first time. Later answers go on after the last event that
     /// the caller has, and are complete.
     LateReset,
+    /// With a refusal that says that the request has not run.
+    Declined,
     /// Between two events, with a crash that closes the listener as well.
     Crash,
 }
@@ -113,6 +117,13 @@
         stream.write_all(declined.as_bytes()).await?;
         return Ok(None);
     }
+    if matches!(end, End::Declined) {
+        let declined = format!(
+            "HTTP/1.1 503 Full\r\n{echo}x-basilfield-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+        );
+        stream.write_all(declined.as_bytes()).await?;
+        return Ok(None);
+    }
     let is_first = asked.fetch_add(1, Ordering::SeqCst) == 0;
     let answer = format!("{version} 200 OK\r\n{echo}content-type: text/event-stream\r\n\r\n");
     stream.write_all(answer.as_bytes()).await?;
@@ -120,7 +131,7 @@
         End::Complete | End::LateReset => EVENT_COUNT,
         End::WithinEvent | End::Reset => BROKEN_COUNT,
         End::Crash => FEW_COUNT,
-        End::Empty | End::Comment => 0,
+        End::Empty | End::Comment | End::Declined => 0,
     };
     let last = field(&head, "last-event-id").parse().unwrap_or(0);
     let after = if matches!(end, End::LateReset) { last } else { 0 };
@@ -130,7 +141,7 @@
         time::sleep(Duration::from_millis(5)).await;
     }
     match end {
-        End::Complete | End::Empty | End::Crash => {}
+        End::Complete | End::Empty | End::Crash | End::Declined => {}
         End::Comment => stream.write_all(b": open\n\n").await?,
         End::WithinEvent => stream.write_all(b"id: 11\ndata: ").await?,
         End::LateReset if !is_first => {}
@@ -200,9 +211,15 @@
     }
 
     /// Gives the endpoint an answer and registers it under a new id, which is not avoided yet. An
-    /// endpoint that has crashed starts again on another address.
+    /// endpoint that has crashed is deregistered and starts again on another address.
     async fn set(&mut self, version: &'static str, end: End) {
+        let control = self.world.hosts_of(Role::Control)[0];
+        let to = (self.world.hosts[control].process_address, fleet_world::OPERATOR_PORT).into();
         if self.accept.is_finished() {
+            let id = self.answer.lock().expect("lock").endpoint.clone();
+            let path = format!("/-/instances/{id}");
+            let status = client::call(to, "DELETE", &path, &[], String::new()).await.0;
+            assert_eq!(status, 200, "{}", self.world.logs());
             (self.address, self.accept) = listen(&self.answer, &self.asked).await;
         }
         self.seq += 1;
@@ -214,16 +231,41 @@
             "version": fleet_world::DEFAULT_BUILD, "slots": self.slots, "state": "ready",
             "coldMs": 0, "callSeq": self.seq,
         });
-        let control = self.world.hosts_of(Role::Control)[0];
-        let to = (self.world.hosts[control].process_address, fleet_world::OPERATOR_PORT).into();
         let status = client::call(to, "PUT", &path, &[], body.to_string()).await.0;
         assert_eq!(status, 200, "{}", self.world.logs());
         self.world.send_heartbeats().await;
     }
 
+    /// Sends a request whose prompt has the given parts to the endpoint under test, which crashes, and
+    /// waits until every host knows it. Returns the number of events that the caller got and of
+    /// requests that the endpoint got.
+    async fn crash(&mut self, parts: &str) -> (u64, usize) {
+        self.set("HTTP/1.1", End::Crash).await;
+        self.wait_until_known().await;
+        let before = self.asked.load(Ordering::SeqCst);
+        let caller = self.send(parts).await.0;
+        time::sleep(CRASH_TIME).await;
+        (caller.last, self.asked.load(Ordering::SeqCst) - before)
+    }
+
+    /// Sends a request with the given shared parts in a prompt of its own, which runs once.
+    async fn send(&mut self, parts: &str) -> (client::Attempt, client::StreamEnd) {
+        self.seq += 1;
+        let mut caller = client::Attempt::new(ONCE_PREFIX, &format!("prompt-{}", self.seq));
+        caller.prompt = self.prompt(parts);
+        let ended = caller.run(self.entry(), u64::MAX).await;
+        (caller, ended)
+    }
+
+    /// Prompt with shared parts and one of its own.
+    fn prompt(&self, parts: &str) -> String {
+        let shared: Vec<String> = parts.split(',').map(|part| format!("{part}:100")).collect();
+        format!("f1:100,{},{:x}:250", shared.join(","), 0x1000 + self.seq)
+    }
+
     /// Waits until the entry has logged the last registration of the endpoint.
     async fn wait_until_known(&self) {
-        let id = format!("\"raw-{}\"", self.seq);
+        let id = format!("\"{}\"", self.answer.lock().expect("lock").endpoint);
         let is_known = |l: &str| l.contains("endpoint changed") && l.contains(&id);
         let known = || self.world.logs_of(Role::Entry).lines().any(is_known);
         let known = fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, known).await;
@@ -423,16 +465,8 @@
     run(async {
         let mut fleet = Fleet::start_alone().await;
         let mut seen = Vec::new();
-        for n in 0..4 {
-            fleet.set("HTTP/1.1", End::Crash).await;
-            fleet.wait_until_known().await;
-            let before = fleet.asked.load(Ordering::SeqCst);
-            let mut caller = client::Attempt::new(ONCE_PREFIX, &format!("crash-{n}"));
-            caller.prompt = format!("f1:100,bad:100,{:x}:250", 0x100 + n);
-            caller.run(fleet.entry(), u64::MAX).await;
-            seen.push((caller.last, fleet.asked.load(Ordering::SeqCst) - before));
-            // Hosts learn of a crash within it.
-            time::sleep(CRASH_TIME).await;
+        for _ in 0..4 {
+            seen.push(fleet.crash("bad").await);
         }
         assert_eq!(seen, [(2, 1), (2, 1), (2, 1), (0, 0)], "{}", fleet.world.logs());
     });
@@ -458,6 +492,48 @@
     });
 }
 
+/// Guards against the trial of a part that is used up although the endpoint declined it.
+#[test]
+fn declined_trial_is_used_up() {
+    run(async {
+        let mut fleet = Fleet::start_alone().await;
+        for _ in 0..3 {
+            assert_eq!(fleet.crash("bad").await, (2, 1), "{}", fleet.world.logs());
+        }
+        time::sleep(TRIAL_TIME).await;
+        // The endpoint that declines has far more slots and is asked first.
+        fleet.slots = MANY_SLOTS * 1_000;
+        fleet.set("HTTP/1.1", End::Declined).await;
+        fleet.world.start_endpoint(0).await;
+        fleet.world.send_heartbeats_until_ready().await;
+        fleet.wait_until_known().await;
+        let ended = fleet.send("bad").await.1;
+        assert!(fleet.world.logs_of(Role::Entry).contains("declined with 503"));
+        assert_eq!(ended, client::StreamEnd::Complete, "{}", fleet.world.logs());
+    });
+}
+
+/// Guards against the trial of a part that is used up although the endpoint declined the item.
+#[test]
+fn declined_trial_of_item_is_used_up() {
+    run(async {
+        let mut fleet = Fleet::start_alone().await;
+        for _ in 0..3 {
+            assert_eq!(fleet.crash("bad").await, (2, 1), "{}", fleet.world.logs());
+        }
+        fleet.set("HTTP/1.1", End::Declined).await;
+        let entries = [fleet.entry()];
+        let prompts = [fleet.prompt("bad")];
+        assert!(client::submit_with_prompts(&entries, "job", &prompts).await);
+        let is_declined = || fleet.world.logs_of(Role::Store).contains("\"cause\":\"declined\"");
+        let declined = fleet_world::wait_until(JOB_TIMEOUT, is_declined).await;
+        assert!(declined, "{}", fleet.world.logs());
+        fleet.set("HTTP/1.1", End::Complete).await;
+        let finished = client::finish(&entries, "job", 1, &mut Vec::new(), ANSWER_TIMEOUT).await;
+        assert_eq!(finished, Ok(()), "{}", fleet.world.logs());
+    });
+}
+
 /// Guards against an item that runs until it is given up because its connection was lost after the last
 /// event: the answers without length and chunks that go on there have no event.
 #[test]
