Compare stored output of items by its text, not by its length alone

When a chunk of output was committed, the leader took it for stored if the ledger held as many events as expected. Output that was sent before a change of leadership may be stored after it. If it had as many events as the chunk of the present run, that chunk was ignored, and the text went on with a run that was not asked to go on there. The leader now compares the text as well; an item whose stored output differs goes on from what is stored.

late_output_of_the_same_length_is_taken_for_that_of_the_present_run stores such output first. Before: 11 events of the earlier run were followed by events of a run that had begun at the first event. After: the next run is asked to go on after the 11th.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -29,6 +29,7 @@
 use crate::fleet::upstream;
 use crate::sorted;
 use crate::supervisor;
+use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -142,8 +143,8 @@
     generation: ledger::Generation,
     /// Events of the item up to the end of the chunk.
     events: u64,
-    /// Bytes of the chunk.
-    len: usize,
+    /// Output in the chunk.
+    data: Bytes,
 }
 
 /// Message with the epoch in which its work was started.
@@ -413,12 +414,17 @@
 
     /// Handles the end of the commit of a chunk of output, which has succeeded if `done`.
     fn handle_chunk_stored(&mut self, chunk: SentChunk, done: bool) {
-        let SentChunk { key, generation, events, len } = chunk;
-        let stored = {
+        let SentChunk { key, generation, events, data } = chunk;
+        let is_stored = {
             let ledger = peer::lock(&self.shared.ledger);
             let pending = ledger.job(&key.0).map(|j| &j.pending[..]).unwrap_or_default();
             let found = pending.iter().find(|o| o.item.id == key.1);
-            found.map(|o| (ledger.generation(&key.0, &key.1), o.stored.events))
+            // Output that was sent before the last change of leadership may have been stored after
+            // it, with as many events.
+            found.is_some_and(|o| {
+                let is_known = ledger.generation(&key.0, &key.1) == generation;
+                is_known && o.stored.events == events && o.stored.output.ends_with(&data)
+            })
         };
         let Some(tracked) = self.tracked.get_mut(&key) else { return };
         if matches!(tracked.state, ItemState::Discarded) {
@@ -426,12 +432,12 @@
         }
         // If the item has started over since, the chunk says nothing about its present output.
         if done && tracked.progress.generation == generation {
-            if stored != Some((generation, events)) {
+            if !is_stored {
                 // The ledger holds other output than expected: the item continues from there.
                 self.tracked.remove(&key);
                 return;
             }
-            tracked.progress.mark_stored(events, len);
+            tracked.progress.mark_stored(events, data.len());
         }
         if matches!(tracked.state, ItemState::Finished) {
             self.complete(key);
@@ -459,7 +465,7 @@
             key: key.clone(),
             generation: part.generation.clone(),
             events: part.chunk.events,
-            len: part.chunk.data.len(),
+            data: part.chunk.data.clone(),
         };
         let parts = chunks.iter().map(sent).collect();
         let chunks = chunks.into_iter().map(|(_, chunk)| chunk).collect();
--- a/tests/fleet_delegation.rs
+++ b/tests/fleet_delegation.rs
@@ -587,3 +587,36 @@
         assert_eq!(pair.output("second", RUN_TIMEOUT).await, whole_output("second"));
     });
 }
+
+/// Guards against output that goes on with a run that was not asked to go on there: output of an
+/// earlier run, sent before the leadership changed, was stored late, and had as many events.
+#[test]
+fn late_output_of_the_same_length_is_taken_for_that_of_the_present_run() {
+    fleet_world::run(async {
+        let pair = Pair::start().await;
+        slow_down(&pair);
+        let late = Arc::new(std::sync::Mutex::new(None));
+        let stored = late.clone();
+        pair.intercept(move |ledger, command| {
+            let ledger::Command::StoreGenerations(chunks) = command else { return };
+            let mut stored = stored.lock().expect("lock");
+            if stored.is_some() {
+                return;
+            }
+            let mut earlier = chunks.clone();
+            let text = String::from_utf8(chunks[0].chunk.data.to_vec()).expect("text");
+            let events: Vec<String> = text.split('\n').map(|e| format!("earlier {e}")).collect();
+            earlier[0].chunk.data = events.join("\n").into();
+            ledger.execute(1, ledger::Command::StoreGenerations(earlier));
+            *stored = Some(events);
+        });
+        pair.lead().await;
+        pair.submit("job", vec![fleet_pair::item("item", "")]);
+        let output = pair.output("job", RUN_TIMEOUT).await;
+        let mut expected = late.lock().expect("lock").clone().expect("output was stored");
+        let count = expected.len();
+        expected.extend(whole_output("item").split_off(count));
+        let asked: Vec<u64> = pair.endpoint.runs().iter().map(|r| r.last_event).collect();
+        assert_eq!((output, asked), (expected, vec![0, count as u64]));
+    });
+}
