Let a trial cover only the part that it was granted for

A request or item with the trial of one part was not checked against the quarantine again, so that a part that was quarantined while it waited for a slot reached an endpoint, and so did a part whose own trial was then granted to another request. The trial keeps the ids of its parts now; the others are checked each time, and their trials have to be granted as well.

Before the change, the item of trial_of_item_lets_another_part_through crashed an endpoint with a part that was quarantined during its wait. With it, the item stays held.

--- a/src/fleet/delegation.rs
+++ b/src/fleet/delegation.rs
@@ -17,6 +17,7 @@
 
 use crate::fleet::ledger;
 use crate::fleet::progress;
+use crate::fleet::quarantine;
 use crate::fleet::runner;
 use crate::sorted;
 use crate::wire;
@@ -89,8 +90,8 @@
     pub address: SocketAddr,
     /// Number of the last event that has arrived in earlier runs.
     pub last_event: Option<u64>,
-    /// Whether the run is the trial of a quarantined part of its prompt.
-    pub trial: bool,
+    /// Quarantined parts of its prompt whose trial the run is.
+    pub trial: quarantine::Trial,
 }
 
 impl Order {
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -124,8 +124,8 @@
     LedgerComplete,
     /// The commit of chunks of output has succeeded (`true`) or failed.
     Stored(Vec<SentChunk>, bool),
-    /// An item may run as the trial of a quarantined part.
-    TrialGranted(ItemKey),
+    /// An item may run as the trial of a quarantined part with this id.
+    TrialGranted(ItemKey, u64),
     /// The trial of a quarantined part was not granted.
     TrialRefused,
 }
@@ -133,8 +133,7 @@
 /// Permission of an item to run as the trial of a quarantined part.
 struct Grant {
     since: time::Instant,
-    /// Whether it was sent to an endpoint that may have run it.
-    sent: bool,
+    trial: quarantine::Trial,
 }
 
 /// Chunk of output whose commit was started.
@@ -397,8 +396,10 @@
             }
             Message::FailureCounted(key) => self.back_off(&key, FAILURE_RETRY_DELAY),
             Message::LedgerComplete => self.ledger_complete = true,
-            Message::TrialGranted(key) => {
-                self.trials.insert(key, Grant { since: time::Instant::now(), sent: false });
+            Message::TrialGranted(key, part) => {
+                let since = time::Instant::now();
+                let empty = || Grant { since, trial: quarantine::Trial::default() };
+                self.trials.entry_or(key, empty).trial.grant(part);
             }
             Message::TrialRefused => {}
             Message::Stored(parts, done) => {
@@ -535,7 +536,7 @@
         if matches!(ended, RunEnd::NotRun { .. })
             && let Some(grant) = self.trials.get_mut(&key)
         {
-            grant.sent = false;
+            grant.trial.set_sent(false);
         }
         let (job, item) = key.clone();
         let log = &self.node.log;
@@ -777,19 +778,22 @@
     /// due, asks for it; the item may run in a later plan then.
     fn check_prompt(&self, key: &ItemKey, item: &ledger::Item) -> Option<quarantine::Hold> {
         let (node, now) = (&self.node, self.node.now());
-        let is_trial = self.trials.get(key).is_some_and(|grant| !grant.sent);
-        if is_trial || node.view.quarantine(|q| q.count()) == 0 {
+        if node.view.quarantine(|q| q.count()) == 0 {
             return None;
         }
         let prompt = node.item_prompt(item);
-        match node.view.quarantine(|q| q.check(now, &prompt.parts)) {
+        let parts = match self.trials.get(key) {
+            Some(grant) => grant.trial.checked(&prompt.parts),
+            None => prompt.parts.clone(),
+        };
+        match node.view.quarantine(|q| q.check(now, &parts)) {
             quarantine::Check::Free => None,
             quarantine::Check::Held(hold) => Some(hold),
             quarantine::Check::TrialDue { hold, number } => {
                 let (node, key) = (node.clone(), key.clone());
                 self.spawn(async move {
                     match node.ask_for_trial(hold, number, &key.1).await {
-                        true => Message::TrialGranted(key),
+                        true => Message::TrialGranted(key, hold.part),
                         false => Message::TrialRefused,
                     }
                 });
@@ -952,10 +956,10 @@
                 return self.abandon(key, ledger::Cause::Impossible);
             }
         };
-        let mut trial = false;
+        let mut trial = quarantine::Trial::default();
         if let Some(grant) = self.trials.get_mut(&key) {
-            trial = !grant.sent;
-            grant.sent = true;
+            trial = grant.trial.clone();
+            grant.trial.set_sent(true);
         }
         let (number, last_event) = (self.shared.numbers.next_run(), progress.last_event);
         let guard = self.node.count_request(service, &endpoint);
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -181,7 +181,8 @@
     /// Number of the last record of the stream's origin, and the build that it names.
     recorded: Option<(u32, Arc<str>)>,
     pub(super) prompt: Arc<quarantine::PromptParts>,
-    trial: Trial,
+    /// Trials that were granted to the request. It goes to one endpoint then.
+    trial: quarantine::Trial,
     /// Whether the answer is complete or has failed. If the request is dropped before, the caller
     /// has left.
     pub(super) ended: bool,
@@ -198,15 +199,6 @@
     }
 }
 
-/// Whether the request is the trial of a quarantined part, which goes to one endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Trial {
-    No,
-    Granted,
-    /// It was sent to an endpoint that may have run it.
-    Sent,
-}
-
 /// Response of an endpoint whose head has arrived.
 pub(super) struct StartedResponse {
     pub(super) response: upstream::Response,
@@ -275,7 +267,7 @@
         recorded: None,
         ended: false,
         prompt,
-        trial: Trial::No,
+        trial: quarantine::Trial::default(),
     };
     match forwarder.request.route.kind {
         routes::Kind::Stream => forwarder.forward_stream(&headers).await,
@@ -451,7 +443,8 @@
 
     /// Whether a part of the prompt is quarantined and the request is not the trial of it.
     fn is_held(&self) -> bool {
-        self.trial == Trial::No && !self.node.view.quarantine(|q| q.is_free(&self.prompt.parts))
+        let parts = self.trial.checked(&self.prompt.parts);
+        !self.node.view.quarantine(|q| q.is_free(&parts))
     }
 
     /// Decides whether the request may be sent to an endpoint, judged by its prompt.
@@ -459,26 +452,22 @@
     /// # Errors
     /// The response to a request that may not.
     async fn admit(&mut self) -> Result<(), serve::Response> {
-        match self.trial {
-            Trial::Granted => return Ok(()),
-            Trial::Sent => return Err(self.give_up("the trial of a quarantined part has ended")),
-            Trial::No => {}
+        if self.trial.is_sent() {
+            return Err(self.give_up("the trial of a quarantined part has ended"));
         }
-        let now = self.node.now();
-        let check = self.node.view.quarantine(|q| q.check(now, &self.prompt.parts));
-        let hold = match check {
-            quarantine::Check::Free => return Ok(()),
-            quarantine::Check::Held(hold) => hold,
-            quarantine::Check::TrialDue { hold, number } => {
-                let id = self.request.id.clone();
-                if !self.attempts.may_have_run() && self.node.ask_for_trial(hold, number, &id).await
-                {
-                    self.trial = Trial::Granted;
-                    self.attempts = attempt::Attempts::new(false, 1);
-                    return Ok(());
-                }
-                hold
+        let hold = loop {
+            let (now, parts) = (self.node.now(), self.trial.checked(&self.prompt.parts));
+            let (hold, number) = match self.node.view.quarantine(|q| q.check(now, &parts)) {
+                quarantine::Check::Free => return Ok(()),
+                quarantine::Check::Held(hold) => break hold,
+                quarantine::Check::TrialDue { hold, number } => (hold, number),
+            };
+            let id = self.request.id.clone();
+            if self.attempts.may_have_run() || !self.node.ask_for_trial(hold, number, &id).await {
+                break hold;
             }
+            self.trial.grant(hold.part);
+            self.attempts = attempt::Attempts::new(false, 1);
         };
         self.node.metrics.count_part("held");
         event!(self.node.log, events::REQUEST_HELD; "request" => &*self.request.id,
@@ -718,9 +707,7 @@
             if !self.node.is_available(&endpoint.id) || self.is_held() {
                 continue;
             }
-            if self.trial == Trial::Granted {
-                self.trial = Trial::Sent;
-            }
+            self.trial.set_sent(true);
             self.tried.push(endpoint.id.clone());
             self.record_origin(&endpoint.build);
             let (name, asked) = (endpoint.id.clone(), endpoint.clone());
@@ -746,8 +733,8 @@
                     return Err(fail(&self.node, &id, status, "no answer in time"));
                 }
                 Waited::Ended(Err((outcome, cause))) => {
-                    if outcome.is_not_run() && self.trial == Trial::Sent {
-                        self.trial = Trial::Granted;
+                    if outcome.is_not_run() {
+                        self.trial.set_sent(false);
                     }
                     match self.record_retry(&name, outcome, &cause) {
                         attempt::Next::Again if self.build.is_some() => {
--- a/src/fleet/quarantine.rs
+++ b/src/fleet/quarantine.rs
@@ -336,6 +336,40 @@
     },
 }
 
+/// Trials of quarantined parts that were granted to a request or an item.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Trial {
+    parts: Vec<u64>,
+    /// Whether an endpoint may have run it.
+    sent: bool,
+}
+
+impl Trial {
+    /// Records that the trial of a part was granted. Earlier trials are over if they were sent.
+    pub fn grant(&mut self, part: u64) {
+        if self.sent {
+            *self = Trial::default();
+        }
+        self.parts.push(part);
+    }
+
+    /// Records whether an endpoint may have run the request or item since the grant.
+    pub fn set_sent(&mut self, sent: bool) {
+        self.sent = sent && !self.parts.is_empty();
+    }
+
+    /// Whether an endpoint may have run the request or item since the grant.
+    pub fn is_sent(&self) -> bool {
+        self.sent
+    }
+
+    /// Parts that may not be sent while they are quarantined: all but those whose trial this is.
+    pub fn checked(&self, parts: &[u64]) -> Vec<u64> {
+        let is_checked = |part: &u64| self.sent || !self.parts.contains(part);
+        parts.iter().copied().filter(is_checked).collect()
+    }
+}
+
 /// Why a request is kept from endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hold {
--- a/src/fleet/run_host.rs
+++ b/src/fleet/run_host.rs
@@ -147,7 +147,8 @@
             return self.end_run(&key, runner::RunEnd::NotRun { cause, at_fault: false });
         }
         let prompt = self.node.item_prompt(&order.item);
-        if !order.trial && !self.node.view.quarantine(|q| q.is_free(&prompt.parts)) {
+        let parts = order.trial.checked(&prompt.parts);
+        if !self.node.view.quarantine(|q| q.is_free(&parts)) {
             // The leader has not heard of the quarantine yet.
             self.node.metrics.count_part("held");
             let cause = "a part of the prompt is quarantined".into();
--- a/tests/fleet_crashing_part.rs
+++ b/tests/fleet_crashing_part.rs
@@ -4,6 +4,8 @@
 mod fleet_world;
 
 use basilfield::emulator::plain;
+use basilfield::fleet::delegation;
+use basilfield::fleet::quarantine;
 use fleet_pair::Pair;
 use fleet_world::Role;
 use fleet_world::Size;
@@ -369,7 +371,8 @@
         let output = pair.output("job", TRIAL_TIME).await;
         let runs = pair.endpoint.runs().iter().filter(|r| &*r.request_id == "trial").count();
         let orders = pair.orders.lock().expect("lock").clone();
-        let trials = orders.iter().flat_map(|o| &o.start).filter(|order| order.trial).count();
+        let is_trial = |order: &&delegation::Order| order.trial != quarantine::Trial::default();
+        let trials = orders.iter().flat_map(|o| &o.start).filter(is_trial).count();
         let count = usize::try_from(fleet_world::ENDPOINT_OPTIONS.1).expect("few events");
         assert_eq!((output.len(), runs, trials), (count, 1, 1));
     });
--- a/tests/fleet_delegation.rs
+++ b/tests/fleet_delegation.rs
@@ -10,6 +10,7 @@
 use basilfield::fleet::frame;
 use basilfield::fleet::ledger;
 use basilfield::fleet::progress;
+use basilfield::fleet::quarantine;
 use basilfield::fleet::runner;
 use basilfield::wire;
 use fleet_pair::Pair;
@@ -110,7 +111,7 @@
         start_time: 0,
         address: ([127, 0, 0, 1], 1).into(),
         last_event: None,
-        trial: false,
+        trial: quarantine::Trial::default(),
     }
 }
 
@@ -547,7 +548,7 @@
 }
 
 /// Guards against the trial of a quarantined part that is used up because the host that carries out
-/// its run holds it back.
+/// its run holds it back, and against one that lets another part through.
 #[test]
 fn run_host_holds_back_a_trial() {
     fleet_world::run(async {
@@ -556,12 +557,19 @@
         let mut script = fleet_pair::Script::start(&pair).await;
         let item = |id| fleet_pair::item(id, "f1:100,bad1:100,11:250");
         let order = |number, id, trial| delegation::Order { trial, ..pair.order(number, item(id)) };
-        script.start_run(order(1, "held", false));
-        script.start_run(order(2, "trial", true));
-        let ended = script.wait_for_ends(2).await;
+        let trial = |part| {
+            let mut trial = quarantine::Trial::default();
+            trial.grant(part);
+            trial
+        };
+        script.start_run(order(1, "held", quarantine::Trial::default()));
+        script.start_run(order(2, "other", trial(0xbad2)));
+        script.start_run(order(3, "trial", trial(0xbad1)));
+        let ended = script.wait_for_ends(3).await;
         let ids: Vec<_> = pair.endpoint.runs().into_iter().map(|r| r.request_id).collect();
-        let is_held = matches!(ended[0], (1, runner::RunEnd::Interrupted { .. }));
-        assert!(is_held && ended[1] == (2, runner::RunEnd::Done), "{ended:?}");
+        let is_held = |at: usize| matches!(ended[at].1, runner::RunEnd::Interrupted { .. });
+        assert!(is_held(0) && is_held(1), "{ended:?}");
+        assert_eq!(ended[2], (3, runner::RunEnd::Done));
         assert_eq!(ids, ["trial".into()]);
     });
 }
--- a/tests/fleet_pair/mod.rs
+++ b/tests/fleet_pair/mod.rs
@@ -371,7 +371,7 @@
             start_time: 1,
             address: self.endpoint.address(),
             last_event: None,
-            trial: false,
+            trial: quarantine::Trial::default(),
         }
     }
 }
--- a/tests/fleet_quarantine.rs
+++ b/tests/fleet_quarantine.rs
@@ -306,3 +306,23 @@
         assert!(held_sound <= 300, "seed {seed}: sound parts were held for {held_sound} steps");
     }
 }
+
+/// Guards against the trial of one part that lets another one through, and one that runs twice.
+#[test]
+fn trial_of_a_part_covers_only_that_part() {
+    let parts = [FIRST, BAD, OTHER_BAD];
+    let mut trial = quarantine::Trial::default();
+    trial.set_sent(true);
+    let mut seen = vec![(trial.checked(&parts), trial.is_sent())];
+    trial.grant(BAD);
+    seen.push((trial.checked(&parts), trial.is_sent()));
+    trial.set_sent(true);
+    seen.push((trial.checked(&parts), trial.is_sent()));
+    trial.set_sent(false);
+    trial.grant(OTHER_BAD);
+    seen.push((trial.checked(&parts), trial.is_sent()));
+    let all = parts.to_vec();
+    let expected =
+        [(all.clone(), false), (vec![FIRST, OTHER_BAD], false), (all, true), (vec![FIRST], false)];
+    assert_eq!(seen, expected);
+}
--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -534,6 +534,35 @@
     });
 }
 
+/// Guards against a part that was quarantined while an item waited with the trial of another one, and
+/// that reaches an endpoint along with it.
+#[test]
+fn trial_of_item_lets_another_part_through() {
+    run(async {
+        let mut fleet = Fleet::start_alone().await;
+        // No item is sent to an endpoint with a single slot.
+        fleet.slots = 1;
+        for _ in 0..3 {
+            assert_eq!(fleet.crash("bad1").await, (2, 1), "{}", fleet.world.logs());
+        }
+        let prompts = [fleet.prompt("bad1,bad2")];
+        assert!(client::submit_with_prompts(&[fleet.entry()], "job", &prompts).await);
+        let is_granted = || {
+            let log = fleet.world.logs_of(Role::Store);
+            log.lines().any(|l| l.contains("trial of a quarantined part") && l.contains("job-0"))
+        };
+        let granted = fleet_world::wait_until(JOB_TIMEOUT, is_granted).await;
+        assert!(granted, "{}", fleet.world.logs());
+        for _ in 0..3 {
+            assert_eq!(fleet.crash("bad2").await, (2, 1), "{}", fleet.world.logs());
+        }
+        fleet.slots = MANY_SLOTS;
+        fleet.set("HTTP/1.1", End::Crash).await;
+        let crashed = fleet_world::wait_until(CRASH_TIME * 2, || fleet.accept.is_finished()).await;
+        assert!(!crashed, "{}", fleet.world.logs());
+    });
+}
+
 /// Guards against an item that runs until it is given up because its connection was lost after the last
 /// event: the answers without length and chunks that go on there have no event.
 #[test]
