Keep a host that hears from a leader from deposing it

If the first entry of a new group is late, as its connection has to be opened again, while heartbeats arrive, the host repeats its attempt to form the group. A third of a second after its vote it started an election, gave up the leader it heard from, and another such host granted it its vote. Found in a review.

A replica no longer starts an election to form a group while it hears from a leader.

late_entry_does_not_depose_new_leader failed before, with pre-votes in the second second, and passes now.

--- a/src/replica/membership.rs
+++ b/src/replica/membership.rs
@@ -74,8 +74,9 @@
             return;
         }
         self.forming = Some(membership);
-        // Another member may be about to form the group with the vote of this replica.
-        if !self.has_voted_recently() {
+        // Another member may be forming the group: with the vote of this replica, or as its leader
+        // whose first entry has not arrived.
+        if !self.has_leader() && !self.has_voted_recently() {
             self.election_deadline = self.now;
             self.tick();
         }
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -188,6 +188,36 @@
     assert_eq!(deposed, []);
 }
 
+/// Guards against a host that forms a group whose leader it hears from, while the first entry has not
+/// arrived: the others may grant it their votes and depose the leader.
+#[test]
+fn late_entry_does_not_depose_new_leader() {
+    let second = Duration::from_secs(1);
+    let config = replica::Config {
+        group: 1,
+        id: 1,
+        heartbeat_interval: second / 10,
+        election_timeout: second,
+        seed: 1,
+    };
+    let voters = [(1, "a".into()), (2, "b".into()), (3, "c".into())];
+    let members = replica::Membership::from_voters(voters);
+    let restored = replica::PersistentState::default();
+    let mut follower = replica::Replica::new(config, restored, Duration::ZERO);
+    let message =
+        |body| Input::Message(replica::Envelope { group: 1, from: 2, to: 1, term: 1, body });
+    follower.step(Duration::ZERO, message(replica::Message::Vote { last_index: 0, last_term: 0 }));
+    let mut outputs = Vec::new();
+    for n in 1..=30 {
+        let now = second / 10 * n;
+        follower.step(now, message(replica::Message::Heartbeat { commit: 0, round: u64::from(n) }));
+        outputs.extend(follower.step(now, Input::Form(members.clone())));
+        outputs.extend(follower.step(now, Input::Tick));
+    }
+    outputs.retain(|output| matches!(output, Output::Send(_)));
+    assert_eq!(outputs, []);
+}
+
 /// Guards against a new leader that does not count the uncommitted entries of earlier leaders
 /// towards its limit.
 #[test]
