Do not avoid an endpoint that declined a request taken over

If an endpoint failed or declined while another one was asked to take its request over, and the other one answered, this counted as a failure of the endpoint. One that declined has not failed, and a failure to send had been counted before. The waiting code now tells its caller why the endpoint was left: a silent one and one that broke off a stream count as failed, and an attempt that ended with a failure has recorded it itself. The log line of a resumed stream gives the actual cause.

--- a/src/emulator/plain.rs
+++ b/src/emulator/plain.rs
@@ -51,6 +51,8 @@
     pub error_rate: f64,
     /// Rate of requests that are declined although a slot is free.
     pub decline_rate: f64,
+    /// Time before a request is declined.
+    pub decline_pause: Duration,
     /// Rate of requests that are executed, but whose answer says that a request with another id was
     /// declined.
     pub mismatch_rate: f64,
@@ -307,6 +309,7 @@
         let faults = *lock(&self.faults);
         let slot = self.take_slot();
         let Some(slot) = slot.filter(|_| rand::random::<f64>() >= faults.decline_rate) else {
+            time::sleep(faults.decline_pause).await;
             return Ok(self.decline_response(head.headers.get(&names.request_id).cloned()));
         };
         let path = head.uri.path().into();
--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -102,8 +102,10 @@
                 }
                 return Err("the time is over".into());
             }
-            forward::Waited::TakenOver(other) => {
-                self.log_resumption("silence", attempt::Next::Again);
+            forward::Waited::TakenOver(other, failure) => {
+                let cause = failure.map_or_else(|| "silence".into(), |(_, cause)| cause);
+                self.forwarder.node.record_endpoint_failure(&from, &cause);
+                self.log_resumption(&cause, attempt::Next::Again);
                 self.record_broken_answer();
                 // Closes the connection to the silent endpoint, which cancels the request there.
                 self.started = Some(other);
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -216,8 +216,9 @@
 pub(super) enum Waited<T> {
     /// The endpoint went on or failed.
     Ended(Result<T, AttemptFailure>),
-    /// The endpoint was silent, and another one has started to respond instead.
-    TakenOver(Box<StartedResponse>),
+    /// Another endpoint has started to respond instead. The first one was silent, or else failed in this
+    /// way meanwhile.
+    TakenOver(Box<StartedResponse>, Option<AttemptFailure>),
     /// The deadline passed while the request may be running.
     DeadlineExceeded,
 }
@@ -612,11 +613,8 @@
             };
             match result {
                 Ok(Ok(started)) if started.response.head.status.is_success() => {
-                    let (outcome, cause) =
-                        failure.unwrap_or_else(|| (attempt::Outcome::Lost, Arc::from("silence")));
-                    self.node.record_endpoint_failure(from, &cause);
-                    self.attempts.record(outcome);
-                    return Waited::TakenOver(started);
+                    self.attempts.record(failure.as_ref().map_or(attempt::Outcome::Lost, |f| f.0));
+                    return Waited::TakenOver(started, failure);
                 }
                 Ok(Ok(started)) => {
                     let status = started.response.head.status.as_u16();
@@ -723,10 +721,16 @@
                     self.record_retry(&name, attempt::Outcome::Failed, &cause);
                 }
                 Waited::Ended(Ok(started)) => return Ok(started),
-                Waited::TakenOver(started) => {
+                Waited::TakenOver(started, None) => {
+                    self.node.record_endpoint_failure(&name, &"silence");
                     self.record_broken_answer(&asked, 0);
                     return Ok(started);
                 }
+                // The attempt has recorded the failure of its endpoint, if it is one.
+                Waited::TakenOver(started, Some((outcome, cause))) => {
+                    self.log_retry(&name, outcome, &cause);
+                    return Ok(started);
+                }
                 Waited::DeadlineExceeded => {
                     self.record_broken_answer(&asked, 0);
                     let status = StatusCode::GATEWAY_TIMEOUT;
--- a/tests/fleet_takeover.rs
+++ b/tests/fleet_takeover.rs
@@ -120,6 +120,30 @@
     });
 }
 
+/// Guards against an endpoint that is avoided because it declined a request that another one then took
+/// over: it has neither failed nor been silent.
+#[test]
+fn endpoint_that_declines_during_takeover_is_avoided() {
+    fleet_world::run(async {
+        let world = World::start(TWO_ENDPOINTS).await;
+        // Another endpoint is asked after 1.2 s. The first one declines soon after, and the other one
+        // takes longer to answer.
+        let pause = Duration::from_millis(1_350);
+        let late = plain::FaultRates { decline_pause: pause, ..declining() };
+        world.endpoint(0).set_faults(late);
+        world.endpoint(1).set_faults(fleet_world::pause(0, Duration::from_millis(800)));
+        let mut ends = Vec::new();
+        for n in 0..4 {
+            ends.push(client::stream(world.entry(), STREAM_PREFIX, &format!("late-{n}")).await);
+        }
+        let log = world.logs_of(Role::Entry);
+        let is_avoided = |l: &&str| l.contains("endpoint avoided") && l.contains("declined");
+        let avoided: Vec<&str> = log.lines().filter(is_avoided).collect();
+        assert!(log.contains("\"asked\":"), "{log}");
+        assert!(avoided.is_empty(), "{ends:?} {avoided:?}\n{log}");
+    });
+}
+
 /// Guards against a stream that cannot be resumed after its endpoint ends, because the only other
 /// endpoint declined to take it over some time before.
 #[test]
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -379,6 +379,7 @@
                     lost_rate: share(),
                     error_rate: share(),
                     decline_rate: share(),
+                    decline_pause: Duration::ZERO,
                     mismatch_rate: share(),
                     slowdown: 1.0,
                     pause: None,
