Record the prompt of a request that a silent endpoint did not take over

An endpoint that is asked to take a request over and gives no answer within 0.3 s counted as failed, but its prompt was not recorded as broken there, so that a crash of the endpoint named no prompt.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -593,7 +593,7 @@
             self.tried.push(name.clone());
             self.record_origin(&endpoint.build);
             let guard = self.node.count_request(&self.service, &endpoint.id);
-            let mut other = std::pin::pin!(self.attempt(headers, endpoint, guard));
+            let mut other = std::pin::pin!(self.attempt(headers, endpoint.clone(), guard));
             let mut failure = None;
             let result = tokio::select! {
                 biased;
@@ -636,6 +636,7 @@
                 Err(_) => {
                     let cause = "no answer while another endpoint runs the request";
                     self.node.record_endpoint_failure(&name, &cause);
+                    self.record_broken_answer(&endpoint, 0);
                     self.record_retry(&name, attempt::Outcome::Lost, cause);
                 }
             }
--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -74,6 +74,8 @@
     Declined,
     /// Between two events, with a crash that closes the listener as well.
     Crash,
+    /// Never, although the listener is closed. Not even the head is sent.
+    Silent,
 }
 
 /// What an endpoint answers.
@@ -124,6 +126,10 @@
         stream.write_all(declined.as_bytes()).await?;
         return Ok(None);
     }
+    if matches!(end, End::Silent) {
+        asked.fetch_add(1, Ordering::SeqCst);
+        return Ok(Some(end));
+    }
     let is_first = asked.fetch_add(1, Ordering::SeqCst) == 0;
     let answer = format!("{version} 200 OK\r\n{echo}content-type: text/event-stream\r\n\r\n");
     stream.write_all(answer.as_bytes()).await?;
@@ -131,7 +137,7 @@
         End::Complete | End::LateReset => EVENT_COUNT,
         End::WithinEvent | End::Reset => BROKEN_COUNT,
         End::Crash => FEW_COUNT,
-        End::Empty | End::Comment | End::Declined => 0,
+        End::Empty | End::Comment | End::Declined | End::Silent => 0,
     };
     let last = field(&head, "last-event-id").parse().unwrap_or(0);
     let after = if matches!(end, End::LateReset) { last } else { 0 };
@@ -141,7 +147,7 @@
         time::sleep(Duration::from_millis(5)).await;
     }
     match end {
-        End::Complete | End::Empty | End::Crash | End::Declined => {}
+        End::Complete | End::Empty | End::Crash | End::Declined | End::Silent => {}
         End::Comment => stream.write_all(b": open\n\n").await?,
         End::WithinEvent => stream.write_all(b"id: 11\ndata: ").await?,
         End::LateReset if !is_first => {}
@@ -169,11 +175,14 @@
             tokio::spawn(async move {
                 // The caller sees the error on its side of the connection.
                 let ended = answer(&mut stream, &script, &asked).await;
-                if matches!(ended, Ok(Some(End::Crash))) {
+                if matches!(ended, Ok(Some(End::Crash | End::Silent))) {
                     // The listener is closed before the connection.
                     let _ = crash.send(()).await;
                     crash.closed().await;
                 }
+                if matches!(ended, Ok(Some(End::Silent))) {
+                    time::sleep(ANSWER_TIMEOUT).await;
+                }
             });
         }
     });
@@ -492,6 +501,32 @@
     });
 }
 
+/// Guards against a prompt that is not named after a crash of the endpoint that was asked to take its
+/// request over, which was silent until it was given up.
+#[test]
+fn crash_of_silent_replacement_names_no_prompt() {
+    run(async {
+        let mut fleet = Fleet::start(SIZE).await;
+        fleet.world.set_all_faults(fleet_world::pause(0, ANSWER_TIMEOUT));
+        let mut caller = client::Attempt::new(STREAM_PREFIX, "silent");
+        caller.prompt = fleet.prompt("bad");
+        let entry = fleet.entry();
+        let stream = tokio::spawn(async move { caller.run(entry, u64::MAX).await });
+        let runs = || fleet.world.running() > 0;
+        assert!(fleet_world::wait_until(ANSWER_TIMEOUT, runs).await, "{}", fleet.world.logs());
+        fleet.set("HTTP/1.1", End::Silent).await;
+        let is_named = || {
+            let log = fleet.world.logs_of(Role::Entry);
+            let mut lines = log.lines().filter(|l| l.contains("endpoint crashed under requests"));
+            lines.any(|l| l.contains("\"broken\":\"silent\"") && l.contains("raw-1"))
+        };
+        let named = fleet_world::wait_until(ANSWER_TIMEOUT, is_named).await;
+        let asked = fleet.asked.load(Ordering::SeqCst);
+        assert_eq!((asked, named), (1, true), "{}", fleet.world.logs());
+        drop(stream);
+    });
+}
+
 /// Guards against the trial of a part that is used up although the endpoint declined it.
 #[test]
 fn declined_trial_is_used_up() {
