Do not go on after an event that has no id

An endpoint that goes on with a stream or an item is told the id of the last event. If events without ids came after that one, the next run brought them again, and the caller or the output had them twice. Such a stream is now broken off, also in place of a takeover while its endpoint is silent, and such an item starts over.

Before the change, the caller of stream_repeats_events_without_ids got 30 events of 20, which looked complete, and the output of item_repeats_events_without_ids held ten events twice. With it, the stream is cut off after 10 events and the item is completed with 20.

--- a/src/events.rs
+++ b/src/events.rs
@@ -153,8 +153,9 @@
     JOB_ENDED = 509, Info, "job ended by its client";
     /// A change of the ledger was not committed, or it is unknown whether it was.
     LEDGER_UNCHANGED = 510, Info, "change of the ledger not confirmed";
-    /// An item starts over, since no endpoint of the build that began its output takes it.
-    ITEM_STARTED_OVER = 511, Info, "item starts over at another build";
+    /// An item starts over, since no endpoint of the build that began its output takes it, or its last
+    /// event has no id after which a run could go on.
+    ITEM_STARTED_OVER = 511, Info, "item starts over";
     /// An item waits, since a part of its prompt is quarantined.
     ITEM_HELD = 512, Info, "item held for a quarantined part";
     /// A store host begins a run of an item that the leader of the job group has ordered.
--- a/src/fleet/attempt.rs
+++ b/src/fleet/attempt.rs
@@ -51,6 +51,8 @@
     declined: u32,
     /// Whether the caller has a part of the answer.
     begun: bool,
+    /// Whether another endpoint can go on after what the caller has.
+    resumable: bool,
 }
 
 impl Attempts {
@@ -62,6 +64,7 @@
             possible_runs: 0,
             declined: 0,
             begun: false,
+            resumable: true,
         }
     }
 
@@ -71,9 +74,14 @@
         self.begun = true;
     }
 
+    /// Records whether another endpoint can go on after what the caller has.
+    pub fn set_resumable(&mut self, resumable: bool) {
+        self.resumable = resumable;
+    }
+
     /// Whether another attempt is allowed if the current one ran or may have run.
     pub fn may_retry(&self) -> bool {
-        self.retryable && self.possible_runs + 1 < self.max_runs
+        self.retryable && self.resumable && self.possible_runs + 1 < self.max_runs
     }
 
     /// Whether any attempt ran or may have run.
@@ -95,7 +103,7 @@
             }
             Outcome::Lost | Outcome::Failed => {
                 self.possible_runs += 1;
-                let again = self.retryable && self.possible_runs < self.max_runs;
+                let again = self.retryable && self.resumable && self.possible_runs < self.max_runs;
                 if again { Next::Again } else { Next::Fail }
             }
         }
--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -118,6 +118,9 @@
         self.count_events(read.count);
         if !read.bytes.is_empty() {
             self.forwarder.begin_stream(&build);
+            if let Some(numbered) = read.numbered {
+                self.forwarder.attempts.set_resumable(numbered);
+            }
             self.ready.push_back(read.bytes.into());
         }
         if read.ended {
@@ -202,6 +205,9 @@
     last_event: Option<u64>,
     /// Number of the events with data.
     count: u32,
+    /// Whether the last event with data has an id, if there is one. No endpoint can go on after an
+    /// event without one.
+    numbered: Option<bool>,
     /// Whether the stream has ended.
     ended: bool,
 }
@@ -214,14 +220,14 @@
     splitter: &mut sse::Splitter,
     mut last_event: Option<u64>,
 ) -> Result<NewEvents, Arc<str>> {
-    let (mut bytes, mut count) = (Vec::new(), 0);
+    let (mut bytes, mut count, mut numbered) = (Vec::new(), 0, None);
     loop {
         let Some(part) = started.response.next_chunk().await? else {
             return match splitter.remainder() {
                 [] if !splitter.has_data() && !started.response.is_framed() => {
                     Err(ENDED_WITHOUT_EVENT.into())
                 }
-                [] => Ok(NewEvents { bytes, last_event, count, ended: true }),
+                [] => Ok(NewEvents { bytes, last_event, count, numbered, ended: true }),
                 _ => Err("the stream ends within an event".into()),
             };
         };
@@ -235,15 +241,18 @@
                 }
                 last_event = Some(id);
             }
-            has_new |= event.has_data();
-            count += u32::from(event.has_data());
+            if event.has_data() {
+                has_new = true;
+                count += 1;
+                numbered = Some(event.id.is_some());
+            }
             bytes.extend_from_slice(&event.bytes);
         }
         // Buffers grow to a power of two.
         let held = splitter.remainder().len() + bytes.len();
         started.response.hold(held.next_power_of_two())?;
         if has_new {
-            return Ok(NewEvents { bytes, last_event, count, ended: false });
+            return Ok(NewEvents { bytes, last_event, count, numbered, ended: false });
         }
         if bytes.len() > MAX_COMMENT_BYTES {
             return Err("too many comments without an event".into());
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -37,6 +37,9 @@
     pub generation: ledger::Generation,
     /// Runs since the last event that ended without one.
     empty_runs: u32,
+    /// Whether an event without an id has arrived since the last numbered one. No run can go on after
+    /// it.
+    unnumbered: bool,
 }
 
 impl Progress {
@@ -51,6 +54,7 @@
             events,
             last_event,
             generation,
+            unnumbered: events > 0 && last_event.is_none(),
             ..Progress::default()
         }
     }
@@ -62,9 +66,9 @@
     }
 
     /// Prepares a run at an endpoint of the given build. If the output that has arrived is of
-    /// another build, the item starts over. Returns whether it does.
+    /// another build, or its last event has no id, the item starts over. Returns whether it does.
     pub fn prepare_run(&mut self, build: &Arc<str>) -> bool {
-        let starts_over = self.events > 0 && self.build() != Some(build);
+        let starts_over = self.events > 0 && (self.unnumbered || self.build() != Some(build));
         if starts_over {
             self.start_over();
         }
@@ -96,7 +100,7 @@
         }
         self.output.extend_from_slice(data);
         self.events += 1;
-        self.empty_runs = 0;
+        (self.empty_runs, self.unnumbered) = (0, id.is_none());
         self.last_event = id.or(self.last_event);
     }
 
--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -70,6 +70,9 @@
     /// With a reset after the last event the first time. Later answers go on after the last event that
     /// the caller has, and are complete.
     LateReset,
+    /// After events without ids: the first time with a reset between two events, later after the last
+    /// one.
+    Unnumbered,
     /// With a refusal that says that the request has not run.
     Declined,
     /// Between two events, with a crash that closes the listener as well.
@@ -136,13 +139,24 @@
     let count = match end {
         End::Complete | End::LateReset => EVENT_COUNT,
         End::WithinEvent | End::Reset => BROKEN_COUNT,
+        End::Unnumbered => {
+            if is_first {
+                BROKEN_COUNT
+            } else {
+                EVENT_COUNT
+            }
+        }
         End::Crash => FEW_COUNT,
         End::Empty | End::Comment | End::Declined | End::Silent => 0,
     };
     let last = field(&head, "last-event-id").parse().unwrap_or(0);
     let after = if matches!(end, End::LateReset) { last } else { 0 };
     for n in after + 1..=count {
-        let event = format!("id: {n}\ndata: {}\n\n", plain::event_data(&id, n));
+        let number = match end {
+            End::Unnumbered => String::new(),
+            _ => format!("id: {n}\n"),
+        };
+        let event = format!("{number}data: {}\n\n", plain::event_data(&id, n));
         stream.write_all(event.as_bytes()).await?;
         time::sleep(Duration::from_millis(5)).await;
     }
@@ -150,8 +164,8 @@
         End::Complete | End::Empty | End::Crash | End::Declined | End::Silent => {}
         End::Comment => stream.write_all(b": open\n\n").await?,
         End::WithinEvent => stream.write_all(b"id: 11\ndata: ").await?,
-        End::LateReset if !is_first => {}
-        End::Reset | End::LateReset => stream.set_zero_linger()?,
+        End::LateReset | End::Unnumbered if !is_first => {}
+        End::Reset | End::LateReset | End::Unnumbered => stream.set_zero_linger()?,
     }
     Ok(Some(end))
 }
@@ -598,6 +612,37 @@
     });
 }
 
+/// Guards against events without ids that a caller gets twice, because another run begins with them
+/// after a break.
+#[test]
+fn stream_repeats_events_without_ids() {
+    run(async {
+        let mut fleet = Fleet::start_alone().await;
+        fleet.set("HTTP/1.1", End::Unnumbered).await;
+        let broken = fleet.ask(STREAM_PREFIX, "broken").await;
+        let whole = fleet.ask(STREAM_PREFIX, "whole").await;
+        insta::assert_snapshot!(format!("{broken}\n{whole}"), @r"
+        http/1.1 200 ok, 10 events, cut off
+        http/1.1 200 ok, 20 events, complete
+        ");
+    });
+}
+
+/// Guards against events without ids that stand twice in the output of an item, because another run
+/// begins with them after a break.
+#[test]
+fn item_repeats_events_without_ids() {
+    run(async {
+        let mut fleet = Fleet::start_alone().await;
+        fleet.set("HTTP/1.1", End::Unnumbered).await;
+        let (entries, mut seen) = ([fleet.entry()], Vec::new());
+        assert!(client::submit(&entries, "job", 1).await, "{}", fleet.world.logs());
+        let finished = client::finish(&entries, "job", 1, &mut seen, JOB_TIMEOUT).await;
+        assert_eq!(finished, Ok(()), "{}", fleet.world.logs());
+        assert_eq!(seen[0]["state"], "completed", "{}", fleet.world.logs());
+    });
+}
+
 /// Guards against an item that runs until it is given up because its connection was lost after the last
 /// event: the answers without length and chunks that go on there have no event.
 #[test]
