Refuse a stream whose build the new service of its route lacks

A stream that its caller took up after its route had moved to another service went on there at any build, if none was the build that began it. What two builds write does not fit together, so the answer was joined of two that differ. It is refused as not run now, as after the last endpoint of its build has left.

--- a/src/fleet/continuation.rs
+++ b/src/fleet/continuation.rs
@@ -12,8 +12,8 @@
 use hyper::header::HeaderName;
 use std::sync::Arc;
 
-/// Service and build at which a stream goes on; any build if `None`.
-pub(super) type Place = (Arc<str>, Option<Arc<str>>);
+/// Service and build at which a stream goes on.
+pub(super) type Place = (Arc<str>, Arc<str>);
 
 /// Finds the service and build at which a stream goes on. `service` is the one that its route
 /// chooses.
@@ -45,7 +45,7 @@
             event!(node.log, events::STREAM_TAKEN_UP; "request" => &*request.id,
                 "stream" => stream.as_deref(), "service" => &*origin.service,
                 "build" => &*origin.build, "recorded" => is_known);
-            Ok(place(node, request, service, origin))
+            Ok(place(request, service, origin))
         }
         origin::Continuation::Unknown => {
             let reason = "the build that began the stream is not known";
@@ -54,20 +54,14 @@
     }
 }
 
-/// Place of a stream of known origin. The route may lead to other services by now, whose builds have
-/// nothing in common with that of the origin but perhaps the name.
-fn place(
-    node: &node::Node,
-    request: &forward::Request,
-    chosen: Arc<str>,
-    origin: origin::Origin,
-) -> Place {
-    if request.route.shares.iter().any(|s| s.service == origin.service && s.weight > 0) {
-        return (origin.service, Some(origin.build));
+/// Place of a stream of known origin. If the route leads to other services by now, the stream goes on
+/// at `chosen`, one of them, if that has endpoints of the same build.
+fn place(request: &forward::Request, chosen: Arc<str>, origin: origin::Origin) -> Place {
+    let shares = &request.route.shares;
+    match shares.iter().any(|s| s.service == origin.service && s.weight > 0) {
+        true => (origin.service, origin.build),
+        false => (chosen, origin.build),
     }
-    let builds = node.view.directory(|d| d.builds(&chosen));
-    let same = builds.contains(&origin.build).then_some(origin.build);
-    (chosen, same)
 }
 
 /// Id in the header that names the stream; `None` without the header.
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -243,7 +243,7 @@
     let is_stream = request.route.kind == routes::Kind::Stream;
     if is_stream && last_event.is_some_and(|last| last > 0) {
         match continuation::find(&node, &request, &headers, service).await {
-            Ok(found) => (service, build) = found,
+            Ok(found) => (service, build) = (found.0, Some(found.1)),
             Err(response) => return response,
         }
     }
--- a/tests/fleet_builds.rs
+++ b/tests/fleet_builds.rs
@@ -8,6 +8,8 @@
 use fleet_world::client;
 use fleet_world::client::Attempt;
 use fleet_world::client::StreamEnd;
+use serde_json::Value;
+use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -280,6 +282,58 @@
     });
 }
 
+/// Service to which a route is moved, and the build of its endpoint.
+const MOVED: (&str, &str) = ("moved", "v2");
+
+/// Starts an endpoint of another service and moves the route of streams there.
+async fn move_route(world: &mut World) {
+    let at = world.endpoints.len();
+    world.endpoints.push(None);
+    world.builds.push(MOVED.1.into());
+    world.start_endpoint(at).await;
+    let endpoint = world.endpoint(at);
+    let body = json!({
+        "service": MOVED.0, "address": endpoint.address(), "zone": "d0", "version": MOVED.1,
+        "slots": SLOTS, "state": "ready", "coldMs": 0, "callSeq": 1,
+    });
+    let path = format!("/-/instances/{}", endpoint.id());
+    let control = world.hosts_of(Role::Control)[0];
+    let to = (world.hosts[control].process_address, fleet_world::OPERATOR_PORT).into();
+    let status = client::call(to, "PUT", &path, &[], body.to_string()).await.0;
+    assert_eq!(status, 200, "{}", world.logs());
+    let mut config: Value = serde_json::from_str(&world.config(2)).expect("document");
+    config["routes"][0]["service"] = json!(MOVED.0);
+    let services = config["services"].as_array_mut().expect("services");
+    services.push(json!({ "name": MOVED.0, "maxConns": 200 }));
+    assert_eq!(world.put_config(&config.to_string()).await, 200, "{}", world.logs());
+    for (at, entry) in world.caller_addresses().iter().enumerate() {
+        let begun = Instant::now();
+        for n in 0.. {
+            let id = format!("new-{at}-{n}");
+            let ended = client::stream(*entry, fleet_world::STREAM_PREFIX, &id).await;
+            if ended == StreamEnd::Complete && first_build(world, &id) == MOVED.1 {
+                break;
+            }
+            assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "{}", world.logs());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+/// Guards against a stream that goes on at another build after its route has moved to another service.
+#[test]
+fn stream_of_a_moved_route_is_refused() {
+    fleet_world::run(async {
+        let mut world = World::start_with_builds(SIZE, &["v1", "v1"], SLOTS).await;
+        let entries = world.caller_addresses();
+        let callers = begin(&world, entries[0], 4).await;
+        move_route(&mut world).await;
+        for (n, caller) in callers.into_iter().enumerate() {
+            assert_refused(&world, entries[n % entries.len()], caller).await;
+        }
+    });
+}
+
 /// Guards against records that are kept under the id of a later attempt only.
 #[test]
 fn third_attempt_names_the_first_one() {
