Split the dispatcher into parts with one job each

The items that it has started, the storing of their output, the exchange with the hosts that carry out runs, and what plans are made from have files of their own now.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -5,11 +5,21 @@
 //! from there. If leaders were lost every few seconds and items started over each time, they would
 //! never finish.
 
+mod hosts;
+mod inputs;
+mod output;
+mod tracked;
+
 use crate::errors;
 use crate::event;
 use crate::events;
 use crate::fleet::delegation;
 use crate::fleet::directory;
+use crate::fleet::dispatch::output::SentChunk;
+use crate::fleet::dispatch::tracked::ItemState;
+use crate::fleet::dispatch::tracked::RunHandle;
+use crate::fleet::dispatch::tracked::Stops;
+use crate::fleet::dispatch::tracked::TrackedItem;
 use crate::fleet::event_stream;
 use crate::fleet::frame;
 use crate::fleet::groups;
@@ -17,21 +27,16 @@
 use crate::fleet::node;
 use crate::fleet::peer;
 use crate::fleet::plan;
-use crate::fleet::progress;
 use crate::fleet::progress::ItemKey;
 use crate::fleet::progress::Progress;
 use crate::fleet::quarantine;
 use crate::fleet::runner;
 use crate::fleet::runner::RunEnd;
-use crate::fleet::settings;
-use crate::fleet::slots;
 use crate::fleet::store;
 use crate::fleet::upstream;
 use crate::sorted;
 use crate::supervisor;
-use bytes::Bytes;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task;
@@ -44,76 +49,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Pause before an item runs again after the endpoint answered that it failed.
 const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Interval at which the output of running items is stored. Output that arrived since the last
-/// store is generated again after a change of leader.
-const STORE_INTERVAL: Duration = Duration::from_secs(1);
-/// Most output stored with one command: half of the longest command of a group. An item that ends
-/// with more unstored output is abandoned.
-const MAX_STORE_BYTES: usize = 4 << 20;
 /// Longest wait for the confirmation that the ledger is complete, which is then asked for again.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time for which an item waits for an endpoint of the build that began its output. After that it
-/// starts over at another build. Running it again takes about as long.
-const BUILD_WAIT: Duration = Duration::from_secs(2);
-/// Jobs are kept for the promised retention times this factor, as the leader counts from the moment
-/// at which it first saw a job.
-const RETENTION_FACTOR: u32 = 2;
 /// Time within which an item has to start that was granted the trial of a quarantined part.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// State of an item on the leader.
-enum ItemState {
-    /// Runs at an endpoint; `number` is that of the run.
-    Running {
-        endpoint: Arc<str>,
-        number: u64,
-        since: time::Instant,
-        run: RunHandle,
-        /// Whether the endpoint has been silent for long, so that another one may take over.
-        silent: bool,
-    },
-    /// Waits until it may run again.
-    BackingOff {
-        until: time::Instant,
-        /// Number of the run that was stopped. Its last events may still arrive.
-        stopped: Option<u64>,
-    },
-    /// Its output is complete. Earlier output is being stored before the rest can be committed.
-    Finished,
-    /// Its outcome is being committed.
-    Committing,
-    /// Its output was too long. It starts over once the output that is being stored is dropped as
-    /// well.
-    Discarded,
-}
-
-/// Numbers of runs on other hosts that are to stop.
-type Stops = Arc<Mutex<Vec<u64>>>;
-
-/// Run of an item.
-enum RunHandle {
-    /// On this host. The task holds the guard of the request.
-    Local(task::AbortHandle),
-    /// On another host.
-    Delegated { number: u64, stops: Stops, _guard: slots::RequestGuard },
-}
-
-impl RunHandle {
-    /// Stops the run unless it has ended.
-    fn stop(&self) {
-        match self {
-            RunHandle::Local(task) => task.abort(),
-            RunHandle::Delegated { number, stops, .. } => peer::lock(stops).push(*number),
-        }
-    }
-}
-
-/// Item that this leader has started or is abandoning.
-struct TrackedItem {
-    state: ItemState,
-    progress: Progress,
-}
-
 /// Result of background work for the dispatcher.
 enum Message {
     /// The outcome of an item is committed.
@@ -136,16 +76,6 @@
     trial: quarantine::Trial,
 }
 
-/// Chunk of output whose commit was started.
-struct SentChunk {
-    key: ItemKey,
-    generation: ledger::Generation,
-    /// Events of the item up to the end of the chunk.
-    events: u64,
-    /// Output in the chunk.
-    data: Bytes,
-}
-
 /// Message with the epoch in which its work was started.
 struct EpochMessage {
     epoch: u64,
@@ -266,48 +196,6 @@
     }
 }
 
-impl TrackedItem {
-    /// Time for which the item has run, including its current run.
-    fn run_time(&self, now: time::Instant) -> Duration {
-        match &self.state {
-            ItemState::Running { since, .. } => self.progress.run_time + (now - *since),
-            _ => self.progress.run_time,
-        }
-    }
-}
-
-impl TrackedItem {
-    /// Id of the endpoint that runs the item.
-    fn endpoint(&self) -> Option<&Arc<str>> {
-        match &self.state {
-            ItemState::Running { endpoint, .. } => Some(endpoint),
-            _ => None,
-        }
-    }
-
-    /// Build at which the item has to go on; `None` if it may start over, since it has waited for
-    /// long.
-    fn pinned_build(&self, now: time::Instant) -> Option<Arc<str>> {
-        let waits = match self.state {
-            ItemState::BackingOff { until, .. } => {
-                now.saturating_duration_since(until) < BUILD_WAIT
-            }
-            // A silent endpoint may still go on.
-            ItemState::Running { .. } => true,
-            ItemState::Discarded | ItemState::Finished | ItemState::Committing => false,
-        };
-        self.progress.build().filter(|_| waits).cloned()
-    }
-}
-
-impl Drop for TrackedItem {
-    fn drop(&mut self) {
-        if let ItemState::Running { run, .. } = &self.state {
-            run.stop();
-        }
-    }
-}
-
 impl Dispatcher {
     /// Discards all state and stops all runs after a change of leadership. A new leader starts
     /// items once it has applied everything that its predecessors committed.
@@ -413,107 +301,6 @@
         }
     }
 
-    /// Handles the end of the commit of a chunk of output, which has succeeded if `done`.
-    fn handle_chunk_stored(&mut self, chunk: SentChunk, done: bool) {
-        let SentChunk { key, generation, events, data } = chunk;
-        let is_stored = {
-            let ledger = peer::lock(&self.shared.ledger);
-            let pending = ledger.job(&key.0).map(|j| &j.pending[..]).unwrap_or_default();
-            let found = pending.iter().find(|o| o.item.id == key.1);
-            // Output that was sent before the last change of leadership may have been stored after
-            // it, with as many events.
-            found.is_some_and(|o| {
-                let is_known = ledger.generation(&key.0, &key.1) == generation;
-                is_known && o.stored.events == events && o.stored.output.ends_with(&data)
-            })
-        };
-        let Some(tracked) = self.tracked.get_mut(&key) else { return };
-        if matches!(tracked.state, ItemState::Discarded) {
-            return self.commit_discard(key);
-        }
-        // If the item has started over since, the chunk says nothing about its present output.
-        if done && tracked.progress.generation == generation {
-            if !is_stored {
-                // The ledger holds other output than expected: the item continues from there.
-                self.tracked.remove(&key);
-                return;
-            }
-            tracked.progress.mark_stored(events, data.len());
-        }
-        if matches!(tracked.state, ItemState::Finished) {
-            self.complete(key);
-        }
-    }
-
-    /// Stores the output that arrived since the last store.
-    fn store_output(&mut self) {
-        let interval = plan::store_interval(STORE_INTERVAL, self.store_time);
-        if self.last_store.elapsed() < interval || !self.storing.is_empty() {
-            return;
-        }
-        self.last_store = time::Instant::now();
-        let unfinished = |(_, tracked): &(&ItemKey, &TrackedItem)| {
-            matches!(tracked.state, ItemState::Running { .. } | ItemState::BackingOff { .. })
-        };
-        let items =
-            self.tracked.iter().filter(unfinished).map(|(key, tracked)| (key, &tracked.progress));
-        let chunks = progress::unstored_chunks(items, MAX_STORE_BYTES);
-        if chunks.is_empty() {
-            return;
-        }
-        self.storing = chunks.iter().map(|(key, _)| key.clone()).collect();
-        let sent = |(key, part): &(ItemKey, ledger::GenerationChunk)| SentChunk {
-            key: key.clone(),
-            generation: part.generation.clone(),
-            events: part.chunk.events,
-            data: part.chunk.data.clone(),
-        };
-        let parts = chunks.iter().map(sent).collect();
-        let chunks = chunks.into_iter().map(|(_, chunk)| chunk).collect();
-        let command = ledger::Command::StoreGenerations(chunks);
-        let node = self.node.clone();
-        self.spawn(async move {
-            let done = commit(&node, &command).await;
-            Message::Stored(parts, done)
-        });
-    }
-
-    /// Commits an item whose output is complete.
-    fn complete(&mut self, key: ItemKey) {
-        let Some(tracked) = self.tracked.get_mut(&key) else { return };
-        if tracked.progress.unstored_bytes() > MAX_STORE_BYTES {
-            // The command would be refused as too long, and the item would run again forever.
-            return self.abandon(key, ledger::Cause::Impossible);
-        }
-        tracked.state = ItemState::Committing;
-        let chunk = tracked.progress.unstored_chunk(&key);
-        self.commit(ledger::Command::CompleteGeneration(chunk), Message::Committed(key));
-    }
-
-    /// Stops the run of an item whose output is too long, and drops its output.
-    fn discard_output(&mut self, key: ItemKey) {
-        let Some(tracked) = self.tracked.get_mut(&key) else { return };
-        let ItemState::Running { endpoint, run, .. } = &tracked.state else { return };
-        run.stop();
-        let (endpoint, cause) = (endpoint.clone(), "the output is too long");
-        event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0, "request" => &*key.1,
-            "endpoint" => &*endpoint, "cause" => cause, "events" => tracked.progress.events);
-        tracked.state = ItemState::Discarded;
-        tracked.progress = Progress::default();
-        self.node.record_endpoint_failure(&endpoint, &cause);
-        if self.storing.binary_search(&key).is_err() {
-            self.commit_discard(key);
-        }
-    }
-
-    /// Commits that the stored output of an item is dropped.
-    fn commit_discard(&mut self, key: ItemKey) {
-        let Some(tracked) = self.tracked.get_mut(&key) else { return };
-        tracked.state = ItemState::Committing;
-        let (job, item) = key.clone();
-        self.commit(ledger::Command::DiscardOutput { job, item }, Message::Committed(key));
-    }
-
     /// Ends the current run of an item, which may run again after `pause`.
     fn back_off(&mut self, key: &ItemKey, pause: Duration) {
         if let Some(tracked) = self.tracked.get_mut(key) {
@@ -828,20 +615,6 @@
             "endpoint" => &*endpoint, "asked" => &**next);
     }
 
-    /// Jobs without pending items whose retention has passed.
-    fn expired_jobs(
-        &self,
-        jobs: &[(&Arc<str>, &ledger::Job)],
-        now: time::Instant,
-    ) -> Vec<Arc<str>> {
-        let limits = &self.node.settings.limits;
-        let retention = Duration::from_secs(limits.retention) * RETENTION_FACTOR;
-        let expired =
-            |id: &Arc<str>| self.first_seen.get(id).is_some_and(|since| now - *since > retention);
-        let done = jobs.iter().filter(|(id, job)| job.pending.is_empty() && expired(id));
-        done.map(|(id, _)| (*id).clone()).collect()
-    }
-
     /// Stops the run of an item, which continues later.
     fn stop_item(&mut self, key: &ItemKey) {
         self.node.metrics.count_preemption();
@@ -855,78 +628,6 @@
         self.back_off(key, RETRY_DELAY);
     }
 
-    /// Hosts to which runs may be handed, with their failure domains: the other store hosts except
-    /// those that are being retired.
-    fn run_hosts(&self) -> Vec<(Arc<str>, Arc<str>)> {
-        let retiring = peer::lock(&self.shared.ledger).retiring_hosts().to_vec();
-        let own = self.node.peers.own();
-        self.node.view.directory(|d| {
-            let stores = d.hosts(settings::Role::Store);
-            let others = stores.filter(|h| h.link != *own && !retiring.contains(&h.link));
-            others.map(|h| (h.link.clone(), h.domain.clone())).collect()
-        })
-    }
-
-    /// Sends the hosts that carry out runs what has changed, and interrupts the runs of silent hosts.
-    fn send_orders(&mut self) {
-        for number in std::mem::take(&mut *peer::lock(&self.stops)) {
-            self.delegator.stop(number);
-        }
-        let now = self.node.now();
-        let (interrupted, hosts) = self.delegator.expire(now);
-        for host in hosts {
-            event!(self.node.log, events::RUN_HOST_SILENT; "peer" => &*host,
-                "runs" => interrupted.len());
-        }
-        for report in interrupted {
-            self.handle_report(report);
-        }
-        if self.has_items {
-            self.delegator.set_hosts(self.run_hosts());
-        }
-        for (host, orders) in self.delegator.due_orders(now, self.has_items) {
-            self.node.peers.cast(&host, frame::Cast::RunOrders(orders));
-        }
-    }
-
-    /// Handles a report of a host that carries out runs.
-    fn handle_run_reports(&mut self, from: &Arc<str>, reports: delegation::Reports) {
-        let now = self.node.now();
-        for report in self.delegator.record_reports(now, from, reports) {
-            self.handle_report(report);
-        }
-    }
-
-    /// Endpoints with their load, as input of a plan.
-    fn endpoint_loads(&self) -> Vec<plan::EndpointLoad> {
-        let now = self.node.now();
-        self.node.view.directory(|d| {
-            self.node.view.loads(|l| {
-                let health = peer::lock(&self.node.health);
-                let load = |e: &directory::Endpoint| plan::EndpointLoad {
-                    id: e.id.clone(),
-                    service: e.service.clone(),
-                    build: e.build.clone(),
-                    slots: e.slots,
-                    running: l.running(now, &e.id),
-                    accepting: e.phase == directory::Phase::Ready && !health.is_avoided(now, &e.id),
-                };
-                d.endpoints().map(load).collect()
-            })
-        })
-    }
-
-    /// Services and builds of the endpoints that accept requests, sorted.
-    fn serving_builds(&self) -> Vec<(Arc<str>, Arc<str>)> {
-        let mut serving: Vec<_> = self.node.view.directory(|d| {
-            let ready = d.endpoints().filter(|e| e.phase == directory::Phase::Ready);
-            ready.map(|e| (e.service.clone(), e.build.clone())).collect()
-        });
-        serving.sort();
-        serving.dedup();
-        serving
-    }
-
     /// Starts a run of an item at an endpoint, on a host in the failure domain of the endpoint if one
     /// is in contact.
     fn start_item(&mut self, queued: &QueuedItem, endpoint: &directory::Endpoint) {
@@ -956,9 +657,8 @@
                 return self.abandon(key, ledger::Cause::Impossible);
             }
         };
-        let mut trial = quarantine::Trial::default();
+        let trial = self.trials.get(&key).map(|g| g.trial.clone()).unwrap_or_default();
         if let Some(grant) = self.trials.get_mut(&key) {
-            trial = grant.trial.clone();
             grant.trial.set_sent(true);
         }
         let (number, last_event) = (self.shared.numbers.next_run(), progress.last_event);
