Tell which runs a stopping host has not begun

The leader took a run whose order was still under way to a host that stops for interrupted, although it knows that the host starts no further orders. If the run was the trial of a quarantined part, the trial was lost, and the next one follows after five minutes. Such runs now count as not run.

--- a/src/fleet/delegation.rs
+++ b/src/fleet/delegation.rs
@@ -245,6 +245,13 @@
     runner::Report { key, number, update: runner::RunUpdate::Ended(ended) }
 }
 
+/// End of a run whose orders were under way when its host said that it is stopping.
+fn not_run(key: progress::ItemKey, number: u64) -> runner::Report {
+    let cause = "its host is stopping".into();
+    let ended = runner::RunEnd::NotRun { cause, at_fault: false };
+    runner::Report { key, number, update: runner::RunUpdate::Ended(ended) }
+}
+
 impl Delegator {
     /// Creates the state at the start of a leadership.
     pub fn new(term: Term) -> Delegator {
@@ -373,14 +380,15 @@
             if is_under_way || reports.running.binary_search(number).is_ok() {
                 return true;
             }
-            let cause = match reports.stopping {
-                true => "its host is stopping",
-                false => "its host lost the run",
-            };
             match run.stopped {
                 Some(seq) => reports.acked < seq && !reports.stopping,
                 None => {
-                    news.push(interrupted(run.key.clone(), *number, cause));
+                    let key = run.key.clone();
+                    news.push(match reports.stopping {
+                        true if reports.acked < run.ordered => not_run(key, *number),
+                        true => interrupted(key, *number, "its host is stopping"),
+                        false => interrupted(key, *number, "its host lost the run"),
+                    });
                     false
                 }
             }
