Compare all of the stored output of an item

The comparison of stored output looked at its end alone. Late output of an earlier run that ends like that of the present one, for example if only the first event differs, was still taken for it, and the item went on with text of two runs. Found in a review.

The leader now also compares the length of all stored output with what it expects. For that, the bytes stored count the line feed before each chunk, which the ledger adds; endless_output_is_noticed shows 128 bytes more, one for each chunk after the first.

late_output_with_the_same_end_is_taken_for_that_of_the_present_run failed before: the run went on from its own first event. It passes now, as do fleet_delegation, fleet_ledger and fleet_progress.

--- a/src/fleet/dispatch/output.rs
+++ b/src/fleet/dispatch/output.rs
@@ -38,23 +38,25 @@
     /// Handles the end of the commit of a chunk of output, which has succeeded if `done`.
     pub(super) fn handle_chunk_stored(&mut self, chunk: SentChunk, done: bool) {
         let SentChunk { key, generation, events, data } = chunk;
-        let is_stored = {
-            let ledger = peer::lock(&self.shared.ledger);
-            let pending = ledger.job(&key.0).map(|j| &j.pending[..]).unwrap_or_default();
-            let found = pending.iter().find(|o| o.item.id == key.1);
-            // Output that was sent before the last change of leadership may have been stored after
-            // it, with as many events.
-            found.is_some_and(|o| {
-                let is_known = ledger.generation(&key.0, &key.1) == generation;
-                is_known && o.stored.events == events && o.stored.output.ends_with(&data)
-            })
-        };
         let Some(tracked) = self.tracked.get_mut(&key) else { return };
         if matches!(tracked.state, ItemState::Discarded) {
             return self.commit_discard(key);
         }
         // If the item has started over since, the chunk says nothing about its present output.
         if done && tracked.progress.generation == generation {
+            let bytes = tracked.progress.stored_bytes_after(data.len());
+            let ledger = peer::lock(&self.shared.ledger);
+            let pending = ledger.job(&key.0).map(|j| &j.pending[..]).unwrap_or_default();
+            let found = pending.iter().find(|o| o.item.id == key.1);
+            // Output that was sent before the last change of leadership may have been stored after
+            // it, with as many events.
+            let is_stored = found.is_some_and(|o| {
+                let output = &o.stored.output;
+                let is_known = ledger.generation(&key.0, &key.1) == generation;
+                let is_same = output.len() == bytes && output.ends_with(&data);
+                is_known && o.stored.events == events && is_same
+            });
+            drop(ledger);
             if !is_stored {
                 // The ledger holds other output than expected: the item continues from there.
                 self.tracked.remove(&key);
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -128,13 +128,19 @@
         self.output.len() > MAX_UNSTORED_BYTES || total > MAX_OUTPUT_BYTES
     }
 
+    /// Bytes of output stored in the ledger once it has stored `len` more.
+    pub fn stored_bytes_after(&self, len: usize) -> usize {
+        let separator = usize::from(self.stored_events > 0);
+        self.stored_bytes + separator + len
+    }
+
     /// Drops the output that the ledger has stored: the first `len` bytes. `events` is the number
     /// of events that the ledger now holds.
     pub fn mark_stored(&mut self, events: u64, len: usize) {
+        self.stored_bytes = self.stored_bytes_after(len);
         let separator = usize::from(self.events > events);
         self.output.drain(..(len + separator).min(self.output.len()));
         self.stored_events = events;
-        self.stored_bytes += len + separator;
     }
 }
 
--- a/tests/fleet_delegation.rs
+++ b/tests/fleet_delegation.rs
@@ -449,6 +449,11 @@
     }
     let ended = returned.iter().filter(|r| matches!(r.update, runner::RunUpdate::Ended(_)));
     assert_eq!(ended.count(), running + 1, "runs given back");
+    let is_not_run = |r: &&runner::Report| {
+        matches!(r.update, runner::RunUpdate::Ended(runner::RunEnd::NotRun { .. }))
+    };
+    let not_run: Vec<u64> = returned.iter().filter(is_not_run).map(|r| r.number).collect();
+    assert_eq!(not_run, [1_000]);
     assert_eq!(fleet.delegator.choose(fleet.now, &domain(0)), None);
     for (_, orders) in late {
         let changes = carrier.delegate.record_orders(fleet.now, &leader(), orders, 1);
@@ -596,27 +601,23 @@
     });
 }
 
-/// Guards against output that goes on with a run that was not asked to go on there: output of an
-/// earlier run, sent before the leadership changed, was stored late, and had as many events.
-#[test]
-fn late_output_of_the_same_length_is_taken_for_that_of_the_present_run() {
+/// Stores output of an earlier run with as many events as that of the present one, changed by `change`,
+/// right before the first output of the present run.
+fn store_late_output(change: impl FnOnce(Vec<String>) -> Vec<String> + Send + 'static) {
     fleet_world::run(async {
         let pair = Pair::start().await;
         slow_down(&pair);
         let late = Arc::new(std::sync::Mutex::new(None));
-        let stored = late.clone();
+        let (stored, mut change) = (late.clone(), Some(change));
         pair.intercept(move |ledger, command| {
             let ledger::Command::StoreGenerations(chunks) = command else { return };
-            let mut stored = stored.lock().expect("lock");
-            if stored.is_some() {
-                return;
-            }
+            let Some(change) = change.take() else { return };
             let mut earlier = chunks.clone();
             let text = String::from_utf8(chunks[0].chunk.data.to_vec()).expect("text");
-            let events: Vec<String> = text.split('\n').map(|e| format!("earlier {e}")).collect();
+            let events = change(text.split('\n').map(str::to_string).collect());
             earlier[0].chunk.data = events.join("\n").into();
             ledger.execute(1, ledger::Command::StoreGenerations(earlier));
-            *stored = Some(events);
+            *stored.lock().expect("lock") = Some(events);
         });
         pair.lead().await;
         pair.submit("job", vec![fleet_pair::item("item", "")]);
@@ -628,3 +629,19 @@
         assert_eq!((output, asked), (expected, vec![0, count as u64]));
     });
 }
+
+/// Guards against output that goes on with a run that was not asked to go on there: output of an
+/// earlier run, sent before the leadership changed, was stored late, and had as many events.
+#[test]
+fn late_output_of_the_same_length_is_taken_for_that_of_the_present_run() {
+    store_late_output(|events| events.iter().map(|e| format!("earlier {e}")).collect());
+}
+
+/// Guards against the same if the output differs only before the text of the present run.
+#[test]
+fn late_output_with_the_same_end_is_taken_for_that_of_the_present_run() {
+    store_late_output(|mut events| {
+        events[0].insert_str(0, "earlier ");
+        events
+    });
+}
--- a/tests/fleet_progress.rs
+++ b/tests/fleet_progress.rs
@@ -114,5 +114,5 @@
         let unstored = progress.unstored_bytes();
         seen.push(format!("{} stored, {unstored} not stored", progress.stored_bytes));
     }
-    insta::assert_snapshot!(seen.join("; "), @"0 stored, 1114111 not stored; 8454015 stored, 0 not stored");
+    insta::assert_snapshot!(seen.join("; "), @"0 stored, 1114111 not stored; 8454143 stored, 0 not stored");
 }
