Avoid an endpoint whose error is passed on to the caller

An endpoint that answered with a server error was avoided only if the request could be tried again elsewhere. Otherwise its answer was passed on, and counted as a success for requests whose answers are held until they are complete, so that an endpoint that fails each request kept getting those that must not be repeated. Such an answer counts as a failure of the endpoint in each case now. A 504 that is passed on does not: endpoints give it at the deadline of the request.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -152,6 +152,12 @@
     response
 }
 
+/// Whether the status of an answer that is passed on is a failure of its endpoint. An endpoint answers
+/// 504 at the deadline of the request, which may be short.
+fn is_fault(status: StatusCode) -> bool {
+    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
+}
+
 /// Builds the response that tells a caller that the outcome of its request is unknown.
 fn fail(node: &node::Node, id: &str, status: StatusCode, reason: &str) -> serve::Response {
     node.metrics.count_request("online", "unknown");
@@ -713,15 +719,18 @@
             let limit = self.first_event_timeout();
             let sending = self.attempt(headers, endpoint, guard);
             match self.wait_or_take_over(headers, &name, limit, sending).await {
-                Waited::Ended(Ok(started))
-                    if started.response.head.status.is_server_error()
-                        && self.attempts.may_retry() =>
-                {
-                    let cause = format!("status {}", started.response.head.status.as_u16());
-                    self.node.record_endpoint_failure(&name, &cause);
+                Waited::Ended(Ok(started)) => {
+                    let status = started.response.head.status;
+                    let retries = status.is_server_error() && self.attempts.may_retry();
+                    let cause = format!("status {}", status.as_u16());
+                    if retries || is_fault(status) {
+                        self.node.record_endpoint_failure(&name, &cause);
+                    }
+                    if !retries {
+                        return Ok(started);
+                    }
                     self.record_retry(&name, attempt::Outcome::Failed, &cause);
                 }
-                Waited::Ended(Ok(started)) => return Ok(started),
                 Waited::TakenOver(started, None) => {
                     self.node.record_endpoint_failure(&name, &"silence");
                     self.record_broken_answer(&asked, 0);
@@ -807,7 +816,9 @@
                     if is_success {
                         self.finish(&started.endpoint.id);
                     } else {
-                        self.node.record_endpoint_success(&started.endpoint.id);
+                        if !is_fault(head.status) {
+                            self.node.record_endpoint_success(&started.endpoint.id);
+                        }
                         self.log_failure(&started.endpoint.id, head.status);
                     }
                     return hyper::Response::from_parts(head, serve::full_body(body));
--- a/tests/fleet_takeover.rs
+++ b/tests/fleet_takeover.rs
@@ -8,6 +8,7 @@
 use fleet_world::ONCE_PREFIX;
 use fleet_world::ROUTE_HOST;
 use fleet_world::Role;
+use fleet_world::SAFE_PREFIX;
 use fleet_world::STREAM_PREFIX;
 use fleet_world::Size;
 use fleet_world::World;
@@ -144,6 +145,25 @@
     });
 }
 
+/// Guards against an endpoint that answers with errors and is not avoided, because its answer is passed
+/// on to a caller whose request must not be repeated, or not any more.
+#[test]
+fn endpoint_whose_error_is_passed_on_is_not_avoided() {
+    fleet_world::run(async {
+        let world = World::start(THREE_ENDPOINTS).await;
+        world.set_all_faults(plain::FaultRates { error_rate: 1.0, ..Default::default() });
+        let is_avoided = |l: &&str| l.contains("endpoint avoided") && l.contains("status 500");
+        let count = || world.logs_of(Role::Entry).lines().filter(is_avoided).count();
+        for (prefix, expected) in [(SAFE_PREFIX, 3), (ONCE_PREFIX, 4)] {
+            let ended = client::stream(world.entry(), prefix, "error").await;
+            assert_eq!(ended, StreamEnd::Status(500), "{prefix}\n{}", world.logs());
+            // Processes write their lines in the background.
+            fleet_world::wait_until(HANG / 10, || count() >= expected).await;
+            assert_eq!(count(), expected, "{prefix}\n{}", world.logs());
+        }
+    });
+}
+
 /// Guards against a stream that cannot be resumed after its endpoint ends, because the only other
 /// endpoint declined to take it over some time before.
 #[test]
