--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -557,7 +557,9 @@
         fleet.world.send_heartbeats_until_ready().await;
         fleet.wait_until_known().await;
         let ended = fleet.send("bad").await.1;
-        assert!(fleet.world.logs_of(Role::Entry).contains("declined with 503"));
+        let is_declined = || fleet.world.logs_of(Role::Entry).contains("declined with 503");
+        let declined = fleet_world::wait_until(ANSWER_TIMEOUT, is_declined).await;
+        assert!(declined, "{}", fleet.world.logs());
         assert_eq!(ended, client::StreamEnd::Complete, "{}", fleet.world.logs());
     });
 }
