--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -11,8 +11,8 @@
 /// Most output of an item, which is read in one answer: half of the longest frame between hosts.
 const MAX_OUTPUT_BYTES: usize = 8 << 20;
 
-/// Runs in a row that ended without an event after which an item starts over. It may have had its last
-/// event before its connection was lost, so that no run from there on ends in another way.
+/// Runs that ended without an event, since the last event, after which an item starts over. It may have
+/// had its last event before its connection was lost, so that no run from there on ends in another way.
 const MAX_EMPTY_RUNS: u32 = 2;
 
 /// Id of a job and id of one of its items.
