Share the body of two tests of unframed answers

item_repeats_events_without_ids and item_whose_end_was_lost_never_ends differed only in how the endpoint ends its answers. No check has changed.

--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_unframed.rs
@@ -630,34 +630,30 @@
     });
 }
 
+/// Expects an item to be completed with its whole output by the only endpoint, whose answers end in
+/// this way.
+async fn complete_item(end: End) {
+    let mut fleet = Fleet::start_alone().await;
+    fleet.set("HTTP/1.1", end).await;
+    let (entries, mut seen) = ([fleet.entry()], Vec::new());
+    assert!(client::submit(&entries, "job", 1).await, "{}", fleet.world.logs());
+    let finished = client::finish(&entries, "job", 1, &mut seen, JOB_TIMEOUT).await;
+    assert_eq!(finished, Ok(()), "{}", fleet.world.logs());
+    assert_eq!(seen[0]["state"], "completed", "{}", fleet.world.logs());
+}
+
 /// Guards against events without ids that stand twice in the output of an item, because another run
 /// begins with them after a break.
 #[test]
 fn item_repeats_events_without_ids() {
-    run(async {
-        let mut fleet = Fleet::start_alone().await;
-        fleet.set("HTTP/1.1", End::Unnumbered).await;
-        let (entries, mut seen) = ([fleet.entry()], Vec::new());
-        assert!(client::submit(&entries, "job", 1).await, "{}", fleet.world.logs());
-        let finished = client::finish(&entries, "job", 1, &mut seen, JOB_TIMEOUT).await;
-        assert_eq!(finished, Ok(()), "{}", fleet.world.logs());
-        assert_eq!(seen[0]["state"], "completed", "{}", fleet.world.logs());
-    });
+    run(complete_item(End::Unnumbered));
 }
 
 /// Guards against an item that runs until it is given up because its connection was lost after the last
 /// event: the answers without length and chunks that go on there have no event.
 #[test]
 fn item_whose_end_was_lost_never_ends() {
-    run(async {
-        let mut fleet = Fleet::start_alone().await;
-        fleet.set("HTTP/1.1", End::LateReset).await;
-        let (entries, mut seen) = ([fleet.entry()], Vec::new());
-        assert!(client::submit(&entries, "job", 1).await, "{}", fleet.world.logs());
-        let finished = client::finish(&entries, "job", 1, &mut seen, JOB_TIMEOUT).await;
-        assert_eq!(finished, Ok(()), "{}", fleet.world.logs());
-        assert_eq!(seen[0]["state"], "completed", "{}", fleet.world.logs());
-    });
+    run(complete_item(End::LateReset));
 }
 
 /// Guards against requests whose end is in no log line, so that the log cannot tell an answer that was
