Start no process of a test while a port is checked

Each listener of these tests binds a port that was checked a moment before. If another test of the binary starts a process during the check, that process holds the socket until it executes its program, and the listener cannot bind.

Ports are no longer checked while these tests start a process of a fleet, and the output of engines is kept with the other logs, so that a further failure tells its cause. The waits and checks of the tests are unchanged.

--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -22,6 +22,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::PoisonError;
+use std::sync::RwLock;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -135,19 +137,20 @@
     fn start_process(&mut self, name: &str, settings: &str) {
         let path = self.path(&format!("{name}.toml"));
         std::fs::write(&path, settings).expect("settings file");
+        let mut command = Command::new(binary());
+        command.args(["serve", "--settings"]).arg(&path);
+        self.spawn(name.to_string(), command);
+    }
+
+    /// Starts a process whose errors are appended to its log.
+    fn spawn(&mut self, name: String, mut command: Command) {
         let log = std::fs::File::options()
             .create(true)
             .append(true)
             .open(self.path(&format!("{name}.log")))
             .expect("log file");
-        let child = Command::new(binary())
-            .args(["serve", "--settings"])
-            .arg(&path)
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .expect("process starts");
-        self.processes.push((name.to_string(), child));
+        command.stdout(Stdio::null()).stderr(log);
+        self.processes.push((name, spawn(&mut command)));
     }
 
     pub fn start_state(&mut self, at: usize) {
@@ -212,19 +215,12 @@
 
     fn start_endpoint(&mut self, at: usize, name: &str, options: &[&str]) -> SocketAddr {
         let address = free_tcp();
-        let child = Command::new(example("engine"))
-            .args([
-                "--agent",
-                &self.announce_addresses[at].to_string(),
-                "--address",
-                &address.to_string(),
-            ])
-            .args(options)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("endpoint starts");
-        self.processes.push((format!("{name}-{at}"), child));
+        let mut command = Command::new(example("engine"));
+        command
+            .args(["--agent", &self.announce_addresses[at].to_string()])
+            .args(["--address", &address.to_string()])
+            .args(options);
+        self.spawn(format!("{name}-{at}"), command);
         address
     }
 
@@ -441,6 +437,16 @@
     take_port()
 }
 
+/// Held for writing while a port is checked. A process inherits all sockets until it executes its
+/// program, so one that is started meanwhile keeps the port taken for some milliseconds.
+static PORT_CHECK: RwLock<()> = RwLock::new(());
+
+/// Starts a process while no port is being checked.
+pub fn spawn(command: &mut Command) -> Child {
+    let _guard = PORT_CHECK.read().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().expect("process starts")
+}
+
 /// Returns an address whose port is free for TCP and UDP and was not returned before in this
 /// process. Its user binds it only later: a counter keeps tests of other threads from getting the
 /// same port, and by default Linux gives no port of this range to an outgoing connection. The range
@@ -454,6 +460,7 @@
         let port = FIRST_TEST_PORT + (offset + taken) % TEST_PORT_COUNT;
         let port = u16::try_from(port).expect("port of the range");
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let _guard = PORT_CHECK.write().unwrap_or_else(PoisonError::into_inner);
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
