--- a/tests/fleet_crashing_part.rs
+++ b/tests/fleet_prompts/crashing_part.rs
@@ -1,17 +1,16 @@
 //! Requests with a part in their prompts that crashes each endpoint which begins to answer them.
 
-mod fleet_pair;
-mod fleet_world;
-
+use crate::fleet_pair;
+use crate::fleet_pair::Pair;
+use crate::fleet_world;
+use crate::fleet_world::Role;
+use crate::fleet_world::Size;
+use crate::fleet_world::World;
+use crate::fleet_world::client;
+use crate::fleet_world::client::StreamEnd;
 use basilfield::emulator::plain;
 use basilfield::fleet::delegation;
 use basilfield::fleet::quarantine;
-use fleet_pair::Pair;
-use fleet_world::Role;
-use fleet_world::Size;
-use fleet_world::World;
-use fleet_world::client;
-use fleet_world::client::StreamEnd;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
--- a/tests/fleet_unframed.rs
+++ b/tests/fleet_prompts/unframed.rs
@@ -1,17 +1,16 @@
 //! Endpoints whose answers have neither a length nor chunks and end with their connection, with
 //! processes over loopback.
 
-mod fleet_world;
-
+use crate::fleet_world;
+use crate::fleet_world::ONCE_PREFIX;
+use crate::fleet_world::Role;
+use crate::fleet_world::SAFE_PREFIX;
+use crate::fleet_world::STREAM_PREFIX;
+use crate::fleet_world::Size;
+use crate::fleet_world::World;
+use crate::fleet_world::client;
 use basilfield::emulator::plain;
 use basilfield::fleet::upstream;
-use fleet_world::ONCE_PREFIX;
-use fleet_world::Role;
-use fleet_world::SAFE_PREFIX;
-use fleet_world::STREAM_PREFIX;
-use fleet_world::Size;
-use fleet_world::World;
-use fleet_world::client;
 use serde_json::Value;
 use serde_json::json;
 use std::net::SocketAddr;
