--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,4 +6,4 @@
     echo "build first: the build line of deploy/system.toml, then review/build.sh"
     exit 2
 fi
-exec timeout --kill-after=5 118 target/review/standin new-route review/2/record.txt
+exec timeout --kill-after=5 118 target/review/standin large-jobs review/2/record.txt
