--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,5 +1,6 @@
 mod fleet;
 mod large_jobs;
+mod memory;
 mod new_route;
 mod two_builds;
 
@@ -10,6 +11,7 @@
     let case = args.next().unwrap_or_default();
     let record = fleet::Record::create(&PathBuf::from(args.next().expect("record file")));
     let code = match &*case {
+        "memory" => memory::run(&record),
         "large-jobs" => large_jobs::run(&record),
         "two-builds" => two_builds::run(&record),
         "new-route" => new_route::run(&record),
