--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -586,6 +586,11 @@
         }
     }
 
+    /// Empties the disk of a machine whose process does not run.
+    pub fn wipe(&self, at: usize) {
+        let _ = std::fs::remove_dir_all(self.dir.join(format!("{}.disk", self.machines[at].name)));
+    }
+
     /// Machines whose processes have ended by themselves.
     pub fn ended(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 mod large_jobs;
 mod memory;
 mod new_route;
+mod replaced;
 mod two_builds;
 
 use std::path::PathBuf;
@@ -13,6 +14,7 @@
     let code = match &*case {
         "memory" => memory::run(&record),
         "large-jobs" => large_jobs::run(&record),
+        "replaced" => replaced::run(&record),
         "two-builds" => two_builds::run(&record),
         "new-route" => new_route::run(&record),
         _ => 2,
