--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
     echo "build first: the build line of deploy/system.toml, then review/build.sh"
     exit 2
 fi
-exec timeout --kill-after=5 118 target/review/standin memory review/4/record.txt
+exec timeout --kill-after=5 118 target/review/standin two-builds review/4/record.txt
