Find a host without its disk before the next one may be lost

Cause: a blank replica chose in its first round whom to probe, the founders, and asked all hosts every 8 s only. A leader that had come in for a founder learned of the blank replica 8 s late, and until then two of three replicas had the data. Class of fault: whoever has to be told is not among those that were known first, and does not ask.

A member names all members when it answers a probe, and they are probed in each round. A leader probes the members that are silent. Rounds to every host, which grew with the square of the hosts, are replaced by a few hosts in turn.

--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -252,8 +252,12 @@
     }
 }
 
-/// Asks the other members for their replicas if this one is blank, a learner or without a leader.
-/// Hands the answers to the replica, or retires it if a member says that it was replaced.
+/// Asks other hosts for their replicas, and hands the answers to the replica of this host or retires
+/// it if a member says that it was replaced.
+///
+/// A blank replica, a learner and one without a leader ask for the members. A leader asks the members
+/// that are silent: one that has lost its disk may not know that this host leads, and must be replaced
+/// before the next one is lost.
 async fn probe_members(
     member: &Member,
     handle: &group::Handle,
@@ -263,40 +267,61 @@
     handle.call(group::Call::Status { done });
     let Ok(status) = status.await else { return };
     let blank = status.voters == 0;
+    let node = &member.node;
     if !blank && &*status.role != "learner" && status.leader.is_some() {
+        if status.leader.as_ref() == Some(node.peers.own()) {
+            let (done, silent) = oneshot::channel();
+            handle.call(group::Call::SilentMembers { done });
+            let Ok(silent) = silent.await else { return };
+            ask_hosts(member, handle, silent, blank).await;
+        }
         return;
     }
-    let node = &member.node;
     if blank && member.group == groups::JOBS {
         // Ignored unless the group was placed on this replica.
         if let Some(membership) = node.view.placement().membership() {
             handle.call(group::Call::Form(membership));
         }
     }
-    let mut hosts = node.view.members(member.group);
-    hosts.extend(member.first_members().into_iter().filter(|f| f != node.peers.own()));
-    hosts.sort();
-    hosts.dedup();
-    let Some(hosts) = targets.next_round(node.now(), hosts, blank) else { return };
+    let (founders, hosts) = (member.first_members(), node.view.members(member.group));
+    let Some(hosts) = targets.next_round(node.now(), &founders, &hosts, blank) else { return };
+    let answers = ask_hosts(member, handle, hosts, blank).await;
+    targets.record_answers(answers.iter().map(|(answer, members)| (answer, &members[..])));
+}
+
+/// Asks hosts for their replicas and hands the answers to the replica of this host, or retires it if
+/// one says that it was replaced. Returns the answers, each with the members that it names.
+async fn ask_hosts(
+    member: &Member,
+    handle: &group::Handle,
+    mut hosts: Vec<Arc<str>>,
+    blank: bool,
+) -> Vec<(replica::formation::ProbeAnswer, Vec<Arc<str>>)> {
+    let node = &member.node;
     let own = node.peers.own();
+    hosts.retain(|host| host != own);
     let ask = |to: Arc<str>| async move {
         let (group, id) = (member.group, handle.id);
         let request = wire::Request::Probe { group, host: own.clone(), id, blank };
         match node.peers.call(&to, request, PROBE_TIMEOUT).await {
-            Ok(wire::Reply::Replica { id, blank, retired, .. }) => {
-                Some((replica::formation::ProbeAnswer { host: to, id, blank }, retired))
+            Ok(wire::Reply::Replica { id, blank, retired, members, .. }) => {
+                Some((replica::formation::ProbeAnswer { host: to, id, blank }, members, retired))
             }
             _ => None,
         }
     };
-    let answers = futures_util::future::join_all(hosts.into_iter().map(ask)).await;
-    let answers: Vec<_> = answers.into_iter().flatten().collect();
-    targets.record_answers(answers.iter().map(|(answer, _)| answer));
-    if answers.iter().any(|(_, retired)| *retired) {
-        handle.call(group::Call::Retire);
-        return;
+    let replies = futures_util::future::join_all(hosts.into_iter().map(ask)).await;
+    let mut is_retired = false;
+    let mut answers = Vec::new();
+    for (answer, members, retired) in replies.into_iter().flatten() {
+        is_retired |= retired;
+        answers.push((answer, members));
     }
-    handle.call(group::Call::ProbeAnswers(answers.into_iter().map(|(answer, _)| answer).collect()));
+    handle.call(match is_retired {
+        true => group::Call::Retire,
+        false => group::Call::ProbeAnswers(answers.iter().map(|(a, _)| a.clone()).collect()),
+    });
+    answers
 }
 
 /// Delivers a message from another replica to the replica of this host.
--- a/src/replica/replicate.rs
+++ b/src/replica/replicate.rs
@@ -185,7 +185,7 @@
 
     /// Whether a message from `id` arrived within the last election timeout; false unless this
     /// replica leads.
-    pub(super) fn is_live(&self, id: u64) -> bool {
+    pub fn is_live(&self, id: u64) -> bool {
         let State::Leader(leader) = &self.state else { return false };
         let last_contact = leader.progress.get(&id).and_then(|p| p.last_contact);
         id == self.config.id
--- a/src/state/group/calls.rs
+++ b/src/state/group/calls.rs
@@ -66,6 +66,11 @@
     Form(replica::Membership),
     /// Ends the thread, since a member has answered that this replica was removed from the group.
     Retire,
+    /// Returns the hosts of the members that this replica, if it leads, does not hear from.
+    SilentMembers {
+        /// Sender of the hosts.
+        done: tokio::sync::oneshot::Sender<Vec<Arc<str>>>,
+    },
     /// Returns the status of the replica.
     Status {
         /// Sender of the status.
--- a/src/state/group/members.rs
+++ b/src/state/group/members.rs
@@ -37,10 +37,25 @@
             blank: self.replica.is_blank(),
             leads: self.is_leader(),
             retired: self.replica.membership().is_retired(id),
+            members: self.member_hosts(|_| true),
         };
         service::answer(done, reply);
     }
 
+    /// Hosts of the members for which `is_wanted` holds.
+    fn member_hosts(&self, is_wanted: impl Fn(&replica::Member) -> bool) -> Vec<Arc<str>> {
+        let members = self.replica.membership().members.iter();
+        members.filter(|m| is_wanted(m)).map(|m| m.host.clone()).collect()
+    }
+
+    /// Hosts of the members that this replica does not hear from; none unless it leads.
+    pub(super) fn silent_members(&self) -> Vec<Arc<str>> {
+        match self.is_leader() {
+            true => self.member_hosts(|m| !self.replica.is_live(m.id)),
+            false => Vec::new(),
+        }
+    }
+
     pub(super) fn record_probes(&mut self, answers: Vec<replica::formation::ProbeAnswer>) {
         let received = self.now();
         for answer in answers {
--- a/src/state/group/mod.rs
+++ b/src/state/group/mod.rs
@@ -279,6 +279,10 @@
                 event!(self.parts.log, events::REPLICA_RETIRED; "group" => self.parts.group);
                 self.retired = true;
             }
+            Call::SilentMembers { done } => {
+                // The requester may have given up.
+                let _ = done.send(self.silent_members());
+            }
             Call::Status { done } => {
                 // The requester may have given up.
                 let _ = done.send(self.status());
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -469,6 +469,8 @@
         leads: bool,
         /// Whether the sender's replica was permanently removed from the group.
         retired: bool,
+        /// Hosts of all members of the group; empty if the replica has no data.
+        members: Vec<Arc<str>>,
     },
     /// State of the replicas of a host.
     Groups(Vec<Group>),
