Keep a leader with an older configuration from deciding on jobs

Cause: the leader of the job group looked the route up in the configuration that it happened to hold, and a job did not say under which version it had been accepted. Class of fault: an irrevocable decision on knowledge whose age is not known. The same configuration chose the service of an item.

A job records that version. Until the leader holds it, the job waits: event 513 and the level jobs_awaiting_config. If the control group confirms an older version as the newest, in answer to a question asked after the job was seen, the version was lost, and the newest one decides.

--- a/src/events.rs
+++ b/src/events.rs
@@ -159,6 +159,9 @@
     ITEM_STARTED_OVER = 511, Info, "item starts over";
     /// An item waits, since a part of its prompt is quarantined.
     ITEM_HELD = 512, Info, "item held for a quarantined part";
+    /// The items of a job wait, since the job was accepted under a configuration that is newer than the
+    /// one here.
+    JOB_AWAITS_CONFIG = 513, Warning, "job waits for the configuration that it was accepted under";
     /// A store host begins a run of an item that the leader of the job group has ordered.
     RUN_ACCEPTED = 515, Debug, "run accepted";
     /// A store host has stopped runs of items, as the leader of the job group did not renew its lease.
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -80,8 +80,8 @@
         &mut self.state
     }
 
-    fn query(&self, _query: &[u8]) -> Vec<u8> {
-        replica::StateMachine::snapshot(&self.state)
+    fn query(&self, query: &[u8]) -> Vec<u8> {
+        self.state.answer(query)
     }
 
     fn is_new_work(&self, _command: &[u8]) -> bool {
--- a/src/fleet/control_state.rs
+++ b/src/fleet/control_state.rs
@@ -135,7 +135,22 @@
     Ok(ControlState { document, placement, ..ControlState::default() })
 }
 
+/// Query of a part of the state. The empty query asks for the whole state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Query {
+    /// Version of the document in force, a `u64`.
+    Version,
+}
+
 impl ControlState {
+    /// Answers a query.
+    pub fn answer(&self, query: &[u8]) -> Vec<u8> {
+        match postcard::from_bytes(query) {
+            Ok(Query::Version) => ledger::encode(&self.document.version),
+            Err(_) => replica::StateMachine::snapshot(self),
+        }
+    }
+
     /// Executes a command. Returns whether it was granted, if it asks for a trial.
     pub fn execute(&mut self, command: Command) -> bool {
         match command {
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -5,6 +5,7 @@
 //! from there. If leaders were lost every few seconds and items started over each time, they would
 //! never finish.
 
+pub mod config_wait;
 mod hosts;
 mod inputs;
 mod output;
@@ -13,6 +14,7 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::fleet::control_state;
 use crate::fleet::delegation;
 use crate::fleet::directory;
 use crate::fleet::dispatch::output::SentChunk;
@@ -69,6 +71,8 @@
     TrialGranted(ItemKey, quarantine::Cause),
     /// The trial of a quarantined part was not granted.
     TrialRefused,
+    /// The control group has confirmed its newest configuration; `None` if it did not answer.
+    ConfigConfirmed(Option<config_wait::ConfirmedVersion>),
 }
 
 /// Permission of an item to run as the trial of a quarantined part.
@@ -127,6 +131,8 @@
     trials: sorted::SortedMap<ItemKey, Grant>,
     /// Items that wait because a part of their prompts is quarantined.
     held: sorted::SortedMap<ItemKey, quarantine::Hold>,
+    /// Jobs that were accepted under a newer configuration than this host holds.
+    config_wait: config_wait::ConfigWait,
     /// Tasks that commit outcomes of items.
     commits: task::JoinSet<()>,
 }
@@ -169,6 +175,7 @@
         next_plan: time::Instant::now(),
         trials: sorted::SortedMap::new(),
         held: sorted::SortedMap::new(),
+        config_wait: config_wait::ConfigWait::default(),
         commits: task::JoinSet::new(),
     };
     loop {
@@ -229,6 +236,7 @@
         self.store_time = Duration::ZERO;
         self.trials.clear();
         self.held.clear();
+        self.config_wait = config_wait::ConfigWait::default();
     }
 
     /// Runs `work` on its own task, which sends the result to the dispatcher.
@@ -294,7 +302,10 @@
                 let empty = || Grant { since, trial: quarantine::Trial::default() };
                 self.trials.entry_or(key, empty).trial.grant(cause);
             }
-            Message::TrialRefused => {}
+            Message::TrialRefused | Message::ConfigConfirmed(None) => {}
+            Message::ConfigConfirmed(Some(confirmed)) => {
+                self.config_wait.record_confirmed(confirmed);
+            }
             Message::Stored(parts, done) => {
                 self.storing.clear();
                 self.store_time = self.last_store.elapsed();
@@ -420,6 +431,29 @@
         self.next_plan = begun + plan_time + plan::pause_after(plan_time);
     }
 
+    /// Logs the jobs that wait for a newer configuration than the version `held`, and asks the control
+    /// group whether there is one.
+    fn await_configs(&mut self, jobs: Vec<(Arc<str>, u64)>, held: u64) {
+        let new = self.config_wait.record_waiting(jobs.iter().map(|(id, _)| id.clone()).collect());
+        for (job, accepted) in jobs.iter().filter(|(id, _)| new.binary_search(id).is_ok()) {
+            event!(self.node.log, events::JOB_AWAITS_CONFIG; "request" => &**job,
+                "accepted_under" => accepted, "version" => held);
+        }
+        let count = self.config_wait.count() as u64;
+        self.node.metrics.record_level("jobs_awaiting_config", count);
+        let asked = time::Instant::now();
+        if self.config_wait.is_question_due(asked) {
+            let node = self.node.clone();
+            self.spawn(async move {
+                let query = control_state::Query::Version;
+                let answer = node.groups.query(groups::CONTROL, &query, CONFIRM_TIMEOUT).await;
+                let confirmed =
+                    answer.map(|version| config_wait::ConfirmedVersion { version, asked });
+                Message::ConfigConfirmed(confirmed.ok())
+            });
+        }
+    }
+
     /// Starts and stops items according to the load of the endpoints, and abandons those that
     /// waited too long or have no route.
     fn plan(&mut self) {
@@ -444,6 +478,7 @@
         let mut queue: Vec<(&Arc<str>, &ledger::Job, &ledger::PendingItem)> = Vec::new();
         let (mut to_abandon, mut waiting) = (Vec::new(), Vec::new());
         let mut held = sorted::SortedMap::new();
+        let (version, mut awaiting) = (active.document.version, Vec::new());
         self.trials.retain(|_, grant| now - grant.since < TRIAL_TIMEOUT);
         let (mut keys, mut running) = (Vec::new(), Vec::new());
         for (id, job) in &jobs {
@@ -451,9 +486,15 @@
             if job.pending.is_empty() {
                 continue;
             }
+            let accepted = ledger.accept_version(id);
+            let decides = self.config_wait.may_decide(version, accepted, since);
+            if !decides {
+                awaiting.push(((*id).clone(), accepted));
+            }
             let service = active
                 .config
                 .find_route(&job.rules.host, &job.rules.prefix)
+                .filter(|_| decides)
                 .and_then(|route| route.choose_service(rand::random()));
             let max_wait = job.rules.max_wait_ms.map(Duration::from_millis);
             let late = max_wait.is_some_and(|limit| now - since > limit);
@@ -490,6 +531,7 @@
                 }
                 match service {
                     _ if late => to_abandon.push((key, ledger::Cause::Patience)),
+                    None if !decides => {}
                     None => to_abandon.push((key, ledger::Cause::NoRoute)),
                     Some(service) => {
                         if let Some(hold) = self.check_prompt(&key, &pending.item) {
@@ -546,6 +588,7 @@
         drop(queue);
         drop(jobs);
         drop(ledger);
+        self.await_configs(awaiting, version);
         for (key, cause) in to_abandon {
             self.abandon(key, cause);
         }
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -255,7 +255,7 @@
         let route = route.clone();
         let request = forward::Request { id, head, body, route, arrived, _memory: memory };
         match request.route.kind {
-            routes::Kind::Batch => self.submit_job(request).await,
+            routes::Kind::Batch => self.submit_job(request, active.document.version).await,
             _ => forward::forward(node.clone(), request).await,
         }
     }
@@ -271,8 +271,8 @@
         }
     }
 
-    /// Submits a job to the job group.
-    async fn submit_job(&self, request: forward::Request) -> serve::Response {
+    /// Submits a job to the job group. `version` is that of the configuration with its route.
+    async fn submit_job(&self, request: forward::Request, version: u64) -> serve::Response {
         let node = &self.node;
         let items = match node.view.protocol().parse_submission(&request.body) {
             Ok(items) if items.len() <= MAX_JOB_ITEMS => items,
@@ -303,7 +303,8 @@
         };
         let count = items.len();
         let items = items.into_iter().map(Arc::new).collect();
-        let command = ledger::Command::Submit { job: request.id.clone(), rules, items };
+        let command =
+            ledger::Command::SubmitUnder { version, job: request.id.clone(), rules, items };
         let headers = node.view.protocol().headers();
         let requested = forward::numeric_header(&request.head.headers, &headers.deadline);
         let limit = requested
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -187,7 +187,8 @@
 /// Command of the state machine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 pub enum Command {
-    /// Accept a job. If the id is already known, nothing changes.
+    /// Accept a job as [`Command::SubmitUnder`] does, without a version. Only in logs of builds that
+    /// did not record versions.
     #[display("submit")]
     Submit {
         /// Id chosen by the caller.
@@ -260,6 +261,25 @@
         /// Id of the item.
         item: Arc<str>,
     },
+    /// Accept a job. If the id is already known, nothing changes.
+    #[display("submit")]
+    SubmitUnder {
+        /// Version of the configuration under which the job is accepted.
+        version: u64,
+        /// Id chosen by the caller.
+        job: Arc<str>,
+        /// Settings of the job.
+        rules: Rules,
+        /// Its items.
+        items: Vec<Arc<Item>>,
+    },
+}
+
+impl Command {
+    /// Whether the command accepts a job.
+    pub fn is_submission(&self) -> bool {
+        matches!(self, Command::Submit { .. } | Command::SubmitUnder { .. })
+    }
 }
 
 /// Reply to a command.
@@ -315,11 +335,22 @@
     /// Generation of the stored output by job and item. Items without an entry have stored none, or
     /// it was stored by a build that did not know generations.
     generations: sorted::SortedMap<(Arc<str>, Arc<str>), Generation>,
+    /// Version of the configuration under which each job was accepted. Jobs without an entry were
+    /// accepted by a build that did not record it.
+    versions: sorted::SortedMap<Arc<str>, u64>,
     /// Bytes of all stored bodies and outputs.
     #[serde(skip)]
     stored_bytes: usize,
 }
 
+/// Snapshot of a ledger by builds that did not record versions.
+#[derive(Deserialize)]
+struct LedgerWithoutVersions {
+    jobs: sorted::SortedMap<Arc<str>, Job>,
+    retiring: Vec<Arc<str>>,
+    generations: sorted::SortedMap<(Arc<str>, Arc<str>), Generation>,
+}
+
 /// Snapshot of a ledger by builds that did not know generations.
 #[derive(Deserialize)]
 struct LedgerWithoutGenerations {
@@ -346,6 +377,11 @@
         self.jobs.get(id)
     }
 
+    /// Version of the configuration under which a job was accepted; 0 if it is not recorded.
+    pub fn accept_version(&self, job: &str) -> u64 {
+        self.versions.get(job).copied().unwrap_or(0)
+    }
+
     /// Bytes of all stored bodies and outputs. Kept up to date, as it is read before each command.
     pub fn stored_bytes(&self) -> usize {
         self.stored_bytes
@@ -359,7 +395,10 @@
     /// Executes the command at the given log index.
     pub fn execute(&mut self, index: u64, command: Command) -> Reply {
         match command {
-            Command::Submit { job, rules, items } => self.submit(index, job, rules, items),
+            Command::Submit { job, rules, items } => self.submit(index, job, rules, items, None),
+            Command::SubmitUnder { version, job, rules, items } => {
+                self.submit(index, job, rules, items, Some(version))
+            }
             Command::StoreOutput(chunks) => {
                 for chunk in &chunks {
                     self.store(chunk);
@@ -410,13 +449,21 @@
                 }
                 let jobs = &self.jobs;
                 self.generations.retain(|(job, _), _| jobs.contains(job));
+                self.versions.retain(|job, _| jobs.contains(job));
                 Reply::Done
             }
             Command::DiscardOutput { job, item } => self.discard_output(&job, &item),
         }
     }
 
-    fn submit(&mut self, index: u64, job: Arc<str>, rules: Rules, items: Vec<Arc<Item>>) -> Reply {
+    fn submit(
+        &mut self,
+        index: u64,
+        job: Arc<str>,
+        rules: Rules,
+        items: Vec<Arc<Item>>,
+        version: Option<u64>,
+    ) -> Reply {
         let accept = || {
             let total = items.len() as u64;
             let pending = items
@@ -426,6 +473,9 @@
             Job { rules, total, accept_index: index, ended: false, pending, results: Vec::new() }
         };
         if !self.jobs.contains(&job) {
+            if let Some(version) = version {
+                self.versions.insert(job.clone(), version);
+            }
             let job = self.jobs.entry_or(job, accept);
             self.stored_bytes += job.stored_bytes();
         }
@@ -554,6 +604,19 @@
     }
 }
 
+/// Reads a snapshot of an earlier build.
+fn decode_former(data: &[u8]) -> Result<Ledger, postcard::Error> {
+    match postcard::from_bytes(data) {
+        Ok(LedgerWithoutVersions { jobs, retiring, generations }) => {
+            Ok(Ledger { jobs, retiring, generations, ..Ledger::default() })
+        }
+        Err(_) => {
+            let LedgerWithoutGenerations { jobs, retiring } = postcard::from_bytes(data)?;
+            Ok(Ledger { jobs, retiring, ..Ledger::default() })
+        }
+    }
+}
+
 fn results_page(job: &Job, after: u64) -> Page {
     let from = usize::try_from(after).unwrap_or(usize::MAX).min(job.results.len());
     let mut bytes = 0;
@@ -584,13 +647,9 @@
     fn restore(&mut self, data: &[u8]) -> Result<(), replica::RestoreError> {
         *self = match postcard::from_bytes(data) {
             Ok(ledger) => ledger,
-            // A snapshot without generations ends before them.
-            Err(postcard::Error::DeserializeUnexpectedEnd) => {
-                let old: LedgerWithoutGenerations = postcard::from_bytes(data)
-                    .map_err(|e| replica::RestoreError { cause: e.to_string().into() })?;
-                let LedgerWithoutGenerations { jobs, retiring } = old;
-                Ledger { jobs, retiring, ..Ledger::default() }
-            }
+            // A snapshot of an earlier build ends before the fields that it does not know.
+            Err(postcard::Error::DeserializeUnexpectedEnd) => decode_former(data)
+                .map_err(|e| replica::RestoreError { cause: e.to_string().into() })?,
             Err(e) => return Err(replica::RestoreError { cause: e.to_string().into() }),
         };
         self.stored_bytes = self.jobs.values().map(Job::stored_bytes).sum();
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -101,7 +101,7 @@
     }
 
     fn is_new_work(&self, command: &[u8]) -> bool {
-        matches!(postcard::from_bytes(command), Ok(ledger::Command::Submit { .. }))
+        postcard::from_bytes(command).is_ok_and(|c: ledger::Command| c.is_submission())
     }
 
     fn prepare(&mut self, _now: Duration, command: Bytes) -> Result<Bytes, wire::Reason> {
--- a/tests/fleet_delegation.rs
+++ b/tests/fleet_delegation.rs
@@ -7,6 +7,7 @@
 
 use basilfield::emulator::plain;
 use basilfield::fleet::delegation;
+use basilfield::fleet::dispatch::config_wait;
 use basilfield::fleet::frame;
 use basilfield::fleet::ledger;
 use basilfield::fleet::progress;
@@ -647,3 +648,88 @@
         events
     });
 }
+
+/// Time in which a leader starts or abandons an item that it may decide on, several times over.
+const DECISION_TIME: Duration = Duration::from_millis(400);
+
+/// Guards against items that are abandoned because the leader holds an older configuration, without
+/// their route, than the host that accepted them; and against items that wait although their route has
+/// ended since.
+#[test]
+fn leader_with_an_older_configuration_abandons_items() {
+    fleet_world::run(async {
+        let pair = Pair::start().await;
+        pair.lead().await;
+        let put = |version, prefix| {
+            for node in [&pair.leader, &pair.host] {
+                assert!(node.view.apply_document(fleet_pair::document(version, prefix)));
+            }
+        };
+        put(2, "/other/");
+        pair.submit_under(3, "new", vec![fleet_pair::item("new", "")]);
+        tokio::time::sleep(DECISION_TIME).await;
+        let mut seen = vec![pair.state("new")];
+        put(3, fleet_world::BATCH_PREFIX);
+        assert_eq!(pair.output("new", RUN_TIMEOUT).await, whole_output("new"));
+        put(4, "/other/");
+        pair.submit_under(3, "ended", vec![fleet_pair::item("ended", "")]);
+        let is_decided = || pair.state("ended") != "pending";
+        fleet_world::wait_until(RUN_TIMEOUT, is_decided).await;
+        seen.extend([pair.state("new"), pair.state("ended")]);
+        insta::assert_snapshot!(seen.join(" "), @"pending completed abandoned");
+    });
+}
+
+/// Guards against an item that runs by the route of an older configuration, which may name another
+/// service, than the one that its job was accepted under.
+#[test]
+fn item_runs_under_an_older_configuration_than_its_job() {
+    fleet_world::run(async {
+        let pair = Pair::start().await;
+        pair.lead().await;
+        pair.submit_under(2, "job", vec![fleet_pair::item("item", "")]);
+        tokio::time::sleep(DECISION_TIME).await;
+        let before = pair.endpoint.runs().len();
+        let document = fleet_pair::document(2, fleet_world::BATCH_PREFIX);
+        assert!(pair.leader.view.apply_document(document));
+        assert_eq!(pair.output("job", RUN_TIMEOUT).await, whole_output("item"));
+        assert_eq!(before, 0, "runs under the older configuration");
+    });
+}
+
+/// Guards against a job that waits for ever for a configuration which was lost along with the control
+/// hosts: they confirm an older one as the newest.
+#[test]
+fn job_waits_for_a_lost_configuration() {
+    fleet_world::run(async {
+        let pair = Pair::start().await;
+        pair.start_control(1).await;
+        pair.lead().await;
+        pair.submit_under(5, "job", vec![fleet_pair::item("item", "")]);
+        assert_eq!(pair.output("job", RUN_TIMEOUT).await, whole_output("item"));
+    });
+}
+
+/// Guards against a configuration that is taken for lost because of an answer to a question that was
+/// asked before the job was accepted, or while this host holds an even older one.
+#[test]
+fn configuration_is_taken_for_lost_too_early() {
+    let start = tokio::time::Instant::now();
+    let at = |s| start + Duration::from_secs(s);
+    let decides = |confirmed: Option<(u64, u64)>, held| {
+        let mut wait = config_wait::ConfigWait::default();
+        if let Some((version, asked)) = confirmed {
+            wait.record_confirmed(config_wait::ConfirmedVersion { version, asked: at(asked) });
+        }
+        wait.may_decide(held, 5, at(10))
+    };
+    let cases = [
+        decides(None, 4),
+        decides(Some((3, 9)), 4),
+        decides(Some((3, 11)), 2),
+        decides(Some((5, 11)), 4),
+        decides(Some((3, 11)), 3),
+        decides(None, 5),
+    ];
+    insta::assert_snapshot!(format!("{cases:?}"), @"[false, false, false, false, true, true]");
+}
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -320,6 +320,48 @@
     "#);
 }
 
+/// Guards against a build that cannot read the snapshots and logs of builds that did not record the
+/// version under which a job was accepted, and against versions of jobs that are gone.
+#[test]
+fn state_without_versions_is_read() {
+    /// Ledger as written before versions.
+    #[derive(serde::Serialize)]
+    struct Former {
+        jobs: basilfield::sorted::SortedMap<Arc<str>, ledger::Job>,
+        retiring: Vec<Arc<str>>,
+        generations: basilfield::sorted::SortedMap<(Arc<str>, Arc<str>), ledger::Generation>,
+    }
+    let mut l = Ledger::default();
+    submit(&mut l, "old", &["a"]);
+    let mut former = Former {
+        jobs: basilfield::sorted::SortedMap::new(),
+        retiring: Vec::new(),
+        generations: basilfield::sorted::SortedMap::new(),
+    };
+    former.jobs.insert("old".into(), l.job("old").expect("known").clone());
+    let generation = ledger::Generation { number: 2, build: Some("v2".into()) };
+    former.generations.insert(("old".into(), "a".into()), generation);
+    let mut restored = Ledger::default();
+    restored.restore(&ledger::encode(&former)).expect("former snapshot");
+    let rules = restored.job("old").expect("known").rules.clone();
+    let submission = |version| Command::SubmitUnder {
+        version,
+        job: "new".into(),
+        rules: rules.clone(),
+        items: Vec::new(),
+    };
+    restored.execute(3, submission(7));
+    restored.execute(4, submission(9));
+    let mut again = Ledger::default();
+    again.restore(&restored.snapshot()).expect("snapshot");
+    let versions = |l: &Ledger| format!("{} {}", l.accept_version("old"), l.accept_version("new"));
+    let mut seen = vec![versions(&restored), versions(&again)];
+    seen.push(format!("{:?}", again.generation(&"old".into(), &"a".into()).build));
+    again.execute(5, Command::RemoveJobs { jobs: vec!["new".into()] });
+    seen.push(versions(&again));
+    insta::assert_snapshot!(seen.join(", "), @r#"0 7, 0 7, Some("v2"), 0 0"#);
+}
+
 /// Guards against generations of items that stay after the items have ended.
 #[test]
 fn ended_items_leave_no_generation() {
--- a/tests/fleet_pair/mod.rs
+++ b/tests/fleet_pair/mod.rs
@@ -64,15 +64,25 @@
     }
 }
 
-/// Stands in for a control host: grants everything.
-struct Control;
+/// Stands in for a control host: grants everything, and confirms a version of the configuration.
+struct Control {
+    version: u64,
+}
 
 impl peer::Handler for Control {
     fn cast(&self, _: &Arc<str>, _: frame::Cast) {}
 
-    fn call(&self, _: wire::Request) -> BoxFuture<'static, wire::Reply> {
-        let reply = ledger::encode(&ledger::Reply::Done).into();
-        Box::pin(async { wire::Reply::Applied { index: 1, reply } })
+    fn call(&self, request: wire::Request) -> BoxFuture<'static, wire::Reply> {
+        let reply = match request {
+            wire::Request::Query { .. } => {
+                wire::Reply::Answer(ledger::encode(&self.version).into())
+            }
+            _ => {
+                let reply = ledger::encode(&ledger::Reply::Done).into();
+                wire::Reply::Applied { index: 1, reply }
+            }
+        };
+        Box::pin(async { reply })
     }
 }
 
@@ -184,6 +194,21 @@
     }
 }
 
+/// Configuration with one batch route, which has the given prefix.
+pub fn document(version: u64, prefix: &str) -> control_state::Document {
+    let document = serde_json::json!({
+        "version": version,
+        "routes": [{ "name": "batch", "host": fleet_world::ROUTE_HOST, "prefix": prefix,
+            "kind": "batch", "timeoutMs": 6000, "responseTargetMs": 300, "gapTargetMs": 300,
+            "priority": 0, "service": fleet_world::SERVICE, "maxAttempts": 3, "resumable": false,
+            "runTargetMs": 18000, "maxWaitS": 60.0 }],
+        "services": [{ "name": fleet_world::SERVICE, "maxConns": 200 }],
+        "limits": { "headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000,
+            "idleMs": 15000 },
+    });
+    control_state::Document { version, text: document.to_string().into() }
+}
+
 /// Item with the given parts in its prompt; none if `prompt` is empty.
 pub fn item(id: &str, prompt: &str) -> Arc<ledger::Item> {
     let prompt =
@@ -216,19 +241,7 @@
         let endpoint = endpoint.expect("endpoint");
         for node in [&leader, &host] {
             node.view.apply_quarantine(node.now(), &quarantine(1, None));
-            let document = serde_json::json!({
-                "version": 1,
-                "routes": [{ "name": "batch", "host": fleet_world::ROUTE_HOST,
-                    "prefix": fleet_world::BATCH_PREFIX, "kind": "batch", "timeoutMs": 6000,
-                    "responseTargetMs": 300, "gapTargetMs": 300, "priority": 0,
-                    "service": fleet_world::SERVICE, "maxAttempts": 3, "resumable": false,
-                    "runTargetMs": 18000, "maxWaitS": 60.0 }],
-                "services": [{ "name": fleet_world::SERVICE, "maxConns": 200 }],
-                "limits": { "headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000,
-                    "idleMs": 15000 },
-            });
-            let text = document.to_string().into();
-            assert!(node.view.apply_document(control_state::Document { version: 1, text }));
+            assert!(node.view.apply_document(document(1, fleet_world::BATCH_PREFIX)));
             let record = directory::Endpoint {
                 id: endpoint.id().clone(),
                 start_time: 1,
@@ -277,12 +290,13 @@
         self.shared.is_leader.send_replace(true);
     }
 
-    /// Starts a stand-in for a control host, which the leader knows.
-    pub async fn start_control(&self) {
+    /// Starts a stand-in for a control host, which the leader knows. It confirms that `version` is the
+    /// newest configuration.
+    pub async fn start_control(&self, version: u64) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
         let link = listener.local_addr().expect("address").to_string().into();
         let (metrics, log) = (self.leader.metrics.clone(), self.leader.log.clone());
-        tokio::spawn(peer::serve(listener, Arc::new(Control), metrics, log));
+        tokio::spawn(peer::serve(listener, Arc::new(Control { version }), metrics, log));
         let record = directory::Host {
             name: "control".into(),
             link,
@@ -292,8 +306,13 @@
         self.leader.view.directory(|d| d.register_host(self.leader.now(), record));
     }
 
-    /// Accepts a job with the given items.
+    /// Accepts a job with the given items, under the first configuration.
     pub fn submit(&self, job: &str, items: Vec<Arc<ledger::Item>>) {
+        self.submit_under(1, job, items);
+    }
+
+    /// Accepts a job with the given items under a version of the configuration.
+    pub fn submit_under(&self, version: u64, job: &str, items: Vec<Arc<ledger::Item>>) {
         let rules = ledger::Rules {
             host: fleet_world::ROUTE_HOST.into(),
             prefix: fleet_world::BATCH_PREFIX.into(),
@@ -301,7 +320,7 @@
             due_ms: 60_000,
             max_wait_ms: None,
         };
-        let command = ledger::Command::Submit { job: job.into(), rules, items };
+        let command = ledger::Command::SubmitUnder { version, job: job.into(), rules, items };
         self.shared.ledger.lock().expect("lock").execute(1, command);
     }
 
@@ -324,6 +343,16 @@
         results.iter().map(events).collect()
     }
 
+    /// State of the first item of a job: `pending`, `completed` or `abandoned`.
+    pub fn state(&self, job: &str) -> &'static str {
+        let ledger = self.shared.ledger.lock().expect("lock");
+        match ledger.job(job).and_then(|j| j.results.first()).map(|r| r.outcome) {
+            None => "pending",
+            Some(ledger::Outcome::Completed) => "completed",
+            Some(ledger::Outcome::Abandoned) => "abandoned",
+        }
+    }
+
     /// Waits until an item of a job is completed, and returns its events; none if that takes long.
     pub async fn output(&self, job: &str, limit: Duration) -> Vec<String> {
         fleet_world::wait_until(limit, || !self.outputs(job).is_empty()).await;
