Let a stream of unknown origin go on only if the control group confirms its build

Cause: a stream without a record went on if this host knew one build and believed itself in contact with control hosts that had once sent all that they had. After a restart their directory is still being filled, and an entry that is cut off keeps an old one and takes no answer for the answer that nobody knows. Class of fault: absence of knowledge is taken for knowledge.

Builds are durable state of the control group now, committed before their first endpoint is taken into the directory. An entry asks the group, confirmed by a quorum after the caller came back, and goes on only if the services of the route have one build. Unused builds are removed after the longest time that a caller may come back.

Evidence: restart_of_all_processes_joins_builds and entry_that_missed_a_new_build_joins_builds fail on the code before and pass.

--- a/src/events.rs
+++ b/src/events.rs
@@ -131,6 +131,10 @@
     /// A configuration could not be encoded for another host, or one that a control host sent could
     /// not be decoded; the host asks for it whole.
     CONFIG_UNDECODABLE = 415, Warning, "configuration not decodable";
+    /// The first endpoint of a build registers. The build is committed before it gets requests.
+    BUILD_ADDED = 416, Info, "build added";
+    /// Builds are removed, since they have had no endpoint for long.
+    BUILDS_REMOVED = 417, Info, "unused builds removed";
     /// A job was accepted.
     JOB_ACCEPTED = 500, Info, "job accepted";
     /// A job was cancelled.
--- a/src/fleet/continuation.rs
+++ b/src/fleet/continuation.rs
@@ -12,6 +12,12 @@
 use hyper::header::HeaderMap;
 use hyper::header::HeaderName;
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::time;
+
+/// Time after which the control group is asked for the builds of a stream whose origin no host has
+/// told yet. Most origins are told before.
+const CONFIRM_DELAY: Duration = Duration::from_millis(50);
 
 /// Service and build at which a stream goes on.
 pub(super) type Place = (Arc<str>, Arc<str>);
@@ -35,14 +41,27 @@
             return Err(serve::response(StatusCode::BAD_REQUEST, format!("{problem}\n")));
         }
     };
-    // A host that has just started may reach few control hosts and know few endpoints.
-    let is_complete = node.is_in_contact() && node.view.has_whole_directory();
-    let found = match &stream {
-        Some(stream) => node.find_origin(stream).await,
-        None => None,
+    let find = async {
+        match &stream {
+            Some(stream) => node.find_origin(stream).await,
+            None => None,
+        }
+    };
+    let confirm = async {
+        time::sleep(CONFIRM_DELAY).await;
+        node.confirm_builds(&services(&request.route)).await
+    };
+    tokio::pin!(find, confirm);
+    let (found, builds) = tokio::select! {
+        biased;
+        found = &mut find => match found {
+            Some(found) => (Some(found), None),
+            None => (None, confirm.await),
+        },
+        builds = &mut confirm => (find.await, builds),
     };
     let is_known = found.is_some();
-    match origin::continuation(found, &known_origins(node, &request.route), is_complete) {
+    match origin::continuation(found, builds.as_deref()) {
         origin::Continuation::At(origin) => {
             event!(node.log, events::STREAM_TAKEN_UP; "request" => &*request.id,
                 "stream" => stream.as_deref(), "service" => &*origin.service,
@@ -50,23 +69,18 @@
             Ok(place(request, service, origin))
         }
         origin::Continuation::Unknown => {
-            let reason = "the build that began the stream is not known";
+            let reason = match builds {
+                Some(_) => "the build that began the stream is not known",
+                None => "the control hosts do not tell which build began the stream",
+            };
             Err(forward::refuse(node, &request.id, reason))
         }
     }
 }
 
-/// Services of a route and builds of their endpoints.
-fn known_origins(node: &node::Node, route: &routes::Route) -> Vec<origin::Origin> {
-    let mut services: Vec<Arc<str>> =
-        route.shares.iter().filter(|s| s.weight > 0).map(|s| s.service.clone()).collect();
-    services.sort_unstable();
-    services.dedup();
-    let of_service = |service: Arc<str>| {
-        let builds = node.view.directory(|d| d.builds(&service));
-        builds.into_iter().map(move |build| origin::Origin { service: service.clone(), build })
-    };
-    services.into_iter().flat_map(of_service).collect()
+/// Services to which a route leads.
+fn services(route: &routes::Route) -> Vec<Arc<str>> {
+    route.shares.iter().filter(|s| s.weight > 0).map(|s| s.service.clone()).collect()
 }
 
 /// Place of a stream of known origin. If the route leads to other services by now, the stream goes on
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -3,6 +3,7 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::fleet::builds;
 use crate::fleet::control_state;
 use crate::fleet::directory;
 use crate::fleet::documents;
@@ -12,6 +13,7 @@
 use crate::fleet::ledger;
 use crate::fleet::member;
 use crate::fleet::node;
+use crate::fleet::origin;
 use crate::fleet::peer;
 use crate::fleet::protocol;
 use crate::fleet::quarantine;
@@ -36,6 +38,11 @@
 /// Longest wait for a change to be committed or a read to be confirmed. Callers give up after a
 /// second and ask another host.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest wait for the first endpoint of a build to be acknowledged. It registers again about once a
+/// second.
+const BUILD_TIMEOUT: Duration = Duration::from_millis(900);
+/// Interval between checks for builds without endpoints.
+const BUILD_CHECK_INTERVAL: Duration = Duration::from_secs(10);
 /// Largest body of a call by an operator or endpoint.
 const MAX_BODY_BYTES: usize = documents::MAX_DOCUMENT_BYTES;
 /// Interval between checks whether the job group can be placed.
@@ -55,6 +62,8 @@
     directory_sync: Mutex<sync::DirectorySync>,
     /// Hosts that know an earlier state of the quarantined parts.
     quarantine_sync: Mutex<sync::DirectorySync>,
+    /// Held while a build is committed.
+    build_turn: tokio::sync::Mutex<()>,
 }
 
 impl Control {
@@ -63,6 +72,7 @@
             node: node.clone(),
             directory_sync: Mutex::default(),
             quarantine_sync: Mutex::default(),
+            build_turn: tokio::sync::Mutex::default(),
         }
     }
 }
@@ -96,7 +106,8 @@
         let state = &self.state;
         self.published.send_if_modified(|published| {
             let key = |s: &control_state::ControlState| {
-                (s.document.version, s.quarantine.revision(), s.placement.clone())
+                let revisions = (s.document.version, s.quarantine.revision());
+                (revisions, s.placement.clone(), s.builds.clone())
             };
             let changed = key(published) != key(state);
             if changed {
@@ -161,6 +172,8 @@
     tree.spawn("quarantine", move |stop| publish_quarantine(n.clone(), p.clone(), l.clone(), stop));
     let n = node.clone();
     tree.spawn("silence", move |stop| mark_silent_records(n.clone(), stop));
+    let (n, l) = (node.clone(), is_leader.clone());
+    tree.spawn("builds", move |stop| remove_unused_builds(n.clone(), l.clone(), stop));
     let n = node.clone();
     tree.spawn("placement", move |stop| place_job_group(n.clone(), is_leader.clone(), stop));
     Ok(tree.stop_signal())
@@ -259,6 +272,7 @@
         let state = published.borrow_and_update().clone();
         let version = state.document.version;
         node.view.apply_quarantine(node.now(), &state.quarantine.summary());
+        node.view.set_builds(state.builds);
         if node.view.apply_document(state.document) {
             tell_version(&node, version);
         }
@@ -334,6 +348,44 @@
     }
 }
 
+/// Removes builds of which there has been no endpoint for long. Only the leader of the control group
+/// does this.
+async fn remove_unused_builds(
+    node: node::Node,
+    is_leader: watch::Receiver<bool>,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    let mut ticks = node.timer.subscribe(BUILD_CHECK_INTERVAL);
+    let mut unused = builds::UnusedBuilds::default();
+    loop {
+        let now = tokio::select! {
+            now = ticks.next() => now,
+            () = stop.wait() => return Ok(()),
+        };
+        if !*is_leader.borrow() {
+            unused.clear();
+            continue;
+        }
+        let known = node.view.builds();
+        let expired = node.view.directory(|d| {
+            let is_used = |b: &origin::Origin| {
+                d.endpoints().any(|e| e.service == b.service && e.build == b.build)
+            };
+            unused.expired(now, known.all(), is_used)
+        });
+        if expired.is_empty() {
+            continue;
+        }
+        event!(node.log, events::BUILDS_REMOVED; "builds" => ?expired);
+        let command = control_state::Command::RemoveBuilds(expired);
+        if let Err(failure) = node.groups.propose(groups::CONTROL, &command, CALL_TIMEOUT).await {
+            // The next check tries again.
+            event!(node.log, events::CHANGE_REFUSED; "step" => "remove builds",
+                "reason" => ?failure);
+        }
+    }
+}
+
 /// Store host on which a replica of the job group can be placed.
 #[derive(Clone, PartialEq, Eq)]
 struct Candidate {
@@ -456,7 +508,7 @@
         };
         match call {
             protocol::Call::Ready => serve::response(StatusCode::OK, "ready\n"),
-            protocol::Call::Register(id) => self.register_endpoint(&id, &body),
+            protocol::Call::Register(id) => self.register_endpoint(&id, &body).await,
             protocol::Call::Deregister(id) => self.deregister_endpoint(&id, &body),
             protocol::Call::PutConfig => self.put_config(&body).await,
             protocol::Call::GetConfig => self.get_config().await,
@@ -466,7 +518,7 @@
         }
     }
 
-    fn register_endpoint(&self, id: &str, body: &[u8]) -> serve::Response {
+    async fn register_endpoint(&self, id: &str, body: &[u8]) -> serve::Response {
         let node = &self.node;
         let protocol = node.view.protocol();
         let endpoint = match protocol.parse_registration(id, body) {
@@ -477,6 +529,11 @@
                 return serve::response(StatusCode::BAD_REQUEST, format!("{problem}\n"));
             }
         };
+        let build =
+            origin::Origin { service: endpoint.service.clone(), build: endpoint.build.clone() };
+        if endpoint.phase == directory::Phase::Ready && !self.commit_build(&build).await {
+            return self.unacknowledged(id, "its build cannot be recorded");
+        }
         let changed = node.view.directory(|d| d.register_endpoint(node.now(), endpoint.clone()));
         if changed {
             event!(node.log, events::ENDPOINT_CHANGED; "endpoint" => id,
@@ -487,14 +544,41 @@
             broadcast_records(node, records);
         }
         if !node.is_in_contact() {
-            return self.unacknowledged(id);
+            return self.unacknowledged(id, node::OUT_OF_CONTACT);
         }
         serve::json_response(protocol.registration_reply())
     }
 
+    /// Commits a build unless it is known to be committed, so that no endpoint of it gets a stream
+    /// before. Returns whether it is committed.
+    async fn commit_build(&self, build: &origin::Origin) -> bool {
+        let node = &self.node;
+        if node.view.has_build(build) {
+            return true;
+        }
+        // The endpoints of a release register at the same time.
+        let turn = time::timeout(BUILD_TIMEOUT, self.build_turn.lock()).await;
+        if turn.is_err() || node.view.has_build(build) {
+            return turn.is_ok();
+        }
+        let command = control_state::Command::AddBuild(build.clone());
+        match node.groups.propose(groups::CONTROL, &command, BUILD_TIMEOUT).await {
+            Ok(ledger::Reply::Done) => {
+                event!(node.log, events::BUILD_ADDED; "service" => &*build.service,
+                    "build" => &*build.build);
+                node.view.add_build(build.clone());
+                true
+            }
+            reply => {
+                event!(node.log, events::CHANGE_REFUSED; "step" => "add build",
+                    "service" => &*build.service, "build" => &*build.build, "reason" => ?reply);
+                false
+            }
+        }
+    }
+
     /// Response to a registration or deregistration of which other hosts may not learn.
-    fn unacknowledged(&self, endpoint: &str) -> serve::Response {
-        let reason = node::OUT_OF_CONTACT;
+    fn unacknowledged(&self, endpoint: &str, reason: &str) -> serve::Response {
         event!(self.node.log, events::REGISTRATION_UNCONFIRMED; "endpoint" => endpoint,
             "reason" => reason);
         let text = format!("not acknowledged: {reason}; send it to another control host\n");
@@ -512,7 +596,7 @@
         node.view.notify_directory_changed();
         broadcast(node, &frame::Cast::Update(update));
         if !node.is_in_contact() {
-            return self.unacknowledged(id);
+            return self.unacknowledged(id, node::OUT_OF_CONTACT);
         }
         serve::response(StatusCode::OK, "")
     }
--- a/src/fleet/control_state.rs
+++ b/src/fleet/control_state.rs
@@ -6,7 +6,9 @@
 //! The placement names the replicas that form the job group. Since it is committed once, every
 //! listed replica may form the group without the others, and all of them form the same one.
 
+use crate::fleet::builds;
 use crate::fleet::ledger;
+use crate::fleet::origin;
 use crate::fleet::quarantine;
 use crate::fleet::quarantine::former;
 use crate::replica;
@@ -84,6 +86,10 @@
         /// Number of the trial, counted from 1.
         number: u32,
     },
+    /// Adds a build whose endpoints may be taken into the directory.
+    AddBuild(origin::Origin),
+    /// Removes builds of which there has been no endpoint for long.
+    RemoveBuilds(Vec<origin::Origin>),
 }
 
 /// State of the control group.
@@ -97,6 +103,17 @@
     pub former: former::State,
     /// Crashes of endpoints and their quarantined causes.
     pub quarantine: quarantine::State,
+    /// Builds whose endpoints may be in the directory.
+    pub builds: builds::Builds,
+}
+
+/// Snapshot of an earlier version, which did not store builds.
+#[derive(Deserialize)]
+struct CausesState {
+    document: Document,
+    placement: Placement,
+    former: former::State,
+    quarantine: quarantine::State,
 }
 
 /// Snapshot of an earlier version, which knew no causes but parts of prompts.
@@ -123,9 +140,14 @@
 
 /// Reads a snapshot of an earlier version.
 fn decode_former(data: &[u8]) -> Result<ControlState, postcard::Error> {
+    if let Ok(state) = postcard::from_bytes(data) {
+        let CausesState { document, placement, former, quarantine } = state;
+        let builds = builds::Builds::default();
+        return Ok(ControlState { document, placement, former, quarantine, builds });
+    }
     if let Ok(PartsState { document, placement, quarantine }) = postcard::from_bytes(data) {
-        let (former, quarantine) = (former::State::default(), quarantine.into());
-        return Ok(ControlState { document, placement, former, quarantine });
+        let quarantine = quarantine.into();
+        return Ok(ControlState { document, placement, quarantine, ..ControlState::default() });
     }
     if let Ok(PlacedState { document, placement }) = postcard::from_bytes(data) {
         return Ok(ControlState { document, placement, ..ControlState::default() });
@@ -140,6 +162,8 @@
 pub enum Query {
     /// Version of the document in force, a `u64`.
     Version,
+    /// Builds whose endpoints may be in the directory, [`builds::Builds`].
+    Builds,
 }
 
 impl ControlState {
@@ -147,11 +171,12 @@
     pub fn answer(&self, query: &[u8]) -> Vec<u8> {
         match postcard::from_bytes(query) {
             Ok(Query::Version) => ledger::encode(&self.document.version),
+            Ok(Query::Builds) => ledger::encode(&self.builds),
             Err(_) => replica::StateMachine::snapshot(self),
         }
     }
 
-    /// Executes a command. Returns whether it was granted, if it asks for a trial.
+    /// Executes a command. Returns whether it was granted, if it asks for a trial or adds a build.
     pub fn execute(&mut self, command: Command) -> bool {
         match command {
             Command::Put(document) => {
@@ -183,6 +208,8 @@
             Command::GrantTrial { cause, number } => {
                 return self.quarantine.grant_trial(cause, number);
             }
+            Command::AddBuild(build) => return self.builds.add(build),
+            Command::RemoveBuilds(builds) => self.builds.remove(&builds),
         }
         true
     }
--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -431,15 +431,6 @@
         self.endpoints().filter(move |e| &*e.service == service && e.is_available())
     }
 
-    /// Builds of the endpoints of a service, sorted, including those that are gone.
-    pub fn builds(&self, service: &str) -> Vec<Arc<str>> {
-        let of_service = self.endpoints().filter(|e| &*e.service == service);
-        let mut builds: Vec<Arc<str>> = of_service.map(|e| e.build.clone()).collect();
-        builds.sort();
-        builds.dedup();
-        builds
-    }
-
     /// Endpoints of a service that are marked as leaving.
     pub fn leaving_endpoints<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Endpoint> {
         self.endpoints().filter(move |e| &*e.service == service && e.phase == Phase::Leaving)
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod attempt;
 pub mod body;
+pub mod builds;
 mod continuation;
 pub mod control;
 pub mod control_state;
--- a/src/fleet/origin.rs
+++ b/src/fleet/origin.rs
@@ -21,10 +21,10 @@
 /// further one.
 const MAX_ORIGINS: usize = 50_000;
 /// Longest time that an origin is kept, whatever the deadline of its caller is.
-const MAX_RETENTION: Duration = Duration::from_secs(600);
+pub const MAX_RETENTION: Duration = Duration::from_secs(600);
 
 /// Service and build of the endpoint that began a stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Origin {
     /// Service of the endpoint.
     pub service: Arc<str>,
@@ -128,13 +128,13 @@
 }
 
 /// Decides where a stream may go on. `found` is the latest record of the hosts that were asked.
-/// `known` holds the builds of the endpoints to which the route leads, including those that have left
-/// within the last minute; `is_complete` tells whether this host would have learned of others.
-pub fn continuation(found: Option<Origin>, known: &[Origin], is_complete: bool) -> Continuation {
-    match (found, known) {
+/// `builds` are those of the services to which the route leads, as a quorum of the control group has
+/// confirmed them since the caller came back; `None` if no quorum has answered.
+pub fn continuation(found: Option<Origin>, builds: Option<&[Origin]>) -> Continuation {
+    match (found, builds) {
         (Some(origin), _) => Continuation::At(origin),
         // Records may be lost along with hosts, but there is only one build that can have begun it.
-        (None, [only]) if is_complete => Continuation::At(only.clone()),
+        (None, Some([only])) => Continuation::At(only.clone()),
         _ => Continuation::Unknown,
     }
 }
--- a/src/fleet/origin_client.rs
+++ b/src/fleet/origin_client.rs
@@ -1,6 +1,9 @@
 //! Sends the origins of streams to control hosts and asks for those of other entries.
 
+use crate::fleet::builds;
+use crate::fleet::control_state;
 use crate::fleet::frame;
+use crate::fleet::groups;
 use crate::fleet::node;
 use crate::fleet::origin;
 use crate::fleet::peer;
@@ -15,6 +18,8 @@
 
 /// Longest wait for the control hosts to tell where a stream began.
 const FIND_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest wait for a quorum of the control group to confirm the builds of a service.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
 /// Longest wait for further answers after one host has told an origin. A host that missed the last
 /// record of a stream tells an earlier one.
 const FURTHER_ANSWERS_TIMEOUT: Duration = Duration::from_millis(50);
@@ -61,6 +66,19 @@
         }
     }
 
+    /// Builds of the services that can have begun a stream before this call, as confirmed by a quorum
+    /// of the control group; `None` if none answers in time.
+    pub(super) async fn confirm_builds(
+        &self,
+        services: &[Arc<str>],
+    ) -> Option<Vec<origin::Origin>> {
+        let query = control_state::Query::Builds;
+        let answer = self.groups.query(groups::CONTROL, &query, CONFIRM_TIMEOUT).await;
+        let confirmed: builds::Builds = answer.ok()?;
+        let of_services = confirmed.all().iter().filter(|b| services.contains(&b.service));
+        Some(of_services.cloned().collect())
+    }
+
     /// Control hosts that answer on the connection from here. An entry reaches the seeds before its
     /// first directory arrives.
     fn reached_controls(&self) -> Vec<Arc<str>> {
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -3,11 +3,13 @@
 
 use crate::event;
 use crate::events;
+use crate::fleet::builds;
 use crate::fleet::control_state;
 use crate::fleet::directory;
 use crate::fleet::documents;
 use crate::fleet::frame;
 use crate::fleet::load;
+use crate::fleet::origin;
 use crate::fleet::peer;
 use crate::fleet::protocol;
 use crate::fleet::quarantine;
@@ -38,6 +40,8 @@
     active_config: ArcSwapOption<ActiveConfig>,
     /// Recent documents, at a control host.
     documents: Mutex<documents::Documents>,
+    /// Committed builds, at a control host.
+    builds: Mutex<builds::Builds>,
     /// Held while a document is compared with the active one and replaces it.
     config_update: Mutex<()>,
     placement: Mutex<control_state::Placement>,
@@ -68,6 +72,7 @@
             protocol,
             active_config: ArcSwapOption::empty(),
             documents: Mutex::default(),
+            builds: Mutex::default(),
             config_update: Mutex::default(),
             placement: Mutex::default(),
             replica: Mutex::default(),
@@ -195,6 +200,26 @@
         true
     }
 
+    /// Sets the builds that the replica of this control host has applied.
+    pub fn set_builds(&self, builds: builds::Builds) {
+        *peer::lock(&self.builds) = builds;
+    }
+
+    /// Adds a build that was committed just now.
+    pub fn add_build(&self, build: origin::Origin) {
+        peer::lock(&self.builds).add(build);
+    }
+
+    /// Builds that are known to be committed, at a control host.
+    pub fn builds(&self) -> builds::Builds {
+        peer::lock(&self.builds).clone()
+    }
+
+    /// Whether a build is known to be committed; always `false` but on control hosts.
+    pub fn has_build(&self, build: &origin::Origin) -> bool {
+        peer::lock(&self.builds).contains(build)
+    }
+
     /// Sets the id of the replica on this host.
     pub fn set_replica(&self, id: u64) {
         *peer::lock(&self.replica) = Some(id);
--- a/tests/fleet_builds.rs
+++ b/tests/fleet_builds.rs
@@ -211,6 +211,20 @@
     }
 }
 
+/// Asserts that an entry goes on with a stream that no host knows, at the latest when it has the whole
+/// directory.
+async fn assert_unknown_stream_goes_on(world: &World, entry: SocketAddr) {
+    let begun = Instant::now();
+    let ended = loop {
+        let ended = unknown_caller().run(entry, LAST_EVENT).await;
+        if ended != StreamEnd::NotRun || begun.elapsed() > WHOLE_DIRECTORY_TIME {
+            break ended;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    assert_eq!(ended, StreamEnd::Complete, "{}", world.logs());
+}
+
 /// Guards against a refusal of an unknown stream that any endpoint can go on with.
 #[test]
 fn unknown_stream_goes_on_while_one_build_serves() {
@@ -218,16 +232,7 @@
         let world = World::start_with_builds(SIZE, &["v1", "v1"], SLOTS).await;
         for entry in world.caller_addresses().iter() {
             wait_for_contact(&world, *entry).await;
-            // It may know only a part of the directory until a control host has sent the whole.
-            let begun = Instant::now();
-            let ended = loop {
-                let ended = unknown_caller().run(*entry, LAST_EVENT).await;
-                if ended != StreamEnd::NotRun || begun.elapsed() > WHOLE_DIRECTORY_TIME {
-                    break ended;
-                }
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            };
-            assert_eq!(ended, StreamEnd::Complete, "{}", world.logs());
+            assert_unknown_stream_goes_on(&world, *entry).await;
         }
     });
 }
@@ -271,6 +276,84 @@
     });
 }
 
+/// Guards against streams that go on at another build at an entry that was cut off while the first
+/// endpoints of their build came, before it has found its connections dead and while it knows one build
+/// only.
+#[test]
+fn entry_that_missed_a_new_build_joins_builds() {
+    /// Time from one stream that is taken up to the next one.
+    const INTERVAL: Duration = Duration::from_millis(200);
+    fleet_world::run(async {
+        let mut world = World::start_with_builds(SIZE, &["v1"; 2], SLOTS).await;
+        let entries = world.caller_addresses();
+        for entry in entries.iter() {
+            wait_for_contact(&world, *entry).await;
+            assert_unknown_stream_goes_on(&world, *entry).await;
+        }
+        for at in 2..4 {
+            world.endpoints.push(None);
+            world.builds.push("v2".into());
+            world.start_endpoint(at).await;
+        }
+        world.cut_off(&world.hosts_of(Role::Entry)[1..]);
+        for at in 2..4 {
+            assert_eq!(world.send_heartbeat(0, at, "ready").await, 200, "{}", world.logs());
+        }
+        world.wait_until_known(world.hosts_of(Role::Entry)[0]).await;
+        let mut callers = begin(&world, entries[0], 3).await;
+        callers.retain(|c| first_build(&world, &c.stream) == "v2");
+        let new = callers.len();
+        assert!(new > 0, "streams of the new build\n{}", world.logs());
+        let mut tasks = task::JoinSet::new();
+        for (n, mut caller) in (0..).zip(callers) {
+            let to = entries[1];
+            tasks.spawn(async move {
+                tokio::time::sleep(INTERVAL * n).await;
+                let ended = caller.run(to, LAST_EVENT).await;
+                (caller, ended)
+            });
+        }
+        let ended = tasks.join_all().await;
+        assert_go_on(&world, &ended, 0);
+        for host in &world.hosts {
+            host.proxy.clear_faults();
+        }
+        wait_for_contact(&world, entries[1]).await;
+        let callers = ended.into_iter().map(|(caller, _)| caller).collect();
+        let ended = start(callers, entries[1], LAST_EVENT).join_all().await;
+        assert_go_on(&world, &ended, new);
+    });
+}
+
+/// Guards against streams that go on at another build after all processes were lost at the same moment:
+/// the endpoints of one build have registered again, those of the other have not yet.
+#[test]
+fn restart_of_all_processes_joins_builds() {
+    fleet_world::run(async {
+        let mut world = World::start_with_builds(SIZE, &BUILDS, SLOTS).await;
+        let entries = world.caller_addresses();
+        let callers = begin(&world, entries[0], 3).await;
+        let old = callers.iter().filter(|c| first_build(&world, &c.stream) == "v1").count();
+        assert!(old > 0, "streams of the old build\n{}", world.logs());
+        for at in 0..world.hosts.len() {
+            world.kill(at);
+        }
+        for at in 0..world.hosts.len() {
+            world.start_host(at, false);
+        }
+        let begun = Instant::now();
+        for endpoint in 2..4 {
+            while world.send_heartbeat(0, endpoint, "ready").await != 200 {
+                assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "{}", world.logs());
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        world.wait_until_ready(world.hosts_of(Role::Entry)[0]).await;
+        let ended = start(callers, entries[0], LAST_EVENT).join_all().await;
+        assert_go_on(&world, &ended, 0);
+    });
+}
+
 /// Guards against a stream that goes on at another build, or waits, when its own build has left.
 #[test]
 fn stream_of_a_build_that_has_left_is_refused() {
--- a/tests/fleet_control_state.rs
+++ b/tests/fleet_control_state.rs
@@ -2,6 +2,7 @@
 
 use basilfield::fleet::control_state;
 use basilfield::fleet::ledger;
+use basilfield::fleet::origin;
 use basilfield::fleet::quarantine;
 use basilfield::replica::StateMachine as _;
 use control_state::Command;
@@ -137,3 +138,33 @@
     let voters: Vec<(u64, &str)> = membership.members.iter().map(|m| (m.id, &*m.host)).collect();
     assert_eq!(voters, [(5, "s2"), (9, "s1")]);
 }
+
+/// Guards against a build that cannot read the snapshots of builds that did not store the builds of
+/// endpoints.
+#[test]
+fn state_without_builds_is_read() {
+    /// State as written before builds.
+    #[derive(serde::Serialize)]
+    struct Former {
+        document: Document,
+        placement: Placement,
+        former: quarantine::former::State,
+        quarantine: quarantine::State,
+    }
+    let mut state = ControlState::default();
+    state.execute(Command::Put(Document { version: 7, text: "text".into() }));
+    let former = Former {
+        document: state.document.clone(),
+        placement: state.placement.clone(),
+        former: quarantine::former::State::default(),
+        quarantine: state.quarantine.clone(),
+    };
+    let mut restored = ControlState::default();
+    restored.restore(&ledger::encode(&former)).expect("former snapshot");
+    assert_eq!(restored, state);
+    let build = origin::Origin { service: "s".into(), build: "v1".into() };
+    assert!(restored.execute(Command::AddBuild(build.clone())));
+    let mut again = ControlState::default();
+    again.restore(&restored.snapshot()).expect("snapshot");
+    assert!(again.builds.contains(&build));
+}
--- a/tests/fleet_origin.rs
+++ b/tests/fleet_origin.rs
@@ -1,5 +1,6 @@
 //! Origins of streams: which record counts, who keeps it, and where a stream may go on.
 
+use basilfield::fleet::builds;
 use basilfield::fleet::origin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,8 +68,9 @@
     assert_eq!(few.len(), 2);
 }
 
-/// Guards against a stream that goes on at a build which may not be the one that began it, and
-/// against refusing one that can have begun at one build only.
+/// Guards against a stream that goes on at a build which may not be the one that began it, because the
+/// builds are not confirmed or are several, and against refusing one that can have begun at one build
+/// only.
 #[test]
 fn stream_of_unknown_origin_goes_on_at_the_only_build() {
     let at = |service: &str, build: &str| origin::Origin {
@@ -76,27 +78,51 @@
         build: build.into(),
     };
     let (v1, v2) = (at("s", "v1"), at("s", "v2"));
-    // The last one is a route to two services, whose builds have the same name.
-    let known = [vec![], vec![v1.clone()], vec![v1.clone(), v2], vec![v1, at("t", "v1")]];
+    // The first one is not confirmed, the last one a route to two services.
+    let confirmed = [
+        None,
+        Some(vec![]),
+        Some(vec![v1.clone()]),
+        Some(vec![v1.clone(), v2]),
+        Some(vec![v1, at("t", "v1")]),
+    ];
     let found = record("a", 1, "v2", 500).origin;
     let mut seen = Vec::new();
-    for (found, is_complete) in
-        [(Some(found.clone()), true), (Some(found), false), (None, true), (None, false)]
-    {
-        let decide = |known: &Vec<origin::Origin>| match origin::continuation(
+    for found in [Some(found), None] {
+        let decide = |builds: &Option<Vec<origin::Origin>>| match origin::continuation(
             found.clone(),
-            known,
-            is_complete,
+            builds.as_deref(),
         ) {
             origin::Continuation::At(origin) => origin.build.to_string(),
             origin::Continuation::Unknown => "-".to_string(),
         };
-        seen.push(known.iter().map(decide).collect::<Vec<_>>().join(" "));
+        seen.push(confirmed.iter().map(decide).collect::<Vec<_>>().join(" "));
     }
     insta::assert_snapshot!(seen.join("\n"), @r"
-    v2 v2 v2 v2
-    v2 v2 v2 v2
-    - v1 - -
-    - - - -
+    v2 v2 v2 v2 v2
+    - - v1 - -
     ");
 }
+
+/// Guards against builds that are removed while a stream of theirs may still be taken up, that stay for
+/// ever, or that are as many as endpoints care to name.
+#[test]
+fn builds_are_kept_as_long_as_their_streams() {
+    let build = |n: u64| origin::Origin { service: "s".into(), build: format!("v{n}").into() };
+    let mut known = builds::Builds::default();
+    known.add(build(1));
+    known.add(build(2));
+    let mut unused = builds::UnusedBuilds::default();
+    let mut removed = Vec::new();
+    for s in 0..2_000 {
+        // The first build has no endpoint from 100 s on, but for a moment at 500 s.
+        let is_used = |b: &origin::Origin| *b == build(2) || s < 100 || s == 500;
+        let expired = unused.expired(ms(s * 1_000), known.all(), is_used);
+        if !expired.is_empty() {
+            removed.push((s, expired.len()));
+            known.remove(&expired);
+        }
+    }
+    let added = (0..5_000).filter(|n| known.add(build(*n))).count();
+    insta::assert_snapshot!(format!("{removed:?} {added} {}", known.all().len()), @"[(1102, 1)] 1000 1000");
+}
--- a/tests/fleet_prompts/crashing_part.rs
+++ b/tests/fleet_prompts/crashing_part.rs
@@ -355,7 +355,7 @@
 fn trial_of_item_is_held_back() {
     run(async {
         let pair = Pair::start().await;
-        pair.start_control().await;
+        pair.start_control(1).await;
         for node in [&pair.leader, &pair.host] {
             node.view.apply_quarantine(node.now(), &fleet_pair::quarantine(2, Some(0xbad1)));
         }
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -189,7 +189,9 @@
     let records = directory::Records { endpoints: vec![new], hosts: Vec::new() };
     started.apply_update(NOW, frame::Update { records, ..frame::Update::default() });
     let known = |view: &view::View| {
-        format!("{:?} whole {}", view.directory(|d| d.builds("a")), view.has_whole_directory())
+        let builds: Vec<Arc<str>> =
+            view.directory(|d| d.endpoints().map(|e| e.build.clone()).collect());
+        format!("{builds:?} whole {}", view.has_whole_directory())
     };
     let mut seen = vec![known(&started)];
     let whole = control.missing_update(&started.announcement(1), true).expect("an update");
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -181,7 +181,7 @@
     }
 
     /// Waits until an entry has logged every endpoint. It is ready as soon as it knows one.
-    async fn wait_until_known(&self, at: usize) {
+    pub async fn wait_until_known(&self, at: usize) {
         let ids: Vec<String> =
             self.endpoints.iter().flatten().map(|e| format!("\"{}\"", e.id())).collect();
         let is_known = |id: &String| {
