Keep a replica group going while its log or disk is full

Class of fault: work that only the blocked loop can do frees what it waits for; on followers and in the control group as well.

Half of the log is kept for accepted work. While entries cannot be written, the thread goes on, answers reads and exchanges heartbeats, and acknowledges nothing that is not durable. Small writes have room beyond the capacity, so a group with full logs elects a leader. host.disk limits the bytes of jobs.

--- a/src/events.rs
+++ b/src/events.rs
@@ -97,6 +97,8 @@
     /// them, calls, syncs, uncommitted bytes, and for each follower the entries that it lacks, the time
     /// from message to answer and the messages sent again.
     REPLICATION_REPORT = 311, Info, "replication report";
+    /// The disk has space again; entries that waited are written, and new work is accepted again.
+    DISK_FREED = 312, Info, "disk has space again";
     /// A configuration change was committed.
     CHANGE_ACCEPTED = 400, Info, "configuration change accepted";
     /// A configuration change was refused; nothing was changed.
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -31,9 +31,9 @@
 /// Number of log entries between snapshots.
 const SNAPSHOT_ENTRIES: u64 = 4_000;
 /// Size of a log segment. Two segments are reserved, and the smallest disks hold 128 MB.
-const SEGMENT_BYTES: u64 = 8 << 20;
+pub(super) const SEGMENT_BYTES: u64 = 8 << 20;
 /// Most bytes of all log segments together. Snapshots use the rest of the smallest disk.
-const MAX_LOG_BYTES: u64 = 64 << 20;
+pub(super) const MAX_LOG_BYTES: u64 = 64 << 20;
 /// Interval between probes by a replica that is not a voter or knows no leader.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between attempts to open the data folder while the disk is full.
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -51,6 +51,9 @@
     pub address: IpAddr,
     /// Data folder; required for the roles control and store.
     pub folder: Option<PathBuf>,
+    /// Size of the disk with the data folder in MB; 0 if it is not known.
+    #[serde(default)]
+    pub disk: u64,
     /// Address to listen on for other hosts, if not `address`; for hosts behind a proxy or NAT.
     pub bind: Option<IpAddr>,
     /// Address of the metrics scrape endpoint; none if absent.
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -28,6 +28,17 @@
 /// as much again, and the smallest store hosts have 280 MB.
 const MAX_JOB_BYTES: usize = 96 << 20;
 
+/// Most bytes of item bodies and outputs on a disk of `disk` MB; its size is not known if that is 0. A
+/// snapshot is written beside the one before, and both beside the log.
+pub fn job_bytes(disk: u64) -> usize {
+    let log = member::MAX_LOG_BYTES + 2 * member::SEGMENT_BYTES;
+    let free = (disk * 1_000_000).saturating_sub(log) / 2;
+    match disk {
+        0 => MAX_JOB_BYTES,
+        _ => MAX_JOB_BYTES.min(usize::try_from(free).unwrap_or(usize::MAX)),
+    }
+}
+
 /// Handler of frames from other hosts.
 struct Store {
     node: node::Node,
@@ -85,6 +96,8 @@
 struct Service {
     machine: Machine,
     shared: SharedLedger,
+    /// Most bytes of item bodies and outputs.
+    job_bytes: usize,
 }
 
 impl service::Service for Service {
@@ -105,7 +118,7 @@
     }
 
     fn prepare(&mut self, _now: Duration, command: Bytes) -> Result<Bytes, wire::Reason> {
-        let full = peer::lock(&self.machine.0).stored_bytes() + command.len() > MAX_JOB_BYTES
+        let full = peer::lock(&self.machine.0).stored_bytes() + command.len() > self.job_bytes
             && self.is_new_work(&command);
         if full { Err(wire::Reason::QueueFull) } else { Ok(command) }
     }
@@ -140,6 +153,7 @@
     let shared = SharedLedger::default();
     let s = shared.clone();
     let target_voters = node.settings.fleet.group_size();
+    let job_bytes = job_bytes(node.settings.host.disk);
     let member = member::Member {
         node: node.clone(),
         group: groups::JOBS,
@@ -151,7 +165,7 @@
         // A new replica starts with an empty ledger.
         *peer::lock(&s.ledger) = ledger::Ledger::default();
         let machine = Machine(s.ledger.clone());
-        Box::new(Service { machine, shared: s.clone() })
+        Box::new(Service { machine, shared: s.clone(), job_bytes })
     });
     let is_leader = shared.is_leader.subscribe();
     let (n, s) = (node.clone(), shared);
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -183,6 +183,11 @@
         self.log.last_index()
     }
 
+    /// Last snapshot.
+    pub fn snapshot(&self) -> Option<&Snapshot> {
+        self.log.snapshot()
+    }
+
     /// Index of the last snapshot; 0 if there is none.
     pub fn snapshot_index(&self) -> u64 {
         self.log.snapshot().map_or(0, |s| s.index)
--- a/src/state/group/mod.rs
+++ b/src/state/group/mod.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod feed;
 mod members;
+mod stall;
 mod storing;
 mod turns;
 
@@ -143,7 +144,10 @@
     outputs: Vec<replica::Output>,
     /// Thread that writes a snapshot of the state machine.
     saving: Option<thread::JoinHandle<Result<storage::Written, storage::Error>>>,
-    disk_full: bool,
+    /// Time at which to save a snapshot again for which there was no space.
+    next_snapshot: Option<Duration>,
+    /// Entries that cannot be written, if the disk is full.
+    stall: Option<stall::Stall>,
     retired: bool,
     last_tick: Duration,
     last_service: Duration,
@@ -196,7 +200,8 @@
             last_report: now,
             outputs: Vec::new(),
             saving: None,
-            disk_full: false,
+            next_snapshot: None,
+            stall: None,
             retired: false,
             last_tick: now,
             last_service: now,
@@ -237,6 +242,7 @@
             }
             self.tick();
             self.flush()?;
+            self.retry_entries()?;
             if self.retired {
                 return Ok(ExitReason::Retired);
             }
@@ -262,7 +268,11 @@
     fn handle_call(&mut self, call: Call) {
         self.turns.calls += 1;
         match call {
-            Call::Envelope(envelope) => self.step(replica::Input::Message(envelope)),
+            Call::Envelope(envelope) => {
+                if let Some(envelope) = self.receive_during_stall(envelope) {
+                    self.step(replica::Input::Message(envelope));
+                }
+            }
             Call::Propose { command, done } => self.propose(command, done),
             Call::Query { query, done } => self.start_read(Pending::Query(query, done)),
             Call::Confirm { done } => self.start_read(Pending::Confirm(done)),
@@ -301,8 +311,11 @@
         if !self.is_leader() {
             return self.redirect(done);
         }
-        let full = self.disk_full || !self.parts.folder.has_free_space();
-        if full && self.parts.service.is_new_work(&command) {
+        let is_refused = self.stall.is_some()
+            || !self.parts.folder.has_free_space() && self.parts.service.is_new_work(&command);
+        if is_refused {
+            self.parts.metrics.count_refusal("disk_full", "no");
+            self.turns.refused += 1;
             return service::refuse(done, wire::Reason::DiskFull);
         }
         let now = self.now();
@@ -316,6 +329,9 @@
     }
 
     fn propose_internal(&mut self, command: Bytes) {
+        if self.stall.is_some() {
+            return;
+        }
         let now = self.now();
         if let Ok(command) = self.parts.service.prepare(now, command) {
             let token = self.add_pending(Pending::Internal);
@@ -348,7 +364,9 @@
                 self.propose_internal(command);
             }
             self.log_missing_voters();
-            self.repair_members();
+            if self.stall.is_none() {
+                self.repair_members();
+            }
         }
         if now - self.last_keepalive >= WATCH_KEEPALIVE {
             self.last_keepalive = now;
@@ -361,12 +379,22 @@
     fn flush(&mut self) -> Result<(), errors::Error> {
         while !self.outputs.is_empty() {
             let outputs = std::mem::take(&mut self.outputs);
-            if self.persist(&outputs)? {
-                let index = self.replica.last_index();
-                self.step(replica::Input::Synced { index });
+            match self.persist(&outputs)? {
+                storing::Stored::Entries if self.stall.is_some() => self.end_stall(),
+                storing::Stored::Entries => {
+                    let index = self.replica.last_index();
+                    self.step(replica::Input::Synced { index });
+                }
+                storing::Stored::Full => self.begin_stall(),
+                storing::Stored::Nothing => {}
             }
             for output in outputs {
-                self.carry_out(output)?;
+                match output {
+                    replica::Output::Send(envelope) if self.stall.is_some() => {
+                        self.send_during_stall(envelope);
+                    }
+                    output => self.carry_out(output)?,
+                }
             }
         }
         Ok(())
@@ -377,12 +405,7 @@
             replica::Output::Persist { .. } | replica::Output::SaveSnapshot(_) => {}
             // Restored in order: entries committed before it are applied to the old state.
             replica::Output::InstallSnapshot(snapshot) => self.restore_snapshot(&snapshot)?,
-            replica::Output::Send(envelope) => {
-                let host = self.host_of(envelope.to);
-                if let Some(host) = host {
-                    self.parts.outbox.send(&host, envelope);
-                }
-            }
+            replica::Output::Send(envelope) => self.send_envelope(envelope),
             replica::Output::Accepted { token, index, term } => {
                 if let Some(pending) = self.pending.remove(&token) {
                     self.proposals.push_back(Proposal { index, term, pending });
@@ -401,6 +424,12 @@
         Ok(())
     }
 
+    fn send_envelope(&mut self, envelope: replica::Envelope) {
+        if let Some(host) = self.host_of(envelope.to) {
+            self.parts.outbox.send(&host, envelope);
+        }
+    }
+
     fn handle_refusal(&mut self, token: u64, reason: replica::Refusal) {
         let Some(pending) = self.pending.remove(&token) else { return };
         match pending {
--- a/src/state/group/storing.rs
+++ b/src/state/group/storing.rs
@@ -10,19 +10,35 @@
 use crate::state::service;
 use crate::storage;
 use crate::wire;
+use std::time::Duration;
 use std::time::Instant;
 
 /// Entries applied since the last snapshot after which one is taken if space is short.
 const EARLY_SNAPSHOT_ENTRIES: u64 = 1_000;
 
+/// Delay before a snapshot that could not be saved is taken again.
+const SNAPSHOT_RETRY_DELAY: Duration = Duration::from_secs(2);
+
+/// What a batch of outputs has made durable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stored {
+    /// The batch had no entries.
+    Nothing,
+    /// All entries.
+    Entries,
+    /// Nothing, since the disk is full. The entries are written later.
+    Full,
+}
+
 impl Group {
-    /// Writes and syncs the outputs that must be durable. Returns whether entries were synced.
-    pub(super) fn persist(&mut self, outputs: &[replica::Output]) -> Result<bool, errors::Error> {
+    /// Writes and syncs the outputs that must be durable.
+    pub(super) fn persist(&mut self, outputs: &[replica::Output]) -> Result<Stored, errors::Error> {
         let mut written = false;
         for output in outputs {
             match output {
                 replica::Output::Persist { hard_state, entries } => {
-                    self.retry_while_full(|folder| folder.append(hard_state.as_ref(), entries))?;
+                    let appended = self.parts.folder.append(hard_state.as_ref(), entries);
+                    appended.map_err(|e| self.log_failure(&e))?;
                     written = true;
                 }
                 replica::Output::SaveSnapshot(snapshot) => {
@@ -34,14 +50,27 @@
                 _ => {}
             }
         }
-        if written {
-            let begun = Instant::now();
-            self.retry_while_full(|folder| folder.sync())?;
-            let elapsed = begun.elapsed();
-            self.turns.record_sync(elapsed);
-            self.parts.metrics.record_latency("group_sync", elapsed);
+        match written {
+            true => self.sync_entries(),
+            false => Ok(Stored::Nothing),
+        }
+    }
+
+    /// Makes the appended entries durable.
+    pub(super) fn sync_entries(&mut self) -> Result<Stored, errors::Error> {
+        let begun = Instant::now();
+        match self.parts.folder.sync() {
+            Ok(()) => {}
+            Err(error) if error.is_full() => return Ok(Stored::Full),
+            Err(error) => return Err(self.log_failure(&error)),
         }
-        Ok(written)
+        let elapsed = begun.elapsed();
+        self.turns.record_sync(elapsed);
+        self.parts.metrics.record_latency("group_sync", elapsed);
+        let usage = self.parts.folder.usage();
+        self.parts.metrics.record_level("log_bytes", usage.used);
+        self.parts.metrics.record_level("log_free_bytes", usage.free_for_new_work());
+        Ok(Stored::Entries)
     }
 
     /// Starts to save a snapshot of the own state machine on a thread of its own. While a leader
@@ -64,7 +93,9 @@
         };
         match written.and_then(|written| self.parts.folder.finish_snapshot(written)) {
             Err(storage::Error::Full { .. }) => {
-                event!(self.parts.log, events::DISK_FULL; "step" => "store snapshot");
+                event!(self.parts.log, events::DISK_FULL; "group" => self.parts.group,
+                    "step" => "store snapshot");
+                self.next_snapshot = Some(self.now() + SNAPSHOT_RETRY_DELAY);
                 Ok(())
             }
             Ok(()) => Ok(()),
@@ -78,23 +109,22 @@
         errors::Error::io("write data folder", &*self.parts.host, error)
     }
 
-    /// Runs a storage operation and repeats it while the disk is full, since the replica's state
-    /// and the folder must not diverge. Any other error ends the thread.
+    /// Installs a snapshot of the leader, and repeats this while the disk is full: the replica has
+    /// dropped its log and can do nothing before. Any other error ends the thread.
     pub(super) fn retry_while_full(
         &mut self,
         mut run: impl FnMut(&mut storage::Folder) -> Result<(), storage::Error>,
     ) -> Result<(), errors::Error> {
+        let mut logged = false;
         loop {
             match run(&mut self.parts.folder) {
-                Ok(()) => {
-                    self.disk_full = false;
-                    return Ok(());
-                }
+                Ok(()) => return Ok(()),
                 Err(storage::Error::Full { .. }) => {
-                    if !self.disk_full {
-                        event!(self.parts.log, events::DISK_FULL);
+                    if !logged {
+                        event!(self.parts.log, events::DISK_FULL; "group" => self.parts.group,
+                            "step" => "install snapshot");
                     }
-                    self.disk_full = true;
+                    logged = true;
                     self.refuse_queued_calls();
                     std::thread::sleep(SERVICE_TICK);
                 }
@@ -137,17 +167,27 @@
     }
 
     pub(super) fn snapshot_if_due(&mut self) -> Result<(), errors::Error> {
-        let due = self.applied >= self.snapshot_index + self.parts.snapshot_entries;
-        // A snapshot frees old segments before the disk is full.
-        let early = self.applied >= self.snapshot_index + EARLY_SNAPSHOT_ENTRIES
-            && !self.parts.folder.has_free_space();
-        if !due && !early || self.saving.is_some() {
+        if self.saving.is_some() {
+            return Ok(());
+        }
+        let now = self.now();
+        if self.next_snapshot.take_if(|at| now >= *at).is_some()
+            && let Some(snapshot) = self.replica.snapshot().cloned()
+        {
+            return self.begin_snapshot(snapshot);
+        }
+        let new_entries = self.applied - self.snapshot_index;
+        // A snapshot frees old segments before the disk is full. Few entries may be many bytes.
+        let due = new_entries >= self.parts.snapshot_entries
+            || new_entries > 0 && self.parts.folder.usage().is_snapshot_due()
+            || new_entries >= EARLY_SNAPSHOT_ENTRIES && !self.parts.folder.has_free_space();
+        if !due {
             return Ok(());
         }
         let data = self.parts.service.state_machine().snapshot().into();
         self.snapshot_index = self.applied;
         event!(self.parts.log, events::SNAPSHOT_TAKEN; "group" => self.parts.group,
-            "index" => self.applied);
+            "index" => self.applied, "log_bytes" => self.parts.folder.usage().used);
         self.step(replica::Input::Snapshot { index: self.applied, data });
         self.flush()
     }
--- a/src/state/group/turns.rs
+++ b/src/state/group/turns.rs
@@ -21,6 +21,8 @@
     longest_sync: Duration,
     /// Calls handled.
     pub(super) calls: u64,
+    /// Proposals refused because the log or the disk is full.
+    pub(super) refused: u64,
 }
 
 impl Turns {
@@ -58,12 +60,15 @@
         let uncommitted = self.replica.uncommitted_bytes() as u64;
         self.parts.metrics.record_level("messages_repeated", repeated);
         self.parts.metrics.record_level("uncommitted_bytes", uncommitted);
+        let usage = self.parts.folder.usage();
         let millis = |time: Duration| time.as_millis() as u64;
         event!(self.parts.log, events::REPLICATION_REPORT; "group" => self.parts.group,
             "turns" => turns.count, "busy_ms" => millis(turns.total),
             "longest_turn_ms" => millis(turns.longest), "calls" => turns.calls,
             "syncs" => turns.syncs, "sync_ms" => millis(turns.sync_total),
             "longest_sync_ms" => millis(turns.longest_sync), "uncommitted" => uncommitted,
+            "log_bytes" => usage.used, "log_free_bytes" => usage.free_for_new_work(),
+            "refused" => turns.refused,
             "followers" => followers.join("; "));
     }
 }
--- a/src/storage/folder.rs
+++ b/src/storage/folder.rs
@@ -19,6 +19,16 @@
 
 /// Name of the file whose space is reserved for the next segment.
 const SPARE_FILE: &str = "spare";
+/// Part of the capacity that is kept for what follows from accepted work.
+const RESERVE_DIVISOR: u64 = 2;
+/// Part of the capacity after which a snapshot is taken, so that several fit into what new work may
+/// fill.
+const SNAPSHOT_DIVISOR: u64 = 4;
+/// Largest frame that may exceed the capacity. A replica whose log is full must still store its term
+/// and vote, or its group has no leader.
+const SMALL_FRAME_BYTES: u64 = 4 << 10;
+/// Part of the capacity that small frames may use beyond it.
+const HEADROOM_DIVISOR: u64 = 64;
 /// File extension of segments.
 const SEGMENT_EXTENSION: &str = "log";
 
@@ -32,6 +42,32 @@
     pub capacity: u64,
 }
 
+/// Use of the log by bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Bytes of all segments.
+    pub used: u64,
+    /// Limit of these bytes.
+    pub capacity: u64,
+    /// Bytes that are kept for what follows from accepted work.
+    pub reserve: u64,
+    /// Bytes written since the last snapshot was begun or the folder was opened; the bytes of a folder
+    /// that has just been opened count as written since.
+    pub since_snapshot: u64,
+}
+
+impl Usage {
+    /// Bytes that new work may still use.
+    pub fn free_for_new_work(&self) -> u64 {
+        self.capacity.saturating_sub(self.reserve).saturating_sub(self.used)
+    }
+
+    /// Whether so much was written since the last snapshot that a further one frees much.
+    pub fn is_snapshot_due(&self) -> bool {
+        self.since_snapshot >= self.capacity / SNAPSHOT_DIVISOR
+    }
+}
+
 impl Default for Options {
     fn default() -> Self {
         Options { segment_size: 16 << 20, capacity: u64::MAX }
@@ -66,6 +102,8 @@
     pending: Vec<u8>,
     /// Highest index of an entry in `pending`.
     max_index: u64,
+    /// Bytes written since the last snapshot was begun.
+    since_snapshot: u64,
     /// Whether space for the next segment is reserved.
     has_spare: bool,
     /// Number of snapshots from the leader that were installed since the folder was opened.
@@ -104,6 +142,7 @@
             segments.push(create_segment(path, first, hard_state)?);
         }
         let number = segments[segments.len() - 1].number;
+        let since_snapshot = segments.iter().map(|s| s.bytes).sum();
         let mut folder = Folder {
             file: open_segment(path, number, options.segment_size)?,
             dir: path.to_path_buf(),
@@ -113,6 +152,7 @@
             hard_state,
             pending: Vec::new(),
             max_index: 0,
+            since_snapshot,
             has_spare: false,
             installed: 0,
             failure: None,
@@ -121,14 +161,23 @@
         Ok((folder, id, replay.restored))
     }
 
-    /// Returns whether new work may be accepted: space for one more segment is reserved and within
-    /// the capacity.
+    /// Returns whether new work may be accepted: space for one more segment is reserved on the disk, and
+    /// the part of the capacity is free that is kept for what follows from accepted work, such as its
+    /// output and a snapshot that is being written.
     ///
-    /// The reserved space is kept for work that was accepted before. If none is reserved, this
-    /// tries again to reserve it, so that freed space on the disk is noticed.
+    /// If no space is reserved on the disk, this tries again to reserve it, so that freed space is
+    /// noticed.
     pub fn has_free_space(&mut self) -> bool {
         self.reserve_spare();
-        self.has_spare && self.used_bytes() + self.options.segment_size <= self.options.capacity
+        let usage = self.usage();
+        self.has_spare && usage.used + usage.reserve <= usage.capacity
+    }
+
+    /// How far the log is filled.
+    pub fn usage(&self) -> Usage {
+        let (used, capacity) = (self.used_bytes(), self.options.capacity);
+        let reserve = (capacity / RESERVE_DIVISOR).max(self.options.segment_size);
+        Usage { used, capacity, reserve, since_snapshot: self.since_snapshot }
     }
 
     /// Adds a hard state and entries to the next sync. The entries replace the log from
@@ -163,13 +212,17 @@
             self.start_segment()?;
         }
         let frame = segment::encode_frame(&self.pending);
-        if self.used_bytes() + frame.len() as u64 > self.options.capacity {
+        let size = frame.len() as u64;
+        let capacity = self.options.capacity;
+        let headroom = if size <= SMALL_FRAME_BYTES { capacity / HEADROOM_DIVISOR } else { 0 };
+        if self.used_bytes() + size > capacity.saturating_add(headroom) {
             return Err(Error::Full { file: storage::path_text(&self.active_path()) });
         }
         self.write(&frame)?;
         let max_index = std::mem::take(&mut self.max_index);
+        self.since_snapshot += size;
         let active = self.active_segment();
-        active.bytes += frame.len() as u64;
+        active.bytes += size;
         active.max_index = active.max_index.max(max_index);
         self.pending.clear();
         self.reserve_spare();
@@ -185,8 +238,12 @@
 
     /// Begins to save a snapshot of this replica's state machine. The writer may run on another
     /// thread; the log is kept until [`Folder::finish_snapshot`].
-    pub fn begin_snapshot(&self, snapshot: replica::Snapshot) -> Result<snapshot::Writer, Error> {
+    pub fn begin_snapshot(
+        &mut self,
+        snapshot: replica::Snapshot,
+    ) -> Result<snapshot::Writer, Error> {
         self.check_usable()?;
+        self.since_snapshot = 0;
         let last = self.segments.len() - 1;
         let covered = self.segments[..last].iter().take_while(|s| s.max_index <= snapshot.index);
         let first_segment = self.segments[covered.count()].number;
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -15,6 +15,7 @@
 
 pub use folder::Folder;
 pub use folder::Options;
+pub use folder::Usage;
 pub use snapshot::Writer;
 pub use snapshot::Written;
 
