Keep the deregistration of an endpoint that is not known yet

Cause: the heartbeats of a server that started behind a cut had not arrived when it deregistered. The directory kept nothing of an endpoint that it did not know, and a heartbeat that was sent before registered it as ready 2.2 s later. The same held for a later start than the known one. Class of fault: an end that arrives before its beginning is forgotten.

Evidence: deregistration_that_arrives_first_is_forgotten.

--- a/src/fleet/directory.rs
+++ b/src/fleet/directory.rs
@@ -174,6 +174,9 @@
     hosts: sorted::SortedMap<Arc<str>, Record<Host>>,
     /// Marks that have ended since they were last taken.
     ended_marks: Vec<EndedMark>,
+    /// Last start of each endpoint that has deregistered, and when this host learned of it. The
+    /// registration of that start may arrive later, or not at all.
+    departed: sorted::SortedMap<Arc<str>, (u64, Duration)>,
 }
 
 /// Records of a directory, as sent to other hosts.
@@ -189,6 +192,9 @@
     /// Stores the registration of an endpoint. Returns whether anything but its sequence number
     /// changed.
     pub fn register_endpoint(&mut self, now: Duration, mut next: Endpoint) -> bool {
+        if self.departed.get(&next.id).is_some_and(|(start, _)| next.start_time <= *start) {
+            return false;
+        }
         if self.is_superseded(&next) {
             next.phase = Phase::Gone;
         }
@@ -248,6 +254,9 @@
         id: &str,
         start_time: Option<u64>,
     ) -> Option<Endpoint> {
+        if let Some(start_time) = start_time {
+            self.record_departure(now, id, start_time);
+        }
         let record = self.endpoints.get_mut(id)?;
         if start_time.is_some_and(|start_time| start_time < record.endpoint.start_time) {
             return None;
@@ -256,6 +265,13 @@
         Some(record.endpoint.clone())
     }
 
+    /// Keeps the deregistration of an endpoint, whose registration may be under way.
+    fn record_departure(&mut self, now: Duration, id: &str, start_time: u64) {
+        self.departed.retain(|_, (_, at)| now.saturating_sub(*at) < RECORD_TIMEOUT);
+        let known = self.departed.get(id).map_or(0, |(start, _)| *start);
+        self.departed.insert(id.into(), (known.max(start_time), now));
+    }
+
     /// Marks an endpoint as leaving because an answer of its start `start_time` said so. Returns the
     /// time since its registration was last received or changed; `None` if it is already known that
     /// this start accepts no requests, or another start is known.
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -264,9 +264,10 @@
             let records = d.merge(now, update.records);
             let mut departed = Vec::new();
             for (id, start_time) in update.departed {
-                if d.endpoint(&id).is_some_and(|e| e.phase != directory::Phase::Gone)
-                    && d.deregister_endpoint(now, &id, start_time).is_some()
-                {
+                let was_present =
+                    d.endpoint(&id).is_some_and(|e| e.phase != directory::Phase::Gone);
+                // Also keeps the deregistration of an endpoint that is not known here yet.
+                if d.deregister_endpoint(now, &id, start_time).is_some() && was_present {
                     departed.push((id, start_time));
                 }
             }
--- a/tests/fleet_directory.rs
+++ b/tests/fleet_directory.rs
@@ -55,6 +55,36 @@
     ");
 }
 
+/// Guards against an endpoint that receives requests after its deregistration, because the deregistration
+/// arrived before any registration of that start, and a heartbeat that was sent before arrives later.
+#[test]
+fn deregistration_that_arrives_first_is_forgotten() {
+    let later = |s| NOW + Duration::from_secs(s);
+    let mut seen = Vec::new();
+    let mut d = Directory::default();
+    d.deregister_endpoint(NOW, "i", Some(5));
+    d.register_endpoint(later(2), endpoint("i", 5, 4, 80, Phase::Ready));
+    seen.push(show(&d));
+    d.register_endpoint(later(3), endpoint("i", 6, 1, 80, Phase::Ready));
+    seen.push(show(&d));
+    // The start that deregisters is not known here, an earlier one is.
+    d.deregister_endpoint(later(4), "i", Some(7));
+    d.register_endpoint(later(5), endpoint("i", 7, 1, 80, Phase::Ready));
+    seen.push(show(&d));
+    let copy = directory::Records {
+        endpoints: vec![endpoint("i", 7, 2, 80, Phase::Ready)],
+        hosts: Vec::new(),
+    };
+    d.merge(later(6), copy);
+    seen.push(show(&d));
+    insta::assert_snapshot!(seen.join("\n"), @r"
+
+    i 6.1 Ready
+    i 6.1 Gone
+    i 6.1 Gone
+    ");
+}
+
 /// Guards against a restarted endpoint with the same id that is ignored because its sequence
 /// numbers are lower than before the restart.
 #[test]
