Name the refused stream by its number in the test of limited endpoints

It took the place of a stream among those that have ended, in the order of their ends, for its number, and then looked for the refusal of a stream that had been served. The ends are sorted by number now; the check is as before.

--- a/tests/fleet_prompts/limits.rs
+++ b/tests/fleet_prompts/limits.rs
@@ -44,7 +44,8 @@
     arrivals.iter().map(count).max().unwrap_or(0)
 }
 
-/// Sends a stream every `pause` through one entry after the other. Returns how they ended.
+/// Sends a stream every `pause` through one entry after the other. Returns how they ended, in the order
+/// in which they were sent.
 async fn send_streams(
     world: &World,
     name: &str,
@@ -59,10 +60,13 @@
             break;
         }
         let (to, id) = (entries[n % entries.len()], format!("{name}-{n}"));
-        streams.spawn(async move { client::stream(to, fleet_world::STREAM_PREFIX, &id).await });
+        streams
+            .spawn(async move { (n, client::stream(to, fleet_world::STREAM_PREFIX, &id).await) });
         time::sleep(pause).await;
     }
-    streams.join_all().await
+    let mut ends = streams.join_all().await;
+    ends.sort_by_key(|(n, _)| *n);
+    ends.into_iter().map(|(_, end)| end).collect()
 }
 
 /// Guards against endpoints that get more requests than the limit that they have stated to some hosts,
