Let no error of an endpoint into the middle of a stream

Operators of a system like ours reported that callers found the text or head of an error in their streams, or that these ended as if complete. Seen here by new tests: a success that is no stream of events was taken for the continuation of one, and what an endpoint wrote in place of an event counted as a comment, was passed on, and could end the stream or complete an item. Class of fault: what cannot be understood is taken for something harmless.

A response continues a stream only if it has the content type of the answer that the caller has. Lines that are neither comments nor fields, and blocks of unknown fields only, break the stream off. An attempt that goes to an endpoint once more uses a new connection, and one that has carried an error is not kept; this is by reading.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -89,7 +89,8 @@
         let from = started.endpoint.id.clone();
         let build = started.endpoint.build.clone();
         let is_framed = started.response.is_framed();
-        let read = read_new_events(started, &mut self.splitter, last_event);
+        let has_begun = self.forwarder.has_begun();
+        let read = read_new_events(started, &mut self.splitter, last_event, has_begun);
         let read = read.map_err(|cause| (attempt::Outcome::Lost, cause));
         let waited = self.forwarder.wait_or_take_over(&self.headers, &from, limit, read).await;
         let read = match waited {
@@ -117,7 +118,9 @@
         self.forwarder.last_event = read.last_event;
         self.count_events(read.count);
         if !read.bytes.is_empty() {
-            self.forwarder.begin_stream(&build);
+            if let Some(started) = &self.started {
+                self.forwarder.begin_stream(&build, &started.response.head);
+            }
             if let Some(numbered) = read.numbered {
                 self.forwarder.attempts.set_resumable(numbered);
             }
@@ -181,7 +184,7 @@
             return false;
         }
         match self.forwarder.start_response(&self.headers).await {
-            Ok(started) if started.response.head.status.is_success() => {
+            Ok(started) if self.forwarder.is_continuation(&started.response.head) => {
                 self.started = Some(started);
                 true
             }
@@ -219,6 +222,7 @@
     started: &mut forward::StartedResponse,
     splitter: &mut sse::Splitter,
     mut last_event: Option<u64>,
+    has_begun: bool,
 ) -> Result<NewEvents, Arc<str>> {
     let (mut bytes, mut count, mut numbered) = (Vec::new(), 0, None);
     loop {
@@ -234,6 +238,10 @@
         splitter.push(&part).map_err(|sse::TooLong| Arc::from("an event is too long"))?;
         let mut has_new = false;
         while let Some(event) = splitter.next_event() {
+            // The caller of a stream that has begun must not find the text of an error in it.
+            if has_begun && event.is_malformed() {
+                return Err("bytes that are no event".into());
+            }
             if let Some(id) = event.id {
                 // An endpoint that resumes may repeat events that the caller has.
                 if last_event.is_some_and(|last| id <= last) {
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -198,6 +198,8 @@
     pub(super) attempts: attempt::Attempts,
     /// Ids of the endpoints that were tried.
     tried: Vec<Arc<str>>,
+    /// Ids of the endpoints of all attempts.
+    asked: Vec<Arc<str>>,
     /// Number of the last event that the caller has received.
     pub(super) last_event: Option<u64>,
     service: Arc<str>,
@@ -205,6 +207,8 @@
     build: Option<Arc<str>>,
     /// Whether the caller has events of this response.
     begun: bool,
+    /// Content type of the answer of which the caller has a part.
+    content_type: Option<HeaderValue>,
     /// Whether the caller may take up the stream again under the id of this request.
     is_origin: bool,
     /// Number of the last record of the stream's origin, and the build that it names.
@@ -289,10 +293,12 @@
         deadline,
         attempts,
         tried: Vec::new(),
+        asked: Vec::new(),
         last_event,
         service,
         build,
         begun: false,
+        content_type: None,
         is_origin,
         recorded: None,
         ended: false,
@@ -331,7 +337,10 @@
     }
 
     /// Records that the caller has events of the stream, which `build` has brought.
-    pub(super) fn begin_stream(&mut self, build: &Arc<str>) {
+    pub(super) fn begin_stream(&mut self, build: &Arc<str>, head: &hyper::http::response::Parts) {
+        if !self.begun {
+            self.content_type = head.headers.get(header::CONTENT_TYPE).cloned();
+        }
         if self.build.is_none() {
             self.record_origin(build);
             self.build = Some(build.clone());
@@ -340,6 +349,17 @@
         self.attempts.begin();
     }
 
+    /// Whether the caller has a part of the answer.
+    pub(super) fn has_begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Whether a response can go on with what the caller has. Any success can if it has nothing.
+    pub(super) fn is_continuation(&self, head: &hyper::http::response::Parts) -> bool {
+        let has_same_type = || head.headers.get(header::CONTENT_TYPE) == self.content_type.as_ref();
+        head.status.is_success() && (!self.begun || has_same_type())
+    }
+
     /// Records that an endpoint of the given build may begin the stream, before it does.
     fn record_origin(&mut self, build: &Arc<str>) {
         let seq = match &self.recorded {
@@ -552,8 +572,10 @@
         event!(node.log, events::ATTEMPT_SENT; "request" => &*id, "endpoint" => &*endpoint.id,
             "build" => &*endpoint.build, "running" => ?endpoint.running, "left_ms" => self.time_left().as_millis() as u64);
         let sent_at = node.now();
-        // The endpoint may close an idle connection while the request is being sent.
-        let new_connection = !self.request.route.is_retryable();
+        // The endpoint may close an idle connection while the request is being sent. On one that is
+        // kept, it may repeat its answer to an earlier attempt, which names this request.
+        let is_repeated = self.asked.iter().filter(|id| **id == endpoint.id).count() > 1;
+        let new_connection = !self.request.route.is_retryable() || is_repeated;
         async move {
             let sent = node.upstream.send(endpoint.address, request, new_connection).await;
             let response = sent.map_err(|failure| {
@@ -626,6 +648,7 @@
                 "endpoint" => &**from, "silent_ms" => limit.as_millis() as u64,
                 "asked" => &*name);
             self.tried.push(name.clone());
+            self.asked.push(name.clone());
             self.record_origin(&endpoint.build);
             let guard = self.node.count_request(&self.service, &endpoint.id);
             let mut other = std::pin::pin!(self.attempt(headers, endpoint.clone(), guard));
@@ -647,7 +670,7 @@
                 started = time::timeout(TAKEOVER_TIMEOUT.min(self.time_left()), &mut other) => started,
             };
             match result {
-                Ok(Ok(started)) if started.response.head.status.is_success() => {
+                Ok(Ok(started)) if self.is_continuation(&started.response.head) => {
                     self.attempts.record(failure.as_ref().map_or(attempt::Outcome::Lost, |f| f.0));
                     return Waited::TakenOver(started, failure);
                 }
@@ -746,6 +769,7 @@
             }
             self.trial.set_sent(true);
             self.tried.push(endpoint.id.clone());
+            self.asked.push(endpoint.id.clone());
             self.record_origin(&endpoint.build);
             let (name, asked) = (endpoint.id.clone(), endpoint.clone());
             let limit = self.first_event_timeout();
@@ -753,9 +777,15 @@
             match self.wait_or_take_over(headers, &name, limit, sending).await {
                 Waited::Ended(Ok(started)) => {
                     let status = started.response.head.status;
-                    let retries = status.is_server_error() && self.attempts.may_retry();
-                    let cause = format!("status {}", status.as_u16());
-                    if retries || is_fault(status) {
+                    let is_other =
+                        status.is_success() && !self.is_continuation(&started.response.head);
+                    let retries =
+                        (status.is_server_error() || is_other) && self.attempts.may_retry();
+                    let cause = match is_other {
+                        true => "no continuation of the stream".to_string(),
+                        false => format!("status {}", status.as_u16()),
+                    };
+                    if retries || is_other || is_fault(status) {
                         self.node.record_endpoint_failure(&name, &cause);
                     }
                     if !retries {
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -364,6 +364,10 @@
                 return interrupted(&cause, true);
             }
             while let Some(event) = splitter.next_event() {
+                // Output must not become complete by what an endpoint writes in place of an event.
+                if event.is_malformed() {
+                    return interrupted("bytes that are no event", true);
+                }
                 // An endpoint that resumes may repeat events that have arrived already.
                 let is_new = match event.id {
                     Some(id) => Some(id) > last_event,
--- a/src/fleet/sse.rs
+++ b/src/fleet/sse.rs
@@ -22,6 +22,24 @@
         field_values(&self.bytes, b"data").next().is_some()
     }
 
+    /// Whether the bytes are no event of a stream: a line is neither a field nor a comment, or there
+    /// are only unknown fields. An endpoint may write the head or text of an error into its answer.
+    pub fn is_malformed(&self) -> bool {
+        let lines =
+            || self.bytes.split(|b| *b == b'\n').map(|l| l.strip_suffix(b"\r").unwrap_or(l));
+        let mut lines = lines().filter(|l| !l.is_empty()).map(line_kind).peekable();
+        let is_blank = lines.peek().is_none();
+        let mut has_known = is_blank;
+        for kind in lines {
+            match kind {
+                LineKind::Malformed => return true,
+                LineKind::Known => has_known = true,
+                LineKind::Unknown => {}
+            }
+        }
+        !has_known
+    }
+
     /// Values of the `data` fields, joined by line feeds.
     pub fn data(&self) -> Vec<u8> {
         let mut data = Vec::new();
@@ -90,6 +108,29 @@
     }
 }
 
+/// What a line of an event is.
+enum LineKind {
+    /// A comment or a field that the standard names.
+    Known,
+    /// A field that the standard does not name; receivers ignore it.
+    Unknown,
+    /// Neither a comment nor a field.
+    Malformed,
+}
+
+fn line_kind(line: &[u8]) -> LineKind {
+    let (name, has_colon) = match line.iter().position(|b| *b == b':') {
+        Some(at) => (&line[..at], true),
+        None => (line, false),
+    };
+    let is_name = |b: &u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_');
+    match name {
+        b"" | b"data" | b"id" | b"event" | b"retry" => LineKind::Known,
+        name if has_colon && name.iter().all(is_name) => LineKind::Unknown,
+        _ => LineKind::Malformed,
+    }
+}
+
 /// Position after the first blank line at or after `from`.
 fn find_event_end(bytes: &[u8], from: usize) -> Option<usize> {
     let tail = &bytes[from..];
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -475,9 +475,14 @@
             || self.head.headers.contains_key(header::TRANSFER_ENCODING)
     }
 
-    /// Returns the connection to the pool after a complete body, if it can be reused.
+    /// Returns the connection to the pool after a complete body, if it can be reused. One that has
+    /// carried an error cannot: the endpoint may write the error once more, in place of the answer to
+    /// the next request.
     fn release_connection(&mut self) {
         let Some(connection) = self.connection.take() else { return };
+        if !self.head.status.is_success() {
+            return;
+        }
         let close = self.head.headers.get(header::CONNECTION);
         if close.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close")) {
             return;
--- /dev/null
+++ b/tests/fleet_faulty.rs
@@ -0,0 +1,410 @@
+//! Endpoints that write an earlier refusal once more, and endpoints that answer with an error where a
+//! stream should go on.
+
+mod fleet_world;
+
+use fleet_world::Role;
+use fleet_world::Size;
+use fleet_world::World;
+use fleet_world::client;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+
+const SIZE: Size = Size { controls: 1, losses: 0, stores: 1, entries: 1, endpoints: 0 };
+/// Longest time for the answer to a request.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+/// Longest time for a job, including the runs that are interrupted.
+const JOB_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after which an endpoint writes a refusal late.
+const LATE: Duration = Duration::from_millis(60);
+/// Text that no caller may find in its answer.
+const ERROR_TEXT: &str = "overloaded-text";
+
+/// Request as an endpoint reads it.
+struct Request {
+    id: String,
+    path: String,
+    last_event: u64,
+    /// Number of the request on its connection, from 0.
+    number: usize,
+}
+
+/// Writes the answer to a request. The connection is closed if this returns `false`.
+type Answer = dyn Fn(&Request, &mut TcpStream) -> std::io::Result<bool> + Send + Sync;
+
+/// Starts an endpoint whose answers a test writes. Returns its address.
+fn start_endpoint(answer: Arc<Answer>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+    let address = listener.local_addr().expect("address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let answer = answer.clone();
+            std::thread::spawn(move || {
+                // Ends with an error once the caller has closed the connection.
+                let _ = serve(stream, &*answer);
+            });
+        }
+    });
+    address
+}
+
+fn serve(mut stream: TcpStream, answer: &Answer) -> std::io::Result<()> {
+    for number in 0.. {
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read_exact(&mut byte)?;
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+        let field = |name: &str| {
+            let line = head.lines().find_map(|l| l.strip_prefix(name)).unwrap_or_default();
+            line.trim().to_string()
+        };
+        let mut body = vec![0; field("content-length:").parse().unwrap_or(0)];
+        stream.read_exact(&mut body)?;
+        let request = Request {
+            id: field("x-basilfield-request-id:"),
+            path: head.split(' ').nth(1).unwrap_or_default().to_string(),
+            last_event: field("last-event-id:").parse().unwrap_or(0),
+            number,
+        };
+        if !answer(&request, &mut stream)? {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// Answer with a body whose length is stated. The id is left out if it is empty.
+fn framed(status: &str, id: &str, fields: &str, body: &str) -> String {
+    let echo = match id {
+        "" => String::new(),
+        id => format!("x-basilfield-request-id: {id}\r\n"),
+    };
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\n{echo}{fields}content-length: {length}\r\n\r\n{body}")
+}
+
+fn refusal(id: &str) -> String {
+    let fields = "x-basilfield-not-executed: 1\r\nretry-after: 1\r\n";
+    framed("503 Service Unavailable", id, fields, "busy")
+}
+
+/// Events of a stream after `from` up to `to`.
+fn events(from: u64, to: u64) -> String {
+    (from + 1..=to).map(|n| format!("id: {n}\ndata: event {n}\n\n")).collect()
+}
+
+const STREAM_FIELDS: &str = "content-type: text/event-stream\r\n";
+const LAST_EVENT: u64 = 6;
+
+/// Whole output of an item.
+fn item_output() -> String {
+    (1..=LAST_EVENT).map(|n| format!("event {n}")).collect::<Vec<_>>().join("\n")
+}
+
+/// Fleet with one entry and endpoints of a test.
+struct Fleet {
+    world: World,
+    entry: SocketAddr,
+}
+
+impl Fleet {
+    async fn start(answers: Vec<Arc<Answer>>) -> Fleet {
+        let mut world = World::prepare(SIZE).await;
+        for at in 0..world.hosts.len() {
+            world.start_host(at, true);
+        }
+        let begun = Instant::now();
+        while world.put_config(&world.config(1)).await != 200 {
+            assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "{}", world.logs());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let entry = world.entry();
+        let fleet = Fleet { world, entry };
+        for (n, answer) in answers.into_iter().enumerate() {
+            let id = format!("raw-{n}");
+            let body = json!({
+                "service": fleet_world::SERVICE, "address": start_endpoint(answer), "zone": "d0",
+                "version": "v1", "slots": 50, "state": "ready", "coldMs": 0, "callSeq": 1,
+            });
+            let control = fleet.world.hosts_of(Role::Control)[0];
+            let to = (fleet.world.hosts[control].process_address, fleet_world::OPERATOR_PORT);
+            let path = format!("/-/instances/{id}");
+            let begun = Instant::now();
+            while client::call(to.into(), "PUT", &path, &[], body.to_string()).await.0 != 200 {
+                assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "{}", fleet.world.logs());
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            let is_known = || fleet.world.logs_of(Role::Entry).contains(&format!("\"{id}\""));
+            assert!(fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, is_known).await);
+        }
+        fleet.world.wait_until_ready(fleet.world.hosts_of(Role::Entry)[0]).await;
+        fleet
+    }
+
+    /// Waits until all items of a job are listed. Returns the output of each, or its state without one;
+    /// fewer if it takes long.
+    async fn outputs(&self, job: &str, count: usize) -> Vec<String> {
+        let begun = Instant::now();
+        loop {
+            let results = client::results(self.entry, job, 0).await.unwrap_or_default();
+            if results.len() == count || begun.elapsed() > JOB_TIMEOUT {
+                let text = |r: &serde_json::Value| {
+                    let output = r["output"].as_str().filter(|_| r["state"] == "completed");
+                    output.unwrap_or(r["state"].as_str().unwrap_or_default()).to_string()
+                };
+                return results.iter().map(text).collect();
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Sends a request on a connection of its own, and returns all bytes until the connection ends.
+    async fn ask(&self, version: &str, prefix: &str, id: &str) -> String {
+        let asked = async {
+            let mut stream = tokio::net::TcpStream::connect(self.entry).await.expect("connected");
+            let head = format!(
+                "POST {prefix}{id} {version}\r\nhost: {}\r\nx-basilfield-request-id: {id}\r\n\
+                 x-basilfield-deadline-ms: 5000\r\nconnection: close\r\ncontent-length: 3\r\n\r\nask",
+                fleet_world::ROUTE_HOST
+            );
+            stream.write_all(head.as_bytes()).await.expect("sent");
+            let mut answer = Vec::new();
+            // An answer that is broken off may end with a reset.
+            let _ = stream.read_to_end(&mut answer).await;
+            String::from_utf8_lossy(&answer).into_owned()
+        };
+        tokio::time::timeout(ANSWER_TIMEOUT, asked).await.expect("an answer in time")
+    }
+}
+
+/// When an endpoint repeats its last refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Repeat {
+    /// Twice in one segment.
+    Twice,
+    /// Before the answer to a later request, at once.
+    Before,
+    /// Some time after a later request has arrived, which runs.
+    Late,
+    /// After a complete answer, while the connection is idle.
+    Idle,
+}
+
+/// Endpoint that refuses the first attempt of each request whose id begins with `refused`, runs the
+/// others, and repeats refusals. `runs` counts the runs by id.
+fn repeating(
+    repeat: Repeat,
+    echo: bool,
+    runs: &Arc<Mutex<BTreeMap<String, usize>>>,
+) -> Arc<Answer> {
+    let (runs, last) = (runs.clone(), Mutex::new(String::new()));
+    let refused = Mutex::new(BTreeMap::<String, ()>::new());
+    Arc::new(move |request, stream| {
+        let first = refused.lock().expect("lock").insert(request.id.clone(), ()).is_none();
+        if request.id.starts_with("refused") && first {
+            let text = refusal(if echo { &request.id } else { "" });
+            *last.lock().expect("lock") = text.clone();
+            let copies = if repeat == Repeat::Twice { 2 } else { 1 };
+            stream.write_all(text.repeat(copies).as_bytes())?;
+            return Ok(true);
+        }
+        *runs.lock().expect("lock").entry(request.id.clone()).or_default() += 1;
+        let earlier = last.lock().expect("lock").clone();
+        // The answer to the first request on a connection cannot follow an earlier one.
+        if request.number > 0 && matches!(repeat, Repeat::Before | Repeat::Late) {
+            if repeat == Repeat::Late {
+                std::thread::sleep(LATE);
+            }
+            stream.write_all(earlier.as_bytes())?;
+        }
+        let body = match request.path.starts_with(fleet_world::PLAIN_PREFIX) {
+            true => "plain".to_string(),
+            false => events(request.last_event, LAST_EVENT),
+        };
+        stream.write_all(framed("200 OK", &request.id, STREAM_FIELDS, &body).as_bytes())?;
+        if repeat == Repeat::Idle {
+            std::thread::sleep(LATE);
+            stream.write_all(earlier.as_bytes())?;
+        }
+        Ok(true)
+    })
+}
+
+/// Guards against callers that are told that a request has not run, which an endpoint runs or has run,
+/// and against a request that must not be repeated and runs twice: an endpoint writes an earlier refusal
+/// once more on a kept connection.
+#[test]
+fn repeated_refusal_is_taken_for_the_answer_of_a_request() {
+    fleet_world::run(async {
+        let mut wrong = Vec::new();
+        for repeat in [Repeat::Twice, Repeat::Before, Repeat::Late, Repeat::Idle] {
+            for echo in [true, false] {
+                let runs = Arc::<Mutex<BTreeMap<String, usize>>>::default();
+                let endpoint = repeating(repeat, echo, &runs);
+                let fleet = Fleet::start(vec![endpoint.clone()]).await;
+                let prefixes = [
+                    fleet_world::PLAIN_PREFIX,
+                    fleet_world::STREAM_PREFIX,
+                    fleet_world::ONCE_PREFIX,
+                ];
+                for n in 0..12 {
+                    let kind = if n % 3 == 0 { "refused" } else { "sound" };
+                    let (id, prefix) = (format!("{kind}-{n}"), prefixes[n / 4]);
+                    let answer = fleet.ask("HTTP/1.1", prefix, &id).await;
+                    let status = answer.get(9..12).unwrap_or("none").to_string();
+                    let count = runs.lock().expect("lock").get(&id).copied().unwrap_or(0);
+                    let is_once = prefix == fleet_world::ONCE_PREFIX;
+                    if status == "503" && count > 0 || is_once && count > 1 {
+                        wrong
+                            .push(format!("{repeat:?} {echo} {prefix}{id}: {status}, ran {count}"));
+                    }
+                }
+                let entries = fleet.world.caller_addresses();
+                assert!(client::submit(&entries, "job", 6).await, "{}", fleet.world.logs());
+                let ended = fleet.outputs("job", 6).await;
+                if ended != vec![item_output(); 6] {
+                    wrong.push(format!("{repeat:?} {echo} items: {ended:?}"));
+                }
+            }
+        }
+        assert_eq!(wrong, Vec::<String>::new());
+    });
+}
+
+/// What the second endpoint answers where a stream should go on.
+fn errors() -> Vec<(&'static str, Arc<Answer>)> {
+    fn write(text: impl Fn(&Request) -> String + Send + Sync + 'static) -> Arc<Answer> {
+        Arc::new(move |request, stream| {
+            stream.write_all(text(request).as_bytes())?;
+            Ok(true)
+        })
+    }
+    let text = || format!("{ERROR_TEXT}\n\n");
+    let pieces: Arc<Answer> = Arc::new(move |request, stream| {
+        let answer = framed("500 Internal Server Error", &request.id, "", ERROR_TEXT);
+        std::thread::sleep(LATE);
+        for piece in answer.as_bytes().chunks(20) {
+            stream.write_all(piece)?;
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Ok(true)
+    });
+    let unframed = |error: String| -> Arc<Answer> {
+        Arc::new(move |request, stream| {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nx-basilfield-request-id: {}\r\n{STREAM_FIELDS}connection: \
+                 close\r\n\r\n",
+                request.id
+            );
+            let next = events(request.last_event, request.last_event + 1);
+            stream.write_all(format!("{head}{next}{error}").as_bytes())?;
+            Ok(false)
+        })
+    };
+    let error_head = framed("500 Internal Server Error", "", "", &text());
+    vec![
+        ("error", write(move |r| framed("500 Internal Server Error", &r.id, "", &text()))),
+        ("refusal", write(|r| refusal(&r.id))),
+        ("late, in pieces", pieces),
+        (
+            "success of another type",
+            write(move |r| framed("200 OK", &r.id, "content-type: text/plain\r\n", &text())),
+        ),
+        (
+            "success without an event",
+            write(move |r| framed("200 OK", &r.id, STREAM_FIELDS, &text())),
+        ),
+        ("head in the stream", unframed(error_head)),
+        ("text in the stream", unframed(text())),
+        ("unknown field in the stream", unframed(format!("error: {ERROR_TEXT}\n\n"))),
+    ]
+}
+
+/// Endpoint that begins each stream and breaks it off after the third event; `next` answers attempts
+/// that go on after it.
+fn breaking(next: Arc<Answer>) -> Arc<Answer> {
+    Arc::new(move |request, stream| {
+        if request.last_event > 0 {
+            return next(request, stream);
+        }
+        let body = events(0, 3);
+        let whole = framed("200 OK", &request.id, STREAM_FIELDS, &body);
+        // A longer body is announced than is sent.
+        let cut = whole.replace(&format!("content-length: {}", body.len()), "content-length: 9999");
+        stream.write_all(cut.as_bytes())?;
+        Ok(false)
+    })
+}
+
+/// Guards against the text or head of an error in a caller's stream, and against a stream that looks
+/// complete: it has begun and broken off, and the next endpoint answers with an error.
+#[test]
+fn error_is_passed_on_in_a_stream() {
+    fleet_world::run(async {
+        let mut wrong = Vec::new();
+        for (name, error) in errors() {
+            let endpoint = breaking(error);
+            let fleet = Fleet::start(vec![endpoint.clone(), endpoint]).await;
+            for version in ["HTTP/1.1", "HTTP/1.0"] {
+                for prefix in [fleet_world::STREAM_PREFIX, fleet_world::ONCE_PREFIX] {
+                    let id = format!("{}-{}", prefix.trim_matches('/'), &version[7..]);
+                    let answer = fleet.ask(version, prefix, &id).await;
+                    let has_begun = answer.contains("data: event 3");
+                    let is_complete = answer.ends_with("0\r\n\r\n");
+                    let has_error = answer.contains(ERROR_TEXT) || answer.contains(" 500 ");
+                    let has_error = has_error || answer.matches("HTTP/1.").count() > 1;
+                    if !has_begun || is_complete || has_error {
+                        wrong.push(format!("{name} {version} {prefix}: {answer:?}"));
+                    }
+                }
+            }
+        }
+        assert_eq!(wrong, Vec::<String>::new());
+    });
+}
+
+/// Guards against an item that is completed with the text of an error, or with a part of its output: its
+/// stream has broken off, and the next run gets an error.
+#[test]
+fn error_completes_an_item() {
+    fleet_world::run(async {
+        let mut wrong = Vec::new();
+        for (name, error) in errors() {
+            let attempts = Arc::new(AtomicUsize::new(0));
+            let count = attempts.clone();
+            // Each second attempt that goes on gets the error, the others the rest.
+            let next: Arc<Answer> = Arc::new(move |request, stream| {
+                if count.fetch_add(1, Ordering::SeqCst) == 0 {
+                    return error(request, stream);
+                }
+                let body = events(request.last_event, LAST_EVENT);
+                stream.write_all(framed("200 OK", &request.id, STREAM_FIELDS, &body).as_bytes())?;
+                Ok(true)
+            });
+            let fleet = Fleet::start(vec![breaking(next)]).await;
+            let entries = fleet.world.caller_addresses();
+            assert!(client::submit(&entries, "job", 1).await, "{}", fleet.world.logs());
+            let outputs = fleet.outputs("job", 1).await;
+            if outputs != vec![item_output()] {
+                wrong.push(format!("{name}: {outputs:?}"));
+            }
+        }
+        assert_eq!(wrong, Vec::<String>::new());
+    });
+}
