Tell a replica that it was removed only by the committed membership

By reading, in the report of the review: the answer to a probe said that a replica was removed by the last membership, committed or not, upon which the replica empties its folder. An uncommitted removal can be rolled back, so that a member that is still needed loses its data. Leaders probe silent members now, which makes this likelier.

--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -253,7 +253,7 @@
 }
 
 /// Asks other hosts for their replicas, and hands the answers to the replica of this host or retires
-/// it if a member says that it was replaced.
+/// it if a member says that it was removed.
 ///
 /// A blank replica, a learner and one without a leader ask for the members. A leader asks the members
 /// that are silent: one that has lost its disk may not know that this host leads, and must be replaced
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -198,6 +198,12 @@
         self.forming.as_ref().unwrap_or(self.log.membership())
     }
 
+    /// Whether the committed membership says that `id` was removed from the group. An uncommitted removal
+    /// can be rolled back.
+    pub fn is_removed(&self, id: u64) -> bool {
+        self.log.membership_at(self.commit_index).is_retired(id)
+    }
+
     /// Whether the latest membership is committed and, on a leader, also an entry of its own term.
     /// Only then is the next membership change possible.
     pub fn is_settled(&self) -> bool {
@@ -257,10 +263,8 @@
 
     fn receive(&mut self, envelope: Envelope) {
         let Envelope { group, from, to, term, body } = envelope;
-        // Only the committed membership counts: an uncommitted removal can be rolled back, possibly
-        // by the removed replica as the leader.
-        let retired = self.log.membership_at(self.commit_index).is_retired(from);
-        if group != self.config.group || to != self.config.id || retired {
+        // An uncommitted removal may be rolled back by the removed replica as the leader.
+        if group != self.config.group || to != self.config.id || self.is_removed(from) {
             return;
         }
         if term < self.term {
--- a/src/state/group/members.rs
+++ b/src/state/group/members.rs
@@ -36,7 +36,7 @@
             id: self.parts.id,
             blank: self.replica.is_blank(),
             leads: self.is_leader(),
-            retired: self.replica.membership().is_retired(id),
+            retired: self.replica.is_removed(id),
             members: self.member_hosts(|_| true),
         };
         service::answer(done, reply);
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -304,3 +304,32 @@
     net.run(1);
     assert_eq!(net.requests.refused.get(&token).copied(), expect(ChangeRefusal::QuorumLoss));
 }
+
+/// Guards against a replica that empties its folder because a member tells it of a removal which is not
+/// committed and may be rolled back.
+#[test]
+fn uncommitted_removal_counts_as_removal() {
+    let all = replica::Membership::from_voters(
+        (1..=3).map(|id| (id, std::sync::Arc::from(format!("h{id}")))),
+    );
+    let without = all.with_change(&MemberChange::Remove(3)).expect("a member");
+    let entry = |index, membership| replica::Entry {
+        index,
+        term: 1,
+        payload: replica::Payload::Membership(membership),
+    };
+    let is_removed = |commit| {
+        let hard_state = replica::HardState { term: 1, vote: None, commit };
+        let entries = vec![entry(1, all.clone()), entry(2, without.clone())];
+        let restored = replica::PersistentState { hard_state, snapshot: None, entries };
+        let config = replica::Config {
+            group: 1,
+            id: 1,
+            heartbeat_interval: Duration::from_millis(50),
+            election_timeout: Duration::from_millis(300),
+            seed: 1,
+        };
+        replica::Replica::new(config, restored, Duration::ZERO).is_removed(3)
+    };
+    insta::assert_snapshot!(format!("{} {}", is_removed(1), is_removed(2)), @"false true");
+}
