Let a stream of events go on after an answer that states no content type

Only a response that states a type other than a stream of events, and other than what the caller has, is no continuation. The test and tests/fleet_faulty.rs pass.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -32,6 +32,8 @@
 use std::time::Duration;
 use tokio::time;
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Largest response that is buffered before it is passed on.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 /// Shortest silence before the first event after which another endpoint is asked. A busy engine
@@ -354,10 +356,15 @@
         self.begun
     }
 
-    /// Whether a response can go on with what the caller has. Any success can if it has nothing.
+    /// Whether a response can go on with what the caller has. Any success can if it has nothing;
+    /// otherwise one of another type than a stream of events, or than what the caller has, cannot.
     pub(super) fn is_continuation(&self, head: &hyper::http::response::Parts) -> bool {
-        let has_same_type = || head.headers.get(header::CONTENT_TYPE) == self.content_type.as_ref();
-        head.status.is_success() && (!self.begun || has_same_type())
+        let stated = head.headers.get(header::CONTENT_TYPE);
+        let has_fitting_type = stated.is_none_or(|stated| {
+            stated.as_bytes().starts_with(EVENT_STREAM)
+                || Some(stated) == self.content_type.as_ref()
+        });
+        head.status.is_success() && (!self.begun || has_fitting_type)
     }
 
     /// Records that an endpoint of the given build may begin the stream, before it does.
