--- a/tests/fleet_endless.rs
+++ b/tests/fleet_endless.rs
@@ -12,9 +12,9 @@
 use fleet_world::Size;
 use fleet_world::World;
 use fleet_world::client;
+use fleet_world::raw;
 use http_body_util::Full;
 use serde_json::json;
-use std::io::Read as _;
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -134,28 +134,11 @@
     }
 }
 
-/// Reads the head and body of a request. Returns the ids of the request and of the endpoint that
-/// it is meant for.
-fn read_request(stream: &mut TcpStream) -> std::io::Result<(String, String)> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte)?;
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
-    let field = |name: &str| {
-        let line = head.lines().find_map(|l| l.strip_prefix(name)).unwrap_or_default();
-        line.trim().to_string()
-    };
-    let mut body = vec![0; field("content-length:").parse().unwrap_or(0)];
-    stream.read_exact(&mut body)?;
-    Ok((field("x-basilfield-request-id:"), field("x-basilfield-expect-instance:")))
-}
-
 fn serve(mut stream: TcpStream, script: &Mutex<Script>, counts: &Counts) -> std::io::Result<()> {
     loop {
-        let (id, meant) = read_request(&mut stream)?;
+        let request = raw::Request::read(&mut stream)?;
+        let id = request.field("x-basilfield-request-id:");
+        let meant = request.field("x-basilfield-expect-instance:");
         let Script { start, piece, pause, endpoint } = script.lock().expect("lock").clone();
         if !endpoint.is_empty() && meant != endpoint {
             let head = format!("HTTP/1.1 421 Other\r\nx-basilfield-request-id: {id}\r\n");
@@ -163,7 +146,7 @@
             continue;
         }
         counts.requests.fetch_add(1, Ordering::SeqCst);
-        stream.write_all(start.replace("{id}", &id).as_bytes())?;
+        stream.write_all(start.replace("{id}", id).as_bytes())?;
         let mut n = 0;
         while !piece.is_empty() {
             let mut part = String::new();
--- a/tests/fleet_faulty.rs
+++ b/tests/fleet_faulty.rs
@@ -7,9 +7,9 @@
 use fleet_world::Size;
 use fleet_world::World;
 use fleet_world::client;
+use fleet_world::raw;
 use serde_json::json;
 use std::collections::BTreeMap;
-use std::io::Read as _;
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -63,23 +63,11 @@
 
 fn serve(mut stream: TcpStream, answer: &Answer) -> std::io::Result<()> {
     for number in 0.. {
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") {
-            stream.read_exact(&mut byte)?;
-            head.push(byte[0]);
-        }
-        let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
-        let field = |name: &str| {
-            let line = head.lines().find_map(|l| l.strip_prefix(name)).unwrap_or_default();
-            line.trim().to_string()
-        };
-        let mut body = vec![0; field("content-length:").parse().unwrap_or(0)];
-        stream.read_exact(&mut body)?;
+        let read = raw::Request::read(&mut stream)?;
         let request = Request {
-            id: field("x-basilfield-request-id:"),
-            path: head.split(' ').nth(1).unwrap_or_default().to_string(),
-            last_event: field("last-event-id:").parse().unwrap_or(0),
+            id: read.field("x-basilfield-request-id:").into(),
+            path: read.path().into(),
+            last_event: read.field("last-event-id:").parse().unwrap_or(0),
             number,
         };
         if !answer(&request, &mut stream)? {
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod proxy;
+pub mod raw;
 
 #[path = "../../platform/mod.rs"]
 pub mod platform;
