Send entries at once to a member whose disk has space again

Cause: the member answered heartbeats all the while, so the pauses between repeated entries grew to their limit and were not reset.

A member that answers heartbeats without the entries that it is known to have is stalled. When it has them again, the leader forgets what is in flight and the pause. member_lags_after_its_disk_was_full fails without the change and passes.

--- a/src/replica/read.rs
+++ b/src/replica/read.rs
@@ -76,6 +76,9 @@
 
     pub(super) fn handle_heartbeat_reply(&mut self, from: u64, round: u64, matched: u64) {
         self.record_contact(from);
+        if let Some(progress) = self.progress(from) {
+            progress.record_heartbeat_reply(matched);
+        }
         // An acknowledgement that was lost is made up for without sending the entries again.
         self.record_matched(from, matched);
         self.try_commit();
--- a/src/replica/replicate.rs
+++ b/src/replica/replicate.rs
@@ -63,6 +63,8 @@
     repeats: bool,
     /// Messages that were sent again.
     repeated: u64,
+    /// Whether the member answers heartbeats without storing entries, since its disk is full.
+    stalled: bool,
     /// Time of the last message from the member; `None` until a new member answers for the first
     /// time.
     pub(super) last_contact: Option<Duration>,
@@ -91,6 +93,7 @@
             backoff: 0,
             repeats: false,
             repeated: 0,
+            stalled: false,
             last_contact,
             transfer: None,
         }
@@ -123,6 +126,16 @@
         (single * (1 << self.backoff)).min(MAX_RESEND_TIMEOUT)
     }
 
+    /// Records the entries that the member has according to an answer to a heartbeat. What was sent
+    /// while its disk was full is lost, and is sent again without the pause that has grown meanwhile.
+    pub(super) fn record_heartbeat_reply(&mut self, matched: u64) {
+        if matched == 0 && self.matched > 0 {
+            self.stalled = true;
+        } else if matched > 0 && std::mem::take(&mut self.stalled) {
+            (self.in_flight, self.backoff, self.repeats) = (None, 0, true);
+        }
+    }
+
     /// Gives up the message in flight if it is not answered in time.
     fn expire_in_flight(&mut self, now: Duration, shortest: Duration) {
         let limit = self.resend_timeout(shortest);
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -333,3 +333,80 @@
     };
     insta::assert_snapshot!(format!("{} {}", is_removed(1), is_removed(2)), @"false true");
 }
+
+/// Guards against a member that lags for seconds after its disk has space again: it has answered
+/// heartbeats meanwhile, and the leader has repeated entries at growing pauses.
+#[test]
+fn member_lags_after_its_disk_was_full() {
+    let membership = replica::Membership::from_voters(
+        (1..=3).map(|id| (id, std::sync::Arc::from(format!("h{id}")))),
+    );
+    let entry =
+        replica::Entry { index: 1, term: 1, payload: replica::Payload::Membership(membership) };
+    let hard_state = replica::HardState { term: 1, vote: None, commit: 1 };
+    let restored = replica::PersistentState { hard_state, snapshot: None, entries: vec![entry] };
+    let config = replica::Config {
+        group: 1,
+        id: 1,
+        heartbeat_interval: Duration::from_millis(50),
+        election_timeout: Duration::from_millis(300),
+        seed: 1,
+    };
+    let mut leader = replica::Replica::new(config, restored, Duration::ZERO);
+    let mut now = Duration::ZERO;
+    let mut resent = None;
+    let mut freed = None;
+    while now < Duration::from_secs(12) && resent.is_none() {
+        now += Duration::from_millis(10);
+        let mut inputs = vec![Input::Tick];
+        if now == Duration::from_secs(2) {
+            inputs.push(Input::Propose { token: 1, command: vec![0; 10].into() });
+        }
+        while let Some(input) = inputs.pop() {
+            for output in leader.step(now, input) {
+                let Output::Send(sent) = output else {
+                    if matches!(output, Output::Persist { .. }) {
+                        inputs.push(Input::Synced { index: leader.last_index() });
+                    }
+                    continue;
+                };
+                // The disk of the second member is full from 2 s to 8 s; the third one is lost.
+                let is_full = (2..8).contains(&now.as_secs());
+                let matched = if is_full { 0 } else { 2 };
+                let answer = match sent.body {
+                    replica::Message::PreVote { .. } => {
+                        replica::Message::PreVoteReply { granted: true }
+                    }
+                    replica::Message::Vote { .. } => replica::Message::VoteReply { granted: true },
+                    replica::Message::Heartbeat { round, .. } => {
+                        if now >= Duration::from_secs(8) {
+                            freed.get_or_insert(now);
+                        }
+                        replica::Message::HeartbeatReply { round, matched }
+                    }
+                    replica::Message::Append { .. } if is_full => continue,
+                    replica::Message::Append { .. } if now >= Duration::from_secs(8) => {
+                        resent = (sent.to == 2).then_some(now);
+                        continue;
+                    }
+                    replica::Message::Append { prev, ref entries, .. } => {
+                        replica::Message::Appended { matched: prev + entries.len() as u64 }
+                    }
+                    _ => continue,
+                };
+                if sent.to == 2 {
+                    let envelope = replica::Envelope {
+                        group: 1,
+                        from: 2,
+                        to: 1,
+                        term: sent.term,
+                        body: answer,
+                    };
+                    inputs.push(Input::Message(envelope));
+                }
+            }
+        }
+    }
+    let pause = resent.zip(freed).map(|(resent, freed)| resent.saturating_sub(freed));
+    assert!(pause.is_some_and(|p| p <= Duration::from_millis(50)), "{pause:?}");
+}
