--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod proxy;
 pub mod raw;
+pub mod scripted;
 
 #[path = "../../platform/mod.rs"]
 pub mod platform;
