Log how an answer ended, and which endpoint's answer was left

Event 706 did not tell (now framed), and event 702 named neither the endpoint whose answer was left nor how many events it had brought (now endpoint and answer_events).

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -106,7 +106,7 @@
             forward::Waited::TakenOver(other, failure) => {
                 let cause = failure.map_or_else(|| "silence".into(), |(_, cause)| cause);
                 self.forwarder.node.record_endpoint_failure(&from, &cause);
-                self.log_resumption(&cause, attempt::Next::Again);
+                self.log_resumption(&from, &cause, attempt::Next::Again);
                 self.record_broken_answer();
                 // Closes the connection to the silent endpoint, which cancels the request there.
                 self.started = Some(other);
@@ -132,7 +132,7 @@
                 true => self.forwarder.node.record_answer(&self.forwarder.prompt),
                 false => self.record_broken_answer(),
             }
-            self.forwarder.finish(&from);
+            self.forwarder.finish(&from, is_framed);
         }
         Ok(())
     }
@@ -167,8 +167,8 @@
     /// Continues the stream at another endpoint. Returns whether one has started to respond.
     async fn resume(&mut self, cause: &Arc<str>) -> bool {
         self.record_broken_answer();
-        self.run_events = 0;
         let from = self.started.take();
+        let name = from.as_ref().map_or_else(Arc::default, |f| f.endpoint.id.clone());
         if let Some(started) = &from
             && !self.forwarder.time_left().is_zero()
         {
@@ -179,7 +179,8 @@
         self.splitter = sse::Splitter::default();
         self.cause = cause.clone();
         let next = self.forwarder.attempts.record(attempt::Outcome::Lost);
-        self.log_resumption(cause, next);
+        self.log_resumption(&name, cause, next);
+        self.run_events = 0;
         if next != attempt::Next::Again {
             return false;
         }
@@ -192,11 +193,13 @@
         }
     }
 
-    fn log_resumption(&self, cause: &str, next: attempt::Next) {
+    /// Logs that the answer of the endpoint `from` is left, and how the stream goes on.
+    fn log_resumption(&self, from: &str, cause: &str, next: attempt::Next) {
         let forwarder = &self.forwarder;
         forwarder.node.metrics.count_retry("broken_stream");
         event!(forwarder.node.log, events::STREAM_RESUMED; "request" => &*forwarder.request.id,
-            "cause" => cause, "after_event" => forwarder.last_event,
+            "endpoint" => from, "cause" => cause, "after_event" => forwarder.last_event,
+            "answer_events" => self.run_events,
             "build" => forwarder.build().map(|b| &**b), "next" => ?next);
     }
 }
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -887,13 +887,14 @@
             match read {
                 Ok(Ok(body)) => {
                     let is_success = started.response.head.status.is_success();
+                    let is_framed = started.response.is_framed();
                     // Without a length, a crash looks like the end of the answer.
-                    if is_success && started.response.is_framed() {
+                    if is_success && is_framed {
                         self.node.record_answer(&self.prompt);
                     }
                     let head = caller_head(started.response.head);
                     if is_success {
-                        self.finish(&started.endpoint.id);
+                        self.finish(&started.endpoint.id, is_framed);
                     } else {
                         if !is_fault(head.status) {
                             self.node.record_endpoint_success(&started.endpoint.id);
@@ -994,15 +995,16 @@
             "endpoint" => endpoint, "status" => status.as_u16());
     }
 
-    /// Records that the whole answer has arrived from the endpoint `from`.
-    pub(super) fn finish(&mut self, from: &str) {
+    /// Records that the whole answer has arrived from the endpoint `from`. `framed` tells whether the
+    /// answer states where it ends.
+    pub(super) fn finish(&mut self, from: &str, framed: bool) {
         self.ended = true;
         self.node.record_endpoint_success(from);
         let elapsed = self.request.arrived.elapsed();
         self.node.metrics.count_request("online", "answered");
         self.node.metrics.record_latency("answer", elapsed);
         event!(self.node.log, events::ANSWER_DELIVERED; "request" => &*self.request.id,
-            "endpoint" => from, "events" => self.last_event,
+            "endpoint" => from, "events" => self.last_event, "framed" => framed,
             "elapsed_ms" => elapsed.as_millis() as u64);
     }
 }
