Write the events that arrived before a stream breaks off

Callers of streams that may not be resumed got a closed connection without a byte, although events had arrived: the answer broke off in the segment that brought them, so the body failed before the HTTP library had written its buffer, which it drops then. The body now gives way once before it fails, in which the buffer is written. The test also checks now that a stream that may be resumed ends as complete, and that every answer has a head; items and streams get a sound answer at their second attempt, as no output can be complete at endpoints that never write it.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -30,6 +30,7 @@
 use hyper::header::HeaderValue;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task;
 use tokio::time;
 
 /// Content type of a stream of events.
@@ -962,6 +963,8 @@
             let next = events.next_bytes().await?;
             if next.is_err() {
                 events.record_broken_off();
+                // The HTTP library drops what it has not written when the body fails.
+                task::yield_now().await;
             }
             Some((next.map(hyper::body::Frame::data), events))
         });
--- a/tests/fleet_cuts.rs
+++ b/tests/fleet_cuts.rs
@@ -12,8 +12,10 @@
 use fleet_world::scripted::events;
 use fleet_world::scripted::framed;
 use fleet_world::scripted::item_output;
+use std::collections::BTreeSet;
 use std::io::Write as _;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use tokio::task;
 
@@ -70,11 +72,14 @@
     request.path.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(0)
 }
 
-/// Endpoint that begins each stream with the answer of a case, in two segments.
+/// Endpoint that answers each request with the answer of a case, in two segments. Later attempts get
+/// a sound answer.
 fn cutting(begin: Begin) -> Arc<Answer> {
+    let answered = Mutex::new(BTreeSet::new());
     Arc::new(move |request, stream| {
         stream.set_nodelay(true)?;
-        if request.last_event > 0 {
+        let is_first = answered.lock().expect("lock").insert(request.id.clone());
+        if !is_first || request.last_event > 0 {
             let rest = events(request.last_event, LAST_EVENT);
             stream.write_all(framed("200 OK", &request.id, STREAM_FIELDS, &rest).as_bytes())?;
             return Ok(true);
@@ -97,24 +102,27 @@
 }
 
 /// What is wrong with an answer: a success is the stream from its first event on, in order, and ends
-/// as complete only with its last event.
-fn problem(answer: &str) -> Option<String> {
-    let (head, body) = answer.split_once("\r\n\r\n")?;
+/// as complete only with its last event. A stream that may be resumed ends as complete.
+fn problem(prefix: &str, answer: &str) -> Option<String> {
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else { return Some(answer.into()) };
+    let is_resumable = prefix == fleet_world::STREAM_PREFIX;
     if !head.starts_with("HTTP/1.1 200") {
-        return None;
+        return is_resumable.then(|| head.into());
     }
     // Each chunk holds whole events, so the lines of the chunks are those between them.
     let text: String = body.split("\r\n").filter(|l| l.contains('\n')).collect();
     let is_whole = text == events(0, LAST_EVENT);
     let is_prefix = events(0, LAST_EVENT).starts_with(&text);
     let is_complete = body.ends_with("0\r\n\r\n");
-    (!is_prefix || body.contains("HTTP/1.") || is_complete && !is_whole).then(|| body.into())
+    let is_wrong = !is_prefix || body.contains("HTTP/1.") || is_complete && !is_whole;
+    (is_wrong || is_resumable && !is_complete).then(|| body.into())
 }
 
 /// Sends a stream for each position at which its answer is cut. Returns the positions with a wrong
 /// answer, and one such answer.
 async fn wrong_streams(prefix: &'static str, begin: Begin) -> Option<String> {
-    let fleet = Arc::new(Fleet::start(vec![cutting(begin), cutting(begin)]).await);
+    let endpoint = cutting(begin);
+    let fleet = Arc::new(Fleet::start(vec![endpoint.clone(), endpoint]).await);
     let mut tasks = task::JoinSet::new();
     for first in 0..CONCURRENCY {
         let fleet = fleet.clone();
@@ -122,7 +130,7 @@
             let mut wrong = Vec::new();
             for cut in (first..positions(begin)).step_by(CONCURRENCY) {
                 let answer = fleet.ask("HTTP/1.1", prefix, &format!("stream-{cut}")).await;
-                wrong.extend(problem(&answer).map(|p| (cut, p)));
+                wrong.extend(problem(prefix, &answer).map(|p| (cut, p)));
             }
             wrong
         });
@@ -136,7 +144,8 @@
 /// Submits an item for each position at which its answer is cut. Returns how many have a wrong result,
 /// and one of these.
 async fn wrong_items(begin: Begin) -> Option<String> {
-    let fleet = Fleet::start(vec![cutting(begin), cutting(begin)]).await;
+    let endpoint = cutting(begin);
+    let fleet = Fleet::start(vec![endpoint.clone(), endpoint]).await;
     let entries = fleet.world.caller_addresses();
     assert!(client::submit(&entries, "job", MAX_ITEMS).await, "{}", fleet.world.logs());
     let outputs = fleet.outputs("job", MAX_ITEMS).await;
