Judge each event of an answer, however its bytes are cut

Callers found the text of an error, or the head and events of a second answer, in their streams, which ended as complete. Cause: read_new_events learned before it read whether the caller had a part of the answer, so foreign bytes in the segment of the first events counted as "not begun" and passed; before the first event they always passed.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -6,6 +6,7 @@
 use crate::fleet::crashes;
 use crate::fleet::forward;
 use crate::fleet::protocol;
+use crate::fleet::sequence;
 use crate::fleet::serve;
 use crate::fleet::sse;
 use bytes::Bytes;
@@ -29,6 +30,7 @@
     /// Response that is being read.
     pub(super) started: Option<Box<forward::StartedResponse>>,
     splitter: sse::Splitter,
+    sequence: sequence::Sequence,
     /// Events of the response that is being read.
     run_events: u32,
     /// Why the last endpoint was given up.
@@ -49,6 +51,7 @@
             headers,
             started: Some(started),
             splitter: sse::Splitter::default(),
+            sequence: sequence::Sequence::default(),
             run_events: 0,
             cause: Arc::default(),
             ready: VecDeque::new(),
@@ -89,8 +92,7 @@
         let from = started.endpoint.id.clone();
         let build = started.endpoint.build.clone();
         let is_framed = started.response.is_framed();
-        let has_begun = self.forwarder.has_begun();
-        let read = read_new_events(started, &mut self.splitter, last_event, has_begun);
+        let read = read_new_events(started, &mut self.splitter, &mut self.sequence, last_event);
         let read = read.map_err(|cause| (attempt::Outcome::Lost, cause));
         let waited = self.forwarder.wait_or_take_over(&self.headers, &from, limit, read).await;
         let read = match waited {
@@ -111,6 +113,7 @@
                 // Closes the connection to the silent endpoint, which cancels the request there.
                 self.started = Some(other);
                 self.splitter = sse::Splitter::default();
+                self.sequence = sequence::Sequence::default();
                 self.run_events = 0;
                 return Ok(());
             }
@@ -177,6 +180,7 @@
         // Closes the connection, which cancels the request at the endpoint.
         drop(from);
         self.splitter = sse::Splitter::default();
+        self.sequence = sequence::Sequence::default();
         self.cause = cause.clone();
         let next = self.forwarder.attempts.record(attempt::Outcome::Lost);
         self.log_resumption(&name, cause, next);
@@ -224,10 +228,12 @@
 async fn read_new_events(
     started: &mut forward::StartedResponse,
     splitter: &mut sse::Splitter,
+    sequence: &mut sequence::Sequence,
     mut last_event: Option<u64>,
-    has_begun: bool,
 ) -> Result<NewEvents, Arc<str>> {
     let (mut bytes, mut count, mut numbered) = (Vec::new(), 0, None);
+    // Events that arrived before one that does not belong there have been passed on.
+    sequence.result()?;
     loop {
         let Some(part) = started.response.next_chunk().await? else {
             return match splitter.remainder() {
@@ -241,16 +247,11 @@
         splitter.push(&part).map_err(|sse::TooLong| Arc::from("an event is too long"))?;
         let mut has_new = false;
         while let Some(event) = splitter.next_event() {
-            // The caller of a stream that has begun must not find the text of an error in it.
-            if has_begun && event.is_malformed() {
-                return Err("bytes that are no event".into());
-            }
-            if let Some(id) = event.id {
-                // An endpoint that resumes may repeat events that the caller has.
-                if last_event.is_some_and(|last| id <= last) {
-                    continue;
-                }
-                last_event = Some(id);
+            match sequence.check(last_event, &event) {
+                Ok(true) => last_event = event.id.or(last_event),
+                Ok(false) => continue,
+                Err(_) if has_new => break,
+                Err(failure) => return Err(failure),
             }
             if event.has_data() {
                 has_new = true;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -38,6 +38,7 @@
 pub mod routes;
 pub mod run_host;
 pub mod runner;
+pub mod sequence;
 pub mod serve;
 pub mod settings;
 pub mod slots;
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -7,6 +7,7 @@
 use crate::fleet::progress;
 use crate::fleet::protocol;
 use crate::fleet::quarantine;
+use crate::fleet::sequence;
 use crate::fleet::sse;
 use crate::fleet::upstream;
 use bytes::Bytes;
@@ -345,6 +346,7 @@
             _ => {}
         }
         let mut splitter = sse::Splitter::default();
+        let mut sequence = sequence::Sequence::default();
         let mut last_event = self.last_event;
         loop {
             let bytes = match self.wait(&mut patience, response.next_chunk()).await {
@@ -364,17 +366,10 @@
                 return interrupted(&cause, true);
             }
             while let Some(event) = splitter.next_event() {
-                // Output must not become complete by what an endpoint writes in place of an event.
-                if event.is_malformed() {
-                    return interrupted("bytes that are no event", true);
-                }
-                // An endpoint that resumes may repeat events that have arrived already.
-                let is_new = match event.id {
-                    Some(id) => Some(id) > last_event,
-                    None => event.has_data(),
-                };
-                if !is_new {
-                    continue;
+                match sequence.check(last_event, &event) {
+                    Ok(true) if event.id.is_some() || event.has_data() => {}
+                    Ok(_) => continue,
+                    Err(cause) => return interrupted(&cause, true),
                 }
                 last_event = event.id.or(last_event);
                 patience.record_event(time::Instant::now());
--- /dev/null
+++ b/src/fleet/sequence.rs
@@ -0,0 +1,46 @@
+//! Order of the events of one answer. Free of I/O.
+
+use crate::fleet::sse;
+use std::sync::Arc;
+
+/// Checks that an answer consists of events. The result does not depend on how the bytes of the answer
+/// are split into segments.
+#[derive(Clone, Debug, Default)]
+pub struct Sequence {
+    /// Why the answer is not read any further.
+    failure: Option<Arc<str>>,
+}
+
+impl Sequence {
+    /// Checks the next event of the answer. `last` is the number of the last event that the receiver
+    /// has, from this answer or an earlier one. Returns whether the event is new to the receiver.
+    ///
+    /// # Errors
+    /// Why the event does not belong there. Each later call fails as well.
+    pub fn check(&mut self, last: Option<u64>, event: &sse::Event) -> Result<bool, Arc<str>> {
+        self.result()?;
+        match self.position(last, event) {
+            Ok(is_new) => Ok(is_new),
+            Err(failure) => {
+                self.failure = Some(failure.clone());
+                Err(failure)
+            }
+        }
+    }
+
+    /// Whether all events so far belong to the answer.
+    ///
+    /// # Errors
+    /// Why one does not.
+    pub fn result(&self) -> Result<(), Arc<str>> {
+        self.failure.clone().map_or(Ok(()), Err)
+    }
+
+    fn position(&self, last: Option<u64>, event: &sse::Event) -> Result<bool, Arc<str>> {
+        // An endpoint may write the head or text of an error in place of an event.
+        if event.is_malformed() {
+            return Err("bytes that are no event".into());
+        }
+        Ok(event.id.is_none_or(|id| last.is_none_or(|last| id > last)))
+    }
+}
