Break a stream off where its events do not follow each other

Callers and items got streams without an event, or without their first events, as complete. Cause: numbers were compared with "greater than", though endpoints number without gaps, from 1 or from the one after which they are asked to go on. A gap may be an endpoint's fault or ours (two answers, a lost part); passing it on as whole is ours. An answer now begins at most with the event after the last one that the receiver has, and each numbered event is the one before plus one; else it is broken off there and goes on elsewhere where it may. Numbers that go back within an answer break it off too; they were skipped, and what followed was taken from the second answer.

--- a/src/fleet/sequence.rs
+++ b/src/fleet/sequence.rs
@@ -3,10 +3,13 @@
 use crate::fleet::sse;
 use std::sync::Arc;
 
-/// Checks that an answer consists of events. The result does not depend on how the bytes of the answer
-/// are split into segments.
+/// Checks that the events of one answer follow each other. Endpoints number events without gaps, from
+/// 1 or from the one after which they were asked to go on. The result does not depend on how the bytes
+/// of the answer are split into segments.
 #[derive(Clone, Debug, Default)]
 pub struct Sequence {
+    /// Number of the last numbered event of this answer.
+    previous: Option<u64>,
     /// Why the answer is not read any further.
     failure: Option<Arc<str>>,
 }
@@ -36,11 +39,24 @@
         self.failure.clone().map_or(Ok(()), Err)
     }
 
-    fn position(&self, last: Option<u64>, event: &sse::Event) -> Result<bool, Arc<str>> {
+    fn position(&mut self, last: Option<u64>, event: &sse::Event) -> Result<bool, Arc<str>> {
         // An endpoint may write the head or text of an error in place of an event.
         if event.is_malformed() {
             return Err("bytes that are no event".into());
         }
-        Ok(event.id.is_none_or(|id| last.is_none_or(|last| id > last)))
+        let Some(id) = event.id else { return Ok(true) };
+        let follows = match self.previous {
+            Some(previous) => Some(id) == previous.checked_add(1),
+            // An endpoint that goes on may repeat events that the receiver has.
+            None => id <= last.map_or(1, |last| last.saturating_add(1)),
+        };
+        if !follows {
+            return Err(match self.previous.or(last) {
+                Some(previous) => format!("event {id} follows event {previous}").into(),
+                None => format!("the stream begins with event {id}").into(),
+            });
+        }
+        self.previous = Some(id);
+        Ok(last.is_none_or(|last| id > last))
     }
 }
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -10,6 +10,7 @@
 use basilfield::fleet::place;
 use basilfield::fleet::plan;
 use basilfield::fleet::protocol::Protocol as _;
+use basilfield::fleet::sequence;
 use basilfield::fleet::sse;
 use basilfield::fleet::upstream;
 use basilfield::wire;
@@ -415,6 +416,69 @@
     insta::assert_snapshot!(by_size.join("\n---\n"));
 }
 
+/// What the receiver of an answer takes from it, if it has the events up to `last`.
+fn taken(last: Option<u64>, answer: &str) -> String {
+    let (mut splitter, mut sequence) = (sse::Splitter::default(), sequence::Sequence::default());
+    splitter.push(answer.as_bytes()).expect("short events");
+    let (mut held, mut taken) = (last, Vec::new());
+    while let Some(event) = splitter.next_event() {
+        let id = event.id.map_or("-".into(), |id| id.to_string());
+        taken.push(match sequence.check(held, &event) {
+            Ok(true) => {
+                held = event.id.or(held);
+                id
+            }
+            Ok(false) => format!("({id})"),
+            Err(failure) => format!("[{failure}]"),
+        });
+    }
+    format!("{last:?}: {}", taken.join(" "))
+}
+
+/// Guards against streams that lack an event or join two answers, and against foreign bytes in them.
+#[test]
+fn events_that_do_not_follow_are_taken() {
+    let numbered =
+        |ids: &[u64]| -> String { ids.iter().map(|n| format!("id: {n}\ndata: e\n\n")).collect() };
+    let ids: [(Option<u64>, &[u64]); 10] = [
+        (None, &[1, 2, 3]),
+        (None, &[0, 1, 2]),
+        (None, &[2, 3]),
+        (Some(0), &[1, 2]),
+        (Some(3), &[4, 5]),
+        (Some(3), &[5, 6]),
+        (Some(3), &[1, 2, 3, 4]),
+        (None, &[1, 2, 4, 5]),
+        (None, &[1, 2, 2, 3]),
+        (None, &[1, 2, 1, 2, 3]),
+    ];
+    let mut seen: Vec<String> =
+        ids.iter().map(|(last, ids)| taken(*last, &numbered(ids))).collect();
+    seen.extend([
+        taken(
+            None,
+            "id: 1\ndata: e\n\ndata: e\n\n: comment\n\nid: x\ndata: e\n\nid: 2\ndata: e\n\n",
+        ),
+        taken(None, "id: 1\ndata: e\n\noverloaded\n\nid: 2\ndata: e\n\n"),
+        taken(None, "overloaded\n\nid: 1\ndata: e\n\n"),
+    ]);
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    None: 1 2 3
+    None: 0 1 2
+    None: [the stream begins with event 2] [the stream begins with event 2]
+    Some(0): 1 2
+    Some(3): 4 5
+    Some(3): [event 5 follows event 3] [event 5 follows event 3]
+    Some(3): (1) (2) (3) 4
+    None: 1 2 [event 4 follows event 2] [event 4 follows event 2]
+    None: 1 2 [event 2 follows event 2] [event 2 follows event 2]
+    None: 1 2 [event 1 follows event 2] [event 1 follows event 2] [event 1 follows event 2]
+    None: 1 - - - 2
+    None: 1 [bytes that are no event] [bytes that are no event]
+    None: [bytes that are no event] [bytes that are no event]
+    ");
+}
+
 /// Guards against an item with output that goes on at an endpoint of another build, and against one
 /// that waits although an endpoint of its build has a free slot.
 #[test]
