Use a new connection for a run that goes on with an item

The output of 1 to 3 of 12 items joined two runs: events 1 to 3 of the first run, and 4 to 6 of a second, late answer to that run, though the run that went on was asked to begin after event 3. The endpoint had ended its first answer within an event, with a stated length, so its connection was kept, and the next run of the item used it. The late answer bears the id of the item, as it should.

A run that goes on after an event uses a new connection now, on which no earlier answer can arrive. A run from the start may still find one to an earlier run from the start, which is an answer to the same request. Nothing changes for the first run of an item.

--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -293,7 +293,10 @@
         let names = node.view.protocol().headers();
         let mut patience = Patience::new(time::Instant::now());
         let sent_at = node.now();
-        let sent = node.upstream.send(self.address, request, false);
+        // On a kept connection, the endpoint may repeat its answer to an earlier run, which did not go
+        // on after this event.
+        let new_connection = self.last_event.is_some();
+        let sent = node.upstream.send(self.address, request, new_connection);
         let sent = self.wait(&mut patience, sent).await;
         let mut response = match sent {
             Ok(Ok(response)) => response,
