Repeat a request on a new connection

With endpoints that write each answer once more when the next request arrives on the connection, 12 to 14 of 24 requests that may be repeated failed with 502: each attempt used a kept connection, found the answer to an earlier request, and counted as lost.

Once an attempt is lost, the next ones use new connections. They cannot find an answer to another request, or a connection that the endpoint is just closing. First attempts and those after a refusal go on using kept connections.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -576,9 +576,11 @@
             "build" => &*endpoint.build, "running" => ?endpoint.running, "left_ms" => self.time_left().as_millis() as u64);
         let sent_at = node.now();
         // The endpoint may close an idle connection while the request is being sent. On one that is
-        // kept, it may repeat its answer to an earlier attempt, which names this request.
+        // kept, it may repeat its answer to an earlier attempt, which names this request, or to
+        // another request, which costs an attempt.
         let is_repeated = self.asked.iter().filter(|id| **id == endpoint.id).count() > 1;
-        let new_connection = !self.request.route.is_retryable() || is_repeated;
+        let is_fresh = self.request.route.is_retryable() && !self.attempts.may_have_run();
+        let new_connection = !is_fresh || is_repeated;
         async move {
             let sent = node.upstream.send(endpoint.address, request, new_connection).await;
             let response = sent.map_err(|failure| {
