Take status 101 of an endpoint for a lost answer

154 to 159 callers of 633 requests got status 101 from an endpoint that switched the protocol, and 20 to 23 on kept connections. No request asks for that, since `Upgrade` is not passed on, and to a caller 101 is no final answer. The HTTP library hands it to its user as the answer, unlike other interim answers.

--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -293,6 +293,10 @@
                 Ok(response) => {
                     connection.unused.store(0, Ordering::Relaxed);
                     let (head, body) = response.into_parts();
+                    // No request asks for another protocol.
+                    if head.status == StatusCode::SWITCHING_PROTOCOLS {
+                        return Err(Failure::Lost("the endpoint switches the protocol".into()));
+                    }
                     let upstream = self.clone();
                     let connection = Some(connection);
                     let held = None;
