Take an answer that ends before its body for a lost one

Such a head states no length, so the close of the connection is the end of the body. Any `Transfer-Encoding` counted as a length, also one whose last coding is not `chunked`. For plain answers an empty body counted as whole, unlike for streams and items.

An answer is framed now only by a length, by chunks, or by a status or method that has no body. A success without framing and without a byte of its body is lost: it is repeated where it may be, and fails with 502 otherwise. An endpoint with an empty answer states its length as 0. Failures without a body are passed on as before, and so are longer bodies that end with a close, which the platform allows.

--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -11,6 +11,7 @@
 use derive_more::Display;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use hyper::Method;
 use hyper::StatusCode;
 use hyper::body::Body as _;
 use hyper::client::conn::http1;
@@ -265,6 +266,7 @@
     address: SocketAddr,
     /// Whether the connection has carried another request before.
     reused: bool,
+    framed: bool,
     /// Memory that is reserved for bytes of the response.
     held: Option<OwnedSemaphorePermit>,
 }
@@ -281,6 +283,7 @@
         mut request: hyper::Request<Full<Bytes>>,
         new_connection: bool,
     ) -> Result<Response, Failure> {
+        let is_head_request = request.method() == Method::HEAD;
         loop {
             let idle_connection = if new_connection { None } else { self.take_idle(address) };
             let reused = idle_connection.is_some();
@@ -297,6 +300,7 @@
                     if head.status == StatusCode::SWITCHING_PROTOCOLS {
                         return Err(Failure::Lost("the endpoint switches the protocol".into()));
                     }
+                    let framed = is_head_request || is_framed(&head);
                     let upstream = self.clone();
                     let connection = Some(connection);
                     let held = None;
@@ -307,6 +311,7 @@
                         upstream,
                         address,
                         reused,
+                        framed,
                         held,
                     });
                 }
@@ -446,8 +451,8 @@
     /// bytes are dropped.
     ///
     /// # Errors
-    /// The cause, if the connection ended early, the body is too long, or the responses of all
-    /// requests hold too much memory.
+    /// The cause, if the connection ended early, a success ends with it before the body, the body is
+    /// too long, or the responses of all requests hold too much memory.
     pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, Arc<str>> {
         let too_long = || Err(Arc::from("the answer is too long"));
         if self.body.size_hint().lower() > limit as u64 {
@@ -466,6 +471,10 @@
             }
             body.extend_from_slice(&data);
         }
+        // The endpoint may have stopped before it wrote the length.
+        if body.is_empty() && !self.framed && self.head.status.is_success() {
+            return Err("the connection ends before the body".into());
+        }
         match self.held.take() {
             Some(permit) => Ok(Bytes::from_owner(HeldBody { bytes: body, _permit: permit })),
             None => Ok(body.into()),
@@ -475,8 +484,7 @@
     /// Whether the head tells where the body ends. Otherwise it ends when the endpoint closes the
     /// connection.
     pub fn is_framed(&self) -> bool {
-        self.head.headers.contains_key(header::CONTENT_LENGTH)
-            || self.head.headers.contains_key(header::TRANSFER_ENCODING)
+        self.framed
     }
 
     /// Returns the connection to the pool after a complete body, if it can be reused. One that has
@@ -497,6 +505,19 @@
     }
 }
 
+/// Whether the head of a response tells where its body ends, RFC 9112 section 6.3. A transfer coding
+/// does so only if the last one is `chunked`.
+fn is_framed(head: &hyper::http::response::Parts) -> bool {
+    let is_without_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let codings = head.headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let last = codings.and_then(|v| v.as_bytes().rsplit(|b| *b == b',').next());
+    is_without_body
+        || match last {
+            Some(coding) => coding.trim_ascii().eq_ignore_ascii_case(b"chunked"),
+            None => head.headers.contains_key(header::CONTENT_LENGTH),
+        }
+}
+
 /// How long an idle connection may be used, from the endpoint's `keep-alive` header.
 fn keep_alive(headers: &hyper::HeaderMap) -> Duration {
     let value = headers.get("keep-alive").and_then(|v| v.to_str().ok()).unwrap_or_default();
