Reset the connection of a caller whose answer without framing breaks off

Under HTTP/1.0 a stream has neither a length nor chunks, so its end is that of the connection. All 20 streams that broke off after event 3 ended in an orderly way, and so did all 20 whose entry was killed; for their callers they were complete.

From the first byte of such an answer, the connection has a linger time of 0, so that the system resets it if it is dropped or the process ends. When the answer is whole, the linger time is removed before the shutdown. Answers with framing are closed as before.

A reset discards what the caller's system has not received yet; what it has received stays readable.

--- a/src/fleet/serve.rs
+++ b/src/fleet/serve.rs
@@ -9,16 +9,23 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Body as _;
 use hyper::header;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
 use std::time::Duration;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -183,6 +190,74 @@
     }
 }
 
+/// Connection of a caller. While it carries an answer that ends with it, it is reset if it is dropped
+/// or the process is killed: an orderly end would make the answer look complete.
+struct CallerStream {
+    stream: TcpStream,
+    /// Whether an answer has begun that ends with the connection.
+    unframed: Arc<AtomicBool>,
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.reset_on_drop()?;
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        #[expect(deprecated, reason = "without a linger time, closing does not block")]
+        self.stream.set_linger(None)?;
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.reset_on_drop()?;
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+impl CallerStream {
+    /// Lets the connection be reset from now on if an answer has begun that ends with it.
+    fn reset_on_drop(&self) -> io::Result<()> {
+        match self.unframed.swap(false, Ordering::Relaxed) {
+            true => self.stream.set_zero_linger(),
+            false => Ok(()),
+        }
+    }
+}
+
+/// Whether the answer to a request under the given version of HTTP ends with its connection: version
+/// 1.0 has no chunks.
+fn ends_with_connection(version: hyper::Version, response: &Response) -> bool {
+    version == hyper::Version::HTTP_10 && response.body().size_hint().exact().is_none()
+}
+
 async fn serve_connection(
     stream: TcpStream,
     handler: Arc<dyn Handler>,
@@ -193,9 +268,16 @@
         // The caller has disconnected.
         return;
     }
+    let unframed = Arc::<AtomicBool>::default();
+    let stream = CallerStream { stream, unframed: unframed.clone() };
     let service = hyper::service::service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        let (handler, unframed) = (handler.clone(), unframed.clone());
+        async move {
+            let version = request.version();
+            let response = handler.handle(request).await;
+            unframed.store(ends_with_connection(version, &response), Ordering::Relaxed);
+            Ok::<_, Infallible>(response)
+        }
     });
     let limits = *bounds.borrow();
     // hyper counts idle time between two requests as time for reading the next head.
