Reproduce refusals that no endpoint has made, as known red

An endpoint answers with status 503, 429 or 408, and without the field that states that it has not run the request: it stopped before the field, or has run the request. Callers get the status, which tells them that the request has not run and never will.

--- a/tests/fleet_heads.rs
+++ b/tests/fleet_heads.rs
@@ -366,6 +366,44 @@
     });
 }
 
+/// Guards against a promise that a request has not run, which its endpoint has not made: it stopped
+/// before the field that makes it, or has run the request.
+#[test]
+fn status_of_a_refusal_is_taken_for_one() {
+    fleet_world::run(async {
+        let mut wrong = Vec::new();
+        let statuses = ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"];
+        for status in statuses {
+            let sent = Counts::default();
+            let counts = sent.clone();
+            let endpoint: Arc<Answer> = Arc::new(move |request, stream| {
+                let mut sent = counts.lock().expect("lock");
+                let count = sent.entry(request.id.clone()).or_default();
+                *count += 1;
+                let answer = match *count {
+                    1 if !request.id.starts_with("begin") => framed(status, &request.id, "", ""),
+                    _ => sound(request),
+                };
+                stream.write_all(answer.as_bytes())?;
+                Ok(true)
+            });
+            let fleet = start(vec![endpoint.clone(), endpoint]).await;
+            for n in 0..16 {
+                let (prefix, id) = (PREFIXES[n % 4], format!("request-{n}"));
+                let answer = fleet.ask("HTTP/1.1", prefix, &id).await;
+                let count = sent.lock().expect("lock").get(&id).copied().unwrap_or(0);
+                let problem = problem(prefix, &id, &answer, count);
+                wrong.extend(problem.map(|p| format!("{status} {prefix}{id} {p}")));
+                if is_retryable(prefix) && !answer.starts_with("HTTP/1.1 200") {
+                    wrong.push(format!("{status} {prefix}{id} not answered: {answer}"));
+                }
+            }
+        }
+        let first = wrong.first().cloned().unwrap_or_default();
+        assert_eq!((wrong.len(), first), (0, String::new()));
+    });
+}
+
 /// When an endpoint writes an answer once more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Repeat {
