Pass on no refusal that an endpoint has not made

40 of 48 callers got status 503, 429 or 408 from endpoints that were given the request and did not state that they had not run it. To callers these statuses are a promise; one that must not be repeated is sent again after them, so it could run twice.

Only the field, or status 421, states that an endpoint has not run a request. Such a status without it counts as a failed run now: the request is repeated where it may be, and fails with 502 otherwise. Other failures of endpoints are passed on unchanged.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -184,6 +184,17 @@
     status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
 }
 
+/// Whether the status of an answer tells a caller that its request has not run. An endpoint states that
+/// in another field, without which the status is not passed on.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Builds the response that tells a caller that the outcome of its request is unknown.
 fn fail(node: &node::Node, id: &str, status: StatusCode, reason: &str) -> serve::Response {
     node.metrics.count_request("online", "unknown");
@@ -600,6 +611,12 @@
             let limit = limits::notice::read(&headers, &response.head, &id);
             node.handle_limit_notice(&endpoint.start(), limit, sent_at, &id);
             match response.classify(&headers, &id) {
+                upstream::ResponseClass::Matching if is_refusal(response.head.status) => {
+                    let status = response.head.status.as_u16();
+                    let cause = format!("status {status} without a statement that it has not run");
+                    node.record_endpoint_failure(&endpoint.id, &cause);
+                    return Err((attempt::Outcome::Failed, cause.into()));
+                }
                 upstream::ResponseClass::Matching => {}
                 upstream::ResponseClass::Declined => {
                     guard.discard();
