Confirm the end of an answer that states none

A stream that may be resumed ended as complete, and an item was completed with a part of its output, where an answer without length and chunks was cut off between two events by an ordinary close, as by a killed process.

Cause: the end of the connection was taken for the end of the stream. It is the same after a complete answer and after a kill, so it says nothing.

The end counts now once another answer confirms that nothing follows the last event: one with a stated end, or one without any new event. Another endpoint of the build is asked; if no attempt is left, the same one again, which adds no endpoint to those that run the request. Each such request follows an answer with new events, so their number is bounded. If nobody confirms the end (refused, failed, out of time), the stream is broken off, and its caller can take it up. An item needs two answers in succession that end at the same event; this replaces the rule by which it started over after two runs without an event. A confirming run is no crash of its endpoint once there are four events, and an answer without a length is no failure.

Streams that may not be resumed, events without ids and plain answers stay as they are: nothing can be asked.

Tests on processes with scripted endpoints, before and after:

- streams cut off after event 3 of 6: 8 of 8 complete there; 8 of 8 whole
- items: 36 of 36 completed with 3 events; 36 of 36 whole
- 80 streams, half of them at an endpoint that is killed: 41 complete after event 3; 80 whole
- sound endpoints that never state a length: streams and items whole, with two requests each
- maxAttempts 1: whole, at one endpoint each

--- a/src/fleet/attempt.rs
+++ b/src/fleet/attempt.rs
@@ -79,6 +79,12 @@
         self.resumable = resumable;
     }
 
+    /// Whether another endpoint can go on after what the caller has, if the number of attempts
+    /// permits it.
+    pub fn is_resumable(&self) -> bool {
+        self.resumable
+    }
+
     /// Whether another attempt is allowed if the current one ran or may have run.
     pub fn may_retry(&self) -> bool {
         self.retryable && self.resumable && self.possible_runs + 1 < self.max_runs
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -343,8 +343,24 @@
         }
         let (job, item) = key.clone();
         let log = &self.node.log;
+        let is_confirmed =
+            matches!(ended, RunEnd::Open | RunEnd::Empty) && tracked.progress.record_open_end();
         match ended {
-            RunEnd::Done => {
+            RunEnd::Open | RunEnd::Empty if !is_confirmed => {
+                let cause = match ended {
+                    RunEnd::Open => event_stream::END_NOT_STATED,
+                    _ => event_stream::ENDED_WITHOUT_EVENT,
+                };
+                event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
+                    "endpoint" => &*endpoint, "cause" => cause,
+                    "events" => tracked.progress.events);
+                // A sound endpoint may answer without a length.
+                if ended == RunEnd::Empty {
+                    self.node.record_endpoint_failure(&endpoint, &cause);
+                }
+                self.back_off(&key, RETRY_DELAY);
+            }
+            RunEnd::Done | RunEnd::Open | RunEnd::Empty => {
                 self.node.metrics.count_item("completed");
                 event!(log, events::ITEM_DONE; "job" => &*job, "request" => &*item,
                     "endpoint" => &*endpoint);
@@ -364,16 +380,6 @@
                 }
                 self.back_off(&key, RETRY_DELAY);
             }
-            RunEnd::Empty => {
-                let cause = event_stream::ENDED_WITHOUT_EVENT;
-                let events = tracked.progress.events;
-                let starts_over = tracked.progress.record_empty_run();
-                event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
-                    "endpoint" => &*endpoint, "cause" => cause, "events" => events,
-                    "starts_over" => starts_over);
-                self.node.record_endpoint_failure(&endpoint, &cause);
-                self.back_off(&key, RETRY_DELAY);
-            }
             RunEnd::Failed => {
                 event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
                     "endpoint" => &*endpoint, "cause" => "endpoint answered that it failed");
--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -22,6 +22,9 @@
 /// Cause of a failed attempt whose answer has neither an event nor length or chunks, so that nothing
 /// shows that it is complete.
 pub(super) const ENDED_WITHOUT_EVENT: &str = "the connection ends before the first event";
+/// Cause of asking for what follows the last event of an answer without length and chunks. The
+/// connections of a process that is killed are closed like those after a complete answer.
+pub(super) const END_NOT_STATED: &str = "the answer ends without a stated end";
 
 /// Stream of events for the caller. If an endpoint breaks it off, another one continues it.
 pub(super) struct EventStream {
@@ -33,6 +36,9 @@
     sequence: sequence::Sequence,
     /// Events of the response that is being read.
     run_events: u32,
+    /// Last event of an answer that ended without a stated end. The stream is complete if another
+    /// answer confirms that nothing follows it.
+    open_end: Option<u64>,
     /// Why the last endpoint was given up.
     pub(super) cause: Arc<str>,
     /// Bytes of complete events that the caller has not received yet.
@@ -53,6 +59,7 @@
             splitter: sse::Splitter::default(),
             sequence: sequence::Sequence::default(),
             run_events: 0,
+            open_end: None,
             cause: Arc::default(),
             ready: VecDeque::new(),
         }
@@ -118,6 +125,9 @@
                 return Ok(());
             }
         };
+        if read.ended {
+            self.check_end(is_framed)?;
+        }
         self.forwarder.last_event = read.last_event;
         self.count_events(read.count);
         if !read.bytes.is_empty() {
@@ -133,6 +143,7 @@
             // An answer without a length ends in the same way when its endpoint crashes.
             match is_framed && self.run_events > 0 {
                 true => self.forwarder.node.record_answer(&self.forwarder.prompt),
+                false if self.is_confirming() => {}
                 false => self.record_broken_answer(),
             }
             self.forwarder.finish(&from, is_framed);
@@ -140,6 +151,36 @@
         Ok(())
     }
 
+    /// Checks whether the end of the response that is being read is the end of the stream.
+    ///
+    /// # Errors
+    /// Why another endpoint has to be asked for what follows.
+    fn check_end(&mut self, is_framed: bool) -> Result<(), Arc<str>> {
+        if is_framed {
+            return Ok(());
+        }
+        let has_events = self.run_events > 0;
+        let last = self.forwarder.last_event.filter(|last| *last > 0);
+        if last.is_none() || !self.forwarder.is_resumable() {
+            // No endpoint can go on after the events.
+            return if self.splitter.has_data() { Ok(()) } else { Err(ENDED_WITHOUT_EVENT.into()) };
+        }
+        if !has_events && self.open_end == last {
+            return Ok(());
+        }
+        self.open_end = last;
+        Err(if has_events { END_NOT_STATED.into() } else { ENDED_WITHOUT_EVENT.into() })
+    }
+
+    /// Whether the response that is being read has no event, after an answer with several events that
+    /// ended at the same one. An endpoint has nothing left to write then that it could crash on.
+    fn is_confirming(&self) -> bool {
+        let several = Some(u64::from(crashes::ANSWERED_EVENTS));
+        self.run_events == 0
+            && self.open_end >= several
+            && self.open_end == self.forwarder.last_event
+    }
+
     /// Counts events of the response that is being read.
     fn count_events(&mut self, count: u32) {
         let before = self.run_events;
@@ -172,7 +213,10 @@
         self.record_broken_answer();
         let from = self.started.take();
         let name = from.as_ref().map_or_else(Arc::default, |f| f.endpoint.id.clone());
+        // A sound endpoint may answer without a length.
+        let is_open = **cause == *END_NOT_STATED;
         if let Some(started) = &from
+            && !is_open
             && !self.forwarder.time_left().is_zero()
         {
             self.forwarder.node.record_endpoint_failure(&started.endpoint.id, cause);
@@ -182,7 +226,13 @@
         self.splitter = sse::Splitter::default();
         self.sequence = sequence::Sequence::default();
         self.cause = cause.clone();
-        let next = self.forwarder.attempts.record(attempt::Outcome::Lost);
+        let mut next = self.forwarder.attempts.record(attempt::Outcome::Lost);
+        if next != attempt::Next::Again && is_open {
+            // Asking the same endpoint again does not add to those that run the request. Its answer
+            // had new events, so that this comes to an end.
+            self.forwarder.restrict(name.clone());
+            next = attempt::Next::Again;
+        }
         self.log_resumption(&name, cause, next);
         self.run_events = 0;
         if next != attempt::Next::Again {
@@ -237,9 +287,6 @@
     loop {
         let Some(part) = started.response.next_chunk().await? else {
             return match splitter.remainder() {
-                [] if !splitter.has_data() && !started.response.is_framed() => {
-                    Err(ENDED_WITHOUT_EVENT.into())
-                }
                 [] => Ok(NewEvents { bytes, last_event, count, numbered, ended: true }),
                 _ => Err("the stream ends within an event".into()),
             };
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -219,6 +219,8 @@
     service: Arc<str>,
     /// Build at which the stream has to go on, once the caller has events of it.
     build: Option<Arc<str>>,
+    /// Only endpoint that may still be asked, once no attempt at another one is left.
+    only: Option<Arc<str>>,
     /// Whether the caller has events of this response.
     begun: bool,
     /// Content type of the answer of which the caller has a part.
@@ -311,6 +313,7 @@
         last_event,
         service,
         build,
+        only: None,
         begun: false,
         content_type: None,
         is_origin,
@@ -342,9 +345,22 @@
         if let Some(build) = &self.build {
             candidates.retain(|c| c.build == *build);
         }
+        if let Some(only) = &self.only {
+            candidates.retain(|c| c.id == *only);
+        }
         candidates
     }
 
+    /// Whether an endpoint can go on after the events that the caller has.
+    pub(super) fn is_resumable(&self) -> bool {
+        self.request.route.is_retryable() && self.attempts.is_resumable()
+    }
+
+    /// Restricts further attempts to an endpoint that has run the request already.
+    pub(super) fn restrict(&mut self, endpoint: Arc<str>) {
+        self.only = Some(endpoint);
+    }
+
     /// Build at which the stream has to go on.
     pub(super) fn build(&self) -> Option<&Arc<str>> {
         self.build.as_ref()
@@ -753,8 +769,13 @@
         &mut self,
         headers: &protocol::Headers,
     ) -> Result<Box<StartedResponse>, serve::Response> {
-        // A caller that has events waits on, or ends the connection. Others can be refused.
-        let patience = if self.begun { self.time_left() } else { BUILD_WAIT };
+        // A caller that has events waits on, or ends the connection. Others can be refused. If only one
+        // endpoint may be asked, the caller itself can ask others.
+        let patience = match self.begun {
+            _ if self.only.is_some() => Duration::ZERO,
+            true => self.time_left(),
+            false => BUILD_WAIT,
+        };
         let end = time::Instant::now() + patience;
         let (mut released, mut interval) = (None, TAKEOVER_INTERVAL);
         loop {
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -11,9 +11,9 @@
 /// Most output of an item, which is read in one answer: half of the longest frame between hosts.
 const MAX_OUTPUT_BYTES: usize = 8 << 20;
 
-/// Runs that ended without an event, since the last event, after which an item starts over. It may have
-/// had its last event before its connection was lost, so that no run from there on ends in another way.
-const MAX_EMPTY_RUNS: u32 = 2;
+/// Answers that ended at the same event without a stated end, after which the output is complete. The
+/// connections of an endpoint that is killed are closed like those after a complete answer.
+const CONFIRMING_ENDS: u32 = 2;
 
 /// Id of a job and id of one of its items.
 pub type ItemKey = (Arc<str>, Arc<str>);
@@ -35,8 +35,8 @@
     pub run_time: Duration,
     /// Generation that the output belongs to.
     pub generation: ledger::Generation,
-    /// Runs since the last event that ended without one.
-    empty_runs: u32,
+    /// Answers that ended without a stated end at the last event.
+    open_ends: u32,
     /// Whether an event without an id has arrived since the last numbered one. No run can go on after
     /// it.
     unnumbered: bool,
@@ -76,15 +76,12 @@
         starts_over
     }
 
-    /// Records a run that ended without an event and without anything that shows that the output is
-    /// complete. Returns whether the item starts over.
-    pub fn record_empty_run(&mut self) -> bool {
-        self.empty_runs += 1;
-        let starts_over = self.events > 0 && self.empty_runs >= MAX_EMPTY_RUNS;
-        if starts_over {
-            self.start_over();
-        }
-        starts_over
+    /// Records that an answer ended without anything that shows that it is complete. Returns whether
+    /// the output is complete: an earlier answer has ended at the same event, or no run can go on after
+    /// it.
+    pub fn record_open_end(&mut self) -> bool {
+        self.open_ends = self.open_ends.saturating_add(1);
+        self.events > 0 && (self.unnumbered || self.open_ends >= CONFIRMING_ENDS)
     }
 
     fn start_over(&mut self) {
@@ -100,7 +97,7 @@
         }
         self.output.extend_from_slice(data);
         self.events += 1;
-        (self.empty_runs, self.unnumbered) = (0, id.is_none());
+        (self.open_ends, self.unnumbered) = (0, id.is_none());
         self.last_event = id.or(self.last_event);
     }
 
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -57,6 +57,8 @@
         /// Whether the endpoint misbehaved, so that it is avoided for a while.
         at_fault: bool,
     },
+    /// The answer ended after an event, and nothing shows that it is complete.
+    Open,
 }
 
 /// Progress of a run.
@@ -210,19 +212,20 @@
             address,
             limit_version,
             prompt,
-            framed: false,
             events: 0,
             reports,
         };
         let ended = reporter.stream_events(request).await;
         match &ended {
-            RunEnd::Interrupted { at_fault: true, .. } | RunEnd::Empty => {
+            // Nothing was left to write that the endpoint could crash on.
+            RunEnd::Empty | RunEnd::Open if reporter.is_confirming() => {}
+            // An answer without a length ends in the same way when its endpoint crashes.
+            RunEnd::Interrupted { at_fault: true, .. } | RunEnd::Empty | RunEnd::Open => {
                 reporter.record_broken_answer();
             }
-            RunEnd::Done if reporter.framed && reporter.events > 0 => {
+            RunEnd::Done if reporter.events > 0 => {
                 reporter.node.record_answer(&reporter.prompt);
             }
-            // An answer without a length ends in the same way when its endpoint crashes.
             RunEnd::Done => reporter.record_broken_answer(),
             _ => {}
         }
@@ -242,14 +245,17 @@
     address: SocketAddr,
     limit_version: u64,
     prompt: Arc<quarantine::RequestCauses>,
-    /// Whether the head of the answer tells where its body ends.
-    framed: bool,
     /// New events of this run.
     events: u32,
     reports: mpsc::Sender<Report>,
 }
 
 impl Reporter {
+    /// Whether the run has no new event, after runs with several. Its answer confirms their end then.
+    fn is_confirming(&self) -> bool {
+        self.events == 0 && self.last_event >= Some(u64::from(crashes::ANSWERED_EVENTS))
+    }
+
     /// Records that the answer broke off.
     fn record_broken_answer(&self) {
         if self.events < crashes::ANSWERED_EVENTS {
@@ -311,7 +317,6 @@
             }
             Err(ended) => return ended,
         };
-        self.framed = response.is_framed();
         let status = response.head.status;
         let notice = response.leaving_notice(names, &self.key.1);
         node.handle_leaving_notice(&self.endpoint, self.start_time, notice, &self.key.1);
@@ -354,11 +359,12 @@
         loop {
             let bytes = match self.wait(&mut patience, response.next_chunk()).await {
                 Ok(Ok(Some(bytes))) => bytes,
-                Ok(Ok(None)) if !splitter.has_data() && !response.is_framed() => {
-                    return RunEnd::Empty;
+                Ok(Ok(None)) if !splitter.remainder().is_empty() => {
+                    return interrupted("the stream ends within an event", true);
                 }
-                Ok(Ok(None)) if splitter.remainder().is_empty() => return RunEnd::Done,
-                Ok(Ok(None)) => return interrupted("the stream ends within an event", true),
+                Ok(Ok(None)) if response.is_framed() => return RunEnd::Done,
+                Ok(Ok(None)) if splitter.has_data() => return RunEnd::Open,
+                Ok(Ok(None)) => return RunEnd::Empty,
                 Ok(Err(cause)) => return interrupted(&cause, true),
                 Err(ended) => return ended,
             };
--- a/tests/fleet_ends.rs
+++ b/tests/fleet_ends.rs
@@ -3,6 +3,7 @@
 
 mod fleet_world;
 
+use fleet_world::Role;
 use fleet_world::client;
 use fleet_world::scripted::Answer;
 use fleet_world::scripted::Fleet;
@@ -12,7 +13,10 @@
 use fleet_world::scripted::events;
 use fleet_world::scripted::framed;
 use fleet_world::scripted::item_output;
+use serde_json::Value;
+use serde_json::json;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io::Write as _;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -208,3 +212,116 @@
         insta::assert_snapshot!(seen, @"80 x HTTP/1.1 200 OK, 6 events, complete");
     });
 }
+
+/// Most requests that the endpoints got of one stream or item.
+fn most(asked: &Arc<Mutex<BTreeMap<String, usize>>>) -> usize {
+    std::mem::take(&mut *asked.lock().expect("lock")).into_values().max().unwrap_or(0)
+}
+
+/// Guards against streams and items that never end, are broken off or run from the start again because
+/// their endpoints, which are sound, never state where an answer ends.
+#[test]
+fn stream_of_sound_endpoints_has_no_end() {
+    fleet_world::run(async {
+        let mut seen = Vec::new();
+        for endpoints in 1..=2 {
+            let asked = Arc::default();
+            let answers = (0..endpoints).map(|_| unframed(&asked)).collect();
+            let fleet = Arc::new(Fleet::start(answers).await);
+            for prefix in [fleet_world::STREAM_PREFIX, fleet_world::ONCE_PREFIX] {
+                let got = ask_all(&fleet, prefix, 4).await;
+                seen.push(format!("{endpoints} {prefix}: {got}, {} requests", most(&asked)));
+            }
+            let got = run_job(&fleet, ITEMS).await;
+            seen.push(format!("{endpoints} items: {got}, {} requests", most(&asked)));
+        }
+        insta::assert_snapshot!(seen.join("\n"), @r"
+        1 /stream/: 4 x HTTP/1.1 200 OK, 6 events, complete, 2 requests
+        1 /once/: 4 x HTTP/1.1 200 OK, 6 events, complete, 1 requests
+        1 items: 12 of 12 items whole, other: None, 2 requests
+        2 /stream/: 4 x HTTP/1.1 200 OK, 6 events, complete, 2 requests
+        2 /once/: 4 x HTTP/1.1 200 OK, 6 events, complete, 1 requests
+        2 items: 12 of 12 items whole, other: None, 2 requests
+        ");
+    });
+}
+
+/// What an endpoint does with a request for what follows an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Denial {
+    /// It states that it has not run the request.
+    Declined,
+    /// It answers with an error.
+    Failed,
+    /// It closes the connection without an answer.
+    Closed,
+}
+
+/// Guards against a stream that ends as complete although no endpoint has confirmed its end: the one
+/// that is asked for what follows declines or fails.
+#[test]
+fn stream_is_complete_without_confirmation() {
+    fleet_world::run(async {
+        let mut seen = Vec::new();
+        for denial in [Denial::Declined, Denial::Failed, Denial::Closed] {
+            let endpoint: Arc<Answer> = Arc::new(move |request, stream| {
+                let id = &request.id;
+                let answer = match denial {
+                    _ if request.last_event == 0 => {
+                        write_unframed(request, stream, 0, CUT_EVENT)?;
+                        return Ok(false);
+                    }
+                    Denial::Closed => return Ok(false),
+                    Denial::Declined => {
+                        framed("503 Full", id, "x-basilfield-not-executed: 1\r\n", "busy")
+                    }
+                    Denial::Failed => framed("500 Internal Server Error", id, "", "failed"),
+                };
+                stream.write_all(answer.as_bytes())?;
+                Ok(true)
+            });
+            let fleet = Arc::new(Fleet::start(vec![endpoint.clone(), endpoint]).await);
+            let got = ask_all(&fleet, fleet_world::STREAM_PREFIX, 4).await;
+            seen.push(format!("{denial:?}: {got}"));
+        }
+        insta::assert_snapshot!(seen.join("\n"), @r"
+        Declined: 4 x HTTP/1.1 200 OK, 3 events, cut off
+        Failed: 4 x HTTP/1.1 200 OK, 3 events, cut off
+        Closed: 4 x HTTP/1.1 200 OK, 3 events, cut off
+        ");
+    });
+}
+
+/// Guards against more endpoints than the route permits that run a stream, and against a stream that is
+/// broken off, because its end has to be confirmed and no attempt is left.
+#[test]
+fn confirmation_exceeds_the_attempts_of_a_route() {
+    fleet_world::run(async {
+        let mut seen = Vec::new();
+        for rest in [Rest::Framed, Rest::Unframed, Rest::OneByOne] {
+            let places = Arc::new(Mutex::new(BTreeSet::<(String, usize)>::new()));
+            let endpoint = |place: usize| -> Arc<Answer> {
+                let (places, answer) = (places.clone(), cutting(rest));
+                Arc::new(move |request, stream| {
+                    places.lock().expect("lock").insert((request.id.clone(), place));
+                    answer(request, stream)
+                })
+            };
+            let fleet = Arc::new(Fleet::start(vec![endpoint(0), endpoint(1)]).await);
+            let mut config: Value = serde_json::from_str(&fleet.world.config(2)).expect("document");
+            config["routes"][0]["maxAttempts"] = json!(1);
+            assert_eq!(fleet.world.put_config(&config.to_string()).await, 200);
+            let version = "\"version\":2";
+            let is_known = || fleet.world.logs_of(Role::Entry).contains(version);
+            assert!(fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, is_known).await);
+            let got = ask_all(&fleet, fleet_world::STREAM_PREFIX, 4).await;
+            let count = places.lock().expect("lock").len();
+            seen.push(format!("{rest:?}: {got}; {count} pairs of stream and endpoint"));
+        }
+        insta::assert_snapshot!(seen.join("\n"), @r"
+        Framed: 4 x HTTP/1.1 200 OK, 6 events, complete; 4 pairs of stream and endpoint
+        Unframed: 4 x HTTP/1.1 200 OK, 6 events, complete; 4 pairs of stream and endpoint
+        OneByOne: 4 x HTTP/1.1 200 OK, 6 events, complete; 4 pairs of stream and endpoint
+        ");
+    });
+}
--- a/tests/fleet_progress.rs
+++ b/tests/fleet_progress.rs
@@ -116,3 +116,34 @@
     }
     insta::assert_snapshot!(seen.join("; "), @"0 stored, 1114111 not stored; 8454143 stored, 0 not stored");
 }
+
+/// Guards against output that counts as complete by a single answer without a stated end, or that never
+/// does: another answer that ends at the same event confirms it, and no run can go on after an event
+/// without an id.
+#[test]
+fn single_end_completes_output() {
+    let mut seen = Vec::new();
+    let steps: [(&str, &[Option<u64>]); 5] = [
+        ("nothing", &[]),
+        ("nothing again", &[]),
+        ("events", &[Some(1), Some(2)]),
+        ("more events", &[Some(3)]),
+        ("confirmed", &[]),
+    ];
+    let mut item = progress::Progress::default();
+    for (name, events) in steps {
+        events.iter().for_each(|id| item.add_event(b"data", *id));
+        seen.push(format!("{name}: {}", item.record_open_end()));
+    }
+    let mut item = progress::Progress::default();
+    item.add_event(b"data", None);
+    seen.push(format!("no id: {}", item.record_open_end()));
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    nothing: false
+    nothing again: false
+    events: false
+    more events: false
+    confirmed: true
+    no id: true
+    ");
+}
