Test stopped processes and many streams in flight for streams of two builds

Stopped processes were not tested, and the tests of two builds had 12 streams.

- an entry that stands still for 2.5 s while the first endpoints of a build come; 36 streams, those of the new build are sent to it before, during and after
- each control host in turn stands still meanwhile, and is the only one that an entry reaches when it goes on; 36 unknown streams each, none may run
- 60 streams in flight in each of three rounds, all processes are killed and started again, and other endpoints register first in each round; the last round has a third build

--- a/tests/fleet_builds.rs
+++ b/tests/fleet_builds.rs
@@ -8,6 +8,7 @@
 use fleet_world::client;
 use fleet_world::client::Attempt;
 use fleet_world::client::StreamEnd;
+use fleet_world::proxy;
 use serde_json::Value;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -354,6 +355,194 @@
     });
 }
 
+/// Registers endpoints at a control host until it accepts them.
+async fn register(world: &mut World, control: usize, endpoints: &[usize]) {
+    let begun = Instant::now();
+    for at in endpoints {
+        while world.send_heartbeat(control, *at, "ready").await != 200 {
+            assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "{}", world.logs());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Adds two endpoints of a second build, without registering them.
+async fn add_second_build(world: &mut World) {
+    for at in 2..4 {
+        world.endpoints.push(None);
+        world.builds.push("v2".into());
+        world.start_endpoint(at).await;
+    }
+}
+
+/// Time from one attempt that is sent to a stopped host, or to one beside it, to the next one.
+const STOPPED_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a process is stopped. Callers wait longer for a connection that is accepted.
+const STOPPED_TIME: Duration = Duration::from_millis(2_500);
+
+/// Starts attempts at intervals, from before to after the end of a stop.
+fn start_at_intervals(
+    callers: Vec<Attempt>,
+    to: SocketAddr,
+) -> task::JoinSet<(Attempt, StreamEnd)> {
+    let mut tasks = task::JoinSet::new();
+    for (n, mut caller) in (0..).zip(callers) {
+        tasks.spawn(async move {
+            tokio::time::sleep(STOPPED_INTERVAL * n).await;
+            let ended = caller.run(to, LAST_EVENT).await;
+            (caller, ended)
+        });
+    }
+    tasks
+}
+
+/// Guards against streams that go on at another build at an entry that stood still while the first
+/// endpoints of their build came: it reads its callers' requests, some of which have waited, along with
+/// all that it has missed.
+#[test]
+fn entry_that_stood_still_joins_builds() {
+    fleet_world::run(async {
+        let mut world = World::start_with_builds(SIZE, &["v1"; 2], SLOTS).await;
+        let entries = world.caller_addresses();
+        for entry in entries.iter() {
+            wait_for_contact(&world, *entry).await;
+            assert_unknown_stream_goes_on(&world, *entry).await;
+        }
+        add_second_build(&mut world).await;
+        let stopped = world.hosts_of(Role::Entry)[1];
+        world.suspend(stopped);
+        let begun = Instant::now();
+        register(&mut world, 0, &[2, 3]).await;
+        world.wait_until_known(world.hosts_of(Role::Entry)[0]).await;
+        let new = (0..3 * STREAMS).map(|n| format!("late-{n}"));
+        let new = new.map(|id| Attempt::new(fleet_world::STREAM_PREFIX, &id)).collect();
+        let ended = start(new, entries[0], 3).join_all().await;
+        let mut callers = broken(&world, ended);
+        callers.retain(|c| first_build(&world, &c.stream) == "v2");
+        assert!(!callers.is_empty(), "streams of the new build\n{}", world.logs());
+        let tasks = start_at_intervals(callers, entries[1]);
+        tokio::time::sleep(STOPPED_TIME.saturating_sub(begun.elapsed())).await;
+        world.resume(stopped);
+        let ended = tasks.join_all().await;
+        assert_go_on(&world, &ended, 0);
+        let broken = ended.into_iter().filter(|(_, ended)| *ended != StreamEnd::Complete);
+        let callers: Vec<Attempt> = broken.map(|(caller, _)| caller).collect();
+        let left = callers.len();
+        let ended = start(callers, entries[1], LAST_EVENT).join_all().await;
+        assert_go_on(&world, &ended, left);
+    });
+}
+
+/// Guards against a control host that stood still while the first endpoints of a build came, and then
+/// tells an entry that reaches no other one that there is one build. Each control host is stopped once,
+/// so that the leader is among them.
+#[test]
+fn control_host_that_stood_still_tells_of_one_build() {
+    fleet_world::run(async {
+        let mut seen = Vec::new();
+        for stopped in 0..usize::from(SIZE.controls) {
+            let mut world = World::start_with_builds(SIZE, &["v1"; 2], SLOTS).await;
+            let entries = world.caller_addresses();
+            for entry in entries.iter() {
+                wait_for_contact(&world, *entry).await;
+                assert_unknown_stream_goes_on(&world, *entry).await;
+            }
+            add_second_build(&mut world).await;
+            let controls = world.hosts_of(Role::Control);
+            let entry = world.hosts_of(Role::Entry)[1];
+            let cut = proxy::LinkFaults {
+                drop_inbound: true,
+                drop_outbound: true,
+                ..proxy::LinkFaults::default()
+            };
+            for control in controls.iter().filter(|c| **c != controls[stopped]) {
+                world.hosts[*control].proxy.set_faults(&world.link(entry), cut);
+                world.hosts[entry].proxy.set_faults(&world.link(*control), cut);
+            }
+            world.suspend(controls[stopped]);
+            let begun = Instant::now();
+            let other = controls[(stopped + 1) % controls.len()];
+            register(&mut world, other, &[2, 3]).await;
+            let callers = (0..3 * STREAMS).map(|n| {
+                let mut caller = unknown_caller();
+                caller.stream = format!("unknown-{n}");
+                caller
+            });
+            let tasks = start_at_intervals(callers.collect(), entries[1]);
+            tokio::time::sleep(STOPPED_TIME.saturating_sub(begun.elapsed())).await;
+            world.resume(controls[stopped]);
+            for (caller, ended) in tasks.join_all().await {
+                if ended != StreamEnd::NotRun || !world.runs_of(&caller.stream).is_empty() {
+                    seen.push(format!("{stopped} {}: {ended:?}\n{}", caller.stream, world.logs()));
+                }
+            }
+        }
+        assert!(seen.is_empty(), "{seen:?}");
+    });
+}
+
+/// Guards against streams that hold events of two builds after all processes were killed in the middle of a
+/// release, whichever endpoints register first afterwards: many streams are in flight, and in each
+/// round another build is the only one that serves at first.
+#[test]
+fn processes_killed_in_a_release_join_builds() {
+    /// Streams in flight at each entry.
+    const IN_FLIGHT: usize = 30;
+    /// Endpoints that register first in each round, and those that register after the first attempts.
+    const ROUNDS: [(&[usize], &[usize]); 3] =
+        [(&[2, 3], &[0, 1]), (&[0, 1], &[2, 3]), (&[0], &[1, 2, 3])];
+    fleet_world::run(async {
+        let mut world = World::start_with_builds(SIZE, &BUILDS, 2 * SLOTS).await;
+        let entries = world.caller_addresses();
+        let mut broke = 0;
+        for (round, (first, late)) in ROUNDS.into_iter().enumerate() {
+            world.slow_down(None, SLOWDOWN);
+            let mut streams = task::JoinSet::new();
+            for (at, entry) in entries.iter().enumerate() {
+                let ids = (0..IN_FLIGHT).map(|n| format!("stream-{round}-{at}-{n}"));
+                let callers = ids.map(|id| Attempt::new(fleet_world::STREAM_PREFIX, &id)).collect();
+                let to = *entry;
+                streams.spawn(async move { start(callers, to, LAST_EVENT).join_all().await });
+            }
+            tokio::time::sleep(BEGIN_TIME).await;
+            for at in 0..world.hosts.len() {
+                world.kill(at);
+            }
+            if round == ROUNDS.len() - 1 {
+                // The release goes on while no host runs: another build starts at an address of the first.
+                world.crash_endpoint(0);
+                world.builds[0] = "v3".into();
+                world.start_endpoint(0).await;
+            }
+            let mut callers: Vec<Attempt> = Vec::new();
+            for (caller, _) in streams.join_all().await.into_iter().flatten() {
+                callers.extend((caller.last > 0).then_some(caller));
+            }
+            broke += callers.len();
+            for at in 0..world.hosts.len() {
+                world.start_host(at, false);
+            }
+            register(&mut world, 0, first).await;
+            for at in world.hosts_of(Role::Entry) {
+                world.wait_until_ready(at).await;
+            }
+            let half = callers.split_off(callers.len() / 2);
+            let (one, two) =
+                (start(callers, entries[0], LAST_EVENT), start(half, entries[1], LAST_EVENT));
+            tokio::time::sleep(DIRECTORY_TIME).await;
+            register(&mut world, 0, late).await;
+            let ended: Ended =
+                one.join_all().await.into_iter().chain(two.join_all().await).collect();
+            assert_go_on(&world, &ended, 0);
+            let callers = ended.into_iter().filter(|(_, e)| *e != StreamEnd::Complete);
+            let callers = callers.map(|(caller, _)| caller).collect();
+            assert_go_on(&world, &start(callers, entries[1], LAST_EVENT).join_all().await, 0);
+        }
+        let least = ROUNDS.len() * entries.len() * IN_FLIGHT * 2 / 3;
+        assert!(broke >= least, "{broke} streams broke, of {least}\n{}", world.logs());
+    });
+}
+
 /// Guards against a stream that goes on at another build, or waits, when its own build has left.
 #[test]
 fn stream_of_a_build_that_has_left_is_refused() {
