--- a/tests/fleet_world/scripted.rs
+++ b/tests/fleet_world/scripted.rs
@@ -97,7 +97,13 @@
 
 impl Fleet {
     pub async fn start(answers: Vec<Arc<Answer>>) -> Fleet {
-        let mut world = World::prepare(SIZE).await;
+        let builds = answers.into_iter().map(|a| (fleet_world::DEFAULT_BUILD, a)).collect();
+        Fleet::start_with_builds(SIZE, builds).await
+    }
+
+    /// Starts a fleet with an endpoint for each build and answer.
+    pub async fn start_with_builds(size: Size, endpoints: Vec<(&str, Arc<Answer>)>) -> Fleet {
+        let mut world = World::prepare(size).await;
         for at in 0..world.hosts.len() {
             world.start_host(at, true);
         }
@@ -108,11 +114,11 @@
         }
         let entry = world.entry();
         let fleet = Fleet { world, entry };
-        for (n, answer) in answers.into_iter().enumerate() {
+        for (n, (build, answer)) in endpoints.into_iter().enumerate() {
             let id = format!("raw-{n}");
             let body = json!({
                 "service": fleet_world::SERVICE, "address": start_endpoint(answer), "zone": "d0",
-                "version": "v1", "slots": 50, "state": "ready", "coldMs": 0, "callSeq": 1,
+                "version": build, "slots": 50, "state": "ready", "coldMs": 0, "callSeq": 1,
             });
             let control = fleet.world.hosts_of(Role::Control)[0];
             let to = (fleet.world.hosts[control].process_address, fleet_world::OPERATOR_PORT);
@@ -122,10 +128,17 @@
                 assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "{}", fleet.world.logs());
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
-            let is_known = || fleet.world.logs_of(Role::Entry).contains(&format!("\"{id}\""));
+            let name = format!("\"{id}\"");
+            let knows = |at: usize| {
+                let log = std::fs::read_to_string(fleet.world.log_file(at));
+                log.is_ok_and(|log| log.contains(&name))
+            };
+            let is_known = || fleet.world.hosts_of(Role::Entry).into_iter().all(knows);
             assert!(fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, is_known).await);
         }
-        fleet.world.wait_until_ready(fleet.world.hosts_of(Role::Entry)[0]).await;
+        for at in fleet.world.hosts_of(Role::Entry) {
+            fleet.world.wait_until_ready(at).await;
+        }
         fleet
     }
 
