Record the build of a stream only once its first event has come

An entry recorded the build of each endpoint that it asked, before it had brought anything, and corrected the record when another one did. Records are not acknowledged, so the correction may be lost, and a record of what was only asked was taken for the origin.

An entry now records the build once, just before it passes the first event on. A stream is bound to that build from then on, so a record never changes, and a host that has one knows the origin. If it is lost, no host knows the stream, which is refused as not run unless the control group confirms that there is one build. Records have no number any more, and the first host that tells an origin is believed at once, where the entry waited 50 ms for a later record.

Weighed against it: records of several possible builds don't help, as the record that adds a build may be lost too; to ask only endpoints of one build refuses streams whose build is gone; to hold the first event for an acknowledgement delays each stream by a round trip, and by a time limit while a control host is silent.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -227,8 +227,6 @@
     content_type: Option<HeaderValue>,
     /// Whether the caller may take up the stream again under the id of this request.
     is_origin: bool,
-    /// Number of the last record of the stream's origin, and the build that it names.
-    recorded: Option<(u32, Arc<str>)>,
     pub(super) prompt: Arc<quarantine::RequestCauses>,
     /// Trials that were granted to the request. It goes to one endpoint then.
     trial: quarantine::Trial,
@@ -317,7 +315,6 @@
         begun: false,
         content_type: None,
         is_origin,
-        recorded: None,
         ended: false,
         prompt,
         trial: quarantine::Trial::default(),
@@ -366,7 +363,9 @@
         self.build.as_ref()
     }
 
-    /// Records that the caller has events of the stream, which `build` has brought.
+    /// Records that the caller gets events of the stream, which `build` has brought. The build is not
+    /// recorded before: an endpoint of another one can still begin the stream then, and a record that
+    /// names it may be lost.
     pub(super) fn begin_stream(&mut self, build: &Arc<str>, head: &hyper::http::response::Parts) {
         if !self.begun {
             self.content_type = head.headers.get(header::CONTENT_TYPE).cloned();
@@ -390,19 +389,15 @@
         head.status.is_success() && (!self.begun || has_fitting_type)
     }
 
-    /// Records that an endpoint of the given build may begin the stream, before it does.
-    fn record_origin(&mut self, build: &Arc<str>) {
-        let seq = match &self.recorded {
-            _ if !self.is_origin || self.build.is_some() => return,
-            Some((_, recorded)) if recorded == build => return,
-            Some((seq, _)) => seq + 1,
-            None => 1,
-        };
-        self.recorded = Some((seq, build.clone()));
+    /// Records that an endpoint of the given build has begun the stream.
+    fn record_origin(&self, build: &Arc<str>) {
+        if !self.is_origin {
+            return;
+        }
         let origin = origin::Origin { service: self.service.clone(), build: build.clone() };
         let keep_ms = self.return_time().as_millis() as u64;
         let stream = self.request.id.clone();
-        self.node.keep_origin(origin::Record { stream, seq, origin, keep_ms });
+        self.node.keep_origin(origin::Record { stream, origin, keep_ms });
     }
 
     /// Time for which the caller may still come back to take up its stream.
@@ -687,7 +682,6 @@
                 "asked" => &*name);
             self.tried.push(name.clone());
             self.asked.push(name.clone());
-            self.record_origin(&endpoint.build);
             let guard = self.node.count_request(&self.service, &endpoint.id);
             let mut other = std::pin::pin!(self.attempt(headers, endpoint.clone(), guard));
             let mut failure = None;
@@ -813,7 +807,6 @@
             self.trial.set_sent(true);
             self.tried.push(endpoint.id.clone());
             self.asked.push(endpoint.id.clone());
-            self.record_origin(&endpoint.build);
             let (name, asked) = (endpoint.id.clone(), endpoint.clone());
             let limit = self.first_event_timeout();
             let sending = self.attempt(headers, endpoint, guard);
--- a/src/fleet/origin.rs
+++ b/src/fleet/origin.rs
@@ -32,13 +32,12 @@
     pub build: Arc<str>,
 }
 
-/// Origin of a stream, as sent to a control host.
+/// Origin of a stream, as sent to a control host once the stream has begun. It never changes, so a host
+/// that has a record knows the origin.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// Id of the request that began the stream.
     pub stream: Arc<str>,
-    /// Number of the record. If the first endpoint brings no event, a later record names another.
-    pub seq: u32,
     /// Origin of the stream.
     pub origin: Origin,
     /// Time for which the caller may still come back, in milliseconds.
@@ -47,7 +46,6 @@
 
 #[derive(Clone, Debug)]
 struct Kept {
-    seq: u32,
     origin: Origin,
     until: Duration,
 }
@@ -61,15 +59,13 @@
 }
 
 impl Origins {
-    /// Keeps a record unless a later one of the same stream is known.
+    /// Keeps a record.
     pub fn insert(&mut self, now: Duration, record: Record) {
-        let Record { stream, seq, origin, keep_ms } = record;
+        let Record { stream, origin, keep_ms } = record;
         let until = now + Duration::from_millis(keep_ms).min(MAX_RETENTION);
-        let next = Kept { seq, origin, until };
+        let next = Kept { origin, until };
         if let Some(known) = self.kept.get_mut(&stream) {
-            if known.seq <= seq {
-                *known = next;
-            }
+            *known = next;
             return;
         }
         if self.order.len() >= MAX_ORIGINS
@@ -81,7 +77,7 @@
         self.kept.insert(stream, next);
     }
 
-    /// Latest record of a stream.
+    /// Record of a stream.
     pub fn find(&self, now: Duration, stream: &str) -> Option<Record> {
         let kept = self.kept.get(stream).filter(|k| k.until > now)?;
         Some(kept.record(now, stream.into()))
@@ -105,7 +101,7 @@
     fn record(&self, now: Duration, stream: Arc<str>) -> Record {
         let left = self.until.saturating_sub(now);
         let keep_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        Record { stream, seq: self.seq, origin: self.origin.clone(), keep_ms }
+        Record { stream, origin: self.origin.clone(), keep_ms }
     }
 }
 
@@ -127,7 +123,7 @@
     Unknown,
 }
 
-/// Decides where a stream may go on. `found` is the latest record of the hosts that were asked.
+/// Decides where a stream may go on. `found` is the record of the hosts that were asked.
 /// `builds` are those of the services to which the route leads, as a quorum of the control group has
 /// confirmed them since the caller came back; `None` if no quorum has answered.
 pub fn continuation(found: Option<Origin>, builds: Option<&[Origin]>) -> Continuation {
--- a/src/fleet/origin_client.rs
+++ b/src/fleet/origin_client.rs
@@ -20,9 +20,6 @@
 const FIND_TIMEOUT: Duration = Duration::from_millis(600);
 /// Longest wait for a quorum of the control group to confirm the builds of a service.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
-/// Longest wait for further answers after one host has told an origin. A host that missed the last
-/// record of a stream tells an earlier one.
-const FURTHER_ANSWERS_TIMEOUT: Duration = Duration::from_millis(50);
 /// Most origins in one message.
 const MAX_RECORDS: usize = 1_000;
 
@@ -51,19 +48,15 @@
         };
         let mut answers: stream::FuturesUnordered<_> =
             self.reached_controls().into_iter().map(ask).collect();
-        let mut latest: Option<origin::Record> = None;
-        loop {
-            let limit = if latest.is_some() { FURTHER_ANSWERS_TIMEOUT } else { FIND_TIMEOUT };
-            match time::timeout(limit, answers.next()).await {
-                Ok(Some(Some(found))) => {
-                    if latest.as_ref().is_none_or(|known| known.seq < found.seq) {
-                        latest = Some(found);
-                    }
+        let first = async {
+            while let Some(answer) = answers.next().await {
+                if let Some(found) = answer {
+                    return Some(found.origin);
                 }
-                Ok(Some(None)) => {}
-                Ok(None) | Err(_) => return latest.map(|record| record.origin),
             }
-        }
+            None
+        };
+        time::timeout(FIND_TIMEOUT, first).await.unwrap_or_default()
     }
 
     /// Builds of the services that can have begun a stream before this call, as confirmed by a quorum
