--- a/tests/fleet_world/scripted.rs
+++ b/tests/fleet_world/scripted.rs
@@ -17,6 +17,8 @@
 use tokio::io::AsyncWriteExt as _;
 
 pub const SIZE: Size = Size { controls: 1, losses: 0, stores: 1, entries: 1, endpoints: 0 };
+/// Slots of an endpoint unless a test states others.
+const SLOTS: u32 = 50;
 /// Longest time for the answer to a request.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Longest time for a job, including the runs that are interrupted.
@@ -97,12 +99,21 @@
 
 impl Fleet {
     pub async fn start(answers: Vec<Arc<Answer>>) -> Fleet {
+        Fleet::start_with_slots(answers, SLOTS).await
+    }
+
+    /// Starts a fleet whose endpoints state that they have `slots` slots.
+    pub async fn start_with_slots(answers: Vec<Arc<Answer>>, slots: u32) -> Fleet {
         let builds = answers.into_iter().map(|a| (fleet_world::DEFAULT_BUILD, a)).collect();
-        Fleet::start_with_builds(SIZE, builds).await
+        Fleet::launch(SIZE, builds, slots).await
     }
 
     /// Starts a fleet with an endpoint for each build and answer.
     pub async fn start_with_builds(size: Size, endpoints: Vec<(&str, Arc<Answer>)>) -> Fleet {
+        Fleet::launch(size, endpoints, SLOTS).await
+    }
+
+    async fn launch(size: Size, endpoints: Vec<(&str, Arc<Answer>)>, slots: u32) -> Fleet {
         let mut world = World::prepare(size).await;
         for at in 0..world.hosts.len() {
             world.start_host(at, true);
@@ -118,7 +129,7 @@
             let id = format!("raw-{n}");
             let body = json!({
                 "service": fleet_world::SERVICE, "address": start_endpoint(answer), "zone": "d0",
-                "version": build, "slots": 50, "state": "ready", "coldMs": 0, "callSeq": 1,
+                "version": build, "slots": slots, "state": "ready", "coldMs": 0, "callSeq": 1,
             });
             let control = fleet.world.hosts_of(Role::Control)[0];
             let to = (fleet.world.hosts[control].process_address, fleet_world::OPERATOR_PORT);
