Bind what a stopping entry takes to its end

An entry took requests for 2.6 s after the signal, whatever their time, and cut what ran 0.4 s before its grace was over. Only the head of a request was checked: a slow body, or a wait for a slot, a build or a trial, passed.

A stopping process now has one end, which is part of its stage. A request whose time ends later is refused as not run if it may not be repeated and no endpoint may have it; any other has that end as its deadline, of which its endpoints are told, and is answered then. A stop wakes what waits. Calls about jobs follow the same rule.

stop_finishes_running_requests sent a request of 6 s that may not be repeated into a stop that ends after 5.6 s, and asked that it is served. Nothing tells that such a request ends in time. It now has 4.8 s, in which it must be complete as before.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -3,6 +3,7 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::fleet::admission;
 use crate::fleet::builds;
 use crate::fleet::control_state;
 use crate::fleet::directory;
@@ -149,20 +150,21 @@
         let (published, is_leader) = (state_sender.clone(), leader_sender.clone());
         Box::new(Service { state: control_state::ControlState::default(), published, is_leader })
     });
+    let (stage_sender, stage) = watch::channel(admission::Stage::default());
     let control = Arc::new(Control::new(node));
     let (ended, end) = supervisor::Stop::channel();
     let (open, _) = watch::channel(());
     let (_, bounds) =
         watch::channel(routes::Bounds { body_bytes: MAX_BODY_BYTES, ..routes::Bounds::default() });
-    let (stage_sender, stage) = watch::channel(serve::Stage::Serving);
     let log = tree.log().clone();
     tree.spawn_once(serve::run(operators, control, bounds, stage, open.clone(), end, log).map(Ok));
     let mut stop = tree.stop_signal();
     tree.spawn_once(async move {
         stop.wait().await;
-        stage_sender.send_replace(serve::Stage::Closing);
+        let end = time::Instant::now() + DRAIN_TIMEOUT;
+        stage_sender.send_replace(admission::Stage::Closing { end });
         // Callers repeat calls that are cut off here.
-        let _ = time::timeout(DRAIN_TIMEOUT, open.closed()).await;
+        let _ = time::timeout_at(end, open.closed()).await;
         ended.send_replace(true);
         Ok(())
     });
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -3,7 +3,9 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::fleet::admission;
 use crate::fleet::body;
+use crate::fleet::deadline;
 use crate::fleet::directory;
 use crate::fleet::forward;
 use crate::fleet::frame;
@@ -25,11 +27,6 @@
 use tokio::sync::watch;
 use tokio::time;
 
-/// Time between failing the readiness check and closing connections. The balancer checks once a
-/// second and stops sending requests here after two failures.
-const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(2_600);
-/// Every connection is closed this long before the forced end of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Longest wait for the job group to accept a job or answer another call about jobs.
 const JOB_CALL_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Longest time that a read of results may wait for new ones.
@@ -48,7 +45,7 @@
     node: node::Node,
     /// Memory for request bodies.
     memory: body::Memory,
-    stage: watch::Receiver<serve::Stage>,
+    stage: deadline::StageReceiver,
 }
 
 /// Adds the tasks of the role to a supervisor. Returns the signal that stops connections to other
@@ -66,7 +63,7 @@
     let ready = listen.ready.ok_or_else(|| missing("listen.ready is missing"))?;
     let (callers, ready) = (node::listen(callers)?, node::listen(ready)?);
     let (bounds_sender, bounds) = watch::channel(routes::Bounds::default());
-    let (stage_sender, stage) = watch::channel(serve::Stage::Serving);
+    let (stage_sender, stage) = watch::channel(admission::Stage::default());
     let entry = Arc::new(Entry::new(node, stage.clone()));
     let (open, _) = watch::channel(());
     let (ended, end) = supervisor::Stop::channel();
@@ -89,13 +86,14 @@
     let mut stop = tree.stop_signal();
     tree.spawn_once(async move {
         stop.wait().await;
-        stage_sender.send_replace(serve::Stage::Draining);
-        let deadline = time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
-        time::sleep(BALANCER_DRAIN_TIME).await;
-        stage_sender.send_replace(serve::Stage::Closing);
+        let admission::Schedule { closing, end, cut } =
+            admission::Schedule::new(time::Instant::now(), grace);
+        stage_sender.send_replace(admission::Stage::Draining { end });
+        time::sleep_until(closing).await;
+        stage_sender.send_replace(admission::Stage::Closing { end });
         // The listeners stay open, as a balancer that has not noticed the stop still sends
-        // requests. Requests that still run at the deadline are cut off when the process ends.
-        let _ = time::timeout_at(deadline, open.closed()).await;
+        // requests.
+        let _ = time::timeout_at(cut, open.closed()).await;
         ended.send_replace(true);
         Ok(())
     });
@@ -163,7 +161,7 @@
 
 /// Returns the handler of frames from other hosts.
 pub fn peer_handler(node: &node::Node) -> Arc<dyn peer::Handler> {
-    let (_, stage) = watch::channel(serve::Stage::Serving);
+    let (_, stage) = watch::channel(admission::Stage::default());
     Arc::new(Entry::new(node, stage))
 }
 
@@ -177,7 +175,7 @@
 }
 
 impl Entry {
-    fn new(node: &node::Node, stage: watch::Receiver<serve::Stage>) -> Entry {
+    fn new(node: &node::Node, stage: deadline::StageReceiver) -> Entry {
         Entry { node: node.clone(), memory: body::Memory::new(MAX_HELD_BODY_BYTES), stage }
     }
 
@@ -205,9 +203,8 @@
         let headers = node.view.protocol().headers();
         let id = head.headers.get(&headers.request_id).and_then(|v| v.to_str().ok());
         let id: Arc<str> = id.unwrap_or_default().into();
-        if *self.stage.borrow() == serve::Stage::Closing {
-            // A request that starts now might not finish before the forced end of the process.
-            return forward::refuse(node, &id, "the host stops");
+        if self.stage.borrow().is_closing() {
+            return forward::refuse(node, &id, forward::STOPPING);
         }
         let Some(active) = node.view.active_config() else {
             return forward::refuse(node, &id, "no configuration is known yet");
@@ -237,9 +234,18 @@
             return serve::response(StatusCode::BAD_REQUEST, "the request has no id\n");
         }
         let limit = active.config.bounds.body_bytes;
+        let terms = admission::Terms {
+            limit: arrived + forward::time_limit(headers, &head.headers, route.timeout),
+            repeatable: route.is_retryable(),
+        };
+        let deadline = deadline::Deadline::new(terms, self.stage.clone());
         // A body that stops arriving holds memory until the time of its request is over.
-        let end = arrived + forward::time_limit(headers, &head.headers, route.timeout);
-        let (body, memory) = match time::timeout_at(end, self.memory.read(body, limit)).await {
+        let read = self.memory.read(body, limit);
+        let read = deadline.run(admission::Progress::NotRun, Duration::MAX, read).await;
+        let (body, memory) = match read {
+            _ if deadline.is_too_late(admission::Progress::NotRun) => {
+                return forward::refuse(node, &id, forward::STOPPING);
+            }
             Ok(Ok(read)) => read,
             Ok(Err(body::Problem::NoMemory)) => {
                 return forward::refuse(node, &id, "too many bodies are held");
@@ -250,10 +256,13 @@
             Ok(Err(body::Problem::BrokenOff)) => {
                 return serve::response(StatusCode::BAD_REQUEST, "the body breaks off\n");
             }
-            Err(_) => return forward::refuse(node, &id, "the body has not arrived in time"),
+            Err(deadline::Passed) => {
+                return forward::refuse(node, &id, "the body has not arrived in time");
+            }
         };
         let route = route.clone();
-        let request = forward::Request { id, head, body, route, arrived, _memory: memory };
+        let request =
+            forward::Request { id, head, body, route, arrived, deadline, _memory: memory };
         match request.route.kind {
             routes::Kind::Batch => self.submit_job(request, active.document.version).await,
             _ => forward::forward(node.clone(), request).await,
@@ -265,12 +274,35 @@
         let usable = node.view.active_config().is_some()
             && node.view.quarantine(|q| q.is_usable(node.now()))
             && node.view.directory(|d| d.endpoints().any(|e| e.phase == directory::Phase::Ready));
-        match usable && *self.stage.borrow() == serve::Stage::Serving {
+        match usable && self.stage.borrow().end().is_none() {
             true => serve::response(StatusCode::OK, "ready\n"),
             false => serve::response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         }
     }
 
+    /// Deadline of a call about jobs that begins now and takes at most `limit`.
+    fn job_deadline(&self, limit: Duration, repeatable: bool) -> deadline::Deadline {
+        let terms = admission::Terms { limit: time::Instant::now() + limit, repeatable };
+        deadline::Deadline::new(terms, self.stage.clone())
+    }
+
+    /// Waits for the job group, until the process ends.
+    async fn until_end<T>(
+        &self,
+        call: impl Future<Output = Result<T, groups::Failure>>,
+    ) -> Result<T, groups::Failure> {
+        tokio::select! {
+            biased;
+            reply = call => reply,
+            () = deadline::wait_for_end(self.stage.clone()) => Err(groups::Failure::Unknown),
+        }
+    }
+
+    /// Reads from the job group.
+    async fn query_jobs(&self, query: &ledger::Query) -> Result<ledger::Answer, groups::Failure> {
+        self.until_end(self.node.groups.query(groups::JOBS, query, JOB_CALL_TIMEOUT)).await
+    }
+
     /// Submits a job to the job group. `version` is that of the configuration with its route.
     async fn submit_job(&self, request: forward::Request, version: u64) -> serve::Response {
         let node = &self.node;
@@ -309,7 +341,11 @@
         let requested = forward::numeric_header(&request.head.headers, &headers.deadline);
         let limit = requested
             .map_or(JOB_CALL_TIMEOUT, |ms| JOB_CALL_TIMEOUT.min(Duration::from_millis(ms)));
-        match node.groups.propose(groups::JOBS, &command, limit).await {
+        if self.job_deadline(limit, false).is_too_late(admission::Progress::NotRun) {
+            return forward::refuse(node, &request.id, forward::STOPPING);
+        }
+        let proposed = node.groups.propose(groups::JOBS, &command, limit);
+        match self.until_end(proposed).await {
             Ok(_) => {
                 event!(node.log, events::JOB_ACCEPTED; "request" => &*request.id,
                     "items" => count);
@@ -335,16 +371,15 @@
         let node = &self.node;
         let headers = node.view.protocol().headers();
         let wait = forward::numeric_header(&head.headers, &headers.wait).unwrap_or(0);
-        let deadline = time::Instant::now() + Duration::from_millis(wait).min(MAX_RESULTS_WAIT);
+        let deadline = self.job_deadline(Duration::from_millis(wait).min(MAX_RESULTS_WAIT), true);
         let query = ledger::Query::Results { job: job.clone(), after };
         loop {
-            let result = node.groups.query(groups::JOBS, &query, JOB_CALL_TIMEOUT).await;
-            let page = match result {
+            let page = match self.query_jobs(&query).await {
                 Ok(ledger::Answer::Page(page)) => page,
                 Ok(_) => return serve::response(StatusCode::NOT_FOUND, "no such job\n"),
                 Err(_) => return forward::refuse(node, &job, "the jobs cannot be read now"),
             };
-            let timed_out = time::Instant::now() + RESULTS_POLL_INTERVAL > deadline;
+            let timed_out = deadline.time_left() < RESULTS_POLL_INTERVAL;
             if !page.results.is_empty() || page.next >= page.total || timed_out {
                 return serve::json_response(node.view.protocol().encode_page(&page));
             }
@@ -355,7 +390,7 @@
     async fn item_body(&self, job: Arc<str>, item: Arc<str>) -> serve::Response {
         let node = &self.node;
         let query = ledger::Query::Body { job: job.clone(), item };
-        match node.groups.query(groups::JOBS, &query, JOB_CALL_TIMEOUT).await {
+        match self.query_jobs(&query).await {
             Ok(ledger::Answer::Body(body)) => serve::response(StatusCode::OK, body),
             Ok(_) => serve::response(StatusCode::NOT_FOUND, "no such item, or it is listed\n"),
             Err(_) => forward::refuse(node, &job, "the jobs cannot be read now"),
@@ -365,7 +400,8 @@
     async fn end_job(&self, job: Arc<str>) -> serve::Response {
         let node = &self.node;
         let command = ledger::Command::EndJob { job: job.clone() };
-        match node.groups.propose(groups::JOBS, &command, JOB_CALL_TIMEOUT).await {
+        let proposed = node.groups.propose(groups::JOBS, &command, JOB_CALL_TIMEOUT);
+        match self.until_end(proposed).await {
             Ok(ledger::Reply::Done) => {
                 event!(node.log, events::JOB_ENDED; "request" => &*job);
                 serve::response(StatusCode::OK, "")
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -2,10 +2,12 @@
 
 use crate::event;
 use crate::events;
+use crate::fleet::admission;
 use crate::fleet::attempt;
 use crate::fleet::body;
 use crate::fleet::continuation;
 use crate::fleet::crashes;
+use crate::fleet::deadline;
 use crate::fleet::event_stream;
 use crate::fleet::limits;
 use crate::fleet::node;
@@ -68,6 +70,9 @@
 /// A request is not sent if less than this is left until its deadline.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
+/// Reason of a refusal while the process stops.
+pub const STOPPING: &str = "the host stops before the time of the request is over";
+
 /// Headers that apply to one connection only, RFC 9110 section 7.6.1.
 const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -93,6 +98,8 @@
     pub route: routes::Route,
     /// Time at which the request arrived.
     pub arrived: time::Instant,
+    /// Deadline set by the caller, the route or the end of the process, whichever is earliest.
+    pub deadline: deadline::Deadline,
     /// Reservation of memory for the body.
     pub _memory: body::Reservation,
 }
@@ -207,8 +214,6 @@
 pub(super) struct Forwarder {
     pub(super) node: node::Node,
     pub(super) request: Request,
-    /// Deadline set by the caller or the route, whichever is earlier.
-    deadline: time::Instant,
     pub(super) attempts: attempt::Attempts,
     /// Ids of the endpoints that were tried.
     tried: Vec<Arc<str>>,
@@ -280,8 +285,6 @@
 /// Forwards a request. Dropping the future or the body of the response cancels it.
 pub async fn forward(node: node::Node, request: Request) -> serve::Response {
     let headers = node.view.protocol().headers().clone();
-    let deadline =
-        request.arrived + time_limit(&headers, &request.head.headers, request.route.timeout);
     let Some(mut service) = request.route.choose_service(rand::random()).cloned() else {
         return refuse(&node, &request.id, "the route has no service");
     };
@@ -289,9 +292,12 @@
     let last_event = numeric_header(&request.head.headers, &headers.last_event);
     let is_stream = request.route.kind == routes::Kind::Stream;
     if is_stream && last_event.is_some_and(|last| last > 0) {
-        match continuation::find(&node, &request, &headers, service).await {
-            Ok(found) => (service, build) = (found.0, Some(found.1)),
-            Err(response) => return response,
+        let find = continuation::find(&node, &request, &headers, service);
+        let found = request.deadline.run(admission::Progress::NotRun, Duration::MAX, find).await;
+        match found {
+            Ok(Ok(found)) => (service, build) = (found.0, Some(found.1)),
+            Ok(Err(response)) => return response,
+            Err(deadline::Passed) => return refuse(&node, &request.id, "the time is over"),
         }
     }
     let is_origin = is_stream && request.route.resumable && build.is_none();
@@ -304,7 +310,6 @@
     let mut forwarder = Forwarder {
         node,
         request,
-        deadline,
         attempts,
         tried: Vec::new(),
         asked: Vec::new(),
@@ -332,7 +337,25 @@
 impl Forwarder {
     /// Time left until the deadline.
     pub(super) fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(time::Instant::now())
+        self.request.deadline.time_left()
+    }
+
+    /// Whether any attempt may have run.
+    fn progress(&self) -> admission::Progress {
+        match self.attempts.may_have_run() {
+            true => admission::Progress::MayRun,
+            false => admission::Progress::NotRun,
+        }
+    }
+
+    /// Whether the request must not be sent any more, since the process ends before its time is over.
+    fn is_too_late(&self) -> bool {
+        self.request.deadline.is_too_late(self.progress())
+    }
+
+    /// Why the deadline has passed.
+    fn late_reason(&self, reason: &'static str) -> &'static str {
+        if self.request.deadline.is_cut() { STOPPING } else { reason }
     }
 
     /// Endpoints at which the request may run. What endpoints of two builds write does not fit
@@ -462,7 +485,9 @@
         let limit = self.request.route.response_target.mul_f64(SLOT_WAIT_SHARE);
         let waited = self.request.arrived.elapsed();
         let limit = limit.saturating_sub(waited).min(self.time_left());
-        if let Some(guard) = self.node.wait_for_slot(&self.service, limit).await {
+        let slot = self.node.wait_for_slot(&self.service, limit);
+        let slot = self.request.deadline.run(self.progress(), limit, slot).await;
+        if let Ok(Some(guard)) = slot {
             let candidates = self.node.candidates(&self.service);
             let found = candidates.into_iter().find(|c| c.id == *guard.endpoint());
             if let Some(endpoint) = found.filter(|c| !self.tried.contains(&c.id)) {
@@ -511,7 +536,8 @@
     async fn wait_for_released_slot(&self, limit: Duration) -> Option<Slot> {
         let limit = limit.min(self.time_left());
         let build = self.build.as_ref()?;
-        let guard = self.node.wait_for_build_slot(&self.service, build, limit).await?;
+        let slot = self.node.wait_for_build_slot(&self.service, build, limit);
+        let guard = self.request.deadline.run(self.progress(), limit, slot).await.ok()??;
         let endpoint = self.candidates().into_iter().find(|c| c.id == *guard.endpoint())?;
         Some((endpoint, guard))
     }
@@ -538,7 +564,12 @@
                 quarantine::Check::TrialDue { hold, number } => (hold, number),
             };
             let id = self.request.id.clone();
-            if self.attempts.may_have_run() || !self.node.ask_for_trial(hold, number, &id).await {
+            if self.attempts.may_have_run() {
+                break hold;
+            }
+            let trial = self.node.ask_for_trial(hold, number, &id);
+            let trial = self.request.deadline.run(self.progress(), Duration::MAX, trial).await;
+            if trial != Ok(true) {
                 break hold;
             }
             self.trial.grant(hold.cause);
@@ -661,7 +692,8 @@
                 true => pause.min(self.time_left()),
                 false => self.time_left(),
             };
-            match time::timeout(pause_now, &mut answer).await {
+            let deadline = &self.request.deadline;
+            match deadline.run(admission::Progress::MayRun, pause_now, &mut answer).await {
                 Ok(ended) => return Waited::Ended(ended),
                 Err(_) if self.time_left().is_zero() => return Waited::DeadlineExceeded,
                 Err(_) => {}
@@ -685,6 +717,7 @@
             let guard = self.node.count_request(&self.service, &endpoint.id);
             let mut other = std::pin::pin!(self.attempt(headers, endpoint.clone(), guard));
             let mut failure = None;
+            let deadline = &self.request.deadline;
             let result = tokio::select! {
                 biased;
                 ended = &mut answer => match ended {
@@ -696,10 +729,12 @@
                     Err(cause) => {
                         failure = Some(cause);
                         let limit = self.first_event_timeout().min(self.time_left());
-                        time::timeout(limit, &mut other).await
+                        deadline.run(admission::Progress::MayRun, limit, &mut other).await
                     }
                 },
-                started = time::timeout(TAKEOVER_TIMEOUT.min(self.time_left()), &mut other) => started,
+                started = deadline.run(admission::Progress::MayRun, TAKEOVER_TIMEOUT, &mut other) => {
+                    started
+                }
             };
             match result {
                 Ok(Ok(started)) if self.is_continuation(&started.response.head) => {
@@ -777,6 +812,9 @@
             if self.time_left() < MIN_TIME_LEFT {
                 return Err(self.give_up("the time is over"));
             }
+            if self.is_too_late() {
+                return Err(self.give_up(STOPPING));
+            }
             self.admit().await?;
             self.log_left_out_endpoints();
             let (endpoint, guard) = match released.take() {
@@ -788,6 +826,7 @@
                     }
                     place::Choice::Wait(other) => match self.wait_for_slot(other, end).await {
                         Some(slot) => slot,
+                        None if self.is_too_late() => continue,
                         None => return Err(self.give_up_full()),
                     },
                     place::Choice::None if self.build.is_some() => {
@@ -796,9 +835,9 @@
                     place::Choice::None => return Err(self.give_up("no endpoint is left")),
                 },
             };
-            // It may have started to leave, or a part of the prompt may have been quarantined, while
-            // the request waited for a slot.
-            if !self.node.is_available(&endpoint.id) || self.is_held() {
+            // It may have started to leave, a part of the prompt may have been quarantined, or a stop
+            // may have begun, while the request waited for a slot.
+            if !self.node.is_available(&endpoint.id) || self.is_held() || self.is_too_late() {
                 continue;
             }
             if !self.node.take_allowance(&self.service, &endpoint.start()) {
@@ -842,7 +881,8 @@
                 Waited::DeadlineExceeded => {
                     self.record_broken_answer(&asked, 0);
                     let status = StatusCode::GATEWAY_TIMEOUT;
-                    return Err(fail(&self.node, &id, status, "no answer in time"));
+                    let reason = self.late_reason("no answer in time");
+                    return Err(fail(&self.node, &id, status, reason));
                 }
                 Waited::Ended(Err((outcome, cause))) => {
                     if outcome.is_not_run() {
@@ -909,9 +949,9 @@
                 Ok(started) => started,
                 Err(response) => return response,
             };
-            let read =
-                time::timeout(self.time_left(), started.response.read_body(MAX_RESPONSE_BYTES))
-                    .await;
+            let read = started.response.read_body(MAX_RESPONSE_BYTES);
+            let deadline = &self.request.deadline;
+            let read = deadline.run(admission::Progress::MayRun, Duration::MAX, read).await;
             let id = self.request.id.clone();
             match read {
                 Ok(Ok(body)) => {
@@ -941,7 +981,8 @@
                 }
                 Err(_) => {
                     let status = StatusCode::GATEWAY_TIMEOUT;
-                    return fail(&self.node, &id, status, "the answer is not complete in time");
+                    let reason = self.late_reason("the answer is not complete in time");
+                    return fail(&self.node, &id, status, reason);
                 }
             }
         }
@@ -1001,8 +1042,9 @@
 
     /// Passes an error response of an endpoint on unchanged.
     async fn forward_failure(&self, mut started: Box<StartedResponse>) -> serve::Response {
-        let body =
-            time::timeout(self.time_left(), started.response.read_body(MAX_RESPONSE_BYTES)).await;
+        let body = started.response.read_body(MAX_RESPONSE_BYTES);
+        let deadline = &self.request.deadline;
+        let body = deadline.run(admission::Progress::MayRun, Duration::MAX, body).await;
         let body = match body {
             Ok(Ok(body)) => body,
             Ok(Err(cause)) => {
@@ -1011,7 +1053,7 @@
             }
             Err(_) => {
                 let status = StatusCode::GATEWAY_TIMEOUT;
-                let cause = "the answer is not complete in time";
+                let cause = self.late_reason("the answer is not complete in time");
                 return fail(&self.node, &self.request.id, status, cause);
             }
         };
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! the names and formats of a deployment. Modules marked as free of I/O make the decisions; the
 //! other modules carry them out.
 
+pub mod admission;
 pub mod attempt;
 pub mod body;
 pub mod builds;
@@ -12,6 +13,7 @@
 pub mod control;
 pub mod control_state;
 pub mod crashes;
+pub mod deadline;
 pub mod delegation;
 pub mod directory;
 pub mod dispatch;
--- a/src/fleet/serve.rs
+++ b/src/fleet/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::event;
 use crate::events;
+use crate::fleet::admission;
 use crate::fleet::routes;
 use crate::supervisor;
 use bytes::Bytes;
@@ -60,18 +61,6 @@
     ) -> BoxFuture<'static, Response>;
 }
 
-/// Stages of a listener, from serving to shutdown.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
-    /// Accepts requests.
-    #[default]
-    Serving,
-    /// Accepts requests but fails the readiness check, so that the balancer stops sending here.
-    Draining,
-    /// Closes each connection after its current request; new connections carry one request.
-    Closing,
-}
-
 /// Builds a response with a complete body.
 pub fn response(status: hyper::StatusCode, body: impl Into<Bytes>) -> Response {
     let mut response = hyper::Response::new(full_body(body.into()));
@@ -114,7 +103,7 @@
     listener: TcpListener,
     handler: Arc<dyn Handler>,
     bounds: watch::Receiver<routes::Bounds>,
-    stage: watch::Receiver<Stage>,
+    stage: watch::Receiver<admission::Stage>,
     open: OpenConnections,
     mut stop: supervisor::Stop,
     log: slog::Logger,
@@ -262,7 +251,7 @@
     stream: TcpStream,
     handler: Arc<dyn Handler>,
     bounds: watch::Receiver<routes::Bounds>,
-    mut stage: watch::Receiver<Stage>,
+    mut stage: watch::Receiver<admission::Stage>,
 ) {
     if stream.set_nodelay(true).is_err() {
         // The caller has disconnected.
@@ -288,13 +277,13 @@
         .max_buf_size(limits.head_bytes.max(MIN_READ_BUFFER));
     // A connection accepted after the shutdown began gets one response, which says why its request
     // is not served, and is then closed.
-    let mut is_closing = *stage.borrow() == Stage::Closing;
+    let mut is_closing = stage.borrow().is_closing();
     builder.keep_alive(!is_closing);
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     let closing = async {
         // An error means that the sender was dropped, because the host shuts down.
-        let _ = stage.wait_for(|s| *s == Stage::Closing).await;
+        let _ = stage.wait_for(admission::Stage::is_closing).await;
     };
     tokio::pin!(closing);
     loop {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -235,7 +235,12 @@
             endpoint
                 .set_faults(plain::FaultRates { slowdown: 25.0, ..plain::FaultRates::default() });
         }
-        let long_request = tokio::spawn(stream(entry, fleet_world::ONCE_PREFIX, "hold"));
+        let long_request = tokio::spawn(async move {
+            // Its time ends before the process does.
+            let mut attempt = client::Attempt::new(fleet_world::ONCE_PREFIX, "hold");
+            attempt.deadline = Duration::from_millis(4_800);
+            attempt.run(entry, fleet_world::ENDPOINT_OPTIONS.1).await
+        });
         let ready = (world.hosts[at].process_address, fleet_world::READY_PORT).into();
         let status = client::call(ready, "GET", "/-/ready", &[], String::new()).await.0;
         assert_eq!(status, 503);
--- a/tests/fleet_decisions.rs
+++ b/tests/fleet_decisions.rs
@@ -3,6 +3,7 @@
 #[path = "../platform/mod.rs"]
 mod platform;
 
+use basilfield::fleet::admission;
 use basilfield::fleet::attempt;
 use basilfield::fleet::frame;
 use basilfield::fleet::groups;
@@ -511,3 +512,55 @@
     insta::assert_snapshot!(format!("{pauses:?} {intervals:?}"),
         @"[8ms, 80ms, 250ms] [1s, 2.4s, 10s]");
 }
+
+/// Guards against a request that a stopping process takes though its time ends after the process, and
+/// against one that may still be answered and is refused or outlives the process.
+#[test]
+fn admission_during_a_stop() {
+    let origin = tokio::time::Instant::now();
+    let ms = |t: tokio::time::Instant| t.duration_since(origin).as_millis();
+    let end = origin + Duration::from_millis(7_600);
+    let stages = [
+        admission::Stage::Serving,
+        admission::Stage::Draining { end },
+        admission::Stage::Closing { end },
+    ];
+    let mut seen = Vec::new();
+    for (at, stage) in stages.into_iter().enumerate() {
+        for limit in [7_600, 7_601] {
+            for (repeatable, progress) in [
+                (false, admission::Progress::NotRun),
+                (false, admission::Progress::MayRun),
+                (true, admission::Progress::NotRun),
+            ] {
+                let limit = origin + Duration::from_millis(limit);
+                let terms = admission::Terms { limit, repeatable };
+                let deadline = terms.deadline(stage, progress);
+                seen.push((at, deadline.map(ms)));
+            }
+        }
+    }
+    let (fits, exceeds) = (Some(7_600), Some(7_601));
+    let expected = [
+        (0, [fits, fits, fits, exceeds, exceeds, exceeds]),
+        (1, [fits, fits, fits, None, fits, fits]),
+        (2, [fits, fits, fits, None, fits, fits]),
+    ];
+    let expected: Vec<_> =
+        expected.iter().flat_map(|(at, found)| found.iter().map(|f| (*at, *f))).collect();
+    assert_eq!(seen, expected);
+    let schedule = |grace| {
+        let times = admission::Schedule::new(origin, Duration::from_millis(grace));
+        [ms(times.closing), ms(times.end), ms(times.cut)]
+    };
+    // A grace that is shorter than the balancer needs still leaves time for the last answers.
+    let seen: Vec<_> = [8_000, 6_000, 2_000, 400, 0].map(schedule).into_iter().collect();
+    let expected = [
+        [2_600, 7_600, 7_800],
+        [2_600, 5_600, 5_800],
+        [1_600, 1_600, 1_800],
+        [0, 0, 200],
+        [0, 0, 200],
+    ];
+    assert_eq!(seen, expected);
+}
--- a/tests/fleet_stop.rs
+++ b/tests/fleet_stop.rs
@@ -34,7 +34,8 @@
 /// Requests that endpoints have got, and how often.
 type Runs = Arc<Mutex<BTreeMap<String, usize>>>;
 
-/// Endpoint that answers requests whose id begins with `slow` late, and others at once.
+/// Endpoint that answers requests whose id begins with `slow` late, those with `hang` after the end of
+/// every process, and others at once.
 fn endpoint(runs: &Runs) -> Arc<Answer> {
     let runs = runs.clone();
     Arc::new(move |request, stream| {
@@ -42,6 +43,9 @@
         if request.id.starts_with("slow") {
             std::thread::sleep(SLOW);
         }
+        if request.id.starts_with("hang") {
+            std::thread::sleep(ANSWER_TIMEOUT);
+        }
         let body = match request.path.starts_with(fleet_world::PLAIN_PREFIX) {
             true => "plain".to_string(),
             false => events(request.last_event, LAST_EVENT),
@@ -56,6 +60,8 @@
 enum Got {
     /// An answer with its whole body.
     Whole(u16),
+    /// An answer that says that the request has not run and when to return.
+    Refused,
     /// A part of an answer.
     Part(String),
     /// A connection that ended without a byte.
@@ -152,7 +158,8 @@
         None => body.ends_with("0\r\n\r\n"),
     };
     let has_retry = head.contains("\r\nretry-after:");
-    match whole && (status != 503 || has_retry) {
+    match whole {
+        true if status == 503 && has_retry => Got::Refused,
         true => Got::Whole(status),
         false => Got::Part(answer.into()),
     }
@@ -190,14 +197,15 @@
         // A process that has nothing to do ends before the grace is over.
         let came_late = Duration::from_millis(u64::try_from(s.begun).unwrap_or(0)) >= ended;
         let is_answered = match got {
-            Got::Whole(_) => true,
+            Got::Whole(status) => *status != 503,
+            Got::Refused => true,
             Got::NotTaken => count == 0 && (came_late || s.whole > s.begun),
             Got::Nothing | Got::Part(_) => false,
         };
         let is_once = s.call.contains(fleet_world::ONCE_PREFIX);
         // A request that may not be repeated is sent only if its endpoint has its whole time.
         let is_cut = is_once && s.begun > 0 && *got == Got::Whole(504);
-        let has_run = *got == Got::Whole(503) && count > 0 || is_once && count > 1;
+        let has_run = *got == Got::Refused && count > 0 || is_once && count > 1;
         if !is_answered || is_cut || has_run {
             wrong.push(format!("{}: {got:?}, sent to {count} endpoints", s.id));
         }
@@ -224,6 +232,9 @@
                 sent.push(Sent::new(prefix, "slow", 6000, at, at));
                 sent.push(Sent::new(prefix, "fast", 2000, at, at));
             }
+            for at in [-100, 1000] {
+                sent.push(Sent::new(prefix, "hang", 6000, at, at));
+            }
             for (begun, whole) in [(-500, 300), (300, 1700), (2000, 3000), (2400, 4400)] {
                 sent.push(Sent::new(prefix, "slow", 6000, begun, whole));
                 sent.push(Sent::new(prefix, "fast", 3000, begun, whole));
@@ -237,7 +248,7 @@
             fleet.world.logs()
         );
         // Those whose time ends before the process does are served.
-        let served = |s: &&Sent| s.id.starts_with("fast") && s.begun < 2500;
+        let served = |s: &&Sent| s.id.starts_with("fast") && s.begun < 2300;
         let unserved: Vec<&str> = sent
             .iter()
             .zip(&answers)
@@ -293,7 +304,7 @@
         let once = sent.iter().zip(&answers).filter(|(s, _)| is_once(s));
         let runs = runs.lock().expect("lock");
         let run: Vec<&str> = once
-            .filter(|(s, got)| **got != Got::Whole(503) || runs.contains_key(&s.id))
+            .filter(|(s, got)| **got != Got::Refused || runs.contains_key(&s.id))
             .map(|(s, _)| &*s.id)
             .collect();
         assert_eq!(run, Vec::<&str>::new(), "{}", fleet.world.logs());
--- a/tests/fleet_world/client.rs
+++ b/tests/fleet_world/client.rs
@@ -15,6 +15,8 @@
 use std::time::Duration;
 use tokio::time;
 
+/// Time that a caller waits unless a test states another one.
+const DEADLINE: Duration = Duration::from_secs(6);
 /// Header that lists the parts of a prompt.
 pub const PROMPT_HEADER: &str = "x-basilfield-prompt-prefix";
 
@@ -118,6 +120,8 @@
     pub prompt: String,
     /// Path below the prefix and body of every attempt; the id of each attempt if `None`.
     pub content: Option<String>,
+    /// Time that the caller waits.
+    pub deadline: Duration,
 }
 
 impl Attempt {
@@ -132,6 +136,7 @@
             retry: None,
             prompt: String::new(),
             content: None,
+            deadline: DEADLINE,
         }
     }
 
@@ -177,8 +182,9 @@
         let content = self.content.as_ref().unwrap_or(&id);
         let path = format!("{}{content}", self.prefix);
         let last = self.last.to_string();
+        let deadline = self.deadline.as_millis().to_string();
         let mut headers =
-            vec![("x-basilfield-request-id", &*id), ("x-basilfield-deadline-ms", "6000")];
+            vec![("x-basilfield-request-id", &*id), ("x-basilfield-deadline-ms", &*deadline)];
         if self.last > 0 {
             headers.extend([("last-event-id", &*last), ("resumes", &*self.stream)]);
         }
