Answer calls that run when a control host stops

Operators and endpoints saw their connections close without an answer when the control host that they had called was stopped: calls wait for a quorum for up to 2.5 s, and the host cut them 0.5 s after the signal. In a test with two of three control hosts suspended, 8 of 9 calls got no byte.

The host has the same kind of end as an entry, 0.5 s after the signal. Calls that still run are answered with 503 then, and connections are cut 0.2 s later. Callers send the call to another host, as they do after a 503 for lack of a quorum.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -67,6 +67,11 @@
         let end = now + grace.saturating_sub(STOP_MARGIN);
         Schedule { closing: end.min(now + BALANCER_DRAIN_TIME), end, cut: end + ANSWER_TIME }
     }
+
+    /// Times of a stop that no balancer has to notice, which takes at most `limit`.
+    pub fn without_balancer(now: time::Instant, limit: Duration) -> Schedule {
+        Schedule { closing: now, end: now + limit, cut: now + limit + ANSWER_TIME }
+    }
 }
 
 /// Whether a request may have been run.
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -6,6 +6,7 @@
 use crate::fleet::admission;
 use crate::fleet::builds;
 use crate::fleet::control_state;
+use crate::fleet::deadline;
 use crate::fleet::directory;
 use crate::fleet::documents;
 use crate::fleet::entry;
@@ -65,15 +66,17 @@
     quarantine_sync: Mutex<sync::DirectorySync>,
     /// Held while a build is committed.
     build_turn: tokio::sync::Mutex<()>,
+    stage: deadline::StageReceiver,
 }
 
 impl Control {
-    fn new(node: &node::Node) -> Control {
+    fn new(node: &node::Node, stage: deadline::StageReceiver) -> Control {
         Control {
             node: node.clone(),
             directory_sync: Mutex::default(),
             quarantine_sync: Mutex::default(),
             build_turn: tokio::sync::Mutex::default(),
+            stage,
         }
     }
 }
@@ -151,7 +154,7 @@
         Box::new(Service { state: control_state::ControlState::default(), published, is_leader })
     });
     let (stage_sender, stage) = watch::channel(admission::Stage::default());
-    let control = Arc::new(Control::new(node));
+    let control = Arc::new(Control::new(node, stage.clone()));
     let (ended, end) = supervisor::Stop::channel();
     let (open, _) = watch::channel(());
     let (_, bounds) =
@@ -161,10 +164,10 @@
     let mut stop = tree.stop_signal();
     tree.spawn_once(async move {
         stop.wait().await;
-        let end = time::Instant::now() + DRAIN_TIMEOUT;
-        stage_sender.send_replace(admission::Stage::Closing { end });
-        // Callers repeat calls that are cut off here.
-        let _ = time::timeout_at(end, open.closed()).await;
+        let now = time::Instant::now();
+        let schedule = admission::Schedule::without_balancer(now, DRAIN_TIMEOUT);
+        stage_sender.send_replace(admission::Stage::Closing { end: schedule.end });
+        let _ = time::timeout_at(schedule.cut, open.closed()).await;
         ended.send_replace(true);
         Ok(())
     });
@@ -183,7 +186,8 @@
 
 /// Returns the handler of frames from other hosts.
 pub fn peer_handler(node: &node::Node) -> Arc<dyn peer::Handler> {
-    Arc::new(Control::new(node))
+    let (_, stage) = watch::channel(admission::Stage::default());
+    Arc::new(Control::new(node, stage))
 }
 
 impl peer::Handler for Control {
@@ -453,7 +457,17 @@
         self: Arc<Self>,
         request: hyper::Request<hyper::body::Incoming>,
     ) -> BoxFuture<'static, serve::Response> {
-        async move { self.handle_request(request).await }.boxed()
+        async move {
+            tokio::select! {
+                biased;
+                response = self.handle_request(request) => response,
+                () = deadline::wait_for_end(self.stage.clone()) => {
+                    let text = "the host stops; send it to another control host\n";
+                    serve::response(StatusCode::SERVICE_UNAVAILABLE, text)
+                }
+            }
+        }
+        .boxed()
     }
 }
 
--- a/src/fleet/deadline.rs
+++ b/src/fleet/deadline.rs
@@ -78,3 +78,13 @@
         }
     }
 }
+
+/// Waits until every request has to be answered because the process stops.
+pub async fn wait_for_end(mut stage: StageReceiver) {
+    let stopping = stage.wait_for(|s| s.end().is_some()).await.map(|s| s.end());
+    match stopping {
+        Ok(Some(end)) => time::sleep_until(end).await,
+        // The process ends without a stop.
+        _ => std::future::pending().await,
+    }
+}
--- a/tests/fleet_stop.rs
+++ b/tests/fleet_stop.rs
@@ -4,6 +4,8 @@
 mod fleet_world;
 
 use fleet_world::Role;
+use fleet_world::Size;
+use fleet_world::World;
 use fleet_world::client;
 use fleet_world::scripted::Answer;
 use fleet_world::scripted::Fleet;
@@ -348,3 +350,49 @@
         assert_eq!(wrong, Vec::<String>::new(), "{}", fleet.world.logs());
     });
 }
+
+/// Guards against calls of operators and endpoints without an answer: their control host stops while no
+/// quorum answers.
+#[test]
+fn operator_call_is_cut_at_the_end_of_a_stop() {
+    fleet_world::run(async {
+        let size = Size { controls: 3, losses: 1, stores: 0, entries: 0, endpoints: 0 };
+        let mut world = World::start(size).await;
+        let (operators, at) = (world.hosts_of(Role::Control), world.hosts_of(Role::Control)[0]);
+        for other in &operators[1..] {
+            world.suspend(*other);
+        }
+        let to = (world.hosts[at].process_address, fleet_world::OPERATOR_PORT).into();
+        let signal = Instant::now() + LEAD;
+        let registration = json!({ "service": fleet_world::SERVICE, "address": "127.0.0.1:9",
+            "zone": "d0", "version": "v2", "slots": 5, "state": "ready", "coldMs": 0, "callSeq": 1 });
+        let calls = [
+            ("PUT /-/config", world.config(2)),
+            ("GET /-/config", String::new()),
+            ("PUT /-/instances/i-9", registration.to_string()),
+        ];
+        let mut sent = Vec::new();
+        for (call, body) in calls {
+            for (begun, whole) in [(-500, -500), (-100, -100), (200, 200)] {
+                let (call, id) = (call.to_string(), format!("{call} at {begun}"));
+                sent.push(Sent { id, call, deadline: 6000, body: body.clone(), begun, whole });
+            }
+        }
+        let tasks: Vec<_> = sent
+            .iter()
+            .cloned()
+            .map(|s| tokio::spawn(async move { s.send(to, signal).await }))
+            .collect();
+        tokio::time::sleep_until(signal.into()).await;
+        world.terminate(at);
+        world.wait_for_exit(at, GRACE).await;
+        let mut unanswered = Vec::new();
+        for (task, s) in tasks.into_iter().zip(&sent) {
+            let got = task.await.expect("task");
+            if got != Got::Whole(503) {
+                unanswered.push(format!("{}: {got:?}", s.id));
+            }
+        }
+        assert_eq!(unanswered, Vec::<String>::new(), "{}", world.logs());
+    });
+}
