Let answers without an event confirm only an end that came with events

Two answers in succession without an event completed an item, and a stream, after an answer that had broken off: each may come from an endpoint that was killed between its head and its first event, so output could count as whole with a part missing. Such an answer now confirms only the end of an answer with events that states none.

--- a/src/events.rs
+++ b/src/events.rs
@@ -150,7 +150,8 @@
     /// An item was sent to an endpoint.
     ITEM_STARTED = 505, Debug, "item started";
     /// The run of an item ended before its output was complete, or without a stated end, which another
-    /// run has to confirm.
+    /// run has to confirm. With `starts_over`, it is the second one without an event, and the next run
+    /// starts from the beginning.
     ITEM_INTERRUPTED = 506, Info, "item interrupted";
     /// The output of an item is complete.
     ITEM_DONE = 507, Debug, "item done";
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -30,6 +30,7 @@
 use crate::fleet::node;
 use crate::fleet::peer;
 use crate::fleet::plan;
+use crate::fleet::progress;
 use crate::fleet::progress::ItemKey;
 use crate::fleet::progress::Progress;
 use crate::fleet::quarantine;
@@ -343,17 +344,21 @@
         }
         let (job, item) = key.clone();
         let log = &self.node.log;
-        let is_confirmed =
-            matches!(ended, RunEnd::Open | RunEnd::Empty) && tracked.progress.record_open_end();
+        let events = tracked.progress.events;
+        let open_end = match ended {
+            RunEnd::Open => Some(tracked.progress.record_open_end(true)),
+            RunEnd::Empty => Some(tracked.progress.record_open_end(false)),
+            _ => None,
+        };
         match ended {
-            RunEnd::Open | RunEnd::Empty if !is_confirmed => {
+            RunEnd::Open | RunEnd::Empty if open_end != Some(progress::OpenEnd::Confirmed) => {
                 let cause = match ended {
                     RunEnd::Open => event_stream::END_NOT_STATED,
                     _ => event_stream::ENDED_WITHOUT_EVENT,
                 };
                 event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
-                    "endpoint" => &*endpoint, "cause" => cause,
-                    "events" => tracked.progress.events);
+                    "endpoint" => &*endpoint, "cause" => cause, "events" => events,
+                    "starts_over" => open_end == Some(progress::OpenEnd::StartsOver));
                 // A sound endpoint may answer without a length.
                 if ended == RunEnd::Empty {
                     self.node.record_endpoint_failure(&endpoint, &cause);
--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -168,7 +168,11 @@
         if !has_events && self.open_end == last {
             return Ok(());
         }
-        self.open_end = last;
+        // An answer without an event may come from an endpoint that stopped before it wrote any. It counts
+        // if the caller came back to ask for what follows, and not after an answer that broke off here.
+        if has_events || !self.forwarder.has_begun() {
+            self.open_end = last;
+        }
         Err(if has_events { END_NOT_STATED.into() } else { ENDED_WITHOUT_EVENT.into() })
     }
 
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -401,6 +401,11 @@
         self.attempts.begin();
     }
 
+    /// Whether the caller has a part of the answer.
+    pub(super) fn has_begun(&self) -> bool {
+        self.begun
+    }
+
     /// Whether a response can go on with what the caller has. Any success can if it has nothing;
     /// otherwise one of another type than a stream of events, or than what the caller has, cannot.
     pub(super) fn is_continuation(&self, head: &hyper::http::response::Parts) -> bool {
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -11,9 +11,21 @@
 /// Most output of an item, which is read in one answer: half of the longest frame between hosts.
 const MAX_OUTPUT_BYTES: usize = 8 << 20;
 
-/// Answers that ended at the same event without a stated end, after which the output is complete. The
-/// connections of an endpoint that is killed are closed like those after a complete answer.
-const CONFIRMING_ENDS: u32 = 2;
+/// Runs that ended without an event, since the last event, after which an item starts over. It may have
+/// had its last event before its connection was lost, so that no run from there on ends in another way.
+const MAX_EMPTY_RUNS: u32 = 2;
+
+/// What the end of an answer that states none says about the output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenEnd {
+    /// The output is complete: an earlier answer has ended at the same event, or no run can go on after
+    /// it.
+    Confirmed,
+    /// Another run has to tell whether anything follows.
+    Unconfirmed,
+    /// No run tells it, so the item starts over.
+    StartsOver,
+}
 
 /// Id of a job and id of one of its items.
 pub type ItemKey = (Arc<str>, Arc<str>);
@@ -35,8 +47,10 @@
     pub run_time: Duration,
     /// Generation that the output belongs to.
     pub generation: ledger::Generation,
-    /// Answers that ended without a stated end at the last event.
-    open_ends: u32,
+    /// Whether the answer with the last event ended there without a stated end.
+    open: bool,
+    /// Runs since the last event that ended without one.
+    empty_runs: u32,
     /// Whether an event without an id has arrived since the last numbered one. No run can go on after
     /// it.
     unnumbered: bool,
@@ -76,12 +90,24 @@
         starts_over
     }
 
-    /// Records that an answer ended without anything that shows that it is complete. Returns whether
-    /// the output is complete: an earlier answer has ended at the same event, or no run can go on after
-    /// it.
-    pub fn record_open_end(&mut self) -> bool {
-        self.open_ends = self.open_ends.saturating_add(1);
-        self.events > 0 && (self.unnumbered || self.open_ends >= CONFIRMING_ENDS)
+    /// Records that an answer, with or without events, ended without anything that shows that it is
+    /// complete. The connections of an endpoint that is killed are closed like those after a complete
+    /// answer, so it takes two answers; one without an event may come from an endpoint that stopped
+    /// before it wrote any.
+    pub fn record_open_end(&mut self, has_events: bool) -> OpenEnd {
+        if self.events > 0 && (self.open || has_events && self.unnumbered) {
+            return OpenEnd::Confirmed;
+        }
+        if has_events {
+            self.open = true;
+            return OpenEnd::Unconfirmed;
+        }
+        self.empty_runs += 1;
+        if self.events == 0 || self.empty_runs < MAX_EMPTY_RUNS {
+            return OpenEnd::Unconfirmed;
+        }
+        self.start_over();
+        OpenEnd::StartsOver
     }
 
     fn start_over(&mut self) {
@@ -97,7 +123,7 @@
         }
         self.output.extend_from_slice(data);
         self.events += 1;
-        (self.open_ends, self.unnumbered) = (0, id.is_none());
+        (self.open, self.empty_runs, self.unnumbered) = (false, 0, id.is_none());
         self.last_event = id.or(self.last_event);
     }
 
--- a/tests/fleet_progress.rs
+++ b/tests/fleet_progress.rs
@@ -117,33 +117,34 @@
     insta::assert_snapshot!(seen.join("; "), @"0 stored, 1114111 not stored; 8454143 stored, 0 not stored");
 }
 
-/// Guards against output that counts as complete by a single answer without a stated end, or that never
-/// does: another answer that ends at the same event confirms it, and no run can go on after an event
-/// without an id.
+/// Guards against output that counts as complete by answers that do not show it, or that never does: an
+/// answer that ends at the same event confirms the end of one with events, no run can go on after an
+/// event without an id, and answers without any event confirm nothing after one that broke off.
 #[test]
-fn single_end_completes_output() {
+fn unconfirmed_end_completes_output() {
     let mut seen = Vec::new();
-    let steps: [(&str, &[Option<u64>]); 5] = [
-        ("nothing", &[]),
-        ("nothing again", &[]),
-        ("events", &[Some(1), Some(2)]),
-        ("more events", &[Some(3)]),
-        ("confirmed", &[]),
+    let steps: [(&str, &[u64], &[bool]); 5] = [
+        ("nothing", &[], &[false, false, false]),
+        ("confirmed", &[1, 2], &[true, false]),
+        ("more events", &[3], &[true, true]),
+        ("one without events", &[4], &[false, true, false]),
+        ("broken off", &[5], &[false, false]),
     ];
     let mut item = progress::Progress::default();
-    for (name, events) in steps {
-        events.iter().for_each(|id| item.add_event(b"data", *id));
-        seen.push(format!("{name}: {}", item.record_open_end()));
+    for (name, events, ends) in steps {
+        events.iter().for_each(|id| item.add_event(b"data", Some(*id)));
+        let ends = ends.iter().map(|has_events| format!("{:?}", item.record_open_end(*has_events)));
+        seen.push(format!("{name}: {}", ends.collect::<Vec<_>>().join(" ")));
     }
     let mut item = progress::Progress::default();
     item.add_event(b"data", None);
-    seen.push(format!("no id: {}", item.record_open_end()));
+    seen.push(format!("no id: {:?}", item.record_open_end(true)));
     insta::assert_snapshot!(seen.join("\n"), @r"
-    nothing: false
-    nothing again: false
-    events: false
-    more events: false
-    confirmed: true
-    no id: true
+    nothing: Unconfirmed Unconfirmed Unconfirmed
+    confirmed: Unconfirmed Confirmed
+    more events: Unconfirmed Confirmed
+    one without events: Unconfirmed Unconfirmed Confirmed
+    broken off: Unconfirmed StartsOver
+    no id: Confirmed
     ");
 }
