Believe no end within events that an answer repeats

Cause: an answer may begin with events that the receiver has, and nobody checked that it reached the last of them before its end was believed, stated or not; items did the same. Sequence::check_end refuses such an end now, which counts as broken off. Found by review.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -290,6 +290,7 @@
     sequence.result()?;
     loop {
         let Some(part) = started.response.next_chunk().await? else {
+            sequence.check_end(last_event)?;
             return match splitter.remainder() {
                 [] => Ok(NewEvents { bytes, last_event, count, numbered, ended: true }),
                 _ => Err("the stream ends within an event".into()),
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -362,9 +362,14 @@
                 Ok(Ok(None)) if !splitter.remainder().is_empty() => {
                     return interrupted("the stream ends within an event", true);
                 }
-                Ok(Ok(None)) if response.is_framed() => return RunEnd::Done,
-                Ok(Ok(None)) if splitter.has_data() => return RunEnd::Open,
-                Ok(Ok(None)) => return RunEnd::Empty,
+                Ok(Ok(None)) => {
+                    return match sequence.check_end(last_event) {
+                        Err(cause) => interrupted(&cause, true),
+                        Ok(()) if response.is_framed() => RunEnd::Done,
+                        Ok(()) if splitter.has_data() => RunEnd::Open,
+                        Ok(()) => RunEnd::Empty,
+                    };
+                }
                 Ok(Err(cause)) => return interrupted(&cause, true),
                 Err(ended) => return ended,
             };
--- a/src/fleet/sequence.rs
+++ b/src/fleet/sequence.rs
@@ -39,6 +39,20 @@
         self.failure.clone().map_or(Ok(()), Err)
     }
 
+    /// Whether an answer that ends here has brought all events up to `last`, the last one that the
+    /// receiver has. One without numbered events has nothing to add to them.
+    ///
+    /// # Errors
+    /// Why its end says nothing about what follows `last`.
+    pub fn check_end(&self, last: Option<u64>) -> Result<(), Arc<str>> {
+        match self.previous {
+            Some(previous) if Some(previous) < last => {
+                Err("the answer ends within events that it repeats".into())
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn position(&mut self, last: Option<u64>, event: &sse::Event) -> Result<bool, Arc<str>> {
         // An endpoint may write the head or text of an error in place of an event.
         if event.is_malformed() {
--- a/tests/fleet_ends.rs
+++ b/tests/fleet_ends.rs
@@ -325,3 +325,55 @@
         ");
     });
 }
+
+/// Guards against a stream or an item that ends as complete because an answer ends within events that
+/// it repeats.
+#[test]
+fn repeated_events_confirm_an_end() {
+    fleet_world::run(async {
+        let endpoint: Arc<Answer> = Arc::new(|request, stream| {
+            let to = if request.last_event == 0 { CUT_EVENT } else { CUT_EVENT - 1 };
+            write_unframed(request, stream, 0, to)?;
+            Ok(false)
+        });
+        let fleet = Arc::new(Fleet::start(vec![endpoint.clone(), endpoint]).await);
+        let got = ask_all(&fleet, fleet_world::STREAM_PREFIX, 4).await;
+        insta::assert_snapshot!(got, @"4 x HTTP/1.1 200 OK, 3 events, cut off");
+        let asked = Arc::new(Mutex::new(BTreeMap::<String, usize>::new()));
+        // The second answer repeats a part, the others are sound.
+        let endpoint: Arc<Answer> = Arc::new(move |request, stream| {
+            let count = {
+                let mut asked = asked.lock().expect("lock");
+                *asked.entry(request.id.clone()).and_modify(|n| *n += 1).or_insert(1)
+            };
+            match count {
+                1 => write_unframed(request, stream, 0, CUT_EVENT)?,
+                2 => write_unframed(request, stream, 0, CUT_EVENT - 1)?,
+                _ => write_unframed(request, stream, request.last_event, LAST_EVENT)?,
+            }
+            Ok(false)
+        });
+        let fleet = Fleet::start(vec![endpoint]).await;
+        let entries = fleet.world.caller_addresses();
+        assert!(client::submit(&entries, "job", ITEMS).await, "{}", fleet.world.logs());
+        assert_eq!(fleet.outputs("job", ITEMS).await, vec![item_output(); ITEMS]);
+    });
+}
+
+/// Guards against a broken stream that ends as complete because endpoints stop after their heads.
+#[test]
+fn answers_without_an_event_complete_a_broken_stream() {
+    fleet_world::run(async {
+        let endpoint: Arc<Answer> = Arc::new(|request, stream| {
+            write_unframed(request, stream, request.last_event, CUT_EVENT)?;
+            if request.last_event == 0 {
+                stream.write_all(b"id: 4\ndata: ev")?;
+            }
+            Ok(false)
+        });
+        let endpoints = vec![endpoint.clone(), endpoint.clone(), endpoint];
+        let fleet = Arc::new(Fleet::start(endpoints).await);
+        let got = ask_all(&fleet, fleet_world::STREAM_PREFIX, 4).await;
+        insta::assert_snapshot!(got, @"4 x HTTP/1.1 200 OK, 3 events, cut off");
+    });
+}
