--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -522,7 +522,8 @@
                 let guard = self.node.count_request(&self.service, &endpoint.id);
                 return Some((endpoint, guard));
             }
-            if time::Instant::now() > end || self.time_left() < MIN_TIME_LEFT {
+            let is_over = time::Instant::now() > end || self.time_left() < MIN_TIME_LEFT;
+            if is_over || self.is_too_late() {
                 return None;
             }
             if let Some(slot) = self.wait_for_released_slot(TAKEOVER_INTERVAL).await {
