Ask an endpoint beside a silent one on a new connection

Found by review, by reading: lets attempts after a lost one use new connections, but the first attempt is not counted as lost while another endpoint is asked beside it. On a kept connection, an earlier answer to another request costs that attempt. The second endpoint is asked on a new connection now. fleet_heads (8) and fleet_takeover pass; no test of its own.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -621,12 +621,14 @@
         request
     }
 
-    /// Sends the request to one endpoint and waits for the head of the response.
+    /// Sends the request to one endpoint and waits for the head of the response. `is_beside` tells that
+    /// another endpoint has the request as well.
     fn attempt(
         &self,
         headers: &protocol::Headers,
         endpoint: place::Candidate,
         guard: slots::RequestGuard,
+        is_beside: bool,
     ) -> impl Future<Output = Result<Box<StartedResponse>, AttemptFailure>> + Send + use<> {
         let request = self.outgoing_request(headers, &endpoint);
         let (node, headers) = (self.node.clone(), headers.clone());
@@ -634,12 +636,12 @@
         event!(node.log, events::ATTEMPT_SENT; "request" => &*id, "endpoint" => &*endpoint.id,
             "build" => &*endpoint.build, "running" => ?endpoint.running, "left_ms" => self.time_left().as_millis() as u64);
         let sent_at = node.now();
-        // The endpoint may close an idle connection while the request is being sent. On one that is
-        // kept, it may repeat its answer to an earlier attempt, which names this request, or to
-        // another request, which costs an attempt.
+        // The endpoint may close a kept connection while the request is being sent, or repeat an earlier
+        // answer there. One to another request costs the attempt; one to an earlier attempt even names
+        // this request.
         let is_repeated = self.asked.iter().filter(|id| **id == endpoint.id).count() > 1;
-        let is_fresh = self.request.route.is_retryable() && !self.attempts.may_have_run();
-        let new_connection = !is_fresh || is_repeated;
+        let is_first = !is_beside && !self.attempts.may_have_run();
+        let new_connection = !self.request.route.is_retryable() || !is_first || is_repeated;
         async move {
             let sent = node.upstream.send(endpoint.address, request, new_connection).await;
             let response = sent.map_err(|failure| {
@@ -721,7 +723,7 @@
             self.tried.push(name.clone());
             self.asked.push(name.clone());
             let guard = self.node.count_request(&self.service, &endpoint.id);
-            let mut other = std::pin::pin!(self.attempt(headers, endpoint.clone(), guard));
+            let mut other = std::pin::pin!(self.attempt(headers, endpoint.clone(), guard, true));
             let mut failure = None;
             let deadline = &self.request.deadline;
             let result = tokio::select! {
@@ -854,7 +856,7 @@
             self.asked.push(endpoint.id.clone());
             let (name, asked) = (endpoint.id.clone(), endpoint.clone());
             let limit = self.first_event_timeout();
-            let sending = self.attempt(headers, endpoint, guard);
+            let sending = self.attempt(headers, endpoint, guard, false);
             match self.wait_or_take_over(headers, &name, limit, sending).await {
                 Waited::Ended(Ok(started)) => {
                     let status = started.response.head.status;
