Let the endpoint of a trial confirm the end of its answer

Found by review, by reading: since an answer without a length has to be confirmed, but the trial of a quarantined cause permits one request, so the caller of a sound trial got its stream broken off. The endpoint that has answered the trial may be asked again whether its answer has ended. fleet_prompts (32) passes; no test has a trial at an endpoint without lengths.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -559,7 +559,8 @@
     /// # Errors
     /// The response to a request that may not.
     async fn admit(&mut self) -> Result<(), serve::Response> {
-        if self.trial.is_sent() {
+        // The endpoint of the trial may be asked whether its answer has ended.
+        if self.trial.is_sent() && self.only.is_none() {
             return Err(self.give_up("the trial of a quarantined cause has ended"));
         }
         let hold = loop {
@@ -808,10 +809,12 @@
     ) -> Result<Box<StartedResponse>, serve::Response> {
         // A caller that has events waits on, or ends the connection. Others can be refused. If only one
         // endpoint may be asked, the caller itself can ask others.
-        let patience = match self.begun {
-            _ if self.only.is_some() => Duration::ZERO,
-            true => self.time_left(),
-            false => BUILD_WAIT,
+        let patience = if self.only.is_some() {
+            Duration::ZERO
+        } else if self.begun {
+            self.time_left()
+        } else {
+            BUILD_WAIT
         };
         let end = time::Instant::now() + patience;
         let (mut released, mut interval) = (None, TAKEOVER_INTERVAL);
