Let no endpoint that is down confirm the end of an answer

A request that crashes each endpoint cut off one answer between two events and the confirming one after its head, and the stream counted as complete. Found by review.

--- a/src/fleet/crashes.rs
+++ b/src/fleet/crashes.rs
@@ -142,7 +142,7 @@
 }
 
 /// Whether an endpoint accepts a connection.
-async fn accepts(address: SocketAddr) -> bool {
+pub(super) async fn accepts(address: SocketAddr) -> bool {
     matches!(time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
 }
 
--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -22,6 +22,9 @@
 /// Cause of a failed attempt whose answer has neither an event nor length or chunks, so that nothing
 /// shows that it is complete.
 pub(super) const ENDED_WITHOUT_EVENT: &str = "the connection ends before the first event";
+/// Cause of a failed attempt whose answer has neither an event nor length or chunks, and whose endpoint
+/// accepts no connection afterwards.
+pub(super) const ENDED_IN_CRASH: &str = "the endpoint is down after an answer without an event";
 /// Cause of asking for what follows the last event of an answer without length and chunks. The
 /// connections of a process that is killed are closed like those after a complete answer.
 pub(super) const END_NOT_STATED: &str = "the answer ends without a stated end";
@@ -126,7 +129,7 @@
             }
         };
         if read.ended {
-            self.check_end(is_framed)?;
+            self.check_end(is_framed).await?;
         }
         self.forwarder.last_event = read.last_event;
         self.count_events(read.count);
@@ -155,7 +158,7 @@
     ///
     /// # Errors
     /// Why another endpoint has to be asked for what follows.
-    fn check_end(&mut self, is_framed: bool) -> Result<(), Arc<str>> {
+    async fn check_end(&mut self, is_framed: bool) -> Result<(), Arc<str>> {
         if is_framed {
             return Ok(());
         }
@@ -166,7 +169,12 @@
             return if self.splitter.has_data() { Ok(()) } else { Err(ENDED_WITHOUT_EVENT.into()) };
         }
         if !has_events && self.open_end == last {
-            return Ok(());
+            // What crashes one endpoint may crash the next one as well.
+            let address = self.started.as_ref().map(|s| s.endpoint.address);
+            return match address {
+                Some(address) if crashes::accepts(address).await => Ok(()),
+                _ => Err(ENDED_IN_CRASH.into()),
+            };
         }
         // An answer without an event may come from an endpoint that stopped before it wrote any. It counts
         // if the caller came back to ask for what follows, and not after an answer that broke off here.
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -1,6 +1,7 @@
 //! Runs one item of a batch job at one endpoint.
 
 use crate::fleet::crashes;
+use crate::fleet::event_stream;
 use crate::fleet::ledger;
 use crate::fleet::limits;
 use crate::fleet::node;
@@ -367,6 +368,10 @@
                         Err(cause) => interrupted(&cause, true),
                         Ok(()) if response.is_framed() => RunEnd::Done,
                         Ok(()) if splitter.has_data() => RunEnd::Open,
+                        // What crashes one endpoint may crash the next one as well.
+                        Ok(()) if !crashes::accepts(self.address).await => {
+                            interrupted(event_stream::ENDED_IN_CRASH, true)
+                        }
                         Ok(()) => RunEnd::Empty,
                     };
                 }
--- a/tests/fleet_ends.rs
+++ b/tests/fleet_ends.rs
@@ -377,3 +377,18 @@
         insta::assert_snapshot!(got, @"4 x HTTP/1.1 200 OK, 3 events, cut off");
     });
 }
+
+/// Guards against a stream that ends as complete because the endpoint that is asked for what follows
+/// crashes after its head.
+#[test]
+fn crash_confirms_an_end() {
+    fleet_world::run(async {
+        let endpoint: Arc<Answer> = Arc::new(|request, stream| {
+            write_unframed(request, stream, request.last_event, CUT_EVENT)?;
+            Ok(false)
+        });
+        let fleet = Fleet::start_short_lived(vec![endpoint.clone(), endpoint]).await;
+        let got = ask_all(&Arc::new(fleet), fleet_world::STREAM_PREFIX, 1).await;
+        insta::assert_snapshot!(got, @"1 x HTTP/1.1 200 OK, 3 events, cut off");
+    });
+}
--- a/tests/fleet_world/scripted.rs
+++ b/tests/fleet_world/scripted.rs
@@ -36,12 +36,13 @@
 /// Writes the answer to a request. The connection is closed if this returns `false`.
 pub type Answer = dyn Fn(&Request, &mut TcpStream) -> std::io::Result<bool> + Send + Sync;
 
-/// Starts an endpoint whose answers a test writes. Returns its address.
-pub fn start_endpoint(answer: Arc<Answer>) -> SocketAddr {
+/// Starts an endpoint whose answers a test writes. Its listener is closed as soon as it has accepted
+/// `connections` connections. Returns its address.
+fn start_endpoint(answer: Arc<Answer>, connections: usize) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
     let address = listener.local_addr().expect("address");
     std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        for stream in listener.incoming().take(connections).flatten() {
             let answer = answer.clone();
             std::thread::spawn(move || {
                 // Ends with an error once the caller has closed the connection.
@@ -105,15 +106,26 @@
     /// Starts a fleet whose endpoints state that they have `slots` slots.
     pub async fn start_with_slots(answers: Vec<Arc<Answer>>, slots: u32) -> Fleet {
         let builds = answers.into_iter().map(|a| (fleet_world::DEFAULT_BUILD, a)).collect();
-        Fleet::launch(SIZE, builds, slots).await
+        Fleet::launch(SIZE, builds, slots, usize::MAX).await
+    }
+
+    /// Starts a fleet whose endpoints accept one connection only.
+    pub async fn start_short_lived(answers: Vec<Arc<Answer>>) -> Fleet {
+        let builds = answers.into_iter().map(|a| (fleet_world::DEFAULT_BUILD, a)).collect();
+        Fleet::launch(SIZE, builds, SLOTS, 1).await
     }
 
     /// Starts a fleet with an endpoint for each build and answer.
     pub async fn start_with_builds(size: Size, endpoints: Vec<(&str, Arc<Answer>)>) -> Fleet {
-        Fleet::launch(size, endpoints, SLOTS).await
+        Fleet::launch(size, endpoints, SLOTS, usize::MAX).await
     }
 
-    async fn launch(size: Size, endpoints: Vec<(&str, Arc<Answer>)>, slots: u32) -> Fleet {
+    async fn launch(
+        size: Size,
+        endpoints: Vec<(&str, Arc<Answer>)>,
+        slots: u32,
+        connections: usize,
+    ) -> Fleet {
         let mut world = World::prepare(size).await;
         for at in 0..world.hosts.len() {
             world.start_host(at, true);
@@ -128,7 +140,7 @@
         for (n, (build, answer)) in endpoints.into_iter().enumerate() {
             let id = format!("raw-{n}");
             let body = json!({
-                "service": fleet_world::SERVICE, "address": start_endpoint(answer), "zone": "d0",
+                "service": fleet_world::SERVICE, "address": start_endpoint(answer, connections), "zone": "d0",
                 "version": build, "slots": slots, "state": "ready", "coldMs": 0, "callSeq": 1,
             });
             let control = fleet.world.hosts_of(Role::Control)[0];
