Keep whether an end is unconfirmed in a field of its own

The path after a broken answer compared the text of its cause, which is written for the log, to find out whether the endpoint was at fault.

--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -42,6 +42,9 @@
     /// Last event of an answer that ended without a stated end. The stream is complete if another
     /// answer confirms that nothing follows it.
     open_end: Option<u64>,
+    /// Whether the response that is being read had new events and ended without a stated end, as sound
+    /// endpoints may.
+    unconfirmed: bool,
     /// Why the last endpoint was given up.
     pub(super) cause: Arc<str>,
     /// Bytes of complete events that the caller has not received yet.
@@ -63,6 +66,7 @@
             sequence: sequence::Sequence::default(),
             run_events: 0,
             open_end: None,
+            unconfirmed: false,
             cause: Arc::default(),
             ready: VecDeque::new(),
         }
@@ -181,6 +185,7 @@
         if has_events || !self.forwarder.has_begun() {
             self.open_end = last;
         }
+        self.unconfirmed = has_events;
         Err(if has_events { END_NOT_STATED.into() } else { ENDED_WITHOUT_EVENT.into() })
     }
 
@@ -225,10 +230,9 @@
         self.record_broken_answer();
         let from = self.started.take();
         let name = from.as_ref().map_or_else(Arc::default, |f| f.endpoint.id.clone());
-        // A sound endpoint may answer without a length.
-        let is_open = **cause == *END_NOT_STATED;
+        let unconfirmed = std::mem::take(&mut self.unconfirmed);
         if let Some(started) = &from
-            && !is_open
+            && !unconfirmed
             && !self.forwarder.time_left().is_zero()
         {
             self.forwarder.node.record_endpoint_failure(&started.endpoint.id, cause);
@@ -239,7 +243,7 @@
         self.sequence = sequence::Sequence::default();
         self.cause = cause.clone();
         let mut next = self.forwarder.attempts.record(attempt::Outcome::Lost);
-        if next != attempt::Next::Again && is_open {
+        if next != attempt::Next::Again && unconfirmed {
             // Asking the same endpoint again does not add to those that run the request. Its answer
             // had new events, so that this comes to an end.
             self.forwarder.restrict(name.clone());
