--- a/tests/fleet_stop.rs
+++ b/tests/fleet_stop.rs
@@ -280,7 +280,7 @@
         };
         let limit = fleet_world::WAIT_TIMEOUT;
         assert!(fleet_world::wait_until(limit, has_config).await, "{}", fleet.world.logs());
-        // Nothing waits while it isn't known how long requests run.
+        // Nothing waits until it is known how long requests run.
         for n in 0..4 {
             fleet.ask("HTTP/1.1", fleet_world::PLAIN_PREFIX, &format!("fast-{n}")).await;
         }
