Say which positions the items of a test cover

The comment of wrong_items in fleet_cuts said that each position has an item; a job has 200 at most, and some answers are longer. Streams cover every position. Found by review; a comment only.

--- a/tests/fleet_cuts.rs
+++ b/tests/fleet_cuts.rs
@@ -141,8 +141,8 @@
     wrong.first().map(|(_, example)| format!("{prefix} {} cuts {cuts:?}: {example:?}", cuts.len()))
 }
 
-/// Submits an item for each position at which its answer is cut. Returns how many have a wrong result,
-/// and one of these.
+/// Submits an item for each of the first positions at which its answer is cut, as many as a job may have.
+/// Returns how many have a wrong result, and one of these.
 async fn wrong_items(begin: Begin) -> Option<String> {
     let endpoint = cutting(begin);
     let fleet = Fleet::start(vec![endpoint.clone(), endpoint]).await;
