Read workspaces, their keys and quotas from the configuration

The fields tenants and noAuth of a configuration document were dropped, so no part of the fleet could know who calls. They are now parsed into workspaces whose keys are kept as hashes in a sorted index, and a shared key, a name that occurs twice, an empty key and a negative quota are rejected. Settings for quotas and revoked keys are read and checked. Nothing decides by them yet.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -261,8 +261,16 @@
             }
         };
         let route = route.clone();
-        let request =
-            forward::Request { id, head, body, route, arrived, deadline, _memory: memory };
+        let request = forward::Request {
+            id,
+            head,
+            body,
+            route,
+            caller: None,
+            arrived,
+            deadline,
+            _memory: memory,
+        };
         match request.route.kind {
             routes::Kind::Batch => self.submit_job(request, active.document.version).await,
             _ => forward::forward(node.clone(), request).await,
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -20,6 +20,7 @@
 use crate::fleet::serve;
 use crate::fleet::slots;
 use crate::fleet::upstream;
+use crate::fleet::workspaces;
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::BodyExt as _;
@@ -96,6 +97,8 @@
     pub body: Bytes,
     /// Route that was in force when the request arrived.
     pub route: routes::Route,
+    /// Caller whose key was checked; `None` on routes without keys.
+    pub caller: Option<workspaces::Caller>,
     /// Time at which the request arrived.
     pub arrived: time::Instant,
     /// Deadline set by the caller, the route or the end of the process, whichever is earliest.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -50,6 +50,7 @@
 pub mod upstream;
 pub mod view;
 pub mod waiting;
+pub mod workspaces;
 
 use crate::errors;
 use crate::event;
--- a/src/fleet/protocol.rs
+++ b/src/fleet/protocol.rs
@@ -38,8 +38,10 @@
     pub wait: HeaderName,
     /// Parts of the prompt of a request.
     pub prompt: HeaderName,
-    /// Names the caller of a request.
+    /// Names the caller of a request: the key of its workspace, if the configuration has workspaces.
     pub caller: HeaderName,
+    /// Name of the workspace of a request, set for endpoints.
+    pub workspace: HeaderName,
 }
 
 /// API call of an operator, an endpoint or the client of a batch job.
--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -1,6 +1,7 @@
 //! Routes and services of a configuration: validation, matching and choice of a service. Free of
 //! I/O.
 
+use crate::fleet::workspaces;
 use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
@@ -48,6 +49,8 @@
     pub gap_target: Duration,
     /// Priority among routes; 0 is the most urgent.
     pub priority: u64,
+    /// Whether callers need no key although the configuration has workspaces.
+    pub is_open: bool,
     /// Services that run the requests.
     pub shares: Vec<Share>,
     /// Most endpoints on which one request may run; for batch jobs, failed runs after which an item
@@ -134,6 +137,8 @@
     pub services: Vec<Service>,
     /// Limits on requests and connections of callers.
     pub bounds: Bounds,
+    /// Workspaces whose keys callers use; if there are none, callers need no keys.
+    pub workspaces: workspaces::Workspaces,
 }
 
 /// Why a configuration is not valid.
@@ -167,6 +172,17 @@
     /// Two services have the same name.
     #[display("two services are named {_0}")]
     DuplicateService(Arc<str>),
+    /// Two workspaces have the same name.
+    #[display("two workspaces are named {_0}")]
+    DuplicateWorkspace(Arc<str>),
+    /// A key belongs to two workspaces. The key itself is a secret and is not named.
+    #[display("workspaces {first} and {second} share a key")]
+    SharedKey {
+        /// Name of the first workspace.
+        first: Arc<str>,
+        /// Name of the second workspace.
+        second: Arc<str>,
+    },
 }
 
 impl Config {
@@ -179,6 +195,7 @@
         mut routes: Vec<Route>,
         mut services: Vec<Service>,
         bounds: Bounds,
+        workspaces: Vec<workspaces::Workspace>,
     ) -> Result<Config, Problem> {
         services.sort_by(|a, b| a.name.cmp(&b.name));
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
@@ -190,7 +207,8 @@
             let (first, second) = (pair[0].name.clone(), pair[1].name.clone());
             return Err(Problem::DuplicatePrefix { first, second });
         }
-        let config = Config { version, routes, services, bounds };
+        let workspaces = workspaces::Workspaces::new(workspaces)?;
+        let config = Config { version, routes, services, bounds, workspaces };
         for route in &config.routes {
             config.check_route(route)?;
         }
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -35,6 +35,9 @@
     /// Time limits that operators promise to callers.
     #[serde(default)]
     pub limits: Limits,
+    /// Promises about the quotas and keys of workspaces.
+    #[serde(default)]
+    pub workspaces: Workspaces,
 }
 
 /// Settings that every role needs.
@@ -122,6 +125,43 @@
     }
 }
 
+/// Promises about the quotas and keys of workspaces.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Workspaces {
+    /// Seconds of the sliding window in which a quota is enforced.
+    pub window: f64,
+    /// Share of a quota by which a window may exceed it.
+    pub over: f64,
+    /// Requests by which a window may exceed a quota besides.
+    pub slack: f64,
+    /// Milliseconds without contact to control hosts after which a strict entry accepts no keys.
+    pub revocation: u64,
+    /// Whether an entry that may not know of revoked keys rejects requests with keys.
+    pub strict: bool,
+}
+
+impl Default for Workspaces {
+    fn default() -> Workspaces {
+        Workspaces { window: 5.0, over: 0.1, slack: 20.0, revocation: 5_000, strict: false }
+    }
+}
+
+impl Workspaces {
+    fn problems(&self) -> Vec<String> {
+        let mut problems = Vec::new();
+        if !(self.window > 0.0 && self.window.is_finite()) {
+            problems.push("workspaces.window: must be a number of seconds above 0".to_string());
+        }
+        for (name, value) in [("over", self.over), ("slack", self.slack)] {
+            if !(value >= 0.0 && value.is_finite()) {
+                problems.push(format!("workspaces.{name}: must not be negative"));
+            }
+        }
+        problems
+    }
+}
+
 fn default_losses() -> usize {
     1
 }
@@ -179,6 +219,7 @@
         if self.fleet.port == 0 {
             problems.push("fleet.port: must not be 0".to_string());
         }
+        problems.extend(self.workspaces.problems());
         problems
     }
 }
--- a/tests/fleet_routes.rs
+++ b/tests/fleet_routes.rs
@@ -20,6 +20,7 @@
         response_target: Duration::from_millis(300),
         gap_target: Duration::from_millis(300),
         priority: 0,
+        is_open: false,
         shares: shares.iter().map(share).collect(),
         max_attempts: 2,
         resumable: true,
@@ -34,7 +35,7 @@
 
 fn config(routes: Vec<Route>) -> Result<Config, routes::Problem> {
     let services = vec![service("b"), service("a")];
-    Config::new(7, routes, services, routes::Bounds::default())
+    Config::new(7, routes, services, routes::Bounds::default(), Vec::new())
 }
 
 /// Guards against an invalid configuration that is accepted, and an error that does not name the
