End credit that lapsed while its request waited only once

Cause: a guard whose renewal failed returned its credit twice, so the entry reported less unused credit than it held. Change: the guard has the states held, ended and spent. A test shows that credit ends a lifetime after it was asked for, also if the answer is late.

--- a/src/fleet/workspaces/exchange.rs
+++ b/src/fleet/workspaces/exchange.rs
@@ -89,42 +89,56 @@
     node: node::Node,
     key: credit::Key,
     bound: credit::Bound,
-    /// `None` after the request was sent.
-    credit: Option<credits::Credit>,
+    state: GuardState,
+}
+
+/// What has become of the credit of a request.
+#[derive(Clone, Copy)]
+enum GuardState {
+    /// The request was not sent.
+    Held(credits::Credit),
+    /// The credit has ended, and no other was got.
+    Ended,
+    /// The request was sent.
+    Spent,
 }
 
 impl CreditGuard {
     /// Uses the credit for the request that is sent now, once. Returns `false` if the credit has
     /// ended. Must be called right before each attempt.
     pub fn spend(&mut self) -> bool {
-        let Some(credit) = self.credit.take() else { return true };
+        let credit = match self.state {
+            GuardState::Held(credit) => credit,
+            GuardState::Ended => return false,
+            GuardState::Spent => return true,
+        };
         let now = self.node.now();
-        peer::lock(&self.node.credit.credits).spend(now, self.key, credit)
+        let is_spent = peer::lock(&self.node.credit.credits).spend(now, self.key, credit);
+        self.state = if is_spent { GuardState::Spent } else { GuardState::Ended };
+        is_spent
     }
 
     /// Gets new credit if that of the guard has ended while its request waited. Returns `false` if
     /// there is none.
     pub async fn renew(&mut self) -> bool {
-        let now = self.node.now();
-        let Some(credit) = self.credit.take_if(|c| !c.is_usable(now)) else { return true };
-        peer::lock(&self.node.credit.credits).give_back(now, self.key, credit);
-        match self.node.wait_for_credit(self.key, &self.bound).await {
-            credits::Taken::Admitted(credit) => {
-                self.credit = Some(credit);
-                true
-            }
-            _ => {
-                // Without credit the guard must not admit the request later.
-                self.credit = Some(credit);
-                false
-            }
+        match self.state {
+            GuardState::Held(credit) if credit.is_usable(self.node.now()) => return true,
+            GuardState::Spent => return true,
+            GuardState::Held(_) => self.release(),
+            GuardState::Ended => {}
+        }
+        if let credits::Taken::Admitted(credit) =
+            self.node.wait_for_credit(self.key, &self.bound).await
+        {
+            self.state = GuardState::Held(credit);
         }
+        matches!(self.state, GuardState::Held(_))
     }
-}
 
-impl Drop for CreditGuard {
-    fn drop(&mut self) {
-        if let Some(credit) = self.credit.take() {
+    /// Returns the credit of a request that was not sent.
+    fn release(&mut self) {
+        if let GuardState::Held(credit) = self.state {
+            self.state = GuardState::Ended;
             let now = self.node.now();
             peer::lock(&self.node.credit.credits).give_back(now, self.key, credit);
             // Others of the workspace may wait for it.
@@ -133,6 +147,12 @@
     }
 }
 
+impl Drop for CreditGuard {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
 /// Counts a request as waiting until it is dropped.
 struct Waiting<'a> {
     node: &'a node::Node,
@@ -159,8 +179,8 @@
         match self.wait_for_credit(key, &bound).await {
             credits::Taken::Admitted(credit) => {
                 self.metrics.count_quota("admitted");
-                let credit = Some(credit);
-                Decision::Admitted(CreditGuard { node: self.clone(), key, bound, credit })
+                let state = GuardState::Held(credit);
+                Decision::Admitted(CreditGuard { node: self.clone(), key, bound, state })
             }
             credits::Taken::Over { interval } => {
                 self.metrics.count_quota("over");
--- a/tests/fleet_quotas.rs
+++ b/tests/fleet_quotas.rs
@@ -612,6 +612,39 @@
     assert!(sim.worst() <= 1.0, "{}", sim.worst());
 }
 
+/// Guards against credit that a frozen entry uses long after it was granted: neither an answer that
+/// arrives late nor a request that has waited may be sent with it.
+#[test]
+fn credit_ends_a_lifetime_after_it_was_asked_for() {
+    let quota = workspaces::Quota { rate: 10.0, burst: 10.0 };
+    let bound = credit::Bound::new(&quota, &settings::Workspaces::default());
+    let (key, link): (_, Arc<str>) = (credit::Key::new("w"), "store".into());
+    let term = limits::Term { start_time: 1, epoch: 1 };
+    let answer = |stamp: u64, seen: u64, count: u32| {
+        let lines = vec![credit::GrantLine { key, count, verdict: credit::Verdict::Met }];
+        credit::Grants { term, start_time: 7, stamp, seen, lines }
+    };
+    let mut entry = credits::Credits::new(ms(0), 7);
+    entry.set_entries(1_000_000);
+    entry.introduction(ms(3_000));
+    assert!(entry.apply(ms(3_001), &link, &answer(1, 3_000_000, 0)));
+    assert_eq!(entry.begin(ms(3_010), key, &bound, 1.0), credits::Taken::Wait);
+    let report = entry.next_report(ms(3_011)).expect("a request waits");
+    assert_eq!((report.lines[0].wanted, report.bound), (1, true));
+    // Two requests' credit: one is taken at once, the other one is left.
+    assert!(entry.apply(ms(3_012), &link, &answer(2, report.stamp, 2)));
+    let taken = entry.poll(ms(3_012), key, &bound, ms(3_010), 1.0);
+    let credits::Taken::Admitted(first) = taken else { panic!("{taken:?}") };
+    entry.end_wait(key);
+    assert!(!entry.spend(ms(4_012), key, first), "sent after its lifetime");
+    // The answer to a report of 4.1 s arrives after a freeze.
+    assert_eq!(entry.begin(ms(4_100), key, &bound, 1.0), credits::Taken::Wait);
+    let report = entry.next_report(ms(4_100)).expect("a request waits");
+    assert!(entry.apply(ms(8_100), &link, &answer(3, report.stamp, 1)));
+    let taken = entry.poll(ms(8_100), key, &bound, ms(4_100), 1.0);
+    assert_eq!(taken, credits::Taken::Unknown);
+}
+
 #[derive(Clone, Debug)]
 enum Fault {
     Cut(usize, usize),
