--- a/src/events.rs
+++ b/src/events.rs
@@ -262,6 +262,14 @@
     /// of requests since the last line and the id and reason of the latest one. The name of the
     /// workspace is given if the key was revoked while the request waited.
     KEY_REJECTED = 715, Info, "requests rejected for their keys";
+    /// Requests of a workspace were refused since its quota is used up. Logged once in 10 s for each
+    /// workspace.
+    QUOTA_EXCEEDED = 720, Info, "quota of a workspace used up";
+    /// The entry is in contact with the host that grants credit of quotas.
+    CREDIT_OWNER_FOUND = 721, Info, "owner of quotas found";
+    /// The entry has lost the host that grants credit of quotas. It uses an even share of each quota
+    /// until it finds one.
+    CREDIT_OWNER_LOST = 722, Warning, "owner of quotas lost";
 }
 
 /// Most lines of one event that a process writes in one second. Further lines are counted and left
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -89,6 +89,8 @@
     pub contact: Arc<Mutex<workspaces::contact::Contact>>,
     /// Requests of an entry that were rejected for their keys.
     pub rejections: Arc<Mutex<identity::Rejections>>,
+    /// Credit for the requests of workspaces with quotas.
+    pub credit: workspaces::exchange::Credit,
     /// Requests that wait for slots.
     pub slots: slots::Slots,
     /// Messages about runs of items that one host carries out for another.
@@ -133,6 +135,8 @@
         let metrics = metrics::Metrics::new();
         let peers = peer::Peers::new(link, &metrics, log);
         let local_replica = groups::local::SharedHandle::default();
+        let timer = timer::Timer::start();
+        let credit = workspaces::exchange::Credit::new(timer.now(), view.own().start_time);
         let group = match settings.host.role {
             settings::Role::Control => Some(groups::CONTROL),
             settings::Role::Store => Some(groups::JOBS),
@@ -155,11 +159,12 @@
             grantor: Arc::default(),
             contact: Arc::default(),
             rejections: Arc::default(),
+            credit,
             slots: slots::Slots::default(),
             run_mailboxes: Arc::default(),
             local_replica,
             metrics,
-            timer: timer::Timer::start(),
+            timer,
             log: log.clone(),
         }
     }
@@ -411,6 +416,26 @@
         });
     }
 
+    /// Adds the task that asks for credit for the requests of workspaces.
+    pub fn spawn_credit_reports(&self, tree: &mut supervisor::Supervisor) {
+        let node = self.clone();
+        tree.spawn("credit reports", move |stop| {
+            workspaces::exchange::report_credit(node.clone(), stop)
+        });
+    }
+
+    /// Adds the task that grants credit to the entries while `is_leader` is true.
+    pub fn spawn_credit_grants(
+        &self,
+        tree: &mut supervisor::Supervisor,
+        is_leader: watch::Receiver<bool>,
+    ) {
+        let node = self.clone();
+        tree.spawn("credit grants", move |stop| {
+            workspaces::exchange::grant_credit(node.clone(), is_leader.clone(), stop)
+        });
+    }
+
     /// Adds the task that tells each entry the load of the others while `is_leader` is true.
     pub fn spawn_other_load_reports(
         &self,
--- a/src/fleet/workspaces/mod.rs
+++ b/src/fleet/workspaces/mod.rs
@@ -5,6 +5,10 @@
 
 pub mod auth;
 pub mod contact;
+pub mod allocator;
+pub mod credit;
+pub mod credits;
+pub(in crate::fleet) mod exchange;
 
 use crate::fleet::routes;
 use hyper::header::HeaderValue;
