Order requests that wait for slots by rank and turn of their workspaces

New requests waited in order of arrival, so a workspace with many times its usual load got as many times its usual slots, and Route::priority was parsed but not used.

The queue of an entry now orders new requests by rank (priority of the workspace, then of the route), by turn, by the time that is left and by arrival. Recent turns of a workspace count, with a decay of 2.4 s. A request joins by its own position; those that it pushes back too far leave at once. A free slot that a request with a workspace finds goes to one of another workspace that waits and comes first. One that gets no slot in time does not take the room that one in time waits for. Without workspaces and with equal priorities, order and estimates are as before.

--- a/src/events.rs
+++ b/src/events.rs
@@ -258,6 +258,9 @@
     /// A request was refused, since the endpoints of its service with limits have got as many requests
     /// as they take, and the others are full.
     REQUEST_LIMITED = 714, Info, "request refused for the limits of endpoints";
+    /// A request no longer waits for a slot, since more urgent ones, or those of workspaces with fewer
+    /// recent turns, go first, so that it would probably get none in time.
+    REQUEST_DISPLACED = 720, Debug, "request displaced from the queue";
 }
 
 /// Most lines of one event that a process writes in one second. Further lines are counted and left
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -20,6 +20,7 @@
 use crate::fleet::serve;
 use crate::fleet::slots;
 use crate::fleet::upstream;
+use crate::fleet::waiting;
 use crate::fleet::workspaces;
 use bytes::Bytes;
 use futures_util::stream;
@@ -493,9 +494,15 @@
         let limit = self.request.route.response_target.mul_f64(SLOT_WAIT_SHARE);
         let waited = self.request.arrived.elapsed();
         let limit = limit.saturating_sub(waited).min(self.time_left());
-        let slot = self.node.wait_for_slot(&self.service, limit);
+        let claim = self.claim();
+        let slot = self.node.wait_for_slot(&self.service, limit, &claim);
         let slot = self.request.deadline.run(self.progress(), limit, slot).await;
-        if let Ok(Some(guard)) = slot {
+        if slot.as_ref().is_ok_and(|s| s.as_ref().err() == Some(&slots::NoSlot::Displaced)) {
+            event!(self.node.log, events::REQUEST_DISPLACED; "request" => &*self.request.id,
+                "workspace" => claim.workspace.as_deref(), "priority" => claim.rank.workspace,
+                "route_priority" => claim.rank.route);
+        }
+        if let Ok(Ok(guard)) = slot {
             let candidates = self.node.candidates(&self.service);
             let found = candidates.into_iter().find(|c| c.id == *guard.endpoint());
             if let Some(endpoint) = found.filter(|c| !self.tried.contains(&c.id)) {
@@ -503,10 +510,49 @@
             }
         }
         let other = other?;
-        let guard = self.node.count_request(&self.service, &other.id);
+        // It can no longer be in time. In a configuration with workspaces, it takes no slot that a
+        // request which can be in time waits for.
+        let now = self.node.now();
+        if claim.workspace.is_some() && self.node.slots.is_contended(&self.service, now) {
+            return None;
+        }
+        let guard = self.count_turn(&other, &claim);
         Some((other, guard))
     }
 
+    /// What decides the turn of the request among those that wait for slots.
+    fn claim(&self) -> waiting::Claim {
+        let caller = self.request.caller.as_ref();
+        let workspace = caller.map_or(0, |c| c.priority);
+        let rank = waiting::Rank { workspace, route: self.request.route.priority };
+        waiting::Claim { rank, workspace: caller.map(|c| c.workspace.clone()) }
+    }
+
+    /// Counts the request as running at an endpoint whose slot it takes without having waited for it.
+    fn count_turn(
+        &self,
+        endpoint: &place::Candidate,
+        claim: &waiting::Claim,
+    ) -> slots::RequestGuard {
+        self.node.slots.record_turn(&self.service, self.node.now(), claim);
+        self.node.count_request(&self.service, &endpoint.id)
+    }
+
+    /// Chooses the endpoint for the next attempt. In a configuration with workspaces, free slots go to
+    /// requests that wait and go first.
+    fn choose_in_turn(&mut self, claim: &waiting::Claim) -> place::Choice {
+        loop {
+            let choice = self.choose_next_endpoint();
+            match &choice {
+                place::Choice::Send(endpoint)
+                    if claim.workspace.is_some()
+                        && self.build.is_none()
+                        && slots::offer_before(&self.node, &self.service, endpoint, claim) => {}
+                _ => return choice,
+            }
+        }
+    }
+
     /// Waits until `end` for an endpoint of the stream's build, and sends to a full one rather than
     /// give up: no other endpoint can continue the stream.
     async fn wait_for_build(
@@ -820,6 +866,7 @@
             BUILD_WAIT
         };
         let end = time::Instant::now() + patience;
+        let claim = self.claim();
         let (mut released, mut interval) = (None, TAKEOVER_INTERVAL);
         loop {
             let id = self.request.id.clone();
@@ -833,9 +880,9 @@
             self.log_left_out_endpoints();
             let (endpoint, guard) = match released.take() {
                 Some(slot) => slot,
-                None => match self.choose_next_endpoint() {
+                None => match self.choose_in_turn(&claim) {
                     place::Choice::Send(endpoint) => {
-                        let guard = self.node.count_request(&self.service, &endpoint.id);
+                        let guard = self.count_turn(&endpoint, &claim);
                         (endpoint, guard)
                     }
                     place::Choice::Wait(other) => match self.wait_for_slot(other, end).await {
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -18,6 +18,7 @@
 use crate::fleet::sync;
 use crate::fleet::upstream;
 use crate::fleet::view;
+use crate::fleet::waiting;
 use crate::metrics;
 use crate::sorted;
 use crate::supervisor;
@@ -333,17 +334,24 @@
     }
 
     /// Waits until another request of this host for a service releases its slot, and takes the slot
-    /// over. Returns `None` at once if that will probably take longer than `limit`, or after
-    /// `limit`.
+    /// over, in the order of `claim`.
+    ///
+    /// # Errors
+    /// The request gets no slot: at once if that will probably take longer than `limit`, or once others
+    /// go first for so long, or else after `limit`.
     pub async fn wait_for_slot(
         &self,
         service: &Arc<str>,
         limit: Duration,
-    ) -> Option<slots::RequestGuard> {
+        claim: &waiting::Claim,
+    ) -> Result<slots::RequestGuard, slots::NoSlot> {
         let running = self.view.loads(|l| l.own_total());
         let grant = self.expected_grant_wait(service, self.slots.waiting(service));
         let patience = slots::Patience { limit, running, grant };
-        self.slots.wait(service, self.now(), patience, None).await
+        let order = slots::Order::New(claim);
+        let slot = self.slots.wait(service, self.now(), patience, order).await;
+        self.metrics.count_wait(claim.rank.workspace, slot.as_ref().err().copied());
+        slot
     }
 
     /// Waits for at most `limit`, before all new requests, until another request of this host
@@ -355,7 +363,7 @@
         limit: Duration,
     ) -> Option<slots::RequestGuard> {
         let patience = slots::Patience { limit, running: 0, grant: None };
-        self.slots.wait(service, self.now(), patience, Some(build)).await
+        self.slots.wait(service, self.now(), patience, slots::Order::Continued(build)).await.ok()
     }
 
     /// Asks another control host for a configuration that is overdue.
--- a/src/fleet/slots.rs
+++ b/src/fleet/slots.rs
@@ -28,7 +28,7 @@
 struct Queues {
     queues: sorted::SortedMap<Arc<str>, waiting::Queue>,
     /// Receiver of the slot of each waiting request.
-    receivers: sorted::SortedMap<(Arc<str>, u64), oneshot::Sender<RequestGuard>>,
+    receivers: sorted::SortedMap<(Arc<str>, u64), Receiver>,
 }
 
 /// How long a request waits for a slot, and what tells whether it gets one by then.
@@ -43,32 +43,87 @@
     pub grant: Option<Duration>,
 }
 
+/// Place of a request in the queue.
+#[derive(Clone, Copy, Debug)]
+pub enum Order<'a> {
+    /// Stream that goes on at a build only, before all new requests.
+    Continued(&'a Arc<str>),
+    /// New request.
+    New(&'a waiting::Claim),
+}
+
+/// Why a request that would wait gets no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoSlot {
+    /// It would probably have waited for too long, so it did not wait.
+    NotInTime,
+    /// It has waited for too long, or its service has no endpoint any more.
+    Ended,
+    /// Others went first, so that it would probably have waited for too long.
+    Displaced,
+}
+
+/// Sender that brings a waiting request its slot, or tells it that others went first.
+type Receiver = oneshot::Sender<Result<RequestGuard, NoSlot>>;
+
 impl Slots {
-    /// Waits until a request for a service releases its slot, and takes the slot over. Returns `None`
-    /// at once if that will probably take too long, or after the longest wait. A stream that goes on
-    /// at `build` only waits before all new requests, and as long as it may in any case.
+    /// Waits until a request for a service releases its slot, and takes the slot over. A stream that
+    /// goes on waits as long as it may in any case.
+    ///
+    /// # Errors
+    /// The request gets no slot: at once if that will probably take too long, or once others go first
+    /// for so long, or else after the longest wait.
     pub async fn wait(
         &self,
         service: &Arc<str>,
         now: Duration,
         patience: Patience,
-        build: Option<&Arc<str>>,
-    ) -> Option<RequestGuard> {
+        order: Order<'_>,
+    ) -> Result<RequestGuard, NoSlot> {
         let Patience { limit, running, grant } = patience;
         let (sender, slot) = oneshot::channel();
         let ticket = {
             let mut queues = peer::lock(&self.queues);
             let queue = queues.queues.entry_or(service.clone(), waiting::Queue::default);
-            let ticket = match build {
-                Some(build) => queue.join_first(now, limit, build),
-                None => queue.join(now, limit, running, grant)?,
+            let (ticket, displaced) = match order {
+                Order::Continued(build) => (queue.join_first(now, limit, build), Vec::new()),
+                Order::New(claim) => {
+                    let joined = queue.join(now, limit, running, grant, claim);
+                    let joined = joined.ok_or(NoSlot::NotInTime)?;
+                    (joined.ticket, joined.displaced)
+                }
             };
+            for ticket in displaced {
+                if let Some(receiver) = queues.receivers.remove(&(service.clone(), ticket)) {
+                    // One that no longer waits needs no notice.
+                    let _ = receiver.send(Err(NoSlot::Displaced));
+                }
+            }
             queues.receivers.insert((service.clone(), ticket), sender);
             ticket
         };
         let _leave = LeaveQueue { slots: self, service, ticket };
-        // The sender is dropped when the request has waited for too long.
-        time::timeout(limit, slot).await.ok()?.ok()
+        // The sender is dropped when the service has no endpoint any more.
+        match time::timeout(limit, slot).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(NoSlot::Ended),
+        }
+    }
+
+    /// Whether requests that can still use a slot of a service wait.
+    pub fn is_contended(&self, service: &str, now: Duration) -> bool {
+        peer::lock(&self.queues).queues.get(service).is_some_and(|queue| queue.is_contended(now))
+    }
+
+    /// Records that a request takes a slot of a service without having waited.
+    pub fn record_turn(&self, service: &Arc<str>, now: Duration, claim: &waiting::Claim) {
+        let mut queues = peer::lock(&self.queues);
+        if claim.workspace.is_some() {
+            queues.queues.entry_or(service.clone(), waiting::Queue::default);
+        }
+        if let Some(queue) = queues.queues.get_mut(service) {
+            queue.record_turn(now, claim);
+        }
     }
 
     /// Number of requests that wait for a service.
@@ -117,7 +172,7 @@
         now: Duration,
         run_time: Duration,
         build: &str,
-    ) -> Option<oneshot::Sender<RequestGuard>> {
+    ) -> Option<Receiver> {
         let mut queues = peer::lock(&self.queues);
         let queue = queues.queues.entry_or(service.clone(), waiting::Queue::default);
         let ticket = queue.release(now, run_time, build)?;
@@ -135,10 +190,33 @@
     };
     if let Some(receiver) = receiver {
         // A request that has given up drops the guard.
-        drop(receiver.send(node.count_request(&endpoint.service, &endpoint.id)));
+        drop(receiver.send(Ok(node.count_request(&endpoint.service, &endpoint.id))));
     }
 }
 
+/// Hands a free slot that was found for a new request with `claim` to a request that goes first and
+/// waits. Returns whether there was one. Slots at endpoints with a limit are not handed over: grants
+/// are given to requests that wait, by [`offer`].
+pub(super) fn offer_before(
+    node: &node::Node,
+    service: &Arc<str>,
+    endpoint: &place::Candidate,
+    claim: &waiting::Claim,
+) -> bool {
+    if endpoint.allowance.is_some() {
+        return false;
+    }
+    let receiver = {
+        let mut queues = peer::lock(&node.slots.queues);
+        let queue = queues.queues.get_mut(service);
+        let ticket = queue.and_then(|q| q.offer_before(node.now(), &endpoint.build, claim));
+        ticket.and_then(|ticket| queues.receivers.remove(&(service.clone(), ticket)))
+    };
+    receiver.is_some_and(|receiver| {
+        receiver.send(Ok(node.count_request(service, &endpoint.id))).is_ok()
+    })
+}
+
 /// Removes a request from its queue when it is dropped.
 struct LeaveQueue<'a> {
     slots: &'a Slots,
@@ -234,7 +312,7 @@
             let run_time = now.saturating_sub(self.since);
             if let Some(receiver) = self.slots.release(&self.service, now, run_time, &build) {
                 // A request that has given up drops the guard, which passes the slot on.
-                drop(receiver.send(self.successor(now)));
+                drop(receiver.send(Ok(self.successor(now))));
                 return;
             }
         }
--- a/src/fleet/waiting.rs
+++ b/src/fleet/waiting.rs
@@ -5,6 +5,12 @@
 //! may be free first, and other entries learn of it late. A request that waits here takes over the
 //! next slot that a request of the same entry releases. The other entries never see that slot free,
 //! so none of them sends a request there at the same moment.
+//!
+//! If slots are scarce for seconds and one workspace sends many times its usual load, a queue in order
+//! of arrival gives it as many times its usual slots. Instead, new requests are ordered by rank, and
+//! within a rank each workspace has as many turns as any other. An entry's queue is only a few
+//! requests long, so the order among those that wait now does not suffice: the slots that a workspace
+//! has taken recently count as turns that it has had.
 
 use crate::sorted;
 use std::collections::VecDeque;
@@ -13,21 +19,102 @@
 
 /// Weight of the latest request in the moving average of run times.
 const RUN_TIME_WEIGHT: f64 = 0.1;
+/// Time after which a turn counts for 1/e. About as long as slots are scarce in one step of the load.
+const TURN_DECAY: Duration = Duration::from_millis(2_400);
+/// Turns below which the account of a workspace is dropped.
+const MIN_TURNS: f64 = 0.1;
+/// Interval at which accounts are checked for those to drop.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Urgency of a request; the lowest is the most urgent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Priority of its workspace; 0 without one.
+    pub workspace: u64,
+    /// Priority of its route.
+    pub route: u64,
+}
 
+/// What decides the turn of a new request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Claim {
+    /// Urgency.
+    pub rank: Rank,
+    /// Name of its workspace. Requests without one share their turns.
+    pub workspace: Option<Arc<str>>,
+}
+
+/// Result of joining the queue.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Joined {
+    /// Ticket of the request.
+    pub ticket: u64,
+    /// Tickets of requests that were removed, since this one goes first and they would probably get no
+    /// slot in time any more.
+    pub displaced: Vec<u64>,
+}
+
+/// Stream that goes on and waits.
 #[derive(Debug)]
-struct Waiting {
+struct Stream {
     ticket: u64,
     /// Time until which it can still use a slot.
     until: Duration,
-    /// Build of the endpoints that can continue its stream; `None` for a new request.
-    build: Option<Arc<str>>,
+    /// Build of the endpoints that can continue it.
+    build: Arc<str>,
+}
+
+/// New request that waits.
+#[derive(Debug)]
+struct New {
+    ticket: u64,
+    /// Time until which it can still use a slot.
+    until: Duration,
+    claim: Claim,
+    /// Turns that its workspace has before it, including recent ones.
+    turn: f64,
+}
+
+/// Turns that workspaces have had recently.
+#[derive(Debug, Default)]
+struct Accounts {
+    /// Turns, and the time for which the number holds.
+    turns: sorted::SortedMap<Option<Arc<str>>, (f64, Duration)>,
+    last_cleanup: Duration,
+}
+
+impl Accounts {
+    fn turns(&self, now: Duration, workspace: &Option<Arc<str>>) -> f64 {
+        self.turns.get(workspace).map_or(0.0, |account| decayed(now, *account))
+    }
+
+    fn record(&mut self, now: Duration, workspace: &Option<Arc<str>>) {
+        // Without workspaces there is nothing to compare with.
+        if workspace.is_none() && self.turns.is_empty() {
+            return;
+        }
+        let account = self.turns.entry_or(workspace.clone(), || (0.0, now));
+        *account = (decayed(now, *account) + 1.0, now);
+        if now.saturating_sub(self.last_cleanup) >= CLEANUP_INTERVAL {
+            self.last_cleanup = now;
+            self.turns.retain(|_, account| decayed(now, *account) >= MIN_TURNS);
+        }
+    }
+}
+
+/// Turns of an account that still count at `now`.
+fn decayed(now: Duration, (turns, at): (f64, Duration)) -> f64 {
+    turns * (-now.saturating_sub(at).div_duration_f64(TURN_DECAY)).exp()
 }
 
-/// Requests for one service that wait at one entry: streams that go on first, then new requests,
-/// both in order of arrival.
+/// Requests for one service that wait at one entry: streams that go on first, in order of arrival,
+/// then new requests in order of their turns. Without workspaces and with equal ranks, the new
+/// requests are in order of arrival.
 #[derive(Debug, Default)]
 pub struct Queue {
-    waiting: VecDeque<Waiting>,
+    streams: VecDeque<Stream>,
+    new: Vec<New>,
+    accounts: Accounts,
     last_ticket: u64,
     /// Average run time of requests; `None` before the first one has ended.
     run_time: Option<Duration>,
@@ -35,24 +122,63 @@
 
 impl Queue {
     /// Adds a request that can wait for `limit`, while the entry runs `running` requests. `grant` is
-    /// the time until it may probably be sent to an endpoint with a limit, if there is one. Returns its
-    /// ticket, or `None` if it would probably get no slot in time.
+    /// the time until it may probably be sent to an endpoint with a limit, if there is one. Returns
+    /// `None` if it would probably get no slot in time.
     pub fn join(
         &mut self,
         now: Duration,
         limit: Duration,
         running: u32,
         grant: Option<Duration>,
-    ) -> Option<u64> {
-        let position = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX).saturating_add(1);
+        claim: &Claim,
+    ) -> Option<Joined> {
+        let ticket = self.last_ticket + 1;
+        self.new.push(New { ticket, until: now + limit, claim: claim.clone(), turn: 0.0 });
+        self.sort(now);
+        let at = self.new.iter().position(|w| w.ticket == ticket)?;
+        let run_time = self.run_time;
         // Slots are released at equal intervals on average.
-        let release = self.run_time.and_then(|t| t.saturating_mul(position).checked_div(running));
-        let wait = release.into_iter().chain(grant).min()?;
-        if wait > limit {
+        let wait = |position: usize| {
+            let position = u32::try_from(position).unwrap_or(u32::MAX);
+            let release = run_time.and_then(|t| t.saturating_mul(position).checked_div(running));
+            release.into_iter().chain(grant).min()
+        };
+        let mut position = self.streams.len() + at + 1;
+        if wait(position).is_none_or(|wait| wait > limit) {
+            self.new.remove(at);
             return None;
         }
-        let at = self.waiting.len();
-        Some(self.insert(at, now + limit, None))
+        self.last_ticket = ticket;
+        let mut displaced = Vec::new();
+        for pushed in self.new.split_off(at + 1) {
+            let left = pushed.until.saturating_sub(now);
+            if wait(position + 1).is_some_and(|wait| wait <= left) {
+                position += 1;
+                self.new.push(pushed);
+            } else {
+                displaced.push(pushed.ticket);
+            }
+        }
+        Some(Joined { ticket, displaced })
+    }
+
+    /// Puts the new requests in order of their turns.
+    fn sort(&mut self, now: Duration) {
+        // Without a workspace, the time that is left does not count, as before there were workspaces.
+        let until = |w: &New| w.claim.workspace.as_ref().map(|_| w.until);
+        let group = |w: &New| (w.claim.rank, w.claim.workspace.clone());
+        self.new.sort_by_cached_key(|w| (group(w), until(w), w.ticket));
+        for of_group in self.new.chunk_by_mut(|a, b| a.claim == b.claim) {
+            let mut turn = self.accounts.turns(now, &of_group[0].claim.workspace);
+            for waiting in of_group {
+                waiting.turn = turn;
+                turn += 1.0;
+            }
+        }
+        self.new.sort_by(|a, b| {
+            let by_rank = a.claim.rank.cmp(&b.claim.rank).then(a.turn.total_cmp(&b.turn));
+            by_rank.then((a.until, a.ticket).cmp(&(b.until, b.ticket)))
+        });
     }
 
     /// Average run time of requests; `None` before the first one has ended.
@@ -63,37 +189,76 @@
     /// Builds that the waiting requests need, with their numbers. `None` stands for any build.
     pub fn wanted(&self) -> sorted::SortedMap<Option<Arc<str>>, u32> {
         let mut wanted = sorted::SortedMap::new();
-        for waiting in &self.waiting {
-            *wanted.entry_or(waiting.build.clone(), || 0) += 1;
+        let builds = self.streams.iter().map(|w| Some(w.build.clone()));
+        for build in builds.chain(self.new.iter().map(|_| None)) {
+            *wanted.entry_or(build, || 0) += 1;
         }
         wanted
     }
 
+    /// Whether a request waits that can still use a slot.
+    pub fn is_contended(&self, now: Duration) -> bool {
+        let mut ends = self.streams.iter().map(|w| w.until).chain(self.new.iter().map(|w| w.until));
+        ends.any(|until| until >= now)
+    }
+
+    /// Number of workspaces whose recent turns are kept.
+    pub fn account_count(&self) -> usize {
+        self.accounts.turns.len()
+    }
+
+    /// Records that a request takes a slot without having waited.
+    pub fn record_turn(&mut self, now: Duration, claim: &Claim) {
+        self.accounts.record(now, &claim.workspace);
+    }
+
     /// Ticket of the request that takes a slot at an endpoint of `build` which no request of this
     /// entry has used.
     pub fn offer(&mut self, now: Duration, build: &str) -> Option<u64> {
-        self.waiting.retain(|w| w.until >= now);
-        let fits = |w: &Waiting| w.build.as_deref().is_none_or(|b| b == build);
-        let at = self.waiting.iter().position(fits)?;
-        self.waiting.remove(at).map(|w| w.ticket)
+        self.remove_expired(now);
+        if let Some(at) = self.streams.iter().position(|w| *w.build == *build) {
+            return self.streams.remove(at).map(|w| w.ticket);
+        }
+        self.sort(now);
+        let first = (!self.new.is_empty()).then(|| self.new.remove(0))?;
+        self.accounts.record(now, &first.claim.workspace);
+        Some(first.ticket)
+    }
+
+    /// Ticket of the request that takes a free slot at an endpoint of `build` before a new request
+    /// with `claim`, for which the slot was found; `None` if the new request takes it. A request of the
+    /// same workspace does not go before it.
+    pub fn offer_before(&mut self, now: Duration, build: &str, claim: &Claim) -> Option<u64> {
+        self.remove_expired(now);
+        self.sort(now);
+        let goes_first = self.streams.iter().any(|w| *w.build == *build)
+            || self.new.first().is_some_and(|first| {
+                let waiting = self.new.iter().filter(|w| w.claim == *claim).count();
+                let turn = self.accounts.turns(now, &claim.workspace) + waiting as f64;
+                let order = first.claim.rank.cmp(&claim.rank).then(first.turn.total_cmp(&turn));
+                first.claim.workspace != claim.workspace && order.is_le()
+            });
+        goes_first.then(|| self.offer(now, build)).flatten()
+    }
+
+    fn remove_expired(&mut self, now: Duration) {
+        self.streams.retain(|w| w.until >= now);
+        self.new.retain(|w| w.until >= now);
     }
 
     /// Adds a stream that goes on at endpoints of `build` only and can wait for `limit`. It goes
     /// before new requests, since its caller already has a part of the answer. Returns its ticket.
     pub fn join_first(&mut self, now: Duration, limit: Duration, build: &Arc<str>) -> u64 {
-        let at = self.waiting.partition_point(|w| w.build.is_some());
-        self.insert(at, now + limit, Some(build.clone()))
-    }
-
-    fn insert(&mut self, at: usize, until: Duration, build: Option<Arc<str>>) -> u64 {
         self.last_ticket += 1;
-        self.waiting.insert(at, Waiting { ticket: self.last_ticket, until, build });
-        self.last_ticket
+        let (ticket, build) = (self.last_ticket, build.clone());
+        self.streams.push_back(Stream { ticket, until: now + limit, build });
+        ticket
     }
 
     /// Removes a request that no longer waits.
     pub fn leave(&mut self, ticket: u64) {
-        self.waiting.retain(|w| w.ticket != ticket);
+        self.streams.retain(|w| w.ticket != ticket);
+        self.new.retain(|w| w.ticket != ticket);
     }
 
     /// Records that a request has ended after `run_time`, which frees its slot at an endpoint of
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,5 +1,6 @@
 //! OpenTelemetry metrics, exposed in the Prometheus text format.
 
+use crate::fleet::slots;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
@@ -10,6 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Priority that also stands for all less urgent ones in labels.
+const MAX_PRIORITY_LABEL: u64 = 4;
+
 /// Instruments of one process. Clones share them.
 #[derive(Clone)]
 pub struct Metrics {
@@ -31,6 +35,7 @@
     limited: Counter<u64>,
     sent_bytes: Counter<u64>,
     parts: Counter<u64>,
+    waits: Counter<u64>,
     latency: Histogram<f64>,
     level: Gauge<u64>,
 }
@@ -67,6 +72,7 @@
             limited: counter("limited", "Requests for endpoints with limits by service and step"),
             sent_bytes: counter("sent_bytes", "Bytes of frames to other hosts by kind and group"),
             parts: counter("prompt_parts", "Parts of prompts that may crash endpoints by step"),
+            waits: counter("waits", "Requests that would wait for a slot by priority and result"),
             latency: meter
                 .f64_histogram("latency_seconds")
                 .with_description("Latency by step")
@@ -147,6 +153,21 @@
         self.inner.parts.add(1, &[KeyValue::new("step", step)]);
     }
 
+    /// Counts a request that would wait for a slot, by the priority of its workspace. `failure` is why
+    /// it got none.
+    pub fn count_wait(&self, priority: u64, failure: Option<slots::NoSlot>) {
+        let result = match failure {
+            None => "served",
+            Some(slots::NoSlot::NotInTime) => "not_in_time",
+            Some(slots::NoSlot::Ended) => "ended",
+            Some(slots::NoSlot::Displaced) => "displaced",
+        };
+        // Bounds the number of label values; configurations may use any priority.
+        let priority = i64::try_from(priority.min(MAX_PRIORITY_LABEL)).unwrap_or(i64::MAX);
+        let labels = [KeyValue::new("priority", priority), KeyValue::new("result", result)];
+        self.inner.waits.add(1, &labels);
+    }
+
     /// Records the latency of a step.
     pub fn record_latency(&self, step: &'static str, elapsed: Duration) {
         self.inner.latency.record(elapsed.as_secs_f64(), &[KeyValue::new("step", step)]);
--- a/tests/fleet_leaving.rs
+++ b/tests/fleet_leaving.rs
@@ -513,16 +513,17 @@
             let (node, service) = (node.clone(), service.clone());
             async move {
                 let begun = Instant::now();
-                let slot = node.wait_for_slot(&service, limit).await;
-                (slot.is_some(), begun.elapsed() < limit / 2)
+                let slot = node.wait_for_slot(&service, limit, &Default::default()).await;
+                (slot.is_ok(), begun.elapsed() < limit / 2)
             }
         });
         tokio::time::sleep(Duration::from_millis(100)).await;
         assert!(!waiting.is_finished(), "it waits");
         node.handle_leaving_notice("i", 1, upstream::LeavingNotice::Leaving, "r1");
         let dismissed = waiting.await.expect("task");
-        let waiting = node.wait_for_slot(&service, Duration::from_millis(200));
+        let claim = Default::default();
+        let waiting = node.wait_for_slot(&service, Duration::from_millis(200), &claim);
         let (handed_on, ()) = tokio::join!(waiting, async { drop(running) });
-        insta::assert_snapshot!(format!("{dismissed:?} {}", handed_on.is_some()), @"(false, true) false");
+        insta::assert_snapshot!(format!("{dismissed:?} {}", handed_on.is_ok()), @"(false, true) false");
     });
 }
--- a/tests/loads/steps.rs
+++ b/tests/loads/steps.rs
@@ -176,9 +176,11 @@
                 // The former policy refuses at once.
                 let joins = other.is_some();
                 let now_time = Duration::from_millis(now);
-                match waiting.queue.join(now_time, limit, running, None).filter(|_| joins) {
-                    Some(ticket) => {
-                        waiting.arrivals.insert(ticket, now);
+                let claim = waiting::Claim::default();
+                let joined = waiting.queue.join(now_time, limit, running, None, &claim);
+                match joined.filter(|_| joins) {
+                    Some(joined) => {
+                        waiting.arrivals.insert(joined.ticket, now);
                         return;
                     }
                     None => other,
