--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -1,5 +1,7 @@
 //! Replays of loads at their worst against the modules that decide, in simulated time.
 
+#[path = "loads/shares.rs"]
+mod shares;
 #[path = "loads/steps.rs"]
 mod steps;
 
@@ -56,3 +58,66 @@
     // The steps ask for 7% more than all slots give, for 2.4 s; the rest has to wait or to come back.
     assert!(present.in_time >= 0.9 && present.refused <= 0.05, "{present:?}");
 }
+
+/// Share by which the worst tenth of the workspaces may be below the mean, and how much less often than
+/// all together one may be served, from the requirements.
+const MAX_LOSS: f64 = 0.1;
+const MIN_SERVED: f64 = 0.25;
+
+fn show(name: &str, outcome: &shares::Outcome) {
+    let total = outcome.total();
+    println!(
+        "{name}: in time {:.3}, served {:.3}, least served {:.3}, worst tenth in time {:.3}, busy one \
+         {:.3}, largest {:.3}, others by window {:.2?}",
+        total.share_in_time(),
+        total.share_served(),
+        outcome.least_served(),
+        outcome.worst_tenth(),
+        outcome.busy.share_in_time(),
+        outcome.workspaces[0].share_in_time(),
+        outcome.others.iter().map(shares::Count::share_in_time).collect::<Vec<_>>(),
+    );
+}
+
+/// Guards against a workspace with many times its usual load that takes the slots of the others.
+#[test]
+fn workspaces_keep_their_shares_when_slots_are_scarce() {
+    let former = shares::replay(shares::Policy::Former, false);
+    let queue_only = shares::replay(shares::Policy::QueueOnly, false);
+    let present = shares::replay(shares::Policy::Present, false);
+    show("former", &former);
+    show("queue only", &queue_only);
+    show("present", &present);
+    let total = present.total();
+    assert!(present.least_served() >= MIN_SERVED * total.share_served());
+    assert!(present.worst_tenth() >= total.share_in_time() - MAX_LOSS);
+    for at in shares::busy_windows() {
+        let share = |outcome: &shares::Outcome| outcome.others[at].share_in_time();
+        assert!(share(&present) >= share(&former).max(share(&queue_only)), "window {at}");
+    }
+}
+
+/// Guards against fair shares at the expense of all: in no window may fewer requests of the others be
+/// in time than in order of arrival, also while no workspace is above its usual load.
+#[test]
+fn fair_shares_cost_the_others_nothing_in_any_window() {
+    let former = shares::replay(shares::Policy::Former, false);
+    let present = shares::replay(shares::Policy::Present, false);
+    let windows = present.others.iter().zip(&former.others).enumerate();
+    let worse: Vec<_> =
+        windows.filter(|(_, (now, was))| now.share_in_time() < was.share_in_time()).collect();
+    assert!(worse.is_empty(), "{worse:?}");
+}
+
+/// Guards against requests of an urgent workspace that wait for those of a less urgent one.
+#[test]
+fn urgent_workspaces_are_served_at_least_as_often() {
+    let former = shares::replay(shares::Policy::Former, true);
+    let present = shares::replay(shares::Policy::Present, true);
+    show("former", &former);
+    show("present", &present);
+    println!("by priority: former {:?}, present {:?}", former.priorities, present.priorities);
+    let [urgent, less] = present.priorities;
+    assert!(urgent.share_served() >= less.share_served(), "{urgent:?} {less:?}");
+    assert!(urgent.share_in_time() >= less.share_in_time(), "{urgent:?} {less:?}");
+}
