--- a/src/events.rs
+++ b/src/events.rs
@@ -262,6 +262,9 @@
     /// of requests since the last line and the id and reason of the latest one. The name of the
     /// workspace is given if the key was revoked while the request waited.
     KEY_REJECTED = 715, Info, "requests rejected for their keys";
+    /// A request no longer waits for a slot, since more urgent ones, or those of workspaces with fewer
+    /// recent turns, go first, so that it would probably get none in time.
+    REQUEST_DISPLACED = 716, Debug, "request displaced from the queue";
     /// Requests of a workspace were refused since its quota is used up. Logged once in 10 s for each
     /// workspace.
     QUOTA_EXCEEDED = 720, Info, "quota of a workspace used up";
