Let jobs belong to the workspace that submitted them

Cause: two workspaces could not use one job id, every caller could read and end every job, and an item could carry any workspace name to its endpoint.

An entry looks for the job of a call under the key of the caller's workspace, then among jobs without a workspace; the response for a job of another workspace is that for an unknown one. `runner::request` sets the workspace from the ledger key, removes `Authorization` on items of a workspace, and removes the name on all others. Log lines state the caller's id as before. `authenticate_call` reads the key of calls about jobs.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -356,7 +356,8 @@
                     RunEnd::Open => event_stream::END_NOT_STATED,
                     _ => event_stream::ENDED_WITHOUT_EVENT,
                 };
-                event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
+                event!(log, events::ITEM_INTERRUPTED; "job" => ledger::job_id(&job),
+                    "request" => &*item,
                     "endpoint" => &*endpoint, "cause" => cause, "events" => events,
                     "starts_over" => open_end == Some(progress::OpenEnd::StartsOver));
                 // A sound endpoint may answer without a length.
@@ -367,7 +368,7 @@
             }
             RunEnd::Done | RunEnd::Open | RunEnd::Empty => {
                 self.node.metrics.count_item("completed");
-                event!(log, events::ITEM_DONE; "job" => &*job, "request" => &*item,
+                event!(log, events::ITEM_DONE; "job" => ledger::job_id(&job), "request" => &*item,
                     "endpoint" => &*endpoint);
                 self.run_time_estimate.record(tracked.run_time(time::Instant::now()));
                 tracked.state = ItemState::Finished;
@@ -377,7 +378,8 @@
                 }
             }
             RunEnd::Interrupted { cause, at_fault } | RunEnd::NotRun { cause, at_fault } => {
-                event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
+                event!(log, events::ITEM_INTERRUPTED; "job" => ledger::job_id(&job),
+                    "request" => &*item,
                     "endpoint" => &*endpoint, "cause" => &*cause,
                     "events" => tracked.progress.events);
                 if at_fault {
@@ -386,7 +388,8 @@
                 self.back_off(&key, RETRY_DELAY);
             }
             RunEnd::Failed => {
-                event!(log, events::ITEM_INTERRUPTED; "job" => &*job, "request" => &*item,
+                event!(log, events::ITEM_INTERRUPTED; "job" => ledger::job_id(&job),
+                    "request" => &*item,
                     "endpoint" => &*endpoint, "cause" => "endpoint answered that it failed");
                 tracked.progress.run_time = tracked.run_time(time::Instant::now());
                 tracked.state = ItemState::Committing;
@@ -409,7 +412,8 @@
     fn abandon(&mut self, key: ItemKey, cause: ledger::Cause) {
         let (job, item) = key.clone();
         self.node.metrics.count_item("abandoned");
-        event!(self.node.log, events::ITEM_ABANDONED; "job" => &*job, "request" => &*item,
+        event!(self.node.log, events::ITEM_ABANDONED; "job" => ledger::job_id(&job),
+            "request" => &*item,
             "cause" => ?cause);
         let tracked = TrackedItem { state: ItemState::Committing, progress: Progress::default() };
         self.tracked.insert(key.clone(), tracked);
@@ -447,7 +451,7 @@
     fn await_configs(&mut self, jobs: Vec<(Arc<str>, u64)>, held: u64) {
         let new = self.config_wait.record_waiting(jobs.iter().map(|(id, _)| id.clone()).collect());
         for (job, accepted) in jobs.iter().filter(|(id, _)| new.binary_search(id).is_ok()) {
-            event!(self.node.log, events::JOB_AWAITS_CONFIG; "request" => &**job,
+            event!(self.node.log, events::JOB_AWAITS_CONFIG; "request" => ledger::job_id(job),
                 "accepted_under" => accepted, "version" => held);
         }
         let count = self.config_wait.count() as u64;
@@ -654,7 +658,8 @@
         self.node.metrics.record_level("items_held", held.len() as u64);
         for (key, hold) in held.iter().filter(|(key, _)| !self.held.contains(key)) {
             self.node.metrics.count_part("held");
-            event!(self.node.log, events::ITEM_HELD; "job" => &*key.0, "request" => &*key.1,
+            event!(self.node.log, events::ITEM_HELD; "job" => ledger::job_id(&key.0),
+                "request" => &*key.1,
                 "cause" => %hold.cause, "crashes" => hold.crashes,
                 "wait_ms" => hold.wait.as_millis() as u64);
         }
@@ -671,14 +676,15 @@
             key.clone(),
             RunEnd::Interrupted { cause: "silence".into(), at_fault: true },
         );
-        event!(self.node.log, events::ENDPOINT_SILENT; "job" => &*key.0, "request" => &*key.1,
+        event!(self.node.log, events::ENDPOINT_SILENT; "job" => ledger::job_id(&key.0),
+            "request" => &*key.1,
             "endpoint" => &*endpoint, "asked" => &**next);
     }
 
     /// Stops the run of an item, which continues later.
     fn stop_item(&mut self, key: &ItemKey) {
         self.node.metrics.count_preemption();
-        event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0,
+        event!(self.node.log, events::ITEM_INTERRUPTED; "job" => ledger::job_id(&key.0),
             "request" => &*key.1, "cause" => "more urgent requests need the slot");
         if let Some(TrackedItem { state: ItemState::Running { run, .. }, .. }) =
             self.tracked.get(key)
@@ -701,22 +707,24 @@
         let mut progress = tracked.unwrap_or_else(|| progress.clone());
         let began_at = progress.build().cloned();
         if progress.prepare_run(build) {
-            event!(self.node.log, events::ITEM_STARTED_OVER; "job" => &*key.0,
+            event!(self.node.log, events::ITEM_STARTED_OVER; "job" => ledger::job_id(&key.0),
                 "request" => &*key.1, "began_at" => began_at.as_deref(), "build" => &**build);
         }
         let run_host = self.delegator.choose(self.node.now(), domain);
-        event!(self.node.log, events::ITEM_STARTED; "job" => &*key.0, "request" => &*key.1,
+        event!(self.node.log, events::ITEM_STARTED; "job" => ledger::job_id(&key.0),
+            "request" => &*key.1,
             "endpoint" => &*endpoint, "build" => &**build, "after_event" => progress.last_event,
-            "run_host" => run_host.as_deref());
+            "run_host" => run_host.as_deref(), "workspace" => ledger::job_workspace(&key.0));
         let names = self.node.view.protocol().headers();
-        let request = match runner::request(names, item, host, &endpoint, progress.last_event) {
-            Ok(request) => request,
-            Err(error) => {
-                slog::info!(self.node.log, "item does not form a valid request";
+        let request =
+            match runner::request(names, &key.0, item, host, &endpoint, progress.last_event) {
+                Ok(request) => request,
+                Err(error) => {
+                    slog::info!(self.node.log, "item does not form a valid request";
                     "request" => &*key.1, "error" => %error);
-                return self.abandon(key, ledger::Cause::Impossible);
-            }
-        };
+                    return self.abandon(key, ledger::Cause::Impossible);
+                }
+            };
         let trial = self.trials.get(&key).map(|g| g.trial.clone()).unwrap_or_default();
         if let Some(grant) = self.trials.get_mut(&key) {
             grant.trial.set_sent(true);
--- a/src/fleet/dispatch/output.rs
+++ b/src/fleet/dispatch/output.rs
@@ -120,7 +120,8 @@
         let ItemState::Running { endpoint, run, .. } = &tracked.state else { return };
         run.stop();
         let (endpoint, cause) = (endpoint.clone(), "the output is too long");
-        event!(self.node.log, events::ITEM_INTERRUPTED; "job" => &*key.0, "request" => &*key.1,
+        event!(self.node.log, events::ITEM_INTERRUPTED; "job" => ledger::job_id(&key.0),
+            "request" => &*key.1,
             "endpoint" => &*endpoint, "cause" => cause, "events" => tracked.progress.events);
         tracked.state = ItemState::Discarded;
         tracked.progress = Progress::default();
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -17,6 +17,7 @@
 use crate::fleet::routes;
 use crate::fleet::runner;
 use crate::fleet::serve;
+use crate::fleet::workspaces;
 use crate::supervisor;
 use crate::wire;
 use futures_util::FutureExt as _;
@@ -40,6 +41,26 @@
 /// the request may have to be sent again. The smallest entries have 160 MB.
 const MAX_HELD_BODY_BYTES: usize = 64 << 20;
 
+/// Why a call has no caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Denial {
+    /// The call has no valid key.
+    NoKey,
+    /// This host may not know the key yet, for this reason.
+    NotKnownYet(&'static str),
+}
+
+/// Job of a call, as far as its caller may see it.
+struct JobScope {
+    /// Id of the job.
+    id: Arc<str>,
+    /// Ledger keys that the job may have: that of the caller's workspace, then that of a job without
+    /// one, which every caller may see.
+    keys: Vec<Arc<str>>,
+    /// Why the call has no caller, if it needs one for jobs of a workspace.
+    denial: Option<Denial>,
+}
+
 /// Handler of caller requests and of frames from other hosts.
 struct Entry {
     node: node::Node,
@@ -190,10 +211,14 @@
         match call {
             Some(protocol::Call::Ready) => return self.readiness(),
             Some(protocol::Call::Results { job, after }) => {
-                return self.job_results(&head, job, after).await;
+                return self.job_results(&head, self.job_scope(&head, job), after).await;
+            }
+            Some(protocol::Call::ItemBody { job, item }) => {
+                return self.item_body(self.job_scope(&head, job), item).await;
+            }
+            Some(protocol::Call::EndJob(job)) => {
+                return self.end_job(self.job_scope(&head, job)).await;
             }
-            Some(protocol::Call::ItemBody { job, item }) => return self.item_body(job, item).await,
-            Some(protocol::Call::EndJob(job)) => return self.end_job(job).await,
             Some(protocol::Call::Malformed(problem)) => {
                 return serve::response(StatusCode::BAD_REQUEST, format!("{problem}\n"));
             }
@@ -233,6 +258,13 @@
         if id.is_empty() {
             return serve::response(StatusCode::BAD_REQUEST, "the request has no id\n");
         }
+        let caller = match route.kind {
+            routes::Kind::Batch if !route.is_open => match self.authenticate_call(&head) {
+                Ok(caller) => caller,
+                Err(denial) => return self.deny(&id, denial),
+            },
+            _ => None,
+        };
         let limit = active.config.bounds.body_bytes;
         let terms = admission::Terms {
             limit: arrived + forward::time_limit(headers, &head.headers, route.timeout),
@@ -261,16 +293,8 @@
             }
         };
         let route = route.clone();
-        let request = forward::Request {
-            id,
-            head,
-            body,
-            route,
-            caller: None,
-            arrived,
-            deadline,
-            _memory: memory,
-        };
+        let request =
+            forward::Request { id, head, body, route, caller, arrived, deadline, _memory: memory };
         match request.route.kind {
             routes::Kind::Batch => self.submit_job(request, active.document.version).await,
             _ => forward::forward(node.clone(), request).await,
@@ -288,6 +312,88 @@
         }
     }
 
+    /// Caller of a call about jobs; `None` if the configuration has no workspaces.
+    fn authenticate_call(
+        &self,
+        head: &hyper::http::request::Parts,
+    ) -> Result<Option<workspaces::Caller>, Denial> {
+        let node = &self.node;
+        let Some(active) = node.view.active_config() else {
+            return Err(Denial::NotKnownYet("no configuration is known yet"));
+        };
+        let known = &active.config.workspaces;
+        if known.is_empty() {
+            return Ok(None);
+        }
+        let value = head.headers.get(&node.view.protocol().headers().caller);
+        let key = value.and_then(|v| v.to_str().ok()).and_then(|v| v.strip_prefix("Bearer "));
+        let key = key.map(workspaces::KeyHash::new);
+        match key.and_then(|key| Some((key, known.find(&key)?))) {
+            Some((key, found)) => {
+                let (workspace, priority) = (found.name.clone(), found.priority);
+                Ok(Some(workspaces::Caller { workspace, priority, key }))
+            }
+            None if !node.is_in_contact() => Err(Denial::NotKnownYet(node::OUT_OF_CONTACT)),
+            None if node.is_newer_config_available(active.document.version) => {
+                Err(Denial::NotKnownYet("a newer configuration has not arrived yet"))
+            }
+            None => Err(Denial::NoKey),
+        }
+    }
+
+    /// Response to a call without a caller.
+    fn deny(&self, id: &str, denial: Denial) -> serve::Response {
+        match denial {
+            Denial::NoKey => serve::response(StatusCode::UNAUTHORIZED, "no valid key\n"),
+            Denial::NotKnownYet(reason) => forward::refuse(&self.node, id, reason),
+        }
+    }
+
+    /// Job `id` as far as the caller may see it.
+    fn job_scope(&self, head: &hyper::http::request::Parts, id: Arc<str>) -> JobScope {
+        let (caller, denial) = match self.authenticate_call(head) {
+            Ok(caller) => (caller, None),
+            Err(denial) => (None, Some(denial)),
+        };
+        let owned = caller.and_then(|c| ledger::job_key(&id, Some(&c.workspace)));
+        let keys = owned.into_iter().chain(ledger::job_key(&id, None)).collect();
+        JobScope { id, keys, denial }
+    }
+
+    /// Response if the caller may see no such job. It is the same whether another workspace has a
+    /// job with this id or not.
+    fn unknown_job(&self, scope: &JobScope, text: &'static str) -> serve::Response {
+        match scope.denial {
+            Some(denial) => self.deny(&scope.id, denial),
+            None => serve::response(StatusCode::NOT_FOUND, text),
+        }
+    }
+
+    /// Ledger key of the job of a call, and its results from position `after`; `None` if the caller
+    /// may see no such job.
+    async fn find_job(
+        &self,
+        scope: &JobScope,
+        after: u64,
+    ) -> Result<Option<(Arc<str>, ledger::Page)>, groups::Failure> {
+        for key in &scope.keys {
+            let query = ledger::Query::Results { job: key.clone(), after };
+            if let ledger::Answer::Page(page) = self.query_jobs(&query).await? {
+                return Ok(Some((key.clone(), page)));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Ledger key of the job of a call; `None` if the caller may see no such job. Asks the job group
+    /// only if there are several keys, or no caller: a call without a key must not fill its log.
+    async fn find_key(&self, scope: &JobScope) -> Result<Option<Arc<str>>, groups::Failure> {
+        match (&scope.keys[..], scope.denial) {
+            ([key], None) => Ok(Some(key.clone())),
+            _ => Ok(self.find_job(scope, u64::MAX).await?.map(|(key, _)| key)),
+        }
+    }
+
     /// Deadline of a call about jobs that begins now and takes at most `limit`.
     fn job_deadline(&self, limit: Duration, repeatable: bool) -> deadline::Deadline {
         let terms = admission::Terms { limit: time::Instant::now() + limit, repeatable };
@@ -322,10 +428,15 @@
             }
         };
         let route = &request.route;
+        // The jobs of an open route are read without a key, so they belong to no workspace.
+        let owner = request.caller.as_ref().filter(|_| !route.is_open);
+        let Some(job) = ledger::job_key(&request.id, owner.map(|c| &*c.workspace)) else {
+            return serve::response(StatusCode::BAD_REQUEST, "the id is no id of a job\n");
+        };
         let names = node.view.protocol().headers();
         for item in &items {
             // Checks the request with a placeholder, as its endpoint is not known yet.
-            match runner::request(names, item, &route.host, "any", None) {
+            match runner::request(names, &job, item, &route.host, "any", None) {
                 // Logs a malformed prompt.
                 Ok(request) => drop(node.request_prompt(request.headers(), &item.id)),
                 Err(error) => {
@@ -343,8 +454,7 @@
         };
         let count = items.len();
         let items = items.into_iter().map(Arc::new).collect();
-        let command =
-            ledger::Command::SubmitUnder { version, job: request.id.clone(), rules, items };
+        let command = ledger::Command::SubmitUnder { version, job, rules, items };
         let headers = node.view.protocol().headers();
         let requested = forward::numeric_header(&request.head.headers, &headers.deadline);
         let limit = requested
@@ -373,19 +483,18 @@
     async fn job_results(
         &self,
         head: &hyper::http::request::Parts,
-        job: Arc<str>,
+        scope: JobScope,
         after: u64,
     ) -> serve::Response {
         let node = &self.node;
         let headers = node.view.protocol().headers();
         let wait = forward::numeric_header(&head.headers, &headers.wait).unwrap_or(0);
         let deadline = self.job_deadline(Duration::from_millis(wait).min(MAX_RESULTS_WAIT), true);
-        let query = ledger::Query::Results { job: job.clone(), after };
         loop {
-            let page = match self.query_jobs(&query).await {
-                Ok(ledger::Answer::Page(page)) => page,
-                Ok(_) => return serve::response(StatusCode::NOT_FOUND, "no such job\n"),
-                Err(_) => return forward::refuse(node, &job, "the jobs cannot be read now"),
+            let page = match self.find_job(&scope, after).await {
+                Ok(Some((_, page))) => page,
+                Ok(None) => return self.unknown_job(&scope, "no such job\n"),
+                Err(_) => return forward::refuse(node, &scope.id, "the jobs cannot be read now"),
             };
             let timed_out = deadline.time_left() < RESULTS_POLL_INTERVAL;
             if !page.results.is_empty() || page.next >= page.total || timed_out {
@@ -395,30 +504,39 @@
         }
     }
 
-    async fn item_body(&self, job: Arc<str>, item: Arc<str>) -> serve::Response {
-        let node = &self.node;
-        let query = ledger::Query::Body { job: job.clone(), item };
-        match self.query_jobs(&query).await {
-            Ok(ledger::Answer::Body(body)) => serve::response(StatusCode::OK, body),
-            Ok(_) => serve::response(StatusCode::NOT_FOUND, "no such item, or it is listed\n"),
-            Err(_) => forward::refuse(node, &job, "the jobs cannot be read now"),
+    async fn item_body(&self, scope: JobScope, item: Arc<str>) -> serve::Response {
+        let unknown = "no such item, or it is listed\n";
+        let body = async {
+            let Some(job) = self.find_key(&scope).await? else { return Ok(None) };
+            self.query_jobs(&ledger::Query::Body { job, item }).await.map(Some)
+        };
+        match body.await {
+            Ok(Some(ledger::Answer::Body(body))) => serve::response(StatusCode::OK, body),
+            Ok(Some(_)) => serve::response(StatusCode::NOT_FOUND, unknown),
+            Ok(None) => self.unknown_job(&scope, unknown),
+            Err(_) => forward::refuse(&self.node, &scope.id, "the jobs cannot be read now"),
         }
     }
 
-    async fn end_job(&self, job: Arc<str>) -> serve::Response {
-        let node = &self.node;
-        let command = ledger::Command::EndJob { job: job.clone() };
+    async fn end_job(&self, scope: JobScope) -> serve::Response {
+        let (node, id) = (&self.node, &scope.id);
+        let job = match self.find_key(&scope).await {
+            Ok(Some(job)) => job,
+            Ok(None) => return self.unknown_job(&scope, "no such job\n"),
+            Err(_) => return forward::refuse(node, id, "the job cannot be ended now"),
+        };
+        let command = ledger::Command::EndJob { job };
         let proposed = node.groups.propose(groups::JOBS, &command, JOB_CALL_TIMEOUT);
         match self.until_end(proposed).await {
             Ok(ledger::Reply::Done) => {
-                event!(node.log, events::JOB_ENDED; "request" => &*job);
+                event!(node.log, events::JOB_ENDED; "request" => &**id);
                 serve::response(StatusCode::OK, "")
             }
-            Ok(_) => serve::response(StatusCode::NOT_FOUND, "no such job\n"),
+            Ok(_) => self.unknown_job(&scope, "no such job\n"),
             Err(groups::Failure::NotDone(_)) => {
-                forward::refuse(node, &job, "the job cannot be ended now")
+                forward::refuse(node, id, "the job cannot be ended now")
             }
-            Err(groups::Failure::Unknown) => outcome_unknown(node, &job),
+            Err(groups::Failure::Unknown) => outcome_unknown(node, id),
         }
     }
 }
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -3,6 +3,10 @@
 //! An item gets its position in the results when it ends, in log order, so the results are the same
 //! on every replica. Commands are idempotent: a repeated command (from a caller that submits a job
 //! again or a leader that runs an item again) changes nothing and gets the same reply.
+//!
+//! Commands, queries and replicas name a job by its ledger key, which [`job_key`] makes of the
+//! caller's id and the workspace that the job belongs to. So the workspace is as durable as the job
+//! and known wherever the job is, and the encoding is that of earlier builds.
 
 use crate::replica;
 use crate::sorted;
@@ -15,6 +19,33 @@
 /// result of a page is returned whatever its size.
 const MAX_PAGE_BYTES: usize = 900 << 10;
 
+/// Separates the id of a job from the name of its workspace in a ledger key. Ids come from header
+/// values and paths, which cannot contain it.
+const WORKSPACE_SEPARATOR: char = '\n';
+
+/// Ledger key of the job that a caller calls `id`. A job without a workspace has its id as key, as in
+/// logs and snapshots of builds that did not know workspaces. `None` if the id contains a line feed:
+/// it could name a job of a workspace.
+pub fn job_key(id: &str, workspace: Option<&str>) -> Option<Arc<str>> {
+    if id.contains(WORKSPACE_SEPARATOR) {
+        return None;
+    }
+    Some(match workspace {
+        Some(workspace) => format!("{id}{WORKSPACE_SEPARATOR}{workspace}").into(),
+        None => id.into(),
+    })
+}
+
+/// Id that the caller chose for the job with the given ledger key.
+pub fn job_id(key: &str) -> &str {
+    key.split_once(WORKSPACE_SEPARATOR).map_or(key, |(id, _)| id)
+}
+
+/// Name of the workspace that the job with the given ledger key belongs to, if any.
+pub fn job_workspace(key: &str) -> Option<&str> {
+    key.split_once(WORKSPACE_SEPARATOR).map(|(_, workspace)| workspace)
+}
+
 /// One request of a batch job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -123,7 +154,7 @@
 /// Output of an item that follows the stored output.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutputChunk {
-    /// Id of the job.
+    /// Ledger key of the job.
     pub job: Arc<str>,
     /// Id of the item.
     pub item: Arc<str>,
@@ -210,7 +241,7 @@
     /// abandoned.
     #[display("fail")]
     RecordFailure {
-        /// Id of the job.
+        /// Ledger key of the job.
         job: Arc<str>,
         /// Id of the item.
         item: Arc<str>,
@@ -220,7 +251,7 @@
     /// Abandon an item.
     #[display("abandon")]
     Abandon {
-        /// Id of the job.
+        /// Ledger key of the job.
         job: Arc<str>,
         /// Id of the item.
         item: Arc<str>,
@@ -230,7 +261,7 @@
     /// End a job. Items that have not ended are dropped.
     #[display("end")]
     EndJob {
-        /// Id of the job.
+        /// Ledger key of the job.
         job: Arc<str>,
     },
     /// Move the replica of a host to another host, so that the host can be removed.
@@ -242,7 +273,7 @@
     /// Remove jobs whose retention period is over.
     #[display("forget")]
     RemoveJobs {
-        /// Ids of the jobs.
+        /// Ledger keys of the jobs.
         jobs: Vec<Arc<str>>,
     },
     /// Store output of running items. Output that does not directly follow the stored output of its
@@ -256,17 +287,17 @@
     /// item starts over.
     #[display("discard")]
     DiscardOutput {
-        /// Id of the job.
+        /// Ledger key of the job.
         job: Arc<str>,
         /// Id of the item.
         item: Arc<str>,
     },
-    /// Accept a job. If the id is already known, nothing changes.
+    /// Accept a job. If the key is already known, nothing changes.
     #[display("submit")]
     SubmitUnder {
         /// Version of the configuration under which the job is accepted.
         version: u64,
-        /// Id chosen by the caller.
+        /// Ledger key of the job.
         job: Arc<str>,
         /// Settings of the job.
         rules: Rules,
@@ -301,14 +332,14 @@
 pub enum Query {
     /// Results of a job from a position on.
     Results {
-        /// Id of the job.
+        /// Ledger key of the job.
         job: Arc<str>,
         /// First position.
         after: u64,
     },
     /// Body of an item that has not ended.
     Body {
-        /// Id of the job.
+        /// Ledger key of the job.
         job: Arc<str>,
         /// Id of the item.
         item: Arc<str>,
@@ -367,12 +398,12 @@
 }
 
 impl Ledger {
-    /// All jobs with their ids.
+    /// All jobs with their ledger keys.
     pub fn jobs(&self) -> impl Iterator<Item = (&Arc<str>, &Job)> {
         self.jobs.iter()
     }
 
-    /// Job with the given id.
+    /// Job with the given ledger key.
     pub fn job(&self, id: &str) -> Option<&Job> {
         self.jobs.get(id)
     }
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -27,7 +27,7 @@
     StartsOver,
 }
 
-/// Id of a job and id of one of its items.
+/// Ledger key of a job and id of one of its items.
 pub type ItemKey = (Arc<str>, Arc<str>);
 
 /// Output of an item that has arrived so far.
--- a/src/fleet/run_host.rs
+++ b/src/fleet/run_host.rs
@@ -6,6 +6,7 @@
 use crate::fleet::delegation;
 use crate::fleet::directory;
 use crate::fleet::frame;
+use crate::fleet::ledger;
 use crate::fleet::node;
 use crate::fleet::peer;
 use crate::fleet::runner;
@@ -155,8 +156,8 @@
             return self.end_run(&key, runner::RunEnd::Interrupted { cause, at_fault: false });
         }
         let names = self.node.view.protocol().headers();
-        let delegation::Order { item, host, endpoint, last_event, .. } = &order;
-        let request = match runner::request(names, item, host, endpoint, *last_event) {
+        let delegation::Order { key: (job, _), item, host, endpoint, last_event, .. } = &order;
+        let request = match runner::request(names, job, item, host, endpoint, *last_event) {
             Ok(request) => request,
             Err(error) => {
                 // The leader has built the same request before.
@@ -166,7 +167,7 @@
             }
         };
         self.last_run += 1;
-        event!(self.node.log, events::RUN_ACCEPTED; "job" => &*order.key.0,
+        event!(self.node.log, events::RUN_ACCEPTED; "job" => ledger::job_id(&order.key.0),
             "request" => &*order.key.1, "endpoint" => &*order.endpoint, "leader" => &*key.0,
             "number" => order.number, "after_event" => order.last_event);
         let run = runner::Run {
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -112,12 +112,15 @@
     pub request: hyper::Request<Full<Bytes>>,
 }
 
-/// Builds the request that runs an item at an endpoint, continuing after the event `last`.
+/// Builds the request that runs an item at an endpoint, continuing after the event `last`. The
+/// endpoint gets the workspace from the ledger key `job`, whatever the headers of the item say. The
+/// key of a caller, which is for entries only, does not reach the endpoint on items of a workspace.
 ///
 /// # Errors
-/// The item's id, path or headers do not form a valid request.
+/// The item's id, path or headers, or the name of the workspace, do not form a valid request.
 pub fn request(
     names: &protocol::Headers,
+    job: &str,
     item: &ledger::Item,
     host: &str,
     endpoint: &str,
@@ -132,6 +135,16 @@
     headers.insert(header::HOST, HeaderValue::from_str(host)?);
     headers.insert(names.request_id.clone(), HeaderValue::from_str(&item.id)?);
     headers.insert(names.expected_endpoint.clone(), HeaderValue::from_str(endpoint)?);
+    match ledger::job_workspace(job) {
+        Some(workspace) => {
+            headers.remove(&names.caller);
+            let value = HeaderValue::from_bytes(workspace.as_bytes())?;
+            headers.insert(names.workspace.clone(), value);
+        }
+        None => {
+            headers.remove(&names.workspace);
+        }
+    }
     match last {
         Some(last) => headers.insert(names.last_event.clone(), HeaderValue::from(last)),
         None => headers.remove(&names.last_event),
--- a/tests/fleet_ledger.rs
+++ b/tests/fleet_ledger.rs
@@ -362,6 +362,81 @@
     insta::assert_snapshot!(seen.join(", "), @r#"0 7, 0 7, Some("v2"), 0 0"#);
 }
 
+/// Guards against two workspaces that share a job because they chose the same id: each must see, end
+/// and lose only its own.
+#[test]
+fn workspaces_may_use_the_same_job_id() {
+    let mut l = Ledger::default();
+    let key = |workspace| ledger::job_key("j", workspace).expect("valid id");
+    let keys = [key(None), key(Some("a")), key(Some("b"))];
+    for (key, item) in keys.iter().zip(["x", "y", "z"]) {
+        submit(&mut l, key, &[item, "same"]);
+        complete(&mut l, key, item, item);
+    }
+    let all = |l: &Ledger| keys.each_ref().map(|key| list(l, key, 0)).join(" | ");
+    let mut seen = vec![all(&l)];
+    // Another key of the workspace submits the job again.
+    submit(&mut l, &keys[1], &["other"]);
+    l.execute(3, Command::EndJob { job: keys[2].clone() });
+    complete(&mut l, &keys[1], "same", "A");
+    complete(&mut l, &keys[2], "same", "B");
+    seen.push(all(&l));
+    l.execute(4, Command::RemoveJobs { jobs: vec![keys[0].clone()] });
+    let mut again = Ledger::default();
+    again.restore(&l.snapshot()).expect("snapshot");
+    seen.push(all(&again));
+    let names = again
+        .jobs()
+        .map(|(key, _)| format!("{} of {:?}", ledger::job_id(key), ledger::job_workspace(key)));
+    seen.push(names.collect::<Vec<_>>().join(", "));
+    insta::assert_snapshot!(seen.join("\n"), @r#"
+    1/2 x=x | 1/2 y=y | 1/2 z=z
+    1/2 x=x | 2/2 y=y, same=A | 1/2 z=z
+    Unknown | 2/2 y=y, same=A | 1/2 z=z
+    j of Some("a"), j of Some("b")
+    "#);
+}
+
+/// Guards against ids and names that give two jobs one key, and against an id that names the job of a
+/// workspace.
+#[test]
+fn job_keys_do_not_collide() {
+    let ids = ["", "a", "ab", "b", "a b"];
+    let names = [None, Some(""), Some("a"), Some("b"), Some("\n"), Some("a\nb"), Some("\nb")];
+    let mut keys = Vec::new();
+    for (id, name) in ids.iter().flat_map(|id| names.map(|name| (*id, name))) {
+        let key = ledger::job_key(id, name).expect("valid id");
+        assert_eq!((ledger::job_id(&key), ledger::job_workspace(&key)), (id, name));
+        keys.push(key);
+    }
+    keys.sort();
+    keys.dedup();
+    assert_eq!(keys.len(), ids.len() * names.len());
+    for id in ["\n", "a\n", "a\nb"] {
+        assert_eq!((ledger::job_key(id, None), ledger::job_key(id, Some("a"))), (None, None));
+    }
+}
+
+/// Guards against a build that changes the encoding of a job without a workspace, which logs and
+/// snapshots of earlier builds hold.
+#[test]
+fn jobs_without_workspace_are_encoded_as_before() {
+    let command = Command::SubmitUnder {
+        version: 7,
+        job: ledger::job_key("j", None).expect("valid id"),
+        rules: rules(),
+        items: vec![item("a")],
+    };
+    let hex = |bytes: &[u8]| bytes.iter().map(|b| format!("{b:02x}")).collect::<String>();
+    let mut l = Ledger::default();
+    let encoded = ledger::encode(&command);
+    l.apply(1, &encoded);
+    insta::assert_snapshot!(format!("{}\n{}", hex(&encoded), hex(&l.snapshot())), @r"
+    0b07016a0168032f702f02d08c0101e0d403010161042f702f7801056d6f64656c016d09626f6479206f6620610a
+    01016a0168032f702f02d08c0101e0d403010100010161042f702f7801056d6f64656c016d09626f6479206f6620610a0000000000000001016a07
+    ");
+}
+
 /// Guards against generations of items that stay after the items have ended.
 #[test]
 fn ended_items_leave_no_generation() {
