--- a/tests/fleet_cuts.rs
+++ b/tests/fleet_cuts.rs
@@ -98,7 +98,7 @@
 /// Number of the positions at which the answer of a case is cut; 0 leaves it whole.
 fn positions(begin: Begin) -> usize {
     let (id, path) = (String::from("stream-00-000"), String::new());
-    begin(&Request { id, path, last_event: 0, number: 0 }).len()
+    begin(&Request { id, path, ..Request::default() }).len()
 }
 
 /// What is wrong with an answer: a success is the stream from its first event on, in order, and ends
--- a/tests/fleet_heads.rs
+++ b/tests/fleet_heads.rs
@@ -111,8 +111,7 @@
         let request = Request {
             id: "stream-000".into(),
             path: fleet_world::STREAM_PREFIX.into(),
-            last_event: 0,
-            number: 0,
+            ..Request::default()
         };
         let answer = (self.answer)(&request);
         match self.end {
--- a/tests/fleet_world/raw.rs
+++ b/tests/fleet_world/raw.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 
 /// Request without its body.
+#[derive(Default)]
 pub struct Request {
     /// Head in lower case.
     head: String,
@@ -29,6 +30,11 @@
         self.head.lines().find_map(|l| l.strip_prefix(name)).unwrap_or_default().trim()
     }
 
+    /// Values of all headers with the given name, which ends with a colon.
+    pub fn fields(&self, name: &str) -> Vec<&str> {
+        self.head.lines().filter_map(|l| l.strip_prefix(name)).map(str::trim).collect()
+    }
+
     /// Path of the request.
     pub fn path(&self) -> &str {
         self.head.split(' ').nth(1).unwrap_or_default()
--- a/tests/fleet_world/scripted.rs
+++ b/tests/fleet_world/scripted.rs
@@ -25,12 +25,15 @@
 const JOB_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Request as an endpoint reads it.
+#[derive(Default)]
 pub struct Request {
     pub id: String,
     pub path: String,
     pub last_event: u64,
     /// Number of the request on its connection, from 0.
     pub number: usize,
+    /// Head of the request.
+    pub raw: raw::Request,
 }
 
 /// Writes the answer to a request. The connection is closed if this returns `false`.
@@ -61,6 +64,7 @@
             path: read.path().into(),
             last_event: read.field("last-event-id:").parse().unwrap_or(0),
             number,
+            raw: read,
         };
         if !answer(&request, &mut stream)? {
             return Ok(());
