--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -42,6 +42,17 @@
 /// the request may have to be sent again. The smallest entries have 160 MB.
 const MAX_HELD_BODY_BYTES: usize = 64 << 20;
 
+/// Job of a call, as far as its caller may see it.
+struct JobScope {
+    /// Id of the job.
+    id: Arc<str>,
+    /// Ledger keys that the job may have: that of the caller's workspace, then that of a job without
+    /// one, which every caller may see.
+    keys: Vec<Arc<str>>,
+    /// Why the call has no caller, if it needs one for jobs of a workspace.
+    denial: Option<auth::Decision>,
+}
+
 /// Handler of caller requests and of frames from other hosts.
 struct Entry {
     node: node::Node,
@@ -196,10 +207,14 @@
         match call {
             Some(protocol::Call::Ready) => return self.readiness(),
             Some(protocol::Call::Results { job, after }) => {
-                return self.job_results(&head, job, after).await;
+                return self.job_results(&head, self.job_scope(&head, job).await, after).await;
+            }
+            Some(protocol::Call::ItemBody { job, item }) => {
+                return self.item_body(self.job_scope(&head, job).await, item).await;
+            }
+            Some(protocol::Call::EndJob(job)) => {
+                return self.end_job(self.job_scope(&head, job).await).await;
             }
-            Some(protocol::Call::ItemBody { job, item }) => return self.item_body(job, item).await,
-            Some(protocol::Call::EndJob(job)) => return self.end_job(job).await,
             Some(protocol::Call::Malformed(problem)) => {
                 return serve::response(StatusCode::BAD_REQUEST, format!("{problem}\n"));
             }
@@ -322,6 +337,53 @@
         }
     }
 
+    /// Job `id` as far as the caller may see it.
+    async fn job_scope(&self, head: &hyper::http::request::Parts, id: Arc<str>) -> JobScope {
+        let (caller, denial) = match self.node.identify(&head.headers, false).await {
+            auth::Decision::Open => (None, None),
+            auth::Decision::Admitted(caller) => (Some(caller), None),
+            denial => (None, Some(denial)),
+        };
+        let owned = caller.and_then(|c| ledger::job_key(&id, Some(&c.workspace)));
+        let keys = owned.into_iter().chain(ledger::job_key(&id, None)).collect();
+        JobScope { id, keys, denial }
+    }
+
+    /// Response if the caller may see no such job. It is the same whether another workspace has a
+    /// job with this id or not.
+    fn unknown_job(&self, scope: &JobScope, text: &'static str) -> serve::Response {
+        let denied = scope.denial.clone().map(|d| self.node.respond_to_key(d, &scope.id, None));
+        match denied {
+            Some(Err(response)) => response,
+            _ => serve::response(StatusCode::NOT_FOUND, text),
+        }
+    }
+
+    /// Ledger key of the job of a call, and its results from position `after`; `None` if the caller
+    /// may see no such job.
+    async fn find_job(
+        &self,
+        scope: &JobScope,
+        after: u64,
+    ) -> Result<Option<(Arc<str>, ledger::Page)>, groups::Failure> {
+        for key in &scope.keys {
+            let query = ledger::Query::Results { job: key.clone(), after };
+            if let ledger::Answer::Page(page) = self.query_jobs(&query).await? {
+                return Ok(Some((key.clone(), page)));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Ledger key of the job of a call; `None` if the caller may see no such job. Asks the job group
+    /// only if there are several keys, or no caller: a call without a key must not fill its log.
+    async fn find_key(&self, scope: &JobScope) -> Result<Option<Arc<str>>, groups::Failure> {
+        match (&scope.keys[..], &scope.denial) {
+            ([key], None) => Ok(Some(key.clone())),
+            _ => Ok(self.find_job(scope, u64::MAX).await?.map(|(key, _)| key)),
+        }
+    }
+
     /// Deadline of a call about jobs that begins now and takes at most `limit`.
     fn job_deadline(&self, limit: Duration, repeatable: bool) -> deadline::Deadline {
         let terms = admission::Terms { limit: time::Instant::now() + limit, repeatable };
@@ -356,10 +418,15 @@
             }
         };
         let route = &request.route;
+        // The jobs of an open route are read without a key, so they belong to no workspace.
+        let owner = request.caller.as_ref().filter(|_| !route.is_open);
+        let Some(job) = ledger::job_key(&request.id, owner.map(|c| &*c.workspace)) else {
+            return serve::response(StatusCode::BAD_REQUEST, "the id is no id of a job\n");
+        };
         let names = node.view.protocol().headers();
         for item in &items {
             // Checks the request with a placeholder, as its endpoint is not known yet.
-            match runner::request(names, item, &route.host, "any", None) {
+            match runner::request(names, &job, item, &route.host, "any", None) {
                 // Logs a malformed prompt.
                 Ok(request) => drop(node.request_prompt(request.headers(), &item.id)),
                 Err(error) => {
@@ -377,8 +444,7 @@
         };
         let count = items.len();
         let items = items.into_iter().map(Arc::new).collect();
-        let command =
-            ledger::Command::SubmitUnder { version, job: request.id.clone(), rules, items };
+        let command = ledger::Command::SubmitUnder { version, job, rules, items };
         let headers = node.view.protocol().headers();
         let requested = forward::numeric_header(&request.head.headers, &headers.deadline);
         let limit = requested
@@ -407,19 +473,18 @@
     async fn job_results(
         &self,
         head: &hyper::http::request::Parts,
-        job: Arc<str>,
+        scope: JobScope,
         after: u64,
     ) -> serve::Response {
         let node = &self.node;
         let headers = node.view.protocol().headers();
         let wait = forward::numeric_header(&head.headers, &headers.wait).unwrap_or(0);
         let deadline = self.job_deadline(Duration::from_millis(wait).min(MAX_RESULTS_WAIT), true);
-        let query = ledger::Query::Results { job: job.clone(), after };
         loop {
-            let page = match self.query_jobs(&query).await {
-                Ok(ledger::Answer::Page(page)) => page,
-                Ok(_) => return serve::response(StatusCode::NOT_FOUND, "no such job\n"),
-                Err(_) => return forward::refuse(node, &job, "the jobs cannot be read now"),
+            let page = match self.find_job(&scope, after).await {
+                Ok(Some((_, page))) => page,
+                Ok(None) => return self.unknown_job(&scope, "no such job\n"),
+                Err(_) => return forward::refuse(node, &scope.id, "the jobs cannot be read now"),
             };
             let timed_out = deadline.time_left() < RESULTS_POLL_INTERVAL;
             if !page.results.is_empty() || page.next >= page.total || timed_out {
@@ -429,30 +494,39 @@
         }
     }
 
-    async fn item_body(&self, job: Arc<str>, item: Arc<str>) -> serve::Response {
-        let node = &self.node;
-        let query = ledger::Query::Body { job: job.clone(), item };
-        match self.query_jobs(&query).await {
-            Ok(ledger::Answer::Body(body)) => serve::response(StatusCode::OK, body),
-            Ok(_) => serve::response(StatusCode::NOT_FOUND, "no such item, or it is listed\n"),
-            Err(_) => forward::refuse(node, &job, "the jobs cannot be read now"),
+    async fn item_body(&self, scope: JobScope, item: Arc<str>) -> serve::Response {
+        let unknown = "no such item, or it is listed\n";
+        let body = async {
+            let Some(job) = self.find_key(&scope).await? else { return Ok(None) };
+            self.query_jobs(&ledger::Query::Body { job, item }).await.map(Some)
+        };
+        match body.await {
+            Ok(Some(ledger::Answer::Body(body))) => serve::response(StatusCode::OK, body),
+            Ok(Some(_)) => serve::response(StatusCode::NOT_FOUND, unknown),
+            Ok(None) => self.unknown_job(&scope, unknown),
+            Err(_) => forward::refuse(&self.node, &scope.id, "the jobs cannot be read now"),
         }
     }
 
-    async fn end_job(&self, job: Arc<str>) -> serve::Response {
-        let node = &self.node;
-        let command = ledger::Command::EndJob { job: job.clone() };
+    async fn end_job(&self, scope: JobScope) -> serve::Response {
+        let (node, id) = (&self.node, &scope.id);
+        let job = match self.find_key(&scope).await {
+            Ok(Some(job)) => job,
+            Ok(None) => return self.unknown_job(&scope, "no such job\n"),
+            Err(_) => return forward::refuse(node, id, "the job cannot be ended now"),
+        };
+        let command = ledger::Command::EndJob { job };
         let proposed = node.groups.propose(groups::JOBS, &command, JOB_CALL_TIMEOUT);
         match self.until_end(proposed).await {
             Ok(ledger::Reply::Done) => {
-                event!(node.log, events::JOB_ENDED; "request" => &*job);
+                event!(node.log, events::JOB_ENDED; "request" => &**id);
                 serve::response(StatusCode::OK, "")
             }
-            Ok(_) => serve::response(StatusCode::NOT_FOUND, "no such job\n"),
+            Ok(_) => self.unknown_job(&scope, "no such job\n"),
             Err(groups::Failure::NotDone(_)) => {
-                forward::refuse(node, &job, "the job cannot be ended now")
+                forward::refuse(node, id, "the job cannot be ended now")
             }
-            Err(groups::Failure::Unknown) => outcome_unknown(node, &job),
+            Err(groups::Failure::Unknown) => outcome_unknown(node, id),
         }
     }
 }
--- a/src/fleet/identity.rs
+++ b/src/fleet/identity.rs
@@ -82,8 +82,22 @@
         }
     }
 
-    /// Caller of the request `id` with these headers; `None` if it needs no key. `is_open` tells
-    /// whether its route needs none; it is false for a request without a route. Nothing of the body
+    /// Decides who sends a request with these headers. `is_open` tells whether its route needs no key;
+    /// it is false for a call without a route.
+    pub(super) async fn identify(&self, headers: &HeaderMap, is_open: bool) -> auth::Decision {
+        let presented = auth::read_key(headers, &self.view.protocol().headers().caller);
+        let policy = self.key_policy();
+        let decide = || match self.view.active_config() {
+            None => auth::Decision::Undecided(NO_CONFIG),
+            Some(active) => {
+                let knowledge = self.key_knowledge(active.document.version);
+                auth::decide(&active.config.workspaces, is_open, presented, knowledge, policy)
+            }
+        };
+        self.decide_key(decide).await
+    }
+
+    /// Caller of the request `id` with these headers; `None` if it needs no key. Nothing of the body
     /// needs to have been read.
     ///
     /// # Errors
@@ -94,16 +108,7 @@
         id: &str,
         is_open: bool,
     ) -> Result<Option<workspaces::Caller>, serve::Response> {
-        let presented = auth::read_key(headers, &self.view.protocol().headers().caller);
-        let policy = self.key_policy();
-        let decide = || match self.view.active_config() {
-            None => auth::Decision::Undecided(NO_CONFIG),
-            Some(active) => {
-                let knowledge = self.key_knowledge(active.document.version);
-                auth::decide(&active.config.workspaces, is_open, presented, knowledge, policy)
-            }
-        };
-        self.respond(self.decide_key(decide).await, id, None)
+        self.respond_to_key(self.identify(headers, is_open).await, id, None)
     }
 
     /// Checks again, right before a request is sent or submitted, whether its key is valid: it may
@@ -124,10 +129,14 @@
                 auth::recheck(&active.config.workspaces, caller, knowledge, policy)
             }
         };
-        self.respond(self.decide_key(decide).await, id, Some(caller)).map(drop)
+        self.respond_to_key(self.decide_key(decide).await, id, Some(caller)).map(drop)
     }
 
-    fn respond(
+    /// Carries out a decision. `known` is the caller of a request that was admitted before.
+    ///
+    /// # Errors
+    /// The response to the request: 401 without a valid key, 503 if the entry cannot tell.
+    pub(super) fn respond_to_key(
         &self,
         decision: auth::Decision,
         id: &str,
--- a/tests/fleet_keys.rs
+++ b/tests/fleet_keys.rs
@@ -306,7 +306,7 @@
     let (heads, held) = (heads.clone(), held.clone());
     Arc::new(move |request: &scripted::Request, stream: &mut TcpStream| {
         let is_first = heads_of(&heads, &request.path).is_empty();
-        let entry = (request.path.clone(), request.head.clone());
+        let entry = (request.path.clone(), request.raw.head.clone());
         heads.lock().expect("heads").push(entry);
         let name = request.path.rsplit('/').next().unwrap_or_default().to_string();
         let answer = match &*name {
