--- a/src/fleet/workspaces/exchange.rs
+++ b/src/fleet/workspaces/exchange.rs
@@ -86,7 +86,8 @@
 
 /// Credit of one request, which returns it when it is dropped before the request was sent.
 pub struct CreditGuard {
-    node: node::Node,
+    // Keeps the guard, which is moved with its request, small.
+    node: Box<node::Node>,
     key: credit::Key,
     bound: credit::Bound,
     state: GuardState,
@@ -180,7 +181,8 @@
             credits::Taken::Admitted(credit) => {
                 self.metrics.count_quota("admitted");
                 let state = GuardState::Held(credit);
-                Decision::Admitted(CreditGuard { node: self.clone(), key, bound, state })
+                let node = Box::new(self.clone());
+                Decision::Admitted(CreditGuard { node, key, bound, state })
             }
             credits::Taken::Over { interval } => {
                 self.metrics.count_quota("over");
