--- a/tests/fleet_leaving.rs
+++ b/tests/fleet_leaving.rs
@@ -7,6 +7,7 @@
 use basilfield::fleet::node;
 use basilfield::fleet::settings;
 use basilfield::fleet::upstream;
+use basilfield::fleet::waiting;
 use directory::Directory;
 use directory::Phase;
 use fleet_world::Role;
@@ -527,3 +528,39 @@
         insta::assert_snapshot!(format!("{dismissed:?} {}", handed_on.is_ok()), @"(false, true) false");
     });
 }
+
+/// Guards against a request that waits until its time is over although a more urgent one went first and
+/// takes the only slot that is released in time.
+#[test]
+fn displaced_request_learns_at_once() {
+    fleet_world::run(async {
+        let (service, id) = ("a".into(), "i".into());
+        let node = node(80);
+        // The end of a first request tells that a slot is released every second.
+        let first = node.count_request(&service, &id);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        drop(first);
+        let running = node.count_request(&service, &id);
+        let limit = Duration::from_millis(1_500);
+        let claim = |priority| waiting::Claim {
+            rank: waiting::Rank { workspace: priority, route: 0 },
+            workspace: Some(format!("w{priority}").into()),
+        };
+        let wait = |priority| {
+            let (node, service, claim) = (node.clone(), service.clone(), claim(priority));
+            tokio::spawn(async move {
+                let begun = Instant::now();
+                let slot = node.wait_for_slot(&service, limit, &claim).await;
+                (slot.err(), begun.elapsed() < limit / 2)
+            })
+        };
+        let less = wait(1);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!less.is_finished(), "it waits");
+        let urgent = wait(0);
+        let displaced = less.await.expect("task");
+        drop(running);
+        let served = urgent.await.expect("task");
+        insta::assert_snapshot!(format!("{displaced:?} {served:?}"), @"(Some(Displaced), true) (None, true)");
+    });
+}
