Take the quarantined causes from the disks of the control hosts after a loss of power

After a loss of power at all hosts, entries refused requests although a configuration was in force, until a leader of the control group was elected and had confirmed what is quarantined. Each control host now reports what its disk holds, and the most up-to-date log of a majority of its voters names every committed cause.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -23,6 +23,7 @@
 use crate::fleet::serve;
 use crate::fleet::settings;
 use crate::fleet::sync;
+use crate::fleet::view;
 use crate::replica;
 use crate::state::service;
 use crate::supervisor;
@@ -87,6 +88,7 @@
     state: control_state::ControlState,
     published: watch::Sender<control_state::ControlState>,
     is_leader: watch::Sender<bool>,
+    view: Arc<view::View>,
 }
 
 impl service::Service for Service {
@@ -103,6 +105,8 @@
     }
 
     fn leadership_changed(&mut self, _now: Duration, is_leader: bool) {
+        // Commands are accepted only after this, and make the log grow.
+        self.view.set_stored(None);
         self.is_leader.send_replace(is_leader);
     }
 
@@ -147,11 +151,12 @@
         target_voters: node.settings.fleet.group_size(),
     };
     let (state_sender, published) = watch::channel(control_state::ControlState::default());
-    let parts = published.clone();
+    let (parts, view) = (published.clone(), node.view.clone());
     let (leader_sender, is_leader) = watch::channel(false);
     member.spawn(tree, move || {
         let (published, is_leader) = (state_sender.clone(), leader_sender.clone());
-        Box::new(Service { state: control_state::ControlState::default(), published, is_leader })
+        let state = control_state::ControlState::default();
+        Box::new(Service { state, published, is_leader, view: view.clone() })
     });
     let (stage_sender, stage) = watch::channel(admission::Stage::default());
     let control = Arc::new(Control::new(node, stage.clone()));
@@ -476,7 +481,7 @@
     /// of a change from the first of the control hosts that serve this one.
     fn handle_announcement(&self, announcement: &frame::Announcement) {
         let (node, now) = (&self.node, self.node.now());
-        let host = announcement.host.clone();
+        let (host, role) = (announcement.host.clone(), announcement.host.role);
         let link = &announcement.host.link;
         let changed = node.view.directory(|d| d.register_host(now, host.clone()));
         let controls: Vec<Arc<str>> = node.view.directory(|d| {
@@ -502,7 +507,14 @@
         let (known, confirmed) = node.view.quarantine(|q| (q.revision(), q.is_confirmed()));
         let same =
             announcement.quarantine >= known && (announcement.quarantine_confirmed || !confirmed);
-        if peer::lock(&self.quarantine_sync).is_due(now, link, rank, same) {
+        let is_waiting = !announcement.quarantine_confirmed;
+        let stored = node.view.stored().filter(|_| is_waiting && !confirmed);
+        if let Some(report) = stored.filter(|_| role != settings::Role::Control) {
+            node.peers.cast(link, frame::Cast::Stored(report));
+        }
+        // A host that starts sends no requests before, so it does not wait for its turn.
+        let is_urgent = is_waiting && confirmed;
+        if peer::lock(&self.quarantine_sync).is_due(now, link, rank, same) || is_urgent {
             let quarantine = Some(node.view.quarantine(|q| q.summary()));
             let update = frame::Update { quarantine, ..frame::Update::default() };
             node.peers.cast(link, frame::Cast::Update(update));
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -150,6 +150,7 @@
         }
         frame::Cast::LimitReport(report) => node.record_limit_report(from, report),
         frame::Cast::LimitGrants(grants) => node.apply_grants(from, grants),
+        frame::Cast::Stored(report) => node.view.record_stored(node.now(), from, report),
         frame::Cast::Replica(_)
         | frame::Cast::Announce(_)
         | frame::Cast::FetchConfig(_)
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -7,6 +7,7 @@
 use crate::fleet::load;
 use crate::fleet::origin;
 use crate::fleet::quarantine;
+use crate::fleet::stored;
 use crate::replica;
 use crate::wire;
 use bytes::Bytes;
@@ -96,6 +97,8 @@
     LimitReport(limits::Report),
     /// The host that places items grants requests to limited endpoints and tells the limits.
     LimitGrants(limits::Grants),
+    /// A control host sends what its disk holds about quarantined causes.
+    Stored(stored::Report),
 }
 
 impl Cast {
@@ -123,6 +126,7 @@
             Cast::RunReports(_) => "run_reports",
             Cast::LimitReport(_) => "limit_report",
             Cast::LimitGrants(_) => "limit_grants",
+            Cast::Stored(_) => "stored",
         }
     }
 }
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -8,6 +8,7 @@
 use crate::fleet::groups;
 use crate::fleet::node;
 use crate::fleet::peer;
+use crate::fleet::stored;
 use crate::replica;
 use crate::state::group;
 use crate::state::mesh;
@@ -193,6 +194,9 @@
             _ => Vec::new(),
         };
         self.node.view.set_replica(id);
+        if self.group == groups::CONTROL {
+            self.node.view.set_stored(stored::Report::new(id, &restored));
+        }
         event!(log, events::FOLDER_OPENED; "group" => self.group, "replica" => id,
             "entries" => restored.entries.len(),
             "snapshot" => restored.snapshot.as_ref().map_or(0, |s| s.index));
@@ -326,6 +330,10 @@
 
 /// Delivers a message from another replica to the replica of this host.
 pub fn deliver(node: &node::Node, envelope: replica::Envelope) {
+    if envelope.body.is_bulk() {
+        // The log may grow.
+        node.view.set_stored(None);
+    }
     if let Some(handle) = &*peer::lock(&node.local_replica) {
         // A full queue drops the message, which the replication protocol tolerates.
         handle.call(group::Call::Envelope(envelope));
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -46,6 +46,7 @@
 pub mod slots;
 pub mod sse;
 pub mod store;
+pub mod stored;
 pub mod sync;
 pub mod upstream;
 pub mod view;
--- a/src/fleet/quarantine.rs
+++ b/src/fleet/quarantine.rs
@@ -18,6 +18,7 @@
 pub mod former;
 
 use crate::fleet::prompt;
+use crate::fleet::stored;
 use crate::sorted;
 use derive_more::Display;
 use serde::Deserialize;
@@ -486,6 +487,8 @@
     waiting: Option<Duration>,
     quarantined: sorted::SortedMap<Cause, Watched>,
     suspected: Vec<Cause>,
+    /// What the disks of the control hosts held, until a state is confirmed.
+    stored: stored::Reports,
     evidence: Evidence,
 }
 
@@ -500,11 +503,48 @@
         self.confirmed
     }
 
-    /// Whether requests may be sent with what is known: the state is confirmed, or no host has
-    /// confirmed it for a while. Called only once a request could be sent.
+    /// Whether requests may be sent with what is known: the state is confirmed, the disks of enough
+    /// control hosts are known, or no host has confirmed the state for a while. Called only once a
+    /// request could be sent.
     pub fn is_usable(&mut self, now: Duration) -> bool {
         let since = *self.waiting.get_or_insert(now);
-        self.confirmed || now.saturating_sub(since) >= CONFIRM_TIMEOUT
+        self.is_complete() || now.saturating_sub(since) >= CONFIRM_TIMEOUT
+    }
+
+    /// Whether every cause is known that was quarantined before the start of this host.
+    pub fn is_complete(&self) -> bool {
+        self.confirmed || self.stored.quarantined().is_some()
+    }
+
+    /// Records what the disk of a control host holds. Returns whether the state is complete since
+    /// then. The causes are kept from endpoints until a state is confirmed.
+    pub fn record_stored(&mut self, now: Duration, report: stored::Report) -> bool {
+        if self.confirmed {
+            return false;
+        }
+        let was_complete = self.is_complete();
+        self.stored.record(report);
+        let quarantined = std::mem::take(&mut self.quarantined);
+        self.quarantined = self.with_stored(now, quarantined);
+        self.is_complete() && !was_complete
+    }
+
+    /// Adds the causes that the control hosts have stored to those of a state that is not confirmed.
+    fn with_stored(
+        &self,
+        now: Duration,
+        mut quarantined: sorted::SortedMap<Cause, Watched>,
+    ) -> sorted::SortedMap<Cause, Watched> {
+        for state in self.stored.quarantined().unwrap_or_default() {
+            let (state, asked) = (*state, None);
+            quarantined.entry_or(state.cause, || Watched {
+                state,
+                learnt: now,
+                changed: now,
+                asked,
+            });
+        }
+        quarantined
     }
 
     /// Number of quarantined causes.
@@ -527,8 +567,10 @@
     /// Replaces the known state unless it is as new. Returns what has changed.
     pub fn apply(&mut self, now: Duration, summary: &Summary) -> Option<Changes> {
         let is_news = summary.confirmed && !self.confirmed;
+        // A cause that was stored but never committed is released by the first confirmed state.
+        let replaces_stored = is_news && summary.revision >= self.revision;
         self.confirmed |= summary.confirmed;
-        if summary.revision <= self.revision {
+        if summary.revision <= self.revision && !replaces_stored {
             return is_news.then(Changes::default);
         }
         let mut changes = Changes::default();
@@ -544,6 +586,11 @@
             };
             next.insert(state.cause, watched);
         }
+        if self.confirmed {
+            self.stored.clear();
+        }
+        next = self.with_stored(now, next);
+        self.quarantined.retain(|cause, _| !next.contains(cause));
         changes.released = self.quarantined.keys().copied().collect();
         self.quarantined = next;
         (self.revision, self.suspected) = (summary.revision, summary.suspected.clone());
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -15,6 +15,7 @@
 use crate::fleet::quarantine;
 use crate::fleet::routes;
 use crate::fleet::settings;
+use crate::fleet::stored;
 use arc_swap::ArcSwapOption;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -52,6 +53,8 @@
     whole_directory: AtomicBool,
     loads: Mutex<load::Loads>,
     quarantine: Mutex<quarantine::Watch>,
+    /// What the disk of this control host held at its start, until it may have changed.
+    stored: Mutex<Option<stored::Report>>,
     changed: watch::Sender<u64>,
     log: slog::Logger,
 }
@@ -80,6 +83,7 @@
             whole_directory: AtomicBool::default(),
             loads: Mutex::default(),
             quarantine: Mutex::default(),
+            stored: Mutex::default(),
             changed: watch::Sender::new(0),
             log: log.clone(),
         }
@@ -240,6 +244,25 @@
         run(&mut peer::lock(&self.quarantine))
     }
 
+    /// Sets what the disk of this control host holds; `None` once that may have changed.
+    pub fn set_stored(&self, report: Option<stored::Report>) {
+        *peer::lock(&self.stored) = report;
+    }
+
+    /// What the disk of this control host holds, if it is the same as at its start.
+    pub fn stored(&self) -> Option<stored::Report> {
+        peer::lock(&self.stored).clone()
+    }
+
+    /// Records what the disk of the control host `from` holds.
+    pub fn record_stored(&self, now: Duration, from: &Arc<str>, report: stored::Report) {
+        if self.quarantine(|q| q.record_stored(now, report)) {
+            let count = self.quarantine(|q| q.count());
+            slog::info!(self.log, "quarantined causes known from disks of control hosts";
+                "peer" => &**from, "causes" => count);
+        }
+    }
+
     /// Applies the quarantined causes of crashes. Returns whether they were newer than those known.
     pub fn apply_quarantine(&self, now: Duration, summary: &quarantine::Summary) -> bool {
         let Some(changes) = self.quarantine(|q| q.apply(now, summary)) else { return false };
--- /dev/null
+++ b/tests/fleet_restart.rs
@@ -0,0 +1,133 @@
+//! Tests of the loss of power at all hosts, with processes over loopback.
+
+mod fleet_world;
+
+use fleet_world::Role;
+use fleet_world::STREAM_PREFIX;
+use fleet_world::Size;
+use fleet_world::World;
+use fleet_world::client;
+use fleet_world::client::StreamEnd;
+use fleet_world::proxy;
+use std::time::Duration;
+use std::time::Instant;
+
+const SIZE: Size = Size { controls: 5, losses: 2, stores: 0, entries: 3, endpoints: 5 };
+/// Path of a request that crashes each endpoint which begins to run it.
+const BAD: &str = "bad";
+/// Text of the log line of an entry that knows enough from the disks of the control hosts.
+const KNOWN: &str = "quarantined causes known from disks";
+const IN_FORCE: &str = "configuration in force";
+/// Time after which an entry sends requests although nobody has confirmed the quarantined causes.
+const UNCONFIRMED_TIME: Duration = Duration::from_millis(3_500);
+
+async fn send(world: &World, entry: usize, id: &str, path: &str) -> StreamEnd {
+    let mut caller = client::Attempt::new(STREAM_PREFIX, id);
+    caller.content = Some(path.to_string());
+    caller.run(world.caller_address(entry), u64::MAX).await
+}
+
+fn bad_runs(world: &World) -> usize {
+    world.all_runs().iter().filter(|r| r.request_id.starts_with(BAD)).count()
+}
+
+/// Occurrences of a text in the log of a host.
+fn count(world: &World, at: usize, text: &str) -> usize {
+    let log = std::fs::read_to_string(world.log_file(at)).unwrap_or_default();
+    log.matches(text).count()
+}
+
+/// Cuts the links between the control hosts, or restores them.
+fn cut_controls(world: &World, cut: bool) {
+    let faults = proxy::LinkFaults { drop_inbound: cut, drop_outbound: cut, ..Default::default() };
+    let controls = world.hosts_of(Role::Control);
+    for (a, b) in controls.iter().flat_map(|a| controls.iter().map(move |b| (*a, *b))) {
+        if a != b {
+            world.hosts[a].proxy.set_faults(&world.link(b), faults);
+        }
+    }
+}
+
+/// Crashes endpoints with the bad request until it is quarantined, and replaces them.
+async fn quarantine_request(world: &mut World) {
+    for at in 0..world.endpoints.len() {
+        let path = format!("{STREAM_PREFIX}{BAD}").into();
+        world.endpoint(at).set_fatal_paths(vec![path]);
+    }
+    let entries = world.hosts_of(Role::Entry);
+    let begun = Instant::now();
+    let are_told = |world: &World| {
+        entries.iter().all(|at| count(world, *at, "cause of crashes quarantined") > 0)
+    };
+    let mut sent = 0;
+    while !are_told(world) {
+        assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "quarantined\n{}", world.logs());
+        let entry = entries[sent % entries.len()];
+        sent += 1;
+        send(world, entry, &format!("{BAD}_{sent}"), BAD).await;
+        for at in 0..world.endpoints.len() {
+            if world.endpoint(at).has_crashed() {
+                world.crash_endpoint(at);
+                world.start_endpoint(at).await;
+                let path = format!("{STREAM_PREFIX}{BAD}").into();
+                world.endpoint(at).set_fatal_paths(vec![path]);
+            }
+        }
+        world.send_heartbeats().await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// Guards against entries that refuse requests after a loss of power until a leader is elected,
+/// although the disks of the control hosts show what is quarantined, and against quarantined requests
+/// that are sent meanwhile. The control hosts do not reach each other, so that none can lead.
+#[test]
+fn entries_answer_before_a_leader_is_elected() {
+    fleet_world::run(async {
+        let mut world = World::start(SIZE).await;
+        quarantine_request(&mut world).await;
+        // An endpoint that leaves before the loss of power.
+        let left = world.endpoint(0).id().clone();
+        assert_eq!(world.deregister(0, 0).await, 200);
+        let gone = world.endpoints[0].take();
+        let (before, entries) = (bad_runs(&world), world.hosts_of(Role::Entry));
+        (0..world.hosts.len()).for_each(|at| world.kill(at));
+        cut_controls(&world, true);
+        let begun = Instant::now();
+        (0..world.hosts.len()).for_each(|at| world.start_host(at, false));
+        let mut configured = vec![None; entries.len()];
+        let mut answered = vec![None; entries.len()];
+        let mut sent = 0;
+        while answered.iter().any(Option::is_none) {
+            assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "answers\n{}", world.logs());
+            world.send_heartbeats().await;
+            for (n, at) in entries.iter().enumerate() {
+                if configured[n].is_none() && count(&world, *at, IN_FORCE) > 1 {
+                    configured[n] = Some(begun.elapsed());
+                }
+                sent += 1;
+                send(&world, *at, &format!("{BAD}_{sent}"), BAD).await;
+                let ended = send(&world, *at, &format!("sound_{sent}"), "sound").await;
+                if answered[n].is_none() && ended == StreamEnd::Complete {
+                    answered[n] = Some(begun.elapsed());
+                }
+            }
+        }
+        println!("configuration after {configured:?}, first answer after {answered:?}");
+        let known: Vec<usize> = entries.iter().map(|at| count(&world, *at, KNOWN)).collect();
+        assert_eq!(known, vec![1; entries.len()], "known from disks\n{}", world.logs());
+        tokio::time::sleep(UNCONFIRMED_TIME).await;
+        for (n, at) in entries.iter().enumerate() {
+            send(&world, *at, &format!("{BAD}_late_{n}"), BAD).await;
+        }
+        cut_controls(&world, false);
+        world.send_heartbeats_until_ready().await;
+        for (n, at) in entries.iter().enumerate() {
+            send(&world, *at, &format!("{BAD}_after_{n}"), BAD).await;
+        }
+        assert_eq!(bad_runs(&world), before, "{}", world.logs());
+        let gone = gone.expect("was started");
+        let late = gone.runs().iter().filter(|r| r.started.into_std() > begun).count();
+        assert_eq!(late, 0, "{left} was used after it had left\n{}", world.logs());
+    });
+}
