--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -167,6 +167,7 @@
         frame::Cast::LimitGrants(grants) => node.apply_grants(from, grants),
         frame::Cast::CreditReport(report) => node.answer_credit_report(from, &report),
         frame::Cast::CreditGrants(grants) => node.apply_credit(from, &grants),
+        frame::Cast::Stored(report) => node.view.record_stored(node.now(), from, report),
         frame::Cast::Replica(_)
         | frame::Cast::Announce(_)
         | frame::Cast::FetchConfig(_)
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -7,6 +7,7 @@
 use crate::fleet::load;
 use crate::fleet::origin;
 use crate::fleet::quarantine;
+use crate::fleet::stored;
 use crate::fleet::workspaces::credit;
 use crate::replica;
 use crate::wire;
@@ -101,6 +102,8 @@
     CreditReport(credit::Report),
     /// The owner of the quotas answers a report.
     CreditGrants(credit::Grants),
+    /// A control host sends what its disk holds about quarantined causes.
+    Stored(stored::Report),
 }
 
 impl Cast {
@@ -130,6 +133,7 @@
             Cast::LimitGrants(_) => "limit_grants",
             Cast::CreditReport(_) => "credit_report",
             Cast::CreditGrants(_) => "credit_grants",
+            Cast::Stored(_) => "stored",
         }
     }
 }
