Do not let a registration wait for a leader if its build is on the disk

A registration that reached a control host before its replica had applied the builds on its disk waited 0.9 s for a leader: with control hosts that cannot elect one, the first answers came 1.17 s after the start. It now ends as soon as the build is applied. The test measures the configuration and the first answer of each entry at the same time and asserts 0.3 s between them.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -590,7 +590,14 @@
             return turn.is_ok();
         }
         let command = control_state::Command::AddBuild(build.clone());
-        match node.groups.propose(groups::CONTROL, &command, BUILD_TIMEOUT).await {
+        let proposed = node.groups.propose(groups::CONTROL, &command, BUILD_TIMEOUT);
+        let reply = tokio::select! {
+            biased;
+            // After a start, the replica applies the builds on its disk without a leader.
+            () = node.view.wait_for_build(build) => return true,
+            reply = proposed => reply,
+        };
+        match reply {
             Ok(ledger::Reply::Done) => {
                 event!(node.log, events::BUILD_ADDED; "service" => &*build.service,
                     "build" => &*build.build);
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -206,7 +206,19 @@
 
     /// Sets the builds that the replica of this control host has applied.
     pub fn set_builds(&self, builds: builds::Builds) {
-        *peer::lock(&self.builds) = builds;
+        let known = std::mem::replace(&mut *peer::lock(&self.builds), builds.clone());
+        if known != builds {
+            self.notify_change();
+        }
+    }
+
+    /// Waits until a build is known to be committed.
+    pub async fn wait_for_build(&self, build: &origin::Origin) {
+        let mut changes = self.changes();
+        while !self.has_build(build) {
+            // The sender is part of this view.
+            let _ = changes.changed().await;
+        }
     }
 
     /// Adds a build that was committed just now.
--- a/tests/fleet_restart.rs
+++ b/tests/fleet_restart.rs
@@ -9,8 +9,11 @@
 use fleet_world::client;
 use fleet_world::client::StreamEnd;
 use fleet_world::proxy;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
+use tokio::task::JoinHandle;
 
 const SIZE: Size = Size { controls: 5, losses: 2, stores: 0, entries: 3, endpoints: 5 };
 /// Path of a request that crashes each endpoint which begins to run it.
@@ -18,6 +21,8 @@
 /// Text of the log line of an entry that knows enough from the disks of the control hosts.
 const KNOWN: &str = "quarantined causes known from disks";
 const IN_FORCE: &str = "configuration in force";
+/// Longest time from the configuration of an entry to the end of its first answer.
+const MAX_FIRST_ANSWER: Duration = Duration::from_millis(300);
 /// Time after which an entry sends requests although nobody has confirmed the quarantined causes.
 const UNCONFIRMED_TIME: Duration = Duration::from_millis(3_500);
 
@@ -37,6 +42,29 @@
     log.matches(text).count()
 }
 
+/// Waits until the log of an entry that has started again says that its configuration is in force.
+/// Returns the time since `begun`.
+async fn await_configuration(log: PathBuf, begun: Instant) -> Duration {
+    let is_in_force = || {
+        let text = std::fs::read_to_string(&log).unwrap_or_default();
+        text.matches(IN_FORCE).count() > 1
+    };
+    assert!(fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, is_in_force).await);
+    begun.elapsed()
+}
+
+/// Sends sound requests to an entry until one is answered. Returns the time since `begun`.
+async fn await_answer(to: SocketAddr, entry: usize, begun: Instant) -> Duration {
+    for sent in 0.. {
+        let ended = client::stream(to, STREAM_PREFIX, &format!("sound_{entry}_{sent}")).await;
+        if ended == StreamEnd::Complete {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    begun.elapsed()
+}
+
 /// Cuts the links between the control hosts, or restores them.
 fn cut_controls(world: &World, cut: bool) {
     let faults = proxy::LinkFaults { drop_inbound: cut, drop_outbound: cut, ..Default::default() };
@@ -95,25 +123,30 @@
         cut_controls(&world, true);
         let begun = Instant::now();
         (0..world.hosts.len()).for_each(|at| world.start_host(at, false));
-        let mut configured = vec![None; entries.len()];
-        let mut answered = vec![None; entries.len()];
+        let configured: Vec<_> = entries
+            .iter()
+            .map(|at| tokio::spawn(await_configuration(world.log_file(*at), begun)))
+            .collect();
+        let answered: Vec<_> = entries
+            .iter()
+            .map(|at| tokio::spawn(await_answer(world.caller_address(*at), *at, begun)))
+            .collect();
         let mut sent = 0;
-        while answered.iter().any(Option::is_none) {
+        while !answered.iter().all(JoinHandle::is_finished) {
             assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "answers\n{}", world.logs());
             world.send_heartbeats().await;
-            for (n, at) in entries.iter().enumerate() {
-                if configured[n].is_none() && count(&world, *at, IN_FORCE) > 1 {
-                    configured[n] = Some(begun.elapsed());
-                }
+            for at in &entries {
                 sent += 1;
                 send(&world, *at, &format!("{BAD}_{sent}"), BAD).await;
-                let ended = send(&world, *at, &format!("sound_{sent}"), "sound").await;
-                if answered[n].is_none() && ended == StreamEnd::Complete {
-                    answered[n] = Some(begun.elapsed());
-                }
             }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        for (configured, answered) in configured.into_iter().zip(answered) {
+            let configured = configured.await.expect("configuration");
+            let answered = answered.await.expect("answer");
+            println!("configuration after {configured:?}, first answer after {answered:?}");
+            assert!(answered < configured + MAX_FIRST_ANSWER, "{}", world.logs());
         }
-        println!("configuration after {configured:?}, first answer after {answered:?}");
         let known: Vec<usize> = entries.iter().map(|at| count(&world, *at, KNOWN)).collect();
         assert_eq!(known, vec![1; entries.len()], "known from disks\n{}", world.logs());
         tokio::time::sleep(UNCONFIRMED_TIME).await;
