Check the keys of callers at the entry

Entries parsed workspaces but served every request. A request on a route that is not open now needs the key of a workspace, and is checked again before it is sent. It gets 401 without a valid key, and 503 if the entry cannot be sure of its configuration: after a start, a freeze or a loss of contact, until a quorum of the control group has confirmed the version. Without that, an entry that resumed served what was in its sockets before it learned of a revocation, and a restarted one could go by an older document. The key is removed from the head once it is checked, and each attempt gets the name of the workspace. The digest of crashing requests uses the workspace in place of the key.

Rejections are counted by reason and logged at most once a second. Names of workspaces that cannot be sent in a header unchanged are invalid.

--- a/src/events.rs
+++ b/src/events.rs
@@ -258,6 +258,10 @@
     /// A request was refused, since the endpoints of its service with limits have got as many requests
     /// as they take, and the others are full.
     REQUEST_LIMITED = 714, Info, "request refused for the limits of endpoints";
+    /// Requests were rejected for their keys (status 401): at most one line a second, with the number
+    /// of requests since the last line and the id and reason of the latest one. The name of the
+    /// workspace is given if the key was revoked while the request waited.
+    KEY_REJECTED = 715, Info, "requests rejected for their keys";
 }
 
 /// Most lines of one event that a process writes in one second. Further lines are counted and left
--- a/src/fleet/crashes.rs
+++ b/src/fleet/crashes.rs
@@ -187,6 +187,7 @@
     }
 
     /// Hash of the path, the caller and the body of a request. Those that come again have the same.
+    /// The caller is its workspace if it has one: keys may change meanwhile and are not kept.
     fn request_digest(&self, request: &forward::Request) -> u64 {
         let headers = &request.head.headers;
         let mut hasher = xxhash_rust::xxh3::Xxh3::new();
@@ -196,10 +197,16 @@
         };
         add(request.head.method.as_str().as_bytes());
         add(request.head.uri.path_and_query().map_or("", |p| p.as_str()).as_bytes());
-        for name in [&hyper::header::HOST, &self.view.protocol().headers().caller] {
-            headers.get_all(name).iter().for_each(|value| add(value.as_bytes()));
-            add(b"");
+        headers.get_all(hyper::header::HOST).iter().for_each(|value| add(value.as_bytes()));
+        add(b"");
+        match &request.caller {
+            Some(caller) => add(caller.workspace.as_bytes()),
+            None => {
+                let name = &self.view.protocol().headers().caller;
+                headers.get_all(name).iter().for_each(|value| add(value.as_bytes()));
+            }
         }
+        add(b"");
         add(&request.body);
         hasher.digest()
     }
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -17,6 +17,7 @@
 use crate::fleet::routes;
 use crate::fleet::runner;
 use crate::fleet::serve;
+use crate::fleet::workspaces::auth;
 use crate::supervisor;
 use crate::wire;
 use futures_util::FutureExt as _;
@@ -97,6 +98,7 @@
         ended.send_replace(true);
         Ok(())
     });
+    node.spawn_contact(tree, &end);
     node.spawn_load_reports(tree, &end);
     node.spawn_limit_reports(tree);
     Ok(end)
@@ -185,7 +187,7 @@
     ) -> serve::Response {
         let arrived = time::Instant::now();
         let node = &self.node;
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
         let call = node.view.protocol().parse_call(&head.method, &head.uri);
         match call {
             Some(protocol::Call::Ready) => return self.readiness(),
@@ -230,6 +232,12 @@
                 "version" => active.document.version, "path" => head.uri.path());
             return serve::response(StatusCode::NOT_FOUND, "no route\n");
         };
+        let caller = match node.authenticate(&head.headers, &id, route.is_open).await {
+            Ok(caller) => caller,
+            Err(response) => return response,
+        };
+        let workspaces = &active.config.workspaces;
+        auth::remove_identity(workspaces, caller.as_ref(), headers, &mut head.headers);
         if id.is_empty() {
             return serve::response(StatusCode::BAD_REQUEST, "the request has no id\n");
         }
@@ -261,16 +269,15 @@
             }
         };
         let route = route.clone();
-        let request = forward::Request {
-            id,
-            head,
-            body,
-            route,
-            caller: None,
-            arrived,
-            deadline,
-            _memory: memory,
-        };
+        if let Some(caller) = caller.as_ref().filter(|_| route.kind == routes::Kind::Batch) {
+            // The key may have been revoked while the body arrived. Other requests are checked again
+            // before they are sent.
+            if let Err(response) = node.recheck_caller(caller, &id).await {
+                return response;
+            }
+        }
+        let request =
+            forward::Request { id, head, body, route, caller, arrived, deadline, _memory: memory };
         match request.route.kind {
             routes::Kind::Batch => self.submit_job(request, active.document.version).await,
             _ => forward::forward(node.clone(), request).await,
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -91,7 +91,8 @@
 pub struct Request {
     /// Id that the caller gave the request.
     pub id: Arc<str>,
-    /// Method, path and headers.
+    /// Method, path and headers, without a key and without the name of a workspace that the caller
+    /// states, see [`workspaces::auth::remove_identity`].
     pub head: hyper::http::request::Parts,
     /// Body.
     pub body: Bytes,
@@ -618,6 +619,12 @@
         fields.insert(headers.deadline.clone(), HeaderValue::from(left));
         let id = HeaderValue::from_str(&endpoint.id).expect("ids are checked on registration");
         fields.insert(headers.expected_endpoint.clone(), id);
+        if let Some(caller) = &self.request.caller {
+            // The key is not in the headers any more. A header that `Connection` names is set as well.
+            let name = HeaderValue::from_bytes(caller.workspace.as_bytes());
+            let name = name.expect("names are checked in the configuration");
+            fields.insert(headers.workspace.clone(), name);
+        }
         if let Some(last) = self.last_event {
             fields.insert(headers.last_event.clone(), HeaderValue::from(last));
         }
@@ -841,7 +848,10 @@
                     place::Choice::Wait(other) => match self.wait_for_slot(other, end).await {
                         Some(slot) => slot,
                         None if self.is_too_late() => continue,
-                        None => return Err(self.give_up_full()),
+                        None => {
+                            self.recheck_caller().await?;
+                            return Err(self.give_up_full());
+                        }
                     },
                     place::Choice::None if self.build.is_some() => {
                         return Err(self.give_up("no endpoint of the stream's build is left"));
@@ -849,6 +859,7 @@
                     place::Choice::None => return Err(self.give_up("no endpoint is left")),
                 },
             };
+            self.recheck_caller().await?;
             // It may have started to leave, a part of the prompt may have been quarantined, or a stop
             // may have begun, while the request waited for a slot.
             if !self.node.is_available(&endpoint.id) || self.is_held() || self.is_too_late() {
@@ -924,6 +935,20 @@
         }
     }
 
+    /// Checks again whether the key is valid, unless the request may have run: one that has begun goes
+    /// on, with its retries and takeovers.
+    ///
+    /// # Errors
+    /// The response to a request whose key is not valid any more.
+    async fn recheck_caller(&self) -> Result<(), serve::Response> {
+        match &self.request.caller {
+            Some(caller) if !self.begun && !self.attempts.may_have_run() => {
+                self.node.recheck_caller(caller, &self.request.id).await
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Builds the response to a request for which no endpoint has room.
     fn give_up_full(&self) -> serve::Response {
         match self.node.limited_return_interval(&self.service) {
--- /dev/null
+++ b/src/fleet/identity.rs
@@ -0,0 +1,208 @@
+//! Checks the keys of callers at an entry.
+//!
+//! [`auth`] decides; this module supplies what the decision needs and turns it into responses, log
+//! lines and metrics.
+
+use crate::errors;
+use crate::event;
+use crate::events;
+use crate::fleet::control_state;
+use crate::fleet::forward;
+use crate::fleet::groups;
+use crate::fleet::node;
+use crate::fleet::peer;
+use crate::fleet::serve;
+use crate::fleet::workspaces;
+use crate::supervisor;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header;
+use hyper::header::HeaderValue;
+use std::time::Duration;
+use tokio::time;
+use workspaces::auth;
+
+/// Reason of a refusal before the first configuration has arrived.
+const NO_CONFIG: &str = "no configuration is known yet";
+/// Interval at which an entry observes whether it runs and is in contact.
+const OBSERVE_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest wait for a quorum to confirm the version of the configuration.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest wait of a request for the confirmation of the configuration. A reachable quorum answers
+/// within some milliseconds, so that a short stall of the process does not cost its requests.
+const MAX_CONFIRM_WAIT: Duration = Duration::from_millis(250);
+/// Interval at which a waiting request looks for the confirmation.
+const CONFIRM_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Least time between two log lines about rejected keys.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Requests rejected for their keys since the last log line.
+#[derive(Debug, Default)]
+pub struct Rejections {
+    count: u64,
+    reported: Option<Duration>,
+}
+
+impl Rejections {
+    /// Counts a rejection. Returns the number to log, at most once a second.
+    pub fn add(&mut self, now: Duration) -> Option<u64> {
+        self.count += 1;
+        if self.reported.is_some_and(|last| now.saturating_sub(last) < REPORT_INTERVAL) {
+            return None;
+        }
+        self.reported = Some(now);
+        Some(std::mem::take(&mut self.count))
+    }
+}
+
+impl node::Node {
+    fn key_policy(&self) -> auth::Policy {
+        let settings = &self.settings.workspaces;
+        let revocation = Duration::from_millis(settings.revocation);
+        auth::Policy { revocation, strict: settings.strict }
+    }
+
+    fn key_knowledge(&self, version: u64) -> auth::Knowledge {
+        auth::Knowledge {
+            standing: peer::lock(&self.contact).standing(self.now()),
+            newer: self.is_newer_config_available(version),
+        }
+    }
+
+    /// Repeats a decision for a short time as long as the configuration is not confirmed.
+    async fn decide_key(&self, decide: impl Fn() -> auth::Decision) -> auth::Decision {
+        let end = time::Instant::now() + MAX_CONFIRM_WAIT;
+        loop {
+            let decision = decide();
+            let is_waiting = decision == auth::Decision::Undecided(auth::UNCONFIRMED);
+            if !is_waiting || time::Instant::now() >= end {
+                return decision;
+            }
+            time::sleep(CONFIRM_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Caller of the request `id` with these headers; `None` if it needs no key. `is_open` tells
+    /// whether its route needs none; it is false for a request without a route. Nothing of the body
+    /// needs to have been read.
+    ///
+    /// # Errors
+    /// The response to the request: 401 without a valid key, 503 if the entry cannot tell.
+    pub async fn authenticate(
+        &self,
+        headers: &HeaderMap,
+        id: &str,
+        is_open: bool,
+    ) -> Result<Option<workspaces::Caller>, serve::Response> {
+        let presented = auth::read_key(headers, &self.view.protocol().headers().caller);
+        let policy = self.key_policy();
+        let decide = || match self.view.active_config() {
+            None => auth::Decision::Undecided(NO_CONFIG),
+            Some(active) => {
+                let knowledge = self.key_knowledge(active.document.version);
+                auth::decide(&active.config.workspaces, is_open, presented, knowledge, policy)
+            }
+        };
+        self.respond(self.decide_key(decide).await, id, None)
+    }
+
+    /// Checks again, right before a request is sent or submitted, whether its key is valid: it may
+    /// have been revoked while the request waited.
+    ///
+    /// # Errors
+    /// The response to the request: 401 if the key was revoked, 503 if the entry cannot tell.
+    pub async fn recheck_caller(
+        &self,
+        caller: &workspaces::Caller,
+        id: &str,
+    ) -> Result<(), serve::Response> {
+        let policy = self.key_policy();
+        let decide = || match self.view.active_config() {
+            None => auth::Decision::Undecided(NO_CONFIG),
+            Some(active) => {
+                let knowledge = self.key_knowledge(active.document.version);
+                auth::recheck(&active.config.workspaces, caller, knowledge, policy)
+            }
+        };
+        self.respond(self.decide_key(decide).await, id, Some(caller)).map(drop)
+    }
+
+    fn respond(
+        &self,
+        decision: auth::Decision,
+        id: &str,
+        known: Option<&workspaces::Caller>,
+    ) -> Result<Option<workspaces::Caller>, serve::Response> {
+        match decision {
+            auth::Decision::Open => Ok(None),
+            auth::Decision::Admitted(caller) => Ok(Some(caller)),
+            auth::Decision::Undecided(reason) => Err(forward::refuse(self, id, reason)),
+            auth::Decision::Rejected(rejection) => {
+                let workspace = known.map(|c| &*c.workspace);
+                self.metrics.count_unauthorized(rejection.label());
+                event!(self.log, events::REQUEST_REFUSED; "request" => id,
+                    "reason" => format!("key {}", rejection.label()), "workspace" => workspace);
+                if let Some(count) = peer::lock(&self.rejections).add(self.now()) {
+                    event!(self.log, events::KEY_REJECTED; "request" => id,
+                        "reason" => rejection.label(), "workspace" => workspace,
+                        "count" => count);
+                }
+                let text = format!("no valid key: {}\n", rejection.label());
+                let mut response = serve::response(StatusCode::UNAUTHORIZED, text);
+                let scheme = HeaderValue::from_static("Bearer");
+                response.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
+                Err(response)
+            }
+        }
+    }
+
+    /// Adds the task that finds out whether the configuration of an entry is current. `end` stops it:
+    /// a stopping entry still serves requests.
+    pub fn spawn_contact(&self, tree: &mut supervisor::Supervisor, end: &supervisor::Stop) {
+        let (node, end) = (self.clone(), end.clone());
+        tree.spawn("contact", move |_| observe_contact(node.clone(), end.clone()));
+    }
+
+    /// Asks a quorum of the control group for the version of the configuration.
+    async fn confirm_config(&self) {
+        let asked = self.now();
+        let query = control_state::Query::Version;
+        let answer = self.groups.query::<u64>(groups::CONTROL, &query, CONFIRM_TIMEOUT).await;
+        if let Ok(version) = answer {
+            let held = self.view.config_version();
+            peer::lock(&self.contact).confirm(self.now(), asked, version, held);
+        }
+    }
+}
+
+/// Observes the contact of an entry, and has the configuration confirmed when it may be outdated.
+async fn observe_contact(
+    node: node::Node,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    let mut ticks = node.timer.subscribe(OBSERVE_INTERVAL);
+    let observe = || {
+        let is_connected = node.is_in_contact();
+        let mut contact = peer::lock(&node.contact);
+        contact.observe(node.now(), is_connected);
+        contact.needs_confirmation()
+    };
+    loop {
+        tokio::select! {
+            _ = ticks.next() => {}
+            () = stop.wait() => return Ok(()),
+        }
+        if !observe() || node.view.active_config().is_none() {
+            continue;
+        }
+        let confirm = node.confirm_config();
+        tokio::pin!(confirm);
+        loop {
+            tokio::select! {
+                () = &mut confirm => break,
+                _ = ticks.next() => { observe(); }
+                () = stop.wait() => return Ok(()),
+            }
+        }
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 pub mod forward;
 pub mod frame;
 pub mod groups;
+pub mod identity;
 pub mod ledger;
 pub mod limits;
 pub mod load;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -6,6 +6,7 @@
 use crate::fleet::directory;
 use crate::fleet::frame;
 use crate::fleet::groups;
+use crate::fleet::identity;
 use crate::fleet::limits;
 use crate::fleet::load;
 use crate::fleet::origin;
@@ -18,6 +19,7 @@
 use crate::fleet::sync;
 use crate::fleet::upstream;
 use crate::fleet::view;
+use crate::fleet::workspaces;
 use crate::metrics;
 use crate::sorted;
 use crate::supervisor;
@@ -83,6 +85,10 @@
     pub returns: Arc<Mutex<limits::returns::Returns>>,
     /// Grants of requests to limited endpoints, while this host places items.
     pub grantor: Arc<Mutex<Option<limits::grantor::Grantor>>>,
+    /// Whether the configuration of an entry is known to be current.
+    pub contact: Arc<Mutex<workspaces::contact::Contact>>,
+    /// Requests of an entry that were rejected for their keys.
+    pub rejections: Arc<Mutex<identity::Rejections>>,
     /// Requests that wait for slots.
     pub slots: slots::Slots,
     /// Messages about runs of items that one host carries out for another.
@@ -147,6 +153,8 @@
             quota: Arc::default(),
             returns: Arc::default(),
             grantor: Arc::default(),
+            contact: Arc::default(),
+            rejections: Arc::default(),
             slots: slots::Slots::default(),
             run_mailboxes: Arc::default(),
             local_replica,
--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -175,6 +175,9 @@
     /// Two workspaces have the same name.
     #[display("two workspaces are named {_0}")]
     DuplicateWorkspace(Arc<str>),
+    /// The name of a workspace cannot be sent in a header unchanged.
+    #[display("workspace {_0:?}: the name is not a header value")]
+    WorkspaceName(Arc<str>),
     /// A key belongs to two workspaces. The key itself is a secret and is not named.
     #[display("workspaces {first} and {second} share a key")]
     SharedKey {
--- a/src/fleet/workspaces/mod.rs
+++ b/src/fleet/workspaces/mod.rs
@@ -3,7 +3,11 @@
 //! Keys are kept as hashes. The look-up of a key is a binary search over hashes, so its time tells
 //! nothing about how close a wrong key is to a right one.
 
+pub mod auth;
+pub mod contact;
+
 use crate::fleet::routes;
+use hyper::header::HeaderValue;
 use serde::Deserialize;
 use serde::Serialize;
 use sha2::Digest as _;
@@ -65,12 +69,15 @@
     /// Builds the index of workspaces after validating them.
     ///
     /// # Errors
-    /// Two workspaces have one name or share a key.
+    /// Two workspaces have one name or share a key, or a name cannot be sent in a header.
     pub fn new(mut list: Vec<Workspace>) -> Result<Workspaces, routes::Problem> {
         list.sort_by(|a, b| a.name.cmp(&b.name));
         if let Some(pair) = list.windows(2).find(|p| p[0].name == p[1].name) {
             return Err(routes::Problem::DuplicateWorkspace(pair[0].name.clone()));
         }
+        if let Some(workspace) = list.iter().find(|w| !is_header_text(&w.name)) {
+            return Err(routes::Problem::WorkspaceName(workspace.name.clone()));
+        }
         for workspace in &mut list {
             // A key that is listed twice is one key.
             workspace.keys.sort_unstable();
@@ -111,6 +118,11 @@
     }
 }
 
+/// Whether a text reaches the receiver of a header unchanged.
+fn is_header_text(text: &str) -> bool {
+    HeaderValue::from_bytes(text.as_bytes()).is_ok() && text.trim() == text
+}
+
 /// Caller of a request whose key is valid.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Caller {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -21,6 +21,7 @@
     // Keeps the exporter alive.
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
+    unauthorized: Counter<u64>,
     retries: Counter<u64>,
     requests: Counter<u64>,
     items: Counter<u64>,
@@ -57,6 +58,7 @@
         };
         let inner = Inner {
             refusals: counter("refusals", "Refused requests by reason and run state"),
+            unauthorized: counter("unauthorized", "Requests rejected for their keys by reason"),
             retries: counter("retries", "Retried requests by reason"),
             requests: counter("requests", "Requests by kind and outcome"),
             items: counter("items", "Batch items by outcome"),
@@ -83,6 +85,12 @@
         self.inner.refusals.add(1, &[KeyValue::new("reason", reason), KeyValue::new("run", run)]);
     }
 
+    /// Counts a request that is rejected for its key: `missing`, `malformed`, `unknown`, or `revoked` if
+    /// the key was revoked while the request waited.
+    pub fn count_unauthorized(&self, reason: &'static str) {
+        self.inner.unauthorized.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a retried request.
     pub fn count_retry(&self, reason: &'static str) {
         self.inner.retries.add(1, &[KeyValue::new("reason", reason)]);
--- a/tests/fleet_heads.rs
+++ b/tests/fleet_heads.rs
@@ -112,6 +112,7 @@
             id: "stream-000".into(),
             path: fleet_world::STREAM_PREFIX.into(),
             last_event: 0,
+            head: String::new(),
             number: 0,
         };
         let answer = (self.answer)(&request);
--- a/tests/fleet_world/raw.rs
+++ b/tests/fleet_world/raw.rs
@@ -6,7 +6,7 @@
 /// Request without its body.
 pub struct Request {
     /// Head in lower case.
-    head: String,
+    pub head: String,
 }
 
 impl Request {
--- a/tests/fleet_world/scripted.rs
+++ b/tests/fleet_world/scripted.rs
@@ -29,6 +29,8 @@
     pub id: String,
     pub path: String,
     pub last_event: u64,
+    /// Head in lower case.
+    pub head: String,
     /// Number of the request on its connection, from 0.
     pub number: usize,
 }
@@ -61,6 +63,7 @@
             path: read.path().into(),
             last_event: read.field("last-event-id:").parse().unwrap_or(0),
             number,
+            head: read.head,
         };
         if !answer(&request, &mut stream)? {
             return Ok(());
