Compute with extreme rates of quotas

An operator who mistypes a rate by many digits ended the processes of all entries: the interval between turns was converted to a duration without a check, which panics below 1e-17 requests a second, and a rate that makes the interval 0 led to a division by it. Intervals are limited to 1 microsecond and one hour.

--- a/src/fleet/workspaces/credits.rs
+++ b/src/fleet/workspaces/credits.rs
@@ -32,6 +32,10 @@
 const AHEAD_TIME: Duration = Duration::from_millis(50);
 /// Time after which an unused workspace is forgotten.
 const RETENTION: Duration = Duration::from_secs(3);
+/// Shortest interval between turns and callers that is computed with.
+const MIN_INTERVAL: Duration = Duration::from_micros(1);
+/// Longest interval between turns and callers that is computed with.
+const MAX_INTERVAL: Duration = Duration::from_secs(3_600);
 /// Interval between log lines about one workspace.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -250,7 +254,7 @@
 
     /// Time between two turns of the fixed share.
     fn turn_interval(&self, rate: f64) -> Duration {
-        Duration::from_secs_f64(f64::from(self.entries) / rate)
+        share_interval(self.entries, rate)
     }
 
     /// Begins the request for credit at `now`. `random` is a random number from 0 to 1. A request
@@ -546,7 +550,15 @@
 
 /// Interval at which an entry may expect credit that `sharing` entries ask for.
 fn interval(bound: &credit::Bound, sharing: u32) -> Duration {
-    Duration::from_secs_f64(f64::from(sharing.max(1)) / bound.rate)
+    share_interval(sharing.max(1), bound.rate)
+}
+
+/// Interval at which each of `count` entries gets its turn at `rate` requests a second in all. A
+/// configuration may hold any positive rate, so the interval is limited to what times can be computed
+/// with.
+fn share_interval(count: u32, rate: f64) -> Duration {
+    let interval = Duration::try_from_secs_f64(f64::from(count) / rate).unwrap_or(MAX_INTERVAL);
+    interval.clamp(MIN_INTERVAL, MAX_INTERVAL)
 }
 
 /// Takes a turn of the fixed share, if the entry uses it.
--- a/tests/fleet_quotas.rs
+++ b/tests/fleet_quotas.rs
@@ -598,6 +598,39 @@
     owner.set_quotas(ms(at), quotas(1.0, 0.0));
 }
 
+/// Guards against a rate that an operator mistyped by many digits and that ends the processes of all
+/// entries: times computed from it must stay within what a duration holds.
+#[test]
+fn extreme_rates_are_computed_with() {
+    let from: Arc<str> = "owner".into();
+    for rate in [f64::MIN_POSITIVE, 1e-18, 1e18, f64::MAX] {
+        let quota = workspaces::Quota { rate, burst: 0.0 };
+        let bound = credit::Bound::new(&quota, &settings::Workspaces::default());
+        let key = credit::Key::new("w");
+        let mut credits = credits::Credits::new(Duration::ZERO, 1);
+        credits.set_entries(340);
+        for time in [0, 1_500, 9_000, 9_001] {
+            credits.begin(ms(time), key, &bound, 0.5);
+            credits.poll(ms(time + 100), key, &bound, ms(time), 0.5);
+        }
+        let term = limits::Term { start_time: 1, epoch: 1 };
+        let mut allocator = allocator::Allocator::new(Duration::ZERO, term);
+        allocator.set_entries(ms(1), &["entry".into()]);
+        allocator.set_quotas(ms(1), [(key, bound)].into_iter().collect());
+        for time in [9_010, 9_020, 9_500] {
+            let report = credits.introduction(ms(time));
+            let answer = allocator.answer(ms(time), &"entry".into(), &report);
+            answer.into_iter().for_each(|grants| {
+                credits.apply(ms(time + 1), &from, &grants);
+            });
+            credits.begin(ms(time + 2), key, &bound, 0.5);
+            if let Some(report) = credits.next_report(ms(time + 3)) {
+                allocator.answer(ms(time + 4), &"entry".into(), &report);
+            }
+        }
+    }
+}
+
 /// Guards against a bound that holds only because too little is granted: a workspace far over its quota
 /// gets all of it.
 #[test]
