Confirm the configuration from the disks of the control hosts after a loss of power

After a loss of power at all hosts, an entry of a configuration with workspaces answered 503 until a leader had confirmed the version, although it had the configuration. The report of a control host's disk now has the highest version in its log; by the rule of elections, an entry that holds the one of the most up-to-date log of a majority holds every committed one.

--- a/src/fleet/identity.rs
+++ b/src/fleet/identity.rs
@@ -172,6 +172,15 @@
         tree.spawn("contact", move |_| observe_contact(node.clone(), end.clone()));
     }
 
+    /// Confirms the configuration after a restart of all hosts, before there is a leader, if the disks
+    /// of the control hosts show that none newer was committed.
+    fn confirm_from_disks(&self) {
+        if let Some(version) = self.view.quarantine(|q| q.stored_version()) {
+            let (now, held) = (self.now(), self.view.config_version());
+            peer::lock(&self.contact).confirm_start(now, version, held);
+        }
+    }
+
     /// Asks a quorum of the control group for the version of the configuration.
     async fn confirm_config(&self) {
         let asked = self.now();
@@ -194,7 +203,9 @@
         let is_connected = node.is_in_contact();
         let mut contact = peer::lock(&node.contact);
         contact.observe(node.now(), is_connected);
-        contact.needs_confirmation()
+        drop(contact);
+        node.confirm_from_disks();
+        peer::lock(&node.contact).needs_confirmation()
     };
     loop {
         tokio::select! {
--- a/src/fleet/quarantine.rs
+++ b/src/fleet/quarantine.rs
@@ -516,6 +516,12 @@
         self.confirmed || self.stored.quarantined().is_some()
     }
 
+    /// Version of the configuration that the disks of enough control hosts show, until a state is
+    /// confirmed. A confirmed one comes from a leader, which tells the version itself.
+    pub fn stored_version(&self) -> Option<u64> {
+        self.stored.version()
+    }
+
     /// Records what the disk of a control host holds. Returns whether the state is complete since
     /// then. The causes are kept from endpoints until a state is confirmed.
     pub fn record_stored(&mut self, now: Duration, report: stored::Report) -> bool {
--- a/src/fleet/stored.rs
+++ b/src/fleet/stored.rs
@@ -1,5 +1,5 @@
-//! Quarantined causes that a host knows after a restart of all hosts, before the control group has a
-//! leader. Free of I/O.
+//! Quarantined causes and the version of the configuration that a host knows after a restart of all
+//! hosts, before the control group has a leader. Free of I/O.
 //!
 //! Designed for the loss of power at all hosts: an entry has its configuration long before a leader
 //! is elected on hosts with a fraction of a core each, and callers continue at their usual rate. A
@@ -19,13 +19,15 @@
 /// Most replicas whose reports are kept. Groups have far fewer members.
 const MAX_REPORTS: usize = 64;
 
-/// What the disk of a control host holds about quarantined causes.
+/// What the disk of a control host holds about quarantined causes and the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Id of the replica.
     pub replica: u64,
     /// Term and index of the last entry.
     pub last: (u64, u64),
+    /// Highest version of a configuration document in the log, whether committed or not; 0 for none.
+    pub version: u64,
     /// Ids of the voters in the latest membership of the log, sorted.
     pub voters: Vec<u64>,
     /// Every cause that was quarantined after some entry that may not be committed, or after the last
@@ -77,7 +79,9 @@
         let mut voters: Vec<u64> = membership?.voters().collect();
         voters.sort_unstable();
         let quarantined = found.values().copied().collect();
-        Some(Report { replica: id, last, voters, quarantined })
+        // Versions only rise, so the state after all entries has the highest one.
+        let version = state.document.version;
+        Some(Report { replica: id, last, version, voters, quarantined })
     }
 
     fn is_voter(&self, id: u64) -> bool {
@@ -105,10 +109,21 @@
     /// They suffice if the replica with the most up-to-date log is a voter and the senders include a
     /// majority of the voters that this log names: they could elect it.
     pub fn quarantined(&self) -> Option<&[quarantine::Quarantined]> {
+        self.sufficient().map(|latest| &latest.quarantined[..])
+    }
+
+    /// Version of a configuration that is at least as high as every one that was committed before the
+    /// first of the reports; `None` if the reports do not suffice.
+    pub fn version(&self) -> Option<u64> {
+        self.sufficient().map(|latest| latest.version)
+    }
+
+    /// Report with the most up-to-date log, if the reports suffice.
+    fn sufficient(&self) -> Option<&Report> {
         let latest = self.reports.values().max_by_key(|r| (r.last, r.is_voter(r.replica)))?;
         let heard = self.reports.keys().filter(|id| latest.is_voter(**id)).count();
         let is_majority = 2 * heard > latest.voters.len();
-        (latest.is_voter(latest.replica) && is_majority).then_some(&latest.quarantined[..])
+        (latest.is_voter(latest.replica) && is_majority).then_some(latest)
     }
 
     /// Drops the reports once they are no longer needed.
--- a/src/fleet/workspaces/contact.rs
+++ b/src/fleet/workspaces/contact.rs
@@ -87,6 +87,15 @@
         }
     }
 
+    /// Records that the disks of a majority of the control hosts hold no version above `stored`, while
+    /// `held` is active here. It says nothing about changes since their start, so it ends only the doubt
+    /// of a start.
+    pub fn confirm_start(&mut self, now: Duration, stored: u64, held: u64) {
+        if self.doubt == Some(Doubt::Start) {
+            self.confirm(now, now, stored, held);
+        }
+    }
+
     /// What is known about the configuration.
     pub fn standing(&self, now: Duration) -> Standing {
         match self.doubt {
--- a/tests/fleet_keys.rs
+++ b/tests/fleet_keys.rs
@@ -195,6 +195,37 @@
     insta::assert_snapshot!(seen.join("\n"));
 }
 
+/// Guards against a restarted entry that waits for a leader although the disks of the control hosts show
+/// that its configuration is current, and against such a statement that ends a doubt of another cause.
+#[test]
+fn confirmations_from_disks() {
+    let ms = Duration::from_millis;
+    let mut contact = contact::Contact::default();
+    contact.observe(ms(100), false);
+    contact.confirm_start(ms(100), 7, 6);
+    let older = contact.standing(ms(100));
+    contact.confirm_start(ms(110), 7, 7);
+    let current = contact.standing(ms(110));
+    contact.observe(ms(200), false);
+    contact.confirm_start(ms(210), 7, 7);
+    let lost = contact.standing(ms(210));
+    contact.observe(ms(3_000), true);
+    contact.confirm_start(ms(3_010), 7, 7);
+    let frozen = contact.standing(ms(3_010));
+    insta::assert_debug_snapshot!((older, current, lost, frozen), @r"
+    (
+        Starting,
+        Current,
+        Lost(
+            10ms,
+        ),
+        Resumed(
+            10ms,
+        ),
+    )
+    ");
+}
+
 /// Guards against a parser whose errors quote a key, which would show it in the log of a control host,
 /// and against a name that endpoints would get in another form.
 #[test]
--- a/tests/fleet_stored.rs
+++ b/tests/fleet_stored.rs
@@ -167,6 +167,37 @@
     assert_eq!(reports.quarantined(), None);
 }
 
+/// Command that puts a document in force.
+fn put(version: u64) -> Vec<u8> {
+    let document = control_state::Document { version, text: "{}".into() };
+    ledger::encode(&Command::Put(document))
+}
+
+/// Guards against an entry that takes an older configuration for the current one after a restart, and
+/// then serves a key that a committed one has revoked.
+#[test]
+fn version_covers_every_committed_document() {
+    let mut net = Network::new(HOSTS, 5);
+    net.managed = true;
+    net.commit(put(4));
+    net.run(50);
+    let leader = net.await_leader();
+    // The hosts that are cut off hold version 4 only.
+    let mut others = (0..HOSTS).filter(|at| *at != leader);
+    let (a, b) = (others.next().expect("host"), others.next().expect("host"));
+    net.isolate(a, true);
+    net.isolate(b, true);
+    net.commit(put(9));
+    let version = |hosts: &[usize]| {
+        let mut reports = Reports::default();
+        hosts.iter().filter_map(|at| report(&net, *at)).for_each(|r| reports.record(r));
+        reports.version()
+    };
+    let c = others.next().expect("host");
+    let seen = [version(&[a, b]), version(&[a, b, c]), version(&[a, leader, c])];
+    assert_eq!(seen, [None, Some(9), Some(9)]);
+}
+
 /// Guards against an entry that may be lost and releases a cause whose quarantine is committed, and
 /// against causes that stay after the first confirmed state does not name them.
 #[test]
