Reject a waiting request when the revocation of its key arrives

Cause: the key of a request that waits for a slot was checked again only once the wait had ended, so that the 401 came with the slot or at the end of the wait.

Change: the wait ends when a configuration is in force in which the key does not belong to the workspace, and the check follows. A request that may have run goes on as before.

tests/fleet_keys.rs, revocation_while_connected, now expects the 401 while the slot is still taken, within 300 ms after the key stopped working, instead of some time after the slot became free.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -524,7 +524,13 @@
         let limit = limit.saturating_sub(waited).min(self.time_left());
         let claim = self.claim();
         let slot = self.node.wait_for_slot(&self.service, limit, &claim);
-        let slot = self.request.deadline.run(self.progress(), limit, slot).await;
+        let slot = self.request.deadline.run(self.progress(), limit, slot);
+        let slot = tokio::select! {
+            biased;
+            slot = slot => slot,
+            // The caller checks the key again.
+            () = self.wait_until_revoked() => return None,
+        };
         if slot.as_ref().is_ok_and(|s| s.as_ref().err() == Some(&slots::NoSlot::Displaced)) {
             event!(self.node.log, events::REQUEST_DISPLACED; "request" => &*self.request.id,
                 "workspace" => claim.workspace.as_deref(), "priority" => claim.rank.workspace,
@@ -1035,14 +1041,26 @@
     /// # Errors
     /// The response to a request whose key is not valid any more.
     async fn recheck_caller(&self) -> Result<(), serve::Response> {
-        match &self.request.caller {
-            Some(caller) if !self.begun && !self.attempts.may_have_run() => {
-                self.node.recheck_caller(caller, &self.request.id).await
-            }
-            _ => Ok(()),
+        match self.revocable_caller() {
+            Some(caller) => self.node.recheck_caller(caller, &self.request.id).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Waits until the key is revoked; forever if that does not end the request.
+    async fn wait_until_revoked(&self) {
+        match self.revocable_caller() {
+            Some(caller) => self.node.wait_until_revoked(caller).await,
+            None => std::future::pending().await,
         }
     }
 
+    /// Caller whose key is still to be checked; `None` if the request needs none or may have run.
+    fn revocable_caller(&self) -> Option<&workspaces::Caller> {
+        let caller = self.request.caller.as_ref();
+        caller.filter(|_| !self.begun && !self.attempts.may_have_run())
+    }
+
     /// Builds the response to a request for which no endpoint has room.
     fn give_up_full(&self) -> serve::Response {
         match self.node.limited_return_interval(&self.service) {
--- a/src/fleet/identity.rs
+++ b/src/fleet/identity.rs
@@ -165,6 +165,20 @@
         }
     }
 
+    /// Waits until the configuration no longer has the key of a caller.
+    pub async fn wait_until_revoked(&self, caller: &workspaces::Caller) {
+        let mut changes = self.view.changes();
+        loop {
+            let active = self.view.active_config();
+            let owner = active.as_ref().and_then(|a| a.config.workspaces.find(&caller.key));
+            if owner.is_none_or(|o| o.name != caller.workspace) {
+                return;
+            }
+            // The sender is part of the view.
+            let _ = changes.changed().await;
+        }
+    }
+
     /// Adds the task that finds out whether the configuration of an entry is current. `end` stops it:
     /// a stopping entry still serves requests.
     pub fn spawn_contact(&self, tree: &mut supervisor::Supervisor, end: &supervisor::Stop) {
--- a/tests/fleet_keys.rs
+++ b/tests/fleet_keys.rs
@@ -485,15 +485,21 @@
             statuses.push(open.ask("/safe/after", REVOKED).await);
         }
         assert_eq!(statuses.last(), Some(&401), "revoked in time: {statuses:?}");
+        // The slot is still taken.
+        let waited = tokio::time::timeout(REVOKED_WAIT, waiting).await;
+        let status = waited.expect("the wait ends with the revocation").expect("task").0;
+        assert_eq!(status, 401, "{}", world.logs());
         held.store(false, Ordering::Relaxed);
         assert_eq!(running.await.expect("task").0, 200, "a running request goes on");
-        assert_eq!(waiting.await.expect("task").0, 401, "{}", world.logs());
         assert!(heads_of(&heads, "/plain/waiting").is_empty(), "it was not sent");
         assert_eq!(open.ask("/safe/other", KEPT).await, 200, "another key of the workspace");
         assert_no_key_in_logs(world);
     });
 }
 
+/// Time within which a request that waits is rejected after its key has been revoked.
+const REVOKED_WAIT: Duration = Duration::from_millis(300);
+
 /// Guards against the body of a rejected request that is read as the next request.
 #[test]
 fn rejection_on_a_kept_connection() {
