Tell an entry at once of endpoints that registered before it

Two races of registrations with the start delay the first answer of an entry.

A control host tells only the hosts that it knows of a registration. One that arrives before an entry has announced itself reached the entry with the whole directory only. That was sent once it had differed for 350 ms, by rank 450 ms later, at an announcement, which an entry that has its configuration and its causes sends every 500 ms. An entry now announces itself every 100 ms until it has had a whole directory, and the control host of rank r sends that 100 ms x r after the first announcement.

A registration whose build is on the disk waited for its turn behind a registration of another build, which is not committed without a leader, for up to BUILD_TIMEOUT, also after its own build had been applied. The wait for the build now covers the wait for the turn.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -500,7 +500,13 @@
             node.peers.cast(link, frame::Cast::ConfigAvailable(version));
         }
         let same = node.view.has_same_directory(announcement);
-        let due = peer::lock(&self.directory_sync).is_due(now, link, rank, same);
+        let is_first = role == settings::Role::Entry && !announcement.directory_known;
+        let mut directory_sync = peer::lock(&self.directory_sync);
+        let due = match is_first {
+            true => directory_sync.is_due_at_start(now, link, rank),
+            false => directory_sync.is_due(now, link, rank, same),
+        };
+        drop(directory_sync);
         if let Some(update) = node.view.missing_update(announcement, due) {
             node.peers.cast(link, frame::Cast::Update(update));
         }
@@ -584,20 +590,25 @@
         if node.view.has_build(build) {
             return true;
         }
+        tokio::select! {
+            biased;
+            // After a start, the replica applies the builds on its disk without a leader. The turn may
+            // be that of another build, which waits for one.
+            () = node.view.wait_for_build(build) => true,
+            is_committed = self.propose_build(build) => is_committed,
+        }
+    }
+
+    /// Proposes a build once no other one is being proposed. Returns whether it was committed.
+    async fn propose_build(&self, build: &origin::Origin) -> bool {
+        let node = &self.node;
         // The endpoints of a release register at the same time.
         let turn = time::timeout(BUILD_TIMEOUT, self.build_turn.lock()).await;
         if turn.is_err() || node.view.has_build(build) {
             return turn.is_ok();
         }
         let command = control_state::Command::AddBuild(build.clone());
-        let proposed = node.groups.propose(groups::CONTROL, &command, BUILD_TIMEOUT);
-        let reply = tokio::select! {
-            biased;
-            // After a start, the replica applies the builds on its disk without a leader.
-            () = node.view.wait_for_build(build) => return true,
-            reply = proposed => reply,
-        };
-        match reply {
+        match node.groups.propose(groups::CONTROL, &command, BUILD_TIMEOUT).await {
             Ok(ledger::Reply::Done) => {
                 event!(node.log, events::BUILD_ADDED; "service" => &*build.service,
                     "build" => &*build.build);
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -39,7 +39,8 @@
 
 /// Interval between announcements of this host to the control hosts.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval between announcements before the first configuration and the quarantined causes are known.
+/// Interval between announcements before the first configuration and the quarantined causes are known,
+/// and at an entry the first directory.
 const INITIAL_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which an entry checks whether its running requests have changed, to report them.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -490,8 +491,12 @@
         peer::lock(&node.origins).remove_expired(node.now());
         node.repeat_origins(&mut informed);
         node.upstream.close_expired();
-        let ready =
-            node.view.active_config().is_some() && node.view.quarantine(|q| q.is_complete());
+        // A control host that has just started may have got registrations before it knew of this host.
+        let is_informed =
+            node.settings.host.role != settings::Role::Entry || node.view.has_whole_directory();
+        let ready = is_informed
+            && node.view.active_config().is_some()
+            && node.view.quarantine(|q| q.is_complete());
         let pause = if ready { ANNOUNCE_INTERVAL } else { INITIAL_ANNOUNCE_INTERVAL };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
--- a/tests/fleet_restart.rs
+++ b/tests/fleet_restart.rs
@@ -164,3 +164,89 @@
         assert_eq!(late, 0, "{left} was used after it had left\n{}", world.logs());
     });
 }
+
+/// Guards against a restarted entry that learns late of endpoints which registered before it announced
+/// itself: the control hosts tell it of later registrations only.
+#[test]
+fn endpoints_that_registered_before_are_known_at_once() {
+    fleet_world::run(async {
+        let mut world = World::start(SIZE).await;
+        let entries = world.hosts_of(Role::Entry);
+        (0..world.hosts.len()).for_each(|at| world.kill(at));
+        for at in world.hosts_of(Role::Control) {
+            world.start_host(at, false);
+        }
+        let begun = Instant::now();
+        for control in world.hosts_of(Role::Control) {
+            for at in 0..world.endpoints.len() {
+                while world.send_heartbeat(control, at, "ready").await != 200 {
+                    assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "{}", world.logs());
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+        let mut times = Vec::new();
+        for at in entries {
+            let begun = Instant::now();
+            world.start_host(at, false);
+            let configured = tokio::spawn(await_configuration(world.log_file(at), begun));
+            let answered = await_answer(world.caller_address(at), at, begun).await;
+            let configured = configured.await.expect("configuration");
+            times.push((configured, answered));
+        }
+        println!("configuration, and first answer: {times:?}");
+        for (configured, answered) in times {
+            assert!(answered < configured + MAX_FIRST_ANSWER, "{}", world.logs());
+        }
+    });
+}
+
+/// Time after which a control host on a full disk has opened its folder and acknowledged a build that
+/// is stored there, from the moment when the disk has space again: it tries every 200 ms.
+const MAX_OPEN_TIME: Duration = Duration::from_millis(500);
+
+/// Guards against a registration that waits for its turn behind one of another build, which is not
+/// committed without a leader, although its own build is on the disk of the control host. The disk is
+/// full at first, so that both arrive before the replica has applied what is stored.
+#[test]
+fn stored_build_does_not_wait_for_another_one() {
+    fleet_world::run(async {
+        let mut world = World::start(SIZE).await;
+        let control = world.hosts_of(Role::Control)[0];
+        // The commitment of the build is known from later changes.
+        for version in 2..4 {
+            assert_eq!(world.put_config(&world.config(version)).await, 200, "{}", world.logs());
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        (0..world.hosts.len()).for_each(|at| world.kill(at));
+        world.start_host(control, false);
+        world.fill_disk(control, true);
+        let to =
+            SocketAddr::from((world.hosts[control].process_address, fleet_world::OPERATOR_PORT));
+        while tokio::net::TcpStream::connect(to).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let register = |id: &'static str, build: &str| {
+            let body = serde_json::json!({
+                "service": fleet_world::SERVICE, "address": "127.0.0.1:9", "zone": "d0",
+                "version": build, "slots": 1, "state": "ready", "coldMs": 0, "callSeq": 1,
+            });
+            let path = format!("/-/instances/{id}");
+            tokio::spawn(
+                async move { client::call(to, "PUT", &path, &[], body.to_string()).await.0 },
+            )
+        };
+        let other = register("other", "not-stored");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let known = register("known", fleet_world::DEFAULT_BUILD);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        world.fill_disk(control, false);
+        let freed = Instant::now();
+        let status = known.await.expect("task");
+        println!("status {status} after {:?}", freed.elapsed());
+        other.abort();
+        assert!(freed.elapsed() < MAX_OPEN_TIME, "{}", world.logs());
+        let is_registered = || count(&world, control, "\"known\"") > 0;
+        assert!(fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, is_registered).await);
+    });
+}
