Test the headers of the trial of a quarantined request

The new test headers_of_a_trial in tests/fleet_keys.rs has a request crash three endpoints, waits for its trial and checks that each endpoint got the name of the workspace and no key.

--- a/tests/fleet_keys.rs
+++ b/tests/fleet_keys.rs
@@ -414,6 +414,73 @@
     });
 }
 
+/// Runs of a request that crash endpoints before it is quarantined.
+const CRASHES: usize = 3;
+/// Time within which a quarantined request is tried: the first pause, 30 s, and some more.
+const TRIAL_TIME: Duration = Duration::from_secs(50);
+
+/// Endpoint that closes the connection of the first runs of each request, and its listener with them.
+fn crashing(
+    number: usize,
+    heads: &Heads,
+    crashed: &Arc<Mutex<Vec<usize>>>,
+) -> Arc<scripted::Answer> {
+    let (heads, crashed) = (heads.clone(), crashed.clone());
+    Arc::new(move |request: &scripted::Request, stream: &mut TcpStream| {
+        let mut heads = heads.lock().expect("heads");
+        heads.push((request.path.clone(), request.raw.head.clone()));
+        if heads.len() <= CRASHES {
+            crashed.lock().expect("crashed").push(number);
+            return Ok(false);
+        }
+        let answer = scripted::framed("200 OK", &request.id, "", "done");
+        stream.write_all(answer.as_bytes())?;
+        Ok(true)
+    })
+}
+
+/// Guards against the trial of a quarantined request that reaches an endpoint with a key or without the
+/// name of the workspace.
+#[test]
+fn headers_of_a_trial() {
+    fleet_world::run(async {
+        let (heads, crashed) = (Heads::default(), Arc::default());
+        let answers = (0..=CRASHES).map(|n| crashing(n, &heads, &crashed)).collect();
+        let fleet = scripted::Fleet::start_short_lived(answers).await;
+        let (world, to) = (&fleet.world, fleet.entry);
+        put(world, 2, &[KEPT, REVOKED]).await;
+        // No other request may take the one connection that each endpoint accepts.
+        let is_in_force =
+            || world.logs_of(Role::Entry).matches("configuration in force").count() > 1;
+        assert!(fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, is_in_force).await);
+        let begun = Instant::now();
+        let path = "/plain/fatal";
+        let mut tried = (0, String::new());
+        while heads_of(&heads, path).len() <= CRASHES {
+            assert!(begun.elapsed() < TRIAL_TIME, "{tried:?}\n{}", world.logs());
+            tried = ask(to, path, KEPT).await;
+            // A crash is found and committed meanwhile.
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            for n in std::mem::take(&mut *crashed.lock().expect("crashed")) {
+                world.deregister_id(world.hosts_of(Role::Control)[0], &format!("raw-{n}")).await;
+            }
+        }
+        println!("tried after {:?}: {tried:?}", begun.elapsed());
+        assert_eq!(tried, (200, "done".to_string()));
+        let log = world.logs_of(Role::Entry);
+        assert_eq!(log.matches("trial of a quarantined cause granted").count(), 1, "{log}");
+        let got = heads_of(&heads, path);
+        assert_eq!(got.len(), CRASHES + 1);
+        for head in got {
+            let named = head.lines().filter(|l| l.starts_with("x-basilfield-tenant"));
+            let named: Vec<&str> = named.collect();
+            assert_eq!(named, ["x-basilfield-tenant: one"], "{head}");
+            assert!(!head.contains("authorization") && !head.contains(KEPT), "{head}");
+        }
+        assert_no_key_in_logs(world);
+    });
+}
+
 /// Connection of a caller that is kept open.
 struct Kept {
     stream: tokio::net::TcpStream,
