Send the first directory with the first configuration

And the entry took its directory from one control host while another one, which had not heard of a leader, was the only one to know of a registration from before the entry announced itself. A log of entries_answer_before_a_leader_is_elected shows that: control-1 acknowledged all endpoints at 58.02 to 58.04 s, entry-1 announced itself at 58.04 s, got the directory of another control host, and learned of the endpoints at 58.74 s. The limit BUILD_TIMEOUT had no part in the traced failure.

Change: the control host from which an entry fetches its first configuration sends its directory right before that. One that has not heard of a leader since its start also sends it at the first announcement of an entry.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -205,7 +205,15 @@
                 Ok(Some(encoded)) => {
                     // A host that accepts requests has to know which ones crash endpoints.
                     let quarantine = Some(node.view.quarantine(|q| q.summary()));
-                    let update = frame::Update { quarantine, ..frame::Update::default() };
+                    // A host without a configuration starts. It gets the directory from the one control
+                    // host that it asks, before the configuration with which it begins to serve.
+                    let whole = held.version == 0;
+                    let records = match whole {
+                        true => node.view.directory(|d| d.records()),
+                        false => directory::Records::default(),
+                    };
+                    let update =
+                        frame::Update { quarantine, records, whole, ..frame::Update::default() };
                     node.peers.cast(from, frame::Cast::Update(update));
                     node.peers.send_config(from, encoded);
                 }
@@ -500,13 +508,11 @@
             node.peers.cast(link, frame::Cast::ConfigAvailable(version));
         }
         let same = node.view.has_same_directory(announcement);
-        let is_first = role == settings::Role::Entry && !announcement.directory_known;
-        let mut directory_sync = peer::lock(&self.directory_sync);
-        let due = match is_first {
-            true => directory_sync.is_due_at_start(now, link, rank),
-            false => directory_sync.is_due(now, link, rank, same),
-        };
-        drop(directory_sync);
+        let due = peer::lock(&self.directory_sync).is_due(now, link, rank, same);
+        // Until this host hears of a leader, it may be the only one to know of a registration from before
+        // the entry announced itself. The entry takes its first directory from another one.
+        let is_first = changed && role == settings::Role::Entry && node.view.stored().is_some();
+        let due = due || (is_first && !same);
         if let Some(update) = node.view.missing_update(announcement, due) {
             node.peers.cast(link, frame::Cast::Update(update));
         }
--- a/src/fleet/sync.rs
+++ b/src/fleet/sync.rs
@@ -23,9 +23,6 @@
 const MIN_DIFFERENCE_TIME: Duration = Duration::from_millis(350);
 /// Time by which each further control host waits longer before it sends the directory.
 const RANK_DELAY: Duration = Duration::from_millis(450);
-/// Time by which each further control host waits longer before it sends the directory to a host that has
-/// none: the interval of its announcements, with which it says that it has got one.
-const START_RANK_DELAY: Duration = Duration::from_millis(100);
 /// Number of control hosts that tell a host at once of a new version. It learns of it from the others
 /// when it announces itself.
 const INFORMERS: usize = 2;
@@ -151,27 +148,13 @@
             self.differs_since.remove(host);
             return false;
         }
-        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        let wait = MIN_DIFFERENCE_TIME + RANK_DELAY.saturating_mul(rank);
-        self.is_over(now, host, wait, Duration::ZERO)
-    }
-
-    /// Whether to send the whole directory to a host that has announced itself and has had none since its
-    /// start. It knows neither endpoints nor the other control hosts before, so it does not wait as long
-    /// as one that differs. One that has been sent is not sent again at once, since it may be long.
-    pub fn is_due_at_start(&mut self, now: Duration, host: &Arc<str>, rank: usize) -> bool {
-        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        let wait = START_RANK_DELAY.saturating_mul(rank);
-        self.is_over(now, host, wait, MIN_DIFFERENCE_TIME)
-    }
-
-    /// Whether the directory of a host has differed for `wait`. If so, counts again, `pause` later.
-    fn is_over(&mut self, now: Duration, host: &Arc<str>, wait: Duration, pause: Duration) -> bool {
         self.differs_since.retain(|_, since| now.saturating_sub(*since) < RETENTION);
         let since = self.differs_since.entry_or(host.clone(), || now);
-        let due = now >= since.saturating_add(wait);
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        let wait = MIN_DIFFERENCE_TIME + RANK_DELAY.saturating_mul(rank);
+        let due = now.saturating_sub(*since) >= wait;
         if due {
-            *since = now + pause;
+            *since = now;
         }
         due
     }
