Confirm the configuration of a starting entry at once, and let requests wait

Cause: an entry asked a quorum for the version of its configuration only while it was in contact with the control hosts of its directory. A new entry has none there, so that it did not ask. The question then went to one host after the other. A document from before workspaces was served without keys as long as nothing newer arrived. Requests that arrived in the meantime were refused, which is often final.

Change: - After a start, the entry asks all known control hosts at once as soon as its configuration arrives, and the leader that one of them names. - No request is served, also on open routes, before the version is confirmed by a quorum or by the disks of a majority. If neither the configuration nor the report of any control host shows workspaces, the entry serves after 3 s. Reports tell whether their document has workspaces. - Requests wait for the start until 0.75 s after the start of the process, at most 512 with 4 MB of heads. A later refusal names a time to return that is at least 1.2 s after the start.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -17,6 +17,7 @@
 use crate::fleet::routes;
 use crate::fleet::runner;
 use crate::fleet::serve;
+use crate::fleet::starting;
 use crate::fleet::workspaces::auth;
 use crate::fleet::workspaces::exchange;
 use crate::supervisor;
@@ -35,6 +36,8 @@
 const MAX_RESULTS_WAIT: Duration = Duration::from_millis(1_000);
 /// Interval at which a waiting read checks for new results.
 const RESULTS_POLL_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval at which a request that waits for the start of the entry looks whether it serves.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Most items of one job.
 const MAX_JOB_ITEMS: usize = 200;
 
@@ -58,6 +61,8 @@
     node: node::Node,
     /// Memory for request bodies.
     memory: body::Memory,
+    /// Requests that wait while this entry starts.
+    held: starting::held::Held,
     stage: deadline::StageReceiver,
 }
 
@@ -177,6 +182,13 @@
     }
 }
 
+/// Bytes of the head of a request, without what separates its fields.
+fn head_bytes(head: &hyper::http::request::Parts) -> usize {
+    let target = head.uri.path_and_query().map_or(0, |p| p.as_str().len());
+    let fields = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    target + fields.sum::<usize>()
+}
+
 /// Returns the handler of frames from other hosts.
 pub fn peer_handler(node: &node::Node) -> Arc<dyn peer::Handler> {
     let (_, stage) = watch::channel(admission::Stage::default());
@@ -194,7 +206,55 @@
 
 impl Entry {
     fn new(node: &node::Node, stage: deadline::StageReceiver) -> Entry {
-        Entry { node: node.clone(), memory: body::Memory::new(MAX_HELD_BODY_BYTES), stage }
+        let memory = body::Memory::new(MAX_HELD_BODY_BYTES);
+        Entry { node: node.clone(), memory, held: starting::held::Held::default(), stage }
+    }
+
+    /// Waits for a short time after the start of the process until this entry serves requests.
+    ///
+    /// # Errors
+    /// The response to a request that arrives later, cannot wait or has waited in vain.
+    async fn wait_for_start(
+        &self,
+        head: &hyper::http::request::Parts,
+        id: &str,
+    ) -> Result<(), serve::Response> {
+        let node = &self.node;
+        let mut held = None;
+        while let Some(blocker) = node.start_blocker() {
+            if self.stage.borrow().is_closing() {
+                return Err(forward::refuse(node, id, forward::STOPPING));
+            }
+            let is_late = node.now() >= starting::MAX_WAIT;
+            held = held.filter(|_| !is_late);
+            if held.is_none() && !is_late {
+                held = self.held.hold(head_bytes(head));
+            }
+            if held.is_none() {
+                return Err(forward::refuse_start(node, id, blocker));
+            }
+            time::sleep(START_POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// Waits for a short time after the start of the process until an endpoint for a route is known.
+    async fn wait_for_endpoint(&self, head: &hyper::http::request::Parts, route: &routes::Route) {
+        let node = &self.node;
+        let is_missing = || {
+            let has_endpoint = |d: &directory::Directory, share: &routes::Share| {
+                d.available_endpoints(&share.service).next().is_some()
+            };
+            node.view.directory(|d| !route.shares.iter().any(|s| has_endpoint(d, s)))
+        };
+        let is_due = || node.now() < starting::MAX_WAIT && !self.stage.borrow().is_closing();
+        if !is_due() || !is_missing() {
+            return;
+        }
+        let Some(_held) = self.held.hold(head_bytes(head)) else { return };
+        while is_due() && is_missing() {
+            time::sleep(START_POLL_INTERVAL).await;
+        }
     }
 
     async fn handle_request(
@@ -228,16 +288,12 @@
         if self.stage.borrow().is_closing() {
             return forward::refuse(node, &id, forward::STOPPING);
         }
+        if let Err(response) = self.wait_for_start(&head, &id).await {
+            return response;
+        }
         let Some(active) = node.view.active_config() else {
-            return forward::refuse(node, &id, "no configuration is known yet");
+            return forward::refuse_start(node, &id, starting::NO_CONFIG);
         };
-        if !node.view.quarantine(|q| q.is_usable(node.now())) {
-            return forward::refuse(
-                node,
-                &id,
-                "the quarantined parts of prompts are not known yet",
-            );
-        }
         let host = head.headers.get(hyper::header::HOST).and_then(|v| v.to_str().ok());
         let Some(route) = active.config.find_route(host.unwrap_or_default(), head.uri.path())
         else {
@@ -256,6 +312,9 @@
             Ok(caller) => caller,
             Err(response) => return response,
         };
+        if route.kind != routes::Kind::Batch {
+            self.wait_for_endpoint(&head, route).await;
+        }
         let workspaces = &active.config.workspaces;
         auth::remove_identity(workspaces, caller.as_ref(), headers, &mut head.headers);
         if id.is_empty() {
@@ -329,8 +388,7 @@
 
     fn readiness(&self) -> serve::Response {
         let node = &self.node;
-        let usable = node.view.active_config().is_some()
-            && node.view.quarantine(|q| q.is_usable(node.now()))
+        let usable = node.start_blocker().is_none()
             && node.view.directory(|d| d.endpoints().any(|e| e.phase == directory::Phase::Ready));
         match usable && self.stage.borrow().end().is_none() {
             true => serve::response(StatusCode::OK, "ready\n"),
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -19,6 +19,7 @@
 use crate::fleet::routes;
 use crate::fleet::serve;
 use crate::fleet::slots;
+use crate::fleet::starting;
 use crate::fleet::upstream;
 use crate::fleet::waiting;
 use crate::fleet::workspaces;
@@ -204,6 +205,16 @@
     not_run(reason, pause)
 }
 
+/// Builds the response that tells a caller that its request has not run because the entry has started
+/// and does not serve yet.
+pub fn refuse_start(node: &node::Node, id: &str, reason: &'static str) -> serve::Response {
+    node.metrics.count_refusal(reason, "no");
+    let pause = starting::retry_after(node.now(), rand::random::<f64>());
+    event!(node.log, events::REQUEST_REFUSED; "request" => id, "reason" => reason,
+        "retry_ms" => pause.as_millis() as u64);
+    not_run(reason, pause)
+}
+
 fn not_run(reason: &str, pause: Duration) -> serve::Response {
     not_run_with(StatusCode::SERVICE_UNAVAILABLE, reason, pause)
 }
--- a/src/fleet/groups.rs
+++ b/src/fleet/groups.rs
@@ -11,6 +11,8 @@
 use crate::state::group;
 use crate::wire;
 use bytes::Bytes;
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
@@ -35,6 +37,11 @@
 /// Delay before a group without a leader is called again; an election takes several times as long.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// Delay before a member is asked again by a host that asks all of them: such a host is to learn of a new
+/// leader within 100 ms. While there is no leader, 340 entries that start ask each member 3,400 times a
+/// second.
+const MEMBER_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Why a request to a group failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -176,6 +183,63 @@
         }
     }
 
+    /// Sends a query to all known members at once, and to the leader that one of them names. For
+    /// hosts that wait for the answer before they serve: a member that is down costs no time, and a
+    /// leader that is not known here is reached through the others.
+    ///
+    /// # Errors
+    /// `NotDone` if no leader gave a readable answer within `limit`.
+    pub async fn query_members<T: DeserializeOwned>(
+        &self,
+        group: u16,
+        query: &impl Serialize,
+        limit: Duration,
+    ) -> Result<T, Failure> {
+        let query = Bytes::from(ledger::encode(query));
+        let request = wire::Request::Query { group, query };
+        let answer = time::timeout(limit, self.ask_members(group, &request)).await;
+        let answer = answer.map_err(|_| Failure::NotDone(wire::Reason::NoQuorum))?;
+        let failure = Failure::NotDone(wire::Reason::Invalid);
+        postcard::from_bytes(&answer).map_err(|e| self.log_unreadable(group, e, failure))
+    }
+
+    /// Asks each known member until one answers, and each leader that one of them names. A member
+    /// that does not answer keeps no other waiting.
+    async fn ask_members(&self, group: u16, request: &wire::Request) -> Bytes {
+        let ask = |host: Arc<str>, delay: Duration| async move {
+            time::sleep(delay).await;
+            let reply = self.send(group, &host, request.clone(), CALL_TIMEOUT).await;
+            (host, reply)
+        };
+        let (mut asked, mut answers) = (Vec::new(), FuturesUnordered::new());
+        loop {
+            for host in self.view.members(group) {
+                if !asked.contains(&host) {
+                    asked.push(host.clone());
+                    answers.push(ask(host, Duration::ZERO));
+                }
+            }
+            let Some((host, reply)) = answers.next().await else {
+                time::sleep(RETRY_DELAY).await;
+                continue;
+            };
+            match reply {
+                Ok(wire::Reply::Answer(answer)) => {
+                    peer::lock(&self.leaders).insert(group, host);
+                    return answer;
+                }
+                Ok(wire::Reply::NotDone { leader: Some(leader), .. })
+                    if !asked.contains(&leader) =>
+                {
+                    asked.push(leader.clone());
+                    answers.push(ask(leader, Duration::ZERO));
+                }
+                _ => {}
+            }
+            answers.push(ask(host, MEMBER_RETRY_DELAY));
+        }
+    }
+
     /// Status of the leader's replica; `None` if no leader is found within `limit`.
     pub async fn leader_status(&self, group: u16, limit: Duration) -> Option<wire::Group> {
         let end = time::Instant::now() + limit;
--- a/src/fleet/identity.rs
+++ b/src/fleet/identity.rs
@@ -12,6 +12,7 @@
 use crate::fleet::node;
 use crate::fleet::peer;
 use crate::fleet::serve;
+use crate::fleet::starting;
 use crate::fleet::workspaces;
 use crate::supervisor;
 use hyper::HeaderMap;
@@ -21,13 +22,15 @@
 use std::time::Duration;
 use tokio::time;
 use workspaces::auth;
+use workspaces::contact;
 
-/// Reason of a refusal before the first configuration has arrived.
-const NO_CONFIG: &str = "no configuration is known yet";
 /// Interval at which an entry observes whether it runs and is in contact.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait for a quorum to confirm the version of the configuration.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
+/// Pause between questions after a start, once the control group has had no leader for long: a question
+/// sends a message to each control host every 100 ms.
+const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait of a request for the confirmation of the configuration. A reachable quorum answers
 /// within some milliseconds, so that a short stall of the process does not cost its requests.
 const MAX_CONFIRM_WAIT: Duration = Duration::from_millis(250);
@@ -56,6 +59,22 @@
 }
 
 impl node::Node {
+    /// Why this entry does not serve requests yet after its start; `None` if it serves.
+    pub fn start_blocker(&self) -> Option<&'static str> {
+        let now = self.now();
+        let Some(active) = self.view.active_config() else {
+            return starting::blocker(starting::Knowledge::default());
+        };
+        if peer::lock(&self.contact).standing(now) == contact::Standing::Starting {
+            // A report may have arrived since the last observation.
+            self.confirm_from_disks();
+        }
+        let (causes, shown) = self.view.quarantine(|q| (q.is_usable(now), q.shows_workspaces()));
+        let has_workspaces = shown || !active.config.workspaces.is_empty();
+        let confirmed = peer::lock(&self.contact).may_serve(now, has_workspaces);
+        starting::blocker(starting::Knowledge { configured: true, causes, confirmed })
+    }
+
     fn key_policy(&self) -> auth::Policy {
         let settings = &self.settings.workspaces;
         let revocation = Duration::from_millis(settings.revocation);
@@ -87,9 +106,10 @@
     pub(super) async fn identify(&self, headers: &HeaderMap, is_open: bool) -> auth::Decision {
         let presented = auth::read_key(headers, &self.view.protocol().headers().caller);
         let policy = self.key_policy();
-        let decide = || match self.view.active_config() {
-            None => auth::Decision::Undecided(NO_CONFIG),
-            Some(active) => {
+        let decide = || match (self.start_blocker(), self.view.active_config()) {
+            (Some(auth::UNCONFIRMED), _) => auth::Decision::Undecided(auth::UNCONFIRMED),
+            (_, None) => auth::Decision::Undecided(starting::NO_CONFIG),
+            (_, Some(active)) => {
                 let knowledge = self.key_knowledge(active.document.version);
                 auth::decide(&active.config.workspaces, is_open, presented, knowledge, policy)
             }
@@ -123,7 +143,7 @@
     ) -> Result<(), serve::Response> {
         let policy = self.key_policy();
         let decide = || match self.view.active_config() {
-            None => auth::Decision::Undecided(NO_CONFIG),
+            None => auth::Decision::Undecided(starting::NO_CONFIG),
             Some(active) => {
                 let knowledge = self.key_knowledge(active.document.version);
                 auth::recheck(&active.config.workspaces, caller, knowledge, policy)
@@ -196,23 +216,27 @@
     }
 
     /// Asks a quorum of the control group for the version of the configuration.
-    async fn confirm_config(&self) {
+    async fn confirm_config(&self) -> bool {
         let asked = self.now();
         let query = control_state::Query::Version;
-        let answer = self.groups.query::<u64>(groups::CONTROL, &query, CONFIRM_TIMEOUT).await;
+        let answer = self.groups.query_members::<u64>(groups::CONTROL, &query, CONFIRM_TIMEOUT);
+        let answer = answer.await;
         if let Ok(version) = answer {
             let held = self.view.config_version();
             peer::lock(&self.contact).confirm(self.now(), asked, version, held);
         }
+        answer.is_ok()
     }
 }
 
-/// Observes the contact of an entry, and has the configuration confirmed when it may be outdated.
+/// Observes the contact of an entry, and has the configuration confirmed when it may be outdated: at an
+/// interval, and after a start as soon as the configuration has arrived.
 async fn observe_contact(
     node: node::Node,
     mut stop: supervisor::Stop,
 ) -> Result<(), errors::Error> {
     let mut ticks = node.timer.subscribe(OBSERVE_INTERVAL);
+    let mut changes = node.view.changes();
     let observe = || {
         let is_connected = node.is_in_contact();
         let mut contact = peer::lock(&node.contact);
@@ -221,19 +245,28 @@
         node.confirm_from_disks();
         peer::lock(&node.contact).needs_confirmation()
     };
+    let is_starting =
+        || peer::lock(&node.contact).standing(node.now()) == contact::Standing::Starting;
+    let mut next_question = Duration::ZERO;
     loop {
         tokio::select! {
             _ = ticks.next() => {}
+            Ok(()) = changes.changed(), if is_starting() => {}
             () = stop.wait() => return Ok(()),
         }
-        if !observe() || node.view.active_config().is_none() {
+        if !observe() || node.view.active_config().is_none() || node.now() < next_question {
             continue;
         }
         let confirm = node.confirm_config();
         tokio::pin!(confirm);
         loop {
             tokio::select! {
-                () = &mut confirm => break,
+                is_answered = &mut confirm => {
+                    if !is_answered && is_starting() && node.now() > contact::UNCONFIRMED_TIMEOUT {
+                        next_question = node.now() + QUESTION_INTERVAL;
+                    }
+                    break;
+                }
                 _ = ticks.next() => { observe(); }
                 () = stop.wait() => return Ok(()),
             }
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -4,6 +4,7 @@
 use crate::errors;
 use crate::event;
 use crate::events;
+use crate::fleet::control_state;
 use crate::fleet::frame;
 use crate::fleet::groups;
 use crate::fleet::node;
@@ -195,7 +196,13 @@
         };
         self.node.view.set_replica(id);
         if self.group == groups::CONTROL {
-            self.node.view.set_stored(stored::Report::new(id, &restored));
+            let has_workspaces = |document: &control_state::Document| {
+                // One that a later version accepted may not be readable here, and may have workspaces.
+                let config = self.node.view.protocol().parse_config(&document.text);
+                config.map_or(true, |c| !c.workspaces.is_empty())
+            };
+            let report = stored::Report::new(id, &restored, has_workspaces);
+            self.node.view.set_stored(report);
         }
         event!(log, events::FOLDER_OPENED; "group" => self.group, "replica" => id,
             "entries" => restored.entries.len(),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -46,6 +46,7 @@
 pub mod settings;
 pub mod slots;
 pub mod sse;
+pub mod starting;
 pub mod store;
 pub mod stored;
 pub mod sync;
--- a/src/fleet/quarantine.rs
+++ b/src/fleet/quarantine.rs
@@ -43,7 +43,7 @@
 const MAX_PARTS: usize = 64;
 /// Time for which a host without a confirmed state sends no requests. The control group elects a
 /// leader within it after a restart of all hosts.
-const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
+pub const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
 /// Crashes that no quarantined request explains after which a part is quarantined. With a single one,
 /// an endpoint may have crashed for another reason.
 const MIN_PART_CRASHES: usize = 2;
@@ -489,6 +489,8 @@
     suspected: Vec<Cause>,
     /// What the disks of the control hosts held, until a state is confirmed.
     stored: stored::Reports,
+    /// Whether the disk of any control host showed workspaces.
+    workspaces: bool,
     evidence: Evidence,
 }
 
@@ -522,9 +524,16 @@
         self.stored.version()
     }
 
+    /// Whether the disk of a control host has shown a configuration with workspaces since the start of
+    /// this host, whether committed or not.
+    pub fn shows_workspaces(&self) -> bool {
+        self.workspaces
+    }
+
     /// Records what the disk of a control host holds. Returns whether the state is complete since
     /// then. The causes are kept from endpoints until a state is confirmed.
     pub fn record_stored(&mut self, now: Duration, report: stored::Report) -> bool {
+        self.workspaces |= report.workspaces;
         if self.confirmed {
             return false;
         }
--- a/src/fleet/stored.rs
+++ b/src/fleet/stored.rs
@@ -28,6 +28,8 @@
     pub last: (u64, u64),
     /// Highest version of a configuration document in the log, whether committed or not; 0 for none.
     pub version: u64,
+    /// Whether that document has workspaces.
+    pub workspaces: bool,
     /// Ids of the voters in the latest membership of the log, sorted.
     pub voters: Vec<u64>,
     /// Every cause that was quarantined after some entry that may not be committed, or after the last
@@ -37,8 +39,13 @@
 
 impl Report {
     /// Creates the report of the replica `id` from the state that was read from its disk. `None` if
-    /// the disk is empty or its snapshot is not readable.
-    pub fn new(id: u64, stored: &replica::PersistentState) -> Option<Report> {
+    /// the disk is empty or its snapshot is not readable. `has_workspaces` tells whether a document has
+    /// workspaces.
+    pub fn new(
+        id: u64,
+        stored: &replica::PersistentState,
+        has_workspaces: impl FnOnce(&control_state::Document) -> bool,
+    ) -> Option<Report> {
         let mut state = control_state::ControlState::default();
         let (mut last, mut membership, mut commit) = ((0, 0), None, stored.hard_state.commit);
         if let Some(snapshot) = &stored.snapshot {
@@ -81,7 +88,8 @@
         let quarantined = found.values().copied().collect();
         // Versions only rise, so the state after all entries has the highest one.
         let version = state.document.version;
-        Some(Report { replica: id, last, version, voters, quarantined })
+        let workspaces = version > 0 && has_workspaces(&state.document);
+        Some(Report { replica: id, last, version, workspaces, voters, quarantined })
     }
 
     fn is_voter(&self, id: u64) -> bool {
--- a/src/fleet/workspaces/contact.rs
+++ b/src/fleet/workspaces/contact.rs
@@ -5,12 +5,17 @@
 //! its process did not run for a while, and while it was out of contact. In these cases a quorum of
 //! the control group confirms the version before the configuration counts as current again.
 
+use crate::fleet::quarantine;
 use std::time::Duration;
 
 /// Time between two observations after which the process counts as frozen meanwhile. Revoked keys are
 /// to stop working within 2.5 s, of which a change takes up to 1.4 s to reach an entry that runs.
 pub const FREEZE_LIMIT: Duration = Duration::from_secs(1);
 
+/// Time after which an entry serves a configuration that nobody has confirmed since its start, if
+/// nothing shows that there are workspaces. As long as the wait for the quarantined causes.
+pub const UNCONFIRMED_TIMEOUT: Duration = quarantine::CONFIRM_TIMEOUT;
+
 /// What is known about the configuration of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -45,12 +50,23 @@
     /// does not remove it.
     raised: Duration,
     is_connected: bool,
+    /// Time since which the entry has a configuration and could serve.
+    configured: Option<Duration>,
+    /// Whether anything has shown since the start that there are workspaces.
+    has_workspaces: bool,
 }
 
 impl Default for Contact {
     fn default() -> Contact {
         let (observed, raised) = (Duration::ZERO, Duration::ZERO);
-        Contact { observed, doubt: Some(Doubt::Start), raised, is_connected: false }
+        Contact {
+            observed,
+            doubt: Some(Doubt::Start),
+            raised,
+            is_connected: false,
+            configured: None,
+            has_workspaces: false,
+        }
     }
 }
 
@@ -72,9 +88,10 @@
         (self.observed, self.doubt) = (now, doubt);
     }
 
-    /// Whether a quorum should be asked to confirm the configuration.
+    /// Whether a quorum should be asked to confirm the configuration. After a start, the control hosts
+    /// are known only from the settings until the first directory arrives, so that no contact is seen.
     pub fn needs_confirmation(&self) -> bool {
-        self.doubt.is_some() && self.is_connected
+        self.doubt == Some(Doubt::Start) || (self.doubt.is_some() && self.is_connected)
     }
 
     /// Records that a quorum has stated the version `confirmed` in the answer to a question of the time
@@ -82,7 +99,9 @@
     pub fn confirm(&mut self, now: Duration, asked: Duration, confirmed: u64, held: u64) {
         // The process may have been frozen since the last observation.
         let is_observed = now.saturating_sub(self.observed) <= FREEZE_LIMIT;
-        if is_observed && asked >= self.raised && held >= confirmed {
+        // Every answer is one to a question that was asked after the start.
+        let is_later = asked >= self.raised || self.doubt == Some(Doubt::Start);
+        if is_observed && is_later && held >= confirmed {
             self.doubt = None;
         }
     }
@@ -96,6 +115,19 @@
         }
     }
 
+    /// Whether the entry may serve its configuration: it has been confirmed since the start, or nothing
+    /// shows for a while that there are workspaces. `has_workspaces` tells whether the configuration or
+    /// the disk of a control host shows them. Called only once there is a configuration.
+    ///
+    /// Without a confirmation, the configuration may be older than one that was acknowledged before the
+    /// start, and accept a key that was revoked, or any request.
+    pub fn may_serve(&mut self, now: Duration, has_workspaces: bool) -> bool {
+        self.has_workspaces |= has_workspaces;
+        let since = *self.configured.get_or_insert(now);
+        let is_over = now.saturating_sub(since) >= UNCONFIRMED_TIMEOUT;
+        self.doubt != Some(Doubt::Start) || (is_over && !self.has_workspaces)
+    }
+
     /// What is known about the configuration.
     pub fn standing(&self, now: Duration) -> Standing {
         match self.doubt {
--- a/tests/fleet_groups.rs
+++ b/tests/fleet_groups.rs
@@ -76,6 +76,18 @@
                 }
                 .boxed()
             }
+            wire::Request::Query { .. } => {
+                let leads = self.leads;
+                async move {
+                    let (reason, run) = (wire::Reason::NoQuorum, wire::Run::No);
+                    match leads {
+                        true => wire::Reply::Answer(postcard::to_stdvec(&7_u64).unwrap().into()),
+                        false if leader.is_empty() => std::future::pending().await,
+                        false => wire::Reply::NotDone { reason, leader: Some(leader), run },
+                    }
+                }
+                .boxed()
+            }
             _ => std::future::pending().boxed(),
         }
     }
@@ -179,3 +191,43 @@
     });
     assert_eq!(replica.join().expect("the replica ends"), 1);
 }
+
+/// Time within which a host that starts gets an answer of the leader.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
+/// Guards against a query that waits for a member which does not answer, while another one could name
+/// the leader, which is not among the known members.
+#[test]
+fn leader_that_is_not_known_is_found_at_once() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        let (mut hosts, mut links) = (Vec::new(), Vec::new());
+        for at in 0..4 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+            links.push(Arc::<str>::from(listener.local_addr().expect("address").to_string()));
+            let (leader, commands) = (Mutex::new("".into()), Mutex::default());
+            let host = Arc::new(Host { leader, leads: at == 3, commands });
+            tokio::spawn(peer::serve(listener, host.clone(), metrics::Metrics::new(), discard()));
+            hosts.push(host);
+        }
+        // The first two hosts never answer a query.
+        *hosts[2].leader.lock().unwrap() = links[3].clone();
+        let view = view("10.0.0.1:7700");
+        let members = links[..3].iter().cloned().zip(1..);
+        view.apply_placement(control_state::Placement::new(members));
+        let mut times = Vec::new();
+        for _ in 0..5 {
+            let own = "10.0.0.1:7700".into();
+            let peers = peer::Peers::new(own, &metrics::Metrics::new(), &discard());
+            let client = groups::Client::new(peers, view.clone(), None, &discard());
+            let begun = time::Instant::now();
+            let answer = client.query_members::<u64>(groups::JOBS, &(), LIMIT).await;
+            assert_eq!(answer, Ok(7));
+            times.push(begun.elapsed());
+        }
+        times.sort();
+        println!("answers after {times:?}");
+        // One of them may be late because the machine is busy.
+        assert!(times[3] < ANSWER_TIME, "{times:?}");
+    });
+}
--- a/tests/fleet_keys.rs
+++ b/tests/fleet_keys.rs
@@ -661,6 +661,106 @@
     });
 }
 
+/// Guards against a request that arrives while an entry starts and is refused because its configuration
+/// is not confirmed: the entry asks for that as soon as it has the configuration, and not once its
+/// directory has the control hosts.
+#[test]
+fn request_waits_for_the_confirmation() {
+    fleet_world::run(async {
+        let size = Size { controls: 5, losses: 2, stores: 1, entries: 1, endpoints: 1 };
+        let mut world = World::start(size).await;
+        let to = world.entry();
+        let entry = world.hosts_of(Role::Entry)[0];
+        put(&world, 2, &[KEPT, REVOKED]).await;
+        ask_until(&world, to, "wrong-key", 401).await;
+        let mut times = Vec::new();
+        for n in 0..3 {
+            world.kill(entry);
+            world.start_host(entry, false);
+            while tokio::net::TcpStream::connect(to).await.is_err() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let begun = Instant::now();
+            let (status, body) = ask(to, &format!("/plain/early-{n}"), KEPT).await;
+            times.push(begun.elapsed());
+            assert_eq!(status, 200, "{body}\n{}", world.logs());
+            ask_until(&world, to, "wrong-key", 401).await;
+        }
+        println!("answered after {times:?}");
+    });
+}
+
+/// Time for which a restarted entry is watched: longer than it waits for the quarantined causes.
+const WATCH_TIME: Duration = Duration::from_millis(4_500);
+
+/// Guards against a restarted entry that serves requests without keys under a document from before
+/// workspaces were introduced: the only control host has applied nothing later, but its disk shows the
+/// workspaces.
+#[test]
+fn document_from_before_workspaces() {
+    fleet_world::run(async {
+        let size = Size { controls: 3, losses: 1, stores: 1, entries: 1, endpoints: 1 };
+        let mut world = World::start(size).await;
+        let to = world.entry();
+        let entry = world.hosts_of(Role::Entry)[0];
+        let controls = world.hosts_of(Role::Control);
+        put(&world, 2, &[KEPT, REVOKED]).await;
+        ask_until(&world, to, "wrong-key", 401).await;
+        for at in controls.iter().chain([&entry]) {
+            world.kill(*at);
+        }
+        world.start_host(controls[2], false);
+        world.start_host(entry, false);
+        let (mut begun, mut reasons) = (None, Vec::new());
+        while begun.is_none_or(|b: Instant| b.elapsed() < WATCH_TIME) {
+            world.send_heartbeat(controls[2], 0, "ready").await;
+            let (status, body) = ask(to, "/plain/stale", "wrong-key").await;
+            assert!(matches!(status, 0 | 503), "an older document: {status} {body}");
+            if body.contains(auth::UNCONFIRMED) {
+                begun = begun.or(Some(Instant::now()));
+            }
+            if reasons.last() != Some(&body) {
+                reasons.push(body);
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let last = reasons.last().map(|r| r.contains(auth::UNCONFIRMED));
+        assert_eq!(last, Some(true), "{reasons:?}\n{}", world.logs());
+        world.start_host(controls[0], false);
+        world.start_host(controls[1], false);
+        ask_until(&world, to, "wrong-key", 401).await;
+        world.send_heartbeats_until_ready().await;
+        ask_until(&world, to, KEPT, 200).await;
+    });
+}
+
+/// Guards against an entry that serves a configuration which may be older than one from before its start,
+/// and against a fleet without workspaces that gets no service while no quorum can be reached.
+#[test]
+fn unconfirmed_configurations() {
+    let ms = Duration::from_millis;
+    let mut seen = Vec::new();
+    for shown_at in [None, Some(0), Some(100), Some(4_000)] {
+        let mut contact = contact::Contact::default();
+        let mut served = Vec::new();
+        for now in [0, 100, 2_900, 3_000, 4_000, 5_000] {
+            contact.observe(ms(now), false);
+            served.push((now, contact.may_serve(ms(now), shown_at == Some(now))));
+        }
+        // The control hosts are not in the directory yet.
+        contact.confirm(ms(5_010), ms(4_990), 7, 7);
+        served.push((5_010, contact.may_serve(ms(5_010), false)));
+        let served: Vec<u64> = served.into_iter().filter(|s| s.1).map(|s| s.0).collect();
+        seen.push(format!("workspaces shown at {shown_at:?}: served at {served:?}"));
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    workspaces shown at None: served at [3000, 4000, 5000, 5010]
+    workspaces shown at Some(0): served at [5010]
+    workspaces shown at Some(100): served at [5010]
+    workspaces shown at Some(4000): served at [3000, 5010]
+    ");
+}
+
 /// Guards against an entry that was frozen while a key was revoked and serves requests with it once it
 /// runs again, before it learns of the revocation.
 #[test]
--- a/tests/fleet_restart.rs
+++ b/tests/fleet_restart.rs
@@ -2,6 +2,7 @@
 
 mod fleet_world;
 
+use basilfield::fleet::starting;
 use fleet_world::Role;
 use fleet_world::STREAM_PREFIX;
 use fleet_world::Size;
@@ -165,6 +166,9 @@
     });
 }
 
+/// Time until which a request waits for a restarted entry to serve.
+const MAX_START_WAIT: Duration = Duration::from_millis(750);
+
 /// Guards against a restarted entry that learns late of endpoints which registered before it announced
 /// itself: the control hosts tell it of later registrations only.
 #[test]
@@ -201,6 +205,99 @@
     });
 }
 
+/// Guards against a request that arrives while an entry starts and is refused, although the entry serves
+/// a moment later.
+#[test]
+fn request_waits_for_the_start_of_an_entry() {
+    fleet_world::run(async {
+        let mut world = World::start(SIZE).await;
+        let at = world.hosts_of(Role::Entry)[0];
+        let to = world.caller_address(at);
+        world.kill(at);
+        world.start_host(at, false);
+        // The listener is open before the configuration arrives.
+        while tokio::net::TcpStream::connect(to).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let begun = Instant::now();
+        let ended = client::stream(to, STREAM_PREFIX, "early").await;
+        println!("{ended:?} after {:?}", begun.elapsed());
+        assert_eq!(ended, StreamEnd::Complete, "{}", world.logs());
+    });
+}
+
+/// Guards against a request that waits for an entry without a configuration for longer than is of use
+/// to its caller, and against a refusal after which the caller returns before the entry can serve.
+#[test]
+fn entry_without_control_hosts_refuses_after_a_while() {
+    fleet_world::run(async {
+        let mut world = World::start(SIZE).await;
+        let at = world.hosts_of(Role::Entry)[0];
+        let to = world.caller_address(at);
+        (0..world.hosts.len()).for_each(|at| world.kill(at));
+        let begun = Instant::now();
+        world.start_host(at, false);
+        while tokio::net::TcpStream::connect(to).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let headers = [("x-basilfield-request-id", "early"), ("x-basilfield-deadline-ms", "5000")];
+        let path = format!("{STREAM_PREFIX}early");
+        let (status, body) = client::call(to, "POST", &path, &headers, "ask".into()).await;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        assert!(status == 503 && text.contains(starting::NO_CONFIG), "{status} {text}");
+        let waited = begun.elapsed();
+        println!("refused after {waited:?}");
+        // The process needs some time to start.
+        assert!(waited < MAX_START_WAIT + MAX_FIRST_ANSWER, "{waited:?}");
+        assert!(waited >= MAX_START_WAIT, "{waited:?}");
+    });
+}
+
+/// Guards against an entry that serves before it knows all that it needs, and against callers that
+/// return all at once or before the entry is expected to serve.
+#[test]
+fn reasons_and_returns_at_the_start() {
+    let mut lines = Vec::new();
+    for n in 0..8 {
+        let (configured, causes, confirmed) = (n & 4 != 0, n & 2 != 0, n & 1 != 0);
+        let knowledge = starting::Knowledge { configured, causes, confirmed };
+        let blocker = starting::blocker(knowledge).unwrap_or("serves");
+        lines.push(format!("{configured} {causes} {confirmed}: {blocker}"));
+    }
+    for now in [0, 750, 1_100, 5_000] {
+        let pause = |random| starting::retry_after(Duration::from_millis(now), random);
+        lines.push(format!("refused at {now} ms: {:?} to {:?}", pause(0.0), pause(1.0)));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    false false false: no configuration is known yet
+    false false true: no configuration is known yet
+    false true false: no configuration is known yet
+    false true true: no configuration is known yet
+    true false false: the quarantined parts of prompts are not known yet
+    true false true: the quarantined parts of prompts are not known yet
+    true true false: the keys of callers are not confirmed yet
+    true true true: serves
+    refused at 0 ms: 1.2s to 1.7s
+    refused at 750 ms: 450ms to 950ms
+    refused at 1100 ms: 250ms to 750ms
+    refused at 5000 ms: 250ms to 750ms
+    ");
+}
+
+/// Guards against requests that wait for an entry to start and fill its memory.
+#[test]
+fn requests_at_the_start_are_bounded() {
+    let hold_all = |bytes: usize| {
+        let held = starting::held::Held::default();
+        let guards: Vec<_> = (0..2_000).map_while(|_| held.hold(bytes)).collect();
+        let count = guards.len();
+        drop(guards);
+        (count, held.hold(bytes).is_some())
+    };
+    let seen = [hold_all(300), hold_all(64 << 10), hold_all(5 << 20)];
+    assert_eq!(seen, [(512, true), (64, true), (0, false)]);
+}
+
 /// Time after which a control host on a full disk has opened its folder and acknowledged a build that
 /// is stored there, from the moment when the disk has space again: it tries every 200 ms.
 const MAX_OPEN_TIME: Duration = Duration::from_millis(500);
--- a/tests/fleet_stored.rs
+++ b/tests/fleet_stored.rs
@@ -52,7 +52,7 @@
 }
 
 fn report(net: &Network, at: usize) -> Option<Report> {
-    Report::new(net.hosts[at].id, &net.hosts[at].disk)
+    Report::new(net.hosts[at].id, &net.hosts[at].disk, |_| false)
 }
 
 /// Causes known from the disks of some hosts; `None` if these do not suffice.
