--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -205,7 +205,15 @@
                 Ok(Some(encoded)) => {
                     // A host that accepts requests has to know which ones crash endpoints.
                     let quarantine = Some(node.view.quarantine(|q| q.summary()));
-                    let update = frame::Update { quarantine, ..frame::Update::default() };
+                    // A host without a configuration starts. It gets the directory from the one control
+                    // host that it asks, before the configuration with which it begins to serve.
+                    let whole = held.version == 0;
+                    let records = match whole {
+                        true => node.view.directory(|d| d.records()),
+                        false => directory::Records::default(),
+                    };
+                    let update =
+                        frame::Update { quarantine, records, whole, ..frame::Update::default() };
                     node.peers.cast(from, frame::Cast::Update(update));
                     node.peers.send_config(from, encoded);
                 }
@@ -501,6 +509,10 @@
         }
         let same = node.view.has_same_directory(announcement);
         let due = peer::lock(&self.directory_sync).is_due(now, link, rank, same);
+        // Until this host hears of a leader, it may be the only one to know of a registration from before
+        // the entry announced itself. The entry takes its first directory from another one.
+        let is_first = changed && role == settings::Role::Entry && node.view.stored().is_some();
+        let due = due || (is_first && !same);
         if let Some(update) = node.view.missing_update(announcement, due) {
             node.peers.cast(link, frame::Cast::Update(update));
         }
@@ -584,20 +596,25 @@
         if node.view.has_build(build) {
             return true;
         }
+        tokio::select! {
+            biased;
+            // After a start, the replica applies the builds on its disk without a leader. The turn may
+            // be that of another build, which waits for one.
+            () = node.view.wait_for_build(build) => true,
+            is_committed = self.propose_build(build) => is_committed,
+        }
+    }
+
+    /// Proposes a build once no other one is being proposed. Returns whether it was committed.
+    async fn propose_build(&self, build: &origin::Origin) -> bool {
+        let node = &self.node;
         // The endpoints of a release register at the same time.
         let turn = time::timeout(BUILD_TIMEOUT, self.build_turn.lock()).await;
         if turn.is_err() || node.view.has_build(build) {
             return turn.is_ok();
         }
         let command = control_state::Command::AddBuild(build.clone());
-        let proposed = node.groups.propose(groups::CONTROL, &command, BUILD_TIMEOUT);
-        let reply = tokio::select! {
-            biased;
-            // After a start, the replica applies the builds on its disk without a leader.
-            () = node.view.wait_for_build(build) => return true,
-            reply = proposed => reply,
-        };
-        match reply {
+        match node.groups.propose(groups::CONTROL, &command, BUILD_TIMEOUT).await {
             Ok(ledger::Reply::Done) => {
                 event!(node.log, events::BUILD_ADDED; "service" => &*build.service,
                     "build" => &*build.build);
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -19,6 +19,7 @@
 use crate::fleet::routes;
 use crate::fleet::serve;
 use crate::fleet::slots;
+use crate::fleet::starting;
 use crate::fleet::upstream;
 use crate::fleet::waiting;
 use crate::fleet::workspaces;
@@ -204,6 +205,16 @@
     not_run(reason, pause)
 }
 
+/// Builds the response that tells a caller that its request has not run because the entry has started
+/// and does not serve yet.
+pub fn refuse_start(node: &node::Node, id: &str, reason: &'static str) -> serve::Response {
+    node.metrics.count_refusal(reason, "no");
+    let pause = starting::retry_after(node.now(), rand::random::<f64>());
+    event!(node.log, events::REQUEST_REFUSED; "request" => id, "reason" => reason,
+        "retry_ms" => pause.as_millis() as u64);
+    not_run(reason, pause)
+}
+
 fn not_run(reason: &str, pause: Duration) -> serve::Response {
     not_run_with(StatusCode::SERVICE_UNAVAILABLE, reason, pause)
 }
@@ -524,7 +535,13 @@
         let limit = limit.saturating_sub(waited).min(self.time_left());
         let claim = self.claim();
         let slot = self.node.wait_for_slot(&self.service, limit, &claim);
-        let slot = self.request.deadline.run(self.progress(), limit, slot).await;
+        let slot = self.request.deadline.run(self.progress(), limit, slot);
+        let slot = tokio::select! {
+            biased;
+            slot = slot => slot,
+            // The caller checks the key again.
+            () = self.wait_until_revoked() => return None,
+        };
         if slot.as_ref().is_ok_and(|s| s.as_ref().err() == Some(&slots::NoSlot::Displaced)) {
             event!(self.node.log, events::REQUEST_DISPLACED; "request" => &*self.request.id,
                 "workspace" => claim.workspace.as_deref(), "priority" => claim.rank.workspace,
@@ -1035,14 +1052,26 @@
     /// # Errors
     /// The response to a request whose key is not valid any more.
     async fn recheck_caller(&self) -> Result<(), serve::Response> {
-        match &self.request.caller {
-            Some(caller) if !self.begun && !self.attempts.may_have_run() => {
-                self.node.recheck_caller(caller, &self.request.id).await
-            }
-            _ => Ok(()),
+        match self.revocable_caller() {
+            Some(caller) => self.node.recheck_caller(caller, &self.request.id).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Waits until the key is revoked; forever if that does not end the request.
+    async fn wait_until_revoked(&self) {
+        match self.revocable_caller() {
+            Some(caller) => self.node.wait_until_revoked(caller).await,
+            None => std::future::pending().await,
         }
     }
 
+    /// Caller whose key is still to be checked; `None` if the request needs none or may have run.
+    fn revocable_caller(&self) -> Option<&workspaces::Caller> {
+        let caller = self.request.caller.as_ref();
+        caller.filter(|_| !self.begun && !self.attempts.may_have_run())
+    }
+
     /// Builds the response to a request for which no endpoint has room.
     fn give_up_full(&self) -> serve::Response {
         match self.node.limited_return_interval(&self.service) {
--- a/tests/fleet_keys.rs
+++ b/tests/fleet_keys.rs
@@ -414,6 +414,73 @@
     });
 }
 
+/// Runs of a request that crash endpoints before it is quarantined.
+const CRASHES: usize = 3;
+/// Time within which a quarantined request is tried: the first pause, 30 s, and some more.
+const TRIAL_TIME: Duration = Duration::from_secs(50);
+
+/// Endpoint that closes the connection of the first runs of each request, and its listener with them.
+fn crashing(
+    number: usize,
+    heads: &Heads,
+    crashed: &Arc<Mutex<Vec<usize>>>,
+) -> Arc<scripted::Answer> {
+    let (heads, crashed) = (heads.clone(), crashed.clone());
+    Arc::new(move |request: &scripted::Request, stream: &mut TcpStream| {
+        let mut heads = heads.lock().expect("heads");
+        heads.push((request.path.clone(), request.raw.head.clone()));
+        if heads.len() <= CRASHES {
+            crashed.lock().expect("crashed").push(number);
+            return Ok(false);
+        }
+        let answer = scripted::framed("200 OK", &request.id, "", "done");
+        stream.write_all(answer.as_bytes())?;
+        Ok(true)
+    })
+}
+
+/// Guards against the trial of a quarantined request that reaches an endpoint with a key or without the
+/// name of the workspace.
+#[test]
+fn headers_of_a_trial() {
+    fleet_world::run(async {
+        let (heads, crashed) = (Heads::default(), Arc::default());
+        let answers = (0..=CRASHES).map(|n| crashing(n, &heads, &crashed)).collect();
+        let fleet = scripted::Fleet::start_short_lived(answers).await;
+        let (world, to) = (&fleet.world, fleet.entry);
+        put(world, 2, &[KEPT, REVOKED]).await;
+        // No other request may take the one connection that each endpoint accepts.
+        let is_in_force =
+            || world.logs_of(Role::Entry).matches("configuration in force").count() > 1;
+        assert!(fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, is_in_force).await);
+        let begun = Instant::now();
+        let path = "/plain/fatal";
+        let mut tried = (0, String::new());
+        while heads_of(&heads, path).len() <= CRASHES {
+            assert!(begun.elapsed() < TRIAL_TIME, "{tried:?}\n{}", world.logs());
+            tried = ask(to, path, KEPT).await;
+            // A crash is found and committed meanwhile.
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            for n in std::mem::take(&mut *crashed.lock().expect("crashed")) {
+                world.deregister_id(world.hosts_of(Role::Control)[0], &format!("raw-{n}")).await;
+            }
+        }
+        println!("tried after {:?}: {tried:?}", begun.elapsed());
+        assert_eq!(tried, (200, "done".to_string()));
+        let log = world.logs_of(Role::Entry);
+        assert_eq!(log.matches("trial of a quarantined cause granted").count(), 1, "{log}");
+        let got = heads_of(&heads, path);
+        assert_eq!(got.len(), CRASHES + 1);
+        for head in got {
+            let named = head.lines().filter(|l| l.starts_with("x-basilfield-tenant"));
+            let named: Vec<&str> = named.collect();
+            assert_eq!(named, ["x-basilfield-tenant: one"], "{head}");
+            assert!(!head.contains("authorization") && !head.contains(KEPT), "{head}");
+        }
+        assert_no_key_in_logs(world);
+    });
+}
+
 /// Connection of a caller that is kept open.
 struct Kept {
     stream: tokio::net::TcpStream,
@@ -485,15 +552,21 @@
             statuses.push(open.ask("/safe/after", REVOKED).await);
         }
         assert_eq!(statuses.last(), Some(&401), "revoked in time: {statuses:?}");
+        // The slot is still taken.
+        let waited = tokio::time::timeout(REVOKED_WAIT, waiting).await;
+        let status = waited.expect("the wait ends with the revocation").expect("task").0;
+        assert_eq!(status, 401, "{}", world.logs());
         held.store(false, Ordering::Relaxed);
         assert_eq!(running.await.expect("task").0, 200, "a running request goes on");
-        assert_eq!(waiting.await.expect("task").0, 401, "{}", world.logs());
         assert!(heads_of(&heads, "/plain/waiting").is_empty(), "it was not sent");
         assert_eq!(open.ask("/safe/other", KEPT).await, 200, "another key of the workspace");
         assert_no_key_in_logs(world);
     });
 }
 
+/// Time within which a request that waits is rejected after its key has been revoked.
+const REVOKED_WAIT: Duration = Duration::from_millis(300);
+
 /// Guards against the body of a rejected request that is read as the next request.
 #[test]
 fn rejection_on_a_kept_connection() {
@@ -588,6 +661,106 @@
     });
 }
 
+/// Guards against a request that arrives while an entry starts and is refused because its configuration
+/// is not confirmed: the entry asks for that as soon as it has the configuration, and not once its
+/// directory has the control hosts.
+#[test]
+fn request_waits_for_the_confirmation() {
+    fleet_world::run(async {
+        let size = Size { controls: 5, losses: 2, stores: 1, entries: 1, endpoints: 1 };
+        let mut world = World::start(size).await;
+        let to = world.entry();
+        let entry = world.hosts_of(Role::Entry)[0];
+        put(&world, 2, &[KEPT, REVOKED]).await;
+        ask_until(&world, to, "wrong-key", 401).await;
+        let mut times = Vec::new();
+        for n in 0..3 {
+            world.kill(entry);
+            world.start_host(entry, false);
+            while tokio::net::TcpStream::connect(to).await.is_err() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let begun = Instant::now();
+            let (status, body) = ask(to, &format!("/plain/early-{n}"), KEPT).await;
+            times.push(begun.elapsed());
+            assert_eq!(status, 200, "{body}\n{}", world.logs());
+            ask_until(&world, to, "wrong-key", 401).await;
+        }
+        println!("answered after {times:?}");
+    });
+}
+
+/// Time for which a restarted entry is watched: longer than it waits for the quarantined causes.
+const WATCH_TIME: Duration = Duration::from_millis(4_500);
+
+/// Guards against a restarted entry that serves requests without keys under a document from before
+/// workspaces were introduced: the only control host has applied nothing later, but its disk shows the
+/// workspaces.
+#[test]
+fn document_from_before_workspaces() {
+    fleet_world::run(async {
+        let size = Size { controls: 3, losses: 1, stores: 1, entries: 1, endpoints: 1 };
+        let mut world = World::start(size).await;
+        let to = world.entry();
+        let entry = world.hosts_of(Role::Entry)[0];
+        let controls = world.hosts_of(Role::Control);
+        put(&world, 2, &[KEPT, REVOKED]).await;
+        ask_until(&world, to, "wrong-key", 401).await;
+        for at in controls.iter().chain([&entry]) {
+            world.kill(*at);
+        }
+        world.start_host(controls[2], false);
+        world.start_host(entry, false);
+        let (mut begun, mut reasons) = (None, Vec::new());
+        while begun.is_none_or(|b: Instant| b.elapsed() < WATCH_TIME) {
+            world.send_heartbeat(controls[2], 0, "ready").await;
+            let (status, body) = ask(to, "/plain/stale", "wrong-key").await;
+            assert!(matches!(status, 0 | 503), "an older document: {status} {body}");
+            if body.contains(auth::UNCONFIRMED) {
+                begun = begun.or(Some(Instant::now()));
+            }
+            if reasons.last() != Some(&body) {
+                reasons.push(body);
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let last = reasons.last().map(|r| r.contains(auth::UNCONFIRMED));
+        assert_eq!(last, Some(true), "{reasons:?}\n{}", world.logs());
+        world.start_host(controls[0], false);
+        world.start_host(controls[1], false);
+        ask_until(&world, to, "wrong-key", 401).await;
+        world.send_heartbeats_until_ready().await;
+        ask_until(&world, to, KEPT, 200).await;
+    });
+}
+
+/// Guards against an entry that serves a configuration which may be older than one from before its start,
+/// and against a fleet without workspaces that gets no service while no quorum can be reached.
+#[test]
+fn unconfirmed_configurations() {
+    let ms = Duration::from_millis;
+    let mut seen = Vec::new();
+    for shown_at in [None, Some(0), Some(100), Some(4_000)] {
+        let mut contact = contact::Contact::default();
+        let mut served = Vec::new();
+        for now in [0, 100, 2_900, 3_000, 4_000, 5_000] {
+            contact.observe(ms(now), false);
+            served.push((now, contact.may_serve(ms(now), shown_at == Some(now))));
+        }
+        // The control hosts are not in the directory yet.
+        contact.confirm(ms(5_010), ms(4_990), 7, 7);
+        served.push((5_010, contact.may_serve(ms(5_010), false)));
+        let served: Vec<u64> = served.into_iter().filter(|s| s.1).map(|s| s.0).collect();
+        seen.push(format!("workspaces shown at {shown_at:?}: served at {served:?}"));
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    workspaces shown at None: served at [3000, 4000, 5000, 5010]
+    workspaces shown at Some(0): served at [5010]
+    workspaces shown at Some(100): served at [5010]
+    workspaces shown at Some(4000): served at [3000, 5010]
+    ");
+}
+
 /// Guards against an entry that was frozen while a key was revoked and serves requests with it once it
 /// runs again, before it learns of the revocation.
 #[test]
