Detect an owner whose bucket ignores unused credit

Cause: in all replays entries use what they get, so the limit of unused credit is seldom reached. With `unused` set to 0 in a copy of the allocator, the 13 other tests of fleet_quotas passed, the property test with 200 cases.

Change: unused_credit_limits_what_is_granted lets two entries ask again and again and use nothing.

Measured: it fails on that copy and passes on the code.

--- a/tests/fleet_quotas.rs
+++ b/tests/fleet_quotas.rs
@@ -837,6 +837,54 @@
     assert_eq!(late, [(false, false), (false, false)], "the lease has ended");
 }
 
+/// Guards against an owner whose bucket ignores unused credit: entries that ask again and again, and
+/// use nothing, get no more than may be unused at a time. In none of the replays do entries keep credit
+/// while they ask for more.
+#[test]
+fn unused_credit_limits_what_is_granted() {
+    let term = limits::Term { start_time: 1, epoch: 1 };
+    let key = credit::Key::new("w");
+    let quota = workspaces::Quota { rate: 20.0, burst: 30.0 };
+    let bound = credit::Bound::new(&quota, &settings::Workspaces::default());
+    let links: [Arc<str>; 2] = ["entry-1".into(), "entry-2".into()];
+    let mut owner = allocator::Allocator::new(ms(0), term);
+    owner.set_entries(ms(0), &links);
+    owner.set_quotas(ms(0), [(key, bound)].into_iter().collect());
+    let (mut heard, mut held) = ([0; 2], [0; 2]);
+    // Report of an entry that holds all of what it was granted.
+    let mut report = |e: usize, at: u64, wanted: u32, returned: u32| {
+        held[e] -= returned;
+        let line = credit::ReportLine { key, wanted, ahead: 0, held: held[e], returned };
+        let (stamp, term) = (at * 1_000, Some(term));
+        let (heard_stamp, lines) = (heard[e], vec![line]);
+        let report =
+            credit::Report { start_time: 1, stamp, term, heard: heard_stamp, bound: true, lines };
+        let answer = owner.answer(ms(at), &links[e], &report).expect("current");
+        heard[e] = answer.stamp;
+        let count = answer.lines.first().map_or(0, |l| l.count);
+        held[e] += count;
+        (count, answer.lines.first().map(|l| l.verdict))
+    };
+    for at in (100..9_000).step_by(100) {
+        for e in 0..2 {
+            report(e, at, 0, 0);
+        }
+    }
+    // The bucket holds more than may be unused.
+    assert!(bound.bucket >= bound.unused + 2.0, "{bound:?}");
+    let most = bound.unused as u32;
+    let mut granted = 0;
+    for at in (9_000..9_400).step_by(20) {
+        granted += report(0, at, 3, 0).0 + report(1, at, 3, 0).0;
+        assert!(granted <= most, "{granted} granted and not used, {most} allowed");
+    }
+    assert_eq!(granted, most);
+    assert_eq!(report(0, 9_400, 1, 0).1, Some(credit::Verdict::Unused));
+    // What is returned may be granted to the other entry.
+    report(0, 9_420, 0, 4);
+    assert_eq!(report(1, 9_440, 100, 0).0, 4);
+}
+
 /// Tolerance that one share which two owners use for a second exceeds. With the usual one, which is more
 /// than the quota of a small workspace, most faults of the rules stay within the bound.
 fn tight_terms() -> settings::Workspaces {
