Send the origin of a stream before its first event

The record of a stream's origin was queued for the control hosts while the caller already got the first event, so a process that is killed then loses it. A record that was written could also arrive after the question of the other entry, which asked once and refused the stream 50 ms later. The log does not tell which of the two happened.

Change: an entry delivers the first event once the connections to the control hosts have taken the record, after 20 ms in any case. An entry that would refuse a stream since several builds are confirmed asks for its origin again, every 50 ms for 200 ms.

Result: record_arrives_after_the_question delays what the lost entry sends to the control hosts by 60 ms. A test of the connection shows that the sender of a tracked message is told only after it is written.

--- a/src/fleet/continuation.rs
+++ b/src/fleet/continuation.rs
@@ -60,6 +60,12 @@
         },
         builds = &mut confirm => (find.await, builds),
     };
+    let is_unknown =
+        origin::continuation(found.clone(), builds.as_deref()) == origin::Continuation::Unknown;
+    let found = match &stream {
+        Some(stream) if is_unknown && builds.is_some() => node.find_late_origin(stream).await,
+        _ => found,
+    };
     let is_known = found.is_some();
     match origin::continuation(found, builds.as_deref()) {
         origin::Continuation::At(origin) => {
--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -139,7 +139,7 @@
         self.count_events(read.count);
         if !read.bytes.is_empty() {
             if let Some(started) = &self.started {
-                self.forwarder.begin_stream(&build, &started.response.head);
+                self.forwarder.begin_stream(&build, &started.response.head).await;
             }
             if let Some(numbered) = read.numbered {
                 self.forwarder.attempts.set_resumable(numbered);
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -421,12 +421,16 @@
     /// Records that the caller gets events of the stream, which `build` has brought. The build is not
     /// recorded before: an endpoint of another one can still begin the stream then, and a record that
     /// names it may be lost.
-    pub(super) fn begin_stream(&mut self, build: &Arc<str>, head: &hyper::http::response::Parts) {
+    pub(super) async fn begin_stream(
+        &mut self,
+        build: &Arc<str>,
+        head: &hyper::http::response::Parts,
+    ) {
         if !self.begun {
             self.content_type = head.headers.get(header::CONTENT_TYPE).cloned();
         }
         if self.build.is_none() {
-            self.record_origin(build);
+            self.record_origin(build).await;
             self.build = Some(build.clone());
         }
         self.begun = true;
@@ -450,14 +454,14 @@
     }
 
     /// Records that an endpoint of the given build has begun the stream.
-    fn record_origin(&self, build: &Arc<str>) {
+    async fn record_origin(&self, build: &Arc<str>) {
         if !self.is_origin {
             return;
         }
         let origin = origin::Origin { service: self.service.clone(), build: build.clone() };
         let keep_ms = self.return_time().as_millis() as u64;
         let stream = self.request.id.clone();
-        self.node.keep_origin(origin::Record { stream, origin, keep_ms });
+        self.node.keep_origin(origin::Record { stream, origin, keep_ms }).await;
     }
 
     /// Time for which the caller may still come back to take up its stream.
--- a/src/fleet/origin_client.rs
+++ b/src/fleet/origin_client.rs
@@ -11,6 +11,7 @@
 use crate::sorted;
 use crate::wire;
 use futures_util::StreamExt as _;
+use futures_util::future;
 use futures_util::stream;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +19,14 @@
 
 /// Longest wait for the control hosts to tell where a stream began.
 const FIND_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest time after the first answers for which the origin of a stream is asked for again: the record
+/// of an entry that was just lost may reach the control hosts after the question of another one.
+const LATE_RECORD_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pause before the origin of a stream is asked for again.
+const FIND_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest wait until the connections to the control hosts have taken the origin of a stream. They
+/// usually take it within a millisecond.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(20);
 /// Longest wait for a quorum of the control group to confirm the builds of a service.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
 /// Most origins in one message.
@@ -25,13 +34,32 @@
 
 impl node::Node {
     /// Keeps the origin of a stream that a caller may take up again, here and at control hosts: one
-    /// more than may be lost at the same time.
-    pub(super) fn keep_origin(&self, record: origin::Record) {
+    /// more than may be lost at the same time. Waits until the connections have taken it, so that it is
+    /// not lost with this process, but not for long.
+    pub(super) async fn keep_origin(&self, record: origin::Record) {
         let count = self.settings.fleet.losses + 1;
-        for keeper in origin::keepers(&record.stream, self.reached_controls(), count) {
-            self.peers.cast(&keeper, frame::Cast::Origins(vec![record.clone()]));
-        }
-        peer::lock(&self.origins).insert(self.now(), record);
+        let keepers = origin::keepers(&record.stream, self.reached_controls(), count);
+        let cast = |keeper: &Arc<str>| {
+            self.peers.cast_tracked(keeper, frame::Cast::Origins(vec![record.clone()]))
+        };
+        let written = future::join_all(keepers.iter().map(cast));
+        peer::lock(&self.origins).insert(self.now(), record.clone());
+        // A record that is not written in time, or is dropped, leaves the stream as it is.
+        let _ = time::timeout(WRITE_TIMEOUT, written).await;
+    }
+
+    /// Finds out where a stream began that no host knew when it was first asked for; `None` if none
+    /// learns of it in time.
+    pub(super) async fn find_late_origin(&self, stream: &Arc<str>) -> Option<origin::Origin> {
+        let find = async {
+            loop {
+                time::sleep(FIND_INTERVAL).await;
+                if let Some(found) = self.find_origin(stream).await {
+                    return found;
+                }
+            }
+        };
+        time::timeout(LATE_RECORD_TIMEOUT, find).await.ok()
     }
 
     /// Finds out where a stream began; `None` if no host that answers in time knows.
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -67,6 +67,8 @@
 
 enum Outgoing {
     Cast(frame::Cast),
+    /// Message whose sender is told once the connection has taken it.
+    Tracked(frame::Cast, oneshot::Sender<()>),
     Call(wire::Request, oneshot::Sender<wire::Reply>),
     Config(QueuedConfig),
 }
@@ -218,6 +220,18 @@
         }
     }
 
+    /// Sends a message like [`Peers::cast`]. The returned receiver gets a value once the operating system
+    /// has taken all bytes of the message, which then reach the host even if this process is killed. It
+    /// gets an error if the message is dropped.
+    pub fn cast_tracked(&self, to: &Arc<str>, message: frame::Cast) -> oneshot::Receiver<()> {
+        let connection = self.connection(to, Lane::of(&message));
+        let (done, written) = oneshot::channel();
+        if connection.sender.try_send(Outgoing::Tracked(message, done)).is_err() {
+            connection.losses.record();
+        }
+        written
+    }
+
     /// Sends a configuration, after the messages that wait already. It replaces one that waits, and
     /// is dropped if the host cannot be reached or its queue is full.
     pub fn send_config(&self, to: &Arc<str>, config: frame::EncodedConfig) {
@@ -322,7 +336,16 @@
     Ok(())
 }
 
-type PendingCalls = sorted::SortedMap<u64, oneshot::Sender<wire::Reply>>;
+/// What is to be told to the senders of frames on one connection.
+#[derive(Default)]
+struct Pending {
+    /// Calls without an answer by number.
+    calls: sorted::SortedMap<u64, oneshot::Sender<wire::Reply>>,
+    /// Number of the last call.
+    last_call: u64,
+    /// Senders of tracked messages that are encoded but not written.
+    tracked: Vec<oneshot::Sender<()>>,
+}
 
 /// Sends frames over one connection until it is lost. Returns the cause.
 async fn run_connection(
@@ -336,11 +359,10 @@
 ) -> errors::Error {
     let (read, mut write) = stream.into_split();
     let mut read = FrameReader::new(read, to.clone());
-    let mut calls = PendingCalls::new();
-    let mut next = 0;
+    let mut pending = Pending::default();
     let mut out = Vec::new();
     encoder.append_frame(&mut out, &frame::Frame::Hello(own.clone()));
-    encoder.append_outgoing(&mut out, first, &mut calls, &mut next);
+    encoder.append_outgoing(&mut out, first, &mut pending);
     let mut last_received = time::Instant::now();
     let mut last_used = time::Instant::now();
     let mut ping = time::interval(PING_INTERVAL);
@@ -350,7 +372,7 @@
             match queue.try_recv() {
                 Ok(outgoing) => {
                     last_used = time::Instant::now();
-                    encoder.append_outgoing(&mut out, outgoing, &mut calls, &mut next);
+                    encoder.append_outgoing(&mut out, outgoing, &mut pending);
                 }
                 Err(_) => break,
             }
@@ -361,6 +383,10 @@
                 return error;
             }
             out.clear();
+            for done in pending.tracked.drain(..) {
+                // Fails if the sender no longer waits.
+                let _ = done.send(());
+            }
             // The peer took bytes meanwhile, and its answers wait to be read.
             if begun.elapsed() > PING_INTERVAL {
                 last_received = time::Instant::now();
@@ -370,7 +396,7 @@
             outgoing = queue.recv() => match outgoing {
                 Some(outgoing) => {
                     last_used = time::Instant::now();
-                    encoder.append_outgoing(&mut out, outgoing, &mut calls, &mut next);
+                    encoder.append_outgoing(&mut out, outgoing, &mut pending);
                 }
                 None => return errors::Error::lost("send", to.clone(), "closed by this host"),
             },
@@ -382,7 +408,7 @@
                 last_received = time::Instant::now();
                 answered.store(true, Ordering::Relaxed);
                 if let frame::Frame::Answer(id, reply) = frame
-                    && let Some(done) = calls.remove(&id)
+                    && let Some(done) = pending.calls.remove(&id)
                 {
                     // Fails if the caller has given up.
                     let _ = done.send(reply);
@@ -392,7 +418,7 @@
                 if last_received.elapsed() > PEER_TIMEOUT {
                     return errors::Error::lost("ping", to.clone(), "nothing received in time");
                 }
-                if last_used.elapsed() > IDLE_TIMEOUT && calls.is_empty() {
+                if last_used.elapsed() > IDLE_TIMEOUT && pending.calls.is_empty() {
                     return errors::Error::lost("ping", to.clone(), "idle, closed by this host");
                 }
                 encoder.append_frame(&mut out, &frame::Frame::Ping);
@@ -409,19 +435,17 @@
 }
 
 impl Encoder {
-    fn append_outgoing(
-        &self,
-        out: &mut Vec<u8>,
-        outgoing: Outgoing,
-        calls: &mut PendingCalls,
-        next: &mut u64,
-    ) {
+    fn append_outgoing(&self, out: &mut Vec<u8>, outgoing: Outgoing, pending: &mut Pending) {
         match outgoing {
             Outgoing::Cast(message) => self.append_frame(out, &frame::Frame::Cast(message)),
+            Outgoing::Tracked(message, done) => {
+                self.append_frame(out, &frame::Frame::Cast(message));
+                pending.tracked.push(done);
+            }
             Outgoing::Call(request, done) => {
-                *next += 1;
-                calls.insert(*next, done);
-                self.append_frame(out, &frame::Frame::Call(*next, request));
+                pending.last_call += 1;
+                pending.calls.insert(pending.last_call, done);
+                self.append_frame(out, &frame::Frame::Call(pending.last_call, request));
             }
             Outgoing::Config(place) => {
                 if let Some(config) = place.take() {
--- a/tests/fleet_origin_records.rs
+++ b/tests/fleet_origin_records.rs
@@ -5,6 +5,7 @@
 
 use fleet_world::Role;
 use fleet_world::Size;
+use fleet_world::proxy;
 use fleet_world::scripted;
 use fleet_world::scripted::Answer;
 use fleet_world::scripted::Fleet;
@@ -143,21 +144,38 @@
     refused: usize,
 }
 
-/// Begins streams at the first entry, which loses its connections to the other hosts after `cut`, if that
-/// is set, and is killed once the callers have the first events. They take their streams up at the second entry.
+/// What happens to the links of the first entry.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Links {
+    Sound,
+    /// They are cut after this long.
+    Cut(Duration),
+    /// What the entry sends to control hosts arrives this much later.
+    Slow(Duration),
+}
+
+/// Begins streams at the first entry, which loses its connections to the other hosts if `links`
+/// says so, and is killed once the callers have the first events. They take their streams up at the second entry.
 /// `first` is the number of the endpoint that begins a stream in the order in which they were asked.
-async fn play(steps: [Step; 2], cut: Option<Duration>, first: usize) -> (Ended, String) {
+async fn play(steps: [Step; 2], links: Links, first: usize) -> (Ended, String) {
     let streams = Streams::default();
     let endpoints = BUILDS.map(|build| (build, endpoint(build, steps, &streams))).into();
     let mut fleet = Fleet::start_with_builds(SIZE, endpoints).await;
     let lost = fleet.world.hosts_of(Role::Entry)[0];
     let entries = fleet.world.caller_addresses();
+    if let Links::Slow(delay) = links {
+        let slow = proxy::LinkFaults { delay, ..proxy::LinkFaults::default() };
+        let link = fleet.world.link(lost);
+        for at in fleet.world.hosts_of(Role::Control) {
+            fleet.world.hosts[at].proxy.set_faults(&link, slow);
+        }
+    }
     let mut tasks = task::JoinSet::new();
     for n in 0..STREAMS {
         let (to, stream) = (entries[0], format!("stream-{n}"));
         tasks.spawn(async move { ask(to, stream, 0, BEGUN).await });
     }
-    if let Some(cut) = cut {
+    if let Links::Cut(cut) = links {
         tokio::time::sleep(cut).await;
         fleet.world.cut_off(&[lost]);
     }
@@ -197,7 +215,7 @@
         (Duration::from_millis(2_400), Duration::from_millis(1_900));
     fleet_world::run(async {
         let steps = [Step::Begin(TIMES.0), Step::Silence];
-        let (ended, logs) = play(steps, Some(TIMES.1), 0).await;
+        let (ended, logs) = play(steps, Links::Cut(TIMES.1), 0).await;
         let expected = Ended { joined: Vec::new(), went_on: 0, refused: STREAMS };
         assert_eq!(ended, expected, "{logs}");
     });
@@ -211,7 +229,7 @@
     const TIMES: (Duration, Duration) = (Duration::from_millis(900), Duration::from_millis(500));
     fleet_world::run(async {
         let steps = [Step::Close(TIMES.0), Step::Begin(Duration::ZERO)];
-        let (ended, logs) = play(steps, Some(TIMES.1), 1).await;
+        let (ended, logs) = play(steps, Links::Cut(TIMES.1), 1).await;
         let expected = Ended { joined: Vec::new(), went_on: 0, refused: STREAMS };
         assert_eq!(ended, expected, "{logs}");
     });
@@ -223,8 +241,22 @@
 fn origin_is_unknown_right_after_the_first_event() {
     fleet_world::run(async {
         let steps = [Step::Begin(Duration::from_millis(100)), Step::Silence];
-        let (ended, logs) = play(steps, None, 0).await;
+        let (ended, logs) = play(steps, Links::Sound, 0).await;
         assert_eq!(ended.joined, Vec::<String>::new(), "{logs}");
         assert!(ended.went_on * 2 >= STREAMS, "{ended:?}\n{logs}");
     });
 }
+
+/// Guards against streams that are refused since the records of their entry, which was lost immediately
+/// after their first events, reach the control hosts later than the question of another entry.
+#[test]
+fn record_arrives_after_the_question() {
+    /// Longer than the control hosts take to answer the first question.
+    const DELAY: Duration = Duration::from_millis(60);
+    fleet_world::run(async {
+        let steps = [Step::Begin(Duration::from_millis(100)), Step::Silence];
+        let (ended, logs) = play(steps, Links::Slow(DELAY), 0).await;
+        let expected = Ended { joined: Vec::new(), went_on: STREAMS, refused: 0 };
+        assert_eq!(ended, expected, "{logs}");
+    });
+}
--- a/tests/fleet_peer.rs
+++ b/tests/fleet_peer.rs
@@ -260,3 +260,28 @@
         insta::assert_snapshot!(format!("{:?}", senders.1.lock().unwrap()), @"[99, 199]");
     });
 }
+
+/// Guards against the sender of a tracked message that is told of its transmission while the message still
+/// waits in this process, and would be lost with it.
+#[test]
+fn tracked_message_is_written_before_its_sender_is_told() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let to: Arc<str> = listener.local_addr().expect("address").to_string().into();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let peers = peer::Peers::new("10.0.0.1:7700".into(), &metrics::Metrics::new(), &log);
+        // The buffers of the sockets do not hold this message, and nobody reads yet.
+        peers.send_config(&to, config(1, 12 << 20));
+        let mut told = peers.cast_tracked(&to, frame::Cast::ConfigAvailable(2));
+        let mut stream = accept(&listener).await;
+        let early = time::timeout(Duration::from_millis(300), &mut told).await;
+        assert!(early.is_err(), "told before the message is written");
+        tokio::spawn(async move {
+            let mut bytes = vec![0; 64 << 10];
+            while let Ok(1..) = stream.read(&mut bytes).await {}
+        });
+        let later = time::timeout(WAIT_TIMEOUT, told).await.expect("told in time");
+        assert_eq!(later, Ok(()));
+    });
+}
