Wait for the sound endpoint before a trial is declined

Cause: declined_trial_is_used_up failed once. Its logs were cut off. By reading, the test waits until the entry is ready and knows the endpoint that declines. That endpoint alone makes the entry ready, so the sound one may still be unknown when the request is sent; the request is then refused, since no endpoint is left after the one that declined.

Change: the test waits until the entry has logged the registration of the sound endpoint as well. What it asserts is unchanged.

Result: with the registration of the sound endpoint left out until the request is sent, a copy of the test failed in this way (trial, one run): the trial is declined, then "no endpoint is left", NotRun in place of Complete. The test passes (one run).

--- a/tests/fleet_prompts/unframed.rs
+++ b/tests/fleet_prompts/unframed.rs
@@ -287,7 +287,13 @@
 
     /// Waits until the entry has logged the last registration of the endpoint.
     async fn wait_until_known(&self) {
-        let id = format!("\"{}\"", self.answer.lock().expect("lock").endpoint);
+        let id = self.answer.lock().expect("lock").endpoint.clone();
+        self.wait_until_known_as(&id).await;
+    }
+
+    /// Waits until the entry has logged a registration of the endpoint `id`.
+    async fn wait_until_known_as(&self, id: &str) {
+        let id = format!("\"{id}\"");
         let is_known = |l: &str| l.contains("endpoint changed") && l.contains(&id);
         let known = || self.world.logs_of(Role::Entry).lines().any(is_known);
         let known = fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, known).await;
@@ -555,6 +561,8 @@
         fleet.world.start_endpoint(0).await;
         fleet.world.send_heartbeats_until_ready().await;
         fleet.wait_until_known().await;
+        // The entry is ready as soon as it knows the endpoint that declines.
+        fleet.wait_until_known_as(fleet.world.endpoint(0).id()).await;
         let ended = fleet.send("bad").await.1;
         let is_declined = || fleet.world.logs_of(Role::Entry).contains("declined with 503");
         let declined = fleet_world::wait_until(ANSWER_TIMEOUT, is_declined).await;
