Use a connection for one request of an id only

Cause: answers are matched by the request id that endpoints repeat. Callers may use the same id, and jobs may use the same id for an item. A late second copy of the answer to the first request on a kept connection was then taken for the answer to the second one, of another caller or job.

Change: a connection remembers the hashes of the ids of its requests. It is not reused for a request of the same id, and carries 128 requests at most.

Result: late_copy_is_taken_for_the_answer_of_another_request failed before for requests that may be repeated and for items, with copies before the next answer and late ones, and passes now. Requests with different ids were not mixed up before either. The other tests of fleet_faulty pass.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -745,7 +745,8 @@
         let is_first = !is_beside && !self.attempts.may_have_run();
         let new_connection = !self.request.route.is_retryable() || !is_first || is_repeated;
         async move {
-            let sent = node.upstream.send(endpoint.address, request, new_connection).await;
+            let sent =
+                node.upstream.send_as(endpoint.address, Some(&id), request, new_connection).await;
             let response = sent.map_err(|failure| {
                 node.record_endpoint_failure(&endpoint.id, &failure);
                 let outcome = match failure {
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -316,7 +316,8 @@
         // On a kept connection, the endpoint may repeat its answer to an earlier run, which did not go
         // on after this event.
         let new_connection = self.last_event.is_some();
-        let sent = node.upstream.send(self.address, request, new_connection);
+        let id = self.key.1.clone();
+        let sent = node.upstream.send_as(self.address, Some(&id), request, new_connection);
         let sent = self.wait(&mut patience, sent).await;
         let mut response = match sent {
             Ok(Ok(response)) => response,
--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -19,6 +19,9 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
+use std::hash::DefaultHasher;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -57,6 +60,8 @@
 /// Held bytes are counted in blocks of this size. The last, partial block of a response is not
 /// counted, so that long responses do not keep short ones out.
 const HELD_BLOCK_BYTES: usize = 64 << 10;
+/// Most requests on one connection. The hashes of their ids take 8 bytes each.
+const MAX_CONNECTION_REQUESTS: usize = 128;
 /// Most idle connections to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -79,6 +84,8 @@
     task: task::AbortHandle,
     /// Bytes read since the caller last received a head or a part of a body.
     unused: Arc<AtomicUsize>,
+    /// Hashes of the ids of the requests that it has carried.
+    carried: Vec<u64>,
 }
 
 impl Drop for Connection {
@@ -280,18 +287,35 @@
     pub async fn send(
         &self,
         address: SocketAddr,
+        request: hyper::Request<Full<Bytes>>,
+        new_connection: bool,
+    ) -> Result<Response, Failure> {
+        self.send_as(address, None, request, new_connection).await
+    }
+
+    /// Sends the request `id` like [`Upstream::send`]. A connection that has carried another request of
+    /// the same id is not reused: a late copy of the answer to that one could not be told apart.
+    ///
+    /// # Errors
+    /// `NotSent` if no byte of the request was sent, `Lost` if the request may have run.
+    pub async fn send_as(
+        &self,
+        address: SocketAddr,
+        id: Option<&str>,
         mut request: hyper::Request<Full<Bytes>>,
         new_connection: bool,
     ) -> Result<Response, Failure> {
         let is_head_request = request.method() == Method::HEAD;
+        let id = id.map(hash_id);
         loop {
-            let idle_connection = if new_connection { None } else { self.take_idle(address) };
+            let idle_connection = if new_connection { None } else { self.take_idle(address, id) };
             let reused = idle_connection.is_some();
             let mut connection = match idle_connection {
                 Some(connection) => connection,
                 None => connect(address).await?,
             };
             connection.unused.store(0, Ordering::Relaxed);
+            connection.carried.extend(id);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     connection.unused.store(0, Ordering::Relaxed);
@@ -325,16 +349,17 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the connection that became idle last and has not carried a request with the given hash of
+    /// its id.
+    fn take_idle(&self, address: SocketAddr, id: Option<u64>) -> Option<Connection> {
         let mut idle = peer::lock(&self.idle);
         let connections = idle.get_mut(&address)?;
         let now = time::Instant::now();
-        while let Some(IdleConnection { connection, expires }) = connections.pop() {
-            if expires > now && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|i| i.expires > now && i.connection.sender.is_ready());
+        let has_not_carried =
+            |i: &IdleConnection| id.is_none_or(|id| !i.connection.carried.contains(&id));
+        let at = connections.iter().rposition(has_not_carried)?;
+        Some(connections.remove(at).connection)
     }
 
     fn keep_idle(&self, address: SocketAddr, connection: Connection, limit: Duration) {
@@ -358,6 +383,13 @@
     }
 }
 
+/// Hash of the id of a request.
+fn hash_id(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
     let not_sent = |e: &dyn ToString| Failure::NotSent(e.to_string().into());
     let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
@@ -376,7 +408,7 @@
         // An error reaches the task that waits for the response; an idle connection has none.
         let _ = connection.await;
     });
-    Ok(Connection { sender, task: task.abort_handle(), unused })
+    Ok(Connection { sender, task: task.abort_handle(), unused, carried: Vec::new() })
 }
 
 /// Text of an error and of its source, which holds the cause.
@@ -499,7 +531,7 @@
         if close.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close")) {
             return;
         }
-        if self.is_framed() {
+        if self.is_framed() && connection.carried.len() < MAX_CONNECTION_REQUESTS {
             self.upstream.keep_idle(self.address, connection, keep_alive(&self.head.headers));
         }
     }
--- a/tests/fleet_faulty.rs
+++ b/tests/fleet_faulty.rs
@@ -12,6 +12,7 @@
 use fleet_world::scripted::events;
 use fleet_world::scripted::framed;
 use fleet_world::scripted::item_output;
+use serde_json::json;
 use std::collections::BTreeMap;
 use std::io::Write as _;
 use std::sync::Arc;
@@ -245,3 +246,87 @@
         assert_eq!(wrong, Vec::<String>::new());
     });
 }
+
+/// When an endpoint writes an earlier answer once more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Copy {
+    /// Before the answer to the next request on the connection, at once.
+    Before,
+    /// Some time after the next request has arrived.
+    Late,
+    /// While the connection is idle.
+    Idle,
+}
+
+/// Endpoint that answers with the path of each request, and writes each answer twice.
+fn copying(copy: Copy) -> Arc<Answer> {
+    let last = Mutex::new(BTreeMap::<String, String>::new());
+    Arc::new(move |request, stream| {
+        let connection = stream.peer_addr()?.to_string();
+        let earlier = last.lock().expect("lock").remove(&connection).unwrap_or_default();
+        if copy == Copy::Late {
+            std::thread::sleep(LATE);
+        }
+        stream.write_all(earlier.as_bytes())?;
+        let body = format!("id: 1\ndata: {}\n\n", request.path);
+        let answer = framed("200 OK", &request.id, STREAM_FIELDS, &body);
+        stream.write_all(answer.as_bytes())?;
+        if copy == Copy::Idle {
+            std::thread::sleep(LATE);
+            stream.write_all(answer.as_bytes())?;
+        } else {
+            last.lock().expect("lock").insert(connection, answer);
+        }
+        Ok(true)
+    })
+}
+
+/// Submits a job with one item, whose id is the same in each job.
+async fn submit_item(fleet: &Fleet, job: &str) -> bool {
+    let item = json!({ "id": "item", "path": format!("{}{job}-item", fleet_world::BATCH_PREFIX),
+        "headers": {}, "body": "", "tokens": 1 });
+    let body = json!({ "items": [item] }).to_string();
+    let headers = [("x-basilfield-request-id", job)];
+    let path = format!("{}{job}", fleet_world::BATCH_PREFIX);
+    client::call(fleet.entry, "POST", &path, &headers, body).await.0 == 202
+}
+
+/// Guards against a caller or item that gets the answer of another one: its endpoint writes that answer
+/// once more, late, on a kept connection. The ids of requests of several callers and of items of several
+/// jobs may be the same.
+#[test]
+fn late_copy_is_taken_for_the_answer_of_another_request() {
+    fleet_world::run(async {
+        let mut wrong = Vec::new();
+        for copy in [Copy::Before, Copy::Late, Copy::Idle] {
+            let fleet = Fleet::start(vec![copying(copy)]).await;
+            let prefixes = [
+                fleet_world::SAFE_PREFIX,
+                fleet_world::STREAM_PREFIX,
+                fleet_world::PLAIN_PREFIX,
+                fleet_world::ONCE_PREFIX,
+            ];
+            for (n, prefix) in prefixes.into_iter().cycle().take(24).enumerate() {
+                let path = format!("{prefix}own-{n}");
+                let id = if n < 12 { format!("id-{n}") } else { "id".to_string() };
+                let headers =
+                    [("x-basilfield-request-id", &*id), ("x-basilfield-deadline-ms", "5000")];
+                let (_, body) = client::call(fleet.entry, "POST", &path, &headers, "".into()).await;
+                let body = String::from_utf8_lossy(&body).into_owned();
+                if body.contains("own-") && !body.contains(&format!("data: {path}\n")) {
+                    wrong.push(format!("{copy:?} {path} {id}: {body:?}"));
+                }
+            }
+            for n in 0..6 {
+                let job = format!("job-{n}");
+                assert!(submit_item(&fleet, &job).await, "{}", fleet.world.logs());
+                let outputs = fleet.outputs(&job, 1).await;
+                let own = format!("{}{job}-item", fleet_world::BATCH_PREFIX);
+                if outputs != vec![own] {
+                    wrong.push(format!("{copy:?} {job}: {outputs:?}"));
+                }
+            }
+        }
+        assert_eq!(wrong, Vec::<String>::new());
+    });
+}
