Leave an item at an endpoint that is as slow as the one before

Cause: an item goes to another endpoint after 3 s without an event. If each endpoint needs longer for an event, the item went back and forth, and no further event arrived.

Change: an item that has left a silent endpoint is not moved again until an event arrives without a long silence, or its run ends.

Result: slow_item_is_complete, with an event each 3.5 s at two endpoints, had no result after 30 s before, and passes now. The tests of stalled endpoints, which send parts of a head, a chunk size, an event or comments byte by byte, and of slow online streams passed before and pass now.

--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -263,7 +263,11 @@
         let is_event = matches!(report.update, runner::RunUpdate::Event(..));
         match &mut tracked.state {
             ItemState::Running { number, silent, .. } if *number == report.number => {
+                let was_silent = *silent;
                 *silent = report.update == runner::RunUpdate::Silent;
+                if is_event && !was_silent {
+                    tracked.progress.moved = false;
+                }
             }
             ItemState::BackingOff { stopped, .. }
                 if is_event && *stopped == Some(report.number) => {}
@@ -378,6 +382,7 @@
                 }
             }
             RunEnd::Interrupted { cause, at_fault } | RunEnd::NotRun { cause, at_fault } => {
+                tracked.progress.moved = false;
                 event!(log, events::ITEM_INTERRUPTED; "job" => ledger::job_id(&job),
                     "request" => &*item,
                     "endpoint" => &*endpoint, "cause" => &*cause,
@@ -539,8 +544,10 @@
                             run_number: *number,
                         });
                         keys.push(key.clone());
-                        // Another endpoint may take the item over meanwhile.
-                        if !silent {
+                        // Another endpoint may take the item over meanwhile. If that one is as slow, it
+                        // keeps the item: otherwise no event would ever arrive.
+                        let moved = tracked.is_some_and(|t| t.progress.moved);
+                        if !silent || moved {
                             continue;
                         }
                     }
@@ -687,6 +694,9 @@
             key.clone(),
             RunEnd::Interrupted { cause: "silence".into(), at_fault: true },
         );
+        if let Some(tracked) = self.tracked.get_mut(key) {
+            tracked.progress.moved = true;
+        }
         event!(self.node.log, events::ENDPOINT_SILENT; "job" => ledger::job_id(&key.0),
             "request" => &*key.1,
             "endpoint" => &*endpoint, "asked" => &**next);
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -54,6 +54,9 @@
     /// Whether an event without an id has arrived since the last numbered one. No run can go on after
     /// it.
     unnumbered: bool,
+    /// Whether the item has left a silent endpoint, and since then each event has come after a long
+    /// silence. It stays where it is then, until its run ends.
+    pub moved: bool,
 }
 
 impl Progress {
