Name workspace and reason of refusals by quota in timelines

Cause: a refusal with 429 was only logged once in 10 s for each workspace, and without the id of a request, so `basilfield explain` knew no such request. A refusal for lack of credit did not name the workspace.

Change: both write event 700 with the request, the workspace and the reason. Empty fields are left out of timelines. A key that is not known belongs to no workspace, so only the reason is named.

Result: refusals_are_explained shows both kinds of 401 and a 429 on real processes.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -87,6 +87,7 @@
 
     fn render(&self, own: bool) -> String {
         let render_field = |(key, value): (&String, &Value)| match value {
+            Value::Null => None,
             _ if COMMON_FIELDS.contains(&key.as_str()) => None,
             Value::String(text) => Some(format!(" {key}={text}")),
             value => Some(format!(" {key}={value}")),
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -269,9 +269,11 @@
         {
             match node.take_credit(caller, quota).await {
                 exchange::Decision::Admitted(guard) => credit = Some(guard),
-                exchange::Decision::Over { retry } => return forward::refuse_over(node, retry),
+                exchange::Decision::Over { retry } => {
+                    return forward::refuse_over(node, &id, &caller.workspace, retry);
+                }
                 exchange::Decision::Unknown { retry } => {
-                    return forward::refuse_without_credit(node, &id, retry);
+                    return forward::refuse_without_credit(node, &id, &caller.workspace, retry);
                 }
             }
         }
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -188,18 +188,31 @@
 }
 
 /// Builds the response that tells a caller that the quota of its workspace is used up.
-pub fn refuse_over(node: &node::Node, pause: Duration) -> serve::Response {
+pub fn refuse_over(
+    node: &node::Node,
+    id: &str,
+    workspace: &str,
+    pause: Duration,
+) -> serve::Response {
     let reason = "the quota of the workspace is used up";
     node.metrics.count_refusal(reason, "no");
+    event!(node.log, events::REQUEST_REFUSED; "request" => id, "reason" => reason,
+        "workspace" => workspace, "retry_ms" => pause.as_millis() as u64);
     not_run_with(StatusCode::TOO_MANY_REQUESTS, reason, pause)
 }
 
 /// Builds the response that tells a caller that its request has not run because it is not known
 /// whether the quota of its workspace is used up.
-pub fn refuse_without_credit(node: &node::Node, id: &str, pause: Duration) -> serve::Response {
+pub fn refuse_without_credit(
+    node: &node::Node,
+    id: &str,
+    workspace: &str,
+    pause: Duration,
+) -> serve::Response {
     let reason = "no credit of the workspace's quota has arrived in time";
     node.metrics.count_refusal(reason, "no");
     event!(node.log, events::REQUEST_REFUSED; "request" => id, "reason" => reason,
+        "workspace" => workspace,
         "retry_ms" => pause.as_millis() as u64);
     not_run(reason, pause)
 }
--- a/tests/fleet_keys.rs
+++ b/tests/fleet_keys.rs
@@ -626,3 +626,62 @@
         assert_eq!(frozen, 0, "none was sent");
     });
 }
+
+/// Guards against a refusal by key or quota whose timeline does not tell the reason, and the workspace if
+/// it is known: the key of a request that nobody knows belongs to none.
+#[test]
+fn refusals_are_explained() {
+    fleet_world::run(async {
+        let (heads, held) = (Heads::default(), Arc::new(AtomicBool::new(true)));
+        let fleet = scripted::Fleet::start_with_slots(vec![recorder(&heads, &held)], 1).await;
+        let (world, to) = (&fleet.world, fleet.entry);
+        let limited = |version, keys: &[&str]| {
+            let mut document: serde_json::Value =
+                serde_json::from_str(&config(world, version, keys)).expect("a document");
+            document["tenants"][1]["ratePerS"] = json!(0.001);
+            document["tenants"][1]["burst"] = json!(1.0);
+            document.to_string()
+        };
+        let begun = Instant::now();
+        while world.put_config(&limited(2, &[KEPT, REVOKED])).await != 200 {
+            assert!(begun.elapsed() < fleet_world::WAIT_TIMEOUT, "{}", world.logs());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        ask_until(world, to, "wrong-key", 401).await;
+        let mut seen = vec![format!("unknown {}", ask(to, "/safe/unknown", "wrong-key").await.0)];
+        for n in 0..50 {
+            let status = ask(to, &format!("/safe/over-{n}"), OTHER).await.0;
+            if status == 429 {
+                seen.push(format!("over {status}"));
+                break;
+            }
+        }
+        let running = tokio::spawn(ask(to, "/plain/hold", KEPT));
+        let is_running = || !heads_of(&heads, "/plain/hold").is_empty();
+        assert!(fleet_world::wait_until(fleet_world::WAIT_TIMEOUT, is_running).await);
+        let waiting = tokio::spawn(ask(to, "/plain/revoked", REVOKED));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(world.put_config(&limited(3, &[KEPT])).await, 200, "{}", world.logs());
+        tokio::time::sleep(APPLY_TIME).await;
+        held.store(false, Ordering::Relaxed);
+        running.await.expect("task");
+        seen.push(format!("revoked {}", waiting.await.expect("task").0));
+        let log = world.logs_of(Role::Entry);
+        let over = log.lines().find(|l| l.contains("is used up") && l.contains("over-"));
+        let over = over.and_then(|l| l.split("\"request\":\"").nth(1)?.split('"').next());
+        for id in ["unknown", over.unwrap_or("over"), "revoked"] {
+            let text = world.explain(id, |text| text.contains("request refused")).await;
+            let line = text.lines().find(|l| l.contains("request refused")).unwrap_or_default();
+            let fields = line.split("request refused").nth(1).unwrap_or_default();
+            seen.push(fields.split(" retry_ms").next().unwrap_or_default().trim().to_string());
+        }
+        insta::assert_snapshot!(seen.join("\n"), @r"
+        unknown 401
+        over 429
+        revoked 401
+        reason=key unknown
+        reason=the quota of the workspace is used up
+        reason=key revoked workspace=one
+        ");
+    });
+}
