Test that a deregistered endpoint stays out across restarts

Guards against an endpoint that has deregistered and gets requests or items again after all entries, all control hosts, all store hosts or all of them were killed and started. deregister_id of the test world is public for it.

--- a/tests/fleet_leaving.rs
+++ b/tests/fleet_leaving.rs
@@ -244,6 +244,63 @@
     });
 }
 
+/// Guards against an endpoint that has deregistered and gets requests or items again after the entries,
+/// the control hosts, the store hosts or all of them have restarted.
+#[test]
+fn deregistered_endpoint_stays_out_across_restarts() {
+    fleet_world::run(async {
+        let mut world = World::start(SIZE).await;
+        // It still answers, so that a request to it would be seen. It registers no more.
+        let left = world.endpoints[0].take().expect("started");
+        let control = world.hosts_of(Role::Control)[0];
+        assert_eq!(world.deregister_id(control, left.id()).await, 200);
+        tokio::time::sleep(IN_FORCE_TIME).await;
+        let before = left.runs().len();
+        let role = |role| world.hosts_of(role);
+        let (entries, controls, stores) =
+            (role(Role::Entry), role(Role::Control), role(Role::Store));
+        let all = [&*entries, &*controls, &*stores].concat();
+        let restarts =
+            [("entries", entries), ("controls", controls), ("stores", stores), ("all", all)];
+        let mut seen = Vec::new();
+        for (name, hosts) in restarts {
+            for at in &hosts {
+                world.kill(*at);
+            }
+            for at in &hosts {
+                world.start_host(*at, false);
+            }
+            world.send_heartbeats_until_ready().await;
+            for entry in world.caller_addresses().iter() {
+                let id = format!("{name}-{entry}");
+                let ends = stream_ends(*entry, fleet_world::STREAM_PREFIX, &id, 8).await;
+                assert_eq!(ends, "Complete", "{name}\n{}", world.logs());
+            }
+            let job = format!("job-{name}");
+            let entries = world.caller_addresses();
+            assert!(client::submit(&entries, &job, 12).await, "{name}\n{}", world.logs());
+            let mut results = Vec::new();
+            let finished = client::finish(&entries, &job, 12, &mut results, JOB_TIMEOUT);
+            let finished = tokio::select! {
+                finished = finished => finished,
+                () = keep_registered(&mut world) => unreachable!("the loop has no end"),
+            };
+            assert_eq!(finished, Ok(()), "{name}\n{}", world.logs());
+            seen.push(format!("{name}: {} runs", left.runs().len() - before));
+        }
+        insta::assert_snapshot!(seen.join(", "),
+            @"entries: 0 runs, controls: 0 runs, stores: 0 runs, all: 0 runs");
+    });
+}
+
+/// Repeats the heartbeats of the endpoints without end.
+async fn keep_registered(world: &mut World) {
+    loop {
+        world.send_heartbeats().await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+}
+
 /// Guards against an endpoint that is taken out of use by an answer to another request.
 #[test]
 fn answer_of_another_request_tells_nothing() {
--- a/tests/fleet_world/mod.rs
+++ b/tests/fleet_world/mod.rs
@@ -592,7 +592,8 @@
         self.deregister_id(control, endpoint.id()).await
     }
 
-    async fn deregister_id(&self, control: usize, id: &str) -> u16 {
+    /// Deregisters the endpoint `id` at a control host. Returns the status.
+    pub async fn deregister_id(&self, control: usize, id: &str) -> u16 {
         let path = format!("/-/instances/{id}");
         let to = (self.hosts[control].process_address, OPERATOR_PORT).into();
         client::call(to, "DELETE", &path, &[], String::new()).await.0
