--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -189,18 +189,31 @@
 }
 
 /// Builds the response that tells a caller that the quota of its workspace is used up.
-pub fn refuse_over(node: &node::Node, pause: Duration) -> serve::Response {
+pub fn refuse_over(
+    node: &node::Node,
+    id: &str,
+    workspace: &str,
+    pause: Duration,
+) -> serve::Response {
     let reason = "the quota of the workspace is used up";
     node.metrics.count_refusal(reason, "no");
+    event!(node.log, events::REQUEST_REFUSED; "request" => id, "reason" => reason,
+        "workspace" => workspace, "retry_ms" => pause.as_millis() as u64);
     not_run_with(StatusCode::TOO_MANY_REQUESTS, reason, pause)
 }
 
 /// Builds the response that tells a caller that its request has not run because it is not known
 /// whether the quota of its workspace is used up.
-pub fn refuse_without_credit(node: &node::Node, id: &str, pause: Duration) -> serve::Response {
+pub fn refuse_without_credit(
+    node: &node::Node,
+    id: &str,
+    workspace: &str,
+    pause: Duration,
+) -> serve::Response {
     let reason = "no credit of the workspace's quota has arrived in time";
     node.metrics.count_refusal(reason, "no");
     event!(node.log, events::REQUEST_REFUSED; "request" => id, "reason" => reason,
+        "workspace" => workspace,
         "retry_ms" => pause.as_millis() as u64);
     not_run(reason, pause)
 }
@@ -432,12 +445,16 @@
     /// Records that the caller gets events of the stream, which `build` has brought. The build is not
     /// recorded before: an endpoint of another one can still begin the stream then, and a record that
     /// names it may be lost.
-    pub(super) fn begin_stream(&mut self, build: &Arc<str>, head: &hyper::http::response::Parts) {
+    pub(super) async fn begin_stream(
+        &mut self,
+        build: &Arc<str>,
+        head: &hyper::http::response::Parts,
+    ) {
         if !self.begun {
             self.content_type = head.headers.get(header::CONTENT_TYPE).cloned();
         }
         if self.build.is_none() {
-            self.record_origin(build);
+            self.record_origin(build).await;
             self.build = Some(build.clone());
         }
         self.begun = true;
@@ -461,14 +478,14 @@
     }
 
     /// Records that an endpoint of the given build has begun the stream.
-    fn record_origin(&self, build: &Arc<str>) {
+    async fn record_origin(&self, build: &Arc<str>) {
         if !self.is_origin {
             return;
         }
         let origin = origin::Origin { service: self.service.clone(), build: build.clone() };
         let keep_ms = self.return_time().as_millis() as u64;
         let stream = self.request.id.clone();
-        self.node.keep_origin(origin::Record { stream, origin, keep_ms });
+        self.node.keep_origin(origin::Record { stream, origin, keep_ms }).await;
     }
 
     /// Time for which the caller may still come back to take up its stream.
@@ -758,7 +775,8 @@
         let is_first = !is_beside && !self.attempts.may_have_run();
         let new_connection = !self.request.route.is_retryable() || !is_first || is_repeated;
         async move {
-            let sent = node.upstream.send(endpoint.address, request, new_connection).await;
+            let sent =
+                node.upstream.send_as(endpoint.address, Some(&id), request, new_connection).await;
             let response = sent.map_err(|failure| {
                 node.record_endpoint_failure(&endpoint.id, &failure);
                 let outcome = match failure {
