Move the wait for slots to a module of its own

Pure move of wait_for_slot, claim, count_turn, choose_in_turn, wait_for_build and wait_for_released_slot; the decisions do not change.

--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -1,5 +1,7 @@
 //! Forwards a request to an endpoint and the response to the caller.
 
+mod slot_wait;
+
 use crate::event;
 use crate::events;
 use crate::fleet::admission;
@@ -20,7 +22,6 @@
 use crate::fleet::serve;
 use crate::fleet::slots;
 use crate::fleet::upstream;
-use crate::fleet::waiting;
 use crate::fleet::workspaces;
 use crate::fleet::workspaces::exchange;
 use bytes::Bytes;
@@ -60,9 +61,6 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Random part of the retry time, so that refused callers do not all retry at once.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(500);
-/// Share of the response target for which a request waits for a slot. The rest is the usual time to
-/// the first event.
-const SLOT_WAIT_SHARE: f64 = 0.6;
 /// Time for which a stream that its caller takes up again waits for a slot at an endpoint of its
 /// build. Callers leave a silent stream after about two seconds.
 const BUILD_WAIT: Duration = Duration::from_millis(1_500);
@@ -509,122 +507,6 @@
         }
     }
 
-    /// Waits for a slot. If none becomes free in time, returns the endpoint `other`, if any. A stream
-    /// that goes on at its build waits until `end`.
-    async fn wait_for_slot(
-        &mut self,
-        other: Option<place::Candidate>,
-        end: time::Instant,
-    ) -> Option<Slot> {
-        if self.build.is_some() {
-            return self.wait_for_build(other, end).await;
-        }
-        let limit = self.request.route.response_target.mul_f64(SLOT_WAIT_SHARE);
-        let waited = self.request.arrived.elapsed();
-        let limit = limit.saturating_sub(waited).min(self.time_left());
-        let claim = self.claim();
-        let slot = self.node.wait_for_slot(&self.service, limit, &claim);
-        let slot = self.request.deadline.run(self.progress(), limit, slot).await;
-        if slot.as_ref().is_ok_and(|s| s.as_ref().err() == Some(&slots::NoSlot::Displaced)) {
-            event!(self.node.log, events::REQUEST_DISPLACED; "request" => &*self.request.id,
-                "workspace" => claim.workspace.as_deref(), "priority" => claim.rank.workspace,
-                "route_priority" => claim.rank.route);
-        }
-        if let Ok(Ok(guard)) = slot {
-            let candidates = self.node.candidates(&self.service);
-            let found = candidates.into_iter().find(|c| c.id == *guard.endpoint());
-            if let Some(endpoint) = found.filter(|c| !self.tried.contains(&c.id)) {
-                return Some((endpoint, guard));
-            }
-        }
-        let other = other?;
-        // It can no longer be in time. In a configuration with workspaces, it takes no slot that a
-        // request which can be in time waits for.
-        let now = self.node.now();
-        if claim.workspace.is_some() && self.node.slots.is_contended(&self.service, now) {
-            return None;
-        }
-        let guard = self.count_turn(&other, &claim);
-        Some((other, guard))
-    }
-
-    /// What decides the turn of the request among those that wait for slots.
-    fn claim(&self) -> waiting::Claim {
-        let caller = self.request.caller.as_ref();
-        let workspace = caller.map_or(0, |c| c.priority);
-        let rank = waiting::Rank { workspace, route: self.request.route.priority };
-        waiting::Claim { rank, workspace: caller.map(|c| c.workspace.clone()) }
-    }
-
-    /// Counts the request as running at an endpoint whose slot it takes without having waited for it.
-    fn count_turn(
-        &self,
-        endpoint: &place::Candidate,
-        claim: &waiting::Claim,
-    ) -> slots::RequestGuard {
-        self.node.slots.record_turn(&self.service, self.node.now(), claim);
-        self.node.count_request(&self.service, &endpoint.id)
-    }
-
-    /// Chooses the endpoint for the next attempt. In a configuration with workspaces, free slots go to
-    /// requests that wait and go first.
-    fn choose_in_turn(&mut self, claim: &waiting::Claim) -> place::Choice {
-        loop {
-            let choice = self.choose_next_endpoint();
-            match &choice {
-                place::Choice::Send(endpoint)
-                    if claim.workspace.is_some()
-                        && self.build.is_none()
-                        && slots::offer_before(&self.node, &self.service, endpoint, claim) => {}
-                _ => return choice,
-            }
-        }
-    }
-
-    /// Waits until `end` for an endpoint of the stream's build, and sends to a full one rather than
-    /// give up: no other endpoint can continue the stream.
-    async fn wait_for_build(
-        &mut self,
-        mut other: Option<place::Candidate>,
-        end: time::Instant,
-    ) -> Option<Slot> {
-        if other.is_none() {
-            let patience = end.saturating_duration_since(time::Instant::now());
-            event!(self.node.log, events::STREAM_WAITING; "request" => &*self.request.id,
-                "build" => self.build().map(|b| &**b), "after_event" => self.last_event,
-                "patience_ms" => patience.as_millis() as u64);
-        }
-        loop {
-            if let Some(endpoint) = other {
-                let guard = self.node.count_request(&self.service, &endpoint.id);
-                return Some((endpoint, guard));
-            }
-            let is_over = time::Instant::now() > end || self.time_left() < MIN_TIME_LEFT;
-            if is_over || self.is_too_late() {
-                return None;
-            }
-            if let Some(slot) = self.wait_for_released_slot(TAKEOVER_INTERVAL).await {
-                return Some(slot);
-            }
-            other = match self.choose_next_endpoint() {
-                place::Choice::Send(endpoint) => Some(endpoint),
-                place::Choice::Wait(other) => other,
-                place::Choice::None => return None,
-            };
-        }
-    }
-
-    /// Waits for at most `limit` until another request releases its slot at an endpoint of the
-    /// stream's build.
-    async fn wait_for_released_slot(&self, limit: Duration) -> Option<Slot> {
-        let limit = limit.min(self.time_left());
-        let build = self.build.as_ref()?;
-        let slot = self.node.wait_for_build_slot(&self.service, build, limit);
-        let guard = self.request.deadline.run(self.progress(), limit, slot).await.ok()??;
-        let endpoint = self.candidates().into_iter().find(|c| c.id == *guard.endpoint())?;
-        Some((endpoint, guard))
-    }
-
     /// Whether a part of the prompt is quarantined and the request is not the trial of it.
     fn is_held(&self) -> bool {
         let parts = self.trial.checked(&self.prompt.causes);
