Decide which late requests get a slot, and replay what refusals cost

Cause: while slots are scarce, a request of a workspace that gets no slot in time is refused whenever another one waits at its entry. Its caller returns after 250 to 750 ms, is late by then, cannot be told from a first request, and takes the turn of one that could be in time, or is refused again.

Change: the replay of workspaces gets a second load, in which one workspace raises the load from half of all slots to twice all slots for 2 s, and callers that retry once. A late response counts 0.15 of one in time. waiting::Queue keeps late requests apart, in the order of turns. One of them looks for a free slot every 50 ms, while no request that can be in time waits at the entry and more than a tenth of all slots are free. A request that would not end before its caller gives up does not join.

The replays of existing tests take the load as a parameter; their bounds are unchanged.

--- a/src/fleet/waiting.rs
+++ b/src/fleet/waiting.rs
@@ -11,6 +11,11 @@
 //! within a rank each workspace has as many turns as any other. An entry's queue is only a few
 //! requests long, so the order among those that wait now does not suffice: the slots that a workspace
 //! has taken recently count as turns that it has had.
+//!
+//! If one workspace alone asks for more than all slots, requests that can no longer be in time must
+//! not take slots that others need. A refused caller returns, is late as well, and cannot be told from
+//! one that asks for the first time. So a late request waits on at the entry while its caller does,
+//! and gets a slot only when enough of all slots are free.
 
 use crate::sorted;
 use std::collections::VecDeque;
@@ -25,6 +30,12 @@
 const MIN_TURNS: f64 = 0.1;
 /// Interval at which accounts are checked for those to drop.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which late requests of an entry look for a free slot, one of them each time. An entry
+/// learns within it what the others have sent meanwhile.
+pub const LATE_INTERVAL: Duration = Duration::from_millis(50);
+/// Slots for each one that must be free for a late request to take one. With 1 in 20, late requests
+/// after an overload left 0.05 to 0.1 fewer of the others in time.
+const SLOTS_PER_SPARE: u32 = 10;
 
 /// Urgency of a request; the lowest is the most urgent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -102,18 +113,46 @@
     }
 }
 
+/// Whether a late request may take a slot while `free` of all `slots` of its service are free.
+pub fn has_spare(free: u32, slots: u32) -> bool {
+    free > slots / SLOTS_PER_SPARE
+}
+
 /// Turns of an account that still count at `now`.
 fn decayed(now: Duration, (turns, at): (f64, Duration)) -> f64 {
     turns * (-now.saturating_sub(at).div_duration_f64(TURN_DECAY)).exp()
 }
 
+/// Puts requests in order of their turns.
+fn sort(requests: &mut [New], accounts: &Accounts, now: Duration) {
+    // Without a workspace, the time that is left does not count, as before there were workspaces.
+    let until = |w: &New| w.claim.workspace.as_ref().map(|_| w.until);
+    let group = |w: &New| (w.claim.rank, w.claim.workspace.clone());
+    requests.sort_by_cached_key(|w| (group(w), until(w), w.ticket));
+    for of_group in requests.chunk_by_mut(|a, b| a.claim == b.claim) {
+        let mut turn = accounts.turns(now, &of_group[0].claim.workspace);
+        for waiting in of_group {
+            waiting.turn = turn;
+            turn += 1.0;
+        }
+    }
+    requests.sort_by(|a, b| {
+        let by_rank = a.claim.rank.cmp(&b.claim.rank).then(a.turn.total_cmp(&b.turn));
+        by_rank.then((a.until, a.ticket).cmp(&(b.until, b.ticket)))
+    });
+}
+
 /// Requests for one service that wait at one entry: streams that go on first, in order of arrival,
 /// then new requests in order of their turns. Without workspaces and with equal ranks, the new
-/// requests are in order of arrival.
+/// requests are in order of arrival. Late requests wait apart.
 #[derive(Debug, Default)]
 pub struct Queue {
     streams: VecDeque<Stream>,
     new: Vec<New>,
+    /// Requests that can no longer be in time.
+    late: Vec<New>,
+    /// Time at which a late request has last looked for a free slot.
+    last_search: Duration,
     accounts: Accounts,
     last_ticket: u64,
     /// Average run time of requests; `None` before the first one has ended.
@@ -162,23 +201,54 @@
         Some(Joined { ticket, displaced })
     }
 
+    /// Adds a request that can no longer be in time and whose caller waits for `limit`, while the entry
+    /// runs `running` requests. Returns `None` if it would probably not end before its caller gives up.
+    pub fn join_late(
+        &mut self,
+        now: Duration,
+        limit: Duration,
+        running: u32,
+        claim: &Claim,
+    ) -> Option<u64> {
+        let run_time = self.run_time?;
+        let limit = limit.checked_sub(run_time)?;
+        self.remove_expired(now);
+        let ticket = self.last_ticket + 1;
+        self.late.push(New { ticket, until: now + limit, claim: claim.clone(), turn: 0.0 });
+        sort(&mut self.late, &self.accounts, now);
+        let at = self.late.iter().position(|w| w.ticket == ticket)?;
+        let position = u32::try_from(at + 1).unwrap_or(u32::MAX);
+        let wait = run_time.saturating_mul(position).checked_div(running);
+        if wait.is_none_or(|wait| wait > limit) {
+            self.late.remove(at);
+            return None;
+        }
+        self.last_ticket = ticket;
+        Some(ticket)
+    }
+
+    /// Whether a late request may look for a free slot now. Records that one does.
+    pub fn begin_search(&mut self, now: Duration) -> bool {
+        let is_due = now.saturating_sub(self.last_search) >= LATE_INTERVAL;
+        if !is_due || self.late.is_empty() || self.is_contended(now) {
+            return false;
+        }
+        self.last_search = now;
+        true
+    }
+
+    /// Ticket of the late request that takes a free slot.
+    pub fn offer_late(&mut self, now: Duration) -> Option<u64> {
+        self.remove_expired(now);
+        sort(&mut self.late, &self.accounts, now);
+        let first = (!self.late.is_empty()).then(|| self.late.remove(0))?;
+        self.accounts.record(now, &first.claim.workspace);
+        Some(first.ticket)
+    }
+
     /// Puts the new requests in order of their turns.
     fn sort(&mut self, now: Duration) {
-        // Without a workspace, the time that is left does not count, as before there were workspaces.
-        let until = |w: &New| w.claim.workspace.as_ref().map(|_| w.until);
-        let group = |w: &New| (w.claim.rank, w.claim.workspace.clone());
-        self.new.sort_by_cached_key(|w| (group(w), until(w), w.ticket));
-        for of_group in self.new.chunk_by_mut(|a, b| a.claim == b.claim) {
-            let mut turn = self.accounts.turns(now, &of_group[0].claim.workspace);
-            for waiting in of_group {
-                waiting.turn = turn;
-                turn += 1.0;
-            }
-        }
-        self.new.sort_by(|a, b| {
-            let by_rank = a.claim.rank.cmp(&b.claim.rank).then(a.turn.total_cmp(&b.turn));
-            by_rank.then((a.until, a.ticket).cmp(&(b.until, b.ticket)))
-        });
+        sort(&mut self.new, &self.accounts, now);
     }
 
     /// Average run time of requests; `None` before the first one has ended.
@@ -244,6 +314,7 @@
     fn remove_expired(&mut self, now: Duration) {
         self.streams.retain(|w| w.until >= now);
         self.new.retain(|w| w.until >= now);
+        self.late.retain(|w| w.until >= now);
     }
 
     /// Adds a stream that goes on at endpoints of `build` only and can wait for `limit`. It goes
@@ -259,6 +330,7 @@
     pub fn leave(&mut self, ticket: u64) {
         self.streams.retain(|w| w.ticket != ticket);
         self.new.retain(|w| w.ticket != ticket);
+        self.late.retain(|w| w.ticket != ticket);
     }
 
     /// Records that a request has ended after `run_time`, which frees its slot at an endpoint of
--- a/tests/fleet_waiting.rs
+++ b/tests/fleet_waiting.rs
@@ -202,6 +202,52 @@
     insta::assert_snapshot!(format!("{seen:?}"), @"[None, Some(1), Some(2), Some(1), None, None, Some(3), None, Some(3)]");
 }
 
+/// Guards against a late request that looks for a slot while one that can be in time waits, that waits
+/// although its caller gives up before, or that goes before an earlier or more urgent one.
+#[test]
+fn late_requests_wait_behind_all_others() {
+    let mut queue = waiting::Queue::default();
+    let even = claim("a", (1, 0));
+    let mut seen =
+        vec![format!("unknown run time {:?}", queue.join_late(ms(0), ms(5_000), 2, &even))];
+    queue.release(ms(0), ms(100), BUILD);
+    // Two running requests release a slot every 50 ms, and a request runs for 100 ms.
+    let late = [
+        queue.join_late(ms(0), ms(90), 2, &even),
+        queue.join_late(ms(0), ms(160), 2, &even),
+        queue.join_late(ms(0), ms(160), 2, &even),
+        queue.join_late(ms(0), ms(900), 2, &claim("b", (1, 0))),
+        queue.join_late(ms(0), ms(900), 2, &claim("c", (0, 0))),
+        queue.join_late(ms(0), ms(900), 0, &even),
+    ];
+    seen.push(format!("{late:?}"));
+    seen.push(format!("too soon {}", queue.begin_search(ms(10))));
+    let in_time = queue.join(ms(50), ms(100), 2, None, &even).map(|j| j.ticket);
+    seen.push(format!("another waits {in_time:?} {}", queue.begin_search(ms(50))));
+    seen.push(format!(
+        "released {:?} {:?}",
+        queue.offer(ms(50), BUILD),
+        queue.offer(ms(50), BUILD)
+    ));
+    seen.push(format!("due {}, again {}", queue.begin_search(ms(55)), queue.begin_search(ms(60))));
+    let offers: Vec<_> = std::iter::from_fn(|| queue.offer_late(ms(61))).collect();
+    seen.push(format!(
+        "after the first could end {offers:?}, none left {}",
+        queue.begin_search(ms(200))
+    ));
+    seen.push(format!("spare {} {}", waiting::has_spare(40, 400), waiting::has_spare(41, 400)));
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    unknown run time None
+    [None, Some(1), None, Some(2), Some(3), None]
+    too soon false
+    another waits Some(4) false
+    released Some(4) None
+    due true, again false
+    after the first could end [3, 2], none left false
+    spare false true
+    ");
+}
+
 /// Queue in order of arrival, as it was before requests had workspaces and ranks.
 #[derive(Default)]
 struct Former {
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -82,9 +82,9 @@
 /// Guards against a workspace with many times its usual load that takes the slots of the others.
 #[test]
 fn workspaces_keep_their_shares_when_slots_are_scarce() {
-    let former = shares::replay(shares::Policy::Former, false);
-    let queue_only = shares::replay(shares::Policy::QueueOnly, false);
-    let present = shares::replay(shares::Policy::Present, false);
+    let former = shares::replay(shares::Policy::Former, shares::Pattern::Steps, false);
+    let queue_only = shares::replay(shares::Policy::QueueOnly, shares::Pattern::Steps, false);
+    let present = shares::replay(shares::Policy::Present, shares::Pattern::Steps, false);
     show("former", &former);
     show("queue only", &queue_only);
     show("present", &present);
@@ -101,8 +101,8 @@
 /// in time than in order of arrival, also while no workspace is above its usual load.
 #[test]
 fn fair_shares_cost_the_others_nothing_in_any_window() {
-    let former = shares::replay(shares::Policy::Former, false);
-    let present = shares::replay(shares::Policy::Present, false);
+    let former = shares::replay(shares::Policy::Former, shares::Pattern::Steps, false);
+    let present = shares::replay(shares::Policy::Present, shares::Pattern::Steps, false);
     let windows = present.others.iter().zip(&former.others).enumerate();
     let worse: Vec<_> =
         windows.filter(|(_, (now, was))| now.share_in_time() < was.share_in_time()).collect();
@@ -112,8 +112,8 @@
 /// Guards against requests of an urgent workspace that wait for those of a less urgent one.
 #[test]
 fn urgent_workspaces_are_served_at_least_as_often() {
-    let former = shares::replay(shares::Policy::Former, true);
-    let present = shares::replay(shares::Policy::Present, true);
+    let former = shares::replay(shares::Policy::Former, shares::Pattern::Steps, true);
+    let present = shares::replay(shares::Policy::Present, shares::Pattern::Steps, true);
     show("former", &former);
     show("present", &present);
     println!("by priority: former {:?}, present {:?}", former.priorities, present.priorities);
@@ -121,3 +121,39 @@
     assert!(urgent.share_served() >= less.share_served(), "{urgent:?} {less:?}");
     assert!(urgent.share_in_time() >= less.share_in_time(), "{urgent:?} {less:?}");
 }
+
+/// Least number of requests in time under an overload, compared with a load that just fills the slots,
+/// from the requirements.
+const MIN_IN_TIME: f64 = 0.95;
+
+/// Guards against an overload that lowers the number of requests in time, although the slots are the
+/// same, and against refusals that cost callers more than a late response.
+#[test]
+fn overload_leaves_as_many_requests_in_time() {
+    let replay = |policy, load| shares::replay(policy, shares::Pattern::Overload(load), false);
+    let refusing = replay(shares::Policy::Refusing, 2.0);
+    let present = replay(shares::Policy::Present, 2.0);
+    for (name, outcome) in [("refusing", &refusing), ("present", &present)] {
+        let total = outcome.total();
+        println!(
+            "{name}: {total:?}, value {:.0}, refusals {}, refused twice {}, in time by window {:?}",
+            total.value(),
+            outcome.refusals,
+            outcome.refused_twice,
+            outcome.windows.iter().map(|w| w.in_time).collect::<Vec<_>>(),
+        );
+    }
+    let full = replay(shares::Policy::Present, 1.0);
+    println!(
+        "full: in time by window {:?}",
+        full.windows.iter().map(|w| w.in_time).collect::<Vec<_>>()
+    );
+    let windows = present.windows.iter().zip(&full.windows).enumerate();
+    let worse: Vec<_> = windows
+        .filter(|(_, (now, full))| f64::from(now.in_time) < MIN_IN_TIME * f64::from(full.in_time))
+        .collect();
+    assert!(worse.is_empty(), "{worse:?}");
+    assert!(present.total().in_time >= refusing.total().in_time);
+    assert!(present.total().value() > refusing.total().value());
+    assert!(present.refused_twice < refusing.refused_twice);
+}
--- a/tests/loads/shares.rs
+++ b/tests/loads/shares.rs
@@ -2,6 +2,9 @@
 //! and 2.4 s long, from 24 entries to 52 endpoints. The connections of a workspace are hashed onto
 //! entries unevenly. One workspace sends 7.5 times its usual load for 5 s. The entries learn what the
 //! others run 25 ms late.
+//!
+//! A second pattern has a base load of half of all slots, and one workspace far above its usual load
+//! for 2 s. Callers that are refused retry once, at another connection.
 
 use basilfield::fleet::load;
 use basilfield::fleet::place;
@@ -42,6 +45,52 @@
 const LENGTH: u64 = 48_000;
 const WINDOW: u64 = 1_200;
 
+/// Time in milliseconds after which a caller gives up.
+const DEADLINE: u64 = 5_000;
+/// Part of the time it has left for which a refused caller waits at most until it retries.
+const MAX_PAUSE_SHARE: u64 = 3;
+/// Value of a late response compared with one in time.
+const LATE_VALUE: f64 = 0.15;
+/// Time in milliseconds in which the load exceeds all slots in the second pattern, and its length.
+const OVERLOAD_TIME: std::ops::Range<u64> = 6_000..8_000;
+const OVERLOAD_LENGTH: u64 = 16_800;
+
+/// Load of a replay.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pattern {
+    /// Steps of all workspaces, and one workspace above its usual load. Callers do not retry.
+    Steps,
+    /// Half of all slots, and for 2 s as many more requests of one workspace that all together are
+    /// this many times all slots. Callers retry once.
+    Overload(f64),
+}
+
+impl Pattern {
+    fn length(self) -> u64 {
+        match self {
+            Pattern::Steps => LENGTH,
+            Pattern::Overload(_) => OVERLOAD_LENGTH,
+        }
+    }
+
+    /// Factor of the load of a workspace of weight `weight`, a part of 1.
+    fn factor(self, at: u64, workspace: usize, weight: f64) -> f64 {
+        match self {
+            Pattern::Steps => {
+                let step = if at % 6_000 < 3_600 { 0.391 } else { 1.91 };
+                let is_busy = workspace == BUSY && BUSY_TIME.contains(&at);
+                step * if is_busy { BUSY_FACTOR } else { 1.0 }
+            }
+            Pattern::Overload(total) => {
+                let full = ENDPOINTS as f64 * f64::from(SLOTS) * 1_000.0 / RUN_TIME as f64 / RATE;
+                let is_busy = workspace == BUSY && OVERLOAD_TIME.contains(&at);
+                let more = if is_busy { (total - 0.5) * full / weight } else { 0.0 };
+                0.5 * full + more
+            }
+        }
+    }
+}
+
 /// How slots pass to requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Policy {
@@ -50,7 +99,9 @@
     /// In turn, but free slots go to the request that finds them, and those that get no slot in time go
     /// to any endpoint.
     QueueOnly,
-    /// In turn.
+    /// In turn. Requests that get no slot in time are refused while others wait at their entry.
+    Refusing,
+    /// In turn. Requests that get no slot in time wait behind all others.
     Present,
 }
 
@@ -71,6 +122,11 @@
         f64::from(self.in_time) / f64::from(self.asked.max(1))
     }
 
+    /// Value for the callers.
+    pub fn value(&self) -> f64 {
+        f64::from(self.in_time) + LATE_VALUE * f64::from(self.served - self.in_time)
+    }
+
     /// Share of requests that got a slot.
     pub fn share_served(&self) -> f64 {
         f64::from(self.served) / f64::from(self.asked.max(1))
@@ -92,8 +148,14 @@
     pub others: Vec<Count>,
     /// The workspace above its usual load, during that time.
     pub busy: Count,
+    /// All workspaces by window.
+    pub windows: Vec<Count>,
     /// By priority of the workspace.
     pub priorities: [Count; 2],
+    /// Refusals of attempts.
+    pub refusals: u32,
+    /// Requests whose retry was refused as well.
+    pub refused_twice: u32,
 }
 
 impl Outcome {
@@ -120,6 +182,9 @@
 
 #[derive(Clone, Copy)]
 struct Request {
+    /// Arrival of the first attempt.
+    first: u64,
+    /// Arrival of this attempt.
     arrived: u64,
     workspace: usize,
     entry: usize,
@@ -138,10 +203,16 @@
 struct Entry {
     queue: waiting::Queue,
     waiting: Vec<(u64, Request, Option<usize>)>,
+    /// Requests that can no longer be in time.
+    late: Vec<(u64, Request)>,
 }
 
 struct Replay {
     policy: Policy,
+    pattern: Pattern,
+    connections: Vec<Vec<usize>>,
+    /// Callers that return, with the time of their return.
+    returns: Vec<(u64, Request)>,
     claims: Vec<waiting::Claim>,
     rng: ChaCha8Rng,
     endpoints: Vec<Endpoint>,
@@ -157,8 +228,9 @@
     BUSY_TIME.start.div_ceil(WINDOW) as usize..(BUSY_TIME.end / WINDOW) as usize
 }
 
-/// Arrivals of all requests in order, the same for each policy.
-fn arrivals() -> Vec<Request> {
+/// Entries of the connections of each workspace, and arrivals of all requests in order, the same for
+/// each policy.
+fn arrivals(pattern: Pattern) -> (Vec<Vec<usize>>, Vec<Request>) {
     let mut rng = ChaCha8Rng::seed_from_u64(11);
     let weights: Vec<f64> = (1..=WORKSPACES).map(|n| (n as f64).powf(-SKEW)).collect();
     let total: f64 = weights.iter().sum();
@@ -170,35 +242,40 @@
         })
         .collect();
     let mut requests = Vec::new();
-    for arrived in 0..LENGTH {
-        let step = if arrived % 6_000 < 3_600 { 0.391 } else { 1.91 };
+    for arrived in 0..pattern.length() {
         for (workspace, weight) in weights.iter().enumerate() {
-            let is_busy = workspace == BUSY && BUSY_TIME.contains(&arrived);
-            let factor = if is_busy { BUSY_FACTOR } else { 1.0 };
-            if rng.random_bool((RATE / 1_000.0 * step * factor * weight / total).min(1.0)) {
+            let factor = pattern.factor(arrived, workspace, weight / total);
+            if rng.random_bool((RATE / 1_000.0 * factor * weight / total).min(1.0)) {
                 let connections = &connections[workspace];
                 let entry = connections[rng.random_range(0..connections.len())];
                 let spread = rng.random_range(0..=2 * RUN_TIME_SPREAD);
                 let run_time = RUN_TIME - RUN_TIME_SPREAD + spread;
-                requests.push(Request { arrived, workspace, entry, run_time });
+                requests.push(Request { first: arrived, arrived, workspace, entry, run_time });
             }
         }
     }
-    requests
+    (connections, requests)
 }
 
 /// Plays the load. With `priorities`, every second workspace is less urgent.
-pub fn replay(policy: Policy, priorities: bool) -> Outcome {
+pub fn replay(policy: Policy, pattern: Pattern, priorities: bool) -> Outcome {
     let priority = |at: usize| if priorities { at as u64 % 2 } else { 0 };
     let claim = |at: usize| waiting::Claim {
         rank: waiting::Rank { workspace: priority(at), route: 0 },
         workspace: Some(at.to_string().into()),
     };
+    let (connections, requests) = arrivals(pattern);
+    let windows = vec![Count::default(); (pattern.length() / WINDOW) as usize];
     let mut replay = Replay {
         policy,
+        pattern,
+        connections,
+        returns: Vec::new(),
         claims: match policy {
             Policy::Former => vec![waiting::Claim::default(); WORKSPACES],
-            Policy::QueueOnly | Policy::Present => (0..WORKSPACES).map(claim).collect(),
+            Policy::QueueOnly | Policy::Refusing | Policy::Present => {
+                (0..WORKSPACES).map(claim).collect()
+            }
         },
         rng: ChaCha8Rng::seed_from_u64(7),
         endpoints: (0..ENDPOINTS).map(|_| Endpoint::default()).collect(),
@@ -207,14 +284,19 @@
         entries: (0..ENTRIES).map(|_| Entry::default()).collect(),
         outcome: Outcome {
             workspaces: vec![Count::default(); WORKSPACES],
-            others: vec![Count::default(); (LENGTH / WINDOW) as usize],
+            others: windows.clone(),
+            windows,
             busy: Count::default(),
             priorities: [Count::default(); 2],
+            refusals: 0,
+            refused_twice: 0,
         },
     };
-    let mut requests = VecDeque::from(arrivals());
+    let mut requests = VecDeque::from(requests);
     let mut reports: VecDeque<Vec<[u32; ENTRIES]>> = VecDeque::new();
-    for now in 0..LENGTH {
+    // The requests of the last windows of the overload are served after it has ended.
+    let more = if pattern == Pattern::Steps { 0 } else { DEADLINE };
+    for now in 0..pattern.length() + more {
         reports.push_back(replay.own.clone());
         if reports.len() > REPORT_AGE {
             reports.pop_front();
@@ -222,7 +304,12 @@
         let known = reports.front().expect("pushed above").clone();
         (0..ENDPOINTS).for_each(|at| replay.end_requests(now, at, &known));
         replay.expire(now);
+        replay.offer_free_slots(now, &known);
+        let due: Vec<Request> =
+            replay.returns.extract_if(.., |r| r.0 <= now).map(|r| r.1).collect();
+        due.into_iter().for_each(|request| replay.arrive(request, &known));
         while let Some(request) = requests.pop_front_if(|r| r.arrived == now) {
+            replay.count(request, Count { asked: 1, served: 0, in_time: 0 });
             replay.arrive(request, &known);
         }
     }
@@ -238,9 +325,11 @@
     fn count(&mut self, request: Request, event: Count) {
         self.outcome.workspaces[request.workspace].add(event);
         self.outcome.priorities[request.workspace % 2].add(event);
+        let window = (request.first / WINDOW) as usize;
+        self.outcome.windows[window].add(event);
         if request.workspace != BUSY {
-            self.outcome.others[(request.arrived / WINDOW) as usize].add(event);
-        } else if BUSY_TIME.contains(&request.arrived) {
+            self.outcome.others[window].add(event);
+        } else if BUSY_TIME.contains(&request.first) {
             self.outcome.busy.add(event);
         }
     }
@@ -262,8 +351,11 @@
         }
         while self.endpoints[at].running.len() < SLOTS as usize {
             let Some(request) = self.endpoints[at].waiting.pop_front() else { break };
-            let in_time = u32::from(now - request.arrived <= MAX_WAIT);
-            self.count(request, Count { asked: 0, served: 1, in_time });
+            let in_time = u32::from(now - request.first <= MAX_WAIT);
+            if self.pattern == Pattern::Steps || now + request.run_time <= request.first + DEADLINE
+            {
+                self.count(request, Count { asked: 0, served: 1, in_time });
+            }
             self.endpoints[at].running.push((now + request.run_time, request));
         }
     }
@@ -301,11 +393,70 @@
     /// Sends a request that gets no slot in time to a full endpoint, or refuses it.
     fn send_late(&mut self, now: u64, request: Request, other: Option<usize>) {
         let queue = &mut self.entries[request.entry].queue;
-        if self.policy == Policy::Present && queue.is_contended(ms(now)) {
+        let waits = self.policy == Policy::Present;
+        if self.policy == Policy::Refusing && queue.is_contended(ms(now)) {
+            return self.refuse(now, request);
+        }
+        if waits && (other.is_none() || queue.is_contended(ms(now))) {
+            let running = self.own.iter().map(|own| own[request.entry]).sum();
+            let queue = &mut self.entries[request.entry].queue;
+            let claim = &self.claims[request.workspace];
+            let left = ms(request.first + DEADLINE - now);
+            match queue.join_late(ms(now), left, running, claim) {
+                Some(ticket) => self.entries[request.entry].late.push((ticket, request)),
+                None => self.refuse(now, request),
+            }
             return;
         }
-        if let Some(at) = other {
-            queue.record_turn(ms(now), &self.claims[request.workspace]);
+        match other {
+            Some(at) => {
+                queue.record_turn(ms(now), &self.claims[request.workspace]);
+                self.send(at, request);
+            }
+            None => self.refuse(now, request),
+        }
+    }
+
+    /// Refuses a request. Its caller retries once, if it is told to return soon enough.
+    fn refuse(&mut self, now: u64, request: Request) {
+        let is_retry = request.arrived > request.first;
+        self.outcome.refusals += 1;
+        self.outcome.refused_twice += u32::from(is_retry);
+        let pause = self.rng.random_range(250..750);
+        let left = (request.first + DEADLINE).saturating_sub(now);
+        if self.pattern == Pattern::Steps || is_retry || pause > left / MAX_PAUSE_SHARE {
+            return;
+        }
+        let connections = &self.connections[request.workspace];
+        let entry = connections[self.rng.random_range(0..connections.len())];
+        let arrived = now + pause;
+        self.returns.push((arrived, Request { arrived, entry, ..request }));
+    }
+
+    /// Late requests look for free slots, which go to those that come first.
+    fn offer_free_slots(&mut self, now: u64, known: &[[u32; ENTRIES]]) {
+        for entry in 0..ENTRIES {
+            if !self.entries[entry].queue.begin_search(ms(now)) || !self.has_spare(entry, known) {
+                continue;
+            }
+            if let place::Choice::Send(chosen) = self.choose(entry, known) {
+                let at = chosen.id.parse().expect("a number");
+                self.offer_late(now, entry, at);
+            }
+        }
+    }
+
+    fn has_spare(&self, entry: usize, known: &[[u32; ENTRIES]]) -> bool {
+        let others = |at: usize| known[at].iter().sum::<u32>() - known[at][entry];
+        let free = |at: usize| SLOTS.saturating_sub(others(at) + self.own[at][entry]);
+        waiting::has_spare((0..ENDPOINTS).map(free).sum(), ENDPOINTS as u32 * SLOTS)
+    }
+
+    fn offer_late(&mut self, now: u64, entry: usize, at: usize) {
+        let ticket = self.entries[entry].queue.offer_late(ms(now));
+        let late = &mut self.entries[entry].late;
+        if let Some(found) = late.iter().position(|w| Some(w.0) == ticket) {
+            let request = late.remove(found).1;
             self.send(at, request);
         }
     }
@@ -332,7 +483,6 @@
     fn arrive(&mut self, request: Request, known: &[[u32; ENTRIES]]) {
         let (now, entry) = (request.arrived, request.entry);
         let claim = self.claims[request.workspace].clone();
-        self.count(request, Count { asked: 1, served: 0, in_time: 0 });
         let position = |c: &place::Candidate| c.id.parse::<usize>().expect("a number");
         let other = loop {
             match self.choose(entry, known) {
@@ -340,7 +490,9 @@
                     let at = position(&chosen);
                     let queue = &mut self.entries[entry].queue;
                     let first = match self.policy {
-                        Policy::Present => queue.offer_before(ms(now), BUILD, &claim),
+                        Policy::Refusing | Policy::Present => {
+                            queue.offer_before(ms(now), BUILD, &claim)
+                        }
                         Policy::Former | Policy::QueueOnly => None,
                     };
                     if first.is_some() {
