Let late requests of workspaces wait instead of refusing them

Cause: wait_for_slot refused a request of a workspace that got no slot in time whenever another request waited, also one that was displaced, although its caller would still take a late answer.

Change: such a request waits on at its entry by the rule of waiting::Queue, as long as its answer can still end before its deadline. Services with limited endpoints are excepted, since their callers return at the rate of the limits. Requests without a workspace are handled as before. Event 717 says that a request waits late.

--- a/src/events.rs
+++ b/src/events.rs
@@ -265,6 +265,8 @@
     /// A request no longer waits for a slot, since more urgent ones, or those of workspaces with fewer
     /// recent turns, go first, so that it would probably get none in time.
     REQUEST_DISPLACED = 716, Debug, "request displaced from the queue";
+    /// A request can no longer be in time and waits for a slot behind all that can.
+    REQUEST_LATE = 717, Debug, "request waits behind those that can be in time";
     /// Requests of a workspace were refused since its quota is used up. Logged once in 10 s for each
     /// workspace.
     QUOTA_EXCEEDED = 720, Info, "quota of a workspace used up";
--- a/src/fleet/forward/slot_wait.rs
+++ b/src/fleet/forward/slot_wait.rs
@@ -35,24 +35,63 @@
                 "workspace" => claim.workspace.as_deref(), "priority" => claim.rank.workspace,
                 "route_priority" => claim.rank.route);
         }
-        if let Ok(Ok(guard)) = slot {
-            let candidates = self.node.candidates(&self.service);
-            let found = candidates.into_iter().find(|c| c.id == *guard.endpoint());
-            if let Some(endpoint) = found.filter(|c| !self.tried.contains(&c.id)) {
-                return Some((endpoint, guard));
-            }
+        if let Ok(Ok(guard)) = slot
+            && let Some(slot) = self.untried_slot(guard)
+        {
+            return Some(slot);
         }
-        let other = other?;
         // It can no longer be in time. In a configuration with workspaces, it takes no slot that a
         // request which can be in time waits for.
         let now = self.node.now();
-        if claim.workspace.is_some() && self.node.slots.is_contended(&self.service, now) {
-            return None;
+        let is_contended = self.node.slots.is_contended(&self.service, now);
+        if claim.workspace.is_some() && (other.is_none() || is_contended) {
+            return self.wait_late(&claim).await;
         }
+        let other = other?;
         let guard = self.count_turn(&other, &claim);
         Some((other, guard))
     }
 
+    /// Waits behind all requests that can be in time, as long as the caller can still get an answer.
+    /// Callers of a service with limited endpoints return at the rate of the limits instead.
+    async fn wait_late(&self, claim: &waiting::Claim) -> Option<forward::Slot> {
+        if self.node.limited_return_interval(&self.service).is_some() {
+            return None;
+        }
+        let limit = self.time_left();
+        let running = self.node.view.loads(|l| l.own_total());
+        let patience = slots::Patience { limit, running, grant: None };
+        event!(self.node.log, events::REQUEST_LATE; "request" => &*self.request.id,
+            "workspace" => claim.workspace.as_deref(), "left_ms" => limit.as_millis() as u64);
+        let slots = &self.node.slots;
+        let find = || self.find_spare_slot();
+        let slot = slots.wait_late(&self.node, &self.service, patience, claim, find);
+        let slot = self.request.deadline.run(self.progress(), limit, slot).await;
+        self.untried_slot(slot.ok()?.ok()?)
+    }
+
+    /// Endpoint with a free slot, if so many slots are free that a late request may take one.
+    fn find_spare_slot(&self) -> Option<place::Candidate> {
+        let candidates = self.candidates();
+        let usable = || candidates.iter().filter(|c| !c.avoided);
+        // Items release their slots when online requests need them.
+        let free = usable().map(|c| c.slots.saturating_sub(c.running.own + c.running.online)).sum();
+        if !waiting::has_spare(free, usable().map(|c| c.slots).sum()) {
+            return None;
+        }
+        match place::choose(candidates, &self.tried, rand::random()) {
+            place::Choice::Send(endpoint) => Some(endpoint),
+            place::Choice::Wait(_) | place::Choice::None => None,
+        }
+    }
+
+    /// Slot that was handed over, unless the request was at its endpoint before.
+    fn untried_slot(&self, guard: slots::RequestGuard) -> Option<forward::Slot> {
+        let candidates = self.node.candidates(&self.service);
+        let endpoint = candidates.into_iter().find(|c| c.id == *guard.endpoint())?;
+        (!self.tried.contains(&endpoint.id)).then_some((endpoint, guard))
+    }
+
     /// What decides the turn of the request among those that wait for slots.
     pub(super) fn claim(&self) -> waiting::Claim {
         let caller = self.request.caller.as_ref();
--- a/src/fleet/slots.rs
+++ b/src/fleet/slots.rs
@@ -110,6 +110,55 @@
         }
     }
 
+    /// Waits for a slot that requests which can be in time do not need. `find` looks for a free one.
+    ///
+    /// # Errors
+    /// The request gets no slot: at once if it would probably not end before its caller gives up, or
+    /// else once it can no longer.
+    pub async fn wait_late(
+        &self,
+        node: &node::Node,
+        service: &Arc<str>,
+        patience: Patience,
+        claim: &waiting::Claim,
+        find: impl Fn() -> Option<place::Candidate> + Send,
+    ) -> Result<RequestGuard, NoSlot> {
+        let Patience { limit, running, .. } = patience;
+        let (sender, mut slot) = oneshot::channel();
+        let (ticket, run_time) = {
+            let mut queues = peer::lock(&self.queues);
+            let queue = queues.queues.entry_or(service.clone(), waiting::Queue::default);
+            let ticket = queue.join_late(node.now(), limit, running, claim);
+            let ticket = ticket.ok_or(NoSlot::NotInTime)?;
+            let run_time = queue.run_time().unwrap_or_default();
+            queues.receivers.insert((service.clone(), ticket), sender);
+            (ticket, run_time)
+        };
+        let _leave = LeaveQueue { slots: self, service, ticket };
+        // One that is sent later would probably not end before its caller gives up.
+        let end = time::Instant::now() + limit.saturating_sub(run_time);
+        while time::Instant::now() < end {
+            match time::timeout(waiting::LATE_INTERVAL, &mut slot).await {
+                Ok(Ok(result)) => return result,
+                // The service has no endpoint any more.
+                Ok(Err(_)) => return Err(NoSlot::Ended),
+                Err(_) => {}
+            }
+            if self.begin_search(service, node.now())
+                && let Some(endpoint) = find()
+            {
+                offer_late(node, service, &endpoint);
+            }
+        }
+        slot.try_recv().unwrap_or(Err(NoSlot::Ended))
+    }
+
+    /// Whether a late request of a service may look for a free slot now.
+    fn begin_search(&self, service: &str, now: Duration) -> bool {
+        let mut queues = peer::lock(&self.queues);
+        queues.queues.get_mut(service).is_some_and(|queue| queue.begin_search(now))
+    }
+
     /// Whether requests that can still use a slot of a service wait.
     pub fn is_contended(&self, service: &str, now: Duration) -> bool {
         peer::lock(&self.queues).queues.get(service).is_some_and(|queue| queue.is_contended(now))
@@ -217,6 +266,19 @@
     })
 }
 
+/// Hands a free slot that a late request has found to the late request that goes first.
+fn offer_late(node: &node::Node, service: &Arc<str>, endpoint: &place::Candidate) {
+    let receiver = {
+        let mut queues = peer::lock(&node.slots.queues);
+        let ticket = queues.queues.get_mut(service).and_then(|q| q.offer_late(node.now()));
+        ticket.and_then(|ticket| queues.receivers.remove(&(service.clone(), ticket)))
+    };
+    if let Some(receiver) = receiver {
+        // A request that has given up drops the guard.
+        drop(receiver.send(Ok(node.count_request(service, &endpoint.id))));
+    }
+}
+
 /// Removes a request from its queue when it is dropped.
 struct LeaveQueue<'a> {
     slots: &'a Slots,
