Test that late requests wait behind those in time at a host

Guards against a late request that takes a slot for which a request in time waits, and against one that waits on when its service has no endpoint any more.

--- a/tests/fleet_leaving.rs
+++ b/tests/fleet_leaving.rs
@@ -6,6 +6,7 @@
 use basilfield::fleet::directory;
 use basilfield::fleet::node;
 use basilfield::fleet::settings;
+use basilfield::fleet::slots;
 use basilfield::fleet::upstream;
 use basilfield::fleet::waiting;
 use directory::Directory;
@@ -16,6 +17,9 @@
 use fleet_world::client;
 use fleet_world::client::StreamEnd;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -564,3 +568,59 @@
         insta::assert_snapshot!(format!("{displaced:?} {served:?}"), @"(Some(Displaced), true) (None, true)");
     });
 }
+
+/// Guards against a late request that takes a slot for which a request in time waits, or that waits on
+/// when its service has no endpoint any more.
+#[test]
+fn late_request_waits_behind_those_in_time() {
+    fleet_world::run(async {
+        let (service, id): (Arc<str>, Arc<str>) = ("a".into(), "i".into());
+        let node = node(80);
+        // The end of a first request tells that a slot is released every 20 ms.
+        let first = node.count_request(&service, &id);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        drop(first);
+        let running = node.count_request(&service, &id);
+        let claim = waiting::Claim { workspace: Some("w".into()), ..Default::default() };
+        let is_free = Arc::new(AtomicBool::new(true));
+        let wait_late = || {
+            let (node, service, claim) = (node.clone(), service.clone(), claim.clone());
+            let is_free = is_free.clone();
+            let limit = Duration::from_secs(20);
+            let patience = slots::Patience { limit, running: 1, grant: None };
+            tokio::spawn(async move {
+                let find = || {
+                    let found = node.candidates(&service).into_iter().next();
+                    found.filter(|_| is_free.load(Ordering::Relaxed))
+                };
+                let slots = &node.slots;
+                slots.wait_late(&node, &service, patience, &claim, find).await
+            })
+        };
+        let in_time = tokio::spawn({
+            let (node, service, claim) = (node.clone(), service.clone(), claim.clone());
+            let limit = Duration::from_secs(20);
+            async move { node.wait_for_slot(&service, limit, &claim).await.is_ok() }
+        });
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let late = wait_late();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let mut seen = vec![format!("while another waits {}", late.is_finished())];
+        drop(running);
+        seen.push(format!("the other {}", in_time.await.expect("task")));
+        seen.push(format!("after it {}", late.await.expect("task").is_ok()));
+        is_free.store(false, Ordering::Relaxed);
+        let dismissed = wait_late();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        seen.push(format!("none free {}", dismissed.is_finished()));
+        node.handle_leaving_notice("i", 1, upstream::LeavingNotice::Leaving, "r1");
+        seen.push(format!("dismissed {:?}", dismissed.await.expect("task").err()));
+        insta::assert_snapshot!(seen.join("\n"), @r"
+        while another waits false
+        the other true
+        after it true
+        none free false
+        dismissed Some(Ended)
+        ");
+    });
+}
