--- a/src/fleet/forward/slot_wait.rs
+++ b/src/fleet/forward/slot_wait.rs
@@ -66,8 +66,24 @@
         let slots = &self.node.slots;
         let find = || self.find_spare_slot();
         let slot = slots.wait_late(&self.node, &self.service, patience, claim, find);
-        let slot = self.request.deadline.run(self.progress(), limit, slot).await;
-        self.untried_slot(slot.ok()?.ok()?)
+        let slot = self.request.deadline.run(self.progress(), limit, slot);
+        tokio::select! {
+            slot = slot => self.untried_slot(slot.ok()?.ok()?),
+            () = self.wait_for_revocation() => None,
+        }
+    }
+
+    /// Waits until the key of a request that has not run is known to be revoked. A late request waits
+    /// for seconds, and its caller has to learn of it at once.
+    async fn wait_for_revocation(&self) {
+        let is_revoked = || {
+            let may_run = self.begun || self.attempts.may_have_run();
+            let caller = self.request.caller.as_ref().filter(|_| !may_run);
+            caller.is_some_and(|caller| self.node.is_revoked(caller))
+        };
+        while !is_revoked() {
+            time::sleep(waiting::LATE_INTERVAL).await;
+        }
     }
 
     /// Endpoint with a free slot, if so many slots are free that a late request may take one.
