--- a/tests/fleet_keys.rs
+++ b/tests/fleet_keys.rs
@@ -461,7 +461,8 @@
             tried = ask(to, path, KEPT).await;
             // A crash is found and committed meanwhile.
             tokio::time::sleep(Duration::from_millis(700)).await;
-            for n in std::mem::take(&mut *crashed.lock().expect("crashed")) {
+            let left = std::mem::take(&mut *crashed.lock().expect("crashed"));
+            for n in left {
                 world.deregister_id(world.hosts_of(Role::Control)[0], &format!("raw-{n}")).await;
             }
         }
