Learn the pace and the failures of endpoints from responses

Endpoints of one service differ in speed, or fail a part of their requests, while their health checks are good. The new module learns the time for each further event by level of occupied slots, and the share of failed requests, with decay, and finds the endpoints that differ measurably from the others of their service. Failures without an answer in between count once, so that an outage is not taken for an endpoint that fails a part of its requests.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -33,6 +33,7 @@
 mod origin_client;
 pub mod peer;
 pub mod place;
+pub mod placement;
 pub mod plan;
 pub mod progress;
 pub mod prompt;
--- /dev/null
+++ b/src/fleet/placement/mod.rs
@@ -0,0 +1,3 @@
+//! Parts of the placement of requests that learn from responses.
+
+pub mod pace;
