Choose endpoints by speed and failures where they differ

The choice by free slots sends as many requests to slow endpoints as to fast ones, and requests that may run only once to endpoints that fail a part of theirs. Weights now follow free slots and speed; the preference fades as free slots become scarce. Without deviations, the choice is the same number for number.

--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -15,6 +15,7 @@
 use crate::fleet::directory;
 use crate::fleet::limits;
 use crate::fleet::load;
+use crate::fleet::placement::pace;
 use crate::sorted;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -131,6 +132,146 @@
     None,
 }
 
+/// What the choice takes into account besides free slots.
+#[derive(Clone, Copy, Debug)]
+pub struct Experience<'a> {
+    /// Time of the choice.
+    pub now: Duration,
+    /// Endpoints that differ from the others, sorted by id.
+    pub deviations: &'a [pace::Deviation],
+    /// Whether the request may be repeated.
+    pub repeatable: bool,
+}
+
+impl Experience<'_> {
+    fn is_failing(&self, id: &str) -> bool {
+        let found = self.deviations.binary_search_by(|d| (*d.id).cmp(id));
+        found.is_ok_and(|at| self.deviations[at].failing)
+    }
+
+    /// Relative speeds of the candidates, 0 for those that fail and are not to be tried now; `None`
+    /// if none of them deviates.
+    fn speeds(&self, candidates: &[Candidate]) -> Option<Vec<u32>> {
+        if self.deviations.is_empty() {
+            return None;
+        }
+        // Both are sorted by id in most cases, so that the next deviation is mostly the next one found.
+        let (mut next, mut deviates) = (0, false);
+        let speeds = candidates.iter().map(|c| {
+            let is_next = self.deviations.get(next).is_some_and(|d| Arc::ptr_eq(&d.id, &c.id));
+            let at = match is_next {
+                true => next,
+                false => match self.deviations.binary_search_by(|d| d.id.cmp(&c.id)) {
+                    Ok(at) => at,
+                    Err(_) => return pace::NOMINAL_SPEED,
+                },
+            };
+            next = at + 1;
+            let deviation = &self.deviations[at];
+            let is_trial_due = self.now.saturating_sub(deviation.last_sent) >= pace::TRIAL_INTERVAL;
+            let speed = match deviation.failing && !(self.repeatable && is_trial_due) {
+                true => 0,
+                false => {
+                    let running = c.online_requests() + c.running.batch;
+                    deviation.speeds[pace::level(running, c.slots)]
+                }
+            };
+            deviates |= speed != pace::NOMINAL_SPEED;
+            speed
+        });
+        let speeds: Vec<u32> = speeds.collect();
+        deviates.then_some(speeds)
+    }
+}
+
+/// Why a choice follows more than free slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Endpoints differ in speed.
+    Speed,
+    /// Endpoints that fail a part of their requests are left out.
+    Failing,
+    /// The request is the trial of an endpoint that fails a part of its requests.
+    Trial,
+}
+
+/// Chooses an endpoint that is not in `tried` by free slots and experience. `random` is a random
+/// number. Without deviations, the choice is that of [`choose`].
+pub fn choose_by(
+    mut candidates: Vec<Candidate>,
+    tried: &[Arc<str>],
+    random: u64,
+    experience: &Experience<'_>,
+) -> (Choice, Option<Reason>) {
+    let Some(speeds) = experience.speeds(&candidates) else {
+        return (choose(candidates, tried, random), None);
+    };
+    let (mut free, mut slots, mut near_free, mut near_slots) = (0, 0, 0, 0);
+    let mut is_limited = false;
+    let of = |c: &Candidate| {
+        is_limited |= c.allowance.is_some();
+        if c.avoided || tried.contains(&c.id) {
+            return 0;
+        }
+        let own = c.free_slots();
+        (free, slots) = (free + own, slots + c.slots);
+        if c.same_domain {
+            (near_free, near_slots) = (near_free + own, near_slots + c.slots);
+        }
+        own
+    };
+    let counts: Vec<u32> = candidates.iter().map(of).collect();
+    // What a limited endpoint permits is lost if it is not used.
+    if is_limited || !is_enough(free, slots, random >> 32) {
+        return choose_others(candidates, &speeds, tried, random);
+    }
+    let near_only = near_free > near_slots / SLOTS_PER_FREE;
+    // The preference grows from none, with an eighth of the slots free, to all of it with three
+    // eighths, so that a fast endpoint that is nearly full gets no more than by its free slots.
+    let strength = u64::from((free * 4).saturating_sub(slots / 2).min(slots));
+    let nominal = u64::from(pace::NOMINAL_SPEED) * (u64::from(slots) - strength);
+    let weight = |((c, count), speed): ((&Candidate, &u32), &u32)| match *speed {
+        0 => 0,
+        _ if near_only && !c.same_domain => 0,
+        speed => u64::from(*count) * (u64::from(speed) * strength + nominal),
+    };
+    let weights: Vec<u64> = candidates.iter().zip(&counts).zip(&speeds).map(weight).collect();
+    // The number has 32 bits and is scaled to the total, which may be larger.
+    let total = u128::from(weights.iter().sum::<u64>());
+    let mut left = ((u128::from(random & u64::from(u32::MAX)) * total) >> 32) as u64;
+    let picked = weights.iter().position(|weight| {
+        let picked = left < *weight;
+        left = left.saturating_sub(*weight);
+        picked
+    });
+    let Some(at) = picked else { return choose_others(candidates, &speeds, tried, random) };
+    let chosen = candidates.swap_remove(at);
+    let reason = match experience.is_failing(&chosen.id) {
+        true => Reason::Trial,
+        false if speeds.contains(&0) => Reason::Failing,
+        false => Reason::Speed,
+    };
+    (Choice::Send(chosen), Some(reason))
+}
+
+/// Chooses by free slots, without endpoints of speed 0 if online requests leave slots of others.
+fn choose_others(
+    mut candidates: Vec<Candidate>,
+    speeds: &[u32],
+    tried: &[Arc<str>],
+    random: u64,
+) -> (Choice, Option<Reason>) {
+    let is_usable = |c: &Candidate| !c.avoided && !tried.contains(&c.id);
+    let has_slot = |c: &Candidate| is_usable(c) && c.yielding_slots() > 0;
+    let mut others = candidates.iter().zip(speeds).filter(|(_, speed)| **speed > 0);
+    if !speeds.contains(&0) || !others.any(|(c, _)| has_slot(c)) {
+        return (choose(candidates, tried, random), None);
+    }
+    let mut speeds = speeds.iter();
+    candidates.retain(|_| speeds.next().is_some_and(|speed| *speed > 0));
+    (choose(candidates, tried, random), Some(Reason::Failing))
+}
+
 /// Chooses an endpoint that is not in `tried`. `random` is a random number.
 pub fn choose(candidates: Vec<Candidate>, tried: &[Arc<str>], random: u64) -> Choice {
     let mut untried: Vec<Candidate> =
@@ -164,7 +305,11 @@
 fn is_sent(candidates: &[Candidate], weight: impl Fn(&Candidate) -> u32, random: u64) -> bool {
     let unlimited = candidates.iter().filter(|c| c.allowance.is_none());
     let slots: u32 = unlimited.map(|c| c.slots).sum();
-    let free: u32 = candidates.iter().map(weight).sum();
+    is_enough(candidates.iter().map(weight).sum(), slots, random)
+}
+
+/// Whether a request is sent if `free` of `slots` are free.
+fn is_enough(free: u32, slots: u32, random: u64) -> bool {
     random % u64::from((slots / SLOTS_PER_UNREPORTED).max(1)) < u64::from(free)
 }
 
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -1,11 +1,18 @@
 //! Replays of loads at their worst against the modules that decide, in simulated time.
 
+#[path = "loads/paces.rs"]
+mod paces;
 #[path = "loads/shares.rs"]
 mod shares;
 #[path = "loads/steps.rs"]
 mod steps;
 
+use basilfield::fleet::load;
 use basilfield::fleet::place;
+use basilfield::fleet::placement::pace;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 /// Former policy: the endpoint with the fewest requests, with a preference of half a request for the
 /// own failure domain.
@@ -121,3 +128,173 @@
     assert!(urgent.share_served() >= less.share_served(), "{urgent:?} {less:?}");
     assert!(urgent.share_in_time() >= less.share_in_time(), "{urgent:?} {less:?}");
 }
+
+/// Load of the reference fleet of today, whose steps nearly fill all slots.
+const TODAY: paces::Load = paces::Load {
+    entries: 23,
+    endpoints: 50,
+    rate: 300.0,
+    length: 90_000,
+    speeds: true,
+    failures: false,
+    seed: 7,
+};
+
+/// Runs of a replay with different arrivals.
+const RUNS: u64 = 8;
+
+fn share((asked, met): (u32, u32)) -> f64 {
+    f64::from(met) / f64::from(asked)
+}
+
+fn sum(windows: impl Iterator<Item = (u32, u32)>) -> (u32, u32) {
+    windows.fold((0, 0), |sum, window| (sum.0 + window.0, sum.1 + window.1))
+}
+
+fn show_paces(name: &str, outcome: &paces::Outcome) {
+    let (time, count) = outcome.complete;
+    println!(
+        "{name}: busiest {:.2}, mean time {} ms, failed {}, refused {}, in time {:.4}",
+        outcome.busiest,
+        time / count,
+        outcome.failed,
+        outcome.refused,
+        share(sum(outcome.windows().iter().copied())),
+    );
+}
+
+/// Guards against slow endpoints that get as many requests as fast ones, and against a preference for
+/// fast ones that makes first events late.
+#[test]
+fn endpoints_get_requests_by_their_speed() {
+    let replay = |policy| -> Vec<paces::Outcome> {
+        let run = |seed| paces::replay(paces::Load { seed, ..TODAY }, policy);
+        let outcomes: Vec<paces::Outcome> = (0..RUNS).map(run).collect();
+        outcomes.iter().for_each(|outcome| show_paces(&format!("{policy:?}"), outcome));
+        outcomes
+    };
+    let former = replay(paces::Policy::Former);
+    let present = replay(paces::Policy::Present);
+    // The second `at` of all runs, since in a single run it differs by chance.
+    let second = |runs: &[paces::Outcome], at: usize| sum(runs.iter().map(|o| o.windows()[at]));
+    // The seconds at the same position of a step.
+    let position = |runs: &[paces::Outcome], at: usize| {
+        sum((at..former[0].windows().len()).step_by(6).map(|at| second(runs, at)))
+    };
+    for at in 0..6 {
+        let (now, was) = (share(position(&present, at)), share(position(&former, at)));
+        println!("second {at} of the pattern: former {was:.4}, present {now:.4}");
+    }
+    let mut lower = 0;
+    for at in 0..former[0].windows().len() {
+        let (now, was) = (second(&present, at), second(&former, at));
+        lower += u32::from(now.1 < was.1);
+        // Three standard deviations of the difference of two numbers of late requests.
+        let chance = 3.0 * f64::from(1 + (now.0 - now.1) + (was.0 - was.1)).sqrt();
+        assert!(f64::from(now.1) + chance >= f64::from(was.1), "second {at}: {now:?} {was:?}");
+    }
+    println!("{lower} of {} seconds are lower", former[0].windows().len());
+    for at in 0..6 {
+        let (now, was) = (share(position(&present, at)), share(position(&former, at)));
+        assert!(now >= was, "second {at} of the pattern: {now} {was}");
+    }
+    assert!(present.iter().all(|o| o.busiest <= 1.3), "{present:?}");
+}
+
+/// Guards against a choice that differs from that by free slots although endpoints do not differ.
+#[test]
+fn equal_endpoints_are_chosen_by_free_slots() {
+    let equal = paces::Load { speeds: false, length: 45_000, ..TODAY };
+    let former = paces::replay(equal, paces::Policy::Former);
+    assert_eq!(former, paces::replay(equal, paces::Policy::Present));
+}
+
+/// Guards against a large fleet in which few responses for each endpoint are taken for deviations.
+#[test]
+fn large_fleets_are_placed_no_worse() {
+    let large =
+        paces::Load { entries: 340, endpoints: 1_100, rate: 800.0, length: 33_000, ..TODAY };
+    let former = paces::replay(large, paces::Policy::Former);
+    let present = paces::replay(large, paces::Policy::Present);
+    show_paces("former", &former);
+    show_paces("present", &present);
+    let mut windows = present.windows().iter().zip(former.windows());
+    assert!(windows.all(|(now, was)| share(*now) >= share(*was)));
+}
+
+/// Guards against requests that may run only once and are sent to endpoints that fail a part of theirs.
+#[test]
+fn requests_that_run_once_avoid_failing_endpoints() {
+    let failing = paces::Load { speeds: false, failures: true, length: 240_000, ..TODAY };
+    let former = paces::replay(failing, paces::Policy::Former);
+    let present = paces::replay(failing, paces::Policy::Present);
+    show_paces("former", &former);
+    show_paces("present", &present);
+    assert!(3 * present.failed <= former.failed, "{} {}", present.failed, former.failed);
+}
+
+/// Guards against a choice that is slow where many endpoints deviate.
+#[test]
+fn choice_among_many_deviating_endpoints_is_fast() {
+    let ids: Vec<Arc<str>> = (0..1_000).map(|e| format!("e{e:04}").into()).collect();
+    let deviation = |id: &Arc<str>| pace::Deviation {
+        id: id.clone(),
+        speeds: [12, 14, 16, 20],
+        failing: false,
+        last_sent: Duration::ZERO,
+    };
+    let deviations: Vec<pace::Deviation> = ids.iter().map(deviation).collect();
+    let candidate = |id: &Arc<str>| place::Candidate {
+        id: id.clone(),
+        start_time: 1,
+        address: ([127, 0, 0, 1], 1).into(),
+        build: id.clone(),
+        same_domain: true,
+        slots: 8,
+        running: load::Running { own: 0, online: 2, batch: 0 },
+        avoided: false,
+        allowance: None,
+    };
+    let candidates: Vec<place::Candidate> = ids.iter().map(candidate).collect();
+    let experience =
+        place::Experience { now: Duration::ZERO, deviations: &deviations, repeatable: true };
+    // The median is hardly affected by other processes on the machine.
+    let mut times: Vec<Duration> = (0..501u64)
+        .map(|random| {
+            let candidates = candidates.clone();
+            let random = random.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+            let begun = Instant::now();
+            let choice = place::choose_by(candidates, &[], random, &experience);
+            let taken = begun.elapsed();
+            assert!(matches!(choice, (place::Choice::Send(_), Some(place::Reason::Speed))));
+            taken
+        })
+        .collect();
+    times.sort();
+    let mut former: Vec<Duration> = (0..501u64)
+        .map(|random| {
+            let candidates = candidates.clone();
+            let begun = Instant::now();
+            place::choose(candidates, &[], random.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+            begun.elapsed()
+        })
+        .collect();
+    former.sort();
+    let mut dropped: Vec<Duration> = (0..501u64)
+        .map(|_| {
+            let candidates = candidates.clone();
+            let begun = Instant::now();
+            drop(candidates);
+            begun.elapsed()
+        })
+        .collect();
+    dropped.sort();
+    println!(
+        "median {:?}, by free slots alone {:?}, release of the list {:?}",
+        times[250], former[250], dropped[250]
+    );
+    // The list is made and released with each policy; only the choice is limited.
+    let choice = times[250].saturating_sub(dropped[250]);
+    assert!(choice < Duration::from_micros(20), "{choice:?}");
+    assert!(times[250] <= former[250], "{:?} {:?}", times[250], former[250]);
+}
