Use and log the pace of endpoints at entries

Entries record the pace of complete streams and the outcome of requests, and choose by them. Events 630 and 631 state that an endpoint is slow or failing, and its recovery; event 705 names the expected pace; preferences_total counts choices that follow more than free slots.

--- a/src/events.rs
+++ b/src/events.rs
@@ -226,6 +226,11 @@
     /// The host that grants requests to limited endpoints has recorded a limit, or its end, that another
     /// host was told.
     LIMIT_RECORDED = 622, Info, "limit of an endpoint recorded";
+    /// An endpoint is slower than the others of its service, or fails a part of its requests, as the
+    /// finding says. It gets fewer requests.
+    ENDPOINT_DEVIATES = 630, Warning, "endpoint is slow or failing";
+    /// A finding about an endpoint has ended.
+    ENDPOINT_RECOVERED = 631, Info, "endpoint has recovered";
     /// A request was refused.
     REQUEST_REFUSED = 700, Debug, "request refused";
     /// An attempt failed and the request is retried elsewhere.
--- a/src/fleet/event_stream.rs
+++ b/src/fleet/event_stream.rs
@@ -5,6 +5,7 @@
 use crate::fleet::attempt;
 use crate::fleet::crashes;
 use crate::fleet::forward;
+use crate::fleet::placement::pace;
 use crate::fleet::protocol;
 use crate::fleet::sequence;
 use crate::fleet::serve;
@@ -39,6 +40,8 @@
     sequence: sequence::Sequence,
     /// Events of the response that is being read.
     run_events: u32,
+    /// Arrival of these events.
+    timing: pace::Timing,
     /// Last event of an answer that ended without a stated end. The stream is complete if another
     /// answer confirms that nothing follows it.
     open_end: Option<u64>,
@@ -65,6 +68,7 @@
             splitter: sse::Splitter::default(),
             sequence: sequence::Sequence::default(),
             run_events: 0,
+            timing: pace::Timing::default(),
             open_end: None,
             unconfirmed: false,
             cause: Arc::default(),
@@ -129,6 +133,7 @@
                 self.splitter = sse::Splitter::default();
                 self.sequence = sequence::Sequence::default();
                 self.run_events = 0;
+                self.timing = pace::Timing::default();
                 return Ok(());
             }
         };
@@ -137,6 +142,7 @@
         }
         self.forwarder.last_event = read.last_event;
         self.count_events(read.count);
+        self.timing.record(self.forwarder.node.now(), read.count);
         if !read.bytes.is_empty() {
             if let Some(started) = &self.started {
                 self.forwarder.begin_stream(&build, &started.response.head);
@@ -153,6 +159,9 @@
                 false if self.is_confirming() => {}
                 false => self.record_broken_answer(),
             }
+            if let (Some(started), Some(pace)) = (&self.started, self.timing.pace()) {
+                self.forwarder.node.record_pace(&started.endpoint, pace);
+            }
             self.forwarder.finish(&from, is_framed);
         }
         Ok(())
@@ -251,6 +260,7 @@
         }
         self.log_resumption(&name, cause, next);
         self.run_events = 0;
+        self.timing = pace::Timing::default();
         if next != attempt::Next::Again {
             return false;
         }
--- a/src/fleet/forward.rs
+++ b/src/fleet/forward.rs
@@ -468,16 +468,20 @@
         limit.max(self.request.route.timeout) + RETURN_MARGIN
     }
 
+    fn choose_untried(&self, tried: &[Arc<str>]) -> place::Choice {
+        self.node.choose(self.candidates(), tried, self.request.route.is_retryable())
+    }
+
     /// Chooses the endpoint for the next attempt.
     fn choose_endpoint(&self) -> place::Choice {
-        place::choose(self.candidates(), &self.tried, rand::random())
+        self.choose_untried(&self.tried)
     }
 
     /// Chooses the endpoint to ask while another one is silent. Those in `declined` are asked again
     /// only once no other has a free slot.
     fn choose_replacement(&self, declined: &mut Vec<Arc<str>>) -> place::Choice {
         let excluded: Vec<Arc<str>> = self.tried.iter().chain(&*declined).cloned().collect();
-        match place::choose(self.candidates(), &excluded, rand::random()) {
+        match self.choose_untried(&excluded) {
             place::Choice::Send(endpoint) => place::Choice::Send(endpoint),
             place::Choice::Wait(_) | place::Choice::None => {
                 declined.clear();
@@ -732,8 +736,16 @@
         let (node, headers) = (self.node.clone(), headers.clone());
         let (id, prompt) = (self.request.id.clone(), self.prompt.clone());
         event!(node.log, events::ATTEMPT_SENT; "request" => &*id, "endpoint" => &*endpoint.id,
-            "build" => &*endpoint.build, "running" => ?endpoint.running, "left_ms" => self.time_left().as_millis() as u64);
+            "build" => &*endpoint.build, "running" => ?endpoint.running,
+            "pace_us" => node.expected_pace(&endpoint).map(|pace| pace.as_micros() as u64),
+            "left_ms" => self.time_left().as_millis() as u64);
         let sent_at = node.now();
+        peer::lock(&node.paces).record_sent(
+            sent_at,
+            &endpoint.id,
+            endpoint.start_time,
+            &self.service,
+        );
         // The endpoint may close a kept connection while the request is being sent, or repeat an earlier
         // answer there. One to another request costs the attempt; one to an earlier attempt even names
         // this request.
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -12,6 +12,7 @@
 use crate::fleet::origin;
 use crate::fleet::peer;
 use crate::fleet::place;
+use crate::fleet::placement::pace;
 use crate::fleet::protocol;
 use crate::fleet::run_host;
 use crate::fleet::settings;
@@ -78,6 +79,8 @@
     pub origins: Arc<Mutex<origin::Origins>>,
     /// Endpoints that failed recently.
     pub health: Arc<Mutex<place::Health>>,
+    /// Paces of endpoints, and which of them fail a part of their requests.
+    pub paces: Arc<Mutex<pace::Paces>>,
     /// Endpoints at which answers broke off recently.
     pub suspects: Arc<Mutex<crashes::Suspects>>,
     /// Limits of endpoints, and the permissions of this host to send them requests.
@@ -154,6 +157,7 @@
             config_fetch: Arc::default(),
             origins: Arc::default(),
             health: Arc::default(),
+            paces: Arc::default(),
             suspects: Arc::default(),
             quota: Arc::default(),
             returns: Arc::default(),
@@ -258,6 +262,67 @@
         })
     }
 
+    /// Chooses an endpoint that is not in `tried`. `repeatable` tells whether the request may run more
+    /// than once.
+    pub fn choose(
+        &self,
+        candidates: Vec<place::Candidate>,
+        tried: &[Arc<str>],
+        repeatable: bool,
+    ) -> place::Choice {
+        let (choice, reason) = {
+            let paces = peer::lock(&self.paces);
+            let (now, deviations) = (self.now(), paces.deviations());
+            let experience = place::Experience { now, deviations, repeatable };
+            place::choose_by(candidates, tried, rand::random(), &experience)
+        };
+        if let Some(reason) = reason {
+            self.metrics.count_preference(match reason {
+                place::Reason::Speed => "speed",
+                place::Reason::Failing => "failing",
+                place::Reason::Trial => "trial",
+            });
+        }
+        choice
+    }
+
+    /// Expected time for each further event of a request that is sent to an endpoint now.
+    pub fn expected_pace(&self, endpoint: &place::Candidate) -> Option<Duration> {
+        let load::Running { own, online, batch } = endpoint.running;
+        peer::lock(&self.paces).expected_pace(&endpoint.id, own + online + batch, endpoint.slots)
+    }
+
+    /// Records the pace of a complete response. Its endpoint is as it was when it was chosen.
+    pub fn record_pace(&self, endpoint: &place::Candidate, pace: Duration) {
+        let now = self.now();
+        let load::Running { own, online, batch } = endpoint.running;
+        let last = self.view.loads(|l| l.running(now, &endpoint.id));
+        // The response itself is counted at its end. Both ends stand for the time in between.
+        let last = (last.own + last.online + last.batch).saturating_sub(1);
+        let running = (own + online + batch + last) / 2;
+        let of = (&*endpoint.id, endpoint.start_time);
+        peer::lock(&self.paces).record_pace(now, of, (running, endpoint.slots), pace);
+    }
+
+    /// Compares the endpoints and logs those that have become slow or failing, or recovered.
+    fn compare_paces(&self) {
+        let known = |id: &str| self.view.directory(|d| d.endpoint(id).is_some());
+        let findings = {
+            let mut paces = peer::lock(&self.paces);
+            paces.retain(known);
+            paces.compare(self.now())
+        };
+        for (id, finding) in findings {
+            let (kind, finding) = match finding {
+                pace::Finding::Slow => (events::ENDPOINT_DEVIATES, "slow"),
+                pace::Finding::Failing => (events::ENDPOINT_DEVIATES, "failing"),
+                pace::Finding::NoLongerSlow => (events::ENDPOINT_RECOVERED, "slow"),
+                pace::Finding::NoLongerFailing => (events::ENDPOINT_RECOVERED, "failing"),
+            };
+            event!(self.log, kind; "endpoint" => &*id, "finding" => finding);
+        }
+    }
+
     /// Whether requests may still be sent to an endpoint that was chosen before.
     pub fn is_available(&self, id: &str) -> bool {
         self.view.directory(|d| d.endpoint(id).is_some_and(directory::Endpoint::is_available))
@@ -330,6 +395,7 @@
     /// Records and logs that an endpoint failed, so that it is avoided for a while.
     pub fn record_endpoint_failure(&self, id: &Arc<str>, cause: &dyn std::fmt::Display) {
         let pause = peer::lock(&self.health).record_failure(self.now(), id);
+        peer::lock(&self.paces).record_end(self.now(), id, true);
         self.metrics.count_fault("endpoint");
         event!(self.log, events::ENDPOINT_EJECTED; "endpoint" => &**id,
             "pause_ms" => pause.as_millis() as u64, "error" => %cause);
@@ -338,6 +404,7 @@
     /// Records that an endpoint answered, so that it is no longer avoided.
     pub fn record_endpoint_success(&self, id: &str) {
         peer::lock(&self.health).record_answer(id);
+        peer::lock(&self.paces).record_end(self.now(), id, false);
     }
 
     /// Counts a running request at an endpoint until the guard is dropped.
@@ -487,6 +554,7 @@
         node.view.directory(|d| d.remove_expired(node.now()));
         node.report_ended_marks();
         peer::lock(&node.health).remove_expired(node.now());
+        node.compare_paces();
         peer::lock(&node.origins).remove_expired(node.now());
         node.repeat_origins(&mut informed);
         node.upstream.close_expired();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -32,6 +32,7 @@
     preemptions: Counter<u64>,
     faults: Counter<u64>,
     leaving: Counter<u64>,
+    preferences: Counter<u64>,
     limits: Counter<u64>,
     limited: Counter<u64>,
     quotas: Counter<u64>,
@@ -71,6 +72,7 @@
             preemptions: counter("preemptions", "Batch streams preempted for online requests"),
             faults: counter("faults", "Faults by step"),
             leaving: counter("leaving", "Marks of endpoints as leaving by change"),
+            preferences: counter("preferences", "Choices by more than free slots, by reason"),
             limits: counter("limits", "Limits that endpoints state by change"),
             limited: counter("limited", "Requests for endpoints with limits by service and step"),
             quotas: counter("quotas", "Requests of workspaces with quotas by step"),
@@ -131,6 +133,12 @@
         self.inner.leaving.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts a choice of an endpoint by more than free slots: by `speed`, without `failing` endpoints,
+    /// or as the `trial` of one.
+    pub fn count_preference(&self, reason: &'static str) {
+        self.inner.preferences.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a change of the limit of an endpoint: `stated`, `changed`, `ended`, or `unusable` for a
     /// statement that was ignored.
     pub fn count_limit(&self, change: &'static str) {
