--- a/tests/loads/paces.rs
+++ b/tests/loads/paces.rs
@@ -115,7 +115,7 @@
         return 1.0;
     }
     let speed = 0.6 + (at % 11) as f64 / 10.0;
-    let full = if at % 6 == 0 && running >= 6 { 1.5 } else { 1.0 };
+    let full = if at.is_multiple_of(6) && running >= 6 { 1.5 } else { 1.0 };
     let phase = if at == 3 && (40_000..60_000).contains(&now) { 2.5 } else { 1.0 };
     let lasting = if at == 5 && now >= 50_000 { 2.5 } else { 1.0 };
     full * phase * lasting / speed
@@ -193,7 +193,7 @@
                 endpoint.running.push(Running { request, end, pace: (!fails).then_some(pace) });
             }
         }
-        if now % 500 == 0 {
+        if now.is_multiple_of(500) {
             for entry in &mut entries {
                 entry.paces.compare(time);
             }
