State why results are dropped in the wait of late requests

Cause: three places of the late wait dropped a result without a reason, and a comment in credits.rs told how a value was chosen.

Change: comments only.

--- a/src/fleet/forward/slot_wait.rs
+++ b/src/fleet/forward/slot_wait.rs
@@ -69,6 +69,7 @@
         }
         // The response has to begin before the caller leaves, and to end before its deadline.
         let silence = MAX_SILENCE.saturating_sub(self.request.arrived.elapsed());
+        // None is known before a request has ended, and a late request does not join then.
         let run_time = self.node.slots.run_time(&self.service).unwrap_or_default();
         let limit = self.time_left().min(silence + run_time);
         let running = self.node.view.loads(|l| l.own_total());
--- a/src/fleet/slots.rs
+++ b/src/fleet/slots.rs
@@ -130,6 +130,7 @@
             let queue = queues.queues.entry_or(service.clone(), waiting::Queue::default);
             let ticket = queue.join_late(node.now(), limit, running, claim);
             let ticket = ticket.ok_or(NoSlot::NotInTime)?;
+            // Known, since the request has joined.
             let run_time = queue.run_time().unwrap_or_default();
             queues.receivers.insert((service.clone(), ticket), sender);
             (ticket, run_time)
@@ -142,6 +143,7 @@
                 Ok(Ok(result)) => return result,
                 // The service has no endpoint any more.
                 Ok(Err(_)) => return Err(NoSlot::Ended),
+                // Nobody has handed a slot over yet.
                 Err(_) => {}
             }
             if self.begin_search(service, node.now())
--- a/src/fleet/workspaces/credits.rs
+++ b/src/fleet/workspaces/credits.rs
@@ -19,8 +19,7 @@
 pub const MAX_WAIT: Duration = Duration::from_millis(100);
 /// Time for which a request waits while no owner may use the share of the entry yet, or while the bucket
 /// of a new owner fills. Half a second longer than the lease: with the lease alone, the requests that
-/// had waited longest were refused when the new owner began. A caller that is refused returns only once,
-/// so a late response is worth more than a refusal.
+/// had waited longest were refused when the new owner began. A caller that is refused returns only once.
 pub const START_WAIT: Duration = Duration::from_millis(1_500);
 /// Time after the end of a lease within which the next owner is usually found: the store hosts elect it
 /// while the lease still runs, and entries ask for it every 100 ms.
