--- a/review/standin-2/lab.rs
+++ b/review/standin-2/lab.rs
@@ -472,6 +472,8 @@
 #[derive(Clone)]
 struct Incarnation {
     id: String,
+    /// Version of the server's software.
+    version: String,
     born: u64,
     seq: u64,
 }
@@ -486,7 +488,7 @@
             record: fleet.record.clone(),
             controls: fleet.controls(),
             work: Mutex::new(work),
-            incarnation: Mutex::new(Incarnation { id: String::new(), born: 0, seq: 0 }),
+            incarnation: Mutex::new(Incarnation { id: String::new(), version: String::new(), born: 0, seq: 0 }),
             up: AtomicBool::new(false),
             listening: AtomicBool::new(false),
             starts: AtomicUsize::new(0),
@@ -547,10 +549,17 @@
 
     /// Starts a new incarnation with a new id, which registers at once and then sends heartbeats.
     pub fn start(&self) {
+        let n = self.inner.starts.load(Ordering::SeqCst) + 1;
+        let id = format!("i-{}-{n}", self.address.ip().to_string().replace('.', "-"));
+        self.start_as(id, "v1", Duration::ZERO);
+    }
+
+    /// Starts a new incarnation under `id`, which sends its first heartbeat after `first_beat`.
+    pub fn start_as(&self, id: String, version: &str, first_beat: Duration) {
         let inner = &self.inner;
         let n = inner.starts.fetch_add(1, Ordering::SeqCst) + 1;
-        let id = format!("i-{}-{n}", self.address.ip().to_string().replace('.', "-"));
-        *inner.incarnation.lock().unwrap() = Incarnation { id: id.clone(), born: unix_ms(), seq: 0 };
+        *inner.incarnation.lock().unwrap() =
+            Incarnation { id: id.clone(), version: version.into(), born: unix_ms(), seq: 0 };
         let begun = Instant::now();
         let listener = loop {
             match TcpListener::bind(self.address) {
@@ -565,7 +574,7 @@
         listener.set_nonblocking(true).expect("listener");
         inner.listening.store(true, Ordering::SeqCst);
         inner.up.store(true, Ordering::SeqCst);
-        inner.record.note(format!("server {id} starts at {}", self.address));
+        inner.record.note(format!("server {id} starts at {} as {version}", self.address));
         let server = self.clone();
         let is_current = move |s: &Server| {
             s.inner.up.load(Ordering::SeqCst) && s.inner.starts.load(Ordering::SeqCst) == n
@@ -592,6 +601,7 @@
         });
         let server = self.clone();
         thread::spawn(move || {
+            thread::sleep(first_beat);
             let mut to = n;
             while is_current(&server) {
                 let acked = (0..server.inner.controls.len()).any(|_| {
@@ -607,13 +617,13 @@
     }
 
     fn beat(&self, to: SocketAddr) -> u16 {
-        let Incarnation { id, born, seq } = {
+        let Incarnation { id, version, born, seq } = {
             let mut incarnation = self.inner.incarnation.lock().unwrap();
             incarnation.seq += 1;
             incarnation.clone()
         };
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{version}\",\"slots\":{},\
              \"state\":\"ready\",\"coldMs\":0,\"stage\":\"mixed\",\"models\":[{{\"name\":\"m\",\"version\":1,\
              \"adapters\":[]}}],\"callSeq\":{seq},\"born\":{born}}}",
             self.service, self.address, self.zone, self.slots()
@@ -744,6 +754,7 @@
 
     fn run(&self, stream: &mut TcpStream, request: &str, prompt: &str, after: u64, id: &str) -> bool {
         let work = self.inner.work.lock().unwrap().clone();
+        let version = self.inner.incarnation.lock().unwrap().version.clone();
         if !self.wait(stream, id, work.prefill) {
             return false;
         }
@@ -764,7 +775,7 @@
             return false;
         }
         for n in after + 1..=work.events {
-            let event = format!("id: {n}\ndata: {request}/{n}\n\n");
+            let event = format!("id: {n}\ndata: {version}/{n}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).is_err() || !self.wait(stream, id, work.step) {
                 return false;
