--- a/review/standin-2/lab.rs
+++ b/review/standin-2/lab.rs
@@ -56,13 +56,18 @@
 /// Longest time of a case. After it, all processes are ended.
 const LONGEST: Duration = Duration::from_secs(110);
 
-fn end_late() {
-    thread::sleep(LONGEST);
+/// Ends all processes and the program, as the case cannot run.
+fn abort(text: &str) -> ! {
     for id in PROCESSES.lock().unwrap().iter() {
         let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
     }
-    println!("2: the case takes too long");
-    std::process::exit(2);
+    println!("2: {text}");
+    std::process::exit(2)
+}
+
+fn end_late() {
+    thread::sleep(LONGEST);
+    abort("the case takes too long")
 }
 
 /// Ends the program: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
@@ -565,8 +570,7 @@
             match TcpListener::bind(self.address) {
                 Ok(listener) => break listener,
                 Err(error) if begun.elapsed() > Duration::from_secs(5) => {
-                    println!("2: {error}");
-                    std::process::exit(2);
+                    abort(&format!("a server cannot listen: {error}"))
                 }
                 Err(_) => thread::sleep(Duration::from_millis(20)),
             }
