Stop late items only for items that start in their places

Cause: the plan counted every waiting item that could still be in time and had found no slot, and stopped as many late items at any endpoint of any service. Items of a service without endpoints counted as well. The next plan, 25 ms later, started the late items again and stopped them again; an item that is stopped before its first event loses its whole run.

A stop in favour of another item is now a handover: it names the endpoint and the waiting item, which starts there in the same plan and in place of the one that stops. The endpoint has to belong to the service of the waiting item and to the build at which it goes on, must accept items and have a request left if it is limited, must not be the one that the item leaves, and online requests must not wait for slots of items there. An item yields to others three times at most. After three stops in a row that lost a whole run it keeps its slot also beside online requests, one for each eight slots of the service. Items of a former leader no longer count as online requests for which items stop.

--- a/src/events.rs
+++ b/src/events.rs
@@ -151,7 +151,7 @@
     ITEM_STARTED = 505, Debug, "item started";
     /// The run of an item ended before its output was complete, or without a stated end, which another
     /// run has to confirm. With `starts_over`, it is the second one without an event, and the next run
-    /// starts from the beginning.
+    /// starts from the beginning. With `successor`, that item takes over its slot.
     ITEM_INTERRUPTED = 506, Info, "item interrupted";
     /// The output of an item is complete.
     ITEM_DONE = 507, Debug, "item done";
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -418,7 +418,11 @@
         event!(self.node.log, events::ITEM_ABANDONED; "job" => ledger::job_id(&job),
             "request" => &*item,
             "cause" => ?cause);
-        let tracked = TrackedItem { state: ItemState::Committing, progress: Progress::default() };
+        let tracked = TrackedItem {
+            state: ItemState::Committing,
+            progress: Progress::default(),
+            stops: plan::Stops::default(),
+        };
         self.tracked.insert(key.clone(), tracked);
         self.commit(ledger::Command::Abandon { job, item, cause }, Message::Committed(key));
     }
--- a/src/fleet/dispatch/planning.rs
+++ b/src/fleet/dispatch/planning.rs
@@ -123,18 +123,20 @@
                         if !late && service.is_some() =>
                     {
                         let (index, endpoint) = (keys.len(), endpoint.clone());
+                        // Another endpoint may take the item over meanwhile. If that one is as slow, it
+                        // keeps the item: otherwise no event would ever arrive.
+                        let moves = *silent && tracked.is_some_and(|t| !t.progress.moved);
                         running.push(plan::RunningItem {
                             index,
                             endpoint,
                             urgency,
                             owner: owner.clone(),
                             run_number: *number,
+                            moves,
+                            stops: tracked.map(|t| t.stops).unwrap_or_default(),
                         });
                         keys.push(key.clone());
-                        // Another endpoint may take the item over meanwhile. If that one is as slow, it
-                        // keeps the item: otherwise no event would ever arrive.
-                        let moved = tracked.is_some_and(|t| t.progress.moved);
-                        if !silent || moved {
+                        if !moves {
                             continue;
                         }
                     }
@@ -181,7 +183,8 @@
                 let generation = ledger.generation(&key.0, &key.1);
                 let progress = Progress::new(&pending.stored, generation);
                 let state = ItemState::BackingOff { until: now, stopped: None };
-                self.tracked.insert(key, TrackedItem { state, progress });
+                let stops = plan::Stops::default();
+                self.tracked.insert(key, TrackedItem { state, progress, stops });
             }
         }
         self.log_held_items(&held);
@@ -194,7 +197,10 @@
         self.has_items = !waiting.is_empty() || !running.is_empty();
         self.set_waiting_services(&waiting);
         let plan = plan::plan(self.endpoint_loads(), &waiting, &running);
-        let to_start = plan.start.into_iter().map(|(index, endpoint)| {
+        // Those that take over the slot of another item come last.
+        let free_slots = plan.start.into_iter().map(|(index, endpoint)| (index, endpoint, None));
+        let taken_slots = plan.handovers.into_iter().map(|h| (h.start, h.endpoint, Some(h.stop)));
+        let to_start = free_slots.chain(taken_slots).map(|(index, endpoint, stop)| {
             let (id, job, pending) = queue[index];
             let queued = QueuedItem {
                 key: (id.clone(), pending.item.id.clone()),
@@ -202,9 +208,9 @@
                 host: job.rules.host.clone(),
                 progress: Progress::new(&pending.stored, ledger.generation(id, &pending.item.id)),
             };
-            (queued, endpoint)
+            (queued, endpoint, stop)
         });
-        let to_start: Vec<(QueuedItem, Arc<str>)> = to_start.collect();
+        let to_start: Vec<(QueuedItem, Arc<str>, Option<usize>)> = to_start.collect();
         drop(queue);
         drop(jobs);
         drop(ledger);
@@ -219,11 +225,14 @@
             tokio::spawn(async move { commit(&node, &command).await });
         }
         for index in plan.stop {
-            self.stop_item(&keys[index]);
+            self.stop_item(&keys[index], None);
         }
-        for (queued, endpoint) in to_start {
+        for (queued, endpoint, stop) in to_start {
             let found = self.node.view.directory(|d| d.endpoint(&endpoint).cloned());
             if let Some(endpoint) = found.filter(|e| self.take_allowance(e)) {
+                if let Some(stop) = stop {
+                    self.stop_item(&keys[stop], Some(&queued.key.1));
+                }
                 self.leave_silent_run(&queued.key, &endpoint.id);
                 self.start_item(&queued, &endpoint);
             }
--- a/src/fleet/dispatch/runs.rs
+++ b/src/fleet/dispatch/runs.rs
@@ -12,6 +12,7 @@
 use crate::fleet::dispatch::tracked::TrackedItem;
 use crate::fleet::ledger;
 use crate::fleet::limits;
+use crate::fleet::plan;
 use crate::fleet::progress::ItemKey;
 use crate::fleet::runner;
 use crate::fleet::runner::RunEnd;
@@ -38,15 +39,22 @@
             "endpoint" => &*endpoint, "asked" => &**next);
     }
 
-    /// Stops the run of an item, which continues later.
-    pub(super) fn stop_item(&mut self, key: &ItemKey) {
+    /// Stops the run of an item, which continues later, in favour of the item `successor` or, without
+    /// one, of online requests.
+    pub(super) fn stop_item(&mut self, key: &ItemKey, successor: Option<&str>) {
         self.node.metrics.count_preemption();
+        let cause = match successor {
+            Some(_) => "an item that can be done in time takes its slot",
+            None => "online requests need the slot",
+        };
         event!(self.node.log, events::ITEM_INTERRUPTED; "job" => ledger::job_id(&key.0),
-            "request" => &*key.1, "cause" => "more urgent requests need the slot");
-        if let Some(TrackedItem { state: ItemState::Running { run, .. }, .. }) =
-            self.tracked.get(key)
-        {
-            run.stop();
+            "request" => &*key.1, "cause" => cause, "successor" => successor);
+        if let Some(tracked) = self.tracked.get_mut(key) {
+            let has_progressed = tracked.has_progressed();
+            tracked.stops.record(successor.is_some(), has_progressed);
+            if let ItemState::Running { run, .. } = &tracked.state {
+                run.stop();
+            }
         }
         self.back_off(key, RETRY_DELAY);
     }
@@ -60,8 +68,9 @@
         let (endpoint, start_time, address) = (endpoint.clone(), *start_time, *address);
         let QueuedItem { key, item, host, progress } = queued;
         let key = key.clone();
-        let tracked = self.tracked.get(&key).map(|k| k.progress.clone());
-        let mut progress = tracked.unwrap_or_else(|| progress.clone());
+        let tracked = self.tracked.get(&key).map(|t| (t.progress.clone(), t.stops));
+        let (mut progress, stops) =
+            tracked.unwrap_or_else(|| (progress.clone(), plan::Stops::default()));
         let began_at = progress.build().cloned();
         if progress.prepare_run(build) {
             event!(self.node.log, events::ITEM_STARTED_OVER; "job" => ledger::job_id(&key.0),
@@ -128,7 +137,9 @@
             }
         };
         let since = time::Instant::now();
-        let state = ItemState::Running { endpoint, number, since, run, silent: false };
-        self.tracked.insert(key, TrackedItem { state, progress });
+        let events_before = progress.events;
+        let state =
+            ItemState::Running { endpoint, number, since, run, silent: false, events_before };
+        self.tracked.insert(key, TrackedItem { state, progress, stops });
     }
 }
--- a/src/fleet/dispatch/tracked.rs
+++ b/src/fleet/dispatch/tracked.rs
@@ -1,6 +1,7 @@
 //! Items that the dispatcher has started, and their runs.
 
 use crate::fleet::peer;
+use crate::fleet::plan;
 use crate::fleet::progress::Progress;
 use crate::fleet::slots;
 use std::sync::Arc;
@@ -23,6 +24,8 @@
         run: RunHandle,
         /// Whether the endpoint has been silent for long, so that another one may take over.
         silent: bool,
+        /// Events that had arrived before the run.
+        events_before: u64,
     },
     /// Waits until it may run again.
     BackingOff {
@@ -64,6 +67,8 @@
 pub(super) struct TrackedItem {
     pub(super) state: ItemState,
     pub(super) progress: Progress,
+    /// How often it was stopped.
+    pub(super) stops: plan::Stops,
 }
 
 impl TrackedItem {
@@ -75,6 +80,16 @@
         }
     }
 
+    /// Whether its current run has brought events after which another run can go on.
+    pub(super) fn has_progressed(&self) -> bool {
+        match &self.state {
+            ItemState::Running { events_before, .. } => {
+                self.progress.events > *events_before && self.progress.is_resumable()
+            }
+            _ => false,
+        }
+    }
+
     /// Id of the endpoint that runs the item.
     pub(super) fn endpoint(&self) -> Option<&Arc<str>> {
         match &self.state {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -8,8 +8,17 @@
 //!   waiting items, so that a long queue does not slow down the host that has to shorten it.
 //! - A large job of one workspace beside small jobs of others: among items of equal lateness, the
 //!   workspaces of one priority get equal shares of the slots.
+//!
+//! An item is stopped only for a request that can use its slot: for online requests at its endpoint,
+//! or for a waiting item that starts there in its place. How often that may happen without progress
+//! is bounded, so that each item is done at last.
 
+mod handover;
 mod shares;
+mod stops;
+
+pub use handover::Handover;
+pub use stops::Stops;
 
 use crate::fleet::load;
 use crate::fleet::plan::shares::Shares;
@@ -51,18 +60,23 @@
         self.slots.saturating_sub(self.running.online + self.running.batch)
     }
 
+    /// Whether an item may be sent to it if a slot is free.
+    fn is_usable(&self) -> bool {
+        self.accepting && self.allowance != Some(0)
+    }
+
     /// Items that may be started.
     fn free_slots(&self) -> u32 {
         let free = self.item_slots().saturating_sub(self.running.own + RESERVED_SLOTS);
         self.allowance.map_or(free, |allowance| free.min(allowance))
     }
 
-    /// Items that must be stopped.
+    /// Items that must be stopped. Items of another host are no reason: they end or yield themselves.
     fn excess_items(&self) -> u32 {
-        let online = self.running.online + self.running.batch;
+        let online = self.running.online;
         // Once online requests alone fill every slot, all items must stop.
         let waiting = if online < self.slots { online / ONLINE_PER_WAITING } else { 0 };
-        self.running.own.saturating_sub(self.item_slots() + waiting)
+        self.running.own.saturating_sub(self.slots.saturating_sub(online) + waiting)
     }
 }
 
@@ -151,6 +165,10 @@
     /// Number of its run, counted over all items; of equally urgent items the one that started last
     /// is stopped first.
     pub run_number: u64,
+    /// Whether it also waits for another endpoint, since its own is silent.
+    pub moves: bool,
+    /// How often it was stopped.
+    pub stops: Stops,
 }
 
 /// Items to start and to stop.
@@ -158,8 +176,11 @@
 pub struct Plan {
     /// Index of each waiting item to start and id of its endpoint.
     pub start: Vec<(usize, Arc<str>)>,
-    /// Index of each running item to stop; it resumes later after the last event that arrived.
+    /// Index of each running item to stop in favour of online requests; it resumes later after the
+    /// last event that arrived.
     pub stop: Vec<usize>,
+    /// Running items to stop in favour of waiting ones, which start in their places.
+    pub handovers: Vec<Handover>,
 }
 
 /// Service and one of its builds; `None` stands for all builds.
@@ -234,22 +255,26 @@
     let mut shares = Shares::new(&endpoints, waiting, running);
     let stop = excess_items(&endpoints, running, &mut shares);
     let queue = shares.order(waiting);
-    let mut plan = Plan { start: Vec::new(), stop };
+    let mut plan = Plan { start: Vec::new(), stop, handovers: Vec::new() };
     let mut free = FreeSlots::default();
     for (at, endpoint) in endpoints.iter().enumerate().filter(|(_, e)| e.accepting) {
         free.push(at, endpoint);
     }
-    let mut in_time = queue.iter().filter(|w| !w.urgency.late).count();
+    let mut without_slot = Vec::new();
     for item in queue {
-        let Some(at) = free.pop(item, &endpoints) else { continue };
+        let Some(at) = free.pop(item, &endpoints) else {
+            without_slot.push(item);
+            continue;
+        };
         let endpoint = &mut endpoints[at];
         endpoint.running.own += 1;
         endpoint.allowance = endpoint.allowance.map(|allowance| allowance.saturating_sub(1));
         free.push(at, endpoint);
         plan.start.push((item.index, endpoint.id.clone()));
-        in_time -= usize::from(!item.urgency.late);
     }
-    stop_late_items(&mut plan, in_time, running, &mut shares);
+    without_slot.retain(|item| !item.urgency.late);
+    plan.handovers =
+        handover::hand_over(endpoints, &without_slot, running, &plan.stop, &mut shares);
     plan
 }
 
@@ -259,7 +284,9 @@
     running: &[RunningItem],
     shares: &mut Shares,
 ) -> Vec<usize> {
-    let mut by_endpoint: Vec<&RunningItem> = running.iter().collect();
+    let kept = stops::kept_items(endpoints, running);
+    let mut by_endpoint: Vec<&RunningItem> =
+        running.iter().filter(|r| kept.binary_search(&r.index).is_err()).collect();
     by_endpoint.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
     let mut stop = Vec::new();
     for endpoint in endpoints {
@@ -273,13 +300,3 @@
     }
     stop
 }
-
-/// Stops late items in favour of `in_time` waiting items that can finish in time. Those start with
-/// a later plan, once the slots are free.
-fn stop_late_items(plan: &mut Plan, in_time: usize, running: &[RunningItem], shares: &mut Shares) {
-    let mut stopped = plan.stop.clone();
-    stopped.sort_unstable();
-    let kept = |r: &&RunningItem| r.urgency.late && stopped.binary_search(&r.index).is_err();
-    let late = running.iter().filter(kept).collect();
-    plan.stop.extend(shares.take_least_urgent(late, in_time));
-}
--- a/src/fleet/plan/shares.rs
+++ b/src/fleet/plan/shares.rs
@@ -81,16 +81,37 @@
         ranked.into_iter().map(|(_, item)| item).collect()
     }
 
-    /// Takes `count` of the items to be stopped, and returns their indices: late ones first, then by
-    /// the priority of their workspaces, then those of the workspace that runs the most.
+    /// Takes the `count` least urgent of the items to be stopped, and returns their indices.
     pub(super) fn take_least_urgent(
         &mut self,
-        mut items: Vec<&RunningItem>,
+        items: Vec<&RunningItem>,
         count: usize,
     ) -> Vec<usize> {
+        let mut taken = self.least_urgent_first(items);
+        taken.truncate(count);
+        taken.iter().for_each(|item| self.remove(item));
+        taken.into_iter().map(|r| r.index).collect()
+    }
+
+    /// Counts an item no more.
+    pub(super) fn remove(&mut self, item: &RunningItem) {
+        if self.single {
+            return;
+        }
+        if let Ok(at) = self.find(&self.group(item)) {
+            self.counts[at].1 = self.counts[at].1.saturating_sub(1);
+        }
+    }
+
+    /// Items in the order in which they are stopped: late ones first, then by the priority of their
+    /// workspaces, then those of the workspace that runs the most.
+    pub(super) fn least_urgent_first<'a>(
+        &self,
+        mut items: Vec<&'a RunningItem>,
+    ) -> Vec<&'a RunningItem> {
         items.sort_by_key(|r| Reverse((r.urgency, r.run_number)));
         if self.single {
-            return items.iter().take(count).map(|r| r.index).collect();
+            return items;
         }
         let mut grouped: Vec<(usize, &RunningItem)> = items
             .into_iter()
@@ -98,20 +119,16 @@
             .collect();
         grouped.sort_by_key(|(at, _)| *at);
         // Items that the workspace runs when the others before it have stopped.
-        let mut ranked: Vec<(usize, usize, &RunningItem)> = Vec::with_capacity(grouped.len());
+        let mut ranked: Vec<(usize, &RunningItem)> = Vec::with_capacity(grouped.len());
         for same in grouped.chunk_by(|a, b| a.0 == b.0) {
             let running = self.counts[same[0].0].1;
-            for (n, (at, r)) in same.iter().enumerate() {
-                ranked.push((running.saturating_sub(n), *at, r));
-            }
+            let rank =
+                |(n, (_, r)): (usize, &(usize, &'a RunningItem))| (running.saturating_sub(n), *r);
+            ranked.extend(same.iter().enumerate().map(rank));
         }
-        ranked.sort_by_key(|(rank, _, r)| {
+        ranked.sort_by_key(|(rank, r)| {
             Reverse((r.urgency.late, r.owner.priority, *rank, r.urgency.job, r.run_number))
         });
-        ranked.truncate(count);
-        for (_, at, _) in &ranked {
-            self.counts[*at].1 -= 1;
-        }
-        ranked.into_iter().map(|(_, _, r)| r.index).collect()
+        ranked.into_iter().map(|(_, r)| r).collect()
     }
 }
--- a/src/fleet/progress.rs
+++ b/src/fleet/progress.rs
@@ -82,6 +82,11 @@
         self.generation.build.as_ref().filter(|_| self.events > 0)
     }
 
+    /// Whether another run can go on after the output that has arrived.
+    pub fn is_resumable(&self) -> bool {
+        self.events > 0 && !self.unnumbered
+    }
+
     /// Prepares a run at an endpoint of the given build. If the output that has arrived is of
     /// another build, or its last event has no id, the item starts over. Returns whether it does.
     pub fn prepare_run(&mut self, build: &Arc<str>) -> bool {
