Try endpoints that have stated a limit of 0 every few seconds

Cause: a limit ends only with an answer. To an endpoint with a limit near 0 the leader sent one request in 30 s, counted anew with each leadership. That request was offered to the entries in turn, whether requests waited there or not, before an item could use it, and was lost if it went unused. The share of entries out of contact was taken off as well, down to nothing.

A limit that becomes known, also to a new leader, begins with half a request, so that leaders that change every 2 s still send some. The lowest rate is kept whatever share of the entries is out of contact. Where no endpoint without a limit has room, the request is kept for the next online request or item to come, instead of being offered blindly; after 5 s it is offered, one endpoint after the other. Elsewhere it is kept for waiting items for 500 ms first. An entry without a leader may use its share for longer, half a request over all entries.

--- a/src/fleet/limits.rs
+++ b/src/fleet/limits.rs
@@ -21,9 +21,9 @@
 
 /// Rate from which on an endpoint counts as not limited: it cannot be reached.
 const UNLIMITED_RATE: Rate = Rate::from_millihertz(1_000_000);
-/// Lowest rate at which requests are sent: one in 30 seconds. An endpoint that gets none could never
-/// state that its limit has ended.
-const MIN_RATE: Rate = Rate::from_millihertz(34);
+/// Lowest rate at which requests are sent, also to an endpoint that states 0. Only an answer can show
+/// that its limit has ended.
+const MIN_RATE: Rate = Rate::from_millihertz(400);
 /// Time in which a fast endpoint may get the requests of that time at once. Slower ones get one.
 const BURST_TIME: Duration = Duration::from_millis(100);
 /// Silence after which a host counts as out of contact.
--- a/src/fleet/limits/grantor.rs
+++ b/src/fleet/limits/grantor.rs
@@ -7,6 +7,11 @@
 //! and what is left to items. Messages grow with the limits, not with the traffic.
 //!
 //! The share of entries that are out of contact is not granted: they use it by themselves.
+//!
+//! Only an answer shows that a limit has ended, so an endpoint is tried now and then whatever it has
+//! stated. Where nothing else serves the requests that come, the try is kept for one of them.
+
+mod trials;
 
 use crate::fleet::limits;
 use crate::fleet::limits::EndpointStart;
@@ -20,9 +25,9 @@
 const ONLINE_PER_ITEM: u32 = 16;
 /// Longest time for which requests are kept for items. Their slots may be full.
 const MAX_ITEM_WAIT: Duration = Duration::from_millis(500);
-/// Time without a request after which an endpoint is offered to an entry that has not asked. Only
-/// answers show that a limit has ended.
-const OFFER_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Requests that an endpoint takes when its limit becomes known, also to a new leader. Without a part
+/// of one, leaders that change often would never send any.
+const INITIAL_TOKENS: f64 = 0.5;
 /// Time after which a grant counts as used or lost, even if its receiver has not confirmed it.
 const MAX_UNCONFIRMED: Duration = Duration::from_millis(600);
 /// Time from the begin of a leadership within which hosts tell it the limits that they know.
@@ -68,6 +73,16 @@
     bucket: limits::Bucket,
     /// Time of the last request that was granted.
     used: Duration,
+    /// Time since which it takes a request.
+    ready: Option<Duration>,
+}
+
+impl Limited {
+    /// Uses a request. Returns whether there was one.
+    fn take(&mut self, now: Duration) -> bool {
+        (self.used, self.ready) = (now, None);
+        self.bucket.take()
+    }
 }
 
 /// What is known of a host.
@@ -151,7 +166,7 @@
 
 impl Grantor {
     /// Creates the state of a new leadership on a host that knows the given limits. No request is
-    /// granted in advance, since the former leader may have granted some just now.
+    /// granted at once, since the former leader may have granted some just now.
     pub fn new<'a>(
         now: Duration,
         term: limits::Term,
@@ -175,8 +190,8 @@
     fn set(&mut self, now: Duration, endpoint: &EndpointStart, rate: Option<Rate>) {
         self.version += 1;
         let version = self.version;
-        let bucket = limits::Bucket::new(now, 0.0);
-        let new = || Limited { rate, version, changed: now, bucket, used: now };
+        let bucket = limits::Bucket::new(now, INITIAL_TOKENS);
+        let new = || Limited { rate, version, changed: now, bucket, used: now, ready: None };
         let limited = self.limited.entry_or(endpoint.clone(), new);
         if limited.rate.is_none() {
             limited.bucket = bucket;
@@ -280,9 +295,7 @@
         if let Some(share) = self.items.get_mut(service) {
             (share.passed, share.kept) = (0, None);
         }
-        let Some(limited) = self.limited.get_mut(endpoint) else { return true };
-        limited.used = now;
-        limited.bucket.take()
+        self.limited.get_mut(endpoint).is_none_or(|limited| limited.take(now))
     }
 
     /// Version of the record of an endpoint; 0 if there is none.
@@ -360,7 +373,8 @@
         }
     }
 
-    /// Fills the buckets, without the share of the entries that are out of contact.
+    /// Fills the buckets, without the share of the entries that are out of contact, but enough for
+    /// trials.
     fn fill(&mut self, now: Duration, members: &[Member]) {
         let entries = members.iter().filter(|m| m.is_entry);
         let in_contact =
@@ -369,8 +383,11 @@
         let share = if total == 0 { 1.0 } else { heard as f64 / total as f64 };
         for (_, limited) in self.limited.iter_mut() {
             if let Some(rate) = limited.rate.and_then(Rate::effective) {
-                limited.bucket.fill(now, rate * share);
+                let least = limits::MIN_RATE.per_second();
+                limited.bucket.fill(now, (rate * share).max(least));
             }
+            let is_ready = limited.bucket.count() > 0;
+            limited.ready = is_ready.then(|| limited.ready.unwrap_or(now));
         }
     }
 
@@ -422,40 +439,7 @@
 
     fn take(&mut self, now: Duration, endpoint: &EndpointStart) {
         if let Some(limited) = self.limited.get_mut(endpoint) {
-            limited.used = now;
-            limited.bucket.take();
-        }
-    }
-
-    /// Offers requests to endpoints that have got none for long to the entries in turn.
-    fn offer_unused(
-        &mut self,
-        now: Duration,
-        rooms: &[EndpointRoom],
-        members: &[Member],
-        grants: &mut sorted::SortedMap<Arc<str>, Vec<EndpointStart>>,
-    ) {
-        let in_contact = |m: &&Member| {
-            m.is_entry && self.hosts.get(&m.link).is_some_and(|h| h.is_in_contact(now))
-        };
-        let entries: Vec<Arc<str>> =
-            members.iter().filter(in_contact).map(|m| m.link.clone()).collect();
-        if entries.is_empty() {
-            return;
-        }
-        for room in rooms.iter().filter(|room| room.free > 0) {
-            let limited = self.limited.get(&room.endpoint);
-            let is_unused = limited.is_some_and(|l| {
-                l.rate.and_then(Rate::effective).is_some()
-                    && l.bucket.count() > 0
-                    && now.saturating_sub(l.used) >= OFFER_INTERVAL
-            });
-            if is_unused {
-                let entry = entries[self.next_offer % entries.len()].clone();
-                self.next_offer = self.next_offer.wrapping_add(1);
-                self.take(now, &room.endpoint);
-                grants.entry_or(entry, Vec::new).push(room.endpoint.clone());
-            }
+            limited.take(now);
         }
     }
 
--- a/src/fleet/limits/quota.rs
+++ b/src/fleet/limits/quota.rs
@@ -33,12 +33,21 @@
 /// moments, of which more than usual may fall together.
 const UNGRANTED_SHARE: f64 = 0.5;
 
+/// Requests to one endpoint that all entries together keep for the next requests to come, on average,
+/// while no host grants requests.
+const KEPT_REQUESTS: f64 = 0.5;
+
 /// Interval at which one of so many entries may send a request without a granting host to endpoints
 /// that take `rate` requests a second.
 fn share_interval(rate: f64, entries: u32) -> Duration {
     Duration::from_secs_f64(f64::from(entries.max(1)) / (rate * UNGRANTED_SHARE))
 }
 
+/// Time for which one of so many entries may use a request that is due at intervals of `interval`.
+fn share_lifetime(interval: Duration, entries: u32) -> Duration {
+    interval.mul_f64(KEPT_REQUESTS / f64::from(entries.max(1))).max(limits::GRANT_LIFETIME)
+}
+
 /// Statement that the records do not reflect yet.
 #[derive(Clone, Copy, Debug)]
 struct Own {
@@ -91,13 +100,13 @@
         Share { phase, next: None }
     }
 
-    /// Whether a request may be sent now, one in `interval`.
-    fn is_due(&mut self, now: Duration, interval: Duration) -> bool {
+    /// Whether a request may be sent now, one in `interval`, within `lifetime` of its time.
+    fn is_due(&mut self, now: Duration, interval: Duration, lifetime: Duration) -> bool {
         let mut next = *self.next.get_or_insert(now + interval.mul_f64(self.phase));
-        if next + limits::GRANT_LIFETIME < now {
+        if next + lifetime < now {
             let missed = (now - next).div_duration_f64(interval).floor();
             next += interval.mul_f64(missed);
-            if next + limits::GRANT_LIFETIME < now {
+            if next + lifetime < now {
                 next += interval;
             }
             self.next = Some(next);
@@ -335,7 +344,9 @@
         let known = self.known.get_mut(endpoint)?;
         let rate = known.rate()?.effective()?;
         if !has_leader {
-            return Some(u32::from(known.share.is_due(now, share_interval(rate, entries))));
+            let interval = share_interval(rate, entries);
+            let lifetime = share_lifetime(interval, entries);
+            return Some(u32::from(known.share.is_due(now, interval, lifetime)));
         }
         known.share.next = None;
         known.held.retain(|h| h.until >= now);
--- a/tests/fleet_prompts/limits.rs
+++ b/tests/fleet_prompts/limits.rs
@@ -165,3 +165,30 @@
         assert!(total > 60, "{total} requests\n{}", world.logs());
     });
 }
+
+/// Guards against endpoints that get neither requests nor items any more after they have stated 0 for
+/// a while, as in `review/8`.
+#[test]
+fn limit_of_zero_never_ends() {
+    /// Time that the sites leave for items.
+    const FINISH: Duration = Duration::from_secs(18);
+    /// Requests that may reach an endpoint that states 0 in one window.
+    const MOST: usize = 5;
+    fleet_world::run(async {
+        let world = World::start(SIZE).await;
+        limit(&world, 0..4, Some("0"));
+        send_streams(&world, "first", Duration::from_millis(50), IN_FORCE_TIME).await;
+        let from = time::Instant::now();
+        send_streams(&world, "need", Duration::from_millis(50), 2 * WINDOW).await;
+        let most: Vec<usize> = (0..4).map(|at| most_arrivals(world.endpoint(at), from)).collect();
+        assert!(most.iter().all(|n| *n <= MOST), "{most:?} in a window\n{}", world.logs());
+        limit(&world, 0..4, None);
+        let entries = world.caller_addresses();
+        assert!(client::submit(&entries, "job", 12).await, "{}", world.logs());
+        let finished = client::finish(&entries, "job", 12, &mut Vec::new(), FINISH).await;
+        assert_eq!(finished, Ok(()), "{}", world.logs());
+        let ends = send_streams(&world, "later", Duration::from_millis(50), WINDOW).await;
+        let served = ends.iter().filter(|e| **e == StreamEnd::Complete).count();
+        assert_eq!(served, ends.len(), "{}", world.logs());
+    });
+}
