Run items at endpoints with few slots

Cause: items leave one slot of each endpoint free for online requests, whatever the size of the endpoint. With one slot there is none left for items; with two or three, half or a third of the service stays unused by items.

Items now leave one slot free for each four slots of a service, at most one at an endpoint: as before at endpoints with four slots or more, at every fourth endpoint with one slot, and none at a service with fewer than four slots in all. Online requests go first there as everywhere: an item stops for them. A service that runs no item may start one in a slot that is left free, so that items do not wait for as long as online requests use all others. An endpoint that states no slots counts as one with one slot in plans and grants, as it does in placement.

Looked at for the same cause: requests that may wait at an endpoint (none below four slots, they wait at the entry), late requests (one free slot suffices), bursts of limits and the item that may stay beside online requests (at least 1).

--- a/src/fleet/dispatch/inputs.rs
+++ b/src/fleet/dispatch/inputs.rs
@@ -76,7 +76,7 @@
                     id: e.id.clone(),
                     service: e.service.clone(),
                     build: e.build.clone(),
-                    slots: e.slots,
+                    slots: e.slots.max(1),
                     running: l.running(now, &e.id),
                     accepting: e.phase == directory::Phase::Ready && !health.is_avoided(now, &e.id),
                     allowance: allowance(e),
--- a/src/fleet/limits/exchange.rs
+++ b/src/fleet/limits/exchange.rs
@@ -274,7 +274,7 @@
             let room = |e: &directory::Endpoint| {
                 let running = l.running(now, &e.id);
                 let is_usable = e.is_available() && !health.is_avoided(now, &e.id);
-                let slots = if is_usable { e.slots } else { 0 };
+                let slots = if is_usable { e.slots.max(1) } else { 0 };
                 let yielding = slots.saturating_sub(running.online);
                 grantor::EndpointRoom {
                     endpoint: EndpointStart::new(&e.id, e.start_time),
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -14,6 +14,7 @@
 //! is bounded, so that each item is done at last.
 
 mod handover;
+mod reserve;
 mod shares;
 mod stops;
 
@@ -27,10 +28,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Slots of each endpoint that items leave free, so that the first online requests of a burst
-/// start without waiting for an item to stop.
-const RESERVED_SLOTS: u32 = 1;
-
 /// Running online requests of an endpoint for each online request that may wait there without
 /// stopping an item: with this many running, one of them ends within a usual time to first event.
 const ONLINE_PER_WAITING: u32 = 5;
@@ -65,12 +62,18 @@
         self.accepting && self.allowance != Some(0)
     }
 
-    /// Items that may be started.
-    fn free_slots(&self) -> u32 {
-        let free = self.item_slots().saturating_sub(self.running.own + RESERVED_SLOTS);
+    /// Items that may be started if `reserved` slots stay free.
+    fn free_slots(&self, reserved: u32) -> u32 {
+        let free = self.item_slots().saturating_sub(self.running.own + reserved);
         self.allowance.map_or(free, |allowance| free.min(allowance))
     }
 
+    /// Counts an item that starts.
+    fn add_item(&mut self) {
+        self.running.own += 1;
+        self.allowance = self.allowance.map(|allowance| allowance.saturating_sub(1));
+    }
+
     /// Items that must be stopped. Items of another host are no reason: they end or yield themselves.
     fn excess_items(&self) -> u32 {
         let online = self.running.online;
@@ -187,16 +190,25 @@
 type ServiceBuild = (Arc<str>, Option<Arc<str>>);
 
 /// Endpoints with free slots, those with most of them first.
-#[derive(Default)]
 struct FreeSlots {
+    /// Slots that stay free, by position of the endpoint.
+    reserved: Vec<u32>,
     /// Free slots and position of each endpoint. An entry is outdated once the number of free slots
     /// has changed.
     heaps: sorted::SortedMap<ServiceBuild, BinaryHeap<(u32, usize)>>,
 }
 
 impl FreeSlots {
+    fn new(endpoints: &[EndpointLoad], reserved: Vec<u32>) -> FreeSlots {
+        let mut free = FreeSlots { reserved, heaps: sorted::SortedMap::new() };
+        for (at, endpoint) in endpoints.iter().enumerate().filter(|(_, e)| e.accepting) {
+            free.push(at, endpoint);
+        }
+        free
+    }
+
     fn push(&mut self, at: usize, endpoint: &EndpointLoad) {
-        let free = endpoint.free_slots();
+        let free = endpoint.free_slots(self.reserved[at]);
         if free == 0 {
             return;
         }
@@ -213,7 +225,7 @@
         let mut found = None;
         while let Some((free, at)) = heap.pop() {
             let endpoint = &endpoints[at];
-            if endpoint.free_slots() != free {
+            if endpoint.free_slots(self.reserved[at]) != free {
                 continue;
             }
             if item.leaves.as_ref() != Some(&endpoint.id) {
@@ -256,10 +268,7 @@
     let stop = excess_items(&endpoints, running, &mut shares);
     let queue = shares.order(waiting);
     let mut plan = Plan { start: Vec::new(), stop, handovers: Vec::new() };
-    let mut free = FreeSlots::default();
-    for (at, endpoint) in endpoints.iter().enumerate().filter(|(_, e)| e.accepting) {
-        free.push(at, endpoint);
-    }
+    let mut free = FreeSlots::new(&endpoints, reserve::reserved_slots(&endpoints));
     let mut without_slot = Vec::new();
     for item in queue {
         let Some(at) = free.pop(item, &endpoints) else {
@@ -267,17 +276,42 @@
             continue;
         };
         let endpoint = &mut endpoints[at];
-        endpoint.running.own += 1;
-        endpoint.allowance = endpoint.allowance.map(|allowance| allowance.saturating_sub(1));
+        endpoint.add_item();
         free.push(at, endpoint);
         plan.start.push((item.index, endpoint.id.clone()));
     }
+    start_in_reserve(&mut plan, &mut endpoints, &mut without_slot);
     without_slot.retain(|item| !item.urgency.late);
     plan.handovers =
         handover::hand_over(endpoints, &without_slot, running, &plan.stop, &mut shares);
     plan
 }
 
+/// Starts one item of each service that runs none in a slot that is reserved otherwise, so that items
+/// do not wait for as long as online requests use the others. Removes it from `waiting`.
+fn start_in_reserve(
+    plan: &mut Plan,
+    endpoints: &mut [EndpointLoad],
+    waiting: &mut Vec<&WaitingItem>,
+) {
+    if waiting.is_empty() {
+        return;
+    }
+    let busy = endpoints.iter().filter(|e| e.running.own > 0);
+    let mut served: Vec<Arc<str>> = busy.map(|e| e.service.clone()).collect();
+    served.sort_unstable();
+    served.dedup();
+    let mut free = FreeSlots::new(endpoints, vec![0; endpoints.len()]);
+    waiting.retain(|item| {
+        let Err(position) = served.binary_search(&item.service) else { return true };
+        let Some(at) = free.pop(item, endpoints) else { return true };
+        endpoints[at].add_item();
+        plan.start.push((item.index, endpoints[at].id.clone()));
+        served.insert(position, item.service.clone());
+        false
+    });
+}
+
 /// Items that must release their slots to online requests, the least urgent of each endpoint.
 fn excess_items(
     endpoints: &[EndpointLoad],
--- a/tests/fleet_plans.rs
+++ b/tests/fleet_plans.rs
@@ -317,6 +317,71 @@
     insta::assert_snapshot!(sim.outcome(1), @"4 of 4 done, stopped 0 + 22");
 }
 
+/// Items that run at once at `count` endpoints with so many slots, and how many of 24 are done after
+/// 20 s, while `online` tells what online requests use of each endpoint.
+fn small_service(slots: u32, count: usize, online: fn(u64) -> u32) -> String {
+    let mut fleet = endpoints("s", count, slots);
+    fleet.iter_mut().for_each(|e| e.online = online);
+    let mut sim = Sim::new(fleet, (0..24).map(|_| item(1, "s", 60_000, 1_200)).collect());
+    sim.run_until(10 * STEP);
+    let at_once = sim.items.iter().filter(|i| i.run.is_some()).count();
+    sim.run_until(20_000);
+    let done = sim.items.iter().filter(|i| i.done.is_some()).count();
+    format!("{at_once} at once, {done} done")
+}
+
+/// Guards against endpoints with few slots at which items never run, as in `review/9`, and against
+/// items that leave no slot for online requests at a service with more.
+#[test]
+fn items_never_run_at_endpoints_with_few_slots() {
+    // Online requests use a slot of each endpoint for 2 s of every 4 s.
+    let steady = |now: u64| u32::from(now % 4_000 >= 2_000);
+    let mut seen = Vec::new();
+    for slots in [1, 2, 3, 4, 7, 8] {
+        for count in [1, 2, 6] {
+            let alone = small_service(slots, count, no_online);
+            let beside = small_service(slots, count, steady);
+            seen.push(format!("{count} x {slots}: {alone}; beside online requests {beside}"));
+        }
+    }
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    1 x 1: 1 at once, 16 done; beside online requests 1 at once, 8 done
+    2 x 1: 2 at once, 24 done; beside online requests 2 at once, 16 done
+    6 x 1: 5 at once, 24 done; beside online requests 5 at once, 24 done
+    1 x 2: 2 at once, 24 done; beside online requests 2 at once, 24 done
+    2 x 2: 3 at once, 24 done; beside online requests 3 at once, 24 done
+    6 x 2: 9 at once, 24 done; beside online requests 9 at once, 24 done
+    1 x 3: 3 at once, 24 done; beside online requests 3 at once, 24 done
+    2 x 3: 5 at once, 24 done; beside online requests 5 at once, 24 done
+    6 x 3: 14 at once, 24 done; beside online requests 14 at once, 24 done
+    1 x 4: 3 at once, 24 done; beside online requests 3 at once, 24 done
+    2 x 4: 6 at once, 24 done; beside online requests 6 at once, 24 done
+    6 x 4: 18 at once, 24 done; beside online requests 18 at once, 24 done
+    1 x 7: 6 at once, 24 done; beside online requests 6 at once, 24 done
+    2 x 7: 12 at once, 24 done; beside online requests 12 at once, 24 done
+    6 x 7: 24 at once, 24 done; beside online requests 24 at once, 24 done
+    1 x 8: 7 at once, 24 done; beside online requests 7 at once, 24 done
+    2 x 8: 14 at once, 24 done; beside online requests 14 at once, 24 done
+    6 x 8: 24 at once, 24 done; beside online requests 24 at once, 24 done
+    ");
+}
+
+/// Guards against items that wait for as long as online requests use all slots but those that items
+/// leave free, and against those slots being used by more than one item.
+#[test]
+fn items_wait_without_end_beside_steady_online_requests() {
+    let mut fleet = endpoints("s", 3, 8);
+    fleet.iter_mut().for_each(|e| e.online = |_| 7);
+    let mut sim = Sim::new(fleet, (0..6).map(|_| item(1, "s", 60_000, 1_000)).collect());
+    let mut most = 0;
+    while sim.now < 10_000 {
+        sim.step();
+        most = most.max(sim.items.iter().filter(|i| i.run.is_some()).count());
+    }
+    insta::assert_snapshot!(format!("{}, {most} at once", sim.outcome(1)),
+        @"6 of 6 done, stopped 0 + 0, 1 at once");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(128))]
 
@@ -324,7 +389,7 @@
     /// others too often to be done, for any mix of services, builds and jobs.
     #[test]
     fn items_are_done_beside_any_others(
-        slots in prop::collection::vec((0..3usize, 0..2usize, 4..9u32, 0..4u8), 1..6),
+        slots in prop::collection::vec((0..3usize, 0..2usize, 1..9u32, 0..4u8), 1..6),
         jobs in prop::collection::vec((0..3usize, 0..3usize, 0..8u64, 1..10u64, 1..8usize), 1..6),
     ) {
         let services = ["s", "t", "u"];
@@ -349,7 +414,7 @@
             items.extend(std::iter::repeat_n(one, *count));
         }
         let mut sim = Sim::new(fleet.clone(), items);
-        // At most 35 items of 3 s each wait for 3 slots, each stopped a few times at most.
+        // At most 35 items of 3 s each wait for one slot, each stopped a few times at most.
         sim.run_until(120_000);
         let can_run = |i: &Item| fleet.iter().any(|e| {
             e.accepting && e.allowance.is_none() && e.service == i.service
