--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -4,8 +4,12 @@
 //! Dropping an unfinished response closes the connection, which cancels the request at the
 //! endpoint.
 
+mod stream;
+
 use crate::fleet::peer;
 use crate::fleet::protocol;
+use crate::fleet::upstream::stream::BoundedStream;
+use crate::fleet::upstream::stream::Traffic;
 use crate::sorted;
 use bytes::Bytes;
 use derive_more::Display;
@@ -22,19 +26,10 @@
 use std::hash::DefaultHasher;
 use std::hash::Hash as _;
 use std::hash::Hasher as _;
-use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
@@ -51,9 +46,6 @@
 const KEEP_ALIVE_SHARE: f64 = 0.6;
 /// Most bytes that are buffered of a connection, which is also the longest head of a response.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
-/// Most bytes that may arrive without a head or a part of a body for the caller. It leaves room for
-/// a full buffer, a part that is just being passed on, and the framing of a body.
-const MAX_UNUSED_BYTES: usize = 4 * MAX_BUFFER_BYTES;
 /// Most bytes of responses that are held until they are complete, in all. With the bodies of requests
 /// they leave the smallest entries, which have 160 MB, 50 MB for all else.
 const MAX_HELD_BYTES: usize = 48 << 20;
@@ -82,68 +74,21 @@
 struct Connection {
     sender: Sender,
     task: task::AbortHandle,
-    /// Bytes read since the caller last received a head or a part of a body.
-    unused: Arc<AtomicUsize>,
+    traffic: Arc<Traffic>,
     /// Hashes of the ids of the requests that it has carried.
     carried: Vec<u64>,
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-/// Stream to an endpoint that fails once too many bytes were read in vain. The HTTP library reads
-/// interim responses without end.
-struct BoundedStream {
-    stream: TcpStream,
-    unused: Arc<AtomicUsize>,
-}
-
-impl AsyncRead for BoundedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.unused.load(Ordering::Relaxed) > MAX_UNUSED_BYTES {
-            return Poll::Ready(Err(io::Error::other("too many bytes that are no answer")));
-        }
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.unused.fetch_add(buf.filled().len() - before, Ordering::Relaxed);
-        read
+impl Connection {
+    /// Whether the next request may be sent on it.
+    fn is_reusable(&self) -> bool {
+        self.sender.is_ready() && !self.traffic.has_ended()
     }
 }
 
-impl AsyncWrite for BoundedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
     }
 }
 
@@ -314,11 +259,11 @@
                 Some(connection) => connection,
                 None => connect(address).await?,
             };
-            connection.unused.store(0, Ordering::Relaxed);
+            connection.traffic.begin_request(body_length(&request));
             connection.carried.extend(id);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    connection.unused.store(0, Ordering::Relaxed);
+                    connection.traffic.record_use();
                     let (head, body) = response.into_parts();
                     // No request asks for another protocol.
                     if head.status == StatusCode::SWITCHING_PROTOCOLS {
@@ -355,7 +300,7 @@
         let mut idle = peer::lock(&self.idle);
         let connections = idle.get_mut(&address)?;
         let now = time::Instant::now();
-        connections.retain(|i| i.expires > now && i.connection.sender.is_ready());
+        connections.retain(|i| i.expires > now && i.connection.is_reusable());
         let has_not_carried =
             |i: &IdleConnection| id.is_none_or(|id| !i.connection.carried.contains(&id));
         let at = connections.iter().rposition(has_not_carried)?;
@@ -383,6 +328,11 @@
     }
 }
 
+fn body_length(request: &hyper::Request<Full<Bytes>>) -> usize {
+    // A body that is held in memory has an exact length.
+    usize::try_from(request.body().size_hint().lower()).unwrap_or(usize::MAX)
+}
+
 /// Hash of the id of a request.
 fn hash_id(id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
@@ -397,8 +347,8 @@
         .map_err(|_| not_sent(&"connection not established in time"))?
         .map_err(|e| not_sent(&e))?;
     stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
-    let unused = Arc::<AtomicUsize>::default();
-    let stream = BoundedStream { stream, unused: unused.clone() };
+    let traffic = Arc::<Traffic>::default();
+    let stream = BoundedStream::new(stream, traffic.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -408,7 +358,7 @@
         // An error reaches the task that waits for the response; an idle connection has none.
         let _ = connection.await;
     });
-    Ok(Connection { sender, task: task.abort_handle(), unused, carried: Vec::new() })
+    Ok(Connection { sender, task: task.abort_handle(), traffic, carried: Vec::new() })
 }
 
 /// Text of an error and of its source, which holds the cause.
@@ -441,7 +391,7 @@
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         if let Some(connection) = &self.connection {
-                            connection.unused.store(0, Ordering::Relaxed);
+                            connection.traffic.record_use();
                         }
                         return Ok(Some(data));
                     }
@@ -524,6 +474,7 @@
     /// the next request.
     fn release_connection(&mut self) {
         let Some(connection) = self.connection.take() else { return };
+        connection.traffic.end_request();
         if !self.head.status.is_success() {
             return;
         }
--- a/tests/fleet_world/raw.rs
+++ b/tests/fleet_world/raw.rs
@@ -13,16 +13,21 @@
 impl Request {
     /// Reads the head and body of a request.
     pub fn read(stream: &mut TcpStream) -> std::io::Result<Request> {
+        let request = Request::read_head(stream)?;
+        let mut body = vec![0; request.field("content-length:").parse().unwrap_or(0)];
+        stream.read_exact(&mut body)?;
+        Ok(request)
+    }
+
+    /// Reads the head of a request.
+    pub fn read_head(stream: &mut TcpStream) -> std::io::Result<Request> {
         let mut head = Vec::new();
         let mut byte = [0];
         while !head.ends_with(b"\r\n\r\n") {
             stream.read_exact(&mut byte)?;
             head.push(byte[0]);
         }
-        let request = Request { head: String::from_utf8_lossy(&head).to_ascii_lowercase() };
-        let mut body = vec![0; request.field("content-length:").parse().unwrap_or(0)];
-        stream.read_exact(&mut body)?;
-        Ok(request)
+        Ok(Request { head: String::from_utf8_lossy(&head).to_ascii_lowercase() })
     }
 
     /// Value of the header with the given name, which ends with a colon; empty without it.
--- a/tests/fleet_world/scripted.rs
+++ b/tests/fleet_world/scripted.rs
@@ -39,26 +39,40 @@
 /// Writes the answer to a request. The connection is closed if this returns `false`.
 pub type Answer = dyn Fn(&Request, &mut TcpStream) -> std::io::Result<bool> + Send + Sync;
 
-/// Starts an endpoint whose answers a test writes. Its listener is closed as soon as it has accepted
-/// `connections` connections. Returns its address.
-fn start_endpoint(answer: Arc<Answer>, connections: usize) -> SocketAddr {
+#[derive(Clone, Copy)]
+struct Options {
+    /// Slots that the endpoint states.
+    slots: u32,
+    /// Connections after which its listener is closed.
+    connections: usize,
+    /// Whether it reads a request as a whole before the test answers it.
+    reads_bodies: bool,
+}
+
+const OPTIONS: Options = Options { slots: SLOTS, connections: usize::MAX, reads_bodies: true };
+
+/// Starts an endpoint whose answers a test writes. Returns its address.
+fn start_endpoint(answer: Arc<Answer>, options: Options) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
     let address = listener.local_addr().expect("address");
     std::thread::spawn(move || {
-        for stream in listener.incoming().take(connections).flatten() {
+        for stream in listener.incoming().take(options.connections).flatten() {
             let answer = answer.clone();
             std::thread::spawn(move || {
                 // Ends with an error once the caller has closed the connection.
-                let _ = serve(stream, &*answer);
+                let _ = serve(stream, &*answer, options.reads_bodies);
             });
         }
     });
     address
 }
 
-fn serve(mut stream: TcpStream, answer: &Answer) -> std::io::Result<()> {
+fn serve(mut stream: TcpStream, answer: &Answer, reads_bodies: bool) -> std::io::Result<()> {
     for number in 0.. {
-        let read = raw::Request::read(&mut stream)?;
+        let read = match reads_bodies {
+            true => raw::Request::read(&mut stream)?,
+            false => raw::Request::read_head(&mut stream)?,
+        };
         let request = Request {
             id: read.field("x-basilfield-request-id:").into(),
             path: read.path().into(),
@@ -110,26 +124,27 @@
     /// Starts a fleet whose endpoints state that they have `slots` slots.
     pub async fn start_with_slots(answers: Vec<Arc<Answer>>, slots: u32) -> Fleet {
         let builds = answers.into_iter().map(|a| (fleet_world::DEFAULT_BUILD, a)).collect();
-        Fleet::launch(SIZE, builds, slots, usize::MAX).await
+        Fleet::launch(SIZE, builds, Options { slots, ..OPTIONS }).await
     }
 
     /// Starts a fleet whose endpoints accept one connection only.
     pub async fn start_short_lived(answers: Vec<Arc<Answer>>) -> Fleet {
         let builds = answers.into_iter().map(|a| (fleet_world::DEFAULT_BUILD, a)).collect();
-        Fleet::launch(SIZE, builds, SLOTS, 1).await
+        Fleet::launch(SIZE, builds, Options { connections: 1, ..OPTIONS }).await
+    }
+
+    /// Starts a fleet whose endpoints answer before they have read the bodies of requests.
+    pub async fn start_early(answers: Vec<Arc<Answer>>) -> Fleet {
+        let builds = answers.into_iter().map(|a| (fleet_world::DEFAULT_BUILD, a)).collect();
+        Fleet::launch(SIZE, builds, Options { reads_bodies: false, ..OPTIONS }).await
     }
 
     /// Starts a fleet with an endpoint for each build and answer.
     pub async fn start_with_builds(size: Size, endpoints: Vec<(&str, Arc<Answer>)>) -> Fleet {
-        Fleet::launch(size, endpoints, SLOTS, usize::MAX).await
+        Fleet::launch(size, endpoints, OPTIONS).await
     }
 
-    async fn launch(
-        size: Size,
-        endpoints: Vec<(&str, Arc<Answer>)>,
-        slots: u32,
-        connections: usize,
-    ) -> Fleet {
+    async fn launch(size: Size, endpoints: Vec<(&str, Arc<Answer>)>, options: Options) -> Fleet {
         let mut world = World::prepare(size).await;
         for at in 0..world.hosts.len() {
             world.start_host(at, true);
@@ -144,8 +159,8 @@
         for (n, (build, answer)) in endpoints.into_iter().enumerate() {
             let id = format!("raw-{n}");
             let body = json!({
-                "service": fleet_world::SERVICE, "address": start_endpoint(answer, connections), "zone": "d0",
-                "version": build, "slots": slots, "state": "ready", "coldMs": 0, "callSeq": 1,
+                "service": fleet_world::SERVICE, "address": start_endpoint(answer, options), "zone": "d0",
+                "version": build, "slots": options.slots, "state": "ready", "coldMs": 0, "callSeq": 1,
             });
             let control = fleet.world.hosts_of(Role::Control)[0];
             let to = (fleet.world.hosts[control].process_address, fleet_world::OPERATOR_PORT);
@@ -188,14 +203,20 @@
 
     /// Sends a request on a connection of its own, and returns all bytes until the connection ends.
     pub async fn ask(&self, version: &str, prefix: &str, id: &str) -> String {
+        self.ask_with(version, prefix, id, b"ask").await
+    }
+
+    /// Sends a request with a body like [`Fleet::ask`].
+    pub async fn ask_with(&self, version: &str, prefix: &str, id: &str, body: &[u8]) -> String {
         let asked = async {
             let mut stream = tokio::net::TcpStream::connect(self.entry).await.expect("connected");
             let head = format!(
                 "POST {prefix}{id} {version}\r\nhost: {}\r\nx-basilfield-request-id: {id}\r\n\
-                 x-basilfield-deadline-ms: 5000\r\nconnection: close\r\ncontent-length: 3\r\n\r\nask",
-                fleet_world::ROUTE_HOST
+                 x-basilfield-deadline-ms: 5000\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+                fleet_world::ROUTE_HOST,
+                body.len()
             );
-            stream.write_all(head.as_bytes()).await.expect("sent");
+            stream.write_all(&[head.as_bytes(), body].concat()).await.expect("sent");
             let mut answer = Vec::new();
             // An answer that is broken off may end with a reset.
             let _ = stream.read_to_end(&mut answer).await;
