Replace answers whose status HTTP does not define

Callers got answers of endpoints in trouble with the status 600 or 999 as they were (MIXED, reported by operators of other systems for 000). The HTTP library refuses a status below 100 only; RFC 9110, section 15, defines 100 to 599.

An answer with a higher status now counts as a lost connection: the endpoint has failed, the request may have run, and its caller gets 502 unless it may be sent again. An item goes on elsewhere.

Test: undefined_status_counts_as_an_answer, on four kinds of route and for items.

--- a/src/fleet/upstream.rs
+++ b/src/fleet/upstream.rs
@@ -54,6 +54,8 @@
 const HELD_BLOCK_BYTES: usize = 64 << 10;
 /// Most requests on one connection. The hashes of their ids take 8 bytes each.
 const MAX_CONNECTION_REQUESTS: usize = 128;
+/// Highest status, RFC 9110 section 15.
+const MAX_STATUS: u16 = 599;
 /// Most idle connections to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -269,6 +271,10 @@
                     if head.status == StatusCode::SWITCHING_PROTOCOLS {
                         return Err(Failure::Lost("the endpoint switches the protocol".into()));
                     }
+                    if head.status.as_u16() > MAX_STATUS {
+                        let cause = format!("{} is no status of HTTP", head.status.as_u16());
+                        return Err(Failure::Lost(cause.into()));
+                    }
                     let framed = is_head_request || is_framed(&head);
                     let upstream = self.clone();
                     let connection = Some(connection);
--- a/tests/fleet_early.rs
+++ b/tests/fleet_early.rs
@@ -1,12 +1,17 @@
-//! Endpoints that answer before they have read a long request.
+//! Endpoints that answer before they have read a long request, and answers whose status is none.
 
 mod fleet_world;
 
 use basilfield::fleet::upstream;
 use bytes::Bytes;
+use fleet_world::client;
 use fleet_world::raw;
 use fleet_world::scripted::Answer;
 use fleet_world::scripted::Fleet;
+use fleet_world::scripted::STREAM_FIELDS;
+use fleet_world::scripted::events;
+use fleet_world::scripted::framed;
+use fleet_world::scripted::item_output;
 use http_body_util::Full;
 use std::io::Read as _;
 use std::io::Write as _;
@@ -154,3 +159,53 @@
         }
     });
 }
+
+/// Guards against answers whose status the standard does not define and that reach callers, or that end
+/// an item.
+#[test]
+fn undefined_status_counts_as_an_answer() {
+    fleet_world::run(async {
+        let mut seen = Vec::new();
+        for status in ["000", "099", "600", "999"] {
+            let first = std::sync::Mutex::new(Vec::<String>::new());
+            let answer: Arc<Answer> = Arc::new(move |request, stream| {
+                let mut asked = first.lock().expect("lock");
+                let is_item = request.path.starts_with(fleet_world::BATCH_PREFIX);
+                // Each item meets it once.
+                if is_item && asked.contains(&request.id) {
+                    let rest = events(request.last_event, fleet_world::scripted::LAST_EVENT);
+                    let text = framed("200 OK", &request.id, STREAM_FIELDS, &rest);
+                    stream.write_all(text.as_bytes())?;
+                    return Ok(true);
+                }
+                asked.push(request.id.clone());
+                let text = framed(&format!("{status} Odd"), &request.id, "", "odd");
+                stream.write_all(text.as_bytes())?;
+                Ok(true)
+            });
+            let fleet = Fleet::start(vec![answer]).await;
+            let prefixes = [
+                fleet_world::PLAIN_PREFIX,
+                fleet_world::SAFE_PREFIX,
+                fleet_world::ONCE_PREFIX,
+                fleet_world::STREAM_PREFIX,
+            ];
+            let mut statuses = Vec::new();
+            for (n, prefix) in prefixes.into_iter().enumerate() {
+                let answer = fleet.ask("HTTP/1.1", prefix, &format!("odd-{n}")).await;
+                statuses.push(answer.split(' ').nth(1).unwrap_or("none").to_string());
+            }
+            statuses.dedup();
+            assert!(client::submit(&[fleet.entry], "job", 2).await);
+            let outputs = fleet.outputs("job", 2).await;
+            let done = outputs.iter().filter(|o| **o == item_output()).count();
+            seen.push(format!("{status}: {}, {done} of 2 items done", statuses.join(" ")));
+        }
+        insta::assert_snapshot!(seen.join("\n"), @r"
+        000: 502, 2 of 2 items done
+        099: 502, 2 of 2 items done
+        600: 502, 2 of 2 items done
+        999: 502, 2 of 2 items done
+        ");
+    });
+}
