Bound the memory for bodies of calls to control hosts

Twenty connections that sent registrations or configurations without end took 361 to 369 MB of a control host, which has 256 MB: each body could hold 16 MB, and nothing bounded them together.

Only configurations may be as long as a document now, other calls 64 kB, and all bodies together hold 48 MB at most; beyond that a call is answered 503 and may be sent again, as at entries.

Reads of metrics are not covered.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -6,6 +6,7 @@
 use crate::event;
 use crate::events;
 use crate::fleet::admission;
+use crate::fleet::body;
 use crate::fleet::builds;
 use crate::fleet::control_state;
 use crate::fleet::deadline;
@@ -44,8 +45,12 @@
 const BUILD_TIMEOUT: Duration = Duration::from_millis(900);
 /// Interval between checks for builds without endpoints.
 const BUILD_CHECK_INTERVAL: Duration = Duration::from_secs(10);
-/// Largest body of a call by an operator or endpoint.
+/// Largest body of a configuration.
 const MAX_BODY_BYTES: usize = documents::MAX_DOCUMENT_BYTES;
+/// Largest body of any other call, such as a registration.
+const MAX_CALL_BYTES: usize = 64 << 10;
+/// Most bytes of bodies that are held in all, so that a few long configurations can be read at a time.
+const MAX_HELD_BODY_BYTES: usize = 3 * MAX_BODY_BYTES;
 /// Interval between checks whether the job group can be placed.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(300);
 /// The job group is placed only after the set of present store hosts has not changed for this long.
@@ -65,6 +70,8 @@
     quarantine_sync: Mutex<sync::DirectorySync>,
     /// Held while a build is committed.
     build_turn: tokio::sync::Mutex<()>,
+    /// Memory for the bodies of calls.
+    memory: body::Memory,
     stage: deadline::StageReceiver,
 }
 
@@ -75,6 +82,7 @@
             directory_sync: Mutex::default(),
             quarantine_sync: Mutex::default(),
             build_turn: tokio::sync::Mutex::default(),
+            memory: body::Memory::new(MAX_HELD_BODY_BYTES),
             stage,
         }
     }
--- a/src/fleet/control/calls.rs
+++ b/src/fleet/control/calls.rs
@@ -2,10 +2,12 @@
 
 use crate::event;
 use crate::events;
+use crate::fleet::body;
 use crate::fleet::control::BUILD_TIMEOUT;
 use crate::fleet::control::CALL_TIMEOUT;
 use crate::fleet::control::Control;
 use crate::fleet::control::MAX_BODY_BYTES;
+use crate::fleet::control::MAX_CALL_BYTES;
 use crate::fleet::control::broadcast;
 use crate::fleet::control::broadcast_records;
 use crate::fleet::control_state;
@@ -55,9 +57,22 @@
         let Some(call) = call else {
             return serve::response(StatusCode::NOT_FOUND, "no such call\n");
         };
-        let body = match serve::read_body(body, MAX_BODY_BYTES).await {
-            Ok(body) => body,
-            Err(response) => return response,
+        let limit = match call {
+            protocol::Call::PutConfig => MAX_BODY_BYTES,
+            _ => MAX_CALL_BYTES,
+        };
+        let (body, _reservation) = match self.memory.read(body, limit).await {
+            Ok(read) => read,
+            Err(body::Problem::NoMemory) => {
+                let text = "other calls hold too much memory; send it again\n";
+                return serve::response(StatusCode::SERVICE_UNAVAILABLE, text);
+            }
+            Err(body::Problem::TooLong) => {
+                return serve::response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n");
+            }
+            Err(body::Problem::BrokenOff) => {
+                return serve::response(StatusCode::BAD_REQUEST, "the body breaks off\n");
+            }
         };
         match call {
             protocol::Call::Ready => serve::response(StatusCode::OK, "ready\n"),
--- a/src/fleet/serve.rs
+++ b/src/fleet/serve.rs
@@ -81,20 +81,6 @@
     Full::new(body).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Reads the whole body of a request, at most `limit` bytes.
-///
-/// # Errors
-/// The response to send if the body is too long or breaks off.
-pub async fn read_body(body: hyper::body::Incoming, limit: usize) -> Result<Bytes, Response> {
-    match http_body_util::Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(response(hyper::StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"))
-        }
-        Err(_) => Err(response(hyper::StatusCode::BAD_REQUEST, "the body breaks off\n")),
-    }
-}
-
 /// Tracks open connections: each subscribes a receiver, and `closed` waits until all are dropped.
 pub type OpenConnections = watch::Sender<()>;
 
