--- a/src/fleet/upstream/stream.rs
+++ b/src/fleet/upstream/stream.rs
@@ -211,7 +211,7 @@
                 ReadEnd::Ended => {
                     let is_idle = self.traffic.idle.load(Ordering::Relaxed);
                     if is_idle || !self.answered || self.request.last_length <= MAX_UNREAD_REQUEST {
-                        let is_reset = !matches!(self.stream.take_error(), Ok(None));
+                        let is_reset = matches!(self.stream.take_error(), Ok(Some(_)));
                         self.read_end = if is_reset { ReadEnd::Failed } else { ReadEnd::Closed };
                         continue;
                     }
@@ -228,7 +228,7 @@
                         return Poll::Pending;
                     }
                     let is_closed = self.stream.peer_addr().is_err();
-                    let is_reset = !matches!(self.stream.take_error(), Ok(None));
+                    let is_reset = matches!(self.stream.take_error(), Ok(Some(_)));
                     if is_reset || time::Instant::now() >= *end {
                         self.read_end = ReadEnd::Failed;
                     } else if is_closed {
--- a/tests/fleet_early.rs
+++ b/tests/fleet_early.rs
@@ -32,37 +32,37 @@
 
 /// What an endpoint does after it has written its answer and read a part of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
+enum Ending {
     /// It ends its side and resets the connection later.
-    EndThenReset,
+    LateReset,
     /// It resets the connection.
     Reset,
     /// It ends its side and reads on.
-    EndThenRead,
+    HalfClose,
     /// It reads on and ends its side then.
-    ReadThenEnd,
+    Close,
 }
 
-const ENDS: [End; 4] = [End::EndThenReset, End::Reset, End::EndThenRead, End::ReadThenEnd];
+const ENDINGS: [Ending; 4] = [Ending::LateReset, Ending::Reset, Ending::HalfClose, Ending::Close];
 
 /// Writes an answer without a length and ends the connection. Unread bytes turn its end into a reset.
-fn end(stream: &mut TcpStream, id: &str, end: End) -> std::io::Result<()> {
+fn end(stream: &mut TcpStream, id: &str, end: Ending) -> std::io::Result<()> {
     let head = format!(
         "HTTP/1.1 200 OK\r\nx-basilfield-request-id: {id}\r\nconnection: close\r\n\r\n{ANSWER}"
     );
     stream.write_all(head.as_bytes())?;
     stream.read_exact(&mut vec![0; PART])?;
-    if matches!(end, End::EndThenReset | End::EndThenRead) {
+    if matches!(end, Ending::LateReset | Ending::HalfClose) {
         stream.shutdown(Shutdown::Write)?;
     }
     match end {
-        End::EndThenReset => std::thread::sleep(RESET_DELAY),
-        End::Reset => {}
-        End::EndThenRead => {
+        Ending::LateReset => std::thread::sleep(RESET_DELAY),
+        Ending::Reset => {}
+        Ending::HalfClose => {
             stream.read_to_end(&mut Vec::new())?;
         }
         // The rest of the longest request arrives within this time.
-        End::ReadThenEnd => {
+        Ending::Close => {
             stream.set_read_timeout(Some(RESET_DELAY * 3))?;
             let _ = stream.read_to_end(&mut Vec::new());
         }
@@ -70,7 +70,7 @@
     Ok(())
 }
 
-fn start_endpoint(how: End) -> SocketAddr {
+fn start_endpoint(how: Ending) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
     let address = listener.local_addr().expect("address");
     std::thread::spawn(move || {
@@ -115,7 +115,7 @@
     const PLAYS: usize = 10;
     fleet_world::run(async {
         let mut seen = Vec::new();
-        for how in ENDS {
+        for how in ENDINGS {
             for length in [900_000, 3_000_000] {
                 let address = start_endpoint(how);
                 let mut ends = Vec::new();
@@ -127,14 +127,14 @@
             }
         }
         insta::assert_snapshot!(seen.join("\n"), @r"
-        EndThenReset, 900000 bytes: not whole
-        EndThenReset, 3000000 bytes: not whole
+        LateReset, 900000 bytes: not whole
+        LateReset, 3000000 bytes: not whole
         Reset, 900000 bytes: not whole
         Reset, 3000000 bytes: not whole
-        EndThenRead, 900000 bytes: whole
-        EndThenRead, 3000000 bytes: whole
-        ReadThenEnd, 900000 bytes: whole
-        ReadThenEnd, 3000000 bytes: whole
+        HalfClose, 900000 bytes: whole
+        HalfClose, 3000000 bytes: whole
+        Close, 900000 bytes: whole
+        Close, 3000000 bytes: whole
         ");
     });
 }
@@ -145,7 +145,7 @@
 fn early_answer_that_is_reset_reaches_callers_as_whole() {
     fleet_world::run(async {
         let answer: Arc<Answer> = Arc::new(|request, stream| {
-            end(stream, &request.id, End::EndThenReset)?;
+            end(stream, &request.id, Ending::LateReset)?;
             Ok(false)
         });
         let fleet = Fleet::start_early(vec![answer]).await;
