Keep an item from endpoints by its service in a test of trials

trial_of_item_lets_another_part_through held an item back by an endpoint with one slot, to which no item was ever sent.

The items now have a service of their own, which has no endpoint until the last step of the test; what it asks is the same. The first registration at that service may have to be repeated, as its build has to be committed.

--- a/tests/fleet_prompts/unframed.rs
+++ b/tests/fleet_prompts/unframed.rs
@@ -29,6 +29,8 @@
 
 const SIZE: Size = Size { controls: 3, losses: 1, stores: 0, entries: 1, endpoints: 1 };
 const THREE_ENDPOINTS: Size = Size { endpoints: 3, ..SIZE };
+/// Service of the items, if they have one of their own.
+const ITEM_SERVICE: &str = "item-engines";
 /// Far more slots than the other endpoint, so that requests go to the one under test first.
 const MANY_SLOTS: u32 = 2_000;
 /// Events of a complete answer, and of one that breaks off.
@@ -212,6 +214,8 @@
     asked: Arc<AtomicUsize>,
     /// Slots of the endpoint.
     slots: u32,
+    /// Service that the endpoint registers.
+    service: &'static str,
     seq: u64,
 }
 
@@ -221,7 +225,8 @@
         let first = Answer { version: "HTTP/1.1", end: End::Complete, endpoint: String::default() };
         let (answer, asked) = (Arc::new(Mutex::new(first)), Arc::default());
         let (address, accept) = listen(&answer, &asked).await;
-        Fleet { world, address, accept, answer, asked, slots: MANY_SLOTS, seq: 0 }
+        let (slots, service) = (MANY_SLOTS, fleet_world::SERVICE);
+        Fleet { world, address, accept, answer, asked, slots, service, seq: 0 }
     }
 
     /// Starts a fleet in which only the endpoint under test serves.
@@ -232,9 +237,53 @@
         fleet
     }
 
+    /// Puts a configuration in force at every host that moves the route of items to `service`.
+    async fn move_items(&self, service: &str) {
+        let mut document: serde_json::Value =
+            serde_json::from_str(&self.world.config(2)).expect("configuration");
+        let routes = document["routes"].as_array_mut().expect("routes");
+        for route in routes.iter_mut().filter(|r| r["kind"] == "batch") {
+            route["service"] = json!(service);
+        }
+        let services = document["services"].as_array_mut().expect("services");
+        services.push(json!({ "name": service, "maxConns": 200 }));
+        let begun = time::Instant::now();
+        while self.world.put_config(&document.to_string()).await != 200 {
+            assert!(begun.elapsed() < ANSWER_TIMEOUT, "{}", self.world.logs());
+            time::sleep(Duration::from_millis(100)).await;
+        }
+        let is_in_force = |role| {
+            let log = self.world.logs_of(role);
+            let changes = log.lines().filter(|l| {
+                l.contains("\"msg\":\"configuration in force\"") && l.contains("\"version\":2")
+            });
+            changes.count() >= self.world.hosts_of(role).len()
+        };
+        let known = || is_in_force(Role::Entry) && is_in_force(Role::Store);
+        assert!(fleet_world::wait_until(ANSWER_TIMEOUT, known).await, "{}", self.world.logs());
+    }
+
     /// Gives the endpoint an answer and registers it under a new id, which is not avoided yet. An
     /// endpoint that has crashed is deregistered and starts again on another address.
     async fn set(&mut self, version: &'static str, end: End) {
+        let status = self.register(version, end).await;
+        assert_eq!(status, 200, "{}", self.world.logs());
+        self.world.send_heartbeats().await;
+    }
+
+    /// Does so at a service of its own, whose first endpoint may have to register again.
+    async fn set_at_service(&mut self, service: &'static str, end: End) {
+        self.service = service;
+        let begun = time::Instant::now();
+        while self.register("HTTP/1.1", end).await != 200 {
+            assert!(begun.elapsed() < ANSWER_TIMEOUT, "{}", self.world.logs());
+            time::sleep(Duration::from_millis(100)).await;
+        }
+        self.world.send_heartbeats().await;
+    }
+
+    /// Gives the endpoint an answer and registers it. Returns the status of the registration.
+    async fn register(&mut self, version: &'static str, end: End) -> u16 {
         let control = self.world.hosts_of(Role::Control)[0];
         let to = (self.world.hosts[control].process_address, fleet_world::OPERATOR_PORT).into();
         if self.accept.is_finished() {
@@ -249,13 +298,11 @@
         let path = format!("/-/instances/{endpoint}");
         *self.answer.lock().expect("lock") = Answer { version, end, endpoint };
         let body = json!({
-            "service": fleet_world::SERVICE, "address": self.address, "zone": "d0",
+            "service": self.service, "address": self.address, "zone": "d0",
             "version": fleet_world::DEFAULT_BUILD, "slots": self.slots, "state": "ready",
             "coldMs": 0, "callSeq": self.seq,
         });
-        let status = client::call(to, "PUT", &path, &[], body.to_string()).await.0;
-        assert_eq!(status, 200, "{}", self.world.logs());
-        self.world.send_heartbeats().await;
+        client::call(to, "PUT", &path, &[], body.to_string()).await.0
     }
 
     /// Sends a request whose prompt has the given parts to the endpoint under test, which crashes, and
@@ -598,8 +645,8 @@
 fn trial_of_item_lets_another_part_through() {
     run(async {
         let mut fleet = Fleet::start_alone().await;
-        // No item is sent to an endpoint with a single slot.
-        fleet.slots = 1;
+        // Items have a service of their own, which has no endpoint yet.
+        fleet.move_items(ITEM_SERVICE).await;
         for _ in 0..3 {
             assert_eq!(fleet.crash("bad1").await, (2, 1), "{}", fleet.world.logs());
         }
@@ -614,8 +661,7 @@
         for _ in 0..3 {
             assert_eq!(fleet.crash("bad2").await, (2, 1), "{}", fleet.world.logs());
         }
-        fleet.slots = MANY_SLOTS;
-        fleet.set("HTTP/1.1", End::Crash).await;
+        fleet.set_at_service(ITEM_SERVICE, End::Crash).await;
         let crashed = fleet_world::wait_until(CRASH_TIME * 2, || fleet.accept.is_finished()).await;
         assert!(!crashed, "{}", fleet.world.logs());
     });
