Show a case in which accepted items are held after servers crashed

Cause: a part of prompts is quarantined after the crashes of three starts of servers, and the first trial comes after 30 s, later than the time that the sites leave for items.

--- /dev/null
+++ b/review/standin-3/cases.rs
@@ -0,0 +1,193 @@
+//! The cases. Each returns whether its rule was broken.
+
+use crate::fleet::APPLY;
+use crate::fleet::DRAIN;
+use crate::fleet::Fleet;
+use crate::fleet::HOST;
+use crate::fleet::STREAM_PREFIX;
+use crate::cannot_run;
+use crate::http;
+use crate::record;
+use crate::server;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+use std::time::Instant;
+
+const IDS: [&str; 9] = [
+    "i-0c51aa2e", "i-1f3a91c2", "i-2b7744d0", "i-5d0e9b13", "i-6a90c4f7", "i-8e21f05b", "i-a4c8d3e6",
+    "i-c7f00d18", "i-e93b6a44",
+];
+
+/// Checks that the fleet serves both kinds of work before the disruption.
+fn check_service(fleet: &Fleet) {
+    for n in 0..8 {
+        let id = format!("before-{n}");
+        if fleet.ask(n, &id) != 200 {
+            cannot_run("a request before the disruption is not served");
+        }
+    }
+    let items = fleet.submit("job-before", 10);
+    fleet.wait("the first job is done", || fleet.unlisted("job-before", &items).is_empty());
+}
+
+/// Another writer sends heartbeats of a service that no configuration names, each with the address of
+/// a server. They name no server to use, and the servers hold.
+pub fn foreign_heartbeats(trouble: bool) -> bool {
+    let mut fleet = Fleet::start();
+    fleet.configure(1, 16_384);
+    fleet.start_servers(&IDS);
+    fleet.settle();
+    check_service(&fleet);
+    if trouble {
+        for (n, server) in fleet.servers.iter().enumerate() {
+            let body = format!(
+                r#"{{"service":"host-agent","address":"{}","zone":"{}","version":"3.1","slots":1,"state":"ready","callSeq":1,"born":{}}}"#,
+                server.address,
+                server.zone,
+                server::unix_ms(),
+            );
+            let to = fleet.controls[n % 3];
+            let path = format!("/-/instances/agent-{n}");
+            let answer = http::call(to, "PUT", &path, &[], body.as_bytes());
+            let status = answer.map_or(0, |a| a.status());
+            record(&format!("heartbeat of host-agent with the address of {}: {status}", server.id));
+        }
+    }
+    std::thread::sleep(Duration::from_secs(4));
+    let refused = (0..20).filter(|n| fleet.ask(*n, &format!("after-{n}")) != 200).count();
+    record(&format!("{refused} of 20 requests are not served"));
+    let items = fleet.submit("job-after", 10);
+    fleet.is_item_lost("job-after", &items)
+}
+
+/// All servers crash once, while the first items of a new part of prompts begin. They are back after
+/// `DOWN` and sound from then on. An item under which servers crashed is still owed.
+pub fn crash_under_items(trouble: bool) -> bool {
+    const DOWN: Duration = Duration::from_secs(5);
+    let mut fleet = Fleet::start();
+    fleet.configure(1, 16_384);
+    fleet.start_servers(&IDS);
+    fleet.settle();
+    check_service(&fleet);
+    let items = fleet.submit_with_part("job-after", 10, "5d07b8");
+    if trouble {
+        let has_item = |s: &&std::sync::Arc<server::Server>| {
+            s.at_work.lock().expect("not poisoned").iter().any(|id| id.starts_with("job-after"))
+        };
+        let begun = Instant::now();
+        while !fleet.servers.iter().all(|s| has_item(&s)) {
+            if begun.elapsed() > Duration::from_secs(5) {
+                cannot_run("a server runs no item");
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        let crashes: Vec<_> = fleet.servers.iter().cloned().collect();
+        let crashes = crashes.into_iter().map(|s| std::thread::spawn(move || s.crash()));
+        for crash in crashes.collect::<Vec<_>>() {
+            let _ = crash.join();
+        }
+        std::thread::sleep(DOWN);
+        for server in &fleet.servers {
+            server.start_again(server::unix_ms());
+        }
+    }
+    fleet.is_item_lost("job-after", &items)
+}
+
+/// One of nine servers is full with the requests of other callers, and says so. The eight others are
+/// idle.
+pub fn full_server(trouble: bool) -> bool {
+    let mut fleet = Fleet::start();
+    fleet.configure(1, 16_384);
+    fleet.start_servers(&IDS);
+    fleet.settle();
+    check_service(&fleet);
+    let full = fleet.servers[8].clone();
+    if trouble {
+        record(&format!("server {} is full from now on", full.id));
+        full.full.store(true, SeqCst);
+    }
+    let items = fleet.submit("job-after", 10);
+    let lost = fleet.is_item_lost("job-after", &items);
+    let declined = full.arrivals.lock().expect("not poisoned");
+    let declined = declined.iter().filter(|a| !a.ran).count();
+    record(&format!("server {} has declined {declined} requests", full.id));
+    lost
+}
+
+/// The operator raises the longest head of a request. Clients use it on connections that they keep.
+pub fn raised_limits(trouble: bool) -> bool {
+    const LARGE: usize = 32_768;
+    const CLIENTS: usize = 12;
+    let mut fleet = Fleet::start();
+    fleet.configure(1, if trouble { 16_384 } else { LARGE });
+    fleet.start_servers(&IDS);
+    fleet.settle();
+    let ask = |client: &mut http::Client, id: &str, note: &str| {
+        let fields = [
+            ("host", HOST),
+            ("x-basilfield-request-id", id),
+            ("x-basilfield-deadline-ms", "5000"),
+            ("x-note", note),
+        ];
+        let answer = client.ask("POST", &format!("{STREAM_PREFIX}{id}"), &fields, b"prompt");
+        let status = answer.map_or(0, |a| a.status());
+        record(&format!("request {id} with a note of {} bytes: {status}", note.len()));
+        status
+    };
+    let connect = |n: usize| {
+        let to = fleet.entries[n % fleet.entries.len()];
+        http::Client::connect(to, Duration::from_secs(6))
+            .unwrap_or_else(|e| cannot_run(&format!("{to}: {e}")))
+    };
+    let mut clients: Vec<http::Client> = (0..CLIENTS).map(connect).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        if ask(client, &format!("short-{n}"), "x") != 200 {
+            cannot_run("a request before the disruption is not served");
+        }
+    }
+    if trouble {
+        fleet.configure(2, LARGE);
+    }
+    std::thread::sleep(APPLY + Duration::from_secs(2));
+    let note = "x".repeat(20_000);
+    let mut denied = 0;
+    for (n, client) in clients.iter_mut().enumerate() {
+        let status = ask(client, &format!("kept-{n}"), &note);
+        denied += usize::from((400..500).contains(&status) && ![408, 421, 429].contains(&status));
+    }
+    let on_new = (0..CLIENTS).filter(|n| ask(&mut connect(*n), &format!("new-{n}"), &note) == 200);
+    let on_new = on_new.count();
+    record(&format!("{denied} of {CLIENTS} on kept connections are denied, {on_new} of {CLIENTS} on new ones are served"));
+    // Proper requests that are denied: more than 5 and one in 500.
+    denied > 5
+}
+
+/// A server starts again under its id, after its clock, which was two seconds ahead, was set right.
+/// Later it drains.
+pub fn restart_with_earlier_clock(trouble: bool) -> bool {
+    let mut fleet = Fleet::start();
+    fleet.configure(1, 16_384);
+    fleet.start_servers(&IDS[..3]);
+    fleet.settle();
+    let server = fleet.servers[0].clone();
+    // The server starts for the first time.
+    server.crash();
+    server.start_again(server::unix_ms() + if trouble { 2_000 } else { 0 });
+    std::thread::sleep(Duration::from_millis(600));
+    server.crash();
+    std::thread::sleep(Duration::from_millis(600));
+    server.start_again(server::unix_ms());
+    std::thread::sleep(Duration::from_secs(5));
+    server.draining.store(true, SeqCst);
+    fleet.wait("the drain is acknowledged", || server.beat());
+    let drained = Instant::now();
+    std::thread::sleep(DRAIN + Duration::from_millis(500));
+    for n in 0..40 {
+        fleet.ask(n, &format!("after-{n}"));
+    }
+    let late = server.arrivals.lock().expect("not poisoned");
+    let late = late.iter().filter(|a| a.ran && a.at > drained + DRAIN).count();
+    record(&format!("{late} requests reached the server after it had drained"));
+    late > 0
+}
