--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -1,11 +1,10 @@
 //! The cases. Each returns whether its rule was broken.
 
+use crate::cannot_run;
 use crate::fleet::APPLY;
-use crate::fleet::DRAIN;
 use crate::fleet::Fleet;
 use crate::fleet::HOST;
 use crate::fleet::STREAM_PREFIX;
-use crate::cannot_run;
 use crate::http;
 use crate::record;
 use crate::server;
@@ -14,8 +13,15 @@
 use std::time::Instant;
 
 const IDS: [&str; 9] = [
-    "i-0c51aa2e", "i-1f3a91c2", "i-2b7744d0", "i-5d0e9b13", "i-6a90c4f7", "i-8e21f05b", "i-a4c8d3e6",
-    "i-c7f00d18", "i-e93b6a44",
+    "i-0c51aa2e",
+    "i-1f3a91c2",
+    "i-2b7744d0",
+    "i-5d0e9b13",
+    "i-6a90c4f7",
+    "i-8e21f05b",
+    "i-a4c8d3e6",
+    "i-c7f00d18",
+    "i-e93b6a44",
 ];
 
 /// Checks that the fleet serves both kinds of work before the disruption.
@@ -158,36 +164,62 @@
     }
     let on_new = (0..CLIENTS).filter(|n| ask(&mut connect(*n), &format!("new-{n}"), &note) == 200);
     let on_new = on_new.count();
-    record(&format!("{denied} of {CLIENTS} on kept connections are denied, {on_new} of {CLIENTS} on new ones are served"));
+    record(&format!(
+        "{denied} of {CLIENTS} on kept connections are denied, {on_new} of {CLIENTS} on new ones are \
+         served"
+    ));
     // Proper requests that are denied: more than 5 and one in 500.
     denied > 5
 }
 
-/// A server starts again under its id, after its clock, which was two seconds ahead, was set right.
-/// Later it drains.
-pub fn restart_with_earlier_clock(trouble: bool) -> bool {
+/// A part of prompts whose id has 32 digits crashes each server that begins to answer.
+pub fn long_part_id(trouble: bool) -> bool {
+    const BAD: &str = "5c1e07a291bd3f06e4402b7d9c2e41a8";
+    const LENGTH: Duration = Duration::from_secs(30);
+    // DIGITS=8 shortens the id, for comparison.
+    let digits = std::env::var("DIGITS").ok().and_then(|d| d.parse().ok()).unwrap_or(BAD.len());
+    let bad = &BAD[..digits.min(BAD.len())];
     let mut fleet = Fleet::start();
     fleet.configure(1, 16_384);
-    fleet.start_servers(&IDS[..3]);
+    fleet.start_servers(&IDS);
     fleet.settle();
-    let server = fleet.servers[0].clone();
-    // The server starts for the first time.
-    server.crash();
-    server.start_again(server::unix_ms() + if trouble { 2_000 } else { 0 });
-    std::thread::sleep(Duration::from_millis(600));
-    server.crash();
-    std::thread::sleep(Duration::from_millis(600));
-    server.start_again(server::unix_ms());
-    std::thread::sleep(Duration::from_secs(5));
-    server.draining.store(true, SeqCst);
-    fleet.wait("the drain is acknowledged", || server.beat());
-    let drained = Instant::now();
-    std::thread::sleep(DRAIN + Duration::from_millis(500));
-    for n in 0..40 {
-        fleet.ask(n, &format!("after-{n}"));
+    check_service(&fleet);
+    for server in &fleet.servers {
+        *server.bad_part.lock().expect("not poisoned") = bad.into();
+    }
+    let (begun, fleet) = (Instant::now(), std::sync::Arc::new(fleet));
+    let mut requests = Vec::new();
+    for n in 0.. {
+        if begun.elapsed() > LENGTH {
+            break;
+        }
+        // Sound requests share all other parts. Every third one has the bad part.
+        let middle = if trouble && n % 3 == 0 { bad } else { "91bd3f06" };
+        let prompt = format!("9c2e41:200,{middle}:100,{:x}:50", 0xabc000 + n);
+        let f = fleet.clone();
+        requests.push(std::thread::spawn(move || {
+            f.ask_with_prompt(n, &format!("r-{n}"), &prompt);
+        }));
+        std::thread::sleep(Duration::from_millis(80));
+    }
+    for request in requests {
+        let _ = request.join();
+    }
+    let mut bad: Vec<Instant> = Vec::new();
+    for server in &fleet.servers {
+        let arrivals = server.arrivals.lock().expect("not poisoned");
+        bad.extend(arrivals.iter().filter(|a| a.bad && a.ran).map(|a| a.at));
     }
-    let late = server.arrivals.lock().expect("not poisoned");
-    let late = late.iter().filter(|a| a.ran && a.at > drained + DRAIN).count();
-    record(&format!("{late} requests reached the server after it had drained"));
-    late > 0
+    bad.sort();
+    // Each of them crashes its server; the fifth crash is at the fifth one at the earliest.
+    let late = bad.get(4).map_or(0, |fifth| {
+        let from = *fifth + crate::fleet::CONTACT + Duration::from_millis(100);
+        bad.iter().filter(|at| **at > from).count()
+    });
+    record(&format!(
+        "{} requests with the bad part reached servers, {late} of them later than contactMs after \
+         the fifth crash",
+        bad.len()
+    ));
+    late > 3
 }
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -23,7 +23,6 @@
 pub const STREAM_PREFIX: &str = "/lohu930/";
 pub const BATCH_PREFIX: &str = "/pule252/";
 /// Bounds of the small deployments.
-pub const DRAIN: Duration = Duration::from_millis(2_000);
 pub const APPLY: Duration = Duration::from_millis(2_000);
 pub const CONTACT: Duration = Duration::from_millis(3_000);
 pub const FINISH: Duration = Duration::from_secs(18);
@@ -171,8 +170,7 @@
         );
         let to = &self.controls;
         self.wait(&format!("configuration {version} is acknowledged"), || {
-            let sent =
-                to.iter().map(|c| http::call(*c, "PUT", "/-/config", &[], text.as_bytes()));
+            let sent = to.iter().map(|c| http::call(*c, "PUT", "/-/config", &[], text.as_bytes()));
             sent.flatten().any(|answer| answer.status() == 200)
         });
         Instant::now()
@@ -193,12 +191,26 @@
     /// Sends a request for a stream on a connection of its own. Returns its status, or 0 if it broke;
     /// a success counts only if the stream is whole.
     pub fn ask(&self, n: usize, id: &str) -> u16 {
-        let fields =
-            [("host", HOST), ("x-basilfield-request-id", id), ("x-basilfield-deadline-ms", "5000")];
+        self.ask_with_prompt(n, id, "")
+    }
+
+    /// Sends a request with the given parts of its prompt as [`Fleet::ask`] does.
+    pub fn ask_with_prompt(&self, n: usize, id: &str, prompt: &str) -> u16 {
+        let mut fields = vec![
+            ("host", HOST),
+            ("x-basilfield-request-id", id),
+            ("x-basilfield-deadline-ms", "5000"),
+        ];
+        if !prompt.is_empty() {
+            fields.push(("x-basilfield-prompt-prefix", prompt));
+        }
         let to = self.entries[n % self.entries.len()];
-        let answer = http::call(to, "POST", &format!("{STREAM_PREFIX}{id}"), &fields, b"prompt");
+        let answer =
+            http::call(to, "POST", &format!("{STREAM_PREFIX}{id}"), &fields, id.as_bytes());
         let status = match &answer {
-            Ok(a) if a.status() == 200 && !a.text().contains(&server::data(id, server::EVENTS)) => 0,
+            Ok(a) if a.status() == 200 && !a.text().contains(&server::data(id, server::EVENTS)) => {
+                0
+            }
             Ok(a) => a.status(),
             Err(_) => 0,
         };
@@ -263,7 +275,11 @@
         while begun.elapsed() < FINISH + Duration::from_secs(5) {
             let unlisted = self.unlisted(job, items);
             if unlisted.len() != open {
-                record(&format!("job {job}: {} of {} items are not listed", unlisted.len(), items.len()));
+                record(&format!(
+                    "job {job}: {} of {} items are not listed",
+                    unlisted.len(),
+                    items.len()
+                ));
                 (last_done, open) = (Instant::now(), unlisted.len());
             }
             let has_work = self.servers.iter().any(|s| {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -62,8 +62,8 @@
         "crashes" => cases::crash_under_items(trouble),
         "foreign" => cases::foreign_heartbeats(trouble),
         "full" => cases::full_server(trouble),
+        "long-id" => cases::long_part_id(trouble),
         "limits" => cases::raised_limits(trouble),
-        "restart" => cases::restart_with_earlier_clock(trouble),
         other => cannot_run(&format!("there is no case {other}")),
     };
     println!("{}", if broken { "the rule was broken" } else { "the rule held" });
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -36,6 +36,8 @@
 
 /// Request that reached a server.
 pub struct Arrival {
+    /// Whether the prompt has the bad part.
+    pub bad: bool,
     pub at: Instant,
     pub ran: bool,
 }
@@ -53,6 +55,8 @@
     pub full: AtomicBool,
     /// Whether its process is down.
     pub down: AtomicBool,
+    /// Part of prompts that crashes the server when it begins to answer; none if empty.
+    pub bad_part: Mutex<String>,
     running: AtomicUsize,
     pub arrivals: Mutex<Vec<Arrival>>,
     /// Ids of the requests that it runs now.
@@ -89,6 +93,7 @@
             draining: AtomicBool::new(false),
             full: AtomicBool::new(false),
             down: AtomicBool::new(false),
+            bad_part: Mutex::default(),
             running: AtomicUsize::new(0),
             arrivals: Mutex::default(),
             at_work: Mutex::default(),
@@ -131,8 +136,10 @@
 
     /// Crashes the server: its connections break, and it accepts no others.
     pub fn crash(&self) {
+        if self.down.swap(true, SeqCst) {
+            return;
+        }
         record(&format!("server {} crashes", self.id));
-        self.down.store(true, SeqCst);
         for connection in self.connections.lock().expect("not poisoned").drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
@@ -177,7 +184,7 @@
         false
     }
 
-    fn serve(&self, mut stream: TcpStream) -> Result<()> {
+    fn serve(self: Arc<Server>, mut stream: TcpStream) -> Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         loop {
@@ -194,11 +201,16 @@
             let wrong = !expected.is_empty() && expected != self.id;
             let taken = self.running.fetch_add(1, SeqCst);
             let declines = wrong || self.full.load(SeqCst) || taken >= SLOTS;
-            let arrival = Arrival { at: Instant::now(), ran: !declines };
+            let bad_part = self.bad_part.lock().expect("not poisoned").clone();
+            let prompt = request.field("x-basilfield-prompt-prefix");
+            let bad = !bad_part.is_empty()
+                && prompt.split(',').any(|p| p.split(':').next() == Some(&bad_part));
+            let arrival = Arrival { bad, at: Instant::now(), ran: !declines };
             self.arrivals.lock().expect("not poisoned").push(arrival);
             if declines {
                 self.running.fetch_sub(1, SeqCst);
-                let status = if wrong { "421 Misdirected Request" } else { "503 Service Unavailable" };
+                let status =
+                    if wrong { "421 Misdirected Request" } else { "503 Service Unavailable" };
                 record(&format!("server {} declines {id} with {status}", self.id));
                 write!(
                     stream,
@@ -210,6 +222,15 @@
             let last: u64 = request.field("last-event-id").parse().unwrap_or(0);
             record(&format!("server {} runs {id} after event {last}", self.id));
             self.at_work.lock().expect("not poisoned").insert(id.clone());
+            if bad {
+                std::thread::sleep(FIRST_EVENT);
+                let s = self.clone();
+                std::thread::spawn(move || {
+                    s.crash();
+                    std::thread::sleep(Duration::from_secs(3));
+                    s.start_again(unix_ms());
+                });
+            }
             let ran = self.run(&mut stream, &id, last);
             self.at_work.lock().expect("not poisoned").remove(&id);
             self.running.fetch_sub(1, SeqCst);
