--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -51,6 +51,8 @@
         std::process::exit(2);
     };
     let _ = RECORD.set((Mutex::new(file), Instant::now()));
+    // A panic must not leave processes behind.
+    std::panic::set_hook(Box::new(|info| cannot_run(&info.to_string())));
     // Without the disruption, a case does all else that it does with it.
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     record(&format!("case {name}, with the disruption: {trouble}"));
