--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -1,10 +1,7 @@
 //! The cases. Each returns whether its rule was broken.
 
 use crate::cannot_run;
-use crate::fleet::APPLY;
 use crate::fleet::Fleet;
-use crate::fleet::HOST;
-use crate::fleet::STREAM_PREFIX;
 use crate::http;
 use crate::record;
 use crate::server;
@@ -121,55 +118,25 @@
     lost
 }
 
-/// The operator raises the longest head of a request. Clients use it on connections that they keep.
-pub fn raised_limits(trouble: bool) -> bool {
-    const LARGE: usize = 32_768;
-    const CLIENTS: usize = 12;
+/// At the end of a release, one of nine servers has the old version. It loses the rest of one answer, and
+/// is full with the requests of other callers from then on. The eight others are idle.
+pub fn full_server_of_old_version(trouble: bool) -> bool {
     let mut fleet = Fleet::start();
-    fleet.configure(1, if trouble { 16_384 } else { LARGE });
-    fleet.start_servers(&IDS);
+    fleet.configure(1, 16_384);
+    fleet.start_servers_of(&IDS, |n| if n == 4 { "v1" } else { "v2" });
+    let old = fleet.servers[4].clone();
     fleet.settle();
-    let ask = |client: &mut http::Client, id: &str, note: &str| {
-        let fields = [
-            ("host", HOST),
-            ("x-basilfield-request-id", id),
-            ("x-basilfield-deadline-ms", "5000"),
-            ("x-note", note),
-        ];
-        let answer = client.ask("POST", &format!("{STREAM_PREFIX}{id}"), &fields, b"prompt");
-        let status = answer.map_or(0, |a| a.status());
-        record(&format!("request {id} with a note of {} bytes: {status}", note.len()));
-        status
-    };
-    let connect = |n: usize| {
-        let to = fleet.entries[n % fleet.entries.len()];
-        http::Client::connect(to, Duration::from_secs(6))
-            .unwrap_or_else(|e| cannot_run(&format!("{to}: {e}")))
-    };
-    let mut clients: Vec<http::Client> = (0..CLIENTS).map(connect).collect();
-    for (n, client) in clients.iter_mut().enumerate() {
-        if ask(client, &format!("short-{n}"), "x") != 200 {
-            cannot_run("a request before the disruption is not served");
-        }
-    }
-    if trouble {
-        fleet.configure(2, LARGE);
-    }
-    std::thread::sleep(APPLY + Duration::from_secs(2));
-    let note = "x".repeat(20_000);
-    let mut denied = 0;
-    for (n, client) in clients.iter_mut().enumerate() {
-        let status = ask(client, &format!("kept-{n}"), &note);
-        denied += usize::from((400..500).contains(&status) && ![408, 421, 429].contains(&status));
+    check_service(&fleet);
+    old.cuts_next.store(trouble, SeqCst);
+    let items = fleet.submit("job-after", 10);
+    let lost = fleet.is_item_lost("job-after", &items);
+    if trouble && !old.full.load(SeqCst) {
+        cannot_run("no item began at the server of the old version");
     }
-    let on_new = (0..CLIENTS).filter(|n| ask(&mut connect(*n), &format!("new-{n}"), &note) == 200);
-    let on_new = on_new.count();
-    record(&format!(
-        "{denied} of {CLIENTS} on kept connections are denied, {on_new} of {CLIENTS} on new ones are \
-         served"
-    ));
-    // Proper requests that are denied: more than 5 and one in 500.
-    denied > 5
+    let declined = old.arrivals.lock().expect("not poisoned");
+    let declined = declined.iter().filter(|a| !a.ran).count();
+    record(&format!("server {} has declined {declined} requests", old.id));
+    lost
 }
 
 /// A part of prompts whose id has 32 digits crashes each server that begins to answer.
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -23,7 +23,6 @@
 pub const STREAM_PREFIX: &str = "/lohu930/";
 pub const BATCH_PREFIX: &str = "/pule252/";
 /// Bounds of the small deployments.
-pub const APPLY: Duration = Duration::from_millis(2_000);
 pub const CONTACT: Duration = Duration::from_millis(3_000);
 pub const FINISH: Duration = Duration::from_secs(18);
 
@@ -142,11 +141,16 @@
 
     /// Starts a server in each zone in turn for each id, and waits until it is registered.
     pub fn start_servers(&mut self, ids: &[&str]) {
+        self.start_servers_of(ids, |_| "v1");
+    }
+
+    /// Starts servers as [`Fleet::start_servers`] does, each with the version that `version` gives for
+    /// its position.
+    pub fn start_servers_of(&mut self, ids: &[&str], version: impl Fn(usize) -> &'static str) {
         for (n, id) in ids.iter().enumerate() {
             let address = self.address(100 + n as u8, SERVER_PORT);
-            let controls = self.controls.clone();
-            let born = server::unix_ms();
-            self.servers.push(Server::start(id, address, ZONES[n % 3], controls, born));
+            let (zone, controls) = (ZONES[n % 3], self.controls.clone());
+            self.servers.push(Server::start(id, address, zone, version(n), controls));
         }
         self.wait("the servers are registered", || self.servers.iter().all(|s| s.beat()));
     }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -64,8 +64,8 @@
         "crashes" => cases::crash_under_items(trouble),
         "foreign" => cases::foreign_heartbeats(trouble),
         "full" => cases::full_server(trouble),
+        "old-version" => cases::full_server_of_old_version(trouble),
         "long-id" => cases::long_part_id(trouble),
-        "limits" => cases::raised_limits(trouble),
         other => cannot_run(&format!("there is no case {other}")),
     };
     println!("{}", if broken { "the rule was broken" } else { "the rule held" });
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -27,6 +27,8 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 /// Time to the first event of a run.
 const FIRST_EVENT: Duration = Duration::from_millis(50);
+/// Events of an answer that breaks off.
+const CUT_EVENTS: u64 = 6;
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 /// Unix time in milliseconds.
@@ -53,6 +55,10 @@
     pub draining: AtomicBool,
     /// Whether the server is full with the requests of other callers.
     pub full: AtomicBool,
+    /// Version of its software.
+    version: String,
+    /// Whether the next answer breaks off after `CUT_EVENTS` events. The server is full after that.
+    pub cuts_next: AtomicBool,
     /// Whether its process is down.
     pub down: AtomicBool,
     /// Part of prompts that crashes the server when it begins to answer; none if empty.
@@ -80,18 +86,20 @@
         id: &str,
         address: SocketAddr,
         zone: &str,
+        version: &str,
         controls: Vec<SocketAddr>,
-        born: u64,
     ) -> Arc<Server> {
         let server = Arc::new(Server {
             id: id.into(),
             address,
             zone: zone.into(),
             controls,
-            born: AtomicU64::new(born),
+            born: AtomicU64::new(unix_ms()),
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             full: AtomicBool::new(false),
+            version: version.into(),
+            cuts_next: AtomicBool::new(false),
             down: AtomicBool::new(false),
             bad_part: Mutex::default(),
             running: AtomicUsize::new(0),
@@ -166,10 +174,11 @@
         let sequence = self.sequence.fetch_add(1, SeqCst) + 1;
         let state = if self.draining.load(SeqCst) { "draining" } else { "ready" };
         let body = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{SLOTS},"state":"{state}","coldMs":0,"stage":"mixed","models":[{{"name":"m","version":1,"adapters":[]}}],"callSeq":{sequence},"born":{}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"{}","slots":{SLOTS},"state":"{state}","coldMs":0,"stage":"mixed","models":[{{"name":"m","version":1,"adapters":[]}}],"callSeq":{sequence},"born":{}}}"#,
             crate::fleet::SERVICE,
             self.address,
             self.zone,
+            self.version,
             self.born.load(SeqCst),
         );
         let path = format!("/-/instances/{}", self.id);
@@ -234,6 +243,9 @@
             let ran = self.run(&mut stream, &id, last);
             self.at_work.lock().expect("not poisoned").remove(&id);
             self.running.fetch_sub(1, SeqCst);
+            if ran.is_err() {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
             ran?;
         }
     }
@@ -247,8 +259,17 @@
              content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
         )?;
         std::thread::sleep(FIRST_EVENT);
+        let cuts = self.cuts_next.swap(false, SeqCst);
         for event in last + 1..=EVENTS {
             std::thread::sleep(EVENT_PAUSE);
+            if cuts && event > last + CUT_EVENTS {
+                record(&format!(
+                    "server {} loses the rest of {id}, and is full from now on",
+                    self.id
+                ));
+                self.full.store(true, SeqCst);
+                return Err(std::io::Error::other("the answer is lost"));
+            }
             let text = format!("id: {event}\ndata: {}\n\n", data(id, event));
             write!(stream, "{:x}\r\n{text}\r\n", text.len())?;
         }
