--- a/src/fleet/quarantine/former.rs
+++ b/src/fleet/quarantine/former.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::quarantine;
 use crate::fleet::quarantine::Cause;
+use crate::fleet::quarantine::state;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::VecDeque;
@@ -71,7 +72,7 @@
             relapsed: q.relapsed,
         };
         let cleared =
-            |c: ClearedPart| quarantine::Cleared { cause: Cause::Part(c.part), crashes: c.crashes };
+            |c: ClearedPart| state::Cleared { cause: Cause::Part(c.part), crashes: c.crashes };
         quarantine::State {
             revision: state.revision,
             crashes: state.crashes.into_iter().map(quarantine::Crash::from).collect(),
