Revise the verdict on a cause of crashes within seconds

Cause: a part is quarantined after crashes of three starts, though one event, such as the loss of a failure domain, is what crashed all of them; and the first trial, which revises the verdict, came after 30 s, while items are owed in 18 s. A trial that was not sent, or under which the endpoint crashed together with others, made the pause before the next one longer.

Change: reports of crashes hold the time of the first broken answer, and those without a suspect are sent as well. Crashes within 0.2 s are one moment, which counts for a cause only if half of the endpoints that crashed ran it; a part needs three moments or five crashes. A trial has to be sent within 2 s of its grant, so that no two of one cause are under way.

--- a/src/fleet/control_state.rs
+++ b/src/fleet/control_state.rs
@@ -75,8 +75,8 @@
         /// Number of the trial, counted from 1.
         number: u32,
     },
-    /// Records crashes of endpoints.
-    RecordCrashes(Vec<quarantine::Crash>),
+    /// Records crashes of endpoints. Only in logs that were written by earlier versions.
+    RecordUntimedCrashes(Vec<former::UntimedCrash>),
     /// Releases causes of crashes that were answered.
     ClearCauses(Vec<quarantine::Cause>),
     /// Grants the trial of a quarantined cause with this number, unless it was granted before.
@@ -90,6 +90,8 @@
     AddBuild(origin::Origin),
     /// Removes builds of which there has been no endpoint for long.
     RemoveBuilds(Vec<origin::Origin>),
+    /// Records crashes of endpoints.
+    RecordCrashes(Vec<quarantine::Crash>),
 }
 
 /// State of the control group.
@@ -101,10 +103,22 @@
     pub placement: Placement,
     /// Empty; earlier versions stored the quarantined parts of prompts here.
     pub former: former::State,
-    /// Crashes of endpoints and their quarantined causes.
-    pub quarantine: quarantine::State,
+    /// Empty; earlier versions stored crashes without their times here.
+    pub untimed: former::UntimedState,
     /// Builds whose endpoints may be in the directory.
     pub builds: builds::Builds,
+    /// Crashes of endpoints and their quarantined causes.
+    pub quarantine: quarantine::State,
+}
+
+/// Snapshot of an earlier version, which did not store the times of crashes.
+#[derive(Deserialize)]
+struct UntimedState {
+    document: Document,
+    placement: Placement,
+    former: former::State,
+    quarantine: former::UntimedState,
+    builds: builds::Builds,
 }
 
 /// Snapshot of an earlier version, which did not store builds.
@@ -113,7 +127,7 @@
     document: Document,
     placement: Placement,
     former: former::State,
-    quarantine: quarantine::State,
+    quarantine: former::UntimedState,
 }
 
 /// Snapshot of an earlier version, which knew no causes but parts of prompts.
@@ -141,9 +155,14 @@
 /// Reads a snapshot of an earlier version.
 fn decode_former(data: &[u8]) -> Result<ControlState, postcard::Error> {
     if let Ok(state) = postcard::from_bytes(data) {
-        let CausesState { document, placement, former, quarantine } = state;
-        let builds = builds::Builds::default();
-        return Ok(ControlState { document, placement, former, quarantine, builds });
+        let UntimedState { document, placement, former, quarantine, builds } = state;
+        let (untimed, quarantine) = (former::UntimedState::default(), quarantine.into());
+        return Ok(ControlState { document, placement, former, untimed, builds, quarantine });
+    }
+    if let Ok(CausesState { document, placement, former, quarantine }) = postcard::from_bytes(data)
+    {
+        let quarantine = quarantine.into();
+        return Ok(ControlState { document, placement, former, quarantine, ..Default::default() });
     }
     if let Ok(PartsState { document, placement, quarantine }) = postcard::from_bytes(data) {
         let quarantine = quarantine.into();
@@ -191,6 +210,11 @@
                     self.quarantine.record_crash(crash.into());
                 }
             }
+            Command::RecordUntimedCrashes(crashes) => {
+                for crash in crashes {
+                    self.quarantine.record_crash(crash.into());
+                }
+            }
             Command::RecordCrashes(crashes) => {
                 for crash in crashes {
                     self.quarantine.record_crash(crash);
--- a/src/fleet/crashes.rs
+++ b/src/fleet/crashes.rs
@@ -54,6 +54,8 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     since: Duration,
+    /// The same moment in milliseconds of Unix time.
+    broken_at: u64,
     /// Whether it is known to have crashed. Otherwise this is being checked.
     crashed: bool,
     requests: Vec<Arc<quarantine::RequestCauses>>,
@@ -81,7 +83,7 @@
 impl Suspects {
     fn add(
         &mut self,
-        now: Duration,
+        (now, broken_at): (Duration, u64),
         key: &Incarnation,
         request: &Arc<quarantine::RequestCauses>,
     ) -> Added {
@@ -91,7 +93,7 @@
                 return Added::Pending;
             }
             let requests = vec![request.clone()];
-            let suspect = Suspect { since: now, crashed: false, requests, reported: 0 };
+            let suspect = Suspect { since: now, broken_at, crashed: false, requests, reported: 0 };
             self.endpoints.insert(key.clone(), suspect);
             return Added::Check;
         };
@@ -125,8 +127,8 @@
             self.endpoints.iter().filter(|(_, s)| s.crashed && s.requests.len() > s.reported);
         let crash = |((endpoint, start_time), s): (&Incarnation, &Suspect)| {
             let requests = s.requests.iter().map(|r| (**r).clone()).collect();
-            let crash =
-                quarantine::Crash { endpoint: endpoint.clone(), start_time: *start_time, requests };
+            let (endpoint, start_time, broken_at) = (endpoint.clone(), *start_time, s.broken_at);
+            let crash = quarantine::Crash { endpoint, start_time, broken_at, requests };
             (crash, s.requests.len())
         };
         crashes.map(crash).collect()
@@ -231,7 +233,8 @@
         }
         let (id, start_time, address) = endpoint;
         let key = (id.clone(), start_time);
-        match peer::lock(&self.suspects).add(self.now(), &key, causes) {
+        let moment = (self.now(), node::unix_time(0));
+        match peer::lock(&self.suspects).add(moment, &key, causes) {
             Added::Check => {
                 let (node, request) = (self.clone(), request.clone());
                 tokio::spawn(async move { node.check_endpoint(key, address, &request).await });
@@ -289,7 +292,8 @@
         granted
     }
 
-    /// Reports crashes of requests with causes that were not answered lately.
+    /// Reports crashes, with the causes that were not answered lately. A crash without any speaks
+    /// against the causes of others at the same time.
     async fn report_crashes(&self) {
         let mut crashes = peer::lock(&self.suspects).unreported();
         if crashes.is_empty() {
@@ -308,16 +312,13 @@
                 crash.requests.retain(|r| !r.causes.is_empty());
                 crash
             })
-            .filter(|crash| !crash.requests.is_empty())
             .collect();
-        if !named.is_empty() {
-            let command = control_state::Command::RecordCrashes(named);
-            let reply = self.groups.propose(groups::CONTROL, &command, REPORT_TIMEOUT).await;
-            if let Err(failure) = reply {
-                event!(self.log, events::CRASHES_UNREPORTED; "crashes" => all.len(),
-                    "error" => ?failure);
-                return;
-            }
+        let command = control_state::Command::RecordCrashes(named);
+        let reply = self.groups.propose(groups::CONTROL, &command, REPORT_TIMEOUT).await;
+        if let Err(failure) = reply {
+            event!(self.log, events::CRASHES_UNREPORTED; "crashes" => all.len(),
+                "error" => ?failure);
+            return;
         }
         peer::lock(&self.suspects).mark_reported(&all);
     }
--- a/src/fleet/dispatch.rs
+++ b/src/fleet/dispatch.rs
@@ -53,8 +53,6 @@
 const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Longest wait for the confirmation that the ledger is complete, which is then asked for again.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time within which an item has to start that was granted the trial of a quarantined part.
-const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Result of background work for the dispatcher.
 enum Message {
@@ -74,12 +72,6 @@
     ConfigConfirmed(Option<config_wait::ConfirmedVersion>),
 }
 
-/// Permission of an item to run as the trial of a quarantined part.
-struct Grant {
-    since: time::Instant,
-    trial: quarantine::Trial,
-}
-
 /// Message with the epoch in which its work was started.
 struct EpochMessage {
     epoch: u64,
@@ -127,7 +119,7 @@
     /// Time before which no plan is made.
     next_plan: time::Instant,
     /// Items that may run as the trial of a quarantined part.
-    trials: sorted::SortedMap<ItemKey, Grant>,
+    trials: sorted::SortedMap<ItemKey, quarantine::Trial>,
     /// Items that wait because a part of their prompts is quarantined.
     held: sorted::SortedMap<ItemKey, quarantine::Hold>,
     /// Jobs that were accepted under a newer configuration than this host holds.
@@ -301,9 +293,8 @@
             Message::FailureCounted(key) => self.back_off(&key, FAILURE_RETRY_DELAY),
             Message::LedgerComplete => self.ledger_complete = true,
             Message::TrialGranted(key, cause) => {
-                let since = time::Instant::now();
-                let empty = || Grant { since, trial: quarantine::Trial::default() };
-                self.trials.entry_or(key, empty).trial.grant(cause);
+                let trial = self.trials.entry_or(key, quarantine::Trial::default);
+                trial.grant(self.node.now(), cause);
             }
             Message::TrialRefused | Message::ConfigConfirmed(None) => {}
             Message::ConfigConfirmed(Some(confirmed)) => {
@@ -340,9 +331,9 @@
             _ => return,
         };
         if matches!(ended, RunEnd::NotRun { .. })
-            && let Some(grant) = self.trials.get_mut(&key)
+            && let Some(trial) = self.trials.get_mut(&key)
         {
-            grant.trial.set_sent(false);
+            trial.set_sent(false);
         }
         let (job, item) = key.clone();
         let log = &self.node.log;
--- a/src/fleet/dispatch/planning.rs
+++ b/src/fleet/dispatch/planning.rs
@@ -7,7 +7,6 @@
 use crate::fleet::dispatch::Dispatcher;
 use crate::fleet::dispatch::Message;
 use crate::fleet::dispatch::QueuedItem;
-use crate::fleet::dispatch::TRIAL_TIMEOUT;
 use crate::fleet::dispatch::commit;
 use crate::fleet::dispatch::config_wait;
 use crate::fleet::dispatch::inputs;
@@ -86,7 +85,8 @@
         let (mut to_abandon, mut waiting) = (Vec::new(), Vec::new());
         let mut held = sorted::SortedMap::new();
         let (version, mut awaiting) = (active.document.version, Vec::new());
-        self.trials.retain(|_, grant| now - grant.since < TRIAL_TIMEOUT);
+        let host_now = self.node.now();
+        self.trials.retain(|_, trial| !trial.is_expired(host_now));
         let (mut keys, mut running) = (Vec::new(), Vec::new());
         let owners = inputs::Owners::new(&active.config.workspaces);
         for (id, job) in &jobs {
@@ -248,7 +248,7 @@
         }
         let prompt = node.item_causes(item);
         let parts = match self.trials.get(key) {
-            Some(grant) => grant.trial.checked(&prompt.causes),
+            Some(trial) => trial.checked(&prompt.causes),
             None => prompt.causes.clone(),
         };
         match node.view.quarantine(|q| q.check(now, &parts)) {
--- a/src/fleet/dispatch/runs.rs
+++ b/src/fleet/dispatch/runs.rs
@@ -91,9 +91,9 @@
                     return self.abandon(key, ledger::Cause::Impossible);
                 }
             };
-        let trial = self.trials.get(&key).map(|g| g.trial.clone()).unwrap_or_default();
-        if let Some(grant) = self.trials.get_mut(&key) {
-            grant.trial.set_sent(true);
+        let trial = self.trials.get(&key).cloned().unwrap_or_default();
+        if let Some(trial) = self.trials.get_mut(&key) {
+            trial.set_sent(true);
         }
         let (number, last_event) = (self.shared.numbers.next_run(), progress.last_event);
         let start = limits::EndpointStart::new(&endpoint, start_time);
--- a/src/fleet/forward/quarantined.rs
+++ b/src/fleet/forward/quarantined.rs
@@ -24,7 +24,8 @@
 
 impl forward::Forwarder {
     /// Whether a part of the prompt is quarantined and the request is not the trial of it.
-    pub(super) fn is_held(&self) -> bool {
+    pub(super) fn is_held(&mut self) -> bool {
+        self.trial.expire(self.node.now());
         let parts = self.trial.checked(&self.prompt.causes);
         !self.node.view.quarantine(|q| q.is_free(&parts))
     }
@@ -38,6 +39,7 @@
         if self.trial.is_sent() && self.only.is_none() {
             return Err(self.give_up("the trial of a quarantined cause has ended"));
         }
+        self.trial.expire(self.node.now());
         let hold = loop {
             let (now, parts) = (self.node.now(), self.trial.checked(&self.prompt.causes));
             let (hold, number) = match self.node.view.quarantine(|q| q.check(now, &parts)) {
@@ -54,7 +56,7 @@
             if trial != Ok(true) {
                 break hold;
             }
-            self.trial.grant(hold.cause);
+            self.trial.grant(self.node.now(), hold.cause);
             self.attempts = attempt::Attempts::new(false, 1);
         };
         self.node.metrics.count_part("held");
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -110,8 +110,9 @@
     pub log: slog::Logger,
 }
 
-/// Unix time in milliseconds, with `offset` added. Used only to order the starts of processes.
-fn unix_time(offset: i64) -> u64 {
+/// Unix time in milliseconds, with `offset` added. Used only to order the starts of processes, and to
+/// tell which endpoints crashed at the same moment.
+pub fn unix_time(offset: i64) -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let time = since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
     time.saturating_add_signed(offset)
--- a/src/fleet/quarantine.rs
+++ b/src/fleet/quarantine.rs
@@ -80,6 +80,8 @@
     pub endpoint: Arc<str>,
     /// Start of the endpoint in milliseconds of Unix time; 0 if not stated.
     pub start_time: u64,
+    /// When the first answer broke off there, in milliseconds of Unix time; 0 if unknown.
+    pub broken_at: u64,
     /// Requests that ran there and had brought next to nothing.
     pub requests: Vec<RequestCauses>,
 }
@@ -106,6 +108,8 @@
     pub crashes: u32,
     /// Trials that were granted.
     pub trials: u32,
+    /// Trials under which an endpoint crashed while no other one did.
+    pub failed: u32,
     /// Whether it had been cleared before. Only answers since then clear it again.
     pub relapsed: bool,
 }
--- a/src/fleet/quarantine/former.rs
+++ b/src/fleet/quarantine/former.rs
@@ -1,4 +1,5 @@
-//! Crashes and quarantined parts as earlier builds stored them, which knew no whole requests.
+//! Crashes and their quarantined causes as earlier builds stored them: parts of prompts alone, then all
+//! causes without the times of crashes and the outcome of trials.
 
 use crate::fleet::quarantine;
 use crate::fleet::quarantine::Cause;
@@ -36,7 +37,63 @@
             causes: p.parts.into_iter().map(Cause::Part).collect(),
         };
         let requests = prompts.into_iter().map(request).collect();
-        quarantine::Crash { endpoint, start_time, requests }
+        quarantine::Crash { endpoint, start_time, broken_at: 0, requests }
+    }
+}
+
+/// Crash of one start of an endpoint, without its time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UntimedCrash {
+    /// Id of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Start of the endpoint in milliseconds of Unix time.
+    pub start_time: u64,
+    /// Requests that broke there.
+    pub requests: Vec<quarantine::RequestCauses>,
+}
+
+impl From<UntimedCrash> for quarantine::Crash {
+    fn from(crash: UntimedCrash) -> quarantine::Crash {
+        let UntimedCrash { endpoint, start_time, requests } = crash;
+        quarantine::Crash { endpoint, start_time, broken_at: 0, requests }
+    }
+}
+
+/// Quarantined cause without the outcome of its trials.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct UntriedCause {
+    cause: Cause,
+    crashes: u32,
+    trials: u32,
+    relapsed: bool,
+}
+
+/// Crashes without their times, and what follows from them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UntimedState {
+    revision: u64,
+    crashes: VecDeque<UntimedCrash>,
+    quarantined: VecDeque<UntriedCause>,
+    cleared: VecDeque<state::Cleared>,
+}
+
+impl From<UntimedState> for quarantine::State {
+    fn from(former: UntimedState) -> quarantine::State {
+        let verdict = |q: UntriedCause| {
+            state::Verdict::new(quarantine::Quarantined {
+                cause: q.cause,
+                crashes: q.crashes,
+                trials: q.trials,
+                failed: 0,
+                relapsed: q.relapsed,
+            })
+        };
+        quarantine::State {
+            revision: former.revision,
+            crashes: former.crashes.into_iter().map(quarantine::Crash::from).collect(),
+            quarantined: former.quarantined.into_iter().map(verdict).collect(),
+            cleared: former.cleared,
+        }
     }
 }
 
@@ -65,11 +122,14 @@
 
 impl From<State> for quarantine::State {
     fn from(state: State) -> quarantine::State {
-        let quarantined = |q: QuarantinedPart| quarantine::Quarantined {
-            cause: Cause::Part(q.part),
-            crashes: q.crashes,
-            trials: q.trials,
-            relapsed: q.relapsed,
+        let quarantined = |q: QuarantinedPart| {
+            state::Verdict::new(quarantine::Quarantined {
+                cause: Cause::Part(q.part),
+                crashes: q.crashes,
+                trials: q.trials,
+                failed: 0,
+                relapsed: q.relapsed,
+            })
         };
         let cleared =
             |c: ClearedPart| state::Cleared { cause: Cause::Part(c.part), crashes: c.crashes };
--- a/src/fleet/quarantine/state.rs
+++ b/src/fleet/quarantine/state.rs
@@ -12,6 +12,18 @@
 
 /// Crashes of different starts of endpoints after which a cause is quarantined.
 const MIN_CRASHES: usize = 3;
+/// Moments of such crashes after which a part is quarantined. Endpoints that crash at one moment may
+/// have lost their power or their failure domain.
+const MIN_MOMENTS: usize = 3;
+/// Crashes after which a part is quarantined even if they occurred at fewer moments. All endpoints may
+/// crash within one moment if requests with a bad part come fast enough.
+const MAX_UNDECIDED_CRASHES: usize = 5;
+/// Longest time between the first and the last crash of one moment.
+const MOMENT_MS: u64 = 200;
+/// Longest time between the crash under a trial and another crash that explains it.
+const COINCIDENCE_MS: u64 = 250;
+/// Trials of one cause that may end with a crash beside others before each of them counts as failed.
+const MAX_COINCIDENT_TRIALS: u32 = 2;
 /// Different prompts with a part that must have broken in these crashes. With a single one, the
 /// request is the cause.
 const MIN_PROMPTS: usize = 2;
@@ -39,6 +51,62 @@
     pub(super) crashes: u32,
 }
 
+/// Quarantined cause and the outcome of its trials.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Verdict {
+    pub(super) quarantined: Quarantined,
+    /// Number of the last trial under which an endpoint crashed.
+    crashed_trial: u32,
+    /// Time of the crash of the last failed trial in milliseconds of Unix time; 0 if there is none.
+    failed_at: u64,
+    /// Trials under which an endpoint crashed at the same time as others.
+    coincident: u32,
+}
+
+impl Verdict {
+    pub(super) fn new(quarantined: Quarantined) -> Verdict {
+        Verdict { quarantined, crashed_trial: 0, failed_at: 0, coincident: 0 }
+    }
+
+    fn cause(&self) -> Cause {
+        self.quarantined.cause
+    }
+
+    /// Records that an endpoint crashed with the cause at `at`; `is_coincident` tells whether others
+    /// crashed without it at the same time.
+    fn record_crash(&mut self, at: u64, is_coincident: bool) {
+        self.quarantined.crashes += 1;
+        if self.quarantined.trials == self.crashed_trial {
+            return;
+        }
+        self.crashed_trial = self.quarantined.trials;
+        if is_coincident && self.coincident < MAX_COINCIDENT_TRIALS {
+            self.coincident += 1;
+        } else {
+            self.quarantined.failed += 1;
+            self.failed_at = at;
+        }
+    }
+
+    /// Records that an endpoint crashed without the cause at `at`. The last trial may have failed for
+    /// the same reason.
+    /// Returns whether that changes the verdict.
+    fn record_other_crash(&mut self, at: u64) -> bool {
+        let excuses = self.coincident < MAX_COINCIDENT_TRIALS && coincide(self.failed_at, at);
+        if excuses {
+            self.coincident += 1;
+            self.quarantined.failed = self.quarantined.failed.saturating_sub(1);
+            self.failed_at = 0;
+        }
+        excuses
+    }
+}
+
+/// Whether two crashes occurred at the same time; 0 is an unknown time.
+fn coincide(a: u64, b: u64) -> bool {
+    a != 0 && b != 0 && a.abs_diff(b) <= COINCIDENCE_MS
+}
+
 /// Crashes and what follows from them, as replicated by the control group.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
@@ -46,14 +114,17 @@
     pub(super) revision: u64,
     /// Recent crashes, the oldest first.
     pub(super) crashes: VecDeque<Crash>,
-    pub(super) quarantined: VecDeque<Quarantined>,
+    pub(super) quarantined: VecDeque<Verdict>,
     pub(super) cleared: VecDeque<Cleared>,
 }
 
-/// What may be the cause of unexplained crashes.
+/// What may be the cause of unexplained crashes. Only moments count in which at least half of the
+/// endpoints that crashed ran requests with it.
 struct Suspect {
     cause: Cause,
     crashes: usize,
+    /// Moments of these crashes.
+    moments: usize,
     /// Keys of the requests that broke, sorted.
     requests: Vec<u64>,
     /// Largest index among the causes of a request.
@@ -63,11 +134,18 @@
 }
 
 impl Suspect {
+    fn new(cause: Cause) -> Suspect {
+        Suspect { cause, crashes: 0, moments: 0, requests: Vec::new(), depth: 0, unexplained: 0 }
+    }
+
     fn qualifies(&self) -> bool {
         self.crashes >= MIN_CRASHES
             && match self.cause {
                 Cause::Part(_) => {
-                    self.requests.len() >= MIN_PROMPTS && self.unexplained >= MIN_PART_CRASHES
+                    let is_repeated = self.moments >= MIN_MOMENTS;
+                    self.requests.len() >= MIN_PROMPTS
+                        && self.unexplained >= MIN_PART_CRASHES
+                        && (is_repeated || self.crashes >= MAX_UNDECIDED_CRASHES)
                 }
                 Cause::Request(_) => true,
             }
@@ -96,7 +174,8 @@
 
     /// What every host has to know.
     pub fn summary(&self) -> Summary {
-        let mut quarantined: Vec<Quarantined> = self.quarantined.iter().copied().collect();
+        let mut quarantined: Vec<Quarantined> =
+            self.quarantined.iter().map(|v| v.quarantined).collect();
         quarantined.sort_by_key(|q| q.cause);
         let mut suspected = Vec::new();
         let is_suspected = |cause: &Cause| match cause {
@@ -128,12 +207,16 @@
             request.causes.drain(..excess);
         }
         let known = |c: &Crash| (&c.endpoint, c.start_time) == (&crash.endpoint, crash.start_time);
-        let at = self.crashes.iter().position(known).unwrap_or_else(|| {
-            let empty = Crash { requests: Vec::new(), ..crash.clone() };
-            push_bounded(&mut self.crashes, empty, MAX_CRASHES);
+        let position = self.crashes.iter().position(known);
+        let at = position.unwrap_or_else(|| {
+            self.add_empty_crash(&crash);
             self.crashes.len() - 1
         });
         let Some(record) = self.crashes.get_mut(at) else { return };
+        // Several hosts may report the crash; the first answer broke off when it occurred.
+        if crash.broken_at != 0 && (record.broken_at == 0 || crash.broken_at < record.broken_at) {
+            record.broken_at = crash.broken_at;
+        }
         let before = record.causes();
         for request in crash.requests {
             if record.requests.len() < MAX_REQUESTS && !record.requests.contains(&request) {
@@ -142,13 +225,16 @@
         }
         let mut added = record.causes();
         added.retain(|cause| before.binary_search(cause).is_err());
-        if added.is_empty() {
+        self.record_in_verdicts(at, &added);
+        let mut changed = !added.is_empty();
+        if position.is_none() {
+            changed |= self.record_beside_trials(at);
+            changed |= self.release_unsupported(at);
+        }
+        if !changed {
             return;
         }
         self.revision += 1;
-        for quarantined in &mut self.quarantined {
-            quarantined.crashes += u32::from(added.binary_search(&quarantined.cause).is_ok());
-        }
         if !added.iter().any(|cause| self.is_quarantined(*cause)) {
             for cleared in &mut self.cleared {
                 cleared.crashes += u32::from(added.binary_search(&cleared.cause).is_ok());
@@ -166,10 +252,10 @@
             }
             self.revision += 1;
             // What crashed endpoints before a trial need not be found in old crashes.
-            if self.quarantined.iter().any(|q| q.cause == *cause && q.trials > 0) {
+            if self.verdict(*cause).is_some_and(|v| v.quarantined.trials > 0) {
                 self.crashes.retain(|c| !c.has_cause(*cause));
             }
-            self.quarantined.retain(|q| q.cause != *cause);
+            self.quarantined.retain(|v| v.cause() != *cause);
             for request in self.crashes.iter_mut().flat_map(|c| &mut c.requests) {
                 request.causes.retain(|c| c != cause);
             }
@@ -183,17 +269,20 @@
     /// Grants the trial of a quarantined cause with the given number, counted from 1, if it is the
     /// next one. Each number is granted once in the whole fleet.
     pub fn grant_trial(&mut self, cause: Cause, number: u32) -> bool {
-        let found = self.quarantined.iter_mut().find(|q| q.cause == cause);
-        let Some(quarantined) = found.filter(|q| q.trials.checked_add(1) == Some(number)) else {
-            return false;
-        };
-        quarantined.trials = number;
+        let found = self.quarantined.iter_mut().find(|v| v.cause() == cause);
+        let is_next = |v: &&mut Verdict| v.quarantined.trials.checked_add(1) == Some(number);
+        let Some(verdict) = found.filter(is_next) else { return false };
+        verdict.quarantined.trials = number;
         self.revision += 1;
         true
     }
 
     fn is_quarantined(&self, cause: Cause) -> bool {
-        self.quarantined.iter().any(|q| q.cause == cause)
+        self.verdict(cause).is_some()
+    }
+
+    fn verdict(&self, cause: Cause) -> Option<&Verdict> {
+        self.quarantined.iter().find(|v| v.cause() == cause)
     }
 
     fn is_cleared(&self, cause: Cause) -> bool {
@@ -202,7 +291,7 @@
 
     /// Whether a request in a crash has a quarantined cause for which `is_meant` is true.
     fn is_explained(&self, crash: &Crash, is_meant: impl Fn(Cause) -> bool) -> bool {
-        self.quarantined.iter().any(|q| is_meant(q.cause) && crash.has_cause(q.cause))
+        self.quarantined.iter().any(|v| is_meant(v.cause()) && crash.has_cause(v.cause()))
     }
 
     /// Crashes in which no request had a quarantined part.
@@ -218,8 +307,8 @@
             let relapsed = self.cleared.iter().any(|c| c.cause == cause);
             self.cleared.retain(|c| c.cause != cause);
             let crashes = u32::try_from(crashes).unwrap_or(u32::MAX);
-            let quarantined = Quarantined { cause, crashes, trials: 0, relapsed };
-            push_bounded(&mut self.quarantined, quarantined, MAX_LISTED);
+            let quarantined = Quarantined { cause, crashes, trials: 0, failed: 0, relapsed };
+            push_bounded(&mut self.quarantined, Verdict::new(quarantined), MAX_LISTED);
             if matches!(cause, Cause::Part(_)) {
                 self.release_explained_requests(cause);
             }
@@ -229,31 +318,45 @@
     /// Releases requests that broke only in crashes with a quarantined part.
     fn release_explained_requests(&mut self, part: Cause) {
         let crashes = &self.crashes;
-        self.quarantined.retain(|q| {
-            let mut of_request = crashes.iter().filter(|c| c.has_cause(q.cause)).peekable();
+        self.quarantined.retain(|v| {
+            let mut of_request = crashes.iter().filter(|c| c.has_cause(v.cause())).peekable();
             let is_explained = of_request.peek().is_some() && of_request.all(|c| c.has_cause(part));
-            matches!(q.cause, Cause::Part(_)) || !is_explained
+            matches!(v.cause(), Cause::Part(_)) || !is_explained
         });
     }
 
     /// What explains enough crashes, if anything. Of causes that occur in the same requests the
     /// narrowest one.
     fn find_cause(&self) -> Option<Cause> {
+        let suspects = self.suspects();
+        let suspects: Vec<&Suspect> = suspects.values().filter(|s| s.qualifies()).collect();
+        let is_narrowest = |s: &&&Suspect| !suspects.iter().any(|other| s.contains(other));
+        let narrowest = suspects.iter().filter(is_narrowest);
+        narrowest.max_by_key(|s| (s.crashes, s.requests.len(), s.depth)).map(|s| s.cause)
+    }
+
+    /// Causes of unexplained crashes that are neither quarantined nor cleared.
+    fn suspects(&self) -> sorted::SortedMap<Cause, Suspect> {
         let is_request = |cause| matches!(cause, Cause::Request(_));
         let mut suspects = sorted::SortedMap::<Cause, Suspect>::new();
-        for crash in self.unexplained() {
-            let is_explained = self.is_explained(crash, is_request);
+        for moment in self.moments() {
             let open = |c: &Cause| !self.is_cleared(*c) && !self.is_quarantined(*c);
-            for cause in crash.causes().into_iter().filter(open) {
-                let (requests, crashes, depth, unexplained) = (Vec::new(), 0, 0, 0);
-                let empty = || Suspect { cause, crashes, requests, depth, unexplained };
-                let suspect = suspects.entry_or(cause, empty);
-                suspect.crashes += 1;
-                suspect.unexplained += usize::from(!is_explained);
-            }
-            for request in &crash.requests {
-                for (depth, cause) in request.causes.iter().enumerate() {
-                    if let Some(suspect) = suspects.get_mut(cause) {
+            let mut causes: Vec<Cause> = moment.iter().flat_map(|c| c.causes()).collect();
+            causes.sort_unstable();
+            causes.dedup();
+            let explained = |c: &Crash| self.is_explained(c, is_request);
+            for cause in causes.into_iter().filter(open) {
+                let (with, without): (Vec<&Crash>, Vec<&Crash>) =
+                    moment.iter().partition(|c| c.has_cause(cause));
+                if without.iter().filter(|c| !explained(c)).count() > with.len() {
+                    continue;
+                }
+                let suspect = suspects.entry_or(cause, || Suspect::new(cause));
+                suspect.moments += 1;
+                suspect.crashes += with.len();
+                suspect.unexplained += with.iter().filter(|c| !explained(c)).count();
+                for request in with.iter().flat_map(|c| &c.requests) {
+                    if let Some(depth) = request.causes.iter().position(|c| *c == cause) {
                         suspect.requests.push(request.key);
                         suspect.depth = suspect.depth.max(depth);
                     }
@@ -265,9 +368,90 @@
             suspect.requests.sort_unstable();
             suspect.requests.dedup();
         }
-        let suspects: Vec<&Suspect> = suspects.values().filter(|s| s.qualifies()).collect();
-        let is_narrowest = |s: &&&Suspect| !suspects.iter().any(|other| s.contains(other));
-        let narrowest = suspects.iter().filter(is_narrowest);
-        narrowest.max_by_key(|s| (s.crashes, s.requests.len(), s.depth)).map(|s| s.cause)
+        suspects
+    }
+
+    /// Unexplained crashes, those at the same moment together. A crash at an unknown time is a moment
+    /// of its own.
+    fn moments(&self) -> Vec<Vec<&Crash>> {
+        let mut crashes: Vec<&Crash> = self.unexplained().collect();
+        crashes.sort_by_key(|c| c.broken_at);
+        let mut moments: Vec<Vec<&Crash>> = Vec::new();
+        for crash in crashes {
+            match moments.last_mut() {
+                Some(moment) if is_same_moment(moment[0], crash) => moment.push(crash),
+                _ => moments.push(vec![crash]),
+            }
+        }
+        moments
+    }
+
+    /// Adds a crash without requests. Crashes without causes are the first to be forgotten.
+    fn add_empty_crash(&mut self, crash: &Crash) {
+        if self.crashes.len() >= MAX_CRASHES {
+            let at = self.crashes.iter().position(|c| c.causes().is_empty());
+            self.crashes.remove(at.unwrap_or(0));
+        }
+        self.crashes.push_back(Crash { requests: Vec::new(), ..crash.clone() });
     }
+
+    /// Records in the verdicts on the causes `added` that they occurred in the crash at index `at`.
+    fn record_in_verdicts(&mut self, at: usize, added: &[Cause]) {
+        let crash = &self.crashes[at];
+        let is_beside = |other: &Crash, cause: Cause| {
+            coincide(other.broken_at, crash.broken_at)
+                && !other.has_cause(cause)
+                && !self.is_explained(other, |c| c != cause)
+        };
+        let is_coincident = |cause| self.crashes.iter().any(|other| is_beside(other, cause));
+        let coincident: Vec<Cause> = added.iter().copied().filter(|c| is_coincident(*c)).collect();
+        let broken_at = crash.broken_at;
+        for verdict in &mut self.quarantined {
+            if added.binary_search(&verdict.cause()).is_ok() {
+                let is_coincident = coincident.binary_search(&verdict.cause()).is_ok();
+                verdict.record_crash(broken_at, is_coincident);
+            }
+        }
+    }
+
+    /// Records in the verdicts that do not explain the crash at index `at` that it occurred. Returns
+    /// whether one has changed.
+    fn record_beside_trials(&mut self, at: usize) -> bool {
+        let crash = &self.crashes[at];
+        if self.is_explained(crash, |_| true) {
+            return false;
+        }
+        let broken_at = crash.broken_at;
+        let mut changed = false;
+        for verdict in &mut self.quarantined {
+            changed |= verdict.record_other_crash(broken_at);
+        }
+        changed
+    }
+
+    /// Releases causes that were not tried yet and no longer qualify, since the crash at index `at`
+    /// occurred without them at the moment of one with them. Returns whether there are any.
+    fn release_unsupported(&mut self, at: usize) -> bool {
+        let crash = &self.crashes[at];
+        let is_contrary = |v: &&Verdict| {
+            let with = |c: &Crash| c.has_cause(v.cause()) && is_same_moment(c, crash);
+            v.quarantined.trials == 0
+                && !crash.has_cause(v.cause())
+                && self.crashes.iter().any(with)
+        };
+        let doubted: Vec<Verdict> = self.quarantined.iter().filter(is_contrary).copied().collect();
+        for verdict in &doubted {
+            // Its crashes count as unexplained while it is judged.
+            self.quarantined.retain(|v| v.cause() != verdict.cause());
+            if self.suspects().get(&verdict.cause()).is_some_and(Suspect::qualifies) {
+                self.quarantined.push_back(*verdict);
+            }
+        }
+        doubted.iter().any(|v| !self.is_quarantined(v.cause()))
+    }
+}
+
+/// Whether two crashes are so close to each other that one event may have caused both.
+fn is_same_moment(a: &Crash, b: &Crash) -> bool {
+    a.broken_at != 0 && b.broken_at != 0 && a.broken_at.abs_diff(b.broken_at) <= MOMENT_MS
 }
--- a/src/fleet/quarantine/trial.rs
+++ b/src/fleet/quarantine/trial.rs
@@ -1,26 +1,46 @@
 //! Trials of quarantined causes.
 
 use crate::fleet::quarantine::Cause;
+use crate::fleet::quarantine::watch;
 use serde::Deserialize;
 use serde::Serialize;
+use std::time::Duration;
 
 /// Trials of quarantined causes that were granted to a request or an item.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Trial {
     causes: Vec<Cause>,
+    /// Time of the first grant, at the host that got it.
+    granted: Duration,
     /// Whether an endpoint may have run it.
     sent: bool,
 }
 
 impl Trial {
-    /// Records that the trial of a cause was granted. Earlier trials are over if they were sent.
-    pub fn grant(&mut self, cause: Cause) {
+    /// Records that the trial of a cause was granted at `now`. Earlier trials are over if they were
+    /// sent.
+    pub fn grant(&mut self, now: Duration, cause: Cause) {
         if self.sent {
             *self = Trial::default();
         }
+        if self.causes.is_empty() {
+            self.granted = now;
+        }
         self.causes.push(cause);
     }
 
+    /// Ends the trials if they were granted too long ago to be sent now.
+    pub fn expire(&mut self, now: Duration) {
+        if !self.sent && self.is_expired(now) {
+            *self = Trial::default();
+        }
+    }
+
+    /// Whether the trials were granted so long ago that others may have been granted since.
+    pub fn is_expired(&self, now: Duration) -> bool {
+        now.saturating_sub(self.granted) >= watch::TRIAL_VALIDITY
+    }
+
     /// Records whether an endpoint may have run the request or item since the grant.
     pub fn set_sent(&mut self, sent: bool) {
         self.sent = sent && !self.causes.is_empty();
--- a/src/fleet/quarantine/watch.rs
+++ b/src/fleet/quarantine/watch.rs
@@ -11,13 +11,17 @@
 /// Time for which a host without a confirmed state sends no requests. The control group elects a
 /// leader within it after a restart of all hosts.
 pub const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
-/// Pauses before the trials of a quarantined cause. After the last one they stay the same.
+/// Pauses before the trial of a cause by the number of trials that have failed. After the last one they
+/// stay the same. The first two are shorter than the time in which items are owed; at most three trials
+/// fail within a day.
 const TRIAL_PAUSES: [Duration; 4] = [
-    Duration::from_secs(30),
+    TRIAL_VALIDITY,
+    Duration::from_secs(8),
     Duration::from_secs(5 * 60),
-    Duration::from_secs(30 * 60),
     Duration::from_secs(24 * 60 * 60),
 ];
+/// Time after its grant within which a trial has to be sent. The next one is granted later than that.
+pub const TRIAL_VALIDITY: Duration = Duration::from_secs(2);
 /// Time after which a host that was granted no trial asks for one again.
 const TRIAL_RETRY: Duration = Duration::from_secs(2);
 
@@ -216,7 +220,7 @@
             return Check::Free;
         }
         let wait = |w: &Watched| {
-            let step = TRIAL_PAUSES.len().min(w.state.trials as usize + 1) - 1;
+            let step = TRIAL_PAUSES.len().min(w.state.failed as usize + 1) - 1;
             let due = w.changed + TRIAL_PAUSES[step];
             let retry = w.asked.map_or(due, |asked| due.max(asked + TRIAL_RETRY));
             retry.saturating_sub(now)
--- a/tests/fleet_pair/mod.rs
+++ b/tests/fleet_pair/mod.rs
@@ -184,6 +184,7 @@
         cause: quarantine::Cause::Part(part),
         crashes: 3,
         trials: 0,
+        failed: 0,
         relapsed: false,
     });
     quarantine::Summary {
--- a/tests/fleet_prompts/crashing_request.rs
+++ b/tests/fleet_prompts/crashing_request.rs
@@ -18,6 +18,8 @@
 const ROUND: Duration = Duration::from_millis(400);
 /// Time after which a crashed endpoint is back.
 const RESTART_TIME: Duration = Duration::from_millis(900);
+/// Time after which the second trial is due, and two seconds more.
+const TRIAL_TIME: Duration = Duration::from_secs(10);
 /// Time within which every host knows what the control hosts have committed.
 const IN_FORCE_TIME: Duration = Duration::from_millis(2_500);
 
@@ -132,6 +134,11 @@
     fleet_world::run(async {
         let mut scene = Scene::start(&["bad", "worse"]).await;
         scene.play(9).await;
+        // The trials that follow each other within seconds fail.
+        for _ in 0..2 {
+            scene.wait(TRIAL_TIME).await;
+            scene.play(3).await;
+        }
         scene.assert_few_runs();
         let before = (scene.runs("bad"), scene.runs("worse"));
         scene.world.add_host(Role::Entry, 4).await;
