Keep registrations of unnamed services out of the directory

Cause: a control host took every registration into the directory, whatever its service. There the later start of a record takes the id, makes every other record with its address gone and refuses later registrations of the endpoints; and the build of each such record was committed.

Change: control::unnamed decides before anything else is done. A service that the configuration in force does not name gets no record in any directory and no build; what is in the directory comes from control hosts, which all decide so. An endpoint that the directory holds under the same service may register after its service was dropped, so that it can leave.

--- a/src/events.rs
+++ b/src/events.rs
@@ -226,6 +226,9 @@
     /// The host that grants requests to limited endpoints has recorded a limit, or its end, that another
     /// host was told.
     LIMIT_RECORDED = 622, Info, "limit of an endpoint recorded";
+    /// A registration names a service that the configuration in force does not. It is kept for some
+    /// seconds and has no effect until a configuration names the service.
+    REGISTRATION_KEPT = 623, Warning, "registration of an unnamed service kept";
     /// An endpoint is slower than the others of its service, or fails a part of its requests, as the
     /// finding says. It gets fewer requests.
     ENDPOINT_DEVIATES = 630, Warning, "endpoint is slow or failing";
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -1,6 +1,7 @@
 //! Role control: holds the configuration and the directory and serves operators and endpoints.
 
 mod calls;
+pub mod unnamed;
 
 use crate::errors;
 use crate::event;
@@ -68,6 +69,8 @@
     directory_sync: Mutex<sync::DirectorySync>,
     /// Hosts that know an earlier state of the quarantined parts.
     quarantine_sync: Mutex<sync::DirectorySync>,
+    /// Registrations of services that the configuration does not name.
+    unnamed: Mutex<unnamed::Registrations>,
     /// Held while a build is committed.
     build_turn: tokio::sync::Mutex<()>,
     /// Memory for the bodies of calls.
@@ -81,6 +84,7 @@
             node: node.clone(),
             directory_sync: Mutex::default(),
             quarantine_sync: Mutex::default(),
+            unnamed: Mutex::default(),
             build_turn: tokio::sync::Mutex::default(),
             memory: body::Memory::new(MAX_HELD_BODY_BYTES),
             stage,
@@ -171,6 +175,8 @@
     let (_, bounds) =
         watch::channel(routes::Bounds { body_bytes: MAX_BODY_BYTES, ..routes::Bounds::default() });
     let log = tree.log().clone();
+    let c = control.clone();
+    tree.spawn("named services", move |stop| register_named(c.clone(), stop));
     tree.spawn_once(serve::run(operators, control, bounds, stage, open.clone(), end, log).map(Ok));
     let mut stop = tree.stop_signal();
     tree.spawn_once(async move {
@@ -313,6 +319,31 @@
     }
 }
 
+/// Registers the endpoints whose services a new configuration names.
+async fn register_named(
+    control: Arc<Control>,
+    mut stop: supervisor::Stop,
+) -> Result<(), errors::Error> {
+    let node = &control.node;
+    let (mut changes, mut version) = (node.view.changes(), 0);
+    loop {
+        if let Some(active) = node.view.active_config()
+            && active.document.version != version
+        {
+            version = active.document.version;
+            let named = peer::lock(&control.unnamed).take_named(node.now(), &active.config);
+            for endpoint in named {
+                // An endpoint whose build cannot be recorded registers again.
+                control.store_endpoint(endpoint).await;
+            }
+        }
+        tokio::select! {
+            changed = changes.changed() => if changed.is_err() { return Ok(()) },
+            () = stop.wait() => return Ok(()),
+        }
+    }
+}
+
 /// Tells the other hosts of quarantined and suspected parts of prompts while this host leads the
 /// control group. A host that misses this announces an earlier revision and gets them again.
 async fn publish_quarantine(
--- a/src/fleet/control/calls.rs
+++ b/src/fleet/control/calls.rs
@@ -10,6 +10,7 @@
 use crate::fleet::control::MAX_CALL_BYTES;
 use crate::fleet::control::broadcast;
 use crate::fleet::control::broadcast_records;
+use crate::fleet::control::unnamed;
 use crate::fleet::control_state;
 use crate::fleet::deadline;
 use crate::fleet::directory;
@@ -18,6 +19,7 @@
 use crate::fleet::ledger;
 use crate::fleet::node;
 use crate::fleet::origin;
+use crate::fleet::peer;
 use crate::fleet::protocol;
 use crate::fleet::serve;
 use crate::fleet::settings;
@@ -97,24 +99,54 @@
                 return serve::response(StatusCode::BAD_REQUEST, format!("{problem}\n"));
             }
         };
+        let active = node.view.active_config();
+        let known = node.view.directory(|d| d.endpoint(id).cloned());
+        let service = endpoint.service.clone();
+        let is_ready = endpoint.phase == directory::Phase::Ready;
+        let config = active.as_ref().map(|a| &a.config);
+        let admission =
+            peer::lock(&self.unnamed).admit(node.now(), config, known.as_ref(), endpoint);
+        match admission {
+            unnamed::Admission::Register(endpoint) => {
+                if !self.store_endpoint(endpoint).await {
+                    return self.unacknowledged(id, "its build cannot be recorded");
+                }
+            }
+            unnamed::Admission::Kept { is_first } => {
+                if is_first {
+                    event!(node.log, events::REGISTRATION_KEPT; "endpoint" => id,
+                        "service" => &*service, "version" => node.view.config_version());
+                }
+                if config.is_none() && !is_ready {
+                    return self.unacknowledged(id, "no configuration is known");
+                }
+            }
+        }
+        if !node.is_in_contact() {
+            return self.unacknowledged(id, node::OUT_OF_CONTACT);
+        }
+        serve::json_response(protocol.registration_reply())
+    }
+
+    /// Stores the registration of an endpoint and tells the other hosts if it changes anything.
+    /// Returns `false` if its build cannot be recorded.
+    pub(super) async fn store_endpoint(&self, endpoint: directory::Endpoint) -> bool {
+        let node = &self.node;
         let build =
             origin::Origin { service: endpoint.service.clone(), build: endpoint.build.clone() };
         if endpoint.phase == directory::Phase::Ready && !self.commit_build(&build).await {
-            return self.unacknowledged(id, "its build cannot be recorded");
+            return false;
         }
         let changed = node.view.directory(|d| d.register_endpoint(node.now(), endpoint.clone()));
         if changed {
-            event!(node.log, events::ENDPOINT_CHANGED; "endpoint" => id,
+            event!(node.log, events::ENDPOINT_CHANGED; "endpoint" => &*endpoint.id,
                 "service" => &*endpoint.service, "address" => %endpoint.address,
                 "phase" => ?endpoint.phase, "born" => endpoint.start_time, "seq" => endpoint.seq);
             node.view.notify_directory_changed();
             let records = directory::Records { endpoints: vec![endpoint], hosts: Vec::new() };
             broadcast_records(node, records);
         }
-        if !node.is_in_contact() {
-            return self.unacknowledged(id, node::OUT_OF_CONTACT);
-        }
-        serve::json_response(protocol.registration_reply())
+        true
     }
 
     /// Commits a build unless it is known to be committed, so that no endpoint of it gets a stream
@@ -168,6 +200,7 @@
     fn deregister_endpoint(&self, id: &str, body: &[u8]) -> serve::Response {
         let node = &self.node;
         let start_time = node.view.protocol().parse_deregistration(body);
+        peer::lock(&self.unnamed).remove(id);
         let left = node.view.directory(|d| d.deregister_endpoint(node.now(), id, start_time));
         event!(node.log, events::ENDPOINT_LEFT; "endpoint" => id, "known" => left.is_some());
         let start_time = start_time.or(left.map(|e| e.start_time));
