--- a/src/fleet/quarantine.rs
+++ b/src/fleet/quarantine.rs
@@ -1,11 +1,13 @@
 //! Finds what crashes endpoints, parts of prompts and whole requests, and decides when requests with
 //! it may be sent. Free of I/O.
 //!
-//! Designed for two load patterns, beside sound requests that run at the same endpoints:
+//! Designed for these load patterns, beside sound requests that run at the same endpoints:
 //! - Requests that share one part of their prompts and crash each endpoint that begins to answer them,
 //!   at several times a second and through every entry. Sound requests share all other parts.
 //! - A single request that comes again through any entry, seconds or minutes apart or several times at
 //!   once, and crashes each endpoint that begins to run it.
+//! - Endpoints that crash together for another reason, once or in a loop, under sound requests: the loss
+//!   of a failure domain, of power or of a whole service.
 //!
 //! A cause is quarantined for the whole fleet once it occurs in the crashes of [`state::MIN_CRASHES`]
 //! starts of endpoints. Only crashes that no quarantined part explains count, so that a shared first
@@ -13,6 +15,10 @@
 //! part is quarantined only if crashes are left that no quarantined request explains. A cause whose
 //! answers arrive elsewhere is cleared.
 //!
+//! Crashes at one moment may have one reason, which is weighed in two ways. They count as one moment,
+//! and only if the cause ran at half of the endpoints that crashed; and a verdict is revised by trials
+//! within the time in which items are owed.
+//!
 //! [`State`] is replicated by the control group. [`Watch`] is what one host knows of it.
 
 pub mod former;
@@ -20,6 +26,7 @@
 mod evidence;
 mod state;
 mod trial;
+mod verdict;
 mod watch;
 
 pub use evidence::Evidence;
--- a/src/fleet/quarantine/former.rs
+++ b/src/fleet/quarantine/former.rs
@@ -4,6 +4,7 @@
 use crate::fleet::quarantine;
 use crate::fleet::quarantine::Cause;
 use crate::fleet::quarantine::state;
+use crate::fleet::quarantine::verdict;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::VecDeque;
@@ -80,7 +81,7 @@
 impl From<UntimedState> for quarantine::State {
     fn from(former: UntimedState) -> quarantine::State {
         let verdict = |q: UntriedCause| {
-            state::Verdict::new(quarantine::Quarantined {
+            verdict::Verdict::new(quarantine::Quarantined {
                 cause: q.cause,
                 crashes: q.crashes,
                 trials: q.trials,
@@ -123,7 +124,7 @@
 impl From<State> for quarantine::State {
     fn from(state: State) -> quarantine::State {
         let quarantined = |q: QuarantinedPart| {
-            state::Verdict::new(quarantine::Quarantined {
+            verdict::Verdict::new(quarantine::Quarantined {
                 cause: Cause::Part(q.part),
                 crashes: q.crashes,
                 trials: q.trials,
--- a/src/fleet/quarantine/state.rs
+++ b/src/fleet/quarantine/state.rs
@@ -5,6 +5,7 @@
 use crate::fleet::quarantine::MAX_PARTS;
 use crate::fleet::quarantine::Quarantined;
 use crate::fleet::quarantine::Summary;
+use crate::fleet::quarantine::verdict;
 use crate::sorted;
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,10 +21,6 @@
 const MAX_UNDECIDED_CRASHES: usize = 5;
 /// Longest time between the first and the last crash of one moment.
 const MOMENT_MS: u64 = 200;
-/// Longest time between the crash under a trial and another crash that explains it.
-const COINCIDENCE_MS: u64 = 250;
-/// Trials of one cause that may end with a crash beside others before each of them counts as failed.
-const MAX_COINCIDENT_TRIALS: u32 = 2;
 /// Different prompts with a part that must have broken in these crashes. With a single one, the
 /// request is the cause.
 const MIN_PROMPTS: usize = 2;
@@ -51,62 +48,6 @@
     pub(super) crashes: u32,
 }
 
-/// Quarantined cause and the outcome of its trials.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct Verdict {
-    pub(super) quarantined: Quarantined,
-    /// Number of the last trial under which an endpoint crashed.
-    crashed_trial: u32,
-    /// Time of the crash of the last failed trial in milliseconds of Unix time; 0 if there is none.
-    failed_at: u64,
-    /// Trials under which an endpoint crashed at the same time as others.
-    coincident: u32,
-}
-
-impl Verdict {
-    pub(super) fn new(quarantined: Quarantined) -> Verdict {
-        Verdict { quarantined, crashed_trial: 0, failed_at: 0, coincident: 0 }
-    }
-
-    fn cause(&self) -> Cause {
-        self.quarantined.cause
-    }
-
-    /// Records that an endpoint crashed with the cause at `at`; `is_coincident` tells whether others
-    /// crashed without it at the same time.
-    fn record_crash(&mut self, at: u64, is_coincident: bool) {
-        self.quarantined.crashes += 1;
-        if self.quarantined.trials == self.crashed_trial {
-            return;
-        }
-        self.crashed_trial = self.quarantined.trials;
-        if is_coincident && self.coincident < MAX_COINCIDENT_TRIALS {
-            self.coincident += 1;
-        } else {
-            self.quarantined.failed += 1;
-            self.failed_at = at;
-        }
-    }
-
-    /// Records that an endpoint crashed without the cause at `at`. The last trial may have failed for
-    /// the same reason.
-    /// Returns whether that changes the verdict.
-    fn record_other_crash(&mut self, at: u64) -> bool {
-        let excuses = self.coincident < MAX_COINCIDENT_TRIALS && coincide(self.failed_at, at);
-        if excuses {
-            self.coincident += 1;
-            self.quarantined.failed = self.quarantined.failed.saturating_sub(1);
-            self.failed_at = 0;
-        }
-        excuses
-    }
-}
-
-/// Whether two crashes occurred at the same time; 0 is an unknown time.
-fn coincide(a: u64, b: u64) -> bool {
-    a != 0 && b != 0 && a.abs_diff(b) <= COINCIDENCE_MS
-}
-
 /// Crashes and what follows from them, as replicated by the control group.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
@@ -114,7 +55,7 @@
     pub(super) revision: u64,
     /// Recent crashes, the oldest first.
     pub(super) crashes: VecDeque<Crash>,
-    pub(super) quarantined: VecDeque<Verdict>,
+    pub(super) quarantined: VecDeque<verdict::Verdict>,
     pub(super) cleared: VecDeque<Cleared>,
 }
 
@@ -270,7 +211,8 @@
     /// next one. Each number is granted once in the whole fleet.
     pub fn grant_trial(&mut self, cause: Cause, number: u32) -> bool {
         let found = self.quarantined.iter_mut().find(|v| v.cause() == cause);
-        let is_next = |v: &&mut Verdict| v.quarantined.trials.checked_add(1) == Some(number);
+        let is_next =
+            |v: &&mut verdict::Verdict| v.quarantined.trials.checked_add(1) == Some(number);
         let Some(verdict) = found.filter(is_next) else { return false };
         verdict.quarantined.trials = number;
         self.revision += 1;
@@ -281,7 +223,7 @@
         self.verdict(cause).is_some()
     }
 
-    fn verdict(&self, cause: Cause) -> Option<&Verdict> {
+    fn verdict(&self, cause: Cause) -> Option<&verdict::Verdict> {
         self.quarantined.iter().find(|v| v.cause() == cause)
     }
 
@@ -308,7 +250,7 @@
             self.cleared.retain(|c| c.cause != cause);
             let crashes = u32::try_from(crashes).unwrap_or(u32::MAX);
             let quarantined = Quarantined { cause, crashes, trials: 0, failed: 0, relapsed };
-            push_bounded(&mut self.quarantined, Verdict::new(quarantined), MAX_LISTED);
+            push_bounded(&mut self.quarantined, verdict::Verdict::new(quarantined), MAX_LISTED);
             if matches!(cause, Cause::Part(_)) {
                 self.release_explained_requests(cause);
             }
@@ -399,7 +341,7 @@
     fn record_in_verdicts(&mut self, at: usize, added: &[Cause]) {
         let crash = &self.crashes[at];
         let is_beside = |other: &Crash, cause: Cause| {
-            coincide(other.broken_at, crash.broken_at)
+            verdict::coincide(other.broken_at, crash.broken_at)
                 && !other.has_cause(cause)
                 && !self.is_explained(other, |c| c != cause)
         };
@@ -433,13 +375,14 @@
     /// occurred without them at the moment of one with them. Returns whether there are any.
     fn release_unsupported(&mut self, at: usize) -> bool {
         let crash = &self.crashes[at];
-        let is_contrary = |v: &&Verdict| {
+        let is_contrary = |v: &&verdict::Verdict| {
             let with = |c: &Crash| c.has_cause(v.cause()) && is_same_moment(c, crash);
             v.quarantined.trials == 0
                 && !crash.has_cause(v.cause())
                 && self.crashes.iter().any(with)
         };
-        let doubted: Vec<Verdict> = self.quarantined.iter().filter(is_contrary).copied().collect();
+        let doubted: Vec<verdict::Verdict> =
+            self.quarantined.iter().filter(is_contrary).copied().collect();
         for verdict in &doubted {
             // Its crashes count as unexplained while it is judged.
             self.quarantined.retain(|v| v.cause() != verdict.cause());
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -281,7 +281,8 @@
         for quarantined in &changes.quarantined {
             event!(self.log, events::CAUSE_QUARANTINED; "cause" => %quarantined.cause,
                 "crashes" => quarantined.crashes, "trials" => quarantined.trials,
-                "failed" => quarantined.failed, "relapsed" => quarantined.relapsed, "revision" => summary.revision);
+                "failed" => quarantined.failed, "relapsed" => quarantined.relapsed,
+                "revision" => summary.revision);
         }
         for cause in &changes.released {
             event!(self.log, events::CAUSE_RELEASED; "cause" => %cause,
--- a/tests/fleet_foreign.rs
+++ b/tests/fleet_foreign.rs
@@ -79,13 +79,16 @@
         .expect("configuration")
 }
 
+/// Service and build of each endpoint that was stored.
+type Builds = BTreeSet<(Arc<str>, Arc<str>)>;
+
 /// Control host with its directory and its configuration.
 #[derive(Default)]
 struct Host {
     directory: Directory,
     unnamed: unnamed::Registrations,
     config: Option<routes::Config>,
-    builds: BTreeSet<(Arc<str>, Arc<str>)>,
+    builds: Builds,
 }
 
 impl Host {
@@ -126,7 +129,7 @@
 
 /// Plays the operations, with or without the registrations of the other writer. Returns the endpoints
 /// and the builds that each control host knows.
-fn play(ops: &[Op], with_foreign: bool) -> Vec<(Vec<Endpoint>, BTreeSet<(Arc<str>, Arc<str>)>)> {
+fn play(ops: &[Op], with_foreign: bool) -> Vec<(Vec<Endpoint>, Builds)> {
     let mut hosts: Vec<Host> = (0..CONTROLS).map(|_| Host::default()).collect();
     let mut starts = [1; ENDPOINTS];
     for (seq, op) in (1..).zip(ops) {
